--- /dev/null
+++ b/Makefile
@@ -0,0 +1,35 @@
+# The door to everything. Each target says what it does in one line.
+GO ?= go
+TOOL = $(GO) tool -modfile=tools/go.mod
+LOAD ?=
+
+.PHONY: all build test lint fmt demo bench faults compare cover
+
+all: lint test
+
+build: ## programs into bin/
+	$(GO) build -o bin/ ./cmd/...
+
+test: ## every test, with the race detector
+	$(GO) test -race -count=1 -timeout 20m ./...
+
+lint: ## formatter, vet and linter; prints nothing when clean
+	@test -z "$$($(TOOL) gofumpt -l . | tee /dev/stderr)"
+	@$(GO) vet ./...
+	@$(TOOL) revive -config revive.toml -set_exit_status ./...
+
+fmt: ## format in place
+	$(TOOL) gofumpt -w .
+
+demo: build ## both users' deployments in small, under load, with kills
+	$(GO) test ./systemtest -count=1 -v -timeout 10m -run '^TestDemo$$' -demo
+
+bench: ## added latency, throughput, memory; decisions by the nanosecond
+	$(GO) test ./routing/... ./away ./admission -run '^$$' -bench . -benchmem
+	$(GO) test ./systemtest -count=1 -v -timeout 20m -run '^TestBench' -bench-run
+
+faults: ## the fault matrix at length
+	$(GO) test ./systemtest -count=1 -v -timeout 40m -run '^TestFault' -long
+
+compare: ## decisions against baselines
+	$(GO) test ./systemtest -count=1 -v -timeout 60m -run '^TestCompare' -compare
--- /dev/null
+++ b/adapter/engine/engine.go
@@ -0,0 +1,54 @@
+// Package engine speaks the dialect of the model engines: OpenAI's completions
+// with server-sent events, cancel, resume and a load report.
+package engine
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+
+	"wheelgauge"
+	"wheelgauge/peerhttp"
+	"wheelgauge/upstream"
+)
+
+// Adapter implements wheelgauge.BackendServer.
+type Adapter struct {
+	pool   *upstream.Pool
+	client *peerhttp.Client
+}
+
+// New returns an adapter.
+func New(pool *upstream.Pool, client *peerhttp.Client) *Adapter {
+	return &Adapter{pool: pool, client: client}
+}
+
+// Send implements wheelgauge.BackendServer. An engine that refuses says so in
+// the outcome header; without it, the call counts as run.
+func (a *Adapter) Send(ctx context.Context, address string, call *wheelgauge.Call) (*wheelgauge.Answer, error) {
+	answer, err := a.pool.Send(ctx, address, call, call.Key != "")
+	if err != nil {
+		return nil, err
+	}
+	if answer.Status < http.StatusInternalServerError {
+		return answer, nil
+	}
+	outcome := wheelgauge.OutcomeRan
+	if answer.Header(wheelgauge.HeaderOutcome) == string(wheelgauge.OutcomeNotRun) {
+		outcome = wheelgauge.OutcomeNotRun
+	}
+	_ = answer.Body.Close() // the answer is refused whatever its end is
+	return nil, wheelgauge.NewError(wheelgauge.ReasonServerFailed, outcome, http.StatusBadGateway, "engine answered "+http.StatusText(answer.Status))
+}
+
+// Cancel implements wheelgauge.BackendServer.
+func (a *Adapter) Cancel(ctx context.Context, address, id string) error {
+	return a.client.Call(ctx, http.MethodPost, address, "/v1/cancel?id="+url.QueryEscape(id), nil, nil)
+}
+
+// Load implements wheelgauge.BackendServer.
+func (a *Adapter) Load(ctx context.Context, address string) (wheelgauge.LoadReport, error) {
+	var r wheelgauge.LoadReport
+	err := a.client.Call(ctx, http.MethodGet, address, "/v1/load", nil, &r)
+	return r, err
+}
--- /dev/null
+++ b/admission/limiter.go
@@ -0,0 +1,103 @@
+// Package admission limits clients and sheds load by priority and deadline.
+package admission
+
+import (
+	"math"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"wheelgauge"
+)
+
+const (
+	shardCount   = 32
+	idleBuckets  = 10 * time.Minute
+	sweepEvery   = 4096
+	priorities   = 10
+	retrySpread  = 0.5
+	leastRetry   = 200 * time.Millisecond
+	deadlinePart = 0.9
+)
+
+type bucket struct {
+	tokens float64
+	at     time.Time
+}
+
+type shard struct {
+	mu      sync.Mutex
+	buckets map[string]*bucket
+	calls   int
+}
+
+// Limiter is a token bucket for each client. It is safe for concurrent use.
+type Limiter struct {
+	shards [shardCount]shard
+}
+
+// NewLimiter returns an empty limiter.
+func NewLimiter() *Limiter {
+	l := &Limiter{}
+	for i := range l.shards {
+		l.shards[i].buckets = map[string]*bucket{}
+	}
+	return l
+}
+
+// Take takes one request of a client whose class allows rate and burst, of
+// which share holds here. It returns zero, or how long until the next is allowed.
+func (l *Limiter) Take(client string, hash uint64, class wheelgauge.ClientClassSpec, share float64, now time.Time) time.Duration {
+	if class.Rate == 0 {
+		return 0
+	}
+	rate := class.Rate * share
+	burst := math.Max(1, float64(class.Burst)*share)
+	s := &l.shards[hash%shardCount]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sweep(now)
+	b := s.buckets[client]
+	if b == nil {
+		b = &bucket{tokens: burst, at: now}
+		s.buckets[client] = b
+	}
+	b.tokens = math.Min(burst, b.tokens+rate*now.Sub(b.at).Seconds())
+	b.at = now
+	if b.tokens >= 1 {
+		b.tokens--
+		return 0
+	}
+	return time.Duration((1 - b.tokens) / rate * float64(time.Second))
+}
+
+func (s *shard) sweep(now time.Time) {
+	s.calls++
+	if s.calls%sweepEvery != 0 {
+		return
+	}
+	for client, b := range s.buckets {
+		if now.Sub(b.at) > idleBuckets {
+			delete(s.buckets, client)
+		}
+	}
+}
+
+// Shed tells whether work of a priority (0 to 9) is turned away when the wait
+// is expected to be wait; at the highest priority work waits up to longest.
+func Shed(priority int, wait, longest time.Duration) bool {
+	allowed := longest * time.Duration(priority+1) / priorities
+	return wait > allowed
+}
+
+// Late tells whether work that waits and then takes least cannot end in left.
+func Late(wait, least, left time.Duration) bool {
+	return float64(wait+least) > deadlinePart*float64(left)
+}
+
+// RetryAfter spreads the time to come back around wait, so that callers turned
+// away together do not return together.
+func RetryAfter(wait time.Duration) time.Duration {
+	wait = max(wait, leastRetry)
+	return wait + time.Duration(rand.Float64()*retrySpread*2*float64(wait))
+}
--- /dev/null
+++ b/callerconn/callerconn.go
@@ -0,0 +1,28 @@
+// Package callerconn tells whether the other side of a connection has left.
+package callerconn
+
+import (
+	"net"
+	"syscall"
+)
+
+// Gone peeks at a connection on which nobody reads now. Connections that
+// cannot be peeked at, such as TLS, are never gone.
+func Gone(c net.Conn) bool {
+	raw, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	rc, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	gone := false
+	err = rc.Read(func(fd uintptr) bool {
+		var one [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		gone = n == 0 && err == nil || err == syscall.ECONNRESET
+		return true
+	})
+	return gone || err != nil
+}
--- /dev/null
+++ b/claims/claims.go
@@ -0,0 +1,367 @@
+// Package claims keeps, for one region, which calls that are not repeatable
+// have been given out to run. A claim is on disk before it is granted.
+//
+// Keys are UUIDs of version 7 (RFC 9562), which hold the time they were made.
+// That bounds what must be remembered: a key older than the time to live is
+// refused whether it is remembered or not, and after the loss of a disk a key
+// made before the new disk was first used is answered as lost, never granted.
+package claims
+
+import (
+	"context"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"wheelgauge"
+	"wheelgauge/wal"
+)
+
+const (
+	logName      = "claims.log"
+	batchLength  = 256
+	uuidLength   = 36
+	rewriteEvery = 20_000
+	maxBody      = 64 << 10
+)
+
+// Options of a Table.
+type Options struct {
+	Dir string
+	// TTL is how long after its making a key is honoured; 24 h when zero.
+	TTL time.Duration
+	// Skew is the largest difference of clocks that is allowed for; 2 min when zero.
+	Skew time.Duration
+	// Now is the clock; time.Now when nil.
+	Now func() time.Time
+}
+
+// record is one record on disk.
+type record struct {
+	// Since is when this disk was first used; the first record only.
+	Since time.Time         `json:"since,omitzero"`
+	Claim *wheelgauge.Claim `json:"claim,omitempty"`
+}
+
+type request struct {
+	claim wheelgauge.Claim
+	done  chan outcome
+}
+
+type outcome struct {
+	claim wheelgauge.Claim
+	err   error
+}
+
+// Table is safe for concurrent use.
+type Table struct {
+	options Options
+	log     *wal.Log
+	since   time.Time
+	mu      sync.Mutex
+	claims  map[string]wheelgauge.Claim
+	written int
+	queue   chan request
+	cancel  context.CancelFunc
+	done    chan error
+}
+
+// Open reads the claims under the folder and starts the writer.
+func Open(ctx context.Context, options Options) (*Table, error) {
+	if options.TTL == 0 {
+		options.TTL = 24 * time.Hour
+	}
+	if options.Skew == 0 {
+		options.Skew = 2 * time.Minute
+	}
+	if options.Now == nil {
+		options.Now = time.Now
+	}
+	if err := os.MkdirAll(options.Dir, 0o700); err != nil {
+		return nil, fmt.Errorf("create claims folder: %w", err)
+	}
+	log, records, err := wal.Open(filepath.Join(options.Dir, logName))
+	if err != nil {
+		return nil, fmt.Errorf("open claims: %w", err)
+	}
+	t := &Table{options: options, log: log, claims: map[string]wheelgauge.Claim{}, queue: make(chan request, batchLength), done: make(chan error, 1)}
+	if err := t.replay(records); err != nil {
+		return nil, errors.Join(err, log.Close())
+	}
+	if err := t.compact(); err != nil {
+		return nil, errors.Join(err, log.Close())
+	}
+	ctx, t.cancel = context.WithCancel(ctx)
+	go func() { t.done <- t.run(ctx) }()
+	return t, nil
+}
+
+func (t *Table) replay(records [][]byte) error {
+	t.since = t.options.Now()
+	for i, data := range records {
+		var r record
+		if err := json.Unmarshal(data, &r); err != nil {
+			return fmt.Errorf("decode claims: %w", err)
+		}
+		if i == 0 {
+			t.since = r.Since
+		}
+		if r.Claim != nil {
+			t.put(*r.Claim)
+		}
+	}
+	return nil
+}
+
+func (t *Table) put(c wheelgauge.Claim) {
+	if c.State == wheelgauge.ClaimReleased {
+		delete(t.claims, name(c))
+		return
+	}
+	t.claims[name(c)] = c
+}
+
+func name(c wheelgauge.Claim) string { return c.Client + "\x00" + c.Key }
+
+// Close stops the writer and waits.
+func (t *Table) Close() error {
+	t.cancel()
+	return errors.Join(<-t.done, t.log.Close())
+}
+
+// Len returns how many claims are remembered.
+func (t *Table) Len() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.claims)
+}
+
+// KeyTime returns when a key was made; its error is an *Error that names what
+// a key must be.
+func KeyTime(key string) (time.Time, error) {
+	bad := wheelgauge.NewError(wheelgauge.ReasonBadRequest, wheelgauge.OutcomeNotRun, http.StatusBadRequest,
+		wheelgauge.HeaderIdempotency+" must be a UUID of version 7")
+	if len(key) != uuidLength || key[8] != '-' || key[13] != '-' || key[14] != '7' {
+		return time.Time{}, bad
+	}
+	raw, err := hex.DecodeString(strings.ReplaceAll(key, "-", ""))
+	if err != nil || len(raw) != 16 {
+		return time.Time{}, bad
+	}
+	var ms int64
+	for _, b := range raw[:6] {
+		ms = ms<<8 | int64(b)
+	}
+	return time.UnixMilli(ms), nil
+}
+
+// Take asks for a claim (state new) or ends one (state done or released). It
+// returns once the answer is on disk.
+func (t *Table) Take(ctx context.Context, c wheelgauge.Claim) (wheelgauge.Claim, error) {
+	if len(c.Body) > maxBody {
+		c.Body = nil
+	}
+	q := request{claim: c, done: make(chan outcome, 1)}
+	select {
+	case t.queue <- q:
+	case <-ctx.Done():
+		return c, stopped(wheelgauge.OutcomeNotRun)
+	}
+	select {
+	case o := <-q.done:
+		return o.claim, o.err
+	case <-ctx.Done():
+		return c, stopped(wheelgauge.OutcomeUnknown)
+	}
+}
+
+func stopped(outcome wheelgauge.Outcome) *wheelgauge.Error {
+	return wheelgauge.NewError(wheelgauge.ReasonClaimStore, outcome, http.StatusServiceUnavailable, "the claim store does not answer").WithRetryAfter(time.Second)
+}
+
+func (t *Table) run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case q := <-t.queue:
+			if err := t.commit(t.batch(q)); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+func (t *Table) batch(first request) []request {
+	out := []request{first}
+	for len(out) < batchLength {
+		select {
+		case q := <-t.queue:
+			out = append(out, q)
+		default:
+			return out
+		}
+	}
+	return out
+}
+
+// commit decides a batch, writes it with one sync and answers it.
+func (t *Table) commit(batch []request) error {
+	outcomes := make([]outcome, len(batch))
+	var records [][]byte
+	undo := map[string]wheelgauge.Claim{}
+	t.mu.Lock()
+	for i, q := range batch {
+		was, had := t.claims[name(q.claim)]
+		answer, write, err := t.decide(q.claim, was, had)
+		outcomes[i] = outcome{answer, err}
+		if write == nil {
+			continue
+		}
+		if _, ok := undo[name(q.claim)]; !ok {
+			undo[name(q.claim)] = was
+		}
+		t.put(*write)
+		data, err := json.Marshal(record{Claim: write})
+		if err != nil {
+			outcomes[i].err = fmt.Errorf("encode claim: %w", err)
+			continue
+		}
+		records = append(records, data)
+	}
+	t.mu.Unlock()
+	if err := t.write(records); err != nil {
+		t.takeBack(undo)
+		for i := range outcomes {
+			outcomes[i].err = stopped(wheelgauge.OutcomeNotRun)
+		}
+	}
+	for i, q := range batch {
+		q.done <- outcomes[i]
+	}
+	return t.compactNow(len(records))
+}
+
+func (t *Table) write(records [][]byte) error {
+	if len(records) == 0 {
+		return nil
+	}
+	return t.log.Append(records...)
+}
+
+func (t *Table) takeBack(undo map[string]wheelgauge.Claim) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for n, was := range undo {
+		delete(t.claims, n)
+		if was.Key != "" {
+			t.claims[n] = was
+		}
+	}
+}
+
+// decide returns the answer to c and what must be written for it.
+func (t *Table) decide(c, was wheelgauge.Claim, had bool) (wheelgauge.Claim, *wheelgauge.Claim, error) {
+	if c.State != wheelgauge.ClaimNew {
+		return t.end(c, was, had)
+	}
+	if had {
+		return repeat(c, was)
+	}
+	made, err := KeyTime(c.Key)
+	if err != nil {
+		return c, nil, err
+	}
+	now := t.options.Now()
+	if made.After(now.Add(t.options.Skew)) {
+		return c, nil, wheelgauge.NewError(wheelgauge.ReasonBadRequest, wheelgauge.OutcomeNotRun, http.StatusBadRequest, "the key was made in the future")
+	}
+	if now.Sub(made) > t.options.TTL || !made.After(t.since.Add(t.options.Skew)) && !t.founded() {
+		c.State = wheelgauge.ClaimLost
+		return c, nil, nil
+	}
+	held := c
+	held.State = wheelgauge.ClaimRunning
+	return c, &held, nil
+}
+
+// founded is true where the operator set this disk up as a region's first by
+// Found: no claim can have been lost before it.
+func (t *Table) founded() bool { return t.since.IsZero() }
+
+func repeat(c, was wheelgauge.Claim) (wheelgauge.Claim, *wheelgauge.Claim, error) {
+	if c.Digest != was.Digest {
+		return was, nil, wheelgauge.NewError(wheelgauge.ReasonConflict, wheelgauge.OutcomeNotRun, http.StatusConflict, "this key was used for another request")
+	}
+	return was, nil, nil
+}
+
+// end records the outcome of a claim for its holder only.
+func (t *Table) end(c, was wheelgauge.Claim, had bool) (wheelgauge.Claim, *wheelgauge.Claim, error) {
+	if !had || was.Holder != c.Holder || was.State != wheelgauge.ClaimRunning {
+		return was, nil, nil
+	}
+	return c, &c, nil
+}
+
+func (t *Table) compactNow(added int) error {
+	t.written += added
+	if t.written < rewriteEvery {
+		return nil
+	}
+	return t.compact()
+}
+
+// compact forgets the keys that are refused by their age and rewrites the file.
+func (t *Table) compact() error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.written = 0
+	oldest := t.options.Now().Add(-t.options.TTL - t.options.Skew)
+	first, err := json.Marshal(record{Since: t.since})
+	if err != nil {
+		return fmt.Errorf("encode claims: %w", err)
+	}
+	records := [][]byte{first}
+	for n, c := range t.claims {
+		if made, err := KeyTime(c.Key); err != nil || made.Before(oldest) {
+			delete(t.claims, n)
+			continue
+		}
+		data, err := json.Marshal(record{Claim: &c})
+		if err != nil {
+			return fmt.Errorf("encode claim: %w", err)
+		}
+		records = append(records, data)
+	}
+	if err := t.log.Rewrite(records...); err != nil {
+		return fmt.Errorf("rewrite claims: %w", err)
+	}
+	return nil
+}
+
+// Found marks dir as a region's first claim disk: no claim came before it.
+func Found(dir string) error {
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return fmt.Errorf("create claims folder: %w", err)
+	}
+	log, records, err := wal.Open(filepath.Join(dir, logName))
+	if err != nil {
+		return fmt.Errorf("open claims: %w", err)
+	}
+	if len(records) > 0 {
+		return errors.Join(fmt.Errorf("%s holds claims already", dir), log.Close())
+	}
+	data, err := json.Marshal(record{})
+	if err != nil {
+		return errors.Join(fmt.Errorf("encode claims: %w", err), log.Close())
+	}
+	return errors.Join(log.Append(data), log.Close())
+}
--- /dev/null
+++ b/cmd/wheelgauge-gateway/main.go
@@ -0,0 +1,11 @@
+// Command wheelgauge-gateway is the entry host's gateway.
+package main
+
+import "wheelgauge/program"
+
+func main() {
+	program.Main(program.Program{
+		Name: name, Short: "Gateway of an entry host", Long: long, Example: example,
+		Keys: keys, Check: check, Run: run,
+	})
+}
--- /dev/null
+++ b/error.go
@@ -0,0 +1,147 @@
+package wheelgauge
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Reason is the machine-readable cause of an Error.
+type Reason string
+
+// Reasons used across the programs.
+const (
+	ReasonBadRequest      Reason = "bad-request"
+	ReasonTooLarge        Reason = "too-large"
+	ReasonUnauthorized    Reason = "unauthorized"
+	ReasonForbidden       Reason = "forbidden"
+	ReasonNotFound        Reason = "not-found"
+	ReasonNoConfiguration Reason = "no-configuration"
+	ReasonResidency       Reason = "residency"
+	ReasonWrongHost       Reason = "wrong-host"
+	ReasonDraining        Reason = "draining"
+	ReasonRateLimited     Reason = "rate-limited"
+	ReasonOverloaded      Reason = "overloaded"
+	ReasonDeadline        Reason = "deadline"
+	ReasonNoServer        Reason = "no-server"
+	ReasonServerFailed    Reason = "server-failed"
+	ReasonBrokenStream    Reason = "broken-stream"
+	ReasonClaimHeld       Reason = "claim-held"
+	ReasonClaimStore      Reason = "claim-store"
+	ReasonConflict        Reason = "conflict"
+	ReasonInvalid         Reason = "invalid"
+	ReasonTooOld          Reason = "too-old"
+	ReasonNoLeader        Reason = "no-leader"
+	ReasonInternal        Reason = "internal"
+)
+
+// Error is the error answer of every program. It travels as JSON.
+type Error struct {
+	reason     Reason
+	outcome    Outcome
+	status     int
+	retryAfter time.Duration
+	requestID  string
+	detail     string
+	entries    []Entry
+}
+
+// errorMessage is the wire form of Error.
+type errorMessage struct {
+	Reason       Reason  `json:"reason"`
+	Outcome      Outcome `json:"outcome"`
+	Status       int     `json:"status"`
+	RetryAfterMS int64   `json:"retry_after_ms,omitempty"`
+	RequestID    string  `json:"request_id,omitempty"`
+	Detail       string  `json:"detail"`
+	Entries      []Entry `json:"entries,omitempty"`
+}
+
+// NewError returns an Error with an HTTP status.
+func NewError(reason Reason, outcome Outcome, status int, detail string) *Error {
+	return &Error{reason: reason, outcome: outcome, status: status, detail: detail}
+}
+
+// AsError returns the *Error in the chain of err, or an internal one with
+// outcome unknown.
+func AsError(err error) *Error {
+	if e, ok := errors.AsType[*Error](err); ok {
+		return e
+	}
+	return NewError(ReasonInternal, OutcomeUnknown, 500, err.Error())
+}
+
+// WithRetryAfter returns a copy that tells the caller when to come back.
+func (e *Error) WithRetryAfter(wait time.Duration) *Error {
+	c := *e
+	c.retryAfter = wait
+	return &c
+}
+
+// WithRequestID returns a copy that names the request.
+func (e *Error) WithRequestID(id string) *Error {
+	c := *e
+	c.requestID = id
+	return &c
+}
+
+// WithEntries returns a copy that lists the hosts the caller may use.
+func (e *Error) WithEntries(entries []Entry) *Error {
+	c := *e
+	c.entries = entries
+	return &c
+}
+
+// WithOutcome returns a copy with another outcome.
+func (e *Error) WithOutcome(outcome Outcome) *Error {
+	c := *e
+	c.outcome = outcome
+	return &c
+}
+
+// Reason returns the machine-readable cause.
+func (e *Error) Reason() Reason { return e.reason }
+
+// Outcome returns what may be assumed about the execution.
+func (e *Error) Outcome() Outcome { return e.outcome }
+
+// Status returns the HTTP status.
+func (e *Error) Status() int { return e.status }
+
+// RetryAfter returns when to come back; zero means not stated.
+func (e *Error) RetryAfter() time.Duration { return e.retryAfter }
+
+// Detail returns the text for a person.
+func (e *Error) Detail() string { return e.detail }
+
+// Entries returns the hosts the caller may use instead.
+func (e *Error) Entries() []Entry { return e.entries }
+
+// Error implements error.
+func (e *Error) Error() string {
+	return fmt.Sprintf("%s (%s): %s", e.reason, e.outcome, e.detail)
+}
+
+// MarshalJSON implements json.Marshaler.
+func (e *Error) MarshalJSON() ([]byte, error) {
+	return json.Marshal(errorMessage{
+		Reason: e.reason, Outcome: e.outcome, Status: e.status,
+		RetryAfterMS: e.retryAfter.Milliseconds(), RequestID: e.requestID,
+		Detail: e.detail, Entries: e.entries,
+	})
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (e *Error) UnmarshalJSON(data []byte) error {
+	var m errorMessage
+	if err := json.Unmarshal(data, &m); err != nil {
+		return fmt.Errorf("decode error answer: %w", err)
+	}
+	*e = Error{
+		reason: m.Reason, outcome: m.Outcome, status: m.Status,
+		retryAfter: time.Duration(m.RetryAfterMS) * time.Millisecond,
+		requestID:  m.RequestID, detail: m.Detail, entries: m.Entries,
+	}
+	return nil
+}
--- /dev/null
+++ b/fake/engine/handler.go
@@ -0,0 +1,250 @@
+package engine
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"wheelgauge"
+	"wheelgauge/peerhttp"
+)
+
+const (
+	defaultTokens = 16
+	mostTokens    = 100_000
+)
+
+type completion struct {
+	Model     string    `json:"model"`
+	Stream    bool      `json:"stream"`
+	MaxTokens int       `json:"max_tokens"`
+	Prompt    string    `json:"prompt"`
+	Messages  []message `json:"messages"`
+}
+
+type message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+func (c *completion) text() string {
+	if c.Prompt != "" {
+		return c.Prompt
+	}
+	out := ""
+	for _, m := range c.Messages {
+		out += m.Content
+	}
+	return out
+}
+
+// answerMessage is a whole answer or one chunk of a stream.
+type answerMessage struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+}
+
+type choice struct {
+	Index   int      `json:"index"`
+	Text    string   `json:"text,omitempty"`
+	Message *message `json:"message,omitempty"`
+	Delta   *message `json:"delta,omitempty"`
+	Finish  string   `json:"finish_reason,omitempty"`
+}
+
+func (e *Engine) handle(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Path()) {
+	case "/v1/chat/completions", "/v1/completions":
+		e.complete(ctx)
+	case "/v1/cancel":
+		peerhttp.Answer(ctx, map[string]bool{"cancelled": e.cancelSequence(string(ctx.QueryArgs().Peek("id")))})
+	case "/v1/load":
+		peerhttp.Answer(ctx, e.report())
+	case "/v1/cache-events":
+		e.cacheEvents(ctx)
+	case "/v1/orders":
+		e.order(ctx)
+	case "/v1/kv":
+		e.kv(ctx)
+	case "/v1/leave":
+		e.Leave()
+	case "/v1/stats":
+		peerhttp.Answer(ctx, e.Stats())
+	default:
+		peerhttp.NotFound(ctx)
+	}
+}
+
+func (e *Engine) complete(ctx *fasthttp.RequestCtx) {
+	c, err := peerhttp.Decode[completion](ctx)
+	if err != nil {
+		peerhttp.AnswerError(ctx, err)
+		return
+	}
+	n := c.MaxTokens
+	if n <= 0 || n > mostTokens {
+		n = defaultTokens
+	}
+	priority, _ := strconv.Atoi(string(ctx.Request.Header.Peek("X-Priority")))
+	skip, _ := strconv.Atoi(string(ctx.Request.Header.Peek("X-Resume-From")))
+	id := string(ctx.Request.Header.Peek(wheelgauge.HeaderRequestID))
+	s := e.submit(id, c.text(), priority, skip, n)
+	if s == nil {
+		peerhttp.AnswerError(ctx, wheelgauge.NewError(wheelgauge.ReasonOverloaded, wheelgauge.OutcomeNotRun, http.StatusServiceUnavailable, "the queue is full"))
+		return
+	}
+	chat := string(ctx.Path()) == "/v1/chat/completions"
+	if c.Stream {
+		e.stream(ctx, s, c.Model, chat)
+		return
+	}
+	e.whole(ctx, s, c.Model, chat)
+}
+
+func (e *Engine) whole(ctx *fasthttp.RequestCtx, s *sequence, model string, chat bool) {
+	defer e.forget(s)
+	text, n := "", s.next
+	for token := range s.tokens {
+		text += token
+		n++
+	}
+	if n < s.total {
+		// Cut by a cancel or a stop: no answer at all is better than half of one.
+		ctx.SetStatusCode(http.StatusInternalServerError)
+		ctx.SetConnectionClose()
+		return
+	}
+	a := answerMessage{ID: s.id, Object: "text_completion", Model: model, Choices: []choice{{Text: text, Finish: "length"}}}
+	if chat {
+		a.Object = "chat.completion"
+		a.Choices = []choice{{Message: &message{"assistant", text}, Finish: "length"}}
+	}
+	peerhttp.Answer(ctx, a)
+}
+
+// stream sends the head of the answer with the first token.
+func (e *Engine) stream(ctx *fasthttp.RequestCtx, s *sequence, model string, chat bool) {
+	n := s.next
+	first, ok := <-s.tokens
+	if !ok && n < s.total {
+		e.forget(s)
+		ctx.SetStatusCode(http.StatusInternalServerError)
+		ctx.SetConnectionClose()
+		return
+	}
+	ctx.SetContentType("text/event-stream")
+	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
+		defer e.forget(s)
+		for token := first; ok; token, ok = <-s.tokens {
+			if !writeEvent(w, chunk(s.id, model, token, chat)) {
+				return
+			}
+			n++
+		}
+		if n >= s.total {
+			_, _ = w.WriteString("data: [DONE]\n\n") // a caller that left is not told
+		}
+	})
+}
+
+func chunk(id, model, token string, chat bool) answerMessage {
+	a := answerMessage{ID: id, Object: "text_completion", Model: model, Choices: []choice{{Text: token}}}
+	if chat {
+		a.Object = "chat.completion.chunk"
+		a.Choices = []choice{{Delta: &message{Content: token}}}
+	}
+	return a
+}
+
+func writeEvent(w *bufio.Writer, a answerMessage) bool {
+	body, err := json.Marshal(a)
+	if err != nil {
+		return false
+	}
+	if _, err := fmt.Fprintf(w, "data: %s\n\n", body); err != nil {
+		return false
+	}
+	return w.Flush() == nil
+}
+
+func (e *Engine) cacheEvents(ctx *fasthttp.RequestCtx) {
+	from := ctx.QueryArgs().GetUintOrZero("from")
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out := []cacheEvent{}
+	for _, ev := range e.cache.events {
+		if ev.Number > uint64(from) && time.Since(ev.at) >= e.o.ReportLag {
+			out = append(out, ev)
+		}
+	}
+	peerhttp.Answer(ctx, out)
+}
+
+// order is a command to load or drop a model.
+type order struct {
+	Fence  uint64 `json:"fence"`
+	Action string `json:"action"`
+	Model  string `json:"model"`
+	As     string `json:"version"`
+}
+
+func (e *Engine) order(ctx *fasthttp.RequestCtx) {
+	o, err := peerhttp.Decode[order](ctx)
+	if err != nil {
+		peerhttp.AnswerError(ctx, err)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.o.ChecksFences && o.Fence < e.fence {
+		peerhttp.AnswerError(ctx, wheelgauge.NewError(wheelgauge.ReasonConflict, wheelgauge.OutcomeNotRun, http.StatusConflict, "an order with a later fence came before"))
+		return
+	}
+	e.fence = max(e.fence, o.Fence)
+	e.orders++
+	if o.Action == "unload" {
+		delete(e.models, o.Model)
+	} else {
+		e.models[o.Model] = o.As
+	}
+	peerhttp.Answer(ctx, e.models)
+}
+
+// kvMessage carries the blocks of cached prefixes.
+type kvMessage struct {
+	Blocks []uint64 `json:"blocks"`
+}
+
+func (e *Engine) kv(ctx *fasthttp.RequestCtx) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if ctx.IsGet() {
+		out := kvMessage{}
+		for _, b := range chain(string(ctx.QueryArgs().Peek("prompt"))) {
+			if _, ok := e.cache.blocks[b]; !ok {
+				break
+			}
+			out.Blocks = append(out.Blocks, b)
+		}
+		peerhttp.Answer(ctx, out)
+		return
+	}
+	in, err := peerhttp.Decode[kvMessage](ctx)
+	if err != nil {
+		peerhttp.AnswerError(ctx, err)
+		return
+	}
+	for _, b := range in.Blocks {
+		if _, ok := e.cache.blocks[b]; !ok {
+			e.cache.blocks[b] = e.cache.order.PushFront(b)
+		}
+	}
+	peerhttp.Answer(ctx, struct{}{})
+}
--- /dev/null
+++ b/gateway/admit.go
@@ -0,0 +1,166 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"wheelgauge"
+	"wheelgauge/admission"
+	"wheelgauge/away"
+	"wheelgauge/catalog"
+	"wheelgauge/entrylist"
+	"wheelgauge/rendezvous"
+)
+
+// leastService is the shortest time that any work is expected to take.
+const leastService = 10 * time.Millisecond
+
+// limit takes the request from its client's allowance on this host.
+func (g *Gateway) limit(rq *request) error {
+	if rq.class.Rate == 0 {
+		return nil
+	}
+	share := entrylist.Share(rq.catalog, rq.identity, g.o.Region, g.o.Host, g.usable)
+	wait := g.limiter.Take(rq.identity.Client, rendezvous.Hash(rq.identity.Client), rq.class, share, rq.started)
+	if wait == 0 {
+		return nil
+	}
+	return wheelgauge.NewError(wheelgauge.ReasonRateLimited, wheelgauge.OutcomeNotRun, http.StatusTooManyRequests,
+		fmt.Sprintf("client %s is over its limit of %g requests a second", rq.identity.Client, rq.class.Rate)).
+		WithRetryAfter(admission.RetryAfter(wait))
+}
+
+// field is the load of the servers that may take a request.
+type field struct {
+	candidates []wheelgauge.Candidate
+	load       int
+	slots      int
+}
+
+var fields = sync.Pool{New: func() any { return &field{} }}
+
+// survey lists the servers of a route in this region that may take work now.
+func (g *Gateway) survey(f *field, c *catalog.Catalog, route *catalog.Route, model string, tried []string) {
+	f.candidates, f.load, f.slots = f.candidates[:0], 0, 0
+	now := time.Now()
+	for _, s := range c.Servers(route.Pool, g.o.Region, model) {
+		if s.Leaving || contains(tried, s.Name) || !g.aside.Allowed(s.Name, now) {
+			continue
+		}
+		state := g.node.Server(s.Name)
+		if state.Leaving || state.Known && !state.Alive {
+			continue
+		}
+		one := wheelgauge.Candidate{Name: s.Name, Address: s.Address, Hash: s.Hash, InFlight: g.inflight.Count(s.Name)}
+		one.Running = g.inflight.Estimate(s.Name, state.Running+state.Waiting, state.Reported)
+		one.Slots = max(1, int(float64(s.Slots)*state.Ramp(now)))
+		f.candidates = append(f.candidates, one)
+		f.load += max(one.InFlight, one.Running)
+		f.slots += one.Slots
+	}
+}
+
+func contains(list []string, name string) bool {
+	for _, one := range list {
+		if one == name {
+			return true
+		}
+	}
+	return false
+}
+
+// wait estimates how long new work waits for a slot.
+func wait(load, slots int, service time.Duration) time.Duration {
+	if slots == 0 || load < slots {
+		return 0
+	}
+	return time.Duration(float64(load-slots+1) / float64(slots) * float64(service))
+}
+
+// plan is where a request goes.
+type plan struct {
+	region string // empty: here
+	wait   time.Duration
+}
+
+// decide chooses between this region and others, or refuses at once what would
+// be too late or must be shed.
+func (g *Gateway) decide(rq *request) (plan, error) {
+	f := fields.Get().(*field)
+	defer fields.Put(f)
+	g.survey(f, rq.catalog, rq.route, rq.model, nil)
+	service := g.inflight.Mean(rq.route.Pool)
+	here := away.Place{Region: g.o.Region, Wait: wait(f.load, f.slots, service), Price: rq.catalog.Region(g.o.Region).Price}
+	fits := f.slots > 0 && !admission.Shed(rq.call.Priority, here.Wait, g.o.LongestWait) &&
+		!admission.Late(here.Wait, leastService, time.Until(rq.call.Deadline))
+	if !rq.forwarded {
+		if region, ok := g.elsewhere(rq, here, fits, service); ok {
+			return plan{region: region}, nil
+		}
+	}
+	if fits {
+		return plan{wait: here.Wait}, nil
+	}
+	return plan{}, g.overloaded(rq, here, f.slots)
+}
+
+func (g *Gateway) overloaded(rq *request, here away.Place, slots int) error {
+	if slots == 0 {
+		return wheelgauge.NewError(wheelgauge.ReasonNoServer, wheelgauge.OutcomeNotRun, http.StatusServiceUnavailable,
+			"no backend server of "+rq.route.Name+" takes work in "+g.o.Region).WithRetryAfter(admission.RetryAfter(time.Second))
+	}
+	reason, status := wheelgauge.ReasonOverloaded, http.StatusServiceUnavailable
+	if !admission.Shed(rq.call.Priority, here.Wait, g.o.LongestWait) {
+		reason = wheelgauge.ReasonDeadline
+	}
+	return wheelgauge.NewError(reason, wheelgauge.OutcomeNotRun, status,
+		fmt.Sprintf("work waits %s for a server", here.Wait.Round(time.Millisecond))).WithRetryAfter(admission.RetryAfter(here.Wait))
+}
+
+// elsewhere asks the away policy about the other regions.
+func (g *Gateway) elsewhere(rq *request, here away.Place, fits bool, service time.Duration) (string, bool) {
+	var places [maxRegions]away.Place
+	n := 0
+	for _, region := range rq.catalog.Regions() {
+		if region == g.o.Region || n == maxRegions || !rq.catalog.Allows(rq.identity, region) {
+			continue
+		}
+		s := g.node.Region(region)
+		if s.Hosts == 0 || s.Slots == 0 || len(rq.catalog.Servers(rq.route.Pool, region, rq.model)) == 0 {
+			continue
+		}
+		places[n] = away.Place{
+			Region: region, Wait: wait(s.Running+s.Waiting, s.Slots, service), Price: rq.catalog.Region(region).Price,
+			Link:    time.Duration(rq.catalog.Region(g.o.Region).Links[region] * float64(time.Millisecond)),
+			Granted: g.granted(rq.catalog, s), InFlight: g.inflight.Count(awayName(region)),
+		}
+		n++
+	}
+	best := g.o.Decider.Decide(here, fits, rq.tokens, places[:n])
+	if best < 0 {
+		return "", false
+	}
+	return places[best].Region, true
+}
+
+// maxRegions bounds the regions that are weighed for a request.
+const maxRegions = 16
+
+func awayName(region string) string { return "region " + region }
+
+// granted returns this host's part of what a region granted to this one.
+func (g *Gateway) granted(c *catalog.Catalog, s wheelgauge.RegionSummary) int {
+	hosts := 0
+	for _, h := range c.Hosts(g.o.Region) {
+		if g.usable(h) {
+			hosts++
+		}
+	}
+	grant := s.Grants[g.o.Region]
+	if grant == 0 {
+		return 0
+	}
+	return max(1, grant/max(1, hosts))
+}
--- /dev/null
+++ b/gateway/caller.go
@@ -0,0 +1,119 @@
+package gateway
+
+import (
+	"errors"
+	"net/http"
+
+	"github.com/valyala/fasthttp"
+
+	"wheelgauge"
+	"wheelgauge/callerconn"
+	"wheelgauge/entrylist"
+	"wheelgauge/peerhttp"
+	"wheelgauge/rendezvous"
+)
+
+const refusedBody = 1
+
+// headerReceived decides residency before the body is read: a request that
+// will be refused is handed over after the first byte of its body.
+func (g *Gateway) headerReceived(h *fasthttp.RequestHeader) fasthttp.RequestConfig {
+	var rq request
+	if err := g.place(h, &rq); err != nil {
+		return fasthttp.RequestConfig{MaxRequestBodySize: refusedBody}
+	}
+	return fasthttp.RequestConfig{}
+}
+
+// badRequest answers what could not be read as a request.
+func (g *Gateway) badRequest(ctx *fasthttp.RequestCtx, err error) {
+	g.meter.Count("refused.malformed")
+	fault := badRequest("the request cannot be read: " + err.Error())
+	if _, ok := errors.AsType[*fasthttp.ErrSmallBuffer](err); ok {
+		fault = wheelgauge.NewError(wheelgauge.ReasonTooLarge, wheelgauge.OutcomeNotRun, http.StatusRequestHeaderFieldsTooLarge, "the headers are too large")
+	}
+	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
+		fault = g.tooLarge()
+	}
+	ctx.SetConnectionClose()
+	peerhttp.AnswerError(ctx, fault)
+}
+
+// serveCaller handles the callers' listener.
+func (g *Gateway) serveCaller(ctx *fasthttp.RequestCtx) {
+	g.serving.Add(1)
+	if string(ctx.Path()) == pathEntry {
+		g.serveEntry(ctx)
+		g.serving.Done()
+		return
+	}
+	rq, err := g.fromCaller(ctx)
+	if err == nil {
+		err = g.admitCaller(ctx, rq)
+	}
+	if err != nil {
+		g.refuse(ctx, rq, err)
+		g.serving.Done()
+		return
+	}
+	conn := ctx.Conn()
+	rq.gone = func() bool { return callerconn.Gone(conn) }
+	g.run(ctx, rq)
+}
+
+// admitCaller checks what concerns the caller, reads the body and finds the route.
+func (g *Gateway) admitCaller(ctx *fasthttp.RequestCtx, rq *request) error {
+	if g.closed.Load() {
+		return wheelgauge.NewError(wheelgauge.ReasonDraining, wheelgauge.OutcomeNotRun, http.StatusServiceUnavailable,
+			"this host is leaving").WithEntries(g.entries(rq))
+	}
+	if err := g.limit(rq); err != nil {
+		return err
+	}
+	if err := g.readBody(ctx, rq); err != nil {
+		return err
+	}
+	return g.findRoute(rq)
+}
+
+// refuse answers a request that was not dispatched. The connection is closed
+// when its body was not taken in.
+func (g *Gateway) refuse(ctx *fasthttp.RequestCtx, rq *request, err error) {
+	fault := wheelgauge.AsError(err).WithRequestID(rq.call.ID)
+	g.meter.Count("refused." + string(fault.Reason()))
+	if rq.call.Body == nil && ctx.Request.Header.ContentLength() != 0 {
+		ctx.SetConnectionClose()
+	}
+	ctx.Response.Header.Set(wheelgauge.HeaderRequestID, rq.call.ID)
+	peerhttp.AnswerError(ctx, fault)
+}
+
+// serveEntry answers GET /v1/entry.
+func (g *Gateway) serveEntry(ctx *fasthttp.RequestCtx) {
+	var rq request
+	err := g.place(&ctx.Request.Header, &rq)
+	if err != nil && wheelgauge.AsError(err).Reason() != wheelgauge.ReasonResidency {
+		peerhttp.AnswerError(ctx, err)
+		return
+	}
+	g.meter.Count("entry.lists")
+	peerhttp.Answer(ctx, wheelgauge.EntryList{Entries: g.entries(&rq), TTLMS: g.o.EntryTTL.Milliseconds()})
+}
+
+func (g *Gateway) entries(rq *request) []wheelgauge.Entry {
+	return entrylist.List(rq.catalog, rq.identity, g.o.Region, g.usable)
+}
+
+// home returns the region that keeps the claims of a client.
+func (rq *request) home() string {
+	regions := rq.catalog.AllowedRegions(rq.identity)
+	for _, region := range regions {
+		if region == rq.identity.Home {
+			return region
+		}
+	}
+	if len(regions) == 0 {
+		return ""
+	}
+	return rendezvous.Top(rq.identity.Client, regions, 1)[0]
+}
--- /dev/null
+++ b/gateway/claim.go
@@ -0,0 +1,131 @@
+package gateway
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"wheelgauge"
+	"wheelgauge/peerhttp"
+)
+
+const (
+	pathClaims   = "/v1/claims"
+	claimTimeout = 2 * time.Second
+	releaseLimit = 500 * time.Millisecond
+	recordLimit  = 2 * time.Second
+)
+
+// heldClaim is a claim and where it is kept.
+type heldClaim struct {
+	wheelgauge.Claim
+	store string
+}
+
+// claim asks the client's home region for the right to run a call that is not
+// repeatable and carries a key. It returns nil where no claim is needed, a
+// claim in state new when it was granted, or in state done with the answer.
+func (g *Gateway) claim(rq *request) (*heldClaim, error) {
+	if !rq.once || rq.call.Key == "" || rq.forwarded {
+		return nil, nil
+	}
+	address := rq.catalog.ClaimStore(rq.home())
+	if address == "" {
+		return nil, claimStore("the client's home region has no claim store")
+	}
+	c := wheelgauge.Claim{Client: rq.identity.Client, Key: rq.call.Key, Digest: digest(rq), Holder: rq.call.ID, State: wheelgauge.ClaimNew}
+	got, err := g.tell(address, c, claimTimeout)
+	if err != nil {
+		return nil, g.notClaimed(address, c, err)
+	}
+	switch got.State {
+	case wheelgauge.ClaimNew, wheelgauge.ClaimDone:
+		g.meter.Count("claims." + string(got.State))
+		return &heldClaim{got, address}, nil
+	case wheelgauge.ClaimLost:
+		return nil, held("the key is too old, or was made before the claim store's disk was replaced: whether it ran is not known")
+	default:
+		return nil, held("an earlier request with this key was dispatched and its outcome is not recorded").WithRetryAfter(time.Second)
+	}
+}
+
+func held(detail string) *wheelgauge.Error {
+	return wheelgauge.NewError(wheelgauge.ReasonClaimHeld, wheelgauge.OutcomeUnknown, http.StatusConflict, detail)
+}
+
+func claimStore(detail string) *wheelgauge.Error {
+	return wheelgauge.NewError(wheelgauge.ReasonClaimStore, wheelgauge.OutcomeNotRun, http.StatusServiceUnavailable, detail).WithRetryAfter(time.Second)
+}
+
+// notClaimed answers a request whose claim was not granted. This attempt was
+// not run; a claim that may have been taken for it is given back.
+func (g *Gateway) notClaimed(address string, c wheelgauge.Claim, err error) error {
+	if fault, ok := errors.AsType[*wheelgauge.Error](err); ok {
+		return fault.WithOutcome(wheelgauge.OutcomeNotRun)
+	}
+	if !peerhttp.NotSent(err) {
+		c.State = wheelgauge.ClaimReleased
+		if _, err := g.tell(address, c, releaseLimit); err != nil {
+			g.meter.Count("claims.not_given_back")
+		}
+	}
+	return claimStore("the claim store of the client's home region is not reached")
+}
+
+func (g *Gateway) tell(address string, c wheelgauge.Claim, limit time.Duration) (wheelgauge.Claim, error) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(g.ctx), limit)
+	defer cancel()
+	var got wheelgauge.Claim
+	if err := g.client.Call(ctx, http.MethodPost, address, pathClaims, c, &got); err != nil {
+		return got, fmt.Errorf("claim: %w", err)
+	}
+	return got, nil
+}
+
+func digest(rq *request) string {
+	sum := sha256.Sum256(fmt.Appendf(nil, "%s %s\n%s", rq.call.Method, rq.call.Path, rq.call.Body))
+	return hex.EncodeToString(sum[:])
+}
+
+// giveBack releases a claim when nothing can have left.
+func (g *Gateway) giveBack(c *heldClaim, cause error) {
+	if c == nil || !isOutcome(cause, wheelgauge.OutcomeNotRun) {
+		return
+	}
+	g.end(c, wheelgauge.Claim{State: wheelgauge.ClaimReleased})
+}
+
+// record keeps the answer for resends of the same key.
+func (g *Gateway) record(c *heldClaim, answer *wheelgauge.Answer, body []byte) {
+	if c == nil {
+		return
+	}
+	g.end(c, wheelgauge.Claim{State: wheelgauge.ClaimDone, Status: answer.Status, Type: answer.ContentType, Body: body})
+}
+
+func (g *Gateway) end(c *heldClaim, as wheelgauge.Claim) {
+	as.Client, as.Key, as.Digest, as.Holder = c.Client, c.Key, c.Digest, c.Holder
+	if _, err := g.tell(c.store, as, recordLimit); err != nil {
+		g.meter.Count("claims.not_recorded")
+		g.o.Log.Error(err, "Claim is not ended; resends get unknown.")
+	}
+}
+
+// replay answers a resend with what was recorded.
+func (g *Gateway) replay(ctx *fasthttp.RequestCtx, rq *request, c *heldClaim) {
+	h := &ctx.Response.Header
+	h.Set(wheelgauge.HeaderRequestID, rq.call.ID)
+	h.Set(wheelgauge.HeaderOutcome, string(wheelgauge.OutcomeRan))
+	h.Set(wheelgauge.HeaderServed, "record")
+	ctx.SetStatusCode(c.Status)
+	ctx.SetContentType(c.Type)
+	ctx.SetBody(c.Body)
+	g.observe(rq)
+	g.serving.Done()
+}
--- /dev/null
+++ b/gateway/dispatch.go
@@ -0,0 +1,274 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"wheelgauge"
+	"wheelgauge/away"
+	"wheelgauge/catalog"
+	"wheelgauge/rendezvous"
+)
+
+const (
+	mostAttempts = 3
+	goneEvery    = 100 * time.Millisecond
+	cancelLimit  = 2 * time.Second
+)
+
+// open dispatches a request and returns the answer with its body unread.
+// A call that is not repeatable is never dispatched again once a byte of it
+// may have left.
+func (g *Gateway) open(ctx context.Context, rq *request) (*wheelgauge.Answer, error) {
+	if address := g.oldPath(rq); address != "" {
+		return g.sendOld(ctx, rq, address)
+	}
+	p, err := g.decide(rq)
+	if err != nil {
+		return nil, err
+	}
+	if p.region != "" {
+		answer, err := g.forward(ctx, rq, p.region)
+		if err == nil || !isOutcome(err, wheelgauge.OutcomeNotRun) {
+			return answer, err
+		}
+		g.meter.Count("away.turned_back")
+	}
+	if p.wait > 0 {
+		g.asks.Add(1)
+		defer g.asks.Add(-1)
+	}
+	return g.sendHere(ctx, rq)
+}
+
+// sendHere tries servers of this region, within the retry budget.
+func (g *Gateway) sendHere(ctx context.Context, rq *request) (*wheelgauge.Answer, error) {
+	var tried []string
+	var last error
+	g.budget.First()
+	for attempt := range mostAttempts {
+		if attempt > 0 && !g.budget.Retry() {
+			g.meter.Count("retries.no_budget")
+			break
+		}
+		server, ok := g.pick(rq, tried)
+		if !ok {
+			break
+		}
+		rq.attempts++
+		g.meter.Count("attempts")
+		answer, err := g.sendTo(ctx, rq, server)
+		if err == nil {
+			return answer, nil
+		}
+		last = err
+		if !g.mayRepeat(rq, err) {
+			return nil, err
+		}
+		tried = append(tried, server.Name)
+	}
+	if last == nil {
+		last = g.overloaded(rq, away.Place{}, 0)
+	}
+	return nil, last
+}
+
+// mayRepeat tells whether a failed attempt may be followed by another.
+func (g *Gateway) mayRepeat(rq *request, err error) bool {
+	if time.Now().After(rq.call.Deadline) || rq.left() {
+		return false
+	}
+	if isOutcome(err, wheelgauge.OutcomeNotRun) {
+		return true
+	}
+	return !rq.once
+}
+
+func (rq *request) left() bool { return rq.gone != nil && rq.gone() }
+
+func (g *Gateway) pick(rq *request, tried []string) (*catalog.Server, bool) {
+	f := fields.Get().(*field)
+	defer fields.Put(f)
+	g.survey(f, rq.catalog, rq.route, rq.model, tried)
+	if len(f.candidates) == 0 {
+		return nil, false
+	}
+	i := g.o.Picker.Pick(rq.prefix, f.candidates)
+	name := f.candidates[i].Name
+	g.aside.Chosen(name)
+	return rq.catalog.Server(name), true
+}
+
+func (g *Gateway) adapter(rq *request) wheelgauge.BackendServer {
+	if rq.route.Engine {
+		return g.engine
+	}
+	return g.service
+}
+
+// sendTo dispatches to one server and counts it as in flight until the answer
+// is closed.
+func (g *Gateway) sendTo(ctx context.Context, rq *request, s *catalog.Server) (*wheelgauge.Answer, error) {
+	started := time.Now()
+	g.inflight.Start(s.Name)
+	g.inflight.Start(rq.route.Pool)
+	answer, err := g.await(ctx, rq, s.Address)
+	if err != nil {
+		g.inflight.End(s.Name, 0)
+		g.inflight.End(rq.route.Pool, 0)
+		if !rq.left() {
+			g.aside.Failed(s.Name, time.Now())
+			g.o.Log.V(1).Info("Attempt failed.", "server", s.Name, "cause", err.Error())
+		}
+		return nil, err
+	}
+	g.aside.Worked(s.Name)
+	rq.server = s.Name
+	answer.Body = &countedBody{ReadCloser: answer.Body, end: func() {
+		took := time.Since(started)
+		g.inflight.End(s.Name, took)
+		g.inflight.End(rq.route.Pool, took)
+	}}
+	return answer, nil
+}
+
+// await sends and, while no answer has come, watches whether the caller left;
+// the work is cancelled then.
+func (g *Gateway) await(ctx context.Context, rq *request, address string) (*wheelgauge.Answer, error) {
+	if rq.gone == nil || !rq.route.Engine {
+		return g.adapter(rq).Send(ctx, address, &rq.call)
+	}
+	type end struct {
+		answer *wheelgauge.Answer
+		err    error
+	}
+	done := make(chan end, 1)
+	go func() {
+		answer, err := g.engine.Send(ctx, address, &rq.call)
+		done <- end{answer, err}
+	}()
+	ticker := time.NewTicker(goneEvery)
+	defer ticker.Stop()
+	cancelled := false
+	for {
+		select {
+		case e := <-done:
+			return e.answer, e.err
+		case <-ticker.C:
+			if !cancelled && rq.left() {
+				cancelled = true
+				g.cancelCall(rq, address)
+			}
+		}
+	}
+}
+
+func (g *Gateway) cancelCall(rq *request, address string) {
+	g.meter.Count("cancelled")
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(g.ctx), cancelLimit)
+	defer cancel()
+	if err := g.engine.Cancel(ctx, address, rq.call.ID); err != nil {
+		g.o.Log.V(1).Info("Cancel is not taken.", "cause", err.Error())
+	}
+}
+
+// oldPath returns where a route's old path stands, if this request takes it.
+func (g *Gateway) oldPath(rq *request) string {
+	old := rq.route.OldPath
+	if old == nil {
+		return ""
+	}
+	if contains(old.Clients, rq.identity.Client) {
+		return old.Address
+	}
+	// The request's ID decides, so that a resumed stream stays on its path.
+	if float64(rendezvous.Hash(rq.call.ID)%shareSteps) < old.Share*shareSteps {
+		return old.Address
+	}
+	return ""
+}
+
+const shareSteps = 1 << 20
+
+func (g *Gateway) sendOld(ctx context.Context, rq *request, address string) (*wheelgauge.Answer, error) {
+	g.meter.Count("old_path")
+	rq.server = "old path"
+	answer, err := g.adapter(rq).Send(ctx, address, &rq.call)
+	if err != nil {
+		return nil, fmt.Errorf("old path: %w", err)
+	}
+	return answer, nil
+}
+
+// forward sends a request to a gateway of another region, once.
+func (g *Gateway) forward(ctx context.Context, rq *request, region string) (*wheelgauge.Answer, error) {
+	g.meter.Count("away.sent")
+	g.inflight.Start(awayName(region))
+	answer, err := g.forwardAny(ctx, rq, region)
+	if err != nil {
+		g.inflight.End(awayName(region), 0)
+		return nil, err
+	}
+	rq.region = region
+	rq.server = answer.Header(wheelgauge.HeaderServed)
+	answer.Body = &countedBody{ReadCloser: answer.Body, end: func() { g.inflight.End(awayName(region), 0) }}
+	return answer, nil
+}
+
+// forwardAny tries hosts of a region until one is reached.
+func (g *Gateway) forwardAny(ctx context.Context, rq *request, region string) (*wheelgauge.Answer, error) {
+	err := error(wheelgauge.NewError(wheelgauge.ReasonNoServer, wheelgauge.OutcomeNotRun, http.StatusServiceUnavailable, "no host of "+region+" is reached"))
+	for i, entry := range g.entriesIn(rq, region) {
+		if i == mostAttempts {
+			break
+		}
+		h := rq.catalog.Host(entry.Host)
+		var answer *wheelgauge.Answer
+		answer, err = g.forwardTo(ctx, rq, h.Peer)
+		if err == nil || !isOutcome(err, wheelgauge.OutcomeNotRun) {
+			return answer, err
+		}
+	}
+	return nil, err
+}
+
+func (g *Gateway) entriesIn(rq *request, region string) []wheelgauge.Entry {
+	var out []wheelgauge.Entry
+	for _, e := range g.entries(rq) {
+		if e.Region == region {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+func (g *Gateway) forwardTo(ctx context.Context, rq *request, address string) (*wheelgauge.Answer, error) {
+	call := rq.call
+	call.Path = pathForward + rq.call.Path
+	if !rq.route.Engine {
+		call.Path = pathForward + "/s" + rq.call.Path
+	}
+	call.Extra = forwardMarks(rq, g.o.Region)
+	answer, err := g.peers.Send(ctx, address, &call, rq.once)
+	if err != nil {
+		return nil, err
+	}
+	return peerAnswer(answer)
+}
+
+// forwardMarks is what a forwarded request carries besides its body.
+func forwardMarks(rq *request, from string) [][2]string {
+	out := [][2]string{
+		{wheelgauge.HeaderForwardedFrom, from},
+		{wheelgauge.HeaderClient, rq.identity.Client},
+		{wheelgauge.HeaderClass, rq.identity.Class},
+		{wheelgauge.HeaderHome, rq.identity.Home},
+		{wheelgauge.HeaderDeadline, fmt.Sprint(max(1, time.Until(rq.call.Deadline).Milliseconds()))},
+	}
+	if rq.once {
+		out = append(out, [2]string{wheelgauge.HeaderNotRepeatable, "true"})
+	}
+	return out
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,225 @@
+// Package gateway is the path of a request: from a caller, through residency,
+// admission and routing, to a backend server or a gateway of another region,
+// and back.
+package gateway
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/valyala/fasthttp"
+
+	"wheelgauge"
+	"wheelgauge/adapter/engine"
+	"wheelgauge/adapter/service"
+	"wheelgauge/admission"
+	"wheelgauge/away"
+	"wheelgauge/catalog"
+	"wheelgauge/confwatch"
+	"wheelgauge/httpserve"
+	"wheelgauge/inflight"
+	"wheelgauge/membership"
+	"wheelgauge/meter"
+	"wheelgauge/peerhttp"
+	"wheelgauge/setaside"
+	"wheelgauge/upstream"
+)
+
+// Options of a Gateway. Addresses are IP:port.
+type Options struct {
+	Host     string
+	Region   string
+	Hall     string
+	Caller   string
+	Peer     string
+	Operator string
+	// Source is the IP address that connections leave from; may be empty.
+	Source string
+	Stores []string
+	Peers  []string
+	Dir    string
+
+	HeaderBytes int
+	BodyBytes   int
+	Conns       int
+	ReadTimeout time.Duration
+	// LongestWait is how long work of the highest priority may wait for a server.
+	LongestWait   time.Duration
+	DefaultLimit  time.Duration
+	DrainNotice   time.Duration
+	EntryTTL      time.Duration
+	Heartbeat     time.Duration
+	WatchWait     time.Duration
+	StoreSilent   time.Duration
+	AffinityBytes int
+
+	Picker    wheelgauge.Picker
+	Decider   *away.Decider
+	Directory wheelgauge.Directory
+	HostList  wheelgauge.HostList
+	CallerTLS *tls.Config
+	PeerTLS   *tls.Config
+	ClientTLS *tls.Config
+	Log       logr.Logger
+}
+
+// Gateway is a running gateway.
+type Gateway struct {
+	o        Options
+	boot     uint64
+	meter    *meter.Meter
+	client   *peerhttp.Client
+	servers  *upstream.Pool
+	peers    *upstream.Pool
+	engine   wheelgauge.BackendServer
+	service  wheelgauge.BackendServer
+	watcher  *confwatch.Watcher
+	node     *membership.Node
+	limiter  *admission.Limiter
+	budget   *admission.Budget
+	aside    *setaside.Table
+	inflight inflight.Table
+	hints    *hints
+
+	sequence atomic.Uint64
+	asks     atomic.Int64
+	serving  sync.WaitGroup
+	draining atomic.Bool
+	closed   atomic.Bool
+
+	ctx       context.Context
+	cancel    context.CancelFunc
+	listeners []*httpserve.Server
+}
+
+// Open starts a gateway. It serves as soon as a configuration is in force.
+func Open(ctx context.Context, o Options) (*Gateway, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	dialer := peerhttp.NewDialer(o.Source)
+	g := &Gateway{
+		o: o, boot: uint64(time.Now().UnixNano()), meter: meter.New(), client: peerhttp.NewClient(o.ClientTLS, "", dialer),
+		servers: upstream.New(nil, dialer), peers: upstream.New(o.ClientTLS, dialer), limiter: admission.NewLimiter(),
+		budget: admission.NewBudget(), aside: setaside.New(), ctx: ctx, cancel: cancel,
+	}
+	plain := peerhttp.NewClient(nil, "", dialer)
+	g.engine = engine.New(g.servers, plain)
+	g.service = service.New(g.servers, plain)
+	g.watcher = confwatch.Start(ctx, confwatch.Options{
+		Host: o.Host, Region: o.Region, Stores: o.Stores, Peers: o.Peers, Dir: o.Dir, Wait: o.WatchWait, Silent: o.StoreSilent,
+		Client: g.client, Log: o.Log.WithName("config"), OnMove: func() { g.meter.Count("config.store_moves") },
+	})
+	g.node = membership.Start(ctx, membership.Options{
+		Host: o.Host, Region: o.Region, Hall: o.Hall, Boot: g.boot, Interval: o.Heartbeat, Client: g.client,
+		Catalog: g.watcher.Current, Poll: g.poll, Asks: g.waiting, Log: o.Log.WithName("members"),
+	})
+	g.hints = startHints(ctx, o.HostList, o.Log.WithName("hosts"))
+	if err := g.listen(); err != nil {
+		return nil, errors.Join(err, g.Close(ctx))
+	}
+	o.Log.Info("Gateway serves.", "caller", o.Caller, "peer", o.Peer)
+	return g, nil
+}
+
+func (g *Gateway) listen() error {
+	for _, l := range []struct {
+		address string
+		handler fasthttp.RequestHandler
+		options httpserve.Options
+	}{
+		{g.o.Caller, g.serveCaller, httpserve.Options{
+			TLS: g.o.CallerTLS, HeaderBytes: g.o.HeaderBytes, BodyBytes: g.o.BodyBytes, Conns: g.o.Conns, ReadTimeout: g.o.ReadTimeout,
+			StreamBodies: true, HeaderReceived: g.headerReceived, OnError: g.badRequest,
+		}},
+		{g.o.Peer, g.servePeer, httpserve.Options{TLS: g.o.PeerTLS, BodyBytes: g.o.BodyBytes, OnError: g.badRequest}},
+		{g.o.Operator, g.serveOperator, httpserve.Options{}},
+	} {
+		s, err := httpserve.Listen(l.address, l.handler, l.options)
+		if err != nil {
+			return fmt.Errorf("start gateway: %w", err)
+		}
+		g.listeners = append(g.listeners, s)
+	}
+	return nil
+}
+
+// Drain takes the host off the entry lists, goes on serving for the notice,
+// then refuses new work and waits until what runs has ended.
+func (g *Gateway) Drain(ctx context.Context) {
+	g.o.Log.Info("Gateway drains.")
+	g.node.Leave()
+	g.draining.Store(true)
+	timer := time.NewTimer(g.o.DrainNotice)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	g.closed.Store(true)
+	ended := make(chan struct{})
+	go func() {
+		g.serving.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-ctx.Done():
+	}
+}
+
+// Close stops the listeners, waits for the requests in flight until ctx ends,
+// and then for all parts.
+func (g *Gateway) Close(ctx context.Context) error {
+	g.closed.Store(true)
+	var errs []error
+	for _, l := range g.listeners {
+		errs = append(errs, l.Close(ctx))
+	}
+	g.cancel()
+	errs = append(errs, g.node.Close(), g.watcher.Close(), g.hints.close())
+	g.servers.CloseIdle()
+	g.peers.CloseIdle()
+	g.client.CloseIdle()
+	return errors.Join(errs...)
+}
+
+// poll asks a backend server for its load, in the dialect of its pool.
+func (g *Gateway) poll(ctx context.Context, s *catalog.Server) (wheelgauge.LoadReport, error) {
+	if c := g.watcher.Current(); c != nil && c.PoolType(s.Pool) == wheelgauge.PoolService {
+		return g.service.Load(ctx, s.Address)
+	}
+	return g.engine.Load(ctx, s.Address)
+}
+
+// waiting returns the work that waits here for a server of the region.
+func (g *Gateway) waiting() int { return int(g.asks.Load()) }
+
+func (g *Gateway) current() (*catalog.Catalog, error) {
+	c := g.watcher.Current()
+	if c == nil {
+		return nil, wheelgauge.NewError(wheelgauge.ReasonNoConfiguration, wheelgauge.OutcomeNotRun, http.StatusServiceUnavailable,
+			"no configuration is in force here yet").WithRetryAfter(time.Second)
+	}
+	return c, nil
+}
+
+// usable tells whether a host takes new callers, as far as is known here: its
+// own heartbeats decide in the region, the host list is a hint everywhere.
+func (g *Gateway) usable(h *catalog.Host) bool {
+	if g.hints.leaving(h.Name) {
+		return false
+	}
+	if h.Name == g.o.Host {
+		return !g.draining.Load()
+	}
+	if h.Region != g.o.Region {
+		return g.node.Region(h.Region).Hosts > 0
+	}
+	return g.node.HostAlive(h.Name)
+}
--- /dev/null
+++ b/gateway/hints.go
@@ -0,0 +1,75 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"wheelgauge"
+)
+
+const hintsEvery = 2 * time.Second
+
+// hints follows the platform's host list.
+type hints struct {
+	list   wheelgauge.HostList
+	log    logr.Logger
+	mu     sync.RWMutex
+	leave  map[string]bool
+	cancel context.CancelFunc
+	done   chan error
+}
+
+// startHints follows list; nil means that there is none.
+func startHints(ctx context.Context, list wheelgauge.HostList, log logr.Logger) *hints {
+	ctx, cancel := context.WithCancel(ctx)
+	h := &hints{list: list, log: log, leave: map[string]bool{}, cancel: cancel, done: make(chan error, 1)}
+	go func() { h.done <- h.run(ctx) }()
+	return h
+}
+
+func (h *hints) close() error {
+	h.cancel()
+	return <-h.done
+}
+
+func (h *hints) run(ctx context.Context) error {
+	if h.list == nil {
+		return nil
+	}
+	ticker := time.NewTicker(hintsEvery)
+	defer ticker.Stop()
+	for {
+		h.read(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+func (h *hints) read(ctx context.Context) {
+	limit, cancel := context.WithTimeout(ctx, hintsEvery)
+	defer cancel()
+	hosts, err := h.list.Hosts(limit)
+	if err != nil {
+		h.log.V(1).Info("Host list is not read.", "cause", err.Error())
+		return
+	}
+	leave := map[string]bool{}
+	for _, one := range hosts {
+		leave[one.Host] = one.Leaving
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.leave = leave
+}
+
+func (h *hints) leaving(host string) bool {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	return h.leave[host]
+}
--- /dev/null
+++ b/gateway/peer.go
@@ -0,0 +1,163 @@
+package gateway
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"wheelgauge"
+	"wheelgauge/callerconn"
+	"wheelgauge/confwatch"
+	"wheelgauge/membership"
+	"wheelgauge/peerhttp"
+)
+
+// servePeer handles the listener for other gateways.
+func (g *Gateway) servePeer(ctx *fasthttp.RequestCtx) {
+	path := string(ctx.Path())
+	switch {
+	case path == membership.PathBeat:
+		b, err := peerhttp.Decode[wheelgauge.Heartbeat](ctx)
+		if err != nil {
+			peerhttp.AnswerError(ctx, err)
+			return
+		}
+		peerhttp.Answer(ctx, g.node.Hub().Beat(b))
+	case path == membership.PathSummary:
+		s, err := peerhttp.Decode[wheelgauge.RegionSummary](ctx)
+		if err != nil {
+			peerhttp.AnswerError(ctx, err)
+			return
+		}
+		peerhttp.Answer(ctx, g.node.Hub().Exchange(s))
+	case path == confwatch.PathList:
+		peerhttp.Answer(ctx, g.watcher.List())
+	case strings.HasPrefix(path, pathForward):
+		g.serveForward(ctx)
+	default:
+		peerhttp.NotFound(ctx)
+	}
+}
+
+// serveForward takes a request from a gateway of another region. It is never
+// forwarded again.
+func (g *Gateway) serveForward(ctx *fasthttp.RequestCtx) {
+	g.serving.Add(1)
+	rq, err := g.fromPeer(ctx)
+	if err == nil {
+		err = g.findRoute(rq)
+	}
+	if err != nil {
+		g.finish(ctx, rq, err)
+		return
+	}
+	g.meter.Count("away.received")
+	conn := ctx.Conn()
+	rq.gone = func() bool { return callerconn.Gone(conn) }
+	g.run(ctx, rq)
+}
+
+func (g *Gateway) fromPeer(ctx *fasthttp.RequestCtx) (*request, error) {
+	h := &ctx.Request.Header
+	rq := &request{started: time.Now(), region: g.o.Region, forwarded: true}
+	rq.call.ID = string(h.Peek(wheelgauge.HeaderRequestID))
+	rq.call.Method = string(ctx.Method())
+	rq.call.Path = strings.TrimPrefix(string(ctx.RequestURI()), pathForward)
+	rq.call.ContentType = string(h.ContentType())
+	rq.call.Body = append([]byte(nil), ctx.PostBody()...)
+	rq.call.Key = string(h.Peek(wheelgauge.HeaderIdempotency))
+	rq.call.Skip, _ = strconv.Atoi(string(h.Peek("X-Resume-From")))
+	rq.call.Priority, _ = strconv.Atoi(string(h.Peek("X-Priority")))
+	rq.once = len(h.Peek(wheelgauge.HeaderNotRepeatable)) > 0
+	rq.identity = wheelgauge.Identity{
+		Client: string(h.Peek(wheelgauge.HeaderClient)), Class: string(h.Peek(wheelgauge.HeaderClass)), Home: string(h.Peek(wheelgauge.HeaderHome)),
+	}
+	limit, err := deadline(h, g.o.DefaultLimit)
+	rq.call.Deadline = rq.started.Add(limit)
+	if err != nil {
+		return rq, err
+	}
+	if rq.identity.Client == "" || len(h.Peek(wheelgauge.HeaderForwardedFrom)) == 0 {
+		return rq, badRequest("a forwarded request names its client and region")
+	}
+	if g.closed.Load() {
+		return rq, wheelgauge.NewError(wheelgauge.ReasonDraining, wheelgauge.OutcomeNotRun, http.StatusServiceUnavailable, "this host is leaving")
+	}
+	rq.catalog, err = g.current()
+	if err != nil {
+		return rq, err
+	}
+	return rq, g.residency(rq)
+}
+
+// statusAnswer answers GET /status on the operators' port.
+type statusAnswer struct {
+	Host       string                     `json:"host"`
+	Region     string                     `json:"region"`
+	Generation uint64                     `json:"generation"`
+	Draining   bool                       `json:"draining"`
+	Hub        string                     `json:"hub"`
+	Stale      string                     `json:"since_store_progress"`
+	Open       map[string]int             `json:"open_connections"`
+	Servers    []membershipServer         `json:"servers"`
+	Regions    []wheelgauge.RegionSummary `json:"regions"`
+}
+
+type membershipServer struct {
+	wheelgauge.ServerEntry
+	InFlight int `json:"in_flight"`
+}
+
+// serveOperator handles the operators' port.
+func (g *Gateway) serveOperator(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Path()) {
+	case "/metrics":
+		ctx.SetContentType("application/json")
+		g.gauges()
+		g.meter.WriteJSON(ctx)
+	case "/ready":
+		if _, err := g.current(); err != nil || g.draining.Load() {
+			peerhttp.AnswerError(ctx, wheelgauge.NewError(wheelgauge.ReasonNoConfiguration, wheelgauge.OutcomeNotRun, http.StatusServiceUnavailable, "not ready"))
+			return
+		}
+		peerhttp.Answer(ctx, struct{}{})
+	case "/status":
+		peerhttp.Answer(ctx, g.status())
+	default:
+		peerhttp.NotFound(ctx)
+	}
+}
+
+func (g *Gateway) gauges() {
+	if c := g.watcher.Current(); c != nil {
+		g.meter.Gauge("config.generation", int64(c.Generation()))
+	}
+	g.meter.Gauge("config.since_progress_ms", time.Since(g.watcher.LastProgress()).Milliseconds())
+	g.meter.Gauge("connections.callers", int64(g.listeners[0].Open()))
+	g.meter.Gauge("connections.peers", int64(g.listeners[1].Open()))
+}
+
+func (g *Gateway) status() statusAnswer {
+	out := statusAnswer{
+		Host: g.o.Host, Region: g.o.Region, Draining: g.draining.Load(), Hub: g.node.HubAddress(),
+		Stale: time.Since(g.watcher.LastProgress()).Round(time.Millisecond).String(),
+		Open:  map[string]int{"callers": g.listeners[0].Open(), "peers": g.listeners[1].Open()},
+	}
+	c := g.watcher.Current()
+	if c == nil {
+		return out
+	}
+	out.Generation = c.Generation()
+	for _, s := range c.RegionServers(g.o.Region) {
+		out.Servers = append(out.Servers, membershipServer{g.node.Server(s.Name).ServerEntry, g.inflight.Count(s.Name)})
+	}
+	for _, region := range c.Regions() {
+		if region != g.o.Region {
+			out.Regions = append(out.Regions, g.node.Region(region))
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/gateway/request.go
@@ -0,0 +1,219 @@
+package gateway
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/valyala/fasthttp"
+
+	"wheelgauge"
+	"wheelgauge/catalog"
+)
+
+const (
+	pathChat        = "/v1/chat/completions"
+	pathCompletions = "/v1/completions"
+	pathService     = "/s/"
+	pathEntry       = "/v1/entry"
+	pathForward     = "/peer/forward"
+
+	bearer        = "Bearer "
+	defaultTokens = 256
+)
+
+// request is one request on its way through the gateway.
+type request struct {
+	call      wheelgauge.Call
+	identity  wheelgauge.Identity
+	class     wheelgauge.ClientClassSpec
+	catalog   *catalog.Catalog
+	route     *catalog.Route
+	model     string
+	stream    bool
+	tokens    int
+	prefix    uint64
+	once      bool // not repeatable
+	forwarded bool
+	started   time.Time
+	gone      func() bool
+	server    string
+	region    string
+	attempts  int
+}
+
+// prompt is what the gateway reads of a completion request.
+type prompt struct {
+	Model     string          `json:"model"`
+	Stream    bool            `json:"stream"`
+	MaxTokens int             `json:"max_tokens"`
+	Prompt    json.RawMessage `json:"prompt"`
+	Messages  []struct {
+		Content json.RawMessage `json:"content"`
+	} `json:"messages"`
+}
+
+func badRequest(detail string) *wheelgauge.Error {
+	return wheelgauge.NewError(wheelgauge.ReasonBadRequest, wheelgauge.OutcomeNotRun, http.StatusBadRequest, detail)
+}
+
+// newID returns a request ID that no other gateway gives.
+func (g *Gateway) newID() string {
+	return fmt.Sprintf("%s-%x-%x", g.o.Host, g.boot, g.sequence.Add(1))
+}
+
+// fromCaller reads the head of a caller's request. Marks that only peers may
+// set are not looked at.
+func (g *Gateway) fromCaller(ctx *fasthttp.RequestCtx) (*request, error) {
+	rq := &request{started: time.Now(), region: g.o.Region}
+	rq.call.ID = g.newID()
+	rq.call.Method = string(ctx.Method())
+	rq.call.Path = string(ctx.RequestURI())
+	rq.call.ContentType = string(ctx.Request.Header.ContentType())
+	rq.call.Key = string(ctx.Request.Header.Peek(wheelgauge.HeaderIdempotency))
+	rq.once = len(ctx.Request.Header.Peek(wheelgauge.HeaderNotRepeatable)) > 0
+	if err := g.place(&ctx.Request.Header, rq); err != nil {
+		return rq, err
+	}
+	rq.class, _ = rq.catalog.Class(rq.identity.Class)
+	rq.call.Priority = rq.class.Priority
+	limit := g.o.DefaultLimit
+	if rq.class.DeadlineMS > 0 {
+		limit = time.Duration(rq.class.DeadlineMS) * time.Millisecond
+	}
+	limit, err := deadline(&ctx.Request.Header, limit)
+	rq.call.Deadline = rq.started.Add(limit)
+	return rq, err
+}
+
+func deadline(h *fasthttp.RequestHeader, otherwise time.Duration) (time.Duration, error) {
+	text := string(h.Peek(wheelgauge.HeaderDeadline))
+	if text == "" {
+		return otherwise, nil
+	}
+	ms, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || ms <= 0 {
+		return otherwise, badRequest(wheelgauge.HeaderDeadline + " must be a number of milliseconds above 0")
+	}
+	return time.Duration(ms) * time.Millisecond, nil
+}
+
+// place finds out who calls and whether this region may serve it, from the
+// headers alone.
+func (g *Gateway) place(h *fasthttp.RequestHeader, rq *request) error {
+	c, err := g.current()
+	if err != nil {
+		return err
+	}
+	rq.catalog = c
+	credential := strings.TrimPrefix(string(h.Peek("Authorization")), bearer)
+	rq.identity, err = g.o.Directory.Lookup(g.ctx, credential)
+	if err != nil {
+		return err
+	}
+	return g.residency(rq)
+}
+
+func (g *Gateway) residency(rq *request) error {
+	if rq.catalog.Allows(rq.identity, g.o.Region) {
+		return nil
+	}
+	g.meter.Count("refused.residency")
+	return wheelgauge.NewError(wheelgauge.ReasonResidency, wheelgauge.OutcomeNotRun, http.StatusMisdirectedRequest,
+		"this client's data may not be processed in "+g.o.Region).WithEntries(g.entries(rq))
+}
+
+// findRoute reads the body and finds the route. Bodies are read after the
+// residency check only.
+func (g *Gateway) findRoute(rq *request) error {
+	path, _, _ := strings.Cut(rq.call.Path, "?")
+	if path == pathChat || path == pathCompletions {
+		return g.findModel(rq)
+	}
+	if !strings.HasPrefix(path, pathService) {
+		return wheelgauge.NewError(wheelgauge.ReasonNotFound, wheelgauge.OutcomeNotRun, http.StatusNotFound, "no such path: "+path)
+	}
+	rest := strings.TrimPrefix(path, pathService)
+	rq.route = rq.catalog.RouteForPath(rest)
+	if rq.route == nil {
+		return wheelgauge.NewError(wheelgauge.ReasonNotFound, wheelgauge.OutcomeNotRun, http.StatusNotFound, "no route for "+rest)
+	}
+	rq.call.Path = "/" + strings.TrimPrefix(rq.call.Path, pathService)
+	rq.once = rq.once || rq.route.NotRepeatable
+	return nil
+}
+
+func (g *Gateway) findModel(rq *request) error {
+	var p prompt
+	if err := json.Unmarshal(rq.call.Body, &p); err != nil {
+		return badRequest("the body is not the JSON expected: " + err.Error())
+	}
+	rq.route = rq.catalog.RouteForModel(p.Model)
+	if rq.route == nil {
+		return wheelgauge.NewError(wheelgauge.ReasonNotFound, wheelgauge.OutcomeNotRun, http.StatusNotFound, fmt.Sprintf("no route for model %q", p.Model))
+	}
+	rq.model, _, _ = strings.Cut(p.Model, ":")
+	rq.stream, rq.tokens = p.Stream, p.MaxTokens
+	if rq.tokens <= 0 {
+		rq.tokens = defaultTokens
+	}
+	rq.prefix = g.prefixOf(p)
+	rq.once = rq.once || rq.route.NotRepeatable
+	return nil
+}
+
+// prefixOf hashes the model and the first bytes of the prompt: what caches of
+// engines share between requests.
+func (g *Gateway) prefixOf(p prompt) uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(p.Model) // a digest takes every write
+	left := g.o.AffinityBytes
+	take := func(text []byte) {
+		n := min(left, len(text))
+		_, _ = d.Write(text[:n])
+		left -= n
+	}
+	take(p.Prompt)
+	for i := range p.Messages {
+		take(p.Messages[i].Content)
+	}
+	return d.Sum64()
+}
+
+// readBody takes the body in, up to the limit.
+func (g *Gateway) readBody(ctx *fasthttp.RequestCtx, rq *request) error {
+	stream := ctx.RequestBodyStream()
+	if stream == nil {
+		rq.call.Body = append([]byte(nil), ctx.PostBody()...)
+		return nil
+	}
+	if ctx.Request.Header.ContentLength() > g.o.BodyBytes {
+		return g.tooLarge()
+	}
+	body, err := io.ReadAll(io.LimitReader(stream, int64(g.o.BodyBytes)+1))
+	if err != nil {
+		return wheelgauge.NewError(wheelgauge.ReasonBadRequest, wheelgauge.OutcomeNotRun, http.StatusRequestTimeout, "the body did not come whole: "+err.Error())
+	}
+	if len(body) > g.o.BodyBytes {
+		return g.tooLarge()
+	}
+	rq.call.Body = body
+	return nil
+}
+
+func (g *Gateway) tooLarge() *wheelgauge.Error {
+	return wheelgauge.NewError(wheelgauge.ReasonTooLarge, wheelgauge.OutcomeNotRun, http.StatusRequestEntityTooLarge,
+		fmt.Sprintf("the body is larger than %d bytes", g.o.BodyBytes))
+}
+
+// isOutcome tells whether err says that nothing was run.
+func isOutcome(err error, outcome wheelgauge.Outcome) bool {
+	fault, ok := errors.AsType[*wheelgauge.Error](err)
+	return ok && fault.Outcome() == outcome
+}
--- /dev/null
+++ b/membership/hub.go
@@ -0,0 +1,289 @@
+// Package membership tells the hosts of a region of each other, of the backend
+// servers' load and of the other regions.
+//
+// Each host sends one heartbeat an interval to the region's hub and gets back
+// what changed; hubs exchange one summary a region. The traffic of a host does
+// not grow with the number of hosts. The hub is the region's store host, which
+// may be set aside; while it is not reached, a gateway that all agree on by
+// rendezvous hashing stands in.
+package membership
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"wheelgauge"
+	"wheelgauge/catalog"
+)
+
+const (
+	// missedBeats is how many intervals without a sign of life mean failure.
+	missedBeats = 3
+	// spareFraction of the slots of a region may be used before it grants none.
+	spareFraction = 0.85
+)
+
+// hostRow and serverRow are the tables of a hub.
+type hostRow struct {
+	entry   wheelgauge.HostEntry
+	boot    uint64
+	asks    int
+	seen    time.Time
+	version uint64
+}
+
+type serverRow struct {
+	entry   wheelgauge.ServerEntry
+	reports map[string]report
+	version uint64
+}
+
+// report is what one polling host said of a server.
+type report struct {
+	entry wheelgauge.ServerEntry
+	at    time.Time
+}
+
+type regionRow struct {
+	summary wheelgauge.RegionSummary
+	seen    time.Time
+	version uint64
+}
+
+// Hub holds the tables of one region.
+type Hub struct {
+	mu       sync.Mutex
+	region   string
+	boot     uint64
+	interval time.Duration
+	catalog  func() *catalog.Catalog
+	now      func() time.Time
+	version  uint64
+	hosts    map[string]*hostRow
+	servers  map[string]*serverRow
+	regions  map[string]*regionRow
+}
+
+// NewHub returns an empty hub. current returns the configuration in force, nil
+// while there is none.
+func NewHub(region string, boot uint64, interval time.Duration, current func() *catalog.Catalog, now func() time.Time) *Hub {
+	return &Hub{
+		region: region, boot: boot, interval: interval, catalog: current, now: now,
+		hosts: map[string]*hostRow{}, servers: map[string]*serverRow{}, regions: map[string]*regionRow{},
+	}
+}
+
+// Beat takes in a heartbeat and returns what its sender has not seen.
+func (h *Hub) Beat(b wheelgauge.Heartbeat) wheelgauge.View {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.now()
+	h.takeHost(b, now)
+	for _, s := range b.Servers {
+		h.takeServer(b.Host, s, now)
+	}
+	h.expire(now)
+	return h.since(b)
+}
+
+func (h *Hub) takeHost(b wheelgauge.Heartbeat, now time.Time) {
+	row := h.hosts[b.Host]
+	if row == nil {
+		row = &hostRow{}
+		h.hosts[b.Host] = row
+	}
+	row.boot, row.seen, row.asks = b.Boot, now, b.Asks
+	h.setHost(row, wheelgauge.HostEntry{Host: b.Host, Alive: true, Leaving: b.Leaving})
+}
+
+func (h *Hub) setHost(row *hostRow, entry wheelgauge.HostEntry) {
+	if row.entry == entry {
+		return
+	}
+	h.version++
+	row.entry, row.version = entry, h.version
+}
+
+func (h *Hub) takeServer(by string, s wheelgauge.ServerEntry, now time.Time) {
+	row := h.servers[s.Server]
+	if row == nil {
+		row = &serverRow{reports: map[string]report{}}
+		h.servers[s.Server] = row
+	}
+	row.reports[by] = report{s, now}
+	h.setServer(row, row.merged(now, missedBeats*h.interval))
+}
+
+// merged takes the newest report; a server is alive if any host that polls it
+// lately reached it.
+func (r *serverRow) merged(now time.Time, limit time.Duration) wheelgauge.ServerEntry {
+	var newest report
+	alive := false
+	for by, one := range r.reports {
+		if now.Sub(one.at) > limit {
+			delete(r.reports, by)
+			continue
+		}
+		if one.entry.Alive && (one.at.After(newest.at) || !newest.entry.Alive) || newest.at.IsZero() {
+			newest = one
+		}
+		alive = alive || one.entry.Alive
+	}
+	out := newest.entry
+	out.Alive = alive
+	if out.Server == "" {
+		out = r.entry
+		out.Alive = false
+	}
+	return out
+}
+
+func (h *Hub) setServer(row *serverRow, entry wheelgauge.ServerEntry) {
+	if row.entry == entry {
+		return
+	}
+	h.version++
+	row.entry, row.version = entry, h.version
+}
+
+// expire marks what has not been heard of in time.
+func (h *Hub) expire(now time.Time) {
+	limit := missedBeats * h.interval
+	for _, row := range h.hosts {
+		if now.Sub(row.seen) > limit {
+			entry := row.entry
+			entry.Alive = false
+			row.asks = 0
+			h.setHost(row, entry)
+		}
+	}
+	for _, row := range h.servers {
+		h.setServer(row, row.merged(now, limit))
+	}
+	for name, row := range h.regions {
+		if now.Sub(row.seen) > limit && row.summary.Hosts != 0 {
+			h.setRegion(row, wheelgauge.RegionSummary{Region: name})
+		}
+	}
+}
+
+func (h *Hub) since(b wheelgauge.Heartbeat) wheelgauge.View {
+	from := b.Since
+	v := wheelgauge.View{Hub: h.boot, Version: h.version}
+	if b.Hub != h.boot {
+		from, v.Full = 0, true
+	}
+	for _, row := range h.hosts {
+		if row.version > from {
+			v.Hosts = append(v.Hosts, row.entry)
+		}
+	}
+	for _, row := range h.servers {
+		if row.version > from {
+			v.Servers = append(v.Servers, row.entry)
+		}
+	}
+	for _, row := range h.regions {
+		if row.version > from {
+			v.Regions = append(v.Regions, row.summary)
+		}
+	}
+	return v
+}
+
+// Summary sums the region up and grants its spare capacity.
+func (h *Hub) Summary() wheelgauge.RegionSummary {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.expire(h.now())
+	s := wheelgauge.RegionSummary{Region: h.region}
+	for _, row := range h.hosts {
+		if row.entry.Alive && !row.entry.Leaving {
+			s.Hosts++
+			s.Asks += row.asks
+		}
+	}
+	c := h.catalog()
+	if c == nil {
+		return s
+	}
+	for _, row := range h.servers {
+		spec := c.Server(row.entry.Server)
+		if spec == nil || !row.entry.Alive || row.entry.Leaving || spec.Leaving {
+			continue
+		}
+		s.Slots += spec.Slots
+		s.Running += row.entry.Running
+		s.Waiting += row.entry.Waiting
+	}
+	s.Grants = h.grants(s)
+	return s
+}
+
+// grants splits the spare slots among the regions that ask, in proportion; a
+// region that does not ask gets an equal part of what nobody asks for.
+func (h *Hub) grants(s wheelgauge.RegionSummary) map[string]int {
+	spare := int(spareFraction*float64(s.Slots)) - s.Running - s.Waiting
+	if spare <= 0 || len(h.regions) == 0 {
+		return nil
+	}
+	asks := 0
+	for _, row := range h.regions {
+		asks += row.summary.Asks
+	}
+	out := make(map[string]int, len(h.regions))
+	for name, row := range h.regions {
+		part := spare / len(h.regions)
+		if asks > 0 {
+			part = spare * row.summary.Asks / asks
+		}
+		out[name] = part
+	}
+	return out
+}
+
+// Exchange takes in another region's summary and returns this region's.
+func (h *Hub) Exchange(s wheelgauge.RegionSummary) wheelgauge.RegionSummary {
+	h.TakeRegion(s)
+	return h.Summary()
+}
+
+// TakeRegion takes in another region's summary.
+func (h *Hub) TakeRegion(s wheelgauge.RegionSummary) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if s.Region == h.region || s.Region == "" {
+		return
+	}
+	row := h.regions[s.Region]
+	if row == nil {
+		row = &regionRow{}
+		h.regions[s.Region] = row
+	}
+	row.seen = h.now()
+	h.setRegion(row, s)
+}
+
+func (h *Hub) setRegion(row *regionRow, s wheelgauge.RegionSummary) {
+	h.version++
+	row.summary, row.version = s, h.version
+}
+
+// Hosts returns the hosts the hub knows, sorted by name.
+func (h *Hub) Hosts() []wheelgauge.HostEntry {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.expire(h.now())
+	out := make([]wheelgauge.HostEntry, 0, len(h.hosts))
+	for _, row := range h.hosts {
+		out = append(out, row.entry)
+	}
+	slices.SortFunc(out, func(a, b wheelgauge.HostEntry) int {
+		if a.Host < b.Host {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
--- /dev/null
+++ b/membership/node.go
@@ -0,0 +1,372 @@
+package membership
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"golang.org/x/sync/errgroup"
+
+	"wheelgauge"
+	"wheelgauge/catalog"
+	"wheelgauge/peerhttp"
+	"wheelgauge/rendezvous"
+)
+
+// Paths of membership on the peer listener.
+const (
+	PathBeat    = "/peer/heartbeat"
+	PathSummary = "/peer/summary"
+)
+
+const (
+	pollersPerServer = 2
+	maxPolls         = 16
+	// retryBetter is how many intervals pass before a better hub is tried again.
+	retryBetter = 5
+	// returnRamp is how long a backend server that came back takes to get its
+	// whole share again: its caches are cold.
+	returnRamp  = 20 * time.Second
+	rampMinimum = 0.2
+)
+
+// Options of a Node.
+type Options struct {
+	Host     string
+	Region   string
+	Hall     string
+	Boot     uint64
+	Interval time.Duration
+	Client   *peerhttp.Client
+	Catalog  func() *catalog.Catalog
+	// Poll asks a backend server for its load.
+	Poll func(ctx context.Context, s *catalog.Server) (wheelgauge.LoadReport, error)
+	// Asks returns the work that waits here and may go away.
+	Asks func() int
+	Log  logr.Logger
+}
+
+// ServerState is what a node knows of a backend server.
+type ServerState struct {
+	wheelgauge.ServerEntry
+	// Known is false until a report came.
+	Known bool
+	// Since is when it was first seen alive after being down.
+	Since time.Time
+	// Reported counts the reports, so that a reader sees when a new one came.
+	Reported uint64
+}
+
+// Node is the member of one gateway.
+type Node struct {
+	options Options
+	hub     *Hub
+
+	mu      sync.RWMutex
+	leaving bool
+	hosts   map[string]wheelgauge.HostEntry
+	servers map[string]*ServerState
+	regions map[string]wheelgauge.RegionSummary
+	viewHub uint64
+	version uint64
+	at      int
+	beats   int
+	target  string
+
+	cancel context.CancelFunc
+	done   chan error
+}
+
+// Start begins to send heartbeats.
+func Start(ctx context.Context, options Options) *Node {
+	ctx, cancel := context.WithCancel(ctx)
+	n := &Node{
+		options: options, hub: NewHub(options.Region, options.Boot, options.Interval, options.Catalog, time.Now),
+		hosts: map[string]wheelgauge.HostEntry{}, servers: map[string]*ServerState{}, regions: map[string]wheelgauge.RegionSummary{},
+		cancel: cancel, done: make(chan error, 1),
+	}
+	go func() { n.done <- n.run(ctx) }()
+	return n
+}
+
+// Hub returns the hub that stands in while the region's store host is away.
+func (n *Node) Hub() *Hub { return n.hub }
+
+// Close stops the heartbeats and waits.
+func (n *Node) Close() error {
+	n.cancel()
+	return <-n.done
+}
+
+// Leave says in the next heartbeats that this host takes no new work.
+func (n *Node) Leave() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.leaving = true
+}
+
+func (n *Node) run(ctx context.Context) error {
+	ticker := time.NewTicker(n.options.Interval)
+	defer ticker.Stop()
+	for {
+		n.tick(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// tick runs the systems of one interval over the tables.
+func (n *Node) tick(ctx context.Context) {
+	c := n.options.Catalog()
+	if c == nil {
+		return
+	}
+	limit, cancel := context.WithTimeout(ctx, n.options.Interval)
+	defer cancel()
+	polled := n.poll(limit, c)
+	n.beat(limit, c, polled)
+	n.exchange(limit, c)
+}
+
+// assigned returns the servers of this hall that this host polls: those it is
+// among the best live hosts for. A hall without live hosts is served by the region.
+func (n *Node) assigned(c *catalog.Catalog) []*catalog.Server {
+	halls := map[string][]string{}
+	var all []string
+	for _, h := range c.Hosts(n.options.Region) {
+		if h.Name == n.options.Host || n.HostAlive(h.Name) {
+			halls[h.Hall] = append(halls[h.Hall], h.Name)
+			all = append(all, h.Name)
+		}
+	}
+	var out []*catalog.Server
+	for _, s := range c.RegionServers(n.options.Region) {
+		pollers := halls[s.Hall]
+		if len(pollers) == 0 {
+			pollers = all
+		}
+		if slices.Contains(rendezvous.Top(s.Name, pollers, pollersPerServer), n.options.Host) {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+func (n *Node) poll(ctx context.Context, c *catalog.Catalog) []wheelgauge.ServerEntry {
+	servers := n.assigned(c)
+	out := make([]wheelgauge.ServerEntry, len(servers))
+	var group errgroup.Group
+	group.SetLimit(maxPolls)
+	for i, s := range servers {
+		group.Go(func() error {
+			out[i] = n.pollOne(ctx, s)
+			return nil
+		})
+	}
+	_ = group.Wait() // a server that does not answer is an entry, not an error
+	return out
+}
+
+func (n *Node) pollOne(ctx context.Context, s *catalog.Server) wheelgauge.ServerEntry {
+	limit, cancel := context.WithTimeout(ctx, n.options.Interval*3/4)
+	defer cancel()
+	load, err := n.options.Poll(limit, s)
+	if err != nil {
+		return wheelgauge.ServerEntry{Server: s.Name}
+	}
+	return wheelgauge.ServerEntry{Server: s.Name, Alive: true, Leaving: load.Leaving, Running: load.Running, Waiting: load.Waiting}
+}
+
+// hubs returns the addresses to try, best first: the region's stores, then
+// gateways in an order that all hosts agree on. self is empty.
+func (n *Node) hubs(c *catalog.Catalog) []string {
+	var out, names []string
+	for _, h := range c.Hosts(n.options.Region) {
+		if h.Store != "" {
+			out = append(out, h.Store)
+		}
+		names = append(names, h.Name)
+	}
+	slices.Sort(out)
+	for _, name := range rendezvous.Top(n.options.Region, names, len(names)) {
+		if name == n.options.Host {
+			out = append(out, "")
+			continue
+		}
+		out = append(out, c.Host(name).Peer)
+	}
+	return out
+}
+
+func (n *Node) beat(ctx context.Context, c *catalog.Catalog, polled []wheelgauge.ServerEntry) {
+	hubs := n.hubs(c)
+	n.mu.Lock()
+	n.beats++
+	if n.beats%retryBetter == 0 {
+		n.at = 0
+	}
+	at := min(n.at, len(hubs)-1)
+	b := wheelgauge.Heartbeat{
+		Host: n.options.Host, Boot: n.options.Boot, Leaving: n.leaving, Generation: c.Generation(),
+		Asks: n.options.Asks(), Servers: polled, Since: n.version, Hub: n.viewHub,
+	}
+	n.mu.Unlock()
+	for ; at >= 0 && at < len(hubs); at++ {
+		view, err := n.send(ctx, hubs[at], b)
+		if err == nil {
+			n.take(view, hubs[at], at)
+			return
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.at = min(at+1, len(hubs)-1)
+	n.applyOwn(polled)
+}
+
+func (n *Node) send(ctx context.Context, address string, b wheelgauge.Heartbeat) (wheelgauge.View, error) {
+	if address == "" {
+		return n.hub.Beat(b), nil
+	}
+	limit, cancel := context.WithTimeout(ctx, n.options.Interval/2)
+	defer cancel()
+	var v wheelgauge.View
+	err := n.options.Client.Call(limit, http.MethodPost, address, PathBeat, b, &v)
+	return v, err
+}
+
+func (n *Node) take(v wheelgauge.View, hub string, at int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.target != hub {
+		n.options.Log.Info("Heartbeats go to another hub.", "hub", hub)
+		n.target = hub
+	}
+	n.at, n.viewHub, n.version = at, v.Hub, v.Version
+	if v.Full {
+		clear(n.hosts)
+	}
+	for _, h := range v.Hosts {
+		n.hosts[h.Host] = h
+	}
+	n.applyOwn(v.Servers)
+	for _, r := range v.Regions {
+		n.regions[r.Region] = r
+	}
+}
+
+// applyOwn puts entries into the server table.
+func (n *Node) applyOwn(entries []wheelgauge.ServerEntry) {
+	now := time.Now()
+	for _, e := range entries {
+		s := n.servers[e.Server]
+		if s == nil {
+			s = &ServerState{}
+			n.servers[e.Server] = s
+		}
+		if s.Known && !s.Alive && e.Alive {
+			s.Since = now
+		}
+		s.ServerEntry, s.Known = e, true
+		s.Reported++
+	}
+}
+
+// exchange sends this region's summary to the others while this host stands in
+// as hub.
+func (n *Node) exchange(ctx context.Context, c *catalog.Catalog) {
+	n.mu.RLock()
+	mine := n.target == ""
+	n.mu.RUnlock()
+	if mine {
+		Exchange(ctx, n.hub, c, n.options.Client)
+	}
+}
+
+// Exchange sends a hub's summary to one hub of each other region.
+func Exchange(ctx context.Context, hub *Hub, c *catalog.Catalog, client *peerhttp.Client) {
+	summary := hub.Summary()
+	var group errgroup.Group
+	for _, region := range c.Regions() {
+		if region == hub.region {
+			continue
+		}
+		group.Go(func() error {
+			exchangeOne(ctx, hub, c, client, region, summary)
+			return nil
+		})
+	}
+	_ = group.Wait() // a region that is not reached expires by itself
+}
+
+func exchangeOne(ctx context.Context, hub *Hub, c *catalog.Catalog, client *peerhttp.Client, region string, summary wheelgauge.RegionSummary) {
+	for _, h := range c.Hosts(region) {
+		if h.Store == "" {
+			continue
+		}
+		var theirs wheelgauge.RegionSummary
+		if err := client.Call(ctx, http.MethodPost, h.Store, PathSummary, summary, &theirs); err == nil {
+			hub.TakeRegion(theirs)
+			return
+		}
+	}
+}
+
+// HostAlive tells whether the hub hears a host and it is not leaving.
+func (n *Node) HostAlive(name string) bool {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	h, ok := n.hosts[name]
+	return ok && h.Alive && !h.Leaving
+}
+
+// HostKnown tells whether the hub has ever heard a host.
+func (n *Node) HostKnown(name string) bool {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	_, ok := n.hosts[name]
+	return ok
+}
+
+// Server returns what is known of a backend server.
+func (n *Node) Server(name string) ServerState {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	if s := n.servers[name]; s != nil {
+		return *s
+	}
+	return ServerState{}
+}
+
+// Ramp returns the part of its slots that a server gets: less than 1 for a
+// while after it came back.
+func (s *ServerState) Ramp(now time.Time) float64 {
+	if s.Since.IsZero() {
+		return 1
+	}
+	part := float64(now.Sub(s.Since)) / float64(returnRamp)
+	return min(1, max(rampMinimum, part))
+}
+
+// Region returns the last summary of another region.
+func (n *Node) Region(name string) wheelgauge.RegionSummary {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	return n.regions[name]
+}
+
+// HubAddress returns the hub in use; empty is this host itself.
+func (n *Node) HubAddress() string {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	return n.target
+}
--- /dev/null
+++ b/message.go
@@ -0,0 +1,190 @@
+package wheelgauge
+
+import "encoding/json"
+
+// Header names used on the wire.
+const (
+	HeaderRequestID     = "X-Request-Id"
+	HeaderOutcome       = "Wheelgauge-Outcome"
+	HeaderNotRepeatable = "Wheelgauge-Not-Repeatable"
+	HeaderIdempotency   = "Idempotency-Key"
+	HeaderDeadline      = "Wheelgauge-Deadline-Ms"
+	HeaderServed        = "Wheelgauge-Served-By"
+	HeaderRegion        = "Wheelgauge-Region"
+	// The headers below exist on the peer listener only.
+	HeaderForwardedFrom = "Wheelgauge-Forwarded-From"
+	HeaderClient        = "Wheelgauge-Client"
+	HeaderClass         = "Wheelgauge-Class"
+	HeaderHome          = "Wheelgauge-Home"
+	HeaderPriority      = "Wheelgauge-Priority"
+)
+
+// Entry is one host of the entry list.
+type Entry struct {
+	Host    string `json:"host"`
+	Region  string `json:"region"`
+	Address string `json:"address"`
+}
+
+// EntryList answers GET /v1/entry, best host first.
+type EntryList struct {
+	Entries []Entry `json:"entries"`
+	TTLMS   int64   `json:"ttl_ms"`
+}
+
+// ChangeOp is the operation of a Change.
+type ChangeOp string
+
+// Operations of a Change.
+const (
+	OpPut    ChangeOp = "put"
+	OpDelete ChangeOp = "delete"
+	// OpAccept turns a pending spec into the accepted one.
+	OpAccept ChangeOp = "accept"
+)
+
+// Change is one operator's change of one resource.
+type Change struct {
+	// ID names the change; the same ID gets the first answer again.
+	ID   string   `json:"id"`
+	Op   ChangeOp `json:"op"`
+	Kind Kind     `json:"kind"`
+	Name string   `json:"name"`
+	// Expected is the resource generation the operator saw; 0 means new; nil means any.
+	Expected *uint64         `json:"expected,omitempty"`
+	Spec     json.RawMessage `json:"spec,omitempty"`
+	Operator string          `json:"operator,omitempty"`
+}
+
+// ChangeResult answers a Change.
+type ChangeResult struct {
+	ID         string `json:"id"`
+	Generation uint64 `json:"generation"`
+	// Pending is true while a change that takes rights away is not yet accepted.
+	Pending bool `json:"pending,omitempty"`
+	// Waiting names the hosts that have not acknowledged a pending change.
+	Waiting []string `json:"waiting,omitempty"`
+	Error   *Error   `json:"error,omitempty"`
+}
+
+// Event is one change seen by a watch.
+type Event struct {
+	Generation uint64   `json:"generation"`
+	Deleted    bool     `json:"deleted,omitempty"`
+	Resource   Resource `json:"resource"`
+}
+
+// WatchAnswer answers GET /v1/watch. With no events it is a bookmark: proof
+// that the store still makes progress at Generation.
+type WatchAnswer struct {
+	Generation uint64  `json:"generation"`
+	Events     []Event `json:"events,omitempty"`
+	// InTouch is false while the store is cut off from the other stores.
+	InTouch bool `json:"in_touch"`
+}
+
+// ListAnswer answers GET /v1/resources.
+type ListAnswer struct {
+	Generation uint64     `json:"generation"`
+	Resources  []Resource `json:"resources"`
+}
+
+// InForce says which generation a host obeys.
+type InForce struct {
+	Host       string `json:"host"`
+	Region     string `json:"region"`
+	Generation uint64 `json:"generation"`
+	AgeMS      int64  `json:"age_ms"`
+}
+
+// ClaimState is the state of a claim.
+type ClaimState string
+
+// States of a claim.
+const (
+	// ClaimNew: the asker holds the claim and may dispatch once.
+	ClaimNew ClaimState = "new"
+	// ClaimRunning: another attempt holds it; its end is not known.
+	ClaimRunning ClaimState = "running"
+	// ClaimDone: the recorded answer is given.
+	ClaimDone ClaimState = "done"
+	// ClaimReleased: the holder proved that nothing left; the next asker gets it.
+	ClaimReleased ClaimState = "released"
+	// ClaimLost: the store lost its disk and cannot tell whether the key ran.
+	ClaimLost ClaimState = "lost"
+)
+
+// Claim asks for, or ends, the right to run a call that is not repeatable.
+type Claim struct {
+	Client string     `json:"client"`
+	Key    string     `json:"key"`
+	Digest string     `json:"digest"`
+	Holder string     `json:"holder"`
+	State  ClaimState `json:"state"`
+	Status int        `json:"status,omitempty"`
+	Type   string     `json:"type,omitempty"`
+	Body   []byte     `json:"body,omitempty"`
+}
+
+// LoadReport is what a backend server says of itself. It lags.
+type LoadReport struct {
+	Running int  `json:"running"`
+	Waiting int  `json:"waiting"`
+	Slots   int  `json:"slots"`
+	Leaving bool `json:"leaving,omitempty"`
+	// TokensPerSecond is the generation rate over the last second.
+	TokensPerSecond float64 `json:"tokens_per_second,omitempty"`
+}
+
+// ServerEntry is what the host that polls a backend server saw last.
+type ServerEntry struct {
+	Server  string `json:"n"`
+	Alive   bool   `json:"a,omitempty"`
+	Leaving bool   `json:"v,omitempty"`
+	Running int    `json:"u,omitempty"`
+	Waiting int    `json:"w,omitempty"`
+}
+
+// Heartbeat is what a host tells its hub each interval.
+type Heartbeat struct {
+	Host       string `json:"h"`
+	Boot       uint64 `json:"b"`
+	Leaving    bool   `json:"v,omitempty"`
+	Generation uint64 `json:"g"`
+	// Asks is the work that waits here and may go away, in requests.
+	Asks int `json:"k,omitempty"`
+	// Servers are the backend servers this host polls.
+	Servers []ServerEntry `json:"s,omitempty"`
+	// Since and Hub name the last view received, so that only news comes back.
+	Since uint64 `json:"i,omitempty"`
+	Hub   uint64 `json:"u,omitempty"`
+}
+
+// HostEntry is a host as its hub sees it.
+type HostEntry struct {
+	Host    string `json:"h"`
+	Alive   bool   `json:"a,omitempty"`
+	Leaving bool   `json:"v,omitempty"`
+}
+
+// RegionSummary is all that one region tells the others each interval.
+type RegionSummary struct {
+	Region  string `json:"r"`
+	Slots   int    `json:"c"`
+	Running int    `json:"u,omitempty"`
+	Waiting int    `json:"w,omitempty"`
+	Hosts   int    `json:"h"`
+	Asks    int    `json:"k,omitempty"`
+	// Grants is the spare capacity, in requests at once, granted to each other region.
+	Grants map[string]int `json:"g,omitempty"`
+}
+
+// View answers a Heartbeat with what changed since the view named in it.
+type View struct {
+	Hub     uint64          `json:"u"`
+	Version uint64          `json:"i"`
+	Full    bool            `json:"f,omitempty"`
+	Hosts   []HostEntry     `json:"h,omitempty"`
+	Servers []ServerEntry   `json:"s,omitempty"`
+	Regions []RegionSummary `json:"r,omitempty"`
+}
--- /dev/null
+++ b/meter/meter.go
@@ -0,0 +1,82 @@
+// Package meter holds the metrics of a process: counters, and histograms for
+// each client and class, in milliseconds.
+package meter
+
+import (
+	"io"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+const (
+	sampleSize  = 1028
+	sampleAlpha = 0.015
+	// mostClients bounds the histograms; further clients share one.
+	mostClients = 2000
+	otherClient = "other"
+)
+
+// Meter is safe for concurrent use.
+type Meter struct {
+	registry metrics.Registry
+	mu       sync.Mutex
+	clients  map[string]bool
+}
+
+// New returns an empty meter.
+func New() *Meter {
+	return &Meter{registry: metrics.NewRegistry(), clients: map[string]bool{}}
+}
+
+// Count adds one to a counter.
+func (m *Meter) Count(name string) { m.Add(name, 1) }
+
+// Add adds to a counter.
+func (m *Meter) Add(name string, n int64) {
+	metrics.GetOrRegisterCounter(name, m.registry).Inc(n)
+}
+
+// Gauge sets a gauge.
+func (m *Meter) Gauge(name string, value int64) {
+	metrics.GetOrRegisterGauge(name, m.registry).Update(value)
+}
+
+// Value returns a counter; for tests and status.
+func (m *Meter) Value(name string) int64 {
+	return metrics.GetOrRegisterCounter(name, m.registry).Count()
+}
+
+// Observe adds a duration to the histograms of a client and of its class.
+func (m *Meter) Observe(name, client, class string, d time.Duration) {
+	m.histogram(name + ".client." + m.known(client)).Update(d.Milliseconds())
+	m.histogram(name + ".class." + class).Update(d.Milliseconds())
+}
+
+func (m *Meter) known(client string) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.clients[client] {
+		return client
+	}
+	if len(m.clients) >= mostClients {
+		return otherClient
+	}
+	m.clients[client] = true
+	return client
+}
+
+func (m *Meter) histogram(name string) metrics.Histogram {
+	made := func() metrics.Histogram {
+		return metrics.NewHistogram(metrics.NewExpDecaySample(sampleSize, sampleAlpha))
+	}
+	h, ok := m.registry.GetOrRegister(name, made).(metrics.Histogram)
+	if !ok {
+		return metrics.NilHistogram{}
+	}
+	return h
+}
+
+// WriteJSON writes all metrics.
+func (m *Meter) WriteJSON(w io.Writer) { metrics.WriteJSONOnce(m.registry, w) }
--- /dev/null
+++ b/operators/tokens.go
@@ -0,0 +1,95 @@
+// Package operators checks the tokens of operators and what they may do.
+package operators
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"gopkg.in/ini.v1"
+
+	"wheelgauge"
+)
+
+// Roles of operators.
+const (
+	RoleRead  = "read"
+	RoleWrite = "write"
+)
+
+const bearer = "Bearer "
+
+type operator struct {
+	name string
+	role string
+	sum  [sha256.Size]byte
+}
+
+// Tokens is the list of operators, read again when its file changes.
+type Tokens struct {
+	path  string
+	mu    sync.Mutex
+	stamp time.Time
+	list  []operator
+}
+
+// Load reads an INI file with one section for each operator: token and role.
+func Load(path string) (*Tokens, error) {
+	t := &Tokens{path: path}
+	if err := t.refresh(); err != nil {
+		return nil, err
+	}
+	return t, nil
+}
+
+func (t *Tokens) refresh() error {
+	info, err := os.Stat(t.path)
+	if err != nil {
+		return fmt.Errorf("find operators' file: %w", err)
+	}
+	if info.ModTime().Equal(t.stamp) {
+		return nil
+	}
+	file, err := ini.Load(t.path)
+	if err != nil {
+		return fmt.Errorf("read operators' file: %w", err)
+	}
+	var list []operator
+	for _, s := range file.Sections() {
+		if s.Name() == ini.DefaultSection {
+			continue
+		}
+		role := s.Key("role").String()
+		token := s.Key("token").String()
+		if token == "" || (role != RoleRead && role != RoleWrite) {
+			return fmt.Errorf("%s: [%s]: expected a token and role = read or write", t.path, s.Name())
+		}
+		list = append(list, operator{s.Name(), role, sha256.Sum256([]byte(token))})
+	}
+	t.list, t.stamp = list, info.ModTime()
+	return nil
+}
+
+// Check returns the operator's name. header is the Authorization header.
+func (t *Tokens) Check(header string, write bool) (string, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	_ = t.refresh() // a file being replaced leaves the earlier list in use
+	sum := sha256.Sum256([]byte(strings.TrimPrefix(header, bearer)))
+	for i := range t.list {
+		o := &t.list[i]
+		if subtle.ConstantTimeCompare(sum[:], o.sum[:]) != 1 {
+			continue
+		}
+		if write && o.role != RoleWrite {
+			return "", wheelgauge.NewError(wheelgauge.ReasonForbidden, wheelgauge.OutcomeNotRun, http.StatusForbidden, "operator "+o.name+" may only read")
+		}
+		return o.name, nil
+	}
+	return "", wheelgauge.NewError(wheelgauge.ReasonUnauthorized, wheelgauge.OutcomeNotRun, http.StatusUnauthorized, "the token is not known")
+}
--- /dev/null
+++ b/replica/identity.go
@@ -0,0 +1,40 @@
+package replica
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"syscall"
+)
+
+const markerName = "disk.marker"
+
+// mint returns a new random identity.
+func mint() uint64 {
+	var b [8]byte
+	_, _ = rand.Read(b[:]) // never fails: it ends the process instead
+	return binary.LittleEndian.Uint64(b[:])>>1 | 1
+}
+
+// disk names the file system object under dir. A copy or a restored backup of
+// the folder has another inode, so its replica is not taken for the one whose
+// log it holds.
+func disk(dir string) (uint64, error) {
+	path := filepath.Join(dir, markerName)
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_RDONLY, 0o600)
+	if err != nil {
+		return 0, fmt.Errorf("open disk marker: %w", err)
+	}
+	info, err := f.Stat()
+	if err := errors.Join(err, f.Close()); err != nil {
+		return 0, fmt.Errorf("read disk marker: %w", err)
+	}
+	stat, ok := info.Sys().(*syscall.Stat_t)
+	if !ok {
+		return 0, errors.New("disk marker has no inode")
+	}
+	return stat.Ino, nil
+}
--- /dev/null
+++ b/replica/progress.go
@@ -0,0 +1,112 @@
+package replica
+
+import (
+	"context"
+	"slices"
+	"sync"
+
+	"wheelgauge/raft"
+)
+
+// progress lets others wait until an index is applied.
+type progress struct {
+	mu      sync.Mutex
+	index   uint64
+	changed chan struct{}
+}
+
+func newProgress() *progress { return &progress{changed: make(chan struct{})} }
+
+func (p *progress) set(index uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.index = max(p.index, index)
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+func (p *progress) get() (uint64, <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.index, p.changed
+}
+
+func (p *progress) wait(ctx context.Context, index uint64) error {
+	for {
+		at, changed := p.get()
+		if at >= index {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// Status is what a replica knows of its group.
+type Status struct {
+	Self    raft.Member   `json:"self"`
+	Role    string        `json:"role"`
+	Term    uint64        `json:"term"`
+	Leader  uint64        `json:"leader"`
+	Commit  uint64        `json:"commit"`
+	Applied uint64        `json:"applied"`
+	Bytes   int64         `json:"log_bytes"`
+	Members []raft.Member `json:"members"`
+}
+
+// view is the last published status, for readers outside the run loop.
+type view struct {
+	mu     sync.RWMutex
+	status Status
+}
+
+func (v *view) get() Status {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.status
+}
+
+var roleNames = map[raft.Role]string{
+	raft.Follower: "follower", raft.PreCandidate: "candidate", raft.Candidate: "candidate", raft.Leader: "leader",
+}
+
+func (r *Replica) publish() {
+	s := Status{
+		Self: r.self(), Role: roleNames[r.core.Role()], Term: r.core.Term(), Leader: r.core.Leader(),
+		Commit: r.core.Commit(), Applied: r.core.Applied(), Bytes: r.storage.log.Size(), Members: r.core.Members(),
+	}
+	i := slices.IndexFunc(s.Members, func(m raft.Member) bool { return m.ID == s.Self.ID })
+	s.Self.Voter = i >= 0 && s.Members[i].Voter
+	if s.Role == "follower" && !s.Self.Voter {
+		s.Role = "learner"
+	}
+	r.view.mu.Lock()
+	defer r.view.mu.Unlock()
+	if was := r.view.status; was.Role != s.Role || was.Leader != s.Leader {
+		r.options.Log.Info("Replica changes role.", "role", s.Role, "term", s.Term, "leader", s.Leader)
+	}
+	r.view.status = s
+}
+
+// Status returns the last published status.
+func (r *Replica) Status() Status { return r.view.get() }
+
+// Leading tells whether this replica is the leader.
+func (r *Replica) Leading() bool {
+	s := r.view.get()
+	return s.Leader == s.Self.ID
+}
+
+// LeaderAddress returns where the leader is reached; empty when there is none.
+func (r *Replica) LeaderAddress() string {
+	s := r.view.get()
+	for _, m := range s.Members {
+		if m.ID == s.Leader {
+			return m.Address
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/replica/replica.go
@@ -0,0 +1,262 @@
+// Package replica drives one member of the replicated log: it owns the core,
+// the file it is kept in, the messages to the other members and the state
+// machine.
+package replica
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"wheelgauge"
+	"wheelgauge/peerhttp"
+	"wheelgauge/raft"
+)
+
+const (
+	heartbeatTicks  = 4
+	electionTicks   = 20
+	compactEvery    = 512
+	keptEntries     = 128
+	queueLength     = 1024
+	batchLength     = 256
+	leaderRetryTime = time.Second
+)
+
+// Options of a Replica.
+type Options struct {
+	// Dir is the data folder.
+	Dir string
+	// Name is the host's name; a member of the same name with another identity
+	// is the one whose disk was lost.
+	Name string
+	// Address is the peer address that others reach this replica at.
+	Address string
+	// Peers are the addresses of stores to join through.
+	Peers []string
+	// Tick is the unit of election and heartbeat times; 50 ms when zero.
+	Tick   time.Duration
+	Client *peerhttp.Client
+	Log    logr.Logger
+}
+
+// result is the end of a proposal or a barrier.
+type result struct {
+	index  uint64
+	answer []byte
+	err    error
+}
+
+type waiter struct {
+	term uint64
+	done chan result
+}
+
+// Replica is a running member of the group.
+type Replica struct {
+	options Options
+	core    *raft.Core
+	storage *storage
+	machine wheelgauge.StateMachine
+	net     *network
+
+	do       chan func()
+	waiters  map[uint64]waiter
+	barriers map[uint64]chan result
+	nextRead uint64
+	applied  *progress
+	view     *view
+
+	cancel context.CancelFunc
+	done   chan error
+}
+
+// Open starts a replica on the folder of the options. A blank folder joins the
+// group through the peers as a learner.
+func Open(ctx context.Context, options Options, machine wheelgauge.StateMachine) (*Replica, error) {
+	if options.Tick == 0 {
+		options.Tick = 50 * time.Millisecond
+	}
+	s, state, blank, err := openStorage(options.Dir)
+	if err != nil {
+		return nil, err
+	}
+	if state.Snapshot != nil {
+		if err := machine.Restore(state.Snapshot.Data); err != nil {
+			return nil, errors.Join(fmt.Errorf("restore state: %w", err), s.log.Close())
+		}
+	}
+	core := raft.New(raft.Options{ID: s.self.ID, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, Seed: s.self.ID}, state)
+	ctx, cancel := context.WithCancel(ctx)
+	r := &Replica{
+		options: options, core: core, storage: s, machine: machine,
+		do: make(chan func(), queueLength), waiters: map[uint64]waiter{}, barriers: map[uint64]chan result{},
+		applied: newProgress(), view: &view{}, cancel: cancel, done: make(chan error, 1),
+	}
+	r.net = newNetwork(ctx, options.Client, r.self())
+	r.publish()
+	options.Log.Info("Replica starts.", "id", s.self.ID, "blank", blank, "applied", core.Applied())
+	go func() {
+		r.done <- r.run(ctx)
+		close(r.done)
+	}()
+	return r, nil
+}
+
+func (r *Replica) self() raft.Member {
+	return raft.Member{ID: r.storage.self.ID, Name: r.options.Name, Address: r.options.Address}
+}
+
+// Done gives the error that ended the replica; a store stops with it.
+func (r *Replica) Done() <-chan error { return r.done }
+
+// Close stops the replica and waits.
+func (r *Replica) Close() error {
+	r.cancel()
+	err := <-r.done
+	r.net.wait()
+	return errors.Join(err, r.storage.log.Close())
+}
+
+func (r *Replica) run(ctx context.Context) error {
+	ticker := time.NewTicker(r.options.Tick)
+	defer ticker.Stop()
+	join := newJoiner(r)
+	defer r.fail()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			r.core.Tick()
+			r.maintain()
+			join.tick(ctx)
+		case f := <-r.do:
+			f()
+			r.drain()
+		}
+		if err := r.carryOut(); err != nil {
+			r.options.Log.Error(err, "Replica stops: its state cannot be kept.")
+			return err
+		}
+		r.publish()
+	}
+}
+
+// drain takes what else has come, so that one sync serves all of it.
+func (r *Replica) drain() {
+	for range batchLength {
+		select {
+		case f := <-r.do:
+			f()
+		default:
+			return
+		}
+	}
+}
+
+// fail answers all who still wait.
+func (r *Replica) fail() {
+	lost := wheelgauge.NewError(wheelgauge.ReasonNoLeader, wheelgauge.OutcomeUnknown, http.StatusServiceUnavailable, "the store stops").WithRetryAfter(leaderRetryTime)
+	for _, w := range r.waiters {
+		w.done <- result{err: lost}
+	}
+	for _, b := range r.barriers {
+		b <- result{err: lost}
+	}
+}
+
+// carryOut does what the core asks for until it asks for nothing more.
+func (r *Replica) carryOut() error {
+	for {
+		rd := r.core.Ready()
+		if rd.Empty() {
+			return nil
+		}
+		if err := r.persist(rd); err != nil {
+			return err
+		}
+		r.net.send(r.core.Members(), rd.Messages)
+		r.apply(rd.Committed)
+		if err := r.core.Advance(rd); err != nil {
+			return fmt.Errorf("advance: %w", err)
+		}
+		r.endReads(rd)
+		if err := r.compact(); err != nil {
+			return err
+		}
+	}
+}
+
+func (r *Replica) persist(rd raft.Ready) error {
+	if rd.Snapshot == nil {
+		return r.storage.save(rd.HardState, rd.Entries)
+	}
+	hard := raft.HardState{Term: r.core.Term(), Commit: rd.Snapshot.Index}
+	if rd.HardState != nil {
+		hard = *rd.HardState
+	}
+	if err := r.storage.rewrite(rd.Snapshot, hard, rd.Entries); err != nil {
+		return err
+	}
+	if err := r.machine.Restore(rd.Snapshot.Data); err != nil {
+		return fmt.Errorf("restore snapshot: %w", err)
+	}
+	r.applied.set(rd.Snapshot.Index)
+	return nil
+}
+
+func (r *Replica) apply(entries []raft.Entry) {
+	for _, e := range entries {
+		var answer []byte
+		if e.Type == raft.EntryCommand {
+			answer = r.machine.Apply(e.Index, e.Data)
+		}
+		r.applied.set(e.Index)
+		w, ok := r.waiters[e.Index]
+		if !ok {
+			continue
+		}
+		delete(r.waiters, e.Index)
+		if w.term != e.Term {
+			w.done <- result{err: noLeader("another leader took over before the change was logged")}
+			continue
+		}
+		w.done <- result{index: e.Index, answer: answer}
+	}
+}
+
+func (r *Replica) endReads(rd raft.Ready) {
+	for _, id := range rd.Reads {
+		r.barriers[id] <- result{index: r.core.Applied()}
+		delete(r.barriers, id)
+	}
+	for _, id := range rd.Dropped {
+		r.barriers[id] <- result{err: noLeader("the leader changed")}
+		delete(r.barriers, id)
+	}
+}
+
+func (r *Replica) compact() error {
+	if r.core.Applied() < r.core.SnapshotIndex()+compactEvery {
+		return nil
+	}
+	data, err := r.machine.Snapshot()
+	if err != nil {
+		return fmt.Errorf("snapshot: %w", err)
+	}
+	snap := r.core.Compact(data, keptEntries)
+	hard := raft.HardState{Term: r.core.Term(), Vote: r.core.Vote(), Commit: r.core.Commit()}
+	if err := r.storage.rewrite(snap, hard, r.core.Tail()); err != nil {
+		return fmt.Errorf("compact: %w", err)
+	}
+	return nil
+}
+
+func noLeader(detail string) *wheelgauge.Error {
+	return wheelgauge.NewError(wheelgauge.ReasonNoLeader, wheelgauge.OutcomeNotRun, http.StatusServiceUnavailable, detail).WithRetryAfter(leaderRetryTime)
+}
--- /dev/null
+++ b/replica/storage.go
@@ -0,0 +1,161 @@
+package replica
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"wheelgauge/raft"
+	"wheelgauge/wal"
+)
+
+const logName = "raft.log"
+
+// identity says who this replica is and on which disk.
+type identity struct {
+	ID   uint64 `json:"id"`
+	Disk uint64 `json:"disk"`
+}
+
+// record is one record of the log on disk; one field is set.
+type record struct {
+	Identity *identity       `json:"identity,omitempty"`
+	Hard     *raft.HardState `json:"hard,omitempty"`
+	Snapshot *raft.Snapshot  `json:"snapshot,omitempty"`
+	Entry    *raft.Entry     `json:"entry,omitempty"`
+}
+
+// storage keeps a replica's state in one file.
+type storage struct {
+	log  *wal.Log
+	self identity
+}
+
+// openStorage reads the state under dir. A blank folder, and a folder that was
+// copied or restored from a backup, get a new identity and no state.
+func openStorage(dir string) (*storage, raft.State, bool, error) {
+	var state raft.State
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return nil, state, false, fmt.Errorf("create data folder: %w", err)
+	}
+	inode, err := disk(dir)
+	if err != nil {
+		return nil, state, false, err
+	}
+	log, records, err := wal.Open(filepath.Join(dir, logName))
+	if err != nil {
+		return nil, state, false, fmt.Errorf("open replica log: %w", err)
+	}
+	s := &storage{log: log}
+	state, err = s.replay(records)
+	if err != nil {
+		return nil, state, false, errors.Join(err, log.Close())
+	}
+	if s.self.ID != 0 && s.self.Disk == inode {
+		return s, state, false, nil
+	}
+	s.self = identity{ID: mint(), Disk: inode}
+	if err := s.rewrite(nil, raft.HardState{}, nil); err != nil {
+		return nil, state, false, errors.Join(err, log.Close())
+	}
+	return s, raft.State{}, true, nil
+}
+
+func (s *storage) replay(records [][]byte) (raft.State, error) {
+	var state raft.State
+	for _, data := range records {
+		var r record
+		if err := json.Unmarshal(data, &r); err != nil {
+			return state, fmt.Errorf("decode replica log: %w", err)
+		}
+		switch {
+		case r.Identity != nil:
+			s.self = *r.Identity
+		case r.Hard != nil:
+			state.HardState = *r.Hard
+		case r.Snapshot != nil:
+			state.Snapshot = r.Snapshot
+			state.Entries = nil
+		case r.Entry != nil:
+			state.Entries = truncate(state.Entries, r.Entry.Index)
+			state.Entries = append(state.Entries, *r.Entry)
+		}
+	}
+	return state, nil
+}
+
+func truncate(entries []raft.Entry, from uint64) []raft.Entry {
+	for len(entries) > 0 && entries[len(entries)-1].Index >= from {
+		entries = entries[:len(entries)-1]
+	}
+	return entries
+}
+
+func encode(records []record) ([][]byte, error) {
+	out := make([][]byte, len(records))
+	for i := range records {
+		data, err := json.Marshal(&records[i])
+		if err != nil {
+			return nil, fmt.Errorf("encode replica log: %w", err)
+		}
+		out[i] = data
+	}
+	return out, nil
+}
+
+func entryRecords(entries []raft.Entry) []record {
+	out := make([]record, len(entries))
+	for i := range entries {
+		out[i].Entry = &entries[i]
+	}
+	return out
+}
+
+// save persists what a Ready asks for, with one sync.
+func (s *storage) save(hard *raft.HardState, entries []raft.Entry) error {
+	records := entryRecords(entries)
+	if hard != nil {
+		records = append(records, record{Hard: hard})
+	}
+	if len(records) == 0 {
+		return nil
+	}
+	data, err := encode(records)
+	if err != nil {
+		return err
+	}
+	return s.log.Append(data...)
+}
+
+// rewrite replaces the file by a snapshot and what follows it.
+func (s *storage) rewrite(snap *raft.Snapshot, hard raft.HardState, entries []raft.Entry) error {
+	records := []record{{Identity: &s.self}}
+	if snap != nil {
+		records = append(records, record{Snapshot: snap})
+	}
+	records = append(records, record{Hard: &hard})
+	records = append(records, entryRecords(entries)...)
+	data, err := encode(records)
+	if err != nil {
+		return err
+	}
+	return s.log.Rewrite(data...)
+}
+
+// Found makes dir the first replica of a new group. It refuses a folder that
+// is in use, and is never done by a running store: a blank disk joins instead.
+func Found(dir, name, address string) error {
+	s, state, blank, err := openStorage(dir)
+	if err != nil {
+		return err
+	}
+	if !blank || state.Snapshot != nil {
+		return errors.Join(fmt.Errorf("%s holds a replica already", dir), s.log.Close())
+	}
+	members := []raft.Member{{ID: s.self.ID, Name: name, Address: address, Voter: true}}
+	snap := &raft.Snapshot{Index: 1, Term: 1, Members: members, Data: json.RawMessage(`{}`)}
+	err = s.rewrite(snap, raft.HardState{Term: 1, Commit: 1}, nil)
+	return errors.Join(err, s.log.Close())
+}
--- /dev/null
+++ b/routing/affinity/picker.go
@@ -0,0 +1,102 @@
+// Package affinity picks a backend server by prompt prefix, bounded by load.
+//
+// The servers are ranked for a prefix by rendezvous hashing, so that all
+// gateways find the same warm server without sharing maps of caches. The first
+// whose load stays within a bound of the average is taken.
+//
+// Source of the bound: Mirrokni, Thorup and Zadimoghaddam, "Consistent hashing
+// with bounded loads", SODA 2018.
+package affinity
+
+import (
+	"math/rand/v2"
+
+	"wheelgauge"
+	"wheelgauge/rendezvous"
+)
+
+// defaultBound is how far over the average load a warm server may be.
+const defaultBound = 1.25
+
+// Picker implements wheelgauge.Picker without allocating.
+type Picker struct {
+	bound float64
+}
+
+// New returns a picker; bound 0 takes the default.
+func New(bound float64) *Picker {
+	if bound == 0 {
+		bound = defaultBound
+	}
+	return &Picker{bound: bound}
+}
+
+// Pick implements wheelgauge.Picker.
+func (p *Picker) Pick(prefix uint64, candidates []wheelgauge.Candidate) int {
+	if prefix == 0 {
+		return twoChoices(candidates)
+	}
+	limit := p.limit(candidates)
+	best, bestScore := -1, uint64(0)
+	for i := range candidates {
+		c := &candidates[i]
+		if Load(c) >= limit*float64(c.Slots) && Load(c) >= 1 {
+			continue
+		}
+		if score := rendezvous.Score(prefix, c.Hash); best < 0 || score > bestScore {
+			best, bestScore = i, score
+		}
+	}
+	if best < 0 {
+		return Least(candidates)
+	}
+	return best
+}
+
+// limit returns the load a slot that a server may have and still be taken.
+func (p *Picker) limit(candidates []wheelgauge.Candidate) float64 {
+	load, slots := 0.0, 0
+	for i := range candidates {
+		load += Load(&candidates[i])
+		slots += candidates[i].Slots
+	}
+	return p.bound * (load + 1) / float64(max(1, slots))
+}
+
+// Load estimates a server's load: what it reported, or what is known to be on
+// the way from here, whichever is more.
+func Load(c *wheelgauge.Candidate) float64 {
+	return float64(max(c.InFlight, c.Running+c.Waiting))
+}
+
+// Least returns the candidate with the least load for its slots.
+func Least(candidates []wheelgauge.Candidate) int {
+	best, bestLoad := 0, 0.0
+	for i := range candidates {
+		load := (Load(&candidates[i]) + 1) / float64(max(1, candidates[i].Slots))
+		if i == 0 || load < bestLoad {
+			best, bestLoad = i, load
+		}
+	}
+	return best
+}
+
+// twoChoices takes the less loaded of two at random: with late reports the
+// least loaded of all would draw everyone.
+func twoChoices(candidates []wheelgauge.Candidate) int {
+	n := len(candidates)
+	if n == 1 {
+		return 0
+	}
+	a := rand.IntN(n)
+	b := rand.IntN(n - 1)
+	if b >= a {
+		b++
+	}
+	la := (Load(&candidates[a]) + 1) / float64(max(1, candidates[a].Slots))
+	lb := (Load(&candidates[b]) + 1) / float64(max(1, candidates[b].Slots))
+	if lb < la {
+		return b
+	}
+	return a
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,253 @@
+// Package settings reads INI files against a declared list of keys. Every
+// fault is reported by file, section, key and what was expected.
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"gopkg.in/ini.v1"
+)
+
+// Type is the form of a value.
+type Type int
+
+// Types of values.
+const (
+	Text Type = iota
+	Int
+	Float
+	Bool
+	Duration
+	Address
+	List
+	Choice
+)
+
+// Key declares one setting.
+type Key struct {
+	Section  string
+	Name     string
+	Type     Type
+	Default  string
+	Required bool
+	Min      float64
+	Max      float64
+	Choices  []string
+	Help     string
+}
+
+// Values holds checked settings.
+type Values struct {
+	values map[string]string
+}
+
+// FaultError is one fault of a settings file.
+type FaultError struct {
+	file     string
+	section  string
+	key      string
+	expected string
+}
+
+// Error implements error.
+func (e *FaultError) Error() string {
+	return fmt.Sprintf("%s: [%s] %s: %s", e.file, e.section, e.key, e.expected)
+}
+
+// Load reads path and checks it against keys. It returns all faults joined.
+func Load(path string, keys []Key) (*Values, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("read settings: %w", err)
+	}
+	return Parse(path, data, keys)
+}
+
+// Parse checks the text of an INI file; path is used in faults only.
+func Parse(path string, data []byte, keys []Key) (*Values, error) {
+	file, err := ini.LoadSources(ini.LoadOptions{IgnoreInlineComment: true}, data)
+	if err != nil {
+		return nil, fmt.Errorf("parse %s: %w", path, err)
+	}
+	known := make(map[string]bool, len(keys))
+	v := &Values{values: make(map[string]string, len(keys))}
+	var faults []error
+	for i := range keys {
+		k := &keys[i]
+		known[id(k.Section, k.Name)] = true
+		text, expected := k.read(file)
+		if expected != "" {
+			faults = append(faults, &FaultError{path, k.Section, k.Name, expected})
+			continue
+		}
+		v.values[id(k.Section, k.Name)] = text
+	}
+	faults = append(faults, unknown(path, file, known)...)
+	if len(faults) > 0 {
+		return nil, errors.Join(faults...)
+	}
+	return v, nil
+}
+
+func unknown(path string, file *ini.File, known map[string]bool) []error {
+	var faults []error
+	for _, s := range file.Sections() {
+		for _, k := range s.Keys() {
+			if !known[id(s.Name(), k.Name())] {
+				faults = append(faults, &FaultError{path, s.Name(), k.Name(), "unknown key, expected one of --help"})
+			}
+		}
+	}
+	return faults
+}
+
+func id(section, name string) string { return section + "\x00" + name }
+
+func (k *Key) read(file *ini.File) (text, expected string) {
+	section, err := file.GetSection(k.Section)
+	if err != nil || !section.HasKey(k.Name) {
+		if k.Required {
+			return "", "missing, expected " + k.expected()
+		}
+		return k.Default, ""
+	}
+	text = strings.TrimSpace(section.Key(k.Name).String())
+	if text == "" && !k.Required {
+		return k.Default, ""
+	}
+	if !k.valid(text) {
+		return "", fmt.Sprintf("got %q, expected %s", text, k.expected())
+	}
+	return text, ""
+}
+
+func (k *Key) valid(text string) bool {
+	switch k.Type {
+	case Int:
+		n, err := strconv.ParseInt(text, 10, 64)
+		return err == nil && k.inRange(float64(n))
+	case Float:
+		f, err := strconv.ParseFloat(text, 64)
+		return err == nil && k.inRange(f)
+	case Bool:
+		_, err := strconv.ParseBool(text)
+		return err == nil
+	case Duration:
+		d, err := time.ParseDuration(text)
+		return err == nil && k.inRange(d.Seconds())
+	case Address:
+		_, err := netip.ParseAddrPort(text)
+		return err == nil
+	case Choice:
+		for _, c := range k.Choices {
+			if c == text {
+				return true
+			}
+		}
+		return false
+	default:
+		return text != ""
+	}
+}
+
+func (k *Key) inRange(n float64) bool {
+	if k.Min == 0 && k.Max == 0 {
+		return true
+	}
+	return n >= k.Min && n <= k.Max
+}
+
+func (k *Key) expected() string {
+	bounds := ""
+	if k.Min != 0 || k.Max != 0 {
+		bounds = fmt.Sprintf(" from %g to %g", k.Min, k.Max)
+	}
+	switch k.Type {
+	case Int:
+		return "a whole number" + bounds
+	case Float:
+		return "a number" + bounds
+	case Bool:
+		return "true or false"
+	case Duration:
+		return "a duration such as 500ms or 2s" + boundsSeconds(bounds)
+	case Address:
+		return "an address such as 10.0.0.1:8080"
+	case List:
+		return "values separated by commas"
+	case Choice:
+		return "one of " + strings.Join(k.Choices, ", ")
+	default:
+		return "a text"
+	}
+}
+
+func boundsSeconds(bounds string) string {
+	if bounds == "" {
+		return ""
+	}
+	return "," + bounds + " seconds"
+}
+
+// Usage lists keys, one a line, for --help.
+func Usage(keys []Key) string {
+	var b strings.Builder
+	section := ""
+	for i := range keys {
+		k := &keys[i]
+		if k.Section != section {
+			section = k.Section
+			fmt.Fprintf(&b, "  [%s]\n", section)
+		}
+		state := "default " + strconv.Quote(k.Default)
+		if k.Required {
+			state = "required"
+		}
+		fmt.Fprintf(&b, "  %-18s %s; %s (%s)\n", k.Name, k.Help, k.expected(), state)
+	}
+	return b.String()
+}
+
+// Text returns a text value.
+func (v *Values) Text(section, name string) string { return v.values[id(section, name)] }
+
+// Int returns a whole number.
+func (v *Values) Int(section, name string) int {
+	n, _ := strconv.Atoi(v.Text(section, name))
+	return n
+}
+
+// Float returns a number.
+func (v *Values) Float(section, name string) float64 {
+	f, _ := strconv.ParseFloat(v.Text(section, name), 64)
+	return f
+}
+
+// Bool returns a truth value.
+func (v *Values) Bool(section, name string) bool {
+	b, _ := strconv.ParseBool(v.Text(section, name))
+	return b
+}
+
+// Duration returns a duration.
+func (v *Values) Duration(section, name string) time.Duration {
+	d, _ := time.ParseDuration(v.Text(section, name))
+	return d
+}
+
+// List returns the values of a comma-separated list.
+func (v *Values) List(section, name string) []string {
+	var out []string
+	for part := range strings.SplitSeq(v.Text(section, name), ",") {
+		if p := strings.TrimSpace(part); p != "" {
+			out = append(out, p)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/systemtest/race_off_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package systemtest
+
+const raceEnabled = false
--- /dev/null
+++ b/upstream/pool.go
@@ -0,0 +1,212 @@
+// Package upstream sends calls to backend servers and to gateways of other
+// regions over HTTP and streams their answers.
+package upstream
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"wheelgauge"
+	"wheelgauge/peerhttp"
+)
+
+const (
+	maxConns = 4096
+	// idleLimit is below the idle limit of servers, so that a connection is
+	// hardly ever used at the moment its server closes it.
+	idleLimit   = 5 * time.Second
+	longestCall = 10 * time.Minute
+)
+
+var longAgo = time.Unix(1, 0)
+
+// Pool keeps connections by address. It never repeats a call.
+type Pool struct {
+	tls    *tls.Config
+	dialer *peerhttp.Dialer
+	mu     sync.RWMutex
+	hosts  map[string]*fasthttp.HostClient
+	conns  sync.Map // of net.Conn by local address
+}
+
+// tracked is a connection that can be found by its local address.
+type tracked struct {
+	net.Conn
+	pool *Pool
+}
+
+// Close implements net.Conn.
+func (t *tracked) Close() error {
+	t.pool.conns.Delete(t.LocalAddr().String())
+	return t.Conn.Close()
+}
+
+func (p *Pool) dial(address string) (net.Conn, error) {
+	c, err := p.dialer.Dial(address)
+	if err != nil {
+		return nil, err
+	}
+	p.conns.Store(c.LocalAddr().String(), c)
+	return &tracked{c, p}, nil
+}
+
+// abort ends reads on the connection with that local address.
+func (p *Pool) abort(local net.Addr) {
+	if local == nil {
+		return
+	}
+	if c, ok := p.conns.Load(local.String()); ok {
+		_ = c.(net.Conn).SetReadDeadline(longAgo) // a closed connection is ended too
+	}
+}
+
+// New returns a pool; with config it speaks HTTPS. dialer may be nil.
+func New(config *tls.Config, dialer *peerhttp.Dialer) *Pool {
+	if dialer == nil {
+		dialer = peerhttp.NewDialer("")
+	}
+	return &Pool{tls: config, dialer: dialer, hosts: map[string]*fasthttp.HostClient{}}
+}
+
+func (p *Pool) host(address string) *fasthttp.HostClient {
+	p.mu.RLock()
+	h := p.hosts[address]
+	p.mu.RUnlock()
+	if h != nil {
+		return h
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if h := p.hosts[address]; h != nil {
+		return h
+	}
+	h = &fasthttp.HostClient{
+		Addr: address, IsTLS: p.tls != nil, TLSConfig: p.tls, Dial: p.dial,
+		MaxConns: maxConns, MaxIdleConnDuration: idleLimit, MaxIdemponentCallAttempts: 1,
+		RetryIfErr: peerhttp.NeverRetry, StreamResponseBody: true,
+		NoDefaultUserAgentHeader: true, DisablePathNormalizing: true,
+	}
+	p.hosts[address] = h
+	return h
+}
+
+// Send dispatches a call once and returns the answer with its body unread. A
+// call that is not repeatable goes out on a fresh connection.
+func (p *Pool) Send(ctx context.Context, address string, call *wheelgauge.Call, fresh bool) (*wheelgauge.Answer, error) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	p.fill(req, address, call, fresh)
+	deadline := call.Deadline
+	if deadline.IsZero() {
+		deadline = time.Now().Add(longestCall)
+	}
+	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
+		deadline = d
+	}
+	err := p.host(address).DoDeadline(req, resp, deadline)
+	fasthttp.ReleaseRequest(req)
+	if err != nil {
+		fasthttp.ReleaseResponse(resp)
+		return nil, classify(address, err)
+	}
+	b := &body{resp: resp}
+	local := resp.LocalAddr()
+	return &wheelgauge.Answer{
+		Status: resp.StatusCode(), ContentType: string(resp.Header.ContentType()),
+		Header: func(name string) string { return string(resp.Header.Peek(name)) }, Body: b,
+		Abort: func() { p.abort(local) },
+	}, nil
+}
+
+func (p *Pool) fill(req *fasthttp.Request, address string, call *wheelgauge.Call, fresh bool) {
+	scheme := "http://"
+	if p.tls != nil {
+		scheme = "https://"
+	}
+	req.SetRequestURI(scheme + address + call.Path)
+	req.Header.SetMethod(call.Method)
+	req.Header.Set(wheelgauge.HeaderRequestID, call.ID)
+	if call.ContentType != "" {
+		req.Header.SetContentType(call.ContentType)
+	}
+	if call.Key != "" {
+		req.Header.Set(wheelgauge.HeaderIdempotency, call.Key)
+	}
+	req.Header.Set("X-Priority", strconv.Itoa(call.Priority))
+	if call.Skip > 0 {
+		req.Header.Set("X-Resume-From", strconv.Itoa(call.Skip))
+	}
+	for _, h := range call.Extra {
+		req.Header.Set(h[0], h[1])
+	}
+	req.SetBodyRaw(call.Body)
+	if fresh {
+		req.SetConnectionClose()
+	}
+}
+
+// classify says not-run only where the connection never was. A connection that
+// broke proves nothing.
+func classify(address string, err error) error {
+	outcome := wheelgauge.OutcomeUnknown
+	if peerhttp.NotSent(err) {
+		outcome = wheelgauge.OutcomeNotRun
+	}
+	reason, status := wheelgauge.ReasonServerFailed, fasthttp.StatusBadGateway
+	if errors.Is(err, fasthttp.ErrTimeout) {
+		reason, status = wheelgauge.ReasonDeadline, fasthttp.StatusGatewayTimeout
+	}
+	return wheelgauge.NewError(reason, outcome, status, fmt.Sprintf("backend %s: %v", address, err))
+}
+
+// body is the unread rest of an answer.
+type body struct {
+	mu   sync.Mutex
+	resp *fasthttp.Response
+	read io.Reader
+}
+
+// Read implements io.Reader.
+func (b *body) Read(p []byte) (int, error) {
+	if b.resp == nil {
+		return 0, io.ErrClosedPipe
+	}
+	if b.read == nil {
+		b.read = b.resp.BodyStream()
+	}
+	if b.read == nil {
+		return 0, io.EOF
+	}
+	return b.read.Read(p)
+}
+
+// Close gives the connection back, or closes it when the body was not read to
+// its end. It must not run beside Read.
+func (b *body) Close() error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.resp == nil {
+		return nil
+	}
+	err := b.resp.CloseBodyStream()
+	fasthttp.ReleaseResponse(b.resp)
+	b.resp = nil
+	return err
+}
+
+// CloseIdle closes connections that carry nothing.
+func (p *Pool) CloseIdle() {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	for _, h := range p.hosts {
+		h.CloseIdleConnections()
+	}
+}
--- /dev/null
+++ b/validate/validate.go
@@ -0,0 +1,210 @@
+// Package validate checks the specs of resources. Each fault names the field.
+package validate
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"regexp"
+	"slices"
+
+	"wheelgauge"
+)
+
+const (
+	maxNameLength = 128
+	maxPriority   = 9
+	maxSlots      = 100_000
+)
+
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._:-]*$`)
+
+// FieldError is a fault in one field of a spec.
+type FieldError struct {
+	kind  wheelgauge.Kind
+	name  string
+	field string
+	want  string
+}
+
+// Error implements error.
+func (e *FieldError) Error() string {
+	return fmt.Sprintf("%s %s: field %s: expected %s", e.kind, e.name, e.field, e.want)
+}
+
+// Field returns the name of the field at fault.
+func (e *FieldError) Field() string { return e.field }
+
+// Exists tells whether a resource is configured.
+type Exists func(kind wheelgauge.Kind, name string) bool
+
+type checker struct {
+	exists Exists
+	field  string
+	want   string
+}
+
+// Spec checks one spec and returns it in compact form.
+func Spec(kind wheelgauge.Kind, name string, spec json.RawMessage, exists Exists) (json.RawMessage, error) {
+	c := &checker{exists: exists}
+	c.that(len(name) <= maxNameLength && namePattern.MatchString(name), "name", "letters, digits and ._:- (128 at most)")
+	check := checks[kind]
+	if check == nil {
+		return nil, &FieldError{kind, name, "kind", fmt.Sprintf("one of %v", wheelgauge.Kinds())}
+	}
+	if c.want == "" {
+		check(c, spec)
+	}
+	if c.want != "" {
+		return nil, &FieldError{kind, name, c.field, c.want}
+	}
+	var out bytes.Buffer
+	if err := json.Compact(&out, spec); err != nil {
+		return nil, &FieldError{kind, name, "spec", "a JSON object"}
+	}
+	return out.Bytes(), nil
+}
+
+var checks = map[wheelgauge.Kind]func(c *checker, spec json.RawMessage){
+	wheelgauge.KindRegion:        checkRegion,
+	wheelgauge.KindHall:          checkHall,
+	wheelgauge.KindHost:          checkHost,
+	wheelgauge.KindBackendServer: checkBackendServer,
+	wheelgauge.KindPool:          checkPool,
+	wheelgauge.KindModel:         checkModel,
+	wheelgauge.KindPlacement:     checkPlacement,
+	wheelgauge.KindRoute:         checkRoute,
+	wheelgauge.KindClientClass:   checkClientClass,
+	wheelgauge.KindResidencyRule: checkResidencyRule,
+}
+
+// that keeps the first fault.
+func (c *checker) that(ok bool, field, want string) {
+	if !ok && c.want == "" {
+		c.field, c.want = field, want
+	}
+}
+
+func (c *checker) refers(kind wheelgauge.Kind, name, field string) {
+	c.that(c.exists(kind, name), field, fmt.Sprintf("the name of a %s, got %q", kind, name))
+}
+
+func (c *checker) address(text, field string) {
+	_, err := netip.ParseAddrPort(text)
+	c.that(err == nil, field, fmt.Sprintf("an address such as 10.0.0.1:8080, got %q", text))
+}
+
+func decode[T any](c *checker, spec json.RawMessage) T {
+	var v T
+	d := json.NewDecoder(bytes.NewReader(spec))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&v); err != nil {
+		c.that(false, "spec", "an object of known fields: "+err.Error())
+	}
+	return v
+}
+
+func checkRegion(c *checker, spec json.RawMessage) {
+	s := decode[wheelgauge.RegionSpec](c, spec)
+	c.that(s.Price >= 0, "price", "0 or more")
+	for to, ms := range s.Links {
+		c.that(ms >= 0, "links_ms."+to, "0 or more milliseconds")
+	}
+}
+
+func checkHall(c *checker, spec json.RawMessage) {
+	s := decode[wheelgauge.HallSpec](c, spec)
+	c.refers(wheelgauge.KindRegion, s.Region, "region")
+}
+
+func checkHost(c *checker, spec json.RawMessage) {
+	s := decode[wheelgauge.HostSpec](c, spec)
+	c.refers(wheelgauge.KindRegion, s.Region, "region")
+	c.refers(wheelgauge.KindHall, s.Hall, "hall")
+	c.address(s.Caller, "caller")
+	c.address(s.Peer, "peer")
+	c.that(s.Weight >= 0, "weight", "0 or more")
+	if s.Store != "" {
+		c.address(s.Store, "store")
+	}
+}
+
+func checkBackendServer(c *checker, spec json.RawMessage) {
+	s := decode[wheelgauge.BackendServerSpec](c, spec)
+	c.refers(wheelgauge.KindPool, s.Pool, "pool")
+	c.refers(wheelgauge.KindRegion, s.Region, "region")
+	c.refers(wheelgauge.KindHall, s.Hall, "hall")
+	c.address(s.Address, "address")
+	c.that(s.Slots > 0 && s.Slots <= maxSlots, "slots", "1 to 100000")
+}
+
+func checkPool(c *checker, spec json.RawMessage) {
+	s := decode[wheelgauge.PoolSpec](c, spec)
+	c.that(s.Type == wheelgauge.PoolEngine || s.Type == wheelgauge.PoolService, "type", "engine or service")
+}
+
+func checkModel(c *checker, spec json.RawMessage) {
+	s := decode[wheelgauge.ModelSpec](c, spec)
+	c.that(len(s.Versions) > 0, "versions", "at least one")
+	c.that(s.Bytes >= 0, "bytes", "0 or more")
+}
+
+func checkPlacement(c *checker, spec json.RawMessage) {
+	s := decode[wheelgauge.PlacementSpec](c, spec)
+	c.refers(wheelgauge.KindModel, s.Model, "model")
+	for i, server := range s.Servers {
+		c.refers(wheelgauge.KindBackendServer, server, fmt.Sprintf("servers[%d]", i))
+	}
+}
+
+func checkRoute(c *checker, spec json.RawMessage) {
+	s := decode[wheelgauge.RouteSpec](c, spec)
+	c.that((s.Model == "") != (s.Path == ""), "model", "either model or path")
+	c.refers(wheelgauge.KindPool, s.Pool, "pool")
+	if s.OldPath == nil {
+		return
+	}
+	c.address(s.OldPath.Address, "old_path.address")
+	c.that(s.OldPath.Share >= 0 && s.OldPath.Share <= 1, "old_path.share", "0 to 1")
+}
+
+func checkClientClass(c *checker, spec json.RawMessage) {
+	s := decode[wheelgauge.ClientClassSpec](c, spec)
+	c.that(s.Priority >= 0 && s.Priority <= maxPriority, "priority", "0 to 9")
+	c.that(s.Rate >= 0, "rate", "0 or more requests a second")
+	c.that(s.Burst >= 0, "burst", "0 or more")
+	c.that(s.DeadlineMS >= 0, "deadline_ms", "0 or more")
+}
+
+func checkResidencyRule(c *checker, spec json.RawMessage) {
+	s := decode[wheelgauge.ResidencyRuleSpec](c, spec)
+	c.that(s.Client != "", "client", "a client name or class:NAME")
+	c.that(len(s.Regions) > 0, "regions", "at least one region")
+	for i, region := range s.Regions {
+		c.refers(wheelgauge.KindRegion, region, fmt.Sprintf("regions[%d]", i))
+	}
+}
+
+// TakesRights tells whether going from spec was to spec next of a residency
+// rule forbids a place that was allowed. A nil spec allows every place.
+func TakesRights(was, next json.RawMessage) (bool, error) {
+	if len(next) == 0 {
+		return false, nil
+	}
+	if len(was) == 0 {
+		return true, nil
+	}
+	var a, b wheelgauge.ResidencyRuleSpec
+	if err := json.Unmarshal(was, &a); err != nil {
+		return false, fmt.Errorf("decode residency rule: %w", err)
+	}
+	if err := json.Unmarshal(next, &b); err != nil {
+		return false, fmt.Errorf("decode residency rule: %w", err)
+	}
+	if a.Client != b.Client {
+		return true, nil
+	}
+	lost := slices.ContainsFunc(a.Regions, func(r string) bool { return !slices.Contains(b.Regions, r) })
+	return lost, nil
+}
