--- /dev/null
+++ b/claims/claims_test.go
@@ -0,0 +1,229 @@
+package claims
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"wheelgauge"
+)
+
+var noon = time.Date(2026, 1, 2, 12, 0, 0, 0, time.UTC)
+
+// keyAt makes a UUID of version 7 of a time.
+func keyAt(at time.Time, n int) string {
+	ms := at.UnixMilli()
+	return fmt.Sprintf("%08x-%04x-7%03x-8000-%012x", ms>>16, ms&0xffff, n&0xfff, n)
+}
+
+type clock struct{ now time.Time }
+
+func open(t *testing.T, dir string, c *clock) *Table {
+	t.Helper()
+	table, err := Open(context.Background(), Options{Dir: dir, Now: func() time.Time { return c.now }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return table
+}
+
+func take(t *testing.T, table *Table, c wheelgauge.Claim) wheelgauge.Claim {
+	t.Helper()
+	got, err := table.Take(context.Background(), c)
+	if err != nil {
+		t.Fatalf("take %+v: %v", c, err)
+	}
+	return got
+}
+
+func claim(key, holder string, state wheelgauge.ClaimState) wheelgauge.Claim {
+	return wheelgauge.Claim{Client: "desk", Key: key, Digest: "d", Holder: holder, State: state}
+}
+
+// TestLife runs claims through their states, with a restart after every step.
+func TestLife(t *testing.T) {
+	key := keyAt(noon, 1)
+	asked := func(holder string) wheelgauge.Claim { return claim(key, holder, wheelgauge.ClaimNew) }
+	ended := func(holder string, state wheelgauge.ClaimState) wheelgauge.Claim {
+		c := claim(key, holder, state)
+		c.Status, c.Body = 200, []byte("receipt")
+		return c
+	}
+	type step struct {
+		in   wheelgauge.Claim
+		want wheelgauge.ClaimState
+	}
+	tests := []struct {
+		name  string
+		steps []step
+	}{
+		{"a resend finds it running", []step{{asked("a"), wheelgauge.ClaimNew}, {asked("b"), wheelgauge.ClaimRunning}}},
+		{"a resend gets the record", []step{{asked("a"), wheelgauge.ClaimNew}, {ended("a", wheelgauge.ClaimDone), wheelgauge.ClaimDone}, {asked("b"), wheelgauge.ClaimDone}}},
+		{"released for the next", []step{{asked("a"), wheelgauge.ClaimNew}, {ended("a", wheelgauge.ClaimReleased), wheelgauge.ClaimReleased}, {asked("b"), wheelgauge.ClaimNew}}},
+		{"only the holder releases", []step{{asked("a"), wheelgauge.ClaimNew}, {ended("b", wheelgauge.ClaimReleased), wheelgauge.ClaimRunning}, {asked("b"), wheelgauge.ClaimRunning}}},
+		{"a record is final", []step{{asked("a"), wheelgauge.ClaimNew}, {ended("a", wheelgauge.ClaimDone), wheelgauge.ClaimDone}, {ended("a", wheelgauge.ClaimReleased), wheelgauge.ClaimDone}, {asked("c"), wheelgauge.ClaimDone}}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			dir := t.TempDir()
+			if err := Found(dir); err != nil {
+				t.Fatal(err)
+			}
+			c := &clock{noon}
+			for i, s := range tt.steps {
+				table := open(t, dir, c)
+				if got := take(t, table, s.in); got.State != s.want {
+					t.Fatalf("step %d: got %s, want %s", i, got.State, s.want)
+				}
+				if err := table.Close(); err != nil {
+					t.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+// TestTimes covers keys that are old, new, from the future, and from before
+// the loss of a disk.
+func TestTimes(t *testing.T) {
+	tests := []struct {
+		name    string
+		founded bool
+		key     string
+		now     time.Time
+		want    wheelgauge.ClaimState
+		fault   bool
+	}{
+		{"fresh key", true, keyAt(noon, 1), noon, wheelgauge.ClaimNew, false},
+		{"not a UUID", true, "booking-7", noon, "", true},
+		{"random UUID", true, "6f1c3c1e-9c0e-4b6e-8a5e-3f8f6b1d2c3a", noon, "", true},
+		{"made in the future", true, keyAt(noon.Add(time.Hour), 1), noon, "", true},
+		{"older than its life", true, keyAt(noon, 1), noon.Add(25 * time.Hour), wheelgauge.ClaimLost, false},
+		{"made before a new disk", false, keyAt(noon.Add(-time.Minute), 1), noon.Add(time.Hour), wheelgauge.ClaimLost, false},
+		{"made within the skew of a new disk", false, keyAt(noon.Add(time.Minute), 1), noon.Add(time.Hour), wheelgauge.ClaimLost, false},
+		{"made after a new disk", false, keyAt(noon.Add(3*time.Minute), 1), noon.Add(time.Hour), wheelgauge.ClaimNew, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			dir := t.TempDir()
+			if tt.founded {
+				if err := Found(dir); err != nil {
+					t.Fatal(err)
+				}
+			}
+			c := &clock{noon}
+			table := open(t, dir, c)
+			c.now = tt.now
+			got, err := table.Take(context.Background(), claim(tt.key, "a", wheelgauge.ClaimNew))
+			if (err != nil) != tt.fault || err == nil && got.State != tt.want {
+				t.Fatalf("got %s, %v", got.State, err)
+			}
+			if err := table.Close(); err != nil {
+				t.Fatal(err)
+			}
+		})
+	}
+}
+
+// TestForgets checks that what is forgotten would be refused by its age anyway.
+func TestForgets(t *testing.T) {
+	dir := t.TempDir()
+	if err := Found(dir); err != nil {
+		t.Fatal(err)
+	}
+	c := &clock{noon}
+	table := open(t, dir, c)
+	key := keyAt(noon, 1)
+	take(t, table, claim(key, "a", wheelgauge.ClaimNew))
+	if err := table.Close(); err != nil {
+		t.Fatal(err)
+	}
+	for _, after := range []time.Duration{23 * time.Hour, 24*time.Hour + time.Minute, 30 * time.Hour} {
+		c.now = noon.Add(after)
+		table = open(t, dir, c)
+		if got := take(t, table, claim(key, "b", wheelgauge.ClaimNew)); got.State == wheelgauge.ClaimNew {
+			t.Fatalf("granted twice after %s", after)
+		}
+		if err := table.Close(); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// TestOneWinner sends the same key from many at once.
+func TestOneWinner(t *testing.T) {
+	dir := t.TempDir()
+	if err := Found(dir); err != nil {
+		t.Fatal(err)
+	}
+	table := open(t, dir, &clock{noon})
+	key := keyAt(noon, 9)
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	won := 0
+	for i := range 50 {
+		group.Go(func() {
+			got, err := table.Take(context.Background(), claim(key, fmt.Sprint(i), wheelgauge.ClaimNew))
+			mu.Lock()
+			defer mu.Unlock()
+			if err == nil && got.State == wheelgauge.ClaimNew {
+				won++
+			}
+		})
+	}
+	group.Wait()
+	if won != 1 {
+		t.Fatalf("%d asked and won", won)
+	}
+	if err := table.Close(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestOtherRequestUnderTheSameKey(t *testing.T) {
+	dir := t.TempDir()
+	if err := Found(dir); err != nil {
+		t.Fatal(err)
+	}
+	table := open(t, dir, &clock{noon})
+	c := claim(keyAt(noon, 3), "a", wheelgauge.ClaimNew)
+	take(t, table, c)
+	c.Digest, c.Holder = "another", "b"
+	if _, err := table.Take(context.Background(), c); wheelgauge.AsError(err).Reason() != wheelgauge.ReasonConflict {
+		t.Fatalf("got %v", err)
+	}
+	if err := table.Close(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestCorrupt refuses a claim file with damage before its end.
+func TestCorrupt(t *testing.T) {
+	dir := t.TempDir()
+	if err := Found(dir); err != nil {
+		t.Fatal(err)
+	}
+	table := open(t, dir, &clock{noon})
+	for i := range 3 {
+		take(t, table, claim(keyAt(noon, i), "a", wheelgauge.ClaimNew))
+	}
+	if err := table.Close(); err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(dir, logName)
+	data, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	data[len(data)/2] ^= 1
+	if err := os.WriteFile(path, data, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Open(context.Background(), Options{Dir: dir}); err == nil {
+		t.Fatal("a corrupt file was opened")
+	}
+}
--- a/cmd/wheelgauge-gateway/run.go
+++ b/cmd/wheelgauge-gateway/run.go
@@ -38,7 +38,7 @@
 }
 
 func options(v *settings.Values, log logr.Logger) (gateway.Options, error) {
-	plain := peerhttp.NewClient(nil, "", peerhttp.NewDialer(v.Text("host", "source")))
+	plain := peerhttp.NewClient(peerhttp.NewDialer(v.Text("host", "source"), nil), "")
 	o := gateway.Options{
 		Host: v.Text("host", "name"), Region: v.Text("host", "region"), Hall: v.Text("host", "hall"),
 		Caller: v.Text("listen", "caller"), Peer: v.Text("listen", "peer"), Operator: v.Text("listen", "operator"),
@@ -85,7 +85,7 @@
 	if err != nil {
 		return fmt.Errorf("[tls]: %w", err)
 	}
-	o.PeerTLS, o.ClientTLS = pair.Server(), pair.Client()
+	o.PeerTLS, o.Secure = pair.Server(), pair.Client
 	if v.Bool("tls", "callers") {
 		o.CallerTLS = pair.Open()
 	}
--- a/cmd/wheelgauge-store/run.go
+++ b/cmd/wheelgauge-store/run.go
@@ -57,7 +57,7 @@
 	if err != nil {
 		return o, fmt.Errorf("[tls]: %w", err)
 	}
-	o.PeerTLS, o.ClientTLS, o.OperatorTLS = pair.Server(), pair.Client(), pair.Open()
+	o.PeerTLS, o.Secure, o.OperatorTLS = pair.Server(), pair.Client, pair.Open()
 	return o, nil
 }
 
--- a/cmd/wheelgaugectl/options.go
+++ b/cmd/wheelgaugectl/options.go
@@ -11,6 +11,7 @@
 
 	"wheelgauge"
 	"wheelgauge/opsclient"
+	"wheelgauge/peerhttp"
 )
 
 const (
@@ -61,14 +62,14 @@
 	if token == "" {
 		token = os.Getenv(envToken)
 	}
-	config, err := o.tls()
+	secure, err := o.secure()
 	if err != nil {
 		return nil, err
 	}
-	return opsclient.New(stores, token, config), nil
+	return opsclient.New(stores, token, secure), nil
 }
 
-func (o *options) tls() (*tls.Config, error) {
+func (o *options) secure() (peerhttp.Secure, error) {
 	if o.authority == "" {
 		return nil, nil
 	}
@@ -80,5 +81,7 @@
 	if !pool.AppendCertsFromPEM(data) {
 		return nil, fmt.Errorf("%s holds no certificate", o.authority)
 	}
-	return &tls.Config{MinVersion: tls.VersionTLS12, RootCAs: pool}, nil
+	return func(host string) *tls.Config {
+		return &tls.Config{MinVersion: tls.VersionTLS12, RootCAs: pool, ServerName: host}
+	}, nil
 }
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -60,15 +60,16 @@
 // finish ends a request with an error.
 func (g *Gateway) finish(ctx *fasthttp.RequestCtx, rq *request, err error) {
 	g.refuse(ctx, rq, err)
-	g.serving.Done()
+	g.serving.Leave()
 }
 
 // reply passes an answer on to the caller.
 func (g *Gateway) reply(ctx *fasthttp.RequestCtx, rq *request, answer *wheelgauge.Answer, held *heldClaim) {
 	h := &ctx.Response.Header
 	h.Set(wheelgauge.HeaderRequestID, rq.call.ID)
-	h.Set(wheelgauge.HeaderServed, rq.server)
-	h.Set(wheelgauge.HeaderRegion, rq.region)
+	to := rq.target.Load()
+	h.Set(wheelgauge.HeaderServed, to.server)
+	h.Set(wheelgauge.HeaderRegion, to.region)
 	h.Set(wheelgauge.HeaderOutcome, string(wheelgauge.OutcomeRan))
 	ctx.SetStatusCode(answer.Status)
 	ctx.SetContentType(answer.ContentType)
@@ -84,20 +85,33 @@
 	if !rq.once {
 		resume = g.resumer(rq)
 	}
-	s := relay.New(g.ctx, answer, rq.started, resume, func(e relay.Ending) { g.ended(rq, e) })
+	s := relay.New(g.ctx, answer, relay.Options{
+		Started: rq.started, Resume: resume, OnEnd: func(e relay.Ending) { g.ended(rq, e) },
+		Dead: func() bool { return g.otherSideDead(rq) },
+	})
 	ctx.Response.ImmediateHeaderFlush = true
 	ctx.SetBodyStream(s, -1)
 }
 
+// otherSideDead tells whether who answers a request is known to be gone.
+func (g *Gateway) otherSideDead(rq *request) bool {
+	to := rq.target.Load()
+	if to.region != g.o.Region {
+		return g.node.Region(to.region).Hosts == 0
+	}
+	return g.serverDead(to.server)
+}
+
 // resumer opens the rest of a broken stream, within the retry budget.
 func (g *Gateway) resumer(rq *request) relay.Resume {
+	before := rq.call.Skip
 	return func(ctx context.Context, skip int) (*wheelgauge.Answer, error) {
 		if !g.budget.Retry() {
 			g.meter.Count("retries.no_budget")
 			return nil, wheelgauge.NewError(wheelgauge.ReasonBrokenStream, wheelgauge.OutcomeRan, http.StatusBadGateway, "no retry is left")
 		}
 		g.meter.Count("streams.resumed")
-		rq.call.Skip = skip
+		rq.call.Skip = before + skip
 		rq.gone = nil
 		return g.open(ctx, rq)
 	}
@@ -105,7 +119,7 @@
 
 // ended records how a stream ended.
 func (g *Gateway) ended(rq *request, e relay.Ending) {
-	defer g.serving.Done()
+	defer g.serving.Leave()
 	g.meter.Add("tokens", int64(e.Tokens))
 	if e.Tokens > 0 {
 		g.meter.Observe("first_token_ms", rq.identity.Client, rq.identity.Class, e.FirstAfter)
@@ -123,7 +137,8 @@
 
 // cancelStream ends work that nobody reads any more.
 func (g *Gateway) cancelStream(rq *request) {
-	if s := rq.catalog.Server(rq.server); s != nil && rq.region == g.o.Region {
+	to := rq.target.Load()
+	if s := rq.catalog.Server(to.server); s != nil && to.region == g.o.Region {
 		g.cancelCall(rq, s.Address)
 	}
 }
@@ -131,7 +146,7 @@
 func (g *Gateway) observe(rq *request) {
 	g.meter.Count("answers")
 	g.meter.Observe("total_ms", rq.identity.Client, rq.identity.Class, time.Since(rq.started))
-	if rq.region != g.o.Region {
+	if rq.target.Load().region != g.o.Region {
 		g.meter.Count("away.answers")
 	}
 }
@@ -144,7 +159,7 @@
 		return
 	}
 	if len(body) == wholeBody {
-		rest := &countedBody{ReadCloser: answer.Body, end: func() { g.observe(rq); g.serving.Done() }}
+		rest := &countedBody{ReadCloser: answer.Body, end: func() { g.observe(rq); g.serving.Leave() }}
 		ctx.SetBodyStream(struct {
 			io.Reader
 			io.Closer
@@ -155,7 +170,7 @@
 	g.record(held, answer, body)
 	ctx.SetBody(body)
 	g.observe(rq)
-	g.serving.Done()
+	g.serving.Leave()
 }
 
 // peerAnswer turns a typed error answer of a peer into an error.
--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -41,19 +41,27 @@
 
 // serveCaller handles the callers' listener.
 func (g *Gateway) serveCaller(ctx *fasthttp.RequestCtx) {
-	g.serving.Add(1)
 	if string(ctx.Path()) == pathEntry {
 		g.serveEntry(ctx)
-		g.serving.Done()
 		return
 	}
 	rq, err := g.fromCaller(ctx)
-	if err == nil {
-		err = g.admitCaller(ctx, rq)
+	g.serve(ctx, rq, err, g.admitCaller)
+}
+
+// serve admits a request and runs it while the gate is open. Whoever ends the
+// request leaves the gate.
+func (g *Gateway) serve(ctx *fasthttp.RequestCtx, rq *request, err error, admit func(*fasthttp.RequestCtx, *request) error) {
+	if err == nil && !g.serving.Enter() {
+		err = wheelgauge.NewError(wheelgauge.ReasonDraining, wheelgauge.OutcomeNotRun, http.StatusServiceUnavailable,
+			"this host is leaving").WithEntries(g.entries(rq))
 	}
 	if err != nil {
 		g.refuse(ctx, rq, err)
-		g.serving.Done()
+		return
+	}
+	if err := admit(ctx, rq); err != nil {
+		g.finish(ctx, rq, err)
 		return
 	}
 	conn := ctx.Conn()
@@ -63,10 +71,6 @@
 
 // admitCaller checks what concerns the caller, reads the body and finds the route.
 func (g *Gateway) admitCaller(ctx *fasthttp.RequestCtx, rq *request) error {
-	if g.closed.Load() {
-		return wheelgauge.NewError(wheelgauge.ReasonDraining, wheelgauge.OutcomeNotRun, http.StatusServiceUnavailable,
-			"this host is leaving").WithEntries(g.entries(rq))
-	}
 	if err := g.limit(rq); err != nil {
 		return err
 	}
--- a/gateway/claim.go
+++ b/gateway/claim.go
@@ -35,10 +35,14 @@
 	if !rq.once || rq.call.Key == "" || rq.forwarded {
 		return nil, nil
 	}
-	address := rq.catalog.ClaimStore(rq.home())
+	home := rq.home()
+	address := rq.catalog.ClaimStore(home)
 	if address == "" {
 		return nil, claimStore("the client's home region has no claim store")
 	}
+	if home != g.o.Region && g.node.Region(home).Hosts == 0 {
+		return nil, claimStore("the client's home region is cut off")
+	}
 	c := wheelgauge.Claim{Client: rq.identity.Client, Key: rq.call.Key, Digest: digest(rq), Holder: rq.call.ID, State: wheelgauge.ClaimNew}
 	got, err := g.tell(address, c, claimTimeout)
 	if err != nil {
@@ -127,5 +131,5 @@
 	ctx.SetContentType(c.Type)
 	ctx.SetBody(c.Body)
 	g.observe(rq)
-	g.serving.Done()
+	g.serving.Leave()
 }
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -14,6 +14,7 @@
 
 const (
 	mostAttempts = 3
+	oldServer    = "old path"
 	goneEvery    = 100 * time.Millisecond
 	cancelLimit  = 2 * time.Second
 )
@@ -31,7 +32,7 @@
 	}
 	if p.region != "" {
 		answer, err := g.forward(ctx, rq, p.region)
-		if err == nil || !isOutcome(err, wheelgauge.OutcomeNotRun) {
+		if err == nil || !g.mayRepeat(rq, err) {
 			return answer, err
 		}
 		g.meter.Count("away.turned_back")
@@ -112,9 +113,13 @@
 // is closed.
 func (g *Gateway) sendTo(ctx context.Context, rq *request, s *catalog.Server) (*wheelgauge.Answer, error) {
 	started := time.Now()
+	call := rq.call // an abandoned call keeps its own
 	g.inflight.Start(s.Name)
 	g.inflight.Start(rq.route.Pool)
-	answer, err := g.await(ctx, rq, s.Address)
+	answer, err := g.watched(rq,
+		func() (*wheelgauge.Answer, error) { return g.adapter(rq).Send(ctx, s.Address, &call) },
+		func() { g.cancelCall(rq, s.Address) },
+		func() bool { return !rq.once && g.serverDead(s.Name) })
 	if err != nil {
 		g.inflight.End(s.Name, 0)
 		g.inflight.End(rq.route.Pool, 0)
@@ -125,7 +130,7 @@
 		return nil, err
 	}
 	g.aside.Worked(s.Name)
-	rq.server = s.Name
+	rq.target.Store(&target{s.Name, g.o.Region})
 	answer.Body = &countedBody{ReadCloser: answer.Body, end: func() {
 		took := time.Since(started)
 		g.inflight.End(s.Name, took)
@@ -134,21 +139,21 @@
 	return answer, nil
 }
 
-// await sends and, while no answer has come, watches whether the caller left;
-// the work is cancelled then.
-func (g *Gateway) await(ctx context.Context, rq *request, address string) (*wheelgauge.Answer, error) {
-	if rq.gone == nil || !rq.route.Engine {
-		return g.adapter(rq).Send(ctx, address, &rq.call)
-	}
-	type end struct {
-		answer *wheelgauge.Answer
-		err    error
-	}
-	done := make(chan end, 1)
-	go func() {
-		answer, err := g.engine.Send(ctx, address, &rq.call)
-		done <- end{answer, err}
-	}()
+// sent is the end of a call that was dispatched.
+type sent struct {
+	answer *wheelgauge.Answer
+	err    error
+}
+
+// watched dispatches by send and, while no answer has come, looks whether the
+// caller left, which cancels the work, and whether the other side is known to
+// be dead, which ends the wait: its outcome stays unknown.
+func (g *Gateway) watched(rq *request, send func() (*wheelgauge.Answer, error), cancel func(), dead func() bool) (*wheelgauge.Answer, error) {
+	done := make(chan sent, 1)
+	g.strays.Go(func() {
+		answer, err := send()
+		done <- sent{answer, err}
+	})
 	ticker := time.NewTicker(goneEvery)
 	defer ticker.Stop()
 	cancelled := false
@@ -159,12 +164,32 @@
 		case <-ticker.C:
 			if !cancelled && rq.left() {
 				cancelled = true
-				g.cancelCall(rq, address)
+				cancel()
+			}
+			if dead() {
+				g.abandon(done)
+				return nil, wheelgauge.NewError(wheelgauge.ReasonServerFailed, wheelgauge.OutcomeUnknown, http.StatusBadGateway, "the other side stopped answering")
 			}
 		}
 	}
 }
 
+// abandon closes an answer that nobody waits for any more, should it come.
+func (g *Gateway) abandon(done chan sent) {
+	g.meter.Count("abandoned")
+	g.strays.Go(func() {
+		if e := <-done; e.answer != nil {
+			_ = e.answer.Body.Close() // nobody reads it
+		}
+	})
+}
+
+// serverDead tells whether heartbeats say that a backend server is gone.
+func (g *Gateway) serverDead(name string) bool {
+	s := g.node.Server(name)
+	return s.Known && !s.Alive
+}
+
 func (g *Gateway) cancelCall(rq *request, address string) {
 	g.meter.Count("cancelled")
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(g.ctx), cancelLimit)
@@ -194,7 +219,7 @@
 
 func (g *Gateway) sendOld(ctx context.Context, rq *request, address string) (*wheelgauge.Answer, error) {
 	g.meter.Count("old_path")
-	rq.server = "old path"
+	rq.target.Store(&target{oldServer, g.o.Region})
 	answer, err := g.adapter(rq).Send(ctx, address, &rq.call)
 	if err != nil {
 		return nil, fmt.Errorf("old path: %w", err)
@@ -211,8 +236,7 @@
 		g.inflight.End(awayName(region), 0)
 		return nil, err
 	}
-	rq.region = region
-	rq.server = answer.Header(wheelgauge.HeaderServed)
+	rq.target.Store(&target{answer.Header(wheelgauge.HeaderServed), region})
 	answer.Body = &countedBody{ReadCloser: answer.Body, end: func() { g.inflight.End(awayName(region), 0) }}
 	return answer, nil
 }
@@ -225,8 +249,12 @@
 			break
 		}
 		h := rq.catalog.Host(entry.Host)
+		call := g.forwardCall(rq)
 		var answer *wheelgauge.Answer
-		answer, err = g.forwardTo(ctx, rq, h.Peer)
+		answer, err = g.watched(rq,
+			func() (*wheelgauge.Answer, error) { return g.forwardTo(ctx, call, h.Peer, rq.once) },
+			func() {}, // the peer sees that its caller left
+			func() bool { return !rq.once && g.node.Region(region).Hosts == 0 })
 		if err == nil || !isOutcome(err, wheelgauge.OutcomeNotRun) {
 			return answer, err
 		}
@@ -244,14 +272,19 @@
 	return out
 }
 
-func (g *Gateway) forwardTo(ctx context.Context, rq *request, address string) (*wheelgauge.Answer, error) {
+// forwardCall makes the call that a peer gets.
+func (g *Gateway) forwardCall(rq *request) *wheelgauge.Call {
 	call := rq.call
 	call.Path = pathForward + rq.call.Path
 	if !rq.route.Engine {
 		call.Path = pathForward + "/s" + rq.call.Path
 	}
 	call.Extra = forwardMarks(rq, g.o.Region)
-	answer, err := g.peers.Send(ctx, address, &call, rq.once)
+	return &call
+}
+
+func (g *Gateway) forwardTo(ctx context.Context, call *wheelgauge.Call, address string, fresh bool) (*wheelgauge.Answer, error) {
+	answer, err := g.peers.Send(ctx, address, call, fresh)
 	if err != nil {
 		return nil, err
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"wheelgauge/away"
 	"wheelgauge/catalog"
 	"wheelgauge/confwatch"
+	"wheelgauge/gate"
 	"wheelgauge/httpserve"
 	"wheelgauge/inflight"
 	"wheelgauge/membership"
@@ -66,8 +67,9 @@
 	HostList  wheelgauge.HostList
 	CallerTLS *tls.Config
 	PeerTLS   *tls.Config
-	ClientTLS *tls.Config
-	Log       logr.Logger
+	// Secure makes connections to peers; nil on loopback.
+	Secure peerhttp.Secure
+	Log    logr.Logger
 }
 
 // Gateway is a running gateway.
@@ -90,9 +92,9 @@
 
 	sequence atomic.Uint64
 	asks     atomic.Int64
-	serving  sync.WaitGroup
+	serving  *gate.Gate
+	strays   sync.WaitGroup
 	draining atomic.Bool
-	closed   atomic.Bool
 
 	ctx       context.Context
 	cancel    context.CancelFunc
@@ -102,13 +104,13 @@
 // Open starts a gateway. It serves as soon as a configuration is in force.
 func Open(ctx context.Context, o Options) (*Gateway, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	dialer := peerhttp.NewDialer(o.Source)
+	plainDialer, peerDialer := peerhttp.NewDialer(o.Source, nil), peerhttp.NewDialer(o.Source, o.Secure)
 	g := &Gateway{
-		o: o, boot: uint64(time.Now().UnixNano()), meter: meter.New(), client: peerhttp.NewClient(o.ClientTLS, "", dialer),
-		servers: upstream.New(nil, dialer), peers: upstream.New(o.ClientTLS, dialer), limiter: admission.NewLimiter(),
-		budget: admission.NewBudget(), aside: setaside.New(), ctx: ctx, cancel: cancel,
+		o: o, boot: uint64(time.Now().UnixNano()), meter: meter.New(), client: peerhttp.NewClient(peerDialer, ""),
+		servers: upstream.New(plainDialer), peers: upstream.New(peerDialer), limiter: admission.NewLimiter(),
+		budget: admission.NewBudget(), aside: setaside.New(), serving: gate.New(), ctx: ctx, cancel: cancel,
 	}
-	plain := peerhttp.NewClient(nil, "", dialer)
+	plain := peerhttp.NewClient(plainDialer, "")
 	g.engine = engine.New(g.servers, plain)
 	g.service = service.New(g.servers, plain)
 	g.watcher = confwatch.Start(ctx, confwatch.Options{
@@ -161,27 +163,22 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	g.closed.Store(true)
-	ended := make(chan struct{})
-	go func() {
-		g.serving.Wait()
-		close(ended)
-	}()
-	select {
-	case <-ended:
-	case <-ctx.Done():
+	g.serving.Shut()
+	if err := g.serving.Wait(ctx); err != nil {
+		g.o.Log.Info("Requests are cut: the limit of the drain is over.", "open", g.serving.Count())
 	}
 }
 
 // Close stops the listeners, waits for the requests in flight until ctx ends,
 // and then for all parts.
 func (g *Gateway) Close(ctx context.Context) error {
-	g.closed.Store(true)
+	g.serving.Shut()
 	var errs []error
 	for _, l := range g.listeners {
 		errs = append(errs, l.Close(ctx))
 	}
 	g.cancel()
+	g.strays.Wait()
 	errs = append(errs, g.node.Close(), g.watcher.Close(), g.hints.close())
 	g.servers.CloseIdle()
 	g.peers.CloseIdle()
--- a/gateway/peer.go
+++ b/gateway/peer.go
@@ -9,7 +9,6 @@
 	"github.com/valyala/fasthttp"
 
 	"wheelgauge"
-	"wheelgauge/callerconn"
 	"wheelgauge/confwatch"
 	"wheelgauge/membership"
 	"wheelgauge/peerhttp"
@@ -45,24 +44,17 @@
 // serveForward takes a request from a gateway of another region. It is never
 // forwarded again.
 func (g *Gateway) serveForward(ctx *fasthttp.RequestCtx) {
-	g.serving.Add(1)
 	rq, err := g.fromPeer(ctx)
-	if err == nil {
-		err = g.findRoute(rq)
-	}
-	if err != nil {
-		g.finish(ctx, rq, err)
-		return
-	}
-	g.meter.Count("away.received")
-	conn := ctx.Conn()
-	rq.gone = func() bool { return callerconn.Gone(conn) }
-	g.run(ctx, rq)
+	g.serve(ctx, rq, err, func(_ *fasthttp.RequestCtx, rq *request) error {
+		g.meter.Count("away.received")
+		return g.findRoute(rq)
+	})
 }
 
 func (g *Gateway) fromPeer(ctx *fasthttp.RequestCtx) (*request, error) {
 	h := &ctx.Request.Header
-	rq := &request{started: time.Now(), region: g.o.Region, forwarded: true}
+	rq := &request{started: time.Now(), forwarded: true}
+	rq.target.Store(&target{region: g.o.Region})
 	rq.call.ID = string(h.Peek(wheelgauge.HeaderRequestID))
 	rq.call.Method = string(ctx.Method())
 	rq.call.Path = strings.TrimPrefix(string(ctx.RequestURI()), pathForward)
@@ -83,9 +75,6 @@
 	if rq.identity.Client == "" || len(h.Peek(wheelgauge.HeaderForwardedFrom)) == 0 {
 		return rq, badRequest("a forwarded request names its client and region")
 	}
-	if g.closed.Load() {
-		return rq, wheelgauge.NewError(wheelgauge.ReasonDraining, wheelgauge.OutcomeNotRun, http.StatusServiceUnavailable, "this host is leaving")
-	}
 	rq.catalog, err = g.current()
 	if err != nil {
 		return rq, err
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -43,9 +44,15 @@
 	forwarded bool
 	started   time.Time
 	gone      func() bool
-	server    string
-	region    string
 	attempts  int
+	// target is who answers; a resumed stream may change it while it is read.
+	target atomic.Pointer[target]
+}
+
+// target names a backend server and its region.
+type target struct {
+	server string
+	region string
 }
 
 // prompt is what the gateway reads of a completion request.
@@ -71,7 +78,8 @@
 // fromCaller reads the head of a caller's request. Marks that only peers may
 // set are not looked at.
 func (g *Gateway) fromCaller(ctx *fasthttp.RequestCtx) (*request, error) {
-	rq := &request{started: time.Now(), region: g.o.Region}
+	rq := &request{started: time.Now()}
+	rq.target.Store(&target{region: g.o.Region})
 	rq.call.ID = g.newID()
 	rq.call.Method = string(ctx.Method())
 	rq.call.Path = string(ctx.RequestURI())
--- /dev/null
+++ b/inflight/table_test.go
@@ -0,0 +1,34 @@
+package inflight
+
+import "testing"
+
+// TestEstimate corrects a late report by what happened here since it came.
+func TestEstimate(t *testing.T) {
+	var table Table
+	table.Start("s")
+	steps := []struct {
+		name     string
+		start    int
+		end      int
+		reported int
+		number   uint64
+		want     int
+	}{
+		{"report comes", 0, 0, 5, 1, 5},
+		{"two more go", 2, 0, 5, 1, 7},
+		{"one comes back", 0, 1, 5, 1, 6},
+		{"a new report", 0, 0, 6, 2, 6},
+		{"more come back than it knew", 0, 2, 1, 2, 0},
+	}
+	for _, s := range steps {
+		for range s.start {
+			table.Start("s")
+		}
+		for range s.end {
+			table.End("s", 0)
+		}
+		if got := table.Estimate("s", s.reported, s.number); got != s.want {
+			t.Fatalf("%s: got %d, want %d", s.name, got, s.want)
+		}
+	}
+}
--- a/keypair/keypair.go
+++ b/keypair/keypair.go
@@ -6,7 +6,6 @@
 import (
 	"crypto/tls"
 	"crypto/x509"
-	"errors"
 	"fmt"
 	"net/netip"
 	"os"
@@ -98,33 +97,11 @@
 	}}
 }
 
-// Client returns the configuration of a caller of peers. The name is checked
-// in VerifyConnection, against the authority as it is on disk now.
-func (p *Pair) Client() *tls.Config {
-	return &tls.Config{
-		MinVersion: tls.VersionTLS13, InsecureSkipVerify: true, //nolint:gosec // VerifyConnection checks
-		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
-			cert, _ := p.current()
-			return cert, nil
-		},
-		VerifyConnection: p.verify,
-	}
-}
-
-func (p *Pair) verify(state tls.ConnectionState) error {
-	if len(state.PeerCertificates) == 0 {
-		return errors.New("the peer shows no certificate")
-	}
-	_, pool := p.current()
-	between := x509.NewCertPool()
-	for _, c := range state.PeerCertificates[1:] {
-		between.AddCert(c)
-	}
-	_, err := state.PeerCertificates[0].Verify(x509.VerifyOptions{Roots: pool, Intermediates: between, DNSName: state.ServerName})
-	if err != nil {
-		return fmt.Errorf("verify peer: %w", err)
-	}
-	return nil
+// Client returns the configuration of a connection to host, an IP address or
+// name that the other side's certificate must hold.
+func (p *Pair) Client(host string) *tls.Config {
+	cert, pool := p.current()
+	return &tls.Config{MinVersion: tls.VersionTLS13, ServerName: host, RootCAs: pool, Certificates: []tls.Certificate{*cert}}
 }
 
 // Loopback tells whether an address stays on this machine and may go without TLS.
--- /dev/null
+++ b/membership/hub_test.go
@@ -0,0 +1,162 @@
+package membership
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"wheelgauge"
+	"wheelgauge/catalog"
+)
+
+type clock struct{ now time.Time }
+
+func hub(c *clock) *Hub {
+	cat := catalog.Build(1, []wheelgauge.Resource{
+		{Kind: wheelgauge.KindBackendServer, Name: "e1", Spec: json.RawMessage(`{"pool":"p","region":"karachi","slots":20}`)},
+		{Kind: wheelgauge.KindBackendServer, Name: "e2", Spec: json.RawMessage(`{"pool":"p","region":"karachi","slots":20}`)},
+	})
+	return NewHub("karachi", 1, time.Second, func() *catalog.Catalog { return cat }, func() time.Time { return c.now })
+}
+
+func beat(host string, servers ...wheelgauge.ServerEntry) wheelgauge.Heartbeat {
+	return wheelgauge.Heartbeat{Host: host, Boot: 1, Servers: servers}
+}
+
+func alive(name string, running int) wheelgauge.ServerEntry {
+	return wheelgauge.ServerEntry{Server: name, Alive: true, Running: running}
+}
+
+// TestViews sends only news to a host that names the view it has.
+func TestViews(t *testing.T) {
+	c := &clock{time.Unix(0, 0)}
+	h := hub(c)
+	v := h.Beat(beat("a", alive("e1", 3)))
+	if !v.Full || len(v.Hosts) != 1 || len(v.Servers) != 1 {
+		t.Fatalf("first view %+v", v)
+	}
+	again := beat("a", alive("e1", 3))
+	again.Hub, again.Since = v.Hub, v.Version
+	if v = h.Beat(again); v.Full || len(v.Hosts) != 0 || len(v.Servers) != 0 {
+		t.Fatalf("nothing changed, but got %+v", v)
+	}
+	c.now = c.now.Add(time.Millisecond)
+	h.Beat(beat("b", alive("e1", 9)))
+	again.Since = v.Version
+	if v = h.Beat(wheelgauge.Heartbeat{Host: "a", Boot: 1, Hub: v.Hub, Since: v.Version}); len(v.Hosts) != 1 || len(v.Servers) != 1 || v.Servers[0].Running != 9 {
+		t.Fatalf("news %+v", v)
+	}
+}
+
+// TestFailures covers what a hub makes of silence.
+func TestFailures(t *testing.T) {
+	tests := []struct {
+		name   string
+		run    func(h *Hub, c *clock)
+		host   bool // is host a alive
+		server bool // is e1 alive
+		slots  int
+	}{
+		{"all well", func(h *Hub, _ *clock) { h.Beat(beat("a", alive("e1", 0))) }, true, true, 20},
+		{"a host falls silent", func(h *Hub, c *clock) {
+			h.Beat(beat("a", alive("e1", 0)))
+			c.now = c.now.Add(4 * time.Second)
+			h.Beat(beat("b", alive("e1", 0)))
+		}, false, true, 20},
+		{"a server does not answer its only poller", func(h *Hub, _ *clock) { h.Beat(beat("a", wheelgauge.ServerEntry{Server: "e1"})) }, true, false, 0},
+		{"one poller of two is cut off from a server", func(h *Hub, _ *clock) {
+			h.Beat(beat("b", alive("e1", 2)))
+			h.Beat(beat("a", wheelgauge.ServerEntry{Server: "e1"}))
+		}, true, true, 20},
+		{"the poller that reached it falls silent", func(h *Hub, c *clock) {
+			h.Beat(beat("b", alive("e1", 2)))
+			c.now = c.now.Add(4 * time.Second)
+			h.Beat(beat("a", wheelgauge.ServerEntry{Server: "e1"}))
+		}, true, false, 0},
+		{"nobody polls any more", func(h *Hub, c *clock) {
+			h.Beat(beat("b", alive("e1", 2)))
+			c.now = c.now.Add(4 * time.Second)
+			h.Beat(beat("a"))
+		}, true, false, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := &clock{time.Unix(100, 0)}
+			h := hub(c)
+			tt.run(h, c)
+			v := h.Beat(beat("watcher"))
+			host, server := false, false
+			for _, e := range v.Hosts {
+				host = host || e.Host == "a" && e.Alive
+			}
+			for _, e := range v.Servers {
+				server = server || e.Server == "e1" && e.Alive
+			}
+			if host != tt.host || server != tt.server || h.Summary().Slots != tt.slots {
+				t.Fatalf("host %t, server %t, slots %d", host, server, h.Summary().Slots)
+			}
+		})
+	}
+}
+
+// TestGrants splits spare capacity by who asks, and never gives more than there is.
+func TestGrants(t *testing.T) {
+	tests := []struct {
+		name    string
+		running int
+		asks    map[string]int
+		want    map[string]int
+	}{
+		{"nobody asks", 10, map[string]int{"lahore": 0, "peshawar": 0}, map[string]int{"lahore": 12, "peshawar": 12}},
+		{"one asks", 10, map[string]int{"lahore": 5, "peshawar": 0}, map[string]int{"lahore": 24, "peshawar": 0}},
+		{"both ask", 10, map[string]int{"lahore": 30, "peshawar": 10}, map[string]int{"lahore": 18, "peshawar": 6}},
+		{"full", 40, map[string]int{"lahore": 5, "peshawar": 5}, map[string]int{}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			h := hub(&clock{time.Unix(0, 0)})
+			h.Beat(beat("a", alive("e1", tt.running), alive("e2", 0)))
+			for region, asks := range tt.asks {
+				h.TakeRegion(wheelgauge.RegionSummary{Region: region, Hosts: 1, Asks: asks})
+			}
+			got := h.Summary().Grants
+			sum := 0
+			for region, want := range tt.want {
+				if got[region] != want {
+					t.Errorf("%s got %d, want %d", region, got[region], want)
+				}
+				sum += got[region]
+			}
+			if sum+tt.running > 40 {
+				t.Errorf("granted %d beside %d running of 40", sum, tt.running)
+			}
+		})
+	}
+}
+
+func TestRegionExpires(t *testing.T) {
+	c := &clock{time.Unix(0, 0)}
+	h := hub(c)
+	h.TakeRegion(wheelgauge.RegionSummary{Region: "lahore", Hosts: 3, Slots: 9})
+	c.now = c.now.Add(4 * time.Second)
+	v := h.Beat(beat("a"))
+	if len(v.Regions) != 1 || v.Regions[0].Hosts != 0 {
+		t.Fatalf("a silent region is still seen: %+v", v.Regions)
+	}
+}
+
+func BenchmarkBeat(b *testing.B) {
+	c := &clock{time.Unix(0, 0)}
+	h := hub(c)
+	for i := range 82 {
+		h.Beat(beat(string(rune('a'+i%26)) + string(rune('a'+i/26))))
+	}
+	one := beat("aa", alive("e1", 3), alive("e2", 4))
+	one.Hub = 1
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		one.Since = h.version
+		one.Servers[0].Running = i % 8
+		h.Beat(one)
+	}
+}
--- a/opsclient/client.go
+++ b/opsclient/client.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"crypto/rand"
-	"crypto/tls"
 	"encoding/hex"
 	"errors"
 	"fmt"
@@ -35,9 +34,9 @@
 	at     int
 }
 
-// New returns a client of the stores' operator addresses.
-func New(stores []string, token string, config *tls.Config) *Client {
-	return &Client{stores: stores, http: peerhttp.NewClient(config, token, nil)}
+// New returns a client of the stores' operator addresses. secure may be nil.
+func New(stores []string, token string, secure peerhttp.Secure) *Client {
+	return &Client{stores: stores, http: peerhttp.NewClient(peerhttp.NewDialer("", secure), token)}
 }
 
 // NewChangeID returns a new change ID.
--- a/peerhttp/client.go
+++ b/peerhttp/client.go
@@ -37,15 +37,21 @@
 	return errors.Is(err, fasthttp.ErrNoFreeConns)
 }
 
-// Dialer connects by TCP. Its errors satisfy NotSent.
+// Secure gives the TLS configuration of a connection to host. It is asked at
+// each connection, so that rotated keys are taken in.
+type Secure func(host string) *tls.Config
+
+// Dialer connects by TCP, and by TLS where it has a Secure. Its errors satisfy
+// NotSent: no byte of a request leaves before the handshake is done.
 type Dialer struct {
-	net net.Dialer
+	net    net.Dialer
+	secure Secure
 }
 
 // NewDialer returns a dialer that connects from the IP address source; the
-// system chooses when it is empty or not an address.
-func NewDialer(source string) *Dialer {
-	d := &Dialer{net: net.Dialer{Timeout: dialTimeout}}
+// system chooses when it is empty or not an address. secure may be nil.
+func NewDialer(source string, secure Secure) *Dialer {
+	d := &Dialer{net: net.Dialer{Timeout: dialTimeout}, secure: secure}
 	if ip := net.ParseIP(source); ip != nil {
 		d.net.LocalAddr = &net.TCPAddr{IP: ip}
 	}
@@ -58,28 +64,39 @@
 	if err != nil {
 		return nil, &dialError{err}
 	}
-	return c, nil
+	if d.secure == nil {
+		return c, nil
+	}
+	return d.handshake(c, address)
+}
+
+func (d *Dialer) handshake(c net.Conn, address string) (net.Conn, error) {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, &dialError{errors.Join(err, c.Close())}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	t := tls.Client(c, d.secure(host))
+	if err := t.HandshakeContext(ctx); err != nil {
+		return nil, &dialError{errors.Join(fmt.Errorf("handshake: %w", err), c.Close())}
+	}
+	return t, nil
 }
 
 // Client calls other processes. It never repeats a call by itself.
 type Client struct {
-	scheme string
-	http   *fasthttp.Client
-	token  string
+	http  *fasthttp.Client
+	token string
 }
 
-// NewClient returns a client; with tls it speaks HTTPS, with a token it sends
-// it. dialer may be nil.
-func NewClient(config *tls.Config, token string, dialer *Dialer) *Client {
+// NewClient returns a client that connects by dialer, or in the clear when that
+// is nil, and sends token unless it is empty.
+func NewClient(dialer *Dialer, token string) *Client {
 	if dialer == nil {
-		dialer = NewDialer("")
-	}
-	scheme := "http"
-	if config != nil {
-		scheme = "https"
+		dialer = NewDialer("", nil)
 	}
-	return &Client{scheme: scheme, token: token, http: &fasthttp.Client{
-		TLSConfig:                 config,
+	return &Client{token: token, http: &fasthttp.Client{
 		Dial:                      dialer.Dial,
 		RetryIfErr:                NeverRetry,
 		MaxIdemponentCallAttempts: 1,
@@ -100,7 +117,7 @@
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
-	req.SetRequestURI(c.scheme + "://" + address + path)
+	req.SetRequestURI("http://" + address + path) // TLS is the dialer's part
 	req.Header.SetMethod(method)
 	if c.token != "" {
 		req.Header.Set("Authorization", "Bearer "+c.token)
--- /dev/null
+++ b/registry/registry_test.go
@@ -0,0 +1,215 @@
+package registry
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+
+	"wheelgauge"
+)
+
+func apply(t *testing.T, r *Registry, c wheelgauge.Change) wheelgauge.ChangeResult {
+	t.Helper()
+	command, err := json.Marshal(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out wheelgauge.ChangeResult
+	if err := json.Unmarshal(r.Apply(0, command), &out); err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
+
+func put(kind wheelgauge.Kind, name, spec string) wheelgauge.Change {
+	return wheelgauge.Change{Op: wheelgauge.OpPut, Kind: kind, Name: name, Spec: json.RawMessage(spec), Operator: "operator-a"}
+}
+
+func expecting(c wheelgauge.Change, generation uint64) wheelgauge.Change {
+	c.Expected = &generation
+	return c
+}
+
+func withRegions(t *testing.T) *Registry {
+	t.Helper()
+	r := New()
+	for _, region := range []string{"karachi", "lahore", "peshawar"} {
+		apply(t, r, put(wheelgauge.KindRegion, region, `{"price":1}`))
+	}
+	return r
+}
+
+func reason(result wheelgauge.ChangeResult) wheelgauge.Reason {
+	if result.Error == nil {
+		return ""
+	}
+	return result.Error.Reason()
+}
+
+func TestChanges(t *testing.T) {
+	tests := []struct {
+		name   string
+		change wheelgauge.Change
+		reason wheelgauge.Reason
+		detail string
+	}{
+		{"new", expecting(put(wheelgauge.KindHall, "h", `{"region":"karachi"}`), 0), "", ""},
+		{"unknown kind", put("Planet", "p", `{}`), wheelgauge.ReasonInvalid, "kind"},
+		{"unknown field", put(wheelgauge.KindHall, "h", `{"region":"karachi","colour":1}`), wheelgauge.ReasonInvalid, "colour"},
+		{"missing reference", put(wheelgauge.KindHall, "h", `{"region":"quetta"}`), wheelgauge.ReasonInvalid, "region"},
+		{"bad name", put(wheelgauge.KindHall, "a/b", `{"region":"karachi"}`), wheelgauge.ReasonInvalid, "name"},
+		{"bad value", put(wheelgauge.KindClientClass, "c", `{"priority":12}`), wheelgauge.ReasonInvalid, "priority"},
+		{"both model and path", put(wheelgauge.KindRoute, "r", `{"model":"m","path":"p","pool":"x"}`), wheelgauge.ReasonInvalid, "model"},
+		{"exists already", expecting(put(wheelgauge.KindRegion, "karachi", `{"price":2}`), 0), wheelgauge.ReasonConflict, "operator-a"},
+		{"right generation", expecting(put(wheelgauge.KindRegion, "karachi", `{"price":2}`), 1), "", ""},
+		{"any generation", put(wheelgauge.KindRegion, "karachi", `{"price":2}`), "", ""},
+		{"delete what is not there", wheelgauge.Change{Op: wheelgauge.OpDelete, Kind: wheelgauge.KindHall, Name: "h"}, wheelgauge.ReasonNotFound, ""},
+		{"unknown operation", wheelgauge.Change{Op: "paint"}, wheelgauge.ReasonInvalid, "paint"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := withRegions(t)
+			got := apply(t, r, tt.change)
+			if reason(got) != tt.reason {
+				t.Fatalf("got %+v", got.Error)
+			}
+			if tt.reason != "" && !strings.Contains(got.Error.Detail(), tt.detail) {
+				t.Fatalf("the answer does not name %q: %v", tt.detail, got.Error)
+			}
+		})
+	}
+}
+
+// TestResend gives the first answer again, also after a snapshot.
+func TestResend(t *testing.T) {
+	r := withRegions(t)
+	first := expecting(put(wheelgauge.KindHall, "h", `{"region":"karachi"}`), 0)
+	first.ID = "change-1"
+	lost := expecting(put(wheelgauge.KindHall, "h", `{"region":"lahore"}`), 0)
+	lost.ID = "change-2"
+	a, b := apply(t, r, first), apply(t, r, lost)
+	if a.Error != nil || reason(b) != wheelgauge.ReasonConflict {
+		t.Fatalf("got %+v and %+v", a, b)
+	}
+	data, err := r.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	copied := New()
+	if err := copied.Restore(data); err != nil {
+		t.Fatal(err)
+	}
+	for i, one := range []*Registry{r, copied} {
+		if again := apply(t, one, first); again.Generation != a.Generation || again.Error != nil {
+			t.Errorf("registry %d: resend got %+v, first answer was %+v", i, again, a)
+		}
+		if again := apply(t, one, lost); reason(again) != wheelgauge.ReasonConflict {
+			t.Errorf("registry %d: resend of the loser got %+v", i, again)
+		}
+		if one.Generation() != a.Generation {
+			t.Errorf("registry %d: a resend made a change", i)
+		}
+	}
+}
+
+// TestRights keeps rules that take rights away pending until they are accepted.
+func TestRights(t *testing.T) {
+	const wide, narrow, other = `{"client":"c","regions":["karachi","lahore"]}`, `{"client":"c","regions":["karachi"]}`, `{"client":"c","regions":["karachi","peshawar"]}`
+	tests := []struct {
+		name    string
+		was     string
+		next    string
+		pending bool
+	}{
+		{"first rule", "", wide, true},
+		{"narrower", wide, narrow, true},
+		{"wider", narrow, wide, false},
+		{"partly other", wide, other, true},
+		{"the same", wide, wide, false},
+		{"another client", wide, `{"client":"d","regions":["karachi","lahore"]}`, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := withRegions(t)
+			if tt.was != "" {
+				result := apply(t, r, put(wheelgauge.KindResidencyRule, "r", tt.was))
+				accept(t, r, result.Generation)
+			}
+			got := apply(t, r, put(wheelgauge.KindResidencyRule, "r", tt.next))
+			if got.Error != nil || got.Pending != tt.pending {
+				t.Fatalf("got %+v", got)
+			}
+			res, _ := r.Get(wheelgauge.KindResidencyRule, "r")
+			if (len(res.Pending) > 0) != tt.pending {
+				t.Fatalf("got %+v", res)
+			}
+			if !tt.pending {
+				return
+			}
+			if early := apply(t, r, acceptance(got.Generation-1)); reason(early) != wheelgauge.ReasonConflict {
+				t.Fatalf("accepted at another generation: %+v", early)
+			}
+			accept(t, r, got.Generation)
+			if res, _ := r.Get(wheelgauge.KindResidencyRule, "r"); string(res.Spec) != tt.next || len(res.Pending) > 0 {
+				t.Fatalf("after acceptance got %+v", res)
+			}
+		})
+	}
+}
+
+func acceptance(generation uint64) wheelgauge.Change {
+	return wheelgauge.Change{Op: wheelgauge.OpAccept, Kind: wheelgauge.KindResidencyRule, Name: "r", Expected: &generation}
+}
+
+func accept(t *testing.T, r *Registry, generation uint64) {
+	t.Helper()
+	if got := apply(t, r, acceptance(generation)); got.Error != nil {
+		t.Fatal(got.Error)
+	}
+}
+
+func TestDeleteInUse(t *testing.T) {
+	r := withRegions(t)
+	apply(t, r, put(wheelgauge.KindHall, "h", `{"region":"karachi"}`))
+	got := apply(t, r, wheelgauge.Change{Op: wheelgauge.OpDelete, Kind: wheelgauge.KindRegion, Name: "karachi"})
+	if reason(got) != wheelgauge.ReasonInvalid || !strings.Contains(got.Error.Detail(), "Hall h") {
+		t.Fatalf("got %+v", got.Error)
+	}
+}
+
+func TestSince(t *testing.T) {
+	r := New()
+	for i := range keptEvents + 10 {
+		apply(t, r, put(wheelgauge.KindRegion, "karachi", fmt.Sprintf(`{"price":%d}`, i+1)))
+	}
+	last := r.Generation()
+	tests := []struct {
+		from   uint64
+		events int
+		ok     bool
+	}{
+		{last, 0, true},
+		{last + 5, 0, true},
+		{last - 3, 3, true},
+		{last - keptEvents, keptEvents, true},
+		{last - keptEvents - 1, 0, false},
+		{0, 0, false},
+	}
+	for _, tt := range tests {
+		answer, _, ok := r.Since(tt.from)
+		if ok != tt.ok || len(answer.Events) != tt.events {
+			t.Errorf("from %d: got %d events, %t", tt.from, len(answer.Events), ok)
+		}
+	}
+}
+
+func TestWatchWakes(t *testing.T) {
+	r := New()
+	_, changed, _ := r.Since(0)
+	apply(t, r, put(wheelgauge.KindRegion, "karachi", `{"price":1}`))
+	<-changed
+	if answer, _, ok := r.Since(0); !ok || len(answer.Events) != 1 {
+		t.Fatalf("got %+v", answer)
+	}
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -52,6 +52,7 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	resume  Resume
+	dead    func() bool
 	onEnd   func(Ending)
 	started time.Time
 
@@ -68,11 +69,24 @@
 	timer   *time.Timer
 }
 
-// New relays answer. resume may be nil. onEnd is called once, from Close.
-func New(ctx context.Context, answer *wheelgauge.Answer, started time.Time, resume Resume, onEnd func(Ending)) *Stream {
+// Options of a Stream.
+type Options struct {
+	// Started is the start of the request, for the time to the first token.
+	Started time.Time
+	// Resume may be nil: the stream is then never resumed.
+	Resume Resume
+	// Dead tells, while the backend server is silent, that it is known to be
+	// gone; may be nil.
+	Dead func() bool
+	// OnEnd is called once, from Close.
+	OnEnd func(Ending)
+}
+
+// New relays answer.
+func New(ctx context.Context, answer *wheelgauge.Answer, o Options) *Stream {
 	ctx, cancel := context.WithCancel(ctx)
 	s := &Stream{
-		ctx: ctx, cancel: cancel, resume: resume, onEnd: onEnd, started: started, answer: answer,
+		ctx: ctx, cancel: cancel, resume: o.Resume, dead: o.Dead, onEnd: o.OnEnd, started: o.Started, answer: answer,
 		events: make(chan []byte, waitingEvents), done: make(chan error, 1), timer: time.NewTimer(keepAliveEvery),
 	}
 	go func() { s.done <- s.pump() }()
@@ -103,6 +117,9 @@
 		return s.last()
 	case <-s.timer.C:
 		s.rest = keepAlive
+		if s.resume != nil && s.dead != nil && s.dead() {
+			s.abort()
+		}
 		return nil
 	}
 }
@@ -137,11 +154,7 @@
 func (s *Stream) Close() error {
 	s.closing.Do(func() {
 		s.cancel()
-		s.mu.Lock()
-		if !s.closed {
-			s.answer.Abort()
-		}
-		s.mu.Unlock()
+		s.abort()
 		for range s.events {
 			continue
 		}
@@ -172,6 +185,15 @@
 	}
 }
 
+// abort ends a read of the answer that is under way.
+func (s *Stream) abort() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.closed {
+		s.answer.Abort()
+	}
+}
+
 // closeBody gives the connection back, from which time it must not be aborted.
 func (s *Stream) closeBody() {
 	s.mu.Lock()
--- /dev/null
+++ b/relay/stream_test.go
@@ -0,0 +1,146 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"wheelgauge"
+)
+
+func event(i int) string { return fmt.Sprintf("data: {\"t\":%d}\n\n", i) }
+
+func events(from, to int) string {
+	out := ""
+	for i := from; i < to; i++ {
+		out += event(i)
+	}
+	return out
+}
+
+const last = "data: [DONE]\n\n"
+
+// scripted is a body of pieces; it ends with err, or blocks until aborted when
+// err is nil.
+type scripted struct {
+	mu     sync.Mutex
+	pieces []string
+	err    error
+	abort  chan struct{}
+	once   sync.Once
+}
+
+func (s *scripted) Read(p []byte) (int, error) {
+	s.mu.Lock()
+	if len(s.pieces) > 0 {
+		n := copy(p, s.pieces[0])
+		s.pieces[0] = s.pieces[0][n:]
+		if s.pieces[0] == "" {
+			s.pieces = s.pieces[1:]
+		}
+		s.mu.Unlock()
+		return n, nil
+	}
+	s.mu.Unlock()
+	if s.err != nil {
+		return 0, s.err
+	}
+	<-s.abort
+	return 0, errors.New("aborted")
+}
+
+func (s *scripted) Close() error { return nil }
+
+func answer(err error, pieces ...string) *wheelgauge.Answer {
+	s := &scripted{pieces: pieces, err: err, abort: make(chan struct{})}
+	return &wheelgauge.Answer{Status: 200, Body: s, Abort: func() { s.once.Do(func() { close(s.abort) }) }}
+}
+
+var errCut = errors.New("cut")
+
+func TestStream(t *testing.T) {
+	whole := events(0, 4) + last
+	tests := []struct {
+		name    string
+		first   *wheelgauge.Answer
+		rest    []*wheelgauge.Answer
+		want    string
+		err     error
+		resumes int
+	}{
+		{"whole", answer(io.EOF, whole), nil, whole, nil, 0},
+		{"in odd pieces", answer(io.EOF, whole[:7], whole[7:20], whole[20:21], whole[21:]), nil, whole, nil, 0},
+		{"resumed after the last whole event", answer(errCut, events(0, 2)+"data: {\"t\""), []*wheelgauge.Answer{answer(io.EOF, events(2, 4)+last)}, whole, nil, 1},
+		{"ended early without its last event", answer(io.EOF, events(0, 2)), []*wheelgauge.Answer{answer(io.EOF, events(2, 4)+last)}, whole, nil, 1},
+		{"broken for good", answer(errCut, events(0, 2)), nil, events(0, 2) + "event: error\n", io.ErrUnexpectedEOF, 0},
+		{"resumed twice, then broken", answer(errCut, event(0)), []*wheelgauge.Answer{answer(errCut, event(1)), answer(errCut, event(2))}, events(0, 3) + "event: error\n", io.ErrUnexpectedEOF, 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var ending Ending
+			resume := func(_ context.Context, skip int) (*wheelgauge.Answer, error) {
+				if len(tt.rest) == 0 {
+					return nil, errCut
+				}
+				next := tt.rest[0]
+				tt.rest = tt.rest[1:]
+				if want := strings.Count(events(0, skip), "data"); want != skip {
+					t.Errorf("skip is %d", skip)
+				}
+				return next, nil
+			}
+			s := New(context.Background(), tt.first, Options{Started: time.Now(), Resume: resume, OnEnd: func(e Ending) { ending = e }})
+			got, err := io.ReadAll(s)
+			if err := s.Close(); err != nil {
+				t.Fatal(err)
+			}
+			if !errors.Is(err, tt.err) || !strings.HasPrefix(string(got), tt.want) {
+				t.Fatalf("got %q, %v", got, err)
+			}
+			if tt.err != nil && strings.Contains(string(got), "[DONE]") {
+				t.Fatal("a broken stream was ended as complete")
+			}
+			if ending.Complete != (tt.err == nil) || ending.Resumes != tt.resumes {
+				t.Fatalf("ending %+v", ending)
+			}
+		})
+	}
+}
+
+// TestLeavingCaller closes a stream whose backend server is silent.
+func TestLeavingCaller(t *testing.T) {
+	var ending Ending
+	s := New(context.Background(), answer(nil, event(0)), Options{OnEnd: func(e Ending) { ending = e }})
+	buf := make([]byte, 100)
+	if n, err := s.Read(buf); err != nil || string(buf[:n]) != event(0) {
+		t.Fatalf("got %q, %v", buf[:n], err)
+	}
+	if n, err := s.Read(buf); err != nil || !strings.HasPrefix(string(buf[:n]), ":") {
+		t.Fatalf("no comment while the server is silent: %q, %v", buf[:n], err)
+	}
+	if err := s.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if !ending.Left || ending.Complete {
+		t.Fatalf("ending %+v", ending)
+	}
+}
+
+// TestDeadServer resumes elsewhere when the server is known to be gone though
+// its connection stands.
+func TestDeadServer(t *testing.T) {
+	resume := func(context.Context, int) (*wheelgauge.Answer, error) { return answer(io.EOF, event(1)+last), nil }
+	s := New(context.Background(), answer(nil, event(0)), Options{Resume: resume, Dead: func() bool { return true }, OnEnd: func(Ending) {}})
+	got, err := io.ReadAll(s)
+	if err != nil || strings.ReplaceAll(string(got), string(keepAlive), "") != events(0, 2)+last {
+		t.Fatalf("got %q, %v", got, err)
+	}
+	if err := s.Close(); err != nil {
+		t.Fatal(err)
+	}
+}
--- /dev/null
+++ b/routing/affinity/picker_test.go
@@ -0,0 +1,103 @@
+package affinity
+
+import (
+	"fmt"
+	"testing"
+
+	"wheelgauge"
+	"wheelgauge/rendezvous"
+	"wheelgauge/routing/baseline"
+)
+
+func servers(n, slots int) []wheelgauge.Candidate {
+	out := make([]wheelgauge.Candidate, n)
+	for i := range out {
+		name := fmt.Sprint("engine-", i)
+		out[i] = wheelgauge.Candidate{Name: name, Slots: slots, Hash: rendezvous.Hash(name)}
+	}
+	return out
+}
+
+// TestWarm sends a prefix to the same server while that is not overloaded.
+func TestWarm(t *testing.T) {
+	p, c := New(0), servers(12, 8)
+	first := p.Pick(99, c)
+	for range 10 {
+		if p.Pick(99, c) != first {
+			t.Fatal("an idle warm server was left")
+		}
+	}
+	c[first].InFlight = 8
+	second := p.Pick(99, c)
+	if second == first {
+		t.Fatal("an overloaded server was taken")
+	}
+	c[first].InFlight = 0
+	if p.Pick(99, c) != first {
+		t.Fatal("the warm server was not taken again")
+	}
+}
+
+// TestBound keeps every server near the average though all ask for one prefix.
+func TestBound(t *testing.T) {
+	tests := []struct {
+		name    string
+		prefix  func(i int) uint64
+		servers int
+	}{
+		{"one prefix", func(int) uint64 { return 7 }, 12},
+		{"a few prefixes", func(i int) uint64 { return uint64(i%3) + 1 }, 12},
+		{"no prefix", func(int) uint64 { return 0 }, 12},
+		{"many servers", func(i int) uint64 { return uint64(i%5) + 1 }, 600},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			p, c := New(0), servers(tt.servers, 8)
+			total := tt.servers * 6
+			for i := range total {
+				c[p.Pick(tt.prefix(i), c)].InFlight++
+			}
+			most := 0
+			for i := range c {
+				most = max(most, c[i].InFlight)
+			}
+			if most > 9 {
+				t.Fatalf("a server has %d of an average of 6", most)
+			}
+		})
+	}
+}
+
+func TestReportsCount(t *testing.T) {
+	c := servers(2, 8)
+	c[0].Running, c[0].Waiting = 8, 5
+	for prefix := range uint64(20) {
+		if New(0).Pick(prefix+1, c) != 1 {
+			t.Fatal("a server reported as overloaded was taken")
+		}
+	}
+}
+
+func BenchmarkPick(b *testing.B) {
+	random, err := baseline.New(baseline.Random)
+	if err != nil {
+		b.Fatal(err)
+	}
+	for _, p := range []struct {
+		name   string
+		picker wheelgauge.Picker
+	}{{"affinity", New(0)}, {"random", random}} {
+		for _, n := range []int{12, 600} {
+			b.Run(fmt.Sprintf("%s/%d", p.name, n), func(b *testing.B) {
+				c := servers(n, 4)
+				for i := range c {
+					c[i].Running = i % 4
+				}
+				b.ReportAllocs()
+				for i := uint64(0); b.Loop(); i++ {
+					p.picker.Pick(i%890+1, c)
+				}
+			})
+		}
+	}
+}
--- a/storenode/node.go
+++ b/storenode/node.go
@@ -51,9 +51,9 @@
 	ClaimTTL   time.Duration
 	Skew       time.Duration
 	Tokens     *operators.Tokens
-	// PeerTLS and ClientTLS are nil on loopback.
+	// PeerTLS and Secure are nil on loopback.
 	PeerTLS     *tls.Config
-	ClientTLS   *tls.Config
+	Secure      peerhttp.Secure
 	OperatorTLS *tls.Config
 	Log         logr.Logger
 }
@@ -95,7 +95,7 @@
 	if o.Advertised == "" {
 		o.Advertised = o.Peer
 	}
-	n := &Node{o: o, registry: registry.New(), client: peerhttp.NewClient(o.ClientTLS, "", peerhttp.NewDialer(o.Source)), stop: stop, exchanged: make(chan error, 1)}
+	n := &Node{o: o, registry: registry.New(), client: peerhttp.NewClient(peerhttp.NewDialer(o.Source, o.Secure), ""), stop: stop, exchanged: make(chan error, 1)}
 	if err := n.open(ctx); err != nil {
 		stop()
 		return nil, err
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"errors"
 	"fmt"
 	"io"
@@ -31,7 +30,6 @@
 
 // Pool keeps connections by address. It never repeats a call.
 type Pool struct {
-	tls    *tls.Config
 	dialer *peerhttp.Dialer
 	mu     sync.RWMutex
 	hosts  map[string]*fasthttp.HostClient
@@ -69,12 +67,9 @@
 	}
 }
 
-// New returns a pool; with config it speaks HTTPS. dialer may be nil.
-func New(config *tls.Config, dialer *peerhttp.Dialer) *Pool {
-	if dialer == nil {
-		dialer = peerhttp.NewDialer("")
-	}
-	return &Pool{tls: config, dialer: dialer, hosts: map[string]*fasthttp.HostClient{}}
+// New returns a pool that connects by dialer.
+func New(dialer *peerhttp.Dialer) *Pool {
+	return &Pool{dialer: dialer, hosts: map[string]*fasthttp.HostClient{}}
 }
 
 func (p *Pool) host(address string) *fasthttp.HostClient {
@@ -90,7 +85,7 @@
 		return h
 	}
 	h = &fasthttp.HostClient{
-		Addr: address, IsTLS: p.tls != nil, TLSConfig: p.tls, Dial: p.dial,
+		Addr: address, Dial: p.dial,
 		MaxConns: maxConns, MaxIdleConnDuration: idleLimit, MaxIdemponentCallAttempts: 1,
 		RetryIfErr: peerhttp.NeverRetry, StreamResponseBody: true,
 		NoDefaultUserAgentHeader: true, DisablePathNormalizing: true,
@@ -127,11 +122,7 @@
 }
 
 func (p *Pool) fill(req *fasthttp.Request, address string, call *wheelgauge.Call, fresh bool) {
-	scheme := "http://"
-	if p.tls != nil {
-		scheme = "https://"
-	}
-	req.SetRequestURI(scheme + address + call.Path)
+	req.SetRequestURI("http://" + address + call.Path) // TLS is the dialer's part
 	req.Header.SetMethod(call.Method)
 	req.Header.Set(wheelgauge.HeaderRequestID, call.ID)
 	if call.ContentType != "" {
--- /dev/null
+++ b/wal/wal_test.go
@@ -0,0 +1,185 @@
+package wal
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+)
+
+func texts(records [][]byte) string {
+	out := ""
+	for _, r := range records {
+		out += string(r) + ","
+	}
+	return out
+}
+
+func ExampleOpen() {
+	dir, _ := os.MkdirTemp("", "wal-")
+	defer os.RemoveAll(dir)
+	path := filepath.Join(dir, "log")
+	log, _, _ := Open(path)
+	_ = log.Append([]byte("one"), []byte("two"))
+	_ = log.Close()
+	log, records, _ := Open(path)
+	fmt.Println(texts(records))
+	_ = log.Close()
+	// Output: one,two,
+}
+
+// TestDamage opens logs that were damaged on disk.
+func TestDamage(t *testing.T) {
+	const second = 8 + headerBytes + 3 // where the second record begins
+	tests := []struct {
+		name   string
+		damage func(data []byte) []byte
+		want   string
+		err    error
+	}{
+		{"none", func(d []byte) []byte { return d }, "one,two,six,", nil},
+		{"torn in the last payload", func(d []byte) []byte { return d[:len(d)-1] }, "one,two,", nil},
+		{"torn in the last head", func(d []byte) []byte { return d[:len(d)-6] }, "one,two,", nil},
+		{"a tail of zeros", func(d []byte) []byte { return append(d, make([]byte, 100)...) }, "one,two,six,", nil},
+		{"last payload flipped", func(d []byte) []byte { d[len(d)-1] ^= 1; return d }, "one,two,", nil},
+		{"middle payload flipped", func(d []byte) []byte { d[second+headerBytes] ^= 1; return d }, "", ErrCorrupt},
+		{"middle checksum flipped", func(d []byte) []byte { d[second+4] ^= 1; return d }, "", ErrCorrupt},
+		{"magic flipped", func(d []byte) []byte { d[0] ^= 1; return d }, "", ErrCorrupt},
+		{"empty file", func([]byte) []byte { return nil }, "", ErrCorrupt},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			path := filepath.Join(t.TempDir(), "log")
+			log, _, err := Open(path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := errors.Join(log.Append([]byte("one"), []byte("two")), log.Append([]byte("six")), log.Close()); err != nil {
+				t.Fatal(err)
+			}
+			data, err := os.ReadFile(path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := os.WriteFile(path, tt.damage(data), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			log, records, err := Open(path)
+			if !errors.Is(err, tt.err) || texts(records) != tt.want {
+				t.Fatalf("got %q, %v", texts(records), err)
+			}
+			if err != nil {
+				return
+			}
+			if err := errors.Join(log.Append([]byte("new")), log.Close()); err != nil {
+				t.Fatal(err)
+			}
+			if _, records, err = Open(path); err != nil || texts(records) != tt.want+"new," {
+				t.Fatalf("after an append got %q, %v", texts(records), err)
+			}
+		})
+	}
+}
+
+// faultyFile fails as a disk does.
+type faultyFile struct {
+	file
+	writeLimit int
+	syncErr    error
+}
+
+var errDisk = errors.New("disk")
+
+func (f *faultyFile) Write(p []byte) (int, error) {
+	if f.writeLimit >= 0 && len(p) > f.writeLimit {
+		n, _ := f.file.Write(p[:f.writeLimit])
+		return n, errDisk
+	}
+	return f.file.Write(p)
+}
+
+func (f *faultyFile) Sync() error {
+	if f.syncErr != nil {
+		return f.syncErr
+	}
+	return f.file.Sync()
+}
+
+func TestDiskFaults(t *testing.T) {
+	tests := []struct {
+		name  string
+		fault faultyFile
+		after string // what a reopened log holds
+		again error  // what a later append returns
+	}{
+		{"full disk takes a part", faultyFile{writeLimit: 5}, "one,two,", nil},
+		{"failed sync", faultyFile{writeLimit: -1, syncErr: errDisk}, "", ErrPoisoned},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			path := filepath.Join(t.TempDir(), "log")
+			log, _, err := Open(path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := log.Append([]byte("one")); err != nil {
+				t.Fatal(err)
+			}
+			whole := log.file
+			tt.fault.file = whole
+			log.file = &tt.fault
+			if err := log.Append([]byte("lost")); !errors.Is(err, errDisk) {
+				t.Fatalf("append on a bad disk: %v", err)
+			}
+			log.file = whole
+			if err := log.Append([]byte("two")); !errors.Is(err, tt.again) {
+				t.Fatalf("append after: %v", err)
+			}
+			if err := log.Close(); err != nil || tt.after == "" {
+				return
+			}
+			if _, records, err := Open(path); err != nil || texts(records) != tt.after {
+				t.Fatalf("got %q, %v", texts(records), err)
+			}
+		})
+	}
+}
+
+func TestRewrite(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "log")
+	log, _, err := Open(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range 100 {
+		if err := log.Append(fmt.Appendf(nil, "%d", i)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := errors.Join(log.Rewrite([]byte("all")), log.Append([]byte("next")), log.Close()); err != nil {
+		t.Fatal(err)
+	}
+	// What a crash in a rewrite leaves beside the log does no harm.
+	if err := os.WriteFile(path+rewriteShape, []byte("half"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, records, err := Open(path); err != nil || texts(records) != "all,next," {
+		t.Fatalf("got %q, %v", texts(records), err)
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(magic))
+	f.Add([]byte(magic + "\x03\x00\x00\x00abcdone"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		records, size, err := parse(data)
+		if err != nil {
+			return
+		}
+		again, _, err := parse(data[:size])
+		if err != nil || texts(again) != texts(records) {
+			t.Fatalf("the good part reads differently: %v", err)
+		}
+	})
+}
