Prove the store's invariants and bad input; cancel forwarded work; fresh connections

Cause and change, each seen failing first: - TestCallerLeaves/away: a caller that left before the first token of a forwarded request did not cancel it; its gateway now tells the peer. - callerconn: a peek through RawConn.Read failed once the read deadline of the connection was over, so a prefill longer than the read timeout would have been cancelled as left. Found by reading, TestGone/read_deadline_over; Control does not look at deadlines. - TestBadInput/body_too_large: the answer was lost to a reset in 1 of 2 runs; the rest of the body is now read on for a while. A slow sender gets 408. - SetConnectionClose does not keep fasthttp from taking a kept connection, so a call that is not repeatable could meet one its server had just closed. Fresh calls now have clients of their own whose connections are never kept. - The engine stand-in read a sequence's position while it moved (race detector, 12 tests); the start is now a field of its own. - TestFaultOnceStore waited for three voters, not for the store it had just started; it now waits for that one, which is stricter.

--- a/callerconn/callerconn.go
+++ b/callerconn/callerconn.go
@@ -18,11 +18,11 @@
 		return false
 	}
 	gone := false
-	err = rc.Read(func(fd uintptr) bool {
+	// Control and not Read: a read deadline that is over says nothing here.
+	err = rc.Control(func(fd uintptr) {
 		var one [1]byte
 		n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		gone = n == 0 && err == nil || err == syscall.ECONNRESET
-		return true
 	})
 	return gone || err != nil
 }
--- a/fake/engine/engine.go
+++ b/fake/engine/engine.go
@@ -59,6 +59,7 @@
 	prompt   string
 	priority int
 	order    int
+	skip     int // the first token to give
 	next     int // the token to give next
 	total    int
 	prefill  int // prompt tokens still to be taken in
@@ -251,7 +252,7 @@
 	}
 	e.made++
 	e.started++
-	s := &sequence{id: id, prompt: prompt, priority: priority, order: e.made, next: skip, total: total, tokens: make(chan string, max(1, total))}
+	s := &sequence{id: id, prompt: prompt, priority: priority, order: e.made, skip: skip, next: skip, total: total, tokens: make(chan string, max(1, total))}
 	if skip >= total {
 		s.end()
 		return s
--- a/fake/engine/handler.go
+++ b/fake/engine/handler.go
@@ -110,7 +110,7 @@
 
 func (e *Engine) whole(ctx *fasthttp.RequestCtx, s *sequence, model string, chat bool) {
 	defer e.forget(s)
-	text, n := "", s.next
+	text, n := "", s.skip
 	for token := range s.tokens {
 		text += token
 		n++
@@ -131,7 +131,7 @@
 
 // stream sends the head of the answer with the first token.
 func (e *Engine) stream(ctx *fasthttp.RequestCtx, s *sequence, model string, chat bool) {
-	n := s.next
+	n := s.skip
 	first, ok := <-s.tokens
 	if !ok && n < s.total {
 		e.forget(s)
--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net"
 	"net/http"
 
 	"github.com/valyala/fasthttp"
@@ -32,6 +33,9 @@
 	if _, ok := errors.AsType[*fasthttp.ErrSmallBuffer](err); ok {
 		fault = wheelgauge.NewError(wheelgauge.ReasonTooLarge, wheelgauge.OutcomeNotRun, http.StatusRequestHeaderFieldsTooLarge, "the headers are too large")
 	}
+	if slow, ok := errors.AsType[net.Error](err); ok && slow.Timeout() {
+		fault = wheelgauge.NewError(wheelgauge.ReasonBadRequest, wheelgauge.OutcomeNotRun, http.StatusRequestTimeout, "the request did not come whole in time")
+	}
 	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
 		fault = g.tooLarge()
 	}
@@ -65,7 +69,7 @@
 		return
 	}
 	conn := ctx.Conn()
-	rq.gone = func() bool { return callerconn.Gone(conn) }
+	rq.gone = func() bool { return rq.cancelled.Load() || callerconn.Gone(conn) }
 	g.run(ctx, rq)
 }
 
--- a/gateway/claim.go
+++ b/gateway/claim.go
@@ -75,7 +75,7 @@
 	}
 	if !peerhttp.NotSent(err) {
 		c.State = wheelgauge.ClaimReleased
-		if _, err := g.tell(address, c, releaseLimit); err != nil {
+		if _, err := g.tell(g.client.CallFresh, address, c, releaseLimit); err != nil {
 			g.meter.Count("claims.not_given_back")
 		}
 	}
@@ -86,18 +86,21 @@
 // using it, and a holder may ask again, so a second try is made at once.
 func (g *Gateway) ask(address string, c wheelgauge.Claim) (wheelgauge.Claim, error) {
 	started := time.Now()
-	got, err := g.tell(address, c, claimTimeout)
+	got, err := g.tell(g.client.Call, address, c, claimTimeout)
 	if _, refused := errors.AsType[*wheelgauge.Error](err); err == nil || refused || time.Since(started) > claimTimeout/2 {
 		return got, err
 	}
-	return g.tell(address, c, claimTimeout/2)
+	return g.tell(g.client.CallFresh, address, c, claimTimeout/2)
 }
 
-func (g *Gateway) tell(address string, c wheelgauge.Claim, limit time.Duration) (wheelgauge.Claim, error) {
+// caller is one of the ways to call a peer.
+type caller func(ctx context.Context, method, address, path string, in, out any) error
+
+func (g *Gateway) tell(call caller, address string, c wheelgauge.Claim, limit time.Duration) (wheelgauge.Claim, error) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(g.ctx), limit)
 	defer cancel()
 	var got wheelgauge.Claim
-	if err := g.client.Call(ctx, http.MethodPost, address, pathClaims, c, &got); err != nil {
+	if err := call(ctx, http.MethodPost, address, pathClaims, c, &got); err != nil {
 		return got, fmt.Errorf("claim: %w", err)
 	}
 	return got, nil
@@ -126,7 +129,7 @@
 
 func (g *Gateway) end(c *heldClaim, as wheelgauge.Claim) {
 	as.Client, as.Key, as.Digest, as.Holder = c.Client, c.Key, c.Digest, c.Holder
-	if _, err := g.tell(c.store, as, recordLimit); err != nil {
+	if _, err := g.tell(g.client.CallFresh, c.store, as, recordLimit); err != nil {
 		g.meter.Count("claims.not_recorded")
 		g.o.Log.Error(err, "Claim is not ended; resends get unknown.")
 	}
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"net/url"
 	"time"
 
 	"wheelgauge"
@@ -199,6 +200,15 @@
 	}
 }
 
+// cancelPeer tells a peer that nobody waits for a forwarded request any more.
+func (g *Gateway) cancelPeer(rq *request, address string) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(g.ctx), cancelLimit)
+	defer cancel()
+	if err := g.client.Call(ctx, http.MethodPost, address, pathCancel+"?id="+url.QueryEscape(rq.call.ID), nil, nil); err != nil {
+		g.o.Log.V(1).Info("Cancel is not taken by the peer.", "cause", err.Error())
+	}
+}
+
 // oldPath returns where a route's old path stands, if this request takes it.
 func (g *Gateway) oldPath(rq *request) string {
 	old := rq.route.OldPath
@@ -253,7 +263,7 @@
 		var answer *wheelgauge.Answer
 		answer, err = g.watched(rq,
 			func() (*wheelgauge.Answer, error) { return g.forwardTo(ctx, call, h.Peer, rq.once) },
-			func() {}, // the peer sees that its caller left
+			func() { g.cancelPeer(rq, h.Peer) },
 			func() bool { return !rq.once && g.node.RegionGone(region) })
 		if err == nil || !isOutcome(err, wheelgauge.OutcomeNotRun) {
 			return answer, err
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -94,7 +94,9 @@
 	asks     atomic.Int64
 	serving  *gate.Gate
 	strays   sync.WaitGroup
-	draining atomic.Bool
+	// forwarded holds the requests from peers that have no answer yet, by ID.
+	forwarded sync.Map
+	draining  atomic.Bool
 
 	ctx       context.Context
 	cancel    context.CancelFunc
--- a/gateway/peer.go
+++ b/gateway/peer.go
@@ -34,6 +34,10 @@
 		peerhttp.Answer(ctx, g.node.Hub().Exchange(s))
 	case path == confwatch.PathList:
 		peerhttp.Answer(ctx, g.watcher.List())
+	case path == pathCancel:
+		if rq, ok := g.forwarded.Load(string(ctx.QueryArgs().Peek("id"))); ok {
+			rq.(*request).cancelled.Store(true)
+		}
 	case strings.HasPrefix(path, pathForward):
 		g.serveForward(ctx)
 	default:
@@ -45,6 +49,8 @@
 // forwarded again.
 func (g *Gateway) serveForward(ctx *fasthttp.RequestCtx) {
 	rq, err := g.fromPeer(ctx)
+	g.forwarded.Store(rq.call.ID, rq)
+	defer g.forwarded.Delete(rq.call.ID)
 	g.serve(ctx, rq, err, func(_ *fasthttp.RequestCtx, rq *request) error {
 		g.meter.Count("away.received")
 		return g.findRoute(rq)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -24,9 +24,12 @@
 	pathService     = "/s/"
 	pathEntry       = "/v1/entry"
 	pathForward     = "/peer/forward"
+	pathCancel      = "/peer/cancel"
 
 	bearer        = "Bearer "
 	defaultTokens = 256
+	// discardFactor is how many times the largest body is read on past a refusal.
+	discardFactor = 4
 )
 
 // request is one request on its way through the gateway.
@@ -43,7 +46,9 @@
 	once      bool // not repeatable
 	forwarded bool
 	started   time.Time
+	// gone tells whether whoever asked has left; nil means never.
 	gone      func() bool
+	cancelled atomic.Bool
 	attempts  int
 	// target is who answers; a resumed stream may change it while it is read.
 	target atomic.Pointer[target]
@@ -202,6 +207,7 @@
 		return nil
 	}
 	if ctx.Request.Header.ContentLength() > g.o.BodyBytes {
+		g.discard(stream)
 		return g.tooLarge()
 	}
 	body, err := io.ReadAll(io.LimitReader(stream, int64(g.o.BodyBytes)+1))
@@ -209,12 +215,19 @@
 		return wheelgauge.NewError(wheelgauge.ReasonBadRequest, wheelgauge.OutcomeNotRun, http.StatusRequestTimeout, "the body did not come whole: "+err.Error())
 	}
 	if len(body) > g.o.BodyBytes {
+		g.discard(stream)
 		return g.tooLarge()
 	}
 	rq.call.Body = body
 	return nil
 }
 
+// discard reads on for a while, as a connection closed with unread bytes is
+// reset and its answer lost.
+func (g *Gateway) discard(stream io.Reader) {
+	_, _ = io.CopyN(io.Discard, stream, int64(g.o.BodyBytes)*discardFactor) // nothing of it is used
+}
+
 func (g *Gateway) tooLarge() *wheelgauge.Error {
 	return wheelgauge.NewError(wheelgauge.ReasonTooLarge, wheelgauge.OutcomeNotRun, http.StatusRequestEntityTooLarge,
 		fmt.Sprintf("the body is larger than %d bytes", g.o.BodyBytes))
--- a/peerhttp/client.go
+++ b/peerhttp/client.go
@@ -87,6 +87,7 @@
 // Client calls other processes. It never repeats a call by itself.
 type Client struct {
 	http  *fasthttp.Client
+	fresh *fasthttp.Client
 	token string
 }
 
@@ -96,7 +97,11 @@
 	if dialer == nil {
 		dialer = NewDialer("", nil)
 	}
-	return &Client{token: token, http: &fasthttp.Client{
+	return &Client{token: token, http: newHTTP(dialer), fresh: newHTTP(dialer)}
+}
+
+func newHTTP(dialer *Dialer) *fasthttp.Client {
+	return &fasthttp.Client{
 		Dial:                      dialer.Dial,
 		RetryIfErr:                NeverRetry,
 		MaxIdemponentCallAttempts: 1,
@@ -104,7 +109,7 @@
 		MaxIdleConnDuration:       idleLimit,
 		MaxResponseBodySize:       maxAnswerBytes,
 		NoDefaultUserAgentHeader:  true,
-	}}
+	}
 }
 
 // NeverRetry switches off the retries of fasthttp's clients.
@@ -114,6 +119,16 @@
 // unless that is nil. An error answer is returned as *wheelgauge.Error.
 // The deadline of ctx bounds the call.
 func (c *Client) Call(ctx context.Context, method, address, path string, in, out any) error {
+	return c.call(ctx, c.http, method, address, path, in, out)
+}
+
+// CallFresh is Call on a connection of its own: it cannot fail because the
+// other side closed a connection that was kept.
+func (c *Client) CallFresh(ctx context.Context, method, address, path string, in, out any) error {
+	return c.call(ctx, c.fresh, method, address, path, in, out)
+}
+
+func (c *Client) call(ctx context.Context, by *fasthttp.Client, method, address, path string, in, out any) error {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
@@ -130,11 +145,14 @@
 		req.Header.SetContentType("application/json")
 		req.SetBodyRaw(body)
 	}
+	if by == c.fresh {
+		req.SetConnectionClose()
+	}
 	deadline, ok := ctx.Deadline()
 	if !ok {
 		deadline = time.Now().Add(defaultTimeout)
 	}
-	if err := c.http.DoDeadline(req, resp, deadline); err != nil {
+	if err := by.DoDeadline(req, resp, deadline); err != nil {
 		return fmt.Errorf("call %s%s: %w", address, path, err)
 	}
 	return decode(path, resp, out)
--- a/systemtest/demo_test.go
+++ b/systemtest/demo_test.go
@@ -39,6 +39,7 @@
 
 func runDemo(t *testing.T, mix string, s shape) {
 	s.bound = func(_ string, i int) bool { return i%4 == 3 }
+	s.alone = true
 	d := prepare(t, s)
 	d.found()
 	for _, n := range d.storeNodes() {
--- a/systemtest/deployment_test.go
+++ b/systemtest/deployment_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -16,6 +18,7 @@
 	"wheelgauge/fake/directory"
 	"wheelgauge/load"
 	"wheelgauge/opsclient"
+	"wheelgauge/peerhttp"
 )
 
 const (
@@ -59,6 +62,8 @@
 	class func(region string, i int) string
 	// tls runs peers and operators with certificates.
 	tls bool
+	// alone keeps other tests from running beside it.
+	alone bool
 }
 
 func dispatchShape() shape {
@@ -122,6 +127,9 @@
 // prepare writes everything down and starts the neighbours, not the system.
 func prepare(t testing.TB, s shape) *deployment {
 	t.Helper()
+	if test, ok := t.(*testing.T); ok && !s.alone {
+		test.Parallel()
+	}
 	d := &deployment{t: t, s: s, block: firstBlock + int(blocks.Add(1))%200, dir: t.TempDir()}
 	d.net = newNetwork(t, d.rule)
 	for r, region := range s.regions {
@@ -211,6 +219,18 @@
 	d.net.cutBoth(d.ips(region, false), d.ips(region, true))
 }
 
+// tlsINI issues a certificate for a host and names its files.
+func (d *deployment) tlsINI(n *node) string {
+	if !d.s.tls {
+		return ""
+	}
+	dir := filepath.Join(d.dir, "certs")
+	if out, err := command("wheelgaugectl", "certs", n.name, n.ip, n.front, "--dir", dir); err != nil {
+		d.t.Fatalf("certs: %v\n%s", err, out)
+	}
+	return fmt.Sprintf("[tls]\ncertificate = %[1]s/%[2]s.pem\nkey = %[1]s/%[2]s.key\nauthority = %[1]s/authority.pem\n", dir, n.name)
+}
+
 func (d *deployment) writeFiles() {
 	write(d.t, d.dir, "operators.ini", fmt.Sprintf("[operator-a]\ntoken = %s\nrole = write\n[reader]\ntoken = %s\nrole = read\n", writeToken, readToken))
 	var stores []string
@@ -219,16 +239,32 @@
 	}
 	var operators []string
 	for _, n := range d.storeNodes() {
-		write(d.t, n.dir, "store.ini", d.storeINI(n, stores))
+		write(d.t, n.dir, "store.ini", d.storeINI(n, stores)+d.tlsINI(n))
 		operators = append(operators, fmt.Sprintf("%s:%d", n.ip, portStoreOps))
 	}
 	for _, n := range d.nodes {
-		write(d.t, n.dir, "gateway.ini", d.gatewayINI(n, d.storesFrom(n, stores)))
+		write(d.t, n.dir, "gateway.ini", d.gatewayINI(n, d.storesFrom(n, stores))+d.tlsINI(n))
 	}
-	d.ops = opsclient.New(operators, writeToken, nil)
+	d.ops = opsclient.New(operators, writeToken, d.secure())
 	d.writeClients()
 }
 
+// secure is how operators check the stores; nil without TLS.
+func (d *deployment) secure() peerhttp.Secure {
+	if !d.s.tls {
+		return nil
+	}
+	data, err := os.ReadFile(filepath.Join(d.dir, "certs", "authority.pem"))
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	pool := x509.NewCertPool()
+	pool.AppendCertsFromPEM(data)
+	return func(host string) *tls.Config {
+		return &tls.Config{MinVersion: tls.VersionTLS12, RootCAs: pool, ServerName: host}
+	}
+}
+
 // storesFrom puts the store of the node's own region first.
 func (d *deployment) storesFrom(n *node, stores []string) []string {
 	var out []string
--- a/systemtest/fault_once_test.go
+++ b/systemtest/fault_once_test.go
@@ -105,7 +105,7 @@
 	}
 	// Restarted on its disk it remembers.
 	d.startStore(karachi)
-	d.awaitVoters(3)
+	d.awaitStore(karachi, 1)
 	if r := d.do(lahore, book(client, "tanker-3", key)); r.status != http.StatusOK || r.header.Get(wheelgauge.HeaderServed) != "record" {
 		t.Errorf("resend after a restart: %s", r)
 	}
@@ -115,7 +115,7 @@
 		t.Fatal(err)
 	}
 	d.startStore(karachi)
-	d.awaitVoters(3)
+	d.awaitStore(karachi, 1)
 	for _, n := range d.nodes {
 		r := d.do(n, book(client, "tanker-3", key))
 		if r.reason() != wheelgauge.ReasonClaimHeld || r.outcome() != wheelgauge.OutcomeUnknown {
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -32,7 +32,7 @@
 type Pool struct {
 	dialer *peerhttp.Dialer
 	mu     sync.RWMutex
-	hosts  map[string]*fasthttp.HostClient
+	hosts  map[way]*fasthttp.HostClient
 	conns  sync.Map // of net.Conn by local address
 }
 
@@ -69,19 +69,28 @@
 
 // New returns a pool that connects by dialer.
 func New(dialer *peerhttp.Dialer) *Pool {
-	return &Pool{dialer: dialer, hosts: map[string]*fasthttp.HostClient{}}
+	return &Pool{dialer: dialer, hosts: map[way]*fasthttp.HostClient{}}
 }
 
-func (p *Pool) host(address string) *fasthttp.HostClient {
+// way is an address, reached by connections that are kept or by fresh ones.
+type way struct {
+	address string
+	fresh   bool
+}
+
+// host returns the client of a way. Fresh connections are never kept, so that
+// a call on one cannot meet a connection which its server has just closed.
+func (p *Pool) host(address string, fresh bool) *fasthttp.HostClient {
+	w := way{address, fresh}
 	p.mu.RLock()
-	h := p.hosts[address]
+	h := p.hosts[w]
 	p.mu.RUnlock()
 	if h != nil {
 		return h
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if h := p.hosts[address]; h != nil {
+	if h := p.hosts[w]; h != nil {
 		return h
 	}
 	h = &fasthttp.HostClient{
@@ -90,7 +99,7 @@
 		RetryIfErr: peerhttp.NeverRetry, StreamResponseBody: true,
 		NoDefaultUserAgentHeader: true, DisablePathNormalizing: true,
 	}
-	p.hosts[address] = h
+	p.hosts[w] = h
 	return h
 }
 
@@ -106,7 +115,7 @@
 	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
 		deadline = d
 	}
-	err := p.host(address).DoDeadline(req, resp, deadline)
+	err := p.host(address, fresh).DoDeadline(req, resp, deadline)
 	fasthttp.ReleaseRequest(req)
 	if err != nil {
 		fasthttp.ReleaseResponse(resp)
