Measure control, throughput and stores; number servers on the wire; wait out elections

Cause: at 1 s heartbeats a gateway's control traffic grew by 53 bytes/s for each busy backend server of its region (0.79, 1.31, 1.94, 3.20, 5.75 KB/s at 4, 12, 24, 48, 96 servers), so a region with 300 servers would pass 7 KB/s. Excluded: heartbeats upward and region summaries, which do not grow with it. Change: the hub numbers servers once and sends loads as four numbers.

Cause: TestBenchStore failed: wheelgaugectl's client gave up after 8 quick tries, sooner than an election at the real pace takes. It now goes on for 15 s under the same change ID.

--- a/cmd/wheelgauge-load/options.go
+++ b/cmd/wheelgauge-load/options.go
@@ -24,6 +24,7 @@
 	{Section: "load", Name: "clients", Type: settings.Int, Default: "6", Min: 1, Max: 10000, Help: "clients of each region"},
 	{Section: "load", Name: "flood", Type: settings.Float, Default: "1", Min: 1, Max: 1000, Help: "how many times as much the first client sends"},
 	{Section: "load", Name: "scale", Type: settings.Float, Default: "1", Min: 0.01, Max: 100, Help: "factor of the lengths of prompts and answers"},
+	{Section: "load", Name: "link_cost", Type: settings.Float, Default: "0", Max: 1e6, Help: "cost of one answer from another region, besides its tokens"},
 	{Section: "load", Name: "report", Type: settings.Text, Help: "file for the report as JSON"},
 	{Section: "regions", Name: "names", Type: settings.List, Required: true, Help: "regions that callers are in"},
 	{Section: "regions", Name: "entries", Type: settings.List, Required: true, Help: "one caller address of each region, to ask for entry lists"},
--- a/cmd/wheelgauge-load/run.go
+++ b/cmd/wheelgauge-load/run.go
@@ -37,7 +37,7 @@
 	s := load.Scenario{
 		Mix: v.Text("load", "mix"), Duration: v.Duration("load", "duration"), Rate: v.Float("load", "rate"),
 		Peak: v.Float("load", "peak"), Seed: uint64(v.Int("load", "seed")), Clients: v.Int("load", "clients"),
-		Flood: v.Float("load", "flood"), Scale: v.Float("load", "scale"),
+		Flood: v.Float("load", "flood"), Scale: v.Float("load", "scale"), LinkCost: v.Float("load", "link_cost"),
 	}
 	entries, prices := v.List("regions", "entries"), v.List("regions", "prices")
 	for i, name := range v.List("regions", "names") {
--- a/fake/engine/handler.go
+++ b/fake/engine/handler.go
@@ -75,6 +75,8 @@
 		e.kv(ctx)
 	case "/v1/leave":
 		e.Leave()
+	case "/v1/slow":
+		e.Slow(ctx.QueryArgs().GetUintOrZero("factor"))
 	case "/v1/stats":
 		peerhttp.Answer(ctx, e.Stats())
 	default:
--- a/load/report.go
+++ b/load/report.go
@@ -49,7 +49,8 @@
 	Late     int            `json:"late"`
 	// ShareAway is the part of the answers that another region gave.
 	ShareAway float64 `json:"share_away"`
-	// Cost is the price of the generated tokens where they were generated.
+	// Cost is the price of the generated tokens where they were generated, and of
+	// the links that answers crossed.
 	Cost          float64  `json:"cost"`
 	CostPerTokens float64  `json:"cost_per_1000_tokens"`
 	Tokens        int      `json:"tokens"`
@@ -129,6 +130,7 @@
 		out.note(r)
 		if r.Reason == "" && r.Served != r.Region {
 			away++
+			out.Cost += s.LinkCost
 		}
 	}
 	out.finish(all, tries, away)
--- a/load/scenario.go
+++ b/load/scenario.go
@@ -45,6 +45,8 @@
 	Clients int
 	// Flood multiplies the requests of the first client of each region; 0 means 1.
 	Flood float64
+	// LinkCost is what one answer from another region costs besides its tokens.
+	LinkCost float64
 	// Scale multiplies the lengths of prompts and answers; 0 means 1.
 	Scale float64
 }
--- a/membership/hub.go
+++ b/membership/hub.go
@@ -34,7 +34,10 @@
 }
 
 type serverRow struct {
-	entry   wheelgauge.ServerEntry
+	entry wheelgauge.ServerEntry
+	// number stands for the name on the wire, since the version born.
+	number  int
+	born    uint64
 	reports map[string]report
 	version uint64
 }
@@ -108,7 +111,7 @@
 func (h *Hub) takeServer(by string, s wheelgauge.ServerEntry, now time.Time) {
 	row := h.servers[s.Server]
 	if row == nil {
-		row = &serverRow{reports: map[string]report{}}
+		row = &serverRow{number: len(h.servers), born: h.version + 1, reports: map[string]report{}}
 		h.servers[s.Server] = row
 	}
 	row.reports[by] = report{s, now}
@@ -170,7 +173,8 @@
 
 func (h *Hub) since(b wheelgauge.Heartbeat) wheelgauge.View {
 	from := b.Since
-	v := wheelgauge.View{Hub: h.boot, Version: h.version}
+	names := map[int]string{}
+	v := wheelgauge.View{Hub: h.boot, Version: h.version, Names: names}
 	if b.Hub != h.boot {
 		from, v.Full = 0, true
 	}
@@ -181,7 +185,10 @@
 	}
 	for _, row := range h.servers {
 		if row.version > from {
-			v.Servers = append(v.Servers, row.entry)
+			v.Loads = append(v.Loads, wheelgauge.NewServerLoad(row.number, row.entry))
+		}
+		if row.born > from {
+			names[row.number] = row.entry.Server
 		}
 	}
 	for _, row := range h.regions {
--- a/membership/node.go
+++ b/membership/node.go
@@ -69,6 +69,7 @@
 	leaving bool
 	hosts   map[string]wheelgauge.HostEntry
 	servers map[string]*ServerState
+	names   map[int]string
 	regions map[string]wheelgauge.RegionSummary
 	viewHub uint64
 	version uint64
@@ -85,7 +86,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	n := &Node{
 		options: options, hub: NewHub(options.Region, options.Boot, options.Interval, options.Catalog, time.Now),
-		hosts: map[string]wheelgauge.HostEntry{}, servers: map[string]*ServerState{}, regions: map[string]wheelgauge.RegionSummary{},
+		hosts: map[string]wheelgauge.HostEntry{}, servers: map[string]*ServerState{}, names: map[int]string{}, regions: map[string]wheelgauge.RegionSummary{},
 		cancel: cancel, done: make(chan error, 1),
 	}
 	go func() { n.done <- n.run(ctx) }()
@@ -254,16 +255,31 @@
 	n.at, n.viewHub, n.version = at, v.Hub, v.Version
 	if v.Full {
 		clear(n.hosts)
+		clear(n.names)
 	}
 	for _, h := range v.Hosts {
 		n.hosts[h.Host] = h
 	}
-	n.applyOwn(v.Servers)
+	n.applyOwn(n.unpack(v))
 	for _, r := range v.Regions {
 		n.regions[r.Region] = r
 	}
 }
 
+// unpack gives loads the names that go with their numbers at the hub.
+func (n *Node) unpack(v wheelgauge.View) []wheelgauge.ServerEntry {
+	for number, name := range v.Names {
+		n.names[number] = name
+	}
+	out := make([]wheelgauge.ServerEntry, 0, len(v.Loads))
+	for _, l := range v.Loads {
+		if name, ok := n.names[l.Number()]; ok {
+			out = append(out, l.Entry(name))
+		}
+	}
+	return out
+}
+
 // applyOwn puts entries into the server table.
 func (n *Node) applyOwn(entries []wheelgauge.ServerEntry) {
 	now := time.Now()
--- a/message.go
+++ b/message.go
@@ -183,10 +183,43 @@
 
 // View answers a Heartbeat with what changed since the view named in it.
 type View struct {
-	Hub     uint64          `json:"u"`
-	Version uint64          `json:"i"`
-	Full    bool            `json:"f,omitempty"`
-	Hosts   []HostEntry     `json:"h,omitempty"`
-	Servers []ServerEntry   `json:"s,omitempty"`
+	Hub     uint64      `json:"u"`
+	Version uint64      `json:"i"`
+	Full    bool        `json:"f,omitempty"`
+	Hosts   []HostEntry `json:"h,omitempty"`
+	// Names gives the backend servers that are new their numbers at this hub.
+	Names map[int]string `json:"n,omitempty"`
+	// Loads are by number, as load reports are most of the traffic.
+	Loads   []ServerLoad    `json:"s,omitempty"`
 	Regions []RegionSummary `json:"r,omitempty"`
 }
+
+// ServerLoad is the state of a backend server in four numbers: its number, its
+// flags, running and waiting.
+type ServerLoad [4]int
+
+// Flags of a ServerLoad.
+const (
+	LoadAlive   = 1
+	LoadLeaving = 2
+)
+
+// NewServerLoad packs an entry.
+func NewServerLoad(number int, e ServerEntry) ServerLoad {
+	flags := 0
+	if e.Alive {
+		flags |= LoadAlive
+	}
+	if e.Leaving {
+		flags |= LoadLeaving
+	}
+	return ServerLoad{number, flags, e.Running, e.Waiting}
+}
+
+// Number returns the server's number at the hub.
+func (l ServerLoad) Number() int { return l[0] }
+
+// Entry unpacks the load of the named server.
+func (l ServerLoad) Entry(name string) ServerEntry {
+	return ServerEntry{Server: name, Alive: l[1]&LoadAlive != 0, Leaving: l[1]&LoadLeaving != 0, Running: l[2], Waiting: l[3]}
+}
--- a/opsclient/client.go
+++ b/opsclient/client.go
@@ -19,7 +19,8 @@
 )
 
 const (
-	attempts   = 8
+	// patience is how long a call is sent again: longer than an election takes.
+	patience   = 15 * time.Second
 	pause      = 250 * time.Millisecond
 	callLimit  = 6 * time.Second
 	waitEvery  = 100 * time.Millisecond
@@ -48,18 +49,17 @@
 
 // call tries the stores in turn. Answers that no other store would change are final.
 func (c *Client) call(ctx context.Context, method, path string, in, out any) error {
-	var last error
-	for range attempts {
+	started := time.Now()
+	for {
 		limit, cancel := context.WithTimeout(ctx, callLimit)
-		last = c.http.Call(limit, method, c.stores[c.at%len(c.stores)], path, in, out)
+		err := c.http.Call(limit, method, c.stores[c.at%len(c.stores)], path, in, out)
 		cancel()
-		if last == nil || final(last) || ctx.Err() != nil {
-			return last
+		if err == nil || final(err) || ctx.Err() != nil || time.Since(started) > patience {
+			return err
 		}
 		c.at++
 		sleep(ctx, pause)
 	}
-	return last
 }
 
 func final(err error) bool {
--- /dev/null
+++ b/systemtest/bench_test.go
@@ -0,0 +1,327 @@
+package systemtest
+
+import (
+	"bufio"
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"wheelgauge"
+	"wheelgauge/load"
+)
+
+var benchRun = flag.Bool("bench-run", false, "measure; takes minutes")
+
+const ticksPerSecond = 100 // of /proc/PID/stat on Linux
+
+// cpu returns the processor time that a process has used.
+func (p *process) cpu() time.Duration {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	field := strings.Fields(string(data[strings.LastIndex(string(data), ")")+2:]))
+	user, _ := strconv.Atoi(field[11])
+	system, _ := strconv.Atoi(field[12])
+	return time.Duration(user+system) * time.Second / ticksPerSecond
+}
+
+// resident returns the memory of a process in bytes.
+func (p *process) resident() int64 {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", p.cmd.Process.Pid))
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	pages, _ := strconv.ParseInt(strings.Fields(string(data))[1], 10, 64)
+	return pages * int64(os.Getpagesize())
+}
+
+func quantile(sample []time.Duration, q float64) time.Duration {
+	slices.Sort(sample)
+	return sample[min(len(sample)-1, int(q*float64(len(sample))))]
+}
+
+func benchShape() shape {
+	s := smallShape()
+	s.alone = true
+	s.real = true
+	s.slots = 8000
+	s.engine = []string{"--step", "1ms", "--prefill", "100000", "--queue", "8000"}
+	s.service = []string{"--time", "0s"}
+	return s
+}
+
+var kept = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4096, MaxIdleConns: 8192}}
+
+// timed sends one request and returns the time to the end of its answer.
+func timed(t testing.TB, method, url, client, body string) time.Duration {
+	started := time.Now()
+	req, err := http.NewRequest(method, url, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+load.CredentialOf(client))
+	resp, err := kept.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, err = io.Copy(io.Discard, resp.Body)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		t.Fatalf("status %d, %v", resp.StatusCode, err)
+	}
+	_ = resp.Body.Close()
+	return time.Since(started)
+}
+
+// TestBenchAdded measures what a gateway adds to a call of a backend server,
+// both ways in turn in one run.
+func TestBenchAdded(t *testing.T) {
+	if !*benchRun {
+		return
+	}
+	d := launch(t, benchShape())
+	n, engine, service := d.node("karachi-1"), d.server("engine-karachi-0"), d.server("service-karachi-0")
+	body := chat("", "a short question", 1).body
+	tests := []struct {
+		name            string
+		method          string
+		direct, through string
+		body            string
+	}{
+		{"plain service", "GET", "http://" + service.addr + "/lookup/1", d.url(n, "/s/lookup/1"), ""},
+		{"engine, one token streamed", "POST", "http://" + engine.addr + "/v1/chat/completions", d.url(n, "/v1/chat/completions"), body},
+	}
+	const rounds = 4000
+	for _, tt := range tests {
+		var direct, through []time.Duration
+		for i := range rounds {
+			a := timed(t, tt.method, tt.direct, standby("karachi"), tt.body)
+			b := timed(t, tt.method, tt.through, standby("karachi"), tt.body)
+			if i > 200 {
+				direct, through = append(direct, a), append(through, b)
+			}
+		}
+		t.Logf("%s: direct p50 %s p99 %s; through the gateway p50 %s p99 %s; added p50 %s p99 %s", tt.name,
+			quantile(direct, .5), quantile(direct, .99), quantile(through, .5), quantile(through, .99),
+			quantile(through, .5)-quantile(direct, .5), quantile(through, .99)-quantile(direct, .99))
+	}
+}
+
+// TestBenchThroughput measures requests and tokens a second of processor time,
+// and memory by open streams.
+func TestBenchThroughput(t *testing.T) {
+	if !*benchRun {
+		return
+	}
+	d := launch(t, benchShape())
+	n := d.node("karachi-1")
+	var sent atomic.Int64
+	before, started := n.gateway.cpu(), time.Now()
+	during(t, 8*time.Second, 32, func() {
+		timed(t, "GET", d.url(n, "/s/lookup/1"), standby("karachi"), "")
+		sent.Add(1)
+	})
+	used := n.gateway.cpu() - before
+	t.Logf("plain requests: %d in %s, %.0f/s, gateway used %s: %.0f requests a second of one core", sent.Load(), time.Since(started).Round(time.Millisecond),
+		float64(sent.Load())/time.Since(started).Seconds(), used, float64(sent.Load())/used.Seconds())
+
+	var tokens atomic.Int64
+	before, started = n.gateway.cpu(), time.Now()
+	during(t, 8*time.Second, 64, func() {
+		timed(t, "POST", d.url(n, "/v1/chat/completions"), standby("karachi"), chat("", "tokens", 200).body)
+		tokens.Add(200)
+	})
+	used = n.gateway.cpu() - before
+	t.Logf("streams: %d tokens in %s, %.0f/s, gateway used %s: %.0f tokens a second of one core", tokens.Load(), time.Since(started).Round(time.Millisecond),
+		float64(tokens.Load())/time.Since(started).Seconds(), used, float64(tokens.Load())/used.Seconds())
+}
+
+// during runs f from many at once until the time is over.
+func during(t testing.TB, length time.Duration, workers int, f func()) {
+	t.Helper()
+	end := time.Now().Add(length)
+	var group sync.WaitGroup
+	for range workers {
+		group.Go(func() {
+			for time.Now().Before(end) && !t.Failed() {
+				f()
+			}
+		})
+	}
+	group.Wait()
+}
+
+// TestBenchStreams measures a gateway's memory by the number of open streams,
+// at 28 ms between tokens.
+func TestBenchStreams(t *testing.T) {
+	if !*benchRun {
+		return
+	}
+	s := benchShape()
+	s.engine = []string{"--step", "28ms", "--prefill", "1000000", "--queue", "8000"}
+	d := launch(t, s)
+	n := d.node("karachi-1")
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	t.Logf("0 streams: %.1f MB", float64(n.gateway.resident())/1e6)
+	var group sync.WaitGroup
+	for step := 1; step <= 3; step++ {
+		for range 1000 {
+			group.Go(func() { hold(ctx, d, n) })
+		}
+		time.Sleep(6 * time.Second)
+		before := n.gateway.cpu()
+		time.Sleep(4 * time.Second)
+		t.Logf("%d streams: %.1f MB, %.1f%% of a core", step*1000, float64(n.gateway.resident())/1e6, 100*(n.gateway.cpu()-before).Seconds()/4)
+	}
+	cancel()
+	group.Wait()
+}
+
+// hold keeps one stream open.
+func hold(ctx context.Context, d *deployment, n *node) {
+	c := chat(standby("karachi"), "held open", 5000)
+	req, err := http.NewRequestWithContext(ctx, c.method, d.url(n, c.path), strings.NewReader(c.body))
+	if err != nil {
+		return
+	}
+	req.Header.Set("Authorization", "Bearer "+load.CredentialOf(c.client))
+	resp, err := callers.Do(req)
+	if err != nil {
+		return
+	}
+	defer resp.Body.Close()
+	_, _ = io.Copy(io.Discard, bufio.NewReader(resp.Body)) // cut by the end of ctx
+}
+
+// TestBenchControl measures what control costs a gateway and the region's hub
+// by the number of hosts and backend servers, at the intervals that operators use.
+func TestBenchControl(t *testing.T) {
+	if !*benchRun {
+		return
+	}
+	for _, size := range []struct{ hosts, engines int }{{4, 4}, {8, 12}, {16, 24}, {32, 48}, {64, 96}} {
+		t.Run(fmt.Sprintf("%d hosts, %d servers", size.hosts, size.engines), func(t *testing.T) {
+			measureControl(t, size.hosts, size.engines)
+		})
+	}
+}
+
+func measureControl(t *testing.T, hosts, engines int) {
+	const length = 10 * time.Second
+	s := benchShape()
+	s.regions, s.hosts, s.engines, s.services, s.prices = []string{"karachi", "lahore"}, []int{hosts, 1}, []int{engines, 1}, []int{0, 0}, []float64{1, 1}
+	s.engine = []string{"--step", "10ms", "--busy"}
+	d := launch(t, s)
+	time.Sleep(3 * time.Second)
+	var cpu time.Duration
+	var traffic, most, memory int64
+	bytesBefore, cpuBefore := map[string]int64{}, map[string]time.Duration{}
+	sample := d.nodes[1:hosts]
+	for _, n := range d.nodes {
+		bytesBefore[n.name], cpuBefore[n.name] = d.net.traffic(n.ip), n.gateway.cpu()
+	}
+	hub := d.node("karachi-1")
+	storeCPU := hub.store.cpu()
+	time.Sleep(length)
+	for _, n := range sample {
+		one := d.net.traffic(n.ip) - bytesBefore[n.name]
+		traffic += one
+		most = max(most, one)
+		cpu += n.gateway.cpu() - cpuBefore[n.name]
+		memory += n.gateway.resident()
+	}
+	k := float64(len(sample))
+	t.Logf("gateway: %.2f KB/s (most %.2f), %.3f%% of a core, %.1f MB; hub host: %.1f KB/s, store %.2f%% of a core, %.1f MB",
+		float64(traffic)/k/length.Seconds()/1000, float64(most)/length.Seconds()/1000, 100*cpu.Seconds()/k/length.Seconds(), float64(memory)/k/1e6,
+		float64(d.net.traffic(hub.ip)-bytesBefore[hub.name])/length.Seconds()/1000, 100*(hub.store.cpu()-storeCPU).Seconds()/length.Seconds(), float64(hub.store.resident())/1e6)
+}
+
+// TestBenchStore measures changes: how many a second, when in force, without a
+// leader, after a restart; and what a claim costs. Links take 55 ms.
+func TestBenchStore(t *testing.T) {
+	if !*benchRun {
+		return
+	}
+	s := dispatchShape()
+	s.alone, s.real = true, true
+	d := launch(t, s)
+	var inForce []time.Duration
+	for i := range 30 {
+		result := d.apply([]wheelgauge.Resource{class("timed", i%10)})
+		inForce = append(inForce, d.timeInForce(result))
+	}
+	t.Logf("in force at all 8 hosts after the answer: median %s, worst %s of %d", quantile(inForce, .5), quantile(inForce, 1), len(inForce))
+
+	started := time.Now()
+	d.pile(d.leader(), 1000)
+	t.Logf("changes: %.0f a second, %d writers", 1000/time.Since(started).Seconds(), pileWriters)
+
+	var claims, plain []time.Duration
+	n := d.node("karachi-1")
+	for i := range 100 {
+		began := time.Now()
+		if r := d.do(n, book(standby("karachi"), fmt.Sprint("timed-", i), newKey())); r.status != http.StatusOK {
+			t.Fatal(r)
+		}
+		claims = append(claims, time.Since(began))
+		began = time.Now()
+		if r := d.do(n, book(standby("karachi"), fmt.Sprint("plain-", i), "")); r.status != http.StatusOK {
+			t.Fatal(r)
+		}
+		plain = append(plain, time.Since(began))
+	}
+	t.Logf("booking with a claim at home: p50 %s p99 %s; without a key: p50 %s p99 %s", quantile(claims, .5), quantile(claims, .99), quantile(plain, .5), quantile(plain, .99))
+
+	var without []time.Duration
+	for range 5 {
+		leader := d.leader()
+		leader.store.kill()
+		began := time.Now()
+		d.apply([]wheelgauge.Resource{class("after", int(began.UnixNano()%10))})
+		without = append(without, time.Since(began))
+		d.startStore(leader)
+		d.awaitStore(leader, 1)
+	}
+	t.Logf("kill of the leader to the next accepted change: median %s, worst %s of %d", quantile(without, .5), quantile(without, 1), len(without))
+
+	// A cut of one region, with a change inside it, and its end.
+	d.cutRegion("peshawar")
+	result := d.apply([]wheelgauge.Resource{class("inside", 3)})
+	time.Sleep(3 * time.Second)
+	d.net.heal()
+	t.Logf("in force everywhere after a cut heals: %s", d.timeInForce(result))
+
+	for _, more := range []int{0, 2000, 4000} {
+		d.pile(d.leader(), max(1, more))
+		one := d.node("lahore-1")
+		one.store.kill()
+		began := time.Now()
+		d.startStore(one)
+		d.awaitStore(one, 1)
+		t.Logf("restart and rejoin with %d more changes: %s", more, time.Since(began).Round(time.Millisecond))
+	}
+}
+
+func (d *deployment) timeInForce(generation uint64) time.Duration {
+	began := time.Now()
+	for _, n := range d.nodes {
+		for {
+			if g, err := d.generation(n); err == nil && g >= generation {
+				break
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}
+	return time.Since(began)
+}
--- /dev/null
+++ b/systemtest/compare_test.go
@@ -0,0 +1,212 @@
+package systemtest
+
+import (
+	"context"
+	"encoding/csv"
+	"flag"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"wheelgauge/away"
+	"wheelgauge/load"
+	"wheelgauge/routing/baseline"
+)
+
+var (
+	compare          = flag.Bool("compare", false, "compare policies; takes many minutes")
+	compareSeeds     = flag.Int("compare-seeds", 2, "seeds of each scenario")
+	compareTime      = flag.Duration("compare-time", 16*time.Second, "length of each run")
+	compareRate      = flag.Float64("compare-rate", 80, "requests a second")
+	compareOnly      = flag.String("compare-only", "", "run only scenarios whose name holds this")
+	compareOut       = flag.String("compare-out", "", "file for the results, CSV")
+	compareLinkCost  = 0.05
+	comparedPolicies = []policy{
+		{"ours", "affinity", away.PolicyCost},
+		{"random", baseline.Random, away.PolicyLocal},
+		{"round robin", baseline.RoundRobin, away.PolicyLocal},
+		{"least in flight", baseline.LeastInFlight, away.PolicyLocal},
+		{"sticky prefix", baseline.StickyPrefix, away.PolicyLocal},
+		{"cheapest", baseline.LeastInFlight, away.PolicyCheapest},
+	}
+)
+
+// policy is a way to route.
+type policy struct {
+	name   string
+	picker string
+	away   string
+}
+
+// trouble is a scenario: what happens during a run.
+type trouble struct {
+	name   string
+	flood  float64
+	engine []string
+	happen func(d *deployment, length time.Duration)
+}
+
+func troubles() []trouble {
+	return []trouble{
+		{name: "shifted peaks"},
+		{name: "half of a region's engines lost", happen: func(d *deployment, length time.Duration) {
+			time.Sleep(length / 4)
+			lost := d.enginesOf(d.s.regions[0])
+			for _, s := range lost[:len(lost)/2] {
+				s.run.kill()
+			}
+		}},
+		{name: "region's engines lost and back cold", happen: func(d *deployment, length time.Duration) {
+			time.Sleep(length / 4)
+			for _, s := range d.enginesOf(d.s.regions[1]) {
+				s.run.kill()
+			}
+			time.Sleep(length / 4)
+			for _, s := range d.enginesOf(d.s.regions[1]) {
+				d.startServer(s)
+			}
+		}},
+		{name: "region cut off", happen: func(d *deployment, length time.Duration) {
+			time.Sleep(length / 4)
+			d.cutRegion(d.s.regions[2])
+			time.Sleep(length / 4)
+			d.net.heal()
+		}},
+		{name: "one slow engine", happen: func(d *deployment, length time.Duration) {
+			time.Sleep(length / 8)
+			_ = getJSON("http://"+d.enginesOf(d.s.regions[0])[0].addr+"/v1/slow?factor=5", nil) // answers nothing
+		}},
+		{name: "one client floods", flood: 12},
+		{name: "load reports 10 s late", engine: []string{"--lag", "10s"}},
+	}
+}
+
+func (d *deployment) enginesOf(region string) []*server {
+	var out []*server
+	for _, s := range d.servers {
+		if s.pool == "engines" && s.region == region {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// TestCompare runs every policy on the same seeds and faults, all policies of a
+// scenario at the same time on the same machine.
+func TestCompare(t *testing.T) {
+	if !*compare {
+		return
+	}
+	var rows [][]string
+	for _, mix := range []string{load.MixDispatch, load.MixParkline} {
+		for _, tr := range troubles() {
+			if !strings.Contains(mix+" "+tr.name, *compareOnly) {
+				continue
+			}
+			for seed := 1; seed <= *compareSeeds; seed++ {
+				t.Run(fmt.Sprintf("%s, %s, seed %d", mix, tr.name, seed), func(t *testing.T) {
+					rows = append(rows, compareOne(t, mix, tr, seed)...)
+				})
+			}
+		}
+	}
+	saveRows(t, rows)
+}
+
+func compareOne(t *testing.T, mix string, tr trouble, seed int) [][]string {
+	var mu sync.Mutex
+	reports := map[string]load.Report{}
+	t.Run("policies", func(t *testing.T) {
+		for _, p := range comparedPolicies {
+			t.Run(p.name, func(t *testing.T) {
+				r := measurePolicy(t, mix, tr, seed, p)
+				mu.Lock()
+				defer mu.Unlock()
+				reports[p.name] = r
+			})
+		}
+	})
+	var rows [][]string
+	text := "policy            first p50   p99   gap p99  total p99    cost  away%  refused  late  answered\n"
+	for _, p := range comparedPolicies {
+		r := reports[p.name]
+		refused := 0
+		for _, n := range r.Refused {
+			refused += n
+		}
+		worst := worstTotal(r)
+		text += fmt.Sprintf("%-16s %8.0f %6.0f %8.1f %10.0f %8.3f %6.1f %8d %5d %9d\n", p.name, r.First.P50, r.First.P99, r.Gap.P99, worst, r.CostPerTokens, 100*r.ShareAway, refused, r.Late, r.Answered)
+		rows = append(rows, []string{
+			mix, tr.name, strconv.Itoa(seed), p.name, number(r.First.P50), number(r.First.P99), number(r.Gap.P99), number(worst),
+			number(r.CostPerTokens), number(r.ShareAway), strconv.Itoa(refused), strconv.Itoa(r.Late), strconv.Itoa(r.Answered), strconv.Itoa(r.Sent), number(r.Tries),
+		})
+	}
+	t.Log("\n" + text)
+	return rows
+}
+
+// worstTotal is the largest p99 of the whole time among the kinds.
+func worstTotal(r load.Report) float64 {
+	worst := 0.0
+	for _, k := range r.Kinds {
+		worst = max(worst, k.Total.P99)
+	}
+	return worst
+}
+
+func number(f float64) string { return strconv.FormatFloat(f, 'f', 4, 64) }
+
+func measurePolicy(t *testing.T, mix string, tr trouble, seed int, p policy) load.Report {
+	s := dispatchShape()
+	value := "second_value = 1\naway_cost = 0.05\n"
+	if mix == load.MixParkline {
+		s = parklineShape()
+		value = "second_value = 0.3\naway_cost = 0.05\n"
+	}
+	s.real = true
+	s.engines, s.slots = []int{5, 4, 3}, 4
+	s.engine = append([]string{"--step", "10ms", "--prefill", "40", "--cache", "600", "--queue", "64"}, tr.engine...)
+	s.bound = func(_ string, i int) bool { return i%4 == 3 }
+	s.gateway = fmt.Sprintf("[routing]\npicker = %s\naway = %s\n%s", p.picker, p.away, value)
+	d := launch(t, s)
+	scenario := load.Scenario{Mix: mix, Duration: *compareTime, Rate: *compareRate, Peak: 0.5, Seed: uint64(seed), Clients: perRegion, Flood: tr.flood, LinkCost: compareLinkCost}
+	for r, region := range s.regions {
+		scenario.Regions = append(scenario.Regions, load.Region{Name: region, Entry: fmt.Sprintf("%s:%d", d.node(region+"-1").ip, portCaller), Price: s.prices[r]})
+	}
+	var happening sync.WaitGroup
+	if tr.happen != nil {
+		happening.Go(func() { tr.happen(d, *compareTime) })
+	}
+	report := load.Summarise(scenario, load.NewRunner(scenario).Run(context.Background()))
+	happening.Wait()
+	for _, wrong := range report.Wrong {
+		t.Errorf("wrong: %s", wrong)
+	}
+	d.checkOnce(report)
+	return report
+}
+
+func saveRows(t *testing.T, rows [][]string) {
+	if *compareOut == "" {
+		return
+	}
+	f, err := os.Create(*compareOut)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := csv.NewWriter(f)
+	err = w.Write([]string{"mix", "scenario", "seed", "policy", "first_p50_ms", "first_p99_ms", "gap_p99_ms", "worst_total_p99_ms", "cost_per_1000_tokens", "share_away", "refused", "late", "answered", "sent", "tries"})
+	if err == nil {
+		err = w.WriteAll(rows)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := f.Close(); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/systemtest/deployment_test.go
+++ b/systemtest/deployment_test.go
@@ -496,6 +496,9 @@
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("%s: status %d", url, resp.StatusCode)
 	}
+	if out == nil {
+		return nil
+	}
 	return json.NewDecoder(resp.Body).Decode(out)
 }
 
