Send away sooner and by what is seen; summaries by pool

A log of each decision showed why requests stayed: (a) region summaries added plain services to engines, so waits elsewhere were always 0 and grants far too high; after mending that, (b) grants were an equal part of 85% of the spare slots, 0 or 1 a host, while 3 to 9 requests waited a second; (c) the estimated wait ran behind, as reports are 1 to 2 s old. Excluded: link and cold prefill (away requests were not among the slow ones).

Change: summaries, grants and asks by pool; all spare capacity granted until somebody asks, with the receiver turning back what finds no free slot unless its sender cannot serve it at all; waits also from first bytes seen lately and from the age of those that wait; pending calls weigh in a server's load; cold prefill by prompt size; margins of 80 and 20 ms.

--- a/away/decider.go
+++ b/away/decider.go
@@ -16,17 +16,20 @@
 const (
 	// leaveMargin and stayMargin make the hysteresis: work starts to leave when
 	// it gains leaveMargin and goes on to leave until it gains less than stayMargin.
-	leaveMargin = 300 * time.Millisecond
-	stayMargin  = 100 * time.Millisecond
+	leaveMargin = 80 * time.Millisecond
+	stayMargin  = 20 * time.Millisecond
 )
 
+// perUnit is the unit of prices in tokens and of cold prefill in bytes.
+const perUnit = 1000
+
 // Weights turn time, price and distance into one cost.
 type Weights struct {
 	// Second is the value of one second of waiting, in the currency of prices.
 	Second float64
 	// Share is what sending one request away costs by itself, in that currency.
 	Share float64
-	// ColdPrefill is the time lost on a cold cache.
+	// ColdPrefill is the time lost on a cold cache for 1,000 bytes of prompt.
 	ColdPrefill time.Duration
 }
 
@@ -58,17 +61,23 @@
 	return &Decider{policy: policy, weights: weights, leaving: map[string]bool{}}
 }
 
-// Decide returns the index of the best of others for a request of about tokens
-// tokens, or -1 to stay. fits is false when the own region cannot serve at all.
-func (d *Decider) Decide(here Place, fits bool, tokens int, others []Place) int {
+// Work is the size of a request: bytes of prompt, tokens to generate.
+type Work struct {
+	Bytes  int
+	Tokens int
+}
+
+// Decide returns the index of the best of others for a request, or -1 to stay.
+// fits is false when the own region cannot serve at all.
+func (d *Decider) Decide(here Place, fits bool, work Work, others []Place) int {
 	if d.policy == PolicyLocal {
 		return -1
 	}
 	best, bestGain := -1, 0.0
 	for i := range others {
-		gain := d.gain(here, others[i], tokens)
+		gain := d.gain(here, others[i], work)
 		if !fits {
-			gain = -d.cost(others[i], tokens)
+			gain = -d.cost(others[i], work)
 		}
 		if d.refuses(others[i], fits, gain) {
 			continue
@@ -108,15 +117,17 @@
 	}
 }
 
-func (d *Decider) gain(here, there Place, tokens int) float64 {
-	price := here.Price * float64(tokens) / 1000
+func (d *Decider) gain(here, there Place, work Work) float64 {
 	if d.policy == PolicyCheapest {
-		return price - there.Price*float64(tokens)/1000
+		return here.price(work) - there.price(work)
 	}
-	return here.Wait.Seconds()*d.weights.Second + price - d.cost(there, tokens)
+	return here.Wait.Seconds()*d.weights.Second + here.price(work) - d.cost(there, work)
 }
 
-func (d *Decider) cost(p Place, tokens int) float64 {
-	late := p.Wait + 2*p.Link + d.weights.ColdPrefill
-	return late.Seconds()*d.weights.Second + p.Price*float64(tokens)/1000 + d.weights.Share
+func (d *Decider) cost(p Place, work Work) float64 {
+	cold := d.weights.ColdPrefill.Seconds() * float64(work.Bytes) / perUnit
+	late := p.Wait.Seconds() + 2*p.Link.Seconds() + cold
+	return late*d.weights.Second + p.price(work) + d.weights.Share
 }
+
+func (p *Place) price(work Work) float64 { return p.Price * float64(work.Tokens) / perUnit }
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -206,6 +206,9 @@
 // PoolType returns the type of a pool; empty when it is not configured.
 func (c *Catalog) PoolType(pool string) string { return c.pools[pool] }
 
+// Pools returns the names of all pools, sorted.
+func (c *Catalog) Pools() []string { return slices.Sorted(maps.Keys(c.pools)) }
+
 // Region returns the spec of a region.
 func (c *Catalog) Region(name string) wheelgauge.RegionSpec { return c.regions[name] }
 
--- a/cmd/wheelgauge-gateway/options.go
+++ b/cmd/wheelgauge-gateway/options.go
@@ -50,7 +50,7 @@
 	{Section: "routing", Name: "away", Type: settings.Choice, Choices: []string{away.PolicyCost, away.PolicyLocal, away.PolicyCheapest}, Default: away.PolicyCost, Help: "when requests leave the region"},
 	{Section: "routing", Name: "second_value", Type: settings.Float, Default: "1", Max: 1e6, Help: "value of a second of waiting, in the currency of prices"},
 	{Section: "routing", Name: "away_cost", Type: settings.Float, Default: "0.05", Max: 1e6, Help: "cost of sending one request away, in the same currency"},
-	{Section: "routing", Name: "cold_prefill", Type: settings.Duration, Default: "150ms", Max: 600, Help: "time lost on a cold cache"},
+	{Section: "routing", Name: "cold_prefill", Type: settings.Duration, Default: "60ms", Max: 600, Help: "time lost on a cold cache for 1,000 bytes of prompt"},
 	{Section: "tls", Name: "certificate", Type: settings.Text, Help: "certificate for peers, PEM"},
 	{Section: "tls", Name: "key", Type: settings.Text, Help: "its key, PEM"},
 	{Section: "tls", Name: "authority", Type: settings.Text, Help: "authority that signs peers, PEM"},
--- a/contract.go
+++ b/contract.go
@@ -77,6 +77,9 @@
 	InFlight int
 	Running  int
 	Waiting  int
+	// Pending is how many calls from here wait for their first byte: prefills
+	// share the engine, so they weigh more.
+	Pending int
 	// Hash is the server's name hashed once.
 	Hash uint64
 }
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -14,6 +14,9 @@
 	"wheelgauge/rendezvous"
 )
 
+// usualFirst is the time to a first byte that says nothing of a queue.
+const usualFirst = 150 * time.Millisecond
+
 // leastService is the shortest time that any work is expected to take.
 const leastService = 10 * time.Millisecond
 
@@ -53,7 +56,7 @@
 		if state.Leaving || state.Known && !state.Alive {
 			continue
 		}
-		one := wheelgauge.Candidate{Name: s.Name, Address: s.Address, Hash: s.Hash, InFlight: g.inflight.Count(s.Name)}
+		one := wheelgauge.Candidate{Name: s.Name, Address: s.Address, Hash: s.Hash, InFlight: g.inflight.Count(s.Name), Pending: g.inflight.Pending(s.Name)}
 		one.Running = g.inflight.Estimate(s.Name, state.Running+state.Waiting, state.Reported)
 		one.Slots = max(1, int(float64(s.Slots)*state.Ramp(now)))
 		f.candidates = append(f.candidates, one)
@@ -82,7 +85,7 @@
 // plan is where a request goes.
 type plan struct {
 	region string // empty: here
-	wait   time.Duration
+	must   bool   // nothing can be done here
 }
 
 // decide chooses between this region and others, or refuses at once what would
@@ -92,20 +95,31 @@
 	defer fields.Put(f)
 	g.survey(f, rq.catalog, rq.route, rq.model, nil)
 	service := g.inflight.Mean(rq.route.Pool)
-	here := away.Place{Region: g.o.Region, Wait: wait(f.load, f.slots, service), Price: rq.catalog.Region(g.o.Region).Price}
+	here := away.Place{Region: g.o.Region, Wait: g.waitHere(rq, f, service), Price: rq.catalog.Region(g.o.Region).Price}
 	fits := f.slots > 0 && !admission.Shed(rq.call.Priority, here.Wait, g.o.LongestWait) &&
 		!admission.Late(here.Wait, leastService, time.Until(rq.call.Deadline))
 	if !rq.forwarded {
 		if region, ok := g.elsewhere(rq, here, fits, service); ok {
-			return plan{region: region}, nil
+			return plan{region: region, must: !fits}, nil
 		}
 	}
+	if rq.forwarded && !rq.must && f.load >= f.slots {
+		return plan{}, g.overloaded(rq, here, f.slots)
+	}
 	if fits {
-		return plan{wait: here.Wait}, nil
+		return plan{}, nil
 	}
 	return plan{}, g.overloaded(rq, here, f.slots)
 }
 
+// waitHere estimates how long new work waits in this region: by the load that
+// is known, or by the first bytes seen lately, whichever is more. A first byte
+// within usualFirst is no wait.
+func (g *Gateway) waitHere(rq *request, f *field, service time.Duration) time.Duration {
+	seen := g.inflight.Recent(rq.route.Pool) - usualFirst
+	return max(wait(f.load, f.slots, service), seen)
+}
+
 func (g *Gateway) overloaded(rq *request, here away.Place, slots int) error {
 	if slots == 0 {
 		return wheelgauge.NewError(wheelgauge.ReasonNoServer, wheelgauge.OutcomeNotRun, http.StatusServiceUnavailable,
@@ -128,39 +142,45 @@
 			continue
 		}
 		s := g.node.Region(region)
-		if s.Hosts == 0 || s.Slots == 0 || len(rq.catalog.Servers(rq.route.Pool, region, rq.model)) == 0 {
+		pool := s.Pools[rq.route.Pool]
+		if s.Hosts == 0 || pool.Slots == 0 || len(rq.catalog.Servers(rq.route.Pool, region, rq.model)) == 0 {
 			continue
 		}
+		link := time.Duration(rq.catalog.Region(g.o.Region).Links[region] * float64(time.Millisecond))
+		seen := g.inflight.Recent(awayName(region)) - usualFirst - 2*link
 		places[n] = away.Place{
-			Region: region, Wait: wait(s.Running+s.Waiting, s.Slots, service), Price: rq.catalog.Region(region).Price,
-			Link:    time.Duration(rq.catalog.Region(g.o.Region).Links[region] * float64(time.Millisecond)),
-			Granted: g.granted(rq.catalog, s), InFlight: g.inflight.Count(awayName(region)),
+			Region: region, Wait: max(wait(pool.Running+pool.Waiting, pool.Slots, service), seen), Price: rq.catalog.Region(region).Price, Link: link,
+			Granted: g.granted(rq.catalog, pool), InFlight: g.inflight.Count(awayName(region)),
 		}
 		n++
 	}
-	best := g.o.Decider.Decide(here, fits, rq.tokens, places[:n])
+	best := g.o.Decider.Decide(here, fits, away.Work{Bytes: len(rq.call.Body), Tokens: rq.tokens}, places[:n])
 	if best < 0 {
 		return "", false
 	}
 	return places[best].Region, true
 }
 
+// unevenHosts is how many times its equal part of a grant one host may use:
+// clients are not spread evenly over hosts.
+const unevenHosts = 2
+
 // maxRegions bounds the regions that are weighed for a request.
 const maxRegions = 16
 
 func awayName(region string) string { return "region " + region }
 
 // granted returns this host's part of what a region granted to this one.
-func (g *Gateway) granted(c *catalog.Catalog, s wheelgauge.RegionSummary) int {
+func (g *Gateway) granted(c *catalog.Catalog, pool wheelgauge.PoolSummary) int {
 	hosts := 0
 	for _, h := range c.Hosts(g.o.Region) {
 		if g.usable(h) {
 			hosts++
 		}
 	}
-	grant := s.Grants[g.o.Region]
+	grant := pool.Grants[g.o.Region]
 	if grant == 0 {
 		return 0
 	}
-	return max(1, grant/max(1, hosts))
+	return max(1, grant*unevenHosts/max(1, hosts))
 }
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -32,16 +32,13 @@
 		return nil, err
 	}
 	if p.region != "" {
+		rq.must = p.must
 		answer, err := g.forward(ctx, rq, p.region)
 		if err == nil || !g.mayRepeat(rq, err) {
 			return answer, err
 		}
 		g.meter.Count("away.turned_back")
 	}
-	if p.wait > 0 {
-		g.asks.Add(1)
-		defer g.asks.Add(-1)
-	}
 	return g.sendHere(ctx, rq)
 }
 
@@ -117,10 +114,14 @@
 	call := rq.call // an abandoned call keeps its own
 	g.inflight.Start(s.Name)
 	g.inflight.Start(rq.route.Pool)
+	g.inflight.Sent(s.Name, started)
+	g.inflight.Sent(rq.route.Pool, started)
 	answer, err := g.watched(rq,
 		func() (*wheelgauge.Answer, error) { return g.adapter(rq).Send(ctx, s.Address, &call) },
 		func() { g.cancelCall(rq, s.Address) },
 		func() bool { return !rq.once && g.serverDead(s.Name) })
+	g.firstByte(s.Name, started, err)
+	g.firstByte(rq.route.Pool, started, err)
 	if err != nil {
 		g.inflight.End(s.Name, 0)
 		g.inflight.End(rq.route.Pool, 0)
@@ -140,6 +141,11 @@
 	return answer, nil
 }
 
+// firstByte tells the table that a first byte came, or that none will.
+func (g *Gateway) firstByte(name string, started time.Time, err error) {
+	g.inflight.First(name, started, err == nil)
+}
+
 // sent is the end of a call that was dispatched.
 type sent struct {
 	answer *wheelgauge.Answer
@@ -240,8 +246,11 @@
 // forward sends a request to a gateway of another region, once.
 func (g *Gateway) forward(ctx context.Context, rq *request, region string) (*wheelgauge.Answer, error) {
 	g.meter.Count("away.sent")
+	started := time.Now()
 	g.inflight.Start(awayName(region))
+	g.inflight.Sent(awayName(region), started)
 	answer, err := g.forwardAny(ctx, rq, region)
+	g.firstByte(awayName(region), started, err)
 	if err != nil {
 		g.inflight.End(awayName(region), 0)
 		return nil, err
@@ -313,5 +322,8 @@
 	if rq.once {
 		out = append(out, [2]string{wheelgauge.HeaderNotRepeatable, "true"})
 	}
+	if rq.must {
+		out = append(out, [2]string{wheelgauge.HeaderMust, "true"})
+	}
 	return out
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -91,7 +91,6 @@
 	hints    *hints
 
 	sequence atomic.Uint64
-	asks     atomic.Int64
 	serving  *gate.Gate
 	strays   sync.WaitGroup
 	// forwarded holds the requests from peers that have no answer yet, by ID.
@@ -196,8 +195,20 @@
 	return g.engine.Load(ctx, s.Address)
 }
 
-// waiting returns the work that waits here for a server of the region.
-func (g *Gateway) waiting() int { return int(g.asks.Load()) }
+// waiting returns the work that waits here for a first byte, by pool.
+func (g *Gateway) waiting() map[string]int {
+	c := g.watcher.Current()
+	if c == nil {
+		return nil
+	}
+	out := map[string]int{}
+	for _, pool := range c.Pools() {
+		if n := g.inflight.Late(pool); n > 0 {
+			out[pool] = n
+		}
+	}
+	return out
+}
 
 func (g *Gateway) current() (*catalog.Catalog, error) {
 	c := g.watcher.Current()
--- a/gateway/peer.go
+++ b/gateway/peer.go
@@ -70,6 +70,7 @@
 	rq.call.Skip, _ = strconv.Atoi(string(h.Peek("X-Resume-From")))
 	rq.call.Priority, _ = strconv.Atoi(string(h.Peek("X-Priority")))
 	rq.once = len(h.Peek(wheelgauge.HeaderNotRepeatable)) > 0
+	rq.must = len(h.Peek(wheelgauge.HeaderMust)) > 0
 	rq.identity = wheelgauge.Identity{
 		Client: string(h.Peek(wheelgauge.HeaderClient)), Class: string(h.Peek(wheelgauge.HeaderClass)), Home: string(h.Peek(wheelgauge.HeaderHome)),
 	}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -45,6 +45,7 @@
 	prefix    uint64
 	once      bool // not repeatable
 	forwarded bool
+	must      bool // forwarded because its own region cannot serve it
 	started   time.Time
 	// gone tells whether whoever asked has left; nil means never.
 	gone      func() bool
--- a/inflight/table.go
+++ b/inflight/table.go
@@ -3,6 +3,7 @@
 package inflight
 
 import (
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,8 +13,20 @@
 	// smoothing is the weight of a new duration in the running mean.
 	smoothing     = 0.1
 	firstEstimate = time.Second
+	// recentWeight is the weight of a new time to the first byte; recentLife
+	// how long it takes to fall to a third when none comes.
+	recentWeight = 0.3
+	recentLife   = 2 * time.Second
+	// ageFactor and leastPending: a mean age of fewer says little.
+	ageFactor    = 2
+	leastPending = 2
+	// lateAge is a mean age that a prefill does not explain.
+	lateAge = 100 * time.Millisecond
 )
 
+// epoch keeps sums of times small.
+var epoch = time.Now()
+
 // row is one counted name.
 type row struct {
 	count atomic.Int64
@@ -21,6 +34,13 @@
 	base atomic.Int64
 	seen atomic.Uint64
 	mean atomic.Int64
+	// pending counts those without a first byte yet.
+	pending atomic.Int64
+	// began is the sum of their starts, in nanoseconds since the table's epoch.
+	began  atomic.Int64
+	mu     sync.Mutex
+	recent float64 // time to the first byte lately, in seconds
+	at     time.Time
 }
 
 // Table is safe for concurrent use.
@@ -54,6 +74,66 @@
 	r.mean.Store(was + int64(smoothing*float64(int64(took)-was)))
 }
 
+// Sent counts one more, started then, that has no first byte yet.
+func (t *Table) Sent(name string, started time.Time) {
+	r := t.row(name)
+	r.pending.Add(1)
+	r.began.Add(int64(started.Sub(epoch)))
+}
+
+// First counts one less without a first byte; came tells whether it came.
+func (t *Table) First(name string, started time.Time, came bool) {
+	r := t.row(name)
+	r.pending.Add(-1)
+	r.began.Add(-int64(started.Sub(epoch)))
+	if came {
+		r.note(time.Since(started).Seconds(), time.Now())
+	}
+}
+
+func (r *row) note(seconds float64, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	was := r.decayed(now)
+	r.recent, r.at = was+recentWeight*(seconds-was), now
+}
+
+func (r *row) decayed(now time.Time) float64 {
+	return r.recent * math.Exp(-float64(now.Sub(r.at))/float64(recentLife))
+}
+
+// Recent returns how long a first byte takes now: as it was lately, which fades
+// when nothing comes, or twice the age of those that wait, whichever is more.
+// What waits has on average waited for half of its time.
+func (t *Table) Recent(name string) time.Duration {
+	r := t.row(name)
+	r.mu.Lock()
+	lately := r.decayed(time.Now())
+	r.mu.Unlock()
+	return max(time.Duration(lately*float64(time.Second)), ageFactor*r.age())
+}
+
+// age returns the mean age of those that wait for a first byte.
+func (r *row) age() time.Duration {
+	n := r.pending.Load()
+	if n < leastPending {
+		return 0
+	}
+	return time.Since(epoch) - time.Duration(r.began.Load()/n)
+}
+
+// Late returns how many wait for a first byte for longer than a prefill takes.
+func (t *Table) Late(name string) int {
+	r := t.row(name)
+	if r.age() < lateAge {
+		return 0
+	}
+	return int(r.pending.Load())
+}
+
+// Pending returns how many have no first byte yet.
+func (t *Table) Pending(name string) int { return int(t.row(name).pending.Load()) }
+
 // Count returns how many are on the way.
 func (t *Table) Count(name string) int { return int(t.row(name).count.Load()) }
 
--- a/membership/hub.go
+++ b/membership/hub.go
@@ -21,14 +21,14 @@
 	// missedBeats is how many intervals without a sign of life mean failure.
 	missedBeats = 3
 	// spareFraction of the slots of a region may be used before it grants none.
-	spareFraction = 0.85
+	spareFraction = 0.95
 )
 
 // hostRow and serverRow are the tables of a hub.
 type hostRow struct {
 	entry   wheelgauge.HostEntry
 	boot    uint64
-	asks    int
+	asks    map[string]int
 	seen    time.Time
 	version uint64
 }
@@ -157,7 +157,7 @@
 		if now.Sub(row.seen) > limit {
 			entry := row.entry
 			entry.Alive = false
-			row.asks = 0
+			row.asks = nil
 			h.setHost(row, entry)
 		}
 	}
@@ -204,11 +204,14 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.expire(h.now())
-	s := wheelgauge.RegionSummary{Region: h.region}
+	s := wheelgauge.RegionSummary{Region: h.region, Asks: map[string]int{}, Pools: map[string]wheelgauge.PoolSummary{}}
 	for _, row := range h.hosts {
-		if row.entry.Alive && !row.entry.Leaving {
-			s.Hosts++
-			s.Asks += row.asks
+		if !row.entry.Alive || row.entry.Leaving {
+			continue
+		}
+		s.Hosts++
+		for pool, asks := range row.asks {
+			s.Asks[pool] += asks
 		}
 	}
 	c := h.catalog()
@@ -220,30 +223,37 @@
 		if spec == nil || !row.entry.Alive || row.entry.Leaving || spec.Leaving {
 			continue
 		}
-		s.Slots += spec.Slots
-		s.Running += row.entry.Running
-		s.Waiting += row.entry.Waiting
+		p := s.Pools[spec.Pool]
+		p.Slots += spec.Slots
+		p.Running += row.entry.Running
+		p.Waiting += row.entry.Waiting
+		s.Pools[spec.Pool] = p
+	}
+	for name, p := range s.Pools {
+		p.Grants = h.grants(name, p)
+		s.Pools[name] = p
 	}
-	s.Grants = h.grants(s)
 	return s
 }
 
-// grants splits the spare slots among the regions that ask, in proportion; a
-// region that does not ask gets an equal part of what nobody asks for.
-func (h *Hub) grants(s wheelgauge.RegionSummary) map[string]int {
-	spare := int(spareFraction*float64(s.Slots)) - s.Running - s.Waiting
+// grants splits the spare slots of a pool among the regions that ask, in
+// proportion. While nobody asks each region may have all of them: the first to
+// need them should not wait for a round of asking, and a gateway here turns back
+// what comes when no slot is free.
+func (h *Hub) grants(pool string, p wheelgauge.PoolSummary) map[string]int {
+	spare := int(spareFraction*float64(p.Slots)) - p.Running - p.Waiting
 	if spare <= 0 || len(h.regions) == 0 {
 		return nil
 	}
 	asks := 0
 	for _, row := range h.regions {
-		asks += row.summary.Asks
+		asks += row.summary.Asks[pool]
 	}
 	out := make(map[string]int, len(h.regions))
 	for name, row := range h.regions {
-		part := spare / len(h.regions)
+		part := spare
 		if asks > 0 {
-			part = spare * row.summary.Asks / asks
+			part = spare * row.summary.Asks[pool] / asks
 		}
 		out[name] = part
 	}
--- a/membership/node.go
+++ b/membership/node.go
@@ -44,8 +44,8 @@
 	Catalog  func() *catalog.Catalog
 	// Poll asks a backend server for its load.
 	Poll func(ctx context.Context, s *catalog.Server) (wheelgauge.LoadReport, error)
-	// Asks returns the work that waits here and may go away.
-	Asks func() int
+	// Asks returns the work that waits here and may go away, by pool.
+	Asks func() map[string]int
 	Log  logr.Logger
 }
 
--- a/message.go
+++ b/message.go
@@ -13,6 +13,7 @@
 	HeaderRegion        = "Wheelgauge-Region"
 	// The headers below exist on the peer listener only.
 	HeaderForwardedFrom = "Wheelgauge-Forwarded-From"
+	HeaderMust          = "Wheelgauge-Forward-Must"
 	HeaderClient        = "Wheelgauge-Client"
 	HeaderClass         = "Wheelgauge-Class"
 	HeaderHome          = "Wheelgauge-Home"
@@ -151,8 +152,8 @@
 	Boot       uint64 `json:"b"`
 	Leaving    bool   `json:"v,omitempty"`
 	Generation uint64 `json:"g"`
-	// Asks is the work that waits here and may go away, in requests.
-	Asks int `json:"k,omitempty"`
+	// Asks is the work that waits here and may go away, by pool, in requests.
+	Asks map[string]int `json:"k,omitempty"`
 	// Servers are the backend servers this host polls.
 	Servers []ServerEntry `json:"s,omitempty"`
 	// Since and Hub name the last view received, so that only news comes back.
@@ -169,14 +170,20 @@
 
 // RegionSummary is all that one region tells the others each interval.
 type RegionSummary struct {
-	Region  string `json:"r"`
-	Slots   int    `json:"c"`
-	Running int    `json:"u,omitempty"`
-	Waiting int    `json:"w,omitempty"`
-	Hosts   int    `json:"h"`
-	Asks    int    `json:"k,omitempty"`
+	Region string `json:"r"`
+	Hosts  int    `json:"h"`
+	// Asks is the work that waits here and may go away, by pool, in requests.
+	Asks  map[string]int         `json:"k,omitempty"`
+	Pools map[string]PoolSummary `json:"p,omitempty"`
 	// Gone is set by who has not heard of the region for some intervals.
 	Gone bool `json:"x,omitempty"`
+}
+
+// PoolSummary is the load of a pool in a region.
+type PoolSummary struct {
+	Slots   int `json:"c"`
+	Running int `json:"u,omitempty"`
+	Waiting int `json:"w,omitempty"`
 	// Grants is the spare capacity, in requests at once, granted to each other region.
 	Grants map[string]int `json:"g,omitempty"`
 }
--- a/routing/affinity/picker.go
+++ b/routing/affinity/picker.go
@@ -2,7 +2,8 @@
 //
 // The servers are ranked for a prefix by rendezvous hashing, so that all
 // gateways find the same warm server without sharing maps of caches. The first
-// whose load stays within a bound of the average is taken.
+// whose load stays within a bound of the average is taken, and none that is full
+// while another has a free slot: waiting there costs more than a cold prefill.
 //
 // Source of the bound: Mirrokni, Thorup and Zadimoghaddam, "Consistent hashing
 // with bounded loads", SODA 2018.
@@ -40,7 +41,7 @@
 	best, bestScore := -1, uint64(0)
 	for i := range candidates {
 		c := &candidates[i]
-		if Load(c) >= limit*float64(c.Slots) && Load(c) >= 1 {
+		if load := Load(c); load >= limit*float64(c.Slots) && load >= 1 {
 			continue
 		}
 		if score := rendezvous.Score(prefix, c.Hash); best < 0 || score > bestScore {
@@ -55,18 +56,25 @@
 
 // limit returns the load a slot that a server may have and still be taken.
 func (p *Picker) limit(candidates []wheelgauge.Candidate) float64 {
-	load, slots := 0.0, 0
+	load, slots, free := 0.0, 0, false
 	for i := range candidates {
-		load += Load(&candidates[i])
+		one := Load(&candidates[i])
+		load += one
 		slots += candidates[i].Slots
+		free = free || one < float64(candidates[i].Slots)
 	}
-	return p.bound * (load + 1) / float64(max(1, slots))
+	limit := p.bound * (load + 1) / float64(max(1, slots))
+	if free {
+		return min(1, limit)
+	}
+	return limit
 }
 
 // Load estimates a server's load: what it reported, or what is known to be on
-// the way from here, whichever is more.
+// the way from here, whichever is more, and once more what waits from here for
+// a first byte: reports are late, and a late first byte is news.
 func Load(c *wheelgauge.Candidate) float64 {
-	return float64(max(c.InFlight, c.Running+c.Waiting))
+	return float64(max(c.InFlight, c.Running+c.Waiting) + c.Pending)
 }
 
 // Least returns the candidate with the least load for its slots.
