--- a/adapter/engine/engine.go
+++ b/adapter/engine/engine.go
@@ -12,7 +12,7 @@
 	"wheelgauge/upstream"
 )
 
-// Adapter implements wheelgauge.BackendServer.
+// Adapter implements wheelgauge.OrderTaker.
 type Adapter struct {
 	pool   *upstream.Pool
 	client *peerhttp.Client
@@ -52,3 +52,8 @@
 	err := a.client.Call(ctx, http.MethodGet, address, "/v1/load", nil, &r)
 	return r, err
 }
+
+// Order implements wheelgauge.OrderTaker.
+func (a *Adapter) Order(ctx context.Context, address string, o wheelgauge.Order) error {
+	return a.client.Call(ctx, http.MethodPost, address, "/v1/orders", o, nil)
+}
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -56,7 +56,7 @@
 	byRegion   map[string][]*Host
 	servers    map[string]*Server
 	byPlace    map[place][]*Server
-	placed     map[string]map[string]bool
+	placed     map[string]map[string]string // version by server, by model
 	models     map[string]*Route
 	paths      []*Route
 	classes    map[string]wheelgauge.ClientClassSpec
@@ -71,7 +71,7 @@
 	c := &Catalog{
 		generation: generation, resources: resources,
 		regions: map[string]wheelgauge.RegionSpec{}, hosts: map[string]*Host{}, byRegion: map[string][]*Host{},
-		servers: map[string]*Server{}, byPlace: map[place][]*Server{}, placed: map[string]map[string]bool{},
+		servers: map[string]*Server{}, byPlace: map[place][]*Server{}, placed: map[string]map[string]string{},
 		models: map[string]*Route{}, classes: map[string]wheelgauge.ClientClassSpec{}, rules: map[string][]rule{}, pools: map[string]string{},
 	}
 	for i := range resources {
@@ -134,10 +134,10 @@
 func (c *Catalog) addPlacement(s wheelgauge.PlacementSpec) {
 	model := s.Model
 	if c.placed[model] == nil {
-		c.placed[model] = map[string]bool{}
+		c.placed[model] = map[string]string{}
 	}
 	for _, server := range s.Servers {
-		c.placed[model][server] = true
+		c.placed[model][server] = s.Version
 	}
 }
 
@@ -235,7 +235,29 @@
 	}
 	out := make([]*Server, 0, len(all))
 	for _, s := range all {
-		if placed[s.Name] {
+		if _, ok := placed[s.Name]; ok {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// Placed tells whether a model has placements, and the version that a server
+// should hold; ok is false when it should not hold the model.
+func (c *Catalog) Placed(model, server string) (placed bool, version string, ok bool) {
+	at, placed := c.placed[model]
+	version, ok = at[server]
+	return placed, version, ok
+}
+
+// Models returns the models that have placements, sorted.
+func (c *Catalog) Models() []string { return slices.Sorted(maps.Keys(c.placed)) }
+
+// Engines returns all backend servers of engine pools, sorted by name.
+func (c *Catalog) Engines() []*Server {
+	var out []*Server
+	for _, name := range slices.Sorted(maps.Keys(c.servers)) {
+		if s := c.servers[name]; c.pools[s.Pool] == wheelgauge.PoolEngine {
 			out = append(out, s)
 		}
 	}
--- a/cmd/wheelgauge-fake/commands.go
+++ b/cmd/wheelgauge-fake/commands.go
@@ -46,6 +46,7 @@
 	f.DurationVar(&o.ReportLag, "lag", 500*time.Millisecond, "how late load reports and cache events are")
 	f.Float64Var(&o.EventLoss, "event-loss", 0.05, "part of cache events that is lost")
 	f.BoolVar(&o.ChecksFences, "checks-fences", false, "refuse orders with an old fence")
+	f.DurationVar(&o.LoadTime, "load-time", time.Second, "time to load a model")
 	f.BoolVar(&o.Busy, "busy", false, "report a load that changes all the time")
 	f.Uint64Var(&o.Seed, "seed", 1, "seed of the losses")
 	return c
--- a/cmd/wheelgauge-store/run.go
+++ b/cmd/wheelgauge-store/run.go
@@ -43,6 +43,7 @@
 		Name: v.Text("store", "name"), Region: v.Text("store", "region"), Dir: v.Text("store", "folder"), Source: v.Text("store", "source"),
 		Peers: v.List("store", "peers"), Tick: v.Duration("store", "tick"), Heartbeat: v.Duration("store", "heartbeat"),
 		ClaimTTL: v.Duration("store", "claim_ttl"), Skew: v.Duration("store", "clock_skew"),
+		OrderInterval: v.Duration("orders", "interval"), LoadsAtOnce: v.Int("orders", "loads_at_once"), LoadLimit: v.Duration("orders", "load_limit"),
 		Peer: v.Text("listen", "peer"), Advertised: v.Text("listen", "advertised"), Operator: v.Text("listen", "operator"), Log: log,
 	}
 	tokens, err := operators.Load(v.Text("store", "tokens"))
--- a/contract.go
+++ b/contract.go
@@ -69,6 +69,29 @@
 	Load(ctx context.Context, address string) (LoadReport, error)
 }
 
+// Actions of an Order.
+const (
+	ActionLoad   = "load"
+	ActionUnload = "unload"
+)
+
+// Order tells a model engine to load or drop a version of a model.
+type Order struct {
+	// Fence grows with each new order giver; an engine that checks refuses an
+	// order whose fence is below one it has seen.
+	Fence   uint64 `json:"fence"`
+	Action  string `json:"action"`
+	Model   string `json:"model"`
+	Version string `json:"version"`
+}
+
+// OrderTaker is a backend server that takes orders. An order to load returns
+// once it is taken; the model is ready when Load reports it.
+type OrderTaker interface {
+	BackendServer
+	Order(ctx context.Context, address string, o Order) error
+}
+
 // Candidate is a backend server that could take a call.
 type Candidate struct {
 	Name     string
--- a/fake/engine/engine.go
+++ b/fake/engine/engine.go
@@ -35,6 +35,8 @@
 	// EventLoss is the part of cache events that is lost.
 	EventLoss    float64
 	ChecksFences bool
+	// LoadTime is how long an order to load takes.
+	LoadTime time.Duration
 	// Busy makes it report a load that changes all the time.
 	Busy bool
 	Seed uint64
@@ -78,9 +80,9 @@
 	running []*sequence
 	byID    map[string]*sequence
 	cache   *cache
-	orders  int
 	fence   uint64
-	models  map[string]string
+	models  map[string]time.Time // when each is ready
+	taken   []taken
 	leaving bool
 	frozen  bool
 	slow    int
@@ -107,7 +109,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	e := &Engine{
 		o: o, rnd: rand.New(rand.NewPCG(o.Seed, 11)), byID: map[string]*sequence{}, cache: newCache(o.CacheBlocks),
-		models: map[string]string{}, cancel: cancel, done: make(chan error, 1),
+		models: map[string]time.Time{}, cancel: cancel, done: make(chan error, 1),
 	}
 	server, err := httpserve.Listen(o.Address, e.handle, httpserve.Options{})
 	if err != nil {
@@ -242,10 +244,11 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if len(e.reports) == 0 {
-		return wheelgauge.LoadReport{Slots: e.o.Slots}
+		return wheelgauge.LoadReport{Slots: e.o.Slots, Models: e.ready()}
 	}
 	r := e.reports[0].report
 	r.Leaving = e.leaving
+	r.Models = e.ready()
 	if e.o.Busy {
 		r.Running, r.Waiting = e.rnd.IntN(e.o.Slots), e.rnd.IntN(e.o.Slots)
 	}
@@ -305,7 +308,7 @@
 func (e *Engine) Stats() Stats {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return Stats{e.started, e.cancels, e.cold, e.asked, e.orders}
+	return Stats{e.started, e.cancels, e.cold, e.asked, len(e.taken)}
 }
 
 // Freeze stops all progress without closing anything; thaw ends that.
--- a/fake/engine/handler.go
+++ b/fake/engine/handler.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -189,34 +190,61 @@
 	peerhttp.Answer(ctx, out)
 }
 
-// order is a command to load or drop a model.
-type order struct {
-	Fence  uint64 `json:"fence"`
-	Action string `json:"action"`
-	Model  string `json:"model"`
-	As     string `json:"version"`
+// taken is an order that the engine took, for tests.
+type taken struct {
+	wheelgauge.Order
+	AtMS int64 `json:"at_ms"`
 }
 
 func (e *Engine) order(ctx *fasthttp.RequestCtx) {
-	o, err := peerhttp.Decode[order](ctx)
+	if ctx.IsGet() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		peerhttp.Answer(ctx, e.taken)
+		return
+	}
+	o, err := peerhttp.Decode[wheelgauge.Order](ctx)
 	if err != nil {
 		peerhttp.AnswerError(ctx, err)
 		return
 	}
+	if !e.take(o) {
+		peerhttp.AnswerError(ctx, wheelgauge.NewError(wheelgauge.ReasonConflict, wheelgauge.OutcomeNotRun, http.StatusConflict, "an order with a later fence came before"))
+		return
+	}
+	peerhttp.Answer(ctx, struct{}{})
+}
+
+// take carries an order out; loading takes its time in the background.
+func (e *Engine) take(o wheelgauge.Order) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.o.ChecksFences && o.Fence < e.fence {
-		peerhttp.AnswerError(ctx, wheelgauge.NewError(wheelgauge.ReasonConflict, wheelgauge.OutcomeNotRun, http.StatusConflict, "an order with a later fence came before"))
-		return
+		return false
 	}
 	e.fence = max(e.fence, o.Fence)
-	e.orders++
-	if o.Action == "unload" {
-		delete(e.models, o.Model)
-	} else {
-		e.models[o.Model] = o.As
+	e.taken = append(e.taken, taken{o, time.Now().UnixMilli()})
+	name := wheelgauge.ModelName(o.Model, o.Version)
+	if o.Action == wheelgauge.ActionUnload {
+		delete(e.models, name)
+		return true
 	}
-	peerhttp.Answer(ctx, e.models)
+	if _, loading := e.models[name]; !loading {
+		e.models[name] = time.Now().Add(e.o.LoadTime)
+	}
+	return true
+}
+
+// ready returns the models that are loaded. e.mu is held.
+func (e *Engine) ready() []string {
+	var out []string
+	for name, at := range e.models {
+		if time.Now().After(at) {
+			out = append(out, name)
+		}
+	}
+	slices.Sort(out)
+	return out
 }
 
 // kvMessage carries the blocks of cached prefixes.
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -48,7 +48,7 @@
 func (g *Gateway) survey(f *field, c *catalog.Catalog, route *catalog.Route, model string, tried []string) {
 	f.candidates, f.load, f.slots = f.candidates[:0], 0, 0
 	now := time.Now()
-	for _, s := range c.Servers(route.Pool, g.o.Region, model) {
+	for _, s := range c.Servers(route.Pool, g.o.Region, "") {
 		if s.Leaving || contains(tried, s.Name) || !g.aside.Allowed(s.Name, now) {
 			continue
 		}
@@ -56,6 +56,11 @@
 		if state.Leaving || state.Known && !state.Alive {
 			continue
 		}
+		// A model with placements is served where it is ready, also while it
+		// moves: not by where it should be.
+		if placed, version, _ := c.Placed(model, s.Name); placed && !state.Ready(model, version) {
+			continue
+		}
 		one := wheelgauge.Candidate{Name: s.Name, Address: s.Address, Hash: s.Hash, InFlight: g.inflight.Count(s.Name), Pending: g.inflight.Pending(s.Name)}
 		one.Running = g.inflight.Estimate(s.Name, state.Running+state.Waiting, state.Reported)
 		one.Slots = max(1, int(float64(s.Slots)*state.Ramp(now)))
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -138,7 +138,6 @@
 	if rq.catalog.Allows(rq.identity, g.o.Region) {
 		return nil
 	}
-	g.meter.Count("refused.residency")
 	return wheelgauge.NewError(wheelgauge.ReasonResidency, wheelgauge.OutcomeNotRun, http.StatusMisdirectedRequest,
 		"this client's data may not be processed in "+g.o.Region).WithEntries(g.entries(rq))
 }
--- a/membership/hub.go
+++ b/membership/hub.go
@@ -36,8 +36,10 @@
 type serverRow struct {
 	entry wheelgauge.ServerEntry
 	// number stands for the name on the wire, since the version born.
-	number  int
-	born    uint64
+	number int
+	born   uint64
+	// told is the version at which the ready models last changed.
+	told    uint64
 	reports map[string]report
 	version uint64
 }
@@ -147,6 +149,9 @@
 		return
 	}
 	h.version++
+	if row.entry.Models != entry.Models {
+		row.told = h.version
+	}
 	row.entry, row.version = entry, h.version
 }
 
@@ -173,8 +178,8 @@
 
 func (h *Hub) since(b wheelgauge.Heartbeat) wheelgauge.View {
 	from := b.Since
-	names := map[int]string{}
-	v := wheelgauge.View{Hub: h.boot, Version: h.version, Names: names}
+	names, models := map[int]string{}, map[int]string{}
+	v := wheelgauge.View{Hub: h.boot, Version: h.version, Names: names, Models: models}
 	if b.Hub != h.boot {
 		from, v.Full = 0, true
 	}
@@ -187,6 +192,9 @@
 		if row.version > from {
 			v.Loads = append(v.Loads, wheelgauge.NewServerLoad(row.number, row.entry))
 		}
+		if row.told > from {
+			models[row.number] = row.entry.Models
+		}
 		if row.born > from {
 			names[row.number] = row.entry.Server
 		}
--- a/membership/hub_test.go
+++ b/membership/hub_test.go
@@ -43,11 +43,32 @@
 	c.now = c.now.Add(time.Millisecond)
 	h.Beat(beat("b", alive("e1", 9)))
 	again.Since = v.Version
-	if v = h.Beat(wheelgauge.Heartbeat{Host: "a", Boot: 1, Hub: v.Hub, Since: v.Version}); len(v.Hosts) != 1 || len(v.Loads) != 1 || v.Loads[0].Entry("e1") != alive("e1", 9) {
+	if v = h.Beat(wheelgauge.Heartbeat{Host: "a", Boot: 1, Hub: v.Hub, Since: v.Version}); len(v.Hosts) != 1 || len(v.Loads) != 1 || v.Loads[0].Entry("e1", "") != alive("e1", 9) {
 		t.Fatalf("news %+v", v)
 	}
 }
 
+// TestModels tells of ready models once, when they change.
+func TestModels(t *testing.T) {
+	h := hub(&clock{time.Unix(0, 0)})
+	ready := alive("e1", 1)
+	ready.Models = "large@1"
+	v := h.Beat(beat("a", ready))
+	if v.Models[0] != "large@1" {
+		t.Fatalf("first view %+v", v)
+	}
+	ready.Running = 2
+	next := beat("a", ready)
+	next.Hub, next.Since = v.Hub, v.Version
+	if v = h.Beat(next); len(v.Models) != 0 || len(v.Loads) != 1 {
+		t.Fatalf("models did not change, but got %+v", v)
+	}
+	next.Servers[0].Models, next.Since = "", v.Version
+	if v = h.Beat(next); len(v.Models) != 1 || v.Models[0] != "" {
+		t.Fatalf("models went, but got %+v", v)
+	}
+}
+
 // TestFailures covers what a hub makes of silence.
 func TestFailures(t *testing.T) {
 	tests := []struct {
@@ -90,7 +111,7 @@
 				host = host || e.Host == "a" && e.Alive
 			}
 			for _, l := range v.Loads {
-				server = server || v.Names[l.Number()] == "e1" && l.Entry("e1").Alive
+				server = server || v.Names[l.Number()] == "e1" && l.Entry("e1", "").Alive
 			}
 			if host != tt.host || server != tt.server || h.Summary().Pools["p"].Slots != tt.slots {
 				t.Fatalf("host %t, server %t, slots %d", host, server, h.Summary().Pools["p"].Slots)
--- a/membership/node.go
+++ b/membership/node.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -70,6 +72,7 @@
 	hosts   map[string]wheelgauge.HostEntry
 	servers map[string]*ServerState
 	names   map[int]string
+	models  map[int]string
 	regions map[string]wheelgauge.RegionSummary
 	viewHub uint64
 	version uint64
@@ -86,7 +89,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	n := &Node{
 		options: options, hub: NewHub(options.Region, options.Boot, options.Interval, options.Catalog, time.Now),
-		hosts: map[string]wheelgauge.HostEntry{}, servers: map[string]*ServerState{}, names: map[int]string{}, regions: map[string]wheelgauge.RegionSummary{},
+		hosts: map[string]wheelgauge.HostEntry{}, servers: map[string]*ServerState{}, names: map[int]string{}, models: map[int]string{}, regions: map[string]wheelgauge.RegionSummary{},
 		cancel: cancel, done: make(chan error, 1),
 	}
 	go func() { n.done <- n.run(ctx) }()
@@ -181,7 +184,7 @@
 	if err != nil {
 		return wheelgauge.ServerEntry{Server: s.Name}
 	}
-	return wheelgauge.ServerEntry{Server: s.Name, Alive: true, Leaving: load.Leaving, Running: load.Running, Waiting: load.Waiting}
+	return wheelgauge.ServerEntry{Server: s.Name, Alive: true, Leaving: load.Leaving, Running: load.Running, Waiting: load.Waiting, Models: strings.Join(load.Models, ",")}
 }
 
 // hubs returns the addresses to try, best first: the region's stores, then
@@ -256,6 +259,7 @@
 	if v.Full {
 		clear(n.hosts)
 		clear(n.names)
+		clear(n.models)
 	}
 	for _, h := range v.Hosts {
 		n.hosts[h.Host] = h
@@ -271,10 +275,11 @@
 	for number, name := range v.Names {
 		n.names[number] = name
 	}
+	maps.Copy(n.models, v.Models)
 	out := make([]wheelgauge.ServerEntry, 0, len(v.Loads))
 	for _, l := range v.Loads {
 		if name, ok := n.names[l.Number()]; ok {
-			out = append(out, l.Entry(name))
+			out = append(out, l.Entry(name, n.models[l.Number()]))
 		}
 	}
 	return out
@@ -363,6 +368,18 @@
 	return ServerState{}
 }
 
+// Ready tells whether the server reports a version of a model as ready; any
+// version when version is empty.
+func (s *ServerState) Ready(model, version string) bool {
+	for one := range strings.SplitSeq(s.Models, ",") {
+		name, at, _ := strings.Cut(one, "@")
+		if name == model && (version == "" || at == version) {
+			return true
+		}
+	}
+	return false
+}
+
 // Ramp returns the part of its slots that a server gets: less than 1 for a
 // while after it came back.
 func (s *ServerState) Ramp(now time.Time) float64 {
--- a/message.go
+++ b/message.go
@@ -135,8 +135,13 @@
 	Leaving bool `json:"leaving,omitempty"`
 	// TokensPerSecond is the generation rate over the last second.
 	TokensPerSecond float64 `json:"tokens_per_second,omitempty"`
+	// Models are those ready to serve, as "model@version".
+	Models []string `json:"models,omitempty"`
 }
 
+// ModelName joins a model and its version as load reports do.
+func ModelName(model, version string) string { return model + "@" + version }
+
 // ServerEntry is what the host that polls a backend server saw last.
 type ServerEntry struct {
 	Server  string `json:"n"`
@@ -144,6 +149,8 @@
 	Leaving bool   `json:"v,omitempty"`
 	Running int    `json:"u,omitempty"`
 	Waiting int    `json:"w,omitempty"`
+	// Models are those ready, as in LoadReport, separated by commas.
+	Models string `json:"m,omitempty"`
 }
 
 // Heartbeat is what a host tells its hub each interval.
@@ -196,6 +203,8 @@
 	Hosts   []HostEntry `json:"h,omitempty"`
 	// Names gives the backend servers that are new their numbers at this hub.
 	Names map[int]string `json:"n,omitempty"`
+	// Models are the ready models of the servers for which they changed.
+	Models map[int]string `json:"m,omitempty"`
 	// Loads are by number, as load reports are most of the traffic.
 	Loads   []ServerLoad    `json:"s,omitempty"`
 	Regions []RegionSummary `json:"r,omitempty"`
@@ -226,7 +235,7 @@
 // Number returns the server's number at the hub.
 func (l ServerLoad) Number() int { return l[0] }
 
-// Entry unpacks the load of the named server.
-func (l ServerLoad) Entry(name string) ServerEntry {
-	return ServerEntry{Server: name, Alive: l[1]&LoadAlive != 0, Leaving: l[1]&LoadLeaving != 0, Running: l[2], Waiting: l[3]}
+// Entry unpacks the load of the named server that has models ready.
+func (l ServerLoad) Entry(name, models string) ServerEntry {
+	return ServerEntry{Server: name, Models: models, Alive: l[1]&LoadAlive != 0, Leaving: l[1]&LoadLeaving != 0, Running: l[2], Waiting: l[3]}
 }
--- /dev/null
+++ b/orders/giver_test.go
@@ -0,0 +1,113 @@
+package orders
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"wheelgauge"
+	"wheelgauge/catalog"
+)
+
+// engines is a fake of all engines; an order takes effect at once.
+type engines struct {
+	ready map[string][]string
+	down  map[string]bool
+	log   []string
+}
+
+func (e *engines) Send(context.Context, string, *wheelgauge.Call) (*wheelgauge.Answer, error) {
+	return nil, errors.New("not asked for")
+}
+func (e *engines) Cancel(context.Context, string, string) error { return nil }
+
+func (e *engines) Load(_ context.Context, address string) (wheelgauge.LoadReport, error) {
+	if e.down[address] {
+		return wheelgauge.LoadReport{}, errors.New("down")
+	}
+	return wheelgauge.LoadReport{Models: e.ready[address]}, nil
+}
+
+func (e *engines) Order(_ context.Context, address string, o wheelgauge.Order) error {
+	name := wheelgauge.ModelName(o.Model, o.Version)
+	e.log = append(e.log, fmt.Sprintf("%s %s %s %d", o.Action, name, address, o.Fence))
+	if o.Action == wheelgauge.ActionLoad {
+		e.ready[address] = append(e.ready[address], name)
+		return nil
+	}
+	e.ready[address] = slices.DeleteFunc(slices.Clone(e.ready[address]), func(n string) bool { return n == name })
+	return nil
+}
+
+// leader is a fake of the replicated log.
+type leader struct {
+	leading bool
+	term    uint64
+	barrier error
+}
+
+func (l *leader) Leading() bool                     { return l.leading }
+func (l *leader) Term() uint64                      { return l.term }
+func (l *leader) ReadBarrier(context.Context) error { return l.barrier }
+
+func build(placements ...string) *catalog.Catalog {
+	list := []wheelgauge.Resource{{Kind: wheelgauge.KindPool, Name: "p", Spec: json.RawMessage(`{"type":"engine"}`)}}
+	for _, name := range []string{"e1", "e2", "e3"} {
+		spec := fmt.Sprintf(`{"pool":"p","region":"r","slots":1,"address":%q,"checks_fences":%t}`, name, name != "e3")
+		list = append(list, wheelgauge.Resource{Kind: wheelgauge.KindBackendServer, Name: name, Spec: json.RawMessage(spec)})
+	}
+	for i, p := range placements {
+		list = append(list, wheelgauge.Resource{Kind: wheelgauge.KindPlacement, Name: fmt.Sprint("p", i), Spec: json.RawMessage(p)})
+	}
+	return catalog.Build(1, list)
+}
+
+func TestOrders(t *testing.T) {
+	const onE1, onE2 = `{"model":"m","version":"1","servers":["e1"]}`, `{"model":"m","version":"1","servers":["e2"]}`
+	tests := []struct {
+		name   string
+		place  []string
+		ready  map[string][]string
+		down   map[string]bool
+		leader leader
+		ticks  int
+		want   []string
+	}{
+		{"load", []string{onE1}, nil, nil, leader{true, 7, nil}, 3, []string{"load m@1 e1 7"}},
+		{"already there", []string{onE1}, map[string][]string{"e1": {"m@1"}}, nil, leader{true, 7, nil}, 3, nil},
+		{"not the leader", []string{onE1}, nil, nil, leader{false, 7, nil}, 3, nil},
+		{"no quorum confirms", []string{onE1}, nil, nil, leader{true, 7, errors.New("cut off")}, 3, nil},
+		{"move: the old copy goes last", []string{onE2}, map[string][]string{"e1": {"m@1"}}, nil, leader{true, 7, nil}, 3, []string{"load m@1 e2 7", "unload m@1 e1 7"}},
+		{"the new place is down: the last copy stays", []string{onE2}, map[string][]string{"e1": {"m@1"}}, map[string]bool{"e2": true}, leader{true, 7, nil}, 3, nil},
+		{"no place at all: the last copy stays", []string{`{"model":"m","servers":[]}`}, map[string][]string{"e1": {"m@1"}}, nil, leader{true, 7, nil}, 3, nil},
+		{"new version on the same engine", []string{`{"model":"m","version":"2","servers":["e1"]}`}, map[string][]string{"e1": {"m@1"}}, nil, leader{true, 7, nil}, 3, []string{"load m@2 e1 7", "unload m@1 e1 7"}},
+		{"an engine without fences waits for the lease", []string{`{"model":"m","version":"1","servers":["e3"]}`}, nil, nil, leader{true, 7, nil}, 3, nil},
+		{"two loads at once", []string{`{"model":"m","version":"1","servers":["e1","e2"]}`, `{"model":"n","version":"1","servers":["e1"]}`}, nil, nil, leader{true, 7, nil}, 1, []string{"load m@1 e1 7", "load m@1 e2 7"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			e := &engines{ready: tt.ready, down: tt.down}
+			if e.ready == nil {
+				e.ready = map[string][]string{}
+			}
+			c := build(tt.place...)
+			g := &Giver{loading: map[string]time.Time{}, o: Options{
+				LoadsAtOnce: 2, LoadLimit: time.Hour, Leadership: &tt.leader, Engines: e, Log: logr.Discard(),
+				Catalog: func() *catalog.Catalog { return c },
+			}}
+			for range tt.ticks {
+				g.tick(context.Background())
+			}
+			if strings.Join(e.log, "; ") != strings.Join(tt.want, "; ") {
+				t.Fatalf("got %v, want %v", e.log, tt.want)
+			}
+		})
+	}
+}
--- a/replica/progress.go
+++ b/replica/progress.go
@@ -100,6 +100,9 @@
 	return s.Leader == s.Self.ID
 }
 
+// Term returns the term of the last published status.
+func (r *Replica) Term() uint64 { return r.view.get().Term }
+
 // LeaderAddress returns where the leader is reached; empty when there is none.
 func (r *Replica) LeaderAddress() string {
 	s := r.view.get()
--- a/storenode/node.go
+++ b/storenode/node.go
@@ -14,6 +14,7 @@
 	"github.com/go-logr/logr"
 
 	"wheelgauge/acceptor"
+	"wheelgauge/adapter/engine"
 	"wheelgauge/catalog"
 	"wheelgauge/claims"
 	"wheelgauge/httpserve"
@@ -21,10 +22,12 @@
 	"wheelgauge/membership"
 	"wheelgauge/meter"
 	"wheelgauge/operators"
+	"wheelgauge/orders"
 	"wheelgauge/peerhttp"
 	"wheelgauge/registry"
 	"wheelgauge/replica"
 	"wheelgauge/storeapi"
+	"wheelgauge/upstream"
 )
 
 // Folders below the data folder.
@@ -51,6 +54,10 @@
 	ClaimTTL   time.Duration
 	Skew       time.Duration
 	Tokens     *operators.Tokens
+	// OrderInterval, LoadsAtOnce and LoadLimit are those of orders to engines.
+	OrderInterval time.Duration
+	LoadsAtOnce   int
+	LoadLimit     time.Duration
 	// PeerTLS and Secure are nil on loopback.
 	PeerTLS     *tls.Config
 	Secure      peerhttp.Secure
@@ -70,6 +77,7 @@
 	stop      context.CancelFunc
 	listeners []*httpserve.Server
 	exchanged chan error
+	giver     *orders.Giver
 
 	mu      sync.Mutex
 	catalog *catalog.Catalog
@@ -122,6 +130,11 @@
 	n.hub = membership.NewHub(o.Region, uint64(time.Now().UnixNano()), o.Heartbeat, n.current, time.Now)
 	table := inforce.New()
 	n.acceptor = acceptor.Start(context.WithoutCancel(ctx), n.registry, n.replica, table, n.client, o.Log.WithName("acceptor"))
+	plain := peerhttp.NewDialer(o.Source, nil)
+	n.giver = orders.Start(context.WithoutCancel(ctx), orders.Options{
+		Interval: o.OrderInterval, LoadsAtOnce: o.LoadsAtOnce, LoadLimit: o.LoadLimit, Leadership: n.replica, Catalog: n.current,
+		Engines: engine.New(upstream.New(plain), peerhttp.NewClient(plain, "")), Log: o.Log.WithName("orders"),
+	})
 	api := &storeapi.API{
 		Registry: n.registry, Replica: n.replica, Claims: n.claims, InForce: table, Acceptor: n.acceptor,
 		Hub: n.hub, Tokens: o.Tokens, Meter: meter.New(), Stop: ctx,
@@ -180,7 +193,7 @@
 	for _, l := range n.listeners {
 		errs = append(errs, l.Close(ctx))
 	}
-	errs = append(errs, n.acceptor.Close(), n.replica.Close(), n.claims.Close())
+	errs = append(errs, n.giver.Close(), n.acceptor.Close(), n.replica.Close(), n.claims.Close())
 	n.client.CloseIdle()
 	return errors.Join(errs...)
 }
--- a/systemtest/deployment_test.go
+++ b/systemtest/deployment_test.go
@@ -62,6 +62,8 @@
 	class func(region string, i int) string
 	// tls runs peers and operators with certificates.
 	tls bool
+	// fences tells that the engines check fences.
+	fences bool
 	// alone keeps other tests from running beside it.
 	alone bool
 }
@@ -291,10 +293,12 @@
 peer = %s:%d
 advertised = %s:%d
 operator = %s:%d
+[orders]
+%s
 [log]
 level = debug
 `, n.name, n.region, n.ip, filepath.Join(n.dir, "store"), strings.Join(stores, ","), filepath.Join(d.dir, "operators.ini"),
-		d.pace("tick = 20ms\nheartbeat = 200ms"), n.ip, portStorePeer, n.front, portStorePeer, n.ip, portStoreOps)
+		d.pace("tick = 20ms\nheartbeat = 200ms"), n.ip, portStorePeer, n.front, portStorePeer, n.ip, portStoreOps, d.pace("interval = 200ms\nload_limit = 5s"))
 	return text
 }
 
@@ -540,7 +544,9 @@
 		if s.pool == "services" {
 			slots = 64
 		}
-		add(wheelgauge.KindBackendServer, s.name, wheelgauge.BackendServerSpec{Pool: s.pool, Region: s.region, Hall: s.region + "-hall", Address: s.addr, Slots: slots})
+		add(wheelgauge.KindBackendServer, s.name, wheelgauge.BackendServerSpec{
+			Pool: s.pool, Region: s.region, Hall: s.region + "-hall", Address: s.addr, Slots: slots, ChecksFences: d.s.fences,
+		})
 	}
 	for _, model := range []string{"large", "small"} {
 		add(wheelgauge.KindModel, model, wheelgauge.ModelSpec{Versions: []string{"1"}})
--- a/systemtest/fault_residency_test.go
+++ b/systemtest/fault_residency_test.go
@@ -185,22 +185,24 @@
 }
 
 // TestFaultLoop: a forward mark sent by a caller counts for nothing, and a
-// forwarded request is not forwarded again.
+// forwarded request is not forwarded again though another region could serve it.
 func TestFaultLoop(t *testing.T) {
 	s := smallShape()
-	s.engines = []int{0, 0, 0}
+	s.engines = []int{0, 1, 1}
 	d := launch(t, s)
 	karachi := d.node("karachi-1")
 	forged := chat(standby("karachi"), "forged", 2)
-	forged.header = map[string]string{wheelgauge.HeaderForwardedFrom: "lahore", wheelgauge.HeaderClient: "lahore-client-5", wheelgauge.HeaderClass: "royal", wheelgauge.HeaderPriority: "9"}
+	forged.header = map[string]string{wheelgauge.HeaderForwardedFrom: "lahore", wheelgauge.HeaderClient: "lahore-client-5", wheelgauge.HeaderClass: "royal", wheelgauge.HeaderMust: "true"}
+	// The mark is dropped: the request is forwarded once, as any other.
 	r := d.do(karachi, forged)
-	if r.outcome() != wheelgauge.OutcomeNotRun || r.reason() != wheelgauge.ReasonNoServer {
-		t.Fatalf("got %s", r)
+	if err := whole(r, "forged", 2); err != nil || r.header.Get(wheelgauge.HeaderRegion) == "karachi" {
+		t.Fatalf("got %s, %v", r, err)
 	}
 	if r := d.do(karachi, call{method: http.MethodPost, path: "/peer/forward/v1/chat/completions", client: standby("karachi"), body: forged.body, header: forged.header}); r.status != http.StatusNotFound {
 		t.Errorf("the callers' listener has a way for peers: %s", r)
 	}
-	// By the peers' listener: taken, and not sent on though nothing serves here.
+	// By the peers' listener: taken as forwarded, and not sent on.
+	before := d.counter(karachi, "away.sent")
 	req, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s:%d/peer/forward/v1/chat/completions", karachi.ip, portPeer), strings.NewReader(forged.body))
 	if err != nil {
 		t.Fatal(err)
@@ -214,12 +216,10 @@
 	}
 	defer resp.Body.Close()
 	var fault wheelgauge.Error
-	if err := json.NewDecoder(resp.Body).Decode(&fault); err != nil || fault.Reason() != wheelgauge.ReasonNoServer {
+	if err := json.NewDecoder(resp.Body).Decode(&fault); err != nil || fault.Reason() != wheelgauge.ReasonNoServer || fault.Outcome() != wheelgauge.OutcomeNotRun {
 		t.Errorf("got %v, %v", &fault, err)
 	}
-	for _, n := range d.nodes {
-		if sent := d.counter(n, "away.sent"); sent != 0 {
-			t.Errorf("%s sent %d requests on", n.name, sent)
-		}
+	if after := d.counter(karachi, "away.sent"); after != before {
+		t.Errorf("a forwarded request was sent on %d times", after-before)
 	}
 }
--- a/systemtest/fault_store_test.go
+++ b/systemtest/fault_store_test.go
@@ -157,6 +157,43 @@
 	})
 }
 
+// TestFaultNeverOlder: a gateway that restarts beside a store that lags takes
+// the newest configuration it can reach, not that store's.
+func TestFaultNeverOlder(t *testing.T) {
+	s := smallShape()
+	s.hosts = []int{1, 2, 1}
+	d := launch(t, s)
+	lahore, second := d.node("lahore-1"), d.node("lahore-2")
+	var rest []string
+	for _, n := range d.nodes {
+		if n.region != "lahore" {
+			rest = append(rest, n.ip)
+		}
+	}
+	d.net.cutBoth([]string{lahore.ip}, rest)
+	generation := d.apply([]wheelgauge.Resource{class("news", 3)})
+	eventually(t, 15*time.Second, "news come from another region", func() error {
+		if g, err := d.generation(second); err != nil || g < generation {
+			return fmt.Errorf("at %d of %d, %v", g, generation, err)
+		}
+		return nil
+	})
+	for range 3 {
+		second.gateway.kill()
+		d.startGateway(second)
+		eventually(t, readyLimit, "the gateway has a configuration", func() error {
+			g, err := d.generation(second)
+			if err != nil || g == 0 {
+				return fmt.Errorf("at %d, %v", g, err)
+			}
+			if g < generation {
+				t.Fatalf("fell back to %d from %d", g, generation)
+			}
+			return nil
+		})
+	}
+}
+
 // TestFaultOperatorsRace: many operators change one resource at the same
 // generation with different content through different stores, with lost
 // answers and a leader killed. One wins each round, each loser is told by whom,
