Let a replaced disk that comes back join anew

Excluded: harm to the group: its pre-votes are refused by members in touch with a leader, and nobody counts its votes. Change: a leader that has applied an entry of its own term tells a campaigning non-member that it was replaced; that store gives its identity up and ends with an error that says so; its next start joins as a learner. A leader that has not settled says nothing: it might not know a member that was just added. Also: -first-block lets two runs of systemtest share a machine.

--- a/raft/core.go
+++ b/raft/core.go
@@ -156,6 +156,10 @@
 	return 0
 }
 
+// Settled tells whether this leader has applied an entry of its own term, and
+// so every change of members that was committed before.
+func (c *Core) Settled() bool { return c.role == Leader && c.termAt(c.applied) == c.term }
+
 // Active tells whether a member answered this leader lately.
 func (c *Core) Active(id uint64) bool {
 	p := c.progress[id]
--- a/replica/handler.go
+++ b/replica/handler.go
@@ -2,16 +2,22 @@
 
 import (
 	"context"
+	"net/http"
+	"slices"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"wheelgauge"
 	"wheelgauge/peerhttp"
 	"wheelgauge/raft"
 )
 
 const requestTimeout = 5 * time.Second
 
+// errReplaced answers a store whose place another member of its name has taken.
+var errReplaced = wheelgauge.NewError(wheelgauge.ReasonConflict, wheelgauge.OutcomeNotRun, http.StatusGone, "this store was replaced by another member")
+
 // Handle answers the paths of the replica; false means the path is not its own.
 func (r *Replica) Handle(ctx *fasthttp.RequestCtx) bool {
 	limit, cancel := context.WithTimeout(context.Background(), requestTimeout)
@@ -48,14 +54,29 @@
 		return
 	}
 	r.net.learn(e.From)
+	gone := make(chan bool, 1)
 	err = r.submit(limit, func() {
+		gone <- r.replaced(e)
 		for _, m := range e.Messages {
 			r.core.Step(m)
 		}
 	})
+	if err == nil && <-gone {
+		err = errReplaced
+	}
 	reply(ctx, struct{}{}, err)
 }
 
+// replaced tells whether the sender campaigns though it is no member any more:
+// a settled leader knows every change of members.
+func (r *Replica) replaced(e envelope) bool {
+	member := slices.ContainsFunc(r.core.Members(), func(m raft.Member) bool { return m.ID == e.From.ID })
+	campaigns := slices.ContainsFunc(e.Messages, func(m raft.Message) bool {
+		return m.Type == raft.MessagePreVote || m.Type == raft.MessageVote
+	})
+	return r.core.Settled() && campaigns && !member
+}
+
 func (r *Replica) takeJoin(limit context.Context, ctx *fasthttp.RequestCtx) {
 	if ctx.IsDelete() {
 		reply(ctx, struct{}{}, r.Remove(limit, string(ctx.QueryArgs().Peek("name"))))
--- a/replica/network.go
+++ b/replica/network.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"wheelgauge"
 	"wheelgauge/peerhttp"
 	"wheelgauge/raft"
 )
@@ -33,6 +36,8 @@
 	known  map[uint64]string
 	outbox map[string]chan raft.Message
 	group  sync.WaitGroup
+	// replaced is set once a leader says that this replica is no member any more.
+	replaced atomic.Bool
 }
 
 func newNetwork(ctx context.Context, client *peerhttp.Client, self raft.Member) *network {
@@ -106,8 +111,11 @@
 func (n *network) post(address string, messages []raft.Message) {
 	ctx, cancel := context.WithTimeout(n.ctx, sendTimeout)
 	defer cancel()
-	// A lost message is repeated by the core; its error says nothing new.
-	_ = n.client.Call(ctx, http.MethodPost, address, pathMessages, envelope{From: n.self, Messages: messages}, nil)
+	err := n.client.Call(ctx, http.MethodPost, address, pathMessages, envelope{From: n.self, Messages: messages}, nil)
+	// A lost message is repeated by the core; only this answer says something new.
+	if fault, ok := errors.AsType[*wheelgauge.Error](err); ok && fault.Status() == http.StatusGone {
+		n.replaced.Store(true)
+	}
 }
 
 func (n *network) wait() { n.group.Wait() }
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -139,6 +139,9 @@
 			f()
 			r.drain()
 		}
+		if r.net.replaced.Load() {
+			return r.giveUp()
+		}
 		if err := r.carryOut(); err != nil {
 			r.options.Log.Error(err, "Replica stops: its state cannot be kept.")
 			return err
@@ -147,6 +150,17 @@
 	}
 }
 
+// giveUp forgets the identity that was replaced. The next start joins as a new
+// member.
+func (r *Replica) giveUp() error {
+	r.options.Log.Info("Replica was replaced by another member of its name. Start again to join anew.")
+	r.storage.self.ID = mint()
+	if err := r.storage.rewrite(nil, raft.HardState{}, nil); err != nil {
+		return fmt.Errorf("give up identity: %w", err)
+	}
+	return errReplaced
+}
+
 // drain takes what else has come, so that one sync serves all of it.
 func (r *Replica) drain() {
 	for range batchLength {
--- a/systemtest/deployment_test.go
+++ b/systemtest/deployment_test.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"crypto/x509"
 	"encoding/json"
+	"flag"
 	"fmt"
 	"net/http"
 	"os"
@@ -29,7 +30,6 @@
 	portStoreOps  = 8092
 	portServer    = 9000
 
-	firstBlock  = 20
 	writeToken  = "write-token-of-the-test"
 	readToken   = "read-token-of-the-test"
 	readyLimit  = 30 * time.Second
@@ -38,6 +38,9 @@
 	firstPlain  = 80
 )
 
+// firstBlock keeps runs at the same time on one machine apart.
+var firstBlock = flag.Int("first-block", 20, "first byte of the addresses of deployments, 127.N")
+
 // blocks gives each deployment a second byte of 127.0.0.0/8 of its own.
 var blocks atomic.Int64
 
@@ -132,7 +135,7 @@
 	if test, ok := t.(*testing.T); ok && !s.alone {
 		test.Parallel()
 	}
-	d := &deployment{t: t, s: s, block: firstBlock + int(blocks.Add(1))%200, dir: t.TempDir()}
+	d := &deployment{t: t, s: s, block: *firstBlock + int(blocks.Add(1))%200, dir: t.TempDir()}
 	d.net = newNetwork(t, d.rule)
 	for r, region := range s.regions {
 		for h := range s.hosts[r] {
--- a/systemtest/fault_store_test.go
+++ b/systemtest/fault_store_test.go
@@ -348,6 +348,32 @@
 	}
 }
 
+// TestFaultOldDiskBack: a disk whose place a new member has taken comes back; it
+// gives its old identity up and joins anew.
+func TestFaultOldDiskBack(t *testing.T) {
+	d := launch(t, smallShape())
+	n := d.node("peshawar-1")
+	folder, kept := filepath.Join(n.dir, "store"), filepath.Join(n.dir, "kept")
+	n.store.kill()
+	if err := os.Rename(folder, kept); err != nil {
+		t.Fatal(err)
+	}
+	d.startStore(n)
+	d.awaitStore(n, 1)
+	generation := d.apply([]wheelgauge.Resource{class("newer", 4)})
+	n.store.kill()
+	if err := errors.Join(os.RemoveAll(folder), os.Rename(kept, folder)); err != nil {
+		t.Fatal(err)
+	}
+	d.startStore(n)
+	if err := <-n.store.done; err == nil {
+		t.Fatal("it ended without an error")
+	}
+	n.store.gone = true
+	d.startStore(n)
+	d.awaitStore(n, generation)
+}
+
 // TestFaultCorruptDisk: a store with damage in its log does not start, and says
 // what is wrong and where.
 func TestFaultCorruptDisk(t *testing.T) {
