--- a/inflight/table.go
+++ b/inflight/table.go
@@ -131,9 +131,6 @@
 	return int(r.pending.Load())
 }
 
-// Pending returns how many have no first byte yet.
-func (t *Table) Pending(name string) int { return int(t.row(name).pending.Load()) }
-
 // Count returns how many are on the way.
 func (t *Table) Count(name string) int { return int(t.row(name).count.Load()) }
 
--- a/orders/giver_test.go
+++ b/orders/giver_test.go
@@ -86,6 +86,7 @@
 		{"no quorum confirms", []string{onE1}, nil, nil, leader{true, 7, errors.New("cut off")}, 3, nil},
 		{"move: the old copy goes last", []string{onE2}, map[string][]string{"e1": {"m@1"}}, nil, leader{true, 7, nil}, 3, []string{"load m@1 e2 7", "unload m@1 e1 7"}},
 		{"the new place is down: the last copy stays", []string{onE2}, map[string][]string{"e1": {"m@1"}}, map[string]bool{"e2": true}, leader{true, 7, nil}, 3, nil},
+		{"one of two places is down: no copy goes", []string{`{"model":"m","version":"1","servers":["e1","e2"]}`}, map[string][]string{"e1": {"m@1", "m@0"}}, map[string]bool{"e2": true}, leader{true, 7, nil}, 3, nil},
 		{"no place at all: the last copy stays", []string{`{"model":"m","servers":[]}`}, map[string][]string{"e1": {"m@1"}}, nil, leader{true, 7, nil}, 3, nil},
 		{"new version on the same engine", []string{`{"model":"m","version":"2","servers":["e1"]}`}, map[string][]string{"e1": {"m@1"}}, nil, leader{true, 7, nil}, 3, []string{"load m@2 e1 7", "unload m@1 e1 7"}},
 		{"an engine without fences waits for the lease", []string{`{"model":"m","version":"1","servers":["e3"]}`}, nil, nil, leader{true, 7, nil}, 3, nil},
