--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -13,6 +13,7 @@
 	"github.com/go-logr/logr"
 
 	"wheelgauge"
+	"wheelgauge/every"
 	"wheelgauge/inforce"
 	"wheelgauge/peerhttp"
 	"wheelgauge/registry"
@@ -23,7 +24,7 @@
 const PathInForce = "/store/inforce"
 
 const (
-	every      = 250 * time.Millisecond
+	interval   = 250 * time.Millisecond
 	askTimeout = time.Second
 )
 
@@ -49,7 +50,7 @@
 func Start(ctx context.Context, reg *registry.Registry, rep *replica.Replica, table *inforce.Table, client *peerhttp.Client, log logr.Logger) *Acceptor {
 	ctx, cancel := context.WithCancel(ctx)
 	a := &Acceptor{registry: reg, replica: rep, table: table, client: client, log: log, cancel: cancel, done: make(chan error, 1)}
-	go func() { a.done <- a.run(ctx) }()
+	go func() { a.done <- every.Interval(ctx, interval, a.tick) }()
 	return a
 }
 
@@ -59,22 +60,10 @@
 	return <-a.done
 }
 
-func (a *Acceptor) run(ctx context.Context) error {
-	ticker := time.NewTicker(every)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			if a.replica.Leading() {
-				a.tick(ctx)
-			}
-		}
-	}
-}
-
 func (a *Acceptor) tick(ctx context.Context) {
+	if !a.replica.Leading() {
+		return
+	}
 	pending := a.registry.PendingList()
 	if len(pending) == 0 {
 		return
--- a/certs/authority.go
+++ b/certs/authority.go
@@ -45,14 +45,23 @@
 	return a, a.read()
 }
 
-func (a *Authority) make() error {
+// newKey returns a key and a serial number for its certificate.
+func newKey() (*ecdsa.PrivateKey, *big.Int, error) {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
-		return fmt.Errorf("make key: %w", err)
+		return nil, nil, fmt.Errorf("make key: %w", err)
 	}
 	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), serialBits))
 	if err != nil {
-		return fmt.Errorf("make serial number: %w", err)
+		return nil, nil, fmt.Errorf("make serial number: %w", err)
+	}
+	return key, serial, nil
+}
+
+func (a *Authority) make() error {
+	key, serial, err := newKey()
+	if err != nil {
+		return err
 	}
 	now := time.Now()
 	template := &x509.Certificate{
@@ -96,13 +105,9 @@
 
 // Issue writes NAME.pem and NAME.key, good for the IP addresses and for life.
 func (a *Authority) Issue(name string, addresses []string, life time.Duration) error {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		return fmt.Errorf("make key: %w", err)
-	}
-	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), serialBits))
+	key, serial, err := newKey()
 	if err != nil {
-		return fmt.Errorf("make serial number: %w", err)
+		return err
 	}
 	now := time.Now()
 	template := &x509.Certificate{
--- /dev/null
+++ b/every/every.go
@@ -0,0 +1,21 @@
+// Package every runs a function at an interval.
+package every
+
+import (
+	"context"
+	"time"
+)
+
+// Interval calls f each interval until ctx ends; the first call is after one.
+func Interval(ctx context.Context, interval time.Duration, f func(ctx context.Context)) error {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			f(ctx)
+		}
+	}
+}
--- a/gateway/hints.go
+++ b/gateway/hints.go
@@ -8,6 +8,7 @@
 	"github.com/go-logr/logr"
 
 	"wheelgauge"
+	"wheelgauge/every"
 )
 
 const hintsEvery = 2 * time.Second
@@ -39,16 +40,8 @@
 	if h.list == nil {
 		return nil
 	}
-	ticker := time.NewTicker(hintsEvery)
-	defer ticker.Stop()
-	for {
-		h.read(ctx)
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
-	}
+	h.read(ctx)
+	return every.Interval(ctx, hintsEvery, h.read)
 }
 
 func (h *hints) read(ctx context.Context) {
--- a/orders/giver.go
+++ b/orders/giver.go
@@ -18,6 +18,7 @@
 
 	"wheelgauge"
 	"wheelgauge/catalog"
+	"wheelgauge/every"
 )
 
 const (
@@ -74,7 +75,7 @@
 func Start(ctx context.Context, o Options) *Giver {
 	ctx, cancel := context.WithCancel(ctx)
 	g := &Giver{o: o, loading: map[string]time.Time{}, cancel: cancel, done: make(chan error, 1)}
-	go func() { g.done <- g.run(ctx) }()
+	go func() { g.done <- every.Interval(ctx, o.Interval, g.tick) }()
 	return g
 }
 
@@ -84,19 +85,6 @@
 	return <-g.done
 }
 
-func (g *Giver) run(ctx context.Context) error {
-	ticker := time.NewTicker(g.o.Interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			g.tick(ctx)
-		}
-	}
-}
-
 // tick compares what should be with what is and gives the orders that are due.
 func (g *Giver) tick(ctx context.Context) {
 	if !g.o.Leadership.Leading() {
--- a/storenode/node.go
+++ b/storenode/node.go
@@ -17,6 +17,7 @@
 	"wheelgauge/adapter/engine"
 	"wheelgauge/catalog"
 	"wheelgauge/claims"
+	"wheelgauge/every"
 	"wheelgauge/httpserve"
 	"wheelgauge/inforce"
 	"wheelgauge/membership"
@@ -108,7 +109,7 @@
 		stop()
 		return nil, err
 	}
-	go func() { n.exchanged <- n.exchange(ctx) }()
+	go func() { n.exchanged <- every.Interval(ctx, o.Heartbeat, n.exchange) }()
 	o.Log.Info("Store serves.", "peer", o.Peer, "operator", o.Operator)
 	return n, nil
 }
@@ -168,19 +169,10 @@
 }
 
 // exchange tells the other regions' hubs of this region.
-func (n *Node) exchange(ctx context.Context) error {
-	ticker := time.NewTicker(n.o.Heartbeat)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			limit, cancel := context.WithTimeout(ctx, n.o.Heartbeat)
-			membership.Exchange(limit, n.hub, n.current(), n.client)
-			cancel()
-		}
-	}
+func (n *Node) exchange(ctx context.Context) {
+	limit, cancel := context.WithTimeout(ctx, n.o.Heartbeat)
+	defer cancel()
+	membership.Exchange(limit, n.hub, n.current(), n.client)
 }
 
 // Done gives the error that ended the replica by itself.
--- a/systemtest/fault_store_test.go
+++ b/systemtest/fault_store_test.go
@@ -135,13 +135,7 @@
 	s.hosts = []int{1, 2, 1}
 	d := launch(t, s)
 	lahore, second := d.node("lahore-1"), d.node("lahore-2")
-	var rest []string
-	for _, n := range d.nodes {
-		if n.region != "lahore" {
-			rest = append(rest, n.ip)
-		}
-	}
-	d.net.cutBoth([]string{lahore.ip}, rest)
+	d.net.cutBoth([]string{lahore.ip}, d.ips("lahore", true))
 	eventually(t, 15*time.Second, "the cut-off store is left", func() error {
 		if d.counter(second, "config.store_moves") == 0 {
 			return errors.New("not noticed")
@@ -164,13 +158,7 @@
 	s.hosts = []int{1, 2, 1}
 	d := launch(t, s)
 	lahore, second := d.node("lahore-1"), d.node("lahore-2")
-	var rest []string
-	for _, n := range d.nodes {
-		if n.region != "lahore" {
-			rest = append(rest, n.ip)
-		}
-	}
-	d.net.cutBoth([]string{lahore.ip}, rest)
+	d.net.cutBoth([]string{lahore.ip}, d.ips("lahore", true))
 	generation := d.apply([]wheelgauge.Resource{class("news", 3)})
 	eventually(t, 15*time.Second, "news come from another region", func() error {
 		if g, err := d.generation(second); err != nil || g < generation {
