Say not-run only if it holds for every attempt

Cause: a call that may be repeated could fail unknown on one server, be refused a connection by the next, and be told as not run: the last attempt's outcome was told for all. Excluded: calls that are not repeatable (they end at the first unknown). Change: an attempt that was not proven not to have run marks its request, and the request's error is then unknown at best.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -23,10 +23,19 @@
 	cancelLimit  = 2 * time.Second
 )
 
-// open dispatches a request and returns the answer with its body unread.
-// A call that is not repeatable is never dispatched again once a byte of it
-// may have left.
+// open dispatches a request and returns the answer with its body unread. Its
+// error says not-run only if that holds for every attempt.
 func (g *Gateway) open(ctx context.Context, rq *request) (*wheelgauge.Answer, error) {
+	answer, err := g.dispatch(ctx, rq)
+	if err != nil && rq.mayHaveRun && isOutcome(err, wheelgauge.OutcomeNotRun) {
+		err = wheelgauge.AsError(err).WithOutcome(wheelgauge.OutcomeUnknown)
+	}
+	return answer, err
+}
+
+// dispatch chooses region and server. A call that is not repeatable is never
+// dispatched again once a byte of it may have left.
+func (g *Gateway) dispatch(ctx context.Context, rq *request) (*wheelgauge.Answer, error) {
 	if address := g.oldPath(rq); address != "" {
 		return g.sendOld(ctx, rq, address)
 	}
@@ -80,8 +89,11 @@
 	return nil, last
 }
 
-// mayRepeat tells whether a failed attempt may be followed by another.
+// mayRepeat takes note of a failed attempt and tells whether another may follow.
 func (g *Gateway) mayRepeat(rq *request, err error) bool {
+	if !isOutcome(err, wheelgauge.OutcomeNotRun) {
+		rq.mayHaveRun = true
+	}
 	if time.Now().After(rq.call.Deadline) || rq.left() {
 		return false
 	}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -51,6 +51,8 @@
 	gone      func() bool
 	cancelled atomic.Bool
 	attempts  int
+	// mayHaveRun is set once an attempt was not proven not to have run.
+	mayHaveRun bool
 	// target is who answers; a resumed stream may change it while it is read.
 	target atomic.Pointer[target]
 }
--- a/systemtest/fault_once_test.go
+++ b/systemtest/fault_once_test.go
@@ -250,3 +250,30 @@
 		t.Error("nothing was answered")
 	}
 }
+
+// TestFaultNotRunAfterRetry: when a call that may be repeated failed unknown on
+// one server and could not be sent to another, it is not called not run.
+func TestFaultNotRunAfterRetry(t *testing.T) {
+	s := smallShape()
+	s.engines = []int{2, 0, 0}
+	d := launch(t, s)
+	one, two := d.server("engine-karachi-0"), d.server("engine-karachi-1")
+	c := chat(standby("karachi"), "begun on one engine", 500)
+	c.body = fmt.Sprintf(`{"model":"small","max_tokens":500,"messages":[{"role":"user","content":%q}]}`, "begun on one engine")
+	done := make(chan reply, 1)
+	go func() { done <- d.do(d.node("karachi-1"), c) }()
+	eventually(t, 10*time.Second, "an engine has begun", func() error {
+		if startedBy(t, one)+startedBy(t, two) == 0 {
+			return fmt.Errorf("not yet")
+		}
+		return nil
+	})
+	if startedBy(t, one) > 0 {
+		one, two = two, one
+	}
+	one.run.kill()
+	two.run.kill()
+	if r := <-done; r.fault == nil || r.outcome() == wheelgauge.OutcomeNotRun {
+		t.Errorf("it had begun, and the caller is told %s", r)
+	}
+}
