Refuse at once what no region can take

(a) What this region could not take was offered to two others, and when they refused it was sent to this region's engines after all, past admission. (b) An engine whose queue was full counted as failing and was set aside, which looked like no server. Excluded: retries (1.035 attempts a request). Change: a refusal by the other regions is then the answer; a full queue is told as overloaded, with a time to come back, and sets no engine aside.

--- a/adapter/engine/engine.go
+++ b/adapter/engine/engine.go
@@ -6,6 +6,7 @@
 	"context"
 	"net/http"
 	"net/url"
+	"time"
 
 	"wheelgauge"
 	"wheelgauge/peerhttp"
@@ -33,12 +34,11 @@
 	if answer.Status < http.StatusInternalServerError {
 		return answer, nil
 	}
-	outcome := wheelgauge.OutcomeRan
+	_ = answer.Body.Close() // the answer is refused whatever its end is
 	if answer.Header(wheelgauge.HeaderOutcome) == string(wheelgauge.OutcomeNotRun) {
-		outcome = wheelgauge.OutcomeNotRun
+		return nil, wheelgauge.NewError(wheelgauge.ReasonOverloaded, wheelgauge.OutcomeNotRun, http.StatusServiceUnavailable, "the engine's queue is full").WithRetryAfter(time.Second)
 	}
-	_ = answer.Body.Close() // the answer is refused whatever its end is
-	return nil, wheelgauge.NewError(wheelgauge.ReasonServerFailed, outcome, http.StatusBadGateway, "engine answered "+http.StatusText(answer.Status))
+	return nil, wheelgauge.NewError(wheelgauge.ReasonServerFailed, wheelgauge.OutcomeRan, http.StatusBadGateway, "engine answered "+http.StatusText(answer.Status))
 }
 
 // Cancel implements wheelgauge.BackendServer.
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -39,11 +39,13 @@
 	if address := g.oldPath(rq); address != "" {
 		return g.sendOld(ctx, rq, address)
 	}
+	var refused error // by another region, where this one cannot serve at all
 	for range mostForwards {
 		p, err := g.decide(rq)
 		if err != nil {
 			return nil, err
 		}
+		refused = nil
 		if p.region == "" {
 			break
 		}
@@ -53,6 +55,12 @@
 			return answer, err
 		}
 		g.meter.Count("away.turned_back")
+		if p.must {
+			refused = err
+		}
+	}
+	if refused != nil {
+		return nil, refused
 	}
 	return g.sendHere(ctx, rq)
 }
@@ -143,7 +151,7 @@
 	if err != nil {
 		g.inflight.End(s.Name, 0)
 		g.inflight.End(rq.route.Pool, 0)
-		if !rq.left() {
+		if !rq.left() && wheelgauge.AsError(err).Reason() != wheelgauge.ReasonOverloaded {
 			g.aside.Failed(s.Name, time.Now())
 			g.o.Log.V(1).Info("Attempt failed.", "server", s.Name, "cause", err.Error())
 		}
