--- a/systemtest/demo_test.go
+++ b/systemtest/demo_test.go
@@ -81,11 +81,7 @@
 
 func (d *deployment) ctl(args ...string) string {
 	d.t.Helper()
-	var operators []string
-	for _, n := range d.storeNodes() {
-		operators = append(operators, fmt.Sprintf("%s:%d", n.ip, portStoreOps))
-	}
-	out, err := command("wheelgaugectl", append(args, "--stores", strings.Join(operators, ","), "--token", writeToken)...)
+	out, err := command("wheelgaugectl", append(args, "--stores", strings.Join(d.operators(), ","), "--token", writeToken)...)
 	if err != nil {
 		d.t.Fatalf("wheelgaugectl %v: %v\n%s", args, err, out)
 	}
--- a/systemtest/deployment_test.go
+++ b/systemtest/deployment_test.go
@@ -16,6 +16,7 @@
 	"wheelgauge"
 	"wheelgauge/load"
 	"wheelgauge/opsclient"
+	"wheelgauge/storeapi"
 )
 
 const (
@@ -278,6 +279,16 @@
 	return d
 }
 
+func votersOf(s storeapi.Status) int {
+	voters := 0
+	for _, m := range s.Replica.Members {
+		if m.Voter {
+			voters++
+		}
+	}
+	return voters
+}
+
 // awaitVoters waits until that many stores vote.
 func (d *deployment) awaitVoters(want int) {
 	d.t.Helper()
@@ -288,12 +299,7 @@
 		if err != nil {
 			return err
 		}
-		voters := 0
-		for _, m := range s.Replica.Members {
-			if m.Voter {
-				voters++
-			}
-		}
+		voters := votersOf(s)
 		if voters != want || s.Replica.Leader == 0 {
 			return fmt.Errorf("%d voters of %d, leader %d", voters, want, s.Replica.Leader)
 		}
--- a/systemtest/fault_store_test.go
+++ b/systemtest/fault_store_test.go
@@ -293,12 +293,7 @@
 		if err != nil {
 			return err
 		}
-		voters := 0
-		for _, m := range s.Replica.Members {
-			if m.Voter {
-				voters++
-			}
-		}
+		voters := votersOf(s)
 		if !s.Replica.Self.Voter || voters != 3 || len(s.Replica.Members) != 3 || s.Generation < generation {
 			return fmt.Errorf("voter %t, %d voters of %d, generation %d of %d", s.Replica.Self.Voter, voters, len(s.Replica.Members), s.Generation, generation)
 		}
@@ -359,13 +354,9 @@
 	d.awaitStore(n, generation)
 }
 
-// TestFaultCorruptDisk: a store with damage in its log does not start, and says
-// what is wrong and where.
-func TestFaultCorruptDisk(t *testing.T) {
-	d := launch(t, smallShape())
-	n := d.node("peshawar-1")
-	n.store.kill()
-	path := filepath.Join(n.dir, "store", "replica", "raft.log")
+// damage flips the bits of a byte in the middle of a file.
+func damage(t testing.TB, path string) {
+	t.Helper()
 	data, err := os.ReadFile(path)
 	if err != nil {
 		t.Fatal(err)
@@ -374,6 +365,16 @@
 	if err := os.WriteFile(path, data, 0o600); err != nil {
 		t.Fatal(err)
 	}
+}
+
+// TestFaultCorruptDisk: a store with damage in its log does not start, and says
+// what is wrong and where.
+func TestFaultCorruptDisk(t *testing.T) {
+	d := launch(t, smallShape())
+	n := d.node("peshawar-1")
+	n.store.kill()
+	path := filepath.Join(n.dir, "store", "replica", "raft.log")
+	damage(t, path)
 	d.startStore(n)
 	n.store.fails(readyLimit)
 	if text := n.store.log.String(); !strings.Contains(text, "corrupt") || !strings.Contains(text, path) {
@@ -459,14 +460,7 @@
 	}
 	n.store.kill()
 	path := filepath.Join(n.dir, "store", "claims", "claims.log")
-	data, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	data[len(data)/2] ^= 0xff
-	if err := os.WriteFile(path, data, 0o600); err != nil {
-		t.Fatal(err)
-	}
+	damage(t, path)
 	d.startStore(n)
 	n.store.fails(readyLimit)
 	if r := d.do(n, book(standby("karachi"), "tanker-c9", newKey())); r.outcome() != wheelgauge.OutcomeNotRun {
--- a/systemtest/files_test.go
+++ b/systemtest/files_test.go
@@ -34,18 +34,25 @@
 	for _, n := range d.storeNodes() {
 		stores = append(stores, fmt.Sprintf("%s:%d", n.front, portStorePeer))
 	}
-	var operators []string
 	for _, n := range d.storeNodes() {
 		write(d.t, n.dir, "store.ini", d.storeINI(n, stores)+d.tlsINI(n))
-		operators = append(operators, fmt.Sprintf("%s:%d", n.ip, portStoreOps))
 	}
 	for _, n := range d.nodes {
 		write(d.t, n.dir, "gateway.ini", d.gatewayINI(n, d.storesFrom(n, stores))+d.tlsINI(n))
 	}
-	d.ops = opsclient.New(operators, writeToken, d.secure())
+	d.ops = opsclient.New(d.operators(), writeToken, d.secure())
 	d.writeClients()
 }
 
+// operators returns the addresses of the stores' operator listeners.
+func (d *deployment) operators() []string {
+	var out []string
+	for _, n := range d.storeNodes() {
+		out = append(out, fmt.Sprintf("%s:%d", n.ip, portStoreOps))
+	}
+	return out
+}
+
 // secure is how operators check the stores; nil without TLS.
 func (d *deployment) secure() peerhttp.Secure {
 	if !d.s.tls {
