Read an answer's headers before its body is closed

A wrong outcome could have been read. Excluded: the other readers of headers (peerAnswer and forward ask before). Change: the header is read first; the contract says so.

--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 
 lint: ## formatter, vet and linter; prints nothing when clean
 	@test -z "$$($(TOOL) gofumpt -l . | tee /dev/stderr)"
-	@$(GO) vet ./...
+	@$(GO) vet -tags bench ./...
 	@$(TOOL) revive -config revive.toml -set_exit_status ./...
 
 fmt: ## format in place
@@ -26,10 +26,10 @@
 
 bench: ## added latency, throughput, memory; decisions by the nanosecond
 	$(GO) test ./routing/... ./away ./admission ./membership ./claims ./gateway -run '^$$' -bench . -benchmem
-	$(GO) test ./systemtest -count=1 -v -timeout 20m -run '^TestBench' -bench-run
+	$(GO) test ./systemtest -count=1 -v -timeout 20m -tags bench -run '^TestBench'
 
 faults: ## the fault matrix at length
 	$(GO) test ./systemtest -count=1 -v -timeout 40m -run '^TestFault'
 
 compare: ## decisions against baselines
-	$(GO) test ./systemtest -count=1 -v -timeout 60m -run '^TestCompare' -compare
+	$(GO) test ./systemtest -count=1 -v -timeout 60m -tags bench -run '^TestCompare'
--- a/adapter/engine/engine.go
+++ b/adapter/engine/engine.go
@@ -34,8 +34,10 @@
 	if answer.Status < http.StatusInternalServerError {
 		return answer, nil
 	}
+	// The headers are gone once the body is closed.
+	refused := answer.Header(wheelgauge.HeaderOutcome) == string(wheelgauge.OutcomeNotRun)
 	_ = answer.Body.Close() // the answer is refused whatever its end is
-	if answer.Header(wheelgauge.HeaderOutcome) == string(wheelgauge.OutcomeNotRun) {
+	if refused {
 		return nil, wheelgauge.NewError(wheelgauge.ReasonOverloaded, wheelgauge.OutcomeNotRun, http.StatusServiceUnavailable, "the engine's queue is full").WithRetryAfter(time.Second)
 	}
 	return nil, wheelgauge.NewError(wheelgauge.ReasonServerFailed, wheelgauge.OutcomeRan, http.StatusBadGateway, "engine answered "+http.StatusText(answer.Status))
--- a/contract.go
+++ b/contract.go
@@ -51,8 +51,9 @@
 type Answer struct {
 	Status      int
 	ContentType string
-	Header      func(name string) string
-	Body        io.ReadCloser
+	// Header must not be called once Body is closed.
+	Header func(name string) string
+	Body   io.ReadCloser
 	// Abort makes a Read of Body that is under way fail at once. It may be
 	// called at any time before Body is closed.
 	Abort func()
--- a/systemtest/bench_test.go
+++ b/systemtest/bench_test.go
@@ -1,9 +1,10 @@
+//go:build bench
+
 package systemtest
 
 import (
 	"bufio"
 	"context"
-	"flag"
 	"fmt"
 	"io"
 	"net/http"
@@ -22,8 +23,6 @@
 	"wheelgauge/load"
 )
 
-var benchRun = flag.Bool("bench-run", false, "measure; takes minutes")
-
 const ticksPerSecond = 100 // of /proc/PID/stat on Linux
 
 // cpu returns the processor time that a process has used.
@@ -88,9 +87,6 @@
 // TestBenchAdded measures what a gateway adds to a call of a backend server,
 // both ways in turn in one run.
 func TestBenchAdded(t *testing.T) {
-	if !*benchRun {
-		return
-	}
 	d := launch(t, benchShape())
 	n, engine, service := d.node("karachi-1"), d.server("engine-karachi-0"), d.server("service-karachi-0")
 	body := chat("", "a short question", 1).body
@@ -122,9 +118,6 @@
 // TestBenchThroughput measures requests and tokens a second of processor time,
 // and memory by open streams.
 func TestBenchThroughput(t *testing.T) {
-	if !*benchRun {
-		return
-	}
 	d := launch(t, benchShape())
 	n := d.node("karachi-1")
 	var sent atomic.Int64
@@ -166,9 +159,6 @@
 // TestBenchStreams measures a gateway's memory by the number of open streams,
 // at 28 ms between tokens.
 func TestBenchStreams(t *testing.T) {
-	if !*benchRun {
-		return
-	}
 	s := benchShape()
 	s.engine = []string{"--step", "28ms", "--prefill", "1000000", "--queue", "8000"}
 	d := launch(t, s)
@@ -209,9 +199,6 @@
 // TestBenchControl measures what control costs a gateway and the region's hub
 // by the number of hosts and backend servers, at the intervals that operators use.
 func TestBenchControl(t *testing.T) {
-	if !*benchRun {
-		return
-	}
 	for _, size := range []struct{ hosts, engines int }{{4, 4}, {8, 12}, {16, 24}, {32, 48}, {64, 96}} {
 		t.Run(fmt.Sprintf("%d hosts, %d servers", size.hosts, size.engines), func(t *testing.T) {
 			measureControl(t, size.hosts, size.engines)
@@ -252,9 +239,6 @@
 // TestBenchStore measures changes: how many a second, when in force, without a
 // leader, after a restart; and what a claim costs. Links take 55 ms.
 func TestBenchStore(t *testing.T) {
-	if !*benchRun {
-		return
-	}
 	s := dispatchShape()
 	s.alone, s.real = true, true
 	d := launch(t, s)
@@ -331,9 +315,6 @@
 // TestBenchConfig measures a configuration of the size to come: 5 regions, 16
 // halls, 410 hosts, 600 backend servers, 890 classes, on one small deployment.
 func TestBenchConfig(t *testing.T) {
-	if !*benchRun {
-		return
-	}
 	s := smallShape()
 	s.alone, s.real = true, true
 	d := launch(t, s)
--- a/systemtest/compare_test.go
+++ b/systemtest/compare_test.go
@@ -1,3 +1,5 @@
+//go:build bench
+
 package systemtest
 
 import (
@@ -18,7 +20,6 @@
 )
 
 var (
-	compare          = flag.Bool("compare", false, "compare policies; takes many minutes")
 	compareSeeds     = flag.Int("compare-seeds", 2, "seeds of each scenario")
 	compareTime      = flag.Duration("compare-time", 16*time.Second, "length of each run")
 	compareRate      = flag.Float64("compare-rate", 80, "requests a second")
@@ -98,9 +99,6 @@
 // TestCompare runs every policy on the same seeds and faults, all policies of a
 // scenario at the same time on the same machine.
 func TestCompare(t *testing.T) {
-	if !*compare {
-		return
-	}
 	var rows [][]string
 	for _, mix := range []string{load.MixDispatch, load.MixParkline} {
 		for _, tr := range troubles() {
--- a/systemtest/overload_test.go
+++ b/systemtest/overload_test.go
@@ -1,3 +1,5 @@
+//go:build bench
+
 package systemtest
 
 import (
@@ -33,9 +35,6 @@
 // TestBenchOverload raises the load past what the engines can do: what is
 // answered in time must not fall, and attempts must not multiply.
 func TestBenchOverload(t *testing.T) {
-	if !*benchRun {
-		return
-	}
 	for _, p := range []policy{comparedPolicies[0], comparedPolicies[3]} {
 		for _, rate := range []float64{80, 160, 240, 320} {
 			d := launch(t, overloadShape(p.picker, p.away))
@@ -70,9 +69,6 @@
 // TestBenchFlood lets one client of each region send twelve times as much, with
 // limits and without, and looks at the others.
 func TestBenchFlood(t *testing.T) {
-	if !*benchRun {
-		return
-	}
 	tests := []struct {
 		name  string
 		flood float64
