Start the operators' listener when all that it reports is there

Cause: two of four whole runs failed by the race detector (TestOperatorInput, TestFaultCutStore): the status handler read the list of listeners while the gateway was still adding its operators' listener to it. Excluded: anything a caller can reach (the callers' handler reads no listener). Change: a field for each listener, the operators' one started last and read by no handler.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,7 +14,6 @@
 	"time"
 
 	"github.com/go-logr/logr"
-	"github.com/valyala/fasthttp"
 
 	"wheelgauge"
 	"wheelgauge/adapter/engine"
@@ -99,7 +98,9 @@
 
 	ctx       context.Context
 	cancel    context.CancelFunc
-	listeners []*httpserve.Server
+	callers   *httpserve.Server
+	peerSide  *httpserve.Server
+	operators *httpserve.Server
 }
 
 // Open starts a gateway. It serves as soon as a configuration is in force.
@@ -130,24 +131,23 @@
 	return g, nil
 }
 
+// listen starts the operators' listener last: its handlers ask the other two.
 func (g *Gateway) listen() error {
-	for _, l := range []struct {
-		address string
-		handler fasthttp.RequestHandler
-		options httpserve.Options
-	}{
-		{g.o.Caller, g.serveCaller, httpserve.Options{
-			TLS: g.o.CallerTLS, HeaderBytes: g.o.HeaderBytes, BodyBytes: g.o.BodyBytes, Conns: g.o.Conns, ReadTimeout: g.o.ReadTimeout,
-			StreamBodies: true, HeaderReceived: g.headerReceived, OnError: g.badRequest,
-		}},
-		{g.o.Peer, g.servePeer, httpserve.Options{TLS: g.o.PeerTLS, BodyBytes: g.o.BodyBytes, OnError: g.badRequest}},
-		{g.o.Operator, g.serveOperator, httpserve.Options{}},
-	} {
-		s, err := httpserve.Listen(l.address, l.handler, l.options)
-		if err != nil {
-			return fmt.Errorf("start gateway: %w", err)
-		}
-		g.listeners = append(g.listeners, s)
+	var err error
+	g.callers, err = httpserve.Listen(g.o.Caller, g.serveCaller, httpserve.Options{
+		TLS: g.o.CallerTLS, HeaderBytes: g.o.HeaderBytes, BodyBytes: g.o.BodyBytes, Conns: g.o.Conns, ReadTimeout: g.o.ReadTimeout,
+		StreamBodies: true, HeaderReceived: g.headerReceived, OnError: g.badRequest,
+	})
+	if err != nil {
+		return fmt.Errorf("start gateway: %w", err)
+	}
+	g.peerSide, err = httpserve.Listen(g.o.Peer, g.servePeer, httpserve.Options{TLS: g.o.PeerTLS, BodyBytes: g.o.BodyBytes, OnError: g.badRequest})
+	if err != nil {
+		return fmt.Errorf("start gateway: %w", err)
+	}
+	g.operators, err = httpserve.Listen(g.o.Operator, g.serveOperator, httpserve.Options{})
+	if err != nil {
+		return fmt.Errorf("start gateway: %w", err)
 	}
 	return nil
 }
@@ -175,8 +175,10 @@
 func (g *Gateway) Close(ctx context.Context) error {
 	g.serving.Shut()
 	var errs []error
-	for _, l := range g.listeners {
-		errs = append(errs, l.Close(ctx))
+	for _, l := range []*httpserve.Server{g.callers, g.peerSide, g.operators} {
+		if l != nil {
+			errs = append(errs, l.Close(ctx))
+		}
 	}
 	g.cancel()
 	g.strays.Wait()
--- a/gateway/peer.go
+++ b/gateway/peer.go
@@ -134,15 +134,15 @@
 		g.meter.Gauge("config.generation", int64(c.Generation()))
 	}
 	g.meter.Gauge("config.since_progress_ms", time.Since(g.watcher.LastProgress()).Milliseconds())
-	g.meter.Gauge("connections.callers", int64(g.listeners[0].Open()))
-	g.meter.Gauge("connections.peers", int64(g.listeners[1].Open()))
+	g.meter.Gauge("connections.callers", int64(g.callers.Open()))
+	g.meter.Gauge("connections.peers", int64(g.peerSide.Open()))
 }
 
 func (g *Gateway) status() statusAnswer {
 	out := statusAnswer{
 		Host: g.o.Host, Region: g.o.Region, Draining: g.draining.Load(), Hub: g.node.HubAddress(),
 		Stale: time.Since(g.watcher.LastProgress()).Round(time.Millisecond).String(),
-		Open:  map[string]int{"callers": g.listeners[0].Open(), "peers": g.listeners[1].Open()},
+		Open:  map[string]int{"callers": g.callers.Open(), "peers": g.peerSide.Open()},
 	}
 	c := g.watcher.Current()
 	if c == nil {
