Take out what nobody reads; name a load in one place

Cause: reading the whole change once more. A request counted its attempts and nobody read them; Meter.Value was not called; the key of a load that is under way was put together in two places, which must agree. Change: the first two are gone, loadKey serves both. Behaviour is the same. Seen: vet, lint, tests of orders and gateway, TestFaultLoop and TestFaultOldDiskBack.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -79,7 +79,6 @@
 		if !ok {
 			break
 		}
-		rq.attempts++
 		g.meter.Count("attempts")
 		answer, err := g.sendTo(ctx, rq, server)
 		if err == nil {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -50,7 +50,6 @@
 	// gone tells whether whoever asked has left; nil means never.
 	gone      func() bool
 	cancelled atomic.Bool
-	attempts  int
 	// mayHaveRun is set once an attempt was not proven not to have run.
 	mayHaveRun bool
 	// target is who answers; a resumed stream may change it while it is read.
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -43,11 +43,6 @@
 	metrics.GetOrRegisterGauge(name, m.registry).Update(value)
 }
 
-// Value returns a counter; for tests and status.
-func (m *Meter) Value(name string) int64 {
-	return metrics.GetOrRegisterCounter(name, m.registry).Count()
-}
-
 // Observe adds a duration to the histograms of a client and of its class.
 func (m *Meter) Observe(name, client, class string, d time.Duration) {
 	m.histogram(name + ".client." + m.known(client)).Update(d.Milliseconds())
--- a/orders/giver.go
+++ b/orders/giver.go
@@ -151,7 +151,7 @@
 		if !wanted {
 			continue
 		}
-		key := r.server.Name + " " + wheelgauge.ModelName(model, version)
+		key := loadKey(r.server, model, version)
 		if slices.Contains(r.ready, wheelgauge.ModelName(model, version)) {
 			delete(g.loading, key)
 			continue
@@ -192,6 +192,11 @@
 	})
 }
 
+// loadKey names a load that is under way.
+func loadKey(s *catalog.Server, model, version string) string {
+	return s.Name + " " + wheelgauge.ModelName(model, version)
+}
+
 func split(name string) (model, version string) {
 	model, version, _ = strings.Cut(name, "@")
 	return model, version
@@ -221,6 +226,6 @@
 	}
 	g.o.Log.Info("Order is given.", "server", d.server.Name, "action", d.order.Action, "model", d.order.Model, "version", d.order.Version, "fence", d.order.Fence)
 	if d.order.Action == wheelgauge.ActionLoad {
-		g.loading[d.server.Name+" "+wheelgauge.ModelName(d.order.Model, d.order.Version)] = time.Now()
+		g.loading[loadKey(d.server, d.order.Model, d.order.Version)] = time.Now()
 	}
 }
