Bound the wait of a message handler on an ended replica

Since a sender can be told that it was replaced, the handler of messages waits for the run loop; when the replica has just ended, as on a full disk, nobody answers and the handler waits for ever. Excluded: normal stops (listeners close before the replica). Change: the wait ends with the request's limit, and answers as a lost leader. Seen: TestFaultOldDiskBack, TestFaultLostDisk, TestFaultCorruptDisk with the race detector. No test of its own: the window is found by reading, not reproduced.

--- a/replica/handler.go
+++ b/replica/handler.go
@@ -61,12 +61,26 @@
 			r.core.Step(m)
 		}
 	})
-	if err == nil && <-gone {
-		err = errReplaced
+	if err == nil {
+		err = outcomeOf(limit, gone)
 	}
 	reply(ctx, struct{}{}, err)
 }
 
+// outcomeOf waits for what the run loop found, which a replica that has just
+// ended never tells.
+func outcomeOf(limit context.Context, gone chan bool) error {
+	select {
+	case replaced := <-gone:
+		if replaced {
+			return errReplaced
+		}
+		return nil
+	case <-limit.Done():
+		return noLeader("the store stops")
+	}
+}
+
 // replaced tells whether the sender campaigns though it is no member any more:
 // a settled leader knows every change of members.
 func (r *Replica) replaced(e envelope) bool {
