--- /dev/null
+++ b/beat/client.go
@@ -0,0 +1,307 @@
+// Package beat is an entry host's side of membership: it sends heartbeats to
+// all stores it knows of, starting from a few seeds, and takes its news from
+// one of them, the primary.
+package beat
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"wheelgauge"
+	"wheelgauge/every"
+	"wheelgauge/peerhttp"
+)
+
+// Path is where stores take heartbeats.
+const Path = "/v1/beat"
+
+const (
+	// callTimeout bounds one beat: several links' delay and a busy store.
+	callTimeout = time.Second
+	// freshBeats is how many intervals old a store's answer may be before
+	// another store becomes the primary.
+	freshBeats = 3
+	// lagBeats is how long a host waits for its primary to tell it a
+	// configuration that another store has already.
+	lagBeats = 2
+)
+
+// News takes what stores tell. Its methods are called one at a time.
+type News interface {
+	State(s wheelgauge.FleetState)
+	Hosts(hosts []wheelgauge.FleetHost)
+	Servers(list []wheelgauge.Server, asked time.Time)
+	// SameServers says that the last list was still true when asked for anew.
+	SameServers(asked time.Time)
+	Uses(uses []wheelgauge.ServerUse)
+	Regions(regions []wheelgauge.RegionUse)
+}
+
+// Options of a Client.
+type Options struct {
+	// Self tells of the host at each beat.
+	Self func() wheelgauge.FleetHost
+	// Report gives what the host has in flight.
+	Report func() ([]wheelgauge.ServerUse, []wheelgauge.ServiceUse)
+	// Seeds are peer addresses of stores.
+	Seeds []string
+	// Interval is that of beats to the region's stores, FarInterval to others.
+	Interval    time.Duration
+	FarInterval time.Duration
+	Client      *peerhttp.Client
+	News        News
+	Log         logr.Logger
+}
+
+// store is what is known of one store.
+type store struct {
+	address  string
+	region   string
+	hall     string
+	boot     uint64
+	answered time.Time
+	due      time.Time
+	calling  bool
+	inTouch  bool
+	// generation is what the store held at its last answer.
+	generation uint64
+	hosts      uint64
+	servers    uint64
+}
+
+// Client is a running sender of heartbeats.
+type Client struct {
+	options Options
+	done    chan error
+	cancel  context.CancelFunc
+	ctx     context.Context
+	group   sync.WaitGroup
+
+	mu         sync.Mutex
+	stores     map[string]*store
+	primary    string
+	generation uint64
+	behind     time.Time
+	// taking guards News: one answer at a time.
+	taking sync.Mutex
+}
+
+// Start begins to send.
+func Start(o Options) *Client {
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &Client{options: o, done: make(chan error, 1), cancel: cancel, ctx: ctx, stores: map[string]*store{}}
+	c.learn(o.Seeds)
+	go func() {
+		c.tick(ctx)
+		c.done <- every.Interval(ctx, o.Interval/2, c.tick)
+	}()
+	return c
+}
+
+// Close stops sending and waits.
+func (c *Client) Close() error {
+	c.cancel()
+	err := <-c.done
+	c.group.Wait()
+	return err
+}
+
+// learn adds stores that are not known yet.
+func (c *Client) learn(addresses []string) {
+	for _, a := range addresses {
+		if c.stores[a] == nil {
+			c.stores[a] = &store{address: a}
+		}
+	}
+}
+
+// tick sends the beats that are due.
+func (c *Client) tick(ctx context.Context) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.choosePrimary()
+	now := time.Now()
+	for _, s := range c.stores {
+		if s.calling || now.Before(s.due) {
+			continue
+		}
+		c.start(ctx, s, now)
+	}
+}
+
+// Now sends a beat to every store at once, as when the host is leaving.
+func (c *Client) Now() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, s := range c.stores {
+		c.start(c.ctx, s, time.Now())
+	}
+}
+
+// start sends one beat; the lock is held.
+func (c *Client) start(ctx context.Context, s *store, now time.Time) {
+	s.calling = true
+	s.due = now.Add(c.interval(s))
+	b := c.beat(s)
+	c.group.Add(1)
+	go func() {
+		defer c.group.Done()
+		c.call(ctx, s, b)
+	}()
+}
+
+func (c *Client) interval(s *store) time.Duration {
+	if s.region == "" || s.address == c.primary || s.region == c.options.Self().Region {
+		return c.options.Interval
+	}
+	return c.options.FarInterval
+}
+
+// beat renders what a store is told; the lock is held.
+func (c *Client) beat(s *store) wheelgauge.Beat {
+	b := wheelgauge.Beat{Host: c.options.Self(), Primary: s.address == c.primary, Generation: c.generation, IntervalMS: c.interval(s).Milliseconds()}
+	uses, totals := c.options.Report()
+	b.Totals = totals
+	b.News = b.Primary || c.lags()
+	if b.Primary {
+		b.Uses, b.Store, b.Hosts, b.Servers = uses, s.boot, s.hosts, s.servers
+	}
+	return b
+}
+
+// lags tells whether some store has held a newer configuration for a while.
+func (c *Client) lags() bool {
+	return !c.behind.IsZero() && time.Since(c.behind) > lagBeats*c.options.Interval || c.generation == 0
+}
+
+func (c *Client) call(ctx context.Context, s *store, b wheelgauge.Beat) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	asked := time.Now()
+	var answer wheelgauge.BeatAnswer
+	err := c.options.Client.Call(ctx, http.MethodPost, s.address, Path, b, &answer)
+	c.taking.Lock()
+	defer c.taking.Unlock()
+	if err != nil {
+		c.missed(s, err)
+		return
+	}
+	c.take(s, b, answer)
+	c.tell(b, answer, asked)
+}
+
+func (c *Client) missed(s *store, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s.calling = false
+	if s.address == c.primary {
+		c.options.Log.Info("Primary store does not answer.", "store", s.address, "cause", err.Error())
+	}
+}
+
+// take notes what an answer says of the store.
+func (c *Client) take(s *store, b wheelgauge.Beat, a wheelgauge.BeatAnswer) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s.calling = false
+	s.answered, s.inTouch, s.generation = time.Now(), a.InTouch, a.Generation
+	s.region, s.hall = a.Region, a.Hall
+	if s.boot != a.Store {
+		s.boot, s.hosts, s.servers = a.Store, 0, 0
+	}
+	if b.Primary {
+		s.hosts, s.servers = a.HostsAt, a.ServersAt
+	}
+	if a.InTouch && len(a.Stores) > 0 {
+		c.learn(a.Stores)
+		c.forget(a.Stores)
+	}
+	if a.State != nil {
+		c.generation = max(c.generation, a.State.Generation)
+	}
+	switch {
+	case a.Generation <= c.generation:
+		if s.address == c.primary {
+			c.behind = time.Time{}
+		}
+	case c.behind.IsZero():
+		c.behind = time.Now()
+	}
+}
+
+// forget drops stores that are no members, unless they are seeds.
+func (c *Client) forget(members []string) {
+	for a := range c.stores {
+		if !slices.Contains(members, a) && !slices.Contains(c.options.Seeds, a) {
+			delete(c.stores, a)
+		}
+	}
+}
+
+// tell hands news on. State comes from any store, the rest from the primary.
+func (c *Client) tell(b wheelgauge.Beat, a wheelgauge.BeatAnswer, asked time.Time) {
+	n := c.options.News
+	if a.State != nil {
+		n.State(*a.State)
+	}
+	if !b.Primary {
+		return
+	}
+	if a.Hosts != nil {
+		n.Hosts(a.Hosts)
+	}
+	listed := asked.Add(-time.Duration(a.ServersAgeMS) * time.Millisecond)
+	switch {
+	case a.Servers != nil:
+		n.Servers(a.Servers, listed)
+	case a.ServersAt > 0:
+		n.SameServers(listed)
+	}
+	n.Uses(a.Uses)
+	n.Regions(a.Regions)
+}
+
+// choosePrimary prefers a store that answers, is in touch with the others, and
+// is near; the lock is held.
+func (c *Client) choosePrimary() {
+	self := c.options.Self()
+	best, top := "", -1
+	for _, s := range c.stores {
+		rank := c.rank(s, self)
+		if rank > top || rank == top && strings.Compare(s.address, best) < 0 {
+			best, top = s.address, rank
+		}
+	}
+	if best == c.primary || top < 0 {
+		return
+	}
+	c.options.Log.Info("Primary store changes.", "from", c.primary, "to", best)
+	c.primary = best
+	if s := c.stores[best]; s != nil {
+		s.hosts, s.servers, s.due = 0, 0, time.Time{}
+	}
+}
+
+// rank is higher for better primaries, -1 for stores that do not answer.
+func (c *Client) rank(s *store, self wheelgauge.FleetHost) int {
+	if s.answered.IsZero() || time.Since(s.answered) > freshBeats*c.interval(s)+callTimeout {
+		return -1
+	}
+	rank := 0
+	if s.inTouch {
+		rank += 4
+	}
+	if s.region == self.Region {
+		rank += 2
+	}
+	if s.hall == self.Hall {
+		rank++
+	}
+	return rank
+}
--- /dev/null
+++ b/beats.go
@@ -0,0 +1,102 @@
+package wheelgauge
+
+import "encoding/json"
+
+// FleetHost is a host of the routes mode as it tells of itself.
+type FleetHost struct {
+	Name   string `json:"n"`
+	Region string `json:"r"`
+	Hall   string `json:"h"`
+	// Caller and Peer are the addresses (IP:port) of its listeners.
+	Caller string `json:"c"`
+	Peer   string `json:"p"`
+	// Boot differs between two starts of the host's process.
+	Boot    uint64 `json:"b"`
+	Leaving bool   `json:"l,omitempty"`
+	// Ready is false until the host knows a configuration.
+	Ready bool `json:"y,omitempty"`
+}
+
+// ServerUse is what one host, or several together, have in flight at a server.
+type ServerUse struct {
+	Instance string `json:"i"`
+	Running  int    `json:"u"`
+	// Tokens are those of prompts that wait for their first event.
+	Tokens int `json:"t,omitempty"`
+}
+
+// ServiceUse is the load of a service in a region.
+type ServiceUse struct {
+	Service string `json:"s"`
+	// Running is the number of requests in flight.
+	Running int `json:"u"`
+	// Tokens are those of prompts that wait for their first event.
+	Tokens int `json:"t,omitempty"`
+	// Servers is the number of servers that take work, Slots the requests that
+	// they run at once.
+	Servers int `json:"k,omitempty"`
+	Slots   int `json:"n,omitempty"`
+}
+
+// Beat is the heartbeat of an entry host to a store.
+type Beat struct {
+	Host FleetHost `json:"host"`
+	// Primary is set for the one store that the host takes its news from.
+	Primary bool `json:"primary,omitempty"`
+	// News is set when the store should send a newer state.
+	News bool `json:"news,omitempty"`
+	// IntervalMS is when the next beat to this store comes, in ms.
+	IntervalMS int64 `json:"interval_ms"`
+	// Generation is that of the configuration held.
+	Generation uint64 `json:"generation"`
+	// Store, Hosts and Servers name the views held; see BeatAnswer.
+	Store   uint64       `json:"store,omitempty"`
+	Hosts   uint64       `json:"hosts,omitempty"`
+	Servers uint64       `json:"servers,omitempty"`
+	Uses    []ServerUse  `json:"uses,omitempty"`
+	Totals  []ServiceUse `json:"totals,omitempty"`
+}
+
+// FleetState is the replicated state of the routes mode.
+type FleetState struct {
+	// Generation grows with each change, of the configuration or of halls.
+	Generation uint64 `json:"generation"`
+	Version    uint64 `json:"version"`
+	// Body is the whole configuration as the operator sent it.
+	Body json.RawMessage `json:"body,omitempty"`
+	// Drained are the halls whose servers get no new work.
+	Drained []string `json:"drained,omitempty"`
+}
+
+// RegionUse is the load of another region.
+type RegionUse struct {
+	Region string       `json:"r"`
+	Uses   []ServiceUse `json:"u"`
+}
+
+// BeatAnswer is what a store tells an entry host.
+type BeatAnswer struct {
+	// Store is the boot of the store that numbers Hosts and Servers.
+	Store uint64 `json:"store"`
+	// InTouch is false while the store is cut off from the other stores.
+	InTouch    bool   `json:"in_touch"`
+	Generation uint64 `json:"generation"`
+	// State is set when the host holds an older one.
+	State *FleetState `json:"state,omitempty"`
+	// Region and Hall say where the store is.
+	Region string `json:"region"`
+	Hall   string `json:"hall"`
+	// Stores are the peer addresses of all stores.
+	Stores []string `json:"stores,omitempty"`
+	// Hosts is the whole table of entry hosts when its number changed.
+	HostsAt   uint64      `json:"hosts_at,omitempty"`
+	Hosts     []FleetHost `json:"hosts,omitempty"`
+	ServersAt uint64      `json:"servers_at,omitempty"`
+	// ServersAgeMS is how long ago the list of servers was asked for.
+	ServersAgeMS int64    `json:"servers_age_ms,omitempty"`
+	Servers      []Server `json:"servers,omitempty"`
+	// Uses are what the region's other hosts have in flight.
+	Uses []ServerUse `json:"uses,omitempty"`
+	// Regions is the load of all regions.
+	Regions []RegionUse `json:"regions,omitempty"`
+}
--- a/callerconn/callerconn.go
+++ b/callerconn/callerconn.go
@@ -26,3 +26,23 @@
 	})
 	return gone || err != nil
 }
+
+// Readable tells whether bytes, an end or an error have come on a connection
+// on which nobody reads now.
+func Readable(c net.Conn) bool {
+	raw, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	rc, err := raw.SyscallConn()
+	if err != nil {
+		return true
+	}
+	readable := false
+	err = rc.Control(func(fd uintptr) {
+		var one [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		readable = err != syscall.EAGAIN
+	})
+	return readable || err != nil
+}
--- a/cmd/wheelgauge-store/main.go
+++ b/cmd/wheelgauge-store/main.go
@@ -12,6 +12,6 @@
 		Name: name, Short: "Store of a host with a disk", Long: long, Example: example,
 		Keys: keys, Check: check, Run: run,
 	}
-	p.More = []*cobra.Command{found(p)}
+	p.More = []*cobra.Command{found(p), routes()}
 	program.Main(p)
 }
--- /dev/null
+++ b/configlog/machine.go
@@ -0,0 +1,132 @@
+// Package configlog is the replicated state of the routes mode: one whole
+// configuration under an operator's version number, and the drained halls.
+package configlog
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"sync"
+
+	"wheelgauge"
+)
+
+// Ops of a Command.
+const (
+	OpPut    = "put"
+	OpDrain  = "drain"
+	OpResume = "resume"
+)
+
+// Command is one change.
+type Command struct {
+	Op      string          `json:"op"`
+	Version uint64          `json:"version,omitempty"`
+	Body    json.RawMessage `json:"body,omitempty"`
+	Hall    string          `json:"hall,omitempty"`
+}
+
+// Result answers a Command.
+type Result struct {
+	// Version is the one held after the change.
+	Version uint64 `json:"version"`
+	// Taken is false for a change that was there already, or is older.
+	Taken bool `json:"taken"`
+}
+
+// Machine implements wheelgauge.StateMachine. It is safe for concurrent use.
+type Machine struct {
+	mu    sync.RWMutex
+	state wheelgauge.FleetState
+}
+
+// New returns an empty state.
+func New() *Machine { return &Machine{} }
+
+// Apply implements wheelgauge.StateMachine.
+func (m *Machine) Apply(_ uint64, data []byte) []byte {
+	var c Command
+	// A command that this release cannot read changes nothing at any replica.
+	if err := json.Unmarshal(data, &c); err != nil {
+		return []byte(`{}`)
+	}
+	out, err := json.Marshal(m.change(c))
+	if err != nil {
+		return []byte(`{}`)
+	}
+	return out
+}
+
+func (m *Machine) change(c Command) Result {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	taken := false
+	switch c.Op {
+	case OpPut:
+		taken = m.put(c)
+	case OpDrain:
+		taken = m.drain(c.Hall)
+	case OpResume:
+		taken = m.resume(c.Hall)
+	}
+	if taken {
+		m.state.Generation++
+	}
+	return Result{Version: m.state.Version, Taken: taken}
+}
+
+func (m *Machine) put(c Command) bool {
+	if c.Version <= m.state.Version {
+		return false
+	}
+	m.state.Version, m.state.Body = c.Version, c.Body
+	return true
+}
+
+func (m *Machine) drain(hall string) bool {
+	if slices.Contains(m.state.Drained, hall) {
+		return false
+	}
+	// A new slice: states handed out earlier keep theirs.
+	m.state.Drained = append(slices.Clone(m.state.Drained), hall)
+	return true
+}
+
+func (m *Machine) resume(hall string) bool {
+	at := slices.Index(m.state.Drained, hall)
+	if at < 0 {
+		return false
+	}
+	m.state.Drained = slices.Delete(slices.Clone(m.state.Drained), at, at+1)
+	return true
+}
+
+// State returns the present state; its parts must not be changed.
+func (m *Machine) State() wheelgauge.FleetState {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.state
+}
+
+// Snapshot implements wheelgauge.StateMachine.
+func (m *Machine) Snapshot() ([]byte, error) {
+	data, err := json.Marshal(m.State())
+	if err != nil {
+		return nil, fmt.Errorf("encode snapshot: %w", err)
+	}
+	return data, nil
+}
+
+// Restore implements wheelgauge.StateMachine.
+func (m *Machine) Restore(snapshot []byte) error {
+	var state wheelgauge.FleetState
+	if len(snapshot) > 0 {
+		if err := json.Unmarshal(snapshot, &state); err != nil {
+			return fmt.Errorf("decode snapshot: %w", err)
+		}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.state = state
+	return nil
+}
--- /dev/null
+++ b/confstore/beat.go
@@ -0,0 +1,51 @@
+package confstore
+
+import (
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"wheelgauge"
+	"wheelgauge/beat"
+	"wheelgauge/peerhttp"
+)
+
+// serveBeat answers an entry host's heartbeat; false means another path.
+func (n *Node) serveBeat(ctx *fasthttp.RequestCtx) bool {
+	if string(ctx.Path()) != beat.Path {
+		return false
+	}
+	b, err := peerhttp.Decode[wheelgauge.Beat](ctx)
+	if err != nil {
+		peerhttp.AnswerError(ctx, err)
+		return true
+	}
+	n.meter.Count("beats")
+	n.hosts.Take(b, time.Duration(b.IntervalMS)*time.Millisecond)
+	peerhttp.Answer(ctx, n.answer(b))
+	return true
+}
+
+func (n *Node) answer(b wheelgauge.Beat) wheelgauge.BeatAnswer {
+	state := n.machine.State()
+	a := wheelgauge.BeatAnswer{
+		Store: n.boot, InTouch: n.replica.LeaderAddress() != "", Generation: state.Generation,
+		Region: n.o.Region, Hall: n.o.Hall, Stores: n.replica.MemberAddresses(),
+	}
+	if b.News && state.Generation > b.Generation {
+		a.State = &state
+	}
+	if !b.Primary {
+		return a
+	}
+	same := b.Store == n.boot
+	hosts, at := n.hosts.Hosts()
+	a.HostsAt = at
+	if !same || b.Hosts != at {
+		a.Hosts = hosts
+	}
+	n.addServers(&a, b, same)
+	a.Uses = n.hosts.Uses(b.Host.Region, b.Host.Name)
+	a.Regions = n.regionUses()
+	return a
+}
--- /dev/null
+++ b/confstore/node.go
@@ -0,0 +1,161 @@
+// Package confstore is the store of the routes mode: the replicated
+// configuration, the table of entry hosts, and the list of backend servers that
+// hosts are told of.
+package confstore
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/valyala/fasthttp"
+
+	"wheelgauge"
+	"wheelgauge/configlog"
+	"wheelgauge/every"
+	"wheelgauge/hosttable"
+	"wheelgauge/httpserve"
+	"wheelgauge/meter"
+	"wheelgauge/peerhttp"
+	"wheelgauge/replica"
+)
+
+const (
+	folderReplica = "replica"
+	// voters survive the loss of two disks at once.
+	voters = 5
+)
+
+// Listener is a further listener of the store, for operators or callers, whose
+// handler a dialect gives.
+type Listener struct {
+	Address string
+	Handler func(o wheelgauge.Operations) fasthttp.RequestHandler
+	Options httpserve.Options
+}
+
+// Options of a Node.
+type Options struct {
+	Name   string
+	Region string
+	Hall   string
+	// Halls gives the region of each hall.
+	Halls map[string]string
+	Dir   string
+	// Peer is the address of the peers' listener, Metrics that of the metrics.
+	Peer    string
+	Metrics string
+	// Seeds are peer addresses of stores, this one's among them perhaps.
+	Seeds []string
+	// First is set when the whole system starts for the first time.
+	First     bool
+	Tick      time.Duration
+	PollEvery time.Duration
+	Decode    wheelgauge.RouteDecoder
+	List      wheelgauge.ServerList
+	Listeners []Listener
+	Log       logr.Logger
+}
+
+// Node is a running store.
+type Node struct {
+	o         Options
+	boot      uint64
+	started   time.Time
+	machine   *configlog.Machine
+	replica   *replica.Replica
+	hosts     *hosttable.Table
+	client    *peerhttp.Client
+	meter     *meter.Meter
+	listeners []*httpserve.Server
+	stop      context.CancelFunc
+	polled    chan error
+
+	mu      sync.Mutex
+	servers serverView
+}
+
+// Open starts a store.
+func Open(ctx context.Context, o Options) (*Node, error) {
+	ctx, stop := context.WithCancel(ctx)
+	n := &Node{
+		o: o, boot: uint64(time.Now().UnixNano()), started: time.Now(), machine: configlog.New(), hosts: hosttable.New(time.Now),
+		client: peerhttp.NewClient(nil, ""), meter: meter.New(), stop: stop, polled: make(chan error, 1),
+	}
+	if err := n.open(ctx); err != nil {
+		stop()
+		return nil, err
+	}
+	go func() { n.polled <- every.Interval(ctx, o.PollEvery, n.poll) }()
+	o.Log.Info("Store serves.", "name", o.Name, "peer", o.Peer, "seeds", o.Seeds, "first", o.First)
+	return n, nil
+}
+
+func (n *Node) open(ctx context.Context) error {
+	o := n.o
+	ro := replica.Options{
+		Dir: filepath.Join(o.Dir, folderReplica), Name: o.Peer, Address: o.Peer, Peers: o.Seeds, Voters: voters,
+		Tick: o.Tick, Client: n.client, Log: o.Log.WithName("replica"),
+	}
+	if o.First {
+		ro.Founders = o.Seeds
+	}
+	var err error
+	if n.replica, err = replica.Open(context.WithoutCancel(ctx), ro, n.machine); err != nil {
+		return fmt.Errorf("open replica: %w", err)
+	}
+	if err := n.listen(o.Peer, n.servePeer, httpserve.Options{}); err != nil {
+		return err
+	}
+	for _, l := range o.Listeners {
+		if err := n.listen(l.Address, l.Handler(n), l.Options); err != nil {
+			return err
+		}
+	}
+	if o.Metrics == "" {
+		return nil
+	}
+	return n.listen(o.Metrics, n.serveMetrics, httpserve.Options{})
+}
+
+func (n *Node) listen(address string, handler fasthttp.RequestHandler, o httpserve.Options) error {
+	l, err := httpserve.Listen(address, handler, o)
+	if err != nil {
+		return fmt.Errorf("start store: %w", err)
+	}
+	n.listeners = append(n.listeners, l)
+	return nil
+}
+
+func (n *Node) servePeer(ctx *fasthttp.RequestCtx) {
+	if n.serveBeat(ctx) || n.replica.Handle(ctx) {
+		return
+	}
+	peerhttp.NotFound(ctx)
+}
+
+func (n *Node) serveMetrics(ctx *fasthttp.RequestCtx) {
+	n.meter.Gauge("generation", int64(n.machine.State().Generation))
+	n.meter.Gauge("log.bytes", n.replica.Status().Bytes)
+	ctx.SetContentType("application/json")
+	n.meter.WriteJSON(ctx)
+}
+
+// Done gives the error that ended the replica by itself.
+func (n *Node) Done() <-chan error { return n.replica.Done() }
+
+// Close stops the store and waits.
+func (n *Node) Close(ctx context.Context) error {
+	n.stop()
+	errs := []error{<-n.polled}
+	for _, l := range n.listeners {
+		errs = append(errs, l.Close(ctx))
+	}
+	errs = append(errs, n.replica.Close())
+	n.client.CloseIdle()
+	return errors.Join(errs...)
+}
--- /dev/null
+++ b/confstore/operations.go
@@ -0,0 +1,109 @@
+package confstore
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"wheelgauge"
+	"wheelgauge/configlog"
+	"wheelgauge/routetable"
+)
+
+// orderTimeout bounds an operator's order; the same order sent again finds
+// what became of it.
+const orderTimeout = 3 * time.Second
+
+// warmUp is how long a store that has just started waits for hosts' beats
+// before it says that a region has none.
+const warmUp = 2 * time.Second
+
+// PutRoutes implements wheelgauge.Operations.
+func (n *Node) PutRoutes(ctx context.Context, body []byte) (uint64, error) {
+	set, err := n.o.Decode(body)
+	if err == nil {
+		err = routetable.Check(set)
+	}
+	if err != nil {
+		n.meter.Count("puts.invalid")
+		n.o.Log.Info("Configuration is invalid.", "cause", err.Error())
+		return 0, wheelgauge.NewError(wheelgauge.ReasonInvalid, wheelgauge.OutcomeNotRun, http.StatusBadRequest, err.Error())
+	}
+	res, err := n.change(ctx, configlog.Command{Op: configlog.OpPut, Version: set.Version, Body: body})
+	if err != nil {
+		n.o.Log.Info("Configuration is not acknowledged.", "version", set.Version, "cause", err.Error())
+		return 0, err
+	}
+	n.o.Log.Info("Configuration is acknowledged.", "version", set.Version, "held", res.Version, "taken", res.Taken)
+	return res.Version, nil
+}
+
+// DrainHall implements wheelgauge.Operations.
+func (n *Node) DrainHall(ctx context.Context, hall string, drained bool) error {
+	if _, ok := n.o.Halls[hall]; !ok {
+		return wheelgauge.NewError(wheelgauge.ReasonNotFound, wheelgauge.OutcomeNotRun, http.StatusNotFound, "no hall of this name: "+hall)
+	}
+	op := configlog.OpResume
+	if drained {
+		op = configlog.OpDrain
+	}
+	res, err := n.change(ctx, configlog.Command{Op: op, Hall: hall})
+	if err != nil {
+		n.o.Log.Info("Order for a hall is not acknowledged.", "hall", hall, "order", op, "cause", err.Error())
+		return err
+	}
+	n.o.Log.Info("Order for a hall is acknowledged.", "hall", hall, "order", op, "taken", res.Taken)
+	return nil
+}
+
+func (n *Node) change(ctx context.Context, c configlog.Command) (configlog.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	var res configlog.Result
+	command, err := json.Marshal(c)
+	if err != nil {
+		return res, fmt.Errorf("encode %s: %w", c.Op, err)
+	}
+	answer, err := n.replica.Propose(ctx, command)
+	if err != nil {
+		return res, fmt.Errorf("%s: %w", c.Op, err)
+	}
+	if err := json.Unmarshal(answer, &res); err != nil {
+		return res, fmt.Errorf("decode answer of %s: %w", c.Op, err)
+	}
+	return res, nil
+}
+
+// Routes implements wheelgauge.Operations.
+func (n *Node) Routes(ctx context.Context) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	if err := n.replica.ReadBarrier(ctx); err != nil {
+		return nil, err
+	}
+	return n.machine.State().Body, nil
+}
+
+// EntryAddresses implements wheelgauge.Operations.
+func (n *Node) EntryAddresses(region, _ string) ([]string, error) {
+	hosts, _ := n.hosts.Hosts()
+	var near, all []string
+	for _, h := range hosts {
+		if h.Leaving || !h.Ready {
+			continue
+		}
+		all = append(all, h.Caller)
+		if h.Region == region {
+			near = append(near, h.Caller)
+		}
+	}
+	if len(near) > 0 {
+		return near, nil
+	}
+	if len(all) == 0 || time.Since(n.started) < warmUp {
+		return nil, wheelgauge.NewError(wheelgauge.ReasonNoServer, wheelgauge.OutcomeNotRun, http.StatusServiceUnavailable, "no entry host is known here").WithRetryAfter(time.Second)
+	}
+	return all, nil
+}
--- /dev/null
+++ b/confstore/servers.go
@@ -0,0 +1,88 @@
+package confstore
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"wheelgauge"
+)
+
+// serverView is the list of servers as it was last read.
+type serverView struct {
+	list  []wheelgauge.Server
+	asked time.Time
+	// version changes with the list.
+	version uint64
+}
+
+// poll reads the list of servers if this store is the primary of some host, so
+// that there is about one poller a region.
+func (n *Node) poll(ctx context.Context) {
+	if len(n.hosts.Primary()) == 0 {
+		return
+	}
+	limit, cancel := context.WithTimeout(ctx, 2*n.o.PollEvery)
+	defer cancel()
+	asked := time.Now()
+	list, err := n.o.List.Servers(limit, nil)
+	if err != nil {
+		n.meter.Count("list.failed")
+		n.o.Log.Info("List of servers is not read; the last one holds.", "cause", err.Error())
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !slices.Equal(list, n.servers.list) {
+		n.servers.version++
+		n.servers.list = list
+	}
+	n.servers.asked = asked
+}
+
+// addServers adds the servers of the host's region when they changed.
+func (n *Node) addServers(a *wheelgauge.BeatAnswer, b wheelgauge.Beat, same bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	v := &n.servers
+	a.ServersAt = v.version
+	a.ServersAgeMS = time.Since(v.asked).Milliseconds()
+	if v.version == 0 || same && b.Servers == v.version {
+		return
+	}
+	a.Servers = []wheelgauge.Server{}
+	for _, s := range v.list {
+		if n.o.Halls[s.Hall] == b.Host.Region {
+			a.Servers = append(a.Servers, s)
+		}
+	}
+}
+
+// regionUses joins what hosts have in flight with the servers there are.
+func (n *Node) regionUses() []wheelgauge.RegionUse {
+	sums := n.hosts.Regions()
+	drained := n.machine.State().Drained
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, s := range n.servers.list {
+		region := n.o.Halls[s.Hall]
+		if s.Leaving || slices.Contains(drained, s.Hall) {
+			continue
+		}
+		if sums[region] == nil {
+			sums[region] = map[string]wheelgauge.ServiceUse{}
+		}
+		u := sums[region][s.Service]
+		u.Service, u.Servers, u.Slots = s.Service, u.Servers+1, u.Slots+s.Slots
+		sums[region][s.Service] = u
+	}
+	out := make([]wheelgauge.RegionUse, 0, len(sums))
+	for region, uses := range sums {
+		r := wheelgauge.RegionUse{Region: region}
+		for _, u := range uses {
+			r.Uses = append(r.Uses, u)
+		}
+		out = append(out, r)
+	}
+	return out
+}
--- /dev/null
+++ b/entrynode/news.go
@@ -0,0 +1,58 @@
+package entrynode
+
+import (
+	"time"
+
+	"wheelgauge"
+	"wheelgauge/routetable"
+)
+
+// State implements beat.News. An older state than the one in force is passed over.
+func (n *Node) State(s wheelgauge.FleetState) {
+	if s.Generation <= n.generation {
+		return
+	}
+	if len(s.Body) > 0 && (n.gate.Table() == nil || s.Version > n.gate.Table().Version()) {
+		set, err := n.o.Decode(s.Body)
+		if err != nil {
+			// A store checked it; only another release can disagree.
+			n.o.Log.Error(err, "Configuration cannot be read; the last one holds.", "version", s.Version)
+			return
+		}
+		n.gate.SetTable(routetable.New(set))
+	}
+	n.generation = s.Generation
+	n.servers.SetDrained(s.Drained)
+	n.o.Log.Info("State is in force.", "generation", s.Generation, "version", s.Version, "drained", s.Drained)
+}
+
+// Hosts implements beat.News.
+func (n *Node) Hosts(hosts []wheelgauge.FleetHost) {
+	var region []string
+	all := 0
+	for _, h := range hosts {
+		if h.Region == n.o.Region {
+			region = append(region, h.Name)
+		}
+		all++
+	}
+	n.servers.SetPeers(region)
+	n.peers.SetHosts(hosts)
+	n.budget.SetHosts(all)
+	n.o.Log.Info("Hosts change.", "hosts", all, "region", len(region))
+}
+
+// Servers implements beat.News.
+func (n *Node) Servers(list []wheelgauge.Server, asked time.Time) {
+	n.servers.Update(list, asked)
+	n.o.Log.Info("Servers change.", "servers", len(list), "age_ms", time.Since(asked).Milliseconds())
+}
+
+// SameServers implements beat.News.
+func (n *Node) SameServers(asked time.Time) { n.servers.Confirm(asked) }
+
+// Uses implements beat.News.
+func (n *Node) Uses(uses []wheelgauge.ServerUse) { n.servers.SetUses(uses) }
+
+// Regions implements beat.News.
+func (n *Node) Regions(regions []wheelgauge.RegionUse) { n.peers.SetUses(regions) }
--- /dev/null
+++ b/entrynode/node.go
@@ -0,0 +1,204 @@
+// Package entrynode is the gateway of the routes mode: listeners for callers
+// and for other gateways, the gate between them and the backend servers, and
+// the heartbeats that keep its tables.
+package entrynode
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/valyala/fasthttp"
+
+	"wheelgauge"
+	"wheelgauge/beat"
+	"wheelgauge/callerhttp"
+	"wheelgauge/every"
+	"wheelgauge/httpserve"
+	"wheelgauge/meter"
+	"wheelgauge/peerhttp"
+	"wheelgauge/peerset"
+	"wheelgauge/retrybudget"
+	"wheelgauge/routegate"
+	"wheelgauge/serverset"
+)
+
+const (
+	// pruneEvery is how often idle connections are looked through.
+	pruneEvery = time.Second
+	// stopMargin is what is left of the grace when the last connections are cut.
+	stopMargin = 1200 * time.Millisecond
+	// callerConns and peerConns bound connections, well below the descriptors
+	// of a small host.
+	callerConns = 1500
+	peerConns   = 800
+)
+
+// Options of a Node.
+type Options struct {
+	Name   string
+	Region string
+	Hall   string
+	// Caller, Ready, Peer and Metrics are addresses of listeners; Ready and
+	// Metrics may be empty.
+	Caller  string
+	Ready   string
+	Peer    string
+	Metrics string
+	Seeds   []string
+	// Interval is that of heartbeats to the region's stores, FarInterval to others.
+	Interval    time.Duration
+	FarInterval time.Duration
+	Grace       time.Duration
+	Budget      retrybudget.Options
+	Decode      wheelgauge.RouteDecoder
+	Names       wheelgauge.HeaderNames
+	Log         logr.Logger
+}
+
+// Node is a running gateway.
+type Node struct {
+	o         Options
+	boot      uint64
+	gate      *routegate.Gate
+	servers   *serverset.Table
+	peers     *peerset.Table
+	budget    *retrybudget.Budget
+	meter     *meter.Meter
+	beats     *beat.Client
+	client    *peerhttp.Client
+	callers   *callerhttp.Server
+	forwards  *callerhttp.Server
+	listeners []*httpserve.Server
+	stop      context.CancelFunc
+	pruned    chan error
+	leaving   atomic.Bool
+	// generation is that of the state in force; News is told one at a time.
+	generation uint64
+}
+
+// Open starts a gateway.
+func Open(ctx context.Context, o Options) (*Node, error) {
+	ctx, stop := context.WithCancel(ctx)
+	n := &Node{o: o, boot: uint64(time.Now().UnixNano()), meter: meter.New(), stop: stop, pruned: make(chan error, 1), client: peerhttp.NewClient(nil, "")}
+	n.servers = serverset.New(serverset.Place{Host: o.Name, Hall: o.Hall}, n.service, time.Now)
+	n.peers = peerset.New(o.Region, time.Now)
+	n.budget = retrybudget.New(o.Budget, time.Now)
+	n.gate = routegate.New(routegate.Options{
+		Region: o.Region, Names: o.Names, Servers: n.servers, Peers: n.peers, Budget: n.budget, Meter: n.meter, Log: o.Log.WithName("gate"),
+	})
+	if err := n.listen(); err != nil {
+		stop()
+		return nil, err
+	}
+	n.beats = beat.Start(beat.Options{
+		Self: n.self, Report: n.servers.Uses, Seeds: o.Seeds, Interval: o.Interval, FarInterval: o.FarInterval,
+		Client: n.client, News: n, Log: o.Log.WithName("beat"),
+	})
+	go func() { n.pruned <- every.Interval(ctx, pruneEvery, n.prune) }()
+	o.Log.Info("Gateway serves.", "name", o.Name, "callers", o.Caller, "peer", o.Peer, "seeds", o.Seeds)
+	return n, nil
+}
+
+func (n *Node) listen() error {
+	var err error
+	n.callers, err = callerhttp.Listen(n.o.Caller, callerhttp.Options{Limits: n.gate.Limits, Serve: n.gate.Serve, Conns: callerConns})
+	if err != nil {
+		return fmt.Errorf("start gateway: %w", err)
+	}
+	n.forwards, err = callerhttp.Listen(n.o.Peer, callerhttp.Options{Limits: n.peerLimits, Serve: n.gate.ServePeer, Conns: peerConns})
+	if err != nil {
+		return fmt.Errorf("start gateway: %w", err)
+	}
+	for address, handler := range map[string]fasthttp.RequestHandler{n.o.Ready: n.serveReady, n.o.Metrics: n.serveMetrics} {
+		if address == "" {
+			continue
+		}
+		l, err := httpserve.Listen(address, handler, httpserve.Options{})
+		if err != nil {
+			return fmt.Errorf("start gateway: %w", err)
+		}
+		n.listeners = append(n.listeners, l)
+	}
+	return nil
+}
+
+// peerLimits let forwarded requests carry a little more than callers may send.
+func (n *Node) peerLimits() wheelgauge.Limits {
+	l := n.gate.Limits()
+	l.HeaderBytes *= 2
+	l.IdleTimeout = time.Minute
+	return l
+}
+
+func (n *Node) service(name string) *wheelgauge.Service {
+	if t := n.gate.Table(); t != nil {
+		return t.Service(name)
+	}
+	return nil
+}
+
+func (n *Node) self() wheelgauge.FleetHost {
+	return wheelgauge.FleetHost{
+		Name: n.o.Name, Region: n.o.Region, Hall: n.o.Hall, Caller: n.o.Caller, Peer: n.o.Peer,
+		Boot: n.boot, Leaving: n.leaving.Load(), Ready: n.gate.Table() != nil,
+	}
+}
+
+func (n *Node) prune(context.Context) {
+	n.servers.Prune()
+	n.peers.Prune()
+}
+
+func (n *Node) serveReady(ctx *fasthttp.RequestCtx) {
+	if n.leaving.Load() || n.gate.Table() == nil {
+		ctx.SetStatusCode(http.StatusServiceUnavailable)
+		return
+	}
+	ctx.SetStatusCode(http.StatusOK)
+}
+
+func (n *Node) serveMetrics(ctx *fasthttp.RequestCtx) {
+	n.meter.Gauge("connections.dialed", int64(n.servers.Dialed()))
+	n.meter.Gauge("requests.serving", int64(n.callers.Serving()))
+	ctx.SetContentType("application/json")
+	n.meter.WriteJSON(ctx)
+}
+
+// Close drains the gateway: it goes off the entry list, still takes callers
+// that have its address until the grace is nearly over, finishes what is in
+// flight, and stops.
+func (n *Node) Close(ctx context.Context) error {
+	n.o.Log.Info("Gateway drains.", "serving", n.callers.Serving())
+	n.leaving.Store(true)
+	n.callers.Drain()
+	n.forwards.Drain()
+	n.beats.Now()
+	n.await(ctx)
+	limit, cancel := context.WithTimeout(ctx, stopMargin/2)
+	defer cancel()
+	errs := []error{n.callers.Close(limit), n.forwards.Close(limit)}
+	n.stop()
+	errs = append(errs, n.beats.Close(), <-n.pruned)
+	for _, l := range n.listeners {
+		errs = append(errs, l.Close(limit))
+	}
+	n.servers.Close()
+	n.peers.Close()
+	n.client.CloseIdle()
+	return errors.Join(errs...)
+}
+
+// await lets callers that still hold the address come in for most of the grace.
+func (n *Node) await(ctx context.Context) {
+	timer := time.NewTimer(n.o.Grace - stopMargin)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/native/headers.go
@@ -0,0 +1,24 @@
+// Package native is the routes mode's own dialect: the product's header names,
+// a configuration in the product's own terms, and its API for operators.
+package native
+
+import "wheelgauge"
+
+// Headers are the product's own names.
+func Headers() wheelgauge.HeaderNames {
+	return wheelgauge.HeaderNames{
+		RequestID: wheelgauge.HeaderRequestID,
+		Deadline:  wheelgauge.HeaderDeadline,
+		Target:    "Wheelgauge-Target",
+		Instance:  "Wheelgauge-Instance",
+		NotRun:    "Wheelgauge-Not-Run",
+		Signature: "Wheelgauge-Signature",
+		Load:      "Wheelgauge-Load",
+		Prompt:    "Wheelgauge-Prompt",
+		Tokens:    "Wheelgauge-Tokens",
+		Hint:      "Wheelgauge-Output-Hint",
+		Priority:  wheelgauge.HeaderPriority,
+		ColdMS:    "Wheelgauge-Cold-Ms",
+		LastEvent: "Last-Event-Id",
+	}
+}
--- /dev/null
+++ b/native/operations.go
@@ -0,0 +1,90 @@
+package native
+
+import (
+	"context"
+	"net/http"
+	"strings"
+
+	"github.com/valyala/fasthttp"
+
+	"wheelgauge"
+	"wheelgauge/peerhttp"
+)
+
+// Paths of the API.
+const (
+	pathRoutes = "/v1/routes"
+	pathHalls  = "/v1/halls/"
+	pathEntry  = "/v1/entry"
+	// entryTTLMS is how long an entry answer holds: a host that left is off in time.
+	entryTTLMS = 2000
+)
+
+// Version answers an accepted configuration with the version held.
+type Version struct {
+	Version uint64 `json:"version"`
+}
+
+// Control returns the handler of PUT and GET /v1/routes, and of PUT and DELETE
+// /v1/halls/HALL/drain.
+func Control(o wheelgauge.Operations) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		path := string(ctx.Path())
+		hall, isHall := strings.CutPrefix(path, pathHalls)
+		hall, isDrain := strings.CutSuffix(hall, "/drain")
+		switch {
+		case path == pathRoutes && ctx.IsPut():
+			put(ctx, o)
+		case path == pathRoutes && ctx.IsGet():
+			get(ctx, o)
+		case isHall && isDrain && (ctx.IsPut() || ctx.IsDelete()):
+			answer(ctx, struct{}{}, o.DrainHall(context.Background(), hall, ctx.IsPut()))
+		default:
+			peerhttp.NotFound(ctx)
+		}
+	}
+}
+
+func put(ctx *fasthttp.RequestCtx, o wheelgauge.Operations) {
+	version, err := o.PutRoutes(context.Background(), append([]byte(nil), ctx.PostBody()...))
+	answer(ctx, Version{version}, err)
+}
+
+func get(ctx *fasthttp.RequestCtx, o wheelgauge.Operations) {
+	body, err := o.Routes(context.Background())
+	if err == nil && body == nil {
+		err = wheelgauge.NewError(wheelgauge.ReasonNoConfiguration, wheelgauge.OutcomeNotRun, http.StatusServiceUnavailable, "no configuration was taken yet")
+	}
+	if err != nil {
+		peerhttp.AnswerError(ctx, err)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(body)
+}
+
+func answer(ctx *fasthttp.RequestCtx, v any, err error) {
+	if err != nil {
+		peerhttp.AnswerError(ctx, err)
+		return
+	}
+	peerhttp.Answer(ctx, v)
+}
+
+// Entry returns the handler of GET /v1/entry?region=R&hall=H.
+func Entry(o wheelgauge.Operations) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		if string(ctx.Path()) != pathEntry {
+			peerhttp.NotFound(ctx)
+			return
+		}
+		args := ctx.QueryArgs()
+		region := string(args.Peek("region"))
+		addresses, err := o.EntryAddresses(region, string(args.Peek("hall")))
+		list := wheelgauge.EntryList{TTLMS: entryTTLMS}
+		for _, a := range addresses {
+			list.Entries = append(list.Entries, wheelgauge.Entry{Region: region, Address: a})
+		}
+		answer(ctx, list, err)
+	}
+}
--- /dev/null
+++ b/peerset/table.go
@@ -0,0 +1,179 @@
+// Package peerset is a host's table of the gateways of other regions and of
+// how much work those regions have.
+package peerset
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"wheelgauge"
+	"wheelgauge/serverconn"
+)
+
+const (
+	// connsToPeer bounds the connections to one gateway of another region.
+	connsToPeer = 256
+	// pauseTime keeps work off a gateway that was not reached or refused.
+	pauseTime = time.Second
+)
+
+// Peer is a gateway of another region.
+type Peer struct {
+	host   wheelgauge.FleetHost
+	pool   *serverconn.Pool
+	paused time.Time
+}
+
+// Name returns the gateway's name.
+func (p *Peer) Name() string { return p.host.Name }
+
+// Region returns the gateway's region.
+func (p *Peer) Region() string { return p.host.Region }
+
+// Pool returns the connections to the gateway.
+func (p *Peer) Pool() *serverconn.Pool { return p.pool }
+
+// use is the load of a service in another region, with what this host has sent
+// there since.
+type use struct {
+	told   wheelgauge.ServiceUse
+	sent   int
+	tokens int
+}
+
+// Table is safe for concurrent use.
+type Table struct {
+	mu     sync.Mutex
+	region string
+	peers  map[string]*Peer
+	uses   map[string]map[string]*use
+	now    func() time.Time
+}
+
+// New returns an empty table of a host in region.
+func New(region string, now func() time.Time) *Table {
+	return &Table{region: region, peers: map[string]*Peer{}, uses: map[string]map[string]*use{}, now: now}
+}
+
+// SetHosts takes the live hosts of all regions.
+func (t *Table) SetHosts(hosts []wheelgauge.FleetHost) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	seen := map[string]bool{}
+	for _, h := range hosts {
+		if h.Region == t.region || h.Leaving || !h.Ready {
+			continue
+		}
+		seen[h.Name] = true
+		p := t.peers[h.Name]
+		if p == nil || p.host.Peer != h.Peer || p.host.Boot != h.Boot {
+			if p != nil {
+				p.pool.Close()
+			}
+			p = &Peer{pool: serverconn.New(h.Peer, connsToPeer)}
+			t.peers[h.Name] = p
+		}
+		p.host = h
+	}
+	for name, p := range t.peers {
+		if !seen[name] {
+			p.pool.Close()
+			delete(t.peers, name)
+		}
+	}
+}
+
+// SetUses takes the load of all regions.
+func (t *Table) SetUses(regions []wheelgauge.RegionUse) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.uses = map[string]map[string]*use{}
+	for _, r := range regions {
+		services := map[string]*use{}
+		for _, u := range r.Uses {
+			services[u.Service] = &use{told: u}
+		}
+		t.uses[r.Region] = services
+	}
+}
+
+// Regions returns the other regions that have live gateways and servers of the
+// service which take work.
+func (t *Table) Regions(service string) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []string
+	for _, p := range t.peers {
+		if slices.Contains(out, p.host.Region) || t.now().Before(p.paused) {
+			continue
+		}
+		if u := t.uses[p.host.Region][service]; u != nil && u.told.Servers > 0 {
+			out = append(out, p.host.Region)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Load returns the load of a service in a region, with the tokens that this
+// host has sent there since it was told.
+func (t *Table) Load(region, service string) wheelgauge.ServiceUse {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	u := t.uses[region][service]
+	if u == nil {
+		return wheelgauge.ServiceUse{Service: service}
+	}
+	load := u.told
+	load.Tokens += u.tokens
+	load.Running += u.sent
+	return load
+}
+
+// Choose returns a live gateway of a region, none of those tried; nil when
+// there is none. tokens are those of the prompt that will be sent.
+func (t *Table) Choose(region, service string, tokens int, tried []string) *Peer {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var fit []*Peer
+	for _, p := range t.peers {
+		if p.host.Region == region && !slices.Contains(tried, p.host.Name) && !t.now().Before(p.paused) {
+			fit = append(fit, p)
+		}
+	}
+	if len(fit) == 0 {
+		return nil
+	}
+	if u := t.uses[region][service]; u != nil {
+		u.sent++
+		u.tokens += tokens
+	}
+	return fit[rand.IntN(len(fit))]
+}
+
+// Pause keeps work off a gateway for a while.
+func (t *Table) Pause(p *Peer) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p.paused = t.now().Add(pauseTime)
+}
+
+// Prune closes idle connections.
+func (t *Table) Prune() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, p := range t.peers {
+		p.pool.Prune()
+	}
+}
+
+// Close closes all connections.
+func (t *Table) Close() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, p := range t.peers {
+		p.pool.Close()
+	}
+}
--- a/program/program.go
+++ b/program/program.go
@@ -90,11 +90,37 @@
 }
 
 func (p Program) serve(v *settings.Values) error {
-	log, err := logging.New(os.Stderr, v.Text("log", "format"), v.Text("log", "level"), p.Name)
+	out := logging.NewBuffer(os.Stdout)
+	defer out.Close()
+	log, err := logging.New(out, v.Text("log", "format"), v.Text("log", "level"), p.Name)
 	if err != nil {
 		return err
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	return p.Run(ctx, v, log)
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
+	go p.reload(ctx, reload, log)
+	if v.Known("listen", "clear") && v.Bool("listen", "clear") {
+		log.Info("Hosts talk in the clear: the network must be closed.")
+	}
+	err = p.Run(ctx, v, log)
+	if err != nil {
+		log.Error(err, "Program ends.")
+	}
+	return err
+}
+
+// reload answers SIGHUP. Settings are read at start; what a changed file says
+// holds from the next one, so a faulty file is told of before that.
+func (p Program) reload(ctx context.Context, signals <-chan os.Signal, log logr.Logger) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+			log.Info("Settings changed; they hold from the next start.")
+		}
+	}
 }
--- /dev/null
+++ b/prompt/prompt.go
@@ -0,0 +1,88 @@
+// Package prompt reads what a request says of its prompt: the parts that
+// engines may hold in their KV cache, and how many tokens go in and come out.
+package prompt
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Part is one part of a prompt; parts with the same ID have the same content.
+type Part struct {
+	id     uint64
+	tokens int
+}
+
+// ID returns the hash of the part's name.
+func (p Part) ID() uint64 { return p.id }
+
+// Tokens returns the length of the part.
+func (p Part) Tokens() int { return p.tokens }
+
+// Prompt is a prompt by its parts, in order. The last part belongs to the
+// request or its session alone.
+type Prompt struct {
+	parts  []Part
+	tokens int
+	output int
+}
+
+// Parse reads "ID:TOKENS,ID:TOKENS" and "prompt tokens,output tokens". What
+// cannot be read counts as nothing: the engine reads the prompt itself.
+func Parse(parts, tokens, hint string) Prompt {
+	var p Prompt
+	for part := range strings.SplitSeq(parts, ",") {
+		id, count, ok := strings.Cut(strings.TrimSpace(part), ":")
+		n, err := strconv.Atoi(count)
+		if !ok || err != nil || n < 0 {
+			continue
+		}
+		p.parts = append(p.parts, Part{id: xxhash.Sum64String(id), tokens: n})
+		p.tokens += n
+	}
+	in, out, _ := strings.Cut(tokens, ",")
+	if n, err := strconv.Atoi(strings.TrimSpace(in)); err == nil {
+		p.tokens = max(p.tokens, n)
+	}
+	if n, err := strconv.Atoi(strings.TrimSpace(out)); err == nil {
+		p.output = n
+	}
+	if n, err := strconv.Atoi(strings.TrimSpace(hint)); err == nil && n > 0 {
+		p.output = n
+	}
+	return p
+}
+
+// Tokens returns the length of the prompt.
+func (p Prompt) Tokens() int { return p.tokens }
+
+// Output returns how many tokens are expected to come out.
+func (p Prompt) Output() int { return p.output }
+
+// Shared returns the parts that other requests may have in common.
+func (p Prompt) Shared() []Part {
+	if len(p.parts) == 0 {
+		return nil
+	}
+	return p.parts[:len(p.parts)-1]
+}
+
+// Subject returns the ID of the last shared part, which decides the server
+// that should hold it; 0 if nothing is shared.
+func (p Prompt) Subject() uint64 {
+	if shared := p.Shared(); len(shared) > 0 {
+		return shared[len(shared)-1].id
+	}
+	return 0
+}
+
+// SharedTokens returns the tokens of the shared parts.
+func (p Prompt) SharedTokens() int {
+	n := 0
+	for _, part := range p.Shared() {
+		n += part.tokens
+	}
+	return n
+}
--- a/raft/core.go
+++ b/raft/core.go
@@ -59,6 +59,8 @@
 	next   uint64
 	active bool
 	round  uint64
+	// silent is the number of ticks since the member's last answer.
+	silent int
 	// paused is the number of ticks left before a snapshot is sent again.
 	paused int
 }
@@ -185,6 +187,7 @@
 func (c *Core) tickLeader() {
 	for _, p := range c.progress {
 		p.paused = max(0, p.paused-1)
+		p.silent++
 	}
 	c.heartbeat++
 	if c.elapsed >= c.options.ElectionTicks {
--- a/raft/step.go
+++ b/raft/step.go
@@ -187,6 +187,7 @@
 		return
 	}
 	p.active = true
+	p.silent = 0
 	p.round = max(p.round, m.Round)
 	if m.Reject {
 		p.next = max(p.match+1, min(p.next, m.Index+1))
--- a/raft/view.go
+++ b/raft/view.go
@@ -41,5 +41,13 @@
 	return p != nil && p.active
 }
 
+// Silent returns for how many ticks a member has not answered this leader.
+func (c *Core) Silent(id uint64) int {
+	if p := c.progress[id]; p != nil {
+		return p.silent
+	}
+	return 0
+}
+
 // SnapshotIndex returns the index that the newest snapshot stands for.
 func (c *Core) SnapshotIndex() uint64 { return c.snap.Index }
--- a/replica/members.go
+++ b/replica/members.go
@@ -11,12 +11,16 @@
 )
 
 const (
-	pathJoin     = "/raft/join"
-	joinEvery    = time.Second
-	joinTimeout  = 3 * time.Second
-	caughtUpLag  = 16
-	maxMembers   = 7
-	maintainTime = 250 * time.Millisecond
+	pathJoin    = "/raft/join"
+	joinEvery   = 400 * time.Millisecond
+	joinTimeout = 3 * time.Second
+	caughtUpLag = 16
+	maxMembers  = 15
+	// lostTicks is how long a voter must be silent before a learner that has
+	// caught up takes its place: more than any election.
+	lostTicks = 3 * electionTicks
+	// forgetTicks is how long a learner must be silent before it is forgotten.
+	forgetTicks = 20 * electionTicks
 )
 
 // joiner asks the peers to take a replica on a blank disk in.
@@ -127,19 +131,58 @@
 	}
 	members := r.core.Members()
 	for i, m := range members {
-		if m.Voter || !r.core.Active(m.ID) || r.core.Match(m.ID)+caughtUpLag < r.core.Commit() || r.core.Match(m.ID) == 0 {
+		if m.Voter || !r.caughtUp(m) {
 			continue
 		}
 		next := slices.Clone(members)
-		old := slices.IndexFunc(members, func(o raft.Member) bool { return o.Name == m.Name && o.ID != m.ID })
-		if old >= 0 {
+		old := r.lost(members, m)
+		switch {
+		case old >= 0:
 			next = slices.Delete(next, old, old+1)
-		} else {
+		case r.full(members):
+			continue
+		default:
 			next[i].Voter = true
 		}
-		if _, _, err := r.core.ProposeMembers(next); err == nil {
-			r.options.Log.Info("Members change.", "store", m.Name, "replaces", old >= 0)
-		}
+		r.proposeMembers(next, m.Name)
 		return
 	}
+	i := slices.IndexFunc(members, func(m raft.Member) bool { return !m.Voter && r.core.Silent(m.ID) > forgetTicks })
+	if i >= 0 {
+		r.proposeMembers(slices.Delete(slices.Clone(members), i, i+1), members[i].Name)
+	}
+}
+
+func (r *Replica) proposeMembers(next []raft.Member, cause string) {
+	if _, _, err := r.core.ProposeMembers(next); err == nil {
+		r.options.Log.Info("Members change.", "store", cause, "members", len(next))
+	}
+}
+
+func (r *Replica) caughtUp(m raft.Member) bool {
+	match := r.core.Match(m.ID)
+	return match > 0 && r.core.Active(m.ID) && match+caughtUpLag >= r.core.Commit()
+}
+
+// full tells whether the group has as many voters as it should.
+func (r *Replica) full(members []raft.Member) bool {
+	voters := 0
+	for _, m := range members {
+		if m.Voter {
+			voters++
+		}
+	}
+	return r.options.Voters > 0 && voters >= r.options.Voters
+}
+
+// lost returns the member whose place a learner takes: the one of its own name,
+// whose disk was lost, or in a full group a voter that has long been silent.
+func (r *Replica) lost(members []raft.Member, learner raft.Member) int {
+	old := slices.IndexFunc(members, func(m raft.Member) bool { return m.Name == learner.Name && m.ID != learner.ID })
+	if old >= 0 || !r.full(members) {
+		return old
+	}
+	return slices.IndexFunc(members, func(m raft.Member) bool {
+		return m.Voter && m.ID != r.storage.self.ID && r.core.Silent(m.ID) > lostTicks
+	})
 }
--- a/replica/progress.go
+++ b/replica/progress.go
@@ -113,3 +113,13 @@
 	}
 	return ""
 }
+
+// MemberAddresses returns where all members are reached.
+func (r *Replica) MemberAddresses() []string {
+	members := r.view.get().Members
+	out := make([]string, 0, len(members))
+	for _, m := range members {
+		out = append(out, m.Address)
+	}
+	return out
+}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -18,9 +19,13 @@
 )
 
 const (
-	heartbeatTicks  = 4
-	electionTicks   = 20
-	compactEvery    = 512
+	heartbeatTicks = 4
+	electionTicks  = 20
+	compactEvery   = 512
+	// compactBytes is the length of the log from which on it is compacted
+	// sooner: whole configurations may be megabytes each.
+	compactBytes    = 16 << 20
+	compactLeast    = 8
 	keptEntries     = 128
 	queueLength     = 1024
 	batchLength     = 256
@@ -36,8 +41,15 @@
 	Name string
 	// Address is the peer address that others reach this replica at.
 	Address string
+	// Voters is the most voters of the group; 0 means all members vote. Further
+	// members stay learners and take the place of voters that are lost.
+	Voters int
 	// Peers are the addresses of stores to join through.
 	Peers []string
+	// Founders are the addresses of the first voters when a whole new group
+	// starts at once, the same at each replica; empty at any other start. A
+	// founder on a blank disk begins the group together with the others.
+	Founders []string
 	// Tick is the unit of election and heartbeat times; 50 ms when zero.
 	Tick   time.Duration
 	Client *peerhttp.Client
@@ -90,6 +102,11 @@
 			return nil, errors.Join(fmt.Errorf("restore state: %w", err), s.log.Close())
 		}
 	}
+	if blank && slices.Contains(options.Founders, options.Address) {
+		if state, err = s.foundTogether(options); err != nil {
+			return nil, errors.Join(err, s.log.Close())
+		}
+	}
 	core := raft.New(raft.Options{ID: s.self.ID, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, Seed: s.self.ID}, state)
 	ctx, cancel := context.WithCancel(ctx)
 	r := &Replica{
@@ -261,7 +278,9 @@
 }
 
 func (r *Replica) compact() error {
-	if r.core.Applied() < r.core.SnapshotIndex()+compactEvery {
+	since := r.core.Applied() - r.core.SnapshotIndex()
+	large := r.storage.log.Size() > compactBytes && since >= compactLeast
+	if since < compactEvery && !large {
 		return nil
 	}
 	data, err := r.machine.Snapshot()
--- a/replica/storage.go
+++ b/replica/storage.go
@@ -25,6 +25,9 @@
 	Hard     *raft.HardState `json:"hard,omitempty"`
 	Snapshot *raft.Snapshot  `json:"snapshot,omitempty"`
 	Entry    *raft.Entry     `json:"entry,omitempty"`
+	// Batch is what one sync covers, as one record: a torn write then damages
+	// the last record only, which is cut at the next start.
+	Batch []record `json:"batch,omitempty"`
 }
 
 // storage keeps a replica's state in one file.
@@ -70,22 +73,29 @@
 		if err := json.Unmarshal(data, &r); err != nil {
 			return state, fmt.Errorf("decode replica log: %w", err)
 		}
-		switch {
-		case r.Identity != nil:
-			s.self = *r.Identity
-		case r.Hard != nil:
-			state.HardState = *r.Hard
-		case r.Snapshot != nil:
-			state.Snapshot = r.Snapshot
-			state.Entries = nil
-		case r.Entry != nil:
-			state.Entries = truncate(state.Entries, r.Entry.Index)
-			state.Entries = append(state.Entries, *r.Entry)
+		s.take(&state, &r)
+		for i := range r.Batch {
+			s.take(&state, &r.Batch[i])
 		}
 	}
 	return state, nil
 }
 
+func (s *storage) take(state *raft.State, r *record) {
+	switch {
+	case r.Identity != nil:
+		s.self = *r.Identity
+	case r.Hard != nil:
+		state.HardState = *r.Hard
+	case r.Snapshot != nil:
+		state.Snapshot = r.Snapshot
+		state.Entries = nil
+	case r.Entry != nil:
+		state.Entries = truncate(state.Entries, r.Entry.Index)
+		state.Entries = append(state.Entries, *r.Entry)
+	}
+}
+
 func truncate(entries []raft.Entry, from uint64) []raft.Entry {
 	for len(entries) > 0 && entries[len(entries)-1].Index >= from {
 		entries = entries[:len(entries)-1]
@@ -122,7 +132,7 @@
 	if len(records) == 0 {
 		return nil
 	}
-	data, err := encode(records)
+	data, err := encode([]record{{Batch: records}})
 	if err != nil {
 		return err
 	}
@@ -155,7 +165,15 @@
 		return errors.Join(fmt.Errorf("%s holds a replica already", dir), s.log.Close())
 	}
 	members := []raft.Member{{ID: s.self.ID, Name: name, Address: address, Voter: true}}
-	snap := &raft.Snapshot{Index: 1, Term: 1, Members: members, Data: json.RawMessage(`{}`)}
-	err = s.rewrite(snap, raft.HardState{Term: 1, Commit: 1}, nil)
+	_, err = s.found(members)
 	return errors.Join(err, s.log.Close())
 }
+
+// found writes the first state of a new group.
+func (s *storage) found(members []raft.Member) (raft.State, error) {
+	state := raft.State{
+		Snapshot:  &raft.Snapshot{Index: 1, Term: 1, Members: members, Data: json.RawMessage(`{}`)},
+		HardState: raft.HardState{Term: 1, Commit: 1},
+	}
+	return state, s.rewrite(state.Snapshot, state.HardState, nil)
+}
--- /dev/null
+++ b/routegate/call.go
@@ -0,0 +1,187 @@
+package routegate
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	"wheelgauge"
+	"wheelgauge/callerhttp"
+	"wheelgauge/eventstream"
+	"wheelgauge/prompt"
+)
+
+const (
+	// mostSends bounds the dispatches of one request, those that servers did
+	// not run included.
+	mostSends = 3
+	// successSample: one success in so many is logged; failures always are.
+	successSample = 64
+)
+
+// result is how one dispatch ended.
+type result int
+
+const (
+	// answered: the caller has its answer, or its connection is cut.
+	answered result = iota
+	// notSent: no byte left for a server.
+	notSent
+	// notRun: a server or gateway said that it did not run the request.
+	notRun
+	// failed: the request may have run, and the caller has no answer yet.
+	failed
+	// repeat: the request ran and failed, and its repeat is paid for.
+	repeat
+)
+
+// call is one request on its way through the gate.
+type call struct {
+	gate      *Gate
+	request   *callerhttp.Request
+	route     *wheelgauge.PathRoute
+	service   string
+	id        string
+	prompt    prompt.Prompt
+	lastEvent string
+	forwarded bool
+	started   time.Time
+	deadline  time.Time
+	version   uint64
+	splitter  eventstream.Splitter
+
+	tried  []string
+	away   []string
+	sends  int
+	runs   int
+	status int
+	cause  string
+	wait   time.Duration
+	first  time.Duration
+	left   bool
+}
+
+// run dispatches until the caller has an answer.
+func (c *call) run(ctx context.Context) {
+	if !c.forwarded {
+		c.gate.options.Budget.First(c.service)
+	}
+	for {
+		if ctx.Err() != nil {
+			c.leave()
+			return
+		}
+		if !time.Now().Before(c.deadline) {
+			c.fail("deadline", "the time for this request is over")
+			return
+		}
+		switch c.dispatch(ctx) {
+		case answered:
+			return
+		case repeat:
+			continue
+		case notSent, notRun:
+			if c.sends >= mostSends || c.sends > 0 && !c.gate.options.Budget.Repeat(c.service) {
+				c.fail("servers refuse", "no backend server took the request")
+				return
+			}
+		case failed:
+			if ctx.Err() != nil {
+				c.leave()
+				return
+			}
+			if !c.mayRepeat() {
+				c.fail(c.cause, "a backend server failed: "+c.cause)
+				return
+			}
+		}
+	}
+}
+
+// mayRepeat tells whether a request that may have run may run again, and pays
+// for it.
+func (c *call) mayRepeat() bool {
+	return c.route.Repeatable() && c.runs < c.route.Attempts && c.sends < mostSends && c.gate.options.Budget.Repeat(c.service)
+}
+
+// dispatch sends the request once, where the least wait is predicted.
+func (c *call) dispatch(ctx context.Context) result {
+	p := c.place()
+	switch {
+	case p.pick != nil:
+		c.wait = p.pick.Wait()
+		return c.toServer(ctx, p.pick)
+	case p.peer != nil:
+		return c.toPeer(ctx, p.peer)
+	}
+	c.fail("full", "no backend server can take the request now")
+	return answered
+}
+
+// fail gives the request up and answers at once.
+func (c *call) fail(cause, detail string) {
+	c.cause = cause
+	if c.request.Begun() {
+		c.status = -1
+		c.request.Cut()
+		return
+	}
+	switch {
+	case c.runs == 0:
+		c.refuse(refusal(wheelgauge.ReasonOverloaded, http.StatusServiceUnavailable, detail).WithRetryAfter(c.comeBack()))
+	case !time.Now().Before(c.deadline):
+		c.refuse(wheelgauge.NewError(wheelgauge.ReasonDeadline, wheelgauge.OutcomeUnknown, http.StatusGatewayTimeout, detail))
+	default:
+		c.refuse(wheelgauge.NewError(wheelgauge.ReasonServerFailed, wheelgauge.OutcomeUnknown, http.StatusBadGateway, detail))
+	}
+}
+
+// comeBack says when a refused caller should try again.
+func (c *call) comeBack() time.Duration {
+	if c.route != nil && c.route.Objective > 0 {
+		return min(busyRetry, c.route.Objective)
+	}
+	return busyRetry
+}
+
+func (c *call) refuse(e *wheelgauge.Error) {
+	c.status = e.Status()
+	if c.cause == "" {
+		c.cause = string(e.Reason())
+	}
+	c.request.Refuse(e.WithRequestID(c.id))
+}
+
+// leave ends a request whose caller has left.
+func (c *call) leave() {
+	c.left = true
+	c.cause = "caller left"
+	c.request.Cut()
+}
+
+// close writes what came of the request.
+func (c *call) close() {
+	g := c.gate
+	took := time.Since(c.started)
+	name := "none"
+	if c.route != nil {
+		name = c.route.Name
+	}
+	good := c.status >= 200 && c.status < 300
+	switch {
+	case good:
+		g.options.Meter.Count("requests.ok")
+		g.options.Meter.Observe("requests.ms", name, name, took)
+	case c.left:
+		g.options.Meter.Count("requests.left")
+	default:
+		g.options.Meter.Count("requests.failed")
+	}
+	if good && c.sends < 2 && g.sampled.Add(1)%successSample != 0 {
+		return
+	}
+	g.options.Log.Info("Request ends.", "id", c.id, "route", name, "version", c.version, "status", c.status, "cause", c.cause,
+		"servers", strings.Join(c.tried, " "), "peers", strings.Join(c.away, " "), "runs", c.runs, "forwarded", c.forwarded,
+		"predicted_ms", c.wait.Milliseconds(), "first_ms", c.first.Milliseconds(), "ms", took.Milliseconds())
+}
--- /dev/null
+++ b/routegate/dispatch.go
@@ -0,0 +1,192 @@
+package routegate
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"wheelgauge"
+	"wheelgauge/peerset"
+	"wheelgauge/serverconn"
+	"wheelgauge/serverset"
+)
+
+// lowestPriority is the last rank that engines know.
+const lowestPriority = 9
+
+// exchange is one dispatch on one connection.
+type exchange struct {
+	call *call
+	conn *serverconn.Conn
+	pool *serverconn.Pool
+	head *fasthttp.ResponseHeader
+	body *serverconn.Body
+	// began is called at the first event or byte of the answer; may be nil.
+	began func()
+}
+
+// toServer dispatches to a server of the region.
+func (c *call) toServer(ctx context.Context, k *serverset.Pick) result {
+	s := k.Server()
+	c.tried = append(c.tried, s.Instance())
+	conn, err := s.Pool().Get(ctx)
+	if err != nil {
+		c.cause = err.Error()
+		k.Done(unreached(err))
+		return notSent
+	}
+	x := &exchange{call: c, conn: conn, pool: s.Pool(), began: k.Began}
+	defer x.release()
+	defer context.AfterFunc(ctx, conn.Abort)()
+	n := c.gate.options.Names
+	head := c.head([][2]string{
+		{n.Deadline, left(c.deadline)},
+		{n.Target, s.Instance()},
+		{n.Priority, strconv.Itoa(min(c.route.Priority, lowestPriority))},
+	})
+	c.sends++
+	c.runs++
+	if err := x.roundTrip(head); err != nil {
+		c.cause = err.Error()
+		k.Done(c.brokenOutcome(ctx))
+		return failed
+	}
+	if slots := slotsOf(string(x.head.Peek(n.Load))); slots > 0 {
+		k.Load(slots)
+	}
+	if status := x.head.StatusCode(); len(x.head.Peek(n.NotRun)) > 0 || status == http.StatusMisdirectedRequest {
+		return c.shed(x, k, status)
+	}
+	return c.relayFrom(ctx, x, k)
+}
+
+func unreached(err error) serverset.Outcome {
+	if errors.Is(err, serverconn.ErrNoConns) {
+		return serverset.Shed
+	}
+	return serverset.Unreached
+}
+
+// brokenOutcome tells a server's failure from a caller that left, and from a
+// deadline, which says little of the server.
+func (c *call) brokenOutcome(ctx context.Context) serverset.Outcome {
+	if ctx.Err() != nil {
+		return serverset.Left
+	}
+	return serverset.Failed
+}
+
+// shed takes a server's word that it did not run the request.
+func (c *call) shed(x *exchange, k *serverset.Pick, status int) result {
+	c.runs--
+	c.cause = "server answered " + strconv.Itoa(status) + " as not run"
+	_ = x.discard() // a connection that breaks here is not kept
+	if status == http.StatusMisdirectedRequest {
+		k.Done(serverset.Gone)
+		return notRun
+	}
+	k.Done(serverset.Shed)
+	return notRun
+}
+
+// relayFrom relays a server's answer, or decides that the request is repeated.
+func (c *call) relayFrom(ctx context.Context, x *exchange, k *serverset.Pick) result {
+	status := x.head.StatusCode()
+	if status >= http.StatusInternalServerError {
+		k.Done(serverset.Failed)
+		if c.mayRepeat() {
+			_ = x.discard() // a connection that breaks here is not kept
+			return repeat
+		}
+	}
+	res := c.relay(x)
+	switch {
+	case res == answered && !c.left:
+		k.Done(serverset.Served)
+	case ctx.Err() != nil || c.left:
+		k.Done(serverset.Left)
+	default:
+		k.Done(serverset.Failed)
+	}
+	return res
+}
+
+// toPeer forwards to a gateway of another region.
+func (c *call) toPeer(ctx context.Context, p *peerset.Peer) result {
+	c.away = append(c.away, p.Name())
+	conn, err := p.Pool().Get(ctx)
+	if err != nil {
+		c.cause = err.Error()
+		c.gate.options.Peers.Pause(p)
+		return notSent
+	}
+	x := &exchange{call: c, conn: conn, pool: p.Pool()}
+	defer x.release()
+	defer context.AfterFunc(ctx, conn.Abort)()
+	head := c.head([][2]string{
+		{c.gate.options.Names.Deadline, left(c.deadline)},
+		{wheelgauge.HeaderForwardedFrom, c.gate.options.Region},
+	})
+	c.runs++
+	if err := x.roundTrip(head); err != nil {
+		c.cause = err.Error()
+		c.sends++
+		c.gate.options.Peers.Pause(p)
+		return failed
+	}
+	outcome := wheelgauge.Outcome(x.head.Peek(wheelgauge.HeaderOutcome))
+	if outcome == "" {
+		return c.relay(x)
+	}
+	c.cause = "gateway " + p.Name() + " answered " + strconv.Itoa(x.head.StatusCode())
+	_ = x.discard() // a connection that breaks here is not kept
+	if outcome == wheelgauge.OutcomeNotRun {
+		c.runs--
+		c.gate.options.Peers.Pause(p)
+		return notRun
+	}
+	c.sends++
+	return failed
+}
+
+// roundTrip sends a request and reads the head of its answer.
+func (x *exchange) roundTrip(head []byte) error {
+	c := x.call
+	if err := x.conn.Send(head, c.request.Body(), c.deadline); err != nil {
+		return err
+	}
+	var err error
+	x.head, x.body, err = x.conn.ReadHead(c.gate.options.Names.RequestID, c.id, c.request.Header().IsHead())
+	return err
+}
+
+func (x *exchange) discard() error { return x.body.Discard() }
+
+func (x *exchange) release() { x.pool.Put(x.conn, x.head, x.body) }
+
+func (x *exchange) first() {
+	if x.call.first == 0 {
+		x.call.first = time.Since(x.call.started)
+	}
+	if x.began != nil {
+		x.began()
+	}
+}
+
+// slotsOf reads the last number of "running,waiting,slots"; 0 when it is not there.
+func slotsOf(load string) int {
+	at := strings.LastIndexByte(load, ',')
+	if at < 0 {
+		return 0
+	}
+	n, err := strconv.Atoi(strings.TrimSpace(load[at+1:]))
+	if err != nil {
+		return 0
+	}
+	return n
+}
--- /dev/null
+++ b/routegate/gate.go
@@ -0,0 +1,122 @@
+// Package routegate serves the requests of the routes mode: it finds the
+// route, decides in which region and on which backend server a request runs,
+// repeats what may be repeated, and relays answers byte for byte.
+package routegate
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"wheelgauge"
+	"wheelgauge/callerhttp"
+	"wheelgauge/meter"
+	"wheelgauge/peerset"
+	"wheelgauge/prompt"
+	"wheelgauge/retrybudget"
+	"wheelgauge/routetable"
+	"wheelgauge/serverset"
+)
+
+const (
+	// startRetry is when a caller of a host without configuration comes back:
+	// a store answers within a heartbeat.
+	startRetry = 500 * time.Millisecond
+	// busyRetry is when a caller comes back that was refused for load.
+	busyRetry = 700 * time.Millisecond
+)
+
+// Options of a Gate.
+type Options struct {
+	// Region is the host's own.
+	Region string
+	Names  wheelgauge.HeaderNames
+	// Servers are those of the region, Peers the gateways of all regions.
+	Servers *serverset.Table
+	Peers   *peerset.Table
+	Budget  *retrybudget.Budget
+	Meter   *meter.Meter
+	Log     logr.Logger
+}
+
+// Gate is safe for concurrent use.
+type Gate struct {
+	options  Options
+	table    atomic.Pointer[routetable.Table]
+	reserved map[string]bool
+	sampled  atomic.Uint64
+}
+
+// New returns a gate without a configuration: it refuses everything as not run.
+func New(o Options) *Gate { return &Gate{options: o, reserved: reservedNames(o.Names)} }
+
+// SetTable puts a configuration in force.
+func (g *Gate) SetTable(t *routetable.Table) { g.table.Store(t) }
+
+// Table returns the configuration in force; nil when there is none.
+func (g *Gate) Table() *routetable.Table { return g.table.Load() }
+
+// Limits returns what callers may send.
+func (g *Gate) Limits() wheelgauge.Limits {
+	if t := g.table.Load(); t != nil {
+		return t.Limits()
+	}
+	return wheelgauge.Limits{HeaderBytes: 16 << 10, BodyBytes: 4 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
+}
+
+// Serve answers a caller's request.
+func (g *Gate) Serve(ctx context.Context, r *callerhttp.Request) { g.serve(ctx, r, false) }
+
+// ServePeer answers a request that a gateway of another region forwarded. It
+// is never forwarded again.
+func (g *Gate) ServePeer(ctx context.Context, r *callerhttp.Request) { g.serve(ctx, r, true) }
+
+func (g *Gate) serve(ctx context.Context, r *callerhttp.Request, forwarded bool) {
+	c := g.open(r, forwarded)
+	if fault := g.admit(c); fault != nil {
+		c.refuse(fault)
+	} else {
+		c.run(ctx)
+	}
+	c.close()
+}
+
+// open gathers what decides about a request.
+func (g *Gate) open(r *callerhttp.Request, forwarded bool) *call {
+	h, n := r.Header(), g.options.Names
+	c := &call{gate: g, request: r, forwarded: forwarded, id: string(h.Peek(n.RequestID)), started: r.Arrived()}
+	c.prompt = prompt.Parse(string(h.Peek(n.Prompt)), string(h.Peek(n.Tokens)), string(h.Peek(n.Hint)))
+	c.lastEvent = string(h.Peek(n.LastEvent))
+	if ms, err := strconv.ParseFloat(string(h.Peek(n.Deadline)), 64); err == nil && ms > 0 {
+		c.deadline = r.Arrived().Add(time.Duration(ms * float64(time.Millisecond)))
+	}
+	return c
+}
+
+// admit finds the route, or says why the request is refused.
+func (g *Gate) admit(c *call) *wheelgauge.Error {
+	t := g.table.Load()
+	if t == nil {
+		return refusal(wheelgauge.ReasonNoConfiguration, http.StatusServiceUnavailable, "no configuration is known yet").WithRetryAfter(startRetry)
+	}
+	c.version = t.Version()
+	h := c.request.Header()
+	c.route = t.Match(string(h.Host()), string(h.RequestURI()))
+	if c.route == nil {
+		return refusal(wheelgauge.ReasonNotFound, http.StatusNotFound, "no route for this host and path")
+	}
+	limit := c.started.Add(c.route.Timeout)
+	if c.deadline.IsZero() || limit.Before(c.deadline) {
+		c.deadline = limit
+	}
+	c.service = routetable.Pick(c.route)
+	return nil
+}
+
+func refusal(reason wheelgauge.Reason, status int, detail string) *wheelgauge.Error {
+	return wheelgauge.NewError(reason, wheelgauge.OutcomeNotRun, status, detail)
+}
--- /dev/null
+++ b/routegate/headers.go
@@ -0,0 +1,101 @@
+package routegate
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"wheelgauge"
+	"wheelgauge/callerhttp"
+)
+
+// hopByHop are headers that concern one connection only, in lower case.
+var hopByHop = map[string]bool{
+	"connection": true, "keep-alive": true, "proxy-connection": true, "te": true, "trailer": true,
+	"transfer-encoding": true, "upgrade": true, "content-length": true, "expect": true,
+}
+
+// reservedNames are the headers that are dropped from requests and set anew.
+func reservedNames(n wheelgauge.HeaderNames) map[string]bool {
+	out := map[string]bool{}
+	for _, name := range append([]string{n.Deadline, n.Target, n.Priority, wheelgauge.HeaderForwardedFrom}, n.Reserved...) {
+		if name != "" {
+			out[strings.ToLower(name)] = true
+		}
+	}
+	return out
+}
+
+// named returns the header names that a Connection header lists.
+func named(connection []byte) map[string]bool {
+	var out map[string]bool
+	for name := range strings.SplitSeq(string(connection), ",") {
+		if name = strings.ToLower(strings.TrimSpace(name)); name != "" {
+			if out == nil {
+				out = map[string]bool{}
+			}
+			out[name] = true
+		}
+	}
+	return out
+}
+
+// line adds one header line.
+func line(dst []byte, name, value string) []byte {
+	dst = append(dst, name...)
+	dst = append(dst, ": "...)
+	dst = append(dst, value...)
+	return append(dst, "\r\n"...)
+}
+
+// head renders the request as it goes to a server or to another gateway.
+func (c *call) head(set [][2]string) []byte {
+	h := c.request.Header()
+	dst := make([]byte, 0, 1024)
+	dst = append(dst, h.Method()...)
+	dst = append(dst, ' ')
+	dst = append(dst, h.RequestURI()...)
+	dst = append(dst, " HTTP/1.1\r\n"...)
+	listed := named(h.Peek("Connection"))
+	lastEvent := strings.ToLower(c.gate.options.Names.LastEvent)
+	for name, value := range h.All() {
+		low := strings.ToLower(string(name))
+		if hopByHop[low] || c.gate.reserved[low] || listed[low] || low == lastEvent {
+			continue
+		}
+		dst = line(dst, string(name), string(value))
+	}
+	if body := c.request.Body(); len(body) > 0 || !h.IsGet() && !h.IsHead() {
+		dst = line(dst, "Content-Length", strconv.Itoa(len(body)))
+	}
+	if c.lastEvent != "" {
+		dst = line(dst, c.gate.options.Names.LastEvent, c.lastEvent)
+	}
+	for _, s := range set {
+		if s[0] != "" {
+			dst = line(dst, s[0], s[1])
+		}
+	}
+	return append(dst, "\r\n"...)
+}
+
+// left renders what is left until a deadline, in whole milliseconds.
+func left(deadline time.Time) string {
+	return strconv.FormatInt(max(1, time.Until(deadline).Milliseconds()), 10)
+}
+
+// answerFields are the headers of an answer that go on to the caller.
+func answerFields(h *fasthttp.ResponseHeader) []callerhttp.Field {
+	listed := named(h.Peek("Connection"))
+	fields := make([]callerhttp.Field, 0, 8)
+	for name, value := range h.All() {
+		low := strings.ToLower(string(name))
+		if hopByHop[low] || listed[low] {
+			continue
+		}
+		fields = append(fields, callerhttp.NewField(string(name), string(value)))
+	}
+	return fields
+}
--- /dev/null
+++ b/routes.go
@@ -0,0 +1,163 @@
+package wheelgauge
+
+import (
+	"context"
+	"time"
+)
+
+// RouteKind says how often a request of a route may run.
+type RouteKind string
+
+// Kinds of routes.
+const (
+	// RouteRepeatable requests may run more than once.
+	RouteRepeatable RouteKind = "repeatable"
+	// RouteOnce requests run at most once.
+	RouteOnce RouteKind = "once"
+	// RouteStream requests are answered by an event stream. They run at most
+	// once unless the route is resumable.
+	RouteStream RouteKind = "stream"
+)
+
+// Share is the part of a route's requests that a service gets.
+type Share struct {
+	Service string `json:"service"`
+	Weight  int    `json:"weight"`
+}
+
+// PathRoute sends the requests of a host name and path prefix to services.
+type PathRoute struct {
+	Name   string    `json:"name"`
+	Host   string    `json:"host"`
+	Prefix string    `json:"prefix"`
+	Kind   RouteKind `json:"kind"`
+	// Timeout is the longest that a request may be held.
+	Timeout time.Duration `json:"timeout_ns"`
+	// Objective is the latency that users want; of streams, to the first event.
+	Objective time.Duration `json:"objective_ns"`
+	// Pause is the longest pause between events that users want.
+	Pause time.Duration `json:"pause_ns"`
+	// Priority is the rank of the route, 0 the most urgent.
+	Priority int `json:"priority"`
+	// Attempts is the most servers that may run one request.
+	Attempts int     `json:"attempts"`
+	Shares   []Share `json:"shares"`
+	// Affinity asks for servers that hold a request's prompt prefix.
+	Affinity  bool `json:"affinity"`
+	Resumable bool `json:"resumable"`
+	// Homes are the only regions that may run or relay a request; empty means all.
+	Homes []string `json:"homes,omitempty"`
+}
+
+// Repeatable tells whether a request may run more than once.
+func (r *PathRoute) Repeatable() bool {
+	return r.Kind == RouteRepeatable || r.Kind == RouteStream && r.Resumable
+}
+
+// AllowedIn tells whether the route's requests may run in a region.
+func (r *PathRoute) AllowedIn(region string) bool {
+	for _, h := range r.Homes {
+		if h == region {
+			return true
+		}
+	}
+	return len(r.Homes) == 0
+}
+
+// Service is a set of backend servers that answer the same requests.
+type Service struct {
+	Name string `json:"name"`
+	// Conns is the most connections that one server accepts from all hosts.
+	Conns int `json:"conns"`
+	// ColdRate is what a cold server of the service bears, requests a second
+	// from all hosts together; 0 means no bound.
+	ColdRate float64 `json:"cold_rate"`
+	// CacheTokens is the KV cache of one engine, in tokens; 0 for plain services.
+	CacheTokens int `json:"cache_tokens"`
+}
+
+// Limits bound what a caller may send and how long it may take.
+type Limits struct {
+	HeaderBytes   int           `json:"header_bytes"`
+	BodyBytes     int           `json:"body_bytes"`
+	HeaderTimeout time.Duration `json:"header_timeout_ns"`
+	IdleTimeout   time.Duration `json:"idle_timeout_ns"`
+}
+
+// RouteSet is a whole configuration under an operator's version number.
+type RouteSet struct {
+	Version  uint64      `json:"version"`
+	Routes   []PathRoute `json:"routes"`
+	Services []Service   `json:"services"`
+	Limits   Limits      `json:"limits"`
+}
+
+// RouteDecoder reads a whole configuration in an operator's form. Its error
+// says what is wrong with the first field that is.
+type RouteDecoder func(body []byte) (*RouteSet, error)
+
+// Server is a backend server as the list of servers tells of it.
+type Server struct {
+	// Instance names one start of the server.
+	Instance string `json:"i"`
+	Service  string `json:"s"`
+	Address  string `json:"a"`
+	Hall     string `json:"h"`
+	Slots    int    `json:"n,omitempty"`
+	Leaving  bool   `json:"l,omitempty"`
+	// ColdMS is how much longer the server bears only its cold rate, in ms.
+	ColdMS int64 `json:"c,omitempty"`
+}
+
+// ServerList is the list of backend servers; it lags behind reality.
+type ServerList interface {
+	// Servers returns all servers of the halls, or of all halls when none is named.
+	Servers(ctx context.Context, halls []string) ([]Server, error)
+}
+
+// HeaderNames are the headers that callers, gateways and backend servers use in
+// one dialect. An empty name means that the dialect has no such header.
+type HeaderNames struct {
+	// RequestID names a request; servers give it back.
+	RequestID string
+	// Deadline is what is left until the caller gives up, in ms.
+	Deadline string
+	// Target names the one instance that may run the request.
+	Target string
+	// Instance names the instance that answered.
+	Instance string
+	// NotRun marks a server's answer that says the request did not run.
+	NotRun string
+	// Signature proves that a server made the answer; every success has one.
+	Signature string
+	// Load is "running,waiting,slots" of the answering server.
+	Load string
+	// Prompt lists the parts of the prompt as ID:TOKENS, separated by commas.
+	Prompt string
+	// Tokens is "prompt tokens,most tokens to generate".
+	Tokens string
+	// Hint is the caller's guess of the tokens to be generated.
+	Hint string
+	// Priority orders requests in an engine, 0 first.
+	Priority string
+	// ColdMS is how much longer the answering server is cold, in ms.
+	ColdMS string
+	// LastEvent names the last event a resumed stream has seen.
+	LastEvent string
+	// Reserved are headers that only the system sets: a caller's are dropped.
+	Reserved []string
+}
+
+// Operations are what operators may ask of a store in the routes mode.
+type Operations interface {
+	// PutRoutes makes a whole configuration the one in force, if its version is
+	// above the one held, and returns the version held.
+	PutRoutes(ctx context.Context, body []byte) (uint64, error)
+	// Routes returns the newest whole configuration as it was sent, after a
+	// read barrier; nil when there is none.
+	Routes(ctx context.Context) ([]byte, error)
+	// DrainHall stops or resumes sending work to the backend servers of a hall.
+	DrainHall(ctx context.Context, hall string, drained bool) error
+	// EntryAddresses returns where callers of a region and hall may connect.
+	EntryAddresses(region, hall string) ([]string, error)
+}
--- /dev/null
+++ b/routetable/table.go
@@ -0,0 +1,80 @@
+// Package routetable finds the route of a request by host name and longest
+// path prefix.
+package routetable
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"strings"
+
+	"wheelgauge"
+)
+
+// Table is an immutable view of a whole configuration.
+type Table struct {
+	set      *wheelgauge.RouteSet
+	hosts    map[string][]*wheelgauge.PathRoute
+	services map[string]*wheelgauge.Service
+}
+
+// New arranges a checked configuration for look-ups.
+func New(set *wheelgauge.RouteSet) *Table {
+	t := &Table{set: set, hosts: map[string][]*wheelgauge.PathRoute{}, services: map[string]*wheelgauge.Service{}}
+	for i := range set.Routes {
+		r := &set.Routes[i]
+		host := strings.ToLower(r.Host)
+		t.hosts[host] = append(t.hosts[host], r)
+	}
+	for _, routes := range t.hosts {
+		slices.SortStableFunc(routes, func(a, b *wheelgauge.PathRoute) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	for i := range set.Services {
+		t.services[set.Services[i].Name] = &set.Services[i]
+	}
+	return t
+}
+
+// Version returns the operator's version number.
+func (t *Table) Version() uint64 { return t.set.Version }
+
+// Limits returns what callers may send.
+func (t *Table) Limits() wheelgauge.Limits { return t.set.Limits }
+
+// Service returns a service by name; nil when there is none.
+func (t *Table) Service(name string) *wheelgauge.Service { return t.services[name] }
+
+// Match returns the route of a host name and path, nil when there is none. A
+// port in the host name and a query in the path are passed over.
+func (t *Table) Match(host, path string) *wheelgauge.PathRoute {
+	host, _, _ = strings.Cut(strings.ToLower(host), ":")
+	path, _, _ = strings.Cut(path, "?")
+	for _, r := range t.hosts[host] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Pick draws a service of a route by weight.
+func Pick(r *wheelgauge.PathRoute) string {
+	if len(r.Shares) == 1 {
+		return r.Shares[0].Service
+	}
+	total := 0
+	for _, s := range r.Shares {
+		total += s.Weight
+	}
+	if total <= 0 {
+		return ""
+	}
+	at := rand.IntN(total)
+	for _, s := range r.Shares {
+		at -= s.Weight
+		if at < 0 {
+			return s.Service
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/serverconn/idle.go
@@ -0,0 +1,22 @@
+package serverconn
+
+import (
+	"strconv"
+	"strings"
+	"time"
+)
+
+// idleLife says how long a connection may rest, from a Keep-Alive header such
+// as "timeout=5, max=100" or "5".
+func idleLife(keepAlive string) time.Duration {
+	for part := range strings.SplitSeq(keepAlive, ",") {
+		part = strings.TrimSpace(part)
+		if value, ok := strings.CutPrefix(part, "timeout="); ok {
+			part = value
+		}
+		if seconds, err := strconv.Atoi(part); err == nil {
+			return time.Duration(float64(seconds) * idlePart * float64(time.Second))
+		}
+	}
+	return idleUnannounced
+}
--- /dev/null
+++ b/serverconn/pool.go
@@ -0,0 +1,158 @@
+package serverconn
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	// idleUnannounced is how long a connection is kept where the server says
+	// nothing of its idle time.
+	idleUnannounced = 4 * time.Second
+	// idlePart of an announced idle time is used: the rest is for the way there.
+	idlePart = 0.6
+	// connectTimeout bounds a new connection inside a region and between two.
+	connectTimeout = time.Second
+)
+
+// ErrNoConns is returned when a server has as many connections as it may.
+var ErrNoConns = errors.New("no connection is free")
+
+// Pool keeps the connections to one address.
+type Pool struct {
+	address string
+	mu      sync.Mutex
+	idle    []*Conn
+	open    int
+	most    int
+	closed  bool
+	dialed  int
+}
+
+// New returns a pool of at most the given number of connections.
+func New(address string, most int) *Pool { return &Pool{address: address, most: most} }
+
+// SetMost changes how many connections may be open.
+func (p *Pool) SetMost(most int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.most = most
+}
+
+// Get returns an idle connection on which nothing has come, or a new one.
+func (p *Pool) Get(ctx context.Context) (*Conn, error) {
+	for {
+		c, err := p.take()
+		if err != nil {
+			return nil, err
+		}
+		if c == nil {
+			return p.dial(ctx)
+		}
+		if time.Since(c.idle) < c.life && c.clean() {
+			return c, nil
+		}
+		p.drop(c)
+	}
+}
+
+// take returns the connection used last, or nil if a new one may be opened.
+func (p *Pool) take() (*Conn, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if n := len(p.idle); n > 0 {
+		c := p.idle[n-1]
+		p.idle = p.idle[:n-1]
+		return c, nil
+	}
+	if p.closed || p.open >= p.most {
+		return nil, ErrNoConns
+	}
+	p.open++
+	p.dialed++
+	return nil, nil
+}
+
+func (p *Pool) dial(ctx context.Context) (*Conn, error) {
+	c, err := dial(ctx, p.address, connectTimeout)
+	if err != nil {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.open--
+		return nil, err
+	}
+	return c, nil
+}
+
+func (p *Pool) drop(c *Conn) {
+	_ = c.net.Close() // nothing is awaited on it
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open--
+}
+
+// Put takes a connection back after an answer; h is the answer's head, nil if
+// there was none. The connection is closed unless its next answer is certain
+// to be its own.
+func (p *Pool) Put(c *Conn, h *fasthttp.ResponseHeader, b *Body) {
+	if h == nil || !b.done || !c.sent() || c.Aborted() || !c.reusable || c.in.Buffered() > 0 {
+		p.drop(c)
+		return
+	}
+	c.idle, c.life = time.Now(), idleLife(string(h.Peek("Keep-Alive")))
+	p.mu.Lock()
+	if p.closed || c.life <= 0 {
+		p.mu.Unlock()
+		p.drop(c)
+		return
+	}
+	p.idle = append(p.idle, c)
+	p.mu.Unlock()
+}
+
+// Prune closes connections that were idle for too long.
+func (p *Pool) Prune() {
+	p.mu.Lock()
+	var old, keep []*Conn
+	for _, c := range p.idle {
+		if time.Since(c.idle) < c.life {
+			keep = append(keep, c)
+			continue
+		}
+		old = append(old, c)
+	}
+	p.idle = keep
+	p.mu.Unlock()
+	for _, c := range old {
+		p.drop(c)
+	}
+}
+
+// Open returns the number of open connections, Dialed of all ever opened.
+func (p *Pool) Open() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open
+}
+
+// Dialed returns the number of connections ever opened.
+func (p *Pool) Dialed() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.dialed
+}
+
+// Close closes idle connections; those in use end with their request.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle, p.closed = nil, true
+	p.mu.Unlock()
+	for _, c := range idle {
+		p.drop(c)
+	}
+}
--- /dev/null
+++ b/serverset/server.go
@@ -0,0 +1,106 @@
+package serverset
+
+import (
+	"math"
+	"time"
+
+	"wheelgauge"
+	"wheelgauge/prompt"
+	"wheelgauge/rendezvous"
+	"wheelgauge/serverconn"
+)
+
+const (
+	// failWeight is the weight of a new outcome in a server's failure rate: a
+	// server that fails two in five is told from a sound one in a few answers.
+	failWeight = 0.15
+	// failForget is how long a failure rate takes to halve without new answers,
+	// so that a server that recovered is tried again.
+	failForget = 3 * time.Second
+	// firstPause and longestPause bound how long a server that is not reached
+	// gets no work; the pause doubles with each failure.
+	firstPause   = 500 * time.Millisecond
+	longestPause = 4 * time.Second
+	// timeWeight is the weight of a new duration in a running mean.
+	timeWeight = 0.1
+)
+
+// Server is one backend server as this host sees it. Its table guards it.
+type Server struct {
+	spec wheelgauge.Server
+	hash uint64
+	pool *serverconn.Pool
+	// running and tokens are this host's own requests in flight and the prompt
+	// tokens of those without a first event.
+	running int
+	tokens  int
+	// others is what the region's other hosts had in flight at othersAt.
+	others   wheelgauge.ServerUse
+	othersAt time.Time
+	// slots is what the server says of itself, 0 while it has not answered.
+	slots int
+	// coldUntil is when the server bears full load again.
+	coldUntil time.Time
+	failRate  float64
+	failAt    time.Time
+	// pausedUntil keeps work off a server that was not reached.
+	pausedUntil time.Time
+	pause       time.Duration
+	gone        bool
+	// service is the mean time of an answer of a plain service.
+	service time.Duration
+	cached  map[uint64]time.Time
+}
+
+func newServer(spec wheelgauge.Server, conns int) *Server {
+	return &Server{
+		spec: spec, hash: rendezvous.Hash(spec.Instance), pool: serverconn.New(spec.Address, conns),
+		cached: map[uint64]time.Time{},
+	}
+}
+
+// Instance returns the name of this start of the server.
+func (s *Server) Instance() string { return s.spec.Instance }
+
+// Address returns where the server is reached.
+func (s *Server) Address() string { return s.spec.Address }
+
+// Hall returns the server's hall.
+func (s *Server) Hall() string { return s.spec.Hall }
+
+// Pool returns the connections to the server.
+func (s *Server) Pool() *serverconn.Pool { return s.pool }
+
+func (s *Server) fails(now time.Time) float64 {
+	if s.failRate == 0 {
+		return 0
+	}
+	return s.failRate * math.Exp2(-now.Sub(s.failAt).Seconds()/failForget.Seconds())
+}
+
+func (s *Server) outcome(now time.Time, failed bool) {
+	value := 0.0
+	if failed {
+		value = 1
+	}
+	s.failRate = s.fails(now)*(1-failWeight) + value*failWeight
+	s.failAt = now
+}
+
+// inFlight returns the requests of all hosts at the server, by what is known.
+func (s *Server) inFlight() int { return s.running + s.others.Running }
+
+// missing estimates the prompt tokens that the server must read.
+func (s *Server) missing(p prompt.Prompt, home bool) int {
+	if home {
+		return p.Tokens() - p.SharedTokens()
+	}
+	miss := p.Tokens()
+	for _, part := range p.Shared() {
+		if _, ok := s.cached[part.ID()]; !ok {
+			break
+		}
+		miss -= part.Tokens()
+	}
+	return miss
+}
--- /dev/null
+++ b/serverset/table.go
@@ -0,0 +1,265 @@
+// Package serverset is a host's table of the backend servers of its region:
+// what is in flight at each, how each behaved, and which one a request is
+// best sent to.
+package serverset
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"wheelgauge"
+	"wheelgauge/coldrate"
+	"wheelgauge/prompt"
+	"wheelgauge/rendezvous"
+)
+
+const (
+	// cacheLife is how long a part of a prompt is taken to stay in an engine's
+	// cache after its last use here.
+	cacheLife = 20 * time.Second
+	// firstReadRate is the prompt tokens an engine reads in a millisecond, until
+	// it has been learned.
+	firstReadRate = 100.0
+	// runCost is how much a running request slows the first event of a new one,
+	// in milliseconds.
+	runCost = 1.0
+	// failCost is what a failure costs a user, in milliseconds of waiting.
+	failCost = 1500.0
+	// firstService is the time of an answer of a plain service until one is known.
+	firstService = 30 * time.Millisecond
+	// otherHallCost prefers the host's own hall between equals, in milliseconds.
+	otherHallCost = 1.0
+	// spareConns is how many connections beyond its part a host may open.
+	spareConns = 4
+)
+
+// Place says where the host is and who shares the region with it.
+type Place struct {
+	Host string
+	Hall string
+	// Peers are the names of all live hosts of the region.
+	Peers []string
+}
+
+// Table is safe for concurrent use.
+type Table struct {
+	mu       sync.Mutex
+	place    Place
+	servers  map[string]*Server
+	services map[string][]*Server
+	drained  []string
+	// resumed is when a hall was last taken back: its servers may be cold.
+	resumed map[string]time.Time
+	limits  func(service string) *wheelgauge.Service
+	cold    *coldrate.Shares
+	now     func() time.Time
+}
+
+// New returns an empty table. limits gives the configuration of a service.
+func New(place Place, limits func(service string) *wheelgauge.Service, now func() time.Time) *Table {
+	return &Table{
+		place: place, servers: map[string]*Server{}, services: map[string][]*Server{}, resumed: map[string]time.Time{},
+		limits: limits, cold: coldrate.New(now), now: now,
+	}
+}
+
+// SetPeers tells which hosts share the region.
+func (t *Table) SetPeers(peers []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.place.Peers = slices.Clone(peers)
+	for _, s := range t.servers {
+		s.pool.SetMost(t.conns(s.spec.Service))
+	}
+}
+
+// conns is this host's part of a server's connections.
+func (t *Table) conns(service string) int {
+	l := t.limits(service)
+	if l == nil || l.Conns == 0 {
+		return spareConns
+	}
+	return max(spareConns, l.Conns/(len(t.place.Peers)+1))
+}
+
+// Update takes the list of the region's servers as it was asked for at an
+// earlier moment.
+func (t *Table) Update(list []wheelgauge.Server, asked time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	seen := map[string]bool{}
+	for _, spec := range list {
+		seen[spec.Instance] = true
+		s := t.servers[spec.Instance]
+		if s == nil {
+			s = newServer(spec, t.conns(spec.Service))
+			t.servers[spec.Instance] = s
+		}
+		s.spec = spec
+		t.warm(s, asked)
+	}
+	for name, s := range t.servers {
+		if !seen[name] {
+			s.pool.Close()
+			delete(t.servers, name)
+		}
+	}
+	t.arrange()
+}
+
+// warm takes over how long a server stays cold, unless the list is older than
+// the hall's return.
+func (t *Table) warm(s *Server, asked time.Time) {
+	until := asked.Add(time.Duration(s.spec.ColdMS) * time.Millisecond)
+	if s.spec.ColdMS > 0 {
+		s.coldUntil = until
+		return
+	}
+	if back, ok := t.resumed[s.spec.Hall]; ok && asked.Before(back.Add(listLag)) {
+		return
+	}
+	s.coldUntil = time.Time{}
+}
+
+// listLag is how far the list of servers may run behind: it is not believed
+// about the cold servers of a hall that has just been taken back.
+const listLag = 1500 * time.Millisecond
+
+// coldAfterReturn keeps servers of a hall that was taken back on the cold rate
+// until a newer list says otherwise.
+const coldAfterReturn = 10 * time.Second
+
+// Confirm tells that the last list was still true when asked for anew.
+func (t *Table) Confirm(asked time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range t.servers {
+		if s.spec.ColdMS == 0 {
+			t.warm(s, asked)
+		}
+	}
+}
+
+func (t *Table) arrange() {
+	t.services = map[string][]*Server{}
+	for _, s := range t.servers {
+		t.services[s.spec.Service] = append(t.services[s.spec.Service], s)
+	}
+	for _, list := range t.services {
+		slices.SortFunc(list, func(a, b *Server) int { return cmp.Compare(a.spec.Instance, b.spec.Instance) })
+	}
+}
+
+// SetDrained tells which halls get no work.
+func (t *Table) SetDrained(halls []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, was := range t.drained {
+		if slices.Contains(halls, was) {
+			continue
+		}
+		t.resumed[was] = t.now()
+		for _, s := range t.servers {
+			if l := t.limits(s.spec.Service); s.spec.Hall == was && l != nil && l.ColdRate > 0 {
+				s.coldUntil = t.now().Add(coldAfterReturn)
+			}
+		}
+	}
+	t.drained = slices.Clone(halls)
+}
+
+// SetUses takes what the region's other hosts have in flight.
+func (t *Table) SetUses(uses []wheelgauge.ServerUse) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	for _, s := range t.servers {
+		s.others, s.othersAt = wheelgauge.ServerUse{}, now
+	}
+	for _, u := range uses {
+		if s := t.servers[u.Instance]; s != nil {
+			s.others = u
+		}
+	}
+}
+
+// Uses returns what this host has in flight, by server and by service.
+func (t *Table) Uses() ([]wheelgauge.ServerUse, []wheelgauge.ServiceUse) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var uses []wheelgauge.ServerUse
+	sums := map[string]wheelgauge.ServiceUse{}
+	for _, s := range t.servers {
+		if s.running == 0 {
+			continue
+		}
+		uses = append(uses, wheelgauge.ServerUse{Instance: s.spec.Instance, Running: s.running, Tokens: s.tokens})
+		sum := sums[s.spec.Service]
+		sums[s.spec.Service] = wheelgauge.ServiceUse{Service: s.spec.Service, Running: sum.Running + s.running, Tokens: sum.Tokens + s.tokens}
+	}
+	totals := make([]wheelgauge.ServiceUse, 0, len(sums))
+	for _, sum := range sums {
+		totals = append(totals, sum)
+	}
+	return uses, totals
+}
+
+// Prune closes idle connections and forgets what caches no longer hold.
+func (t *Table) Prune() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	old := t.now().Add(-cacheLife)
+	for _, s := range t.servers {
+		s.pool.Prune()
+		for id, used := range s.cached {
+			if used.Before(old) {
+				delete(s.cached, id)
+			}
+		}
+	}
+}
+
+// Close closes all connections.
+func (t *Table) Close() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range t.servers {
+		s.pool.Close()
+	}
+}
+
+// Dialed returns how many connections were ever opened to the servers listed.
+func (t *Table) Dialed() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, s := range t.servers {
+		n += s.pool.Dialed()
+	}
+	return n
+}
+
+// takes tells whether a server may get work at all.
+func (t *Table) takes(s *Server, now time.Time) bool {
+	return !s.spec.Leaving && !s.gone && !slices.Contains(t.drained, s.spec.Hall) && now.After(s.pausedUntil)
+}
+
+func (t *Table) home(servers []*Server, p prompt.Prompt, now time.Time) *Server {
+	subject := p.Subject()
+	if subject == 0 {
+		return nil
+	}
+	var best *Server
+	var top uint64
+	for _, s := range servers {
+		if !t.takes(s, now) || now.Before(s.coldUntil) {
+			continue
+		}
+		if score := rendezvous.Score(subject, s.hash); best == nil || score > top {
+			best, top = s, score
+		}
+	}
+	return best
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -214,6 +214,12 @@
 	return b.String()
 }
 
+// Known tells whether a setting was declared.
+func (v *Values) Known(section, name string) bool {
+	_, ok := v.values[id(section, name)]
+	return ok
+}
+
 // Text returns a text value.
 func (v *Values) Text(section, name string) string { return v.values[id(section, name)] }
 
