Keep to a server's cold rate for a second longer than it is cold

Cause: servers got 9 to 11 requests in a second that began while they were cold (allowed 8.2): all but four came within the second after the list's cold_remaining was over, when every host sends at will. Ruled out: holders disagreeing about the hosts (3 at each), the list's age (remaining time agreed with the server's start within 10 ms). Change: the rate holds for 1.2 s beyond what the list says.

--- a/serverset/table.go
+++ b/serverset/table.go
@@ -112,17 +112,22 @@
 // warm takes over how long a server stays cold, unless the list is older than
 // the hall's return.
 func (t *Table) warm(s *Server, asked time.Time) {
-	until := asked.Add(time.Duration(s.spec.ColdMS) * time.Millisecond)
 	if s.spec.ColdMS > 0 {
-		s.coldUntil = until
+		s.coldUntil = asked.Add(time.Duration(s.spec.ColdMS)*time.Millisecond + coldMargin)
 		return
 	}
 	if back, ok := t.resumed[s.spec.Hall]; ok && asked.Before(back.Add(listLag)) {
 		return
 	}
-	s.coldUntil = time.Time{}
+	if until := asked.Add(coldMargin); s.coldUntil.After(until) {
+		s.coldUntil = until
+	}
 }
 
+// coldMargin goes on after the list says that a server is warm: the rate binds
+// every second that begins while it is cold, and requests are on their way.
+const coldMargin = 1200 * time.Millisecond
+
 // listLag is how far the list of servers may run behind: it is not believed
 // about the cold servers of a hall that has just been taken back.
 const listLag = 1500 * time.Millisecond
