Leave within the grace, name hosts by homes, repeat in one place only

Causes: (1) long streams taken more than 3 s after SIGTERM were cut at the end of the grace (LOST); (2) with all hosts of a region stopping in turn the entry answer named any region, so over 1 in 20 requests with homes went through hosts where they may not (HOME); (3) a forwarded request was repeated by both gateways, on 3 servers where 2 are allowed (BUDGET). Change: a leaving host refuses, as not run, what may not be done in time, and ends as soon as nobody comes; entry answers hold a second and prefer leaving hosts of the region, then homes; only the host a request came to repeats it.

--- /dev/null
+++ b/confstore/entry.go
@@ -0,0 +1,69 @@
+package confstore
+
+import (
+	"net/http"
+	"slices"
+	"time"
+
+	"wheelgauge"
+	"wheelgauge/routetable"
+)
+
+// warmUp is how long a store that has just started waits for hosts' beats
+// before it says that a region has none.
+const warmUp = 2 * time.Second
+
+// EntryAddresses implements wheelgauge.Operations. It names the region's own
+// hosts; those that leave are better than a region where the routes of the host
+// name may not run, as they still serve for a while.
+func (n *Node) EntryAddresses(name, region string) ([]string, error) {
+	hosts, _ := n.hosts.Hosts()
+	if near := addresses(hosts, func(h wheelgauge.FleetHost) bool { return h.Region == region && !h.Leaving }); len(near) > 0 {
+		return near, nil
+	}
+	if time.Since(n.started) < warmUp {
+		return nil, noEntry()
+	}
+	homes := n.homes(name)
+	fits := []func(wheelgauge.FleetHost) bool{
+		func(h wheelgauge.FleetHost) bool { return h.Region == region },
+		func(h wheelgauge.FleetHost) bool { return !h.Leaving && slices.Contains(homes, h.Region) },
+		func(h wheelgauge.FleetHost) bool { return !h.Leaving },
+	}
+	for _, fit := range fits {
+		if some := addresses(hosts, fit); len(some) > 0 {
+			return some, nil
+		}
+	}
+	return nil, noEntry()
+}
+
+func noEntry() error {
+	return wheelgauge.NewError(wheelgauge.ReasonNoServer, wheelgauge.OutcomeNotRun, http.StatusServiceUnavailable,
+		"no entry host is known here").WithRetryAfter(time.Second)
+}
+
+func addresses(hosts []wheelgauge.FleetHost, fit func(wheelgauge.FleetHost) bool) []string {
+	var out []string
+	for _, h := range hosts {
+		if h.Ready && fit(h) {
+			out = append(out, h.Caller)
+		}
+	}
+	return out
+}
+
+// homes returns the regions in which every route of a host name may run.
+func (n *Node) homes(name string) []string {
+	set, err := n.o.Decode(n.machine.State().Body)
+	if err != nil {
+		return nil // nothing was taken yet
+	}
+	var out []string
+	for _, region := range n.o.Halls {
+		if !slices.Contains(out, region) && routetable.RunsIn(set, name, region) {
+			out = append(out, region)
+		}
+	}
+	return out
+}
--- a/confstore/operations.go
+++ b/confstore/operations.go
@@ -16,10 +16,6 @@
 // what became of it.
 const orderTimeout = 3 * time.Second
 
-// warmUp is how long a store that has just started waits for hosts' beats
-// before it says that a region has none.
-const warmUp = 2 * time.Second
-
 // PutRoutes implements wheelgauge.Operations.
 func (n *Node) PutRoutes(ctx context.Context, body []byte) (uint64, error) {
 	set, err := n.o.Decode(body)
@@ -85,25 +81,3 @@
 	}
 	return n.machine.State().Body, nil
 }
-
-// EntryAddresses implements wheelgauge.Operations.
-func (n *Node) EntryAddresses(region, _ string) ([]string, error) {
-	hosts, _ := n.hosts.Hosts()
-	var near, all []string
-	for _, h := range hosts {
-		if h.Leaving || !h.Ready {
-			continue
-		}
-		all = append(all, h.Caller)
-		if h.Region == region {
-			near = append(near, h.Caller)
-		}
-	}
-	if len(near) > 0 {
-		return near, nil
-	}
-	if len(all) == 0 || time.Since(n.started) < warmUp {
-		return nil, wheelgauge.NewError(wheelgauge.ReasonNoServer, wheelgauge.OutcomeNotRun, http.StatusServiceUnavailable, "no entry host is known here").WithRetryAfter(time.Second)
-	}
-	return all, nil
-}
--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -31,7 +31,12 @@
 	// pruneEvery is how often idle connections are looked through.
 	pruneEvery = time.Second
 	// stopMargin is what is left of the grace when the last connections are cut.
-	stopMargin = 1200 * time.Millisecond
+	stopMargin = 500 * time.Millisecond
+	// strayTime is how long callers still come that hold an old entry answer: it
+	// holds for a second, and some keep it three times as long.
+	strayTime = 3300 * time.Millisecond
+	// drainCheck is how often a leaving host looks whether it may end.
+	drainCheck = 50 * time.Millisecond
 	// callerConns and peerConns bound connections, well below the descriptors
 	// of a small host.
 	callerConns = 1500
@@ -170,16 +175,17 @@
 }
 
 // Close drains the gateway: it goes off the entry list, still takes callers
-// that have its address until the grace is nearly over, finishes what is in
-// flight, and stops.
+// that have its address, finishes what is in flight, and stops. What could not
+// be finished within the grace is refused, for another host to take.
 func (n *Node) Close(ctx context.Context) error {
 	n.o.Log.Info("Gateway drains.", "serving", n.callers.Serving())
 	n.leaving.Store(true)
+	n.gate.LeaveBy(time.Now().Add(n.o.Grace - stopMargin))
 	n.callers.Drain()
 	n.forwards.Drain()
 	n.beats.Now()
 	n.await(ctx)
-	limit, cancel := context.WithTimeout(ctx, stopMargin/2)
+	limit, cancel := context.WithTimeout(ctx, drainCheck)
 	defer cancel()
 	errs := []error{n.callers.Close(limit), n.forwards.Close(limit)}
 	n.stop()
@@ -193,12 +199,16 @@
 	return errors.Join(errs...)
 }
 
-// await lets callers that still hold the address come in for most of the grace.
+// await lets callers that still hold the address come in, and then waits for
+// the last request.
 func (n *Node) await(ctx context.Context) {
-	timer := time.NewTimer(n.o.Grace - stopMargin)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+	began := time.Now()
+	ticker := time.NewTicker(drainCheck)
+	defer ticker.Stop()
+	for ctx.Err() == nil && time.Since(began) < n.o.Grace-stopMargin {
+		if time.Since(began) > strayTime && n.callers.Serving()+n.forwards.Serving() == 0 {
+			return
+		}
+		<-ticker.C
 	}
 }
--- a/native/operations.go
+++ b/native/operations.go
@@ -17,7 +17,7 @@
 	pathHalls  = "/v1/halls/"
 	pathEntry  = "/v1/entry"
 	// entryTTLMS is how long an entry answer holds: a host that left is off in time.
-	entryTTLMS = 2000
+	entryTTLMS = 1000
 )
 
 // Version answers an accepted configuration with the version held.
@@ -71,7 +71,7 @@
 	peerhttp.Answer(ctx, v)
 }
 
-// Entry returns the handler of GET /v1/entry?region=R&hall=H.
+// Entry returns the handler of GET /v1/entry?name=HOST&region=R.
 func Entry(o wheelgauge.Operations) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
 		if string(ctx.Path()) != pathEntry {
@@ -80,7 +80,7 @@
 		}
 		args := ctx.QueryArgs()
 		region := string(args.Peek("region"))
-		addresses, err := o.EntryAddresses(region, string(args.Peek("hall")))
+		addresses, err := o.EntryAddresses(string(args.Peek("name")), region)
 		list := wheelgauge.EntryList{TTLMS: entryTTLMS}
 		for _, a := range addresses {
 			list.Entries = append(list.Entries, wheelgauge.Entry{Region: region, Address: a})
--- a/routegate/call.go
+++ b/routegate/call.go
@@ -100,9 +100,10 @@
 }
 
 // mayRepeat tells whether a request that may have run may run again, and pays
-// for it.
+// for it. A forwarded request is repeated by the host it came to only, which
+// alone knows on how many servers it ran.
 func (c *call) mayRepeat() bool {
-	return c.route.Repeatable() && c.runs < c.route.Attempts && c.sends < mostSends && c.gate.options.Budget.Repeat(c.service)
+	return !c.forwarded && c.route.Repeatable() && c.runs < c.route.Attempts && c.sends < mostSends && c.gate.options.Budget.Repeat(c.service)
 }
 
 // dispatch sends the request once, where the least wait is predicted.
@@ -172,6 +173,7 @@
 	switch {
 	case good:
 		g.options.Meter.Count("requests.ok")
+		g.durations.note(name, took)
 		g.options.Meter.Observe("requests.ms", name, name, took)
 	case c.left:
 		g.options.Meter.Count("requests.left")
--- a/routegate/gate.go
+++ b/routegate/gate.go
@@ -26,6 +26,8 @@
 	// startRetry is when a caller of a host without configuration comes back:
 	// a store answers within a heartbeat.
 	startRetry = 500 * time.Millisecond
+	// leaveRetry is when a caller of a leaving host goes to another one.
+	leaveRetry = time.Millisecond
 	// busyRetry is when a caller comes back that was refused for load.
 	busyRetry = 700 * time.Millisecond
 )
@@ -49,6 +51,9 @@
 	table    atomic.Pointer[routetable.Table]
 	reserved map[string]bool
 	sampled  atomic.Uint64
+	// end is when the process ends; nil while it does not leave.
+	end       atomic.Pointer[time.Time]
+	durations durations
 }
 
 // New returns a gate without a configuration: it refuses everything as not run.
@@ -109,6 +114,9 @@
 	if c.route == nil {
 		return refusal(wheelgauge.ReasonNotFound, http.StatusNotFound, "no route for this host and path")
 	}
+	if g.tooLong(c.route.Name, c.route.Timeout) {
+		return refusal(wheelgauge.ReasonDraining, http.StatusServiceUnavailable, "this host is leaving").WithRetryAfter(leaveRetry)
+	}
 	limit := c.started.Add(c.route.Timeout)
 	if c.deadline.IsZero() || limit.Before(c.deadline) {
 		c.deadline = limit
--- a/routes.go
+++ b/routes.go
@@ -158,6 +158,7 @@
 	Routes(ctx context.Context) ([]byte, error)
 	// DrainHall stops or resumes sending work to the backend servers of a hall.
 	DrainHall(ctx context.Context, hall string, drained bool) error
-	// EntryAddresses returns where callers of a region and hall may connect.
-	EntryAddresses(region, hall string) ([]string, error)
+	// EntryAddresses returns where callers of a region may connect to reach a
+	// host name.
+	EntryAddresses(name, region string) ([]string, error)
 }
--- a/routetable/table.go
+++ b/routetable/table.go
@@ -78,3 +78,14 @@
 	}
 	return ""
 }
+
+// RunsIn tells whether every route of a host name may run in a region.
+func RunsIn(set *wheelgauge.RouteSet, host, region string) bool {
+	for i := range set.Routes {
+		r := &set.Routes[i]
+		if strings.EqualFold(r.Host, host) && !r.AllowedIn(region) {
+			return false
+		}
+	}
+	return true
+}
