Beat eagerly until a host can serve, and read the list of servers at start

Cause: after all machines lost power, hosts served 2.5 s after the stores were up: a first beat into a dark store cost a second, the list was read a poll later, and readiness was told at the next beat. Ruled out: the election (hosts serve what a store's disk holds before it ends). Change: beats every 100 ms with a 350 ms limit until configuration and servers are known; a changed host tells its stores at once; a store reads the list when it starts.

--- a/beat/client.go
+++ b/beat/client.go
@@ -24,6 +24,10 @@
 const (
 	// callTimeout bounds one beat: several links' delay and a busy store.
 	callTimeout = time.Second
+	// eagerInterval and eagerTimeout hold until the host knows all it needs to
+	// serve: stores that start at the same moment answer from one beat to the next.
+	eagerInterval = 100 * time.Millisecond
+	eagerTimeout  = 350 * time.Millisecond
 	// freshBeats is how many intervals old a store's answer may be before
 	// another store becomes the primary.
 	freshBeats = 3
@@ -68,6 +72,8 @@
 	answered time.Time
 	due      time.Time
 	calling  bool
+	// told is what the store was last told of this host.
+	told wheelgauge.FleetHost
 	inTouch  bool
 	// generation is what the store held at its last answer.
 	generation uint64
@@ -88,6 +94,8 @@
 	primary    string
 	generation uint64
 	behind     time.Time
+	// listed is set once the servers are known.
+	listed bool
 	// taking guards News: one answer at a time.
 	taking sync.Mutex
 }
@@ -97,13 +105,13 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &Client{options: o, done: make(chan error, 1), cancel: cancel, ctx: ctx, stores: map[string]*store{}}
 	c.learn(o.Seeds)
-	go func() {
-		c.tick(ctx)
-		c.done <- every.Interval(ctx, o.Interval/2, c.tick)
-	}()
+	go func() { c.done <- every.Interval(ctx, min(eagerInterval, o.Interval)/2, c.tick) }()
 	return c
 }
 
+// eager tells whether the host still lacks what it needs to serve; the lock is held.
+func (c *Client) eager() bool { return c.generation == 0 || !c.listed }
+
 // Close stops sending and waits.
 func (c *Client) Close() error {
 	c.cancel()
@@ -126,9 +134,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.choosePrimary()
-	now := time.Now()
+	now, self := time.Now(), c.options.Self()
 	for _, s := range c.stores {
-		if s.calling || now.Before(s.due) {
+		if s.calling || now.Before(s.due) && s.told == self {
 			continue
 		}
 		c.start(ctx, s, now)
@@ -149,9 +157,16 @@
 	s.calling = true
 	s.due = now.Add(c.interval(s))
 	b := c.beat(s)
+	s.told = b.Host
+	timeout := callTimeout
+	if c.eager() {
+		s.due, timeout = now.Add(min(eagerInterval, c.options.Interval)), eagerTimeout
+	}
 	c.group.Add(1)
 	go func() {
 		defer c.group.Done()
+		ctx, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
 		c.call(ctx, s, b)
 	}()
 }
@@ -181,8 +196,6 @@
 }
 
 func (c *Client) call(ctx context.Context, s *store, b wheelgauge.Beat) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
 	asked := time.Now()
 	var answer wheelgauge.BeatAnswer
 	err := c.options.Client.Call(ctx, http.MethodPost, s.address, Path, b, &answer)
@@ -222,6 +235,7 @@
 		c.learn(a.Stores)
 		c.forget(a.Stores)
 	}
+	c.listed = c.listed || len(a.Servers) > 0
 	if a.State != nil {
 		c.generation = max(c.generation, a.State.Generation)
 	}
--- a/confstore/node.go
+++ b/confstore/node.go
@@ -90,7 +90,10 @@
 		stop()
 		return nil, err
 	}
-	go func() { n.polled <- every.Interval(ctx, o.PollEvery, n.poll) }()
+	go func() {
+		n.read(ctx) // hosts that start together with this store wait for it
+		n.polled <- every.Interval(ctx, o.PollEvery, n.poll)
+	}()
 	o.Log.Info("Store serves.", "name", o.Name, "peer", o.Peer, "seeds", o.Seeds, "first", o.First)
 	return n, nil
 }
--- a/confstore/servers.go
+++ b/confstore/servers.go
@@ -19,9 +19,13 @@
 // poll reads the list of servers if this store is the primary of some host, so
 // that there is about one poller a region.
 func (n *Node) poll(ctx context.Context) {
-	if len(n.hosts.Primary()) == 0 {
-		return
+	if len(n.hosts.Primary()) > 0 {
+		n.read(ctx)
 	}
+}
+
+// read reads the list; the last one holds if that fails.
+func (n *Node) read(ctx context.Context) {
 	limit, cancel := context.WithTimeout(ctx, 2*n.o.PollEvery)
 	defer cancel()
 	asked := time.Now()
--- a/routegate/gate.go
+++ b/routegate/gate.go
@@ -25,7 +25,7 @@
 const (
 	// startRetry is when a caller of a host without configuration comes back:
 	// a store answers within a heartbeat.
-	startRetry = 500 * time.Millisecond
+	startRetry = 800 * time.Millisecond
 	// leaveRetry is when a caller of a leaving host goes to another one.
 	leaveRetry = time.Millisecond
 	// busyRetry is when a caller comes back that was refused for load.
--- a/routegate/leaving.go
+++ b/routegate/leaving.go
@@ -6,8 +6,8 @@
 )
 
 // leaveFactor is how much longer than the longest of late a request may take:
-// those of a busy minute took up to twice as long.
-const leaveFactor = 2
+// in a burst they took more than twice as long.
+const leaveFactor = 3
 
 // longestDecay lets a long request be forgotten over some hundreds of others.
 const longestDecay = 0.995
