Weigh shared prompt parts that are read again twenty-fold; expect other regions to hold them

Cause: a server with 54 ms less of queue took a long request away from the server that held its subject, so 18% of all prompt tokens read were shared parts read again, and each such read delays all who come after.

--- a/serverset/pick.go
+++ b/serverset/pick.go
@@ -105,8 +105,11 @@
 
 func (t *Table) engineWait(s *Server, p prompt.Prompt, home bool, now time.Time) float64 {
 	others := float64(s.others.Tokens) - firstReadRate*float64(now.Sub(s.othersAt).Milliseconds())
-	read := float64(s.tokens) + max(0, others) + float64(s.missing(p, home))
-	return read/firstReadRate + runCost*float64(s.inFlight())
+	missing := s.missing(p, home)
+	read := float64(s.tokens) + max(0, others) + float64(missing)
+	// Shared parts that are read again delay all who come after.
+	again := float64(missing - p.Tokens() + p.SharedTokens())
+	return (read+againCost*again)/firstReadRate + runCost*float64(s.inFlight())
 }
 
 func (t *Table) serviceWait(s *Server) float64 {
@@ -128,7 +131,7 @@
 	n := float64(u.Servers)
 	wait := 0.0
 	if service.CacheTokens > 0 {
-		wait = (float64(u.Tokens)/n+float64(p.Tokens()))/firstReadRate + runCost*float64(u.Running)/n
+		wait = (float64(u.Tokens)/n+float64(p.Tokens()-p.SharedTokens()))/firstReadRate + runCost*float64(u.Running)/n
 	} else {
 		slots := max(1, u.Slots)
 		wait = float64(firstService.Milliseconds()) * (1 + float64(max(0, u.Running+1-slots))/float64(slots))
--- a/serverset/table.go
+++ b/serverset/table.go
@@ -25,6 +25,9 @@
 	// runCost is how much a running request slows the first event of a new one,
 	// in milliseconds.
 	runCost = 1.0
+	// againCost is what reading shared parts again costs the requests that come
+	// after, as a multiple of the time it takes.
+	againCost = 20.0
 	// failCost is what a failure costs a user, in milliseconds of waiting.
 	failCost = 1500.0
 	// firstService is the time of an answer of a plain service until one is known.
