Correct predicted waits by those seen; let a usual failure rate cost nothing

Change: per route, running means of predicted and seen waits correct the prediction; failures below 15% cost nothing; score and wait are kept apart.

--- a/routegate/dispatch.go
+++ b/routegate/dispatch.go
@@ -26,8 +26,11 @@
 	pool *serverconn.Pool
 	head *fasthttp.ResponseHeader
 	body *serverconn.Body
-	// began is called at the first event or byte of the answer; may be nil.
-	began func()
+	// pick is nil for an exchange with another gateway.
+	pick *serverset.Pick
+	sent time.Time
+	// begun is set at the first event or byte of the answer.
+	begun bool
 }
 
 // toServer dispatches to a server of the region.
@@ -40,7 +43,7 @@
 		k.Done(unreached(err))
 		return notSent
 	}
-	x := &exchange{call: c, conn: conn, pool: s.Pool(), began: k.Began}
+	x := &exchange{call: c, conn: conn, pool: s.Pool(), pick: k, sent: time.Now()}
 	defer x.release()
 	defer context.AfterFunc(ctx, conn.Abort)()
 	n := c.gate.options.Names
@@ -173,8 +176,10 @@
 	if x.call.first == 0 {
 		x.call.first = time.Since(x.call.started)
 	}
-	if x.began != nil {
-		x.began()
+	if x.pick != nil && !x.begun {
+		x.begun = true
+		x.pick.Began()
+		x.call.gate.seen.note(x.call.route.Name, x.pick.Wait(), time.Since(x.sent))
 	}
 }
 
--- a/routegate/gate.go
+++ b/routegate/gate.go
@@ -54,6 +54,7 @@
 	// end is when the process ends; nil while it does not leave.
 	end       atomic.Pointer[time.Time]
 	durations durations
+	seen      waits
 }
 
 // New returns a gate without a configuration: it refuses everything as not run.
--- a/routegate/place.go
+++ b/routegate/place.go
@@ -25,12 +25,14 @@
 // place weighs the region's own servers against other regions.
 func (c *call) place() place {
 	o := c.gate.options
-	here, ok := time.Duration(0), false
+	var here serverset.Estimate
+	ok := false
 	if c.route.AllowedIn(o.Region) {
-		here, ok = o.Servers.Predict(c.service, c.prompt)
+		here, ok = o.Servers.Predict(c.service, c.prompt, c.tried)
 	}
 	if !c.forwarded && len(c.away) < mostSends {
-		if region, there := c.bestRegion(); region != "" && (!ok || there+awayGain < here) {
+		region, there := c.bestRegion()
+		if region != "" && (!ok || there+awayGain < c.gate.seen.correct(c.route.Name, here.Wait())+here.Cost()-here.Wait()) {
 			if peer := o.Peers.Choose(region, c.service, c.prompt.Tokens(), c.away); peer != nil {
 				c.wait = there
 				return place{peer: peer}
--- /dev/null
+++ b/routegate/waits.go
@@ -0,0 +1,58 @@
+package routegate
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// waitWeight is the weight of a new wait in the running means.
+	waitWeight = 0.05
+	// leastCorrection and mostCorrection bound how far seen waits correct the
+	// predicted ones.
+	leastCorrection = 1.0
+	mostCorrection  = 8.0
+	// waitFloor keeps short waits from deciding the correction, in milliseconds.
+	waitFloor = 50.0
+)
+
+// waits compares the predicted waits of each route with those seen, so that
+// what the prediction does not know, such as more urgent work in the engines,
+// counts in the next one.
+type waits struct {
+	mu     sync.Mutex
+	routes map[string]*meanWait
+}
+
+type meanWait struct {
+	predicted float64
+	seen      float64
+}
+
+// note takes a predicted wait and the one seen.
+func (w *waits) note(route string, predicted, seen time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.routes == nil {
+		w.routes = map[string]*meanWait{}
+	}
+	m := w.routes[route]
+	if m == nil {
+		m = &meanWait{predicted: waitFloor, seen: waitFloor}
+		w.routes[route] = m
+	}
+	m.predicted += waitWeight * (float64(predicted.Milliseconds()) - m.predicted)
+	m.seen += waitWeight * (float64(seen.Milliseconds()) - m.seen)
+}
+
+// correct returns a predicted wait as it should be.
+func (w *waits) correct(route string, predicted time.Duration) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	m := w.routes[route]
+	if m == nil {
+		return predicted
+	}
+	factor := (m.seen + waitFloor) / (m.predicted + waitFloor)
+	return time.Duration(float64(predicted) * min(mostCorrection, max(leastCorrection, factor)))
+}
--- a/serverset/pick.go
+++ b/serverset/pick.go
@@ -26,58 +26,80 @@
 // Wait returns the predicted time to the first event or to the answer.
 func (k *Pick) Wait() time.Duration { return k.wait }
 
-// Choose picks the server with the least predicted wait, but none of those
-// tried. It returns nil when no server may take the request.
+// Choose picks the server with the least cost, but none of those tried. It
+// returns nil when no server may take the request.
 func (t *Table) Choose(service string, p prompt.Prompt, tried []string) *Pick {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
 	servers := t.services[service]
 	home := t.home(servers, p, now)
-	best, wait := t.best(servers, p, tried, home, now, true)
-	if best == nil {
+	c := t.best(servers, p, tried, home, now, true)
+	s := c.server
+	if s == nil {
 		return nil
 	}
-	k := &Pick{table: t, server: best, prompt: p, tokens: best.missing(p, best == home), wait: wait, sent: now}
-	best.running++
-	best.tokens += k.tokens
+	k := &Pick{table: t, server: s, prompt: p, tokens: s.missing(p, s == home), wait: duration(c.wait), sent: now}
+	s.running++
+	s.tokens += k.tokens
 	return k
 }
 
-// Predict returns the least predicted wait without choosing; ok is false when
-// no server may take the request.
-func (t *Table) Predict(service string, p prompt.Prompt) (wait time.Duration, ok bool) {
+// Estimate is what a region offers a request.
+type Estimate struct {
+	wait time.Duration
+	cost time.Duration
+}
+
+// Wait returns the predicted time to the first event or to the answer.
+func (e Estimate) Wait() time.Duration { return e.wait }
+
+// Cost returns the wait with what the choice costs besides.
+func (e Estimate) Cost() time.Duration { return e.cost }
+
+// Predict estimates without choosing; ok is false when no server may take the
+// request.
+func (t *Table) Predict(service string, p prompt.Prompt, tried []string) (e Estimate, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
 	servers := t.services[service]
-	best, wait := t.best(servers, p, nil, t.home(servers, p, now), now, false)
-	return wait, best != nil
+	c := t.best(servers, p, tried, t.home(servers, p, now), now, false)
+	return Estimate{wait: duration(c.wait), cost: duration(c.score)}, c.server != nil
 }
 
-func (t *Table) best(servers []*Server, p prompt.Prompt, tried []string, home *Server, now time.Time, take bool) (*Server, time.Duration) {
-	var best, cold *Server
-	var least, leastCold float64
+func duration(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
+// choice is a server with its score and the wait predicted there.
+type choice struct {
+	server *Server
+	score  float64
+	wait   float64
+}
+
+func (c choice) better(than choice) bool { return than.server == nil || c.score < than.score }
+
+func (t *Table) best(servers []*Server, p prompt.Prompt, tried []string, home *Server, now time.Time, take bool) choice {
+	var best, cold choice
 	for _, s := range servers {
 		if !t.takes(s, now) || slices.Contains(tried, s.spec.Instance) {
 			continue
 		}
-		score := t.score(s, p, s == home, now)
-		if now.Before(s.coldUntil) {
-			if cold == nil || score < leastCold {
-				cold, leastCold = s, score
+		c := t.rate(s, p, s == home, now)
+		switch {
+		case now.Before(s.coldUntil):
+			if c.better(cold) {
+				cold = c
 			}
-			continue
-		}
-		if best == nil || score < least {
-			best, least = s, score
+		case c.better(best):
+			best = c
 		}
 	}
 	// A cold server is warmed up by its small share when it has less to do.
-	if cold != nil && (best == nil || leastCold < least) && t.allowCold(cold, take) {
-		return cold, time.Duration(leastCold * float64(time.Millisecond))
+	if cold.server != nil && cold.better(best) && t.allowCold(cold.server, take) {
+		return cold
 	}
-	return best, time.Duration(least * float64(time.Millisecond))
+	return best
 }
 
 func (t *Table) allowCold(s *Server, take bool) bool {
@@ -91,25 +113,29 @@
 	return t.cold.Take(s.spec.Instance, t.place.Host, t.place.Peers, l.ColdRate)
 }
 
-// score predicts the wait at a server in milliseconds.
-func (t *Table) score(s *Server, p prompt.Prompt, home bool, now time.Time) float64 {
-	cost := s.fails(now) * failCost
+// rate predicts the wait at a server, and scores it by what the choice costs
+// this request and others, both in milliseconds.
+func (t *Table) rate(s *Server, p prompt.Prompt, home bool, now time.Time) choice {
+	c := choice{server: s, score: max(0, s.fails(now)-failTolerated) * failCost}
 	if s.spec.Hall != t.place.Hall {
-		cost += otherHallCost
+		c.score += otherHallCost
 	}
 	if l := t.limits(s.spec.Service); l != nil && l.CacheTokens > 0 {
-		return cost + t.engineWait(s, p, home, now)
+		missing := s.missing(p, home)
+		c.wait = t.engineWait(s, missing, now)
+		// Shared parts that are read again delay all who come after.
+		c.score += againCost * float64(missing-p.Tokens()+p.SharedTokens()) / firstReadRate
+	} else {
+		c.wait = t.serviceWait(s)
 	}
-	return cost + t.serviceWait(s)
+	c.score += c.wait
+	return c
 }
 
-func (t *Table) engineWait(s *Server, p prompt.Prompt, home bool, now time.Time) float64 {
+func (t *Table) engineWait(s *Server, missing int, now time.Time) float64 {
 	others := float64(s.others.Tokens) - firstReadRate*float64(now.Sub(s.othersAt).Milliseconds())
-	missing := s.missing(p, home)
 	read := float64(s.tokens) + max(0, others) + float64(missing)
-	// Shared parts that are read again delay all who come after.
-	again := float64(missing - p.Tokens() + p.SharedTokens())
-	return (read+againCost*again)/firstReadRate + runCost*float64(s.inFlight())
+	return read/firstReadRate + runCost*float64(s.inFlight())
 }
 
 func (t *Table) serviceWait(s *Server) float64 {
@@ -136,7 +162,7 @@
 		slots := max(1, u.Slots)
 		wait = float64(firstService.Milliseconds()) * (1 + float64(max(0, u.Running+1-slots))/float64(slots))
 	}
-	return time.Duration(wait * float64(time.Millisecond))
+	return duration(wait)
 }
 
 // Began tells that the first event has come.
--- a/serverset/table.go
+++ b/serverset/table.go
@@ -30,6 +30,9 @@
 	againCost = 20.0
 	// failCost is what a failure costs a user, in milliseconds of waiting.
 	failCost = 1500.0
+	// failTolerated is the failure rate that a sound server may have: some
+	// requests fail wherever they run.
+	failTolerated = 0.15
 	// firstService is the time of an answer of a plain service until one is known.
 	firstService = 30 * time.Millisecond
 	// otherHallCost prefers the host's own hall between equals, in milliseconds.
