Bound connects by a call's deadline; refuse what would be far too late

Causes: a heartbeat into a dark store took the second of a SYN's repeat, though its limit was 350 ms (fasthttp passes deadlines to DialTimeout only); waits of requests that ended without an answer did not count in the correction.

--- a/beat/client.go
+++ b/beat/client.go
@@ -73,8 +73,8 @@
 	due      time.Time
 	calling  bool
 	// told is what the store was last told of this host.
-	told wheelgauge.FleetHost
-	inTouch  bool
+	told    wheelgauge.FleetHost
+	inTouch bool
 	// generation is what the store held at its last answer.
 	generation uint64
 	hosts      uint64
--- a/peerhttp/client.go
+++ b/peerhttp/client.go
@@ -60,7 +60,17 @@
 
 // Dial connects to an address.
 func (d *Dialer) Dial(address string) (net.Conn, error) {
-	c, err := d.net.Dial("tcp", address)
+	return d.DialTimeout(address, dialTimeout)
+}
+
+// DialTimeout connects to an address within a time, which is bounded. A call
+// with a shorter deadline must not wait for a host that is dark.
+func (d *Dialer) DialTimeout(address string, timeout time.Duration) (net.Conn, error) {
+	n := d.net
+	if timeout > 0 {
+		n.Timeout = min(timeout, dialTimeout)
+	}
+	c, err := n.Dial("tcp", address)
 	if err != nil {
 		return nil, &dialError{err}
 	}
@@ -102,7 +112,7 @@
 
 func newHTTP(dialer *Dialer) *fasthttp.Client {
 	return &fasthttp.Client{
-		Dial:                      dialer.Dial,
+		DialTimeout:               dialer.DialTimeout,
 		RetryIfErr:                NeverRetry,
 		MaxIdemponentCallAttempts: 1,
 		MaxConnsPerHost:           maxConns,
--- a/replica/network.go
+++ b/replica/network.go
@@ -15,7 +15,7 @@
 
 const (
 	sendersPerPeer = 4
-	sendTimeout    = 5 * time.Second
+	sendTimeout    = 2 * time.Second
 	outboxLength   = 512
 	pathMessages   = "/raft/messages"
 )
--- a/routegate/call.go
+++ b/routegate/call.go
@@ -115,6 +115,9 @@
 		return c.toServer(ctx, p.pick)
 	case p.peer != nil:
 		return c.toPeer(ctx, p.peer)
+	case p.late:
+		c.fail("late", "every backend server is too busy to answer in time")
+		return answered
 	}
 	c.fail("full", "no backend server can take the request now")
 	return answered
--- a/routegate/dispatch.go
+++ b/routegate/dispatch.go
@@ -56,6 +56,8 @@
 	c.runs++
 	if err := x.roundTrip(head); err != nil {
 		c.cause = err.Error()
+		// The wait was longer than this, which the next prediction must know.
+		x.note()
 		k.Done(c.brokenOutcome(ctx))
 		return failed
 	}
@@ -179,10 +181,15 @@
 	if x.pick != nil && !x.begun {
 		x.begun = true
 		x.pick.Began()
-		x.call.gate.seen.note(x.call.route.Name, x.pick.Wait(), time.Since(x.sent))
+		x.note()
 	}
 }
 
+// note compares the predicted wait with the one so far.
+func (x *exchange) note() {
+	x.call.gate.seen.note(x.call.route.Name, x.pick.Wait(), time.Since(x.sent))
+}
+
 // slotsOf reads the last number of "running,waiting,slots"; 0 when it is not there.
 func slotsOf(load string) int {
 	at := strings.LastIndexByte(load, ',')
--- a/routegate/place.go
+++ b/routegate/place.go
@@ -14,12 +14,17 @@
 	awayCost = 120 * time.Millisecond
 	// awayGain is how much sooner an answer must be expected from another region.
 	awayGain = 100 * time.Millisecond
+	// lateFactor is the predicted wait, as a multiple of the objective, from
+	// which on a request is refused.
+	lateFactor = 1.5
 )
 
-// place is where a request goes next; both fields are nil if nowhere.
+// place is where a request goes next; both pick and peer are nil if nowhere.
 type place struct {
 	pick *serverset.Pick
 	peer *peerset.Peer
+	// late is set when the request would be late wherever it went.
+	late bool
 }
 
 // place weighs the region's own servers against other regions.
@@ -30,13 +35,23 @@
 	if c.route.AllowedIn(o.Region) {
 		here, ok = o.Servers.Predict(c.service, c.prompt, c.tried)
 	}
+	wait := c.gate.seen.correct(c.route.Name, here.Wait())
+	region, there := "", time.Duration(0)
 	if !c.forwarded && len(c.away) < mostSends {
-		region, there := c.bestRegion()
-		if region != "" && (!ok || there+awayGain < c.gate.seen.correct(c.route.Name, here.Wait())+here.Cost()-here.Wait()) {
-			if peer := o.Peers.Choose(region, c.service, c.prompt.Tokens(), c.away); peer != nil {
-				c.wait = there
-				return place{peer: peer}
-			}
+		region, there = c.bestRegion()
+	}
+	away := region != "" && (!ok || there+awayGain < wait+here.Cost()-here.Wait())
+	if away {
+		wait = there
+	}
+	if (ok || away) && c.tooLate(wait) {
+		c.wait = wait
+		return place{late: true}
+	}
+	if away {
+		if peer := o.Peers.Choose(region, c.service, c.prompt.Tokens(), c.away); peer != nil {
+			c.wait = there
+			return place{peer: peer}
 		}
 	}
 	if !ok {
@@ -45,6 +60,15 @@
 	return place{pick: o.Servers.Choose(c.service, c.prompt, c.tried)}
 }
 
+// tooLate tells whether a request that was not sent anywhere yet is better
+// refused now: served late, it would make those behind it late as well.
+func (c *call) tooLate(wait time.Duration) bool {
+	if c.forwarded || c.sends > 0 || c.route.Objective <= 0 {
+		return false
+	}
+	return wait > time.Duration(lateFactor*float64(c.route.Objective))
+}
+
 // bestRegion returns the other region with the least predicted wait.
 func (c *call) bestRegion() (string, time.Duration) {
 	o := c.gate.options
--- a/serverset/table.go
+++ b/serverset/table.go
@@ -21,7 +21,7 @@
 	cacheLife = 20 * time.Second
 	// firstReadRate is the prompt tokens an engine reads in a millisecond, until
 	// it has been learned.
-	firstReadRate = 100.0
+	firstReadRate = 80.0
 	// runCost is how much a running request slows the first event of a new one,
 	// in milliseconds.
 	runCost = 1.0
