--- a/beat/client.go
+++ b/beat/client.go
@@ -240,15 +240,22 @@
 		c.generation = max(c.generation, a.State.Generation)
 	}
 	switch {
-	case a.Generation <= c.generation:
-		if s.address == c.primary {
-			c.behind = time.Time{}
-		}
+	case c.newest() <= c.generation:
+		c.behind = time.Time{}
 	case c.behind.IsZero():
 		c.behind = time.Now()
 	}
 }
 
+// newest returns the highest generation that any store told of; the lock is held.
+func (c *Client) newest() uint64 {
+	var top uint64
+	for _, s := range c.stores {
+		top = max(top, s.generation)
+	}
+	return top
+}
+
 // forget drops stores that are no members, unless they are seeds.
 func (c *Client) forget(members []string) {
 	for a := range c.stores {
--- /dev/null
+++ b/beat/client_test.go
@@ -0,0 +1,176 @@
+package beat
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/valyala/fasthttp"
+
+	"wheelgauge"
+	"wheelgauge/httpserve"
+	"wheelgauge/peerhttp"
+)
+
+const (
+	testLimit = 10 * time.Second
+	interval  = 10 * time.Millisecond
+)
+
+// standIn is a stand-in of a store that answers beats.
+type standIn struct {
+	mu     sync.Mutex
+	answer wheelgauge.BeatAnswer
+	beats  []wheelgauge.Beat
+	http   *httpserve.Server
+}
+
+func newStore(t *testing.T, region string, generation uint64) *standIn {
+	t.Helper()
+	s := &standIn{answer: wheelgauge.BeatAnswer{Store: generation + 1, InTouch: true, Generation: generation, Region: region}}
+	l, err := httpserve.Listen("127.0.0.1:0", s.serve, httpserve.Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.http = l
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), testLimit)
+		defer cancel()
+		_ = l.Close(ctx)
+	})
+	return s
+}
+
+func (s *standIn) serve(ctx *fasthttp.RequestCtx) {
+	b, err := peerhttp.Decode[wheelgauge.Beat](ctx)
+	if err != nil {
+		peerhttp.AnswerError(ctx, err)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.beats = append(s.beats, b)
+	a := s.answer
+	if b.News && a.Generation > b.Generation {
+		a.State = &wheelgauge.FleetState{Generation: a.Generation}
+	}
+	if b.Primary {
+		a.ServersAt = 1
+		a.Servers = []wheelgauge.Server{{Instance: a.Region}}
+	}
+	peerhttp.Answer(ctx, a)
+}
+
+func (s *standIn) set(f func(a *wheelgauge.BeatAnswer)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f(&s.answer)
+}
+
+func (s *standIn) last() wheelgauge.Beat {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.beats) == 0 {
+		return wheelgauge.Beat{}
+	}
+	return s.beats[len(s.beats)-1]
+}
+
+// news notes what it was told.
+type news struct {
+	mu         sync.Mutex
+	generation []uint64
+	from       string
+}
+
+func (n *news) State(s wheelgauge.FleetState) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.generation = append(n.generation, s.Generation)
+}
+func (n *news) Hosts([]wheelgauge.FleetHost) {}
+func (n *news) Servers(list []wheelgauge.Server, _ time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.from = list[0].Instance
+}
+func (n *news) SameServers(time.Time)          {}
+func (n *news) Uses([]wheelgauge.ServerUse)    {}
+func (n *news) Regions([]wheelgauge.RegionUse) {}
+func (n *news) primary() string                { n.mu.Lock(); defer n.mu.Unlock(); return n.from }
+func (n *news) states() []uint64               { n.mu.Lock(); defer n.mu.Unlock(); return slices.Clone(n.generation) }
+
+func startClient(t *testing.T, n *news, leaving *bool, seeds ...*standIn) *Client {
+	t.Helper()
+	var addresses []string
+	for _, s := range seeds {
+		addresses = append(addresses, s.http.Address())
+	}
+	var mu sync.Mutex
+	c := Start(Options{
+		Self: func() wheelgauge.FleetHost {
+			mu.Lock()
+			defer mu.Unlock()
+			return wheelgauge.FleetHost{Name: "g", Region: "here", Leaving: leaving != nil && *leaving}
+		},
+		Report: func() ([]wheelgauge.ServerUse, []wheelgauge.ServiceUse) { return nil, nil },
+		Seeds:  addresses, Interval: interval, FarInterval: interval, Client: peerhttp.NewClient(nil, ""), News: n, Log: logr.Discard(),
+	})
+	t.Cleanup(func() {
+		if err := c.Close(); err != nil {
+			t.Error(err)
+		}
+	})
+	return c
+}
+
+func waitFor(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	limit := time.Now().Add(testLimit)
+	for !ok() {
+		if time.Now().After(limit) {
+			t.Fatalf("not seen: %s", what)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func TestPrimary(t *testing.T) {
+	near, far := newStore(t, "here", 3), newStore(t, "there", 3)
+	n := &news{}
+	startClient(t, n, nil, near, far)
+	waitFor(t, "news from the near store", func() bool { return n.primary() == "here" })
+	near.set(func(a *wheelgauge.BeatAnswer) { a.InTouch = false })
+	waitFor(t, "news from the store that is in touch", func() bool { return n.primary() == "there" })
+	near.set(func(a *wheelgauge.BeatAnswer) { a.InTouch = true })
+	waitFor(t, "news from the near store again", func() bool { return n.primary() == "here" })
+}
+
+func TestStoreOutOfTouchIsBetterThanNone(t *testing.T) {
+	s := newStore(t, "here", 3)
+	s.set(func(a *wheelgauge.BeatAnswer) { a.InTouch = false })
+	n := &news{}
+	startClient(t, n, nil, s)
+	waitFor(t, "configuration and servers", func() bool { return len(n.states()) == 1 && n.primary() == "here" })
+}
+
+// A primary that does not get the newest configuration must not keep the host
+// from it.
+func TestLaggingPrimary(t *testing.T) {
+	near, far := newStore(t, "here", 3), newStore(t, "there", 3)
+	n := &news{}
+	startClient(t, n, nil, near, far)
+	waitFor(t, "first configuration", func() bool { return len(n.states()) > 0 })
+	far.set(func(a *wheelgauge.BeatAnswer) { a.Generation = 8 })
+	waitFor(t, "the newer configuration", func() bool { return slices.Contains(n.states(), 8) })
+}
+
+func TestStoresAreLearned(t *testing.T) {
+	seed, member := newStore(t, "here", 3), newStore(t, "there", 3)
+	seed.set(func(a *wheelgauge.BeatAnswer) { a.Stores = []string{seed.http.Address(), member.http.Address()} })
+	startClient(t, &news{}, nil, seed)
+	waitFor(t, "a beat at a store that is no seed", func() bool { return member.last().Host.Name == "g" })
+}
--- /dev/null
+++ b/configlog/machine_test.go
@@ -0,0 +1,61 @@
+package configlog
+
+import (
+	"encoding/json"
+	"testing"
+)
+
+func apply(t *testing.T, m *Machine, c Command) Result {
+	t.Helper()
+	data, err := json.Marshal(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var r Result
+	if err := json.Unmarshal(m.Apply(1, data), &r); err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func TestChanges(t *testing.T) {
+	steps := []struct {
+		name       string
+		command    Command
+		taken      bool
+		version    uint64
+		generation uint64
+	}{
+		{"first", Command{Op: OpPut, Version: 4, Body: []byte(`{"a":1}`)}, true, 4, 1},
+		{"again", Command{Op: OpPut, Version: 4, Body: []byte(`{"a":1}`)}, false, 4, 1},
+		{"same version, other content", Command{Op: OpPut, Version: 4, Body: []byte(`{"a":2}`)}, false, 4, 1},
+		{"older", Command{Op: OpPut, Version: 3, Body: []byte(`{"a":3}`)}, false, 4, 1},
+		{"newer", Command{Op: OpPut, Version: 9, Body: []byte(`{"a":4}`)}, true, 9, 2},
+		{"drain", Command{Op: OpDrain, Hall: "h"}, true, 9, 3},
+		{"drain again", Command{Op: OpDrain, Hall: "h"}, false, 9, 3},
+		{"resume", Command{Op: OpResume, Hall: "h"}, true, 9, 4},
+		{"resume again", Command{Op: OpResume, Hall: "h"}, false, 9, 4},
+		{"unknown", Command{Op: "what"}, false, 9, 4},
+	}
+	m := New()
+	for _, s := range steps {
+		r := apply(t, m, s.command)
+		if r.Taken != s.taken || r.Version != s.version || m.State().Generation != s.generation {
+			t.Errorf("%s: got %+v at generation %d", s.name, r, m.State().Generation)
+		}
+	}
+	if got := string(m.State().Body); got != `{"a":4}` {
+		t.Errorf("body %s", got)
+	}
+	snapshot, err := m.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	other := New()
+	if err := other.Restore(snapshot); err != nil {
+		t.Fatal(err)
+	}
+	if other.State().Version != 9 || other.State().Generation != 4 {
+		t.Errorf("restored %+v", other.State())
+	}
+}
--- /dev/null
+++ b/replica/founders_test.go
@@ -0,0 +1,239 @@
+package replica
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/valyala/fasthttp"
+
+	"wheelgauge/httpserve"
+	"wheelgauge/peerhttp"
+	"wheelgauge/raft"
+)
+
+const testLimit = 20 * time.Second
+
+// machine keeps the last command.
+type machine struct {
+	mu   sync.Mutex
+	last string
+}
+
+func (m *machine) Apply(_ uint64, command []byte) []byte {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.last = string(command)
+	return []byte(`{}`)
+}
+
+func (m *machine) Snapshot() ([]byte, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return json.Marshal(m.last)
+}
+
+func (m *machine) Restore(snapshot []byte) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.last = ""
+	if string(snapshot) == `{}` {
+		return nil
+	}
+	return json.Unmarshal(snapshot, &m.last)
+}
+
+func (m *machine) value() string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.last
+}
+
+// node is one replica with its listener.
+type node struct {
+	replica *Replica
+	machine *machine
+	http    *httpserve.Server
+	address string
+	dir     string
+}
+
+// group starts replicas at addresses of their own.
+type group struct {
+	t     *testing.T
+	seeds []string
+	nodes map[string]*node
+}
+
+func (g *group) start(address, dir string, first bool) *node {
+	g.t.Helper()
+	n := &node{machine: &machine{}, address: address, dir: dir}
+	o := Options{
+		Dir: dir, Name: address, Address: address, Peers: g.seeds, Voters: 5, Tick: 5 * time.Millisecond,
+		Client: peerhttp.NewClient(nil, ""), Log: logr.Discard(),
+	}
+	if first {
+		o.Founders = g.seeds
+	}
+	var err error
+	if n.replica, err = Open(context.Background(), o, n.machine); err != nil {
+		g.t.Fatal(err)
+	}
+	handler := func(ctx *fasthttp.RequestCtx) {
+		if !n.replica.Handle(ctx) {
+			peerhttp.NotFound(ctx)
+		}
+	}
+	if n.http, err = httpserve.Listen(address, handler, httpserve.Options{}); err != nil {
+		g.t.Fatal(err)
+	}
+	g.nodes[address] = n
+	return n
+}
+
+func (g *group) stop(n *node) {
+	delete(g.nodes, n.address)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_ = n.http.Close(ctx)
+	_ = n.replica.Close()
+}
+
+func (g *group) stopAll() {
+	for _, n := range g.nodes {
+		g.stop(n)
+	}
+}
+
+func (g *group) voters() int {
+	best := 0
+	for _, n := range g.nodes {
+		if !n.replica.Leading() {
+			continue
+		}
+		best = 0
+		for _, m := range n.replica.Status().Members {
+			if m.Voter {
+				best++
+			}
+		}
+	}
+	return best
+}
+
+func (g *group) waitFor(what string, ok func() bool) {
+	g.t.Helper()
+	limit := time.Now().Add(testLimit)
+	for !ok() {
+		if time.Now().After(limit) {
+			g.t.Fatalf("not seen: %s", what)
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
+func (g *group) propose(n *node, value string) {
+	g.t.Helper()
+	command, _ := json.Marshal(value)
+	g.waitFor("the change "+value, func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_, err := n.replica.Propose(ctx, command)
+		return err == nil
+	})
+}
+
+// Three seeds found a group together, two stores join it, and a store whose
+// disk is lost comes back as a voter, without an operator.
+func TestGroupFoundsItself(t *testing.T) {
+	all := []string{"127.0.77.1:7801", "127.0.77.2:7801", "127.0.77.3:7801", "127.0.77.4:7801", "127.0.77.5:7801"}
+	g := &group{t: t, seeds: all[:3], nodes: map[string]*node{}}
+	defer g.stopAll()
+	for _, a := range all {
+		g.start(a, t.TempDir(), true)
+	}
+	g.waitFor("five voters", func() bool { return g.voters() == 5 })
+	g.propose(g.nodes[all[4]], "kept")
+
+	lost := g.nodes[all[0]]
+	before := lost.replica.Status().Self.ID
+	g.stop(lost)
+	again := g.start(all[0], t.TempDir(), false)
+	g.waitFor("five voters with the store on its new disk", func() bool {
+		return g.voters() == 5 && slices.ContainsFunc(again.replica.Status().Members, func(m raft.Member) bool {
+			return m.ID == again.replica.Status().Self.ID && m.Voter
+		})
+	})
+	if again.replica.Status().Self.ID == before {
+		t.Error("a store on a blank disk has its old identity")
+	}
+	g.waitFor("the state at the new disk", func() bool { return again.machine.value() == `"kept"` })
+}
+
+// A sixth store stays a learner, and takes the place of a voter that is gone.
+func TestSpareTakesPlaceOfLostVoter(t *testing.T) {
+	all := []string{"127.0.78.1:7801", "127.0.78.2:7801", "127.0.78.3:7801", "127.0.78.4:7801", "127.0.78.5:7801", "127.0.78.6:7801"}
+	g := &group{t: t, seeds: all[:3], nodes: map[string]*node{}}
+	defer g.stopAll()
+	for _, a := range all[:5] {
+		g.start(a, t.TempDir(), true)
+	}
+	g.waitFor("five voters", func() bool { return g.voters() == 5 })
+	spare := g.start(all[5], t.TempDir(), false)
+	g.waitFor("a learner", func() bool {
+		return g.voters() == 5 && len(spare.replica.Status().Members) == 6
+	})
+	if spare.replica.Status().Self.Voter {
+		t.Error("a sixth store votes")
+	}
+	g.stop(g.nodes[all[1]])
+	g.waitFor("the spare votes", func() bool { return g.voters() == 5 && spare.replica.Status().Self.Voter })
+}
+
+// A write that is torn in its middle, as a loss of power leaves it, damages
+// the last record only: what was synced before is all there.
+func TestTornBatch(t *testing.T) {
+	dir := t.TempDir()
+	s, _, _, err := openStorage(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := s.save(&raft.HardState{Term: 2}, []raft.Entry{{Index: 1, Term: 2, Data: []byte(`"a"`)}}); err != nil {
+		t.Fatal(err)
+	}
+	whole := s.log.Size()
+	if err := s.save(&raft.HardState{Term: 2, Commit: 1}, []raft.Entry{{Index: 2, Term: 2, Data: []byte(`"b"`)}, {Index: 3, Term: 2, Data: []byte(`"c"`)}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.log.Close(); err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(dir, logName)
+	data, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := whole + 20; i < whole+40; i++ {
+		data[i] = 0
+	}
+	if err := os.WriteFile(path, data, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s, state, blank, err := openStorage(dir)
+	if err != nil {
+		t.Fatalf("open after a torn write: %v", err)
+	}
+	defer s.log.Close()
+	if blank || len(state.Entries) != 1 || state.HardState.Term != 2 {
+		t.Errorf("blank %v, state %+v", blank, state)
+	}
+	if s.log.Size() != whole {
+		t.Errorf("log of %d bytes, want the %d that were whole", s.log.Size(), whole)
+	}
+}
--- /dev/null
+++ b/routegate/gate_test.go
@@ -0,0 +1,314 @@
+package routegate
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"wheelgauge"
+	"wheelgauge/callerhttp"
+	"wheelgauge/meter"
+	"wheelgauge/native"
+	"wheelgauge/peerset"
+	"wheelgauge/retrybudget"
+	"wheelgauge/routetable"
+	"wheelgauge/serverset"
+)
+
+const (
+	testLimit = 10 * time.Second
+	signed    = "Wheelgauge-Signature: s\r\n"
+	okAnswer  = "HTTP/1.1 200 OK\r\n" + signed + "Content-Length: 2\r\n\r\nok"
+	failure   = "HTTP/1.1 500 Internal Server Error\r\n" + signed + "Content-Length: 3\r\n\r\nbad"
+	shed      = "HTTP/1.1 503 Service Unavailable\r\nWheelgauge-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	other     = "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n"
+	cut       = "HTTP/1.1 200 OK\r\n" + signed + "Content-Length: 9\r\n\r\nok"
+	unsigned  = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	garbage   = "no answer at all\r\n\r\n"
+	events    = "HTTP/1.1 200 OK\r\n" + signed + "Transfer-Encoding: chunked\r\n\r\n"
+)
+
+// chunk renders one chunk of a body.
+func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
+
+// backend answers the requests that come, over all connections, by a script.
+type backend struct {
+	mu     sync.Mutex
+	script []string
+	heads  []http.Header
+	conn   net.Listener
+}
+
+func newBackend(t *testing.T, script ...string) *backend {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &backend{script: script, conn: l}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go b.serve(c)
+		}
+	}()
+	return b
+}
+
+func (b *backend) serve(c net.Conn) {
+	defer c.Close()
+	in := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		answer := b.next(req.Header)
+		_, _ = c.Write([]byte(answer))
+		if answer != okAnswer && answer != failure && answer != shed && answer != other {
+			return
+		}
+	}
+}
+
+func (b *backend) next(h http.Header) string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.heads = append(b.heads, h)
+	if len(b.script) == 0 {
+		return okAnswer
+	}
+	s := b.script[0]
+	b.script = b.script[1:]
+	return s
+}
+
+func (b *backend) seen() []http.Header {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.heads
+}
+
+// gate returns a gate before the backends, all of one service, and a
+// connection of a caller.
+func newGate(t *testing.T, routes []wheelgauge.PathRoute, backends ...*backend) (*Gate, net.Conn) {
+	t.Helper()
+	service := &wheelgauge.Service{Name: "s", Conns: 100}
+	servers := serverset.New(serverset.Place{Host: "g", Hall: "h", Peers: []string{"g"}}, func(string) *wheelgauge.Service { return service }, time.Now)
+	var list []wheelgauge.Server
+	for i, b := range backends {
+		list = append(list, wheelgauge.Server{Instance: fmt.Sprint("i", i), Service: "s", Address: b.conn.Addr().String(), Hall: "h", Slots: 4})
+	}
+	servers.Update(list, time.Now())
+	g := New(Options{
+		Region: "here", Names: native.Headers(), Servers: servers, Peers: peerset.New("here", time.Now),
+		Budget: retrybudget.New(retrybudget.Options{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}, time.Now),
+		Meter:  meter.New(), Log: logr.Discard(),
+	})
+	g.SetTable(routetable.New(&wheelgauge.RouteSet{Version: 1, Routes: routes, Services: []wheelgauge.Service{*service}}))
+	s, err := callerhttp.Listen("127.0.0.1:0", callerhttp.Options{Limits: g.Limits, Serve: g.Serve, Conns: 8})
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := net.Dial("tcp", s.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = c.SetDeadline(time.Now().Add(testLimit))
+	t.Cleanup(func() {
+		_ = c.Close()
+		ctx, cancel := context.WithTimeout(context.Background(), testLimit)
+		defer cancel()
+		_ = s.Close(ctx)
+		servers.Close()
+	})
+	return g, c
+}
+
+func routes() []wheelgauge.PathRoute {
+	shares := []wheelgauge.Share{{Service: "s", Weight: 1}}
+	return []wheelgauge.PathRoute{
+		{Name: "safe", Host: "h", Prefix: "/safe/", Kind: wheelgauge.RouteRepeatable, Timeout: testLimit, Attempts: 2, Shares: shares, Priority: 3},
+		{Name: "once", Host: "h", Prefix: "/once/", Kind: wheelgauge.RouteOnce, Timeout: testLimit, Attempts: 1, Shares: shares},
+		{Name: "stream", Host: "h", Prefix: "/stream/", Kind: wheelgauge.RouteStream, Timeout: testLimit, Attempts: 1, Shares: shares},
+		{Name: "resume", Host: "h", Prefix: "/resume/", Kind: wheelgauge.RouteStream, Timeout: testLimit, Attempts: 2, Shares: shares, Resumable: true},
+		{Name: "away", Host: "h", Prefix: "/away/", Kind: wheelgauge.RouteRepeatable, Timeout: testLimit, Attempts: 2, Shares: shares, Homes: []string{"there"}},
+	}
+}
+
+func ask(t *testing.T, c net.Conn, path, headers string) (*http.Response, string, error) {
+	t.Helper()
+	if _, err := fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\n%s\r\n", path, headers); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return nil, "", err
+	}
+	body, err := io.ReadAll(resp.Body)
+	return resp, string(body), err
+}
+
+func TestOutcomes(t *testing.T) {
+	tests := []struct {
+		name    string
+		path    string
+		script  []string
+		status  int
+		outcome wheelgauge.Outcome // of an answer of the gate's own
+		sends   int
+	}{
+		{"served", "/once/", nil, 200, "", 1},
+		{"no route", "/none/", nil, 404, wheelgauge.OutcomeNotRun, 0},
+		{"no server where it may run", "/away/", nil, 503, wheelgauge.OutcomeNotRun, 0},
+		{"a failure is repeated", "/safe/", []string{failure}, 200, "", 2},
+		{"the last failure is the server's own", "/safe/", []string{failure, failure}, 500, "", 2},
+		{"a failure that ran is not repeated", "/once/", []string{failure}, 500, "", 1},
+		{"a broken answer is repeated", "/safe/", []string{cut}, 200, "", 2},
+		{"a broken answer may have run", "/once/", []string{cut}, 502, wheelgauge.OutcomeUnknown, 1},
+		{"garbage is repeated", "/safe/", []string{garbage}, 200, "", 2},
+		{"garbage may have run", "/once/", []string{garbage}, 502, wheelgauge.OutcomeUnknown, 1},
+		{"no signature is no success", "/once/", []string{unsigned}, 502, wheelgauge.OutcomeUnknown, 1},
+		{"what did not run goes on", "/once/", []string{shed}, 200, "", 2},
+		{"another server has the address", "/once/", []string{other}, 200, "", 2},
+		{"nobody ran it", "/once/", []string{shed, shed, shed}, 503, wheelgauge.OutcomeNotRun, 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBackend(t, tt.script...)
+			_, c := newGate(t, routes(), b, b)
+			resp, _, err := ask(t, c, tt.path, "")
+			if err != nil {
+				t.Fatal(err)
+			}
+			outcome := wheelgauge.Outcome(resp.Header.Get(wheelgauge.HeaderOutcome))
+			if resp.StatusCode != tt.status || outcome != tt.outcome || len(b.seen()) != tt.sends {
+				t.Errorf("got %d %q after %d sends, want %d %q after %d", resp.StatusCode, outcome, len(b.seen()), tt.status, tt.outcome, tt.sends)
+			}
+			if tt.outcome == wheelgauge.OutcomeNotRun && tt.status == 503 && resp.Header.Get("Retry-After") == "" {
+				t.Error("a refusal does not say when to come back")
+			}
+			if tt.outcome != "" && resp.Header.Get("Wheelgauge-Signature") != "" {
+				t.Error("an answer of the gate's own is signed")
+			}
+		})
+	}
+}
+
+func TestHeadersThatOnlyTheSystemSets(t *testing.T) {
+	b := newBackend(t)
+	_, c := newGate(t, routes(), b)
+	_, _, err := ask(t, c, "/safe/", "Wheelgauge-Target: forged\r\nWheelgauge-Priority: 0\r\nWheelgauge-Deadline-Ms: 700\r\nWheelgauge-Forwarded-From: there\r\n"+
+		"Connection: X-Hop\r\nX-Hop: 1\r\nX-End: 2\r\n")
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := b.seen()[0]
+	if h.Get("Wheelgauge-Target") != "i0" || h.Get("Wheelgauge-Priority") != "3" || h.Get(wheelgauge.HeaderForwardedFrom) != "" || h.Get("X-Hop") != "" || h.Get("X-End") != "2" {
+		t.Errorf("the server got %v", h)
+	}
+	if left := h.Get("Wheelgauge-Deadline-Ms"); len(left) != 3 {
+		t.Errorf("deadline %q, want what is left of 700 ms", left)
+	}
+}
+
+func TestStreams(t *testing.T) {
+	one, two := "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"
+	end := "0\r\n\r\n"
+	tests := []struct {
+		name   string
+		path   string
+		script []string
+		body   string
+		whole  bool
+		last   string // what the second server is told
+	}{
+		{"whole", "/stream/", []string{events + chunk(one) + chunk(two) + end}, one + two, true, ""},
+		{"cut", "/stream/", []string{events + chunk(one) + chunk("id: 2\nda")}, one, false, ""},
+		{"resumed after the last whole event", "/resume/", []string{events + chunk(one) + chunk("id: 2\nda"), events + chunk(two) + end}, one + two, true, "1"},
+		{"broken before the first event", "/resume/", []string{events + chunk("id: 1"), events + chunk(one+two) + end}, one + two, true, ""},
+		{"resumed once only", "/resume/", []string{events + chunk(one), events + chunk("id:")}, one, false, "1"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBackend(t, tt.script...)
+			_, c := newGate(t, routes(), b, b)
+			_, body, err := ask(t, c, tt.path, "")
+			if body != tt.body || (err == nil) != tt.whole {
+				t.Errorf("got %q, %v, want %q, whole: %v", body, err, tt.body, tt.whole)
+			}
+			if heads := b.seen(); len(heads) > 1 && heads[1].Get("Last-Event-Id") != tt.last {
+				t.Errorf("resumed after %q, want %q", heads[1].Get("Last-Event-Id"), tt.last)
+			}
+		})
+	}
+}
+
+func TestDeadlineIsAnsweredAtOnce(t *testing.T) {
+	hold := make(chan struct{})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	defer close(hold)
+	go func() {
+		c, err := l.Accept()
+		if err == nil {
+			<-hold
+			_ = c.Close()
+		}
+	}()
+	_, c := newGate(t, routes(), &backend{conn: l})
+	resp, _, err := ask(t, c, "/once/", "Wheelgauge-Deadline-Ms: 50\r\n")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if resp.StatusCode != http.StatusGatewayTimeout || resp.Header.Get(wheelgauge.HeaderOutcome) != string(wheelgauge.OutcomeUnknown) {
+		t.Errorf("got %d %s, want 504 unknown", resp.StatusCode, resp.Header.Get(wheelgauge.HeaderOutcome))
+	}
+}
+
+func TestNoConfigurationIsNotRun(t *testing.T) {
+	g, c := newGate(t, routes())
+	g.table.Store(nil)
+	resp, body, err := ask(t, c, "/safe/", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if resp.StatusCode != http.StatusServiceUnavailable || !strings.Contains(body, string(wheelgauge.ReasonNoConfiguration)) {
+		t.Errorf("got %d %s", resp.StatusCode, body)
+	}
+}
+
+func TestLeavingHostRefusesLongRequests(t *testing.T) {
+	b := newBackend(t)
+	g, c := newGate(t, routes(), b)
+	g.durations.note("stream", 4*time.Second)
+	g.durations.note("safe", time.Millisecond)
+	g.LeaveBy(time.Now().Add(5 * time.Second))
+	if resp, _, err := ask(t, c, "/safe/", ""); err != nil || resp.StatusCode != http.StatusOK {
+		t.Errorf("a short request got %v, %v", resp, err)
+	}
+	resp, _, err := ask(t, c, "/stream/", "")
+	if err != nil || resp.StatusCode != http.StatusServiceUnavailable {
+		t.Fatalf("a long request got %v, %v, want 503", resp, err)
+	}
+	if len(b.seen()) != 1 {
+		t.Error("the long request reached a server")
+	}
+}
