Take a prompt's shared parts from the server that holds them

Cause: shared parts were read anew wherever a request did not go to the holder. Change: the dispatch names a holder in the region (the last one used from here, else the subject's home), and a server that can fetch counts as warm. Ruled out: affinity itself; own parts turn a region's caches over in 6 to 8 s, so a subject that rests longer is gone everywhere in the region.

--- a/native/headers.go
+++ b/native/headers.go
@@ -17,6 +17,7 @@
 		Prompt:    "Wheelgauge-Prompt",
 		Tokens:    "Wheelgauge-Tokens",
 		Hint:      "Wheelgauge-Output-Hint",
+		Fetch:     "Wheelgauge-Cache-From",
 		Priority:  wheelgauge.HeaderPriority,
 		ColdMS:    "Wheelgauge-Cold-Ms",
 		LastEvent: "Last-Event-Id",
--- a/routegate/dispatch.go
+++ b/routegate/dispatch.go
@@ -47,11 +47,15 @@
 	defer x.release()
 	defer context.AfterFunc(ctx, conn.Abort)()
 	n := c.gate.options.Names
-	head := c.head([][2]string{
+	set := [][2]string{
 		{n.Deadline, left(c.deadline)},
 		{n.Target, s.Instance()},
 		{n.Priority, strconv.Itoa(min(c.route.Priority, lowestPriority))},
-	})
+	}
+	if from := k.Source(); from != "" {
+		set = append(set, [2]string{n.Fetch, from})
+	}
+	head := c.head(set)
 	c.sends++
 	c.runs++
 	if err := x.roundTrip(head); err != nil {
--- a/routes.go
+++ b/routes.go
@@ -138,6 +138,9 @@
 	Tokens string
 	// Hint is the caller's guess of the tokens to be generated.
 	Hint string
+	// Fetch names the server (IP:port) that the prompt's kept parts are to be
+	// taken from.
+	Fetch string
 	// Priority orders requests in an engine, 0 first.
 	Priority string
 	// ColdMS is how much longer the answering server is cold, in ms.
--- a/serverset/pick.go
+++ b/serverset/pick.go
@@ -15,6 +15,7 @@
 	tokens int
 	prompt prompt.Prompt
 	wait   time.Duration
+	source string
 	sent   time.Time
 	began  bool
 	ended  bool
@@ -26,6 +27,10 @@
 // Wait returns the predicted time to the first event or to the answer.
 func (k *Pick) Wait() time.Duration { return k.wait }
 
+// Source returns the address of a server that holds shared parts of the prompt
+// which the chosen one lacks; empty when there is none.
+func (k *Pick) Source() string { return k.source }
+
 // Choose picks the server with the least cost, but none of those tried. It
 // returns nil when no server may take the request.
 func (t *Table) Choose(service string, p prompt.Prompt, tried []string) *Pick {
@@ -40,6 +45,7 @@
 		return nil
 	}
 	k := &Pick{table: t, server: s, prompt: p, tokens: s.missing(p, s == home), wait: duration(c.wait), sent: now}
+	k.source = t.source(servers, s, home, p, now)
 	s.running++
 	s.tokens += k.tokens
 	return k
@@ -68,6 +74,36 @@
 	return Estimate{wait: duration(c.wait), cost: duration(c.score)}, c.server != nil
 }
 
+// leastFetched is the fewest tokens worth a move between servers.
+const leastFetched = 256
+
+// source finds a server that holds the prompt's shared parts, for one that
+// does not. Parts that are gone there are read as ever.
+func (t *Table) source(servers []*Server, chosen, home *Server, p prompt.Prompt, now time.Time) string {
+	if chosen.holds(p, now) || p.SharedTokens() < leastFetched {
+		return ""
+	}
+	if s := holder(servers, p, now); s != nil {
+		return s.spec.Address
+	}
+	if home != nil && home != chosen {
+		return home.spec.Address
+	}
+	return ""
+}
+
+// holder returns the server that used the prompt's subject last, as far as
+// this host knows.
+func holder(servers []*Server, p prompt.Prompt, now time.Time) *Server {
+	var last *Server
+	for _, s := range servers {
+		if s.holds(p, now) && !s.gone && (last == nil || s.cached[p.Subject()].After(last.cached[p.Subject()])) {
+			last = s
+		}
+	}
+	return last
+}
+
 func duration(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
 
 // choice is a server with its score and the wait predicted there.
@@ -81,11 +117,12 @@
 
 func (t *Table) best(servers []*Server, p prompt.Prompt, tried []string, home *Server, now time.Time, take bool) choice {
 	var best, cold choice
+	holder := holder(servers, p, now)
 	for _, s := range servers {
 		if !t.takes(s, now) || slices.Contains(tried, s.spec.Instance) {
 			continue
 		}
-		c := t.rate(s, p, s == home, now)
+		c := t.rate(s, p, s == home, holder, now)
 		switch {
 		case now.Before(s.coldUntil):
 			if c.better(cold) {
@@ -115,16 +152,21 @@
 
 // rate predicts the wait at a server, and scores it by what the choice costs
 // this request and others, both in milliseconds.
-func (t *Table) rate(s *Server, p prompt.Prompt, home bool, now time.Time) choice {
+func (t *Table) rate(s *Server, p prompt.Prompt, home bool, holder *Server, now time.Time) choice {
 	c := choice{server: s, score: max(0, s.fails(now)-failTolerated) * failCost}
 	if s.spec.Hall != t.place.Hall {
 		c.score += otherHallCost
 	}
 	if l := t.limits(s.spec.Service); l != nil && l.CacheTokens > 0 {
 		missing := s.missing(p, home)
-		c.wait = t.engineWait(s, missing, now)
+		again := missing - p.Tokens() + p.SharedTokens()
+		if again > 0 && holder != nil && holder != s {
+			c.wait = fetchCost
+			missing, again = missing-again, 0
+		}
+		c.wait += t.engineWait(s, missing, now)
 		// Shared parts that are read again delay all who come after.
-		c.score += againCost * float64(missing-p.Tokens()+p.SharedTokens()) / firstReadRate
+		c.score += againCost * float64(again) / firstReadRate
 	} else {
 		c.wait = t.serviceWait(s)
 	}
--- a/serverset/table.go
+++ b/serverset/table.go
@@ -28,6 +28,9 @@
 	// againCost is what reading shared parts again costs the requests that come
 	// after, as a multiple of the time it takes.
 	againCost = 20.0
+	// fetchCost is the time that a move of shared parts between servers takes, in
+	// milliseconds: far less than reading them.
+	fetchCost = 8.0
 	// failCost is what a failure costs a user, in milliseconds of waiting.
 	failCost = 1500.0
 	// failTolerated is the failure rate that a sound server may have: some
