Take shared parts from other regions' servers too

Cause: a subject that rests some seconds is gone from all of a region's caches, while another region's servers often hold it still. Change: stores tell hosts of all regions' servers; where neither the chosen server nor one of the region used a subject in the last 3 s, the subject's home in the busiest other region is named as holder.

--- a/confstore/servers.go
+++ b/confstore/servers.go
@@ -35,6 +35,9 @@
 		n.o.Log.Info("List of servers is not read; the last one holds.", "cause", err.Error())
 		return
 	}
+	for i := range list {
+		list[i].Region = n.o.Halls[list[i].Hall]
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if !slices.Equal(list, n.servers.list) {
@@ -44,7 +47,8 @@
 	n.servers.asked = asked
 }
 
-// addServers adds the servers of the host's region when they changed.
+// addServers adds the list of servers when it changed: those of the host's
+// region for work, the others as holders of prompts.
 func (n *Node) addServers(a *wheelgauge.BeatAnswer, b wheelgauge.Beat, same bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -54,12 +58,7 @@
 	if v.version == 0 || same && b.Servers == v.version {
 		return
 	}
-	a.Servers = []wheelgauge.Server{}
-	for _, s := range v.list {
-		if n.o.Halls[s.Hall] == b.Host.Region {
-			a.Servers = append(a.Servers, s)
-		}
-	}
+	a.Servers = slices.Clone(v.list)
 }
 
 // regionUses joins what hosts have in flight with the servers there are.
--- a/entrynode/news.go
+++ b/entrynode/news.go
@@ -44,8 +44,17 @@
 
 // Servers implements beat.News.
 func (n *Node) Servers(list []wheelgauge.Server, asked time.Time) {
-	n.servers.Update(list, asked)
-	n.o.Log.Info("Servers change.", "servers", len(list), "age_ms", time.Since(asked).Milliseconds())
+	var own, others []wheelgauge.Server
+	for _, s := range list {
+		if s.Region == n.o.Region {
+			own = append(own, s)
+			continue
+		}
+		others = append(others, s)
+	}
+	n.servers.Update(own, asked)
+	n.servers.SetHolders(others)
+	n.o.Log.Info("Servers change.", "servers", len(own), "age_ms", time.Since(asked).Milliseconds())
 }
 
 // SameServers implements beat.News.
@@ -55,4 +64,7 @@
 func (n *Node) Uses(uses []wheelgauge.ServerUse) { n.servers.SetUses(uses) }
 
 // Regions implements beat.News.
-func (n *Node) Regions(regions []wheelgauge.RegionUse) { n.peers.SetUses(regions) }
+func (n *Node) Regions(regions []wheelgauge.RegionUse) {
+	n.peers.SetUses(regions)
+	n.servers.SetBusy(n.peers.Busiest())
+}
--- a/peerset/table.go
+++ b/peerset/table.go
@@ -117,6 +117,23 @@
 	return out
 }
 
+// Busiest returns the other region with the most requests in flight.
+func (t *Table) Busiest() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	best, most := "", -1
+	for region, services := range t.uses {
+		running := 0
+		for _, u := range services {
+			running += u.told.Running
+		}
+		if region != t.region && (running > most || running == most && region < best) {
+			best, most = region, running
+		}
+	}
+	return best
+}
+
 // Load returns the load of a service in a region, with the tokens that this
 // host has sent there since it was told.
 func (t *Table) Load(region, service string) wheelgauge.ServiceUse {
--- a/routes.go
+++ b/routes.go
@@ -103,6 +103,8 @@
 	Service  string `json:"s"`
 	Address  string `json:"a"`
 	Hall     string `json:"h"`
+	// Region is that of the hall; stores fill it in.
+	Region string `json:"r,omitempty"`
 	Slots    int    `json:"n,omitempty"`
 	Leaving  bool   `json:"l,omitempty"`
 	// ColdMS is how much longer the server bears only its cold rate, in ms.
--- a/serverset/pick.go
+++ b/serverset/pick.go
@@ -74,36 +74,6 @@
 	return Estimate{wait: duration(c.wait), cost: duration(c.score)}, c.server != nil
 }
 
-// leastFetched is the fewest tokens worth a move between servers.
-const leastFetched = 256
-
-// source finds a server that holds the prompt's shared parts, for one that
-// does not. Parts that are gone there are read as ever.
-func (t *Table) source(servers []*Server, chosen, home *Server, p prompt.Prompt, now time.Time) string {
-	if chosen.holds(p, now) || p.SharedTokens() < leastFetched {
-		return ""
-	}
-	if s := holder(servers, p, now); s != nil {
-		return s.spec.Address
-	}
-	if home != nil && home != chosen {
-		return home.spec.Address
-	}
-	return ""
-}
-
-// holder returns the server that used the prompt's subject last, as far as
-// this host knows.
-func holder(servers []*Server, p prompt.Prompt, now time.Time) *Server {
-	var last *Server
-	for _, s := range servers {
-		if s.holds(p, now) && !s.gone && (last == nil || s.cached[p.Subject()].After(last.cached[p.Subject()])) {
-			last = s
-		}
-	}
-	return last
-}
-
 func duration(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
 
 // choice is a server with its score and the wait predicted there.
--- a/serverset/server.go
+++ b/serverset/server.go
@@ -104,9 +104,3 @@
 	}
 	return miss
 }
-
-// holds tells whether the server should hold the prompt's shared parts.
-func (s *Server) holds(p prompt.Prompt, now time.Time) bool {
-	used, ok := s.cached[p.Subject()]
-	return ok && now.Sub(used) < cacheLife
-}
