Take at a leaving host what is usually done in time

Cause: of the requests sent to a leaving host in its first seconds, all long ones were refused (three times the longest of late does not fit the grace), and half of their callers' repeats met another leaving host. Change: for 2.9 s, in which callers cannot know, requests are taken that usually fit; after that the strict bound holds.

--- a/routegate/gate.go
+++ b/routegate/gate.go
@@ -51,8 +51,8 @@
 	table    atomic.Pointer[routetable.Table]
 	reserved map[string]bool
 	sampled  atomic.Uint64
-	// end is when the process ends; nil while it does not leave.
-	end       atomic.Pointer[time.Time]
+	// leaving is nil while the process does not leave.
+	leaving   atomic.Pointer[departure]
 	durations durations
 	seen      waits
 }
