--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -33,8 +33,8 @@
 	// stopMargin is what is left of the grace when the last connections are cut.
 	stopMargin = 500 * time.Millisecond
 	// strayTime is how long callers still come that hold an old entry answer: it
-	// holds for a second, and some keep it three times as long.
-	strayTime = 3300 * time.Millisecond
+	// holds for half a second, and some keep it three times as long.
+	strayTime = 1800 * time.Millisecond
 	// drainCheck is how often a leaving host looks whether it may end.
 	drainCheck = 50 * time.Millisecond
 	// callerConns and peerConns bound connections, well below the descriptors
--- a/native/operations.go
+++ b/native/operations.go
@@ -17,7 +17,7 @@
 	pathHalls  = "/v1/halls/"
 	pathEntry  = "/v1/entry"
 	// entryTTLMS is how long an entry answer holds: a host that left is off in time.
-	entryTTLMS = 1000
+	entryTTLMS = 500
 )
 
 // Version answers an accepted configuration with the version held.
