Refuse sooner while the waits seen stand near the objective

Change: while a route's running mean of waits is above half its objective, the limit is 0.75 of it. A check in make lint keeps the platform's names in platform/ and deploy/ (seen failing on a planted name).

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 TOOL = $(GO) tool -modfile=tools/go.mod
 LOAD ?=
 
-.PHONY: all build test lint fmt demo bench faults compare cover
+.PHONY: all build test lint names fmt demo bench faults compare cover
 
 all: lint test
 
@@ -13,11 +13,17 @@
 test: ## every test, with the race detector
 	$(GO) test -race -count=1 -timeout 20m -parallel 8 ./...
 
-lint: ## formatter, vet and linter; prints nothing when clean
+# The platform's names of headers, paths and fields; they stand in platform/ and deploy/ only.
+NAMES = Response-Stamp|Not-Executed|Target-Instance|Instance-Id|Prompt-Prefix|Token-Count|"Deadline-Ms|Server-Load|Request-Priority|Cold-Remaining|Kv-[A-Z]|"/wheelgauge/|"/instances|seed_nodes|listen_addresses|availability_zone|traffic_split|target_latency_ms|max_attempts|session_affinity|cold_remaining_ms|path_prefix|route_kind
+
+lint: names ## formatter, vet and linter; prints nothing when clean
 	@test -z "$$($(TOOL) gofumpt -l . | tee /dev/stderr)"
 	@$(GO) vet -tags bench ./...
 	@$(TOOL) revive -config revive.toml -set_exit_status ./...
 
+names: ## the platform's names stand where they are translated only
+	@! grep -rnE '$(NAMES)' --include='*.go' --include='*.ini' . | grep -vE "^\./(platform|deploy)/"
+
 fmt: ## format in place
 	$(TOOL) gofumpt -w .
 
--- a/routegate/place.go
+++ b/routegate/place.go
@@ -17,6 +17,11 @@
 	// lateFactor is the predicted wait, as a multiple of the objective, from
 	// which on a request is refused.
 	lateFactor = 1.5
+	// busyFactor holds instead while requests of the route have waited for more
+	// than busyPart of their objective: a queue that stands at the objective
+	// makes all of them late.
+	busyFactor = 0.75
+	busyPart   = 0.5
 )
 
 // place is where a request goes next; both pick and peer are nil if nowhere.
@@ -66,7 +71,11 @@
 	if c.forwarded || c.sends > 0 || c.route.Objective <= 0 {
 		return false
 	}
-	return wait > time.Duration(lateFactor*float64(c.route.Objective))
+	factor := lateFactor
+	if c.gate.seen.mean(c.route.Name) > time.Duration(busyPart*float64(c.route.Objective)) {
+		factor = busyFactor
+	}
+	return wait > time.Duration(factor*float64(c.route.Objective))
 }
 
 // bestRegion returns the other region with the least predicted wait.
--- a/routegate/waits.go
+++ b/routegate/waits.go
@@ -56,3 +56,13 @@
 	factor := (m.seen + waitFloor) / (m.predicted + waitFloor)
 	return time.Duration(float64(predicted) * min(mostCorrection, max(leastCorrection, factor)))
 }
+
+// mean returns the running mean of the waits seen on a route.
+func (w *waits) mean(route string) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if m := w.routes[route]; m != nil {
+		return time.Duration(m.seen * float64(time.Millisecond))
+	}
+	return 0
+}
