Forget silent hosts sooner

Cause: with a region's hall dark, far stores named its hosts for 4.5 s, and callers spent their tries on them.

--- a/hosttable/table.go
+++ b/hosttable/table.go
@@ -11,9 +11,13 @@
 	"wheelgauge"
 )
 
-// missedBeats is how many intervals a host may be silent: one lost beat and one
-// late one are no failure.
-const missedBeats = 3
+const (
+	// missedBeats is how many intervals a host may be silent: one lost beat is no
+	// failure.
+	missedBeats = 2
+	// lateBeat is how late a beat may be over a lossy link besides.
+	lateBeat = 600 * time.Millisecond
+)
 
 type entry struct {
 	host     wheelgauge.FleetHost
@@ -60,7 +64,7 @@
 func (t *Table) expire() {
 	now := t.now()
 	for name, e := range t.entries {
-		if now.Sub(e.seen) > missedBeats*e.interval {
+		if now.Sub(e.seen) > missedBeats*e.interval+lateBeat {
 			delete(t.entries, name)
 			t.version++
 		}
--- a/routes.go
+++ b/routes.go
@@ -104,9 +104,9 @@
 	Address  string `json:"a"`
 	Hall     string `json:"h"`
 	// Region is that of the hall; stores fill it in.
-	Region string `json:"r,omitempty"`
-	Slots    int    `json:"n,omitempty"`
-	Leaving  bool   `json:"l,omitempty"`
+	Region  string `json:"r,omitempty"`
+	Slots   int    `json:"n,omitempty"`
+	Leaving bool   `json:"l,omitempty"`
 	// ColdMS is how much longer the server bears only its cold rate, in ms.
 	ColdMS int64 `json:"c,omitempty"`
 }
--- a/serverset/table.go
+++ b/serverset/table.go
@@ -61,8 +61,8 @@
 	drained  []string
 	// resumed is when a hall was last taken back: its servers may be cold.
 	resumed map[string]time.Time
-	holders  []holderEntry
-	busy     string
+	holders []holderEntry
+	busy    string
 	limits  func(service string) *wheelgauge.Service
 	cold    *coldrate.Shares
 	now     func() time.Time
