--- /dev/null
+++ b/confstore/entry_test.go
@@ -0,0 +1,65 @@
+package confstore
+
+import (
+	"encoding/json"
+	"slices"
+	"testing"
+	"time"
+
+	"wheelgauge"
+	"wheelgauge/configlog"
+	"wheelgauge/hosttable"
+	"wheelgauge/native"
+)
+
+// entryNode is a store with hosts and a route that may run in the north only.
+func entryNode(t *testing.T, started time.Time, hosts ...wheelgauge.FleetHost) *Node {
+	t.Helper()
+	n := &Node{
+		o:       Options{Decode: native.Decode, Halls: map[string]string{"n1": "north", "s1": "south", "w1": "west"}},
+		started: started, machine: configlog.New(), hosts: hosttable.New(time.Now),
+	}
+	body, err := json.Marshal(wheelgauge.RouteSet{Version: 1, Routes: []wheelgauge.PathRoute{{Host: "h", Prefix: "/", Homes: []string{"north"}}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	command, err := json.Marshal(configlog.Command{Op: configlog.OpPut, Version: 1, Body: body})
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.machine.Apply(1, command)
+	for _, h := range hosts {
+		h.Ready = true
+		n.hosts.Take(wheelgauge.Beat{Host: h}, time.Hour)
+	}
+	return n
+}
+
+func TestEntryAddresses(t *testing.T) {
+	host := func(name, region string, leaving bool) wheelgauge.FleetHost {
+		return wheelgauge.FleetHost{Name: name, Region: region, Caller: name, Leaving: leaving}
+	}
+	long := time.Now().Add(-time.Hour)
+	tests := []struct {
+		name    string
+		started time.Time
+		hosts   []wheelgauge.FleetHost
+		want    []string
+	}{
+		{"own region", long, []wheelgauge.FleetHost{host("n", "north", false), host("s", "south", false)}, []string{"s"}},
+		{"leaving hosts are left out", long, []wheelgauge.FleetHost{host("s", "south", true), host("t", "south", false)}, []string{"t"}},
+		{"all of the region leave", long, []wheelgauge.FleetHost{host("s", "south", true), host("n", "north", false)}, []string{"s"}},
+		{"none of the region: homes first", long, []wheelgauge.FleetHost{host("n", "north", false), host("w", "west", false)}, []string{"n"}},
+		{"no home either", long, []wheelgauge.FleetHost{host("w", "west", false)}, []string{"w"}},
+		{"a store that has just started does not know", time.Now(), []wheelgauge.FleetHost{host("n", "north", false)}, nil},
+		{"nobody", long, nil, nil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			got, err := entryNode(t, tt.started, tt.hosts...).EntryAddresses("h", "south")
+			if !slices.Equal(got, tt.want) || (err != nil) != (tt.want == nil) {
+				t.Errorf("got %v, %v, want %v", got, err, tt.want)
+			}
+		})
+	}
+}
--- a/routegate/gate_test.go
+++ b/routegate/gate_test.go
@@ -317,3 +317,51 @@
 		t.Error("the long request reached a server")
 	}
 }
+
+// A forwarded request is repeated by the host it came to only: both together
+// would run it on more servers than its route allows.
+func TestForwardedRequestIsNotRepeated(t *testing.T) {
+	b := newBackend(t, failure)
+	g, _ := newGate(t, routes(), b, b)
+	s, err := callerhttp.Listen("127.0.0.1:0", callerhttp.Options{Limits: g.Limits, Serve: g.ServePeer, Conns: 8})
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := net.Dial("tcp", s.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() {
+		_ = c.Close()
+		ctx, cancel := context.WithTimeout(context.Background(), testLimit)
+		defer cancel()
+		_ = s.Close(ctx)
+	}()
+	resp, _, err := ask(t, c, "/safe/", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if resp.StatusCode != http.StatusInternalServerError || len(b.seen()) != 1 {
+		t.Errorf("got %d after %d sends, want the server's 500 after one", resp.StatusCode, len(b.seen()))
+	}
+}
+
+func TestWaitsCorrectPredictions(t *testing.T) {
+	var w waits
+	if got := w.correct("r", time.Second); got != time.Second {
+		t.Errorf("nothing seen: %s", got)
+	}
+	for range 200 {
+		w.note("r", 100*time.Millisecond, 800*time.Millisecond)
+		w.note("exact", 800*time.Millisecond, 100*time.Millisecond)
+	}
+	if got := w.correct("r", 100*time.Millisecond); got < 500*time.Millisecond || got > 600*time.Millisecond {
+		t.Errorf("seen eight times as long: %s", got)
+	}
+	if got := w.correct("exact", time.Second); got != time.Second {
+		t.Errorf("predictions are lowered to %s", got)
+	}
+	if got := w.mean("r"); got < 790*time.Millisecond || got > 810*time.Millisecond {
+		t.Errorf("mean %s", got)
+	}
+}
