--- a/beat/client.go
+++ b/beat/client.go
@@ -39,12 +39,14 @@
 // News takes what stores tell. Its methods are called one at a time.
 type News interface {
 	State(s wheelgauge.FleetState)
-	Hosts(hosts []wheelgauge.FleetHost)
+	// Hosts and Regions are told what is new; partial news leave out what the
+	// store may not have heard of yet.
+	Hosts(hosts []wheelgauge.FleetHost, partial bool)
 	Servers(list []wheelgauge.Server, asked time.Time)
 	// SameServers says that the last list was still true when asked for anew.
 	SameServers(asked time.Time)
 	Uses(uses []wheelgauge.ServerUse)
-	Regions(regions []wheelgauge.RegionUse)
+	Regions(regions []wheelgauge.RegionUse, partial bool)
 }
 
 // Options of a Client.
@@ -275,7 +277,7 @@
 		return
 	}
 	if a.Hosts != nil {
-		n.Hosts(a.Hosts)
+		n.Hosts(a.Hosts, a.Partial)
 	}
 	listed := asked.Add(-time.Duration(a.ServersAgeMS) * time.Millisecond)
 	switch {
@@ -285,7 +287,7 @@
 		n.SameServers(listed)
 	}
 	n.Uses(a.Uses)
-	n.Regions(a.Regions)
+	n.Regions(a.Regions, a.Partial)
 }
 
 // choosePrimary prefers a store that answers, is in touch with the others, and
--- a/beat/client_test.go
+++ b/beat/client_test.go
@@ -91,17 +91,17 @@
 	defer n.mu.Unlock()
 	n.generation = append(n.generation, s.Generation)
 }
-func (n *news) Hosts([]wheelgauge.FleetHost) {}
+func (n *news) Hosts([]wheelgauge.FleetHost, bool) {}
 func (n *news) Servers(list []wheelgauge.Server, _ time.Time) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.from = list[0].Instance
 }
-func (n *news) SameServers(time.Time)          {}
-func (n *news) Uses([]wheelgauge.ServerUse)    {}
-func (n *news) Regions([]wheelgauge.RegionUse) {}
-func (n *news) primary() string                { n.mu.Lock(); defer n.mu.Unlock(); return n.from }
-func (n *news) states() []uint64               { n.mu.Lock(); defer n.mu.Unlock(); return slices.Clone(n.generation) }
+func (n *news) SameServers(time.Time)                {}
+func (n *news) Uses([]wheelgauge.ServerUse)          {}
+func (n *news) Regions([]wheelgauge.RegionUse, bool) {}
+func (n *news) primary() string                      { n.mu.Lock(); defer n.mu.Unlock(); return n.from }
+func (n *news) states() []uint64                     { n.mu.Lock(); defer n.mu.Unlock(); return slices.Clone(n.generation) }
 
 func startClient(t *testing.T, n *news, leaving *bool, seeds ...*standIn) *Client {
 	t.Helper()
--- a/beats.go
+++ b/beats.go
@@ -88,6 +88,9 @@
 	Hall   string `json:"hall"`
 	// Stores are the peer addresses of all stores.
 	Stores []string `json:"stores,omitempty"`
+	// Partial is set while the store has not been up for long enough to have
+	// heard of every host: what it does not name may be there all the same.
+	Partial bool `json:"partial,omitempty"`
 	// Hosts is the whole table of entry hosts when its number changed.
 	HostsAt   uint64      `json:"hosts_at,omitempty"`
 	Hosts     []FleetHost `json:"hosts,omitempty"`
--- a/confstore/beat.go
+++ b/confstore/beat.go
@@ -40,8 +40,13 @@
 	}
 	same := b.Store == n.boot
 	hosts, at := n.hosts.Hosts()
-	a.HostsAt = at
-	if !same || b.Hosts != at {
+	a.Partial = time.Since(n.started) < warmUp
+	// The table is told once more when it has become whole.
+	a.HostsAt = 2 * at
+	if a.Partial {
+		a.HostsAt++
+	}
+	if !same || b.Hosts != a.HostsAt {
 		a.Hosts = hosts
 	}
 	n.addServers(&a, b, same)
--- a/entrynode/news.go
+++ b/entrynode/news.go
@@ -1,6 +1,7 @@
 package entrynode
 
 import (
+	"slices"
 	"time"
 
 	"wheelgauge"
@@ -27,7 +28,8 @@
 }
 
 // Hosts implements beat.News.
-func (n *Node) Hosts(hosts []wheelgauge.FleetHost) {
+func (n *Node) Hosts(hosts []wheelgauge.FleetHost, partial bool) {
+	hosts = n.merge(hosts, partial)
 	var region []string
 	all := 0
 	for _, h := range hosts {
@@ -64,7 +66,24 @@
 func (n *Node) Uses(uses []wheelgauge.ServerUse) { n.servers.SetUses(uses) }
 
 // Regions implements beat.News.
-func (n *Node) Regions(regions []wheelgauge.RegionUse) {
+func (n *Node) Regions(regions []wheelgauge.RegionUse, partial bool) {
+	if partial && n.told {
+		return // the last sums are nearer the truth
+	}
+	n.told = n.told || !partial
 	n.peers.SetUses(regions)
 	n.servers.SetBusy(n.peers.Busiest())
 }
+
+// merge adds the hosts known before to partial news.
+func (n *Node) merge(hosts []wheelgauge.FleetHost, partial bool) []wheelgauge.FleetHost {
+	if partial {
+		for _, old := range n.hosts {
+			if !slices.ContainsFunc(hosts, func(h wheelgauge.FleetHost) bool { return h.Name == old.Name }) {
+				hosts = append(hosts, old)
+			}
+		}
+	}
+	n.hosts = hosts
+	return hosts
+}
--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -84,6 +84,9 @@
 	leaving   atomic.Bool
 	// generation is that of the state in force; News is told one at a time.
 	generation uint64
+	hosts      []wheelgauge.FleetHost
+	// told is set once the sums of all regions were whole.
+	told bool
 }
 
 // Open starts a gateway.
