--- a/beat/client_test.go
+++ b/beat/client_test.go
@@ -100,9 +100,18 @@
 func (n *news) SameServers(time.Time)                {}
 func (n *news) Uses([]wheelgauge.ServerUse)          {}
 func (n *news) Regions([]wheelgauge.RegionUse, bool) {}
-func (n *news) primary() string { n.mu.Lock(); defer n.mu.Unlock(); return n.from }
 
-func (n *news) states() []uint64 { n.mu.Lock(); defer n.mu.Unlock(); return slices.Clone(n.generation) }
+func (n *news) primary() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.from
+}
+
+func (n *news) states() []uint64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.Clone(n.generation)
+}
 
 func startClient(t *testing.T, n *news, leaving *bool, seeds ...*standIn) *Client {
 	t.Helper()
