Leave a region alone for a while once one of its gateways is silent

Change: connects to other regions take 0.4 s at most, sent bytes 1.2 s; a timeout keeps work off the whole region for 1.5 s.

--- a/peerset/table.go
+++ b/peerset/table.go
@@ -17,6 +17,9 @@
 	connsToPeer = 256
 	// pauseTime keeps work off a gateway that was not reached or refused.
 	pauseTime = time.Second
+	// silentTime keeps work off a region of which a gateway was silent: the
+	// link to it is cut more likely than not.
+	silentTime = 1500 * time.Millisecond
 )
 
 // Peer is a gateway of another region.
@@ -49,12 +52,14 @@
 	region string
 	peers  map[string]*Peer
 	uses   map[string]map[string]*use
+	// silent is until when a region counts as cut off.
+	silent map[string]time.Time
 	now    func() time.Time
 }
 
 // New returns an empty table of a host in region.
 func New(region string, now func() time.Time) *Table {
-	return &Table{region: region, peers: map[string]*Peer{}, uses: map[string]map[string]*use{}, now: now}
+	return &Table{region: region, peers: map[string]*Peer{}, uses: map[string]map[string]*use{}, silent: map[string]time.Time{}, now: now}
 }
 
 // SetHosts takes the live hosts of all regions.
@@ -72,7 +77,7 @@
 			if p != nil {
 				p.pool.Close()
 			}
-			p = &Peer{pool: serverconn.New(h.Peer, connsToPeer)}
+			p = &Peer{pool: serverconn.New(h.Peer, connsToPeer, serverconn.Far())}
 			t.peers[h.Name] = p
 		}
 		p.host = h
@@ -106,7 +111,7 @@
 	defer t.mu.Unlock()
 	var out []string
 	for _, p := range t.peers {
-		if slices.Contains(out, p.host.Region) || t.now().Before(p.paused) {
+		if slices.Contains(out, p.host.Region) || t.now().Before(p.paused) || t.now().Before(t.silent[p.host.Region]) {
 			continue
 		}
 		if u := t.uses[p.host.Region][service]; u != nil && u.told.Servers > 0 {
@@ -177,6 +182,13 @@
 	p.paused = t.now().Add(pauseTime)
 }
 
+// Silent keeps work off the whole region of a gateway that said nothing.
+func (t *Table) Silent(p *Peer) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.silent[p.host.Region] = t.now().Add(silentTime)
+}
+
 // Prune closes idle connections.
 func (t *Table) Prune() {
 	t.mu.Lock()
--- a/routegate/dispatch.go
+++ b/routegate/dispatch.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -131,7 +133,7 @@
 	conn, err := p.Pool().Get(ctx)
 	if err != nil {
 		c.cause = err.Error()
-		c.gate.options.Peers.Pause(p)
+		c.missed(p, err)
 		return notSent
 	}
 	x := &exchange{call: c, conn: conn, pool: p.Pool()}
@@ -145,7 +147,7 @@
 	if err := x.roundTrip(head); err != nil {
 		c.cause = err.Error()
 		c.sends++
-		c.gate.options.Peers.Pause(p)
+		c.missed(p, err)
 		return failed
 	}
 	outcome := wheelgauge.Outcome(x.head.Peek(wheelgauge.HeaderOutcome))
@@ -163,6 +165,18 @@
 	return failed
 }
 
+// missed keeps work off a gateway that failed, and off its region if the
+// network gave it up; this request's own deadline says nothing of either.
+func (c *call) missed(p *peerset.Peer, err error) {
+	if time.Now().After(c.deadline) {
+		return
+	}
+	c.gate.options.Peers.Pause(p)
+	if timeout, ok := errors.AsType[net.Error](err); ok && timeout.Timeout() || errors.Is(err, syscall.ETIMEDOUT) {
+		c.gate.options.Peers.Silent(p)
+	}
+}
+
 // roundTrip sends a request and reads the head of its answer.
 func (x *exchange) roundTrip(head []byte) error {
 	c := x.call
--- a/serverconn/conn.go
+++ b/serverconn/conn.go
@@ -31,9 +31,6 @@
 	keepAliveIdle  = time.Second
 	keepAliveEvery = 500 * time.Millisecond
 	keepAliveCount = 3
-	// userTimeout is how long sent bytes may stay unacknowledged: several
-	// retransmissions over a lossy link fit in.
-	userTimeout = 3 * time.Second
 	// strayAnswers is how many answers to other requests are passed over.
 	strayAnswers = 2
 )
@@ -53,11 +50,11 @@
 	aborted  atomic.Bool
 }
 
-func dial(ctx context.Context, address string, timeout time.Duration) (*Conn, error) {
+func dial(ctx context.Context, address string, l Link) (*Conn, error) {
 	d := net.Dialer{
-		Timeout:         timeout,
+		Timeout:         l.Connect,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveEvery, Count: keepAliveCount},
-		Control:         boundUnacknowledged,
+		Control:         boundUnacknowledged(l.Unacknowledged),
 	}
 	c, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
@@ -67,13 +64,15 @@
 }
 
 // boundUnacknowledged sets TCP_USER_TIMEOUT.
-func boundUnacknowledged(_, _ string, raw syscall.RawConn) error {
+func boundUnacknowledged(limit time.Duration) func(_, _ string, raw syscall.RawConn) error {
 	const tcpUserTimeout = 18 // linux/tcp.h; the syscall package does not name it
-	var inner error
-	err := raw.Control(func(fd uintptr) {
-		inner = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(userTimeout.Milliseconds()))
-	})
-	return errors.Join(err, inner)
+	return func(_, _ string, raw syscall.RawConn) error {
+		var inner error
+		err := raw.Control(func(fd uintptr) {
+			inner = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(limit.Milliseconds()))
+		})
+		return errors.Join(err, inner)
+	}
 }
 
 // Reused tells whether the connection carried a request before.
--- a/serverconn/conn_test.go
+++ b/serverconn/conn_test.go
@@ -32,7 +32,7 @@
 			go play(c, scripts)
 		}
 	}()
-	p := New(l.Addr().String(), 4)
+	p := New(l.Addr().String(), 4, Near())
 	t.Cleanup(p.Close)
 	return p
 }
--- a/serverconn/pool.go
+++ b/serverconn/pool.go
@@ -15,10 +15,26 @@
 	idleUnannounced = 4 * time.Second
 	// idlePart of an announced idle time is used: the rest is for the way there.
 	idlePart = 0.6
-	// connectTimeout bounds a new connection inside a region and between two.
-	connectTimeout = time.Second
 )
 
+// Link says how patient connections of a pool are.
+type Link struct {
+	// Connect bounds a new connection.
+	Connect time.Duration
+	// Unacknowledged is how long sent bytes may stay unacknowledged.
+	Unacknowledged time.Duration
+}
+
+// Near is for servers of the own region: a lost opening packet is sent again
+// after a second, and several retransmissions fit in the rest.
+func Near() Link { return Link{Connect: time.Second, Unacknowledged: 3 * time.Second} }
+
+// Far is for other regions, where a link may be cut while others are free:
+// three round trips of a long link, and two retransmissions.
+func Far() Link {
+	return Link{Connect: 400 * time.Millisecond, Unacknowledged: 1200 * time.Millisecond}
+}
+
 // ErrNoConns is returned when a server has as many connections as it may.
 var ErrNoConns = errors.New("no connection is free")
 
@@ -31,10 +47,13 @@
 	most    int
 	closed  bool
 	dialed  int
+	link    Link
 }
 
 // New returns a pool of at most the given number of connections.
-func New(address string, most int) *Pool { return &Pool{address: address, most: most} }
+func New(address string, most int, link Link) *Pool {
+	return &Pool{address: address, most: most, link: link}
+}
 
 // SetMost changes how many connections may be open.
 func (p *Pool) SetMost(most int) {
@@ -78,7 +97,7 @@
 }
 
 func (p *Pool) dial(ctx context.Context) (*Conn, error) {
-	c, err := dial(ctx, p.address, connectTimeout)
+	c, err := dial(ctx, p.address, p.link)
 	if err != nil {
 		p.mu.Lock()
 		defer p.mu.Unlock()
--- a/serverset/server.go
+++ b/serverset/server.go
@@ -54,7 +54,7 @@
 
 func newServer(spec wheelgauge.Server, conns int) *Server {
 	return &Server{
-		spec: spec, hash: rendezvous.Hash(spec.Instance), pool: serverconn.New(spec.Address, conns),
+		spec: spec, hash: rendezvous.Hash(spec.Instance), pool: serverconn.New(spec.Address, conns, serverconn.Near()),
 		cached: map[uint64]time.Time{},
 	}
 }
