--- a/routegate/call.go
+++ b/routegate/call.go
@@ -141,12 +141,16 @@
 	}
 }
 
+// retryPart of what is left to a refused caller passes before it comes back:
+// later, where it can wait, the crowd has thinned out more.
+const (
+	retryPart   = 4
+	latestRetry = 3 * time.Second
+)
+
 // comeBack says when a refused caller should try again.
 func (c *call) comeBack() time.Duration {
-	if c.route != nil && c.route.Objective > 0 {
-		return min(busyRetry, c.route.Objective)
-	}
-	return busyRetry
+	return min(latestRetry, max(busyRetry, time.Until(c.deadline)/retryPart))
 }
 
 func (c *call) refuse(e *wheelgauge.Error) {
--- a/routegate/gate.go
+++ b/routegate/gate.go
@@ -29,7 +29,7 @@
 	// leaveRetry is when a caller of a leaving host goes to another one.
 	leaveRetry = time.Millisecond
 	// busyRetry is when a caller comes back that was refused for load.
-	busyRetry = 700 * time.Millisecond
+	busyRetry = 500 * time.Millisecond
 )
 
 // Options of a Gate.
