--- a/routegate/dispatch.go
+++ b/routegate/dispatch.go
@@ -21,31 +21,6 @@
 // lowestPriority is the last rank that engines know.
 const lowestPriority = 9
 
-const (
-	// rankStep leaves room for longer requests between the routes' ranks.
-	rankStep = 2
-	// longPart and longestPart of the objective are the reading times from which
-	// on a request goes one or two ranks ahead: it has less time to lose.
-	longPart    = 0.3
-	longestPart = 0.6
-)
-
-// rank is the request's priority in the engine: its route's, and among those
-// the ones that take long to read go first.
-func (c *call) rank(k *serverset.Pick) int {
-	rank := rankStep * (c.route.Priority + 1)
-	read := k.ReadTime()
-	if objective := float64(c.route.Objective); objective > 0 {
-		switch {
-		case float64(read) > longestPart*objective:
-			rank -= rankStep
-		case float64(read) > longPart*objective:
-			rank -= rankStep / 2
-		}
-	}
-	return min(rank, lowestPriority)
-}
-
 // exchange is one dispatch on one connection.
 type exchange struct {
 	call *call
@@ -77,7 +52,7 @@
 	set := [][2]string{
 		{n.Deadline, left(c.deadline)},
 		{n.Target, s.Instance()},
-		{n.Priority, strconv.Itoa(c.rank(k))},
+		{n.Priority, strconv.Itoa(min(c.route.Priority, lowestPriority))},
 	}
 	if from := k.Source(); from != "" {
 		set = append(set, [2]string{n.Fetch, from})
--- a/routegate/gate_test.go
+++ b/routegate/gate_test.go
@@ -218,7 +218,7 @@
 		t.Fatal(err)
 	}
 	h := b.seen()[0]
-	if h.Get("Wheelgauge-Target") != "i0" || h.Get("Wheelgauge-Priority") != "8" || h.Get(wheelgauge.HeaderForwardedFrom) != "" || h.Get("X-Hop") != "" || h.Get("X-End") != "2" {
+	if h.Get("Wheelgauge-Target") != "i0" || h.Get("Wheelgauge-Priority") != "3" || h.Get(wheelgauge.HeaderForwardedFrom) != "" || h.Get("X-Hop") != "" || h.Get("X-End") != "2" {
 		t.Errorf("the server got %v", h)
 	}
 	if left := h.Get("Wheelgauge-Deadline-Ms"); len(left) != 3 {
--- a/serverset/pick.go
+++ b/serverset/pick.go
@@ -27,9 +27,6 @@
 // Wait returns the predicted time to the first event or to the answer.
 func (k *Pick) Wait() time.Duration { return k.wait }
 
-// ReadTime returns how long the engine reads the prompt, with nothing else to do.
-func (k *Pick) ReadTime() time.Duration { return duration(float64(k.tokens) / firstReadRate) }
-
 // Source returns the address of a server that holds shared parts of the prompt
 // which the chosen one lacks; empty when there is none.
 func (k *Pick) Source() string { return k.source }
