--- a/cmd/wheelgauge-store/routes.go
+++ b/cmd/wheelgauge-store/routes.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"strings"
-	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/spf13/cobra"
@@ -22,8 +21,6 @@
 hosts and the list of backend servers. At the very first start of a system the
 seeds found the group together; every other store joins through them.`
 	routesExample = `  wheelgauge-store routes --config store.ini`
-	// routesStop bounds a stop: a store holds no requests.
-	routesStop = 2 * time.Second
 )
 
 var routesKeys = []settings.Key{
@@ -100,9 +97,7 @@
 	case err := <-n.Done():
 		return fmt.Errorf("replica ended: %w", err)
 	}
-	limit, cancel := context.WithTimeout(context.WithoutCancel(ctx), routesStop)
-	defer cancel()
-	err = n.Close(limit)
+	err = n.Close()
 	log.Info("Store has stopped.")
 	return err
 }
--- a/confstore/node.go
+++ b/confstore/node.go
@@ -28,6 +28,9 @@
 	folderReplica = "replica"
 	// voters survive the loss of two disks at once.
 	voters = 5
+	// listenerStop bounds the end of each listener: an order under way takes
+	// three seconds at most, and two listeners fit a grace of eight.
+	listenerStop = 3200 * time.Millisecond
 )
 
 // Listener is a further listener of the store, for operators or callers, whose
@@ -152,11 +155,16 @@
 func (n *Node) Done() <-chan error { return n.replica.Done() }
 
 // Close stops the store and waits.
-func (n *Node) Close(ctx context.Context) error {
+func (n *Node) Close() error {
 	n.stop()
 	errs := []error{<-n.polled}
 	for _, l := range n.listeners {
-		errs = append(errs, l.Close(ctx))
+		// A peer that is frozen keeps its connection open; it asks again elsewhere.
+		cut, err := l.CloseWithin(listenerStop)
+		if cut {
+			n.o.Log.Info("Listener ends with connections open.", "address", l.Address())
+		}
+		errs = append(errs, err)
 	}
 	errs = append(errs, n.replica.Close())
 	n.client.CloseIdle()
--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -31,7 +31,9 @@
 	// pruneEvery is how often idle connections are looked through.
 	pruneEvery = time.Second
 	// stopMargin is what is left of the grace when the last connections are cut.
-	stopMargin = 500 * time.Millisecond
+	stopMargin = 700 * time.Millisecond
+	// listenersStop bounds the end of both listeners for readiness and metrics.
+	listenersStop = 400 * time.Millisecond
 	// strayTime is how long callers still come that hold an old entry answer: it
 	// holds for half a second, and some keep it three times as long.
 	strayTime = 1800 * time.Millisecond
@@ -194,7 +196,9 @@
 	n.stop()
 	errs = append(errs, n.beats.Close(), <-n.pruned)
 	for _, l := range n.listeners {
-		errs = append(errs, l.Close(limit))
+		// Whoever asks for readiness or metrics asks again.
+		_, err := l.CloseWithin(listenersStop / 2)
+		errs = append(errs, err)
 	}
 	n.servers.Close()
 	n.peers.Close()
--- a/httpserve/server.go
+++ b/httpserve/server.go
@@ -98,6 +98,18 @@
 	return errors.Join(err, <-s.done)
 }
 
+// CloseWithin is Close for listeners whose callers repeat what is cut: it takes
+// at most limit, and tells whether connections were still open then.
+func (s *Server) CloseWithin(limit time.Duration) (cut bool, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	err = s.Close(ctx)
+	if errors.Is(err, context.DeadlineExceeded) {
+		return true, nil
+	}
+	return false, err
+}
+
 // silent drops fasthttp's own log lines: parts log for themselves.
 type silent struct{}
 
--- a/peerset/table.go
+++ b/peerset/table.go
@@ -72,15 +72,7 @@
 			continue
 		}
 		seen[h.Name] = true
-		p := t.peers[h.Name]
-		if p == nil || p.host.Peer != h.Peer || p.host.Boot != h.Boot {
-			if p != nil {
-				p.pool.Close()
-			}
-			p = &Peer{pool: serverconn.New(h.Peer, connsToPeer, serverconn.Far())}
-			t.peers[h.Name] = p
-		}
-		p.host = h
+		t.peers[h.Name] = renewed(t.peers[h.Name], h)
 	}
 	for name, p := range t.peers {
 		if !seen[name] {
@@ -90,6 +82,21 @@
 	}
 }
 
+// renewed returns the peer for what a host tells of itself. A peer in use never
+// changes: dispatches read it without the lock.
+func renewed(p *Peer, h wheelgauge.FleetHost) *Peer {
+	switch {
+	case p == nil:
+	case p.host == h:
+		return p
+	case p.host.Peer == h.Peer && p.host.Boot == h.Boot:
+		return &Peer{host: h, pool: p.pool, paused: p.paused}
+	default:
+		p.pool.Close()
+	}
+	return &Peer{host: h, pool: serverconn.New(h.Peer, connsToPeer, serverconn.Far())}
+}
+
 // SetUses takes the load of all regions.
 func (t *Table) SetUses(regions []wheelgauge.RegionUse) {
 	t.mu.Lock()
@@ -179,7 +186,9 @@
 func (t *Table) Pause(p *Peer) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	p.paused = t.now().Add(pauseTime)
+	if now := t.peers[p.host.Name]; now != nil {
+		now.paused = t.now().Add(pauseTime)
+	}
 }
 
 // Silent keeps work off the whole region of a gateway that said nothing.
--- a/serverset/server.go
+++ b/serverset/server.go
@@ -25,8 +25,13 @@
 	timeWeight = 0.1
 )
 
-// Server is one backend server as this host sees it. Its table guards it.
+// Server is one backend server as this host sees it. Its table guards it, but
+// for what never changes: instance, address, hall and pool.
 type Server struct {
+	instance string
+	address  string
+	hall     string
+	// spec is what the list says now.
 	spec wheelgauge.Server
 	hash uint64
 	pool *serverconn.Pool
@@ -54,19 +59,20 @@
 
 func newServer(spec wheelgauge.Server, conns int) *Server {
 	return &Server{
+		instance: spec.Instance, address: spec.Address, hall: spec.Hall,
 		spec: spec, hash: rendezvous.Hash(spec.Instance), pool: serverconn.New(spec.Address, conns, serverconn.Near()),
 		cached: map[uint64]time.Time{},
 	}
 }
 
 // Instance returns the name of this start of the server.
-func (s *Server) Instance() string { return s.spec.Instance }
+func (s *Server) Instance() string { return s.instance }
 
 // Address returns where the server is reached.
-func (s *Server) Address() string { return s.spec.Address }
+func (s *Server) Address() string { return s.address }
 
 // Hall returns the server's hall.
-func (s *Server) Hall() string { return s.spec.Hall }
+func (s *Server) Hall() string { return s.hall }
 
 // Pool returns the connections to the server.
 func (s *Server) Pool() *serverconn.Pool { return s.pool }
