Be ready only once the servers are known

Change: readiness and the entry list wait for the servers; until then requests are refused as not run, to come back in 0.4 s; a region whose load is not known yet may be tried; an empty list is told too.

--- a/confstore/servers.go
+++ b/confstore/servers.go
@@ -40,7 +40,7 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if !slices.Equal(list, n.servers.list) {
+	if n.servers.version == 0 || !slices.Equal(list, n.servers.list) {
 		n.servers.version++
 		n.servers.list = list
 	}
--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -155,7 +155,7 @@
 func (n *Node) self() wheelgauge.FleetHost {
 	return wheelgauge.FleetHost{
 		Name: n.o.Name, Region: n.o.Region, Hall: n.o.Hall, Caller: n.o.Caller, Peer: n.o.Peer,
-		Boot: n.boot, Leaving: n.leaving.Load(), Ready: n.gate.Table() != nil,
+		Boot: n.boot, Leaving: n.leaving.Load(), Ready: n.gate.Ready(),
 	}
 }
 
@@ -165,7 +165,7 @@
 }
 
 func (n *Node) serveReady(ctx *fasthttp.RequestCtx) {
-	if n.leaving.Load() || n.gate.Table() == nil {
+	if n.leaving.Load() || !n.gate.Ready() {
 		ctx.SetStatusCode(http.StatusServiceUnavailable)
 		return
 	}
--- a/peerset/table.go
+++ b/peerset/table.go
@@ -111,8 +111,8 @@
 	}
 }
 
-// Regions returns the other regions that have live gateways and servers of the
-// service which take work.
+// Regions returns the other regions that have live gateways and, as far as is
+// known, servers of the service which take work.
 func (t *Table) Regions(service string) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -121,7 +121,9 @@
 		if slices.Contains(out, p.host.Region) || t.now().Before(p.paused) || t.now().Before(t.silent[p.host.Region]) {
 			continue
 		}
-		if u := t.uses[p.host.Region][service]; u != nil && u.told.Servers > 0 {
+		// A region whose load is not known yet may be tried.
+		uses, known := t.uses[p.host.Region]
+		if u := uses[service]; !known || u != nil && u.told.Servers > 0 {
 			out = append(out, p.host.Region)
 		}
 	}
--- a/routegate/gate.go
+++ b/routegate/gate.go
@@ -23,9 +23,9 @@
 )
 
 const (
-	// startRetry is when a caller of a host without configuration comes back:
-	// a store answers within a heartbeat.
-	startRetry = 800 * time.Millisecond
+	// startRetry is when a caller of a host comes back that does not know its
+	// configuration or servers yet: stores tell it within some eager heartbeats.
+	startRetry = 400 * time.Millisecond
 	// leaveRetry is when a caller of a leaving host goes to another one.
 	leaveRetry = time.Millisecond
 	// busyRetry is when a caller comes back that was refused for load.
@@ -49,6 +49,7 @@
 type Gate struct {
 	options  Options
 	table    atomic.Pointer[routetable.Table]
+	listed   atomic.Bool
 	reserved map[string]bool
 	sampled  atomic.Uint64
 	// leaving is nil while the process does not leave.
@@ -63,6 +64,12 @@
 // SetTable puts a configuration in force.
 func (g *Gate) SetTable(t *routetable.Table) { g.table.Store(t) }
 
+// SetListed tells that the servers are known.
+func (g *Gate) SetListed() { g.listed.Store(true) }
+
+// Ready tells whether requests can be placed.
+func (g *Gate) Ready() bool { return g.table.Load() != nil && g.listed.Load() }
+
 // Table returns the configuration in force; nil when there is none.
 func (g *Gate) Table() *routetable.Table { return g.table.Load() }
 
@@ -122,6 +129,9 @@
 	if c.deadline.IsZero() || limit.Before(c.deadline) {
 		c.deadline = limit
 	}
+	if !g.listed.Load() {
+		return refusal(wheelgauge.ReasonNoServer, http.StatusServiceUnavailable, "no servers are known yet").WithRetryAfter(startRetry)
+	}
 	c.service = routetable.Pick(c.route)
 	return nil
 }
--- a/routegate/gate_test.go
+++ b/routegate/gate_test.go
@@ -119,6 +119,7 @@
 		Budget: retrybudget.New(retrybudget.Options{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}, time.Now),
 		Meter:  meter.New(), Log: logr.Discard(),
 	})
+	g.SetListed()
 	g.SetTable(routetable.New(&wheelgauge.RouteSet{Version: 1, Routes: routes, Services: []wheelgauge.Service{*service}}))
 	s, err := callerhttp.Listen("127.0.0.1:0", callerhttp.Options{Limits: g.Limits, Serve: g.Serve, Conns: 8})
 	if err != nil {
@@ -295,6 +296,20 @@
 	}
 }
 
+// A host that does not know its servers yet is not ready, and says when to come
+// back.
+func TestNoServersKnownIsNotRun(t *testing.T) {
+	g, c := newGate(t, routes())
+	g.listed.Store(false)
+	resp, body, err := ask(t, c, "/safe/", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if resp.StatusCode != http.StatusServiceUnavailable || !strings.Contains(body, string(wheelgauge.ReasonNoServer)) || resp.Header.Get("Retry-After") == "" || g.Ready() {
+		t.Errorf("got %d %s, ready %v", resp.StatusCode, body, g.Ready())
+	}
+}
+
 func TestLeavingHostRefusesLongRequests(t *testing.T) {
 	b := newBackend(t)
 	g, c := newGate(t, routes(), b)
