Measure the way to other regions

Cause: sending away was weighed with 120 ms for the way, a figure of the users' present links; on others it would send too much or too little. Change: heartbeats to stores of a region measure it (running mean); until then 200 ms. Test: TestWayIsMeasured.

--- a/beat/client.go
+++ b/beat/client.go
@@ -47,6 +47,8 @@
 	SameServers(asked time.Time)
 	Uses(uses []wheelgauge.ServerUse)
 	Regions(regions []wheelgauge.RegionUse, partial bool)
+	// Reached tells how long a call to a store of a region took.
+	Reached(region string, took time.Duration)
 }
 
 // Options of a Client.
@@ -270,6 +272,7 @@
 // tell hands news on. State comes from any store, the rest from the primary.
 func (c *Client) tell(b wheelgauge.Beat, a wheelgauge.BeatAnswer, asked time.Time) {
 	n := c.options.News
+	n.Reached(a.Region, time.Since(asked))
 	if a.State != nil {
 		n.State(*a.State)
 	}
--- a/entrynode/news.go
+++ b/entrynode/news.go
@@ -76,6 +76,9 @@
 	n.servers.SetBusy(n.peers.Busiest())
 }
 
+// Reached implements beat.News.
+func (n *Node) Reached(region string, took time.Duration) { n.peers.Reached(region, took) }
+
 // merge adds the hosts known before to partial news.
 func (n *Node) merge(hosts []wheelgauge.FleetHost, partial bool) []wheelgauge.FleetHost {
 	if partial {
--- a/peerset/table.go
+++ b/peerset/table.go
@@ -20,6 +20,11 @@
 	// silentTime keeps work off a region of which a gateway was silent: the
 	// link to it is cut more likely than not.
 	silentTime = 1500 * time.Millisecond
+	// firstWay is how long the way to another region and back is taken to be
+	// until a call there was measured: a long one, so that little goes there.
+	firstWay = 200 * time.Millisecond
+	// wayWeight is the weight of a new measurement in the running mean.
+	wayWeight = 0.2
 )
 
 // Peer is a gateway of another region.
@@ -54,12 +59,14 @@
 	uses   map[string]map[string]*use
 	// silent is until when a region counts as cut off.
 	silent map[string]time.Time
-	now    func() time.Time
+	// ways are the running means of calls to regions.
+	ways map[string]time.Duration
+	now  func() time.Time
 }
 
 // New returns an empty table of a host in region.
 func New(region string, now func() time.Time) *Table {
-	return &Table{region: region, peers: map[string]*Peer{}, uses: map[string]map[string]*use{}, silent: map[string]time.Time{}, now: now}
+	return &Table{region: region, peers: map[string]*Peer{}, uses: map[string]map[string]*use{}, silent: map[string]time.Time{}, ways: map[string]time.Duration{}, now: now}
 }
 
 // SetHosts takes the live hosts of all regions.
@@ -193,6 +200,27 @@
 	}
 }
 
+// Reached takes how long a call to a region took.
+func (t *Table) Reached(region string, took time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	was, ok := t.ways[region]
+	if !ok {
+		was = took
+	}
+	t.ways[region] = was + time.Duration(wayWeight*float64(took-was))
+}
+
+// Way returns how long the way to a region and back takes.
+func (t *Table) Way(region string) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if way, ok := t.ways[region]; ok {
+		return way
+	}
+	return firstWay
+}
+
 // Silent keeps work off the whole region of a gateway that said nothing.
 func (t *Table) Silent(p *Peer) {
 	t.mu.Lock()
--- a/peerset/table_test.go
+++ b/peerset/table_test.go
@@ -73,6 +73,18 @@
 	}
 }
 
+func TestWayIsMeasured(t *testing.T) {
+	tb, _ := table()
+	if tb.Way("north") != firstWay {
+		t.Errorf("unknown way %s", tb.Way("north"))
+	}
+	tb.Reached("north", 100*time.Millisecond)
+	tb.Reached("north", 150*time.Millisecond)
+	if got := tb.Way("north"); got != 110*time.Millisecond {
+		t.Errorf("way %s, want 110ms", got)
+	}
+}
+
 // What a host tells anew must not change a peer that a dispatch holds.
 func TestPeersInUseDoNotChange(t *testing.T) {
 	tb, _ := table()
--- a/routegate/place.go
+++ b/routegate/place.go
@@ -9,9 +9,8 @@
 )
 
 const (
-	// awayCost is what sending a request to another region costs it: two links
-	// and a gateway more.
-	awayCost = 120 * time.Millisecond
+	// awayCost is what another gateway costs a request besides the way there.
+	awayCost = 10 * time.Millisecond
 	// awayGain is how much sooner an answer must be expected from another region.
 	awayGain = 100 * time.Millisecond
 	// lateFactor is the predicted wait, as a multiple of the objective, from
@@ -86,7 +85,7 @@
 		if !c.route.AllowedIn(region) {
 			continue
 		}
-		wait := awayCost + c.waitAt(o.Peers.Load(region, c.service))
+		wait := awayCost + o.Peers.Way(region) + c.waitAt(o.Peers.Load(region, c.service))
 		if best == "" || wait < least {
 			best, least = region, wait
 		}
