Take out what nobody reads; do once what was done twice

Cause: accessors and header names that no caller had (Reused, Open, Hall, Remote, Read, Instance, ColdMS); the holder of a prompt looked up twice in each choice, the tokens of a dispatch taken off under a second lock; 'no configuration yet' written by both dialects, though the store knows it; a head's settings written twice; a fifth of another constant in place of one with a name (shedPause, the same 100 ms). Ruled out: one peek for callerconn's two questions: they differ in what an unreadable connection means, and the shared form read worse. One table for the two programs' settings: half of the keys differ.

--- a/callerhttp/conn.go
+++ b/callerhttp/conn.go
@@ -100,7 +100,6 @@
 		return false
 	}
 	_ = k.net.SetReadDeadline(time.Time{}) // fails on a closed connection only
-	r.read = time.Now()
 	return true
 }
 
--- a/callerhttp/request.go
+++ b/callerhttp/request.go
@@ -24,7 +24,6 @@
 	conn     *conn
 	request  fasthttp.Request
 	arrived  time.Time
-	read     time.Time
 	last     bool
 	begun    bool
 	finished bool
@@ -49,24 +48,19 @@
 // Body returns the whole body.
 func (r *Request) Body() []byte { return r.request.Body() }
 
-// Arrived returns when the request's first byte was there, Read when its last was.
+// Arrived returns when the request's first byte was there.
 func (r *Request) Arrived() time.Time { return r.arrived }
 
-// Read returns when the whole request was read.
-func (r *Request) Read() time.Time { return r.read }
-
 // Left tells whether the caller was seen to have left.
 func (r *Request) Left() bool { return r.conn.left.Load() }
 
 // Begun tells whether bytes of an answer have left.
 func (r *Request) Begun() bool { return r.begun }
 
-// Remote returns the caller's address.
-func (r *Request) Remote() string { return r.conn.net.RemoteAddr().String() }
-
 // Begin sets the head of an answer whose body follows by Write and ends with
-// End; the head leaves with the first part of the body. length is that of the body, -1 when it is not known. A body that cannot
-// be announced to an HTTP/1.0 caller ends with the connection.
+// End; the head leaves with the first part of the body. length is that of the
+// body, -1 when it is not known. A body that cannot be announced to an HTTP/1.0
+// caller ends with the connection.
 func (r *Request) Begin(status int, fields []Field, length int) {
 	if r.conn.server.draining.Load() {
 		r.last = true
@@ -184,15 +178,12 @@
 	dst = append(dst, http.StatusText(status)...)
 	dst = append(dst, lineEnd...)
 	for _, f := range fields {
-		dst = append(dst, f.name...)
-		dst = append(dst, ": "...)
-		dst = append(dst, f.value...)
-		dst = append(dst, lineEnd...)
+		dst = appendLine(dst, f.name, f.value)
 	}
 	return dst
 }
 
-func appendLine(dst []byte, name, value string) []byte {
+func appendLine[T string | []byte](dst []byte, name, value T) []byte {
 	dst = append(dst, name...)
 	dst = append(dst, ": "...)
 	dst = append(dst, value...)
--- a/confstore/operations.go
+++ b/confstore/operations.go
@@ -79,5 +79,8 @@
 	if err := n.replica.ReadBarrier(ctx); err != nil {
 		return nil, err
 	}
-	return n.machine.State().Body, nil
+	if body := n.machine.State().Body; body != nil {
+		return body, nil
+	}
+	return nil, wheelgauge.NewError(wheelgauge.ReasonNoConfiguration, wheelgauge.OutcomeNotRun, http.StatusServiceUnavailable, "no configuration was taken yet")
 }
--- a/entrynode/news.go
+++ b/entrynode/news.go
@@ -31,17 +31,15 @@
 func (n *Node) Hosts(hosts []wheelgauge.FleetHost, partial bool) {
 	hosts = n.merge(hosts, partial)
 	var region []string
-	all := 0
 	for _, h := range hosts {
 		if h.Region == n.o.Region {
 			region = append(region, h.Name)
 		}
-		all++
 	}
 	n.servers.SetPeers(region)
 	n.peers.SetHosts(hosts)
-	n.budget.SetHosts(all)
-	n.o.Log.Info("Hosts change.", "hosts", all, "region", len(region))
+	n.budget.SetHosts(len(hosts))
+	n.o.Log.Info("Hosts change.", "hosts", len(hosts), "region", len(region))
 }
 
 // Servers implements beat.News.
--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -32,8 +32,8 @@
 	pruneEvery = time.Second
 	// stopMargin is what is left of the grace when the last connections are cut.
 	stopMargin = 700 * time.Millisecond
-	// listenersStop bounds the end of both listeners for readiness and metrics.
-	listenersStop = 400 * time.Millisecond
+	// listenerStop bounds the end of each listener, for readiness and for metrics.
+	listenerStop = 200 * time.Millisecond
 	// strayTime is how long callers still come that hold an old entry answer: it
 	// holds for half a second, and some keep it three times as long.
 	strayTime = 1800 * time.Millisecond
@@ -197,7 +197,7 @@
 	errs = append(errs, n.beats.Close(), <-n.pruned)
 	for _, l := range n.listeners {
 		// Whoever asks for readiness or metrics asks again.
-		_, err := l.CloseWithin(listenersStop / 2)
+		_, err := l.CloseWithin(listenerStop)
 		errs = append(errs, err)
 	}
 	n.servers.Close()
--- a/native/headers.go
+++ b/native/headers.go
@@ -10,7 +10,6 @@
 		RequestID: wheelgauge.HeaderRequestID,
 		Deadline:  wheelgauge.HeaderDeadline,
 		Target:    "Wheelgauge-Target",
-		Instance:  "Wheelgauge-Instance",
 		NotRun:    "Wheelgauge-Not-Run",
 		Signature: "Wheelgauge-Signature",
 		Load:      "Wheelgauge-Load",
@@ -19,7 +18,6 @@
 		Hint:      "Wheelgauge-Output-Hint",
 		Fetch:     "Wheelgauge-Cache-From",
 		Priority:  wheelgauge.HeaderPriority,
-		ColdMS:    "Wheelgauge-Cold-Ms",
 		LastEvent: "Last-Event-Id",
 	}
 }
--- a/native/operations.go
+++ b/native/operations.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"strings"
 
 	"github.com/valyala/fasthttp"
@@ -52,9 +51,6 @@
 
 func get(ctx *fasthttp.RequestCtx, o wheelgauge.Operations) {
 	body, err := o.Routes(context.Background())
-	if err == nil && body == nil {
-		err = wheelgauge.NewError(wheelgauge.ReasonNoConfiguration, wheelgauge.OutcomeNotRun, http.StatusServiceUnavailable, "no configuration was taken yet")
-	}
 	if err != nil {
 		peerhttp.AnswerError(ctx, err)
 		return
--- a/retrybudget/budget.go
+++ b/retrybudget/budget.go
@@ -48,7 +48,8 @@
 	b.hosts = max(1, n)
 }
 
-// allowance is this host's part of the slack in one window.
+// allowance is this host's part of the slack in one window, and the most that
+// is saved up from earlier ones.
 func (b *Budget) allowance() float64 {
 	return b.options.Slack * slackPart / float64(b.hosts)
 }
@@ -63,18 +64,15 @@
 		return
 	}
 	gain := b.allowance() / 2 * now.Sub(at).Seconds() / b.options.Window.Seconds()
-	b.left[service] = min(b.most(), b.left[service]+gain)
+	b.left[service] = min(b.allowance(), b.left[service]+gain)
 }
 
-// most bounds what is saved up from earlier windows.
-func (b *Budget) most() float64 { return b.allowance() }
-
 // First counts a first send.
 func (b *Budget) First(service string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.refill(service)
-	b.left[service] = min(b.most(), b.left[service]+b.options.Ratio*part)
+	b.left[service] = min(b.allowance(), b.left[service]+b.options.Ratio*part)
 }
 
 // Repeat takes one repeat; false means that there is none left.
--- a/routes.go
+++ b/routes.go
@@ -126,8 +126,6 @@
 	Deadline string
 	// Target names the one instance that may run the request.
 	Target string
-	// Instance names the instance that answered.
-	Instance string
 	// NotRun marks a server's answer that says the request did not run.
 	NotRun string
 	// Signature proves that a server made the answer; every success has one.
@@ -145,8 +143,6 @@
 	Fetch string
 	// Priority orders requests in an engine, 0 first.
 	Priority string
-	// ColdMS is how much longer the answering server is cold, in ms.
-	ColdMS string
 	// LastEvent names the last event a resumed stream has seen.
 	LastEvent string
 	// Reserved are headers that only the system sets: a caller's are dropped.
@@ -159,7 +155,7 @@
 	// above the one held, and returns the version held.
 	PutRoutes(ctx context.Context, body []byte) (uint64, error)
 	// Routes returns the newest whole configuration as it was sent, after a
-	// read barrier; nil when there is none.
+	// read barrier; an error when there is none.
 	Routes(ctx context.Context) ([]byte, error)
 	// DrainHall stops or resumes sending work to the backend servers of a hall.
 	DrainHall(ctx context.Context, hall string, drained bool) error
--- a/serverconn/conn.go
+++ b/serverconn/conn.go
@@ -41,7 +41,6 @@
 type Conn struct {
 	net     net.Conn
 	in      *bufio.Reader
-	uses    int
 	idle    time.Time
 	life    time.Duration
 	written chan error
@@ -75,9 +74,6 @@
 	}
 }
 
-// Reused tells whether the connection carried a request before.
-func (c *Conn) Reused() bool { return c.uses > 1 }
-
 // clean tells whether nothing has come since the last answer.
 func (c *Conn) clean() bool {
 	return c.in.Buffered() == 0 && !callerconn.Readable(c.net)
@@ -94,7 +90,6 @@
 
 // Send writes a request. A large one is written while the answer is read.
 func (c *Conn) Send(head, body []byte, deadline time.Time) error {
-	c.uses++
 	if err := c.net.SetDeadline(deadline); err != nil {
 		return fmt.Errorf("send: %w", err)
 	}
@@ -117,10 +112,8 @@
 // the header that carries it; answers to other requests are passed over.
 func (c *Conn) ReadHead(requestID, id string, isHead bool) (*fasthttp.ResponseHeader, *Body, error) {
 	for range strayAnswers {
-		h := &fasthttp.ResponseHeader{}
-		h.DisableNormalizing()
-		h.SetNoDefaultContentType(true)
-		if err := c.readFinal(h); err != nil {
+		h, err := c.readFinal()
+		if err != nil {
 			c.reusable = false
 			return nil, nil, err
 		}
@@ -138,17 +131,17 @@
 }
 
 // readFinal reads a head, passing over informational ones.
-func (c *Conn) readFinal(h *fasthttp.ResponseHeader) error {
+func (c *Conn) readFinal() (*fasthttp.ResponseHeader, error) {
 	for {
+		h := &fasthttp.ResponseHeader{}
+		h.DisableNormalizing()
+		h.SetNoDefaultContentType(true)
 		if err := h.Read(c.in); err != nil {
-			return fmt.Errorf("read answer: %w", err)
+			return nil, fmt.Errorf("read answer: %w", err)
 		}
 		if status := h.StatusCode(); status >= 200 || status == fasthttp.StatusSwitchingProtocols {
-			return nil
+			return h, nil
 		}
-		h.Reset()
-		h.DisableNormalizing()
-		h.SetNoDefaultContentType(true)
 	}
 }
 
--- a/serverconn/pool.go
+++ b/serverconn/pool.go
@@ -151,13 +151,6 @@
 	}
 }
 
-// Open returns the number of open connections, Dialed of all ever opened.
-func (p *Pool) Open() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.open
-}
-
 // Dialed returns the number of connections ever opened.
 func (p *Pool) Dialed() int {
 	p.mu.Lock()
--- a/serverset/holders.go
+++ b/serverset/holders.go
@@ -46,12 +46,12 @@
 }
 
 // source finds a server that holds the prompt's shared parts, for one that may
-// not. Parts that are gone there are read as ever.
-func (t *Table) source(servers []*Server, chosen, home *Server, p prompt.Prompt, now time.Time) string {
+// not; last is the one that used them last. Parts that are gone there are read
+// as ever.
+func (t *Table) source(chosen, home, last *Server, p prompt.Prompt, now time.Time) string {
 	if chosen.holds(p, now, heldFor) || p.SharedTokens() < leastFetched {
 		return ""
 	}
-	last := holder(servers, p, now)
 	if last != nil && last != chosen && last.holds(p, now, heldFor) {
 		return last.spec.Address
 	}
--- a/serverset/pick.go
+++ b/serverset/pick.go
@@ -38,14 +38,14 @@
 	defer t.mu.Unlock()
 	now := t.now()
 	servers := t.services[service]
-	home := t.home(servers, p, now)
-	c := t.best(servers, p, tried, home, now, true)
+	home, last := t.home(servers, p, now), holder(servers, p, now)
+	c := t.best(servers, p, tried, home, last, now, true)
 	s := c.server
 	if s == nil {
 		return nil
 	}
 	k := &Pick{table: t, server: s, prompt: p, tokens: s.missing(p, s == home), wait: duration(c.wait), sent: now}
-	k.source = t.source(servers, s, home, p, now)
+	k.source = t.source(s, home, last, p, now)
 	s.running++
 	s.tokens += k.tokens
 	return k
@@ -70,7 +70,7 @@
 	defer t.mu.Unlock()
 	now := t.now()
 	servers := t.services[service]
-	c := t.best(servers, p, tried, t.home(servers, p, now), now, false)
+	c := t.best(servers, p, tried, t.home(servers, p, now), holder(servers, p, now), now, false)
 	return Estimate{wait: duration(c.wait), cost: duration(c.score)}, c.server != nil
 }
 
@@ -85,9 +85,8 @@
 
 func (c choice) better(than choice) bool { return than.server == nil || c.score < than.score }
 
-func (t *Table) best(servers []*Server, p prompt.Prompt, tried []string, home *Server, now time.Time, take bool) choice {
+func (t *Table) best(servers []*Server, p prompt.Prompt, tried []string, home, holder *Server, now time.Time, take bool) choice {
 	var best, cold choice
-	holder := holder(servers, p, now)
 	for _, s := range servers {
 		if !t.takes(s, now) || slices.Contains(tried, s.spec.Instance) {
 			continue
@@ -182,11 +181,9 @@
 	t := k.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if k.began {
+	if !k.read() {
 		return
 	}
-	k.began = true
-	k.server.tokens -= k.tokens
 	for _, part := range k.prompt.Shared() {
 		k.server.cached[part.ID()] = t.now()
 	}
@@ -213,7 +210,6 @@
 
 // Done ends the dispatch.
 func (k *Pick) Done(o Outcome) {
-	k.unread()
 	t := k.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -221,6 +217,7 @@
 		return
 	}
 	k.ended = true
+	k.read() // nothing has come, if it was not read before
 	s, now := k.server, t.now()
 	s.running--
 	switch o {
@@ -235,7 +232,7 @@
 	case Failed:
 		s.outcome(now, true)
 	case Shed:
-		s.pausedUntil = now.Add(firstPause / 5)
+		s.pausedUntil = now.Add(shedPause)
 	case Unreached:
 		s.pause = min(longestPause, max(firstPause, 2*s.pause))
 		s.pausedUntil = now.Add(s.pause)
@@ -245,15 +242,15 @@
 	}
 }
 
-// unread takes the prompt's tokens back if no first event ever came.
-func (k *Pick) unread() {
-	t := k.table
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if !k.began {
-		k.began = true
-		k.server.tokens -= k.tokens
+// read takes the prompt's tokens off those that wait; false if they were taken
+// off before. The table's lock is held.
+func (k *Pick) read() bool {
+	if k.began {
+		return false
 	}
+	k.began = true
+	k.server.tokens -= k.tokens
+	return true
 }
 
 // Load takes what the server says of itself.
--- a/serverset/server.go
+++ b/serverset/server.go
@@ -21,16 +21,17 @@
 	// gets no work; the pause doubles with each failure.
 	firstPause   = 500 * time.Millisecond
 	longestPause = 4 * time.Second
+	// shedPause keeps work off a server that was full: some answers' time.
+	shedPause = 100 * time.Millisecond
 	// timeWeight is the weight of a new duration in a running mean.
 	timeWeight = 0.1
 )
 
 // Server is one backend server as this host sees it. Its table guards it, but
-// for what never changes: instance, address, hall and pool.
+// for what never changes: instance, address and pool.
 type Server struct {
 	instance string
 	address  string
-	hall     string
 	// spec is what the list says now.
 	spec wheelgauge.Server
 	hash uint64
@@ -59,7 +60,7 @@
 
 func newServer(spec wheelgauge.Server, conns int) *Server {
 	return &Server{
-		instance: spec.Instance, address: spec.Address, hall: spec.Hall,
+		instance: spec.Instance, address: spec.Address,
 		spec: spec, hash: rendezvous.Hash(spec.Instance), pool: serverconn.New(spec.Address, conns, serverconn.Near()),
 		cached: map[uint64]time.Time{},
 	}
@@ -71,9 +72,6 @@
 // Address returns where the server is reached.
 func (s *Server) Address() string { return s.address }
 
-// Hall returns the server's hall.
-func (s *Server) Hall() string { return s.hall }
-
 // Pool returns the connections to the server.
 func (s *Server) Pool() *serverconn.Pool { return s.pool }
 
