--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -37,6 +37,9 @@
 	// strayTime is how long callers still come that hold an old entry answer: it
 	// holds for half a second, and some keep it three times as long.
 	strayTime = 1800 * time.Millisecond
+	// farAnswer is how long a store of another region takes to answer at most:
+	// a long link there and back, and a lost packet sent again.
+	farAnswer = 400 * time.Millisecond
 	// drainCheck is how often a leaving host looks whether it may end.
 	drainCheck = 50 * time.Millisecond
 	// callerConns and peerConns bound connections, well below the descriptors
@@ -96,7 +99,7 @@
 	ctx, stop := context.WithCancel(ctx)
 	n := &Node{o: o, boot: uint64(time.Now().UnixNano()), meter: meter.New(), stop: stop, pruned: make(chan error, 1), client: peerhttp.NewClient(nil, "")}
 	n.servers = serverset.New(serverset.Place{Host: o.Name, Hall: o.Hall}, n.service, time.Now)
-	n.peers = peerset.New(o.Region, time.Now)
+	n.peers = peerset.New(o.Region, o.FarInterval+farAnswer, time.Now)
 	n.budget = retrybudget.New(o.Budget, time.Now)
 	n.gate = routegate.New(routegate.Options{
 		Region: o.Region, Names: o.Names, Servers: n.servers, Peers: n.peers, Budget: n.budget, Meter: n.meter, Log: o.Log.WithName("gate"),
--- a/peerset/table.go
+++ b/peerset/table.go
@@ -59,14 +59,22 @@
 	uses   map[string]map[string]*use
 	// silent is until when a region counts as cut off.
 	silent map[string]time.Time
-	// ways are the running means of calls to regions.
-	ways map[string]time.Duration
-	now  func() time.Time
+	// ways are the running means of calls to regions, reached when one was last
+	// answered.
+	ways    map[string]time.Duration
+	reached map[string]time.Time
+	// silence is how long a region that is in touch may answer no call.
+	silence time.Duration
+	now     func() time.Time
 }
 
-// New returns an empty table of a host in region.
-func New(region string, now func() time.Time) *Table {
-	return &Table{region: region, peers: map[string]*Peer{}, uses: map[string]map[string]*use{}, silent: map[string]time.Time{}, ways: map[string]time.Duration{}, now: now}
+// New returns an empty table of a host in region. silence is how long a region
+// that is in touch may answer no call.
+func New(region string, silence time.Duration, now func() time.Time) *Table {
+	return &Table{
+		region: region, peers: map[string]*Peer{}, uses: map[string]map[string]*use{}, silent: map[string]time.Time{},
+		ways: map[string]time.Duration{}, reached: map[string]time.Time{}, silence: silence, now: now,
+	}
 }
 
 // SetHosts takes the live hosts of all regions.
@@ -138,17 +146,21 @@
 	return out
 }
 
-// Busiest returns the other region with the most requests in flight.
+// Busiest returns the other region with the most requests in flight, of those
+// in touch; empty when there is none.
 func (t *Table) Busiest() string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	best, most := "", -1
 	for region, services := range t.uses {
+		if region == t.region || !t.inTouch(region) {
+			continue
+		}
 		running := 0
 		for _, u := range services {
 			running += u.told.Running
 		}
-		if region != t.region && (running > most || running == most && region < best) {
+		if running > most || running == most && region < best {
 			best, most = region, running
 		}
 	}
@@ -209,6 +221,14 @@
 		was = took
 	}
 	t.ways[region] = was + time.Duration(wayWeight*float64(took-was))
+	t.reached[region] = t.now()
+}
+
+// inTouch tells whether a region answered a call lately, or was never called;
+// the lock is held.
+func (t *Table) inTouch(region string) bool {
+	last, ok := t.reached[region]
+	return !ok || t.now().Sub(last) < t.silence
 }
 
 // Way returns how long the way to a region and back takes.
--- a/peerset/table_test.go
+++ b/peerset/table_test.go
@@ -8,11 +8,14 @@
 	"wheelgauge"
 )
 
-const service = "lm"
+const (
+	service = "lm"
+	silence = time.Second
+)
 
 func table() (*Table, *time.Time) {
 	at := time.Unix(0, 0)
-	t := New("here", func() time.Time { return at })
+	t := New("here", silence, func() time.Time { return at })
 	t.SetHosts([]wheelgauge.FleetHost{
 		{Name: "own", Region: "here", Ready: true},
 		{Name: "n1", Region: "north", Ready: true},
@@ -98,3 +101,39 @@
 		t.Error("its connections were given up")
 	}
 }
+
+// A region that answers no call is cut off: its servers cannot be asked for
+// parts of prompts.
+func TestBusiest(t *testing.T) {
+	tests := []struct {
+		name string
+		do   func(tb *Table, at *time.Time)
+		want string
+	}{
+		{"most in flight", func(*Table, *time.Time) {}, "north"},
+		{"all answer", func(tb *Table, _ *time.Time) {
+			tb.Reached("north", time.Millisecond)
+			tb.Reached("east", time.Millisecond)
+		}, "north"},
+		{"silent", func(tb *Table, at *time.Time) {
+			tb.Reached("north", time.Millisecond)
+			*at = at.Add(silence)
+			tb.Reached("east", time.Millisecond)
+		}, "east"},
+		{"all silent", func(tb *Table, at *time.Time) {
+			tb.Reached("north", time.Millisecond)
+			tb.Reached("east", time.Millisecond)
+			*at = at.Add(silence)
+		}, ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			tb, at := table()
+			tb.SetUses([]wheelgauge.RegionUse{uses("here", 2, 9), uses("north", 2, 5), uses("east", 2, 1)})
+			tt.do(tb, at)
+			if got := tb.Busiest(); got != tt.want {
+				t.Errorf("got %q, want %q", got, tt.want)
+			}
+		})
+	}
+}
--- a/routegate/gate_test.go
+++ b/routegate/gate_test.go
@@ -115,7 +115,7 @@
 	}
 	servers.Update(list, time.Now())
 	g := New(Options{
-		Region: "here", Names: native.Headers(), Servers: servers, Peers: peerset.New("here", time.Now),
+		Region: "here", Names: native.Headers(), Servers: servers, Peers: peerset.New("here", time.Second, time.Now),
 		Budget: retrybudget.New(retrybudget.Options{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}, time.Now),
 		Meter:  meter.New(), Log: logr.Discard(),
 	})
--- a/serverset/holders.go
+++ b/serverset/holders.go
@@ -66,6 +66,9 @@
 
 // awayHolder returns the subject's home in the busiest other region.
 func (t *Table) awayHolder(service string, p prompt.Prompt) string {
+	if t.busy == "" {
+		return ""
+	}
 	best, top := "", uint64(0)
 	for _, h := range t.holders {
 		if h.service != service || h.region != t.busy {
