--- a/routegate/call.go
+++ b/routegate/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strings"
 	"time"
@@ -10,6 +11,7 @@
 	"wheelgauge/callerhttp"
 	"wheelgauge/eventstream"
 	"wheelgauge/prompt"
+	"wheelgauge/serverset"
 )
 
 const (
@@ -57,9 +59,11 @@
 	runs   int
 	status int
 	cause  string
-	wait   time.Duration
-	first  time.Duration
-	left   bool
+	// pick is the last server chosen, for the log.
+	pick  *serverset.Pick
+	wait  time.Duration
+	first time.Duration
+	left  bool
 }
 
 // run dispatches until the caller has an answer.
@@ -111,7 +115,7 @@
 	p := c.place()
 	switch {
 	case p.pick != nil:
-		c.wait = p.pick.Wait()
+		c.wait, c.pick = p.pick.Wait(), p.pick
 		return c.toServer(ctx, p.pick)
 	case p.peer != nil:
 		return c.toPeer(ctx, p.peer)
@@ -192,5 +196,14 @@
 	}
 	g.options.Log.Info("Request ends.", "id", c.id, "route", name, "version", c.version, "status", c.status, "cause", c.cause,
 		"servers", strings.Join(c.tried, " "), "peers", strings.Join(c.away, " "), "runs", c.runs, "forwarded", c.forwarded,
-		"predicted_ms", c.wait.Milliseconds(), "first_ms", c.first.Milliseconds(), "ms", took.Milliseconds())
+		"predicted_ms", c.wait.Milliseconds(), "first_ms", c.first.Milliseconds(), "ms", took.Milliseconds(), "load", c.inputs())
+}
+
+// inputs are what the last choice of a server was made by; empty without one.
+func (c *call) inputs() string {
+	if c.pick == nil {
+		return ""
+	}
+	l := c.pick.Before()
+	return fmt.Sprintf("running=%d tokens=%d missing=%d source=%s age_ms=%d", l.Running(), l.Tokens(), c.pick.Missing(), c.pick.Source(), l.Age().Milliseconds())
 }
--- a/routegate/dispatch.go
+++ b/routegate/dispatch.go
@@ -68,7 +68,7 @@
 		return failed
 	}
 	if slots := slotsOf(string(x.head.Peek(n.Load))); slots > 0 {
-		k.Load(slots)
+		k.Slots(slots)
 	}
 	if status := x.head.StatusCode(); len(x.head.Peek(n.NotRun)) > 0 || status == http.StatusMisdirectedRequest {
 		return c.shed(x, k, status)
--- a/serverset/pick.go
+++ b/serverset/pick.go
@@ -16,11 +16,28 @@
 	prompt prompt.Prompt
 	wait   time.Duration
 	source string
+	load   Load
 	sent   time.Time
 	began  bool
 	ended  bool
 }
 
+// Load is what a server had to do, by what was known, when it was chosen.
+type Load struct {
+	running int
+	tokens  int
+	age     time.Duration
+}
+
+// Running returns the requests in flight from all hosts.
+func (l Load) Running() int { return l.running }
+
+// Tokens returns those of prompts that waited for their first event.
+func (l Load) Tokens() int { return l.tokens }
+
+// Age returns how old the part is that other hosts told of.
+func (l Load) Age() time.Duration { return l.age }
+
 // Server returns the server chosen.
 func (k *Pick) Server() *Server { return k.server }
 
@@ -31,6 +48,12 @@
 // which the chosen one lacks; empty when there is none.
 func (k *Pick) Source() string { return k.source }
 
+// Missing returns how many tokens of the prompt the server must read.
+func (k *Pick) Missing() int { return k.tokens }
+
+// Before returns the server's load when it was chosen.
+func (k *Pick) Before() Load { return k.load }
+
 // Choose picks the server with the least cost, but none of those tried. It
 // returns nil when no server may take the request.
 func (t *Table) Choose(service string, p prompt.Prompt, tried []string) *Pick {
@@ -46,6 +69,7 @@
 	}
 	k := &Pick{table: t, server: s, prompt: p, tokens: s.missing(p, s == home), wait: duration(c.wait), sent: now}
 	k.source = t.source(s, home, last, p, now)
+	k.load = Load{running: s.inFlight(), tokens: s.tokens + s.others.Tokens, age: now.Sub(s.othersAt)}
 	s.running++
 	s.tokens += k.tokens
 	return k
@@ -253,8 +277,8 @@
 	return true
 }
 
-// Load takes what the server says of itself.
-func (k *Pick) Load(slots int) {
+// Slots takes what the server says of itself.
+func (k *Pick) Slots(slots int) {
 	t := k.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
