--- a/routegate/dispatch.go
+++ b/routegate/dispatch.go
@@ -205,7 +205,7 @@
 
 // note compares the predicted wait with the one so far.
 func (x *exchange) note() {
-	x.call.gate.seen.note(x.call.route.Name, x.pick.Wait(), x.pick.Queue(), time.Since(x.sent))
+	x.call.gate.seen.note(x.call.route.Name, x.pick.Wait(), time.Since(x.sent))
 }
 
 // slotsOf reads the last number of "running,waiting,slots"; 0 when it is not there.
--- a/routegate/gate.go
+++ b/routegate/gate.go
@@ -59,9 +59,7 @@
 }
 
 // New returns a gate without a configuration: it refuses everything as not run.
-func New(o Options) *Gate {
-	return &Gate{options: o, reserved: reservedNames(o.Names), seen: waits{routes: map[string]*waitSums{}, now: time.Now}}
-}
+func New(o Options) *Gate { return &Gate{options: o, reserved: reservedNames(o.Names)} }
 
 // SetTable puts a configuration in force.
 func (g *Gate) SetTable(t *routetable.Table) { g.table.Store(t) }
--- a/routegate/gate_test.go
+++ b/routegate/gate_test.go
@@ -362,27 +362,21 @@
 }
 
 func TestWaitsCorrectPredictions(t *testing.T) {
-	at := time.Unix(1000, 0)
-	w := waits{routes: map[string]*waitSums{}, now: func() time.Time { return at }}
-	const wait, queue = 100 * time.Millisecond, 60 * time.Millisecond
-	if got := w.correct("r", wait, queue); got != wait {
+	var w waits
+	if got := w.correct("r", time.Second); got != time.Second {
 		t.Errorf("nothing seen: %s", got)
 	}
 	for range 200 {
-		w.note("r", wait, queue, 340*time.Millisecond)
-		w.note("exact", 800*time.Millisecond, queue, wait)
+		w.note("r", 100*time.Millisecond, 800*time.Millisecond)
+		w.note("exact", 800*time.Millisecond, 100*time.Millisecond)
 	}
-	if got := w.correct("r", wait, queue); got < 190*time.Millisecond || got > 210*time.Millisecond {
-		t.Errorf("others took five times as long: %s", got)
+	if got := w.correct("r", 100*time.Millisecond); got < 500*time.Millisecond || got > 600*time.Millisecond {
+		t.Errorf("seen eight times as long: %s", got)
 	}
-	if got := w.correct("exact", time.Second, queue); got != time.Second {
+	if got := w.correct("exact", time.Second); got != time.Second {
 		t.Errorf("predictions are lowered to %s", got)
 	}
-	if got := w.mean("r"); got < 320*time.Millisecond || got > 340*time.Millisecond {
+	if got := w.mean("r"); got < 790*time.Millisecond || got > 810*time.Millisecond {
 		t.Errorf("mean %s", got)
 	}
-	at = at.Add(10 * waitLife)
-	if got := w.correct("r", wait, queue); got > wait+5*time.Millisecond {
-		t.Errorf("a while later: %s", got)
-	}
 }
--- a/routegate/place.go
+++ b/routegate/place.go
@@ -39,7 +39,7 @@
 	if c.route.AllowedIn(o.Region) {
 		here, ok = o.Servers.Predict(c.service, c.prompt, c.tried)
 	}
-	wait := c.gate.seen.correct(c.route.Name, here.Wait(), here.Queue())
+	wait := c.gate.seen.correct(c.route.Name, here.Wait())
 	region, there := "", time.Duration(0)
 	if !c.forwarded && len(c.away) < mostSends {
 		region, there = c.bestRegion()
--- a/serverset/pick.go
+++ b/serverset/pick.go
@@ -15,7 +15,6 @@
 	tokens int
 	prompt prompt.Prompt
 	wait   time.Duration
-	queue  time.Duration
 	source string
 	load   Load
 	sent   time.Time
@@ -45,9 +44,6 @@
 // Wait returns the predicted time to the first event or to the answer.
 func (k *Pick) Wait() time.Duration { return k.wait }
 
-// Queue returns the part of the wait that is due to other requests.
-func (k *Pick) Queue() time.Duration { return k.queue }
-
 // Source returns the address of a server that holds shared parts of the prompt
 // which the chosen one lacks; empty when there is none.
 func (k *Pick) Source() string { return k.source }
@@ -71,7 +67,7 @@
 	if s == nil {
 		return nil
 	}
-	k := &Pick{table: t, server: s, prompt: p, tokens: s.missing(p, s == home), wait: duration(c.wait), queue: duration(c.queue), sent: now}
+	k := &Pick{table: t, server: s, prompt: p, tokens: s.missing(p, s == home), wait: duration(c.wait), sent: now}
 	k.source = t.source(s, home, last, p, now)
 	k.load = Load{running: s.inFlight(), tokens: s.tokens + s.others.Tokens, age: now.Sub(s.othersAt)}
 	s.running++
@@ -81,17 +77,13 @@
 
 // Estimate is what a region offers a request.
 type Estimate struct {
-	wait  time.Duration
-	queue time.Duration
-	cost  time.Duration
+	wait time.Duration
+	cost time.Duration
 }
 
 // Wait returns the predicted time to the first event or to the answer.
 func (e Estimate) Wait() time.Duration { return e.wait }
 
-// Queue returns the part of the wait that is due to other requests.
-func (e Estimate) Queue() time.Duration { return e.queue }
-
 // Cost returns the wait with what the choice costs besides.
 func (e Estimate) Cost() time.Duration { return e.cost }
 
@@ -103,7 +95,7 @@
 	now := t.now()
 	servers := t.services[service]
 	c := t.best(servers, p, tried, t.home(servers, p, now), holder(servers, p, now), now, false)
-	return Estimate{wait: duration(c.wait), queue: duration(c.queue), cost: duration(c.score)}, c.server != nil
+	return Estimate{wait: duration(c.wait), cost: duration(c.score)}, c.server != nil
 }
 
 func duration(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
@@ -113,8 +105,6 @@
 	server *Server
 	score  float64
 	wait   float64
-	// queue is the part of the wait that is due to other requests.
-	queue float64
 }
 
 func (c choice) better(than choice) bool { return than.server == nil || c.score < than.score }
@@ -167,36 +157,31 @@
 			c.wait = fetchCost
 			missing, again = missing-again, 0
 		}
-		c.queue = t.engineQueue(s, now)
-		c.wait += c.queue + float64(missing)/firstReadRate
+		c.wait += t.engineWait(s, missing, now)
 		// Shared parts that are read again delay all who come after.
 		c.score += againCost * float64(again) / firstReadRate
 	} else {
-		c.wait, c.queue = t.serviceWait(s)
+		c.wait = t.serviceWait(s)
 	}
 	c.score += c.wait
 	return c
 }
 
-// engineQueue predicts how long an engine is busy with others' prompts.
-func (t *Table) engineQueue(s *Server, now time.Time) float64 {
+func (t *Table) engineWait(s *Server, missing int, now time.Time) float64 {
 	others := float64(s.others.Tokens) - firstReadRate*float64(now.Sub(s.othersAt).Milliseconds())
-	return (float64(s.tokens)+max(0, others))/firstReadRate + runCost*float64(s.inFlight())
+	read := float64(s.tokens) + max(0, others) + float64(missing)
+	return read/firstReadRate + runCost*float64(s.inFlight())
 }
 
-// serviceWait predicts the time to the answer of a plain service, and how much
-// of it is due to others.
-func (t *Table) serviceWait(s *Server) (wait, queue float64) {
+func (t *Table) serviceWait(s *Server) float64 {
 	mean := s.service
 	if mean == 0 {
 		mean = firstService
 	}
-	own := float64(mean.Milliseconds())
 	slots := max(1, s.slots, s.spec.Slots)
 	waiting := max(0, s.inFlight()+1-slots)
 	// Below full, fewer in flight is better all the same.
-	queue = own*float64(waiting)/float64(slots) + float64(s.inFlight())/float64(slots)
-	return own + queue, queue
+	return float64(mean.Milliseconds())*(1+float64(waiting)/float64(slots)) + float64(s.inFlight())/float64(slots)
 }
 
 // WaitAt predicts the wait in a region by the sums of its load.
