--- a/confstore/entry.go
+++ b/confstore/entry.go
@@ -13,16 +13,30 @@
 // before it says that a region has none.
 const warmUp = 2 * time.Second
 
+const (
+	// briefHold is how long an answer holds while hosts of the region leave or
+	// fail: some callers keep it three times as long, and one that was named
+	// should be gone by then.
+	briefHold = 500 * time.Millisecond
+	// calmHold holds once none did for calmAfter: planned stops come one after
+	// another, some seconds apart.
+	calmHold  = 2 * time.Second
+	calmAfter = 10 * time.Second
+	// farHold holds for callers of other regions. They ask there when the stores
+	// of their own are silent, and each time wait for those first.
+	farHold = 3 * time.Second
+)
+
 // EntryAddresses implements wheelgauge.Operations. It names the region's own
 // hosts; those that leave are better than a region where the routes of the host
 // name may not run, as they still serve for a while.
-func (n *Node) EntryAddresses(name, region string) ([]string, error) {
+func (n *Node) EntryAddresses(name, region string) ([]string, time.Duration, error) {
 	hosts, _ := n.hosts.Hosts()
-	if near := addresses(hosts, func(h wheelgauge.FleetHost) bool { return h.Region == region && !h.Leaving }); len(near) > 0 {
-		return near, nil
+	if own := addresses(hosts, func(h wheelgauge.FleetHost) bool { return h.Region == region && !h.Leaving }); len(own) > 0 {
+		return own, n.hold(region), nil
 	}
 	if time.Since(n.started) < warmUp {
-		return nil, noEntry()
+		return nil, 0, noEntry()
 	}
 	homes := n.homes(name)
 	fits := []func(wheelgauge.FleetHost) bool{
@@ -32,10 +46,21 @@
 	}
 	for _, fit := range fits {
 		if some := addresses(hosts, fit); len(some) > 0 {
-			return some, nil
+			return some, briefHold, nil
 		}
 	}
-	return nil, noEntry()
+	return nil, 0, noEntry()
+}
+
+// hold is how long the names of a region's own hosts hold.
+func (n *Node) hold(region string) time.Duration {
+	switch {
+	case region != n.o.Region:
+		return farHold
+	case time.Since(n.hosts.Lost(region)) < calmAfter:
+		return briefHold
+	}
+	return calmHold
 }
 
 func noEntry() error {
--- a/confstore/entry_test.go
+++ b/confstore/entry_test.go
@@ -56,10 +56,37 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			got, err := entryNode(t, tt.started, tt.hosts...).EntryAddresses("h", "south")
+			got, _, err := entryNode(t, tt.started, tt.hosts...).EntryAddresses("h", "south")
 			if !slices.Equal(got, tt.want) || (err != nil) != (tt.want == nil) {
 				t.Errorf("got %v, %v, want %v", got, err, tt.want)
 			}
 		})
 	}
 }
+
+func TestHowLongEntryAnswersHold(t *testing.T) {
+	north, south := wheelgauge.FleetHost{Name: "n", Region: "north"}, wheelgauge.FleetHost{Name: "s", Region: "south"}
+	leaving, other := north, north
+	leaving.Leaving, other.Name = true, "m"
+	tests := []struct {
+		name   string
+		caller string
+		hosts  []wheelgauge.FleetHost
+		want   time.Duration
+	}{
+		{"own region", "north", []wheelgauge.FleetHost{north}, calmHold},
+		{"own region, a host leaves", "north", []wheelgauge.FleetHost{north, other, leaving}, briefHold},
+		{"another region: its own stores are silent", "south", []wheelgauge.FleetHost{south}, farHold},
+		{"another region without hosts", "south", []wheelgauge.FleetHost{north}, briefHold},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			n := entryNode(t, time.Now().Add(-time.Hour), tt.hosts...)
+			n.o.Region = "north"
+			_, hold, err := n.EntryAddresses("h", tt.caller)
+			if err != nil || hold != tt.want {
+				t.Errorf("holds for %s (%v), want %s", hold, err, tt.want)
+			}
+		})
+	}
+}
--- a/hosttable/table.go
+++ b/hosttable/table.go
@@ -48,12 +48,14 @@
 	listed uint64
 	sums   sums
 	summed time.Time
-	now    func() time.Time
+	// lost is when a host of each region last left or fell silent.
+	lost map[string]time.Time
+	now  func() time.Time
 }
 
 // New returns an empty table that reads time from now.
 func New(now func() time.Time) *Table {
-	return &Table{entries: map[string]*entry{}, version: 1, now: now}
+	return &Table{entries: map[string]*entry{}, version: 1, lost: map[string]time.Time{}, now: now}
 }
 
 // Take records a beat of a host that beats every interval.
@@ -68,6 +70,9 @@
 		e = &entry{}
 		t.entries[b.Host.Name] = e
 	}
+	if b.Host.Leaving && !e.host.Leaving {
+		t.lost[b.Host.Region] = t.now()
+	}
 	e.host, e.seen, e.interval, e.primary = b.Host, t.now(), interval, b.Primary
 	e.totals = b.Totals
 	if b.Primary {
@@ -86,6 +91,7 @@
 	for name, e := range t.entries {
 		if now.Sub(e.seen) > missedBeats*e.interval+lateBeat {
 			delete(t.entries, name)
+			t.lost[e.host.Region] = now
 			t.version++
 		}
 	}
@@ -129,6 +135,15 @@
 	return t.list, t.version
 }
 
+// Lost returns when a host of a region last left or fell silent; the zero time if
+// none ever did.
+func (t *Table) Lost(region string) time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.refresh()
+	return t.lost[region]
+}
+
 // Primary tells for which regions this store is the primary of a host.
 func (t *Table) Primary() []string {
 	t.mu.Lock()
--- a/native/operations.go
+++ b/native/operations.go
@@ -15,8 +15,6 @@
 	pathRoutes = "/v1/routes"
 	pathHalls  = "/v1/halls/"
 	pathEntry  = "/v1/entry"
-	// entryTTLMS is how long an entry answer holds: a host that left is off in time.
-	entryTTLMS = 500
 )
 
 // Version answers an accepted configuration with the version held.
@@ -76,8 +74,8 @@
 		}
 		args := ctx.QueryArgs()
 		region := string(args.Peek("region"))
-		addresses, err := o.EntryAddresses(string(args.Peek("name")), region)
-		list := wheelgauge.EntryList{TTLMS: entryTTLMS}
+		addresses, hold, err := o.EntryAddresses(string(args.Peek("name")), region)
+		list := wheelgauge.EntryList{TTLMS: hold.Milliseconds()}
 		for _, a := range addresses {
 			list.Entries = append(list.Entries, wheelgauge.Entry{Region: region, Address: a})
 		}
--- a/routes.go
+++ b/routes.go
@@ -160,6 +160,6 @@
 	// DrainHall stops or resumes sending work to the backend servers of a hall.
 	DrainHall(ctx context.Context, hall string, drained bool) error
 	// EntryAddresses returns where callers of a region may connect to reach a
-	// host name.
-	EntryAddresses(name, region string) ([]string, error)
+	// host name, and how long the answer holds.
+	EntryAddresses(name, region string) ([]string, time.Duration, error)
 }
