--- a/peerset/table.go
+++ b/peerset/table.go
@@ -183,19 +183,27 @@
 }
 
 // Choose returns a live gateway of a region, none of those tried; nil when
-// there is none. tokens are those of the prompt that will be sent.
+// there is none. One with an idle connection goes first: opening another takes a
+// whole way there and back. tokens are those of the prompt that will be sent.
 func (t *Table) Choose(region, service string, tokens int, tried []string) *Peer {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var fit []*Peer
+	var fit, connected []*Peer
 	for _, p := range t.peers {
-		if p.host.Region == region && !slices.Contains(tried, p.host.Name) && !t.now().Before(p.paused) {
-			fit = append(fit, p)
+		if p.host.Region != region || slices.Contains(tried, p.host.Name) || t.now().Before(p.paused) {
+			continue
+		}
+		fit = append(fit, p)
+		if p.pool.Idle() {
+			connected = append(connected, p)
 		}
 	}
 	if len(fit) == 0 {
 		return nil
 	}
+	if len(connected) > 0 {
+		fit = connected
+	}
 	if u := t.uses[region][service]; u != nil {
 		u.sent++
 		u.tokens += tokens
--- a/peerset/table_test.go
+++ b/peerset/table_test.go
@@ -1,6 +1,8 @@
 package peerset
 
 import (
+	"fmt"
+	"net"
 	"slices"
 	"testing"
 	"time"
@@ -137,3 +139,51 @@
 		})
 	}
 }
+
+// A gateway to which a connection rests goes before one that must be connected.
+func TestChoosePrefersIdleConnections(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	tb, _ := table()
+	var hosts []wheelgauge.FleetHost
+	for i := range 20 {
+		hosts = append(hosts, wheelgauge.FleetHost{Name: fmt.Sprint("n", i), Region: "north", Peer: "127.0.0.1:1", Ready: true})
+	}
+	hosts[7].Peer = l.Addr().String()
+	tb.SetHosts(hosts)
+	connected := tb.peers["n7"]
+	c, err := connected.Pool().Get(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	go answerOnce(l)
+	if err := c.Send([]byte("GET / HTTP/1.1\r\n\r\n"), nil, time.Now().Add(time.Minute)); err != nil {
+		t.Fatal(err)
+	}
+	head, body, err := c.ReadHead("Id", "", false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	connected.Pool().Put(c, head, body)
+	for range 20 {
+		if p := tb.Choose("north", service, 0, nil); p.Name() != "n7" {
+			t.Fatalf("chose %s, to which there is no connection", p.Name())
+		}
+	}
+	if p := tb.Choose("north", service, 0, []string{"n7"}); p == nil {
+		t.Error("no gateway besides the connected one")
+	}
+}
+
+// answerOnce answers the first request on the first connection of a listener.
+func answerOnce(l net.Listener) {
+	c, err := l.Accept()
+	if err != nil {
+		return // the test sees that nothing is answered
+	}
+	_, _ = c.Read(make([]byte, 1024))
+	_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
+}
--- a/serverconn/conn_test.go
+++ b/serverconn/conn_test.go
@@ -172,13 +172,13 @@
 		header string
 		want   time.Duration
 	}{
-		{"", idleUnannounced},
+		{"", idleNear},
 		{"timeout=5, max=100", 3 * time.Second},
 		{"10", 6 * time.Second},
-		{"max=3", idleUnannounced},
+		{"max=3", idleNear},
 	}
 	for _, tt := range tests {
-		if got := idleLife(tt.header); got != tt.want {
+		if got := idleLife(tt.header, idleNear); got != tt.want {
 			t.Errorf("%q: got %s, want %s", tt.header, got, tt.want)
 		}
 	}
--- a/serverconn/idle.go
+++ b/serverconn/idle.go
@@ -7,8 +7,8 @@
 )
 
 // idleLife says how long a connection may rest, from a Keep-Alive header such
-// as "timeout=5, max=100" or "5".
-func idleLife(keepAlive string) time.Duration {
+// as "timeout=5, max=100" or "5"; without one, the time otherwise.
+func idleLife(keepAlive string, otherwise time.Duration) time.Duration {
 	for part := range strings.SplitSeq(keepAlive, ",") {
 		part = strings.TrimSpace(part)
 		if value, ok := strings.CutPrefix(part, "timeout="); ok {
@@ -18,5 +18,5 @@
 			return time.Duration(float64(seconds) * idlePart * float64(time.Second))
 		}
 	}
-	return idleUnannounced
+	return otherwise
 }
--- a/serverconn/pool.go
+++ b/serverconn/pool.go
@@ -10,9 +10,12 @@
 )
 
 const (
-	// idleUnannounced is how long a connection is kept where the server says
-	// nothing of its idle time.
-	idleUnannounced = 4 * time.Second
+	// idleNear is how long a connection is kept where the server says nothing of
+	// its idle time.
+	idleNear = 4 * time.Second
+	// idleFar is that to gateways, which close after a minute: opening another
+	// one takes a whole round trip between regions.
+	idleFar = 30 * time.Second
 	// idlePart of an announced idle time is used: the rest is for the way there.
 	idlePart = 0.6
 )
@@ -23,16 +26,18 @@
 	Connect time.Duration
 	// Unacknowledged is how long sent bytes may stay unacknowledged.
 	Unacknowledged time.Duration
+	// Idle is how long a connection may rest where nothing else is announced.
+	Idle time.Duration
 }
 
 // Near is for servers of the own region: a lost opening packet is sent again
 // after a second, and several retransmissions fit in the rest.
-func Near() Link { return Link{Connect: time.Second, Unacknowledged: 3 * time.Second} }
+func Near() Link { return Link{Connect: time.Second, Unacknowledged: 3 * time.Second, Idle: idleNear} }
 
 // Far is for other regions, where a link may be cut while others are free:
 // three round trips of a long link, and two retransmissions.
 func Far() Link {
-	return Link{Connect: 400 * time.Millisecond, Unacknowledged: 1200 * time.Millisecond}
+	return Link{Connect: 400 * time.Millisecond, Unacknowledged: 1200 * time.Millisecond, Idle: idleFar}
 }
 
 // ErrNoConns is returned when a server has as many connections as it may.
@@ -62,6 +67,14 @@
 	p.most = most
 }
 
+// Idle tells whether a connection rests that may be used without opening one.
+func (p *Pool) Idle() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := len(p.idle)
+	return n > 0 && time.Since(p.idle[n-1].idle) < p.idle[n-1].life
+}
+
 // Get returns an idle connection on which nothing has come, or a new one.
 func (p *Pool) Get(ctx context.Context) (*Conn, error) {
 	for {
@@ -122,7 +135,7 @@
 		p.drop(c)
 		return
 	}
-	c.idle, c.life = time.Now(), idleLife(string(h.Peek("Keep-Alive")))
+	c.idle, c.life = time.Now(), idleLife(string(h.Peek("Keep-Alive")), p.link.Idle)
 	p.mu.Lock()
 	if p.closed || c.life <= 0 {
 		p.mu.Unlock()
