--- a/hosttable/table.go
+++ b/hosttable/table.go
@@ -17,7 +17,7 @@
 	// failure.
 	missedBeats = 2
 	// lateBeat is how late a beat may be over a lossy link besides.
-	lateBeat = 600 * time.Millisecond
+	lateBeat = 900 * time.Millisecond
 	// sumEvery is how old the sums told may be: a part of the shortest interval,
 	// so that a beat need not go over all hosts.
 	sumEvery = 100 * time.Millisecond
