--- a/beats.go
+++ b/beats.go
@@ -23,29 +23,6 @@
 	Running  int    `json:"u"`
 	// Tokens are those of prompts that wait for their first event.
 	Tokens int `json:"t,omitempty"`
-	// Heard is the number of hosts that the server said something to just now,
-	// Silent of those that wait and have heard nothing for too long.
-	Heard  int `json:"h,omitempty"`
-	Silent int `json:"q,omitempty"`
-}
-
-// Add returns the sum of two hosts' uses of a server.
-func (u ServerUse) Add(more ServerUse) ServerUse {
-	u.Running += more.Running
-	u.Tokens += more.Tokens
-	u.Heard += more.Heard
-	u.Silent += more.Silent
-	return u
-}
-
-// Less returns what is left without one host's use; as that is newer than the
-// sum, never below nothing.
-func (u ServerUse) Less(own ServerUse) ServerUse {
-	u.Running = max(0, u.Running-own.Running)
-	u.Tokens = max(0, u.Tokens-own.Tokens)
-	u.Heard = max(0, u.Heard-own.Heard)
-	u.Silent = max(0, u.Silent-own.Silent)
-	return u
 }
 
 // ServiceUse is the load of a service in a region.
--- a/hosttable/table.go
+++ b/hosttable/table.go
@@ -108,7 +108,8 @@
 		s.totals[region] = map[string]wheelgauge.ServiceUse{}
 	}
 	for _, u := range e.uses {
-		s.uses[region][u.Instance] = u.Add(s.uses[region][u.Instance])
+		was := s.uses[region][u.Instance]
+		s.uses[region][u.Instance] = wheelgauge.ServerUse{Instance: u.Instance, Running: was.Running + u.Running, Tokens: was.Tokens + u.Tokens}
 	}
 	for _, u := range e.totals {
 		was := s.totals[region][u.Service]
@@ -171,7 +172,9 @@
 	}
 	out := make([]wheelgauge.ServerUse, 0, len(t.sums.uses[region]))
 	for instance, sum := range t.sums.uses[region] {
-		if u := sum.Less(own[instance]); u.Running > 0 {
+		// The host's own part is newer than the sum: never below nothing.
+		u := wheelgauge.ServerUse{Instance: instance, Running: max(0, sum.Running-own[instance].Running), Tokens: max(0, sum.Tokens-own[instance].Tokens)}
+		if u.Running > 0 {
 			out = append(out, u)
 		}
 	}
--- a/routegate/dispatch.go
+++ b/routegate/dispatch.go
@@ -185,19 +185,9 @@
 	}
 	var err error
 	x.head, x.body, err = x.conn.ReadHead(c.gate.options.Names.RequestID, c.id, c.request.Header().IsHead())
-	if err == nil {
-		x.heard()
-	}
 	return err
 }
 
-// heard tells that the server said something.
-func (x *exchange) heard() {
-	if x.pick != nil {
-		x.pick.Heard()
-	}
-}
-
 func (x *exchange) discard() error { return x.body.Discard() }
 
 func (x *exchange) release() { x.pool.Put(x.conn, x.head, x.body) }
--- a/routegate/relay.go
+++ b/routegate/relay.go
@@ -109,9 +109,6 @@
 	piece := make([]byte, pieceBytes)
 	for {
 		n, err := x.body.Read(piece)
-		if n > 0 {
-			x.heard()
-		}
 		whole, ok := c.splitter.Feed(piece[:n])
 		if len(whole) > 0 {
 			x.first()
--- a/serverset/pick.go
+++ b/serverset/pick.go
@@ -62,7 +62,7 @@
 	now := t.now()
 	servers := t.services[service]
 	home, last := t.home(servers, p, now), holder(servers, p, now)
-	c := t.anyBest(servers, p, tried, home, last, now, true)
+	c := t.best(servers, p, tried, home, last, now, true)
 	s := c.server
 	if s == nil {
 		return nil
@@ -70,7 +70,6 @@
 	k := &Pick{table: t, server: s, prompt: p, tokens: s.missing(p, s == home), wait: duration(c.wait), sent: now}
 	k.source = t.source(s, home, last, p, now)
 	k.load = Load{running: s.inFlight(), tokens: s.tokens + s.others.Tokens, age: now.Sub(s.othersAt)}
-	s.silence.send(now, s.running == 0)
 	s.running++
 	s.tokens += k.tokens
 	return k
@@ -95,7 +94,7 @@
 	defer t.mu.Unlock()
 	now := t.now()
 	servers := t.services[service]
-	c := t.anyBest(servers, p, tried, t.home(servers, p, now), holder(servers, p, now), now, false)
+	c := t.best(servers, p, tried, t.home(servers, p, now), holder(servers, p, now), now, false)
 	return Estimate{wait: duration(c.wait), cost: duration(c.score)}, c.server != nil
 }
 
@@ -110,18 +109,10 @@
 
 func (c choice) better(than choice) bool { return than.server == nil || c.score < than.score }
 
-// anyBest returns the best server; a silent one only when there is no other.
-func (t *Table) anyBest(servers []*Server, p prompt.Prompt, tried []string, home, holder *Server, now time.Time, take bool) choice {
-	if c := t.best(servers, p, tried, home, holder, now, take, t.fit); c.server != nil {
-		return c
-	}
-	return t.best(servers, p, tried, home, holder, now, take, t.takes)
-}
-
-func (t *Table) best(servers []*Server, p prompt.Prompt, tried []string, home, holder *Server, now time.Time, take bool, fit func(*Server, time.Time) bool) choice {
+func (t *Table) best(servers []*Server, p prompt.Prompt, tried []string, home, holder *Server, now time.Time, take bool) choice {
 	var best, cold choice
 	for _, s := range servers {
-		if !fit(s, now) || slices.Contains(tried, s.spec.Instance) {
+		if !t.takes(s, now) || slices.Contains(tried, s.spec.Instance) {
 			continue
 		}
 		c := t.rate(s, p, s == home, holder, now)
--- a/serverset/server.go
+++ b/serverset/server.go
@@ -53,7 +53,6 @@
 	pausedUntil time.Time
 	pause       time.Duration
 	gone        bool
-	silence     silence
 	// service is the mean time of an answer of a plain service.
 	service time.Duration
 	cached  map[uint64]time.Time
@@ -92,18 +91,6 @@
 	s.failAt = now
 }
 
-// use is what this host tells others of the server.
-func (s *Server) use(now time.Time) wheelgauge.ServerUse {
-	u := wheelgauge.ServerUse{Instance: s.spec.Instance, Running: s.running, Tokens: s.tokens}
-	switch {
-	case s.silence.spoke(now):
-		u.Heard = 1
-	case s.silence.suspect(now):
-		u.Silent = 1
-	}
-	return u
-}
-
 // inFlight returns the requests of all hosts at the server, by what is known.
 func (s *Server) inFlight() int { return s.running + s.others.Running }
 
--- a/serverset/table.go
+++ b/serverset/table.go
@@ -205,14 +205,13 @@
 func (t *Table) Uses() ([]wheelgauge.ServerUse, []wheelgauge.ServiceUse) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := t.now()
 	var uses []wheelgauge.ServerUse
 	sums := map[string]wheelgauge.ServiceUse{}
 	for _, s := range t.servers {
 		if s.running == 0 {
 			continue
 		}
-		uses = append(uses, s.use(now))
+		uses = append(uses, wheelgauge.ServerUse{Instance: s.spec.Instance, Running: s.running, Tokens: s.tokens})
 		sum := sums[s.spec.Service]
 		sums[s.spec.Service] = wheelgauge.ServiceUse{Service: s.spec.Service, Running: sum.Running + s.running, Tokens: sum.Tokens + s.tokens}
 	}
@@ -263,9 +262,6 @@
 	return !s.spec.Leaving && !s.gone && !slices.Contains(t.drained, s.spec.Hall) && now.After(s.pausedUntil)
 }
 
-// fit tells whether a server may get work and is not silent.
-func (t *Table) fit(s *Server, now time.Time) bool { return t.takes(s, now) && !t.silent(s, now) }
-
 func (t *Table) home(servers []*Server, p prompt.Prompt, now time.Time) *Server {
 	subject := p.Subject()
 	if subject == 0 {
@@ -274,7 +270,7 @@
 	var best *Server
 	var top uint64
 	for _, s := range servers {
-		if !t.fit(s, now) || now.Before(s.coldUntil) {
+		if !t.takes(s, now) || now.Before(s.coldUntil) {
 			continue
 		}
 		if score := rendezvous.Score(subject, s.hash); best == nil || score > top {
