--- a/routegate/gate_test.go
+++ b/routegate/gate_test.go
@@ -380,3 +380,32 @@
 		t.Errorf("mean %s", got)
 	}
 }
+
+// What requests take longer than predicted everywhere is no reason to send them
+// away; only what goes beyond it is a queue of this region's.
+func TestExcessOfWaits(t *testing.T) {
+	tests := []struct {
+		name      string
+		predicted time.Duration
+		seen      time.Duration
+		want      time.Duration
+	}{
+		{"as at an idle server", 100 * time.Millisecond, 150 * time.Millisecond, 0},
+		{"sooner than predicted", 400 * time.Millisecond, 150 * time.Millisecond, 0},
+		{"a queue", 100 * time.Millisecond, 460 * time.Millisecond, 300 * time.Millisecond},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var w waits
+			if got := w.excess("r"); got != 0 {
+				t.Errorf("nothing seen: %s", got)
+			}
+			for range 200 {
+				w.note("r", tt.predicted, tt.seen)
+			}
+			if got := w.excess("r"); got.Round(5*time.Millisecond) != tt.want {
+				t.Errorf("excess %s, want %s", got, tt.want)
+			}
+		})
+	}
+}
--- a/routegate/place.go
+++ b/routegate/place.go
@@ -21,6 +21,9 @@
 	// makes all of them late.
 	busyFactor = 0.75
 	busyPart   = 0.5
+	// awayPart is that from which on long prompts are sent away sooner than short
+	// ones: below, what a region lacks is not time to read them.
+	awayPart = 0.35
 )
 
 // place is where a request goes next; both pick and peer are nil if nowhere.
@@ -44,9 +47,13 @@
 	if !c.forwarded && len(c.away) < mostSends {
 		region, there = c.bestRegion()
 	}
-	away := region != "" && (!ok || there+awayGain < wait+here.Cost()-here.Wait())
-	if away {
-		wait = there
+	excess := c.gate.seen.excess(c.route.Name)
+	if c.crowded(awayPart) {
+		excess = wait - here.Wait()
+	}
+	away := region != "" && (!ok || there+awayGain < here.Cost()+excess)
+	if region != "" && (away || c.tooLate(wait)) {
+		away, wait = true, there
 	}
 	if (ok || away) && c.tooLate(wait) {
 		c.wait = wait
@@ -71,12 +78,18 @@
 		return false
 	}
 	factor := lateFactor
-	if c.gate.seen.mean(c.route.Name) > time.Duration(busyPart*float64(c.route.Objective)) {
+	if c.crowded(busyPart) {
 		factor = busyFactor
 	}
 	return wait > time.Duration(factor*float64(c.route.Objective))
 }
 
+// crowded tells whether requests of the route wait for more than a part of their
+// objective here.
+func (c *call) crowded(part float64) bool {
+	return c.gate.seen.mean(c.route.Name) > time.Duration(part*float64(c.route.Objective))
+}
+
 // bestRegion returns the other region with the least predicted wait.
 func (c *call) bestRegion() (string, time.Duration) {
 	o := c.gate.options
--- a/routegate/waits.go
+++ b/routegate/waits.go
@@ -14,6 +14,9 @@
 	mostCorrection  = 8.0
 	// waitFloor keeps short waits from deciding the correction, in milliseconds.
 	waitFloor = 50.0
+	// idleExcess is what requests take longer than predicted at an idle server, in
+	// milliseconds: the first step of an engine, and what long prompts need besides.
+	idleExcess = 60.0
 )
 
 // waits compares the predicted waits of each route with those seen, so that
@@ -57,6 +60,18 @@
 	return time.Duration(float64(predicted) * min(mostCorrection, max(leastCorrection, factor)))
 }
 
+// excess returns how much longer than predicted requests of a route wait here,
+// beyond what they would at an idle server anywhere.
+func (w *waits) excess(route string) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	m := w.routes[route]
+	if m == nil {
+		return 0
+	}
+	return time.Duration(max(0, m.seen-m.predicted-idleExcess) * float64(time.Millisecond))
+}
+
 // mean returns the running mean of the waits seen on a route.
 func (w *waits) mean(route string) time.Duration {
 	w.mu.Lock()
