--- a/routegate/place.go
+++ b/routegate/place.go
@@ -36,29 +36,21 @@
 
 // place weighs the region's own servers against other regions.
 func (c *call) place() place {
-	o := c.gate.options
-	var here serverset.Estimate
-	ok := false
-	if c.route.AllowedIn(o.Region) {
-		here, ok = o.Servers.Predict(c.service, c.prompt, c.tried)
-	}
+	here, ok := c.predict()
 	wait := c.gate.seen.correct(c.route.Name, here.Wait())
-	region, there := "", time.Duration(0)
-	if !c.forwarded && len(c.away) < mostSends {
-		region, there = c.bestRegion()
-	}
-	excess := c.gate.seen.excess(c.route.Name)
-	if c.crowded(awayPart) {
-		excess = wait - here.Wait()
+	region, there := c.bestRegion()
+	away := region != "" && (!ok || there+awayGain < here.Cost()+c.excess(wait-here.Wait()) || c.tooLate(wait))
+	if away {
+		wait = there
 	}
-	away := region != "" && (!ok || there+awayGain < here.Cost()+excess)
-	if region != "" && (away || c.tooLate(wait)) {
-		away, wait = true, there
+	if !ok && !away {
+		return place{}
 	}
-	if (ok || away) && c.tooLate(wait) {
+	if c.tooLate(wait) {
 		c.wait = wait
 		return place{late: true}
 	}
+	o := c.gate.options
 	if away {
 		if peer := o.Peers.Choose(region, c.service, c.prompt.Tokens(), c.away); peer != nil {
 			c.wait = there
@@ -71,6 +63,25 @@
 	return place{pick: o.Servers.Choose(c.service, c.prompt, c.tried)}
 }
 
+// predict estimates what the region's own servers offer; ok is false when none
+// may take the request.
+func (c *call) predict() (e serverset.Estimate, ok bool) {
+	o := c.gate.options
+	if !c.route.AllowedIn(o.Region) {
+		return e, false
+	}
+	return o.Servers.Predict(c.service, c.prompt, c.tried)
+}
+
+// excess is how much longer than predicted a request would wait here than
+// elsewhere; corrected is what the correction of its wait adds.
+func (c *call) excess(corrected time.Duration) time.Duration {
+	if c.crowded(awayPart) {
+		return corrected
+	}
+	return c.gate.seen.excess(c.route.Name)
+}
+
 // tooLate tells whether a request that was not sent anywhere yet is better
 // refused now: served late, it would make those behind it late as well.
 func (c *call) tooLate(wait time.Duration) bool {
@@ -90,8 +101,12 @@
 	return c.gate.seen.mean(c.route.Name) > time.Duration(part*float64(c.route.Objective))
 }
 
-// bestRegion returns the other region with the least predicted wait.
+// bestRegion returns the other region with the least predicted wait; empty when
+// the request may not be forwarded.
 func (c *call) bestRegion() (string, time.Duration) {
+	if c.forwarded || len(c.away) >= mostSends {
+		return "", 0
+	}
 	o := c.gate.options
 	best, least := "", time.Duration(0)
 	for _, region := range o.Peers.Regions(c.service) {
