--- a/confstore/entry.go
+++ b/confstore/entry.go
@@ -28,8 +28,9 @@
 )
 
 // EntryAddresses implements wheelgauge.Operations. It names the region's own
-// hosts; those that leave are better than a region where the routes of the host
-// name may not run, as they still serve for a while.
+// hosts, else those of regions where every route of the host name may run. Hosts
+// that leave refuse long requests, but are better than a region where some routes
+// may not run.
 func (n *Node) EntryAddresses(name, region string) ([]string, time.Duration, error) {
 	hosts, _ := n.hosts.Hosts()
 	if own := addresses(hosts, func(h wheelgauge.FleetHost) bool { return h.Region == region && !h.Leaving }); len(own) > 0 {
@@ -40,8 +41,8 @@
 	}
 	homes := n.homes(name)
 	fits := []func(wheelgauge.FleetHost) bool{
-		func(h wheelgauge.FleetHost) bool { return h.Region == region },
 		func(h wheelgauge.FleetHost) bool { return !h.Leaving && slices.Contains(homes, h.Region) },
+		func(h wheelgauge.FleetHost) bool { return h.Region == region },
 		func(h wheelgauge.FleetHost) bool { return !h.Leaving },
 	}
 	for _, fit := range fits {
