--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -34,8 +34,9 @@
 	stopMargin = 700 * time.Millisecond
 	// listenerStop bounds the end of each listener, for readiness and for metrics.
 	listenerStop = 200 * time.Millisecond
-	// strayTime is how long callers still come that hold an old entry answer: it
-	// holds for half a second, and some keep it three times as long.
+	// strayTime is how long most callers still come that hold an old entry answer:
+	// in a calm region it holds for 2 s. Those that keep it longer find the host
+	// gone and take another of its names.
 	strayTime = 1800 * time.Millisecond
 	// farAnswer is how long a store of another region takes to answer at most:
 	// a long link there and back, and a lost packet sent again.
--- a/routegate/leaving.go
+++ b/routegate/leaving.go
@@ -12,8 +12,8 @@
 	// usualFactor is how much longer than usual most requests do not take.
 	usualFactor = 1.5
 	// knownTime is how long after the first notice callers may not know yet that
-	// the host leaves: an entry answer is kept for up to 1.5 s, and lags behind. Requests
-	// of that time that are likely to be done are better taken than refused.
+	// the host leaves: an entry answer is kept for up to 2 s by most, and lags behind.
+	// Requests of that time that are likely to be done are better taken than refused.
 	knownTime = 2900 * time.Millisecond
 	// longestDecay lets a long request be forgotten over some hundreds of others.
 	longestDecay = 0.995
--- a/routegate/place.go
+++ b/routegate/place.go
@@ -21,8 +21,9 @@
 	// makes all of them late.
 	busyFactor = 0.75
 	busyPart   = 0.5
-	// awayPart is that from which on long prompts are sent away sooner than short
-	// ones: below, what a region lacks is not time to read them.
+	// awayPart is the part of their objective that requests must wait before long
+	// prompts are sent away sooner than short ones; trials with 0.5 and without a
+	// bound were worse.
 	awayPart = 0.35
 )
 
