--- a/serverconn/pool.go
+++ b/serverconn/pool.go
@@ -72,7 +72,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	n := len(p.idle)
-	return n > 0 && time.Since(p.idle[n-1].idle) < p.idle[n-1].life
+	return n > 0 && p.idle[n-1].rested()
 }
 
 // Get returns an idle connection on which nothing has come, or a new one.
@@ -85,7 +85,7 @@
 		if c == nil {
 			return p.dial(ctx)
 		}
-		if time.Since(c.idle) < c.life && c.clean() {
+		if c.rested() && c.clean() {
 			return c, nil
 		}
 		p.drop(c)
@@ -151,7 +151,7 @@
 	p.mu.Lock()
 	var old, keep []*Conn
 	for _, c := range p.idle {
-		if time.Since(c.idle) < c.life {
+		if c.rested() {
 			keep = append(keep, c)
 			continue
 		}
