End a listener that is closed before its serving began

Cause: fasthttp's Shutdown knows a listener only once Serve has run; closed right after Listen, Serve began afterwards and never ended, and Close waited for it for ever. A store whose log is corrupt closes its listeners at once: it may then not end at all. Change: Close closes the listener itself as well. Tests of the replica print the state of all members when they give up waiting.

--- a/httpserve/server.go
+++ b/httpserve/server.go
@@ -95,6 +95,10 @@
 	if err != nil {
 		err = fmt.Errorf("stop listener: %w", err)
 	}
+	// Shutdown does not know a listener whose serving has not begun.
+	if again := s.listener.Close(); !errors.Is(again, net.ErrClosed) {
+		err = errors.Join(err, again)
+	}
 	return errors.Join(err, <-s.done)
 }
 
--- a/replica/founders_test.go
+++ b/replica/founders_test.go
@@ -69,6 +69,8 @@
 	t     *testing.T
 	seeds []string
 	nodes map[string]*node
+	// options changes those of the next replicas; nil changes nothing.
+	options func(o *Options)
 }
 
 func (g *group) start(address, dir string, first bool) *node {
@@ -81,6 +83,9 @@
 	if first {
 		o.Founders = g.seeds
 	}
+	if g.options != nil {
+		g.options(&o)
+	}
 	var err error
 	if n.replica, err = Open(context.Background(), o, n.machine); err != nil {
 		g.t.Fatal(err)
@@ -132,6 +137,9 @@
 	limit := time.Now().Add(testLimit)
 	for !ok() {
 		if time.Now().After(limit) {
+			for _, n := range g.nodes {
+				g.t.Logf("%s refuses %v: %+v", n.address, n.replica.Refuses(), n.replica.Status())
+			}
 			g.t.Fatalf("not seen: %s", what)
 		}
 		time.Sleep(2 * time.Millisecond)
