Keep a store up while its disk is full

Ruled out: torn records (a failed write is taken back), a lost vote (nothing leaves before it is on disk). Change: a replica whose disk refuses a write is barred from the group's decisions (raft.Core.Bar): it leads no more, campaigns not, votes for nobody, takes no entries, forgets those that are not on disk, and sends nothing that would have to be. It still follows the leader, so that operators' orders sent to it go there, and reads are confirmed by the others; a read it lags behind for is refused at once. The same at a start on a full disk, with or without a log, and in a compaction. One log line at each end, gauge disk.refuses.

--- a/confstore/node.go
+++ b/confstore/node.go
@@ -147,6 +147,11 @@
 func (n *Node) serveMetrics(ctx *fasthttp.RequestCtx) {
 	n.meter.Gauge("generation", int64(n.machine.State().Generation))
 	n.meter.Gauge("log.bytes", n.replica.Status().Bytes)
+	refuses := int64(0)
+	if n.replica.Refuses() {
+		refuses = 1
+	}
+	n.meter.Gauge("disk.refuses", refuses)
 	ctx.SetContentType("application/json")
 	n.meter.WriteJSON(ctx)
 }
--- a/raft/core.go
+++ b/raft/core.go
@@ -97,6 +97,7 @@
 	votes      map[uint64]bool
 	changeAt   uint64
 	tell       bool // the commit is news for the members
+	barred     bool
 	elapsed    int
 	heartbeat  int
 	timeout    int
@@ -179,11 +180,30 @@
 		return
 	}
 	c.leader = 0
-	if c.voter(c.options.ID) {
+	if c.voter(c.options.ID) && !c.barred {
 		c.campaign(PreCandidate)
 	}
 }
 
+// Bar keeps a replica whose log cannot be written out of the group's decisions:
+// it leads no more, campaigns not, votes for nobody and takes no entries. What
+// is not on disk is dropped; nobody was told that it is held.
+func (c *Core) Bar() {
+	c.barred = true
+	if c.role != Follower {
+		c.become(Follower, c.term, 0)
+	}
+	c.entries = slices.Clone(c.entries[:c.stable-c.base])
+	c.commit = min(c.commit, c.stable)
+	c.messages = nil
+}
+
+// Unbar ends Bar.
+func (c *Core) Unbar() { c.barred = false }
+
+// Barred tells whether Bar is in force.
+func (c *Core) Barred() bool { return c.barred }
+
 func (c *Core) tickLeader() {
 	for _, p := range c.progress {
 		p.paused = max(0, p.paused-1)
--- a/raft/core_test.go
+++ b/raft/core_test.go
@@ -16,7 +16,9 @@
 	base    []string
 	down    bool
 	frozen  bool
-	seed    uint64
+	// full is set while the disk takes no writes.
+	full bool
+	seed uint64
 }
 
 type schedule struct {
@@ -102,7 +104,11 @@
 	if rd.Empty() {
 		return
 	}
-	if !r.persist(rd, point) {
+	if r.full && r.core.Durable(rd) {
+		r.core.Bar()
+		return
+	}
+	if !r.full && !r.persist(rd, point) {
 		r.down = true
 		return
 	}
@@ -175,7 +181,11 @@
 
 func (s *schedule) trouble() {
 	a, b := s.pick(), s.pick()
-	switch s.rnd.IntN(8) {
+	switch s.rnd.IntN(10) {
+	case 8:
+		s.replicas[a].full = true
+	case 9:
+		s.replicas[a].write()
 	case 0:
 		s.cut[[2]uint64{a, b}] = true // one way
 	case 1, 2:
@@ -191,6 +201,12 @@
 	}
 }
 
+// write lets the disk take writes again.
+func (r *replicaUnderTest) write() {
+	r.full = false
+	r.core.Unbar()
+}
+
 func (s *schedule) pick() uint64 { return s.order[s.rnd.IntN(len(s.order))] }
 
 func (s *schedule) round(number int) {
@@ -224,7 +240,7 @@
 func (s *schedule) compact() {
 	for _, id := range s.order {
 		r := s.replicas[id]
-		if r.down || r.frozen || s.rnd.IntN(2) == 0 {
+		if r.down || r.frozen || r.full || s.rnd.IntN(2) == 0 {
 			continue
 		}
 		data, _ := json.Marshal(r.applied)
@@ -239,6 +255,7 @@
 	clear(s.cut)
 	for _, id := range s.order {
 		s.replicas[id].frozen = false
+		s.replicas[id].write()
 		if s.replicas[id].down {
 			s.start(id)
 		}
@@ -249,7 +266,7 @@
 }
 
 // TestSchedules runs seeded schedules of loss, reordering, duplicates, crashes
-// at each point of persisting, one-way cuts and freezes.
+// at each point of persisting, one-way cuts, freezes and full disks.
 func TestSchedules(t *testing.T) {
 	tests := []struct {
 		name   string
@@ -441,3 +458,52 @@
 		t.Fatalf("a second vote was given: %+v", rd.Messages)
 	}
 }
+
+// TestFullDisk: a leader that cannot write leads no more, votes for nobody and
+// takes no entries, while the others elect a leader and commit; it follows again
+// once it can write.
+func TestFullDisk(t *testing.T) {
+	s := newSchedule(t, 1, 3)
+	run := func(n int) {
+		for i := range n {
+			s.round(i)
+		}
+	}
+	leader := func() uint64 {
+		for _, id := range s.order {
+			if r := s.replicas[id]; !r.full && r.core.Role() == Leader {
+				return id
+			}
+		}
+		return 0
+	}
+	run(300)
+	old := leader()
+	if old == 0 {
+		t.Fatal("no leader was elected")
+	}
+	full := s.replicas[old]
+	full.full = true
+	before := len(full.disk.Entries)
+	vote := full.disk.HardState
+	run(600)
+	if full.core.Role() == Leader || !full.core.Barred() {
+		t.Fatalf("role %d, barred %v with a full disk", full.core.Role(), full.core.Barred())
+	}
+	if len(full.disk.Entries) != before || full.disk.HardState != vote {
+		t.Fatal("a full disk was written")
+	}
+	next := leader()
+	if next == 0 || next == old {
+		t.Fatalf("the others follow %d", next)
+	}
+	if full.core.Leader() != next {
+		t.Errorf("the store with the full disk names %d as the leader, want %d", full.core.Leader(), next)
+	}
+	done := len(s.replicas[next].applied)
+	full.write()
+	run(600)
+	if len(full.applied) <= done {
+		t.Errorf("%d commands applied after the disk took writes again, %d before", len(full.applied), done)
+	}
+}
--- a/raft/message.go
+++ b/raft/message.go
@@ -89,3 +89,6 @@
 	// Dropped are barriers that were asked of a leader that is none any more.
 	Dropped []uint64
 }
+
+// asksForVote tells whether the message is of a campaign.
+func (m *Message) asksForVote() bool { return m.Type == MessagePreVote || m.Type == MessageVote }
--- a/raft/step.go
+++ b/raft/step.go
@@ -8,7 +8,7 @@
 
 // Step takes in one message.
 func (c *Core) Step(m Message) {
-	if m.To != c.options.ID {
+	if m.To != c.options.ID || c.barred && m.asksForVote() {
 		return
 	}
 	if m.Term > c.term && !c.newerTerm(m) {
@@ -121,6 +121,9 @@
 
 func (c *Core) stepAppend(m Message) {
 	c.follow(m)
+	if c.barred {
+		m.Entries = nil
+	}
 	reply := Message{Type: MessageAppendReply, To: m.From, Term: c.term, Round: m.Round}
 	if m.Index < c.base {
 		reply.Index = c.commit
@@ -157,6 +160,9 @@
 
 func (c *Core) stepSnapshot(m Message) {
 	c.follow(m)
+	if c.barred {
+		return
+	}
 	s := m.Snapshot
 	reply := Message{Type: MessageAppendReply, To: m.From, Term: c.term, Round: m.Round, Index: c.commit}
 	if s.Index > c.commit {
@@ -264,6 +270,13 @@
 		len(r.Committed) == 0 && len(r.Reads) == 0 && len(r.Dropped) == 0
 }
 
+// Durable tells whether a Ready must be on disk before its messages leave. A
+// later commit alone need not be: it is learned again.
+func (c *Core) Durable(rd Ready) bool {
+	changed := rd.HardState != nil && (rd.HardState.Term != c.lastHard.Term || rd.HardState.Vote != c.lastHard.Vote)
+	return rd.Snapshot != nil || len(rd.Entries) > 0 || changed
+}
+
 // Advance tells the core that a Ready has been carried out.
 func (c *Core) Advance(rd Ready) error {
 	if rd.Snapshot != nil && c.snap == rd.Snapshot {
--- a/raft/view.go
+++ b/raft/view.go
@@ -49,5 +49,16 @@
 	return 0
 }
 
+// Hard returns the hard state that was last carried out.
+func (c *Core) Hard() HardState { return c.lastHard }
+
+// Snapshot returns the newest snapshot; nil when there is none.
+func (c *Core) Snapshot() *Snapshot {
+	if c.snap.Index == 0 {
+		return nil
+	}
+	return c.snap
+}
+
 // SnapshotIndex returns the index that the newest snapshot stands for.
 func (c *Core) SnapshotIndex() uint64 { return c.snap.Index }
--- a/replica/members.go
+++ b/replica/members.go
@@ -35,7 +35,7 @@
 func (j *joiner) tick(ctx context.Context) {
 	r := j.r
 	known := slices.ContainsFunc(r.core.Members(), func(m raft.Member) bool { return m.ID == r.storage.self.ID })
-	if known || time.Since(j.last) < joinEvery {
+	if known || r.disk.refuses.Load() || time.Since(j.last) < joinEvery {
 		return
 	}
 	j.last = time.Now()
--- a/replica/propose.go
+++ b/replica/propose.go
@@ -91,6 +91,9 @@
 	if err != nil {
 		return fmt.Errorf("read barrier: %w", err)
 	}
+	if at, _ := r.applied.get(); at < p.Index && r.disk.refuses.Load() {
+		return noDisk()
+	}
 	if err := r.applied.wait(ctx, p.Index); err != nil {
 		return noLeader("this store lags behind")
 	}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -4,6 +4,7 @@
 package replica
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -16,6 +17,7 @@
 	"wheelgauge"
 	"wheelgauge/peerhttp"
 	"wheelgauge/raft"
+	"wheelgauge/wal"
 )
 
 const (
@@ -54,6 +56,10 @@
 	Tick   time.Duration
 	Client *peerhttp.Client
 	Log    logr.Logger
+	// journal stands before the log file in tests, and full is how its first
+	// write fails.
+	journal func(journal) journal
+	full    error
 }
 
 // result is the end of a proposal or a barrier.
@@ -82,6 +88,7 @@
 	nextRead uint64
 	applied  *progress
 	view     *view
+	disk     diskState
 
 	cancel context.CancelFunc
 	done   chan error
@@ -93,9 +100,12 @@
 	if options.Tick == 0 {
 		options.Tick = 50 * time.Millisecond
 	}
-	s, state, blank, err := openStorage(options.Dir)
-	if err != nil {
-		return nil, err
+	s, state, blank, full := openWaiting(ctx, options)
+	if s == nil {
+		return nil, full
+	}
+	if full != nil && !wal.Full(full) {
+		return nil, errors.Join(full, s.log.Close())
 	}
 	if state.Snapshot != nil {
 		if err := machine.Restore(state.Snapshot.Data); err != nil {
@@ -103,10 +113,13 @@
 		}
 	}
 	if blank && slices.Contains(options.Founders, options.Address) {
-		if state, err = s.foundTogether(options); err != nil {
-			return nil, errors.Join(err, s.log.Close())
+		if state, full = s.foundTogether(options); full != nil && !wal.Full(full) {
+			return nil, errors.Join(full, s.log.Close())
 		}
 	}
+	if options.journal != nil {
+		s.log, full = options.journal(s.log), cmp.Or(full, options.full)
+	}
 	core := raft.New(raft.Options{ID: s.self.ID, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, Seed: s.self.ID}, state)
 	ctx, cancel := context.WithCancel(ctx)
 	r := &Replica{
@@ -115,6 +128,9 @@
 		applied: newProgress(), view: &view{}, cancel: cancel, done: make(chan error, 1),
 	}
 	r.net = newNetwork(ctx, options.Client, r.self())
+	if full != nil {
+		r.refuse(full)
+	}
 	r.publish()
 	options.Log.Info("Replica starts.", "id", s.self.ID, "blank", blank, "applied", core.Applied())
 	go func() {
@@ -155,13 +171,14 @@
 			return nil
 		case <-ticker.C:
 			r.core.Tick()
+			r.retryDisk()
 			r.maintain()
 			join.tick(ctx)
 		case f := <-r.do:
 			f()
 			r.drain()
 		}
-		if r.net.replaced.Load() {
+		if r.net.replaced.Load() && !r.disk.refuses.Load() {
 			return r.giveUp()
 		}
 		if err := r.carryOut(); err != nil {
@@ -213,7 +230,8 @@
 		if rd.Empty() {
 			return nil
 		}
-		if err := r.persist(rd); err != nil {
+		if kept, err := r.keep(rd); !kept {
+			r.endReads(rd.Dropped, rd.Reads)
 			return err
 		}
 		r.net.send(r.core.Members(), rd.Messages)
@@ -221,7 +239,8 @@
 		if err := r.core.Advance(rd); err != nil {
 			return fmt.Errorf("advance: %w", err)
 		}
-		r.endReads(rd)
+		r.answerReads(rd.Reads)
+		r.endReads(rd.Dropped)
 		if err := r.compact(); err != nil {
 			return err
 		}
@@ -240,7 +259,7 @@
 		return err
 	}
 	if err := r.machine.Restore(rd.Snapshot.Data); err != nil {
-		return fmt.Errorf("restore snapshot: %w", err)
+		return stateError("restore snapshot", err)
 	}
 	r.applied.set(rd.Snapshot.Index)
 	return nil
@@ -266,12 +285,16 @@
 	}
 }
 
-func (r *Replica) endReads(rd raft.Ready) {
-	for _, id := range rd.Reads {
+func (r *Replica) answerReads(confirmed []uint64) {
+	for _, id := range confirmed {
 		r.barriers[id] <- result{index: r.core.Applied()}
 		delete(r.barriers, id)
 	}
-	for _, id := range rd.Dropped {
+}
+
+// endReads ends barriers that this replica confirms no more.
+func (r *Replica) endReads(lists ...[]uint64) {
+	for _, id := range slices.Concat(lists...) {
 		r.barriers[id] <- result{err: noLeader("the leader changed")}
 		delete(r.barriers, id)
 	}
@@ -283,6 +306,9 @@
 	if since < compactEvery && !large {
 		return nil
 	}
+	if r.disk.refuses.Load() {
+		return nil
+	}
 	data, err := r.machine.Snapshot()
 	if err != nil {
 		return fmt.Errorf("snapshot: %w", err)
@@ -290,7 +316,7 @@
 	snap := r.core.Compact(data, keptEntries)
 	hard := raft.HardState{Term: r.core.Term(), Vote: r.core.Vote(), Commit: r.core.Commit()}
 	if err := r.storage.rewrite(snap, hard, r.core.Tail()); err != nil {
-		return fmt.Errorf("compact: %w", err)
+		r.refuse(fmt.Errorf("compact: %w", err))
 	}
 	return nil
 }
--- a/replica/storage.go
+++ b/replica/storage.go
@@ -11,7 +11,10 @@
 	"wheelgauge/wal"
 )
 
-const logName = "raft.log"
+const (
+	logName    = "raft.log"
+	folderMode = 0o700
+)
 
 // identity says who this replica is and on which disk.
 type identity struct {
@@ -30,40 +33,57 @@
 	Batch []record `json:"batch,omitempty"`
 }
 
+// journal is the part of *wal.Log that a replica needs; tests put faults
+// behind it.
+type journal interface {
+	Append(records ...[]byte) error
+	Rewrite(records ...[]byte) error
+	Poisoned() bool
+	Size() int64
+	Close() error
+}
+
 // storage keeps a replica's state in one file.
 type storage struct {
-	log  *wal.Log
+	log  journal
+	dir  string
 	self identity
 }
 
 // openStorage reads the state under dir. A blank folder, and a folder that was
-// copied or restored from a backup, get a new identity and no state.
+// copied or restored from a backup, get a new identity and no state. On a full
+// disk the storage comes with an error for which wal.Full holds.
 func openStorage(dir string) (*storage, raft.State, bool, error) {
-	var state raft.State
-	if err := os.MkdirAll(dir, 0o700); err != nil {
-		return nil, state, false, fmt.Errorf("create data folder: %w", err)
+	if err := os.MkdirAll(dir, folderMode); err != nil {
+		return nil, raft.State{}, false, fmt.Errorf("create data folder: %w", err)
 	}
 	inode, err := disk(dir)
 	if err != nil {
-		return nil, state, false, err
+		return nil, raft.State{}, false, err
 	}
-	log, records, err := wal.Open(filepath.Join(dir, logName))
-	if err != nil {
-		return nil, state, false, fmt.Errorf("open replica log: %w", err)
+	log, records, full := wal.Open(filepath.Join(dir, logName))
+	if log == nil {
+		return nil, raft.State{}, false, fmt.Errorf("open replica log: %w", full)
 	}
-	s := &storage{log: log}
-	state, err = s.replay(records)
+	s := &storage{log: log, dir: dir}
+	state, err := s.replay(records)
 	if err != nil {
 		return nil, state, false, errors.Join(err, log.Close())
 	}
 	if s.self.ID != 0 && s.self.Disk == inode {
-		return s, state, false, nil
+		return s, state, false, full
 	}
 	s.self = identity{ID: mint(), Disk: inode}
-	if err := s.rewrite(nil, raft.HardState{}, nil); err != nil {
-		return nil, state, false, errors.Join(err, log.Close())
+	return s, raft.State{}, true, s.rewrite(nil, raft.HardState{}, nil)
+}
+
+// mend makes a storage that failed to write good again. hard, snap and tail are
+// what it should hold: they are written anew where the file is not known.
+func (s *storage) mend(snap *raft.Snapshot, hard raft.HardState, tail []raft.Entry) error {
+	if s.log.Poisoned() {
+		return s.rewrite(snap, hard, tail)
 	}
-	return s, raft.State{}, true, nil
+	return s.save(&hard, nil)
 }
 
 func (s *storage) replay(records [][]byte) (raft.State, error) {
@@ -158,9 +178,12 @@
 // is in use, and is never done by a running store: a blank disk joins instead.
 func Found(dir, name, address string) error {
 	s, state, blank, err := openStorage(dir)
-	if err != nil {
+	if s == nil {
 		return err
 	}
+	if err != nil {
+		return errors.Join(err, s.log.Close())
+	}
 	if !blank || state.Snapshot != nil {
 		return errors.Join(fmt.Errorf("%s holds a replica already", dir), s.log.Close())
 	}
--- a/wal/wal.go
+++ b/wal/wal.go
@@ -14,6 +14,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"syscall"
 )
 
 const (
@@ -27,8 +28,12 @@
 var (
 	// ErrCorrupt is returned by Open when a damaged record stands before others.
 	ErrCorrupt = errors.New("wal: corrupt record before the end of the file")
-	// ErrPoisoned is returned after a failed sync: what is on disk is not known.
-	ErrPoisoned = errors.New("wal: an earlier write failed, reopen the log")
+	// ErrPoisoned is returned after a failed sync: what is on disk is not known
+	// until a Rewrite succeeds.
+	ErrPoisoned = errors.New("wal: an earlier write failed, rewrite or reopen the log")
+	// ErrFull is returned by Open when the disk takes no writes. The records are
+	// whole, and the log is poisoned.
+	ErrFull = errors.New("wal: the disk takes no writes")
 )
 
 var table = crc32.MakeTable(crc32.Castagnoli)
@@ -49,17 +54,19 @@
 	file     file
 	size     int64
 	poisoned bool
+	closed   bool
 }
 
-// Open opens or creates the log at path and returns the records it holds.
+// Full tells whether an error says that a disk has no room.
+func Full(err error) bool { return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT) }
+
+// Open opens or creates the log at path and returns the records it holds. On a
+// disk without room it returns them with ErrFull.
 func Open(path string) (*Log, [][]byte, error) {
 	data, err := os.ReadFile(path)
 	if errors.Is(err, os.ErrNotExist) {
 		l := &Log{path: path}
-		if err := l.Rewrite(); err != nil {
-			return nil, nil, fmt.Errorf("create log: %w", err)
-		}
-		return l, nil, nil
+		return l.opened(nil, l.Rewrite())
 	}
 	if err != nil {
 		return nil, nil, fmt.Errorf("read log: %w", err)
@@ -69,10 +76,19 @@
 		return nil, nil, fmt.Errorf("parse %s: %w", path, err)
 	}
 	l := &Log{path: path}
-	if err := l.open(good); err != nil {
-		return nil, nil, err
+	return l.opened(records, l.open(good))
+}
+
+// opened is what Open returns, by how the first write went.
+func (l *Log) opened(records [][]byte, err error) (*Log, [][]byte, error) {
+	switch {
+	case err == nil:
+		return l, records, nil
+	case Full(err):
+		l.poisoned = true
+		return l, records, fmt.Errorf("%w: %w", ErrFull, err)
 	}
-	return l, records, nil
+	return nil, nil, fmt.Errorf("open log: %w", err)
 }
 
 func (l *Log) open(size int64) error {
@@ -188,7 +204,7 @@
 }
 
 // Rewrite replaces all records in one step: after a crash the file holds
-// either the old records or the new ones.
+// either the old records or the new ones. It makes a poisoned log good again.
 func (l *Log) Rewrite(records ...[]byte) error {
 	buf, err := encode(records)
 	if err != nil {
@@ -196,8 +212,8 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.poisoned {
-		return ErrPoisoned
+	if l.closed {
+		return os.ErrClosed
 	}
 	temp := l.path + rewriteShape
 	if err := writeSynced(temp, append([]byte(magic), buf...)); err != nil {
@@ -211,6 +227,7 @@
 		l.poisoned = true
 		return err
 	}
+	l.poisoned = false
 	if old != nil {
 		return old.Close()
 	}
@@ -242,6 +259,13 @@
 	return errors.Join(d.Sync(), d.Close())
 }
 
+// Poisoned tells whether the log takes no records until it is rewritten.
+func (l *Log) Poisoned() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.poisoned
+}
+
 // Size returns the length of the file in bytes.
 func (l *Log) Size() int64 {
 	l.mu.Lock()
@@ -253,6 +277,9 @@
 func (l *Log) Close() error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.poisoned = true
+	l.poisoned, l.closed = true, true
+	if l.file == nil {
+		return nil
+	}
 	return l.file.Close()
 }
