Answer at a leaving host what was taken late

Ruled out: the region's own servers (none were there), the far gateway (it answered). Change: requests are refused as not run in the last 0.7 s of the grace, as before, but what was taken is cut only 0.25 s before its end; and what would go to another region is refused when the measured way there does not fit any more.

--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -4,6 +4,7 @@
 package entrynode
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -30,8 +31,13 @@
 const (
 	// pruneEvery is how often idle connections are looked through.
 	pruneEvery = time.Second
-	// stopMargin is what is left of the grace when the last connections are cut.
+	// stopMargin is what is left of the grace when the last requests are taken:
+	// those that take longer than expected, such as over a link to another region
+	// (160 ms there and back, as much again to connect), are still answered.
 	stopMargin = 700 * time.Millisecond
+	// cutMargin is what is left of the grace when the last connections are cut:
+	// the process needs some 50 ms to end.
+	cutMargin = 250 * time.Millisecond
 	// listenerStop bounds the end of each listener, for readiness and for metrics.
 	listenerStop = 200 * time.Millisecond
 	// strayTime is how long most callers still come that hold an old entry answer:
@@ -65,10 +71,13 @@
 	Interval    time.Duration
 	FarInterval time.Duration
 	Grace       time.Duration
-	Budget      retrybudget.Options
-	Decode      wheelgauge.RouteDecoder
-	Names       wheelgauge.HeaderNames
-	Log         logr.Logger
+	// Last is what is left of the grace when the last requests are taken;
+	// stopMargin when zero.
+	Last   time.Duration
+	Budget retrybudget.Options
+	Decode wheelgauge.RouteDecoder
+	Names  wheelgauge.HeaderNames
+	Log    logr.Logger
 }
 
 // Node is a running gateway.
@@ -189,34 +198,37 @@
 func (n *Node) Close(ctx context.Context) error {
 	n.o.Log.Info("Gateway drains.", "serving", n.callers.Serving())
 	n.leaving.Store(true)
-	n.gate.LeaveBy(time.Now().Add(n.o.Grace - stopMargin))
+	last := time.Now().Add(n.o.Grace - cmp.Or(n.o.Last, stopMargin))
+	end := time.Now().Add(n.o.Grace - cutMargin)
+	n.gate.LeaveBy(last)
 	n.callers.Drain()
 	n.forwards.Drain()
 	n.beats.Now()
-	n.await(ctx)
-	limit, cancel := context.WithTimeout(ctx, drainCheck)
-	defer cancel()
-	errs := []error{n.callers.Close(limit), n.forwards.Close(limit)}
-	n.stop()
-	errs = append(errs, n.beats.Close(), <-n.pruned)
+	n.await(ctx, last)
+	var errs []error
 	for _, l := range n.listeners {
 		// Whoever asks for readiness or metrics asks again.
 		_, err := l.CloseWithin(listenerStop)
 		errs = append(errs, err)
 	}
+	limit, cancel := context.WithDeadline(ctx, end)
+	defer cancel()
+	errs = append(errs, n.callers.Close(limit), n.forwards.Close(limit))
+	n.stop()
+	errs = append(errs, n.beats.Close(), <-n.pruned)
 	n.servers.Close()
 	n.peers.Close()
 	n.client.CloseIdle()
 	return errors.Join(errs...)
 }
 
-// await lets callers that still hold the address come in, and then waits for
-// the last request.
-func (n *Node) await(ctx context.Context) {
+// await lets callers that still hold the address come in until no more requests
+// are taken, or until the last one is answered.
+func (n *Node) await(ctx context.Context, last time.Time) {
 	began := time.Now()
 	ticker := time.NewTicker(drainCheck)
 	defer ticker.Stop()
-	for ctx.Err() == nil && time.Since(began) < n.o.Grace-stopMargin {
+	for ctx.Err() == nil && time.Now().Before(last) {
 		if time.Since(began) > strayTime && n.callers.Serving()+n.forwards.Serving() == 0 {
 			return
 		}
--- a/routegate/call.go
+++ b/routegate/call.go
@@ -119,6 +119,9 @@
 		return c.toServer(ctx, p.pick)
 	case p.peer != nil:
 		return c.toPeer(ctx, p.peer)
+	case p.leaving && c.runs == 0:
+		c.refuse(leavingRefusal())
+		return answered
 	case p.late:
 		c.fail("late", "every backend server is too busy to answer in time")
 		return answered
--- a/routegate/gate.go
+++ b/routegate/gate.go
@@ -122,8 +122,8 @@
 	if c.route == nil {
 		return refusal(wheelgauge.ReasonNotFound, http.StatusNotFound, "no route for this host and path")
 	}
-	if g.tooLong(c.route.Name, c.route.Timeout) {
-		return refusal(wheelgauge.ReasonDraining, http.StatusServiceUnavailable, "this host is leaving").WithRetryAfter(leaveRetry)
+	if g.tooLong(c.route.Name, c.route.Timeout, 0) {
+		return leavingRefusal()
 	}
 	limit := c.started.Add(c.route.Timeout)
 	if c.deadline.IsZero() || limit.Before(c.deadline) {
@@ -136,6 +136,10 @@
 	return nil
 }
 
+func leavingRefusal() *wheelgauge.Error {
+	return refusal(wheelgauge.ReasonDraining, http.StatusServiceUnavailable, "this host is leaving").WithRetryAfter(leaveRetry)
+}
+
 func refusal(reason wheelgauge.Reason, status int, detail string) *wheelgauge.Error {
 	return wheelgauge.NewError(reason, wheelgauge.OutcomeNotRun, status, detail)
 }
--- a/routegate/gate_test.go
+++ b/routegate/gate_test.go
@@ -317,7 +317,7 @@
 	g.durations.note("safe", time.Millisecond)
 	g.LeaveBy(time.Now().Add(5 * time.Second))
 	leaving := g.leaving.Load()
-	if g.tooLong("stream", testLimit) {
+	if g.tooLong("stream", testLimit, 0) {
 		t.Error("a request that is usually done in time is refused while callers cannot know")
 	}
 	leaving.told = leaving.told.Add(-knownTime)
@@ -360,3 +360,19 @@
 		t.Errorf("got %d after %d sends, want the server's 500 after one", resp.StatusCode, len(b.seen()))
 	}
 }
+
+// A host that leaves does not start what is over in time only if it ran here.
+func TestLeavingHostMindsTheWay(t *testing.T) {
+	g, c := newGate(t, routes())
+	g.options.Peers.SetHosts([]wheelgauge.FleetHost{{Name: "far", Region: "there", Peer: "127.0.0.1:1", Ready: true}})
+	g.options.Peers.SetUses([]wheelgauge.RegionUse{{Region: "there", Uses: []wheelgauge.ServiceUse{{Service: "s", Servers: 1, Slots: 4}}}})
+	g.options.Peers.Reached("there", testLimit)
+	g.durations.note("away", time.Millisecond)
+	g.LeaveBy(time.Now().Add(testLimit / 2))
+	leaving := g.leaving.Load()
+	leaving.told = leaving.told.Add(-knownTime)
+	resp, body, err := ask(t, c, "/away/", "")
+	if err != nil || resp.StatusCode != http.StatusServiceUnavailable || !strings.Contains(body, string(wheelgauge.ReasonDraining)) {
+		t.Errorf("got %v, %s, %v, want a refusal by a host that leaves", resp, body, err)
+	}
+}
--- a/routegate/leaving.go
+++ b/routegate/leaving.go
@@ -70,8 +70,8 @@
 func (g *Gate) LeaveBy(end time.Time) { g.leaving.Store(&departure{told: time.Now(), end: end}) }
 
 // tooLong tells whether a request of the route may not be done before the
-// process ends.
-func (g *Gate) tooLong(route string, timeout time.Duration) bool {
+// process ends, if the way to where it runs takes so long.
+func (g *Gate) tooLong(route string, timeout, way time.Duration) bool {
 	leaving := g.leaving.Load()
 	if leaving == nil {
 		return false
@@ -81,5 +81,5 @@
 	if time.Since(leaving.told) < knownTime {
 		took = time.Duration(usualFactor * float64(d.usual))
 	}
-	return time.Now().Add(min(timeout, took)).After(leaving.end)
+	return time.Now().Add(min(timeout, took+way)).After(leaving.end)
 }
--- a/routegate/place.go
+++ b/routegate/place.go
@@ -33,6 +33,8 @@
 	peer *peerset.Peer
 	// late is set when the request would be late wherever it went.
 	late bool
+	// leaving is set when this host ends before the answer would be back.
+	leaving bool
 }
 
 // place weighs the region's own servers against other regions.
@@ -44,6 +46,12 @@
 	if away {
 		wait = there
 	}
+	if away && c.gate.tooLong(c.route.Name, c.route.Timeout, c.gate.options.Peers.Way(region)) {
+		if !ok {
+			return place{leaving: true}
+		}
+		away, wait = false, c.gate.seen.correct(c.route.Name, here.Wait())
+	}
 	if !ok && !away {
 		return place{}
 	}
