Tell at the end of a request what its stream did

The line that ends a request lacked what tells a slow answer from one that fell silent: it now has the whole events relayed, the longest pause between two, and the tokens that were expected.

--- a/routegate/call.go
+++ b/routegate/call.go
@@ -63,7 +63,10 @@
 	pick  *serverset.Pick
 	wait  time.Duration
 	first time.Duration
-	left  bool
+	// lastAt is when the last events came, pause the longest time between two.
+	lastAt time.Time
+	pause  time.Duration
+	left   bool
 }
 
 // run dispatches until the caller has an answer.
@@ -199,7 +202,8 @@
 	}
 	g.options.Log.Info("Request ends.", "id", c.id, "route", name, "version", c.version, "status", c.status, "cause", c.cause,
 		"servers", strings.Join(c.tried, " "), "peers", strings.Join(c.away, " "), "runs", c.runs, "forwarded", c.forwarded,
-		"predicted_ms", c.wait.Milliseconds(), "first_ms", c.first.Milliseconds(), "ms", took.Milliseconds(), "load", c.inputs())
+		"predicted_ms", c.wait.Milliseconds(), "first_ms", c.first.Milliseconds(), "ms", took.Milliseconds(),
+		"events", c.splitter.Events(), "pause_ms", c.pause.Milliseconds(), "expected_tokens", c.prompt.Output(), "load", c.inputs())
 }
 
 // inputs are what the last choice of a server was made by; empty without one.
--- a/routegate/relay.go
+++ b/routegate/relay.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"time"
 
 	"wheelgauge"
 )
@@ -128,10 +129,14 @@
 }
 
 func (c *call) sendEvents(x *exchange, whole []byte) error {
+	now := time.Now()
 	if !c.request.Begun() {
 		c.status = x.head.StatusCode()
 		c.request.Begin(http.StatusOK, answerFields(x.head), -1)
+		c.lastAt = now
 	}
+	c.pause = max(c.pause, now.Sub(c.lastAt))
+	c.lastAt = now
 	_, err := c.request.Write(whole)
 	return err
 }
