Count the budget of repeats in a sliding window

Cause: a host could repeat at most 5 requests at once (its part of the common allowance), however many it had sent. Ruled out: the route's attempts (two), the refusal as late (never after a send). Change: first sends and repeats are counted in a window that slides by twentieths; a host may spend at once what its first sends of the window gave. The sum over hosts stays within the bound in every sliding window (TestSlidingWindows, 20 seeds), TestBurst fails on the code before (5 repeats instead of 60).

--- a/retrybudget/budget.go
+++ b/retrybudget/budget.go
@@ -31,14 +31,14 @@
 	options Options
 	mu      sync.Mutex
 	hosts   int
-	left    map[string]float64
-	at      map[string]time.Time
+	windows map[string]*window
+	began   time.Time
 	now     func() time.Time
 }
 
 // New returns a budget for one of several hosts.
 func New(o Options, now func() time.Time) *Budget {
-	return &Budget{options: o, hosts: 1, left: map[string]float64{}, at: map[string]time.Time{}, now: now}
+	return &Budget{options: o, hosts: 1, windows: map[string]*window{}, began: now(), now: now}
 }
 
 // SetHosts tells how many hosts share the allowance.
@@ -48,41 +48,37 @@
 	b.hosts = max(1, n)
 }
 
-// allowance is this host's part of the slack in one window, and the most that
-// is saved up from earlier ones.
-func (b *Budget) allowance() float64 {
-	return b.options.Slack * slackPart / float64(b.hosts)
-}
-
-// refill lets the allowance come back evenly over a window.
-func (b *Budget) refill(service string) {
-	now := b.now()
-	at, ok := b.at[service]
-	b.at[service] = now
-	if !ok {
-		b.left[service] = b.allowance() / 2
-		return
-	}
-	gain := b.allowance() / 2 * now.Sub(at).Seconds() / b.options.Window.Seconds()
-	b.left[service] = min(b.allowance(), b.left[service]+gain)
-}
-
 // First counts a first send.
 func (b *Budget) First(service string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.refill(service)
-	b.left[service] = min(b.allowance(), b.left[service]+b.options.Ratio*part)
+	w, at := b.window(service)
+	w.at(at).firsts++
 }
 
-// Repeat takes one repeat; false means that there is none left.
+// Repeat takes one repeat; false means that there is none left. Whatever was sent
+// first in a window may be spent at once: when a server is lost, all that it ran
+// is repeated in the same moment.
 func (b *Budget) Repeat(service string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.refill(service)
-	if b.left[service] < 1 {
+	w, at := b.window(service)
+	firsts, repeats := w.sums(at)
+	most := part*b.options.Ratio*float64(firsts) + slackPart*b.options.Slack/float64(b.hosts)
+	if float64(repeats+1) > most {
 		return false
 	}
-	b.left[service]--
+	w.at(at).repeats++
 	return true
 }
+
+// window returns a service's window and the present step; the lock is held.
+func (b *Budget) window(service string) (*window, int64) {
+	w := b.windows[service]
+	if w == nil {
+		w = &window{}
+		b.windows[service] = w
+	}
+	// Steps begin at one: none of them is that of an empty count.
+	return w, step(b.now().Sub(b.began), b.options.Window) + steps + 1
+}
--- a/retrybudget/budget_test.go
+++ b/retrybudget/budget_test.go
@@ -1,6 +1,7 @@
 package retrybudget
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 )
@@ -45,3 +46,90 @@
 		})
 	}
 }
+
+// A host whose server is lost may repeat at once a part of all that it sent
+// lately, and gets it back within a window.
+func TestBurst(t *testing.T) {
+	o := Options{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}
+	at := time.Unix(0, 0)
+	b := New(o, func() time.Time { return at })
+	b.SetHosts(6)
+	spend := func() int {
+		n := 0
+		for b.Repeat("s") {
+			n++
+		}
+		return n
+	}
+	for range 95 {
+		at = at.Add(100 * time.Millisecond)
+		for range 5 {
+			b.First("s")
+		}
+	}
+	steps := []struct {
+		name  string
+		after time.Duration
+		least int
+		most  int
+	}{
+		{"at once", 0, 60, 100},
+		{"nothing is left", time.Second, 0, 0},
+		{"nor is there when the first sends are long ago", 9900 * time.Millisecond, 5, 5},
+	}
+	for _, s := range steps {
+		at = at.Add(s.after)
+		if got := spend(); got < s.least || got > s.most {
+			t.Errorf("%s: %d repeats, want %d to %d", s.name, got, s.least, s.most)
+		}
+	}
+}
+
+// In every window that slides over bursts of first sends and of failures, all
+// hosts together stay within the bound.
+func TestSlidingWindows(t *testing.T) {
+	o := Options{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}
+	const hosts, ticks, inWindow = 6, 600, 100
+	for seed := range uint64(20) {
+		rnd := rand.New(rand.NewPCG(seed, 1))
+		at := time.Unix(0, 0)
+		budgets := make([]*Budget, hosts)
+		for i := range budgets {
+			budgets[i] = New(o, func() time.Time { return at })
+			budgets[i].SetHosts(hosts)
+		}
+		var firsts, repeats [ticks]int
+		load, trouble := 0, false
+		for i := range ticks {
+			at = at.Add(100 * time.Millisecond)
+			if i%20 == 0 {
+				load, trouble = rnd.IntN(30), rnd.IntN(3) == 0
+			}
+			for range load {
+				budgets[rnd.IntN(hosts)].First("s")
+				firsts[i]++
+			}
+			for _, b := range budgets {
+				for trouble && b.Repeat("s") {
+					repeats[i]++
+				}
+			}
+		}
+		for end := 2 * inWindow; end <= ticks; end++ {
+			n, sent := 0, 0
+			for i := end - inWindow; i < end; i++ {
+				n += repeats[i]
+			}
+			for _, shift := range []int{0, inWindow / 2, inWindow} {
+				sum := 0
+				for i := end - inWindow - shift; i < end-shift; i++ {
+					sum += firsts[i]
+				}
+				sent = max(sent, sum)
+			}
+			if most := o.Ratio*float64(sent) + o.Slack; float64(n) > most {
+				t.Fatalf("seed %d, window to %d: %d repeats for %d first sends, want %.0f at most", seed, end, n, sent, most)
+			}
+		}
+	}
+}
