Predict waits at engines by rank

Engines admit by rank; the prediction knew one queue for all. Ruled out: the age of others' load (under 200 ms), the reading rate (right on idle engines but for the first 16 ms and attention). Change: hosts tell each other what is in flight by rank (Work); package enginewait predicts from what is as urgent or more, a fifth of the rest, and the wait for a place in a full batch. Used for servers and, by means, for regions. Tests: TestWait, TestWaitByRank, which fails when ranks are not told apart.

--- a/beats.go
+++ b/beats.go
@@ -23,6 +23,8 @@
 	Running  int    `json:"u"`
 	// Tokens are those of prompts that wait for their first event.
 	Tokens int `json:"t,omitempty"`
+	// Work tells both by rank.
+	Work Work `json:"w,omitempty"`
 }
 
 // ServiceUse is the load of a service in a region.
@@ -32,6 +34,8 @@
 	Running int `json:"u"`
 	// Tokens are those of prompts that wait for their first event.
 	Tokens int `json:"t,omitempty"`
+	// Work tells both by rank.
+	Work Work `json:"w,omitempty"`
 	// Servers is the number of servers that take work, Slots the requests that
 	// they run at once.
 	Servers int `json:"k,omitempty"`
--- a/hosttable/table.go
+++ b/hosttable/table.go
@@ -109,11 +109,11 @@
 	}
 	for _, u := range e.uses {
 		was := s.uses[region][u.Instance]
-		s.uses[region][u.Instance] = wheelgauge.ServerUse{Instance: u.Instance, Running: was.Running + u.Running, Tokens: was.Tokens + u.Tokens}
+		s.uses[region][u.Instance] = wheelgauge.ServerUse{Instance: u.Instance, Running: was.Running + u.Running, Tokens: was.Tokens + u.Tokens, Work: was.Work.Plus(u.Work)}
 	}
 	for _, u := range e.totals {
 		was := s.totals[region][u.Service]
-		s.totals[region][u.Service] = wheelgauge.ServiceUse{Service: u.Service, Running: was.Running + u.Running, Tokens: was.Tokens + u.Tokens}
+		s.totals[region][u.Service] = wheelgauge.ServiceUse{Service: u.Service, Running: was.Running + u.Running, Tokens: was.Tokens + u.Tokens, Work: was.Work.Plus(u.Work)}
 	}
 }
 
@@ -173,7 +173,10 @@
 	out := make([]wheelgauge.ServerUse, 0, len(t.sums.uses[region]))
 	for instance, sum := range t.sums.uses[region] {
 		// The host's own part is newer than the sum: never below nothing.
-		u := wheelgauge.ServerUse{Instance: instance, Running: max(0, sum.Running-own[instance].Running), Tokens: max(0, sum.Tokens-own[instance].Tokens)}
+		mine := own[instance]
+		u := wheelgauge.ServerUse{
+			Instance: instance, Running: max(0, sum.Running-mine.Running), Tokens: max(0, sum.Tokens-mine.Tokens), Work: sum.Work.Minus(mine.Work).Used(),
+		}
 		if u.Running > 0 {
 			out = append(out, u)
 		}
--- a/hosttable/table_test.go
+++ b/hosttable/table_test.go
@@ -1,6 +1,7 @@
 package hosttable
 
 import (
+	"reflect"
 	"testing"
 	"time"
 
@@ -49,7 +50,7 @@
 	}
 	table.Take(beatOf("d", "south", true), interval)
 	uses := table.Uses("north", "a")
-	if len(uses) != 1 || uses[0] != (wheelgauge.ServerUse{Instance: "i", Running: 4, Tokens: 20}) {
+	if len(uses) != 1 || !reflect.DeepEqual(uses[0], wheelgauge.ServerUse{Instance: "i", Running: 4, Tokens: 20}) {
 		t.Errorf("others of the region use %v", uses)
 	}
 	if got := table.Regions()["north"]["s"]; got.Running != 9 || got.Tokens != 21 {
--- a/peerset/table.go
+++ b/peerset/table.go
@@ -46,9 +46,8 @@
 // use is the load of a service in another region, with what this host has sent
 // there since.
 type use struct {
-	told   wheelgauge.ServiceUse
-	sent   int
-	tokens int
+	told wheelgauge.ServiceUse
+	sent wheelgauge.Work
 }
 
 // Table is safe for concurrent use.
@@ -177,15 +176,17 @@
 		return wheelgauge.ServiceUse{Service: service}
 	}
 	load := u.told
-	load.Tokens += u.tokens
-	load.Running += u.sent
+	running, tokens := u.sent.Total()
+	load.Running += running
+	load.Tokens += tokens
+	load.Work = load.Work.Plus(u.sent)
 	return load
 }
 
 // Choose returns a live gateway of a region, none of those tried; nil when
 // there is none. One with an idle connection goes first: opening another takes a
-// whole way there and back. tokens are those of the prompt that will be sent.
-func (t *Table) Choose(region, service string, tokens int, tried []string) *Peer {
+// whole way there and back. rank and tokens are those of the prompt that will be sent.
+func (t *Table) Choose(region, service string, rank, tokens int, tried []string) *Peer {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var fit, connected []*Peer
@@ -205,8 +206,7 @@
 		fit = connected
 	}
 	if u := t.uses[region][service]; u != nil {
-		u.sent++
-		u.tokens += tokens
+		u.sent = u.sent.Add(rank, 1, tokens)
 	}
 	return fit[rand.IntN(len(fit))]
 }
--- a/peerset/table_test.go
+++ b/peerset/table_test.go
@@ -67,13 +67,13 @@
 	if tb.Busiest() != "east" {
 		t.Errorf("busiest %q", tb.Busiest())
 	}
-	if p := tb.Choose("north", service, 500, []string{"n1"}); p == nil || p.Name() != "n2" {
+	if p := tb.Choose("north", service, 1, 500, []string{"n1"}); p == nil || p.Name() != "n2" {
 		t.Fatalf("chose %v, want n2", p)
 	}
 	if got := tb.Load("north", service); got.Running != 4 || got.Tokens != 500 {
 		t.Errorf("load %+v", got)
 	}
-	if tb.Choose("north", service, 1, []string{"n1", "n2"}) != nil {
+	if tb.Choose("north", service, 1, 1, []string{"n1", "n2"}) != nil {
 		t.Error("a gateway that was tried is chosen again")
 	}
 }
@@ -93,7 +93,7 @@
 // What a host tells anew must not change a peer that a dispatch holds.
 func TestPeersInUseDoNotChange(t *testing.T) {
 	tb, _ := table()
-	held := tb.Choose("east", service, 1, nil)
+	held := tb.Choose("east", service, 1, 1, nil)
 	pool := held.Pool()
 	tb.SetHosts([]wheelgauge.FleetHost{{Name: "e1", Region: "east", Hall: "moved", Ready: true}})
 	if held.host.Hall != "" || tb.peers["e1"] == held {
@@ -169,11 +169,11 @@
 	}
 	connected.Pool().Put(c, head, body)
 	for range 20 {
-		if p := tb.Choose("north", service, 0, nil); p.Name() != "n7" {
+		if p := tb.Choose("north", service, 1, 0, nil); p.Name() != "n7" {
 			t.Fatalf("chose %s, to which there is no connection", p.Name())
 		}
 	}
-	if p := tb.Choose("north", service, 0, []string{"n7"}); p == nil {
+	if p := tb.Choose("north", service, 1, 0, []string{"n7"}); p == nil {
 		t.Error("no gateway besides the connected one")
 	}
 }
--- a/routegate/place.go
+++ b/routegate/place.go
@@ -61,7 +61,7 @@
 	}
 	o := c.gate.options
 	if away {
-		if peer := o.Peers.Choose(region, c.service, c.prompt.Tokens(), c.away); peer != nil {
+		if peer := o.Peers.Choose(region, c.service, c.route.Priority, c.prompt.Tokens(), c.away); peer != nil {
 			c.wait = there
 			return place{peer: peer}
 		}
@@ -69,7 +69,7 @@
 	if !ok {
 		return place{}
 	}
-	return place{pick: o.Servers.Choose(c.service, c.prompt, c.tried)}
+	return place{pick: o.Servers.Choose(c.job())}
 }
 
 // predict estimates what the region's own servers offer; ok is false when none
@@ -79,7 +79,11 @@
 	if !c.route.AllowedIn(o.Region) {
 		return e, false
 	}
-	return o.Servers.Predict(c.service, c.prompt, c.tried)
+	return o.Servers.Predict(c.job())
+}
+
+func (c *call) job() serverset.Job {
+	return serverset.NewJob(c.service, c.prompt, c.route.Priority, c.tried)
 }
 
 // excess is how much longer than predicted a request would wait here than
@@ -136,5 +140,5 @@
 	if s == nil {
 		return 0
 	}
-	return c.gate.options.Servers.WaitAt(*s, u, c.prompt)
+	return c.gate.options.Servers.WaitAt(*s, u, c.prompt, c.route.Priority)
 }
--- a/serverset/holders_test.go
+++ b/serverset/holders_test.go
@@ -16,22 +16,22 @@
 		{Instance: "leaving", Service: engines, Address: "leaving:1", Region: "busy", Leaving: true},
 	})
 	tb.SetBusy("busy")
-	k := tb.Choose(engines, about("x"), nil)
+	k := tb.Choose(NewJob(engines, about("x"), 1, nil))
 	if k.Source() != "far:1" {
 		t.Errorf("a subject that is new here comes from %q, want the busy region's server", k.Source())
 	}
 	k.Began()
 	k.Done(Served)
-	if k := tb.Choose(engines, about("x"), nil); k.Source() != "" {
+	if k := tb.Choose(NewJob(engines, about("x"), 1, nil)); k.Source() != "" {
 		t.Errorf("a subject just used is fetched from %q", k.Source())
 	}
 	// Another server of the region gets it from the one that has it.
-	other := tb.Choose(engines, about("x"), []string{k.Server().Instance()})
+	other := tb.Choose(NewJob(engines, about("x"), 1, []string{k.Server().Instance()}))
 	if other.Source() != k.Server().Address() {
 		t.Errorf("fetched from %q, want %q", other.Source(), k.Server().Address())
 	}
 	c.pass(heldFor + time.Second)
-	if k := tb.Choose(engines, about("x"), nil); k.Source() != "far:1" {
+	if k := tb.Choose(NewJob(engines, about("x"), 1, nil)); k.Source() != "far:1" {
 		t.Errorf("a subject that rested comes from %q", k.Source())
 	}
 }
--- /dev/null
+++ b/serverset/job.go
@@ -0,0 +1,17 @@
+package serverset
+
+import "wheelgauge/prompt"
+
+// Job is a request that needs a server.
+type Job struct {
+	service string
+	prompt  prompt.Prompt
+	rank    int
+	tried   []string
+}
+
+// NewJob returns a job of a rank, 0 the most urgent, for a service. It goes to
+// none of the instances tried.
+func NewJob(service string, p prompt.Prompt, rank int, tried []string) Job {
+	return Job{service: service, prompt: p, rank: rank, tried: tried}
+}
--- a/serverset/pick.go
+++ b/serverset/pick.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"wheelgauge"
+	"wheelgauge/enginewait"
 	"wheelgauge/prompt"
 )
 
@@ -13,6 +14,7 @@
 	table  *Table
 	server *Server
 	tokens int
+	rank   int
 	prompt prompt.Prompt
 	wait   time.Duration
 	source string
@@ -55,23 +57,25 @@
 func (k *Pick) Before() Load { return k.load }
 
 // Choose picks the server with the least cost, but none of those tried. It
-// returns nil when no server may take the request.
-func (t *Table) Choose(service string, p prompt.Prompt, tried []string) *Pick {
+// returns nil when no server may take the job.
+func (t *Table) Choose(j Job) *Pick {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
-	servers := t.services[service]
+	p := j.prompt
+	servers := t.services[j.service]
 	home, last := t.home(servers, p, now), holder(servers, p, now)
-	c := t.best(servers, p, tried, home, last, now, true)
+	c := t.best(servers, j, home, last, now, true)
 	s := c.server
 	if s == nil {
 		return nil
 	}
-	k := &Pick{table: t, server: s, prompt: p, tokens: s.missing(p, s == home), wait: duration(c.wait), sent: now}
+	k := &Pick{table: t, server: s, prompt: p, rank: j.rank, tokens: s.missing(p, s == home), wait: duration(c.wait), sent: now}
 	k.source = t.source(s, home, last, p, now)
 	k.load = Load{running: s.inFlight(), tokens: s.tokens + s.others.Tokens, age: now.Sub(s.othersAt)}
 	s.running++
 	s.tokens += k.tokens
+	s.work = s.work.Add(k.rank, 1, k.tokens)
 	return k
 }
 
@@ -89,12 +93,12 @@
 
 // Predict estimates without choosing; ok is false when no server may take the
 // request.
-func (t *Table) Predict(service string, p prompt.Prompt, tried []string) (e Estimate, ok bool) {
+func (t *Table) Predict(j Job) (e Estimate, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
-	servers := t.services[service]
-	c := t.best(servers, p, tried, t.home(servers, p, now), holder(servers, p, now), now, false)
+	servers := t.services[j.service]
+	c := t.best(servers, j, t.home(servers, j.prompt, now), holder(servers, j.prompt, now), now, false)
 	return Estimate{wait: duration(c.wait), cost: duration(c.score)}, c.server != nil
 }
 
@@ -109,13 +113,13 @@
 
 func (c choice) better(than choice) bool { return than.server == nil || c.score < than.score }
 
-func (t *Table) best(servers []*Server, p prompt.Prompt, tried []string, home, holder *Server, now time.Time, take bool) choice {
+func (t *Table) best(servers []*Server, j Job, home, holder *Server, now time.Time, take bool) choice {
 	var best, cold choice
 	for _, s := range servers {
-		if !t.takes(s, now) || slices.Contains(tried, s.spec.Instance) {
+		if !t.takes(s, now) || slices.Contains(j.tried, s.spec.Instance) {
 			continue
 		}
-		c := t.rate(s, p, s == home, holder, now)
+		c := t.rate(s, j, s == home, holder, now)
 		switch {
 		case now.Before(s.coldUntil):
 			if c.better(cold) {
@@ -145,7 +149,8 @@
 
 // rate predicts the wait at a server, and scores it by what the choice costs
 // this request and others, both in milliseconds.
-func (t *Table) rate(s *Server, p prompt.Prompt, home bool, holder *Server, now time.Time) choice {
+func (t *Table) rate(s *Server, j Job, home bool, holder *Server, now time.Time) choice {
+	p := j.prompt
 	c := choice{server: s, score: max(0, s.fails(now)-failTolerated) * failCost}
 	if s.spec.Hall != t.place.Hall {
 		c.score += otherHallCost
@@ -157,9 +162,9 @@
 			c.wait = fetchCost
 			missing, again = missing-again, 0
 		}
-		c.wait += t.engineWait(s, missing, now)
+		c.wait += engineWait(s, j.rank, missing, now)
 		// Shared parts that are read again delay all who come after.
-		c.score += againCost * float64(again) / firstReadRate
+		c.score += againCost * float64(again) / enginewait.ReadRate
 	} else {
 		c.wait = t.serviceWait(s)
 	}
@@ -167,10 +172,25 @@
 	return c
 }
 
-func (t *Table) engineWait(s *Server, missing int, now time.Time) float64 {
-	others := float64(s.others.Tokens) - firstReadRate*float64(now.Sub(s.othersAt).Milliseconds())
-	read := float64(s.tokens) + max(0, others) + float64(missing)
-	return read/firstReadRate + runCost*float64(s.inFlight())
+func engineWait(s *Server, rank, missing int, now time.Time) float64 {
+	running, tokens := s.work.Ahead(rank)
+	othersRunning, othersTokens := s.others.Work.Ahead(rank)
+	// What other hosts told of has been read on since.
+	read := enginewait.ReadRate * float64(now.Sub(s.othersAt).Milliseconds())
+	aheadOfOthers := max(0, float64(othersTokens)-read)
+	all := max(0, float64(s.others.Tokens)-read)
+	return enginewait.Load{
+		Running: float64(s.inFlight()), Before: float64(running + othersRunning),
+		Ahead: float64(tokens) + aheadOfOthers, Later: float64(s.tokens-tokens) + all - aheadOfOthers, Missing: float64(missing),
+		Slots: float64(max(s.slots, s.spec.Slots)), Lasts: float64(s.service.Milliseconds()), Overtaken: overtaken(s, rank),
+	}.Wait()
+}
+
+// overtaken tells whether a server has more urgent requests than those of a rank.
+func overtaken(s *Server, rank int) bool {
+	running, _ := s.work.Ahead(rank - 1)
+	others, _ := s.others.Work.Ahead(rank - 1)
+	return running+others > 0
 }
 
 func (t *Table) serviceWait(s *Server) float64 {
@@ -185,19 +205,27 @@
 }
 
 // WaitAt predicts the wait in a region by the sums of its load.
-func (t *Table) WaitAt(service wheelgauge.Service, u wheelgauge.ServiceUse, p prompt.Prompt) time.Duration {
+func (t *Table) WaitAt(service wheelgauge.Service, u wheelgauge.ServiceUse, p prompt.Prompt, rank int) time.Duration {
 	if u.Servers == 0 {
 		return 0
 	}
-	n := float64(u.Servers)
-	wait := 0.0
 	if service.CacheTokens > 0 {
-		wait = (float64(u.Tokens)/n+float64(p.Tokens()-p.SharedTokens()))/firstReadRate + runCost*float64(u.Running)/n
-	} else {
-		slots := max(1, u.Slots)
-		wait = float64(firstService.Milliseconds()) * (1 + float64(max(0, u.Running+1-slots))/float64(slots))
+		return duration(meanEngine(u, p, rank).Wait())
+	}
+	slots := max(1, u.Slots)
+	return duration(float64(firstService.Milliseconds()) * (1 + float64(max(0, u.Running+1-slots))/float64(slots)))
+}
+
+// meanEngine is the load of an engine that has its even part of a region's.
+func meanEngine(u wheelgauge.ServiceUse, p prompt.Prompt, rank int) enginewait.Load {
+	n := float64(u.Servers)
+	running, tokens := u.Work.Ahead(rank)
+	urgent, _ := u.Work.Ahead(rank - 1)
+	return enginewait.Load{
+		Running: float64(u.Running) / n, Before: float64(running) / n,
+		Ahead: float64(tokens) / n, Later: float64(u.Tokens-tokens) / n, Missing: float64(p.Tokens() - p.SharedTokens()),
+		Slots: float64(u.Slots) / n, Lasts: firstLasts, Overtaken: urgent > 0,
 	}
-	return duration(wait)
 }
 
 // Began tells that the first event has come.
@@ -244,6 +272,7 @@
 	k.read() // nothing has come, if it was not read before
 	s, now := k.server, t.now()
 	s.running--
+	s.work = s.work.Add(k.rank, -1, 0)
 	switch o {
 	case Served:
 		s.outcome(now, false)
@@ -274,6 +303,7 @@
 	}
 	k.began = true
 	k.server.tokens -= k.tokens
+	k.server.work = k.server.work.Add(k.rank, 0, -k.tokens)
 	return true
 }
 
--- a/serverset/server.go
+++ b/serverset/server.go
@@ -40,6 +40,8 @@
 	// tokens of those without a first event.
 	running int
 	tokens  int
+	// work tells both by rank.
+	work wheelgauge.Work
 	// others is what the region's other hosts had in flight at othersAt.
 	others   wheelgauge.ServerUse
 	othersAt time.Time
--- a/serverset/table.go
+++ b/serverset/table.go
@@ -19,12 +19,6 @@
 	// cacheLife is how long a part of a prompt is taken to stay in an engine's
 	// cache after its last use here.
 	cacheLife = 20 * time.Second
-	// firstReadRate is the prompt tokens an engine reads in a millisecond, until
-	// it has been learned.
-	firstReadRate = 80.0
-	// runCost is how much a running request slows the first event of a new one,
-	// in milliseconds.
-	runCost = 1.0
 	// againCost is what reading shared parts again costs the requests that come
 	// after, as a multiple of the time it takes.
 	againCost = 20.0
@@ -36,6 +30,9 @@
 	// failTolerated is the failure rate that a sound server may have: some
 	// requests fail wherever they run.
 	failTolerated = 0.15
+	// firstLasts is how long a request at an engine of another region is taken to
+	// last, in milliseconds.
+	firstLasts = 2500.0
 	// firstService is the time of an answer of a plain service until one is known.
 	firstService = 30 * time.Millisecond
 	// otherHallCost prefers the host's own hall between equals, in milliseconds.
@@ -211,9 +208,9 @@
 		if s.running == 0 {
 			continue
 		}
-		uses = append(uses, wheelgauge.ServerUse{Instance: s.spec.Instance, Running: s.running, Tokens: s.tokens})
+		uses = append(uses, wheelgauge.ServerUse{Instance: s.spec.Instance, Running: s.running, Tokens: s.tokens, Work: s.work.Used()})
 		sum := sums[s.spec.Service]
-		sums[s.spec.Service] = wheelgauge.ServiceUse{Service: s.spec.Service, Running: sum.Running + s.running, Tokens: sum.Tokens + s.tokens}
+		sums[s.spec.Service] = wheelgauge.ServiceUse{Service: s.spec.Service, Running: sum.Running + s.running, Tokens: sum.Tokens + s.tokens, Work: sum.Work.Plus(s.work.Used())}
 	}
 	totals := make([]wheelgauge.ServiceUse, 0, len(sums))
 	for _, sum := range sums {
--- a/serverset/table_test.go
+++ b/serverset/table_test.go
@@ -53,7 +53,7 @@
 	seen := map[string]string{}
 	for i := range 200 {
 		subject := fmt.Sprint("s", i%20)
-		k := tb.Choose(engines, about(subject), nil)
+		k := tb.Choose(NewJob(engines, about(subject), 1, nil))
 		if was := seen[subject]; was != "" && was != k.Server().Instance() {
 			t.Fatalf("%s went to %s, then to %s", subject, was, k.Server().Instance())
 		}
@@ -74,7 +74,7 @@
 	tb, _, _ := table(engines, 3)
 	used := map[string]bool{}
 	for range 60 {
-		used[tb.Choose(engines, about("same"), nil).Server().Instance()] = true
+		used[tb.Choose(NewJob(engines, about("same"), 1, nil)).Server().Instance()] = true
 	}
 	if len(used) != 3 {
 		t.Errorf("60 waiting prompts on %d of 3 servers", len(used))
@@ -95,10 +95,10 @@
 		{"a server off the list", func(tb *Table, list []wheelgauge.Server, at time.Time) { tb.Update(list[1:], at) }, 1},
 		{"a drained hall", func(tb *Table, _ []wheelgauge.Server, _ time.Time) { tb.SetDrained([]string{"h"}) }, 0},
 		{"a server that is another one now", func(tb *Table, _ []wheelgauge.Server, _ time.Time) {
-			tb.Choose(plain, prompt.Prompt{}, nil).Done(Gone)
+			tb.Choose(NewJob(plain, prompt.Prompt{}, 1, nil)).Done(Gone)
 		}, 1},
 		{"a server that was not reached", func(tb *Table, _ []wheelgauge.Server, _ time.Time) {
-			tb.Choose(plain, prompt.Prompt{}, nil).Done(Unreached)
+			tb.Choose(NewJob(plain, prompt.Prompt{}, 1, nil)).Done(Unreached)
 		}, 1},
 	}
 	for _, tt := range tests {
@@ -108,7 +108,7 @@
 			c.pass(time.Millisecond)
 			used := map[string]bool{}
 			for range 20 {
-				if k := tb.Choose(plain, prompt.Prompt{}, nil); k != nil {
+				if k := tb.Choose(NewJob(plain, prompt.Prompt{}, 1, nil)); k != nil {
 					used[k.Server().Instance()] = true
 				}
 			}
@@ -128,7 +128,7 @@
 	sent := 0
 	for range 30 {
 		c.pass(100 * time.Millisecond)
-		if tb.Choose(engines, about("x"), nil) != nil {
+		if tb.Choose(NewJob(engines, about("x"), 1, nil)) != nil {
 			sent++
 		}
 	}
@@ -138,7 +138,7 @@
 	}
 	c.pass(time.Second)
 	for range 10 {
-		if tb.Choose(engines, about("x"), nil) == nil {
+		if tb.Choose(NewJob(engines, about("x"), 1, nil)) == nil {
 			t.Fatal("a warm server gets no work")
 		}
 	}
@@ -154,7 +154,7 @@
 	tb.Update(list, c.at.Add(-time.Second))
 	burst := 0
 	for range 5 {
-		if tb.Choose(engines, about("x"), nil) != nil {
+		if tb.Choose(NewJob(engines, about("x"), 1, nil)) != nil {
 			burst++
 		}
 	}
@@ -165,7 +165,7 @@
 	tb.Confirm(c.at)
 	c.pass(2 * time.Second)
 	for range 5 {
-		if tb.Choose(engines, about("x"), nil) == nil {
+		if tb.Choose(NewJob(engines, about("x"), 1, nil)) == nil {
 			t.Fatal("a list that is new enough did not end the cold rate")
 		}
 	}
@@ -194,7 +194,7 @@
 	tb, _, _ := table(engines, 2)
 	outcomes := []Outcome{Served, Failed, Shed, Unreached, Gone, Left}
 	for i, o := range outcomes {
-		k := tb.Choose(engines, about("x"), nil)
+		k := tb.Choose(NewJob(engines, about("x"), 1, nil))
 		if k == nil {
 			continue
 		}
@@ -216,8 +216,48 @@
 			p := about("x")
 			b.ReportAllocs()
 			for b.Loop() {
-				tb.Predict(engines, p, nil)
+				tb.Predict(NewJob(engines, p, 1, nil))
 			}
 		})
 	}
 }
+
+// Urgent requests do not wait for prompts that they overtake, whether this host
+// or another sent them; the least urgent ones wait for all.
+func TestWaitByRank(t *testing.T) {
+	const urgent, least = 0, 2
+	tests := []struct {
+		name string
+		fill func(tb *Table)
+	}{
+		{"own", func(tb *Table) {
+			for range 8 {
+				tb.Choose(NewJob(engines, about("x"), least, nil))
+			}
+		}},
+		{"others'", func(tb *Table) {
+			work := wheelgauge.Work{{Rank: least, Running: 8, Tokens: 80_000}}
+			tb.SetUses([]wheelgauge.ServerUse{{Instance: "i0", Running: 8, Tokens: 80_000, Work: work}})
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			tb, _, _ := table(engines, 1)
+			tt.fill(tb)
+			first, _ := tb.Predict(NewJob(engines, about("y"), urgent, nil))
+			last, _ := tb.Predict(NewJob(engines, about("y"), least, nil))
+			if first.Wait() > last.Wait()/2 {
+				t.Errorf("the most urgent waits %v, the least urgent %v", first.Wait(), last.Wait())
+			}
+		})
+	}
+	tb, _, _ := table(engines, 1)
+	tests[0].fill(tb)
+	uses, totals := tb.Uses()
+	if running, tokens := uses[0].Work.Ahead(least); running != 8 || tokens != uses[0].Tokens {
+		t.Errorf("told %+v", uses[0])
+	}
+	if running, _ := totals[0].Work.Ahead(urgent); running != 0 {
+		t.Errorf("told %+v", totals[0])
+	}
+}
--- /dev/null
+++ b/work.go
@@ -0,0 +1,77 @@
+package wheelgauge
+
+// RankWork is what is in flight of one rank; rank 0 is the most urgent.
+type RankWork struct {
+	Rank    int `json:"r,omitempty"`
+	Running int `json:"u"`
+	// Tokens are those of prompts that wait for their first event.
+	Tokens int `json:"t,omitempty"`
+}
+
+// Work is what is in flight by rank, in no order; a rank stands there once.
+type Work []RankWork
+
+// Add adds requests and tokens of a rank; both may be negative.
+func (w Work) Add(rank, running, tokens int) Work {
+	for i := range w {
+		if w[i].Rank == rank {
+			w[i].Running += running
+			w[i].Tokens += tokens
+			return w
+		}
+	}
+	return append(w, RankWork{Rank: rank, Running: running, Tokens: tokens})
+}
+
+// Plus returns the sum of two works.
+func (w Work) Plus(other Work) Work {
+	sum := append(Work(nil), w...)
+	for _, r := range other {
+		sum = sum.Add(r.Rank, r.Running, r.Tokens)
+	}
+	return sum
+}
+
+// Minus returns what is left without another work, of no rank below nothing.
+func (w Work) Minus(other Work) Work {
+	left := append(Work(nil), w...)
+	for _, r := range other {
+		left = left.Add(r.Rank, -r.Running, -r.Tokens)
+	}
+	for i := range left {
+		left[i].Running = max(0, left[i].Running)
+		left[i].Tokens = max(0, left[i].Tokens)
+	}
+	return left
+}
+
+// Total returns the requests and tokens of all ranks.
+func (w Work) Total() (running, tokens int) {
+	for _, r := range w {
+		running += r.Running
+		tokens += r.Tokens
+	}
+	return running, tokens
+}
+
+// Ahead returns the requests and tokens that are as urgent as a rank, or more.
+func (w Work) Ahead(rank int) (running, tokens int) {
+	for _, r := range w {
+		if r.Rank <= rank {
+			running += r.Running
+			tokens += r.Tokens
+		}
+	}
+	return running, tokens
+}
+
+// Used returns the ranks that have something in flight.
+func (w Work) Used() Work {
+	var out Work
+	for _, r := range w {
+		if r.Running != 0 || r.Tokens != 0 {
+			out = append(out, r)
+		}
+	}
+	return out
+}
