Let eager heartbeats over long links have their answer

Ruled out: the far stores (hosts of their own region were told at once), the election. Change: after a beat without an answer the next may take 0.8 s, the one after 0.35 s again, so that stores that were dark are still redialed soon. Test: TestConfigurationOverALongLink, not passed in 10 s before.

--- a/beat/client.go
+++ b/beat/client.go
@@ -26,8 +26,13 @@
 	callTimeout = time.Second
 	// eagerInterval and eagerTimeout hold until the host knows all it needs to
 	// serve: stores that start at the same moment answer from one beat to the next.
+	// After a beat without an answer the next one may take eagerPatience: over a
+	// link of 80 ms a connect and an answer take 320 ms and more, and hosts whose
+	// region held no configuration learned of none for 2 s. The one after is short
+	// again, as a store that was dark hears a new connection sooner than an old one.
 	eagerInterval = 100 * time.Millisecond
 	eagerTimeout  = 350 * time.Millisecond
+	eagerPatience = 800 * time.Millisecond
 	// freshBeats is how many intervals old a store's answer may be before
 	// another store becomes the primary.
 	freshBeats = 3
@@ -76,6 +81,8 @@
 	answered time.Time
 	due      time.Time
 	calling  bool
+	// patient is set for an eager beat that may take longer.
+	patient bool
 	// told is what the store was last told of this host.
 	told    wheelgauge.FleetHost
 	inTouch bool
@@ -165,6 +172,9 @@
 	timeout := callTimeout
 	if c.eager() {
 		s.due, timeout = now.Add(min(eagerInterval, c.options.Interval)), eagerTimeout
+		if s.patient {
+			timeout = eagerPatience
+		}
 	}
 	c.group.Add(1)
 	go func() {
@@ -217,6 +227,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s.calling = false
+	s.patient = !s.patient
 	if s.address == c.primary {
 		c.options.Log.Info("Primary store does not answer.", "store", s.address, "cause", err.Error())
 	}
@@ -226,7 +237,7 @@
 func (c *Client) take(s *store, b wheelgauge.Beat, a wheelgauge.BeatAnswer) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	s.calling = false
+	s.calling, s.patient = false, false
 	s.answered, s.inTouch, s.generation = time.Now(), a.InTouch, a.Generation
 	s.region, s.hall = a.Region, a.Hall
 	if s.boot != a.Store {
--- a/beat/client_test.go
+++ b/beat/client_test.go
@@ -26,6 +26,8 @@
 	answer wheelgauge.BeatAnswer
 	beats  []wheelgauge.Beat
 	http   *httpserve.Server
+	// way is how long the way to the store and back takes.
+	way time.Duration
 }
 
 func newStore(t *testing.T, region string, generation uint64) *standIn {
@@ -50,6 +52,7 @@
 		peerhttp.AnswerError(ctx, err)
 		return
 	}
+	time.Sleep(s.way)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.beats = append(s.beats, b)
@@ -185,3 +188,13 @@
 	startClient(t, &news{}, nil, seed)
 	waitFor(t, "a beat at a store that is no seed", func() bool { return member.last().Host.Name == "g" })
 }
+
+// A host whose own region's store holds no configuration yet learns it over a
+// link that takes longer than an eager beat waits at first.
+func TestConfigurationOverALongLink(t *testing.T) {
+	near, far := newStore(t, "here", 0), newStore(t, "there", 3)
+	far.way = 450 * time.Millisecond
+	n := &news{}
+	startClient(t, n, nil, near, far)
+	waitFor(t, "the configuration of the far store", func() bool { return len(n.states()) > 0 })
+}
