Forward to gateways that leave where nothing else is left

Change: gateways that leave stay known. Their regions are a last resort for a request that no other region takes, and a refusal there keeps nothing else off. Test: TestLeavingRegions.

--- a/peerset/table.go
+++ b/peerset/table.go
@@ -82,7 +82,7 @@
 	defer t.mu.Unlock()
 	seen := map[string]bool{}
 	for _, h := range hosts {
-		if h.Region == t.region || h.Leaving || !h.Ready {
+		if h.Region == t.region || !h.Ready {
 			continue
 		}
 		seen[h.Name] = true
@@ -128,11 +128,21 @@
 // Regions returns the other regions that have live gateways and, as far as is
 // known, servers of the service which take work.
 func (t *Table) Regions(service string) []string {
+	return t.regions(service, func(p *Peer) bool { return !p.host.Leaving })
+}
+
+// LeavingRegions returns those whose gateways leave: a last resort for what may
+// run nowhere else, as they still take what they can finish.
+func (t *Table) LeavingRegions(service string) []string {
+	return t.regions(service, func(p *Peer) bool { return p.host.Leaving })
+}
+
+func (t *Table) regions(service string, fits func(p *Peer) bool) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []string
 	for _, p := range t.peers {
-		if slices.Contains(out, p.host.Region) || t.now().Before(p.paused) || t.now().Before(t.silent[p.host.Region]) {
+		if !fits(p) || slices.Contains(out, p.host.Region) || t.now().Before(p.paused) || t.now().Before(t.silent[p.host.Region]) {
 			continue
 		}
 		// A region whose load is not known yet may be tried.
@@ -184,31 +194,61 @@
 }
 
 // Choose returns a live gateway of a region, none of those tried; nil when
-// there is none. One with an idle connection goes first: opening another takes a
+// there is none. One that leaves is the last resort: it still takes what it can
+// finish, and with planned stops one after another a region may have no other for
+// seconds. One with an idle connection goes first: opening another takes a
 // whole way there and back. rank and tokens are those of the prompt that will be sent.
 func (t *Table) Choose(region, service string, rank, tokens int, tried []string) *Peer {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var fit, connected []*Peer
+	fit := t.fit(region, tried)
+	if len(fit) == 0 {
+		return nil
+	}
+	if u := t.uses[region][service]; u != nil {
+		u.sent = u.sent.Add(rank, 1, tokens)
+	}
+	return fit[rand.IntN(len(fit))]
+}
+
+// fit returns the best gateways of a region, none of those tried; the lock is
+// held.
+func (t *Table) fit(region string, tried []string) []*Peer {
+	var best []*Peer
+	top := -1
 	for _, p := range t.peers {
 		if p.host.Region != region || slices.Contains(tried, p.host.Name) || t.now().Before(p.paused) {
 			continue
 		}
-		fit = append(fit, p)
-		if p.pool.Idle() {
-			connected = append(connected, p)
+		rank := p.rank()
+		if rank > top {
+			best, top = best[:0], rank
+		}
+		if rank == top {
+			best = append(best, p)
 		}
 	}
-	if len(fit) == 0 {
-		return nil
+	return best
+}
+
+// rank is higher for gateways that go first.
+func (p *Peer) rank() int {
+	rank := 0
+	if !p.host.Leaving {
+		rank += 2
 	}
-	if len(connected) > 0 {
-		fit = connected
+	if p.pool.Idle() {
+		rank++
 	}
-	if u := t.uses[region][service]; u != nil {
-		u.sent = u.sent.Add(rank, 1, tokens)
+	return rank
+}
+
+// Refused tells that a gateway did not take a request. It gets no work for a
+// while, unless it leaves: it refuses some requests then and takes others.
+func (t *Table) Refused(p *Peer) {
+	if !p.host.Leaving {
+		t.Pause(p)
 	}
-	return fit[rand.IntN(len(fit))]
 }
 
 // Pause keeps work off a gateway for a while.
--- a/peerset/table_test.go
+++ b/peerset/table_test.go
@@ -187,3 +187,24 @@
 	_, _ = c.Read(make([]byte, 1024))
 	_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
 }
+
+// A region whose gateways all leave is no choice among others, but is there for
+// what may run nowhere else; a refusal there does not keep the next request off.
+func TestLeavingRegions(t *testing.T) {
+	tb, _ := table()
+	if got := tb.LeavingRegions(service); !slices.Equal(got, []string{"south"}) {
+		t.Fatalf("got %v, want south", got)
+	}
+	p := tb.Choose("south", service, 1, 1, nil)
+	if p == nil || p.Name() != "s1" {
+		t.Fatalf("chose %v, want s1", p)
+	}
+	tb.Refused(p)
+	if tb.Choose("south", service, 1, 1, nil) == nil {
+		t.Error("a gateway that leaves gets nothing after a refusal")
+	}
+	tb.SetHosts([]wheelgauge.FleetHost{{Name: "s1", Region: "south", Ready: true, Leaving: true}, {Name: "s2", Region: "south", Ready: true}})
+	if p := tb.Choose("south", service, 1, 1, nil); p.Name() != "s2" {
+		t.Errorf("chose %s, want the gateway that stays", p.Name())
+	}
+}
--- a/routegate/place.go
+++ b/routegate/place.go
@@ -41,7 +41,10 @@
 func (c *call) place() place {
 	here, ok := c.predict()
 	wait := c.gate.seen.correct(c.route.Name, here.Wait())
-	region, there := c.bestRegion()
+	region, there := c.bestRegion(c.gate.options.Peers.Regions)
+	if !ok && region == "" {
+		region, there = c.bestRegion(c.gate.options.Peers.LeavingRegions)
+	}
 	away := region != "" && (!ok || there+awayGain < here.Cost()+c.excess(wait-here.Wait()) || c.tooLate(wait))
 	if away {
 		wait = there
@@ -114,15 +117,15 @@
 	return c.gate.seen.mean(c.route.Name) > time.Duration(part*float64(c.route.Objective))
 }
 
-// bestRegion returns the other region with the least predicted wait; empty when
+// bestRegion returns the one of regions with the least predicted wait; empty when
 // the request may not be forwarded.
-func (c *call) bestRegion() (string, time.Duration) {
+func (c *call) bestRegion(regions func(service string) []string) (string, time.Duration) {
 	if c.forwarded || len(c.away) >= mostSends {
 		return "", 0
 	}
 	o := c.gate.options
 	best, least := "", time.Duration(0)
-	for _, region := range o.Peers.Regions(c.service) {
+	for _, region := range regions(c.service) {
 		if !c.route.AllowedIn(region) {
 			continue
 		}
