--- a/serverset/pick.go
+++ b/serverset/pick.go
@@ -76,7 +76,6 @@
 	s.running++
 	s.tokens += k.tokens
 	s.work = s.work.Add(k.rank, 1, k.tokens)
-	s.waiting = append(s.waiting, k)
 	return k
 }
 
@@ -163,7 +162,7 @@
 			c.wait = fetchCost
 			missing, again = missing-again, 0
 		}
-		c.wait += engineWait(s, j.rank, missing, now) + float64(s.overdue(j.rank, now).Milliseconds())
+		c.wait += engineWait(s, j.rank, missing, now)
 		// Shared parts that are read again delay all who come after.
 		c.score += againCost * float64(again) / enginewait.ReadRate
 	} else {
@@ -305,9 +304,6 @@
 	k.began = true
 	k.server.tokens -= k.tokens
 	k.server.work = k.server.work.Add(k.rank, 0, -k.tokens)
-	if i := slices.Index(k.server.waiting, k); i >= 0 {
-		k.server.waiting = slices.Delete(k.server.waiting, i, i+1)
-	}
 	return true
 }
 
--- a/serverset/server.go
+++ b/serverset/server.go
@@ -42,8 +42,6 @@
 	tokens  int
 	// work tells both by rank.
 	work wheelgauge.Work
-	// waiting are this host's requests without a first event.
-	waiting []*Pick
 	// others is what the region's other hosts had in flight at othersAt.
 	others   wheelgauge.ServerUse
 	othersAt time.Time
@@ -112,16 +110,3 @@
 	}
 	return miss
 }
-
-// overdue returns how much longer than predicted requests of a rank, or more
-// urgent ones, have waited here by now: the most of those that still wait. It
-// tells of a queue as it grows, where times to first events come too late.
-func (s *Server) overdue(rank int, now time.Time) time.Duration {
-	most := time.Duration(0)
-	for _, k := range s.waiting {
-		if k.rank <= rank {
-			most = max(most, now.Sub(k.sent)-k.wait)
-		}
-	}
-	return most
-}
