--- a/peerset/table.go
+++ b/peerset/table.go
@@ -15,7 +15,8 @@
 const (
 	// connsToPeer bounds the connections to one gateway of another region.
 	connsToPeer = 256
-	// pauseTime keeps work off a gateway that was not reached or refused.
+	// pauseTime keeps work off a gateway that was not reached or refused: a region's
+	// load is told every 0.6 s.
 	pauseTime = time.Second
 	// silentTime keeps work off a region of which a gateway was silent: the
 	// link to it is cut more likely than not.
@@ -32,6 +33,19 @@
 	host   wheelgauge.FleetHost
 	pool   *serverconn.Pool
 	paused time.Time
+	// refusal keeps some requests off.
+	refusal refusal
+}
+
+// refusal keeps requests of a service off that are as urgent as a rank or less.
+type refusal struct {
+	service string
+	rank    int
+	until   time.Time
+}
+
+func (r refusal) bars(service string, rank int, now time.Time) bool {
+	return service == r.service && rank >= r.rank && now.Before(r.until)
 }
 
 // Name returns the gateway's name.
@@ -104,7 +118,7 @@
 	case p.host == h:
 		return p
 	case p.host.Peer == h.Peer && p.host.Boot == h.Boot:
-		return &Peer{host: h, pool: p.pool, paused: p.paused}
+		return &Peer{host: h, pool: p.pool, paused: p.paused, refusal: p.refusal}
 	default:
 		p.pool.Close()
 	}
@@ -127,22 +141,22 @@
 
 // Regions returns the other regions that have live gateways and, as far as is
 // known, servers of the service which take work.
-func (t *Table) Regions(service string) []string {
-	return t.regions(service, func(p *Peer) bool { return !p.host.Leaving })
+func (t *Table) Regions(service string, rank int) []string {
+	return t.regions(service, rank, func(p *Peer) bool { return !p.host.Leaving })
 }
 
 // LeavingRegions returns those whose gateways leave: a last resort for what may
 // run nowhere else, as they still take what they can finish.
-func (t *Table) LeavingRegions(service string) []string {
-	return t.regions(service, func(p *Peer) bool { return p.host.Leaving })
+func (t *Table) LeavingRegions(service string, rank int) []string {
+	return t.regions(service, rank, func(p *Peer) bool { return p.host.Leaving })
 }
 
-func (t *Table) regions(service string, fits func(p *Peer) bool) []string {
+func (t *Table) regions(service string, rank int, fits func(p *Peer) bool) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []string
 	for _, p := range t.peers {
-		if !fits(p) || slices.Contains(out, p.host.Region) || t.now().Before(p.paused) || t.now().Before(t.silent[p.host.Region]) {
+		if !fits(p) || slices.Contains(out, p.host.Region) || p.off(service, rank, t.now()) || t.now().Before(t.silent[p.host.Region]) {
 			continue
 		}
 		// A region whose load is not known yet may be tried.
@@ -201,7 +215,7 @@
 func (t *Table) Choose(region, service string, rank, tokens int, tried []string) *Peer {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	fit := t.fit(region, tried)
+	fit := t.fit(region, service, rank, tried)
 	if len(fit) == 0 {
 		return nil
 	}
@@ -213,42 +227,55 @@
 
 // fit returns the best gateways of a region, none of those tried; the lock is
 // held.
-func (t *Table) fit(region string, tried []string) []*Peer {
+func (t *Table) fit(region, service string, rank int, tried []string) []*Peer {
 	var best []*Peer
 	top := -1
 	for _, p := range t.peers {
-		if p.host.Region != region || slices.Contains(tried, p.host.Name) || t.now().Before(p.paused) {
+		if p.host.Region != region || slices.Contains(tried, p.host.Name) || p.off(service, rank, t.now()) {
 			continue
 		}
-		rank := p.rank()
-		if rank > top {
-			best, top = best[:0], rank
+		worth := p.worth()
+		if worth > top {
+			best, top = best[:0], worth
 		}
-		if rank == top {
+		if worth == top {
 			best = append(best, p)
 		}
 	}
 	return best
 }
 
-// rank is higher for gateways that go first.
-func (p *Peer) rank() int {
-	rank := 0
+// off tells whether a gateway gets no requests of a service and rank now.
+func (p *Peer) off(service string, rank int, now time.Time) bool {
+	return now.Before(p.paused) || p.refusal.bars(service, rank, now)
+}
+
+// worth is higher for gateways that go first.
+func (p *Peer) worth() int {
+	worth := 0
 	if !p.host.Leaving {
-		rank += 2
+		worth += 2
 	}
 	if p.pool.Idle() {
-		rank++
+		worth++
 	}
-	return rank
+	return worth
 }
 
-// Refused tells that a gateway did not take a request. It gets no work for a
-// while, unless it leaves: it refuses some requests then and takes others.
-func (t *Table) Refused(p *Peer) {
-	if !p.host.Leaving {
-		t.Pause(p)
+// Refused tells that a gateway did not take a request of a rank. Those as urgent
+// and less are kept off it for a while: more urgent ones may find a place where
+// others would be late. One that leaves refuses some requests and takes others.
+func (t *Table) Refused(p *Peer, service string, rank int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.peers[p.host.Name]
+	if now == nil || now.host.Leaving {
+		return
+	}
+	if was := now.refusal; was.bars(service, rank, t.now()) {
+		rank = was.rank
 	}
+	now.refusal = refusal{service: service, rank: rank, until: t.now().Add(pauseTime)}
 }
 
 // Pause keeps work off a gateway for a while.
