--- a/peerset/table.go
+++ b/peerset/table.go
@@ -15,8 +15,7 @@
 const (
 	// connsToPeer bounds the connections to one gateway of another region.
 	connsToPeer = 256
-	// pauseTime keeps work off a gateway that was not reached or refused: a region's
-	// load is told every 0.6 s.
+	// pauseTime keeps work off a gateway that was not reached or refused.
 	pauseTime = time.Second
 	// silentTime keeps work off a region of which a gateway was silent: the
 	// link to it is cut more likely than not.
@@ -33,19 +32,6 @@
 	host   wheelgauge.FleetHost
 	pool   *serverconn.Pool
 	paused time.Time
-	// refusal keeps some requests off.
-	refusal refusal
-}
-
-// refusal keeps requests of a service off that are as urgent as a rank or less.
-type refusal struct {
-	service string
-	rank    int
-	until   time.Time
-}
-
-func (r refusal) bars(service string, rank int, now time.Time) bool {
-	return service == r.service && rank >= r.rank && now.Before(r.until)
 }
 
 // Name returns the gateway's name.
@@ -118,7 +104,7 @@
 	case p.host == h:
 		return p
 	case p.host.Peer == h.Peer && p.host.Boot == h.Boot:
-		return &Peer{host: h, pool: p.pool, paused: p.paused, refusal: p.refusal}
+		return &Peer{host: h, pool: p.pool, paused: p.paused}
 	default:
 		p.pool.Close()
 	}
@@ -141,22 +127,22 @@
 
 // Regions returns the other regions that have live gateways and, as far as is
 // known, servers of the service which take work.
-func (t *Table) Regions(service string, rank int) []string {
-	return t.regions(service, rank, func(p *Peer) bool { return !p.host.Leaving })
+func (t *Table) Regions(service string) []string {
+	return t.regions(service, func(p *Peer) bool { return !p.host.Leaving })
 }
 
 // LeavingRegions returns those whose gateways leave: a last resort for what may
 // run nowhere else, as they still take what they can finish.
-func (t *Table) LeavingRegions(service string, rank int) []string {
-	return t.regions(service, rank, func(p *Peer) bool { return p.host.Leaving })
+func (t *Table) LeavingRegions(service string) []string {
+	return t.regions(service, func(p *Peer) bool { return p.host.Leaving })
 }
 
-func (t *Table) regions(service string, rank int, fits func(p *Peer) bool) []string {
+func (t *Table) regions(service string, fits func(p *Peer) bool) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []string
 	for _, p := range t.peers {
-		if !fits(p) || slices.Contains(out, p.host.Region) || p.off(service, rank, t.now()) || t.now().Before(t.silent[p.host.Region]) {
+		if !fits(p) || slices.Contains(out, p.host.Region) || t.now().Before(p.paused) || t.now().Before(t.silent[p.host.Region]) {
 			continue
 		}
 		// A region whose load is not known yet may be tried.
@@ -215,7 +201,7 @@
 func (t *Table) Choose(region, service string, rank, tokens int, tried []string) *Peer {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	fit := t.fit(region, service, rank, tried)
+	fit := t.fit(region, tried)
 	if len(fit) == 0 {
 		return nil
 	}
@@ -227,55 +213,42 @@
 
 // fit returns the best gateways of a region, none of those tried; the lock is
 // held.
-func (t *Table) fit(region, service string, rank int, tried []string) []*Peer {
+func (t *Table) fit(region string, tried []string) []*Peer {
 	var best []*Peer
 	top := -1
 	for _, p := range t.peers {
-		if p.host.Region != region || slices.Contains(tried, p.host.Name) || p.off(service, rank, t.now()) {
+		if p.host.Region != region || slices.Contains(tried, p.host.Name) || t.now().Before(p.paused) {
 			continue
 		}
-		worth := p.worth()
-		if worth > top {
-			best, top = best[:0], worth
+		rank := p.rank()
+		if rank > top {
+			best, top = best[:0], rank
 		}
-		if worth == top {
+		if rank == top {
 			best = append(best, p)
 		}
 	}
 	return best
 }
 
-// off tells whether a gateway gets no requests of a service and rank now.
-func (p *Peer) off(service string, rank int, now time.Time) bool {
-	return now.Before(p.paused) || p.refusal.bars(service, rank, now)
-}
-
-// worth is higher for gateways that go first.
-func (p *Peer) worth() int {
-	worth := 0
+// rank is higher for gateways that go first.
+func (p *Peer) rank() int {
+	rank := 0
 	if !p.host.Leaving {
-		worth += 2
+		rank += 2
 	}
 	if p.pool.Idle() {
-		worth++
+		rank++
 	}
-	return worth
+	return rank
 }
 
-// Refused tells that a gateway did not take a request of a rank. Those as urgent
-// and less are kept off it for a while: more urgent ones may find a place where
-// others would be late. One that leaves refuses some requests and takes others.
-func (t *Table) Refused(p *Peer, service string, rank int) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := t.peers[p.host.Name]
-	if now == nil || now.host.Leaving {
-		return
-	}
-	if was := now.refusal; was.bars(service, rank, t.now()) {
-		rank = was.rank
+// Refused tells that a gateway did not take a request. It gets no work for a
+// while, unless it leaves: it refuses some requests then and takes others.
+func (t *Table) Refused(p *Peer) {
+	if !p.host.Leaving {
+		t.Pause(p)
 	}
-	now.refusal = refusal{service: service, rank: rank, until: t.now().Add(pauseTime)}
 }
 
 // Pause keeps work off a gateway for a while.
--- a/routegate/dispatch.go
+++ b/routegate/dispatch.go
@@ -158,7 +158,7 @@
 	_ = x.discard() // a connection that breaks here is not kept
 	if outcome == wheelgauge.OutcomeNotRun {
 		c.runs--
-		c.gate.options.Peers.Refused(p, c.service, c.route.Priority)
+		c.gate.options.Peers.Refused(p)
 		return notRun
 	}
 	c.sends++
--- a/routegate/place.go
+++ b/routegate/place.go
@@ -119,13 +119,13 @@
 
 // bestRegion returns the one of regions with the least predicted wait; empty when
 // the request may not be forwarded.
-func (c *call) bestRegion(regions func(service string, rank int) []string) (string, time.Duration) {
+func (c *call) bestRegion(regions func(service string) []string) (string, time.Duration) {
 	if c.forwarded || len(c.away) >= mostSends {
 		return "", 0
 	}
 	o := c.gate.options
 	best, least := "", time.Duration(0)
-	for _, region := range regions(c.service, c.route.Priority) {
+	for _, region := range regions(c.service) {
 		if !c.route.AllowedIn(region) {
 			continue
 		}
