Weigh what moves of shared parts cost

A move was weighed with the 8 ms that it takes, so a subject left the server that holds it for any shorter queue, and each move also put the subject of another one out of a cache. Ruled out: parts fetched from other regions only (most moves are inside one). Test: TestMovesOnlyFromAQueue, which fails at 0.

--- a/serverset/holders_test.go
+++ b/serverset/holders_test.go
@@ -35,3 +35,31 @@
 		t.Errorf("a subject that rested comes from %q", k.Source())
 	}
 }
+
+// A subject stays with the server that holds it for as long as a short queue there
+// costs users less than a move; a long one makes it move.
+func TestMovesOnlyFromAQueue(t *testing.T) {
+	tests := []struct {
+		name   string
+		tokens int // of other prompts ahead at the holder
+		stays  bool
+	}{
+		{"idle", 0, true},
+		{"a short queue", 8_000, true},
+		{"a long queue", 80_000, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			tb, _, _ := table(engines, 2)
+			k := tb.Choose(NewJob(engines, about("x"), 1, nil))
+			holder := k.Server().Instance()
+			k.Began()
+			k.Done(Served)
+			work := wheelgauge.Work{{Rank: 1, Running: 1, Tokens: tt.tokens}}
+			tb.SetUses([]wheelgauge.ServerUse{{Instance: holder, Running: 1, Tokens: tt.tokens, Work: work}})
+			if got := tb.Choose(NewJob(engines, about("x"), 1, nil)).Server().Instance(); (got == holder) != tt.stays {
+				t.Errorf("went to %s, its holder is %s, want it to stay: %v", got, holder, tt.stays)
+			}
+		})
+	}
+}
--- a/serverset/pick.go
+++ b/serverset/pick.go
@@ -160,6 +160,7 @@
 		again := missing - p.Tokens() + p.SharedTokens()
 		if again > 0 && holder != nil && holder != s {
 			c.wait = fetchCost
+			c.score += moveCost
 			missing, again = missing-again, 0
 		}
 		c.wait += engineWait(s, j.rank, missing, now)
