--- a/routegate/place.go
+++ b/routegate/place.go
@@ -37,38 +37,49 @@
 func (c *call) place() place {
 	here, ok := c.predict()
 	wait := c.gate.seen.correct(c.route.Name, here.Wait())
-	region, there := c.bestRegion(c.gate.options.Peers.Regions)
-	if !ok && region == "" {
-		region, there = c.bestRegion(c.gate.options.Peers.LeavingRegions)
-	}
+	region, there := c.elsewhere(ok)
 	away := region != "" && (!ok || there.Cost() < here.Cost()+c.excess(wait-here.Wait()) || c.tooLate(wait))
-	if away {
-		wait = there.Wait()
-	}
 	if away && c.gate.tooLong(c.route.Name, c.route.Timeout, c.gate.options.Peers.Way(region)) {
 		if !ok {
 			return place{leaving: true}
 		}
-		away, wait = false, c.gate.seen.correct(c.route.Name, here.Wait())
+		away = false
 	}
-	if !ok && !away {
-		return place{}
+	if away {
+		wait = there.Wait()
 	}
-	if c.tooLate(wait) {
+	switch {
+	case !ok && !away:
+		return place{}
+	case c.tooLate(wait):
 		c.wait = wait
 		return place{late: true}
 	}
-	o := c.gate.options
 	if away {
-		if peer := o.Peers.Choose(region, c.service, c.route.Priority, c.prompt.Tokens(), c.away); peer != nil {
-			c.wait = there.Wait()
-			return place{peer: peer}
+		if p := c.peer(region); p != nil {
+			c.wait = wait
+			return place{peer: p}
 		}
 	}
 	if !ok {
 		return place{}
 	}
-	return place{pick: o.Servers.Choose(c.job())}
+	return place{pick: c.gate.options.Servers.Choose(c.job())}
+}
+
+// peer chooses a gateway of another region; nil when none takes work.
+func (c *call) peer(region string) *peerset.Peer {
+	return c.gate.options.Peers.Choose(region, c.service, c.route.Priority, c.prompt.Tokens(), c.away)
+}
+
+// elsewhere returns the other region that offers the most, and what. For a
+// request that cannot run here, one whose gateways leave is better than none.
+func (c *call) elsewhere(here bool) (string, serverset.Estimate) {
+	region, there := c.bestRegion(c.gate.options.Peers.Regions)
+	if region == "" && !here {
+		return c.bestRegion(c.gate.options.Peers.LeavingRegions)
+	}
+	return region, there
 }
 
 // predict estimates what the region's own servers offer; ok is false when none
