Look through ranks once; share the check for campaigns

Found by reading the whole change again: a choice of server went through the ranks in flight four times a server, twice only to learn whether a more urgent one is there; the replica's handler held its own copy of the core's check for messages of a campaign; a host's report copied each server's ranks twice; a field of the storage was never read. Work.Before answers all in one pass, AsksForVote serves both. No behaviour meant to change.

--- a/raft/message.go
+++ b/raft/message.go
@@ -90,5 +90,5 @@
 	Dropped []uint64
 }
 
-// asksForVote tells whether the message is of a campaign.
-func (m *Message) asksForVote() bool { return m.Type == MessagePreVote || m.Type == MessageVote }
+// AsksForVote tells whether the message is of a campaign.
+func (m *Message) AsksForVote() bool { return m.Type == MessagePreVote || m.Type == MessageVote }
--- a/raft/step.go
+++ b/raft/step.go
@@ -8,7 +8,7 @@
 
 // Step takes in one message.
 func (c *Core) Step(m Message) {
-	if m.To != c.options.ID || c.barred && m.asksForVote() {
+	if m.To != c.options.ID || c.barred && m.AsksForVote() {
 		return
 	}
 	if m.Term > c.term && !c.newerTerm(m) {
--- a/replica/handler.go
+++ b/replica/handler.go
@@ -85,9 +85,7 @@
 // a settled leader knows every change of members.
 func (r *Replica) replaced(e envelope) bool {
 	member := slices.ContainsFunc(r.core.Members(), func(m raft.Member) bool { return m.ID == e.From.ID })
-	campaigns := slices.ContainsFunc(e.Messages, func(m raft.Message) bool {
-		return m.Type == raft.MessagePreVote || m.Type == raft.MessageVote
-	})
+	campaigns := slices.ContainsFunc(e.Messages, func(m raft.Message) bool { return m.AsksForVote() })
 	return r.core.Settled() && campaigns && !member
 }
 
--- a/replica/storage.go
+++ b/replica/storage.go
@@ -46,7 +46,6 @@
 // storage keeps a replica's state in one file.
 type storage struct {
 	log  journal
-	dir  string
 	self identity
 }
 
@@ -65,7 +64,7 @@
 	if log == nil {
 		return nil, raft.State{}, false, fmt.Errorf("open replica log: %w", full)
 	}
-	s := &storage{log: log, dir: dir}
+	s := &storage{log: log}
 	state, err := s.replay(records)
 	if err != nil {
 		return nil, state, false, errors.Join(err, log.Close())
--- a/serverset/pick.go
+++ b/serverset/pick.go
@@ -182,8 +182,8 @@
 
 // engineLoad is what an engine has in flight, as a request of a rank sees it.
 func engineLoad(s *Server, rank, missing int, now time.Time) enginewait.Load {
-	running, tokens := s.work.Ahead(rank)
-	othersRunning, othersTokens := s.others.Work.Ahead(rank)
+	running, urgent, tokens := s.work.Before(rank)
+	othersRunning, othersUrgent, othersTokens := s.others.Work.Before(rank)
 	// What other hosts told of has been read on since.
 	read := enginewait.ReadRate * float64(now.Sub(s.othersAt).Milliseconds())
 	aheadOfOthers := max(0, float64(othersTokens)-read)
@@ -191,17 +191,10 @@
 	return enginewait.Load{
 		Running: float64(s.inFlight()), Before: float64(running + othersRunning),
 		Ahead: float64(tokens) + aheadOfOthers, Later: float64(s.tokens-tokens) + all - aheadOfOthers, Missing: float64(missing),
-		Slots: float64(max(s.slots, s.spec.Slots)), Lasts: float64(s.service.Milliseconds()), Overtaken: overtaken(s, rank),
+		Slots: float64(max(s.slots, s.spec.Slots)), Lasts: float64(s.service.Milliseconds()), Overtaken: urgent+othersUrgent > 0,
 	}
 }
 
-// overtaken tells whether a server has more urgent requests than those of a rank.
-func overtaken(s *Server, rank int) bool {
-	running, _ := s.work.Ahead(rank - 1)
-	others, _ := s.others.Work.Ahead(rank - 1)
-	return running+others > 0
-}
-
 func (t *Table) serviceWait(s *Server) float64 {
 	mean := s.service
 	if mean == 0 {
@@ -230,8 +223,7 @@
 // meanEngine is the load of an engine that has its even part of a region's.
 func meanEngine(u wheelgauge.ServiceUse, p prompt.Prompt, rank int) enginewait.Load {
 	n := float64(u.Servers)
-	running, tokens := u.Work.Ahead(rank)
-	urgent, _ := u.Work.Ahead(rank - 1)
+	running, urgent, tokens := u.Work.Before(rank)
 	return enginewait.Load{
 		Running: float64(u.Running) / n, Before: float64(running) / n,
 		Ahead: float64(tokens) / n, Later: float64(u.Tokens-tokens) / n, Missing: float64(p.Tokens() - p.SharedTokens()),
--- a/serverset/table.go
+++ b/serverset/table.go
@@ -212,9 +212,10 @@
 		if s.running == 0 {
 			continue
 		}
-		uses = append(uses, wheelgauge.ServerUse{Instance: s.spec.Instance, Running: s.running, Tokens: s.tokens, Work: s.work.Used()})
+		work := s.work.Used()
+		uses = append(uses, wheelgauge.ServerUse{Instance: s.spec.Instance, Running: s.running, Tokens: s.tokens, Work: work})
 		sum := sums[s.spec.Service]
-		sums[s.spec.Service] = wheelgauge.ServiceUse{Service: s.spec.Service, Running: sum.Running + s.running, Tokens: sum.Tokens + s.tokens, Work: sum.Work.Plus(s.work.Used())}
+		sums[s.spec.Service] = wheelgauge.ServiceUse{Service: s.spec.Service, Running: sum.Running + s.running, Tokens: sum.Tokens + s.tokens, Work: sum.Work.Plus(work)}
 	}
 	totals := make([]wheelgauge.ServiceUse, 0, len(sums))
 	for _, sum := range sums {
--- a/work.go
+++ b/work.go
@@ -56,13 +56,24 @@
 
 // Ahead returns the requests and tokens that are as urgent as a rank, or more.
 func (w Work) Ahead(rank int) (running, tokens int) {
+	running, _, tokens = w.Before(rank)
+	return running, tokens
+}
+
+// Before returns the requests and tokens that are as urgent as a rank, or more,
+// and how many of the requests are more urgent.
+func (w Work) Before(rank int) (running, urgent, tokens int) {
 	for _, r := range w {
-		if r.Rank <= rank {
-			running += r.Running
-			tokens += r.Tokens
+		if r.Rank > rank {
+			continue
+		}
+		running += r.Running
+		tokens += r.Tokens
+		if r.Rank < rank {
+			urgent += r.Running
 		}
 	}
-	return running, tokens
+	return running, urgent, tokens
 }
 
 // Used returns the ranks that have something in flight.
