Write a new identity before anything is appended to its log

Cause, found by reading the change again: a store whose disk filled after its log was begun and before its first records were in (a blank disk, a founder's first state) went on, and once there was room appended to a log that lacked the identity it acted under; after a restart it came back under another one, as if its disk had been lost. Ruled out: the log of unknown content, which was written anew already; compaction, where the old file is whole and appending is right (a rewrite may not fit, an append does). Change: the storage knows that what its log must begin with is not on disk, and mends by a rewrite until it is.

--- a/replica/disk_test.go
+++ b/replica/disk_test.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"syscall"
 	"testing"
+
+	"wheelgauge/raft"
 )
 
 // fullDisk is a journal on a disk that takes no writes for a while.
@@ -207,3 +209,36 @@
 		t.Errorf("got %v, %v, want an error at once", err, ctx.Err())
 	}
 }
+
+// A storage whose first records found no room holds them once there is some: what
+// it then appends must not stand under an identity that the disk does not have.
+func TestMendWritesIdentity(t *testing.T) {
+	dir := t.TempDir()
+	s, _, _, err := openStorage(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	disk := &fullDisk{journal: s.log}
+	s.log = disk
+	disk.full.Store(true)
+	s.self.ID = mint()
+	state, err := s.found([]raft.Member{{ID: s.self.ID, Name: "a", Voter: true}})
+	if err == nil {
+		t.Fatal("a full disk was written")
+	}
+	disk.full.Store(false)
+	if err := s.mend(state.Snapshot, state.HardState, nil); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.log.Close(); err != nil {
+		t.Fatal(err)
+	}
+	again, kept, blank, err := openStorage(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer again.log.Close()
+	if blank || again.self.ID != s.self.ID || kept.Snapshot == nil {
+		t.Errorf("blank %v, identity %d, want %d, snapshot %v", blank, again.self.ID, s.self.ID, kept.Snapshot)
+	}
+}
--- a/replica/storage.go
+++ b/replica/storage.go
@@ -47,6 +47,9 @@
 type storage struct {
 	log  journal
 	self identity
+	// unwritten is set while the disk lacks what the log must begin with, such as
+	// an identity that is new.
+	unwritten bool
 }
 
 // openStorage reads the state under dir. A blank folder, and a folder that was
@@ -72,14 +75,14 @@
 	if s.self.ID != 0 && s.self.Disk == inode {
 		return s, state, false, full
 	}
-	s.self = identity{ID: mint(), Disk: inode}
+	s.self, s.unwritten = identity{ID: mint(), Disk: inode}, true
 	return s, raft.State{}, true, s.rewrite(nil, raft.HardState{}, nil)
 }
 
 // mend makes a storage that failed to write good again. hard, snap and tail are
 // what it should hold: they are written anew where the file is not known.
 func (s *storage) mend(snap *raft.Snapshot, hard raft.HardState, tail []raft.Entry) error {
-	if s.log.Poisoned() {
+	if s.log.Poisoned() || s.unwritten {
 		return s.rewrite(snap, hard, tail)
 	}
 	return s.save(&hard, nil)
@@ -170,7 +173,11 @@
 	if err != nil {
 		return err
 	}
-	return s.log.Rewrite(data...)
+	if err := s.log.Rewrite(data...); err != nil {
+		return fmt.Errorf("rewrite replica log: %w", err)
+	}
+	s.unwritten = false
+	return nil
 }
 
 // Found makes dir the first replica of a new group. It refuses a folder that
@@ -197,5 +204,6 @@
 		Snapshot:  &raft.Snapshot{Index: 1, Term: 1, Members: members, Data: json.RawMessage(`{}`)},
 		HardState: raft.HardState{Term: 1, Commit: 1},
 	}
+	s.unwritten = true
 	return state, s.rewrite(state.Snapshot, state.HardState, nil)
 }
