Log how old what a decision used is

Cause: the records of the incident can't tell whether a host obeyed an old configuration or list because its news did not come, or because the stores had none, or because it took long to put them in force. Change: the line of a request tells how long ago its configuration was last known to be the newest and how old the list of servers was; a host writes once for each generation that a newer one is known and not held, with what each store told; a call to the primary that fails tells how long it took and both generations. No logic changes.

--- a/beat/client.go
+++ b/beat/client.go
@@ -44,6 +44,8 @@
 // News takes what stores tell. Its methods are called one at a time.
 type News interface {
 	State(s wheelgauge.FleetState)
+	// SameState says that no store is known to hold a newer state.
+	SameState()
 	// Hosts and Regions are told what is new; partial news leave out what the
 	// store may not have heard of yet.
 	Hosts(hosts []wheelgauge.FleetHost, partial bool)
@@ -105,6 +107,8 @@
 	primary    string
 	generation uint64
 	behind     time.Time
+	// warned is the newest generation that a line about being behind was written for.
+	warned uint64
 	// listed is set once the servers are known.
 	listed bool
 	// taking guards News: one answer at a time.
@@ -216,21 +220,39 @@
 	c.taking.Lock()
 	defer c.taking.Unlock()
 	if err != nil {
-		c.missed(s, err)
+		c.missed(s, time.Since(asked), err)
 		return
 	}
 	c.take(s, b, answer)
 	c.tell(b, answer, asked)
 }
 
-func (c *Client) missed(s *store, err error) {
+func (c *Client) missed(s *store, took time.Duration, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s.calling = false
 	s.patient = !s.patient
 	if s.address == c.primary {
-		c.options.Log.Info("Primary store does not answer.", "store", s.address, "cause", err.Error())
+		c.options.Log.Info("Primary store does not answer.", "store", s.address, "took_ms", took.Milliseconds(), "generation", c.generation,
+			"newest", c.newest(), "cause", err.Error())
 	}
+	c.warn()
+}
+
+// warn writes once for each generation that a newer state is known and not
+// held; the lock is held.
+func (c *Client) warn() {
+	newest := c.newest()
+	if !c.lags() || newest <= max(c.generation, c.warned) {
+		return
+	}
+	c.warned = newest
+	told := map[string]uint64{}
+	for _, s := range c.stores {
+		told[s.address] = s.generation
+	}
+	c.options.Log.Info("A newer state is known and not held.", "generation", c.generation, "newest", newest,
+		"behind_ms", time.Since(c.behind).Milliseconds(), "told", told)
 }
 
 // take notes what an answer says of the store.
@@ -260,6 +282,14 @@
 	case c.behind.IsZero():
 		c.behind = time.Now()
 	}
+	c.warn()
+}
+
+// current tells whether no store is known to hold a newer state.
+func (c *Client) current() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.generation > 0 && c.newest() <= c.generation
 }
 
 // newest returns the highest generation that any store told of; the lock is held.
@@ -287,6 +317,9 @@
 	if a.State != nil {
 		n.State(*a.State)
 	}
+	if c.current() {
+		n.SameState()
+	}
 	if !b.Primary {
 		return
 	}
--- a/beat/client_test.go
+++ b/beat/client_test.go
@@ -101,6 +101,7 @@
 	n.from = list[0].Instance
 }
 func (n *news) Reached(string, time.Duration)        {}
+func (n *news) SameState()                           {}
 func (n *news) SameServers(time.Time)                {}
 func (n *news) Uses([]wheelgauge.ServerUse)          {}
 func (n *news) Regions([]wheelgauge.RegionUse, bool) {}
--- a/entrynode/news.go
+++ b/entrynode/news.go
@@ -27,6 +27,9 @@
 	n.o.Log.Info("State is in force.", "generation", s.Generation, "version", s.Version, "drained", s.Drained)
 }
 
+// SameState implements beat.News.
+func (n *Node) SameState() { n.gate.Confirm() }
+
 // Hosts implements beat.News.
 func (n *Node) Hosts(hosts []wheelgauge.FleetHost, partial bool) {
 	hosts = n.merge(hosts, partial)
--- a/routegate/call.go
+++ b/routegate/call.go
@@ -200,7 +200,8 @@
 	if good && c.sends < 2 && g.sampled.Add(1)%successSample != 0 {
 		return
 	}
-	g.options.Log.Info("Request ends.", "id", c.id, "route", name, "version", c.version, "status", c.status, "cause", c.cause,
+	g.options.Log.Info("Request ends.", "id", c.id, "route", name, "version", c.version,
+		"state_age_ms", g.stateAge().Milliseconds(), "list_age_ms", g.options.Servers.ListAge().Milliseconds(), "status", c.status, "cause", c.cause,
 		"servers", strings.Join(c.tried, " "), "peers", strings.Join(c.away, " "), "runs", c.runs, "forwarded", c.forwarded,
 		"predicted_ms", c.wait.Milliseconds(), "first_ms", c.first.Milliseconds(), "ms", took.Milliseconds(),
 		"events", c.splitter.Events(), "pause_ms", c.pause.Milliseconds(), "expected_tokens", c.prompt.Output(), "load", c.inputs())
--- a/routegate/gate.go
+++ b/routegate/gate.go
@@ -47,11 +47,13 @@
 
 // Gate is safe for concurrent use.
 type Gate struct {
-	options  Options
-	table    atomic.Pointer[routetable.Table]
-	listed   atomic.Bool
-	reserved map[string]bool
-	sampled  atomic.Uint64
+	options Options
+	table   atomic.Pointer[routetable.Table]
+	listed  atomic.Bool
+	// confirmed is when the configuration was last known to be the newest.
+	confirmed atomic.Pointer[time.Time]
+	reserved  map[string]bool
+	sampled   atomic.Uint64
 	// leaving is nil while the process does not leave.
 	leaving   atomic.Pointer[departure]
 	durations durations
@@ -64,6 +66,22 @@
 // SetTable puts a configuration in force.
 func (g *Gate) SetTable(t *routetable.Table) { g.table.Store(t) }
 
+// Confirm tells that no newer configuration is known now.
+func (g *Gate) Confirm() {
+	now := time.Now()
+	g.confirmed.Store(&now)
+}
+
+// stateAge is how long ago the configuration was last known to be the newest;
+// -1 if it never was.
+func (g *Gate) stateAge() time.Duration {
+	at := g.confirmed.Load()
+	if at == nil {
+		return -1
+	}
+	return time.Since(*at)
+}
+
 // SetListed tells that the servers are known.
 func (g *Gate) SetListed() { g.listed.Store(true) }
 
--- a/serverset/table.go
+++ b/serverset/table.go
@@ -64,9 +64,11 @@
 	resumed map[string]time.Time
 	holders []holderEntry
 	busy    string
-	limits  func(service string) *wheelgauge.Service
-	cold    *coldrate.Shares
-	now     func() time.Time
+	// asked is when the list of servers was asked for that holds now.
+	asked  time.Time
+	limits func(service string) *wheelgauge.Service
+	cold   *coldrate.Shares
+	now    func() time.Time
 }
 
 // New returns an empty table. limits gives the configuration of a service.
@@ -101,6 +103,7 @@
 func (t *Table) Update(list []wheelgauge.Server, asked time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.asked = asked
 	seen := map[string]bool{}
 	for _, spec := range list {
 		seen[spec.Instance] = true
@@ -152,6 +155,7 @@
 func (t *Table) Confirm(asked time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.asked = asked
 	for _, s := range t.servers {
 		if s.spec.ColdMS == 0 {
 			t.warm(s, asked)
@@ -159,6 +163,16 @@
 	}
 }
 
+// ListAge is how long ago the list that holds now was asked for; -1 without one.
+func (t *Table) ListAge() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.asked.IsZero() {
+		return -1
+	}
+	return t.now().Sub(t.asked)
+}
+
 func (t *Table) arrange() {
 	t.services = map[string][]*Server{}
 	for _, s := range t.servers {
