--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -18,6 +19,7 @@
 	"wheelgauge"
 	"wheelgauge/beat"
 	"wheelgauge/callerhttp"
+	"wheelgauge/countconn"
 	"wheelgauge/every"
 	"wheelgauge/httpserve"
 	"wheelgauge/meter"
@@ -75,6 +77,8 @@
 	// stopMargin when zero.
 	Last   time.Duration
 	Budget retrybudget.Options
+	// Client calls stores; one of the node's own when nil.
+	Client *peerhttp.Client
 	Decode wheelgauge.RouteDecoder
 	Names  wheelgauge.HeaderNames
 	Log    logr.Logger
@@ -107,7 +111,10 @@
 // Open starts a gateway.
 func Open(ctx context.Context, o Options) (*Node, error) {
 	ctx, stop := context.WithCancel(ctx)
-	n := &Node{o: o, boot: uint64(time.Now().UnixNano()), meter: meter.New(), stop: stop, pruned: make(chan error, 1), client: peerhttp.NewClient(nil, "")}
+	n := &Node{o: o, boot: uint64(time.Now().UnixNano()), meter: meter.New(), stop: stop, pruned: make(chan error, 1), client: o.Client}
+	if n.client == nil {
+		n.client = peerhttp.NewClient(peerhttp.NewDialer("", nil).Wrap(n.counted), "")
+	}
 	n.servers = serverset.New(serverset.Place{Host: o.Name, Hall: o.Hall}, n.service, time.Now)
 	n.peers = peerset.New(o.Region, o.FarInterval+farAnswer, time.Now)
 	n.budget = retrybudget.New(o.Budget, time.Now)
@@ -127,6 +134,11 @@
 	return n, nil
 }
 
+// counted tells the meter of the bytes to and from stores.
+func (n *Node) counted(c net.Conn) net.Conn {
+	return countconn.New(c, func(b int64) { n.meter.Add("control.bytes.in", b) }, func(b int64) { n.meter.Add("control.bytes.out", b) })
+}
+
 func (n *Node) listen() error {
 	var err error
 	n.callers, err = callerhttp.Listen(n.o.Caller, callerhttp.Options{Limits: n.gate.Limits, Serve: n.gate.Serve, Conns: callerConns})
--- a/peerhttp/client.go
+++ b/peerhttp/client.go
@@ -46,6 +46,7 @@
 type Dialer struct {
 	net    net.Dialer
 	secure Secure
+	wrap   func(net.Conn) net.Conn
 }
 
 // NewDialer returns a dialer that connects from the IP address source; the
@@ -58,6 +59,12 @@
 	return d
 }
 
+// Wrap lets each new connection pass through f, such as to count its bytes.
+func (d *Dialer) Wrap(f func(net.Conn) net.Conn) *Dialer {
+	d.wrap = f
+	return d
+}
+
 // Dial connects to an address.
 func (d *Dialer) Dial(address string) (net.Conn, error) {
 	return d.DialTimeout(address, dialTimeout)
@@ -74,6 +81,9 @@
 	if err != nil {
 		return nil, &dialError{err}
 	}
+	if d.wrap != nil {
+		c = d.wrap(c)
+	}
 	if d.secure == nil {
 		return c, nil
 	}
