Fetch the state apart from heartbeats, in compressed parts

Cause: a host got the whole state inside the answer to a heartbeat, which has a second. Through a link of 10 Mbit/s beside callers' traffic some hundred kilobytes did not come in that time; every store began anew at every heartbeat, the link stayed full, and all other news (servers that leave, hosts, later configurations) were cut with it, for good. Class: bulk data inside a call with a short time limit, repeated from its beginning without bound. Change: heartbeats tell generations only. A host fetches a newer state part by part (32 KiB, less where parts do not come), one transfer at a time, from a store of its region first; each part has a limit of its own, and what came is kept when a call fails and goes on at any store. Stores compress a body once (package statefeed, statefetch). A change of drained halls no longer carries the body.

--- a/beat/client.go
+++ b/beat/client.go
@@ -16,6 +16,7 @@
 	"wheelgauge"
 	"wheelgauge/every"
 	"wheelgauge/peerhttp"
+	"wheelgauge/statefetch"
 )
 
 // Path is where stores take heartbeats.
@@ -36,9 +37,6 @@
 	// freshBeats is how many intervals old a store's answer may be before
 	// another store becomes the primary.
 	freshBeats = 3
-	// lagBeats is how long a host waits for its primary to tell it a
-	// configuration that another store has already.
-	lagBeats = 2
 )
 
 // News takes what stores tell. Its methods are called one at a time.
@@ -102,30 +100,29 @@
 	ctx     context.Context
 	group   sync.WaitGroup
 
-	mu         sync.Mutex
-	stores     map[string]*store
-	primary    string
-	generation uint64
-	behind     time.Time
-	// warned is the newest generation that a line about being behind was written for.
-	warned uint64
+	mu      sync.Mutex
+	stores  map[string]*store
+	primary string
+	lag     lag
 	// listed is set once the servers are known.
 	listed bool
 	// taking guards News: one answer at a time.
 	taking sync.Mutex
+	// fetcher is used by one fetch at a time.
+	fetcher *statefetch.Fetcher
 }
 
 // Start begins to send.
 func Start(o Options) *Client {
 	ctx, cancel := context.WithCancel(context.Background())
-	c := &Client{options: o, done: make(chan error, 1), cancel: cancel, ctx: ctx, stores: map[string]*store{}}
+	c := &Client{options: o, done: make(chan error, 1), cancel: cancel, ctx: ctx, stores: map[string]*store{}, fetcher: statefetch.New(o.Client)}
 	c.learn(o.Seeds)
 	go func() { c.done <- every.Interval(ctx, min(eagerInterval, o.Interval)/2, c.tick) }()
 	return c
 }
 
 // eager tells whether the host still lacks what it needs to serve; the lock is held.
-func (c *Client) eager() bool { return c.generation == 0 || !c.listed }
+func (c *Client) eager() bool { return c.lag.held.Generation == 0 || !c.listed }
 
 // Close stops sending and waits.
 func (c *Client) Close() error {
@@ -156,6 +153,7 @@
 		}
 		c.start(ctx, s, now)
 	}
+	c.follow()
 }
 
 // Now sends a beat to every store at once, as when the host is leaving.
@@ -198,21 +196,15 @@
 
 // beat renders what a store is told; the lock is held.
 func (c *Client) beat(s *store) wheelgauge.Beat {
-	b := wheelgauge.Beat{Host: c.options.Self(), Primary: s.address == c.primary, Generation: c.generation, IntervalMS: c.interval(s).Milliseconds()}
+	b := wheelgauge.Beat{Host: c.options.Self(), Primary: s.address == c.primary, Generation: c.lag.held.Generation, IntervalMS: c.interval(s).Milliseconds()}
 	uses, totals := c.options.Report()
 	b.Totals = totals
-	b.News = b.Primary || c.lags()
 	if b.Primary {
 		b.Uses, b.Store, b.Hosts, b.Servers = uses, s.boot, s.hosts, s.servers
 	}
 	return b
 }
 
-// lags tells whether some store has held a newer configuration for a while.
-func (c *Client) lags() bool {
-	return !c.behind.IsZero() && time.Since(c.behind) > lagBeats*c.options.Interval || c.generation == 0
-}
-
 func (c *Client) call(ctx context.Context, s *store, b wheelgauge.Beat) {
 	asked := time.Now()
 	var answer wheelgauge.BeatAnswer
@@ -233,26 +225,9 @@
 	s.calling = false
 	s.patient = !s.patient
 	if s.address == c.primary {
-		c.options.Log.Info("Primary store does not answer.", "store", s.address, "took_ms", took.Milliseconds(), "generation", c.generation,
+		c.options.Log.Info("Primary store does not answer.", "store", s.address, "took_ms", took.Milliseconds(), "generation", c.lag.held.Generation,
 			"newest", c.newest(), "cause", err.Error())
 	}
-	c.warn()
-}
-
-// warn writes once for each generation that a newer state is known and not
-// held; the lock is held.
-func (c *Client) warn() {
-	newest := c.newest()
-	if !c.lags() || newest <= max(c.generation, c.warned) {
-		return
-	}
-	c.warned = newest
-	told := map[string]uint64{}
-	for _, s := range c.stores {
-		told[s.address] = s.generation
-	}
-	c.options.Log.Info("A newer state is known and not held.", "generation", c.generation, "newest", newest,
-		"behind_ms", time.Since(c.behind).Milliseconds(), "told", told)
 }
 
 // take notes what an answer says of the store.
@@ -273,32 +248,8 @@
 		c.forget(a.Stores)
 	}
 	c.listed = c.listed || len(a.Servers) > 0
-	if a.State != nil {
-		c.generation = max(c.generation, a.State.Generation)
-	}
-	switch {
-	case c.newest() <= c.generation:
-		c.behind = time.Time{}
-	case c.behind.IsZero():
-		c.behind = time.Now()
-	}
-	c.warn()
-}
-
-// current tells whether no store is known to hold a newer state.
-func (c *Client) current() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.generation > 0 && c.newest() <= c.generation
-}
-
-// newest returns the highest generation that any store told of; the lock is held.
-func (c *Client) newest() uint64 {
-	var top uint64
-	for _, s := range c.stores {
-		top = max(top, s.generation)
-	}
-	return top
+	c.noteLag()
+	c.follow()
 }
 
 // forget drops stores that are no members, unless they are seeds.
@@ -310,13 +261,10 @@
 	}
 }
 
-// tell hands news on. State comes from any store, the rest from the primary.
+// tell hands news on: those of the primary, and that the state is current.
 func (c *Client) tell(b wheelgauge.Beat, a wheelgauge.BeatAnswer, asked time.Time) {
 	n := c.options.News
 	n.Reached(a.Region, time.Since(asked))
-	if a.State != nil {
-		n.State(*a.State)
-	}
 	if c.current() {
 		n.SameState()
 	}
--- a/beat/client_test.go
+++ b/beat/client_test.go
@@ -13,6 +13,7 @@
 	"wheelgauge"
 	"wheelgauge/httpserve"
 	"wheelgauge/peerhttp"
+	"wheelgauge/statefeed"
 )
 
 const (
@@ -46,7 +47,28 @@
 	return s
 }
 
+func (s *standIn) state() wheelgauge.FleetState {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return wheelgauge.FleetState{Generation: s.answer.Generation}
+}
+
 func (s *standIn) serve(ctx *fasthttp.RequestCtx) {
+	if string(ctx.Path()) == statefeed.Path {
+		r, err := peerhttp.Decode[wheelgauge.StateRequest](ctx)
+		if err != nil {
+			peerhttp.AnswerError(ctx, err)
+			return
+		}
+		time.Sleep(s.way)
+		part, err := statefeed.New(s.state).Part(r)
+		if err != nil {
+			peerhttp.AnswerError(ctx, err)
+			return
+		}
+		peerhttp.Answer(ctx, part)
+		return
+	}
 	b, err := peerhttp.Decode[wheelgauge.Beat](ctx)
 	if err != nil {
 		peerhttp.AnswerError(ctx, err)
@@ -57,9 +79,6 @@
 	defer s.mu.Unlock()
 	s.beats = append(s.beats, b)
 	a := s.answer
-	if b.News && a.Generation > b.Generation {
-		a.State = &wheelgauge.FleetState{Generation: a.Generation}
-	}
 	if b.Primary {
 		a.ServersAt = 1
 		a.Servers = []wheelgauge.Server{{Instance: a.Region}}
--- a/beats.go
+++ b/beats.go
@@ -47,8 +47,6 @@
 	Host FleetHost `json:"host"`
 	// Primary is set for the one store that the host takes its news from.
 	Primary bool `json:"primary,omitempty"`
-	// News is set when the store should send a newer state.
-	News bool `json:"news,omitempty"`
 	// IntervalMS is when the next beat to this store comes, in ms.
 	IntervalMS int64 `json:"interval_ms"`
 	// Generation is that of the configuration held.
@@ -72,6 +70,39 @@
 	Drained []string `json:"drained,omitempty"`
 }
 
+// PackedBody names a configuration's body as it travels, compressed.
+type PackedBody struct {
+	Version uint64 `json:"version"`
+	// Size is its length in bytes, Sum the CRC-32 (IEEE) of these.
+	Size int    `json:"size"`
+	Sum  uint32 `json:"sum"`
+}
+
+// StateRequest asks a store for a part of a state that is newer than the one
+// held.
+type StateRequest struct {
+	// Generation and Version are those held. A body of the version held is not
+	// sent again.
+	Generation uint64 `json:"generation"`
+	Version    uint64 `json:"version,omitempty"`
+	// Packed is the body that earlier parts were of, Offset how much of it came,
+	// Most how much may come at once, both in bytes.
+	Packed PackedBody `json:"packed"`
+	Offset int        `json:"offset,omitempty"`
+	Most   int        `json:"most"`
+}
+
+// StatePart is a part of a state, or says that there is no newer one.
+type StatePart struct {
+	Generation uint64   `json:"generation"`
+	Version    uint64   `json:"version"`
+	Drained    []string `json:"drained,omitempty"`
+	// Packed is of size 0 when the body is that of the version held.
+	Packed PackedBody `json:"packed"`
+	Offset int        `json:"offset,omitempty"`
+	Data   []byte     `json:"data,omitempty"`
+}
+
 // RegionUse is the load of another region.
 type RegionUse struct {
 	Region string       `json:"r"`
@@ -83,10 +114,9 @@
 	// Store is the boot of the store that numbers Hosts and Servers.
 	Store uint64 `json:"store"`
 	// InTouch is false while the store is cut off from the other stores.
-	InTouch    bool   `json:"in_touch"`
+	InTouch bool `json:"in_touch"`
+	// Generation is that of the state held by the store.
 	Generation uint64 `json:"generation"`
-	// State is set when the host holds an older one.
-	State *FleetState `json:"state,omitempty"`
 	// Region and Hall say where the store is.
 	Region string `json:"region"`
 	Hall   string `json:"hall"`
--- a/confstore/beat.go
+++ b/confstore/beat.go
@@ -8,6 +8,7 @@
 	"wheelgauge"
 	"wheelgauge/beat"
 	"wheelgauge/peerhttp"
+	"wheelgauge/statefeed"
 )
 
 // serveBeat answers an entry host's heartbeat; false means another path.
@@ -26,6 +27,26 @@
 	return true
 }
 
+// serveState answers an entry host that fetches the state; false means another path.
+func (n *Node) serveState(ctx *fasthttp.RequestCtx) bool {
+	if string(ctx.Path()) != statefeed.Path {
+		return false
+	}
+	r, err := peerhttp.Decode[wheelgauge.StateRequest](ctx)
+	if err != nil {
+		peerhttp.AnswerError(ctx, err)
+		return true
+	}
+	n.meter.Count("state.parts")
+	part, err := n.feed.Part(r)
+	if err != nil {
+		peerhttp.AnswerError(ctx, err)
+		return true
+	}
+	peerhttp.Answer(ctx, part)
+	return true
+}
+
 func (n *Node) answer(b wheelgauge.Beat) wheelgauge.BeatAnswer {
 	a := n.withoutReplica(b)
 	a.InTouch, a.Stores = n.replica.LeaderAddress() != "", n.replica.MemberAddresses()
@@ -34,11 +55,7 @@
 
 // withoutReplica is the answer but for what the replica says of its group.
 func (n *Node) withoutReplica(b wheelgauge.Beat) wheelgauge.BeatAnswer {
-	state := n.machine.State()
-	a := wheelgauge.BeatAnswer{Store: n.boot, Generation: state.Generation, Region: n.o.Region, Hall: n.o.Hall}
-	if b.News && state.Generation > b.Generation {
-		a.State = &state
-	}
+	a := wheelgauge.BeatAnswer{Store: n.boot, Generation: n.machine.State().Generation, Region: n.o.Region, Hall: n.o.Hall}
 	if !b.Primary {
 		return a
 	}
--- a/confstore/node.go
+++ b/confstore/node.go
@@ -22,6 +22,7 @@
 	"wheelgauge/meter"
 	"wheelgauge/peerhttp"
 	"wheelgauge/replica"
+	"wheelgauge/statefeed"
 )
 
 const (
@@ -70,6 +71,7 @@
 	boot      uint64
 	started   time.Time
 	machine   *configlog.Machine
+	feed      *statefeed.Feed
 	replica   *replica.Replica
 	hosts     *hosttable.Table
 	client    *peerhttp.Client
@@ -89,6 +91,7 @@
 		o: o, boot: uint64(time.Now().UnixNano()), started: time.Now(), machine: configlog.New(), hosts: hosttable.New(time.Now),
 		client: peerhttp.NewClient(nil, ""), meter: meter.New(), stop: stop, polled: make(chan error, 1),
 	}
+	n.feed = statefeed.New(n.machine.State)
 	if err := n.open(ctx); err != nil {
 		stop()
 		return nil, err
@@ -138,7 +141,7 @@
 }
 
 func (n *Node) servePeer(ctx *fasthttp.RequestCtx) {
-	if n.serveBeat(ctx) || n.replica.Handle(ctx) {
+	if n.serveBeat(ctx) || n.serveState(ctx) || n.replica.Handle(ctx) {
 		return
 	}
 	peerhttp.NotFound(ctx)
