Take a store for silent by the interval that it answered at

Ruled out: bounding by time alone: a primary of another region would then hold for three far intervals; two calls without an answer end it sooner. Change: each store keeps the interval of its last answered beat, and how many calls were not answered since.

--- a/beat/client.go
+++ b/beat/client.go
@@ -37,6 +37,8 @@
 	// freshBeats is how many intervals old a store's answer may be before
 	// another store becomes the primary.
 	freshBeats = 3
+	// mostMisses is how many calls in a row a store may fail to answer: one may be lost.
+	mostMisses = 2
 )
 
 // News takes what stores tell. Its methods are called one at a time.
@@ -81,6 +83,11 @@
 	answered time.Time
 	due      time.Time
 	calling  bool
+	// sent is the interval that the beat under way goes by, every that of the
+	// last beat that was answered, misses how many were not answered since.
+	sent   time.Duration
+	every  time.Duration
+	misses int
 	// patient is set for an eager beat that may take longer.
 	patient bool
 	// told is what the store was last told of this host.
@@ -167,8 +174,8 @@
 
 // start sends one beat; the lock is held.
 func (c *Client) start(ctx context.Context, s *store, now time.Time) {
-	s.calling = true
-	s.due = now.Add(c.interval(s))
+	s.calling, s.sent = true, c.interval(s)
+	s.due = now.Add(s.sent)
 	b := c.beat(s)
 	s.told = b.Host
 	timeout := callTimeout
@@ -223,6 +230,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s.calling = false
+	s.misses++
 	s.patient = !s.patient
 	if s.address == c.primary {
 		c.options.Log.Info("Primary store does not answer.", "store", s.address, "took_ms", took.Milliseconds(), "generation", c.lag.held.Generation,
@@ -234,7 +242,7 @@
 func (c *Client) take(s *store, b wheelgauge.Beat, a wheelgauge.BeatAnswer) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	s.calling, s.patient = false, false
+	s.calling, s.patient, s.every, s.misses = false, false, s.sent, 0
 	s.answered, s.inTouch, s.generation = time.Now(), a.InTouch, a.Generation
 	s.region, s.hall = a.Region, a.Hall
 	if s.boot != a.Store {
@@ -308,7 +316,9 @@
 
 // rank is higher for better primaries, -1 for stores that do not answer.
 func (c *Client) rank(s *store, self wheelgauge.FleetHost) int {
-	if s.answered.IsZero() || time.Since(s.answered) > freshBeats*c.interval(s)+callTimeout {
+	// By the interval that the store last answered at: by the shorter one of a
+	// primary, two silent stores would take turns at each tick.
+	if s.answered.IsZero() || s.misses >= mostMisses || time.Since(s.answered) > freshBeats*s.every+callTimeout {
 		return -1
 	}
 	rank := 0
