Do not send a large entry again while it travels

Cause: a leader counts entries as sent at once and puts the index before the next one into its heartbeats. One that overtakes a large entry is rejected, which was taken for a loss: the entry was sent again from its beginning at each heartbeat, commit and read. The class is the incident's: bulk data repeated without bound while it is under way. Ruled out: heartbeats without an index (they would never find a loss). Change: while a message of 16 KiB or more is on its way to a member, heartbeats to it go by the entry before, nothing more is sent, and it is taken for lost after a heartbeat and one more for each 128 KiB. Calls between stores may take longer by the length of what they carry. Conclusion: mended; whether it was worth anything in the incident is open.

--- a/raft/core.go
+++ b/raft/core.go
@@ -63,6 +63,8 @@
 	silent int
 	// paused is the number of ticks left before a snapshot is sent again.
 	paused int
+	// flight is the last large message of entries.
+	flight flight
 }
 
 type read struct {
@@ -207,6 +209,7 @@
 func (c *Core) tickLeader() {
 	for _, p := range c.progress {
 		p.paused = max(0, p.paused-1)
+		p.flight.ticks = max(0, p.flight.ticks-1)
 		p.silent++
 	}
 	c.heartbeat++
@@ -384,20 +387,29 @@
 		c.sendSnapshot(to, p)
 		return
 	}
-	prev := p.next - 1
-	m := Message{Type: MessageAppend, To: to, Term: c.term, Index: prev, LogTerm: c.termAt(prev), Commit: c.commit, Round: c.round}
+	if c.flies(p) {
+		c.send(c.appendAfter(to, p.flight.prev))
+		return
+	}
+	m := c.appendAfter(to, p.next-1)
 	m.Entries = c.window(p.next)
 	p.next += uint64(len(m.Entries))
+	p.flight = c.newFlight(m)
 	c.send(m)
 }
 
+// appendAfter returns an append without entries.
+func (c *Core) appendAfter(to, prev uint64) Message {
+	return Message{Type: MessageAppend, To: to, Term: c.term, Index: prev, LogTerm: c.termAt(prev), Commit: c.commit, Round: c.round}
+}
+
 func (c *Core) sendSnapshot(to uint64, p *progress) {
 	if p.paused > 0 {
 		// A heartbeat keeps the member from campaigning while it takes the snapshot in.
 		c.send(Message{Type: MessageAppend, To: to, Term: c.term, Index: c.base, LogTerm: c.baseTerm, Round: c.round})
 		return
 	}
-	p.paused = c.options.ElectionTicks
+	p.paused = c.options.ElectionTicks + c.travelTicks(len(c.snap.Data))
 	c.send(Message{Type: MessageSnapshot, To: to, Term: c.term, Snapshot: c.snap, Round: c.round})
 }
 
--- a/raft/core_test.go
+++ b/raft/core_test.go
@@ -31,7 +31,9 @@
 	leaders  map[uint64]uint64
 	chosen   map[uint64]string
 	loss     float64
-	acked    []string
+	// large is the length of some commands; all are small when it is 0.
+	large int
+	acked []string
 }
 
 func newSchedule(t *testing.T, seed uint64, voters int) *schedule {
@@ -231,7 +233,11 @@
 		if r.down || r.frozen || r.core.Role() != Leader {
 			continue
 		}
-		if _, _, err := r.core.Propose(fmt.Appendf(nil, "%d", number)); err == nil {
+		command := fmt.Appendf(nil, "%d", number)
+		if s.large > 0 && s.rnd.IntN(8) == 0 {
+			command = fmt.Appendf(nil, "%0*d", s.large, number)
+		}
+		if _, _, err := r.core.Propose(command); err == nil {
 			s.pump(id, 0)
 		}
 	}
@@ -273,25 +279,28 @@
 		voters int
 		loss   float64
 		seeds  int
+		large  int
 	}{
-		{"three calm", 3, 0, 3},
-		{"three rough", 3, 0.1, 40},
-		{"five rough", 5, 0.1, 20},
-		{"one", 1, 0.1, 3},
+		{"three calm", 3, 0, 3, 0},
+		{"three rough", 3, 0.1, 40, 0},
+		{"five rough", 5, 0.1, 20, 0},
+		{"one", 1, 0.1, 3, 0},
+		{"three calm, large commands", 3, 0, 3, largeBytes},
+		{"five rough, large commands", 5, 0.1, 10, largeBytes},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			for seed := range tt.seeds {
-				runSchedule(t, uint64(seed), tt.voters, tt.loss)
+				runSchedule(t, uint64(seed), tt.voters, tt.loss, tt.large)
 			}
 		})
 	}
 }
 
-func runSchedule(t *testing.T, seed uint64, voters int, loss float64) {
+func runSchedule(t *testing.T, seed uint64, voters int, loss float64, large int) {
 	t.Helper()
 	s := newSchedule(t, seed, voters)
-	s.loss = loss
+	s.loss, s.large = loss, large
 	for i := range 1500 {
 		s.round(i)
 		if loss > 0 && i%20 == 0 {
--- a/raft/message.go
+++ b/raft/message.go
@@ -76,6 +76,18 @@
 	Snapshot *Snapshot `json:"snapshot,omitempty"`
 }
 
+// Size is the length of what a message carries, in bytes.
+func (m *Message) Size() int {
+	size := 0
+	for _, e := range m.Entries {
+		size += len(e.Data)
+	}
+	if m.Snapshot != nil {
+		size += len(m.Snapshot.Data)
+	}
+	return size
+}
+
 // Ready is what the driver must do, in this order: persist Snapshot, HardState
 // and Entries and sync; send Messages; apply Committed; call Advance.
 type Ready struct {
--- a/raft/step.go
+++ b/raft/step.go
@@ -196,6 +196,7 @@
 	p.silent = 0
 	p.round = max(p.round, m.Round)
 	if m.Reject {
+		p.flight = flight{}
 		p.next = max(p.match+1, min(p.next, m.Index+1))
 		if p.paused == 0 {
 			c.sendAppend(m.From)
@@ -209,6 +210,12 @@
 	}
 	p.next = max(p.next, p.match+1)
 	c.confirmReads()
+	if c.flies(p) {
+		if p.flight.ticks > 0 {
+			return
+		}
+		p.next, p.flight = p.flight.prev+1, flight{}
+	}
 	if p.next <= c.lastIndex() {
 		c.sendAppend(m.From)
 	}
@@ -257,7 +264,7 @@
 // a new commit, which would else wait for the next heartbeat.
 func (c *Core) replicate() {
 	for id, p := range c.progress {
-		if id != c.options.ID && (p.next <= c.lastIndex() || c.tell) && p.next > c.base && p.active {
+		if id != c.options.ID && (p.next <= c.lastIndex() || c.tell) && p.next > c.base && p.active && !c.flies(p) {
 			c.sendAppend(id)
 		}
 	}
--- a/replica/network.go
+++ b/replica/network.go
@@ -15,9 +15,13 @@
 
 const (
 	sendersPerPeer = 4
-	sendTimeout    = 2 * time.Second
-	outboxLength   = 512
-	pathMessages   = "/raft/messages"
+	// sendTimeout bounds a call without entries, and sendRate adds to it by their
+	// length, in bytes a second: 5 Mbit/s, as slow as the core waits for them. A
+	// whole configuration would else never come over a link that is too busy.
+	sendTimeout  = 2 * time.Second
+	sendRate     = 640 << 10
+	outboxLength = 512
+	pathMessages = "/raft/messages"
 )
 
 // envelope carries messages and says how their sender is reached.
@@ -109,7 +113,7 @@
 }
 
 func (n *network) post(address string, messages []raft.Message) {
-	ctx, cancel := context.WithTimeout(n.ctx, sendTimeout)
+	ctx, cancel := context.WithTimeout(n.ctx, sendLimit(messages))
 	defer cancel()
 	err := n.client.Call(ctx, http.MethodPost, address, pathMessages, envelope{From: n.self, Messages: messages}, nil)
 	// A lost message is repeated by the core; only this answer says something new.
@@ -118,4 +122,13 @@
 	}
 }
 
+// sendLimit is how long a call with messages may take.
+func sendLimit(messages []raft.Message) time.Duration {
+	size := 0
+	for _, m := range messages {
+		size += m.Size()
+	}
+	return sendTimeout + time.Duration(size)*time.Second/sendRate
+}
+
 func (n *network) wait() { n.group.Wait() }
