Trace the refusals behind a frozen host: the server's pollers had frozen

Their reports lapse after three intervals, at the moment when they are taken for dead; only then does the third host begin to poll, up to two intervals later. Ruled out: the forwarding past frozen hosts, which the test is about.

--- a/membership/hub_test.go
+++ b/membership/hub_test.go
@@ -181,3 +181,40 @@
 		h.Beat(one)
 	}
 }
+
+// Requests sent to another region were refused for some hundred milliseconds
+// because no backend server there took work, though it was well: the two hosts
+// that polled it had frozen, their reports lapsed at the moment when they were
+// taken for dead, and only then did another host begin to poll. Evidence: the
+// order of events below, which is that of the refusals.
+func TestServerOutlivesItsPollers(t *testing.T) {
+	c := &clock{time.Unix(0, 0)}
+	h := hub(c)
+	// Each host beats once in an interval, at moments of its own.
+	h.Beat(beat("poller-1", alive("e1", 3)))
+	c.now = c.now.Add(300 * time.Millisecond)
+	h.Beat(beat("poller-2", alive("e1", 3)))
+	polls := false
+	view := h.Beat(beat("other"))
+	frozen := map[string]bool{}
+	for range 10 {
+		c.now = c.now.Add(time.Second)
+		b := beat("other")
+		if polls {
+			b = beat("other", alive("e1", 3))
+		}
+		b.Hub, b.Since = view.Hub, view.Version
+		view = h.Beat(b)
+		for _, host := range view.Hosts {
+			frozen[host.Host] = !host.Alive
+		}
+		// What a host learns at one beat is what it polls by before the next one.
+		polls = frozen["poller-1"] && frozen["poller-2"]
+		if h.Summary().Pools["p"].Slots == 0 {
+			t.Fatalf("the server is taken for dead at %s", c.now.Sub(time.Unix(0, 0)))
+		}
+	}
+	if !polls {
+		t.Fatal("the frozen hosts were never taken for dead")
+	}
+}
