Keep a server's last reports until other hosts poll it

Ruled out: polling by three hosts (a third more polls, and three may freeze as well). Change: reports older than three intervals hold for three more, but only while no host polls the server. The case that a server is dead as soon as nobody polls it was the fault itself: it is now dead after six intervals and alive until then, and dead at once if the last report said so.

--- a/membership/hub.go
+++ b/membership/hub.go
@@ -9,6 +9,7 @@
 package membership
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"sync"
@@ -21,6 +22,10 @@
 const (
 	// missedBeats is how many intervals without a sign of life mean failure.
 	missedBeats = 3
+	// handoverBeats is how many intervals more the last reports on a server hold
+	// while nobody polls it: one until other hosts hear that its pollers are dead,
+	// one until they have polled, one for a beat that is late.
+	handoverBeats = 3
 	// spareFraction of the slots of a region may be used before it grants none.
 	spareFraction = 0.95
 )
@@ -119,17 +124,23 @@
 		h.servers[s.Server] = row
 	}
 	row.reports[by] = report{s, now}
-	h.setServer(row, row.merged(now, missedBeats*h.interval))
+	h.setServer(row, row.merged(now, h.interval))
 }
 
 // merged takes the newest report; a server is alive if any host that polls it
-// lately reached it.
-func (r *serverRow) merged(now time.Time, limit time.Duration) wheelgauge.ServerEntry {
+// lately reached it. While no host polls it, what its last pollers said holds on
+// until others have taken over: that these are silent says nothing of the server.
+func (r *serverRow) merged(now time.Time, interval time.Duration) wheelgauge.ServerEntry {
+	maps.DeleteFunc(r.reports, func(_ string, one report) bool { return now.Sub(one.at) > (missedBeats+handoverBeats)*interval })
+	fresh := func(one report) bool { return now.Sub(one.at) <= missedBeats*interval }
+	polled := false
+	for _, one := range r.reports {
+		polled = polled || fresh(one)
+	}
 	var newest report
 	alive := false
-	for by, one := range r.reports {
-		if now.Sub(one.at) > limit {
-			delete(r.reports, by)
+	for _, one := range r.reports {
+		if polled && !fresh(one) {
 			continue
 		}
 		if one.entry.Alive && (one.at.After(newest.at) || !newest.entry.Alive) || newest.at.IsZero() {
@@ -169,7 +180,7 @@
 		}
 	}
 	for _, row := range h.servers {
-		h.setServer(row, row.merged(now, limit))
+		h.setServer(row, row.merged(now, h.interval))
 	}
 	for name, row := range h.regions {
 		if now.Sub(row.seen) > limit && !row.summary.Gone {
--- a/membership/hub_test.go
+++ b/membership/hub_test.go
@@ -94,8 +94,20 @@
 			c.now = c.now.Add(4 * time.Second)
 			h.Beat(beat("a", wheelgauge.ServerEntry{Server: "e1"}))
 		}, true, false, 0},
+		{"nobody polls yet after the poller", func(h *Hub, c *clock) {
+			h.Beat(beat("b", alive("e1", 2)))
+			c.now = c.now.Add(6 * time.Second)
+			h.Beat(beat("a"))
+		}, true, true, 20},
 		{"nobody polls any more", func(h *Hub, c *clock) {
 			h.Beat(beat("b", alive("e1", 2)))
+			c.now = c.now.Add(6*time.Second + time.Millisecond)
+			h.Beat(beat("a"))
+		}, true, false, 0},
+		{"the last report was that it did not answer", func(h *Hub, c *clock) {
+			h.Beat(beat("b", alive("e1", 2)))
+			c.now = c.now.Add(time.Second)
+			h.Beat(beat("b", wheelgauge.ServerEntry{Server: "e1"}))
 			c.now = c.now.Add(4 * time.Second)
 			h.Beat(beat("a"))
 		}, true, false, 0},
