Serve the two calls of entry hosts by one function

Cause: the call for parts of the state stood beside heartbeats with the same decoding and error answers. Ruled out: nothing; behaviour stays. Change: one generic function, in confstore.

--- a/confstore/beat.go
+++ b/confstore/beat.go
@@ -13,37 +13,37 @@
 
 // serveBeat answers an entry host's heartbeat; false means another path.
 func (n *Node) serveBeat(ctx *fasthttp.RequestCtx) bool {
-	if string(ctx.Path()) != beat.Path {
-		return false
-	}
-	b, err := peerhttp.Decode[wheelgauge.Beat](ctx)
-	if err != nil {
-		peerhttp.AnswerError(ctx, err)
-		return true
-	}
-	n.meter.Count("beats")
-	n.hosts.Take(b, time.Duration(b.IntervalMS)*time.Millisecond)
-	peerhttp.Answer(ctx, n.answer(b))
-	return true
+	return serve(ctx, beat.Path, func(b wheelgauge.Beat) (wheelgauge.BeatAnswer, error) {
+		n.meter.Count("beats")
+		n.hosts.Take(b, time.Duration(b.IntervalMS)*time.Millisecond)
+		return n.answer(b), nil
+	})
 }
 
 // serveState answers an entry host that fetches the state; false means another path.
 func (n *Node) serveState(ctx *fasthttp.RequestCtx) bool {
-	if string(ctx.Path()) != statefeed.Path {
+	return serve(ctx, statefeed.Path, func(r wheelgauge.StateRequest) (wheelgauge.StatePart, error) {
+		n.meter.Count("state.parts")
+		return n.feed.Part(r)
+	})
+}
+
+// serve answers calls to one path by f; false means another path.
+func serve[Q, A any](ctx *fasthttp.RequestCtx, path string, f func(Q) (A, error)) bool {
+	if string(ctx.Path()) != path {
 		return false
 	}
-	r, err := peerhttp.Decode[wheelgauge.StateRequest](ctx)
+	q, err := peerhttp.Decode[Q](ctx)
 	if err != nil {
 		peerhttp.AnswerError(ctx, err)
 		return true
 	}
-	n.meter.Count("state.parts")
-	part, err := n.feed.Part(r)
+	answer, err := f(q)
 	if err != nil {
 		peerhttp.AnswerError(ctx, err)
 		return true
 	}
-	peerhttp.Answer(ctx, part)
+	peerhttp.Answer(ctx, answer)
 	return true
 }
 
