--- a/beat/client_test.go
+++ b/beat/client_test.go
@@ -109,6 +109,12 @@
 	return s.beats[len(s.beats)-1]
 }
 
+func (s *standIn) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.beats)
+}
+
 // news notes what it was told.
 type news struct {
 	mu         sync.Mutex
@@ -288,3 +294,24 @@
 		t.Errorf("the primary changed %d times", got)
 	}
 }
+
+// A store that was no host's primary for a while reads the list of servers only
+// from then on. A host that turns to it must not go back to its older list:
+// servers that have left meanwhile would get work again. Evidence: hosts that
+// took a list 2.7 s old, with two servers more, after one 0.6 s old.
+func TestOlderListIsPassedOver(t *testing.T) {
+	near, far := newStore(t, "here", 3), newStore(t, "there", 3)
+	far.set(func(a *wheelgauge.BeatAnswer) { a.ServersAgeMS = time.Hour.Milliseconds() })
+	n := &news{}
+	startClient(t, n, nil, near, far)
+	waitFor(t, "the list of the near store", func() bool { return n.primary() == "here" })
+	near.set(func(a *wheelgauge.BeatAnswer) { a.InTouch = false })
+	waitFor(t, "beats to the far store as the primary", func() bool { return far.last().Primary })
+	from := far.count()
+	waitFor(t, "some more", func() bool { return far.count() > from+10 })
+	if got := n.primary(); got != "here" {
+		t.Errorf("the list of the store %q is in force, which is an hour old", got)
+	}
+	far.set(func(a *wheelgauge.BeatAnswer) { a.ServersAgeMS = 0 })
+	waitFor(t, "the list of the far store once it is read anew", func() bool { return n.primary() == "there" })
+}
