Do not go back to an older list of servers

Ruled out: reading the list at every store all the time: calls to the list are priced and limited for all hosts together. Change: a host keeps when its list was asked for, and passes an older one over; heartbeats tell its age, and a store does not send an older one.

--- a/beat/client.go
+++ b/beat/client.go
@@ -111,8 +111,10 @@
 	stores  map[string]*store
 	primary string
 	lag     lag
-	// listed is set once the servers are known.
-	listed bool
+	// listed is set once the servers are known, listedAt when their list was
+	// asked for.
+	listed   bool
+	listedAt time.Time
 	// taking guards News: one answer at a time.
 	taking sync.Mutex
 	// fetcher is used by one fetch at a time.
@@ -208,6 +210,9 @@
 	b.Totals = totals
 	if b.Primary {
 		b.Uses, b.Store, b.Hosts, b.Servers = uses, s.boot, s.hosts, s.servers
+		if !c.listedAt.IsZero() {
+			b.ListAgeMS = max(1, time.Since(c.listedAt).Milliseconds())
+		}
 	}
 	return b
 }
@@ -222,10 +227,32 @@
 		c.missed(s, time.Since(asked), err)
 		return
 	}
+	answer = c.fresh(answer, asked)
 	c.take(s, b, answer)
 	c.tell(b, answer, asked)
 }
 
+// fresh takes a list of servers that is older than the one in force out of an
+// answer: a store that was no host's primary lately has not read it.
+func (c *Client) fresh(a wheelgauge.BeatAnswer, asked time.Time) wheelgauge.BeatAnswer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	listed := listedAt(a, asked)
+	switch {
+	case a.ServersAt == 0:
+	case a.Servers != nil && listed.Before(c.listedAt):
+		a.Servers, a.ServersAt = nil, 0
+	default:
+		c.listedAt = listed
+	}
+	return a
+}
+
+// listedAt is when the list of an answer was asked for.
+func listedAt(a wheelgauge.BeatAnswer, asked time.Time) time.Time {
+	return asked.Add(-time.Duration(a.ServersAgeMS) * time.Millisecond)
+}
+
 func (c *Client) missed(s *store, took time.Duration, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -282,7 +309,7 @@
 	if a.Hosts != nil {
 		n.Hosts(a.Hosts, a.Partial)
 	}
-	listed := asked.Add(-time.Duration(a.ServersAgeMS) * time.Millisecond)
+	listed := listedAt(a, asked)
 	switch {
 	case a.Servers != nil:
 		n.Servers(a.Servers, listed)
--- a/beats.go
+++ b/beats.go
@@ -52,11 +52,14 @@
 	// Generation is that of the configuration held.
 	Generation uint64 `json:"generation"`
 	// Store, Hosts and Servers name the views held; see BeatAnswer.
-	Store   uint64       `json:"store,omitempty"`
-	Hosts   uint64       `json:"hosts,omitempty"`
-	Servers uint64       `json:"servers,omitempty"`
-	Uses    []ServerUse  `json:"uses,omitempty"`
-	Totals  []ServiceUse `json:"totals,omitempty"`
+	Store   uint64 `json:"store,omitempty"`
+	Hosts   uint64 `json:"hosts,omitempty"`
+	Servers uint64 `json:"servers,omitempty"`
+	// ListAgeMS is how long ago the list of servers held was asked for, in ms; 0
+	// without one. An older list is not wanted.
+	ListAgeMS int64        `json:"list_age_ms,omitempty"`
+	Uses      []ServerUse  `json:"uses,omitempty"`
+	Totals    []ServiceUse `json:"totals,omitempty"`
 }
 
 // FleetState is the replicated state of the routes mode.
--- a/confstore/servers.go
+++ b/confstore/servers.go
@@ -47,18 +47,21 @@
 	n.servers.asked = asked
 }
 
-// addServers adds the list of servers when it changed: those of the host's
-// region for work, the others as holders of prompts.
+// addServers adds the list of servers when it changed, unless the host holds a
+// newer one: those of the host's region for work, the others as holders of prompts.
 func (n *Node) addServers(a *wheelgauge.BeatAnswer, b wheelgauge.Beat, same bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	v := &n.servers
-	a.ServersAt = v.version
-	a.ServersAgeMS = time.Since(v.asked).Milliseconds()
-	if v.version == 0 || same && b.Servers == v.version {
+	held := same && b.Servers == v.version
+	age := time.Since(v.asked).Milliseconds()
+	if v.version == 0 || !held && b.ListAgeMS > 0 && age > b.ListAgeMS {
 		return
 	}
-	a.Servers = slices.Clone(v.list)
+	a.ServersAt, a.ServersAgeMS = v.version, age
+	if !held {
+		a.Servers = slices.Clone(v.list)
+	}
 }
 
 // regionUses joins what hosts have in flight with the servers there are.
