Test that arrivals over all hosts keep the bound on repeats

Cause: a host counts its own sends only. A request that it forwarded, and got back as not run, may have reached servers there; the next try is free. Ruled out: the sum of the hosts' allowances (TestSlidingWindows holds).

--- /dev/null
+++ b/routegate/arrivals_test.go
@@ -0,0 +1,210 @@
+package routegate
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"wheelgauge"
+	"wheelgauge/callerhttp"
+	"wheelgauge/meter"
+	"wheelgauge/native"
+	"wheelgauge/peerset"
+	"wheelgauge/retrybudget"
+	"wheelgauge/routetable"
+	"wheelgauge/serverset"
+)
+
+// fleet is several hosts before servers that are all full, with a clock of its
+// own.
+type fleet struct {
+	t       *testing.T
+	mu      sync.Mutex
+	at      time.Time
+	servers map[string][]*backend
+	callers []string
+	budget  retrybudget.Options
+}
+
+func (f *fleet) now() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.at
+}
+
+func (f *fleet) pass(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.at = f.at.Add(d)
+}
+
+// newFleet starts hosts, spread over regions with some full servers each.
+func newFleet(t *testing.T, hosts, regions, servers int, budget retrybudget.Options) *fleet {
+	t.Helper()
+	f := &fleet{t: t, at: time.Now(), servers: map[string][]*backend{}, budget: budget}
+	var gates []*Gate
+	var all []wheelgauge.FleetHost
+	var uses []wheelgauge.RegionUse
+	for r := range regions {
+		region := fmt.Sprint("region-", r)
+		for range servers {
+			b := newBackend(t)
+			b.always = shed
+			f.servers[region] = append(f.servers[region], b)
+		}
+		uses = append(uses, wheelgauge.RegionUse{Region: region, Uses: []wheelgauge.ServiceUse{{Service: "s", Servers: servers, Slots: 4 * servers}}})
+	}
+	for n := range hosts {
+		region := fmt.Sprint("region-", n%regions)
+		g := f.gate(fmt.Sprint("host-", n), region)
+		gates = append(gates, g)
+		f.callers = append(f.callers, f.listen(g, g.Serve))
+		all = append(all, wheelgauge.FleetHost{Name: fmt.Sprint("host-", n), Region: region, Peer: f.listen(g, g.ServePeer), Ready: true})
+	}
+	for _, g := range gates {
+		g.options.Peers.SetHosts(all)
+		g.options.Peers.SetUses(uses)
+		g.options.Budget.SetHosts(hosts)
+	}
+	return f
+}
+
+func (f *fleet) gate(name, region string) *Gate {
+	service := &wheelgauge.Service{Name: "s", Conns: 1000}
+	servers := serverset.New(serverset.Place{Host: name, Hall: "h", Peers: []string{name}}, func(string) *wheelgauge.Service { return service }, f.now)
+	var list []wheelgauge.Server
+	for i, b := range f.servers[region] {
+		list = append(list, wheelgauge.Server{Instance: fmt.Sprint(region, "-", i), Service: "s", Address: b.conn.Addr().String(), Hall: "h", Slots: 4})
+	}
+	servers.Update(list, f.now())
+	// Its own region seems to be busier than the others: they are tried first.
+	var uses []wheelgauge.ServerUse
+	for _, s := range list {
+		uses = append(uses, wheelgauge.ServerUse{Instance: s.Instance, Running: 400})
+	}
+	servers.SetUses(uses)
+	g := New(Options{
+		Region: region, Names: native.Headers(), Servers: servers, Peers: peerset.New(region, time.Second, f.now),
+		Budget: retrybudget.New(f.budget, f.now), Meter: meter.New(), Log: logr.Discard(),
+	})
+	g.SetListed()
+	g.SetTable(routetable.New(&wheelgauge.RouteSet{Version: 1, Routes: routes(), Services: []wheelgauge.Service{*service}}))
+	f.t.Cleanup(func() {
+		g.options.Peers.Close()
+		servers.Close()
+	})
+	return g
+}
+
+func (f *fleet) listen(g *Gate, serve func(context.Context, *callerhttp.Request)) string {
+	f.t.Helper()
+	s, err := callerhttp.Listen("127.0.0.1:0", callerhttp.Options{Limits: g.Limits, Serve: serve, Conns: 1000})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), testLimit)
+		defer cancel()
+		_ = s.Close(ctx)
+	})
+	return s.Address()
+}
+
+// request sends one request to a host and returns the status.
+func (f *fleet) request(host int, path, id string) int {
+	c, err := net.Dial("tcp", f.callers[host])
+	if err != nil {
+		f.t.Error(err)
+		return 0
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(testLimit))
+	if _, err := fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: h\r\nX-Request-Id: %s\r\n\r\n", path, id); err != nil {
+		f.t.Error(err)
+		return 0
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		f.t.Error(err)
+		return 0
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
+// arrivals returns how often servers were asked, and by how many requests.
+func (f *fleet) arrivals() (all, requests int) {
+	ids := map[string]bool{}
+	for _, servers := range f.servers {
+		for _, b := range servers {
+			for _, h := range b.seen() {
+				all++
+				ids[h.Get("X-Request-Id")] = true
+			}
+		}
+	}
+	return all, len(ids)
+}
+
+// While a pool was full everywhere, requests were shown to up to six servers,
+// and most of these sends were not counted as repeats: a host counts the sends
+// of its own, and one that forwarded a request, and got it back as not run, had
+// sent nothing itself. All hosts together went over the bound on repeats.
+func TestArrivalsOverAllHosts(t *testing.T) {
+	const (
+		rounds  = 60                     // within one window
+		pause   = 150 * time.Millisecond // between rounds: a server that was full is tried again
+		perHost = 2                      // requests at each host in a round
+		servers = 3                      // full ones in each region
+	)
+	tests := []struct {
+		name    string
+		path    string
+		hosts   int
+		regions int
+	}{
+		{"one host", "/safe/", 1, 1},
+		{"3 hosts, one region", "/safe/", 3, 1},
+		{"3 hosts, regions", "/safe/", 3, 3},
+		{"12 hosts, one region", "/safe/", 12, 1},
+		{"12 hosts, two regions", "/safe/", 12, 2},
+		{"12 hosts, two regions, once", "/once/", 12, 2},
+		{"60 hosts, three regions", "/safe/", 60, 3},
+		{"60 hosts, three regions, once", "/once/", 60, 3},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			o := retrybudget.Options{Ratio: 0.2, Slack: 12, Window: 10 * time.Second}
+			f := newFleet(t, tt.hosts, tt.regions, servers, o)
+			sent := 0
+			for round := range rounds {
+				var group sync.WaitGroup
+				for host := range tt.hosts {
+					for n := range perHost {
+						sent++
+						group.Go(func() {
+							if status := f.request(host, tt.path, fmt.Sprint("r", round, "-", host, "-", n)); status != http.StatusServiceUnavailable {
+								t.Errorf("got %d, want 503", status)
+							}
+						})
+					}
+				}
+				group.Wait()
+				f.pass(pause)
+			}
+			all, requests := f.arrivals()
+			most := o.Ratio*float64(sent) + o.Slack
+			t.Logf("%d requests, %d arrivals of %d of them", sent, all, requests)
+			if float64(all-requests) > most {
+				t.Errorf("%d arrivals beyond the first of their request, want %.0f at most", all-requests, most)
+			}
+		})
+	}
+}
--- a/routegate/gate_test.go
+++ b/routegate/gate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -44,6 +45,8 @@
 type backend struct {
 	mu     sync.Mutex
 	script []string
+	// always is the answer when the script is over; success when empty.
+	always string
 	heads  []http.Header
 	conn   net.Listener
 }
@@ -90,7 +93,7 @@
 	defer b.mu.Unlock()
 	b.heads = append(b.heads, h)
 	if len(b.script) == 0 {
-		return okAnswer
+		return cmp.Or(b.always, okAnswer)
 	}
 	s := b.script[0]
 	b.script = b.script[1:]
