Count the sends of forwarded requests as repeats

Ruled out so far: a host that a request is forwarded to paying for its first send (it is the first arrival, or was paid for before it was forwarded). Change: a gateway's refusal of a forwarded request tells how many servers it was sent to (Wheelgauge-Sends); the host adds that to its own sends, which end at three, and pays for the next one. An answer that is lost counts one.

--- a/callerhttp/request.go
+++ b/callerhttp/request.go
@@ -167,6 +167,9 @@
 	if wait := e.RetryAfter(); wait > 0 {
 		fields = append(fields, NewField("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64)))
 	}
+	if sends := e.Sends(); sends > 0 {
+		fields = append(fields, NewField(wheelgauge.HeaderSends, strconv.Itoa(sends)))
+	}
 	// A caller that has left does not read it.
 	_ = r.Answer(e.Status(), fields, body)
 }
--- a/error.go
+++ b/error.go
@@ -45,6 +45,7 @@
 	requestID  string
 	detail     string
 	entries    []Entry
+	sends      int
 }
 
 // errorMessage is the wire form of Error.
@@ -93,6 +94,14 @@
 	return &c
 }
 
+// WithSends returns a copy that tells a gateway how many servers the request was
+// sent to. It travels as a header.
+func (e *Error) WithSends(sends int) *Error {
+	c := *e
+	c.sends = sends
+	return &c
+}
+
 // WithOutcome returns a copy with another outcome.
 func (e *Error) WithOutcome(outcome Outcome) *Error {
 	c := *e
@@ -118,6 +127,9 @@
 // Entries returns the hosts the caller may use instead.
 func (e *Error) Entries() []Entry { return e.entries }
 
+// Sends returns how many servers the request was sent to, as far as is told.
+func (e *Error) Sends() int { return e.sends }
+
 // Error implements error.
 func (e *Error) Error() string {
 	return fmt.Sprintf("%s (%s): %s", e.reason, e.outcome, e.detail)
--- a/message.go
+++ b/message.go
@@ -18,6 +18,9 @@
 	HeaderClass         = "Wheelgauge-Class"
 	HeaderHome          = "Wheelgauge-Home"
 	HeaderPriority      = "Wheelgauge-Priority"
+	// HeaderSends tells a gateway that forwarded a request how many servers it
+	// was sent to.
+	HeaderSends = "Wheelgauge-Sends"
 )
 
 // Entry is one host of the entry list.
--- a/routegate/call.go
+++ b/routegate/call.go
@@ -168,6 +168,9 @@
 	if c.cause == "" {
 		c.cause = string(e.Reason())
 	}
+	if c.forwarded {
+		e = e.WithSends(c.sends)
+	}
 	c.request.Refuse(e.WithRequestID(c.id))
 }
 
--- a/routegate/dispatch.go
+++ b/routegate/dispatch.go
@@ -155,16 +155,30 @@
 		return c.relay(x)
 	}
 	c.cause = "gateway " + p.Name() + " answered " + strconv.Itoa(x.head.StatusCode())
+	sends := sendsOf(string(x.head.Peek(wheelgauge.HeaderSends)))
 	_ = x.discard() // a connection that breaks here is not kept
 	if outcome == wheelgauge.OutcomeNotRun {
 		c.runs--
+		// What servers there refused is a send of this request like any other:
+		// the next one is a repeat, and is paid for here.
+		c.sends += sends
 		c.gate.options.Peers.Refused(p)
 		return notRun
 	}
-	c.sends++
+	c.sends += max(1, sends)
 	return failed
 }
 
+// sendsOf reads how many servers another gateway sent the request to; 0 when it
+// does not tell.
+func sendsOf(header string) int {
+	n, err := strconv.Atoi(header)
+	if err != nil {
+		return 0
+	}
+	return max(0, n)
+}
+
 // missed keeps work off a gateway that failed, and off its region if the
 // network gave it up; this request's own deadline says nothing of either.
 func (c *call) missed(p *peerset.Peer, err error) {
--- a/routegate/gate_test.go
+++ b/routegate/gate_test.go
@@ -336,11 +336,9 @@
 	}
 }
 
-// A forwarded request is repeated by the host it came to only: both together
-// would run it on more servers than its route allows.
-func TestForwardedRequestIsNotRepeated(t *testing.T) {
-	b := newBackend(t, failure)
-	g, _ := newGate(t, routes(), b, b)
+// peerConn returns the connection of another gateway.
+func peerConn(t *testing.T, g *Gate) net.Conn {
+	t.Helper()
 	s, err := callerhttp.Listen("127.0.0.1:0", callerhttp.Options{Limits: g.Limits, Serve: g.ServePeer, Conns: 8})
 	if err != nil {
 		t.Fatal(err)
@@ -349,13 +347,22 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() {
+	_ = c.SetDeadline(time.Now().Add(testLimit))
+	t.Cleanup(func() {
 		_ = c.Close()
 		ctx, cancel := context.WithTimeout(context.Background(), testLimit)
 		defer cancel()
 		_ = s.Close(ctx)
-	}()
-	resp, _, err := ask(t, c, "/safe/", "")
+	})
+	return c
+}
+
+// A forwarded request is repeated by the host it came to only: both together
+// would run it on more servers than its route allows.
+func TestForwardedRequestIsNotRepeated(t *testing.T) {
+	b := newBackend(t, failure)
+	g, _ := newGate(t, routes(), b, b)
+	resp, _, err := ask(t, peerConn(t, g), "/safe/", "")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -379,3 +386,33 @@
 		t.Errorf("got %v, %s, %v, want a refusal by a host that leaves", resp, body, err)
 	}
 }
+
+// A refusal tells a gateway, but no caller, how many servers were asked.
+func TestRefusalTellsSends(t *testing.T) {
+	tests := []struct {
+		name      string
+		forwarded bool
+		script    []string
+		want      string
+	}{
+		{"servers refused", true, []string{shed, shed, shed}, "2"},
+		{"a server broke off", true, []string{cut}, "1"},
+		{"to a caller", false, []string{shed, shed, shed}, ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBackend(t, tt.script...)
+			g, c := newGate(t, routes(), b, b)
+			if tt.forwarded {
+				c = peerConn(t, g)
+			}
+			resp, _, err := ask(t, c, "/once/", "")
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got := resp.Header.Get(wheelgauge.HeaderSends); resp.StatusCode < 500 || got != tt.want {
+				t.Errorf("got %d, %q sends, want %q", resp.StatusCode, got, tt.want)
+			}
+		})
+	}
+}
