Test the allowance of repeats while regions are cut apart

Cause: the allowance is parted by the number of hosts that a host hears of; in a region that is cut off these are its own only. Ruled out: the part that goes by first sends (each host's own).

--- a/retrybudget/budget_test.go
+++ b/retrybudget/budget_test.go
@@ -133,3 +133,50 @@
 		}
 	}
 }
+
+// Regions that are cut from one another hear of their own hosts only. The hosts
+// of all together must not spend more than the allowance meanwhile, and a host
+// that really has fewer beside it gets its larger part after a while.
+func TestAllowanceWhileRegionsAreCut(t *testing.T) {
+	o := Options{Ratio: 0.2, Slack: 60, Window: 10 * time.Second}
+	const hosts, regions = 12, 3
+	at := time.Unix(0, 0)
+	var budgets []*Budget
+	for range hosts {
+		b := New(o, func() time.Time { return at })
+		b.SetHosts(hosts)
+		budgets = append(budgets, b)
+	}
+	spend := func() int {
+		n := 0
+		for _, b := range budgets {
+			for b.Repeat("s") {
+				n++
+			}
+		}
+		return n
+	}
+	steps := []struct {
+		name  string
+		after time.Duration
+		hosts int
+		least int
+		most  int
+	}{
+		{"all in touch", 0, hosts, 1, int(o.Slack)},
+		{"cut apart", 11 * time.Second, hosts / regions, 1, int(o.Slack)},
+		{"still cut apart", 11 * time.Second, hosts / regions, 1, int(o.Slack)},
+		{"in touch again", 11 * time.Second, hosts, 1, int(o.Slack)},
+		{"the others are gone", 11 * time.Second, hosts / regions, 1, int(o.Slack)},
+		{"and stay away", 2 * (5 * time.Minute), hosts / regions, int(o.Slack) + 1, regions * int(o.Slack)},
+	}
+	for _, s := range steps {
+		at = at.Add(s.after)
+		for _, b := range budgets {
+			b.SetHosts(s.hosts)
+		}
+		if got := spend(); got < s.least || got > s.most {
+			t.Errorf("%s: %d repeats, want %d to %d", s.name, got, s.least, s.most)
+		}
+	}
+}
