Benchmark of packing with the product's own routes

Cause: the benchmark used the platform's names of fields outside platform/, which the check of names refuses. Ruled out: nothing. Change: routes as the product encodes them. Figures: 1,400 routes: 350 KB, 30 KB packed, 1.5 ms; 12,600: 3.1 MB, 265 KB, 11 ms (358 KB, 29 KB and 1.6 ms in the other dialect before).

--- a/statefeed/feed_test.go
+++ b/statefeed/feed_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"wheelgauge"
 )
@@ -73,19 +75,32 @@
 	}
 }
 
+// routes is a configuration with random names.
+func routes(b *testing.B, count int) []byte {
+	b.Helper()
+	r := rand.New(rand.NewPCG(1, 2))
+	set := wheelgauge.RouteSet{Version: 1}
+	for n := range count {
+		set.Routes = append(set.Routes, wheelgauge.PathRoute{
+			Name: fmt.Sprintf("r-%07x", r.Uint32()>>4), Host: fmt.Sprintf("%x.example", r.Uint32N(1<<24)), Prefix: fmt.Sprintf("/%x/", r.Uint32()),
+			Kind: wheelgauge.RouteRepeatable, Timeout: 3 * time.Second, Objective: time.Second / 2, Priority: 2, Attempts: 2,
+			Shares: []wheelgauge.Share{{Service: fmt.Sprint("s-", n%5), Weight: 1}},
+		})
+	}
+	body, err := json.Marshal(set)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return body
+}
+
 // BenchmarkPack compresses configurations of routes as operators write them,
-// with random names. On one core of a build machine 1,400 routes of 358 KB take
-// a store 1.6 ms and travel as 29 KB, 12,600 of 3.2 MB take 15 ms and 264 KB.
+// with random names. On one core of a build machine 1,400 routes of 350 KB take
+// a store 1.5 ms and travel as 30 KB, 12,600 of 3.1 MB take 11 ms and 265 KB.
 func BenchmarkPack(b *testing.B) {
 	for _, count := range []int{1400, 4200, 12600} {
 		b.Run(fmt.Sprint(count, "_routes"), func(b *testing.B) {
-			r := rand.New(rand.NewPCG(1, 2))
-			var body []byte
-			for n := range count {
-				body = fmt.Appendf(body, `{"name":"r-%07x","hostname":"%x.example","path_prefix":"/%x/","route_kind":"idempotent","timeout_ms":3000,`+
-					`"target_latency_ms":500,"priority":2,"service_name":"s-%d","max_attempts":2,"session_affinity":false,"resumable":false,"home_regions":[]},`,
-					r.Uint32()>>4, r.Uint32N(1<<24), r.Uint32(), n%5)
-			}
+			body := routes(b, count)
 			size := 0
 			for b.Loop() {
 				data, err := compress(body)
