Part the allowance of repeats by the hosts there were before a cut

Ruled out: asking the stores how many hosts there ever were: hosts that are removed for good would keep their part. Change: a number of hosts that has become smaller holds after five minutes only.

--- a/retrybudget/budget.go
+++ b/retrybudget/budget.go
@@ -14,6 +14,10 @@
 	part = 0.7
 	// slackPart of the common allowance is shared among the hosts.
 	slackPart = 0.6
+	// fewerAfter is how long a number of hosts holds that has become smaller: the
+	// others may be cut off, and spend their parts of the allowance. Regions lose
+	// each other for minutes.
+	fewerAfter = 5 * time.Minute
 )
 
 // Options of a Budget.
@@ -31,6 +35,9 @@
 	options Options
 	mu      sync.Mutex
 	hosts   int
+	// before is the largest number of hosts until some time, from when on hosts holds.
+	before  int
+	until   time.Time
 	windows map[string]*window
 	began   time.Time
 	now     func() time.Time
@@ -41,13 +48,28 @@
 	return &Budget{options: o, hosts: 1, windows: map[string]*window{}, began: now(), now: now}
 }
 
-// SetHosts tells how many hosts share the allowance.
+// SetHosts tells how many hosts share the allowance. Fewer than before count
+// only after a while.
 func (b *Budget) SetHosts(n int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if was := b.sharing(); n < was {
+		b.before = was
+		if b.hosts == was {
+			b.until = b.now().Add(fewerAfter)
+		}
+	}
 	b.hosts = max(1, n)
 }
 
+// sharing returns how many hosts share the allowance now; the lock is held.
+func (b *Budget) sharing() int {
+	if b.now().Before(b.until) {
+		return max(b.hosts, b.before)
+	}
+	return b.hosts
+}
+
 // First counts a first send.
 func (b *Budget) First(service string) {
 	b.mu.Lock()
@@ -64,7 +86,7 @@
 	defer b.mu.Unlock()
 	w, at := b.window(service)
 	firsts, repeats := w.sums(at)
-	most := part*b.options.Ratio*float64(firsts) + slackPart*b.options.Slack/float64(b.hosts)
+	most := part*b.options.Ratio*float64(firsts) + slackPart*b.options.Slack/float64(b.sharing())
 	if float64(repeats+1) > most {
 		return false
 	}
--- a/retrybudget/budget_test.go
+++ b/retrybudget/budget_test.go
@@ -168,7 +168,7 @@
 		{"still cut apart", 11 * time.Second, hosts / regions, 1, int(o.Slack)},
 		{"in touch again", 11 * time.Second, hosts, 1, int(o.Slack)},
 		{"the others are gone", 11 * time.Second, hosts / regions, 1, int(o.Slack)},
-		{"and stay away", 2 * (5 * time.Minute), hosts / regions, int(o.Slack) + 1, regions * int(o.Slack)},
+		{"and stay away", 2 * fewerAfter, hosts / regions, int(o.Slack) + 1, regions * int(o.Slack)},
 	}
 	for _, s := range steps {
 		at = at.Add(s.after)
