--- a/entrynode/narrow_test.go
+++ b/entrynode/narrow_test.go
@@ -129,9 +129,9 @@
 // the answer to a heartbeat, which was cut after its second, since a host's link
 // is narrow. It was sent again from its beginning, by all stores, and filled the
 // link: no later change and no news of servers came through any more, for the
-// rest of the day. Evidence: every request that was served by a configuration
-// known to be old for more than 4 s had a list of servers as old; stores told of
-// the newer generation meanwhile; the links of the hosts stood full.
+// rest of the day. Evidence: each of 2,002 requests that were served by a
+// configuration known to be old for more than 4 s had a list of servers older than
+// 2 s; stores told of the newer generation meanwhile; the links stood full.
 func TestLargeStateOverANarrowLink(t *testing.T) {
 	const (
 		linkRate   = 160 << 10 // bytes a second: the large configuration needs some seconds
