--- a/beat/client.go
+++ b/beat/client.go
@@ -205,7 +205,7 @@
 
 // beat renders what a store is told; the lock is held.
 func (c *Client) beat(s *store) wheelgauge.Beat {
-	b := wheelgauge.Beat{Host: c.options.Self(), Primary: s.address == c.primary, Generation: c.lag.held.Generation, IntervalMS: c.interval(s).Milliseconds()}
+	b := wheelgauge.Beat{Host: c.options.Self(), Primary: s.address == c.primary, IntervalMS: c.interval(s).Milliseconds()}
 	uses, totals := c.options.Report()
 	b.Totals = totals
 	if b.Primary {
--- a/beat/client_test.go
+++ b/beat/client_test.go
@@ -153,20 +153,26 @@
 
 func startClient(t *testing.T, n *news, leaving *bool, seeds ...*standIn) *Client {
 	t.Helper()
-	var addresses []string
-	for _, s := range seeds {
-		addresses = append(addresses, s.http.Address())
-	}
 	var mu sync.Mutex
-	c := Start(Options{
+	return startWith(t, seeds, Options{
 		Self: func() wheelgauge.FleetHost {
 			mu.Lock()
 			defer mu.Unlock()
 			return wheelgauge.FleetHost{Name: "g", Region: "here", Leaving: leaving != nil && *leaving}
 		},
-		Report: func() ([]wheelgauge.ServerUse, []wheelgauge.ServiceUse) { return nil, nil },
-		Seeds:  addresses, Interval: interval, FarInterval: interval, Client: peerhttp.NewClient(nil, ""), News: n, Log: logr.Discard(),
+		FarInterval: interval, News: n, Log: logr.Discard(),
 	})
+}
+
+// startWith starts a client of stand-ins with what tests share.
+func startWith(t *testing.T, seeds []*standIn, o Options) *Client {
+	t.Helper()
+	for _, s := range seeds {
+		o.Seeds = append(o.Seeds, s.http.Address())
+	}
+	o.Report = func() ([]wheelgauge.ServerUse, []wheelgauge.ServiceUse) { return nil, nil }
+	o.Interval, o.Client = interval, peerhttp.NewClient(nil, "")
+	c := Start(o)
 	t.Cleanup(func() {
 		if err := c.Close(); err != nil {
 			t.Error(err)
@@ -253,23 +259,12 @@
 	var asked atomic.Int64
 	stores := []*standIn{newStore(t, "there", 3), newStore(t, "beyond", 3)}
 	n := &news{}
-	var addresses []string
-	for _, s := range stores {
-		addresses = append(addresses, s.http.Address())
-	}
-	c := Start(Options{
+	c := startWith(t, stores, Options{
 		Self: func() wheelgauge.FleetHost {
 			asked.Add(1)
 			return wheelgauge.FleetHost{Name: "g", Region: "here"}
 		},
-		Report: func() ([]wheelgauge.ServerUse, []wheelgauge.ServiceUse) { return nil, nil },
-		Seeds:  addresses, Interval: interval, FarInterval: time.Second, Client: peerhttp.NewClient(nil, ""), News: n,
-		Log: funcr.New(lines.note, funcr.Options{}),
-	})
-	t.Cleanup(func() {
-		if err := c.Close(); err != nil {
-			t.Error(err)
-		}
+		FarInterval: time.Second, News: n, Log: funcr.New(lines.note, funcr.Options{}),
 	})
 	waitFor(t, "news", func() bool { return n.primary() != "" && len(n.states()) > 0 })
 	for _, s := range stores {
--- a/beats.go
+++ b/beats.go
@@ -49,8 +49,6 @@
 	Primary bool `json:"primary,omitempty"`
 	// IntervalMS is when the next beat to this store comes, in ms.
 	IntervalMS int64 `json:"interval_ms"`
-	// Generation is that of the configuration held.
-	Generation uint64 `json:"generation"`
 	// Store, Hosts and Servers name the views held; see BeatAnswer.
 	Store   uint64 `json:"store,omitempty"`
 	Hosts   uint64 `json:"hosts,omitempty"`
--- a/confstore/entry_test.go
+++ b/confstore/entry_test.go
@@ -19,20 +19,26 @@
 		o:       Options{Decode: native.Decode, Halls: map[string]string{"n1": "north", "s1": "south", "w1": "west"}},
 		started: started, machine: configlog.New(), hosts: hosttable.New(time.Now),
 	}
-	body, err := json.Marshal(wheelgauge.RouteSet{Version: 1, Routes: []wheelgauge.PathRoute{{Host: "h", Prefix: "/", Homes: []string{"north"}}}})
+	putHomes(t, n, 1, "north")
+	for _, h := range hosts {
+		h.Ready = true
+		n.hosts.Take(wheelgauge.Beat{Host: h}, time.Hour)
+	}
+	return n
+}
+
+// putHomes applies a configuration of one route with homes.
+func putHomes(t *testing.T, n *Node, version uint64, homes ...string) {
+	t.Helper()
+	body, err := json.Marshal(wheelgauge.RouteSet{Version: version, Routes: []wheelgauge.PathRoute{{Host: "h", Prefix: "/", Homes: homes}}})
 	if err != nil {
 		t.Fatal(err)
 	}
-	command, err := json.Marshal(configlog.Command{Op: configlog.OpPut, Version: 1, Body: body})
+	command, err := json.Marshal(configlog.Command{Op: configlog.OpPut, Version: version, Body: body})
 	if err != nil {
 		t.Fatal(err)
 	}
-	n.machine.Apply(1, command)
-	for _, h := range hosts {
-		h.Ready = true
-		n.hosts.Take(wheelgauge.Beat{Host: h}, time.Hour)
-	}
-	return n
+	n.machine.Apply(version, command)
 }
 
 func TestEntryAddresses(t *testing.T) {
@@ -110,15 +116,7 @@
 		{3, []string{"west"}},
 	}
 	for _, v := range versions {
-		body, err := json.Marshal(wheelgauge.RouteSet{Version: v.version, Routes: []wheelgauge.PathRoute{{Host: "h", Prefix: "/", Homes: v.homes}}})
-		if err != nil {
-			t.Fatal(err)
-		}
-		command, err := json.Marshal(configlog.Command{Op: configlog.OpPut, Version: v.version, Body: body})
-		if err != nil {
-			t.Fatal(err)
-		}
-		n.machine.Apply(v.version, command)
+		putHomes(t, n, v.version, v.homes...)
 		for range 10 {
 			if got := n.homes("h"); !slices.Equal(got, v.homes) {
 				t.Errorf("version %d: homes %v, want %v", v.version, got, v.homes)
--- a/confstore/size_test.go
+++ b/confstore/size_test.go
@@ -33,7 +33,7 @@
 				Name: fmt.Sprintf("frontend-north-hall-%d", i), Region: regions[i%3], Hall: regions[i%3] + "-hall",
 				Caller: "10.1.0.17:8144", Peer: "10.1.0.17:7660", Boot: 1 << 60, Ready: true,
 			},
-			Primary: true, IntervalMS: 500, Generation: 40, Store: 1 << 60, Hosts: 20, Servers: 20,
+			Primary: true, IntervalMS: 500, Store: 1 << 60, Hosts: 20, Servers: 20,
 			Totals: []wheelgauge.ServiceUse{{Service: "lm", Running: 40, Tokens: 9000}},
 		}
 		// A host has work at some of the region's servers only.
