Know a server by its name and start; pass over list entries that name none

Cause: a server may start again under the name that it had, and entries of the list may come from another writer. Everything learned of a server was kept by its name alone: parts of prompts, failures, the mark that it is gone from its address, others' requests in flight, connections. One entry of another type, or bytes that are no JSON, lost the whole page, and with it the list.

Ruled out: asking each server for its start. Its answers to requests do not carry it, and reports are priced as probes; the list does not tell it on the users' sample either. So a start is also taken to be new where a warm server has become cold again: it is then not taken to hold anything.

Change: Server and ServerUse carry Born where the list tells it. A later start is a new entry with its own connections; an earlier one never replaces it; late answers and others' words of the earlier one are credited to nobody.

--- a/beats.go
+++ b/beats.go
@@ -20,7 +20,9 @@
 // ServerUse is what one host, or several together, have in flight at a server.
 type ServerUse struct {
 	Instance string `json:"i"`
-	Running  int    `json:"u"`
+	// Born tells the server's start, as in Server.
+	Born    int64 `json:"b,omitempty"`
+	Running int   `json:"u"`
 	// Tokens are those of prompts that wait for their first event.
 	Tokens int `json:"t,omitempty"`
 	// Work tells both by rank.
@@ -30,10 +32,17 @@
 	Lost int `json:"x,omitempty"`
 }
 
-// Plus adds what others have in flight at the server, and know of it.
+// Plus adds what others have in flight at the server, and know of it. Of two starts
+// of the server the later one counts alone.
 func (u ServerUse) Plus(v ServerUse) ServerUse {
+	switch {
+	case u.Born > v.Born:
+		return u
+	case u.Born < v.Born:
+		return v
+	}
 	return ServerUse{
-		Instance: v.Instance, Running: u.Running + v.Running, Tokens: u.Tokens + v.Tokens, Work: u.Work.Plus(v.Work),
+		Instance: v.Instance, Born: v.Born, Running: u.Running + v.Running, Tokens: u.Tokens + v.Tokens, Work: u.Work.Plus(v.Work),
 		Lost: u.Lost + v.Lost,
 	}
 }
--- a/confstore/node.go
+++ b/confstore/node.go
@@ -87,6 +87,9 @@
 
 	servers *serverlist.Table
 	members members
+	// foreign are the entries of each region's list that named no server at its last
+	// reading; only poll uses it.
+	foreign map[string]wheelgauge.ForeignEntries
 	// passing are the calls that tell other stores; told ends when no more begin.
 	passing sync.WaitGroup
 	told    chan error
@@ -98,6 +101,7 @@
 	n := &Node{
 		o: o, boot: uint64(time.Now().UnixNano()), started: time.Now(), machine: configlog.New(), hosts: hosttable.New(time.Now),
 		client: peerhttp.NewClient(nil, ""), meter: meter.New(), stop: stop, polled: make(chan error, 1), told: make(chan error, 1),
+		foreign: map[string]wheelgauge.ForeignEntries{},
 	}
 	n.client.Watch(n.meter.Call)
 	n.feed = statefeed.New(n.machine.State)
--- a/confstore/servers.go
+++ b/confstore/servers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -58,12 +59,13 @@
 	}
 	slices.Sort(halls)
 	asked := time.Now()
-	list, err := n.o.List.Servers(ctx, halls)
+	list, foreign, err := n.o.List.Servers(ctx, halls)
 	if err != nil {
 		n.meter.Count("list.failed")
 		n.o.Log.Info("List of servers is not read; the last one holds.", "region", region, "cause", err.Error())
 		return
 	}
+	n.noteForeign(region, foreign)
 	// Whoever gives the list may not part it by halls.
 	list = slices.DeleteFunc(list, func(s wheelgauge.Server) bool { return n.o.Halls[s.Hall] != region })
 	for i := range list {
@@ -116,3 +118,21 @@
 	}
 	return out
 }
+
+// noteForeign counts the entries that name no server, and writes a line when there are
+// others than at the last reading.
+func (n *Node) noteForeign(region string, foreign wheelgauge.ForeignEntries) {
+	for fault, count := range foreign {
+		n.meter.Gauge("list.foreign."+region+"."+string(fault), int64(count))
+	}
+	if maps.Equal(n.foreign[region], foreign) {
+		return
+	}
+	for fault := range n.foreign[region] {
+		if foreign[fault] == 0 {
+			n.meter.Gauge("list.foreign."+region+"."+string(fault), 0)
+		}
+	}
+	n.foreign[region] = foreign
+	n.o.Log.Info("Entries of the list name no server; the others hold.", "region", region, "entries", foreign)
+}
--- a/confstore/servers_test.go
+++ b/confstore/servers_test.go
@@ -53,7 +53,7 @@
 	reads map[string]int
 }
 
-func (l *countedList) Servers(_ context.Context, halls []string) ([]wheelgauge.Server, error) {
+func (l *countedList) Servers(_ context.Context, halls []string) ([]wheelgauge.Server, wheelgauge.ForeignEntries, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var out []wheelgauge.Server
@@ -61,7 +61,7 @@
 		l.reads[hall]++
 		out = append(out, wheelgauge.Server{Instance: "i-" + hall, Hall: hall})
 	}
-	return out, nil
+	return out, nil, nil
 }
 
 func (l *countedList) counts() map[string]int {
@@ -162,7 +162,9 @@
 
 // A store that is cut off from the others reads everything itself.
 func TestStaleListIsReadByWhoeverLacksIt(t *testing.T) {
-	n := &Node{o: Options{Peer: "b", Region: "north", PollEvery: time.Second}, servers: serverlist.New(1, time.Now), hosts: hosttable.New(time.Now)}
+	n := &Node{
+		o: Options{Peer: "b", Region: "north", PollEvery: time.Second}, servers: serverlist.New(1, time.Now), hosts: hosttable.New(time.Now),
+	}
 	n.takeNews(wheelgauge.StoreNews{Store: 2, Address: "a", Region: "south"})
 	tests := []struct {
 		region string
--- a/entrynode/narrow_test.go
+++ b/entrynode/narrow_test.go
@@ -50,10 +50,10 @@
 	list []wheelgauge.Server
 }
 
-func (s *servers) Servers(context.Context, []string) ([]wheelgauge.Server, error) {
+func (s *servers) Servers(context.Context, []string) ([]wheelgauge.Server, wheelgauge.ForeignEntries, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return slices.Clone(s.list), nil
+	return slices.Clone(s.list), nil, nil
 }
 
 func (s *servers) leave(n int) {
--- a/hosttable/table.go
+++ b/hosttable/table.go
@@ -180,8 +180,11 @@
 	for instance, sum := range t.sums.uses[region] {
 		// The host's own part is newer than the sum: never below nothing.
 		mine := own[instance]
+		if mine.Born != sum.Born {
+			mine = wheelgauge.ServerUse{} // of another start
+		}
 		u := wheelgauge.ServerUse{
-			Instance: instance, Running: max(0, sum.Running-mine.Running), Tokens: max(0, sum.Tokens-mine.Tokens), Work: sum.Work.Minus(mine.Work).Used(),
+			Instance: instance, Born: sum.Born, Running: max(0, sum.Running-mine.Running), Tokens: max(0, sum.Tokens-mine.Tokens), Work: sum.Work.Minus(mine.Work).Used(),
 			Lost: max(0, sum.Lost-mine.Lost),
 		}
 		if u.Told() {
--- a/native/servers.go
+++ b/native/servers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/url"
@@ -23,14 +24,27 @@
 }
 
 // Servers implements wheelgauge.ServerList.
-func (l *ServerList) Servers(ctx context.Context, halls []string) ([]wheelgauge.Server, error) {
+func (l *ServerList) Servers(ctx context.Context, halls []string) ([]wheelgauge.Server, wheelgauge.ForeignEntries, error) {
 	path := "/v1/servers"
 	if len(halls) > 0 {
 		path += "?halls=" + url.QueryEscape(strings.Join(halls, ","))
 	}
+	var entries []json.RawMessage
+	if err := l.client.Call(ctx, http.MethodGet, l.address, path, nil, &entries); err != nil {
+		return nil, nil, fmt.Errorf("list of servers: %w", err)
+	}
 	var out []wheelgauge.Server
-	if err := l.client.Call(ctx, http.MethodGet, l.address, path, nil, &out); err != nil {
-		return nil, fmt.Errorf("list of servers: %w", err)
+	foreign := wheelgauge.ForeignEntries{}
+	for _, entry := range entries {
+		var s wheelgauge.Server
+		switch err := json.Unmarshal(entry, &s); {
+		case err != nil:
+			foreign[wheelgauge.EntryOtherType]++
+		case s.Instance == "" || s.Service == "" || s.Address == "" || s.Hall == "":
+			foreign[wheelgauge.EntryMissing]++
+		default:
+			out = append(out, s)
+		}
 	}
-	return out, nil
+	return out, foreign, nil
 }
--- a/peerhttp/client.go
+++ b/peerhttp/client.go
@@ -2,6 +2,7 @@
 package peerhttp
 
 import (
+	"bytes"
 	"context"
 	"crypto/tls"
 	"encoding/json"
@@ -142,7 +143,7 @@
 func NeverRetry(*fasthttp.Request, int, error) (bool, bool) { return false, false }
 
 // Call sends in as JSON, unless it is nil, and decodes the answer into out,
-// unless that is nil. An error answer is returned as *wheelgauge.Error.
+// unless that is nil; a *[]byte takes it as it is. An error answer is returned as *wheelgauge.Error.
 // The deadline of ctx bounds the call.
 func (c *Client) Call(ctx context.Context, method, address, path string, in, out any) error {
 	return c.call(ctx, c.http, method, address, path, in, out)
@@ -197,7 +198,11 @@
 		}
 		return fault
 	}
-	if out == nil {
+	switch raw := out.(type) {
+	case nil:
+		return nil
+	case *[]byte:
+		*raw = bytes.Clone(resp.Body())
 		return nil
 	}
 	if err := json.Unmarshal(resp.Body(), out); err != nil {
--- a/routes.go
+++ b/routes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 )
 
@@ -55,13 +56,10 @@
 }
 
 // AllowedIn tells whether the route's requests may run in a region.
-func (r *PathRoute) AllowedIn(region string) bool {
-	for _, h := range r.Homes {
-		if h == region {
-			return true
-		}
-	}
-	return len(r.Homes) == 0
+func (r *PathRoute) AllowedIn(region string) bool { return allowed(r.Homes, region) }
+
+func allowed(homes []string, region string) bool {
+	return len(homes) == 0 || slices.Contains(homes, region)
 }
 
 // Service is a set of backend servers that answer the same requests.
@@ -98,11 +96,14 @@
 
 // Server is a backend server as the list of servers tells of it.
 type Server struct {
-	// Instance names one start of the server.
+	// Instance names the server; with Born, one start of it.
 	Instance string `json:"i"`
-	Service  string `json:"s"`
-	Address  string `json:"a"`
-	Hall     string `json:"h"`
+	// Born is the Unix millisecond of the start, by the server's clock; 0 where it is
+	// not told.
+	Born    int64  `json:"b,omitempty"`
+	Service string `json:"s"`
+	Address string `json:"a"`
+	Hall    string `json:"h"`
 	// Region is that of the hall; stores fill it in.
 	Region  string `json:"r,omitempty"`
 	Slots   int    `json:"n,omitempty"`
@@ -113,10 +114,25 @@
 
 // ServerList is the list of backend servers; it lags behind reality.
 type ServerList interface {
-	// Servers returns all servers of the halls, or of all halls when none is named.
-	Servers(ctx context.Context, halls []string) ([]Server, error)
+	// Servers returns all servers of the halls, or of all halls when none is named, and
+	// how many entries name none.
+	Servers(ctx context.Context, halls []string) ([]Server, ForeignEntries, error)
 }
 
+// EntryFault says why an entry of the list names no server.
+type EntryFault string
+
+// Faults of entries, which another writer may have put on the list.
+const (
+	EntryMissing      EntryFault = "missing"
+	EntryOtherType    EntryFault = "other-type"
+	EntryUnknownState EntryFault = "unknown-state"
+	EntryUnreadable   EntryFault = "unreadable"
+)
+
+// ForeignEntries counts the entries of the list that name no server.
+type ForeignEntries map[EntryFault]int
+
 // HeaderNames are the headers that callers, gateways and backend servers use in
 // one dialect. An empty name means that the dialect has no such header.
 type HeaderNames struct {
--- a/serverset/server.go
+++ b/serverset/server.go
@@ -113,7 +113,7 @@
 
 // use is what this host tells others of the server.
 func (s *Server) use(now time.Time) wheelgauge.ServerUse {
-	u := wheelgauge.ServerUse{Instance: s.spec.Instance, Running: s.running, Tokens: s.tokens, Work: s.work.Used()}
+	u := wheelgauge.ServerUse{Instance: s.spec.Instance, Born: s.spec.Born, Running: s.running, Tokens: s.tokens, Work: s.work.Used()}
 	if s.gone || now.Before(s.lostUntil) {
 		u.Lost = 1
 	}
@@ -147,3 +147,6 @@
 	}
 	return miss
 }
+
+// forget drops what the server's memory is taken to hold.
+func (s *Server) forget() { clear(s.cached) }
--- a/serverset/table.go
+++ b/serverset/table.go
@@ -118,9 +118,14 @@
 	for _, spec := range list {
 		seen[spec.Instance] = true
 		s := t.servers[spec.Instance]
-		if s == nil {
-			s = newServer(spec, t.conns(spec.Service))
-			t.servers[spec.Instance] = s
+		if s != nil && spec.Born < s.spec.Born {
+			continue // an older reading of the list: it names an earlier start
+		}
+		if s == nil || spec.Born > s.spec.Born {
+			s = t.started(s, spec)
+		}
+		if s.spec.Address == spec.Address && t.coldAgain(s, spec, asked) {
+			s.forget()
 		}
 		s.spec = spec
 		t.warm(s, asked)
@@ -134,6 +139,24 @@
 	t.arrange()
 }
 
+// started returns an entry for a new start of a server: whatever was learned of an
+// earlier one under the same name says nothing of it.
+func (t *Table) started(was *Server, spec wheelgauge.Server) *Server {
+	if was != nil {
+		was.pool.Close()
+	}
+	s := newServer(spec, t.conns(spec.Service))
+	t.servers[spec.Instance] = s
+	return s
+}
+
+// coldAgain tells whether a server that was warm, or nearly, has become cold: it may
+// have started again, also where the list does not tell starts.
+func (t *Table) coldAgain(s *Server, spec wheelgauge.Server, asked time.Time) bool {
+	until := asked.Add(time.Duration(spec.ColdMS) * time.Millisecond)
+	return spec.ColdMS > 0 && until.After(s.coldUntil.Add(coldMargin))
+}
+
 // warm takes over how long a server stays cold, unless the list is older than
 // the hall's return.
 func (t *Table) warm(s *Server, asked time.Time) {
@@ -223,8 +246,8 @@
 	}
 	for _, u := range uses {
 		s := t.servers[u.Instance]
-		if s == nil {
-			continue
+		if s == nil || u.Born != s.spec.Born {
+			continue // of an earlier start, or of one that is not listed yet
 		}
 		if !s.reportedLately(now) {
 			s.others = u
