Let callers in by keys of workspaces; homes and priority of workspaces bind

Ruled out: a look-up at a store for each request (a store may be cut off; the configuration is at every host anyway). Overriding the route's priority by the workspace's: requests of one workspace would lose their order, so both count, the workspace's first. A 401 from a host that may hold an old configuration: callers never come back after one.

Change: RouteSet has workspaces (name, keys, priority, cap, homes), routes may be open to callers without a key. The host that a caller comes to finds the workspace by one look-up, drops the key, and names the workspace to servers and, in a header of the peers' listener, to a gateway of another region, which refuses a workspace it does not know as not run. Unknown, empty or doubled keys are 401; 503 where the configuration was not known to be the newest within a second, by a store that is in touch with the others. Homes of route and workspace both bind, also for memory fetched from other regions (the route's did not); none in common is 421, not run. Invalid configurations are named without their keys.

--- a/beat/client.go
+++ b/beat/client.go
@@ -319,7 +319,8 @@
 func (c *Client) tell(b wheelgauge.Beat, a wheelgauge.BeatAnswer, asked time.Time) {
 	n := c.options.News
 	n.Reached(a.Region, time.Since(asked))
-	if c.current() {
+	// A store that is cut off from the others does not know of what is newer.
+	if a.InTouch && c.current() {
 		n.SameState()
 	}
 	if !b.Primary {
--- a/message.go
+++ b/message.go
@@ -18,6 +18,8 @@
 	HeaderClass         = "Wheelgauge-Class"
 	HeaderHome          = "Wheelgauge-Home"
 	HeaderPriority      = "Wheelgauge-Priority"
+	// HeaderWorkspace names the workspace of a forwarded request.
+	HeaderWorkspace = "Wheelgauge-Workspace"
 	// HeaderSends tells a gateway that forwarded a request how many servers it
 	// was sent to.
 	HeaderSends = "Wheelgauge-Sends"
--- a/native/headers.go
+++ b/native/headers.go
@@ -19,5 +19,7 @@
 		Fetch:     "Wheelgauge-Cache-From",
 		Priority:  wheelgauge.HeaderPriority,
 		LastEvent: "Last-Event-Id",
+		Key:       "Wheelgauge-Key",
+		Workspace: wheelgauge.HeaderWorkspace,
 	}
 }
--- a/routegate/call.go
+++ b/routegate/call.go
@@ -40,9 +40,13 @@
 
 // call is one request on its way through the gate.
 type call struct {
-	gate      *Gate
-	request   *callerhttp.Request
-	route     *wheelgauge.PathRoute
+	gate    *Gate
+	request *callerhttp.Request
+	route   *wheelgauge.PathRoute
+	// workspace is nil for a request without one.
+	workspace *wheelgauge.Workspace
+	// rank orders the request in engines, 0 first.
+	rank      int
 	service   string
 	id        string
 	prompt    prompt.Prompt
@@ -203,7 +207,7 @@
 	if good && c.sends < 2 && g.sampled.Add(1)%successSample != 0 {
 		return
 	}
-	g.options.Log.Info("Request ends.", "id", c.id, "route", name, "version", c.version,
+	g.options.Log.Info("Request ends.", "id", c.id, "route", name, "workspace", c.workspaceName(), "version", c.version,
 		"state_age_ms", g.stateAge().Milliseconds(), "list_age_ms", g.options.Servers.ListAge().Milliseconds(), "status", c.status, "cause", c.cause,
 		"servers", strings.Join(c.tried, " "), "peers", strings.Join(c.away, " "), "runs", c.runs, "forwarded", c.forwarded,
 		"predicted_ms", c.wait.Milliseconds(), "first_ms", c.first.Milliseconds(), "ms", took.Milliseconds(),
--- a/routegate/dispatch.go
+++ b/routegate/dispatch.go
@@ -17,9 +17,6 @@
 	"wheelgauge/serverset"
 )
 
-// lowestPriority is the last rank that engines know.
-const lowestPriority = 9
-
 // exchange is one dispatch on one connection.
 type exchange struct {
 	call *call
@@ -51,7 +48,10 @@
 	set := [][2]string{
 		{n.Deadline, left(c.deadline)},
 		{n.Target, s.Instance()},
-		{n.Priority, strconv.Itoa(min(c.route.Priority, lowestPriority))},
+		{n.Priority, strconv.Itoa(c.rank)},
+	}
+	if c.workspace != nil {
+		set = append(set, [2]string{n.Workspace, c.workspace.Name})
 	}
 	if from := k.Source(); from != "" {
 		set = append(set, [2]string{n.Fetch, from})
@@ -139,10 +139,14 @@
 	x := &exchange{call: c, conn: conn, pool: p.Pool()}
 	defer x.release()
 	defer context.AfterFunc(ctx, conn.Abort)()
-	head := c.head([][2]string{
+	set := [][2]string{
 		{c.gate.options.Names.Deadline, left(c.deadline)},
 		{wheelgauge.HeaderForwardedFrom, c.gate.options.Region},
-	})
+	}
+	if c.workspace != nil {
+		set = append(set, [2]string{wheelgauge.HeaderWorkspace, c.workspace.Name})
+	}
+	head := c.head(set)
 	c.runs++
 	if err := x.roundTrip(head); err != nil {
 		c.cause = err.Error()
--- a/routegate/gate.go
+++ b/routegate/gate.go
@@ -192,6 +192,13 @@
 	if c.route == nil {
 		return refusal(wheelgauge.ReasonNotFound, http.StatusNotFound, "no route for this host and path")
 	}
+	if fault := g.identify(c, t); fault != nil {
+		return fault
+	}
+	c.rank = t.Rank(c.workspace, c.route)
+	if c.homeless() {
+		return refusal(wheelgauge.ReasonResidency, http.StatusMisdirectedRequest, "route and workspace have no home in common")
+	}
 	if g.tooLong(c.route.Name, c.route.Timeout, 0) {
 		return leavingRefusal()
 	}
--- a/routegate/headers.go
+++ b/routegate/headers.go
@@ -20,7 +20,7 @@
 // reservedNames are the headers that are dropped from requests and set anew.
 func reservedNames(n wheelgauge.HeaderNames) map[string]bool {
 	out := map[string]bool{}
-	for _, name := range append([]string{n.Deadline, n.Target, n.Priority, n.Fetch, wheelgauge.HeaderForwardedFrom}, n.Reserved...) {
+	for _, name := range append([]string{n.Deadline, n.Target, n.Priority, n.Fetch, n.Key, n.Workspace, wheelgauge.HeaderForwardedFrom, wheelgauge.HeaderWorkspace}, n.Reserved...) {
 		if name != "" {
 			out[strings.ToLower(name)] = true
 		}
--- /dev/null
+++ b/routegate/identify.go
@@ -0,0 +1,100 @@
+package routegate
+
+import (
+	"bytes"
+	"net/http"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"wheelgauge"
+	"wheelgauge/routetable"
+)
+
+const (
+	// knownFresh is how long ago the configuration must have been known to be the
+	// newest for an unknown key to be refused for good: some heartbeats, so that a host
+	// which is cut off, or has just started, sends callers on. They do not come back
+	// after a 401.
+	knownFresh = time.Second
+	// unsureRetry is when a caller comes back whose key may be newer than the
+	// configuration here: one heartbeat and a fetch.
+	unsureRetry = 300 * time.Millisecond
+)
+
+// identify finds the workspace of a request, or says why it is refused.
+func (g *Gate) identify(c *call, t *routetable.Table) *wheelgauge.Error {
+	if c.forwarded {
+		return g.identifyForwarded(c, t)
+	}
+	if !t.KeysNeeded() {
+		return nil
+	}
+	key, count := g.key(c.request.Header())
+	if count == 0 && c.route.Open {
+		return nil
+	}
+	if count == 1 {
+		c.workspace = t.ByKey(key)
+	}
+	if c.workspace != nil {
+		return nil
+	}
+	if age := g.stateAge(); age < 0 || age > knownFresh {
+		return refusal(wheelgauge.ReasonNoConfiguration, http.StatusServiceUnavailable, "this key may be newer than the configuration here").WithRetryAfter(unsureRetry)
+	}
+	return refusal(wheelgauge.ReasonUnauthorized, http.StatusUnauthorized, "no workspace has this key")
+}
+
+// identifyForwarded takes the word of the host that the caller came to. A workspace
+// that is not known here may have homes that are not known either.
+func (g *Gate) identifyForwarded(c *call, t *routetable.Table) *wheelgauge.Error {
+	name := string(c.request.Header().Peek(wheelgauge.HeaderWorkspace))
+	if name == "" {
+		return nil
+	}
+	if c.workspace = t.Workspace(name); c.workspace == nil {
+		return refusal(wheelgauge.ReasonNoConfiguration, http.StatusServiceUnavailable, "no workspace of this name is known here").WithRetryAfter(unsureRetry)
+	}
+	return nil
+}
+
+// key returns the caller's key and how many it sent.
+func (g *Gate) key(h *fasthttp.RequestHeader) (key []byte, count int) {
+	name := g.options.Names.Key
+	for n, value := range h.All() {
+		if len(n) == len(name) && bytes.EqualFold(n, []byte(name)) {
+			key = value
+			count++
+		}
+	}
+	return key, count
+}
+
+// allowedIn tells whether the request may run in a region: homes of the route and of
+// the workspace both bind.
+func (c *call) allowedIn(region string) bool {
+	return c.route.AllowedIn(region) && c.workspace.AllowedIn(region)
+}
+
+// homeless tells whether the request may run nowhere: its route and its workspace have
+// no home in common.
+func (c *call) homeless() bool {
+	if c.workspace == nil || len(c.route.Homes) == 0 || len(c.workspace.Homes) == 0 {
+		return false
+	}
+	for _, home := range c.route.Homes {
+		if c.workspace.AllowedIn(home) {
+			return false
+		}
+	}
+	return true
+}
+
+// workspaceName is empty for a request without one.
+func (c *call) workspaceName() string {
+	if c.workspace == nil {
+		return ""
+	}
+	return c.workspace.Name
+}
--- a/routegate/place.go
+++ b/routegate/place.go
@@ -69,7 +69,7 @@
 
 // peer chooses a gateway of another region; nil when none takes work.
 func (c *call) peer(region string) *peerset.Peer {
-	return c.gate.options.Peers.Choose(region, c.service, c.route.Priority, c.prompt.Tokens(), c.away)
+	return c.gate.options.Peers.Choose(region, c.service, c.rank, c.prompt.Tokens(), c.away)
 }
 
 // elsewhere returns the other region that offers the most, and what. For a
@@ -86,14 +86,14 @@
 // may take the request.
 func (c *call) predict() (e serverset.Estimate, ok bool) {
 	o := c.gate.options
-	if !c.route.AllowedIn(o.Region) {
+	if !c.allowedIn(o.Region) {
 		return e, false
 	}
 	return o.Servers.Predict(c.job())
 }
 
 func (c *call) job() serverset.Job {
-	return serverset.NewJob(c.service, c.prompt, c.route.Priority, c.tried)
+	return serverset.NewJob(c.service, c.prompt, c.rank, c.tried).Within(c.allowedIn)
 }
 
 // excess is how much longer than predicted a request would wait here than
@@ -133,7 +133,7 @@
 	}
 	o := c.gate.options
 	for _, region := range regions(c.service) {
-		if !c.route.AllowedIn(region) {
+		if !c.allowedIn(region) {
 			continue
 		}
 		e := c.predictAt(o.Peers.Load(region, c.service)).Over(o.Peers.Way(region))
@@ -150,5 +150,5 @@
 	if s == nil {
 		return serverset.Estimate{}
 	}
-	return c.gate.options.Servers.PredictAt(*s, u, c.prompt, c.route.Priority)
+	return c.gate.options.Servers.PredictAt(*s, u, c.prompt, c.rank)
 }
--- a/routes.go
+++ b/routes.go
@@ -48,6 +48,8 @@
 	Resumable bool `json:"resumable"`
 	// Homes are the only regions that may run or relay a request; empty means all.
 	Homes []string `json:"homes,omitempty"`
+	// Open lets callers without a key of a workspace in.
+	Open bool `json:"open,omitempty"`
 }
 
 // Repeatable tells whether a request may run more than once.
@@ -88,6 +90,8 @@
 	Routes   []PathRoute `json:"routes"`
 	Services []Service   `json:"services"`
 	Limits   Limits      `json:"limits"`
+	// Workspaces are those whose keys are let in; without any, callers need no key.
+	Workspaces []Workspace `json:"workspaces,omitempty"`
 }
 
 // RouteDecoder reads a whole configuration in an operator's form. Its error
@@ -144,6 +148,10 @@
 	Target string
 	// NotRun marks a server's answer that says the request did not run.
 	NotRun string
+	// Key is the caller's proof that it belongs to a workspace; no server is shown it.
+	Key string
+	// Workspace names the workspace to servers.
+	Workspace string
 	// Signature proves that a server made the answer; every success has one.
 	Signature string
 	// Load is "running,waiting,slots" of the answering server.
--- a/routetable/check.go
+++ b/routetable/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strings"
 
 	"wheelgauge"
@@ -32,9 +33,57 @@
 		}
 		places[place] = r.Name
 	}
+	return checkWorkspaces(set.Workspaces)
+}
+
+// checkWorkspaces never puts a key into its error: that is logged and answered.
+func checkWorkspaces(list []wheelgauge.Workspace) error {
+	names, keys := map[string]bool{}, map[string]string{}
+	for i := range list {
+		w := &list[i]
+		switch {
+		case w.Name == "":
+			return fmt.Errorf("workspace %d: a name is missing", i)
+		case names[w.Name]:
+			return fmt.Errorf("workspace %s: stands twice", w.Name)
+		}
+		names[w.Name] = true
+		if err := checkCap(w.Cap); err != nil {
+			return fmt.Errorf("workspace %s: %w", w.Name, err)
+		}
+		if w.Priority < 0 {
+			return fmt.Errorf("workspace %s: priority: expected 0 or more", w.Name)
+		}
+		for n, key := range w.Keys {
+			if key == "" {
+				return fmt.Errorf("workspace %s: key %d: is empty", w.Name, n)
+			}
+			if other, ok := keys[key]; ok && other != w.Name {
+				return fmt.Errorf("workspace %s: key %d: workspace %s has the same", w.Name, n, other)
+			}
+			keys[key] = w.Name
+		}
+	}
 	return nil
 }
 
+func checkCap(c wheelgauge.Cap) error {
+	figures := []struct {
+		name  string
+		value float64
+	}{{"rate", c.Rate}, {"burst", c.Burst}, {"plain tokens", c.Plain}}
+	for _, f := range figures {
+		if f.value < 0 || math.IsNaN(f.value) || math.IsInf(f.value, 0) {
+			return fmt.Errorf("%s: expected 0 or more", f.name)
+		}
+	}
+	switch c.Unit {
+	case "", wheelgauge.CapRequests, wheelgauge.CapTokens:
+		return nil
+	}
+	return fmt.Errorf("unit: got %q, which is not known", c.Unit)
+}
+
 func checkRoute(r *wheelgauge.PathRoute, services map[string]bool) error {
 	if r.Host == "" {
 		return fmt.Errorf("host name: missing")
--- a/routetable/table.go
+++ b/routetable/table.go
@@ -16,11 +16,18 @@
 	set      *wheelgauge.RouteSet
 	hosts    map[string][]*wheelgauge.PathRoute
 	services map[string]*wheelgauge.Service
+	// keys and workspaces lead to a workspace by key and by name.
+	keys       map[string]*wheelgauge.Workspace
+	workspaces map[string]*wheelgauge.Workspace
+	ranks      ranks
 }
 
 // New arranges a checked configuration for look-ups.
 func New(set *wheelgauge.RouteSet) *Table {
-	t := &Table{set: set, hosts: map[string][]*wheelgauge.PathRoute{}, services: map[string]*wheelgauge.Service{}}
+	t := &Table{
+		set: set, hosts: map[string][]*wheelgauge.PathRoute{}, services: map[string]*wheelgauge.Service{},
+		keys: map[string]*wheelgauge.Workspace{}, workspaces: map[string]*wheelgauge.Workspace{}, ranks: newRanks(set),
+	}
 	for i := range set.Routes {
 		r := &set.Routes[i]
 		host := strings.ToLower(r.Host)
@@ -32,9 +39,28 @@
 	for i := range set.Services {
 		t.services[set.Services[i].Name] = &set.Services[i]
 	}
+	for i := range set.Workspaces {
+		w := &set.Workspaces[i]
+		t.workspaces[w.Name] = w
+		for _, key := range w.Keys {
+			t.keys[key] = w
+		}
+	}
 	return t
 }
 
+// KeysNeeded tells whether callers need a key: there are workspaces.
+func (t *Table) KeysNeeded() bool { return len(t.workspaces) > 0 }
+
+// ByKey returns the workspace that a key belongs to; nil when there is none.
+func (t *Table) ByKey(key []byte) *wheelgauge.Workspace { return t.keys[string(key)] }
+
+// Workspace returns a workspace by name; nil when there is none.
+func (t *Table) Workspace(name string) *wheelgauge.Workspace { return t.workspaces[name] }
+
+// Workspaces returns all workspaces; the list must not be changed.
+func (t *Table) Workspaces() []wheelgauge.Workspace { return t.set.Workspaces }
+
 // Version returns the operator's version number.
 func (t *Table) Version() uint64 { return t.set.Version }
 
--- a/serverset/holders.go
+++ b/serverset/holders.go
@@ -48,7 +48,8 @@
 // source finds a server that holds the prompt's shared parts, for one that may
 // not: the one that used them last, else the subject's home, and for the home itself
 // that of the busiest other region. Parts that are gone there are read as ever.
-func (t *Table) source(chosen *Server, c candidates, p prompt.Prompt, now time.Time) string {
+func (t *Table) source(chosen *Server, c candidates, j Job, now time.Time) string {
+	p := j.prompt
 	if chosen.holds(p, now, heldFor) || p.SharedTokens() < leastFetched {
 		return ""
 	}
@@ -58,12 +59,12 @@
 	case c.home != nil && c.home != chosen:
 		return c.home.spec.Address
 	}
-	return t.awayHolder(chosen.spec.Service, p)
+	return t.awayHolder(chosen.spec.Service, j)
 }
 
 // awayHolder returns the subject's home in the busiest other region.
-func (t *Table) awayHolder(service string, p prompt.Prompt) string {
-	if t.busy == "" {
+func (t *Table) awayHolder(service string, j Job) string {
+	if t.busy == "" || j.within != nil && !j.within(t.busy) {
 		return ""
 	}
 	best, top := "", uint64(0)
@@ -71,7 +72,7 @@
 		if h.service != service || h.region != t.busy {
 			continue
 		}
-		if score := rendezvous.Score(p.Subject(), h.hash); best == "" || score > top {
+		if score := rendezvous.Score(j.prompt.Subject(), h.hash); best == "" || score > top {
 			best, top = h.address, score
 		}
 	}
--- a/serverset/job.go
+++ b/serverset/job.go
@@ -8,6 +8,8 @@
 	prompt  prompt.Prompt
 	rank    int
 	tried   []string
+	// within tells in which regions the request may run; all when nil.
+	within func(region string) bool
 }
 
 // NewJob returns a job of a rank, 0 the most urgent, for a service. It goes to
@@ -15,3 +17,9 @@
 func NewJob(service string, p prompt.Prompt, rank int, tried []string) Job {
 	return Job{service: service, prompt: p, rank: rank, tried: tried}
 }
+
+// Within returns the job bound to regions: what other ones hold is not fetched.
+func (j Job) Within(allowed func(region string) bool) Job {
+	j.within = allowed
+	return j
+}
--- a/serverset/pick.go
+++ b/serverset/pick.go
@@ -69,7 +69,7 @@
 		return nil
 	}
 	k := &Pick{table: t, server: s, prompt: p, rank: j.rank, tokens: s.missing(p, s == from.home), wait: duration(c.wait), sent: now}
-	k.source = t.source(s, from, p, now)
+	k.source = t.source(s, from, j, now)
 	k.load = Load{running: s.inFlight(), tokens: s.tokens + s.others.Tokens, age: now.Sub(s.othersAt)}
 	s.running++
 	s.tokens += k.tokens
