--- a/beat/client.go
+++ b/beat/client.go
@@ -340,6 +340,30 @@
 	n.Regions(a.Regions, a.Partial)
 }
 
+// Stores returns the stores that answer, the best first.
+func (c *Client) Stores() []wheelgauge.StoreAt {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	self := c.options.Self()
+	out := make([]wheelgauge.StoreAt, 0, len(c.stores))
+	ranks := make([]int, 0, len(c.stores))
+	for _, s := range c.stores {
+		rank := c.rank(s, self)
+		if rank < 0 {
+			continue
+		}
+		// Among equals the primary: it knows best what this host has in flight.
+		rank *= 2
+		if s.address == c.primary {
+			rank++
+		}
+		at, _ := slices.BinarySearchFunc(ranks, rank, func(have, rank int) int { return rank - have })
+		ranks = slices.Insert(ranks, at, rank)
+		out = slices.Insert(out, at, wheelgauge.StoreAt{Address: s.address, Near: s.region == self.Region})
+	}
+	return out
+}
+
 // choosePrimary prefers a store that answers, is in touch with the others, and
 // is near; the lock is held.
 func (c *Client) choosePrimary() {
--- a/beats.go
+++ b/beats.go
@@ -204,10 +204,12 @@
 	Loads   []RegionLoad `json:"loads,omitempty"`
 	// Uses are told to stores of the same region only.
 	Uses []ServerUse `json:"uses,omitempty"`
+	Caps CapNews     `json:"caps,omitzero"`
 }
 
-// StoreNewsAnswer says which parts were not understood.
+// StoreNewsAnswer says which parts were not understood, and lends parts of caps.
 type StoreNewsAnswer struct {
+	Caps CapSheet `json:"caps,omitzero"`
 	// Missing are the regions whose parts must be sent whole.
 	Missing []string `json:"missing,omitempty"`
 }
--- /dev/null
+++ b/capbank/bank_test.go
@@ -0,0 +1,311 @@
+package capbank
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"wheelgauge"
+)
+
+const (
+	testWindow  = 8 * time.Second
+	testOverage = 0.1
+	testSlack   = 140000
+)
+
+// clock is a time that a test sets.
+type clock struct{ at time.Time }
+
+func (c *clock) now() time.Time       { return c.at }
+func (c *clock) pass(d time.Duration) { c.at = c.at.Add(d) }
+func newClock() *clock                { return &clock{at: time.Unix(1000, 0)} }
+func (c *clock) bank(self string, boot uint64, members []string) *Bank {
+	return c.bankOf(self, boot, members, testSlack)
+}
+
+func (c *clock) bankOf(self string, boot uint64, members []string, slack float64) *Bank {
+	b := New(Options{Self: self, Boot: boot, Window: testWindow, Overage: testOverage, Slack: slack, Now: c.now})
+	b.SetMembers(members)
+	b.SetCaps(caps())
+	return b
+}
+
+func caps() []wheelgauge.Workspace {
+	return []wheelgauge.Workspace{
+		{Name: "w", Cap: wheelgauge.Cap{Rate: 1e6, Burst: 1e6, Unit: wheelgauge.CapTokens}},
+		{Name: "free"},
+		{Name: "tiny", Cap: wheelgauge.Cap{Rate: 2, Burst: 2}},
+	}
+}
+
+// tell carries one store's news to another, and its answer back.
+func tell(c *clock, from, to *Bank, boot uint64) wheelgauge.CapSheet {
+	sent := c.now()
+	sheet := to.Lend(from.o.Self, boot, from.News(to.o.Self))
+	from.Borrow(to.o.Self, sent, sheet)
+	return sheet
+}
+
+func share(b *Bank) float64 { return shareOf(b, "w") }
+
+func shareOf(b *Bank, workspace string) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.count(b.o.Now())
+	return b.accounts[workspace].share
+}
+
+func ask(b *Bank, units float64) wheelgauge.CapGrant { return askOf(b, "w", units) }
+
+func askOf(b *Bank, workspace string, units float64) wheelgauge.CapGrant {
+	return b.Draw(wheelgauge.CapAsk{Host: "h", Boot: 1, Wants: []wheelgauge.CapWant{{Workspace: workspace, Units: units}}}).Grants[0]
+}
+
+// A cap of two requests a second is served through any of five stores: it is not parted
+// into parts that no request fits in.
+func TestTinyCap(t *testing.T) {
+	c := newClock()
+	members := []string{"a", "b", "c", "d", "e"}
+	var banks []*Bank
+	for _, m := range members {
+		banks = append(banks, c.bankOf(m, 1, members, 0))
+	}
+	granted := 0
+	for range 200 {
+		for i, from := range banks {
+			for j, to := range banks {
+				if i != j {
+					tell(c, from, to, 1)
+				}
+			}
+		}
+		c.pass(200 * time.Millisecond)
+		for _, bank := range banks {
+			bank.Seen("h", 1)
+		}
+		b := banks[granted%len(banks)]
+		g := askOf(b, "tiny", 1)
+		for _, other := range banks {
+			if !g.Granted && other.o.Self == g.Elsewhere {
+				g = other.Draw(wheelgauge.CapAsk{Host: "h", Moved: true, Wants: []wheelgauge.CapWant{{Workspace: "tiny", Units: 1}}}).Grants[0]
+			}
+		}
+		if g.Granted {
+			granted++
+		}
+	}
+	// 40 s at 2 a second; what is asked is 5 a second.
+	if granted < 60 || granted > 92 {
+		t.Errorf("%d of 40 s at 2 a second were let through", granted)
+	}
+}
+
+// Parts of all stores never add up to more than the cap, whatever news are lost, and
+// however often stores start again: 3 to 6 stores by 400 seeds.
+func TestSharesNeverAddUpToMore(t *testing.T) {
+	for seed := range uint64(400) {
+		r, c := rand.New(rand.NewPCG(seed, 7)), newClock()
+		var members []string
+		for i := range 3 + int(seed%4) {
+			members = append(members, fmt.Sprint("s", i))
+		}
+		var banks []*Bank
+		boots := make([]uint64, len(members))
+		for i, m := range members {
+			boots[i] = 1
+			banks = append(banks, c.bank(m, 1, members))
+		}
+		for step := range 300 {
+			c.pass(time.Duration(r.IntN(300)) * time.Millisecond)
+			i, j := r.IntN(len(banks)), r.IntN(len(banks))
+			switch {
+			case i == j && r.IntN(4) == 0:
+				boots[i]++
+				banks[i] = c.bank(members[i], boots[i], members)
+			case i == j:
+				ask(banks[i], 1e5*r.Float64())
+				askOf(banks[i], "tiny", 1)
+			case r.IntN(4) == 0: // the answer is lost
+				banks[j].Lend(members[i], boots[i], banks[i].News(members[j]))
+			default:
+				tell(c, banks[i], banks[j], boots[i])
+			}
+			for _, w := range []string{"w", "tiny"} {
+				sum := 0.0
+				for _, b := range banks {
+					sum += shareOf(b, w)
+				}
+				if sum > 1.0001 {
+					t.Fatalf("seed %d, step %d: parts of %s add up to %.3f", seed, step, w, sum)
+				}
+			}
+		}
+	}
+}
+
+// What one store's hosts ask for comes to it, and stays while the others are cut off,
+// but no longer than it was lent.
+func TestPartsFollowWhatIsAsked(t *testing.T) {
+	c := newClock()
+	members := []string{"a", "b"}
+	a, b := c.bank("a", 1, members), c.bank("b", 1, members)
+	exchange := func() {
+		tell(c, a, b, 1)
+		tell(c, b, a, 1)
+	}
+	exchange()
+	exchange()
+	if got := share(a); got != 0.5 {
+		t.Fatalf("before anything is asked: %.2f", got)
+	}
+	for range 20 {
+		c.pass(200 * time.Millisecond)
+		ask(a, 1e5)
+		exchange()
+	}
+	if got := share(a); got < 0.85 {
+		t.Errorf("the only one whose hosts ask has %.2f", got)
+	}
+	c.pass(leaseTime - time.Second)
+	if got := share(a); got < 0.85 {
+		t.Errorf("cut off for a while, it has %.2f", got)
+	}
+	if got := share(b); got > 0.15 {
+		t.Errorf("the lender uses %.2f of what it has lent", got)
+	}
+	c.pass(2 * time.Second)
+	if x, y := share(a), share(b); x != 0.5 || y != 0.5 {
+		t.Errorf("once that has lapsed they have %.2f and %.2f", x, y)
+	}
+}
+
+// A store that starts again does not know what it lent: it uses nothing until the others
+// go by its new sheets.
+func TestRestartedStoreWaitsForTheOthers(t *testing.T) {
+	c := newClock()
+	members := []string{"a", "b", "c"}
+	a, b, third := c.bank("a", 1, members), c.bank("b", 1, members), c.bank("c", 1, members)
+	if share(a) != 0 {
+		t.Fatal("a store that has just started uses its part")
+	}
+	for range 2 {
+		tell(c, b, a, 1)
+		tell(c, third, a, 1)
+	}
+	if share(a) == 0 {
+		t.Fatal("a store that all others have answered uses nothing")
+	}
+	a = c.bank("a", 2, members)
+	tell(c, b, a, 1)
+	tell(c, b, a, 1)
+	if share(a) != 0 {
+		t.Error("one of the others may still go by what was lent before")
+	}
+	c.pass(leaseTime + time.Second)
+	if share(a) == 0 {
+		t.Error("what was lent before has lapsed")
+	}
+}
+
+// Hosts that are silent may go on alone; what they may send is taken off, until they
+// are heard of again, start anew, or it has lapsed.
+func TestSilentHosts(t *testing.T) {
+	tests := []struct {
+		name  string
+		after func(b *Bank, c *clock)
+		less  bool
+	}{
+		{"heard of", func(b *Bank, _ *clock) { b.Seen("h", 1) }, false},
+		{"silent", func(*Bank, *clock) {}, true},
+		{"started anew", func(b *Bank, _ *clock) { b.Seen("h", 2) }, false},
+		{"lapsed", func(_ *Bank, c *clock) { c.pass(aloneTime) }, false},
+	}
+	for _, tt := range tests {
+		c := newClock()
+		b := c.bank("a", 1, []string{"a"})
+		whole := share(b)
+		g := ask(b, 1)
+		if g.Alone <= 0 || g.AloneMS <= 0 {
+			t.Fatalf("a host is told nothing of what it may do alone: %+v", g)
+		}
+		c.pass(hostSilent + time.Millisecond)
+		tt.after(b, c)
+		if got := share(b); (got < whole) != tt.less {
+			t.Errorf("%s: part %.2f of %.2f", tt.name, got, whole)
+		}
+	}
+}
+
+func TestDraw(t *testing.T) {
+	c := newClock()
+	b := c.bank("a", 1, []string{"a"})
+	c.pass(time.Minute)
+	if g := b.Draw(wheelgauge.CapAsk{Host: "h", Wants: []wheelgauge.CapWant{{Workspace: "free", Units: 1e12}}}).Grants[0]; !g.Granted {
+		t.Error("a workspace without a cap is refused")
+	}
+	sum, refused := 0.0, 0
+	for range 1000 {
+		if g := ask(b, 5000); g.Granted {
+			sum += 5000
+		} else {
+			refused++
+			if g.AfterMS < soonest.Milliseconds() || g.AfterMS > latest.Milliseconds() {
+				t.Fatalf("come back in %d ms", g.AfterMS)
+			}
+		}
+	}
+	most := 1e6*(1+testOverage) + testOverage*8e6 + testSlack
+	if sum < 0.4e6 || sum > most || refused == 0 {
+		t.Errorf("at once %.0f of a burst of 1e6 were sent, %d refused", sum, refused)
+	}
+	// Small requests go on where large ones must wait.
+	if g := ask(b, 10); !g.Granted {
+		t.Error("a small request is refused")
+	}
+	c.pass(time.Second)
+	if g := ask(b, 5000); !g.Granted {
+		t.Error("a second later a request is refused")
+	}
+}
+
+// A cap that is cut to a fraction holds at once, and a large request of a small one
+// comes through.
+func TestCapChanges(t *testing.T) {
+	c := newClock()
+	b := c.bank("a", 1, []string{"a"})
+	c.pass(time.Minute)
+	b.SetCaps([]wheelgauge.Workspace{{Name: "w", Cap: wheelgauge.Cap{Rate: 36000, Burst: 36000, Unit: wheelgauge.CapTokens}}})
+	if g := ask(b, 30000); !g.Granted {
+		t.Error("a request of 30,000 is refused by a burst of 36,000")
+	}
+	sum := 0.0
+	for range 100 {
+		if g := ask(b, 12000); g.Granted {
+			sum += 12000
+		}
+	}
+	if room := testOverage*9*36000 + testSlack; sum > 36000+room {
+		t.Errorf("after the cut %.0f were sent at once", sum)
+	}
+}
+
+func BenchmarkDraw(b *testing.B) {
+	for _, workspaces := range []int{16, 890} {
+		b.Run(fmt.Sprint("workspaces ", workspaces), func(b *testing.B) {
+			bank := New(Options{Self: "a", Boot: 1, Window: testWindow, Overage: testOverage, Slack: testSlack, Now: time.Now})
+			bank.SetMembers([]string{"a"})
+			var list []wheelgauge.Workspace
+			for i := range workspaces {
+				list = append(list, wheelgauge.Workspace{Name: fmt.Sprint("w", i), Cap: wheelgauge.Cap{Rate: 1e6, Burst: 1e6}})
+			}
+			bank.SetCaps(list)
+			ask := wheelgauge.CapAsk{Host: "h", Boot: 1, Wants: []wheelgauge.CapWant{{Workspace: "w7", Units: 5000}}}
+			b.ReportAllocs()
+			for b.Loop() {
+				bank.Draw(ask)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/cappurse/purse.go
@@ -0,0 +1,227 @@
+// Package cappurse is an entry host's side of the caps of workspaces: it draws units at
+// a store before requests are sent to backend servers, and goes on for a while by itself
+// when no store answers.
+package cappurse
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"wheelgauge"
+)
+
+// Path is where stores are asked for units.
+const Path = "/v1/caps"
+
+const (
+	// nearTimeout bounds one asking within a region, where an answer takes 1 to 3 ms,
+	// farTimeout one of a store elsewhere: connect and answer over a long link.
+	nearTimeout = 150 * time.Millisecond
+	farTimeout  = 400 * time.Millisecond
+	// mostStores are asked for one request.
+	mostStores = 2
+	// silentPause keeps askings off a store that did not answer.
+	silentPause = 300 * time.Millisecond
+	// returnedLife is how long units of requests that were not run are good for others:
+	// a store has counted them as sent.
+	returnedLife = time.Second
+	// aloneBurst is what a host may send at once when it begins to go on alone, in
+	// seconds of its rate: all hosts that begin at once send 0.2 s of the caps.
+	aloneBurst = 0.3
+	// aloneRetry is when a caller comes back to a host that is alone and has nothing left.
+	aloneRetry = 400 * time.Millisecond
+	// unsureRetry is when a caller comes back who was refused because no store answers.
+	unsureRetry = 300 * time.Millisecond
+)
+
+// Options of a Purse.
+type Options struct {
+	Host string
+	// Boot differs between two starts of the host's process.
+	Boot uint64
+	// Stores returns those in touch, the best first.
+	Stores func() []wheelgauge.StoreAt
+	// Ask carries an asking to a store.
+	Ask func(ctx context.Context, address string, ask wheelgauge.CapAsk) (wheelgauge.CapAnswer, error)
+	Now func() time.Time
+}
+
+// alone is what the host may send of a workspace while no store answers.
+type alone struct {
+	rate  float64
+	until time.Time
+	level float64
+	at    time.Time
+}
+
+// returned are units of requests that were not run.
+type returned struct {
+	units float64
+	until time.Time
+}
+
+// Purse is safe for concurrent use.
+type Purse struct {
+	o      Options
+	mu     sync.Mutex
+	alone  map[string]*alone
+	back   map[string]returned
+	silent map[string]time.Time
+}
+
+// New returns a purse without units.
+func New(o Options) *Purse {
+	return &Purse{o: o, alone: map[string]*alone{}, back: map[string]returned{}, silent: map[string]time.Time{}}
+}
+
+// Take implements wheelgauge.CapLimiter.
+func (p *Purse) Take(ctx context.Context, w *wheelgauge.Workspace, units float64) *wheelgauge.Error {
+	if p.reuse(w.Name, units) {
+		return nil
+	}
+	for _, s := range p.reachable() {
+		g, ok := p.ask(ctx, s, w.Name, units, false)
+		if ok && g.Elsewhere != "" {
+			// Parts of caps follow what is asked by some 0.5 s: until then another store
+			// may have what this one lacks.
+			if there, answered := p.ask(ctx, wheelgauge.StoreAt{Address: g.Elsewhere}, w.Name, units, true); answered {
+				g = there
+			}
+		}
+		switch {
+		case !ok && ctx.Err() != nil:
+			return unsure()
+		case !ok:
+			continue
+		case g.Granted:
+			return nil
+		}
+		return refused(time.Duration(g.AfterMS) * time.Millisecond)
+	}
+	return p.goAlone(w.Name, units)
+}
+
+// Return implements wheelgauge.CapLimiter.
+func (p *Purse) Return(w *wheelgauge.Workspace, units float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.o.Now()
+	r := p.back[w.Name]
+	if !now.Before(r.until) {
+		r.units = 0
+	}
+	p.back[w.Name] = returned{units: r.units + units, until: now.Add(returnedLife)}
+}
+
+// reuse takes units that were given back.
+func (p *Purse) reuse(workspace string, units float64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.back[workspace]
+	if r.units < units || !p.o.Now().Before(r.until) {
+		return false
+	}
+	r.units -= units
+	p.back[workspace] = r
+	return true
+}
+
+// reachable returns the stores to ask, at least one if there is any.
+func (p *Purse) reachable() []wheelgauge.StoreAt {
+	all := p.o.Stores()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.o.Now()
+	out := make([]wheelgauge.StoreAt, 0, mostStores)
+	for _, s := range all {
+		if len(out) < mostStores && !now.Before(p.silent[s.Address]) {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// ask asks one store; ok is false when it does not answer.
+func (p *Purse) ask(ctx context.Context, s wheelgauge.StoreAt, workspace string, units float64, moved bool) (g wheelgauge.CapGrant, ok bool) {
+	timeout := farTimeout
+	if s.Near {
+		timeout = nearTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	asked := p.o.Now()
+	answer, err := p.o.Ask(ctx, s.Address, wheelgauge.CapAsk{
+		Host: p.o.Host, Boot: p.o.Boot, Moved: moved, Wants: []wheelgauge.CapWant{{Workspace: workspace, Units: units}},
+	})
+	if err != nil || len(answer.Grants) != 1 {
+		p.noteSilent(s.Address)
+		return g, false
+	}
+	g = answer.Grants[0]
+	if !moved {
+		p.noteAlone(workspace, g, asked)
+	}
+	return g, true
+}
+
+func (p *Purse) noteSilent(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.silent[address] = p.o.Now().Add(silentPause)
+}
+
+// noteAlone takes a store's word of what the host may do without it. The units of an
+// earlier time alone stay spent.
+func (p *Purse) noteAlone(workspace string, g wheelgauge.CapGrant, asked time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	a := p.alone[workspace]
+	if a == nil {
+		a = &alone{level: aloneBurst * g.Alone, at: asked}
+		p.alone[workspace] = a
+	}
+	a.settle(p.o.Now())
+	a.rate, a.until = g.Alone, asked.Add(time.Duration(g.AloneMS)*time.Millisecond)
+}
+
+// settle lets the units fill until now.
+func (a *alone) settle(now time.Time) {
+	a.level = min(aloneBurst*a.rate, a.level+a.rate*now.Sub(a.at).Seconds())
+	a.at = now
+}
+
+// goAlone sends what the host may by itself.
+func (p *Purse) goAlone(workspace string, units float64) *wheelgauge.Error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.o.Now()
+	a := p.alone[workspace]
+	if a == nil || !now.Before(a.until) {
+		return unsure()
+	}
+	a.settle(now)
+	if a.stake(units) {
+		return nil
+	}
+	return refused(aloneRetry)
+}
+
+// stake spends the units that are there. Where they are fewer than a request needs, it
+// is sent as often as they make up for it: parts of single hosts are smaller than one
+// request, and all hosts together send what they may.
+func (a *alone) stake(units float64) bool {
+	spent := min(max(0, a.level), units)
+	a.level -= spent
+	return spent > 0 && rand.Float64()*units < spent
+}
+
+func refused(after time.Duration) *wheelgauge.Error {
+	return wheelgauge.NewError(wheelgauge.ReasonRateLimited, wheelgauge.OutcomeNotRun, http.StatusTooManyRequests, "the workspace has used its cap").WithRetryAfter(after)
+}
+
+func unsure() *wheelgauge.Error {
+	return wheelgauge.NewError(wheelgauge.ReasonNoLeader, wheelgauge.OutcomeNotRun, http.StatusServiceUnavailable, "no store tells what is left of the workspace's cap").WithRetryAfter(unsureRetry)
+}
--- /dev/null
+++ b/cappurse/schedule_test.go
@@ -0,0 +1,589 @@
+package cappurse
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"sort"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"wheelgauge"
+	"wheelgauge/capbank"
+)
+
+var (
+	seeds   = flag.Int("cap.seeds", 6, "seeded schedules to play")
+	repeats = flag.Int("cap.repeats", 1, "how often each fault is played alone")
+	figure  = flag.Bool("cap.figures", false, "print what was wrongly refused, by workspace")
+)
+
+const (
+	window  = 8 * time.Second
+	overage = 0.1
+	slack   = 140000.0
+	// largest is the most that a request counts.
+	largest = 54000.0
+	// dayTime is how long a schedule lasts.
+	dayTime = 24 * time.Second
+)
+
+// workspace is one of a schedule, with what its callers ask.
+type workspace struct {
+	spec wheelgauge.Workspace
+	// mean is what a request counts, asks how many come a second over all hosts.
+	mean, asks float64
+	// hot is when and how much more callers ask.
+	hotFrom, hotTo time.Duration
+	hot            float64
+	// cut is when the cap falls to a part.
+	cutAt time.Duration
+	cutTo float64
+}
+
+type arrival struct {
+	at    time.Duration
+	units float64
+	sent  bool
+	sure  bool // it was refused for good, or sent: not for want of a store
+}
+
+// store is a store of a schedule; bank is nil while it is down.
+type store struct {
+	address, region string
+	bank            *capbank.Bank
+	boots           uint64
+	frozen          bool
+}
+
+// schedule is one seeded run of stores and entry hosts over virtual time.
+type schedule struct {
+	t          *testing.T
+	mu         sync.Mutex
+	seed       uint64
+	r          *rand.Rand
+	began      time.Time
+	stores     []*store
+	regions    []string
+	hosts      int
+	workspaces []*workspace
+	arrivals   map[string][]arrival
+	// cutRegions are those cut off from all others, alone the hosts cut off from all
+	// stores.
+	cutRegions map[string]bool
+	down       map[int]time.Time
+	views      map[string]map[string]time.Time
+}
+
+var regionNames = []string{"a", "a", "b", "b", "c"}
+
+func newSchedule(t *testing.T, seed uint64, hosts int) *schedule {
+	s := &schedule{
+		t: t, seed: seed, r: rand.New(rand.NewPCG(seed, 1)), began: time.Now(), regions: []string{"a", "b", "c"}, hosts: hosts,
+		arrivals: map[string][]arrival{}, cutRegions: map[string]bool{}, down: map[int]time.Time{}, views: map[string]map[string]time.Time{},
+	}
+	for i, region := range regionNames {
+		s.stores = append(s.stores, &store{address: fmt.Sprint("store-", i), region: region})
+	}
+	for _, w := range []struct {
+		name string
+		rate float64
+		mean float64
+	}{{"small", 36000, 5000}, {"middle", 400000, 5000}, {"large", 4000000, 5000}, {"plain", 36000, 200}} {
+		ws := &workspace{mean: w.mean, asks: w.rate / w.mean / 1.8}
+		ws.spec = wheelgauge.Workspace{Name: w.name, Cap: wheelgauge.Cap{Rate: w.rate, Burst: w.rate, Unit: wheelgauge.CapTokens}}
+		s.workspaces = append(s.workspaces, ws)
+	}
+	return s
+}
+
+func (s *schedule) at() time.Duration { return time.Since(s.began) }
+
+// linked tells whether two regions reach each other.
+func (s *schedule) linked(a, b string) bool {
+	return a == b || !s.cutRegions[a] && !s.cutRegions[b]
+}
+
+func way(a, b string) time.Duration {
+	if a == b {
+		return time.Millisecond
+	}
+	return 55 * time.Millisecond
+}
+
+func (s *schedule) specs() []wheelgauge.Workspace {
+	var out []wheelgauge.Workspace
+	for _, w := range s.workspaces {
+		out = append(out, w.spec)
+	}
+	return out
+}
+
+func (s *schedule) members() []string {
+	var out []string
+	for _, st := range s.stores {
+		out = append(out, st.address)
+	}
+	return out
+}
+
+// start starts a store's process anew; it takes 0.3 s to know caps and members.
+func (s *schedule) start(st *store) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st.boots++
+	st.bank = capbank.New(capbank.Options{Self: st.address, Boot: st.boots, Window: window, Overage: overage, Slack: slack, Now: time.Now})
+	st.bank.SetMembers(s.members())
+	st.bank.SetCaps(s.specs())
+}
+
+func (s *schedule) stop(st *store) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st.bank = nil
+}
+
+// reach returns a store's bank if a call from a region gets there now.
+func (s *schedule) reach(region string, st *store) *capbank.Bank {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if st.frozen || !s.linked(region, st.region) {
+		return nil
+	}
+	return st.bank
+}
+
+// news lets stores tell each other, one call at a time between each two.
+func (s *schedule) news(ctx context.Context, from, to *store) {
+	for ctx.Err() == nil {
+		time.Sleep(200 * time.Millisecond)
+		s.mu.Lock()
+		bank, boot, frozen := from.bank, from.boots, from.frozen
+		s.mu.Unlock()
+		if bank == nil || frozen {
+			continue
+		}
+		sent, n := time.Now(), bank.News(to.address)
+		time.Sleep(way(from.region, to.region))
+		other := s.reach(from.region, to)
+		if other == nil {
+			time.Sleep(800 * time.Millisecond)
+			continue
+		}
+		sheet := other.Lend(from.address, boot, n)
+		time.Sleep(way(from.region, to.region))
+		s.mu.Lock()
+		lost := !s.linked(from.region, to.region) || from.bank != bank || from.frozen
+		s.mu.Unlock()
+		if !lost {
+			bank.Borrow(to.address, sent, sheet)
+		}
+	}
+}
+
+// watch keeps a region's view of the stores by heartbeats, and tells these of hosts.
+func (s *schedule) watch(ctx context.Context, region string) {
+	view := map[string]time.Time{}
+	s.mu.Lock()
+	s.views[region] = view
+	s.mu.Unlock()
+	for ctx.Err() == nil {
+		for _, st := range s.stores {
+			bank := s.reach(region, st)
+			if bank == nil {
+				continue
+			}
+			s.mu.Lock()
+			view[st.address] = time.Now()
+			for h := range s.hosts {
+				if s.regions[h%len(s.regions)] == region && !time.Now().Before(s.down[h]) {
+					bank.Seen(fmt.Sprint("host-", h), s.boot(h))
+				}
+			}
+			s.mu.Unlock()
+		}
+		time.Sleep(150 * time.Millisecond)
+	}
+}
+
+// boot numbers a host's starts; the lock is held.
+func (s *schedule) boot(h int) uint64 {
+	if s.down[h].IsZero() {
+		return 1
+	}
+	return uint64(s.down[h].Sub(s.began))
+}
+
+// seen returns the stores that a region's hosts know of, near ones first.
+func (s *schedule) seen(h int, region string) []wheelgauge.StoreAt {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []wheelgauge.StoreAt
+	for _, near := range []bool{true, false} {
+		for i := range s.stores {
+			st := s.stores[(i+h)%len(s.stores)]
+			if (st.region == region) == near && time.Since(s.views[region][st.address]) < 1400*time.Millisecond {
+				out = append(out, wheelgauge.StoreAt{Address: st.address, Near: near})
+			}
+		}
+	}
+	return out
+}
+
+var errDark = errors.New("no answer")
+
+// purse returns a new purse of a host.
+func (s *schedule) purse(h int, region string, boot uint64) *Purse {
+	return New(Options{
+		Host: fmt.Sprint("host-", h), Boot: boot, Now: time.Now,
+		Stores: func() []wheelgauge.StoreAt { return s.seen(h, region) },
+		Ask: func(ctx context.Context, address string, ask wheelgauge.CapAsk) (wheelgauge.CapAnswer, error) {
+			for _, st := range s.stores {
+				if st.address != address {
+					continue
+				}
+				time.Sleep(way(region, st.region))
+				bank := s.reach(region, st)
+				if bank == nil {
+					<-ctx.Done()
+					return wheelgauge.CapAnswer{}, errDark
+				}
+				answer := bank.Draw(ask)
+				time.Sleep(way(region, st.region))
+				return answer, ctx.Err()
+			}
+			return wheelgauge.CapAnswer{}, errDark
+		},
+	})
+}
+
+// load sends what callers of one host ask of one workspace.
+func (s *schedule) load(ctx context.Context, w *workspace, h int, purse func() *Purse, group *sync.WaitGroup, weight func(at time.Duration) float64) {
+	r := rand.New(rand.NewPCG(s.seed, uint64(h)<<8|uint64(len(w.spec.Name))))
+	for ctx.Err() == nil {
+		s.mu.Lock()
+		rate := w.asks / float64(s.hosts) * weight(s.at())
+		if at := s.at(); at >= w.hotFrom && at < w.hotTo {
+			rate *= w.hot
+		}
+		pause := r.ExpFloat64() / math.Max(rate, 0.001)
+		units := math.Min(w.mean*math.Exp(r.NormFloat64()-0.5), largest)
+		s.mu.Unlock()
+		time.Sleep(time.Duration(math.Min(pause, 2) * float64(time.Second)))
+		if pause > 2 || ctx.Err() != nil {
+			continue
+		}
+		s.mu.Lock()
+		up := !time.Now().Before(s.down[h])
+		spec := w.spec
+		s.mu.Unlock()
+		if !up {
+			continue
+		}
+		p := purse()
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			fault := p.Take(ctx, &spec, units)
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if fault == nil && p != purse() {
+				return // the host was killed meanwhile
+			}
+			s.arrivals[w.spec.Name] = append(s.arrivals[w.spec.Name], arrival{at: s.at(), units: units, sent: fault == nil, sure: fault == nil || fault.Status() == 429})
+		}()
+	}
+}
+
+// run plays the schedule with faults and returns once all is over.
+func (s *schedule) run(faults func(ctx context.Context)) {
+	ctx, cancel := context.WithTimeout(context.Background(), dayTime)
+	defer cancel()
+	var group sync.WaitGroup
+	spawn := func(f func()) { group.Go(f) }
+	for _, st := range s.stores {
+		s.start(st)
+		for _, other := range s.stores {
+			if st != other {
+				spawn(func() { s.news(ctx, st, other) })
+			}
+		}
+	}
+	for _, region := range s.regions {
+		spawn(func() { s.watch(ctx, region) })
+	}
+	time.Sleep(11 * time.Second) // the callers come later than the stores
+	s.began = time.Now()
+	ctx, cancel = context.WithTimeout(context.Background(), dayTime)
+	defer cancel()
+	for _, st := range s.stores {
+		for _, other := range s.stores {
+			if st != other {
+				spawn(func() { s.news(ctx, st, other) })
+			}
+		}
+	}
+	for _, region := range s.regions {
+		spawn(func() { s.watch(ctx, region) })
+	}
+	for h := range s.hosts {
+		region := s.regions[h%len(s.regions)]
+		var mu sync.Mutex
+		var p *Purse
+		var boot uint64
+		purse := func() *Purse {
+			mu.Lock()
+			defer mu.Unlock()
+			if b := s.boot(h); p == nil || b != boot {
+				p, boot = s.purse(h, region, b), b
+			}
+			return p
+		}
+		phase := float64(h%len(s.regions)) / float64(len(s.regions))
+		// Regions have their busy hours in turn, from 0.17 to 2.8 times the mean within 3 s.
+		weight := func(at time.Duration) float64 {
+			up := math.Max(0, math.Min(1, 0.4+1.7*math.Sin(2*math.Pi*(at.Seconds()/24+phase))))
+			return 0.17 + 2.63*up*0.8
+		}
+		for _, w := range s.workspaces {
+			spawn(func() {
+				s.load(ctx, w, h, func() *Purse { return purse() }, &group, weight)
+			})
+		}
+	}
+	if faults != nil {
+		spawn(func() { faults(ctx) })
+	}
+	<-ctx.Done()
+	group.Wait()
+}
+
+// worst returns the largest part of what is allowed in a window that was sent in one.
+func (s *schedule) worst(w *workspace) float64 {
+	var sent []arrival
+	for _, a := range s.arrivals[w.spec.Name] {
+		if a.sent {
+			sent = append(sent, a)
+		}
+	}
+	sort.Slice(sent, func(i, j int) bool { return sent[i].at < sent[j].at })
+	first, sum, most := 0, 0.0, 0.0
+	for _, a := range sent {
+		sum += a.units
+		for a.at-sent[first].at >= window {
+			sum -= sent[first].units
+			first++
+		}
+		rate, burst := w.spec.Cap.Rate, w.spec.Cap.Burst
+		if w.cutTo > 0 && sent[first].at < w.cutAt+time.Second {
+			rate, burst = rate/w.cutTo, burst/w.cutTo // the larger cap binds this window
+		}
+		most = math.Max(most, sum/((rate*window.Seconds()+burst)*(1+overage)+slack))
+	}
+	return most
+}
+
+// wrong returns the part of what one perfect bucket lets through that was refused, and
+// what that lets through.
+func (s *schedule) wrong(w *workspace) (part, ideal float64) {
+	all := s.arrivals[w.spec.Name]
+	sort.Slice(all, func(i, j int) bool { return all[i].at < all[j].at })
+	level, last := w.spec.Cap.Burst, time.Duration(0)
+	sent := 0.0
+	for _, a := range all {
+		rate, burst := w.spec.Cap.Rate, w.spec.Cap.Burst
+		if w.cutTo > 0 && a.at < w.cutAt {
+			rate, burst = rate/w.cutTo, burst/w.cutTo
+		}
+		level = math.Min(burst, level+rate*(a.at-last).Seconds())
+		last = a.at
+		if level >= a.units {
+			level -= a.units
+			ideal += a.units
+		}
+		if a.sent {
+			sent += a.units
+		}
+	}
+	return math.Max(0, ideal-sent) / ideal, ideal
+}
+
+func (s *schedule) check(name string, most float64) {
+	s.t.Helper()
+	for _, w := range s.workspaces {
+		worst := s.worst(w)
+		wrong, ideal := s.wrong(w)
+		if *figure {
+			s.t.Logf("%s: workspace %s: %.2f of the bound in the worst window, %.2f%% wrongly refused", name, w.spec.Name, worst, 100*wrong)
+		}
+		if worst > 1 {
+			s.t.Errorf("%s: workspace %s sent %.3f of what is allowed in some window", name, w.spec.Name, worst)
+		}
+		// Two of the largest requests are a tenth of all that a small workspace sends.
+		if wrong > most+2*largest/ideal {
+			s.t.Errorf("%s: workspace %s: %.2f%% of what is within its cap was refused, expected %.0f%% at most", name, w.spec.Name, 100*wrong, 100*most)
+		}
+	}
+}
+
+// hotFor lets one workspace ask much more for some seconds.
+func (s *schedule) hotFor(name string, x float64, from, to time.Duration) {
+	for _, w := range s.workspaces {
+		if w.spec.Name == name {
+			w.hot, w.hotFrom, w.hotTo = x, from, to
+		}
+	}
+}
+
+// Caps hold in every window over all hosts, whatever happens, and in calm hardly
+// anything within them is refused: 1%, the users' figure.
+func TestCalm(t *testing.T) {
+	for _, hosts := range []int{24, 68} {
+		synctest.Test(t, func(t *testing.T) {
+			s := newSchedule(t, 1, hosts)
+			s.run(nil)
+			s.check(fmt.Sprint("calm, hosts ", hosts), 0.01)
+		})
+	}
+}
+
+// A workspace that asks 8 times its usual from one second to the next gets its cap and
+// no more.
+func TestHot(t *testing.T) {
+	for _, name := range []string{"small", "middle", "large", "plain"} {
+		synctest.Test(t, func(t *testing.T) {
+			s := newSchedule(t, 2, 68)
+			s.hotFor(name, 8, 6*time.Second, 16*time.Second)
+			s.run(nil)
+			s.check("hot "+name, 0.05)
+		})
+	}
+}
+
+// fault brings about one kind of trouble for a while.
+type fault struct {
+	name string
+	play func(s *schedule)
+}
+
+func faults() []fault {
+	return []fault{
+		{"regions cut apart", func(s *schedule) {
+			s.set(func() { s.cutRegions["a"], s.cutRegions["b"], s.cutRegions["c"] = true, true, true })
+			s.pause(2, 9)
+			s.set(func() { clear(s.cutRegions) })
+		}},
+		{"a region cut off", func(s *schedule) {
+			s.set(func() { s.cutRegions[s.regions[s.r.IntN(3)]] = true })
+			s.pause(2, 9)
+			s.set(func() { clear(s.cutRegions) })
+		}},
+		{"a store killed", func(s *schedule) {
+			st := s.stores[s.r.IntN(len(s.stores))]
+			s.stop(st)
+			s.pause(0.3, 4)
+			s.start(st)
+		}},
+		{"all stores killed", func(s *schedule) {
+			for _, st := range s.stores {
+				s.stop(st)
+			}
+			s.pause(0.3, 3.5)
+			for _, st := range s.stores {
+				s.start(st)
+			}
+		}},
+		{"a store frozen", func(s *schedule) {
+			st := s.stores[s.r.IntN(len(s.stores))]
+			s.set(func() { st.frozen = true })
+			s.pause(1, 6)
+			s.set(func() { st.frozen = false })
+		}},
+		{"a herd of hosts killed", func(s *schedule) {
+			s.set(func() {
+				for h := range s.hosts {
+					if s.r.Float64() < 0.55 {
+						s.down[h] = time.Now().Add(2 * time.Second)
+					}
+				}
+			})
+		}},
+		{"a cap cut", func(s *schedule) {
+			w := s.workspaces[s.r.IntN(len(s.workspaces))]
+			s.set(func() {
+				if w.cutTo == 0 {
+					w.cutAt, w.cutTo = s.at(), 0.2
+					w.spec.Cap.Rate *= w.cutTo
+					w.spec.Cap.Burst *= w.cutTo
+				}
+				for _, st := range s.stores {
+					if st.bank != nil {
+						st.bank.SetCaps(s.specs())
+					}
+				}
+			})
+		}},
+	}
+}
+
+func (s *schedule) set(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f()
+}
+
+// pause waits for some seconds.
+func (s *schedule) pause(least, most float64) {
+	s.mu.Lock()
+	d := least + (most-least)*s.r.Float64()
+	s.mu.Unlock()
+	time.Sleep(time.Duration(d * float64(time.Second)))
+}
+
+// Each fault alone, beside a workspace that asks too much.
+func TestEachFault(t *testing.T) {
+	for _, f := range faults() {
+		t.Run(f.name, func(t *testing.T) {
+			for seed := range *repeats {
+				synctest.Test(t, func(t *testing.T) {
+					s := newSchedule(t, uint64(3+seed), 68)
+					s.hotFor("large", 8, 4*time.Second, 14*time.Second)
+					s.run(func(context.Context) {
+						time.Sleep(6 * time.Second)
+						f.play(s)
+					})
+					s.check(f.name, 0.25)
+				})
+			}
+		})
+	}
+}
+
+// Faults that overlap, by seed. The bound holds in every window.
+func TestSchedules(t *testing.T) {
+	for seed := range *seeds {
+		synctest.Test(t, func(t *testing.T) {
+			s := newSchedule(t, uint64(100+seed), []int{8, 24, 68, 200}[seed%4])
+			names := []string{"small", "middle", "large", "plain"}
+			s.hotFor(names[s.r.IntN(4)], 2+8*s.r.Float64(), 3*time.Second, 15*time.Second)
+			var played []string
+			s.run(func(context.Context) {
+				var group sync.WaitGroup
+				for range 2 + s.r.IntN(4) {
+					all := faults()
+					f := all[s.r.IntN(len(all))]
+					played = append(played, f.name)
+					group.Go(func() { f.play(s) })
+					s.pause(0, 4)
+				}
+				group.Wait()
+			})
+			s.check(fmt.Sprintf("seed %d, %v", 100+seed, played), 1)
+		})
+	}
+}
--- a/cmd/wheelgauge-store/routes.go
+++ b/cmd/wheelgauge-store/routes.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strings"
+	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/spf13/cobra"
@@ -40,6 +41,9 @@
 	{Section: "stores", Name: "port", Type: settings.Int, Required: true, Min: 1, Max: 65535, Help: "port of the stores' peer listeners"},
 	{Section: "servers", Name: "list", Type: settings.Address, Required: true, Help: "address of the list of backend servers"},
 	{Section: "servers", Name: "poll", Type: settings.Duration, Default: "1s", Min: 0.05, Max: 60, Help: "how often the list is read"},
+	{Section: "caps", Name: "window_seconds", Type: settings.Float, Default: "8", Min: 1, Max: 3600, Help: "spans in which what workspaces send is bounded"},
+	{Section: "caps", Name: "overage", Type: settings.Float, Default: "0.1", Max: 1, Help: "part of a cap's rate and burst that may be sent beyond it in such a span; stores need it as they do not ask each other at each request"},
+	{Section: "caps", Name: "slack", Type: settings.Float, Default: "0", Max: 1e12, Help: "what may be sent beyond that, in units of the cap; large requests need it where caps are small"},
 	{Section: "limits", Name: "memory_mb", Type: settings.Int, Default: "0", Max: 1 << 20, Help: "memory of the process; 0 means no limit"},
 	{Section: "dialect", Name: "name", Type: settings.Choice, Choices: dialect.Names(), Default: dialect.Native, Help: "how callers, servers and operators speak"},
 }
@@ -85,7 +89,9 @@
 		Dir: v.Text("store", "folder"), First: v.Bool("store", "first"), Tick: v.Duration("store", "tick"),
 		Peer: v.Text("listen", "peer"), Metrics: v.Text("listen", "metrics"),
 		Seeds:     program.Seeds(v.List("stores", "seeds"), v.Int("stores", "port")),
-		PollEvery: v.Duration("servers", "poll"), Decode: d.Decode, List: d.ServerList(v.Text("servers", "list")), Log: log,
+		PollEvery: v.Duration("servers", "poll"), CapSlack: v.Float("caps", "slack"),
+		CapWindow: time.Duration(v.Float("caps", "window_seconds") * float64(time.Second)), CapOverage: v.Float("caps", "overage"),
+		Decode: d.Decode, List: d.ServerList(v.Text("servers", "list")), Log: log,
 	}
 	o.Listeners = listeners(v, d)
 	n, err := confstore.Open(context.WithoutCancel(ctx), o)
--- a/confstore/beat.go
+++ b/confstore/beat.go
@@ -16,6 +16,7 @@
 	return serve(ctx, beat.Path, func(b wheelgauge.Beat) (wheelgauge.BeatAnswer, error) {
 		n.meter.Count("beats")
 		n.hosts.Take(b, time.Duration(b.IntervalMS)*time.Millisecond)
+		n.bank.Seen(b.Host.Name, b.Host.Boot)
 		return n.answer(b), nil
 	})
 }
--- a/confstore/news.go
+++ b/confstore/news.go
@@ -34,7 +34,7 @@
 		if !ok {
 			continue // it is still being told
 		}
-		news := n.news(m)
+		news := n.news(address, m)
 		n.passing.Add(1)
 		go func() {
 			defer n.passing.Done()
@@ -47,7 +47,7 @@
 
 // news renders what a store is told; of the lists that this store reads, those read
 // anew since.
-func (n *Node) news(m member) wheelgauge.StoreNews {
+func (n *Node) news(address string, m member) wheelgauge.StoreNews {
 	news := wheelgauge.StoreNews{Store: n.boot, Address: n.o.Peer, Region: n.o.Region}
 	for _, region := range n.regions() {
 		part, asked, ok := n.servers.Part(region, m.held[region])
@@ -60,6 +60,7 @@
 	if m.region == n.o.Region {
 		news.Uses = uses
 	}
+	news.Caps = n.bank.News(address)
 	return news
 }
 
@@ -90,7 +91,11 @@
 
 func (n *Node) send(ctx context.Context, address string, news wheelgauge.StoreNews) ([]string, error) {
 	var answer wheelgauge.StoreNewsAnswer
+	sent := time.Now()
 	err := n.client.Call(ctx, http.MethodPost, address, NewsPath, news, &answer)
+	if err == nil && answer.Caps.Giver != 0 {
+		n.bank.Borrow(address, sent, answer.Caps)
+	}
 	return answer.Missing, err
 }
 
@@ -104,7 +109,7 @@
 func (n *Node) takeNews(news wheelgauge.StoreNews) wheelgauge.StoreNewsAnswer {
 	n.members.heard(news.Address, news.Region)
 	n.hosts.Relay(news)
-	var a wheelgauge.StoreNewsAnswer
+	a := wheelgauge.StoreNewsAnswer{Caps: n.bank.Lend(news.Address, news.Store, news.Caps)}
 	for _, part := range news.Parts {
 		if !n.servers.Take(news.Store, part) && !slices.Contains(a.Missing, part.Region) {
 			a.Missing = append(a.Missing, part.Region)
--- a/confstore/node.go
+++ b/confstore/node.go
@@ -16,6 +16,7 @@
 	"github.com/valyala/fasthttp"
 
 	"wheelgauge"
+	"wheelgauge/capbank"
 	"wheelgauge/configlog"
 	"wheelgauge/every"
 	"wheelgauge/hosttable"
@@ -63,10 +64,14 @@
 	First     bool
 	Tick      time.Duration
 	PollEvery time.Duration
-	Decode    wheelgauge.RouteDecoder
-	List      wheelgauge.ServerList
-	Listeners []Listener
-	Log       logr.Logger
+	// CapWindow, CapOverage and CapSlack are what caps are bounded by; see capbank.Options.
+	CapWindow  time.Duration
+	CapOverage float64
+	CapSlack   float64
+	Decode     wheelgauge.RouteDecoder
+	List       wheelgauge.ServerList
+	Listeners  []Listener
+	Log        logr.Logger
 }
 
 // Node is a running store.
@@ -87,6 +92,12 @@
 
 	servers *serverlist.Table
 	members members
+	bank    *capbank.Bank
+	// capsVersion is that of the configuration whose caps the bank has; only keepCaps
+	// uses it.
+	capsVersion uint64
+	kept        chan error
+	logged      chan error
 	// foreign are the entries of each region's list that named no server at its last
 	// reading; only poll uses it.
 	foreign map[string]wheelgauge.ForeignEntries
@@ -101,11 +112,12 @@
 	n := &Node{
 		o: o, boot: uint64(time.Now().UnixNano()), started: time.Now(), machine: configlog.New(), hosts: hosttable.New(time.Now),
 		client: peerhttp.NewClient(nil, ""), meter: meter.New(), stop: stop, polled: make(chan error, 1), told: make(chan error, 1),
-		foreign: map[string]wheelgauge.ForeignEntries{},
+		foreign: map[string]wheelgauge.ForeignEntries{}, kept: make(chan error, 1), logged: make(chan error, 1),
 	}
 	n.client.Watch(n.meter.Call)
 	n.feed = statefeed.New(n.machine.State)
 	n.servers = serverlist.New(n.boot, time.Now)
+	n.bank = capbank.New(capbank.Options{Self: o.Peer, Boot: n.boot, Window: o.CapWindow, Overage: o.CapOverage, Slack: o.CapSlack, Now: time.Now})
 	if err := n.open(ctx); err != nil {
 		stop()
 		return nil, err
@@ -115,6 +127,8 @@
 		n.polled <- every.Interval(ctx, o.PollEvery, n.poll)
 	}()
 	go func() { n.told <- every.Interval(ctx, newsEvery, n.pass) }()
+	go func() { n.kept <- every.Interval(ctx, capsEvery, n.keepCaps) }()
+	go func() { n.logged <- every.Interval(ctx, refusedEvery, n.logCaps) }()
 	o.Log.Info("Store serves.", "name", o.Name, "peer", o.Peer, "seeds", o.Seeds, "first", o.First)
 	return n, nil
 }
@@ -157,7 +171,7 @@
 
 func (n *Node) servePeer(ctx *fasthttp.RequestCtx) {
 	received := len(ctx.Request.Body())
-	if !n.serveBeat(ctx) && !n.serveState(ctx) && !n.serveNews(ctx) && !n.replica.Handle(ctx) {
+	if !n.serveCaps(ctx) && !n.serveBeat(ctx) && !n.serveState(ctx) && !n.serveNews(ctx) && !n.replica.Handle(ctx) {
 		peerhttp.NotFound(ctx)
 		return
 	}
@@ -182,7 +196,7 @@
 // Close stops the store and waits.
 func (n *Node) Close() error {
 	n.stop()
-	errs := []error{<-n.polled, <-n.told}
+	errs := []error{<-n.polled, <-n.told, <-n.kept, <-n.logged}
 	n.passing.Wait()
 	for _, l := range n.listeners {
 		// A peer that is frozen keeps its connection open; it asks again elsewhere.
--- a/confstore/servers_test.go
+++ b/confstore/servers_test.go
@@ -11,6 +11,7 @@
 	"github.com/go-logr/logr"
 
 	"wheelgauge"
+	"wheelgauge/capbank"
 	"wheelgauge/hosttable"
 	"wheelgauge/native"
 	"wheelgauge/serverlist"
@@ -164,6 +165,7 @@
 func TestStaleListIsReadByWhoeverLacksIt(t *testing.T) {
 	n := &Node{
 		o: Options{Peer: "b", Region: "north", PollEvery: time.Second}, servers: serverlist.New(1, time.Now), hosts: hosttable.New(time.Now),
+		bank: capbank.New(capbank.Options{Self: "b", Boot: 1, Now: time.Now}),
 	}
 	n.takeNews(wheelgauge.StoreNews{Store: 2, Address: "a", Region: "south"})
 	tests := []struct {
--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -19,6 +19,7 @@
 	"wheelgauge"
 	"wheelgauge/beat"
 	"wheelgauge/callerhttp"
+	"wheelgauge/cappurse"
 	"wheelgauge/countconn"
 	"wheelgauge/every"
 	"wheelgauge/httpserve"
@@ -97,7 +98,7 @@
 	peers     *peerset.Table
 	budget    *retrybudget.Budget
 	meter     *meter.Meter
-	beats     *beat.Client
+	beats     atomic.Pointer[beat.Client]
 	client    *peerhttp.Client
 	callers   *callerhttp.Server
 	forwards  *callerhttp.Server
@@ -126,21 +127,36 @@
 	n.budget = retrybudget.New(o.Budget, time.Now)
 	n.gate = routegate.New(routegate.Options{
 		Region: o.Region, Names: o.Names, Servers: n.servers, Peers: n.peers, Budget: n.budget, Meter: n.meter, Log: o.Log.WithName("gate"),
+		Caps: cappurse.New(cappurse.Options{Host: o.Name, Boot: n.boot, Stores: n.stores, Ask: n.askCaps, Now: time.Now}),
 	})
 	if err := n.listen(); err != nil {
 		stop()
 		return nil, err
 	}
-	n.beats = beat.Start(beat.Options{
+	n.beats.Store(beat.Start(beat.Options{
 		Self: n.self, Report: n.servers.Uses, Seeds: o.Seeds, Interval: o.Interval, FarInterval: o.FarInterval,
 		Client: n.client, News: n, Log: o.Log.WithName("beat"),
-	})
+	}))
 	go func() { n.pruned <- every.Interval(ctx, pruneEvery, n.prune) }()
 	go func() { n.warmed <- every.Interval(ctx, warmEvery, n.peers.Warm) }()
 	o.Log.Info("Gateway serves.", "name", o.Name, "callers", o.Caller, "peer", o.Peer, "seeds", o.Seeds)
 	return n, nil
 }
 
+// stores returns those that may be asked; none before heartbeats began.
+func (n *Node) stores() []wheelgauge.StoreAt {
+	if beats := n.beats.Load(); beats != nil {
+		return beats.Stores()
+	}
+	return nil
+}
+
+// askCaps draws units of workspaces' caps at a store.
+func (n *Node) askCaps(ctx context.Context, address string, ask wheelgauge.CapAsk) (a wheelgauge.CapAnswer, err error) {
+	err = n.client.Call(ctx, http.MethodPost, address, cappurse.Path, ask, &a)
+	return a, err
+}
+
 // counted tells the meter of the bytes to and from stores.
 func (n *Node) counted(c net.Conn) net.Conn {
 	return countconn.New(c, func(b int64) { n.meter.Add("control.bytes.in", b) }, func(b int64) { n.meter.Add("control.bytes.out", b) })
@@ -222,7 +238,7 @@
 	n.leaving.Store(true)
 	n.callers.Drain()
 	n.forwards.Drain()
-	n.beats.Now()
+	n.beats.Load().Now()
 	n.await(ctx, last)
 	var errs []error
 	for _, l := range n.listeners {
@@ -234,7 +250,7 @@
 	defer cancel()
 	errs = append(errs, n.callers.Close(limit), n.forwards.Close(limit))
 	n.stop()
-	errs = append(errs, n.beats.Close(), <-n.pruned, <-n.warmed)
+	errs = append(errs, n.beats.Load().Close(), <-n.pruned, <-n.warmed)
 	n.servers.Close()
 	n.peers.Close()
 	n.client.CloseIdle()
--- a/prompt/prompt.go
+++ b/prompt/prompt.go
@@ -18,6 +18,16 @@
 // ID returns the hash of the part's name.
 func (p Part) ID() uint64 { return p.id }
 
+// count adds to what the request says of its tokens.
+func (p *Prompt) count(tokens int) {
+	p.counted += max(0, tokens)
+	p.told = true
+}
+
+// Counted returns the tokens of the prompt and the most to be generated, together, as
+// the request tells them; told is false when it does not.
+func (p Prompt) Counted() (tokens int, told bool) { return p.counted, p.told }
+
 // Tokens returns the length of the part.
 func (p Part) Tokens() int { return p.tokens }
 
@@ -27,6 +37,9 @@
 	parts  []Part
 	tokens int
 	output int
+	// counted are the tokens told of prompt and output together, told is false without.
+	counted int
+	told    bool
 }
 
 // Parse reads "ID:TOKENS,ID:TOKENS" and "prompt tokens,output tokens". What
@@ -45,9 +58,11 @@
 	in, out, _ := strings.Cut(tokens, ",")
 	if n, err := strconv.Atoi(strings.TrimSpace(in)); err == nil {
 		p.tokens = max(p.tokens, n)
+		p.count(n)
 	}
 	if n, err := strconv.Atoi(strings.TrimSpace(out)); err == nil {
 		p.output = n
+		p.count(n)
 	}
 	if n, err := strconv.Atoi(strings.TrimSpace(hint)); err == nil && n > 0 {
 		p.output = n
--- a/routegate/call.go
+++ b/routegate/call.go
@@ -57,6 +57,9 @@
 	version   uint64
 	splitter  eventstream.Splitter
 
+	// drawn are units of the workspace's cap that were drawn and not used yet.
+	drawn float64
+
 	tried  []string
 	away   []string
 	sends  int
@@ -75,9 +78,7 @@
 
 // run dispatches until the caller has an answer.
 func (c *call) run(ctx context.Context) {
-	if !c.forwarded {
-		c.gate.options.Budget.First(c.service)
-	}
+	first := true
 	for {
 		if ctx.Err() != nil {
 			c.leave()
@@ -87,7 +88,20 @@
 			c.fail("deadline", "the time for this request is over")
 			return
 		}
-		switch c.dispatch(ctx) {
+		if fault := c.draw(ctx); fault != nil {
+			c.overCap(ctx, fault)
+			return
+		}
+		if first && !c.forwarded {
+			c.gate.options.Budget.First(c.service)
+		}
+		first = false
+		ran := c.runs
+		res := c.dispatch(ctx)
+		if c.runs > ran {
+			c.drawn = 0 // a server may have run it
+		}
+		switch res {
 		case answered:
 			return
 		case repeat:
@@ -187,6 +201,7 @@
 
 // close writes what came of the request.
 func (c *call) close() {
+	c.giveBack()
 	g := c.gate
 	took := time.Since(c.started)
 	name := "none"
--- a/routegate/gate.go
+++ b/routegate/gate.go
@@ -49,8 +49,10 @@
 	Servers *serverset.Table
 	Peers   *peerset.Table
 	Budget  *retrybudget.Budget
-	Meter   *meter.Meter
-	Log     logr.Logger
+	// Caps holds what workspaces may send; nil lets all through.
+	Caps  wheelgauge.CapLimiter
+	Meter *meter.Meter
+	Log   logr.Logger
 }
 
 // Gate is safe for concurrent use.
