Draw at near stores first; learn from answers that nobody holds a part

Change: stores are ranked near first for draws. The answer to a store's news also says of which of its starts the other goes by a sheet; none, or the present one, is as good as an acknowledgement.

Tests that fail without it: TestNearStoresFirst, TestAllStoresRestarted.

--- a/beat/client.go
+++ b/beat/client.go
@@ -4,6 +4,7 @@
 package beat
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"slices"
@@ -340,30 +341,40 @@
 	n.Regions(a.Regions, a.Partial)
 }
 
-// Stores returns the stores that answer, the best first.
+// Stores returns the stores that answer, near ones first. A near one that is cut off
+// from the others comes before a far one: what is drawn there takes 2 ms, not 115.
 func (c *Client) Stores() []wheelgauge.StoreAt {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	self := c.options.Self()
-	out := make([]wheelgauge.StoreAt, 0, len(c.stores))
-	ranks := make([]int, 0, len(c.stores))
+	var found []*store
 	for _, s := range c.stores {
-		rank := c.rank(s, self)
-		if rank < 0 {
-			continue
+		if c.rank(s, self) >= 0 {
+			found = append(found, s)
 		}
-		// Among equals the primary: it knows best what this host has in flight.
-		rank *= 2
-		if s.address == c.primary {
-			rank++
-		}
-		at, _ := slices.BinarySearchFunc(ranks, rank, func(have, rank int) int { return rank - have })
-		ranks = slices.Insert(ranks, at, rank)
-		out = slices.Insert(out, at, wheelgauge.StoreAt{Address: s.address, Near: s.region == self.Region})
+	}
+	slices.SortFunc(found, func(a, b *store) int {
+		return cmp.Or(compareBool(b.region == self.Region, a.region == self.Region), cmp.Compare(c.rank(b, self), c.rank(a, self)),
+			compareBool(b.address == c.primary, a.address == c.primary), cmp.Compare(a.address, b.address))
+	})
+	out := make([]wheelgauge.StoreAt, 0, len(found))
+	for _, s := range found {
+		out = append(out, wheelgauge.StoreAt{Address: s.address, Near: s.region == self.Region})
 	}
 	return out
 }
 
+// compareBool puts false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	}
+	return -1
+}
+
 // choosePrimary prefers a store that answers, is in touch with the others, and
 // is near; the lock is held.
 func (c *Client) choosePrimary() {
--- a/beat/client_test.go
+++ b/beat/client_test.go
@@ -310,3 +310,40 @@
 	far.set(func(a *wheelgauge.BeatAnswer) { a.ServersAgeMS = 0 })
 	waitFor(t, "the list of the far store once it is read anew", func() bool { return n.primary() == "there" })
 }
+
+// Near stores are asked first, also one that is cut off from the others: on a day with
+// two regions cut apart 80% of a region's requests were drawn for at far stores, 120 to
+// 240 ms each. Those that do not answer are asked last, that is not at all.
+func TestNearStoresFirst(t *testing.T) {
+	now := time.Now()
+	answered := func(address, region string, inTouch bool) *store {
+		return &store{address: address, region: region, inTouch: inTouch, answered: now, every: time.Second}
+	}
+	tests := []struct {
+		name   string
+		stores []*store
+		want   []string
+	}{
+		{"all in touch", []*store{answered("a", "far", true), answered("b", "here", true)}, []string{"b", "a"}},
+		{"the near one is cut off", []*store{answered("a", "far", true), answered("b", "here", false)}, []string{"b", "a"}},
+		{"one near one of two is cut off", []*store{answered("a", "here", false), answered("b", "here", true), answered("c", "far", true)}, []string{"b", "a", "c"}},
+		{"the near one is silent", []*store{answered("a", "far", true), {address: "b", region: "here", inTouch: true, answered: now, every: time.Second, misses: mostMisses}}, []string{"a"}},
+		{"none", nil, nil},
+	}
+	for _, tt := range tests {
+		c := &Client{options: Options{Self: func() wheelgauge.FleetHost { return wheelgauge.FleetHost{Region: "here"} }}, stores: map[string]*store{}}
+		for _, s := range tt.stores {
+			c.stores[s.address] = s
+		}
+		var got []string
+		for _, s := range c.Stores() {
+			got = append(got, s.Address)
+			if near := c.stores[s.Address].region == "here"; near != s.Near {
+				t.Errorf("%s: %s is near is %v", tt.name, s.Address, s.Near)
+			}
+		}
+		if !slices.Equal(got, tt.want) {
+			t.Errorf("%s: got %v, want %v", tt.name, got, tt.want)
+		}
+	}
+}
--- a/capbank/bank_test.go
+++ b/capbank/bank_test.go
@@ -200,6 +200,7 @@
 	a = c.bank("a", 2, members)
 	tell(c, b, a, 1)
 	tell(c, b, a, 1)
+	tell(c, a, b, 2)
 	if share(a) != 0 {
 		t.Error("one of the others may still go by what was lent before")
 	}
@@ -209,6 +210,27 @@
 	}
 }
 
+// Stores that all start again find at their first news that nobody holds anything: after
+// a loss of power they serve at once, also while one of them knows no other yet.
+func TestAllStoresRestarted(t *testing.T) {
+	c := newClock()
+	members := []string{"a", "b", "c"}
+	a, b, blank := c.bank("a", 2, members), c.bank("b", 5, members), c.bank("c", 9, nil)
+	tell(c, a, b, 2)
+	tell(c, a, blank, 2)
+	if share(a) == 0 {
+		t.Error("nobody holds anything, and nothing is used")
+	}
+	old := c.bank("b", 5, members)
+	old.Borrow("a", c.now(), wheelgauge.CapSheet{Giver: 1, Number: 4, Shares: []wheelgauge.CapShare{{Workspace: "w", Share: 0.3}}})
+	again := c.bank("a", 3, members)
+	tell(c, again, old, 3)
+	tell(c, again, blank, 3)
+	if share(again) != 0 {
+		t.Error("another store goes by an earlier sheet, and its part is used")
+	}
+}
+
 // Hosts that are silent may go on alone; what they may send is taken off, until they
 // are heard of again, start anew, or it has lapsed.
 func TestSilentHosts(t *testing.T) {
--- a/capbank/peer.go
+++ b/capbank/peer.go
@@ -171,6 +171,9 @@
 	p.number++
 	s := sheet{number: p.number, until: now.Add(leaseTime), shares: map[string]float64{}}
 	out := wheelgauge.CapSheet{Giver: b.o.Boot, Number: p.number}
+	if now.Before(p.taken.until) {
+		out.Holds = p.taken.giver
+	}
 	b.count(now)
 	for name, a := range b.accounts {
 		if share := b.lendable(from, a, now); share >= leastShare {
@@ -237,6 +240,9 @@
 	now := b.o.Now()
 	p := b.peer(from)
 	p.taken = sheet{giver: s.Giver, number: s.Number, until: sent.Add(leaseTime), shares: map[string]float64{}}
+	if s.Holds == 0 || s.Holds == b.o.Boot {
+		p.answered = true
+	}
 	for _, share := range s.Shares {
 		p.taken.shares[share.Workspace] = share.Share
 	}
--- a/caps.go
+++ b/caps.go
@@ -58,6 +58,9 @@
 	Giver  uint64     `json:"g"`
 	Number uint64     `json:"n"`
 	Shares []CapShare `json:"s,omitempty"`
+	// Holds is the boot of the store asked, of whose last sheet the giver goes by; 0
+	// without one.
+	Holds uint64 `json:"h,omitempty"`
 }
 
 // CapNews is what a store tells another one of caps.
--- a/routegate/call.go
+++ b/routegate/call.go
@@ -59,6 +59,8 @@
 
 	// drawn are units of the workspace's cap that were drawn and not used yet.
 	drawn float64
+	// capWait is how long drawing them took.
+	capWait time.Duration
 
 	tried  []string
 	away   []string
@@ -225,7 +227,7 @@
 	g.options.Log.Info("Request ends.", "id", c.id, "route", name, "workspace", c.workspaceName(), "version", c.version,
 		"state_age_ms", g.stateAge().Milliseconds(), "list_age_ms", g.options.Servers.ListAge().Milliseconds(), "status", c.status, "cause", c.cause,
 		"servers", strings.Join(c.tried, " "), "peers", strings.Join(c.away, " "), "runs", c.runs, "forwarded", c.forwarded,
-		"predicted_ms", c.wait.Milliseconds(), "first_ms", c.first.Milliseconds(), "ms", took.Milliseconds(),
+		"cap_ms", c.capWait.Milliseconds(), "predicted_ms", c.wait.Milliseconds(), "first_ms", c.first.Milliseconds(), "ms", took.Milliseconds(),
 		"events", c.splitter.Events(), "pause_ms", c.pause.Milliseconds(), "expected_tokens", c.prompt.Output(), "load", c.inputs())
 }
 
--- a/routegate/caps.go
+++ b/routegate/caps.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"wheelgauge"
 )
@@ -15,11 +16,13 @@
 		return nil
 	}
 	units := c.workspace.Cap.Units(c.prompt.Counted())
-	if fault := caps.Take(ctx, c.workspace, units); fault != nil {
-		return fault
+	began := time.Now()
+	fault := caps.Take(ctx, c.workspace, units)
+	c.capWait += time.Since(began)
+	if fault == nil {
+		c.drawn = units
 	}
-	c.drawn = units
-	return nil
+	return fault
 }
 
 // overCap ends a request that may not be sent, or not once more.
