--- a/routegate/call.go
+++ b/routegate/call.go
@@ -69,11 +69,9 @@
 	status int
 	cause  string
 	// pick is the last server chosen, for the log.
-	pick *serverset.Pick
-	wait time.Duration
-	// excess is what the wait at another region was corrected by.
-	excess time.Duration
-	first  time.Duration
+	pick  *serverset.Pick
+	wait  time.Duration
+	first time.Duration
 	// lastAt is when the last events came, pause the longest time between two.
 	lastAt time.Time
 	pause  time.Duration
--- a/routegate/dispatch.go
+++ b/routegate/dispatch.go
@@ -24,10 +24,9 @@
 	pool *serverconn.Pool
 	head *fasthttp.ResponseHeader
 	body *serverconn.Body
-	// pick is nil for an exchange with another gateway, which region then names.
-	pick   *serverset.Pick
-	region string
-	sent   time.Time
+	// pick is nil for an exchange with another gateway.
+	pick *serverset.Pick
+	sent time.Time
 	// begun is set at the first event or byte of the answer.
 	begun bool
 }
@@ -137,7 +136,7 @@
 		c.missed(p, err)
 		return notSent
 	}
-	x := &exchange{call: c, conn: conn, pool: p.Pool(), region: p.Region(), sent: time.Now()}
+	x := &exchange{call: c, conn: conn, pool: p.Pool()}
 	defer x.release()
 	defer context.AfterFunc(ctx, conn.Abort)()
 	set := [][2]string{
@@ -216,21 +215,14 @@
 	if x.call.first == 0 {
 		x.call.first = time.Since(x.call.started)
 	}
-	if x.begun {
-		return
-	}
-	x.begun = true
-	if x.pick != nil {
+	if x.pick != nil && !x.begun {
+		x.begun = true
 		x.pick.Began()
+		x.note()
 	}
-	x.note()
 }
 
 // note compares the predicted wait with the one so far.
 func (x *exchange) note() {
-	if x.pick == nil {
-		x.call.gate.seen.noteAway(x.call.route.Name, x.region, x.call.wait-x.call.excess, time.Since(x.sent))
-		return
-	}
 	x.call.gate.seen.note(x.call.route.Name, x.pick.Wait(), time.Since(x.sent))
 }
--- a/routegate/place.go
+++ b/routegate/place.go
@@ -38,7 +38,7 @@
 	here, ok := c.predict()
 	wait := c.gate.seen.correct(c.route.Name, here.Wait())
 	region, there := c.elsewhere(ok)
-	away := region != "" && (!ok || there.Cost() < here.Cost()+c.excessHere(wait-here.Wait()) || c.tooLate(wait))
+	away := region != "" && (!ok || there.Cost() < here.Cost()+c.excess(wait-here.Wait()) || c.tooLate(wait))
 	if away && c.gate.tooLong(c.route.Name, c.route.Timeout, c.gate.options.Peers.Way(region)) {
 		if !ok {
 			return place{leaving: true}
@@ -57,7 +57,7 @@
 	}
 	if away {
 		if p := c.peer(region); p != nil {
-			c.wait, c.excess = wait, c.gate.seen.excessAway(c.route.Name, region)
+			c.wait = wait
 			return place{peer: p}
 		}
 	}
@@ -96,9 +96,9 @@
 	return serverset.NewJob(c.service, c.prompt, c.rank, c.tried).Within(c.allowedIn)
 }
 
-// excessHere is how much longer than predicted a request would wait here; corrected is
-// what the correction of its wait adds.
-func (c *call) excessHere(corrected time.Duration) time.Duration {
+// excess is how much longer than predicted a request would wait here than
+// elsewhere; corrected is what the correction of its wait adds.
+func (c *call) excess(corrected time.Duration) time.Duration {
 	if c.crowded(awayPart) {
 		return corrected
 	}
@@ -136,7 +136,7 @@
 		if !c.allowedIn(region) {
 			continue
 		}
-		e := c.predictAt(o.Peers.Load(region, c.service)).Over(o.Peers.Way(region)).Over(c.gate.seen.excessAway(c.route.Name, region))
+		e := c.predictAt(o.Peers.Load(region, c.service)).Over(o.Peers.Way(region))
 		if best == "" || e.Cost() < least.Cost() {
 			best, least = region, e
 		}
--- a/routegate/waits.go
+++ b/routegate/waits.go
@@ -1,7 +1,6 @@
 package routegate
 
 import (
-	"math"
 	"sync"
 	"time"
 )
@@ -18,11 +17,6 @@
 	// idleExcess is what requests take longer than predicted at an idle server, in
 	// milliseconds: the first step of an engine, and what long prompts need besides.
 	idleExcess = 60.0
-	// awayWeight is the weight of a new wait elsewhere: a host sends few requests there.
-	awayWeight = 0.2
-	// awayForget is how long what requests waited elsewhere takes to count half: where
-	// none is sent any more nobody learns that a queue has gone.
-	awayForget = 2 * time.Second
 )
 
 // waits compares the predicted waits of each route with those seen, so that
@@ -31,26 +25,11 @@
 type waits struct {
 	mu     sync.Mutex
 	routes map[string]*meanWait
-	// away are the waits of requests that were sent to another region.
-	away map[awayKey]*meanWait
-}
-
-// awayKey names a route and the region that its requests were sent to.
-type awayKey struct {
-	route  string
-	region string
 }
 
 type meanWait struct {
 	predicted float64
 	seen      float64
-	at        time.Time
-}
-
-// note takes a predicted wait and the one seen.
-func (m *meanWait) note(predicted, seen time.Duration, weight float64) {
-	m.predicted += weight * (float64(predicted.Milliseconds()) - m.predicted)
-	m.seen += weight * (float64(seen.Milliseconds()) - m.seen)
 }
 
 // note takes a predicted wait and the one seen.
@@ -65,39 +44,8 @@
 		m = &meanWait{predicted: waitFloor, seen: waitFloor}
 		w.routes[route] = m
 	}
-	m.note(predicted, seen, waitWeight)
-}
-
-// noteAway takes the predicted wait of a request that was sent to another region, and
-// the one seen.
-func (w *waits) noteAway(route, region string, predicted, seen time.Duration) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.away == nil {
-		w.away = map[awayKey]*meanWait{}
-	}
-	m := w.away[awayKey{route, region}]
-	if m == nil {
-		m = &meanWait{predicted: waitFloor, seen: waitFloor}
-		w.away[awayKey{route, region}] = m
-	}
-	m.note(predicted, seen, awayWeight)
-	m.at = time.Now()
-}
-
-// excessAway returns how much longer than predicted requests of a route waited in
-// another region lately. What is known of a region by its sums is old and even: plans
-// sent to one of 20 engines were predicted 349 ms and waited for 1,063, beside 414 ms at
-// home (medians of one region and 12 s).
-func (w *waits) excessAway(route, region string) time.Duration {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	m := w.away[awayKey{route, region}]
-	if m == nil {
-		return 0
-	}
-	excess := max(0, m.seen-m.predicted-idleExcess) * math.Exp2(-time.Since(m.at).Seconds()/awayForget.Seconds())
-	return time.Duration(excess * float64(time.Millisecond))
+	m.predicted += waitWeight * (float64(predicted.Milliseconds()) - m.predicted)
+	m.seen += waitWeight * (float64(seen.Milliseconds()) - m.seen)
 }
 
 // correct returns a predicted wait as it should be.
