Bound drawing of a cap by the request's own deadline

Cause, by reading: a request that asks two silent stores and a third waits up to 1.2 s, beyond the deadline of short ones, and was then sent to a server with 1 ms left.

Change: drawing ends with the request's deadline, after which nothing is sent.

Tests: TestDrawingKeepsTheDeadline; TestDrawing says in eleven cases what is drawn and given back.

--- a/routegate/call.go
+++ b/routegate/call.go
@@ -94,6 +94,9 @@
 			c.overCap(ctx, fault)
 			return
 		}
+		if !time.Now().Before(c.deadline) {
+			continue // drawing took all that was left
+		}
 		if first && !c.forwarded {
 			c.gate.options.Budget.First(c.service)
 		}
--- a/routegate/caps.go
+++ b/routegate/caps.go
@@ -16,6 +16,8 @@
 		return nil
 	}
 	units := c.workspace.Cap.Units(c.prompt.Counted())
+	ctx, cancel := context.WithDeadline(ctx, c.deadline)
+	defer cancel()
 	began := time.Now()
 	fault := caps.Take(ctx, c.workspace, units)
 	c.capWait += time.Since(began)
--- /dev/null
+++ b/routegate/caps_test.go
@@ -0,0 +1,116 @@
+package routegate
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"wheelgauge"
+	"wheelgauge/routetable"
+)
+
+// limiter lets through so many requests, and notes what is drawn and given back.
+type limiter struct {
+	mu    sync.Mutex
+	left  int
+	blind bool // no store answers: it waits for the request's own end
+	drawn float64
+	back  float64
+}
+
+func (l *limiter) Take(ctx context.Context, _ *wheelgauge.Workspace, units float64) *wheelgauge.Error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.blind {
+		<-ctx.Done()
+		return refusal(wheelgauge.ReasonNoLeader, http.StatusServiceUnavailable, "").WithRetryAfter(time.Second)
+	}
+	if l.left == 0 {
+		return refusal(wheelgauge.ReasonRateLimited, http.StatusTooManyRequests, "").WithRetryAfter(1500 * time.Millisecond)
+	}
+	l.left--
+	l.drawn += units
+	return nil
+}
+
+func (l *limiter) Return(_ *wheelgauge.Workspace, units float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.back += units
+}
+
+// What a request draws of its workspace's cap, and when it gives that back.
+func TestDrawing(t *testing.T) {
+	const token = "Wheelgauge-Key: capped-key\r\nWheelgauge-Tokens: 900,100\r\n"
+	tests := []struct {
+		name    string
+		path    string
+		headers string
+		left    int
+		script  []string
+		status  int
+		drawn   float64
+		back    float64
+	}{
+		{"served", "/safe/", token, 9, nil, 200, 1000, 0},
+		{"tells no tokens", "/safe/", "Wheelgauge-Key: capped-key\r\n", 9, nil, 200, 70, 0},
+		{"no cap", "/safe/", "Wheelgauge-Key: free-key\r\n", 0, nil, 200, 0, 0},
+		{"beyond the cap", "/safe/", token, 0, nil, 429, 0, 0},
+		{"what did not run goes on with the same units", "/safe/", token, 1, []string{shed}, 200, 1000, 0},
+		{"nobody ran it", "/once/", token, 9, []string{shed, shed, shed}, 503, 1000, 1000},
+		{"a repeat is drawn anew", "/safe/", token, 9, []string{failure}, 200, 2000, 0},
+		{"the cap allows no repeat", "/safe/", token, 1, []string{garbage}, 502, 1000, 0},
+		{"nowhere to run", "/away/", token, 9, nil, 503, 1000, 1000},
+		{"no route", "/none/", token, 9, nil, 404, 0, 0},
+		{"no key", "/safe/", "", 9, nil, 401, 0, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBackend(t, tt.script...)
+			g, c := newGate(t, routes(), b, b)
+			l := &limiter{left: tt.left}
+			withCaps(g, l)
+			resp, _, err := ask(t, c, tt.path, tt.headers)
+			if err != nil {
+				t.Fatal(err)
+			}
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			if resp.StatusCode != tt.status || l.drawn != tt.drawn || l.back != tt.back {
+				t.Errorf("got %d, drew %.0f and gave back %.0f, want %d, %.0f, %.0f", resp.StatusCode, l.drawn, l.back, tt.status, tt.drawn, tt.back)
+			}
+			if tt.status == http.StatusTooManyRequests && (resp.Header.Get("Retry-After") != "1.500" || len(b.seen()) > 0) {
+				t.Errorf("refused with Retry-After %q, %d servers got it", resp.Header.Get("Retry-After"), len(b.seen()))
+			}
+		})
+	}
+}
+
+// withCaps puts workspaces in force, one with a cap that l holds.
+func withCaps(g *Gate, l *limiter) {
+	g.options.Caps = l
+	g.SetTable(routetable.New(&wheelgauge.RouteSet{
+		Version: 2, Routes: routes(), Services: []wheelgauge.Service{{Name: "s", Conns: 100}},
+		Workspaces: []wheelgauge.Workspace{
+			{Name: "capped", Keys: []string{"capped-key"}, Cap: wheelgauge.Cap{Rate: 1, Burst: 1, Unit: wheelgauge.CapTokens, Plain: 70}},
+			{Name: "free", Keys: []string{"free-key"}},
+		},
+	}))
+	g.Confirm()
+}
+
+// A request whose units no store grants in time is answered when its time is over.
+func TestDrawingKeepsTheDeadline(t *testing.T) {
+	b := newBackend(t)
+	g, c := newGate(t, routes(), b)
+	withCaps(g, &limiter{blind: true})
+	resp, _, err := ask(t, c, "/safe/", "Wheelgauge-Key: capped-key\r\nWheelgauge-Deadline-Ms: 80\r\n")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if resp.StatusCode != http.StatusServiceUnavailable || len(b.seen()) > 0 {
+		t.Errorf("got %d, %d servers got it", resp.StatusCode, len(b.seen()))
+	}
+}
