--- a/capbank/account.go
+++ b/capbank/account.go
@@ -143,8 +143,7 @@
 }
 
 // draw takes units if the bucket holds any: what is missing is paid back before the
-// next ones are drawn, but no more than
-// debt. A bucket that large requests had to fill
+// next ones are drawn, but no more than debt. A bucket that large requests had to fill
 // first would let small ones by for ever.
 func (a *account) draw(units float64, now time.Time) (after time.Duration, ok bool) {
 	a.settle(now)
