Give units of a cap back before the refusal is answered

Cause: call.refuse answered, and call.close gave the units back after that, so a caller that asks again at once could find its cap still drawn. Change: refuse gives back first; close stays for requests that are cut. The test's limiter keeps its pause, so that the order is seen each time.

--- a/routegate/call.go
+++ b/routegate/call.go
@@ -186,7 +186,10 @@
 	return min(latestRetry, max(busyRetry, time.Until(c.deadline)/retryPart))
 }
 
+// refuse answers with an error. Units that were not used are given back first: the caller
+// may be back as soon as it has read the answer.
 func (c *call) refuse(e *wheelgauge.Error) {
+	c.giveBack()
 	c.status = e.Status()
 	if c.cause == "" {
 		c.cause = string(e.Reason())
--- a/routegate/caps_test.go
+++ b/routegate/caps_test.go
@@ -35,13 +35,18 @@
 	return nil
 }
 
+// returnPause lets an answer that doesn't wait for units to be given back overtake them.
+const returnPause = 20 * time.Millisecond
+
 func (l *limiter) Return(_ *wheelgauge.Workspace, units float64) {
+	time.Sleep(returnPause)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.back += units
 }
 
-// What a request draws of its workspace's cap, and when it gives that back.
+// What a request draws of its workspace's cap, and what it has given back by the time its
+// caller reads the answer: a caller that asks again at once finds the units there.
 func TestDrawing(t *testing.T) {
 	const token = "Wheelgauge-Key: capped-key\r\nWheelgauge-Tokens: 900,100\r\n"
 	tests := []struct {
