A request's own end doesn't silence a store of caps

Cause: Purse.ask marked a store as silent for 0.3 s whenever an asking failed, also when the request that asked had less time than the asking takes; all the host's requests then passed over a store that is well. Found by reading. Change: only an asking whose request still has time says the store is silent. TestSilence failed first (asked once for two requests, want twice); a store that doesn't answer in its time is still passed over.

--- a/cappurse/purse.go
+++ b/cappurse/purse.go
@@ -221,12 +221,12 @@
 }
 
 // ask asks one store; ok is false when it does not answer.
-func (p *Purse) ask(ctx context.Context, s wheelgauge.StoreAt, workspace string, units float64, moved bool) (g wheelgauge.CapGrant, ok bool) {
+func (p *Purse) ask(within context.Context, s wheelgauge.StoreAt, workspace string, units float64, moved bool) (g wheelgauge.CapGrant, ok bool) {
 	timeout := farTimeout
 	if s.Near {
 		timeout = nearTimeout
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := context.WithTimeout(within, timeout)
 	defer cancel()
 	asked := p.o.Now()
 	want := wheelgauge.CapWant{Workspace: workspace, Units: units}
@@ -235,7 +235,10 @@
 	}
 	answer, err := p.o.Ask(ctx, s.Address, wheelgauge.CapAsk{Host: p.o.Host, Boot: p.o.Boot, Moved: moved, Wants: []wheelgauge.CapWant{want}})
 	if err != nil || len(answer.Grants) != 1 {
-		p.noteSilent(s.Address)
+		// A request that had less time than the store says nothing about the store.
+		if within.Err() == nil {
+			p.noteSilent(s.Address)
+		}
 		return g, false
 	}
 	g = answer.Grants[0]
--- a/cappurse/purse_test.go
+++ b/cappurse/purse_test.go
@@ -117,6 +117,42 @@
 }
 
 // Units of a request that was not run serve another one, for a while.
+// What silences a store for all requests of the host: that it does not answer in the
+// time an asking has, and not that the request which asked had less time than that.
+func TestSilence(t *testing.T) {
+	tests := []struct {
+		name   string
+		within time.Duration
+		asked  int
+	}{
+		{"the request's time is over", 20 * time.Millisecond, 2},
+		{"the store does not answer", time.Second, 1},
+	}
+	for _, tt := range tests {
+		synctest.Test(t, func(t *testing.T) {
+			asked := 0
+			p := New(Options{
+				Host: "h", Boot: 1, Now: time.Now,
+				Stores: func() []wheelgauge.StoreAt { return []wheelgauge.StoreAt{{Address: "s", Near: true}} },
+				Ask: func(ctx context.Context, _ string, _ wheelgauge.CapAsk) (wheelgauge.CapAnswer, error) {
+					asked++
+					<-ctx.Done()
+					return wheelgauge.CapAnswer{}, ctx.Err()
+				},
+			})
+			defer p.Close()
+			for range 2 {
+				ctx, cancel := context.WithTimeout(t.Context(), tt.within)
+				p.Take(ctx, testSpace, 1)
+				cancel()
+			}
+			if asked != tt.asked {
+				t.Errorf("%s: the store was asked %d times for two requests, want %d", tt.name, asked, tt.asked)
+			}
+		})
+	}
+}
+
 func TestReturn(t *testing.T) {
 	tests := []struct {
 		name  string
