--- a/serverset/pick.go
+++ b/serverset/pick.go
@@ -19,8 +19,10 @@
 	source string
 	load   Load
 	sent   time.Time
-	began  bool
-	ended  bool
+	// counted is set while its prompt counts as one that waits to be read.
+	counted bool
+	began   bool
+	ended   bool
 }
 
 // Load is what a server had to do, by what was known, when it was chosen.
@@ -74,6 +76,8 @@
 	s.running++
 	s.tokens += k.tokens
 	s.work = s.work.Add(k.rank, 1, k.tokens)
+	k.counted = true
+	s.unread = append(s.unread, k)
 	return k
 }
 
@@ -176,6 +180,7 @@
 
 // engineLoad is what an engine has in flight, as a request of a rank sees it.
 func engineLoad(s *Server, rank, missing int, now time.Time) enginewait.Load {
+	s.settle(now)
 	running, urgent, tokens := s.work.Before(rank)
 	othersRunning, othersUrgent, othersTokens := s.others.Work.Before(rank)
 	// What other hosts told of has been read on since.
@@ -250,9 +255,11 @@
 	t := k.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !k.read() {
+	if k.ended || k.began {
 		return
 	}
+	k.began = true
+	k.count(false)
 	for _, part := range k.prompt.Shared() {
 		k.server.cached[part.ID()] = t.now()
 	}
@@ -305,7 +312,7 @@
 		return
 	}
 	k.ended = true
-	k.read() // nothing has come, if it was not read before
+	k.count(false)
 	s, now := k.server, t.now()
 	s.running--
 	s.work = s.work.Add(k.rank, -1, 0)
@@ -328,14 +335,20 @@
 	}
 }
 
-// read takes the prompt's tokens off those that wait; false if they were taken
-// off before. The table's lock is held.
-func (k *Pick) read() bool {
-	if k.began {
-		return false
+// count sets whether the prompt counts as one that waits to be read. The table's lock
+// is held.
+func (k *Pick) count(waits bool) {
+	if k.counted == waits {
+		return
 	}
-	k.began = true
-	k.server.tokens -= k.tokens
-	k.server.work = k.server.work.Add(k.rank, 0, -k.tokens)
-	return true
+	k.counted = waits
+	tokens := k.tokens
+	if !waits {
+		tokens = -tokens
+	}
+	k.server.tokens += tokens
+	k.server.work = k.server.work.Add(k.rank, 0, tokens)
 }
+
+// over tells whether nothing more is to come that says when the prompt was read.
+func (k *Pick) over() bool { return k.began || k.ended }
