End the listeners of a program together

Cause: a store closed its four listeners one after another, each within 3.2 s, 12.8 s at worst of a grace of 8 s; a gateway its two within 0.2 s each. Same cause looked for elsewhere: the store with resources closes its two within one limit, the first could take the time of the second, mended too; the gateway with resources ends callers, peers and operators within one limit in that order on purpose. Change: httpserve.CloseAll closes all within one context and names those whose connections were cut; CloseWithin, which nobody calls any more, is gone.

--- a/confstore/node.go
+++ b/confstore/node.go
@@ -34,8 +34,9 @@
 	servedPrefix = "served"
 	// voters survive the loss of two disks at once.
 	voters = 5
-	// listenerStop bounds the end of each listener: an order under way takes
-	// three seconds at most, and two listeners fit a grace of eight.
+	// listenerStop bounds the end of all listeners together: an order under way takes
+	// three seconds at most. One after another, four took up to 12.8 s of a grace of
+	// eight, and processes were killed at its end.
 	listenerStop = 3200 * time.Millisecond
 )
 
@@ -198,15 +199,14 @@
 	n.stop()
 	errs := []error{<-n.polled, <-n.told, <-n.kept, <-n.logged}
 	n.passing.Wait()
-	for _, l := range n.listeners {
-		// A peer that is frozen keeps its connection open; it asks again elsewhere.
-		cut, err := l.CloseWithin(listenerStop)
-		if cut {
-			n.o.Log.Info("Listener ends with connections open.", "address", l.Address())
-		}
-		errs = append(errs, err)
+	// A peer that is frozen keeps its connection open; it asks again elsewhere.
+	limit, cancel := context.WithTimeout(context.Background(), listenerStop)
+	defer cancel()
+	cut, err := httpserve.CloseAll(limit, n.listeners)
+	if len(cut) > 0 {
+		n.o.Log.Info("Listeners end with connections open.", "addresses", cut)
 	}
-	errs = append(errs, n.replica.Close())
+	errs = append(errs, err, n.replica.Close())
 	n.client.CloseIdle()
 	n.o.Log.Info("Bytes by kind of call.", "bytes", n.meter.Bytes())
 	return errors.Join(errs...)
--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -45,7 +45,7 @@
 	// cutMargin is what is left of the grace when the last connections are cut:
 	// the process needs some 50 ms to end.
 	cutMargin = 250 * time.Millisecond
-	// listenerStop bounds the end of each listener, for readiness and for metrics.
+	// listenerStop bounds the end of the listeners for readiness and for metrics.
 	listenerStop = 200 * time.Millisecond
 	// strayTime is how long most callers still come that hold an old entry answer:
 	// in a calm region it holds for 2 s. Those that keep it longer find the host
@@ -242,12 +242,11 @@
 	n.forwards.Drain()
 	n.beats.Load().Now()
 	n.await(ctx, last)
-	var errs []error
-	for _, l := range n.listeners {
-		// Whoever asks for readiness or metrics asks again.
-		_, err := l.CloseWithin(listenerStop)
-		errs = append(errs, err)
-	}
+	// Whoever asks for readiness or metrics asks again.
+	brief, done := context.WithTimeout(ctx, listenerStop)
+	defer done()
+	_, err := httpserve.CloseAll(brief, n.listeners)
+	errs := []error{err}
 	limit, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
 	errs = append(errs, n.callers.Close(limit), n.forwards.Close(limit))
--- a/httpserve/server.go
+++ b/httpserve/server.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -102,16 +103,24 @@
 	return errors.Join(err, <-s.done)
 }
 
-// CloseWithin is Close for listeners whose callers repeat what is cut: it takes
-// at most limit, and tells whether connections were still open then.
-func (s *Server) CloseWithin(limit time.Duration) (cut bool, err error) {
-	ctx, cancel := context.WithTimeout(context.Background(), limit)
-	defer cancel()
-	err = s.Close(ctx)
-	if errors.Is(err, context.DeadlineExceeded) {
-		return true, nil
+// CloseAll closes the listeners of one program at the same time, so that none takes the
+// time of another. It returns the addresses of those whose connections were still open
+// when ctx ended: their callers repeat what is cut.
+func CloseAll(ctx context.Context, listeners []*Server) (cut []string, err error) {
+	endings := make([]error, len(listeners))
+	var all sync.WaitGroup
+	for i, l := range listeners {
+		all.Go(func() { endings[i] = l.Close(ctx) })
 	}
-	return false, err
+	all.Wait()
+	for i, ended := range endings {
+		if errors.Is(ended, context.DeadlineExceeded) {
+			cut = append(cut, listeners[i].Address())
+			continue
+		}
+		err = errors.Join(err, ended)
+	}
+	return cut, err
 }
 
 // silent drops fasthttp's own log lines: parts log for themselves.
--- a/storenode/node.go
+++ b/storenode/node.go
@@ -182,10 +182,11 @@
 func (n *Node) Close(ctx context.Context) error {
 	n.stop()
 	errs := []error{<-n.exchanged}
-	for _, l := range n.listeners {
-		errs = append(errs, l.Close(ctx))
+	cut, err := httpserve.CloseAll(ctx, n.listeners)
+	if len(cut) > 0 {
+		errs = append(errs, fmt.Errorf("end listeners %v: %w", cut, ctx.Err()))
 	}
-	errs = append(errs, n.giver.Close(), n.acceptor.Close(), n.replica.Close(), n.claims.Close())
+	errs = append(errs, err, n.giver.Close(), n.acceptor.Close(), n.replica.Close(), n.claims.Close())
 	n.client.CloseIdle()
 	return errors.Join(errs...)
 }
