--- /dev/null
+++ b/cappurse/faults_test.go
@@ -0,0 +1,169 @@
+package cappurse
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// Caps hold in every window over all hosts, whatever happens, and in calm hardly
+// anything within them is refused: 1%, the users' figure.
+func TestCalm(t *testing.T) {
+	t.Parallel()
+	for _, hosts := range []int{24, 68} {
+		synctest.Test(t, func(t *testing.T) {
+			s := newSchedule(t, 1, hosts)
+			s.run(nil)
+			s.check(fmt.Sprint("calm, hosts ", hosts), 0.01)
+		})
+	}
+}
+
+// A workspace that asks 8 times its usual from one second to the next gets its cap and
+// no more.
+func TestHot(t *testing.T) {
+	t.Parallel()
+	for _, name := range []string{"small", "middle", "large", "plain"} {
+		synctest.Test(t, func(t *testing.T) {
+			s := newSchedule(t, 2, 68)
+			s.hotFor(name, 8, 6*time.Second, 16*time.Second)
+			s.run(nil)
+			s.check("hot "+name, 0.05)
+		})
+	}
+}
+
+// fault brings about one kind of trouble for a while.
+type fault struct {
+	name string
+	play func(s *schedule)
+}
+
+func faults() []fault {
+	return []fault{
+		{"regions cut apart", func(s *schedule) {
+			s.set(func() { s.cutRegions["a"], s.cutRegions["b"], s.cutRegions["c"] = true, true, true })
+			s.pause(2, 9)
+			s.set(func() { clear(s.cutRegions) })
+		}},
+		{"a region cut off", func(s *schedule) {
+			s.set(func() { s.cutRegions[s.regions[s.r.IntN(3)]] = true })
+			s.pause(2, 9)
+			s.set(func() { clear(s.cutRegions) })
+		}},
+		{"a store killed", func(s *schedule) {
+			st := s.stores[s.draw(len(s.stores))]
+			s.stop(st)
+			s.pause(0.3, 4)
+			s.start(st)
+		}},
+		{"all stores killed", func(s *schedule) {
+			for _, st := range s.stores {
+				s.stop(st)
+			}
+			s.pause(0.3, 3.5)
+			for _, st := range s.stores {
+				s.start(st)
+			}
+		}},
+		{"a store frozen", func(s *schedule) {
+			st := s.stores[s.draw(len(s.stores))]
+			s.set(func() { st.frozen = true })
+			s.pause(1, 6)
+			s.set(func() { st.frozen = false })
+		}},
+		{"a herd of hosts killed", func(s *schedule) {
+			s.set(func() {
+				for h := range s.hosts {
+					if s.r.Float64() < 0.55 {
+						s.down[h] = time.Now().Add(2 * time.Second)
+					}
+				}
+			})
+		}},
+		{"a cap cut", func(s *schedule) {
+			w := s.workspaces[s.draw(len(s.workspaces))]
+			s.set(func() {
+				if w.cutTo == 0 {
+					w.cutAt, w.cutTo = s.at(), 0.2
+					w.spec.Cap.Rate *= w.cutTo
+					w.spec.Cap.Burst *= w.cutTo
+				}
+				for _, st := range s.stores {
+					if st.bank != nil {
+						st.bank.SetCaps(s.specs())
+					}
+				}
+			})
+		}},
+	}
+}
+
+func (s *schedule) set(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f()
+}
+
+// draw returns a number below n.
+func (s *schedule) draw(n int) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.r.IntN(n)
+}
+
+// pause waits for some seconds.
+func (s *schedule) pause(least, most float64) {
+	s.mu.Lock()
+	d := least + (most-least)*s.r.Float64()
+	s.mu.Unlock()
+	time.Sleep(time.Duration(d * float64(time.Second)))
+}
+
+// Each fault alone, beside a workspace that asks too much.
+func TestEachFault(t *testing.T) {
+	t.Parallel()
+	for _, f := range faults() {
+		t.Run(f.name, func(t *testing.T) {
+			for seed := range *repeats {
+				synctest.Test(t, func(t *testing.T) {
+					s := newSchedule(t, uint64(3+seed), 68)
+					s.hotFor("large", 8, 4*time.Second, 14*time.Second)
+					s.run(func(context.Context) {
+						time.Sleep(6 * time.Second)
+						f.play(s)
+					})
+					s.check(f.name, 0.25)
+				})
+			}
+		})
+	}
+}
+
+// Faults that overlap, by seed. The bound holds in every window.
+func TestSchedules(t *testing.T) {
+	t.Parallel()
+	for seed := range *seeds {
+		synctest.Test(t, func(t *testing.T) {
+			s := newSchedule(t, uint64(100+seed), []int{8, 24, 68, 200}[seed%4])
+			names := []string{"small", "middle", "large", "plain"}
+			s.hotFor(names[s.draw(4)], 2+float64(s.draw(9)), 3*time.Second, 15*time.Second)
+			var played []string
+			s.run(func(context.Context) {
+				var group sync.WaitGroup
+				for range 2 + s.draw(4) {
+					all := faults()
+					f := all[s.draw(len(all))]
+					played = append(played, f.name)
+					group.Go(func() { f.play(s) })
+					s.pause(0, 4)
+				}
+				group.Wait()
+			})
+			s.check(fmt.Sprintf("seed %d, %v", 100+seed, played), 1)
+		})
+	}
+}
