--- a/routegate/gate_test.go
+++ b/routegate/gate_test.go
@@ -51,7 +51,7 @@
 	conn   net.Listener
 }
 
-func newBackend(t *testing.T, script ...string) *backend {
+func newBackend(t testing.TB, script ...string) *backend {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -108,7 +108,7 @@
 
 // gate returns a gate before the backends, all of one service, and a
 // connection of a caller.
-func newGate(t *testing.T, routes []wheelgauge.PathRoute, backends ...*backend) (*Gate, net.Conn) {
+func newGate(t testing.TB, routes []wheelgauge.PathRoute, backends ...*backend) (*Gate, net.Conn) {
 	t.Helper()
 	service := &wheelgauge.Service{Name: "s", Conns: 100}
 	servers := serverset.New(serverset.Place{Host: "g", Hall: "h", Peers: []string{"g"}}, func(string) *wheelgauge.Service { return service }, time.Now)
