--- a/confstore/node.go
+++ b/confstore/node.go
@@ -35,8 +35,8 @@
 	// voters survive the loss of two disks at once.
 	voters = 5
 	// listenerStop bounds the end of all listeners together: an order under way takes
-	// three seconds at most. One after another, four took up to 12.8 s of a grace of
-	// eight, and processes were killed at its end.
+	// three seconds at most. One after another, four could take 12.8 s of a grace of
+	// eight.
 	listenerStop = 3200 * time.Millisecond
 )
 
