One mean of what is asked a second, for stores and hosts

Cause: the change wrote the same fading mean twice, as capbank's average (what hosts ask, and were given ahead) and inside cappurse's kept units (what is drawn). Ruled out: inflight's fading wait, which is of another shape (a weighted value that fades), and the running sizes of requests, three lines with weights of their own. An account needn't set the moment of its means any more: nothing fades to nothing. The comment of reachable said that it returns at least one store; it may return none.

--- a/capbank/account.go
+++ b/capbank/account.go
@@ -1,11 +1,11 @@
 package capbank
 
 import (
-	"math"
 	"math/rand/v2"
 	"time"
 
 	"wheelgauge"
+	"wheelgauge/meanrate"
 )
 
 const (
@@ -27,30 +27,6 @@
 	spread  = 0.5
 )
 
-// average is the mean of what is asked a second, newer askings counting more.
-type average struct {
-	value float64
-	at    time.Time
-}
-
-func (m *average) decay(now time.Time) {
-	if d := now.Sub(m.at); d > 0 {
-		m.value *= math.Exp(-d.Seconds() / demandSpan.Seconds())
-		m.at = now
-	}
-}
-
-func (m *average) add(units float64, now time.Time) {
-	m.decay(now)
-	m.value += units / demandSpan.Seconds()
-}
-
-// now returns the mean at a moment.
-func (m *average) now(now time.Time) float64 {
-	m.decay(now)
-	return m.value
-}
-
 // account is this store's part of one workspace's cap: a bucket that fills by the
 // store's share of the rate, and holds as much of the burst.
 type account struct {
@@ -66,9 +42,10 @@
 	at    time.Time
 	// opened is set once the bucket has had its first units.
 	opened bool
-	demand average
-	// ahead is what hosts were given for requests to come, which they hold for a second.
-	ahead average
+	// demand is what hosts ask, ahead what they were given for requests to come, which they
+	// hold for a second.
+	demand meanrate.Rate
+	ahead  meanrate.Rate
 	// used is what was granted and refused since it was last told.
 	used Usage
 	// size is the mean of what requests count, newer ones counting more.
@@ -163,12 +140,12 @@
 
 // give gives units for requests to come, of what is there beyond half of the bucket.
 func (a *account) give(units float64, now time.Time) float64 {
-	left := aheadRoom*a.part()*a.room - a.ahead.now(now)*demandSpan.Seconds()
+	left := aheadRoom*a.part()*a.room - a.ahead.At(now)*demandSpan.Seconds()
 	units = min(units, left, a.level-a.full()/2)
 	if units <= 0 {
 		return 0
 	}
-	a.ahead.add(units, now)
+	a.ahead.Add(units, now)
 	a.level -= units
 	a.used.Granted += units
 	return units
--- a/capbank/bank.go
+++ b/capbank/bank.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"wheelgauge"
+	"wheelgauge/meanrate"
 	"wheelgauge/rendezvous"
 )
 
@@ -95,8 +96,10 @@
 			a.level = min(a.level, a.full())
 			continue
 		}
-		b.accounts[w.Name] = &account{name: w.Name, cap: w.Cap, room: b.room(w.Cap), window: b.o.Window, at: now}
-		b.accounts[w.Name].demand.at, b.accounts[w.Name].ahead.at = now, now
+		b.accounts[w.Name] = &account{
+			name: w.Name, cap: w.Cap, room: b.room(w.Cap), window: b.o.Window, at: now,
+			demand: meanrate.New(demandSpan), ahead: meanrate.New(demandSpan),
+		}
 	}
 	for name := range b.accounts {
 		if !seen[name] {
--- a/capbank/hosts.go
+++ b/capbank/hosts.go
@@ -93,7 +93,7 @@
 		a.sized(w.Units)
 	}
 	if !moved {
-		a.demand.add(w.Units, now)
+		a.demand.Add(w.Units, now)
 	}
 	after, ok := a.draw(w.Units, now)
 	if moved {
--- a/capbank/peer.go
+++ b/capbank/peer.go
@@ -108,7 +108,7 @@
 	}
 	for name, a := range b.accounts {
 		a.settle(now)
-		d := wheelgauge.CapDemand{Workspace: name, Units: int64(a.demand.now(now))}
+		d := wheelgauge.CapDemand{Workspace: name, Units: int64(a.demand.At(now))}
 		if d.Units > 0 || b.asked(name, now) {
 			d.Spare = int64(a.spare())
 			n.Demands = append(n.Demands, d)
@@ -193,7 +193,7 @@
 	if own == 0 || b.whole(a, now) {
 		return 0
 	}
-	surplus := own - b.target(a, b.o.Self, a.demand.now(now), now)
+	surplus := own - b.target(a, b.o.Self, a.demand.At(now), now)
 	lacks, mine := 0.0, 0.0
 	for address, other := range b.peers {
 		part := b.part(a, address, now)
@@ -223,7 +223,7 @@
 // target is the part of a cap that a store should have.
 func (b *Bank) target(a *account, address string, demand float64, now time.Time) float64 {
 	part := b.part(a, address, now)
-	all := a.demand.now(now)
+	all := a.demand.At(now)
 	for _, p := range b.peers {
 		all += p.asks(a.name, now)
 	}
--- a/capbank/usage.go
+++ b/capbank/usage.go
@@ -41,6 +41,6 @@
 func (a *account) usage(now time.Time) Usage {
 	a.settle(now)
 	u := a.used
-	u.Workspace, u.Share, u.Rate, u.Level, u.Demand = a.name, a.share, a.cap.Rate, a.level, a.demand.now(now)
+	u.Workspace, u.Share, u.Rate, u.Level, u.Demand = a.name, a.share, a.cap.Rate, a.level, a.demand.At(now)
 	return u
 }
--- a/cappurse/purse.go
+++ b/cappurse/purse.go
@@ -5,13 +5,13 @@
 
 import (
 	"context"
-	"math"
 	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
 
 	"wheelgauge"
+	"wheelgauge/meanrate"
 )
 
 // Path is where stores are asked for units.
@@ -71,10 +71,9 @@
 type kept struct {
 	units float64
 	until time.Time
-	// rate is what is drawn a second, size what a request counts in the mean.
-	rate float64
-	size float64
-	at   time.Time
+	// drawn is what is drawn a second, size what a request counts in the mean.
+	drawn meanrate.Rate
+	size  float64
 	// far is the store that was asked last if it is a far one, fetching is set while it
 	// is asked ahead of requests.
 	far      string
@@ -84,15 +83,14 @@
 // note takes what a request counts into the means.
 func (k *kept) note(units float64, now time.Time) {
 	if k.size == 0 {
-		k.size, k.at = units, now
+		k.size = units
 	}
 	k.size += sizeWeight * (units - k.size)
-	k.rate = k.rate*math.Exp(-now.Sub(k.at).Seconds()/rateSpan.Seconds()) + units/rateSpan.Seconds()
-	k.at = now
+	k.drawn.Add(units, now)
 }
 
 // wanted is what should be there for requests to come.
-func (k *kept) wanted() float64 { return max(k.size, k.rate*aheadTime.Seconds()) }
+func (k *kept) wanted() float64 { return max(k.size, k.drawn.Last()*aheadTime.Seconds()) }
 
 // left is what is still good.
 func (k *kept) left(now time.Time) float64 {
@@ -171,7 +169,7 @@
 // of returns what is kept of a workspace; the lock is held.
 func (p *Purse) of(workspace string) *kept {
 	if p.kept[workspace] == nil {
-		p.kept[workspace] = &kept{}
+		p.kept[workspace] = &kept{drawn: meanrate.New(rateSpan)}
 	}
 	return p.kept[workspace]
 }
@@ -205,7 +203,7 @@
 	p.of(workspace).fetching = false
 }
 
-// reachable returns the stores to ask, at least one if there is any.
+// reachable returns the stores to ask; none when all in touch were silent lately.
 func (p *Purse) reachable() []wheelgauge.StoreAt {
 	all := p.o.Stores()
 	p.mu.Lock()
