One way for the meter to tell names apart

Change: apart takes the names told apart and the most of them; the name that all others share is otherName. Tests unchanged.

--- a/meter/meter.go
+++ b/meter/meter.go
@@ -21,7 +21,7 @@
 	// mostWorkspaces bounds those told apart, the first that come: 64 histograms of about
 	// 17 KB are 1.1 MB. The largest come first more likely than not.
 	mostWorkspaces = 64
-	otherClient    = "other"
+	otherName      = "other"
 	// Counters of calls between processes, by kind.
 	callsPrefix    = "calls."
 	sentPrefix     = "bytes.sent."
@@ -85,14 +85,14 @@
 
 // Observe adds a duration to the histograms of a client and of its class.
 func (m *Meter) Observe(name, client, class string, d time.Duration) {
-	m.histogram(name + ".client." + m.known(client)).Update(d.Milliseconds())
+	m.histogram(name + ".client." + m.apart(m.clients, client, mostClients)).Update(d.Milliseconds())
 	m.histogram(name + ".class." + class).Update(d.Milliseconds())
 }
 
 // Workspace tells of a request of a workspace: whether it was answered with success, and
 // then in time, how long that took, and whether the workspace's cap refused it.
 func (m *Meter) Workspace(name string, served, inTime, capped bool, took time.Duration) {
-	name = m.apart(name)
+	name = m.apart(m.workspaces, name, mostWorkspaces)
 	m.Count("workspace.arrived." + name)
 	if served {
 		m.histogram("workspace.ms." + name).Update(took.Milliseconds())
@@ -105,30 +105,18 @@
 	}
 }
 
-// apart returns the name of a workspace that is told apart, or a common one.
-func (m *Meter) apart(name string) string {
+// apart returns a name that is told apart, the first most of them that come, or the one
+// that all others share.
+func (m *Meter) apart(told map[string]bool, name string, most int) string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.workspaces[name] && len(m.workspaces) >= mostWorkspaces {
-		return otherClient
+	if !told[name] && len(told) >= most {
+		return otherName
 	}
-	m.workspaces[name] = true
+	told[name] = true
 	return name
 }
 
-func (m *Meter) known(client string) string {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.clients[client] {
-		return client
-	}
-	if len(m.clients) >= mostClients {
-		return otherClient
-	}
-	m.clients[client] = true
-	return client
-}
-
 func (m *Meter) histogram(name string) metrics.Histogram {
 	made := func() metrics.Histogram {
 		return metrics.NewHistogram(metrics.NewExpDecaySample(sampleSize, sampleAlpha))
