The store's repeated tasks in one list; constants and methods in their places

Change: Node.task runs a loop and keeps the channel that its end comes on; Close reads all. capsEvery and newsLife stand with the other constants, Prompt.count with Prompt's methods. Moved only; tests unchanged, with the race detector.

--- a/capbank/peer.go
+++ b/capbank/peer.go
@@ -7,6 +7,9 @@
 	"wheelgauge"
 )
 
+// newsLife is how long a store's word of its hosts holds: some of its news.
+const newsLife = 1500 * time.Millisecond
+
 // sheet is what one store has lent another.
 type sheet struct {
 	giver  uint64
@@ -146,9 +149,6 @@
 	return best
 }
 
-// newsLife is how long a store's word of its hosts holds: some of its news.
-const newsLife = 1500 * time.Millisecond
-
 // Lend takes another store's news, and returns what it may use of this store's part
 // from when it sent them. The lender counts it as gone for as long from now.
 func (b *Bank) Lend(from string, boot uint64, n wheelgauge.CapNews) wheelgauge.CapSheet {
--- a/confstore/caps.go
+++ b/confstore/caps.go
@@ -14,12 +14,11 @@
 	// refusedEvery is how often refusals are logged, mostRefused of how many caps.
 	refusedEvery = time.Second
 	mostRefused  = 8
+	// capsEvery is how often the bank is told of a new configuration and of other stores:
+	// callers of a new workspace wait for neither.
+	capsEvery = 100 * time.Millisecond
 )
 
-// capsEvery is how often the bank is told of a new configuration and of other stores:
-// callers of a new workspace wait for neither.
-const capsEvery = 100 * time.Millisecond
-
 // serveCaps answers an entry host that draws units; false means another path.
 func (n *Node) serveCaps(ctx *fasthttp.RequestCtx) bool {
 	return serve(ctx, cappurse.Path, func(ask wheelgauge.CapAsk) (wheelgauge.CapAnswer, error) {
--- a/confstore/node.go
+++ b/confstore/node.go
@@ -89,7 +89,8 @@
 	meter     *meter.Meter
 	listeners []*httpserve.Server
 	stop      context.CancelFunc
-	polled    chan error
+	// tasks are what the store does again and again; each reports its end.
+	tasks []chan error
 
 	servers *serverlist.Table
 	members members
@@ -97,14 +98,11 @@
 	// capsVersion is that of the configuration whose caps the bank has; only keepCaps
 	// uses it.
 	capsVersion uint64
-	kept        chan error
-	logged      chan error
 	// foreign are the entries of each region's list that named no server at its last
 	// reading; only poll uses it.
 	foreign map[string]wheelgauge.ForeignEntries
-	// passing are the calls that tell other stores; told ends when no more begin.
+	// passing are the calls that tell other stores; no more begin once the tasks ended.
 	passing sync.WaitGroup
-	told    chan error
 }
 
 // Open starts a store.
@@ -112,8 +110,8 @@
 	ctx, stop := context.WithCancel(ctx)
 	n := &Node{
 		o: o, boot: uint64(time.Now().UnixNano()), started: time.Now(), machine: configlog.New(), hosts: hosttable.New(time.Now),
-		client: peerhttp.NewClient(nil, ""), meter: meter.New(), stop: stop, polled: make(chan error, 1), told: make(chan error, 1),
-		foreign: map[string]wheelgauge.ForeignEntries{}, kept: make(chan error, 1), logged: make(chan error, 1),
+		client: peerhttp.NewClient(nil, ""), meter: meter.New(), stop: stop,
+		foreign: map[string]wheelgauge.ForeignEntries{},
 	}
 	n.client.Watch(n.meter.Call)
 	n.feed = statefeed.New(n.machine.State)
@@ -123,17 +121,24 @@
 		stop()
 		return nil, err
 	}
-	go func() {
+	n.task(func() error {
 		n.poll(ctx) // hosts that start together with this store wait for it
-		n.polled <- every.Interval(ctx, o.PollEvery, n.poll)
-	}()
-	go func() { n.told <- every.Interval(ctx, newsEvery, n.pass) }()
-	go func() { n.kept <- every.Interval(ctx, capsEvery, n.keepCaps) }()
-	go func() { n.logged <- every.Interval(ctx, refusedEvery, n.logCaps) }()
+		return every.Interval(ctx, o.PollEvery, n.poll)
+	})
+	n.task(func() error { return every.Interval(ctx, newsEvery, n.pass) })
+	n.task(func() error { return every.Interval(ctx, capsEvery, n.keepCaps) })
+	n.task(func() error { return every.Interval(ctx, refusedEvery, n.logCaps) })
 	o.Log.Info("Store serves.", "name", o.Name, "peer", o.Peer, "seeds", o.Seeds, "first", o.First)
 	return n, nil
 }
 
+// task runs until the store stops.
+func (n *Node) task(run func() error) {
+	ended := make(chan error, 1)
+	n.tasks = append(n.tasks, ended)
+	go func() { ended <- run() }()
+}
+
 func (n *Node) open(ctx context.Context) error {
 	o := n.o
 	ro := replica.Options{
@@ -197,7 +202,10 @@
 // Close stops the store and waits.
 func (n *Node) Close() error {
 	n.stop()
-	errs := []error{<-n.polled, <-n.told, <-n.kept, <-n.logged}
+	var errs []error
+	for _, ended := range n.tasks {
+		errs = append(errs, <-ended)
+	}
 	n.passing.Wait()
 	// A peer that is frozen keeps its connection open; it asks again elsewhere.
 	limit, cancel := context.WithTimeout(context.Background(), listenerStop)
--- a/prompt/prompt.go
+++ b/prompt/prompt.go
@@ -18,16 +18,6 @@
 // ID returns the hash of the part's name.
 func (p Part) ID() uint64 { return p.id }
 
-// count adds to what the request says of its tokens.
-func (p *Prompt) count(tokens int) {
-	p.counted += max(0, tokens)
-	p.told = true
-}
-
-// Counted returns the tokens of the prompt and the most to be generated, together, as
-// the request tells them; told is false when it does not.
-func (p Prompt) Counted() (tokens int, told bool) { return p.counted, p.told }
-
 // Tokens returns the length of the part.
 func (p Part) Tokens() int { return p.tokens }
 
@@ -70,6 +60,16 @@
 	return p
 }
 
+// count adds to what the request says of its tokens.
+func (p *Prompt) count(tokens int) {
+	p.counted += max(0, tokens)
+	p.told = true
+}
+
+// Counted returns the tokens of the prompt and the most to be generated, together, as
+// the request tells them; told is false when it does not.
+func (p Prompt) Counted() (tokens int, told bool) { return p.counted, p.told }
+
 // Tokens returns the length of the prompt.
 func (p Prompt) Tokens() int { return p.tokens }
 
