--- a/routegate/gate_test.go
+++ b/routegate/gate_test.go
@@ -52,12 +52,19 @@
 }
 
 func newBackend(t testing.TB, script ...string) *backend {
+	t.Helper()
+	b := &backend{script: script}
+	b.conn = listen(t, b.serve)
+	return b
+}
+
+// listen serves each connection that comes.
+func listen(t testing.TB, serve func(c net.Conn)) net.Listener {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	b := &backend{script: script, conn: l}
 	t.Cleanup(func() { _ = l.Close() })
 	go func() {
 		for {
@@ -65,10 +72,10 @@
 			if err != nil {
 				return
 			}
-			go b.serve(c)
+			go serve(c)
 		}
 	}()
-	return b
+	return l
 }
 
 func (b *backend) serve(c net.Conn) {
