Hold back requests that end the servers which run them

Cause: hosts and stores remembered failures by server only. A request that ends each server which begins to run it was new to every host whenever it came again, under a new id; each arrival took one or two servers, and all in flight there were cut with it (1 to 59 at once). Ruled out: our own repeats alone (two servers an arrival at most; 9 and 13 sends followed the third end); servers that end for another reason (the stories show the same request at each end). Change: a host notes which requests were in flight at a server that ended (it broke the connection off and takes no new one), by fingerprint and start of the server, and tells every store with its next heartbeat, at once. Stores join what hosts told, tell all hosts, and have the group keep it, so that it outlasts restarts and a loss of all processes. Every one judges by the same rule: three servers ended under a request, without those ends that another request explains better; what runs to its end is cleared. A held request is refused at once, 503, not run. Before: TestRequestThatEndsItsServers: 14 engines ended and it went on. After: 5 to 7 engines (12 runs with the race detector; the third end, and those while hosts are told), none by 30 further arrivals, none after hosts, or all processes, start again; all that stood beside it, and 12 requests that resemble it, served.

--- a/beat/client.go
+++ b/beat/client.go
@@ -56,16 +56,27 @@
 	SameServers(asked time.Time)
 	Uses(uses []wheelgauge.ServerUse)
 	Regions(regions []wheelgauge.RegionUse, partial bool)
+	// Crashes are those of requests to hold back, all of them unless partial.
+	Crashes(crashes []wheelgauge.Crash, partial bool)
 	// Reached tells how long a call to a store of a region took.
 	Reached(region string, took time.Duration)
 }
 
+// CrashLog gives the crashes that the host noted after a change, and the number of the
+// last change given.
+type CrashLog interface {
+	Since(change uint64) ([]wheelgauge.Crash, uint64)
+}
+
 // Options of a Client.
 type Options struct {
 	// Self tells of the host at each beat.
 	Self func() wheelgauge.FleetHost
 	// Report gives what the host has in flight.
 	Report func() ([]wheelgauge.ServerUse, []wheelgauge.ServiceUse)
+	// Crashes is told to every store, so that each knows what all hosts noted; nil
+	// where none are noted.
+	Crashes CrashLog
 	// Seeds are peer addresses of stores.
 	Seeds []string
 	// Interval is that of beats to the primary, FarInterval to stores of other regions.
@@ -134,7 +145,7 @@
 	c.choosePrimary()
 	now, self := time.Now(), c.options.Self()
 	for _, s := range c.stores {
-		if s.calling || now.Before(s.due) && s.told == self {
+		if s.calling || now.Before(s.due) && s.told == self && !c.hasCrashes(s) {
 			continue
 		}
 		c.start(ctx, s, now)
@@ -142,6 +153,16 @@
 	c.follow()
 }
 
+// hasCrashes tells whether there is a crash that a store which answers was not told of: it
+// is told at once, as each further server that ends is one less for all callers.
+func (c *Client) hasCrashes(s *store) bool {
+	if c.options.Crashes == nil || s.misses > 0 || s.boot == 0 {
+		return false
+	}
+	news, _ := c.options.Crashes.Since(s.crashes)
+	return len(news) > 0
+}
+
 // Now sends a beat to every store at once, as when the host is leaving.
 func (c *Client) Now() {
 	c.mu.Lock()
@@ -188,8 +209,11 @@
 	b := wheelgauge.Beat{Host: c.options.Self(), Primary: s.address == c.primary, IntervalMS: c.interval(s).Milliseconds()}
 	uses, totals := c.options.Report()
 	b.Totals = totals
+	if c.options.Crashes != nil {
+		b.Crashes, s.crashesSent = c.options.Crashes.Since(s.crashes)
+	}
 	if b.Primary {
-		b.Uses, b.Store, b.Hosts, b.Servers = uses, s.boot, s.hosts, s.servers
+		b.Uses, b.Store, b.Hosts, b.Servers, b.CrashesAt = uses, s.boot, s.hosts, s.servers, s.crashesAt
 		if !c.listedAt.IsZero() {
 			b.ListAgeMS = max(1, time.Since(c.listedAt).Milliseconds())
 		}
@@ -252,11 +276,13 @@
 	s.calling, s.patient, s.every, s.misses = false, false, s.sent, 0
 	s.answered, s.inTouch, s.generation = time.Now(), a.InTouch, a.Generation
 	s.region, s.hall = a.Region, a.Hall
+	s.crashes = s.crashesSent
 	if s.boot != a.Store {
-		s.boot, s.hosts, s.servers = a.Store, 0, 0
+		// It has forgotten what it was told before.
+		s.boot, s.hosts, s.servers, s.crashesAt, s.crashes = a.Store, 0, 0, 0, 0
 	}
 	if b.Primary {
-		s.hosts, s.servers = a.HostsAt, a.ServersAt
+		s.hosts, s.servers, s.crashesAt = a.HostsAt, a.ServersAt, a.CrashesAt
 	}
 	if a.InTouch && len(a.Stores) > 0 {
 		c.learn(a.Stores)
@@ -303,6 +329,9 @@
 	if a.Hosts != nil {
 		n.Hosts(a.Hosts, a.Partial)
 	}
+	if a.CrashesAt != b.CrashesAt || a.Store != b.Store {
+		n.Crashes(a.Crashes, a.Partial || !a.InTouch)
+	}
 	listed := listedAt(a, asked)
 	switch {
 	case a.Servers != nil:
--- a/beat/client_test.go
+++ b/beat/client_test.go
@@ -138,6 +138,7 @@
 func (n *news) SameServers(time.Time)                {}
 func (n *news) Uses([]wheelgauge.ServerUse)          {}
 func (n *news) Regions([]wheelgauge.RegionUse, bool) {}
+func (n *news) Crashes([]wheelgauge.Crash, bool)     {}
 
 func (n *news) primary() string {
 	n.mu.Lock()
--- a/beat/stores.go
+++ b/beat/stores.go
@@ -32,6 +32,12 @@
 	generation uint64
 	hosts      uint64
 	servers    uint64
+	// crashesAt names the view held of the crashes of all hosts, as it is told. crashes
+	// is the last change of the host's own that the store knows of, crashesSent that of
+	// the beat under way.
+	crashesAt   uint64
+	crashes     uint64
+	crashesSent uint64
 }
 
 // Stores returns the stores that answer, near ones first. A near one that is cut off
@@ -94,7 +100,7 @@
 	c.options.Log.Info("Primary store changes.", "from", c.primary, "to", best)
 	c.primary = best
 	if s := c.stores[best]; s != nil {
-		s.hosts, s.servers, s.due = 0, 0, time.Time{}
+		s.hosts, s.servers, s.crashesAt, s.due = 0, 0, 0, time.Time{}
 	}
 }
 
--- a/beats.go
+++ b/beats.go
@@ -91,6 +91,10 @@
 	ListAgeMS int64        `json:"list_age_ms,omitempty"`
 	Uses      []ServerUse  `json:"uses,omitempty"`
 	Totals    []ServiceUse `json:"totals,omitempty"`
+	// Crashes are those noted since the last heartbeat that this store answered,
+	// CrashesAt names the view held of those of all hosts; see BeatAnswer.
+	Crashes   []Crash `json:"crashes,omitempty"`
+	CrashesAt uint64  `json:"crashes_at,omitempty"`
 }
 
 // FleetState is the replicated state of the routes mode.
@@ -102,6 +106,8 @@
 	Body json.RawMessage `json:"body,omitempty"`
 	// Drained are the halls whose servers get no new work.
 	Drained []string `json:"drained,omitempty"`
+	// Crashes are those by which requests are held back.
+	Crashes []Crash `json:"crashes,omitempty"`
 }
 
 // PackedBody names a configuration's body as it travels, compressed.
@@ -170,6 +176,9 @@
 	Uses []ServerUse `json:"uses,omitempty"`
 	// Regions is the load of all regions.
 	Regions []RegionUse `json:"regions,omitempty"`
+	// Crashes are those of requests that are held back, whole when their number changed.
+	CrashesAt uint64  `json:"crashes_at,omitempty"`
+	Crashes   []Crash `json:"crashes,omitempty"`
 }
 
 // ServerPart is the list of backend servers of one region, as one store tells
--- a/configlog/machine.go
+++ b/configlog/machine.go
@@ -1,5 +1,6 @@
 // Package configlog is the replicated state of the routes mode: one whole
-// configuration under an operator's version number, and the drained halls.
+// configuration under an operator's version number, the drained halls, and the crashes
+// by which requests are held back.
 package configlog
 
 import (
@@ -9,6 +10,7 @@
 	"sync"
 
 	"wheelgauge"
+	"wheelgauge/quarantine"
 )
 
 // Ops of a Command.
@@ -16,6 +18,9 @@
 	OpPut    = "put"
 	OpDrain  = "drain"
 	OpResume = "resume"
+	// OpCrashes keeps crashes by which requests are held back, OpForget lets requests go.
+	OpCrashes = "crashes"
+	OpForget  = "forget"
 )
 
 // Command is one change.
@@ -24,6 +29,9 @@
 	Version uint64          `json:"version,omitempty"`
 	Body    json.RawMessage `json:"body,omitempty"`
 	Hall    string          `json:"hall,omitempty"`
+	// Crashes are those of OpCrashes, Requests those of OpForget.
+	Crashes  []wheelgauge.Crash       `json:"crashes,omitempty"`
+	Requests []wheelgauge.Fingerprint `json:"requests,omitempty"`
 }
 
 // Result answers a Command.
@@ -68,6 +76,10 @@
 		taken = m.drain(c.Hall)
 	case OpResume:
 		taken = m.resume(c.Hall)
+	case OpCrashes:
+		return m.keep(quarantine.Join(m.state.Crashes, c.Crashes))
+	case OpForget:
+		return m.keep(quarantine.Forget(m.state.Crashes, c.Requests))
 	}
 	if taken {
 		m.state.Generation++
@@ -75,6 +87,13 @@
 	return Result{Version: m.state.Version, Taken: taken}
 }
 
+// keep takes the crashes to keep from now on. No generation is theirs: hosts are told of
+// them by their heartbeats, and need not fetch the state.
+func (m *Machine) keep(crashes []wheelgauge.Crash, changed bool) Result {
+	m.state.Crashes = crashes
+	return Result{Version: m.state.Version, Taken: changed}
+}
+
 func (m *Machine) put(c Command) bool {
 	if c.Version <= m.state.Version {
 		return false
--- a/confstore/beat.go
+++ b/confstore/beat.go
@@ -17,6 +17,7 @@
 		n.meter.Count("beats")
 		n.hosts.Take(b, time.Duration(b.IntervalMS)*time.Millisecond)
 		n.bank.Seen(b.Host.Name, b.Host.Boot)
+		n.crashes.Merge(b.Crashes)
 		return n.answer(b), nil
 	})
 }
@@ -51,6 +52,9 @@
 func (n *Node) answer(b wheelgauge.Beat) wheelgauge.BeatAnswer {
 	a := n.withoutReplica(b)
 	a.InTouch, a.Stores = n.replica.LeaderAddress() != "", n.replica.MemberAddresses()
+	if b.Primary {
+		n.addCrashes(&a, b)
+	}
 	return a
 }
 
--- a/confstore/node.go
+++ b/confstore/node.go
@@ -23,6 +23,7 @@
 	"wheelgauge/httpserve"
 	"wheelgauge/meter"
 	"wheelgauge/peerhttp"
+	"wheelgauge/quarantine"
 	"wheelgauge/replica"
 	"wheelgauge/serverlist"
 	"wheelgauge/statefeed"
@@ -95,6 +96,10 @@
 	servers *serverlist.Table
 	members members
 	bank    *capbank.Bank
+	crashes *quarantine.Table
+	// heldSince is when this store first knew of each request that is held back; only
+	// keepCrashes uses it.
+	heldSince map[wheelgauge.Fingerprint]time.Time
 	// capsVersion is that of the configuration whose caps the bank has; only keepCaps
 	// uses it.
 	capsVersion uint64
@@ -116,6 +121,7 @@
 	n.client.Watch(n.meter.Call)
 	n.feed = statefeed.New(n.machine.State)
 	n.servers = serverlist.New(n.boot, time.Now)
+	n.crashes = quarantine.New(time.Now)
 	n.bank = capbank.New(capbank.Options{Self: o.Peer, Boot: n.boot, Window: o.CapWindow, Overage: o.CapOverage, Slack: o.CapSlack, Now: time.Now})
 	if err := n.open(ctx); err != nil {
 		stop()
@@ -128,6 +134,7 @@
 	n.task(func() error { return every.Interval(ctx, newsEvery, n.pass) })
 	n.task(func() error { return every.Interval(ctx, capsEvery, n.keepCaps) })
 	n.task(func() error { return every.Interval(ctx, refusedEvery, n.logCaps) })
+	n.task(func() error { return every.Interval(ctx, crashesEvery, n.keepCrashes) })
 	o.Log.Info("Store serves.", "name", o.Name, "peer", o.Peer, "seeds", o.Seeds, "first", o.First)
 	return n, nil
 }
--- a/entrynode/news.go
+++ b/entrynode/news.go
@@ -6,6 +6,7 @@
 
 	"wheelgauge"
 	"wheelgauge/entryset"
+	"wheelgauge/quarantine"
 	"wheelgauge/routetable"
 )
 
@@ -93,6 +94,20 @@
 	n.servers.SetBusy(n.peers.Busiest())
 }
 
+// Crashes implements beat.News. A store that does not know yet what the group keeps takes
+// nothing back.
+func (n *Node) Crashes(crashes []wheelgauge.Crash, partial bool) {
+	if partial {
+		crashes, _ = quarantine.Join(n.crashes, crashes)
+	}
+	if len(crashes)+len(n.crashes) == 0 {
+		return
+	}
+	n.crashes = crashes
+	n.quarantine.Keep(crashes)
+	n.o.Log.Info("Requests are held back.", "held", n.quarantine.Condemned(), "crashes", len(crashes), "partial", partial)
+}
+
 // Reached implements beat.News.
 func (n *Node) Reached(region string, took time.Duration) { n.peers.Reached(region, took) }
 
--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -26,6 +26,7 @@
 	"wheelgauge/meter"
 	"wheelgauge/peerhttp"
 	"wheelgauge/peerset"
+	"wheelgauge/quarantine"
 	"wheelgauge/retrybudget"
 	"wheelgauge/routegate"
 	"wheelgauge/serverset"
@@ -91,26 +92,30 @@
 
 // Node is a running gateway.
 type Node struct {
-	o         Options
-	boot      uint64
-	gate      *routegate.Gate
-	servers   *serverset.Table
-	peers     *peerset.Table
-	budget    *retrybudget.Budget
-	purse     *cappurse.Purse
-	meter     *meter.Meter
-	beats     atomic.Pointer[beat.Client]
-	client    *peerhttp.Client
-	callers   *callerhttp.Server
-	forwards  *callerhttp.Server
-	listeners []*httpserve.Server
-	stop      context.CancelFunc
-	pruned    chan error
-	warmed    chan error
-	leaving   atomic.Bool
+	o       Options
+	boot    uint64
+	gate    *routegate.Gate
+	servers *serverset.Table
+	peers   *peerset.Table
+	budget  *retrybudget.Budget
+	purse   *cappurse.Purse
+	// quarantine holds requests back that end servers.
+	quarantine *quarantine.Table
+	meter      *meter.Meter
+	beats      atomic.Pointer[beat.Client]
+	client     *peerhttp.Client
+	callers    *callerhttp.Server
+	forwards   *callerhttp.Server
+	listeners  []*httpserve.Server
+	stop       context.CancelFunc
+	pruned     chan error
+	warmed     chan error
+	leaving    atomic.Bool
 	// generation is that of the state in force; News is told one at a time.
 	generation uint64
 	hosts      []wheelgauge.FleetHost
+	// crashes are those that stores told of.
+	crashes []wheelgauge.Crash
 	// told is set once the sums of all regions were whole.
 	told bool
 }
@@ -127,16 +132,17 @@
 	n.peers = peerset.New(o.Region, o.FarInterval+farAnswer, time.Now)
 	n.budget = retrybudget.New(o.Budget, time.Now)
 	n.purse = cappurse.New(cappurse.Options{Host: o.Name, Boot: n.boot, Stores: n.stores, Ask: n.askCaps, Now: time.Now})
+	n.quarantine = quarantine.New(time.Now)
 	n.gate = routegate.New(routegate.Options{
 		Region: o.Region, Names: o.Names, Servers: n.servers, Peers: n.peers, Budget: n.budget, Meter: n.meter, Log: o.Log.WithName("gate"),
-		Caps: n.purse,
+		Caps: n.purse, Quarantine: n.quarantine,
 	})
 	if err := n.listen(); err != nil {
 		stop()
 		return nil, err
 	}
 	n.beats.Store(beat.Start(beat.Options{
-		Self: n.self, Report: n.servers.Uses, Seeds: o.Seeds, Interval: o.Interval, FarInterval: o.FarInterval,
+		Self: n.self, Report: n.servers.Uses, Crashes: n.quarantine, Seeds: o.Seeds, Interval: o.Interval, FarInterval: o.FarInterval,
 		Client: n.client, News: n, Log: o.Log.WithName("beat"),
 	}))
 	go func() { n.pruned <- every.Interval(ctx, pruneEvery, n.prune) }()
@@ -212,6 +218,7 @@
 func (n *Node) prune(context.Context) {
 	n.servers.Prune()
 	n.peers.Prune()
+	n.quarantine.Prune()
 }
 
 func (n *Node) serveReady(ctx *fasthttp.RequestCtx) {
--- a/error.go
+++ b/error.go
@@ -26,6 +26,7 @@
 	ReasonDeadline        Reason = "deadline"
 	ReasonNoServer        Reason = "no-server"
 	ReasonServerFailed    Reason = "server-failed"
+	ReasonQuarantined     Reason = "quarantined"
 	ReasonBrokenStream    Reason = "broken-stream"
 	ReasonClaimHeld       Reason = "claim-held"
 	ReasonClaimStore      Reason = "claim-store"
--- /dev/null
+++ b/quarantine/table.go
@@ -0,0 +1,261 @@
+// Package quarantine keeps requests away from backend servers that end every server
+// which begins to run them. Hosts note which requests were in flight at a server that
+// ended, stores join what all hosts noted, and both condemn by the same rule.
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"wheelgauge"
+)
+
+const (
+	// life is how long a crash counts that did not help to condemn a request: longer
+	// than callers come back with one, short enough that unrelated ends, days apart,
+	// never add up.
+	life = 10 * time.Minute
+	// mostCrashes bounds what a table holds: 64 servers that end at once, each with 64
+	// requests in flight. The oldest go first.
+	mostCrashes = 4096
+	// mostTold bounds what is told at once: 256 crashes are 15 kB, a heartbeat's part of
+	// a narrow link. The next heartbeat goes on.
+	mostTold = 256
+)
+
+// key tells crashes apart.
+type key struct {
+	request wheelgauge.Fingerprint
+	server  string
+}
+
+// entry is one crash as it is known here.
+type entry struct {
+	crash wheelgauge.Crash
+	seen  time.Time
+	// change numbers the entry's last change.
+	change uint64
+}
+
+// held is what is condemned now, for readers without a lock.
+type held struct {
+	requests map[wheelgauge.Fingerprint]bool
+	// sizes are those of the bodies of condemned requests, suspected those of requests
+	// under which a server ended.
+	sizes     map[int]bool
+	suspected map[int]bool
+}
+
+// Table is safe for concurrent use.
+type Table struct {
+	now func() time.Time
+	// condemned is replaced with each change.
+	condemned atomic.Pointer[held]
+
+	mu      sync.Mutex
+	entries map[key]*entry
+	changes uint64
+	// kept are crashes that somebody else keeps: for a host its store, for a store
+	// the group of stores.
+	kept []wheelgauge.Crash
+	// told is what others are told, told anew under the number at when it changes.
+	told []wheelgauge.Crash
+	at   uint64
+}
+
+// New returns an empty table that reads time from now.
+func New(now func() time.Time) *Table {
+	t := &Table{now: now, entries: map[key]*entry{}, at: 1}
+	t.condemned.Store(&held{})
+	return t
+}
+
+// Holds tells whether a request is condemned. Its fingerprint is asked for only if it
+// may be: of 12 kB it takes 11 us, more than all else of the decision.
+func (t *Table) Holds(size int, request func() wheelgauge.Fingerprint) bool {
+	h := t.condemned.Load()
+	return h.sizes[size] && h.requests[request()]
+}
+
+// Ended notes that a server ended with a request in flight, and tells how many did so
+// far that no other request is known to have ended.
+func (t *Table) Ended(c wheelgauge.Crash) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.put(c)
+	t.settle()
+	return len(suspects(t.all())[c.Request])
+}
+
+// Ran notes that a request ran at a server that did not end by it.
+func (t *Table) Ran(size int, request func() wheelgauge.Fingerprint) {
+	if !t.condemned.Load().suspected[size] {
+		return
+	}
+	ran := request()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, c := range t.all() {
+		if c.Request == ran && !c.Cleared {
+			c.Cleared = true
+			t.put(c)
+		}
+	}
+	t.settle()
+}
+
+// Merge takes what a host noted.
+func (t *Table) Merge(crashes []wheelgauge.Crash) {
+	if len(crashes) == 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	before := t.changes
+	for _, c := range crashes {
+		t.put(c)
+	}
+	if t.changes > before {
+		t.settle()
+	}
+}
+
+// Keep takes all that somebody else keeps, in place of what it kept before.
+func (t *Table) Keep(crashes []wheelgauge.Crash) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if slices.Equal(t.kept, crashes) {
+		return
+	}
+	t.kept = slices.Clone(crashes)
+	t.settle()
+}
+
+// Since returns what was noted here after a change, the first of it if it is much, and
+// the number of the last change returned.
+func (t *Table) Since(change uint64) ([]wheelgauge.Crash, uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if change >= t.changes {
+		return nil, change
+	}
+	var news []*entry
+	for _, e := range t.entries {
+		if e.change > change {
+			news = append(news, e)
+		}
+	}
+	slices.SortFunc(news, func(a, b *entry) int { return cmp.Compare(a.change, b.change) })
+	news = news[:min(len(news), mostTold)]
+	out := make([]wheelgauge.Crash, 0, len(news))
+	for _, e := range news {
+		out, change = append(out, e.crash), e.change
+	}
+	return out, change
+}
+
+// Serious returns the crashes by which requests are condemned, or nearly were, and a
+// number that changes with them. The list must not be changed.
+func (t *Table) Serious() ([]wheelgauge.Crash, uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.told, t.at
+}
+
+// Condemned returns the requests that are held back, by name.
+func (t *Table) Condemned() []wheelgauge.Fingerprint {
+	h := t.condemned.Load()
+	out := make([]wheelgauge.Fingerprint, 0, len(h.requests))
+	for request := range h.requests {
+		out = append(out, request)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Prune forgets crashes that are too old to count.
+func (t *Table) Prune() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	old := t.now().Add(-life)
+	before := len(t.entries)
+	for k, e := range t.entries {
+		if e.seen.Before(old) {
+			delete(t.entries, k)
+		}
+	}
+	if len(t.entries) < before {
+		t.settle()
+	}
+}
+
+// put adds a crash, or that it is cleared; the lock is held.
+func (t *Table) put(c wheelgauge.Crash) {
+	k := key{request: c.Request, server: c.Server}
+	e := t.entries[k]
+	if e != nil && (e.crash.Cleared || !c.Cleared) {
+		return
+	}
+	if e == nil {
+		t.makeRoom()
+		e = &entry{}
+		t.entries[k] = e
+	}
+	t.changes++
+	e.crash, e.seen, e.change = c, t.now(), t.changes
+}
+
+// makeRoom drops the entry that changed longest ago when there are too many; the lock
+// is held.
+func (t *Table) makeRoom() {
+	if len(t.entries) < mostCrashes {
+		return
+	}
+	var oldest key
+	var first uint64
+	for k, e := range t.entries {
+		if first == 0 || e.change < first {
+			oldest, first = k, e.change
+		}
+	}
+	delete(t.entries, oldest)
+}
+
+// all returns what was noted here and what is kept elsewhere, each crash once and
+// cleared if either says so; the lock is held.
+func (t *Table) all() []wheelgauge.Crash {
+	out := make([]wheelgauge.Crash, 0, len(t.entries)+len(t.kept))
+	at := make(map[key]int, len(t.kept))
+	for _, c := range t.kept {
+		at[key{request: c.Request, server: c.Server}] = len(out)
+		out = append(out, c)
+	}
+	for k, e := range t.entries {
+		n, ok := at[k]
+		if !ok {
+			out = append(out, e.crash)
+			continue
+		}
+		out[n].Cleared = out[n].Cleared || e.crash.Cleared
+	}
+	return out
+}
+
+// settle judges anew; the lock is held.
+func (t *Table) settle() {
+	all := t.all()
+	told := serious(all)
+	if !slices.Equal(told, t.told) {
+		t.told = told
+		t.at++
+	}
+	h := &held{requests: condemn(told), sizes: map[int]bool{}, suspected: map[int]bool{}}
+	for _, c := range all {
+		h.suspected[c.Size] = h.suspected[c.Size] || !c.Cleared
+		h.sizes[c.Size] = h.sizes[c.Size] || h.requests[c.Request]
+	}
+	t.condemned.Store(h)
+}
--- a/routegate/call.go
+++ b/routegate/call.go
@@ -10,7 +10,6 @@
 	"wheelgauge"
 	"wheelgauge/callerhttp"
 	"wheelgauge/eventstream"
-	"wheelgauge/fingerprint"
 	"wheelgauge/prompt"
 	"wheelgauge/serverset"
 )
@@ -57,6 +56,8 @@
 	deadline  time.Time
 	version   uint64
 	splitter  eventstream.Splitter
+	// print is the request's fingerprint once it was asked for.
+	print wheelgauge.Fingerprint
 
 	// drawn are units of the workspace's cap that were drawn and not used yet.
 	drawn float64
@@ -91,6 +92,10 @@
 			c.fail("deadline", "the time for this request is over")
 			return
 		}
+		if c.held() {
+			c.hold()
+			return
+		}
 		if fault := c.draw(ctx); fault != nil {
 			c.overCap(ctx, fault)
 			return
@@ -235,19 +240,13 @@
 	if good && c.sends < 2 && g.sampled.Add(1)%successSample != 0 {
 		return
 	}
-	g.options.Log.Info("Request ends.", "id", c.id, "request", c.fingerprint(), "route", name, "workspace", c.workspaceName(), "version", c.version,
+	g.options.Log.Info("Request ends.", "id", c.id, "request", c.asked(), "route", name, "workspace", c.workspaceName(), "version", c.version,
 		"state_age_ms", g.stateAge().Milliseconds(), "list_age_ms", g.options.Servers.ListAge().Milliseconds(), "status", c.status, "cause", c.cause,
 		"servers", strings.Join(c.tried, " "), "peers", strings.Join(c.away, " "), "runs", c.runs, "forwarded", c.forwarded,
 		"cap_ms", c.capWait.Milliseconds(), "predicted_ms", c.wait.Milliseconds(), "first_ms", c.first.Milliseconds(), "ms", took.Milliseconds(),
 		"events", c.splitter.Events(), "pause_ms", c.pause.Milliseconds(), "expected_tokens", c.prompt.Output(), "load", c.inputs())
 }
 
-// fingerprint tells what the request asks, so that lines of its tries can be joined.
-func (c *call) fingerprint() wheelgauge.Fingerprint {
-	h := c.request.Header()
-	return fingerprint.Of(h.Method(), h.Host(), h.RequestURI(), c.workspaceName(), c.request.Body())
-}
-
 // inputs are what the last choice of a server was made by; empty without one.
 func (c *call) inputs() string {
 	if c.pick == nil {
--- /dev/null
+++ b/routegate/crash.go
@@ -0,0 +1,95 @@
+package routegate
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"syscall"
+	"time"
+
+	"wheelgauge"
+	"wheelgauge/fingerprint"
+	"wheelgauge/serverset"
+)
+
+const (
+	// inquestLimit is how long a server that broke a connection off has to take a new
+	// one: its port refuses at once if it ended, and it is a hall's way off at most.
+	inquestLimit = 25 * time.Millisecond
+	// heldRetry is when a caller may come back whose request is held back. It ends what
+	// runs it, so nothing is gained by coming sooner; one that only stood beside it and
+	// was taken for it is let go within seconds.
+	heldRetry = 30 * time.Second
+	// tellEnds is how many servers must have ended under a request before each is
+	// logged: some tens are in flight at each, and all but one only stand beside it.
+	tellEnds = 2
+)
+
+// asked tells what the request asks, the same for all its tries at all hosts.
+func (c *call) asked() wheelgauge.Fingerprint {
+	if c.print == "" {
+		h := c.request.Header()
+		c.print = fingerprint.Of(h.Method(), h.Host(), h.RequestURI(), c.workspaceName(), c.request.Body())
+	}
+	return c.print
+}
+
+// held tells whether the request is held back: it ended all servers that began to run
+// it. Without this one request ended 27 of 12 servers, some of them three times.
+func (c *call) held() bool {
+	return c.gate.options.Quarantine.Holds(len(c.request.Body()), c.asked)
+}
+
+// hold answers a request that is held back, at once.
+func (c *call) hold() {
+	c.gate.options.Meter.Count("requests.held")
+	const detail = "this request ended the backend servers that ran it"
+	if c.runs > 0 || c.request.Begun() {
+		c.fail("held back", detail)
+		return
+	}
+	c.cause = "held back"
+	c.refuse(refusal(wheelgauge.ReasonQuarantined, http.StatusServiceUnavailable, detail).WithRetryAfter(heldRetry))
+}
+
+// ranWhole notes that the request ran, and its server did not end.
+func (c *call) ranWhole() { c.gate.options.Quarantine.Ran(len(c.request.Body()), c.asked) }
+
+// inquest notes that the server ended with the request in flight, if it did: a server
+// that takes a new connection only broke this one off.
+func (c *call) inquest(ctx context.Context, x *exchange, s *serverset.Server) {
+	if ctx.Err() != nil || !brokenOff(x.broken) {
+		return
+	}
+	limit, cancel := context.WithTimeout(ctx, inquestLimit)
+	defer cancel()
+	if s.Pool().Open(limit) == nil {
+		return
+	}
+	ends := c.gate.options.Quarantine.Ended(wheelgauge.Crash{Request: c.asked(), Size: len(c.request.Body()), Server: lifeOf(s)})
+	c.gate.options.Meter.Count("servers.ended")
+	if ends >= tellEnds {
+		c.gate.options.Log.Info("A server ended with a request in flight.", "id", c.id, "request", c.asked(), "server", lifeOf(s), "ends", ends)
+	}
+}
+
+// lifeOf names one start of a server.
+func lifeOf(s *serverset.Server) string {
+	if s.Born() == 0 {
+		return s.Instance()
+	}
+	return s.Instance() + "@" + strconv.FormatInt(s.Born(), 10)
+}
+
+// brokenOff tells whether the other side closed or reset a connection. A time-out says
+// nothing: the request's own deadline, or a link.
+func brokenOff(err error) bool {
+	for _, broken := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(err, broken) {
+			return true
+		}
+	}
+	return false
+}
--- a/routegate/dispatch.go
+++ b/routegate/dispatch.go
@@ -29,6 +29,8 @@
 	sent time.Time
 	// begun is set at the first event or byte of the answer.
 	begun bool
+	// broken is why the answer did not come whole.
+	broken error
 }
 
 // toServer dispatches to a server of the region.
@@ -42,7 +44,10 @@
 		return notSent
 	}
 	x := &exchange{call: c, conn: conn, pool: s.Pool(), pick: k, sent: time.Now()}
-	defer x.release()
+	defer func() {
+		x.release()
+		c.inquest(ctx, x, s)
+	}()
 	defer context.AfterFunc(ctx, conn.Abort)()
 	n := c.gate.options.Names
 	set := [][2]string{
@@ -60,6 +65,7 @@
 	c.sends++
 	c.runs++
 	if err := x.roundTrip(head); err != nil {
+		x.broken = err
 		c.cause = err.Error()
 		// The wait was longer than this, which the next prediction must know.
 		x.note()
@@ -110,6 +116,7 @@
 	status := x.head.StatusCode()
 	if status >= http.StatusInternalServerError {
 		k.Done(serverset.Failed)
+		c.ranWhole()
 		if c.mayRepeat() {
 			_ = x.discard() // a connection that breaks here is not kept
 			return repeat
@@ -118,6 +125,9 @@
 	res := c.relay(x)
 	switch {
 	case res == answered && !c.left:
+		if x.broken == nil {
+			c.ranWhole()
+		}
 		k.Done(serverset.Served)
 	case ctx.Err() != nil || c.left:
 		k.Done(serverset.Left)
--- a/routegate/gate.go
+++ b/routegate/gate.go
@@ -18,6 +18,7 @@
 	"wheelgauge/meter"
 	"wheelgauge/peerset"
 	"wheelgauge/prompt"
+	"wheelgauge/quarantine"
 	"wheelgauge/retrybudget"
 	"wheelgauge/routetable"
 	"wheelgauge/serverset"
@@ -50,9 +51,11 @@
 	Peers   *peerset.Table
 	Budget  *retrybudget.Budget
 	// Caps holds what workspaces may send; nil lets all through.
-	Caps  wheelgauge.CapLimiter
-	Meter *meter.Meter
-	Log   logr.Logger
+	Caps wheelgauge.CapLimiter
+	// Quarantine holds requests back that end servers; one of the gate's own when nil.
+	Quarantine *quarantine.Table
+	Meter      *meter.Meter
+	Log        logr.Logger
 }
 
 // Gate is safe for concurrent use.
@@ -80,6 +83,9 @@
 
 // New returns a gate without a configuration: it refuses everything as not run.
 func New(o Options) *Gate {
+	if o.Quarantine == nil {
+		o.Quarantine = quarantine.New(time.Now)
+	}
 	return &Gate{
 		options: o, reserved: reservedNames(o.Names), ready: make(chan struct{}),
 		waitUntil: time.Now().Add(startSpan), startWait: startWait,
--- a/routegate/relay.go
+++ b/routegate/relay.go
@@ -47,6 +47,7 @@
 	}
 	body, err := io.ReadAll(io.LimitReader(x.body, wholeBytes))
 	if err != nil {
+		x.broken = err
 		c.cause = err.Error()
 		return failed
 	}
@@ -91,6 +92,7 @@
 			break
 		}
 		if err != nil {
+			x.broken = err
 			c.fail(err.Error(), "")
 			return answered
 		}
@@ -121,6 +123,7 @@
 		case errors.Is(err, io.EOF):
 			return c.endStream(x)
 		case err != nil:
+			x.broken = err
 			return c.broken(err)
 		case !ok:
 			return c.broken(errors.New("an event is too long"))
--- a/serverset/server.go
+++ b/serverset/server.go
@@ -38,10 +38,11 @@
 )
 
 // Server is one backend server as this host sees it. Its table guards it, but
-// for what never changes: instance, address and pool.
+// for what never changes: instance, address, born and pool.
 type Server struct {
 	instance string
 	address  string
+	born     int64
 	// spec is what the list says now.
 	spec wheelgauge.Server
 	hash uint64
@@ -80,7 +81,7 @@
 
 func newServer(spec wheelgauge.Server, conns int) *Server {
 	return &Server{
-		instance: spec.Instance, address: spec.Address,
+		instance: spec.Instance, address: spec.Address, born: spec.Born,
 		spec: spec, hash: rendezvous.Hash(spec.Instance), pool: serverconn.New(spec.Address, conns, serverconn.Near()),
 		cached: map[uint64]time.Time{},
 	}
@@ -92,6 +93,9 @@
 // Address returns where the server is reached.
 func (s *Server) Address() string { return s.address }
 
+// Born tells this start of the server, as in wheelgauge.Server.
+func (s *Server) Born() int64 { return s.born }
+
 // Pool returns the connections to the server.
 func (s *Server) Pool() *serverconn.Pool { return s.pool }
 
