--- /dev/null
+++ b/configlog/crashes_test.go
@@ -0,0 +1,47 @@
+package configlog
+
+import (
+	"slices"
+	"testing"
+
+	"wheelgauge"
+)
+
+func TestCrashesAreKept(t *testing.T) {
+	a, b := wheelgauge.Crash{Request: "p", Server: "a"}, wheelgauge.Crash{Request: "p", Server: "b"}
+	done := a
+	done.Cleared = true
+	steps := []struct {
+		name    string
+		command Command
+		taken   bool
+		want    []wheelgauge.Crash
+	}{
+		{"first", Command{Op: OpCrashes, Crashes: []wheelgauge.Crash{a}}, true, []wheelgauge.Crash{a}},
+		{"again, by another store", Command{Op: OpCrashes, Crashes: []wheelgauge.Crash{a}}, false, []wheelgauge.Crash{a}},
+		{"one more", Command{Op: OpCrashes, Crashes: []wheelgauge.Crash{a, b}}, true, []wheelgauge.Crash{a, b}},
+		{"cleared", Command{Op: OpCrashes, Crashes: []wheelgauge.Crash{done}}, true, []wheelgauge.Crash{done, b}},
+		{"another is forgotten", Command{Op: OpForget, Requests: []wheelgauge.Fingerprint{"q"}}, false, []wheelgauge.Crash{done, b}},
+		{"forgotten", Command{Op: OpForget, Requests: []wheelgauge.Fingerprint{"p"}}, true, nil},
+		{"and back", Command{Op: OpCrashes, Crashes: []wheelgauge.Crash{b}}, true, []wheelgauge.Crash{b}},
+	}
+	m := New()
+	apply(t, m, Command{Op: OpPut, Version: 4, Body: []byte(`{}`)})
+	before := m.State().Generation
+	for _, s := range steps {
+		if r := apply(t, m, s.command); r.Taken != s.taken || !slices.Equal(m.State().Crashes, s.want) {
+			t.Errorf("%s: got %+v, %v", s.name, r, m.State().Crashes)
+		}
+	}
+	if m.State().Generation != before {
+		t.Error("hosts would fetch the state anew")
+	}
+	snapshot, err := m.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	other := New()
+	if err := other.Restore(snapshot); err != nil || !slices.Equal(other.State().Crashes, []wheelgauge.Crash{b}) {
+		t.Errorf("restored %v, %v", other.State().Crashes, err)
+	}
+}
