Hold back the second of two requests that end servers at once

Cause: of two such requests, each in flight at the servers that the other ended, the second needed three ends that the first doesn't explain, and while it gathered them the first was let go again. Change: one end that no other condemned request explains is enough for a request that three servers ended under. Ruled out: a judgement that is never taken back (what only stood beside the same three would stay held). Conclusion: one is kept; the rule allows three after the third.

--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -163,7 +163,7 @@
 // and of stores, one request ends every server that begins to run it, with 20 others in
 // flight there. From two rounds after the third end on, with links and stores whole, no
 // host sends it. Of those that stood beside it, and came again up to three times, none is
-// held back in the end. On the way 0.04 requests a host are held back wrongly, the mean
+// held back in the end. On the way 0.08 requests a host are held back wrongly, the mean
 // of all rounds of 50 seeds; judged by the number of ends alone it is 33.
 func TestAllHostsHoldItBack(t *testing.T) {
 	const hosts, stores, rounds, besides, mostSends = 8, 5, 30, 20, 4
@@ -232,3 +232,47 @@
 		t.Errorf("%d of %d looks show a request held back that only stood beside", wrongly, looks)
 	}
 }
+
+// Two requests that end servers come at the same time, each in flight at many of the
+// servers that the other one ended: both are held back, and each ends at most three
+// servers more after the third.
+func TestTwoAtOnce(t *testing.T) {
+	const most = 6
+	var counts [12]int
+	for seed := range uint64(50) {
+		r := rand.New(rand.NewPCG(seed, 2))
+		table := New(time.Now)
+		pair := []wheelgauge.Fingerprint{"p", "q"}
+		ends := map[wheelgauge.Fingerprint]int{}
+		for server := range 60 {
+			by := pair[r.IntN(2)]
+			if table.holds(wheelgauge.Crash{Request: by}) {
+				continue
+			}
+			inFlight := []wheelgauge.Fingerprint{by}
+			for _, other := range pair {
+				if other != by && !table.holds(wheelgauge.Crash{Request: other}) && r.Float64() < 0.9 {
+					inFlight = append(inFlight, other)
+				}
+			}
+			ends[by]++
+			name := fmt.Sprint(server)
+			for _, request := range inFlight {
+				table.Ended(wheelgauge.Crash{Request: request, Server: name})
+			}
+			for n := range 20 {
+				table.Ended(wheelgauge.Crash{Request: wheelgauge.Fingerprint(fmt.Sprint("beside ", server/3, n)), Server: name})
+			}
+		}
+		for _, request := range pair {
+			counts[min(11, ends[request])]++
+			if ends[request] > most {
+				t.Errorf("seed %d: %s ended %d servers", seed, request, ends[request])
+			}
+		}
+		if held := table.Condemned(); !slices.Equal(held, pair) {
+			t.Errorf("seed %d: held back %v", seed, held)
+		}
+	}
+	t.Logf("servers that each ended: %v", counts)
+}
--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -34,14 +34,17 @@
 
 // condemn returns the requests that end the servers which run them. Some tens are in
 // flight at a server that ends, and all but one only stood beside it: the request that
-// explains most ends comes first, and what it explains counts against no other. One
-// condemned wrongly, by the same three ends, is let go when the right one ends a fourth.
+// explains most ends comes first, and what it explains counts against no other. Of two
+// that are in flight at each other's ends the second needs one end that the first can't
+// explain: each ended 5 servers at most in 50 played schedules; with three such ends 7.
+// One condemned wrongly, by the same three ends, is let go when the right one ends a
+// fourth.
 func condemn(crashes []wheelgauge.Crash) map[wheelgauge.Fingerprint]bool {
-	left := suspects(crashes)
+	all, left := suspects(crashes), suspects(crashes)
 	out := map[wheelgauge.Fingerprint]bool{}
 	for {
-		worst := worstOf(left)
-		if len(left[worst]) < condemnedBy {
+		worst := worstOf(left, all)
+		if len(left[worst]) == 0 {
 			return out
 		}
 		out[worst] = true
@@ -54,13 +57,17 @@
 	}
 }
 
-// worstOf returns the request under which most servers ended; of equals the first by
-// name, so that all hosts agree.
-func worstOf(left map[wheelgauge.Fingerprint]servers) wheelgauge.Fingerprint {
+// worstOf returns the request under which most servers are left, of equals the one
+// under which most ended, then the first by name, so that all hosts agree. One under
+// which fewer ended than condemn is passed over.
+func worstOf(left, all map[wheelgauge.Fingerprint]servers) wheelgauge.Fingerprint {
 	var worst wheelgauge.Fingerprint
 	for request, under := range left {
-		more := cmp.Compare(len(under), len(left[worst]))
-		if worst == "" || more > 0 || more == 0 && request < worst {
+		if len(all[request]) < condemnedBy {
+			continue
+		}
+		order := cmp.Or(cmp.Compare(len(under), len(left[worst])), cmp.Compare(len(all[request]), len(all[worst])), cmp.Compare(worst, request))
+		if worst == "" || order > 0 {
 			worst = request
 		}
 	}
