One clock that counts suspended time, for ages, leases and deadlines

Cause: time.Now's comparisons and timers stand still while a machine is suspended. A store that wakes went by parts of caps that had lapsed elsewhere, a host by a configuration known to be the newest 'just now', requests were sent with time that their callers no longer had. Ruled out: leadership, reads and acknowledgements (they need a quorum's answer; no lease). Change: wheelgauge.Clock; bootclock reads CLOCK_BOOTTIME (golang.org/x/sys/unix), fakeclock is moved by tests. Stores and hosts of the routes mode judge by it; a line tells that a process stood still; make clocks keeps the steady clock out of what judges ages. A request suspended beyond its time: sent before, not now. Unknown key after waking: 401 before, 503 now.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 TOOL = $(GO) tool -modfile=tools/go.mod
 LOAD ?=
 
-.PHONY: all build test lint names fmt demo bench faults compare cover
+.PHONY: all build test lint names clocks fmt demo bench faults compare cover
 
 all: lint test
 
@@ -16,7 +16,14 @@
 # The platform's names of headers, paths and fields; they stand in platform/ and deploy/ only.
 NAMES = Response-Stamp|Not-Executed|Target-Instance|Instance-Id|Prompt-Prefix|Token-Count|"Deadline-Ms|Server-Load|Request-Priority|Cold-Remaining|Kv-[A-Z]|"/wheelgauge/|"/instances|seed_nodes|listen_addresses|availability_zone|traffic_split|target_latency_ms|max_attempts|session_affinity|cold_remaining_ms|path_prefix|route_kind
 
-lint: names ## formatter, vet and linter; prints nothing when clean
+# Code that judges ages, leases and deadlines goes by a clock that it is given: the steady
+# one stands still while the machine is suspended.
+CLOCKED = capbank cappurse coldrate hosttable peerset quarantine retrybudget serverlist serverset beat/state.go beat/stores.go $(filter-out confstore/node.go %_test.go,$(wildcard confstore/*.go))
+
+clocks: ## no steady clock where ages are judged
+	@! grep -rnE 'time\.(Now|Since|Until)\(' --include='*.go' $(CLOCKED) | grep -v '_test\.go:'
+
+lint: names clocks ## formatter, vet and linter; prints nothing when clean
 	@test -z "$$($(TOOL) gofumpt -l . | tee /dev/stderr)"
 	@$(GO) vet -tags bench ./...
 	@$(TOOL) revive -config revive.toml -set_exit_status ./...
--- a/beat/client.go
+++ b/beat/client.go
@@ -82,9 +82,11 @@
 	// Interval is that of beats to the primary, FarInterval to stores of other regions.
 	Interval    time.Duration
 	FarInterval time.Duration
-	Client      *peerhttp.Client
-	News        News
-	Log         logr.Logger
+	// Clock judges ages and what is due; the steady one when nil.
+	Clock  wheelgauge.Clock
+	Client *peerhttp.Client
+	News   News
+	Log    logr.Logger
 }
 
 // Client is a running sender of heartbeats.
@@ -113,11 +115,16 @@
 func Start(o Options) *Client {
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &Client{options: o, done: make(chan error, 1), cancel: cancel, ctx: ctx, stores: map[string]*store{}, fetcher: statefetch.New(o.Client)}
+	if c.options.Clock == nil {
+		c.options.Clock = wheelgauge.SteadyClock{}
+	}
 	c.learn(o.Seeds)
 	go func() { c.done <- every.Interval(ctx, min(eagerInterval, o.Interval)/2, c.tick) }()
 	return c
 }
 
+func (c *Client) now() time.Time { return c.options.Clock.Now() }
+
 // eager tells whether the host still lacks what it needs to serve; the lock is held.
 func (c *Client) eager() bool { return c.lag.held.Generation == 0 || !c.listed }
 
@@ -143,7 +150,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.choosePrimary()
-	now, self := time.Now(), c.options.Self()
+	now, self := c.now(), c.options.Self()
 	for _, s := range c.stores {
 		if s.calling || now.Before(s.due) && s.told == self && !c.hasCrashes(s) {
 			continue
@@ -168,7 +175,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, s := range c.stores {
-		c.start(c.ctx, s, time.Now())
+		c.start(c.ctx, s, c.now())
 	}
 }
 
@@ -215,24 +222,25 @@
 	if b.Primary {
 		b.Uses, b.Store, b.Hosts, b.Servers, b.CrashesAt = uses, s.boot, s.hosts, s.servers, s.crashesAt
 		if !c.listedAt.IsZero() {
-			b.ListAgeMS = max(1, time.Since(c.listedAt).Milliseconds())
+			b.ListAgeMS = max(1, c.now().Sub(c.listedAt).Milliseconds())
 		}
 	}
 	return b
 }
 
 func (c *Client) call(ctx context.Context, s *store, b wheelgauge.Beat) {
-	asked := time.Now()
+	asked, began := c.now(), time.Now()
 	var answer wheelgauge.BeatAnswer
 	err := c.options.Client.Call(ctx, http.MethodPost, s.address, Path, b, &answer)
 	c.taking.Lock()
 	defer c.taking.Unlock()
 	if err != nil {
-		c.missed(s, time.Since(asked), err)
+		c.missed(s, time.Since(began), err)
 		return
 	}
 	answer = c.fresh(answer, asked)
 	c.take(s, b, answer)
+	c.options.News.Reached(answer.Region, time.Since(began))
 	c.tell(b, answer, asked)
 }
 
@@ -274,7 +282,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s.calling, s.patient, s.every, s.misses = false, false, s.sent, 0
-	s.answered, s.inTouch, s.generation = time.Now(), a.InTouch, a.Generation
+	s.answered, s.inTouch, s.generation = c.now(), a.InTouch, a.Generation
 	s.region, s.hall = a.Region, a.Hall
 	s.crashes = s.crashesSent
 	if s.boot != a.Store {
@@ -302,7 +310,7 @@
 	c.choosePrimary()
 	s := c.stores[c.primary]
 	if s != nil && s.due.IsZero() && !s.calling && c.ctx.Err() == nil {
-		c.start(c.ctx, s, time.Now())
+		c.start(c.ctx, s, c.now())
 	}
 }
 
@@ -318,7 +326,6 @@
 // tell hands news on: those of the primary, and that the state is current.
 func (c *Client) tell(b wheelgauge.Beat, a wheelgauge.BeatAnswer, asked time.Time) {
 	n := c.options.News
-	n.Reached(a.Region, time.Since(asked))
 	// A store that is cut off from the others does not know of what is newer.
 	if a.InTouch && c.current() {
 		n.SameState()
--- a/beat/client_test.go
+++ b/beat/client_test.go
@@ -332,7 +332,7 @@
 		{"none", nil, nil},
 	}
 	for _, tt := range tests {
-		c := &Client{options: Options{Self: func() wheelgauge.FleetHost { return wheelgauge.FleetHost{Region: "here"} }}, stores: map[string]*store{}}
+		c := &Client{options: Options{Clock: wheelgauge.SteadyClock{}, Self: func() wheelgauge.FleetHost { return wheelgauge.FleetHost{Region: "here"} }}, stores: map[string]*store{}}
 		for _, s := range tt.stores {
 			c.stores[s.address] = s
 		}
@@ -352,7 +352,7 @@
 // BenchmarkStores orders five stores, as each request with a cap does: 0.7 us, 1.3 us when
 // each comparison ranked both anew.
 func BenchmarkStores(b *testing.B) {
-	c := &Client{options: Options{Self: func() wheelgauge.FleetHost { return wheelgauge.FleetHost{Region: "a"} }}, stores: map[string]*store{}, primary: "s1"}
+	c := &Client{options: Options{Clock: wheelgauge.SteadyClock{}, Self: func() wheelgauge.FleetHost { return wheelgauge.FleetHost{Region: "a"} }}, stores: map[string]*store{}, primary: "s1"}
 	for i, region := range []string{"a", "a", "b", "b", "c"} {
 		address := "s" + string(rune('0'+i))
 		c.stores[address] = &store{address: address, region: region, inTouch: true, answered: time.Now(), every: time.Hour}
--- a/beat/state.go
+++ b/beat/state.go
@@ -35,7 +35,7 @@
 // 10 Mbit/s without callers. Cut there, it was sent again at each heartbeat, and
 // hosts got no news of any kind any more; fetched, it is in force within 0.3 s.
 func (c *Client) follow() {
-	if c.lag.fetching || c.ctx.Err() != nil || time.Now().Before(c.lag.next) {
+	if c.lag.fetching || c.ctx.Err() != nil || c.now().Before(c.lag.next) {
 		return
 	}
 	stores := c.holders()
@@ -74,17 +74,17 @@
 
 // fetch fetches one state and hands it on.
 func (c *Client) fetch(stores []string, held wheelgauge.FleetState) {
-	began := time.Now()
+	began := c.now()
 	s, err := c.fetcher.Fetch(c.ctx, stores, held)
 	c.taking.Lock()
 	defer c.taking.Unlock()
 	if err != nil {
-		c.options.Log.Info("State is not fetched.", "generation", held.Generation, "took_ms", time.Since(began).Milliseconds(),
+		c.options.Log.Info("State is not fetched.", "generation", held.Generation, "took_ms", c.now().Sub(began).Milliseconds(),
 			"bytes", c.fetcher.Came(), "cause", err.Error())
 		c.fetched(held, fetchPause)
 		return
 	}
-	c.options.Log.Info("State is fetched.", "generation", s.Generation, "version", s.Version, "took_ms", time.Since(began).Milliseconds(),
+	c.options.Log.Info("State is fetched.", "generation", s.Generation, "version", s.Version, "took_ms", c.now().Sub(began).Milliseconds(),
 		"bytes", len(s.Body), "stores", stores)
 	c.options.News.State(s)
 	s.Body = nil
@@ -99,7 +99,7 @@
 func (c *Client) fetched(held wheelgauge.FleetState, pause time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.lag.held, c.lag.fetching, c.lag.next = held, false, time.Now().Add(pause)
+	c.lag.held, c.lag.fetching, c.lag.next = held, false, c.now().Add(pause)
 	c.noteLag()
 	c.follow()
 }
@@ -110,7 +110,7 @@
 	case c.newest() <= c.lag.held.Generation:
 		c.lag.since = time.Time{}
 	case c.lag.since.IsZero():
-		c.lag.since = time.Now()
+		c.lag.since = c.now()
 	}
 	c.warn()
 }
@@ -118,7 +118,7 @@
 // lags tells whether some store has held a newer state for a while, or any state
 // at all when there is none here; the lock is held.
 func (c *Client) lags() bool {
-	return c.lag.held.Generation == 0 || !c.lag.since.IsZero() && time.Since(c.lag.since) > lagBeats*c.options.Interval
+	return c.lag.held.Generation == 0 || !c.lag.since.IsZero() && c.now().Sub(c.lag.since) > lagBeats*c.options.Interval
 }
 
 // warn writes once for each generation that a newer state is known and not
@@ -134,7 +134,7 @@
 		told[s.address] = s.generation
 	}
 	c.options.Log.Info("A newer state is known and not held.", "generation", c.lag.held.Generation, "newest", newest,
-		"behind_ms", time.Since(c.lag.since).Milliseconds(), "told", told)
+		"behind_ms", c.now().Sub(c.lag.since).Milliseconds(), "told", told)
 }
 
 // current tells whether no store is known to hold a newer state.
--- a/beat/stores.go
+++ b/beat/stores.go
@@ -109,7 +109,7 @@
 	// By the interval that the store last answered at: by the shorter one of a
 	// primary, two silent stores would take turns at each tick, 593 times in 300
 	// ticks of a test with a primary that is due a hundred times as often.
-	if s.answered.IsZero() || s.misses >= mostMisses || time.Since(s.answered) > freshBeats*s.every+callTimeout {
+	if s.answered.IsZero() || s.misses >= mostMisses || c.now().Sub(s.answered) > freshBeats*s.every+callTimeout {
 		return -1
 	}
 	rank := 0
--- a/confstore/beat.go
+++ b/confstore/beat.go
@@ -66,7 +66,7 @@
 	}
 	same := b.Store == n.boot
 	hosts, at := n.hosts.Hosts()
-	a.Partial = time.Since(n.started) < warmUp
+	a.Partial = n.now().Sub(n.started) < warmUp
 	// The table is told once more when it has become whole.
 	a.HostsAt = 2 * at
 	if a.Partial {
--- a/confstore/crashes.go
+++ b/confstore/crashes.go
@@ -52,7 +52,7 @@
 // heldLong returns the requests whose crashes were kept for long enough. Only keepCrashes
 // uses it.
 func (n *Node) heldLong(kept []wheelgauge.Crash) []wheelgauge.Fingerprint {
-	now := time.Now()
+	now := n.now()
 	since := map[wheelgauge.Fingerprint]time.Time{}
 	var old []wheelgauge.Fingerprint
 	for _, c := range kept {
--- a/confstore/crashes_test.go
+++ b/confstore/crashes_test.go
@@ -13,7 +13,7 @@
 // once more when the store knows what the group keeps.
 func TestCrashesAreTold(t *testing.T) {
 	three := []wheelgauge.Crash{{Request: "p", Server: "a"}, {Request: "p", Server: "b"}, {Request: "p", Server: "c"}}
-	n := &Node{boot: 7, crashes: quarantine.New(time.Now)}
+	n := &Node{o: Options{Clock: wheelgauge.SteadyClock{}}, boot: 7, crashes: quarantine.New(time.Now)}
 	tell := func(b wheelgauge.Beat, touch bool) wheelgauge.BeatAnswer {
 		a := wheelgauge.BeatAnswer{InTouch: touch}
 		n.addCrashes(&a, b)
@@ -39,7 +39,7 @@
 }
 
 func TestHeldRequestsAreLetGoInTime(t *testing.T) {
-	n := &Node{}
+	n := &Node{o: Options{Clock: wheelgauge.SteadyClock{}}}
 	kept := []wheelgauge.Crash{{Request: "p", Server: "a"}, {Request: "p", Server: "b"}, {Request: "q", Server: "a"}}
 	if old := n.heldLong(kept); len(old) > 0 {
 		t.Errorf("let go at once: %v", old)
--- a/confstore/entry.go
+++ b/confstore/entry.go
@@ -38,7 +38,7 @@
 	if own := addresses(hosts, wanted, func(h wheelgauge.FleetHost) bool { return h.Region == region && !h.Leaving }); len(own) > 0 {
 		return own, n.hold(region), nil
 	}
-	if time.Since(n.started) < warmUp {
+	if n.now().Sub(n.started) < warmUp {
 		return nil, 0, noEntry()
 	}
 	homes := n.homes(name)
@@ -60,7 +60,7 @@
 	switch {
 	case region != n.o.Region:
 		return farHold
-	case time.Since(n.hosts.Lost(region)) < calmAfter:
+	case n.now().Sub(n.hosts.Lost(region)) < calmAfter:
 		return briefHold
 	}
 	return calmHold
--- a/confstore/entry_test.go
+++ b/confstore/entry_test.go
@@ -17,7 +17,7 @@
 func entryNode(t *testing.T, started time.Time, hosts ...wheelgauge.FleetHost) *Node {
 	t.Helper()
 	n := &Node{
-		o:       Options{Decode: native.Decode, Halls: map[string]string{"n1": "north", "s1": "south", "w1": "west"}},
+		o:       Options{Clock: wheelgauge.SteadyClock{}, Decode: native.Decode, Halls: map[string]string{"n1": "north", "s1": "south", "w1": "west"}},
 		started: started, machine: configlog.New(), hosts: hosttable.New(time.Now),
 	}
 	putHomes(t, n, 1, "north")
--- a/confstore/members.go
+++ b/confstore/members.go
@@ -39,12 +39,12 @@
 	return m.list[address]
 }
 
-// heard notes that a store sent news.
-func (m *members) heard(address, region string) {
+// heard notes that a store sent news at a moment.
+func (m *members) heard(address, region string, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := m.get(address)
-	s.region, s.seen = region, time.Now()
+	s.region, s.seen = region, now
 }
 
 // begin returns what is known of a store that is now told; false while an earlier
--- a/confstore/news.go
+++ b/confstore/news.go
@@ -66,7 +66,7 @@
 
 // tell sends news, and once more whole what the other store lacks.
 func (n *Node) tell(ctx context.Context, address string, news wheelgauge.StoreNews) {
-	asked := time.Now()
+	asked := n.now()
 	missing, err := n.send(ctx, address, news)
 	if err == nil && len(missing) > 0 {
 		news.Parts = n.whole(missing)
@@ -91,7 +91,7 @@
 
 func (n *Node) send(ctx context.Context, address string, news wheelgauge.StoreNews) ([]string, error) {
 	var answer wheelgauge.StoreNewsAnswer
-	sent := time.Now()
+	sent := n.now()
 	err := n.client.Call(ctx, http.MethodPost, address, NewsPath, news, &answer)
 	if err == nil && answer.Caps.Giver != 0 {
 		n.bank.Borrow(address, sent, answer.Caps)
@@ -107,7 +107,7 @@
 }
 
 func (n *Node) takeNews(news wheelgauge.StoreNews) wheelgauge.StoreNewsAnswer {
-	n.members.heard(news.Address, news.Region)
+	n.members.heard(news.Address, news.Region, n.now())
 	n.hosts.Relay(news)
 	a := wheelgauge.StoreNewsAnswer{Caps: n.bank.Lend(news.Address, news.Store, news.Caps)}
 	for _, part := range news.Parts {
--- a/confstore/node.go
+++ b/confstore/node.go
@@ -16,6 +16,7 @@
 	"github.com/valyala/fasthttp"
 
 	"wheelgauge"
+	"wheelgauge/bootclock"
 	"wheelgauge/capbank"
 	"wheelgauge/configlog"
 	"wheelgauge/every"
@@ -27,6 +28,7 @@
 	"wheelgauge/replica"
 	"wheelgauge/serverlist"
 	"wheelgauge/statefeed"
+	"wheelgauge/wake"
 )
 
 const (
@@ -35,6 +37,8 @@
 	servedPrefix = "served"
 	// voters survive the loss of two disks at once.
 	voters = 5
+	// wakeEvery is how often a store looks whether it stood still.
+	wakeEvery = 250 * time.Millisecond
 	// listenerStop bounds the end of all listeners together: an order under way takes
 	// three seconds at most. One after another, four could take 12.8 s of a grace of
 	// eight.
@@ -70,10 +74,12 @@
 	CapWindow  time.Duration
 	CapOverage float64
 	CapSlack   float64
-	Decode     wheelgauge.RouteDecoder
-	List       wheelgauge.ServerList
-	Listeners  []Listener
-	Log        logr.Logger
+	// Clock judges ages and leases; one that counts suspended time when nil.
+	Clock     wheelgauge.Clock
+	Decode    wheelgauge.RouteDecoder
+	List      wheelgauge.ServerList
+	Listeners []Listener
+	Log       logr.Logger
 }
 
 // Node is a running store.
@@ -113,16 +119,20 @@
 // Open starts a store.
 func Open(ctx context.Context, o Options) (*Node, error) {
 	ctx, stop := context.WithCancel(ctx)
+	if o.Clock == nil {
+		o.Clock = bootclock.OrSteady(o.Log)
+	}
+	now := o.Clock.Now
 	n := &Node{
-		o: o, boot: uint64(time.Now().UnixNano()), started: time.Now(), machine: configlog.New(), hosts: hosttable.New(time.Now),
+		o: o, boot: uint64(time.Now().UnixNano()), started: now(), machine: configlog.New(), hosts: hosttable.New(now),
 		client: peerhttp.NewClient(nil, ""), meter: meter.New(), stop: stop,
 		foreign: map[string]wheelgauge.ForeignEntries{},
 	}
 	n.client.Watch(n.meter.Call)
 	n.feed = statefeed.New(n.machine.State)
-	n.servers = serverlist.New(n.boot, time.Now)
-	n.crashes = quarantine.New(time.Now)
-	n.bank = capbank.New(capbank.Options{Self: o.Peer, Boot: n.boot, Window: o.CapWindow, Overage: o.CapOverage, Slack: o.CapSlack, Now: time.Now})
+	n.servers = serverlist.New(n.boot, now)
+	n.crashes = quarantine.New(now)
+	n.bank = capbank.New(capbank.Options{Self: o.Peer, Boot: n.boot, Window: o.CapWindow, Overage: o.CapOverage, Slack: o.CapSlack, Now: now})
 	if err := n.open(ctx); err != nil {
 		stop()
 		return nil, err
@@ -135,10 +145,14 @@
 	n.task(func() error { return every.Interval(ctx, capsEvery, n.keepCaps) })
 	n.task(func() error { return every.Interval(ctx, refusedEvery, n.logCaps) })
 	n.task(func() error { return every.Interval(ctx, crashesEvery, n.keepCrashes) })
+	watch := wake.New(o.Clock, o.Log)
+	n.task(func() error { return every.Interval(ctx, wakeEvery, func(context.Context) { watch.Look(wakeEvery) }) })
 	o.Log.Info("Store serves.", "name", o.Name, "peer", o.Peer, "seeds", o.Seeds, "first", o.First)
 	return n, nil
 }
 
+func (n *Node) now() time.Time { return n.o.Clock.Now() }
+
 // task runs until the store stops.
 func (n *Node) task(run func() error) {
 	ended := make(chan error, 1)
--- a/confstore/servers.go
+++ b/confstore/servers.go
@@ -46,7 +46,7 @@
 	if age, ok := n.servers.Age(region); !ok || age > limit {
 		return true
 	}
-	return n.members.first(n.o.Peer, n.o.Region, region, time.Now().Add(-limit)) == n.o.Peer
+	return n.members.first(n.o.Peer, n.o.Region, region, n.now().Add(-limit)) == n.o.Peer
 }
 
 // read reads the list of a region; the last one holds if that fails.
@@ -58,7 +58,7 @@
 		}
 	}
 	slices.Sort(halls)
-	asked := time.Now()
+	asked := n.now()
 	list, foreign, err := n.o.List.Servers(ctx, halls)
 	if err != nil {
 		n.meter.Count("list.failed")
--- a/confstore/servers_test.go
+++ b/confstore/servers_test.go
@@ -35,7 +35,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			n := &Node{boot: 7, servers: serverlist.New(7, time.Now)}
+			n := &Node{o: Options{Clock: wheelgauge.SteadyClock{}}, boot: 7, servers: serverlist.New(7, time.Now)}
 			for i := range 3 {
 				n.servers.Read("r", []wheelgauge.Server{{Instance: fmt.Sprint("i", i)}}, time.Now().Add(-age))
 			}
@@ -164,7 +164,7 @@
 // A store that is cut off from the others reads everything itself.
 func TestStaleListIsReadByWhoeverLacksIt(t *testing.T) {
 	n := &Node{
-		o: Options{Peer: "b", Region: "north", PollEvery: time.Second}, servers: serverlist.New(1, time.Now), hosts: hosttable.New(time.Now),
+		o: Options{Clock: wheelgauge.SteadyClock{}, Peer: "b", Region: "north", PollEvery: time.Second}, servers: serverlist.New(1, time.Now), hosts: hosttable.New(time.Now),
 		bank: capbank.New(capbank.Options{Self: "b", Boot: 1, Now: time.Now}),
 	}
 	n.takeNews(wheelgauge.StoreNews{Store: 2, Address: "a", Region: "south"})
--- a/confstore/size_test.go
+++ b/confstore/size_test.go
@@ -15,7 +15,7 @@
 // loadedNode is a store with hosts and busy servers of three regions.
 func loadedNode(hosts, servers int) (*Node, wheelgauge.Beat) {
 	regions := []string{"north", "south", "west"}
-	n := &Node{o: Options{Halls: map[string]string{}}, machine: configlog.New(), hosts: hosttable.New(time.Now), started: time.Now().Add(-time.Hour)}
+	n := &Node{o: Options{Clock: wheelgauge.SteadyClock{}, Halls: map[string]string{}}, machine: configlog.New(), hosts: hosttable.New(time.Now), started: time.Now().Add(-time.Hour)}
 	n.servers = serverlist.New(0, time.Now)
 	lists := map[string][]wheelgauge.Server{}
 	var uses []wheelgauge.ServerUse
--- a/entrynode/news.go
+++ b/entrynode/news.go
@@ -75,7 +75,7 @@
 	n.servers.Update(own, asked)
 	n.servers.SetHolders(others)
 	n.gate.SetListed()
-	n.o.Log.Info("Servers change.", "servers", len(own), "age_ms", time.Since(asked).Milliseconds())
+	n.o.Log.Info("Servers change.", "servers", len(own), "age_ms", n.o.Clock.Now().Sub(asked).Milliseconds())
 }
 
 // SameServers implements beat.News.
--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -18,6 +18,7 @@
 
 	"wheelgauge"
 	"wheelgauge/beat"
+	"wheelgauge/bootclock"
 	"wheelgauge/callerhttp"
 	"wheelgauge/cappurse"
 	"wheelgauge/countconn"
@@ -30,6 +31,7 @@
 	"wheelgauge/retrybudget"
 	"wheelgauge/routegate"
 	"wheelgauge/serverset"
+	"wheelgauge/wake"
 )
 
 const (
@@ -85,6 +87,8 @@
 	Budget retrybudget.Options
 	// Client calls stores; one of the node's own when nil.
 	Client *peerhttp.Client
+	// Clock judges ages, leases and deadlines; one that counts suspended time when nil.
+	Clock  wheelgauge.Clock
 	Decode wheelgauge.RouteDecoder
 	Names  wheelgauge.HeaderNames
 	Log    logr.Logger
@@ -128,14 +132,18 @@
 		n.client = peerhttp.NewClient(peerhttp.NewDialer("", nil).Wrap(n.counted), "")
 		n.client.Watch(n.meter.Call)
 	}
-	n.servers = serverset.New(serverset.Place{Host: o.Name, Hall: o.Hall}, n.service, time.Now)
-	n.peers = peerset.New(o.Region, o.FarInterval+farAnswer, time.Now)
-	n.budget = retrybudget.New(o.Budget, time.Now)
-	n.purse = cappurse.New(cappurse.Options{Host: o.Name, Boot: n.boot, Stores: n.stores, Ask: n.askCaps, Now: time.Now})
-	n.quarantine = quarantine.New(time.Now)
+	if n.o.Clock == nil {
+		n.o.Clock = bootclock.OrSteady(o.Log)
+	}
+	clock := n.o.Clock
+	n.servers = serverset.New(serverset.Place{Host: o.Name, Hall: o.Hall}, n.service, clock.Now)
+	n.peers = peerset.New(o.Region, o.FarInterval+farAnswer, clock.Now)
+	n.budget = retrybudget.New(o.Budget, clock.Now)
+	n.purse = cappurse.New(cappurse.Options{Host: o.Name, Boot: n.boot, Stores: n.stores, Ask: n.askCaps, Now: clock.Now})
+	n.quarantine = quarantine.New(clock.Now)
 	n.gate = routegate.New(routegate.Options{
 		Region: o.Region, Names: o.Names, Servers: n.servers, Peers: n.peers, Budget: n.budget, Meter: n.meter, Log: o.Log.WithName("gate"),
-		Caps: n.purse, Quarantine: n.quarantine,
+		Caps: n.purse, Quarantine: n.quarantine, Clock: clock,
 	})
 	if err := n.listen(); err != nil {
 		stop()
@@ -143,10 +151,16 @@
 	}
 	n.beats.Store(beat.Start(beat.Options{
 		Self: n.self, Report: n.servers.Uses, Crashes: n.quarantine, Seeds: o.Seeds, Interval: o.Interval, FarInterval: o.FarInterval,
-		Client: n.client, News: n, Log: o.Log.WithName("beat"),
+		Clock: clock, Client: n.client, News: n, Log: o.Log.WithName("beat"),
 	}))
 	go func() { n.pruned <- every.Interval(ctx, pruneEvery, n.prune) }()
-	go func() { n.warmed <- every.Interval(ctx, warmEvery, n.peers.Warm) }()
+	watch := wake.New(clock, o.Log)
+	go func() {
+		n.warmed <- every.Interval(ctx, warmEvery, func(ctx context.Context) {
+			watch.Look(warmEvery)
+			n.peers.Warm(ctx)
+		})
+	}()
 	o.Log.Info("Gateway serves.", "name", o.Name, "callers", o.Caller, "peer", o.Peer, "seeds", o.Seeds)
 	return n, nil
 }
--- a/routegate/call.go
+++ b/routegate/call.go
@@ -53,9 +53,12 @@
 	lastEvent string
 	forwarded bool
 	started   time.Time
-	deadline  time.Time
-	version   uint64
-	splitter  eventstream.Splitter
+	// deadline is when the request's time is over if the host was not suspended since it
+	// came, asleep for how long the host was by then; see due.
+	deadline time.Time
+	asleep   time.Duration
+	version  uint64
+	splitter eventstream.Splitter
 	// print is the request's fingerprint once it was asked for.
 	print wheelgauge.Fingerprint
 
@@ -88,7 +91,7 @@
 			c.leave()
 			return
 		}
-		if !time.Now().Before(c.deadline) {
+		if c.over() {
 			c.fail("deadline", "the time for this request is over")
 			return
 		}
@@ -100,7 +103,7 @@
 			c.overCap(ctx, fault)
 			return
 		}
-		if !time.Now().Before(c.deadline) {
+		if c.over() {
 			continue // drawing took all that was left
 		}
 		if first && !c.forwarded {
@@ -173,7 +176,7 @@
 	switch {
 	case c.runs == 0:
 		c.refuse(refusal(wheelgauge.ReasonOverloaded, http.StatusServiceUnavailable, detail).WithRetryAfter(c.comeBack()))
-	case !time.Now().Before(c.deadline):
+	case c.over():
 		c.refuse(wheelgauge.NewError(wheelgauge.ReasonDeadline, wheelgauge.OutcomeUnknown, http.StatusGatewayTimeout, detail))
 	default:
 		c.refuse(wheelgauge.NewError(wheelgauge.ReasonServerFailed, wheelgauge.OutcomeUnknown, http.StatusBadGateway, detail))
@@ -189,7 +192,7 @@
 
 // comeBack says when a refused caller should try again.
 func (c *call) comeBack() time.Duration {
-	return min(latestRetry, max(busyRetry, time.Until(c.deadline)/retryPart))
+	return min(latestRetry, max(busyRetry, time.Until(c.due())/retryPart))
 }
 
 // refuse answers with an error. Units that were not used are given back first: the caller
--- a/routegate/caps_test.go
+++ b/routegate/caps_test.go
@@ -94,7 +94,7 @@
 }
 
 // withCaps puts workspaces in force, one with a cap that l holds.
-func withCaps(g *Gate, l *limiter) {
+func withCaps(g *Gate, l wheelgauge.CapLimiter) {
 	g.options.Caps = l
 	g.SetTable(routetable.New(&wheelgauge.RouteSet{
 		Version: 2, Routes: routes(), Services: []wheelgauge.Service{{Name: "s", Conns: 100}},
--- a/routegate/crash_test.go
+++ b/routegate/crash_test.go
@@ -160,6 +160,12 @@
 	if resp, _, err := ask(t, c, "/safe/x", ""); err != nil || resp.StatusCode != http.StatusOK {
 		t.Fatal(resp, err)
 	}
+	// The answer is there before the gate has noted it.
+	for limit := time.Now().Add(testLimit); time.Now().Before(limit); time.Sleep(time.Millisecond) {
+		if crashes, _ := q.Since(0); len(crashes) > 0 && crashes[0].Cleared {
+			break
+		}
+	}
 	if ends := q.Ended(wheelgauge.Crash{Request: request, Server: "2"}); ends != 1 {
 		t.Errorf("%d ends count, want 1", ends)
 	}
--- a/routegate/dispatch.go
+++ b/routegate/dispatch.go
@@ -51,7 +51,7 @@
 	defer context.AfterFunc(ctx, conn.Abort)()
 	n := c.gate.options.Names
 	set := [][2]string{
-		{n.Deadline, left(c.deadline)},
+		{n.Deadline, left(c.due())},
 		{n.Target, s.Instance()},
 		{n.Priority, strconv.Itoa(c.rank)},
 	}
@@ -150,7 +150,7 @@
 	defer x.release()
 	defer context.AfterFunc(ctx, conn.Abort)()
 	set := [][2]string{
-		{c.gate.options.Names.Deadline, left(c.deadline)},
+		{c.gate.options.Names.Deadline, left(c.due())},
 		{wheelgauge.HeaderForwardedFrom, c.gate.options.Region},
 	}
 	if c.workspace != nil {
@@ -197,7 +197,7 @@
 // missed keeps work off a gateway that failed, and off its region if the
 // network gave it up; this request's own deadline says nothing of either.
 func (c *call) missed(p *peerset.Peer, err error) {
-	if time.Now().After(c.deadline) {
+	if c.over() {
 		return
 	}
 	c.gate.options.Peers.Pause(p)
@@ -209,7 +209,7 @@
 // roundTrip sends a request and reads the head of its answer.
 func (x *exchange) roundTrip(head []byte) error {
 	c := x.call
-	if err := x.conn.Send(head, c.request.Body(), c.deadline); err != nil {
+	if err := x.conn.Send(head, c.request.Body(), c.due()); err != nil {
 		return err
 	}
 	var err error
--- a/routegate/gate.go
+++ b/routegate/gate.go
@@ -52,6 +52,8 @@
 	Budget  *retrybudget.Budget
 	// Caps holds what workspaces may send; nil lets all through.
 	Caps wheelgauge.CapLimiter
+	// Clock judges ages and deadlines; the steady one when nil.
+	Clock wheelgauge.Clock
 	// Quarantine holds requests back that end servers; one of the gate's own when nil.
 	Quarantine *quarantine.Table
 	Meter      *meter.Meter
@@ -86,6 +88,9 @@
 	if o.Quarantine == nil {
 		o.Quarantine = quarantine.New(time.Now)
 	}
+	if o.Clock == nil {
+		o.Clock = wheelgauge.SteadyClock{}
+	}
 	return &Gate{
 		options: o, reserved: reservedNames(o.Names), ready: make(chan struct{}),
 		waitUntil: time.Now().Add(startSpan), startWait: startWait,
@@ -124,7 +129,7 @@
 
 // Confirm tells that no newer configuration is known now.
 func (g *Gate) Confirm() {
-	now := time.Now()
+	now := g.options.Clock.Now()
 	g.confirmed.Store(&now)
 }
 
@@ -135,7 +140,7 @@
 	if at == nil {
 		return -1
 	}
-	return time.Since(*at)
+	return g.options.Clock.Now().Sub(*at)
 }
 
 // SetListed tells that the servers are known.
@@ -180,6 +185,7 @@
 func (g *Gate) open(r *callerhttp.Request, forwarded bool) *call {
 	h, n := r.Header(), g.options.Names
 	c := &call{gate: g, request: r, forwarded: forwarded, id: string(h.Peek(n.RequestID)), started: r.Arrived()}
+	c.asleep = g.asleep()
 	c.prompt = prompt.Parse(string(h.Peek(n.Prompt)), string(h.Peek(n.Tokens)), string(h.Peek(n.Hint)))
 	c.lastEvent = string(h.Peek(n.LastEvent))
 	if ms, err := strconv.ParseFloat(string(h.Peek(n.Deadline)), 64); err == nil && ms > 0 {
--- /dev/null
+++ b/routegate/suspend_test.go
@@ -0,0 +1,97 @@
+package routegate
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"wheelgauge"
+	"wheelgauge/fake/fakeclock"
+)
+
+// nap suspends the host while it draws units of a cap, as once a request was judged and
+// before it is sent.
+type nap struct {
+	limiter
+	clock *fakeclock.Clock
+	by    time.Duration
+}
+
+func (n *nap) Take(ctx context.Context, w *wheelgauge.Workspace, units float64) *wheelgauge.Error {
+	n.clock.Suspend(n.by)
+	return n.limiter.Take(ctx, w, units)
+}
+
+// A request whose caller's time has gone by while the host was suspended is not sent: it
+// was, with the time that it had before, to a server that worked for nobody.
+func TestSuspendedBetweenJudgingAndSending(t *testing.T) {
+	tests := []struct {
+		name   string
+		by     time.Duration
+		status int
+		sent   int
+	}{
+		{"not at all", 0, http.StatusOK, 1},
+		{"for less than it has", 3 * time.Second, http.StatusOK, 1},
+		{"for longer", 6 * time.Second, http.StatusServiceUnavailable, 0},
+		{"for a minute", time.Minute, http.StatusServiceUnavailable, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBackend(t)
+			g, c := newGate(t, routes(), b)
+			clock := &fakeclock.Clock{}
+			g.options.Clock = clock
+			withCaps(g, &nap{limiter: limiter{left: 9}, clock: clock, by: tt.by})
+			resp, _, err := ask(t, c, "/safe/", "Wheelgauge-Key: capped-key\r\nWheelgauge-Deadline-Ms: 5000\r\n")
+			if err != nil {
+				t.Fatal(err)
+			}
+			if resp.StatusCode != tt.status || len(b.seen()) != tt.sent {
+				t.Errorf("answered %d, sent %d times", resp.StatusCode, len(b.seen()))
+			}
+			if tt.sent == 0 {
+				return
+			}
+			left := b.seen()[0].Get(wheelgauge.HeaderDeadline)
+			if most := (5*time.Second - tt.by).Milliseconds(); len(left) == 0 || atoi(t, left) > most {
+				t.Errorf("the server has %s ms, %d are left", left, most)
+			}
+		})
+	}
+}
+
+// A host that wakes does not know its configuration to be the newest: it sends callers with
+// unknown keys on, where it said 401, which they don't come back after.
+func TestKeysAfterWaking(t *testing.T) {
+	g, c := newGate(t, routes(), newBackend(t))
+	clock := &fakeclock.Clock{}
+	g.options.Clock = clock
+	withWorkspaces(g)
+	g.Confirm()
+	steps := []struct {
+		suspend time.Duration
+		status  int
+	}{
+		{0, http.StatusUnauthorized},
+		{3 * time.Second, http.StatusServiceUnavailable},
+	}
+	for _, s := range steps {
+		clock.Suspend(s.suspend)
+		resp, _, err := ask(t, c, "/safe/", "Wheelgauge-Key: new-key\r\n")
+		if err != nil || resp.StatusCode != s.status {
+			t.Errorf("after %s: %v, %v, want %d", s.suspend, resp, err, s.status)
+		}
+	}
+}
+
+func atoi(t *testing.T, text string) int64 {
+	t.Helper()
+	n, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
