End requests in flight whose time went by while the host was suspended

Cause: connections go by the steady clock, so a request in flight waited on for as long as the host was suspended, and its server worked for nobody. Ruled out: a context of its own for each request (5 allocations, 470 bytes more); the one that the connection has is ended instead. Change: a host that wakes ends what is over: 504, or 503 where nothing ran; the server's side is closed. Before: nothing ended it but its caller's leaving. After: TestWaking, 1 of 1 ended, one that has time left goes on.

--- a/callerhttp/request.go
+++ b/callerhttp/request.go
@@ -54,6 +54,13 @@
 // Left tells whether the caller was seen to have left.
 func (r *Request) Left() bool { return r.conn.left.Load() }
 
+// Interrupt ends the context that the request is served with; safe from any goroutine.
+func (r *Request) Interrupt() {
+	if cancel := r.conn.serving(); cancel != nil {
+		cancel()
+	}
+}
+
 // Begun tells whether bytes of an answer have left.
 func (r *Request) Begun() bool { return r.begun }
 
--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -157,7 +157,7 @@
 	watch := wake.New(clock, o.Log)
 	go func() {
 		n.warmed <- every.Interval(ctx, warmEvery, func(ctx context.Context) {
-			watch.Look(warmEvery)
+			n.look(watch)
 			n.peers.Warm(ctx)
 		})
 	}()
@@ -229,6 +229,13 @@
 	}
 }
 
+// look ends requests whose time went by while the host was suspended.
+func (n *Node) look(w *wake.Watch) {
+	if _, suspended := w.Look(warmEvery); suspended > 0 {
+		n.o.Log.Info("Requests are ended whose time went by.", "ended", n.gate.Wake())
+	}
+}
+
 func (n *Node) prune(context.Context) {
 	n.servers.Prune()
 	n.peers.Prune()
--- a/routegate/call.go
+++ b/routegate/call.go
@@ -87,14 +87,14 @@
 func (c *call) run(ctx context.Context) {
 	first := true
 	for {
-		if ctx.Err() != nil {
-			c.leave()
-			return
-		}
 		if c.over() {
 			c.fail("deadline", "the time for this request is over")
 			return
 		}
+		if ctx.Err() != nil {
+			c.leave()
+			return
+		}
 		if c.held() {
 			c.hold()
 			return
@@ -126,7 +126,7 @@
 				return
 			}
 		case failed:
-			if ctx.Err() != nil {
+			if ctx.Err() != nil && !c.over() {
 				c.leave()
 				return
 			}
--- a/routegate/gate.go
+++ b/routegate/gate.go
@@ -80,6 +80,7 @@
 	// leaving is nil while the process does not leave.
 	leaving   atomic.Pointer[departure]
 	durations durations
+	active    inFlight
 	seen      waits
 }
 
@@ -176,11 +177,18 @@
 	if fault := g.admit(c); fault != nil {
 		c.refuse(fault)
 	} else {
-		c.run(ctx)
+		g.work(ctx, c)
 	}
 	c.close()
 }
 
+// work runs a request, which may be ended from outside.
+func (g *Gate) work(ctx context.Context, c *call) {
+	g.active.add(c)
+	defer g.active.remove(c)
+	c.run(ctx)
+}
+
 // open gathers what decides about a request.
 func (g *Gate) open(r *callerhttp.Request, forwarded bool) *call {
 	h, n := r.Header(), g.options.Names
--- a/routegate/suspend_test.go
+++ b/routegate/suspend_test.go
@@ -1,7 +1,10 @@
 package routegate
 
 import (
+	"bufio"
 	"context"
+	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"testing"
@@ -95,3 +98,66 @@
 	}
 	return n
 }
+
+// A request in flight whose time went by while the host was suspended is ended when it
+// wakes, and its server's side closed; one that has time left goes on.
+func TestWaking(t *testing.T) {
+	tests := []struct {
+		name    string
+		suspend time.Duration
+		ended   int
+		status  int
+	}{
+		{"it has time left", 3 * time.Second, 0, http.StatusOK},
+		{"its time went by", 10 * time.Second, 1, http.StatusGatewayTimeout},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			asked, answer, closed := make(chan struct{}), make(chan struct{}), make(chan struct{})
+			b := &backend{conn: listen(t, func(c net.Conn) {
+				defer c.Close()
+				in := bufio.NewReader(c)
+				if _, err := http.ReadRequest(in); err != nil {
+					return
+				}
+				close(asked)
+				go func() {
+					_, _ = in.ReadByte()
+					close(closed)
+				}()
+				select {
+				case <-answer:
+					_, _ = io.WriteString(c, okAnswer)
+					<-closed
+				case <-closed:
+				}
+			})}
+			g, c := newGate(t, routes(), b)
+			clock := &fakeclock.Clock{}
+			g.options.Clock = clock
+			got := make(chan int, 1)
+			go func() {
+				resp, _, err := ask(t, c, "/once/", "Wheelgauge-Deadline-Ms: 5000\r\n")
+				if err != nil {
+					t.Error(err)
+					got <- 0
+					return
+				}
+				got <- resp.StatusCode
+			}()
+			<-asked
+			clock.Suspend(tt.suspend)
+			if ended := g.Wake(); ended != tt.ended {
+				t.Errorf("%d are ended, want %d", ended, tt.ended)
+			}
+			if tt.ended == 0 {
+				close(answer)
+			} else {
+				<-closed
+			}
+			if status := <-got; status != tt.status {
+				t.Errorf("answered %d, want %d", status, tt.status)
+			}
+		})
+	}
+}
