Serve what many callers ask in the same words, also when servers end

Cause, found by reading: a request that is asked again and again (no body, the same path) is in flight at most servers that end, whatever ended them. Ruled out: trials of a held request from time to time (each would end a server if it is at fault); clearing by path and length (another request of the same path and length would clear the one at fault). Change: hosts remember fingerprints of requests up to 1 kB that ran well in the last 5 to 10 min, and clear them for all when they are told of ends. Before: TestWhatManyAskIsServed: held at all four hosts. After: at none once it was told.

--- a/fingerprint/fingerprint_test.go
+++ b/fingerprint/fingerprint_test.go
@@ -40,8 +40,13 @@
 }
 
 func BenchmarkOf(b *testing.B) {
-	body := make([]byte, 12<<10)
-	for b.Loop() {
-		Of([]byte("POST"), []byte("desk.example"), []byte("/explain/7"), "council", body)
+	for _, size := range []int{0, 1 << 10, 12 << 10} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			body := make([]byte, size)
+			b.ReportAllocs()
+			for b.Loop() {
+				Of([]byte("POST"), []byte("desk.example"), []byte("/explain/7"), "council", body)
+			}
+		})
 	}
 }
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -54,6 +54,8 @@
 	now func() time.Time
 	// condemned is replaced with each change.
 	condemned atomic.Pointer[held]
+	// good are requests that ran well here lately.
+	good *good
 
 	mu      sync.Mutex
 	entries map[key]*entry
@@ -72,7 +74,7 @@
 
 // New returns an empty table that reads time from now.
 func New(now func() time.Time) *Table {
-	t := &Table{now: now, entries: map[key]*entry{}, ends: map[wheelgauge.Fingerprint]int{}, at: 1}
+	t := &Table{now: now, entries: map[key]*entry{}, ends: map[wheelgauge.Fingerprint]int{}, good: newGood(now), at: 1}
 	t.condemned.Store(&held{})
 	return t
 }
@@ -96,19 +98,34 @@
 
 // Ran notes that a request ran at a server that did not end by it.
 func (t *Table) Ran(size int, request func() wheelgauge.Fingerprint) {
-	if !t.condemned.Load().suspected[size] {
+	suspected := t.condemned.Load().suspected[size]
+	if !suspected && size > smallBody {
 		return
 	}
 	ran := request()
+	if size <= smallBody {
+		t.good.note(ran)
+	}
+	if !suspected {
+		return
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, c := range t.all() {
-		if c.Request == ran && !c.Cleared {
+	t.clear(t.all(), func(request wheelgauge.Fingerprint) bool { return request == ran })
+	t.settle()
+}
+
+// clear notes that some requests did not end the servers that they stood at; the lock is
+// held.
+func (t *Table) clear(crashes []wheelgauge.Crash, which func(wheelgauge.Fingerprint) bool) (changed bool) {
+	for _, c := range crashes {
+		if !c.Cleared && which(c.Request) {
 			c.Cleared = true
 			t.put(c)
+			changed = true
 		}
 	}
-	t.settle()
+	return changed
 }
 
 // Merge takes what a host noted.
@@ -281,6 +298,11 @@
 	// through at each heartbeat they cost a store 165 ms when 64 servers end at once.
 	if t.serious > 0 || len(t.kept) > 0 {
 		told = serious(t.all())
+		// What many ask again and again is in flight whenever a server ends, at any host, and
+		// ran well at this one meanwhile: a host that saw it clears it for all.
+		if t.clear(told, t.good.has) {
+			told = serious(t.all())
+		}
 	}
 	if !slices.Equal(told, t.told) {
 		t.told = told
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -25,8 +25,9 @@
 
 func TestFingerprintIsAskedForOnlyIfNeeded(t *testing.T) {
 	table := New(time.Now)
+	const size = 12 << 10
 	for _, c := range under("p", "abc") {
-		c.Size = 12
+		c.Size = size
 		table.Ended(c)
 	}
 	asked := 0
@@ -34,12 +35,12 @@
 		asked++
 		return "q"
 	}
-	table.Holds(11, request)
-	table.Ran(11, request)
+	table.Holds(size-1, request)
+	table.Ran(size-1, request)
 	if asked > 0 {
 		t.Error("asked for that of a request of another size")
 	}
-	if table.Holds(12, request); asked != 1 {
+	if table.Holds(size, request); asked != 1 {
 		t.Errorf("asked %d times for that of a request of the same size", asked)
 	}
 }
@@ -277,6 +278,70 @@
 	t.Logf("servers that each ended: %v", counts)
 }
 
+// A request that many callers make in the same words, without a body, is in flight at three
+// servers that end by themselves, each before another host, and runs well at a fourth
+// host all the while: no host ever holds it back for longer than that one takes to be told
+// and to tell. Without a memory of what ran well it was held for good: nobody ran it any
+// more.
+func TestWhatManyAskIsServed(t *testing.T) {
+	w := newWorld(1, 4, 3)
+	popular := wheelgauge.Crash{Request: "popular"}
+	w.hosts[3].ran(popular)
+	for n := range 3 {
+		c := popular
+		c.Server = fmt.Sprint(n)
+		w.hosts[n].Ended(c)
+	}
+	for range 3 {
+		w.round(1, true)
+	}
+	for h, host := range w.hosts {
+		if host.holds(popular) {
+			t.Errorf("host %d holds it back", h)
+		}
+	}
+	c := popular
+	c.Server = "3"
+	w.hosts[0].Ended(c)
+	w.round(1, true)
+	if w.hosts[1].holds(popular) {
+		t.Error("held back at the next end")
+	}
+}
+
+func TestGoodIsForgotten(t *testing.T) {
+	c := &clock{at: time.Unix(1000, 0)}
+	g := newGood(c.now)
+	steps := []struct {
+		name string
+		pass time.Duration
+		has  bool
+	}{
+		{"at once", 0, true},
+		{"within half of its life", life/2 - time.Second, true},
+		{"in the second half", 2 * time.Second, true},
+		{"after its life", life/2 + time.Second, false},
+	}
+	g.note("p")
+	for _, s := range steps {
+		c.at = c.at.Add(s.pass)
+		if g.has("p") != s.has {
+			t.Errorf("%s: remembered: %v", s.name, !s.has)
+		}
+	}
+	for n := range 3 * mostGood {
+		g.note(wheelgauge.Fingerprint(fmt.Sprint(n)))
+	}
+	if most := len(g.lately) + len(g.earlier); most > 2*mostGood || !g.has(wheelgauge.Fingerprint(fmt.Sprint(3*mostGood-1))) {
+		t.Errorf("%d are remembered", most)
+	}
+	g.note("q")
+	c.at = c.at.Add(3 * life)
+	if g.has("q") {
+		t.Error("remembered for ever")
+	}
+}
+
 // BenchmarkMerge measures what a store does when 64 servers end at once with 64 requests in
 // flight at each, told by hosts in parts of 45.
 func BenchmarkMerge(b *testing.B) {
