A failure clears no request; what is cleared after it was kept stays cleared

Cause, found by reading: any whole answer cleared a request of the ends that it stood under. A server that fails part of its requests answers 500 before it begins to run one, so a request that ends servers would have been let go by it. Ruled out: clearing by 4xx and 5xx of sound servers (nothing tells them apart). Change: only a success clears; stores have the group keep what is cleared, too. Before: TestRunningWellClears/its_server_fails: 1 end counts of 3; TestClearedForGood: held again. After: 3; not held.

--- a/confstore/crashes.go
+++ b/confstore/crashes.go
@@ -28,11 +28,11 @@
 	kept := n.machine.State().Crashes
 	n.crashes.Keep(kept)
 	n.crashes.Prune()
-	serious, _ := n.crashes.Serious()
+	known := n.crashes.ToKeep()
 	limit, cancel := context.WithTimeout(ctx, crashesTimeout)
 	defer cancel()
-	if _, news := quarantine.Join(kept, serious); news {
-		n.propose(limit, configlog.Command{Op: configlog.OpCrashes, Crashes: serious})
+	if _, news := quarantine.Join(kept, known); news {
+		n.propose(limit, configlog.Command{Op: configlog.OpCrashes, Crashes: known})
 	}
 	if old := n.heldLong(kept); len(old) > 0 && n.replica.Leading() {
 		n.propose(limit, configlog.Command{Op: configlog.OpForget, Requests: old})
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -96,7 +96,7 @@
 	return t.ends[c.Request]
 }
 
-// Ran notes that a request ran at a server that did not end by it.
+// Ran notes that a request ran to a good end: it ended no server before.
 func (t *Table) Ran(size int, request func() wheelgauge.Fingerprint) {
 	suspected := t.condemned.Load().suspected[size]
 	if !suspected && size > smallBody {
@@ -186,6 +186,21 @@
 	return t.told, t.at
 }
 
+// ToKeep returns what whoever keeps crashes for this table should keep: those by which
+// requests are condemned, and which of those kept are cleared since.
+func (t *Table) ToKeep() []wheelgauge.Crash {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := slices.Clone(t.told)
+	for _, c := range t.kept {
+		e := t.entries[key{request: c.Request, server: c.Server}]
+		if e != nil && e.crash.Cleared && !c.Cleared {
+			out = append(out, e.crash)
+		}
+	}
+	return out
+}
+
 // Condemned returns the requests that are held back, by name.
 func (t *Table) Condemned() []wheelgauge.Fingerprint {
 	h := t.condemned.Load()
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -135,8 +135,7 @@
 	}
 	for _, store := range w.stores {
 		if quorum {
-			list, _ := store.Serious()
-			w.kept, _ = Join(w.kept, list)
+			w.kept, _ = Join(w.kept, store.ToKeep())
 			store.Keep(w.kept)
 		}
 	}
@@ -234,6 +233,30 @@
 	}
 }
 
+// What is cleared after the group kept it stays cleared when hosts and stores have long
+// forgotten why.
+func TestClearedForGood(t *testing.T) {
+	c := &clock{at: time.Unix(1000, 0)}
+	store := New(c.now)
+	store.Merge(under("p", "abc"))
+	kept, _ := Join(nil, store.ToKeep())
+	store.Keep(kept)
+	if !store.holds(kept[0]) {
+		t.Fatal("not held")
+	}
+	store.Merge(cleared(under("p", "abc")))
+	kept, changed := Join(kept, store.ToKeep())
+	if !changed {
+		t.Error("nothing new to keep")
+	}
+	store.Keep(kept)
+	c.at = c.at.Add(2 * life)
+	store.Prune()
+	if store.holds(kept[0]) {
+		t.Error("held again")
+	}
+}
+
 // Two requests that end servers come at the same time, each in flight at many of the
 // servers that the other one ended: both are held back, and each ends at most three
 // servers more after the third.
--- a/routegate/crash.go
+++ b/routegate/crash.go
@@ -54,8 +54,9 @@
 	c.refuse(refusal(wheelgauge.ReasonQuarantined, http.StatusServiceUnavailable, detail).WithRetryAfter(heldRetry))
 }
 
-// ranWhole notes that the request ran, and its server did not end.
-func (c *call) ranWhole() { c.gate.options.Quarantine.Ran(len(c.request.Body()), c.asked) }
+// ranWell notes that the request ran to a good end. A failure says nothing: a server that
+// fails part of its requests may have failed this one before it began to run it.
+func (c *call) ranWell() { c.gate.options.Quarantine.Ran(len(c.request.Body()), c.asked) }
 
 // inquest notes that the server ended with the request in flight, if it did: a server
 // that takes a new connection only broke this one off.
--- a/routegate/crash_test.go
+++ b/routegate/crash_test.go
@@ -150,23 +150,34 @@
 	}
 }
 
+// A good end clears a request of what it stood beside; a failure doesn't: servers that
+// fail part of their requests may not have run it.
 func TestRunningWellClears(t *testing.T) {
-	g, c := newGate(t, routes(), newBackend(t))
-	q := g.options.Quarantine
-	request := printOf("/safe/x")
-	for n := range 2 {
-		q.Ended(wheelgauge.Crash{Request: request, Server: fmt.Sprint(n)})
-	}
-	if resp, _, err := ask(t, c, "/safe/x", ""); err != nil || resp.StatusCode != http.StatusOK {
-		t.Fatal(resp, err)
-	}
-	// The answer is there before the gate has noted it.
-	for limit := time.Now().Add(testLimit); time.Now().Before(limit); time.Sleep(time.Millisecond) {
-		if crashes, _ := q.Since(0); len(crashes) > 0 && crashes[0].Cleared {
-			break
-		}
+	tests := []struct {
+		name   string
+		script []string
+		ends   int
+	}{
+		{"well", nil, 1},
+		{"its server fails", []string{failure, failure}, 3},
 	}
-	if ends := q.Ended(wheelgauge.Crash{Request: request, Server: "2"}); ends != 1 {
-		t.Errorf("%d ends count, want 1", ends)
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g, c := newGate(t, routes(), newBackend(t, tt.script...))
+			q := g.options.Quarantine
+			request := printOf("/once/x")
+			for n := range 2 {
+				q.Ended(wheelgauge.Crash{Request: request, Server: fmt.Sprint(n)})
+			}
+			// The second answer comes after the gate has noted the first.
+			for _, path := range []string{"/once/x", "/once/y"} {
+				if _, _, err := ask(t, c, path, ""); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if ends := q.Ended(wheelgauge.Crash{Request: request, Server: "2"}); ends != tt.ends {
+				t.Errorf("%d ends count, want %d", ends, tt.ends)
+			}
+		})
 	}
 }
--- a/routegate/dispatch.go
+++ b/routegate/dispatch.go
@@ -116,7 +116,6 @@
 	status := x.head.StatusCode()
 	if status >= http.StatusInternalServerError {
 		k.Done(serverset.Failed)
-		c.ranWhole()
 		if c.mayRepeat() {
 			_ = x.discard() // a connection that breaks here is not kept
 			return repeat
@@ -125,8 +124,8 @@
 	res := c.relay(x)
 	switch {
 	case res == answered && !c.left:
-		if x.broken == nil {
-			c.ranWhole()
+		if x.broken == nil && status < http.StatusMultipleChoices {
+			c.ranWell()
 		}
 		k.Done(serverset.Served)
 	case ctx.Err() != nil || c.left:
