--- a/cmd/wheelgauge-fake/commands.go
+++ b/cmd/wheelgauge-fake/commands.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"os"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -30,8 +31,11 @@
 	return c.Close(limit)
 }
 
+// exitEnded is the status of an engine that a request ended.
+const exitEnded = 3
+
 func engineCommand() *cobra.Command {
-	var o engine.Options
+	o := engine.Options{End: func() { os.Exit(exitEnded) }}
 	c := &cobra.Command{Use: "engine", Short: "Model engine", Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
 		e, err := engine.Start(c.Context(), o)
 		return serve(c.Context(), e, err)
@@ -47,6 +51,7 @@
 	f.Float64Var(&o.EventLoss, "event-loss", 0.05, "part of cache events that is lost")
 	f.BoolVar(&o.ChecksFences, "checks-fences", false, "refuse orders with an old fence")
 	f.DurationVar(&o.LoadTime, "load-time", time.Second, "time to load a model")
+	f.StringVar(&o.EndsOn, "ends-on", "", "end when a prompt that holds this text runs")
 	f.BoolVar(&o.Busy, "busy", false, "report a load that changes all the time")
 	f.Uint64Var(&o.Seed, "seed", 1, "seed of the losses")
 	return c
--- a/fake/engine/engine.go
+++ b/fake/engine/engine.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -37,6 +38,10 @@
 	ChecksFences bool
 	// LoadTime is how long an order to load takes.
 	LoadTime time.Duration
+	// EndsOn is what a prompt holds that ends the engine as soon as it runs; none when
+	// empty. End is what ends it.
+	EndsOn string
+	End    func()
 	// Busy makes it report a load that changes all the time.
 	Busy bool
 	Seed uint64
@@ -200,6 +205,9 @@
 		e.cold += int64(missed)
 		e.asked += int64(len(s.prompt)/script.CharsPerToken) + 1
 		e.running = append(e.running, s)
+		if e.o.EndsOn != "" && strings.Contains(s.prompt, e.o.EndsOn) {
+			e.o.End()
+		}
 	}
 }
 
