Hold back requests that end servers in the mode with resources, too

Here a visit to a host took three engines, at every host. Change: the same quarantine: hosts note ends with their heartbeats, hubs join and tell them, and tell each other with the regions' summaries; held at dispatch and between repeats, 503, not run. Two copies of what the store told of crashes became one (Table.KeepBesides). Ruled out: a store's log for it (the mode's stores hold resources; hubs know within a heartbeat).

--- a/entrynode/news.go
+++ b/entrynode/news.go
@@ -6,7 +6,6 @@
 
 	"wheelgauge"
 	"wheelgauge/entryset"
-	"wheelgauge/quarantine"
 	"wheelgauge/routetable"
 )
 
@@ -97,15 +96,15 @@
 // Crashes implements beat.News. A store that does not know yet what the group keeps takes
 // nothing back.
 func (n *Node) Crashes(crashes []wheelgauge.Crash, partial bool) {
+	before := n.quarantine.Condemned()
 	if partial {
-		crashes, _ = quarantine.Join(n.crashes, crashes)
+		n.quarantine.KeepBesides(crashes)
+	} else {
+		n.quarantine.Keep(crashes)
 	}
-	if len(crashes)+len(n.crashes) == 0 {
-		return
+	if held := n.quarantine.Condemned(); !slices.Equal(held, before) {
+		n.o.Log.Info("Requests are held back.", "held", held, "crashes", len(crashes), "partial", partial)
 	}
-	n.crashes = crashes
-	n.quarantine.Keep(crashes)
-	n.o.Log.Info("Requests are held back.", "held", n.quarantine.Condemned(), "crashes", len(crashes), "partial", partial)
 }
 
 // Reached implements beat.News.
--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -118,8 +118,6 @@
 	// generation is that of the state in force; News is told one at a time.
 	generation uint64
 	hosts      []wheelgauge.FleetHost
-	// crashes are those that stores told of.
-	crashes []wheelgauge.Crash
 	// told is set once the sums of all regions were whole.
 	told bool
 }
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -106,6 +106,7 @@
 func (g *Gateway) resumer(rq *request) relay.Resume {
 	before := rq.call.Skip
 	return func(ctx context.Context, skip int) (*wheelgauge.Answer, error) {
+		g.inquestHere(rq)
 		if !g.budget.Retry() {
 			g.meter.Count("retries.no_budget")
 			return nil, wheelgauge.NewError(wheelgauge.ReasonBrokenStream, wheelgauge.OutcomeRan, http.StatusBadGateway, "no retry is left")
@@ -126,11 +127,13 @@
 	}
 	switch {
 	case e.Complete:
+		g.ranWell(rq)
 		g.observe(rq)
 	case e.Left:
 		g.meter.Count("streams.left")
 		g.cancelStream(rq)
 	default:
+		g.inquestHere(rq)
 		g.meter.Count("streams.broken")
 	}
 }
@@ -155,6 +158,7 @@
 	body, err := io.ReadAll(io.LimitReader(answer.Body, wholeBody))
 	if err != nil {
 		_ = answer.Body.Close() // its read failed already
+		g.inquestHere(rq)
 		g.finish(ctx, rq, wheelgauge.NewError(wheelgauge.ReasonServerFailed, wheelgauge.OutcomeRan, http.StatusBadGateway, "the answer was cut short: "+err.Error()))
 		return
 	}
@@ -167,6 +171,9 @@
 		return
 	}
 	_ = answer.Body.Close() // it was read to its end
+	if answer.Status < http.StatusMultipleChoices {
+		g.ranWell(rq)
+	}
 	g.record(held, answer, body)
 	ctx.SetBody(body)
 	g.observe(rq)
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -36,6 +36,9 @@
 // dispatch chooses region and server. A call that is not repeatable is never
 // dispatched again once a byte of it may have left.
 func (g *Gateway) dispatch(ctx context.Context, rq *request) (*wheelgauge.Answer, error) {
+	if err := g.held(rq); err != nil {
+		return nil, err
+	}
 	if address := g.oldPath(rq); address != "" {
 		return g.sendOld(ctx, rq, address)
 	}
@@ -85,9 +88,15 @@
 			return answer, nil
 		}
 		last = err
+		if !isOutcome(err, wheelgauge.OutcomeNotRun) {
+			g.inquest(rq, server)
+		}
 		if !g.mayRepeat(rq, err) {
 			return nil, err
 		}
+		if err := g.held(rq); err != nil {
+			return nil, err
+		}
 		tried = append(tried, server.Name)
 	}
 	if last == nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -28,6 +28,7 @@
 	"wheelgauge/membership"
 	"wheelgauge/meter"
 	"wheelgauge/peerhttp"
+	"wheelgauge/quarantine"
 	"wheelgauge/setaside"
 	"wheelgauge/upstream"
 )
@@ -73,21 +74,23 @@
 
 // Gateway is a running gateway.
 type Gateway struct {
-	o        Options
-	boot     uint64
-	meter    *meter.Meter
-	client   *peerhttp.Client
-	servers  *upstream.Pool
-	peers    *upstream.Pool
-	engine   wheelgauge.BackendServer
-	service  wheelgauge.BackendServer
-	watcher  *confwatch.Watcher
-	node     *membership.Node
-	limiter  *admission.Limiter
-	budget   *admission.Budget
-	aside    *setaside.Table
-	inflight inflight.Table
-	hints    *hints
+	o       Options
+	boot    uint64
+	meter   *meter.Meter
+	client  *peerhttp.Client
+	servers *upstream.Pool
+	peers   *upstream.Pool
+	engine  wheelgauge.BackendServer
+	service wheelgauge.BackendServer
+	watcher *confwatch.Watcher
+	node    *membership.Node
+	limiter *admission.Limiter
+	budget  *admission.Budget
+	aside   *setaside.Table
+	// quarantine holds requests back that end servers.
+	quarantine *quarantine.Table
+	inflight   inflight.Table
+	hints      *hints
 
 	sequence atomic.Uint64
 	serving  *gate.Gate
@@ -110,7 +113,7 @@
 	g := &Gateway{
 		o: o, boot: uint64(time.Now().UnixNano()), meter: meter.New(), client: peerhttp.NewClient(peerDialer, ""),
 		servers: upstream.New(plainDialer), peers: upstream.New(peerDialer), limiter: admission.NewLimiter(),
-		budget: admission.NewBudget(), aside: setaside.New(), serving: gate.New(), ctx: ctx, cancel: cancel,
+		budget: admission.NewBudget(), aside: setaside.New(), quarantine: quarantine.New(time.Now), serving: gate.New(), ctx: ctx, cancel: cancel,
 	}
 	plain := peerhttp.NewClient(plainDialer, "")
 	g.engine = engine.New(g.servers, plain)
@@ -121,7 +124,7 @@
 	})
 	g.node = membership.Start(ctx, membership.Options{
 		Host: o.Host, Region: o.Region, Hall: o.Hall, Boot: g.boot, Interval: o.Heartbeat, Client: g.client,
-		Catalog: g.watcher.Current, Poll: g.poll, Asks: g.waiting, Log: o.Log.WithName("members"),
+		Catalog: g.watcher.Current, Poll: g.poll, Asks: g.waiting, Crashes: g.quarantine, Log: o.Log.WithName("members"),
 	})
 	g.hints = startHints(ctx, o.HostList, o.Log.WithName("hosts"))
 	if err := g.listen(); err != nil {
--- a/gateway/peer.go
+++ b/gateway/peer.go
@@ -134,6 +134,7 @@
 		g.meter.Gauge("config.generation", int64(c.Generation()))
 	}
 	g.meter.Gauge("config.since_progress_ms", time.Since(g.watcher.LastProgress()).Milliseconds())
+	g.meter.Gauge("requests.condemned", int64(len(g.quarantine.Condemned())))
 	g.meter.Gauge("connections.callers", int64(g.callers.Open()))
 	g.meter.Gauge("connections.peers", int64(g.peerSide.Open()))
 }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -52,6 +52,8 @@
 	cancelled atomic.Bool
 	// mayHaveRun is set once an attempt was not proven not to have run.
 	mayHaveRun bool
+	// print is the request's fingerprint once it was asked for.
+	print wheelgauge.Fingerprint
 	// target is who answers; a resumed stream may change it while it is read.
 	target atomic.Pointer[target]
 }
--- a/membership/hub.go
+++ b/membership/hub.go
@@ -17,6 +17,7 @@
 
 	"wheelgauge"
 	"wheelgauge/catalog"
+	"wheelgauge/quarantine"
 )
 
 const (
@@ -75,6 +76,8 @@
 	hosts    map[string]*hostRow
 	servers  map[string]*serverRow
 	regions  map[string]*regionRow
+	// crashes joins what the hosts of all regions noted.
+	crashes *quarantine.Table
 }
 
 // NewHub returns an empty hub. current returns the configuration in force, nil
@@ -83,6 +86,7 @@
 	return &Hub{
 		region: region, boot: boot, interval: interval, catalog: current, now: now, started: now(),
 		hosts: map[string]*hostRow{}, servers: map[string]*serverRow{}, regions: map[string]*regionRow{},
+		crashes: quarantine.New(now),
 	}
 }
 
@@ -95,6 +99,7 @@
 	for _, s := range b.Servers {
 		h.takeServer(b.Host, s, now)
 	}
+	h.crashes.Merge(b.Crashes)
 	h.expire(now)
 	return h.since(b)
 }
@@ -214,9 +219,15 @@
 	}
 	for _, row := range h.regions {
 		if row.version > from {
-			v.Regions = append(v.Regions, row.summary)
+			summary := row.summary
+			summary.Crashes = nil // hosts are told of what all regions noted together
+			v.Regions = append(v.Regions, summary)
 		}
 	}
+	serious, at := h.crashes.Serious()
+	if v.CrashesAt = at; v.Full || b.CrashesAt != at {
+		v.Crashes = serious
+	}
 	return v
 }
 
@@ -225,7 +236,8 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.expire(h.now())
-	s := wheelgauge.RegionSummary{Region: h.region, Asks: map[string]int{}, Pools: map[string]wheelgauge.PoolSummary{}}
+	h.crashes.Prune()
+	s := wheelgauge.RegionSummary{Region: h.region, Crashes: h.crashes.Latest(), Asks: map[string]int{}, Pools: map[string]wheelgauge.PoolSummary{}}
 	for _, row := range h.hosts {
 		if !row.entry.Alive || row.entry.Leaving {
 			continue
@@ -316,6 +328,7 @@
 		h.regions[s.Region] = row
 	}
 	row.seen = h.now()
+	h.crashes.Merge(s.Crashes)
 	h.setRegion(row, s)
 }
 
--- a/membership/node.go
+++ b/membership/node.go
@@ -16,6 +16,7 @@
 	"wheelgauge/catalog"
 	"wheelgauge/every"
 	"wheelgauge/peerhttp"
+	"wheelgauge/quarantine"
 	"wheelgauge/rendezvous"
 )
 
@@ -52,7 +53,9 @@
 	Poll func(ctx context.Context, s *catalog.Server) (wheelgauge.LoadReport, error)
 	// Asks returns the work that waits here and may go away, by pool.
 	Asks func() map[string]int
-	Log  logr.Logger
+	// Crashes are those that this host noted, and keeps of what all hosts did.
+	Crashes *quarantine.Table
+	Log     logr.Logger
 }
 
 // Node is the member of one gateway.
@@ -72,7 +75,11 @@
 	at      int
 	beats   int
 	views   int // from this hub
-	target  string
+	// crashes is the last change of the host's own that the hub knows of, crashesAt
+	// names the list held of all hosts'.
+	crashes   uint64
+	crashesAt uint64
+	target    string
 
 	cancel context.CancelFunc
 	done   chan error
@@ -81,6 +88,9 @@
 // Start begins to send heartbeats.
 func Start(ctx context.Context, options Options) *Node {
 	ctx, cancel := context.WithCancel(ctx)
+	if options.Crashes == nil {
+		options.Crashes = quarantine.New(time.Now)
+	}
 	n := &Node{
 		options: options, hub: NewHub(options.Region, options.Boot, options.Interval, options.Catalog, time.Now),
 		hosts: map[string]wheelgauge.HostEntry{}, servers: map[string]*ServerState{}, names: map[int]string{}, models: map[int]string{}, regions: map[string]wheelgauge.RegionSummary{},
@@ -204,13 +214,16 @@
 	at := min(n.at, len(hubs)-1)
 	b := wheelgauge.Heartbeat{
 		Host: n.options.Host, Boot: n.options.Boot, Leaving: n.leaving, Generation: c.Generation(),
-		Asks: n.options.Asks(), Servers: polled, Since: n.version, Hub: n.viewHub,
+		Asks: n.options.Asks(), Servers: polled, Since: n.version, Hub: n.viewHub, CrashesAt: n.crashesAt,
 	}
+	var told uint64
+	b.Crashes, told = n.options.Crashes.Since(n.crashes)
 	n.mu.Unlock()
 	for ; at >= 0 && at < len(hubs); at++ {
 		view, err := n.send(ctx, hubs[at], b)
 		if err == nil {
 			n.take(view, hubs[at], at)
+			n.takeCrashes(view, told)
 			return
 		}
 		if ctx.Err() != nil {
@@ -258,6 +271,27 @@
 	}
 }
 
+// takeCrashes keeps what a hub tells of the crashes of all hosts. One that has just begun
+// to answer knows nothing yet: it is told all again, and takes nothing back.
+func (n *Node) takeCrashes(v wheelgauge.View, told uint64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.crashes = told
+	if v.Full {
+		n.crashes = 0
+	}
+	if v.CrashesAt == n.crashesAt && !v.Full {
+		return
+	}
+	n.crashesAt = v.CrashesAt
+	if n.views < settledViews {
+		n.options.Crashes.KeepBesides(v.Crashes)
+		n.crashesAt = 0 // to be told once more
+		return
+	}
+	n.options.Crashes.Keep(v.Crashes)
+}
+
 // unpack gives loads the names that go with their numbers at the hub.
 func (n *Node) unpack(v wheelgauge.View) []wheelgauge.ServerEntry {
 	for number, name := range v.Names {
--- a/message.go
+++ b/message.go
@@ -171,6 +171,10 @@
 	// Since and Hub name the last view received, so that only news comes back.
 	Since uint64 `json:"i,omitempty"`
 	Hub   uint64 `json:"u,omitempty"`
+	// Crashes are those noted since the last view, CrashesAt names the list held of
+	// those of all hosts; see View.
+	Crashes   []Crash `json:"c,omitempty"`
+	CrashesAt uint64  `json:"ca,omitempty"`
 }
 
 // HostEntry is a host as its hub sees it.
@@ -189,6 +193,8 @@
 	// Asks is the work that waits here and may go away, by pool, in requests.
 	Asks  map[string]int         `json:"k,omitempty"`
 	Pools map[string]PoolSummary `json:"p,omitempty"`
+	// Crashes are the latest that hosts of the region noted.
+	Crashes []Crash `json:"c,omitempty"`
 	// Gone is set by who has not heard of the region for some intervals.
 	Gone bool `json:"x,omitempty"`
 }
@@ -215,6 +221,9 @@
 	// Loads are by number, as load reports are most of the traffic.
 	Loads   []ServerLoad    `json:"s,omitempty"`
 	Regions []RegionSummary `json:"r,omitempty"`
+	// Crashes are those of requests to hold back, all of them when their number changed.
+	CrashesAt uint64  `json:"ca,omitempty"`
+	Crashes   []Crash `json:"c,omitempty"`
 }
 
 // ServerLoad is the state of a backend server in four numbers: its number, its
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -24,6 +24,8 @@
 	// mostTold bounds what is told at once: 256 crashes are 15 kB, a heartbeat's part of
 	// a narrow link. The next heartbeat goes on.
 	mostTold = 256
+	// latest is how long a crash is among the latest: some tellings between regions.
+	latest = 30 * time.Second
 )
 
 // key tells crashes apart.
@@ -155,6 +157,18 @@
 	t.settle()
 }
 
+// KeepBesides takes what somebody else keeps who does not know everything yet.
+func (t *Table) KeepBesides(crashes []wheelgauge.Crash) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	joined, changed := Join(t.kept, crashes)
+	if !changed {
+		return
+	}
+	t.kept = joined
+	t.settle()
+}
+
 // Since returns what was noted here after a change, the first of it if it is much, and
 // the number of the last change returned.
 func (t *Table) Since(change uint64) ([]wheelgauge.Crash, uint64) {
@@ -178,6 +192,26 @@
 	return out, change
 }
 
+// Latest returns the crashes that changed last, for whoever is told of them again and
+// again.
+func (t *Table) Latest() []wheelgauge.Crash {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var news []*entry
+	since := t.now().Add(-latest)
+	for _, e := range t.entries {
+		if e.seen.After(since) {
+			news = append(news, e)
+		}
+	}
+	slices.SortFunc(news, func(a, b *entry) int { return cmp.Compare(b.change, a.change) })
+	out := make([]wheelgauge.Crash, 0, min(len(news), mostTold))
+	for _, e := range news[:min(len(news), mostTold)] {
+		out = append(out, e.crash)
+	}
+	return out
+}
+
 // Serious returns the crashes by which requests are condemned, or nearly were, and a
 // number that changes with them. The list must not be changed.
 func (t *Table) Serious() ([]wheelgauge.Crash, uint64) {
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -78,6 +78,17 @@
 	fresh   bool
 }
 
+// Reaches tells whether an address takes a new connection in time.
+func (p *Pool) Reaches(ctx context.Context, address string) bool {
+	d := net.Dialer{}
+	c, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return false
+	}
+	_ = c.Close() // nothing was sent on it
+	return true
+}
+
 // host returns the client of a way. Fresh connections are never kept, so that
 // a call on one cannot meet a connection which its server has just closed.
 func (p *Pool) host(address string, fresh bool) *fasthttp.HostClient {
