--- a/bootclock/clock.go
+++ b/bootclock/clock.go
@@ -80,9 +80,6 @@
 	return now.Add(c.read(now))
 }
 
-// Lost returns how long the machine was suspended since the clock began.
-func (c *Clock) Lost() time.Duration { return c.read(c.now()) }
-
 // read reads the boot clock anew. What was lost never becomes less: the two clocks are
 // read one after the other, and the time between must not count back.
 func (c *Clock) read(now time.Time) time.Duration {
--- a/bootclock/clock_test.go
+++ b/bootclock/clock_test.go
@@ -39,6 +39,9 @@
 	return c
 }
 
+// lost is what a clock counts beyond the steady one, read anew.
+func (m *machine) lost(c *Clock) time.Duration { return c.read(m.steady) }
+
 func TestSuspendedTimeCounts(t *testing.T) {
 	for _, lost := range []time.Duration{3 * time.Second, 10 * time.Second, time.Minute} {
 		m := newMachine()
@@ -53,8 +56,8 @@
 		if got, want := c.Now().Sub(began), time.Second+lost+fresh; got != want {
 			t.Errorf("%s passed, want %s", got, want)
 		}
-		if c.Lost() != lost {
-			t.Errorf("lost %s, want %s", c.Lost(), lost)
+		if m.lost(c) != lost {
+			t.Errorf("lost %s, want %s", m.lost(c), lost)
 		}
 	}
 }
@@ -74,8 +77,8 @@
 		}
 		last = now
 	}
-	if c.Lost() != 0 {
-		t.Errorf("lost %s", c.Lost())
+	if m.lost(c) != 0 {
+		t.Errorf("lost %s", m.lost(c))
 	}
 }
 
@@ -99,8 +102,8 @@
 	began := c.Now()
 	m.run(time.Second)
 	m.sleep(time.Second)
-	if got := c.Now().Sub(began); got != time.Second || c.Lost() != 0 {
-		t.Errorf("%s passed, %s lost", got, c.Lost())
+	if got := c.Now().Sub(began); got != time.Second || m.lost(c) != 0 {
+		t.Errorf("%s passed, %s lost", got, m.lost(c))
 	}
 }
 
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -3,26 +3,18 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
 	"time"
 
 	"wheelgauge"
 	"wheelgauge/catalog"
 	"wheelgauge/fingerprint"
+	"wheelgauge/quarantine"
 )
 
-const (
-	// inquestLimit is how long a server whose answer did not come whole has to take a
-	// new connection: its port refuses at once if it ended.
-	inquestLimit = 25 * time.Millisecond
-	// heldRetry is when a caller may come back whose request is held back: one that only
-	// stood beside another and was taken for it is let go within seconds.
-	heldRetry = 30 * time.Second
-	// lifeSpan parts the time in which a server's name stands for one start of it: servers
-	// tell no starts here, and take some seconds to be back. Two hosts that see one end on
-	// both sides of a border count it twice for a request that stood at both.
-	lifeSpan = 5 * time.Second
-)
+// lifeSpan parts the time in which a server's name stands for one start of it: servers
+// tell no starts here, and take some seconds to be back. Two hosts that see one end on
+// both sides of a border count it twice for a request that stood at both.
+const lifeSpan = 5 * time.Second
 
 // asked tells what a request asks, the same for all its tries at all hosts.
 func (rq *request) asked() wheelgauge.Fingerprint {
@@ -37,8 +29,7 @@
 	if !g.quarantine.Holds(len(rq.call.Body), rq.asked) {
 		return nil
 	}
-	return wheelgauge.NewError(wheelgauge.ReasonQuarantined, wheelgauge.OutcomeNotRun, http.StatusServiceUnavailable,
-		"this request ended the backend servers that ran it").WithRetryAfter(heldRetry)
+	return quarantine.Refusal()
 }
 
 // ranWell notes that a request ran to a good end: it ended no server before.
@@ -57,7 +48,7 @@
 	if s == nil || rq.left() || !time.Now().Before(rq.call.Deadline) {
 		return
 	}
-	limit, cancel := context.WithTimeout(g.ctx, inquestLimit)
+	limit, cancel := context.WithTimeout(g.ctx, quarantine.InquestLimit)
 	defer cancel()
 	if g.servers.Reaches(limit, s.Address) {
 		return
--- a/membership/node.go
+++ b/membership/node.go
@@ -283,12 +283,12 @@
 	if v.CrashesAt == n.crashesAt && !v.Full {
 		return
 	}
-	n.crashesAt = v.CrashesAt
 	if n.views < settledViews {
-		n.options.Crashes.KeepBesides(v.Crashes)
 		n.crashesAt = 0 // to be told once more
+		n.options.Crashes.KeepBesides(v.Crashes)
 		return
 	}
+	n.crashesAt = v.CrashesAt
 	n.options.Crashes.Keep(v.Crashes)
 }
 
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -62,10 +62,10 @@
 	mu      sync.Mutex
 	entries map[key]*entry
 	changes uint64
-	// ends counts the entries of each request that are not cleared, serious how many
+	// ends counts the entries of each request that are not cleared, condemnable how many
 	// requests have enough of them to be condemned.
-	ends    map[wheelgauge.Fingerprint]int
-	serious int
+	ends        map[wheelgauge.Fingerprint]int
+	condemnable int
 	// kept are crashes that somebody else keeps: for a host its store, for a store
 	// the group of stores.
 	kept []wheelgauge.Crash
@@ -285,12 +285,12 @@
 	case was && !is:
 		t.ends[request]++
 		if t.ends[request] == condemnedBy {
-			t.serious++
+			t.condemnable++
 		}
 	case !was && is:
 		t.ends[request]--
 		if t.ends[request] == condemnedBy-1 {
-			t.serious--
+			t.condemnable--
 		}
 		if t.ends[request] == 0 {
 			delete(t.ends, request)
@@ -345,7 +345,7 @@
 	var told []wheelgauge.Crash
 	// Servers that end by themselves leave some thousand entries of one end each: looked
 	// through at each heartbeat they cost a store 165 ms when 64 servers end at once.
-	if t.serious > 0 || len(t.kept) > 0 {
+	if t.condemnable > 0 || len(t.kept) > 0 {
 		told = serious(t.all())
 		// What many ask again and again is in flight whenever a server ends, at any host, and
 		// ran well at this one meanwhile: a host that saw it clears it for all.
--- a/routegate/crash.go
+++ b/routegate/crash.go
@@ -4,28 +4,18 @@
 	"context"
 	"errors"
 	"io"
-	"net/http"
 	"strconv"
 	"syscall"
-	"time"
 
 	"wheelgauge"
 	"wheelgauge/fingerprint"
+	"wheelgauge/quarantine"
 	"wheelgauge/serverset"
 )
 
-const (
-	// inquestLimit is how long a server that broke a connection off has to take a new
-	// one: its port refuses at once if it ended, and it is a hall's way off at most.
-	inquestLimit = 25 * time.Millisecond
-	// heldRetry is when a caller may come back whose request is held back. It ends what
-	// runs it, so nothing is gained by coming sooner; one that only stood beside it and
-	// was taken for it is let go within seconds.
-	heldRetry = 30 * time.Second
-	// tellEnds is how many servers must have ended under a request before each is
-	// logged: some tens are in flight at each, and all but one only stand beside it.
-	tellEnds = 2
-)
+// tellEnds is how many servers must have ended under a request before each is logged:
+// some tens are in flight at each, and all but one only stand beside it.
+const tellEnds = 2
 
 // asked tells what the request asks, the same for all its tries at all hosts.
 func (c *call) asked() wheelgauge.Fingerprint {
@@ -45,13 +35,13 @@
 // hold answers a request that is held back, at once.
 func (c *call) hold() {
 	c.gate.options.Meter.Count("requests.held")
-	const detail = "this request ended the backend servers that ran it"
+	fault := quarantine.Refusal()
 	if c.runs > 0 || c.request.Begun() {
-		c.fail("held back", detail)
+		c.fail("held back", fault.Detail())
 		return
 	}
 	c.cause = "held back"
-	c.refuse(refusal(wheelgauge.ReasonQuarantined, http.StatusServiceUnavailable, detail).WithRetryAfter(heldRetry))
+	c.refuse(fault)
 }
 
 // ranWell notes that the request ran to a good end. A failure says nothing: a server that
@@ -64,7 +54,7 @@
 	if ctx.Err() != nil || !brokenOff(x.broken) {
 		return
 	}
-	limit, cancel := context.WithTimeout(ctx, inquestLimit)
+	limit, cancel := context.WithTimeout(ctx, quarantine.InquestLimit)
 	defer cancel()
 	if s.Pool().Open(limit) == nil {
 		return
