Sight: hosts hear the limit that a server names, and say so

Cause to be found: servers that named a limit got three times what they allowed, and neither lines nor counters know the word, so that 'nobody reads it', 'each host for itself' and 'told too late' can't be told apart. Change: the limit is a header of the dialect; a table holds what each start of a server last said, from the first answer that names a limit to a success, to a request sent after that, which lacks it (a failure, an answer of another server at the address or something unreadable ends nothing). One line when it changes, counters, and the limit among the inputs of 'Request ends.'. No decision goes by it yet. Ruled out: to end a limit by any answer without it: one sent before the limit was named may come after it.

--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -30,6 +30,7 @@
 	"wheelgauge/quarantine"
 	"wheelgauge/retrybudget"
 	"wheelgauge/routegate"
+	"wheelgauge/serverlimit"
 	"wheelgauge/serverset"
 	"wheelgauge/wake"
 )
@@ -105,16 +106,18 @@
 	purse   *cappurse.Purse
 	// quarantine holds requests back that end servers.
 	quarantine *quarantine.Table
-	meter      *meter.Meter
-	beats      atomic.Pointer[beat.Client]
-	client     *peerhttp.Client
-	callers    *callerhttp.Server
-	forwards   *callerhttp.Server
-	listeners  []*httpserve.Server
-	stop       context.CancelFunc
-	pruned     chan error
-	warmed     chan error
-	leaving    atomic.Bool
+	// limits are those that servers have named.
+	limits    *serverlimit.Table
+	meter     *meter.Meter
+	beats     atomic.Pointer[beat.Client]
+	client    *peerhttp.Client
+	callers   *callerhttp.Server
+	forwards  *callerhttp.Server
+	listeners []*httpserve.Server
+	stop      context.CancelFunc
+	pruned    chan error
+	warmed    chan error
+	leaving   atomic.Bool
 	// generation is that of the state in force; News is told one at a time.
 	generation uint64
 	hosts      []wheelgauge.FleetHost
@@ -139,9 +142,10 @@
 	n.budget = retrybudget.New(o.Budget, clock.Now)
 	n.purse = cappurse.New(cappurse.Options{Host: o.Name, Boot: n.boot, Stores: n.stores, Ask: n.askCaps, Now: clock.Now})
 	n.quarantine = quarantine.New(clock.Now)
+	n.limits = serverlimit.New(clock.Now)
 	n.gate = routegate.New(routegate.Options{
 		Region: o.Region, Names: o.Names, Servers: n.servers, Peers: n.peers, Budget: n.budget, Meter: n.meter, Log: o.Log.WithName("gate"),
-		Caps: n.purse, Quarantine: n.quarantine, Clock: clock,
+		Caps: n.purse, Quarantine: n.quarantine, Limits: n.limits, Clock: clock,
 	})
 	if err := n.listen(); err != nil {
 		stop()
--- a/native/headers.go
+++ b/native/headers.go
@@ -13,6 +13,7 @@
 		NotRun:    "Wheelgauge-Not-Run",
 		Signature: "Wheelgauge-Signature",
 		Load:      "Wheelgauge-Load",
+		Limit:     "Wheelgauge-Limit",
 		Prompt:    "Wheelgauge-Prompt",
 		Tokens:    "Wheelgauge-Tokens",
 		Hint:      "Wheelgauge-Output-Hint",
--- a/routegate/call.go
+++ b/routegate/call.go
@@ -225,7 +225,7 @@
 	if c.route != nil {
 		name = c.route.Name
 	}
-	good := c.status >= 200 && c.status < 300
+	good := isSuccess(c.status)
 	switch {
 	case good:
 		g.options.Meter.Count("requests.ok")
@@ -256,5 +256,6 @@
 		return ""
 	}
 	l := c.pick.Before()
-	return fmt.Sprintf("running=%d tokens=%d missing=%d source=%s age_ms=%d", l.Running(), l.Tokens(), c.pick.Missing(), c.pick.Source(), l.Age().Milliseconds())
+	limit, _ := c.gate.options.Limits.Rate(lifeOf(c.pick.Server()))
+	return fmt.Sprintf("running=%d tokens=%d missing=%d source=%s age_ms=%d limit=%g", l.Running(), l.Tokens(), c.pick.Missing(), c.pick.Source(), l.Age().Milliseconds(), limit)
 }
--- a/routegate/dispatch.go
+++ b/routegate/dispatch.go
@@ -27,6 +27,8 @@
 	// pick is nil for an exchange with another gateway.
 	pick *serverset.Pick
 	sent time.Time
+	// clock is the same by the gate's clock, which counts suspended time.
+	clock time.Time
 	// begun is set at the first event or byte of the answer.
 	begun bool
 	// broken is why the answer did not come whole.
@@ -43,7 +45,7 @@
 		k.Done(unreached(err))
 		return notSent
 	}
-	x := &exchange{call: c, conn: conn, pool: s.Pool(), pick: k, sent: time.Now()}
+	x := &exchange{call: c, conn: conn, pool: s.Pool(), pick: k, sent: time.Now(), clock: c.gate.options.Clock.Now()}
 	defer func() {
 		x.release()
 		c.inquest(ctx, x, s)
@@ -72,6 +74,7 @@
 		k.Done(c.brokenOutcome(ctx))
 		return failed
 	}
+	c.hearLimit(x, s)
 	notRun := len(x.head.Peek(n.NotRun)) > 0
 	if r, ok := serverset.ParseReported(string(x.head.Peek(n.Load))); ok {
 		k.Report(r, notRun && x.head.StatusCode() == http.StatusServiceUnavailable)
--- a/routegate/gate.go
+++ b/routegate/gate.go
@@ -21,6 +21,7 @@
 	"wheelgauge/quarantine"
 	"wheelgauge/retrybudget"
 	"wheelgauge/routetable"
+	"wheelgauge/serverlimit"
 	"wheelgauge/serverset"
 )
 
@@ -56,8 +57,10 @@
 	Clock wheelgauge.Clock
 	// Quarantine holds requests back that end servers; one of the gate's own when nil.
 	Quarantine *quarantine.Table
-	Meter      *meter.Meter
-	Log        logr.Logger
+	// Limits are those that servers have named; a table of the gate's own when nil.
+	Limits *serverlimit.Table
+	Meter  *meter.Meter
+	Log    logr.Logger
 }
 
 // Gate is safe for concurrent use.
@@ -89,6 +92,9 @@
 	if o.Quarantine == nil {
 		o.Quarantine = quarantine.New(time.Now)
 	}
+	if o.Limits == nil {
+		o.Limits = serverlimit.New(time.Now)
+	}
 	if o.Clock == nil {
 		o.Clock = wheelgauge.SteadyClock{}
 	}
--- a/routegate/relay.go
+++ b/routegate/relay.go
@@ -23,7 +23,7 @@
 // relay passes an answer on.
 func (c *call) relay(x *exchange) result {
 	status := x.head.StatusCode()
-	success := status >= 200 && status < 300
+	success := isSuccess(status)
 	if success && len(x.head.Peek(c.gate.options.Names.Signature)) == 0 {
 		c.cause = errUnsigned.Error()
 		return failed
--- a/routes.go
+++ b/routes.go
@@ -156,6 +156,9 @@
 	Signature string
 	// Load is "running,waiting,slots" of the answering server.
 	Load string
+	// Limit is the requests a second that a server in need takes from all hosts
+	// together, a decimal number; answers of servers without a limit lack it.
+	Limit string
 	// Prompt lists the parts of the prompt as ID:TOKENS, separated by commas.
 	Prompt string
 	// Tokens is "prompt tokens,most tokens to generate".
