A limit that is told to and fro ends all the same

Cause, found by reading: a word was dated by its age and the moment it came, so each telling between host and store, one an asking, made it later by the way. With some hundred askings a second it was as late as now, and no answer to a request sent before ended it: the server would have been kept at its limit for as long as anybody asked. Seen in TestToldToAndFro, which fails on the code before. Change: what is known already does not change by being told again; only a server's own answer makes it later. Ruled out: dropping the date (an answer to a request of before the limit would end it).

--- a/serverlimit/table.go
+++ b/serverlimit/table.go
@@ -127,7 +127,9 @@
 		if !known && l.None {
 			continue // it says what is taken for granted
 		}
-		if !known || w.at.After(was.at) {
+		// Told to and fro, what is known already would seem later each time by the way, and
+		// no answer late enough to end it.
+		if !known || !w.same(was) && w.at.After(was.at) {
 			t.set(l.Server, w)
 		}
 	}
--- a/serverlimit/table_test.go
+++ b/serverlimit/table_test.go
@@ -130,3 +130,26 @@
 		t.Error("words are kept that nobody heard for long")
 	}
 }
+
+// A limit that hosts and stores tell each other again and again ends with the first answer
+// that lacks it. Each telling made it later by the way, up to now, so that answers to
+// requests sent before now ended nothing: found by reading, seen here.
+func TestToldToAndFro(t *testing.T) {
+	const way = 3 * time.Millisecond
+	c := newClock()
+	host, store := New(c.now), New(c.now)
+	host.Named("s", 2)
+	c.pass(time.Second)
+	sent := c.now()
+	for range 500 {
+		word := host.Word("s")
+		c.pass(way)
+		store.Merge([]wheelgauge.ServerLimit{word})
+		word = store.Word("s")
+		c.pass(way)
+		host.Merge([]wheelgauge.ServerLimit{word})
+	}
+	if !host.Absent("s", sent) {
+		t.Error("an answer without the limit does not end it")
+	}
+}
