A server is not left out once its limit has changed or ended

Cause, found by reading: a host that was refused a permit left the server out for as long as it was told, 10 s at a tenth of a request a second, also when the limit had ended or risen meanwhile. Change: the wait holds for the limit that it was by. Ruled out: a shorter wait for all; each host would ask for each such server once a second.

--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -145,6 +145,7 @@
 	n.purse = cappurse.New(cappurse.Options{Host: o.Name, Boot: n.boot, Stores: n.stores, Ask: n.askCaps, Now: clock.Now})
 	n.quarantine = quarantine.New(clock.Now)
 	n.limits = serverlimit.New(clock.Now)
+	n.servers.SetLimits(n.limits.Rate)
 	n.permits = permitclient.New(permitclient.Options{
 		Host: o.Name, Limits: n.limits, Stores: n.regionStores, Sharers: n.servers.Sharers, Ask: n.askPermit, Now: clock.Now,
 	})
--- a/serverset/limited.go
+++ b/serverset/limited.go
@@ -5,15 +5,45 @@
 	"time"
 )
 
+// LimitOf returns the limit that a start of a server has named, in requests a second; ok is
+// false without one.
+type LimitOf func(life string) (rate float64, ok bool)
+
+// SetLimits gives the limits that servers have named.
+func (t *Table) SetLimits(limits LimitOf) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.limitOf = limits
+}
+
 // Defer ends a dispatch that the server's limit does not allow now: it gets no work from
-// this host for a while.
+// this host for a while, or until the limit changes.
 func (k *Pick) Defer(after time.Duration) {
-	k.table.mu.Lock()
-	k.server.limitedUntil = k.table.now().Add(after)
-	k.table.mu.Unlock()
+	t := k.table
+	t.mu.Lock()
+	k.server.limitedUntil = t.now().Add(after)
+	k.server.limitedTo, _ = t.limit(k.server)
+	t.mu.Unlock()
 	k.Done(Left)
 }
 
+func (t *Table) limit(s *Server) (rate float64, ok bool) {
+	if t.limitOf == nil {
+		return 0, true // nothing tells that it ended
+	}
+	return t.limitOf(s.life)
+}
+
+// deferred tells whether the server's limit allows nothing now. At a tenth of a request a
+// second it says so for ten seconds, by which time the limit may have ended.
+func (t *Table) deferred(s *Server, now time.Time) bool {
+	if !now.Before(s.limitedUntil) {
+		return false
+	}
+	rate, limited := t.limit(s)
+	return limited && rate == s.limitedTo
+}
+
 // ChooseLimited picks the server that takes something again first, within a time, of those
 // whose limits do not allow it now; nil if there is none.
 func (t *Table) ChooseLimited(j Job, within time.Duration) *Pick {
@@ -22,7 +52,7 @@
 	now := t.now()
 	var first *Server
 	for _, s := range t.services[j.service] {
-		waits := now.Before(s.limitedUntil) && s.limitedUntil.Sub(now) <= within
+		waits := t.deferred(s, now) && s.limitedUntil.Sub(now) <= within
 		if !waits || !t.able(s, now) || now.Before(s.coldUntil) || slices.Contains(j.tried, s.spec.Instance) {
 			continue
 		}
--- a/serverset/server.go
+++ b/serverset/server.go
@@ -72,6 +72,8 @@
 	pause       time.Duration
 	// limitedUntil is until when a server that has named a limit takes no more.
 	limitedUntil time.Time
+	// limitedTo is the limit that this was by.
+	limitedTo float64
 	// lostUntil is until when this host itself takes the server for out of reach,
 	// reached when it last answered.
 	lostUntil time.Time
--- a/serverset/table.go
+++ b/serverset/table.go
@@ -70,6 +70,8 @@
 	asked  time.Time
 	limits func(service string) *wheelgauge.Service
 	cold   *coldrate.Shares
+	// limitOf gives the limits that servers have named; nil without any.
+	limitOf LimitOf
 	// used is the server that had a subject last.
 	used map[uint64]*Server
 	// near, far and listed are memory for one choice, draws numbers those without a
@@ -329,7 +331,7 @@
 
 // takes tells whether a server may get work at all.
 func (t *Table) takes(s *Server, now time.Time) bool {
-	return t.able(s, now) && now.After(s.limitedUntil)
+	return t.able(s, now) && !t.deferred(s, now)
 }
 
 // able is the same but for the server's limit.
