A seed that left the group gives no permits

Change: the stores of a region are those that the group names. TestFormerSeedGivesNothing fails without it. Besides, a request that ran out of time while it asked no longer keeps the server from others at that host for 0.3 s. Ruled out: forgetting seeds (they are what a host starts from when all else is gone).

--- a/beat/client.go
+++ b/beat/client.go
@@ -112,6 +112,8 @@
 	mu      sync.Mutex
 	stores  map[string]*store
 	primary string
+	// members are the stores of the group, as one in touch told last; none before.
+	members []string
 	lag     lag
 	// listed is set once the servers are known, listedAt when their list was
 	// asked for.
@@ -310,6 +312,7 @@
 	if a.InTouch && len(a.Stores) > 0 {
 		c.learn(a.Stores)
 		c.forget(a.Stores)
+		c.members = a.Stores
 	}
 	c.listed = c.listed || len(a.Servers) > 0
 	if c.eager() {
--- a/beat/limits_test.go
+++ b/beat/limits_test.go
@@ -59,3 +59,20 @@
 	far.set(func(a *wheelgauge.BeatAnswer) { a.Store = 78 })
 	waitFor(t, "the store that started again knows", func() bool { return slices.Contains(far.limits(), "own") })
 }
+
+// A seed that is no member of the group any more gives no permits. Counted on, it left its
+// part of the servers with what another store gives in place of it: found by reading.
+func TestFormerSeedGivesNothing(t *testing.T) {
+	seed, member := newStore(t, "here", 3), newStore(t, "here", 3)
+	for _, s := range []*standIn{seed, member} {
+		s.set(func(a *wheelgauge.BeatAnswer) { a.Stores = []string{member.http.Address()} })
+	}
+	c := startWith(t, []*standIn{seed, member}, Options{
+		Self: func() wheelgauge.FleetHost { return wheelgauge.FleetHost{Name: "g", Region: "here"} },
+		News: &news{}, Log: logr.Discard(),
+	})
+	waitFor(t, "both have answered", func() bool { return seed.count() > 2 && member.count() > 2 })
+	waitFor(t, "the member alone gives permits", func() bool {
+		return slices.Equal(c.RegionStores(), []wheelgauge.RegionStore{{Address: member.http.Address(), Answers: true}})
+	})
+}
--- a/beat/stores.go
+++ b/beat/stores.go
@@ -65,14 +65,15 @@
 	return out
 }
 
-// RegionStores returns all stores of the host's region, by address.
+// RegionStores returns all stores of the host's region. A seed that is no member any more
+// is none of them, however long ago it left: what it gave would be missing for good.
 func (c *Client) RegionStores() []wheelgauge.RegionStore {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	self := c.options.Self()
 	var out []wheelgauge.RegionStore
 	for _, s := range c.stores {
-		if s.region == self.Region {
+		if s.region == self.Region && (len(c.members) == 0 || slices.Contains(c.members, s.address)) {
 			out = append(out, wheelgauge.RegionStore{Address: s.address, Answers: c.rank(s, self) >= 0})
 		}
 	}
--- a/permitclient/client.go
+++ b/permitclient/client.go
@@ -77,7 +77,7 @@
 			return time.Duration(answer.AfterMS) * time.Millisecond, answer.Granted
 		}
 		if ctx.Err() != nil {
-			return aloneRetry, false // the request had less time than the store
+			return 0, false // the request had less time than the store
 		}
 		c.noteSilent(store.Address)
 	}
