What was given ahead under an earlier limit is not used

Symptom, found by a test of our own (all servers name a limit that falls from 3 to 1 a second before 120 callers): servers got 16 and 17 requests in 4 s, allowed 11. Cause: permits were given ahead for as long as a request could wait (2.5 s at an objective of 10 s), and what was given ahead at the larger limit was used after it had fallen, beside what is given at the smaller one. The same when the store that gave them started again: it knows nothing of them. Change: a request that waits for its permit asks anew if the limit changed meanwhile; the store forgets what it gave ahead; it gives nothing more than 0.3 s ahead, so that with a restart it is 5.9 L + 5 of 6 L + 5 at most. Ruled out: owing what was given ahead (a server that falls from 20 to 0.5 a second got nothing for 10 s).

--- a/entrynode/fleet_test.go
+++ b/entrynode/fleet_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -33,6 +34,7 @@
 // engines are backend servers that end together with all their connections when they
 // run a deadly request, and come back under a new name at the old address.
 type engines struct {
+	hall  string
 	mu    sync.Mutex
 	list  []wheelgauge.Server
 	conns map[string][]net.Conn
@@ -45,9 +47,9 @@
 	ctx      context.Context
 }
 
-func newEngines(t *testing.T, count int) *engines {
+func newEngines(t *testing.T, count int, hall string) *engines {
 	t.Helper()
-	e := &engines{conns: map[string][]net.Conn{}, limits: map[string]float64{}, arrivals: map[string][]time.Time{}}
+	e := &engines{hall: hall, conns: map[string][]net.Conn{}, limits: map[string]float64{}, arrivals: map[string][]time.Time{}}
 	e.ctx, e.stop = context.WithCancel(context.Background())
 	for n := range count {
 		e.start(t, n, fmt.Sprintf("127.0.84.%d:9000", 100+n))
@@ -67,7 +69,7 @@
 		return
 	}
 	name := fmt.Sprintf("i-%d-%d", n, e.ended.Load())
-	s := wheelgauge.Server{Instance: name, Service: "s", Address: address, Hall: "n", Slots: 8}
+	s := wheelgauge.Server{Instance: name, Service: "s", Address: address, Hall: e.hall, Slots: 8}
 	e.mu.Lock()
 	if n < len(e.list) {
 		e.list[n] = s
@@ -150,18 +152,23 @@
 }
 
 // Servers implements wheelgauge.ServerList.
-func (e *engines) Servers(context.Context, []string) ([]wheelgauge.Server, wheelgauge.ForeignEntries, error) {
+func (e *engines) Servers(_ context.Context, halls []string) ([]wheelgauge.Server, wheelgauge.ForeignEntries, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if len(halls) > 0 && !slices.Contains(halls, e.hall) {
+		return nil, nil, nil
+	}
 	return append([]wheelgauge.Server(nil), e.list...), nil, nil
 }
 
 // fleet is a small deployment of stores and hosts before engines.
 type fleet struct {
 	engines *engines
-	dirs    []string
-	stores  []*confstore.Node
-	hosts   []*Node
+	// halls are those of the hosts and the stores.
+	halls  []string
+	dirs   []string
+	stores []*confstore.Node
+	hosts  []*Node
 }
 
 const fleetSize = 3
@@ -175,7 +182,7 @@
 func (f *fleet) openStore(t *testing.T, n int, first bool) {
 	t.Helper()
 	s, err := confstore.Open(context.Background(), confstore.Options{
-		Name: fmt.Sprint("store-", n), Region: "north", Hall: "n", Halls: map[string]string{"n": "north"}, Dir: f.dirs[n], Peer: f.storeAddresses()[n],
+		Name: fmt.Sprint("store-", n), Region: regionOf[f.halls[n]], Hall: f.halls[n], Halls: regionOf, Dir: f.dirs[n], Peer: f.storeAddresses()[n],
 		Seeds: f.storeAddresses(), First: first, Tick: 20 * time.Millisecond, PollEvery: 50 * time.Millisecond, Decode: native.Decode, List: f.engines, Log: logr.Discard(),
 	})
 	if err != nil {
@@ -187,7 +194,7 @@
 func (f *fleet) openHost(t *testing.T, n int) {
 	t.Helper()
 	h, err := Open(context.Background(), Options{
-		Name: fmt.Sprint("g-", n), Region: "north", Hall: "n", Caller: f.caller(n), Peer: fmt.Sprintf("127.0.84.%d:7802", 11+n), Seeds: f.storeAddresses(),
+		Name: fmt.Sprint("g-", n), Region: regionOf[f.halls[n]], Hall: f.halls[n], Caller: f.caller(n), Peer: fmt.Sprintf("127.0.84.%d:7802", 11+n), Seeds: f.storeAddresses(),
 		Interval: 100 * time.Millisecond, FarInterval: 200 * time.Millisecond, Grace: time.Second,
 		Budget: retrybudget.Options{Ratio: 0.2, Slack: 200, Window: testLimit}, Decode: native.Decode, Names: native.Headers(), Log: logr.Discard(),
 	})
@@ -209,9 +216,17 @@
 	}
 }
 
-func openFleet(t *testing.T) *fleet {
+// regionOf gives the region of each hall.
+var regionOf = map[string]string{"n": "north", "s": "south"}
+
+// openFleet starts a fleet of one region.
+func openFleet(t *testing.T) *fleet { return openFleetIn(t, "n", "n", "n", "n") }
+
+// openFleetIn starts a fleet whose engines stand in one hall, and its stores and hosts each
+// in another one perhaps.
+func openFleetIn(t *testing.T, enginesIn string, halls ...string) *fleet {
 	t.Helper()
-	f := &fleet{engines: newEngines(t, 8), stores: make([]*confstore.Node, fleetSize), hosts: make([]*Node, fleetSize)}
+	f := &fleet{engines: newEngines(t, 8, enginesIn), halls: halls, stores: make([]*confstore.Node, fleetSize), hosts: make([]*Node, fleetSize)}
 	for n := range fleetSize {
 		f.dirs = append(f.dirs, t.TempDir())
 		f.openStore(t, n, true)
--- a/entrynode/limit_test.go
+++ b/entrynode/limit_test.go
@@ -36,53 +36,81 @@
 // each keeps for itself would be broken by as much as there are hosts.
 func TestServersThatNameALimit(t *testing.T) {
 	f := openFleet(t)
-	tests := []struct {
-		name string
-		// limited of the engines name a limit of rate requests a second.
-		limited int
-		rate    float64
-		// least of the requests is served; taken is the least part of what the limited
-		// engines offer that is used.
-		least, taken float64
-	}{
-		{"two servers", 2, 2, 1, 0.6},
-		{"below one a second", 2, 0.5, 1, 0.3},
-		{"all servers", 8, 3, 0, 0.6},
+	tests := []limitCase{
+		{"two servers", 2, 2, 4, 1, 0.6},
+		{"below one a second", 2, 0.5, 4, 1, 0.3},
+		{"all servers", 8, 3, 4, 0, 0.6},
+		{"all servers, and callers that want ten times as much", 8, 1, 40, 0, 0.6},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) { tt.play(t, f) })
+	}
+}
+
+// Hosts of another region, which has no such servers, reach servers with limits through the
+// hosts of their region, and get their part.
+func TestLimitsOfAnotherRegion(t *testing.T) {
+	f := openFleetIn(t, "s", "n", "s", "s")
+	tests := []limitCase{
+		{"two servers", 2, 2, 4, 0.9, 0.5},
+		{"all servers", 8, 3, 4, 0, 0.5},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			names := f.engines.limit(tt.limited, tt.rate)
-			c := f.callers(4 * fleetSize)
-			defer c.end()
-			until(t, "every host was told by each server", func() bool { return f.told(names) })
-			from := time.Now().Add(limitSpan / 6)
-			time.Sleep(time.Until(from))
-			c.reset()
-			time.Sleep(limitSpan)
-			c.end()
-			total := 0
-			for _, name := range names {
-				got := f.engines.since(name, from)
-				total += len(got)
-				if most, allowed := worstWindow(got), limitOver*tt.rate*limitWindow.Seconds()+limitSlack; float64(most) > allowed {
-					t.Errorf("%s, which takes %g a second, got %d requests in %v, allowed %.0f", name, tt.rate, most, limitWindow, allowed)
-				}
-			}
-			offered := tt.rate * float64(tt.limited) * limitSpan.Seconds()
-			t.Logf("%d of %.0f requests that the servers offered were used; %d of %d served", total, offered, c.served.Load(), c.asked.Load())
-			if float64(total) < tt.taken*offered {
-				t.Errorf("%d of %.0f requests that the servers offered were used", total, offered)
-			}
-			if got := float64(c.served.Load()); got < tt.least*float64(c.asked.Load()) {
-				t.Errorf("%.0f of %d requests were served", got, c.asked.Load())
-			}
-			if c.unpromised.Load() > 0 {
-				t.Errorf("%d requests were refused without a time to come back", c.unpromised.Load())
+			c := tt.play(t, f)
+			if c.servedAt[0].Load() == 0 {
+				t.Error("no caller of the other region was served")
 			}
 		})
 	}
 }
 
+// limitCase is a load before servers that name limits.
+type limitCase struct {
+	name string
+	// limited of the engines name a limit of rate requests a second.
+	limited int
+	rate    float64
+	// callers come to each host.
+	callers int
+	// least of the requests is served; taken is the least part of what the limited
+	// engines offer that is used.
+	least, taken float64
+}
+
+func (lc limitCase) play(t *testing.T, f *fleet) *callers {
+	t.Helper()
+	names := f.engines.limit(lc.limited, lc.rate)
+	c := f.callers(lc.callers * fleetSize)
+	defer c.end()
+	until(t, "every host that sends there was told by each server", func() bool { return f.told(names) })
+	from := time.Now().Add(limitSpan / 6)
+	time.Sleep(time.Until(from))
+	c.reset()
+	time.Sleep(limitSpan)
+	c.end()
+	total := 0
+	for _, name := range names {
+		got := f.engines.since(name, from)
+		total += len(got)
+		if most, allowed := worstWindow(got), limitOver*lc.rate*limitWindow.Seconds()+limitSlack; float64(most) > allowed {
+			t.Errorf("%s, which takes %g a second, got %d requests in %v, allowed %.0f", name, lc.rate, most, limitWindow, allowed)
+		}
+	}
+	offered := lc.rate * float64(lc.limited) * limitSpan.Seconds()
+	t.Logf("%d of %.0f requests that the servers offered were used; %d of %d served", total, offered, c.served.Load(), c.asked.Load())
+	if float64(total) < lc.taken*offered {
+		t.Errorf("%d of %.0f requests that the servers offered were used", total, offered)
+	}
+	if got := float64(c.served.Load()); got < lc.least*float64(c.asked.Load()) {
+		t.Errorf("%.0f of %d requests were served", got, c.asked.Load())
+	}
+	if c.unpromised.Load() > 0 {
+		t.Errorf("%d requests were refused without a time to come back", c.unpromised.Load())
+	}
+	return c
+}
+
 // worstWindow is the most that came within one window.
 func worstWindow(at []time.Time) int {
 	first, most := 0, 0
@@ -121,9 +149,12 @@
 	return nil
 }
 
-// told tells whether every host knows the limits.
+// told tells whether every host of the engines' region knows the limits.
 func (f *fleet) told(names []string) bool {
-	for _, h := range f.hosts {
+	for n, h := range f.hosts {
+		if f.halls[n] != f.engines.hall {
+			continue
+		}
 		for _, name := range names {
 			if _, ok := h.limits.Rate(name); !ok {
 				return false
@@ -141,6 +172,8 @@
 	// asked, served and unpromised count requests, those that were served, and those
 	// refused without a time to come back.
 	asked, served, unpromised atomic.Int64
+	// servedAt counts those served by each host.
+	servedAt [fleetSize]atomic.Int64
 }
 
 func (f *fleet) callers(count int) *callers {
@@ -160,6 +193,9 @@
 	c.asked.Store(0)
 	c.served.Store(0)
 	c.unpromised.Store(0)
+	for n := range c.servedAt {
+		c.servedAt[n].Store(0)
+	}
 }
 
 func (c *callers) end() {
@@ -174,6 +210,7 @@
 	switch {
 	case err == nil && status == http.StatusOK:
 		c.served.Add(1)
+		c.servedAt[host].Add(1)
 	case err == nil && status == http.StatusServiceUnavailable && after > 0:
 		wait = after
 	default:
--- a/limits.go
+++ b/limits.go
@@ -5,6 +5,10 @@
 	"time"
 )
 
+// MostPermitWait is how long before its time a permit is given at most. A store that starts
+// anew does not know what was given ahead, and hosts that wait use it beside what it gives.
+const MostPermitWait = 300 * time.Millisecond
+
 // ServerLimit is what a start of a backend server last said of the requests that it takes
 // from all hosts together.
 type ServerLimit struct {
@@ -41,7 +45,8 @@
 // Permits bounds what servers that have named a limit get from all hosts together.
 type Permits interface {
 	// Take tells whether a request that has so much patience may be sent to a start of a
-	// server, which may have no limit, and after which time; if not, when to ask again.
+	// server, which may have no limit, and after which time, unless the limit has changed
+	// by then; if not, when to ask again.
 	Take(ctx context.Context, server string, patience time.Duration) (after time.Duration, ok bool)
 }
 
--- a/permitclient/schedule_test.go
+++ b/permitclient/schedule_test.go
@@ -38,7 +38,7 @@
 	slack  = 5
 	// settle is how much later a lower limit binds: its first answer, and half a second.
 	settle     = time.Second
-	patience   = 250 * time.Millisecond
+	patience   = 2500 * time.Millisecond
 	mostStores = 3
 )
 
@@ -227,28 +227,37 @@
 
 // request is one of a caller for a server, at any host.
 func (m *model) request(s *modelServer) {
-	n := m.r.IntN(len(m.hosts))
+	m.requestAt(s, m.r.IntN(len(m.hosts)), patience)
+}
+
+func (m *model) requestAt(s *modelServer, n int, left time.Duration) {
 	h := m.hosts[n]
 	if m.at < h.down || !h.ready {
 		return
 	}
-	after, ok := m.permit(h, s)
+	after, ok := m.permit(h, s, left)
 	if !ok {
 		return
 	}
 	client := h.client
+	was, _ := h.limits.Rate(s.name)
 	m.later(after, func() {
-		if h.client == client && m.at >= h.down { // else the host is gone
+		rate, _ := h.limits.Rate(s.name)
+		switch {
+		case h.client != client || m.at < h.down: // the host is gone
+		case rate != was && after > 0:
+			m.requestAt(s, n, left-after) // what was given ahead is not good any more
+		default:
 			m.send(s, n)
 		}
 	})
 }
 
-func (m *model) permit(h *modelHost, s *modelServer) (time.Duration, bool) {
+func (m *model) permit(h *modelHost, s *modelServer, left time.Duration) (time.Duration, bool) {
 	if m.take != nil {
 		return 0, m.take(h, s)
 	}
-	return h.client.Take(context.Background(), s.name, patience)
+	return h.client.Take(context.Background(), s.name, max(0, left))
 }
 
 func (m *model) send(s *modelServer, host int) {
--- a/permitissuer/issuer.go
+++ b/permitissuer/issuer.go
@@ -5,6 +5,8 @@
 import (
 	"sync"
 	"time"
+
+	"wheelgauge"
 )
 
 const (
@@ -17,9 +19,6 @@
 	// nothing is saved: some hosts may still reach that one, and both together stay below
 	// one and a half times the limit.
 	insteadPart = 0.4
-	// mostOwed is how long a server waits at most for what it got too much when its limit
-	// fell: it would get nothing of a much smaller one for many seconds.
-	mostOwed = time.Second
 	// furthest is how much later than the next permit a host is told to come back.
 	furthest = time.Second
 	// leastAfter is the soonest that a host is told to come back.
@@ -68,7 +67,7 @@
 	s.asked = now
 	due := s.next.Add(-s.saved())
 	wait := max(0, due.Sub(now))
-	if wait > patience {
+	if wait > min(patience, wheelgauge.MostPermitWait) {
 		return s.comeBack(due, now), false
 	}
 	if s.next.Before(now) {
@@ -100,12 +99,12 @@
 	return s
 }
 
-// change adapts to another limit: what was given ahead or saved is as many permits as
-// before, but nothing is paid back for longer than mostOwed.
+// change adapts to another limit: what was saved is as many permits as before, and what was
+// given ahead is no longer good.
 func (s *schedule) change(gap time.Duration, now time.Time) {
 	ahead := time.Duration(float64(s.next.Sub(now)) / float64(s.gap) * float64(gap))
 	s.gap, s.turn = gap, time.Time{}
-	s.next = now.Add(min(ahead, s.saved()+max(gap, mostOwed)))
+	s.next = now.Add(min(ahead, s.saved()+gap))
 }
 
 // saved is how long before its time a permit is given when earlier ones were saved.
--- a/routegate/limit.go
+++ b/routegate/limit.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"time"
 
+	"wheelgauge"
 	"wheelgauge/serverlimit"
 	"wheelgauge/serverset"
 )
@@ -65,7 +67,7 @@
 		return p
 	}
 	// Nothing takes it now: better served by a limited server soon than refused.
-	patience := time.Duration(permitPart * float64(c.route.Objective))
+	patience := min(wheelgauge.MostPermitWait, time.Duration(permitPart*float64(c.route.Objective)))
 	for k := c.limited(patience); k != nil && ctx.Err() == nil; k = c.limited(patience) {
 		if c.permitted(ctx, k, patience) {
 			return place{pick: k}
@@ -84,30 +86,48 @@
 
 // permitted tells whether the request may go to the server chosen, and waits until it may.
 func (c *call) permitted(ctx context.Context, k *serverset.Pick, patience time.Duration) bool {
-	permits := c.gate.options.Permits
-	if permits == nil {
+	if c.gate.options.Permits == nil {
 		return true
 	}
 	ctx, cancel := context.WithDeadline(ctx, c.due())
 	defer cancel()
 	began := time.Now()
 	defer func() { c.permitWait += time.Since(began) }()
-	after, ok := permits.Take(ctx, k.Server().Life(), patience)
-	if !ok {
-		c.gate.options.Meter.Count("permits.refused")
-		k.Defer(after)
-		return false
-	}
-	if after <= 0 {
-		return true
+	for {
+		server := k.Server().Life()
+		rate, _ := c.gate.options.Limits.Rate(server)
+		after, ok := c.gate.options.Permits.Take(ctx, server, patience)
+		if !ok {
+			c.gate.options.Meter.Count("permits.refused")
+			k.Defer(after)
+			return false
+		}
+		if after <= 0 {
+			return true
+		}
+		same, err := c.awaitPermit(ctx, server, rate, after)
+		if err != nil {
+			k.Done(serverset.Left)
+			return false
+		}
+		if same {
+			return true
+		}
+		patience = max(0, patience-after)
 	}
+}
+
+// awaitPermit waits until a permit is due that was given ahead under a limit. It is not
+// good any more if that changed meanwhile: a server that wants less now would get all that
+// was given ahead by its earlier limit.
+func (c *call) awaitPermit(ctx context.Context, server string, was float64, after time.Duration) (same bool, err error) {
 	timer := time.NewTimer(after)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
-		return true
+		rate, _ := c.gate.options.Limits.Rate(server)
+		return rate == was, nil
 	case <-ctx.Done():
-		k.Done(serverset.Left)
-		return false
+		return false, fmt.Errorf("wait for a permit: %w", ctx.Err())
 	}
 }
--- a/routegate/limit_test.go
+++ b/routegate/limit_test.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"io"
+	"errors"
 	"net/http"
 	"slices"
 	"strings"
@@ -11,8 +11,7 @@
 	"time"
 
 	"wheelgauge"
-	"wheelgauge/prompt"
-	"wheelgauge/serverset"
+	"wheelgauge/serverlimit"
 )
 
 // limited is an answer that names limits.
@@ -121,41 +120,35 @@
 	}
 }
 
-// A caller that leaves while its request waits for a permit takes the request along.
-func TestCallerLeavesBeforeItsPermit(t *testing.T) {
-	list := routes()
-	list[1].Objective = testLimit
-	b := newBackend(t)
-	g, c := newGate(t, list, b)
-	p := &permits{left: 1, after: 2 * time.Second}
-	g.options.Permits = p
-	if _, err := io.WriteString(c, "GET /once/ HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\n\r\n"); err != nil {
-		t.Fatal(err)
-	}
-	limit := time.Now().Add(testLimit)
-	for p.count() < 2 && time.Now().Before(limit) {
-		time.Sleep(time.Millisecond)
-	}
-	_ = c.Close()
-	for inFlightAt(g) > 0 && time.Now().Before(limit) {
-		time.Sleep(time.Millisecond)
-	}
-	if got := len(b.seen()); got > 0 {
-		t.Errorf("the server got %d requests", got)
+// A request whose caller leaves, or whose time is over, does not wait for its permit; one
+// given under an earlier limit is not used.
+func TestAwaitPermit(t *testing.T) {
+	tests := []struct {
+		name  string
+		left  bool
+		after time.Duration
+		// rate is the limit by then.
+		rate float64
+		same bool
+	}{
+		{"it is due", false, time.Millisecond, 2, true},
+		{"the limit changed", false, time.Millisecond, 1, false},
+		{"the caller left", true, time.Hour, 2, false},
 	}
-	if k := g.options.Servers.Choose(serverset.NewJob("s", prompt.Prompt{}, 0, nil)); k != nil && k.Before().Running() > 0 {
-		t.Error("the request is still counted as in flight")
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			ctx, leave := context.WithCancel(context.Background())
+			defer leave()
+			if tt.left {
+				leave()
+			}
+			limits := serverlimit.New(time.Now)
+			limits.Named("s", tt.rate)
+			c := &call{gate: New(Options{Limits: limits})}
+			same, err := c.awaitPermit(ctx, "s", 2, tt.after)
+			if same != tt.same || errors.Is(err, context.Canceled) != tt.left {
+				t.Errorf("got %v, %v", same, err)
+			}
+		})
 	}
 }
-
-func inFlightAt(g *Gate) int {
-	g.active.mu.Lock()
-	defer g.active.mu.Unlock()
-	return len(g.active.calls)
-}
-
-func (p *permits) count() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return len(p.asked)
-}
