Callers refused by servers' limits come back as fast as permits come

Cause: a caller that no server could take was told to come back after a quarter of what it had left, 2.5 s of 10 s, while permits that came a few hundred ms later went unused. Callers that are refused for load come back as before. Ruled out: waiting longer at the host (what was given ahead is bounded by 0.3 s).

--- a/routegate/call.go
+++ b/routegate/call.go
@@ -199,9 +199,15 @@
 	latestRetry = 3 * time.Second
 )
 
-// comeBack says when a refused caller should try again.
+// comeBack says when a refused caller should try again: when limits of servers allow
+// something again, if it is by them.
 func (c *call) comeBack() time.Duration {
-	return min(latestRetry, max(busyRetry, time.Until(c.due())/retryPart))
+	latest := min(latestRetry, max(busyRetry, time.Until(c.due())/retryPart))
+	soonest, limited := c.gate.options.Servers.Soonest(c.job())
+	if !limited {
+		return latest
+	}
+	return max(busyRetry, c.gate.turns.next(c.service, c.gate.options.Clock.Now(), soonest, latest))
 }
 
 // refuse answers with an error. Units that were not used are given back first: the caller
--- a/routegate/gate.go
+++ b/routegate/gate.go
@@ -87,6 +87,7 @@
 	durations durations
 	active    inFlight
 	seen      waits
+	turns     turns
 }
 
 // New returns a gate without a configuration: it refuses everything as not run.
--- a/routegate/limit.go
+++ b/routegate/limit.go
@@ -103,6 +103,7 @@
 			return false
 		}
 		if after <= 0 {
+			c.usePermit(server)
 			return true
 		}
 		same, err := c.awaitPermit(ctx, server, rate, after)
@@ -111,12 +112,20 @@
 			return false
 		}
 		if same {
+			c.usePermit(server)
 			return true
 		}
 		patience = max(0, patience-after)
 	}
 }
 
+// usePermit notes a permit, if the server has a limit.
+func (c *call) usePermit(server string) {
+	if _, limited := c.gate.options.Limits.Rate(server); limited {
+		c.gate.turns.served(c.service, c.gate.options.Clock.Now())
+	}
+}
+
 // awaitPermit waits until a permit is due that was given ahead under a limit. It is not
 // good any more if that changed meanwhile: a server that wants less now would get all that
 // was given ahead by its earlier limit.
--- a/serverset/limited.go
+++ b/serverset/limited.go
@@ -44,24 +44,43 @@
 	return limited && rate == s.limitedTo
 }
 
+// Soonest returns after which time a server takes something again whose limit does not allow
+// it now; ok is false if there is none.
+func (t *Table) Soonest(j Job) (after time.Duration, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	s := t.soonest(j, now)
+	if s == nil {
+		return 0, false
+	}
+	return s.limitedUntil.Sub(now), true
+}
+
 // ChooseLimited picks the server that takes something again first, within a time, of those
 // whose limits do not allow it now; nil if there is none.
 func (t *Table) ChooseLimited(j Job, within time.Duration) *Pick {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
+	s := t.soonest(j, now)
+	if s == nil || s.limitedUntil.Sub(now) > within {
+		return nil
+	}
+	return t.pick(t.rate(s, j, candidates{}, now), nil, j, now)
+}
+
+// soonest returns the server that takes something again first of those whose limits do not
+// allow it now; nil if there is none. The lock is held.
+func (t *Table) soonest(j Job, now time.Time) *Server {
 	var first *Server
 	for _, s := range t.services[j.service] {
-		waits := t.deferred(s, now) && s.limitedUntil.Sub(now) <= within
-		if !waits || !t.able(s, now) || now.Before(s.coldUntil) || slices.Contains(j.tried, s.spec.Instance) {
+		if !t.deferred(s, now) || !t.able(s, now) || now.Before(s.coldUntil) || slices.Contains(j.tried, s.spec.Instance) {
 			continue
 		}
 		if first == nil || s.limitedUntil.Before(first.limitedUntil) {
 			first = s
 		}
 	}
-	if first == nil {
-		return nil
-	}
-	return t.pick(t.rate(first, j, candidates{}, now), nil, j, now)
+	return first
 }
