Connections that rested while the machine was suspended are not used

Cause: how long a connection rests went by the steady clock, which stands still while the machine is suspended. A host that wakes took a connection that its server had closed long before, if the word of that was lost: a request that may not be repeated is answered 502 then. Seen in TestRestedWhileSuspended, which fails by the steady clock (1 connection opened where 2 are wanted). Ruled out: closing all at a wake; shorter pauses would close good ones.

--- a/peerset/table.go
+++ b/peerset/table.go
@@ -92,7 +92,7 @@
 			continue
 		}
 		seen[h.Name] = true
-		t.peers[h.Name] = renewed(t.peers[h.Name], h)
+		t.peers[h.Name] = renewed(t.peers[h.Name], h, t.now)
 	}
 	for name, p := range t.peers {
 		if !seen[name] {
@@ -122,7 +122,7 @@
 
 // renewed returns the peer for what a host tells of itself. A peer in use never
 // changes: dispatches read it without the lock.
-func renewed(p *Peer, h wheelgauge.FleetHost) *Peer {
+func renewed(p *Peer, h wheelgauge.FleetHost, now func() time.Time) *Peer {
 	switch {
 	case p == nil:
 	case p.host == h:
@@ -132,7 +132,7 @@
 	default:
 		p.pool.Close()
 	}
-	return &Peer{host: h, pool: serverconn.New(h.Peer, connsToPeer, serverconn.Far())}
+	return &Peer{host: h, pool: serverconn.New(h.Peer, connsToPeer, serverconn.Far(now))}
 }
 
 // SetUses takes the load of all regions.
--- a/serverconn/conn.go
+++ b/serverconn/conn.go
@@ -75,7 +75,7 @@
 }
 
 // rested tells whether an idle connection has rested no longer than it may.
-func (c *Conn) rested() bool { return time.Since(c.idle) < c.life }
+func (c *Conn) rested(now time.Time) bool { return now.Sub(c.idle) < c.life }
 
 // clean tells whether nothing has come since the last answer.
 func (c *Conn) clean() bool {
--- a/serverconn/conn_test.go
+++ b/serverconn/conn_test.go
@@ -10,6 +10,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"wheelgauge/fake/fakeclock"
 )
 
 const testLimit = 10 * time.Second
@@ -32,7 +34,7 @@
 			go play(c, scripts)
 		}
 	}()
-	p := New(l.Addr().String(), 4, Near())
+	p := New(l.Addr().String(), 4, Near(time.Now))
 	t.Cleanup(p.Close)
 	return p
 }
@@ -137,6 +139,35 @@
 	}
 }
 
+// A connection that rested while the machine was suspended is not used: the server may have
+// closed it, and what may not be repeated would be lost with it. By the steady clock it was.
+func TestRestedWhileSuspended(t *testing.T) {
+	answer := "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nhi"
+	tests := []struct {
+		name      string
+		suspended time.Duration
+		dialled   int
+	}{{"not suspended", 0, 1}, {"for less than it may rest", idleNear / 4, 1}, {"for longer", idleNear, 2}}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			clock := &fakeclock.Clock{}
+			p := server(t, answer, answer)
+			p.link.Now = clock.Now
+			for n := range 2 {
+				if body, err := ask(t, p, "1"); err != nil || body != "hi" {
+					t.Fatalf("got %q, %v", body, err)
+				}
+				if n == 0 {
+					clock.Suspend(tt.suspended)
+				}
+			}
+			if p.Dialed() != tt.dialled {
+				t.Errorf("dialled %d connections, want %d", p.Dialed(), tt.dialled)
+			}
+		})
+	}
+}
+
 // idleEnded tells whether the end of the idle connection has come in.
 func idleEnded(p *Pool) bool {
 	p.mu.Lock()
--- a/serverconn/pool.go
+++ b/serverconn/pool.go
@@ -28,19 +28,22 @@
 	Unacknowledged time.Duration
 	// Idle is how long a connection may rest where nothing else is announced.
 	Idle time.Duration
+	// Now is the clock by which connections rest: one that counts suspended time, as the
+	// other side closes them meanwhile and its word of it may be lost.
+	Now func() time.Time
 }
 
 // Near is for servers of the own region, some milliseconds away. A lost opening packet
 // is sent again after a second only: whoever waits for that is late, and another
 // server takes the request meanwhile.
-func Near() Link {
-	return Link{Connect: 350 * time.Millisecond, Unacknowledged: 3 * time.Second, Idle: idleNear}
+func Near(now func() time.Time) Link {
+	return Link{Connect: 350 * time.Millisecond, Unacknowledged: 3 * time.Second, Idle: idleNear, Now: now}
 }
 
 // Far is for other regions, where a link may be cut while others are free:
 // three round trips of a long link, and two retransmissions.
-func Far() Link {
-	return Link{Connect: 400 * time.Millisecond, Unacknowledged: 1200 * time.Millisecond, Idle: idleFar}
+func Far(now func() time.Time) Link {
+	return Link{Connect: 400 * time.Millisecond, Unacknowledged: 1200 * time.Millisecond, Idle: idleFar, Now: now}
 }
 
 // ErrNoConns is returned when a server has as many connections as it may.
@@ -75,7 +78,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	n := len(p.idle)
-	return n > 0 && p.idle[n-1].rested()
+	return n > 0 && p.idle[n-1].rested(p.link.Now())
 }
 
 // Resting returns how many connections rest that may be used without opening one.
@@ -84,7 +87,7 @@
 	defer p.mu.Unlock()
 	n := 0
 	for _, c := range p.idle {
-		if c.rested() {
+		if c.rested(p.link.Now()) {
 			n++
 		}
 	}
@@ -105,7 +108,7 @@
 	if err != nil {
 		return err
 	}
-	c.idle, c.life = time.Now(), p.link.Idle
+	c.idle, c.life = p.link.Now(), p.link.Idle
 	p.rest(c)
 	return nil
 }
@@ -132,7 +135,7 @@
 		if c == nil {
 			return p.dial(ctx)
 		}
-		if c.rested() && c.clean() {
+		if c.rested(p.link.Now()) && c.clean() {
 			return c, nil
 		}
 		p.drop(c)
@@ -182,7 +185,7 @@
 		p.drop(c)
 		return
 	}
-	c.idle, c.life = time.Now(), idleLife(string(h.Peek("Keep-Alive")), p.link.Idle)
+	c.idle, c.life = p.link.Now(), idleLife(string(h.Peek("Keep-Alive")), p.link.Idle)
 	if c.life <= 0 {
 		p.drop(c)
 		return
@@ -195,7 +198,7 @@
 	p.mu.Lock()
 	var old, keep []*Conn
 	for _, c := range p.idle {
-		if c.rested() {
+		if c.rested(p.link.Now()) {
 			keep = append(keep, c)
 			continue
 		}
--- a/serverset/server.go
+++ b/serverset/server.go
@@ -84,10 +84,10 @@
 	cached  map[uint64]time.Time
 }
 
-func newServer(spec wheelgauge.Server, conns int) *Server {
+func newServer(spec wheelgauge.Server, conns int, now func() time.Time) *Server {
 	return &Server{
 		instance: spec.Instance, address: spec.Address, born: spec.Born, life: spec.Life(),
-		spec: spec, hash: rendezvous.Hash(spec.Instance), pool: serverconn.New(spec.Address, conns, serverconn.Near()),
+		spec: spec, hash: rendezvous.Hash(spec.Instance), pool: serverconn.New(spec.Address, conns, serverconn.Near(now)),
 		cached: map[uint64]time.Time{},
 	}
 }
--- a/serverset/table.go
+++ b/serverset/table.go
@@ -154,7 +154,7 @@
 	if was != nil {
 		was.pool.Close()
 	}
-	s := newServer(spec, t.conns(spec.Service))
+	s := newServer(spec, t.conns(spec.Service), t.now)
 	t.servers[spec.Instance] = s
 	return s
 }
--- a/serverset/table_test.go
+++ b/serverset/table_test.go
@@ -173,7 +173,7 @@
 
 func TestFailureRate(t *testing.T) {
 	c := &clock{at: time.Unix(1000, 0)}
-	s := newServer(wheelgauge.Server{}, 1)
+	s := newServer(wheelgauge.Server{}, 1, time.Now)
 	// A server without outcomes, whose last failure is the zero time.
 	if got := s.fails(c.now()); got != 0 {
 		t.Errorf("new server fails at %f", got)
