One answer to hosts that ask for permits

The store and the played schedules each joined a host's word, looked up the limit and took a permit. It stands once now, in permitissuer; the mode with resources can use it. Behaviour as before: tests of permitissuer, permitclient and confstore pass.

--- a/confstore/node.go
+++ b/confstore/node.go
@@ -139,7 +139,8 @@
 	n.feed = statefeed.New(n.machine.State)
 	n.servers = serverlist.New(n.boot, now)
 	n.crashes = quarantine.New(now)
-	n.limits, n.permits = serverlimit.New(now), permitissuer.New(now)
+	n.limits = serverlimit.New(now)
+	n.permits = permitissuer.New(n.limits, now)
 	n.bank = capbank.New(capbank.Options{Self: o.Peer, Boot: n.boot, Window: o.CapWindow, Overage: o.CapOverage, Slack: o.CapSlack, Now: now})
 	if err := n.open(ctx); err != nil {
 		stop()
--- a/confstore/permits.go
+++ b/confstore/permits.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -19,18 +18,8 @@
 }
 
 func (n *Node) permit(ask wheelgauge.PermitAsk) wheelgauge.PermitAnswer {
-	n.limits.Merge([]wheelgauge.ServerLimit{ask.Limit})
-	server := ask.Limit.Server
-	a := wheelgauge.PermitAnswer{Limit: n.limits.Word(server)}
-	rate, limited := n.limits.Rate(server)
-	if !limited {
-		// A later answer of the server, to another host, lacked the limit.
-		a.Granted = true
-		return a
-	}
-	after, ok := n.permits.Take(server, rate, time.Duration(ask.PatienceMS)*time.Millisecond, ask.Instead)
-	a.Granted, a.AfterMS = ok, after.Milliseconds()
-	if ok {
+	a := n.permits.Answer(ask)
+	if a.Granted {
 		n.meter.Count("permits.granted")
 	} else {
 		n.meter.Count("permits.refused")
--- a/permitclient/schedule_test.go
+++ b/permitclient/schedule_test.go
@@ -140,7 +140,8 @@
 
 func (m *model) startStore(s *modelStore) {
 	s.boot++
-	s.limits, s.issuer = serverlimit.New(m.now), permitissuer.New(m.now)
+	s.limits = serverlimit.New(m.now)
+	s.issuer = permitissuer.New(s.limits, m.now)
 }
 
 func (m *model) startHost(h *modelHost) {
@@ -179,7 +180,7 @@
 	return m.at >= m.stores[store].dark && m.at >= h.cut[store]
 }
 
-// ask answers as a store does; see confstore.
+// ask answers as a store does.
 func (m *model) ask(h *modelHost, address string, ask wheelgauge.PermitAsk) (a wheelgauge.PermitAnswer, err error) {
 	for i, s := range m.stores {
 		if s.address != address {
@@ -188,15 +189,7 @@
 		if !m.reaches(h, i) {
 			return a, errDark
 		}
-		s.limits.Merge([]wheelgauge.ServerLimit{ask.Limit})
-		a.Limit = s.limits.Word(ask.Limit.Server)
-		rate, limited := s.limits.Rate(ask.Limit.Server)
-		if !limited {
-			a.Granted = true
-			return a, nil
-		}
-		after, ok := s.issuer.Take(ask.Limit.Server, rate, time.Duration(ask.PatienceMS)*time.Millisecond, ask.Instead)
-		a.Granted, a.AfterMS = ok, after.Milliseconds()
+		return s.issuer.Answer(ask), nil
 	}
 	return a, nil
 }
--- a/permitissuer/issuer.go
+++ b/permitissuer/issuer.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"wheelgauge"
+	"wheelgauge/serverlimit"
 )
 
 const (
@@ -47,14 +48,32 @@
 
 // Issuer is safe for concurrent use.
 type Issuer struct {
+	limits    *serverlimit.Table
 	mu        sync.Mutex
 	schedules map[key]*schedule
 	now       func() time.Time
 }
 
-// New returns an issuer that reads time from now. It has nothing saved for any server: what
-// was given before its start is not known.
-func New(now func() time.Time) *Issuer { return &Issuer{schedules: map[key]*schedule{}, now: now} }
+// New returns an issuer that goes by limits and reads time from now. It has nothing saved
+// for any server: what was given before its start is not known.
+func New(limits *serverlimit.Table, now func() time.Time) *Issuer {
+	return &Issuer{limits: limits, schedules: map[key]*schedule{}, now: now}
+}
+
+// Answer answers a host that asks, and takes what the host knows of the limit.
+func (i *Issuer) Answer(ask wheelgauge.PermitAsk) wheelgauge.PermitAnswer {
+	server := ask.Limit.Server
+	i.limits.Merge([]wheelgauge.ServerLimit{ask.Limit})
+	a := wheelgauge.PermitAnswer{Limit: i.limits.Word(server)}
+	rate, limited := i.limits.Rate(server)
+	if !limited {
+		a.Granted = true // a later answer of the server, to another host, lacked the limit
+		return a
+	}
+	after, ok := i.Take(server, rate, time.Duration(ask.PatienceMS)*time.Millisecond, ask.Instead)
+	a.Granted, a.AfterMS = ok, after.Milliseconds()
+	return a
+}
 
 // Take takes a permit for a request to a server whose limit is rate, in requests a second.
 // The request may be sent after a time that is no longer than its patience. If there is no
--- a/permitissuer/issuer_test.go
+++ b/permitissuer/issuer_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"wheelgauge/serverlimit"
 )
 
 type clock struct{ at time.Time }
@@ -15,7 +17,7 @@
 
 func ExampleIssuer() {
 	c := newClock()
-	i := New(c.now)
+	i := New(serverlimit.New(c.now), c.now)
 	for range 5 { // as five hosts would
 		after, ok := i.Take("server", 2, 0, false)
 		fmt.Println(after, ok)
@@ -51,7 +53,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			c := newClock()
-			i := New(c.now)
+			i := New(serverlimit.New(c.now), c.now)
 			given := 0
 			for passed := time.Duration(0); passed < span; passed += tt.every {
 				if _, ok := i.Take("s", tt.rate, 0, tt.instead); ok {
@@ -69,7 +71,7 @@
 // Requests that can wait get the permits to come, one each, and no later ones.
 func TestPatience(t *testing.T) {
 	c := newClock()
-	i := New(c.now)
+	i := New(serverlimit.New(c.now), c.now)
 	i.Take("s", 10, 0, false)
 	c.pass(time.Minute)
 	var waits []time.Duration
@@ -90,7 +92,7 @@
 // is given again, and nothing is owed at the pace of the smaller one.
 func TestLimitChanges(t *testing.T) {
 	c := newClock()
-	i := New(c.now)
+	i := New(serverlimit.New(c.now), c.now)
 	count := func(rate float64, span time.Duration) int {
 		given := 0
 		for passed := time.Duration(0); passed < span; passed += 10 * time.Millisecond {
@@ -113,7 +115,7 @@
 // Hosts that are refused together come back one after another.
 func TestTurns(t *testing.T) {
 	c := newClock()
-	i := New(c.now)
+	i := New(serverlimit.New(c.now), c.now)
 	i.Take("s", 10, 0, false)
 	seen := map[time.Duration]int{}
 	for range 8 {
