A failing test: the mode with resources passes the limits of engines over, too

Symptom: engines that name a limit of 1.5 requests a second got 222 to 232 within 4 s from the hosts of all three regions, allowed 14. The same class as in the mode with routes, looked for elsewhere. TestFaultServersThatNameALimit plays it with real programs; the stand-in of an engine names a limit and tells when requests came.

--- a/cmd/wheelgauge-fake/commands.go
+++ b/cmd/wheelgauge-fake/commands.go
@@ -52,6 +52,7 @@
 	f.BoolVar(&o.ChecksFences, "checks-fences", false, "refuse orders with an old fence")
 	f.DurationVar(&o.LoadTime, "load-time", time.Second, "time to load a model")
 	f.StringVar(&o.EndsOn, "ends-on", "", "end when a prompt that holds this text runs")
+	f.Float64Var(&o.Limit, "limit", 0, "requests a second that answers name as a limit")
 	f.BoolVar(&o.Busy, "busy", false, "report a load that changes all the time")
 	f.Uint64Var(&o.Seed, "seed", 1, "seed of the losses")
 	return c
--- a/fake/engine/engine.go
+++ b/fake/engine/engine.go
@@ -42,6 +42,8 @@
 	// empty. End is what ends it.
 	EndsOn string
 	End    func()
+	// Limit is the requests a second that it says it takes; none when 0.
+	Limit float64
 	// Busy makes it report a load that changes all the time.
 	Busy bool
 	Seed uint64
@@ -99,9 +101,11 @@
 	started int
 	cancels int
 	unready int
-	server  *httpserve.Server
-	cancel  context.CancelFunc
-	done    chan error
+	// arrivals are when requests came, in Unix milliseconds.
+	arrivals []int64
+	server   *httpserve.Server
+	cancel   context.CancelFunc
+	done     chan error
 }
 
 type timedReport struct {
@@ -326,6 +330,19 @@
 	return Stats{e.started, e.cancels, e.cold, e.asked, len(e.taken), e.unready}
 }
 
+func (e *Engine) arrived() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.arrivals = append(e.arrivals, time.Now().UnixMilli())
+}
+
+// Arrivals returns when requests came, in Unix milliseconds.
+func (e *Engine) Arrivals() []int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.arrivals)
+}
+
 // Freeze stops all progress without closing anything; thaw ends that.
 func (e *Engine) Freeze(frozen bool) {
 	e.mu.Lock()
--- a/fake/engine/handler.go
+++ b/fake/engine/handler.go
@@ -79,6 +79,8 @@
 		e.Leave()
 	case "/v1/slow":
 		e.Slow(ctx.QueryArgs().GetUintOrZero("factor"))
+	case "/v1/arrivals":
+		peerhttp.Answer(ctx, e.Arrivals())
 	case "/v1/stats":
 		peerhttp.Answer(ctx, e.Stats())
 	default:
@@ -92,6 +94,10 @@
 		peerhttp.AnswerError(ctx, err)
 		return
 	}
+	e.arrived()
+	if e.o.Limit > 0 {
+		ctx.Response.Header.Set(wheelgauge.HeaderLimit, strconv.FormatFloat(e.o.Limit, 'g', -1, 64))
+	}
 	n := c.MaxTokens
 	if n <= 0 || n > mostTokens {
 		n = defaultTokens
--- a/message.go
+++ b/message.go
@@ -11,6 +11,9 @@
 	HeaderDeadline      = "Wheelgauge-Deadline-Ms"
 	HeaderServed        = "Wheelgauge-Served-By"
 	HeaderRegion        = "Wheelgauge-Region"
+	// HeaderLimit is the requests a second that a server in need takes from all hosts
+	// together, as it says in its answers.
+	HeaderLimit = "Wheelgauge-Limit"
 	// The headers below exist on the peer listener only.
 	HeaderForwardedFrom = "Wheelgauge-Forwarded-From"
 	HeaderMust          = "Wheelgauge-Forward-Must"
--- a/native/headers.go
+++ b/native/headers.go
@@ -13,7 +13,7 @@
 		NotRun:    "Wheelgauge-Not-Run",
 		Signature: "Wheelgauge-Signature",
 		Load:      "Wheelgauge-Load",
-		Limit:     "Wheelgauge-Limit",
+		Limit:     wheelgauge.HeaderLimit,
 		Prompt:    "Wheelgauge-Prompt",
 		Tokens:    "Wheelgauge-Tokens",
 		Hint:      "Wheelgauge-Output-Hint",
