Give servers that name a limit what they take, in the mode with resources, too

Callers saw nothing; engines that take 1.5 requests a second got 222 to 232 in 4 s, allowed 14. Cause: the same as in the mode with routes: no host read the header. Change: gateways hear limits in servers' answers, heartbeats carry them to the region's hub and back, and before a call goes to a server with a limit the gateway takes a permit at the hub of the region's store (without any, of the gateway that all agree on). Nothing waits for a permit here; a server that gives none is left out until it does. Why it holds: one giver a region, the same parts as in the other mode, whose bound is played in permitclient. Ruled out: a share for each host (TestOtherWays of permitclient). Not done: schedules of hubs that stand in for each other; while a store's hub is dark two hosts share 0.4 of a limit.

--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -49,7 +49,7 @@
 	f.candidates, f.load, f.slots = f.candidates[:0], 0, 0
 	now := time.Now()
 	for _, s := range c.Servers(route.Pool, g.o.Region, "") {
-		if s.Leaving || contains(tried, s.Name) || !g.aside.Allowed(s.Name, now) {
+		if s.Leaving || contains(tried, s.Name) || !g.aside.Allowed(s.Name, now) || g.deferred.holds(s.Name, now) {
 			continue
 		}
 		state := g.node.Server(s.Name)
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -78,7 +78,7 @@
 			g.meter.Count("retries.no_budget")
 			break
 		}
-		server, ok := g.pick(rq, tried)
+		server, ok := g.pickPermitted(ctx, rq, tried)
 		if !ok {
 			break
 		}
@@ -166,6 +166,7 @@
 		return nil, err
 	}
 	g.aside.Worked(s.Name)
+	g.hearLimit(s.Name, answer, started)
 	rq.target.Store(&target{server: s.Name, region: g.o.Region})
 	answer.Body = &countedBody{ReadCloser: answer.Body, end: func() {
 		took := time.Since(started)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -29,6 +29,7 @@
 	"wheelgauge/meter"
 	"wheelgauge/peerhttp"
 	"wheelgauge/quarantine"
+	"wheelgauge/serverlimit"
 	"wheelgauge/setaside"
 	"wheelgauge/upstream"
 )
@@ -89,8 +90,12 @@
 	aside   *setaside.Table
 	// quarantine holds requests back that end servers.
 	quarantine *quarantine.Table
-	inflight   inflight.Table
-	hints      *hints
+	// limits are those that servers have named, permits bounds what these get.
+	limits   *serverlimit.Table
+	permits  wheelgauge.Permits
+	deferred deferrals
+	inflight inflight.Table
+	hints    *hints
 
 	sequence atomic.Uint64
 	serving  *gate.Gate
@@ -115,6 +120,7 @@
 		servers: upstream.New(plainDialer), peers: upstream.New(peerDialer), limiter: admission.NewLimiter(),
 		budget: admission.NewBudget(), aside: setaside.New(), quarantine: quarantine.New(time.Now), serving: gate.New(), ctx: ctx, cancel: cancel,
 	}
+	g.openPermits()
 	plain := peerhttp.NewClient(plainDialer, "")
 	g.engine = engine.New(g.servers, plain)
 	g.service = service.New(g.servers, plain)
@@ -124,7 +130,7 @@
 	})
 	g.node = membership.Start(ctx, membership.Options{
 		Host: o.Host, Region: o.Region, Hall: o.Hall, Boot: g.boot, Interval: o.Heartbeat, Client: g.client,
-		Catalog: g.watcher.Current, Poll: g.poll, Asks: g.waiting, Crashes: g.quarantine, Log: o.Log.WithName("members"),
+		Catalog: g.watcher.Current, Poll: g.poll, Asks: g.waiting, Crashes: g.quarantine, Limits: g.limits, Log: o.Log.WithName("members"),
 	})
 	g.hints = startHints(ctx, o.HostList, o.Log.WithName("hosts"))
 	if err := g.listen(); err != nil {
--- /dev/null
+++ b/gateway/limit.go
@@ -0,0 +1,143 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"wheelgauge"
+	"wheelgauge/catalog"
+	"wheelgauge/permitclient"
+	"wheelgauge/rendezvous"
+	"wheelgauge/serverlimit"
+)
+
+// deferral is until when a server's limit allows nothing, and the limit that this was by.
+type deferral struct {
+	until time.Time
+	rate  float64
+}
+
+// deferrals are those of servers that refused this host a permit.
+type deferrals struct {
+	limits *serverlimit.Table
+	mu     sync.Mutex
+	rows   map[string]deferral
+}
+
+func (d *deferrals) add(server string, after time.Duration, now time.Time) {
+	rate, _ := d.limits.Rate(server)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.rows == nil {
+		d.rows = map[string]deferral{}
+	}
+	d.rows[server] = deferral{until: now.Add(after), rate: rate}
+}
+
+// holds tells whether a server gets nothing now; a limit that has changed or ended since
+// holds it back no more.
+func (d *deferrals) holds(server string, now time.Time) bool {
+	d.mu.Lock()
+	row, known := d.rows[server]
+	d.mu.Unlock()
+	if !known || !now.Before(row.until) {
+		return false
+	}
+	rate, limited := d.limits.Rate(server)
+	return limited && rate == row.rate
+}
+
+// openPermits prepares what servers with limits need.
+func (g *Gateway) openPermits() {
+	g.limits = serverlimit.New(time.Now)
+	g.deferred.limits = g.limits
+	g.permits = permitclient.New(permitclient.Options{
+		Host: g.o.Host, Limits: g.limits, Stores: g.permitStores, Sharers: g.sharers, Ask: g.askPermit, Now: time.Now,
+	})
+}
+
+// hearLimit takes what a server's answer to a call sent at a moment says of its limit.
+func (g *Gateway) hearLimit(server string, answer *wheelgauge.Answer, sent time.Time) {
+	text := answer.Header(wheelgauge.HeaderLimit)
+	rate, named := serverlimit.Parse(text)
+	switch {
+	case named:
+		if g.limits.Named(server, rate) {
+			g.meter.Count("servers.limited")
+			g.o.Log.Info("A server names a limit.", "server", server, "rate", rate)
+		}
+	case text != "":
+		g.meter.Count("servers.limit.unreadable")
+	case answer.Status >= http.StatusOK && answer.Status < http.StatusMultipleChoices && g.limits.Absent(server, sent):
+		g.o.Log.Info("A server's limit ends.", "server", server)
+	}
+}
+
+// pickPermitted picks a server that may get the call: what one takes that has named a limit
+// binds all hosts of the region together.
+func (g *Gateway) pickPermitted(ctx context.Context, rq *request, tried []string) (*catalog.Server, bool) {
+	limit, cancel := context.WithDeadline(ctx, rq.call.Deadline)
+	defer cancel()
+	for limit.Err() == nil {
+		server, ok := g.pick(rq, tried)
+		if !ok {
+			return nil, false
+		}
+		after, permitted := g.permits.Take(limit, server.Name, 0)
+		if permitted {
+			return server, true
+		}
+		g.meter.Count("permits.refused")
+		g.deferred.add(server.Name, after, time.Now())
+	}
+	return nil, false
+}
+
+// permitStores returns the stores of the region, whose hubs give permits; without any, the
+// gateway that all agree on.
+func (g *Gateway) permitStores() []wheelgauge.RegionStore {
+	c := g.watcher.Current()
+	if c == nil {
+		return nil
+	}
+	var out []wheelgauge.RegionStore
+	var names []string
+	for _, h := range c.Hosts(g.o.Region) {
+		if h.Store != "" {
+			out = append(out, wheelgauge.RegionStore{Address: h.Store, Answers: true})
+		}
+		names = append(names, h.Name)
+	}
+	if len(out) == 0 && len(names) > 0 {
+		first := c.Host(rendezvous.Top(g.o.Region, names, 1)[0])
+		out = append(out, wheelgauge.RegionStore{Address: first.Peer, Answers: true})
+	}
+	return out
+}
+
+// sharers are the live hosts of the region.
+func (g *Gateway) sharers() []string {
+	c := g.watcher.Current()
+	if c == nil {
+		return nil
+	}
+	var out []string
+	for _, h := range c.Hosts(g.o.Region) {
+		if h.Name == g.o.Host || g.node.HostAlive(h.Name) {
+			out = append(out, h.Name)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+func (g *Gateway) askPermit(ctx context.Context, address string, ask wheelgauge.PermitAsk) (a wheelgauge.PermitAnswer, err error) {
+	if address == g.o.Peer {
+		return g.node.Hub().Permit(ask), nil
+	}
+	err = g.client.Call(ctx, http.MethodPost, address, permitclient.Path, ask, &a)
+	return a, err
+}
--- a/gateway/peer.go
+++ b/gateway/peer.go
@@ -12,6 +12,7 @@
 	"wheelgauge/confwatch"
 	"wheelgauge/membership"
 	"wheelgauge/peerhttp"
+	"wheelgauge/permitclient"
 )
 
 // servePeer handles the listener for other gateways.
@@ -25,6 +26,13 @@
 			return
 		}
 		peerhttp.Answer(ctx, g.node.Hub().Beat(b))
+	case path == permitclient.Path:
+		ask, err := peerhttp.Decode[wheelgauge.PermitAsk](ctx)
+		if err != nil {
+			peerhttp.AnswerError(ctx, err)
+			return
+		}
+		peerhttp.Answer(ctx, g.node.Hub().Permit(ask))
 	case path == membership.PathSummary:
 		s, err := peerhttp.Decode[wheelgauge.RegionSummary](ctx)
 		if err != nil {
--- a/membership/hub.go
+++ b/membership/hub.go
@@ -17,7 +17,9 @@
 
 	"wheelgauge"
 	"wheelgauge/catalog"
+	"wheelgauge/permitissuer"
 	"wheelgauge/quarantine"
+	"wheelgauge/serverlimit"
 )
 
 const (
@@ -78,18 +80,26 @@
 	regions  map[string]*regionRow
 	// crashes joins what the hosts of all regions noted.
 	crashes *quarantine.Table
+	// limits are those that servers named to the region's hosts, permits what is given of
+	// them.
+	limits  *serverlimit.Table
+	permits *permitissuer.Issuer
 }
 
 // NewHub returns an empty hub. current returns the configuration in force, nil
 // while there is none.
 func NewHub(region string, boot uint64, interval time.Duration, current func() *catalog.Catalog, now func() time.Time) *Hub {
+	limits := serverlimit.New(now)
 	return &Hub{
 		region: region, boot: boot, interval: interval, catalog: current, now: now, started: now(),
 		hosts: map[string]*hostRow{}, servers: map[string]*serverRow{}, regions: map[string]*regionRow{},
-		crashes: quarantine.New(now),
+		crashes: quarantine.New(now), limits: limits, permits: permitissuer.New(limits, now),
 	}
 }
 
+// Permit answers a host of the region that is to send a request to a server with a limit.
+func (h *Hub) Permit(ask wheelgauge.PermitAsk) wheelgauge.PermitAnswer { return h.permits.Answer(ask) }
+
 // Beat takes in a heartbeat and returns what its sender has not seen.
 func (h *Hub) Beat(b wheelgauge.Heartbeat) wheelgauge.View {
 	h.mu.Lock()
@@ -100,6 +110,7 @@
 		h.takeServer(b.Host, s, now)
 	}
 	h.crashes.Merge(b.Crashes)
+	h.limits.Merge(b.Limits)
 	h.expire(now)
 	return h.since(b)
 }
@@ -228,6 +239,11 @@
 	if v.CrashesAt = at; v.Full || b.CrashesAt != at {
 		v.Crashes = serious
 	}
+	limitsAt := b.LimitsAt
+	if v.Full {
+		limitsAt = 0
+	}
+	v.Limits, v.LimitsAt = h.limits.Since(limitsAt)
 	return v
 }
 
@@ -237,6 +253,8 @@
 	defer h.mu.Unlock()
 	h.expire(h.now())
 	h.crashes.Prune()
+	h.limits.Prune()
+	h.permits.Prune()
 	s := wheelgauge.RegionSummary{Region: h.region, Crashes: h.crashes.Latest(), Asks: map[string]int{}, Pools: map[string]wheelgauge.PoolSummary{}}
 	for _, row := range h.hosts {
 		if !row.entry.Alive || row.entry.Leaving {
--- a/membership/node.go
+++ b/membership/node.go
@@ -18,6 +18,7 @@
 	"wheelgauge/peerhttp"
 	"wheelgauge/quarantine"
 	"wheelgauge/rendezvous"
+	"wheelgauge/serverlimit"
 )
 
 // Paths of membership on the peer listener.
@@ -55,7 +56,9 @@
 	Asks func() map[string]int
 	// Crashes are those that this host noted, and keeps of what all hosts did.
 	Crashes *quarantine.Table
-	Log     logr.Logger
+	// Limits are those that servers have named to this host, and what others heard.
+	Limits *serverlimit.Table
+	Log    logr.Logger
 }
 
 // Node is the member of one gateway.
@@ -79,7 +82,10 @@
 	// names the list held of all hosts'.
 	crashes   uint64
 	crashesAt uint64
-	target    string
+	// limits and limitsAt are the same of the limits of servers.
+	limits   uint64
+	limitsAt uint64
+	target   string
 
 	cancel context.CancelFunc
 	done   chan error
@@ -91,6 +97,9 @@
 	if options.Crashes == nil {
 		options.Crashes = quarantine.New(time.Now)
 	}
+	if options.Limits == nil {
+		options.Limits = serverlimit.New(time.Now)
+	}
 	n := &Node{
 		options: options, hub: NewHub(options.Region, options.Boot, options.Interval, options.Catalog, time.Now),
 		hosts: map[string]wheelgauge.HostEntry{}, servers: map[string]*ServerState{}, names: map[int]string{}, models: map[int]string{}, regions: map[string]wheelgauge.RegionSummary{},
@@ -214,16 +223,18 @@
 	at := min(n.at, len(hubs)-1)
 	b := wheelgauge.Heartbeat{
 		Host: n.options.Host, Boot: n.options.Boot, Leaving: n.leaving, Generation: c.Generation(),
-		Asks: n.options.Asks(), Servers: polled, Since: n.version, Hub: n.viewHub, CrashesAt: n.crashesAt,
+		Asks: n.options.Asks(), Servers: polled, Since: n.version, Hub: n.viewHub, CrashesAt: n.crashesAt, LimitsAt: n.limitsAt,
 	}
-	var told uint64
+	var told, heard uint64
 	b.Crashes, told = n.options.Crashes.Since(n.crashes)
+	b.Limits, heard = n.options.Limits.Heard(n.limits)
 	n.mu.Unlock()
 	for ; at >= 0 && at < len(hubs); at++ {
 		view, err := n.send(ctx, hubs[at], b)
 		if err == nil {
 			n.take(view, hubs[at], at)
 			n.takeCrashes(view, told)
+			n.takeLimits(view, heard)
 			return
 		}
 		if ctx.Err() != nil {
@@ -292,6 +303,18 @@
 	n.options.Crashes.Keep(v.Crashes)
 }
 
+// takeLimits takes what a hub tells of the limits of servers. One that has just begun to
+// answer is told all again.
+func (n *Node) takeLimits(v wheelgauge.View, heard uint64) {
+	n.options.Limits.Merge(v.Limits)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.limits, n.limitsAt = heard, v.LimitsAt
+	if v.Full {
+		n.limits = 0
+	}
+}
+
 // unpack gives loads the names that go with their numbers at the hub.
 func (n *Node) unpack(v wheelgauge.View) []wheelgauge.ServerEntry {
 	for number, name := range v.Names {
--- a/message.go
+++ b/message.go
@@ -178,6 +178,10 @@
 	// those of all hosts; see View.
 	Crashes   []Crash `json:"c,omitempty"`
 	CrashesAt uint64  `json:"ca,omitempty"`
+	// Limits are those that servers named in answers to this host since the last view,
+	// LimitsAt numbers what the hub told last; see View.
+	Limits   []ServerLimit `json:"l,omitempty"`
+	LimitsAt uint64        `json:"la,omitempty"`
 }
 
 // HostEntry is a host as its hub sees it.
@@ -227,6 +231,9 @@
 	// Crashes are those of requests to hold back, all of them when their number changed.
 	CrashesAt uint64  `json:"ca,omitempty"`
 	Crashes   []Crash `json:"c,omitempty"`
+	// Limits are those of servers that changed since the number that was asked with.
+	LimitsAt uint64        `json:"la,omitempty"`
+	Limits   []ServerLimit `json:"l,omitempty"`
 }
 
 // ServerLoad is the state of a backend server in four numbers: its number, its
--- a/storeapi/api.go
+++ b/storeapi/api.go
@@ -20,6 +20,7 @@
 	"wheelgauge/meter"
 	"wheelgauge/operators"
 	"wheelgauge/peerhttp"
+	"wheelgauge/permitclient"
 	"wheelgauge/registry"
 	"wheelgauge/replica"
 )
@@ -120,6 +121,8 @@
 		a.claim(ctx)
 	case membership.PathBeat:
 		serve(ctx, func(b wheelgauge.Heartbeat) (wheelgauge.View, error) { return a.Hub.Beat(b), nil })
+	case permitclient.Path:
+		serve(ctx, func(ask wheelgauge.PermitAsk) (wheelgauge.PermitAnswer, error) { return a.Hub.Permit(ask), nil })
 	case membership.PathSummary:
 		serve(ctx, func(s wheelgauge.RegionSummary) (wheelgauge.RegionSummary, error) { return a.Hub.Exchange(s), nil })
 	default:
--- a/systemtest/fault_limit_test.go
+++ b/systemtest/fault_limit_test.go
@@ -21,7 +21,9 @@
 )
 
 // TestFaultServersThatNameALimit: engines in need name a limit in their answers. Hosts of all
-// regions passed them over: each engine got 222 to 232 in four seconds, 14 being allowed.
+// regions passed it over: each engine got 222 to 232 in four seconds, 14 being allowed. Cause:
+// as in the mode with routes nothing read the header. Evidence: no host was restarted or cut
+// off, no region forwards here, and the code named the header nowhere.
 func TestFaultServersThatNameALimit(t *testing.T) {
 	s := smallShape()
 	s.hosts, s.engines = []int{2, 1, 1}, []int{2, 1, 1}
