A host that was suspended while it left ends when its grace is over

Cause: the drain went by the steady clock, so a host that was suspended for a part of its grace went on for as much longer; whoever stops it counts that time and kills it with requests in flight. Seen in TestSuspendedWhileLeaving, which fails on the code before. Change: the end of the drain, the last requests taken and the time for strays go by the host's clock; what connections wait for is ended when that says so, looked at every 50 ms. Ruled out: a deadline of a context, which goes by the steady clock.

--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -285,8 +285,8 @@
 // be finished within the grace is refused, for another host to take.
 func (n *Node) Close(ctx context.Context) error {
 	n.o.Log.Info("Gateway drains.", "serving", n.callers.Serving())
-	last := time.Now().Add(n.o.Grace - cmp.Or(n.o.Last, stopMargin))
-	end := time.Now().Add(n.o.Grace - cutMargin)
+	now := n.o.Clock.Now()
+	last, end := now.Add(n.o.Grace-cmp.Or(n.o.Last, stopMargin)), now.Add(n.o.Grace-cutMargin)
 	n.gate.LeaveBy(last)
 	n.leaving.Store(true)
 	n.callers.Drain()
@@ -298,7 +298,7 @@
 	defer done()
 	_, err := httpserve.CloseAll(brief, n.listeners)
 	errs := []error{err}
-	limit, cancel := context.WithDeadline(ctx, end)
+	limit, cancel := n.within(ctx, end)
 	defer cancel()
 	errs = append(errs, n.callers.Close(limit), n.forwards.Close(limit))
 	n.purse.Close()
@@ -311,14 +311,33 @@
 	return errors.Join(errs...)
 }
 
+// within returns a context that ends at a moment of the host's clock. Whoever stops the
+// host counts the time for which the machine was suspended, too; connections do not. cancel
+// waits.
+func (n *Node) within(ctx context.Context, end time.Time) (limit context.Context, cancel func()) {
+	limit, stop := context.WithCancel(ctx)
+	ended := make(chan error, 1)
+	go func() {
+		ended <- every.Interval(limit, drainCheck, func(context.Context) {
+			if !n.o.Clock.Now().Before(end) {
+				stop()
+			}
+		})
+	}()
+	return limit, func() {
+		stop()
+		<-ended
+	}
+}
+
 // await lets callers that still hold the address come in until no more requests
 // are taken, or until the last one is answered.
 func (n *Node) await(ctx context.Context, last time.Time) {
-	began := time.Now()
+	began := n.o.Clock.Now()
 	ticker := time.NewTicker(drainCheck)
 	defer ticker.Stop()
-	for ctx.Err() == nil && time.Now().Before(last) {
-		if time.Since(began) > strayTime && n.callers.Serving()+n.forwards.Serving() == 0 {
+	for ctx.Err() == nil && n.o.Clock.Now().Before(last) {
+		if n.o.Clock.Now().Sub(began) > strayTime && n.callers.Serving()+n.forwards.Serving() == 0 {
 			return
 		}
 		<-ticker.C
--- a/routegate/leaving.go
+++ b/routegate/leaving.go
@@ -59,15 +59,17 @@
 	return duration{usual: otherwise, longest: otherwise}
 }
 
-// departure is when a process was told to leave and when it ends.
+// departure is when a process was told to leave and when it ends, by the gate's clock.
 type departure struct {
 	told time.Time
 	end  time.Time
 }
 
-// LeaveBy tells that the process ends at a moment: requests that may take
-// longer are refused from now on.
-func (g *Gate) LeaveBy(end time.Time) { g.leaving.Store(&departure{told: time.Now(), end: end}) }
+// LeaveBy tells that the process ends at a moment of the gate's clock: requests that may
+// take longer are refused from now on.
+func (g *Gate) LeaveBy(end time.Time) {
+	g.leaving.Store(&departure{told: g.options.Clock.Now(), end: end})
+}
 
 // tooLong tells whether a request of the route may not be done before the
 // process ends, if the way to where it runs takes so long.
@@ -78,8 +80,9 @@
 	}
 	d := g.durations.get(route, timeout)
 	took := leaveFactor * d.longest
-	if time.Since(leaving.told) < knownTime {
+	now := g.options.Clock.Now()
+	if now.Sub(leaving.told) < knownTime {
 		took = time.Duration(usualFactor * float64(d.usual))
 	}
-	return time.Now().Add(min(timeout, took+way)).After(leaving.end)
+	return now.Add(min(timeout, took+way)).After(leaving.end)
 }
