A host that starts knows which requests are held back before it serves

Callers saw nothing of it; after all hosts and stores had started again, a request that ends servers got through once more: 502, two engines. Cause: a host serves when it has the state (from any store) and the list (from its primary). Which requests are held back came with the primary's next heartbeat, from a store that looks at what the group keeps each 0.1 s: 0.1 to 0.3 s in which it knew of none. Change: the first part of the state carries them to a host that holds none, joined anew with what the group keeps; the host takes them before it serves by the state. Why it holds: no host serves without a state, and what a store has of the state it has of crashes.

--- a/beats.go
+++ b/beats.go
@@ -147,6 +147,8 @@
 	Packed PackedBody `json:"packed"`
 	Offset int        `json:"offset,omitempty"`
 	Data   []byte     `json:"data,omitempty"`
+	// Crashes are those by which requests are held back, for a host that holds no state.
+	Crashes []Crash `json:"crashes,omitempty"`
 }
 
 // RegionUse is the load of another region.
--- a/confstore/beat.go
+++ b/confstore/beat.go
@@ -27,10 +27,21 @@
 func (n *Node) serveState(ctx *fasthttp.RequestCtx) bool {
 	return serve(ctx, statefeed.Path, func(r wheelgauge.StateRequest) (wheelgauge.StatePart, error) {
 		n.meter.Count("state.parts")
-		return n.feed.Part(r)
+		return n.statePart(r)
 	})
 }
 
+// statePart gives a part of the state, and to a host that holds none which requests are held
+// back: it serves as soon as it has the state, from whichever store.
+func (n *Node) statePart(r wheelgauge.StateRequest) (wheelgauge.StatePart, error) {
+	part, err := n.feed.Part(r)
+	if err == nil && r.Generation == 0 && part.Offset == 0 {
+		n.crashes.Keep(n.machine.State().Crashes)
+		part.Crashes, _ = n.crashes.Serious()
+	}
+	return part, err
+}
+
 // serve answers calls to one path by f; false means another path.
 func serve[Q, A any](ctx *fasthttp.RequestCtx, path string, f func(Q) (A, error)) bool {
 	if string(ctx.Path()) != path {
--- a/entrynode/news.go
+++ b/entrynode/news.go
@@ -14,6 +14,7 @@
 	if s.Generation <= n.generation {
 		return
 	}
+	n.quarantine.KeepBesides(s.Crashes) // before anything is served by the state
 	if len(s.Body) > 0 && (n.gate.Table() == nil || s.Version > n.gate.Table().Version()) {
 		set, err := n.o.Decode(s.Body)
 		if err != nil {
--- a/statefetch/fetcher.go
+++ b/statefetch/fetcher.go
@@ -41,6 +41,8 @@
 	client *peerhttp.Client
 	packed wheelgauge.PackedBody
 	data   []byte
+	// crashes came with the first part.
+	crashes []wheelgauge.Crash
 	// part is how much is asked for at once.
 	part int
 }
@@ -80,7 +82,7 @@
 		if p.Generation <= held.Generation {
 			return wheelgauge.FleetState{}, errNothingNewer
 		}
-		s := wheelgauge.FleetState{Generation: p.Generation, Version: p.Version, Drained: p.Drained}
+		s := wheelgauge.FleetState{Generation: p.Generation, Version: p.Version, Drained: p.Drained, Crashes: p.Crashes}
 		if p.Packed.Size == 0 {
 			return s, nil
 		}
@@ -88,6 +90,7 @@
 			return wheelgauge.FleetState{}, err
 		}
 		if len(f.data) == f.packed.Size {
+			s.Crashes = f.crashes
 			s.Body, err = f.unpack()
 			return s, err
 		}
@@ -110,6 +113,9 @@
 	if p.Packed != f.packed {
 		f.packed, f.data = p.Packed, nil
 	}
+	if p.Offset == 0 {
+		f.crashes = p.Crashes
+	}
 	if p.Offset != len(f.data) || len(p.Data) == 0 || len(f.data)+len(p.Data) > p.Packed.Size {
 		f.drop()
 		return errBroken
