--- a/entrynode/node_test.go
+++ b/entrynode/node_test.go
@@ -81,10 +81,8 @@
 	<-asked
 	closed := make(chan error, 1)
 	go func() { closed <- n.Close(context.Background()) }()
+	until(t, "it leaves", n.leaving.Load)
 	limit := time.Now().Add(testLimit)
-	for !n.leaving.Load() && time.Now().Before(limit) {
-		time.Sleep(time.Millisecond)
-	}
 	for {
 		status, err := request(t, "127.0.82.1:7801")
 		if err != nil {
@@ -128,10 +126,7 @@
 	<-asked
 	closed := make(chan error, 1)
 	go func() { closed <- n.Close(context.Background()) }()
-	limit := time.Now().Add(testLimit)
-	for !n.leaving.Load() && time.Now().Before(limit) {
-		time.Sleep(time.Millisecond)
-	}
+	until(t, "it leaves", n.leaving.Load)
 	select {
 	case <-closed:
 		t.Fatal("the host ended before its grace")
--- a/permitclient/client_test.go
+++ b/permitclient/client_test.go
@@ -7,16 +7,10 @@
 	"time"
 
 	"wheelgauge"
+	"wheelgauge/fake/manualclock"
 	"wheelgauge/serverlimit"
 )
 
-type clock struct{ at time.Time }
-
-func (c *clock) now() time.Time       { return c.at }
-func (c *clock) pass(d time.Duration) { c.at = c.at.Add(d) }
-
-func newClock() *clock { return &clock{at: time.Unix(1000, 0)} }
-
 var errDark = errors.New("dark")
 
 func TestTake(t *testing.T) {
@@ -46,15 +40,15 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			k := newClock()
-			limits := serverlimit.New(k.now)
+			k := manualclock.New()
+			limits := serverlimit.New(k.Now)
 			if tt.limited {
 				limits.Named(server, 2)
 			}
-			k.pass(time.Second)
+			k.Pass(time.Second)
 			asked, instead := 0, 0
 			c := New(Options{
-				Host: "h", Limits: limits, Now: k.now,
+				Host: "h", Limits: limits, Now: k.Now,
 				Stores:  func() []wheelgauge.RegionStore { return append([]wheelgauge.RegionStore(nil), tt.stores...) },
 				Sharers: func() []string { return []string{"h"} },
 				Ask: func(_ context.Context, address string, ask wheelgauge.PermitAsk) (wheelgauge.PermitAnswer, error) {
--- /dev/null
+++ b/permitclient/model_test.go
@@ -0,0 +1,359 @@
+package permitclient
+
+import (
+	"cmp"
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"wheelgauge"
+	"wheelgauge/permitissuer"
+	"wheelgauge/serverlimit"
+)
+
+var (
+	seeds   = flag.Int("permit.seeds", 24, "seeded schedules to play")
+	figures = flag.Bool("permit.figures", false, "print the worst window and what was used, by schedule")
+)
+
+const (
+	tick      = 10 * time.Millisecond
+	beatEvery = 150 * time.Millisecond
+	// answerTime is how long a server takes to answer.
+	answerTime = 60 * time.Millisecond
+	dayTime    = 40 * time.Second
+	// firstNamed is when servers first name a limit, boundFrom how much later the bound
+	// holds.
+	firstNamed = 2 * time.Second
+	boundFrom  = 5 * time.Second
+	// window, over and slack are what a server may get at most: in any window that many
+	// times its limit and some requests. What hosts send that were not told yet, or were
+	// disturbed, counts like all else.
+	window = 4 * time.Second
+	over   = 1.5
+	slack  = 5
+	// settle is how much later a lower limit binds: its first answer, and half a second.
+	settle     = time.Second
+	patience   = 2500 * time.Millisecond
+	mostStores = 3
+)
+
+// phase is a limit that a server names from a moment on; none below 0.
+type phase struct {
+	from time.Duration
+	rate float64
+}
+
+// modelServer is a server in need.
+type modelServer struct {
+	name   string
+	phases []phase
+	// demand is what callers want of it, in requests a second.
+	demand float64
+	got    []time.Duration
+}
+
+func (s *modelServer) rate(at time.Duration) float64 {
+	rate := -1.0
+	for _, p := range s.phases {
+		if p.from <= at {
+			rate = p.rate
+		}
+	}
+	return rate
+}
+
+// most is the highest limit within a span, and whether there was one throughout.
+func (s *modelServer) most(from, to time.Duration) (rate float64, limited bool) {
+	for at := from; at <= to; at += tick {
+		r := s.rate(at)
+		if r < 0 {
+			return 0, false
+		}
+		rate = max(rate, r)
+	}
+	return rate, true
+}
+
+type modelStore struct {
+	address string
+	boot    uint64
+	limits  *serverlimit.Table
+	issuer  *permitissuer.Issuer
+	// dark is until when it answers nobody; frozen stores keep what they know.
+	dark time.Duration
+}
+
+type modelHost struct {
+	name   string
+	limits *serverlimit.Table
+	client *Client
+	// down is until when the host is not there.
+	down time.Duration
+	// cut are the stores that it does not reach.
+	cut [mostStores]time.Duration
+	// ready is set once a store has answered: a host serves nothing before.
+	ready bool
+	// heard and since are what the stores were told and told last.
+	heard, since map[uint64]uint64
+}
+
+// event is something that happens later.
+type event struct {
+	at time.Duration
+	do func()
+}
+
+// model plays hosts, stores and servers in need over time that a loop moves.
+type model struct {
+	t       *testing.T
+	r       *rand.Rand
+	at      time.Duration
+	stores  []*modelStore
+	hosts   []*modelHost
+	servers []*modelServer
+	events  []event
+	// take decides in place of the hosts' clients, if it is set.
+	take func(h *modelHost, s *modelServer) bool
+}
+
+func newModel(t *testing.T, seed uint64, hosts, stores int, servers ...*modelServer) *model {
+	m := &model{t: t, r: rand.New(rand.NewPCG(seed, 7)), servers: servers}
+	for i := range stores {
+		s := &modelStore{address: fmt.Sprint("store-", i)}
+		m.startStore(s)
+		m.stores = append(m.stores, s)
+	}
+	for i := range hosts {
+		h := &modelHost{name: fmt.Sprint("host-", i)}
+		m.hosts = append(m.hosts, h)
+		m.startHost(h)
+	}
+	return m
+}
+
+func (m *model) now() time.Time { return time.Unix(1000, 0).Add(m.at) }
+
+func (m *model) startStore(s *modelStore) {
+	s.boot++
+	s.limits = serverlimit.New(m.now)
+	s.issuer = permitissuer.New(s.limits, m.now)
+}
+
+func (m *model) startHost(h *modelHost) {
+	h.ready = false
+	h.limits, h.heard, h.since = serverlimit.New(m.now), map[uint64]uint64{}, map[uint64]uint64{}
+	h.client = New(Options{
+		Host: h.name, Limits: h.limits, Now: m.now,
+		Stores:  func() []wheelgauge.RegionStore { return m.view(h) },
+		Sharers: m.names,
+		Ask: func(_ context.Context, address string, ask wheelgauge.PermitAsk) (wheelgauge.PermitAnswer, error) {
+			return m.ask(h, address, ask)
+		},
+	})
+}
+
+// view is what a host knows of the stores: one that is dark is noticed half a second late.
+func (m *model) view(h *modelHost) []wheelgauge.RegionStore {
+	var out []wheelgauge.RegionStore
+	for i, s := range m.stores {
+		out = append(out, wheelgauge.RegionStore{Address: s.address, Answers: m.reaches(h, i)})
+	}
+	return out
+}
+
+func (m *model) names() []string {
+	var out []string
+	for _, h := range m.hosts {
+		if m.at >= h.down {
+			out = append(out, h.name)
+		}
+	}
+	return out[:min(32, len(out))]
+}
+
+func (m *model) reaches(h *modelHost, store int) bool {
+	return m.at >= m.stores[store].dark && m.at >= h.cut[store]
+}
+
+// ask answers as a store does.
+func (m *model) ask(h *modelHost, address string, ask wheelgauge.PermitAsk) (a wheelgauge.PermitAnswer, err error) {
+	for i, s := range m.stores {
+		if s.address != address {
+			continue
+		}
+		if !m.reaches(h, i) {
+			return a, errDark
+		}
+		return s.issuer.Answer(ask), nil
+	}
+	return a, nil
+}
+
+// beat tells stores what the host heard, and takes what the first of them knows.
+func (m *model) beat(h *modelHost) {
+	first := true
+	for i, s := range m.stores {
+		if !m.reaches(h, i) {
+			continue
+		}
+		key := uint64(i)<<32 | s.boot
+		news, last := h.limits.Heard(h.heard[key])
+		s.limits.Merge(news)
+		h.heard[key] = last
+		if first {
+			news, h.since[key] = s.limits.Since(h.since[key])
+			h.limits.Merge(news)
+		}
+		first = false
+		h.ready = true
+	}
+}
+
+func (m *model) later(after time.Duration, do func()) {
+	m.events = append(m.events, event{m.at + after, do})
+}
+
+// request is one of a caller for a server, at any host.
+func (m *model) request(s *modelServer) {
+	m.requestAt(s, m.r.IntN(len(m.hosts)), patience)
+}
+
+func (m *model) requestAt(s *modelServer, n int, left time.Duration) {
+	h := m.hosts[n]
+	if m.at < h.down || !h.ready {
+		return
+	}
+	after, ok := m.permit(h, s, left)
+	if !ok {
+		return
+	}
+	client := h.client
+	was, _ := h.limits.Rate(s.name)
+	m.later(after, func() {
+		rate, _ := h.limits.Rate(s.name)
+		switch {
+		case h.client != client || m.at < h.down: // the host is gone
+		case rate != was && after > 0:
+			m.requestAt(s, n, left-after) // what was given ahead is not good any more
+		default:
+			m.send(s, n)
+		}
+	})
+}
+
+func (m *model) permit(h *modelHost, s *modelServer, left time.Duration) (time.Duration, bool) {
+	if m.take != nil {
+		return 0, m.take(h, s)
+	}
+	return h.client.Take(context.Background(), s.name, max(0, left))
+}
+
+func (m *model) send(s *modelServer, host int) {
+	h, sent := m.hosts[host], m.now()
+	s.got = append(s.got, m.at)
+	client := h.client
+	m.later(answerTime, func() {
+		rate := s.rate(m.at)
+		switch {
+		case h.client != client:
+		case rate < 0:
+			h.limits.Absent(s.name, sent)
+		default:
+			h.limits.Named(s.name, rate)
+		}
+	})
+}
+
+func (m *model) play() {
+	slices.SortStableFunc(m.events, func(a, b event) int { return cmp.Compare(a.at, b.at) })
+	for ; m.at < dayTime; m.at += tick {
+		due := m.events
+		m.events = nil
+		for _, e := range due {
+			if e.at > m.at {
+				m.events = append(m.events, e)
+			} else {
+				e.do()
+			}
+		}
+		for i, h := range m.hosts {
+			// Hosts beat one after another.
+			if m.at >= h.down && (m.at/tick+time.Duration(i))%(beatEvery/tick) == 0 {
+				m.beat(h)
+			}
+		}
+		for _, s := range m.servers {
+			want := s.demand * tick.Seconds()
+			for want > 0 {
+				if m.r.Float64() < want {
+					m.request(s)
+				}
+				want--
+			}
+		}
+	}
+}
+
+// worst is the largest part of what is allowed that a server got in a window.
+func (m *model) worst(s *modelServer) float64 {
+	got := s.since(firstNamed + boundFrom)
+	first, most := 0, 0.0
+	for i, at := range got {
+		for at-got[first] >= window {
+			first++
+		}
+		rate, limited := s.most(max(firstNamed, got[first]-settle), at)
+		if limited {
+			most = max(most, float64(i-first+1)/(over*rate*window.Seconds()+slack))
+		}
+	}
+	return most
+}
+
+// used is the part of what a server offered that it got, from the bound on.
+func (m *model) used(s *modelServer) float64 {
+	offered, got := 0.0, 0
+	for at := firstNamed + boundFrom; at < dayTime; at += tick {
+		if r := s.rate(at); r > 0 {
+			offered += r * tick.Seconds()
+		}
+	}
+	for _, at := range s.since(firstNamed + boundFrom) {
+		if s.rate(at) >= 0 {
+			got++
+		}
+	}
+	return float64(got) / offered
+}
+
+// since is what the server got from a moment on.
+func (s *modelServer) since(from time.Duration) []time.Duration {
+	for i, at := range s.got {
+		if at >= from {
+			return s.got[i:]
+		}
+	}
+	return nil
+}
+
+// check holds what servers got against the bound, and what was used against a least part.
+func (m *model) check(name string, least float64) {
+	m.t.Helper()
+	for _, s := range m.servers {
+		worst, used := m.worst(s), m.used(s)
+		if *figures {
+			m.t.Logf("%s: %s: %.2f of what is allowed in the worst window, %.2f of what it offered was used", name, s.name, worst, used)
+		}
+		if worst > 1 {
+			m.t.Errorf("%s: %s got %.2f of what is allowed in some window", name, s.name, worst)
+		}
+		if used < least {
+			m.t.Errorf("%s: %s got %.2f of what it offered, want %.2f", name, s.name, used, least)
+		}
+	}
+}
--- a/permitissuer/issuer_test.go
+++ b/permitissuer/issuer_test.go
@@ -5,23 +5,17 @@
 	"testing"
 	"time"
 
+	"wheelgauge/fake/manualclock"
 	"wheelgauge/serverlimit"
 )
 
-type clock struct{ at time.Time }
-
-func (c *clock) now() time.Time       { return c.at }
-func (c *clock) pass(d time.Duration) { c.at = c.at.Add(d) }
-
-func newClock() *clock { return &clock{at: time.Unix(1000, 0)} }
-
 func ExampleIssuer() {
-	c := newClock()
-	i := New(serverlimit.New(c.now), c.now)
+	c := manualclock.New()
+	i := New(serverlimit.New(c.Now), c.Now)
 	for range 5 { // as five hosts would
 		after, ok := i.Take("server", 2, 0, false)
 		fmt.Println(after, ok)
-		c.pass(200 * time.Millisecond)
+		c.Pass(200 * time.Millisecond)
 	}
 	// Output:
 	// 500ms false
@@ -52,14 +46,14 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			c := newClock()
-			i := New(serverlimit.New(c.now), c.now)
+			c := manualclock.New()
+			i := New(serverlimit.New(c.Now), c.Now)
 			given := 0
 			for passed := time.Duration(0); passed < span; passed += tt.every {
 				if _, ok := i.Take("s", tt.rate, 0, tt.instead); ok {
 					given++
 				}
-				c.pass(tt.every)
+				c.Pass(tt.every)
 			}
 			if given < tt.least || given > tt.most {
 				t.Errorf("%d were given in %v, want %d to %d", given, span, tt.least, tt.most)
@@ -70,10 +64,10 @@
 
 // Requests that can wait get the permits to come, one each, and no later ones.
 func TestPatience(t *testing.T) {
-	c := newClock()
-	i := New(serverlimit.New(c.now), c.now)
+	c := manualclock.New()
+	i := New(serverlimit.New(c.Now), c.Now)
 	i.Take("s", 10, 0, false)
-	c.pass(time.Minute)
+	c.Pass(time.Minute)
 	var waits []time.Duration
 	for {
 		after, ok := i.Take("s", 10, 250*time.Millisecond, false)
@@ -91,15 +85,15 @@
 // A limit that changes holds from then on: nothing that was given ahead at the larger one
 // is given again, and nothing is owed at the pace of the smaller one.
 func TestLimitChanges(t *testing.T) {
-	c := newClock()
-	i := New(serverlimit.New(c.now), c.now)
+	c := manualclock.New()
+	i := New(serverlimit.New(c.Now), c.Now)
 	count := func(rate float64, span time.Duration) int {
 		given := 0
 		for passed := time.Duration(0); passed < span; passed += 10 * time.Millisecond {
 			if _, ok := i.Take("s", rate, 0, false); ok {
 				given++
 			}
-			c.pass(10 * time.Millisecond)
+			c.Pass(10 * time.Millisecond)
 		}
 		return given
 	}
@@ -114,8 +108,8 @@
 
 // Hosts that are refused together come back one after another.
 func TestTurns(t *testing.T) {
-	c := newClock()
-	i := New(serverlimit.New(c.now), c.now)
+	c := manualclock.New()
+	i := New(serverlimit.New(c.Now), c.Now)
 	i.Take("s", 10, 0, false)
 	seen := map[time.Duration]int{}
 	for range 8 {
@@ -125,7 +119,7 @@
 	if len(seen) != 8 {
 		t.Errorf("8 hosts come back at %d moments: %v", len(seen), seen)
 	}
-	c.pass(2 * life)
+	c.Pass(2 * life)
 	i.Prune()
 	if len(i.schedules) != 0 {
 		t.Error("a server that nobody asks for is kept")
--- a/serverlimit/table_test.go
+++ b/serverlimit/table_test.go
@@ -7,15 +7,9 @@
 	"time"
 
 	"wheelgauge"
+	"wheelgauge/fake/manualclock"
 )
 
-type clock struct{ at time.Time }
-
-func (c *clock) now() time.Time       { return c.at }
-func (c *clock) pass(d time.Duration) { c.at = c.at.Add(d) }
-
-func newClock() *clock { return &clock{at: time.Unix(1000, 0)} }
-
 func ExampleParse() {
 	for _, text := range []string{"1.5", " 0 ", "", "-1", "NaN", "many"} {
 		rate, ok := Parse(text)
@@ -44,10 +38,10 @@
 // A limit holds from the first answer that names it until an answer to a request sent
 // after that lacks it.
 func TestWords(t *testing.T) {
-	c := newClock()
-	tb := New(c.now)
-	before := c.now()
-	c.pass(time.Second)
+	c := manualclock.New()
+	tb := New(c.Now)
+	before := c.Now()
+	c.Pass(time.Second)
 	if !tb.Named("s", 2) || tb.Named("s", 2) || !tb.Named("s", 0.5) {
 		t.Error("a limit is new when it is named first or changes")
 	}
@@ -57,8 +51,8 @@
 	if rate, ok := tb.Rate("s"); !ok || rate != 0.5 {
 		t.Errorf("the limit is %v, %v", rate, ok)
 	}
-	c.pass(time.Second)
-	if !tb.Absent("s", c.now()) || tb.Absent("s", c.now()) {
+	c.Pass(time.Second)
+	if !tb.Absent("s", c.Now()) || tb.Absent("s", c.Now()) {
 		t.Error("a limit ends once")
 	}
 	if _, ok := tb.Rate("s"); ok {
@@ -86,13 +80,13 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			c := newClock()
-			tb := New(c.now)
+			c := manualclock.New()
+			tb := New(c.Now)
 			if tt.own >= 0 {
 				tb.Named("s", tt.own)
 			}
 			heard, last := tb.Heard(0)
-			c.pass(time.Second)
+			c.Pass(time.Second)
 			tb.Merge([]told{tt.news})
 			if rate, ok := tb.Rate("s"); rate != tt.rate || ok != tt.named || tb.Limited()["s"] != tt.named {
 				t.Errorf("the limit is %v, %v, want %v, %v", rate, ok, tt.rate, tt.named)
@@ -109,8 +103,8 @@
 
 // Much is told in parts, each word once, and again when it changes.
 func TestSince(t *testing.T) {
-	c := newClock()
-	tb := New(c.now)
+	c := manualclock.New()
+	tb := New(c.Now)
 	for n := range mostTold + 10 {
 		tb.Named(fmt.Sprint("s", n), 1)
 	}
@@ -124,7 +118,7 @@
 	if third, _ := tb.Since(last); len(third) != 1 || third[0].Server != "s4" || third[0].Rate != 2 {
 		t.Errorf("told %v of one that changed", third)
 	}
-	c.pass(2 * life)
+	c.Pass(2 * life)
 	tb.Prune()
 	if len(tb.words) != 0 {
 		t.Error("words are kept that nobody heard for long")
@@ -136,17 +130,17 @@
 // requests sent before now ended nothing: found by reading, seen here.
 func TestToldToAndFro(t *testing.T) {
 	const way = 3 * time.Millisecond
-	c := newClock()
-	host, store := New(c.now), New(c.now)
+	c := manualclock.New()
+	host, store := New(c.Now), New(c.Now)
 	host.Named("s", 2)
-	c.pass(time.Second)
-	sent := c.now()
+	c.Pass(time.Second)
+	sent := c.Now()
 	for range 500 {
 		word := host.Word("s")
-		c.pass(way)
+		c.Pass(way)
 		store.Merge([]wheelgauge.ServerLimit{word})
 		word = store.Word("s")
-		c.pass(way)
+		c.Pass(way)
 		host.Merge([]wheelgauge.ServerLimit{word})
 	}
 	if !host.Absent("s", sent) {
