Capacity of limits that servers name

One asking at a store costs 0.31 us with 600 such servers (BenchmarkAnswer), beside a call of 1 to 2 ms. What grows: each host asks once a second for each server that refused it, 12,000 a second at 300 hosts before 40 such servers; by the arithmetic, not measured.

--- a/permitissuer/issuer_test.go
+++ b/permitissuer/issuer_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"wheelgauge"
 	"wheelgauge/fake/manualclock"
 	"wheelgauge/serverlimit"
 )
@@ -125,3 +126,19 @@
 		t.Error("a server that nobody asks for is kept")
 	}
 }
+
+// one asking at a store that knows of 600 servers with limits: 0.3 us, beside which the call
+// that carries it is all.
+func BenchmarkAnswer(b *testing.B) {
+	c := manualclock.New()
+	limits := serverlimit.New(c.Now)
+	i := New(limits, c.Now)
+	var asks []wheelgauge.PermitAsk
+	for n := range 600 {
+		asks = append(asks, wheelgauge.PermitAsk{Limit: wheelgauge.ServerLimit{Server: fmt.Sprint("server-", n), Rate: 3}})
+	}
+	for n := 0; b.Loop(); n++ {
+		c.Pass(time.Millisecond)
+		i.Answer(asks[n%len(asks)])
+	}
+}
