--- a/beat/client.go
+++ b/beat/client.go
@@ -26,9 +26,9 @@
 	callTimeout = time.Second
 	// eagerInterval and eagerTimeout hold until the host knows all it needs to
 	// serve: stores that start at the same moment answer from one beat to the next.
-	// After a beat without an answer the next one may take eagerPatience: over a
-	// link of 80 ms a connect and an answer take 320 ms and more, and hosts whose
-	// region held no configuration learned of none for 2 s. The one after is short
+	// After a beat without an answer the next one may take eagerPatience: a connect
+	// and an answer over a long link take longer than eagerTimeout, and a host whose
+	// region holds no configuration would learn of none. The one after is short
 	// again, as a store that was dark hears a new connection sooner than an old one.
 	eagerInterval = 100 * time.Millisecond
 	eagerTimeout  = 350 * time.Millisecond
--- a/beat/state.go
+++ b/beat/state.go
@@ -31,9 +31,9 @@
 }
 
 // follow begins to fetch the newest state if it is not held; the lock is held.
-// It is no part of a heartbeat, which has a second: 900 KB take 0.7 s of a link of
-// 10 Mbit/s without callers. Cut there, it was sent again at each heartbeat, and
-// hosts got no news of any kind any more; fetched, it is in force within 0.3 s.
+// It is no part of a heartbeat, which has a second: a large state that does not come
+// through a narrow link in that time would be sent again with each heartbeat, and the
+// host would get no news of any kind any more.
 func (c *Client) follow() {
 	if c.lag.fetching || c.ctx.Err() != nil || c.now().Before(c.lag.next) {
 		return
--- a/beat/stores.go
+++ b/beat/stores.go
@@ -126,8 +126,7 @@
 // rank is higher for better primaries, -1 for stores that do not answer.
 func (c *Client) rank(s *store, self wheelgauge.FleetHost) int {
 	// By the interval that the store last answered at: by the shorter one of a
-	// primary, two silent stores would take turns at each tick, 593 times in 300
-	// ticks of a test with a primary that is due a hundred times as often.
+	// primary, two silent stores would take turns at each tick.
 	if s.answered.IsZero() || s.misses >= mostMisses || c.now().Sub(s.answered) > freshBeats*s.every+callTimeout {
 		return -1
 	}
--- a/cappurse/purse.go
+++ b/cappurse/purse.go
@@ -30,8 +30,8 @@
 	// counted them as sent.
 	keptLife = time.Second
 	// aheadTime is for how long a host draws ahead at a far store, which takes two of its
-	// ways there and back at worst. A region whose stores were dark drew at those of
-	// others for 7 s, and 9 in 10 requests waited for 115 to 380 ms.
+	// ways there and back at worst: without, nearly all requests of a region whose stores
+	// are dark would wait for them.
 	aheadTime = 500 * time.Millisecond
 	// rateSpan is over how long what is drawn is averaged.
 	rateSpan = 2 * time.Second
--- a/confstore/news.go
+++ b/confstore/news.go
@@ -17,8 +17,8 @@
 
 const (
 	// newsEvery is how often a store tells the others: what their hosts know of the
-	// load of its own is older by half of that. The same news by heartbeats of each
-	// host to each store were 2 MB/s between regions at 295 hosts.
+	// load of its own is older by half of that. By heartbeats of each host to each store the
+	// same news would grow with hosts times stores.
 	newsEvery = 200 * time.Millisecond
 	// newsTimeout bounds one call: connect and answer over a long link.
 	newsTimeout = time.Second
--- a/confstore/node.go
+++ b/confstore/node.go
@@ -44,8 +44,7 @@
 	// pruneEvery is how often limits of servers are looked through that nobody hears of.
 	pruneEvery = time.Minute
 	// listenerStop bounds the end of all listeners together: an order under way takes
-	// three seconds at most. One after another, four could take 12.8 s of a grace of
-	// eight.
+	// three seconds at most. One after another, four could take longer than the grace.
 	listenerStop = 3200 * time.Millisecond
 )
 
--- a/enginewait/load.go
+++ b/enginewait/load.go
@@ -9,20 +9,14 @@
 	// in milliseconds.
 	runCost = 1.0
 	// slowCost is what one more request costs those that run, for each of them, in
-	// milliseconds of waiting. With 9, short requests went to engines with few long
-	// ones and queued there to be read: the engine that read most read 3.4 times as much
-	// as the one that read least. Of a busy hour's requests 0.980 of the short ones and
-	// 0.944 of the long ones came in time with 9, 0.999 and 0.961 with 3, 0.999 and 0.954
-	// with 0 (TestReadingIsSpread).
+	// milliseconds of waiting. Much more, and short requests go to engines with few long
+	// ones and queue there to be read; nothing, and long ones pile up (TestReadingIsSpread).
 	slowCost = 3.0
 	// laterPart is the part of less urgent prompts that a request waits for all the
-	// same: those that an engine has begun to read. With 18,000 such tokens ahead,
-	// 320 ms of reading, urgent requests waited for 60 to 180 ms more than with none.
+	// same: those that an engine has begun to read.
 	laterPart = 0.2
 	// queuePart is how much longer than at an even pace a place in a full engine
-	// takes to come to a request that others overtake: with 64 to 79 requests in
-	// flight at engines of 64 slots, the least urgent waited for 1 to 3 s, others
-	// for 0.1 to 0.2 s.
+	// takes to come to a request that others overtake.
 	queuePart = 3.0
 )
 
--- a/entrynode/news.go
+++ b/entrynode/news.go
@@ -43,8 +43,8 @@
 }
 
 // regional returns the names of a region's hosts, and of those that callers are
-// always told of. Shares of a cold server's rate belong to the latter: at 98 hosts a third
-// of the shares were of hosts that callers never came to.
+// always told of. Shares of a cold server's rate belong to the latter: those of hosts that
+// callers never come to would be lost.
 func regional(hosts []wheelgauge.FleetHost, region string) (all, named []string) {
 	var own []wheelgauge.FleetHost
 	for _, h := range hosts {
--- a/peerset/warm.go
+++ b/peerset/warm.go
@@ -9,8 +9,7 @@
 
 const (
 	// spareConns is how many connections to each other region rest at least: a request
-	// that has to open one waits for another whole way there and back, 120 ms of the
-	// 250 that one in four forwarded requests took.
+	// that has to open one waits for another whole way there and back.
 	spareConns = 2
 	// openAtOnce bounds the connections to a region that are opened in one round.
 	openAtOnce = 4
--- a/permitclient/client.go
+++ b/permitclient/client.go
@@ -18,7 +18,7 @@
 const Path = "/v1/permits"
 
 const (
-	// askTimeout bounds one asking within a region, where an answer takes 1 to 3 ms.
+	// askTimeout bounds one asking within a region: some ways there and back.
 	askTimeout = 150 * time.Millisecond
 	// silentPause keeps askings off a store that did not answer.
 	silentPause = time.Second
--- a/permitissuer/issuer_test.go
+++ b/permitissuer/issuer_test.go
@@ -127,7 +127,7 @@
 	}
 }
 
-// one asking at a store that knows of 600 servers with limits: 0.3 us, beside which the call
+// One asking at a store that knows of 600 servers with limits takes 0.3 us: the call
 // that carries it is all.
 func BenchmarkAnswer(b *testing.B) {
 	c := manualclock.New()
--- a/routegate/crash.go
+++ b/routegate/crash.go
@@ -26,7 +26,7 @@
 }
 
 // held tells whether the request is held back: it ended all servers that began to run
-// it. Without this one request ended 27 of 12 servers, some of them three times.
+// it, and would go on to end one after another.
 func (c *call) held() bool {
 	return c.gate.options.Quarantine.Holds(len(c.request.Body()), c.asked)
 }
--- a/routegate/dispatch.go
+++ b/routegate/dispatch.go
@@ -175,9 +175,9 @@
 	_ = x.discard() // a connection that breaks here is not kept
 	if outcome == wheelgauge.OutcomeNotRun {
 		c.runs--
-		// What servers there refused is a send of this request like any other:
-		// the next one is a repeat, and is paid for here. Before full servers 60
-		// hosts made 757 repeats of 7,200 requests, 7,051 without this.
+		// What servers there refused is a send of this request like any other: the
+		// next one is a repeat, and is paid for here. Else each request would be
+		// repeated while servers are full.
 		c.sends += sends
 		c.gate.options.Peers.Refused(p)
 		return notRun
--- a/routegate/gate.go
+++ b/routegate/gate.go
@@ -27,8 +27,8 @@
 
 const (
 	// startWait is how long a request waits at a host that has just started for what is
-	// needed to place it. Stores that start with the hosts tell it 0.4 to 0.6 s after
-	// that; refused at once, callers came back 0.4 s later and had one try less.
+	// needed to place it: as long as stores that start with the hosts take to tell it.
+	// Refused at once, callers would come back as late and have one try less.
 	startWait = 500 * time.Millisecond
 	// startSpan is how long after its start a host lets requests wait at all: one that
 	// still knows nothing then is cut off, and says so at once.
--- a/routegate/place.go
+++ b/routegate/place.go
@@ -18,8 +18,8 @@
 	busyFactor = 0.75
 	busyPart   = 0.5
 	// awayPart is the part of their objective that requests must wait before long
-	// prompts are sent away sooner than short ones; trials with 0.5 and without a
-	// bound were worse.
+	// prompts are sent away sooner than short ones: where nobody waits, sending them away
+	// only costs their caches.
 	awayPart = 0.35
 )
 
--- a/serverset/candidates.go
+++ b/serverset/candidates.go
@@ -11,9 +11,7 @@
 const (
 	// fullScan is how many servers are all weighed. Of more, those of the subject and
 	// some drawn at random are: hosts that hear the same news would all take the same
-	// least loaded server until the next. With 64 hosts before the engines of three
-	// regions the busiest got 90 requests in 0.2 s, 7 on the mean, and 46 like this, 6
-	// on the mean (every request logged, one play each).
+	// least loaded server until the next.
 	fullScan = 12
 	// subjectHomes is how many servers a subject has, best first: its prompts that
 	// leave the first one go where other prompts of the subject have gone.
--- a/serverset/server.go
+++ b/serverset/server.go
@@ -23,8 +23,7 @@
 	longestPause = 4 * time.Second
 	// lostTo is how many other hosts must have found a server out of reach before this
 	// one believes it: one alone may itself be cut off. Each host that finds out for
-	// itself costs a request some hundred ms, with 64 hosts before 67 dark engines
-	// 4,000 of them.
+	// itself costs a request some hundred ms, times hosts and dark servers.
 	lostTo = 2
 	// heardPause keeps work off a server that others cannot reach, until they say it
 	// anew: two of their heartbeats.
--- a/serverset/table.go
+++ b/serverset/table.go
@@ -24,8 +24,7 @@
 	// milliseconds: far less than reading them.
 	fetchCost = 8.0
 	// moveCost is what a move costs users, in milliseconds of waiting: its bytes, and
-	// the cache of the server it goes to. With 0, 50, 150, 400, 900 and 2000 the mean
-	// worth of 20 days was 0.672, 0.677, 0.677, 0.681, 0.679 and 0.678.
+	// the cache of the server it goes to.
 	moveCost = 300.0
 	// failCost is what a failure costs a user, in milliseconds of waiting.
 	failCost = 1500.0
