--- a/permitissuer/issuer.go
+++ b/permitissuer/issuer.go
@@ -84,7 +84,7 @@
 	now := i.now()
 	s := i.schedule(key{server, instead}, gapOf(rate, instead), now)
 	s.asked = now
-	due := s.next.Add(-s.saved())
+	due := s.next.Add(-s.early())
 	wait := max(0, due.Sub(now))
 	if wait > min(patience, wheelgauge.MostPermitWait) {
 		return s.comeBack(due, now), false
@@ -109,7 +109,7 @@
 	s := i.schedules[k]
 	if s == nil {
 		s = &schedule{gap: gap, instead: k.instead}
-		s.next = now.Add(gap + s.saved())
+		s.next = now.Add(gap + s.early())
 		i.schedules[k] = s
 	}
 	if s.gap != gap {
@@ -123,11 +123,11 @@
 func (s *schedule) change(gap time.Duration, now time.Time) {
 	ahead := time.Duration(float64(s.next.Sub(now)) / float64(s.gap) * float64(gap))
 	s.gap, s.turn = gap, time.Time{}
-	s.next = now.Add(min(ahead, s.saved()+gap))
+	s.next = now.Add(min(ahead, s.early()+gap))
 }
 
-// saved is how long before its time a permit is given when earlier ones were saved.
-func (s *schedule) saved() time.Duration {
+// early is how long before its time a permit is given when earlier ones were saved.
+func (s *schedule) early() time.Duration {
 	if s.instead {
 		return 0
 	}
