A server with a limit gets nothing under light load: test, failing

No rule was broken and every caller was served, but one server of the two got nothing.

The test plays the same without a network and without chance: one later answer, then 10 s of light load.

--- a/entrynode/limit_test.go
+++ b/entrynode/limit_test.go
@@ -90,17 +90,19 @@
 	time.Sleep(limitSpan)
 	c.end()
 	total := 0
+	var each []int
 	for _, name := range names {
 		got := f.engines.since(name, from)
 		total += len(got)
+		each = append(each, len(got))
 		if most, allowed := worstWindow(got), limitOver*lc.rate*limitWindow.Seconds()+limitSlack; float64(most) > allowed {
 			t.Errorf("%s, which takes %g a second, got %d requests in %v, allowed %.0f", name, lc.rate, most, limitWindow, allowed)
 		}
 	}
 	offered := lc.rate * float64(lc.limited) * limitSpan.Seconds()
-	t.Logf("%d of %.0f requests that the servers offered were used; %d of %d served", total, offered, c.served.Load(), c.asked.Load())
+	t.Logf("%d of %.0f requests that the servers offered were used, %v; %d of %d served", total, offered, each, c.served.Load(), c.asked.Load())
 	if float64(total) < lc.taken*offered {
-		t.Errorf("%d of %.0f requests that the servers offered were used", total, offered)
+		t.Errorf("%d of %.0f requests that the servers offered were used, %v", total, offered, each)
 	}
 	if got := float64(c.served.Load()); got < lc.least*float64(c.asked.Load()) {
 		t.Errorf("%.0f of %d requests were served", got, c.asked.Load())
--- a/serverset/limited_test.go
+++ b/serverset/limited_test.go
@@ -50,3 +50,78 @@
 		})
 	}
 }
+
+// A server that takes 2 requests a second got none for as long as its service had light load:
+// one of two got 0 and 1 requests in 6 s where 12 were allowed.
+func TestLimitedServerIsUsed(t *testing.T) {
+	const (
+		tick  = 5 * time.Millisecond
+		usual = 20 * time.Millisecond
+		span  = 10 * time.Second
+		rate  = 2.0
+		least = 0.6
+	)
+	tests := []struct {
+		name string
+		slow time.Duration
+	}{
+		{"answered as others do", usual},
+		{"answered somewhat later once", 2 * usual},
+		{"answered much later once", 20 * usual},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			tb, c, _ := table(plain, 6)
+			tb.SetLimits(func(life string) (float64, bool) { return rate, life == limitedLife })
+			job := NewJob(plain, prompt.Prompt{}, 0, nil)
+			for range 6 {
+				k := tb.Choose(job)
+				took := usual
+				if k.Server().Life() == limitedLife {
+					took = tt.slow
+				}
+				c.pass(took)
+				k.Done(Served)
+			}
+			got := play(tb, c, job, tick, usual, span, rate)
+			if got < least*rate*span.Seconds() {
+				t.Errorf("it got %.0f requests of %.0f that it takes", got, rate*span.Seconds())
+			}
+		})
+	}
+}
+
+// limitedLife is the server with a limit.
+const limitedLife = "i0"
+
+// play sends a request each tick that takes some time, gives the server with a limit no more
+// than that, and returns how many it got.
+func play(tb *Table, c *clock, job Job, tick, takes, span time.Duration, rate float64) float64 {
+	type running struct {
+		pick *Pick
+		ends time.Time
+	}
+	var flight []running
+	got, due := 0.0, c.now()
+	for end := c.now().Add(span); c.now().Before(end); c.pass(tick) {
+		for len(flight) > 0 && !c.now().Before(flight[0].ends) {
+			flight[0].pick.Done(Served)
+			flight = flight[1:]
+		}
+		k := tb.Choose(job)
+		for k != nil && k.Server().Life() == limitedLife {
+			if wait := due.Sub(c.now()); wait > 0 {
+				k.Defer(wait)
+				k = tb.Choose(job)
+				continue
+			}
+			got++
+			due = c.now().Add(time.Duration(float64(time.Second) / rate))
+			break
+		}
+		if k != nil {
+			flight = append(flight, running{k, c.now().Add(takes)})
+		}
+	}
+	return got
+}
