A test of moves waits until there is something to move

So nothing was moved: the model was placed for the first time, which takes it out of service for a load. "Served all the time" holds for a model that an engine has by order.

Ruled out: engines taken for away, requests sent to an engine without the model (the stand-ins count those; none).

Change: the test begins to move once the first engine has taken its order and the model is served. All its checks stay.

--- a/systemtest/fault_orders_test.go
+++ b/systemtest/fault_orders_test.go
@@ -1,6 +1,7 @@
 package systemtest
 
 import (
+	"errors"
 	"fmt"
 	"testing"
 	"time"
@@ -45,7 +46,12 @@
 	karachi := d.node("karachi-1")
 	one, two := d.server("engine-karachi-0"), d.server("engine-karachi-1")
 	d.apply([]wheelgauge.Resource{placement(one.name)})
-	eventually(t, 30*time.Second, "the model is served", func() error {
+	eventually(t, 30*time.Second, "the model is served where it is placed", func() error {
+		// Without a Placement each engine serves it: a gateway that has not got this one yet
+		// answers before any engine has loaded the model, and there is nothing to move.
+		if len(ordersAt(t, one)) == 0 {
+			return errors.New("no order yet")
+		}
 		return whole(d.do(karachi, chat(standby("karachi"), "first", 2)), "first", 2)
 	})
 	for round, to := range []*server{two, one, two} {
