Counts of tokens that a request tells are bounded

Change: a count is at most 100 million, negative ones are no counts. What is larger than an int counts as the most, not as nothing.

--- a/prompt/prompt.go
+++ b/prompt/prompt.go
@@ -3,12 +3,17 @@
 package prompt
 
 import (
+	"errors"
 	"strconv"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
 )
 
+// mostTokens bounds each count that a request tells: more than any engine reads, and so
+// few that the sums of all requests stay counts.
+const mostTokens = 100_000_000
+
 // Part is one part of a prompt; parts with the same ID have the same content.
 type Part struct {
 	id     uint64
@@ -38,31 +43,41 @@
 	var p Prompt
 	for part := range strings.SplitSeq(parts, ",") {
 		id, count, ok := strings.Cut(strings.TrimSpace(part), ":")
-		n, err := strconv.Atoi(count)
-		if !ok || err != nil || n < 0 {
+		n, readable := countOf(count)
+		if !ok || !readable {
 			continue
 		}
 		p.parts = append(p.parts, Part{id: xxhash.Sum64String(id), tokens: n})
 		p.tokens += n
 	}
 	in, out, _ := strings.Cut(tokens, ",")
-	if n, err := strconv.Atoi(strings.TrimSpace(in)); err == nil {
+	if n, ok := countOf(in); ok {
 		p.tokens = max(p.tokens, n)
 		p.count(n)
 	}
-	if n, err := strconv.Atoi(strings.TrimSpace(out)); err == nil {
+	if n, ok := countOf(out); ok {
 		p.output = n
 		p.count(n)
 	}
-	if n, err := strconv.Atoi(strings.TrimSpace(hint)); err == nil && n > 0 {
+	if n, ok := countOf(hint); ok && n > 0 {
 		p.output = n
 	}
 	return p
 }
 
+// countOf reads a count of tokens; ok is false for anything else. What is larger than
+// mostTokens counts as that many: two that fill an int would add up to less than nothing.
+func countOf(text string) (n int, ok bool) {
+	n, err := strconv.Atoi(strings.TrimSpace(text))
+	if err != nil && !errors.Is(err, strconv.ErrRange) {
+		return 0, false
+	}
+	return min(n, mostTokens), n >= 0
+}
+
 // count adds to what the request says of its tokens.
 func (p *Prompt) count(tokens int) {
-	p.counted += max(0, tokens)
+	p.counted += tokens
 	p.told = true
 }
 
