What a server says of its load is bounded

One that said 2^63-1 waiting, or 5 * 10^18 of both, had a negative sum, and hosts took it for the idlest of all: it drew every request of its service. A bad word of a server must change nothing but what is known of it.

Change: each number counts as a million at most.

--- a/serverset/load_test.go
+++ b/serverset/load_test.go
@@ -211,6 +211,7 @@
 		{"3,x,8", Reported{}, false},
 		{"3,-1,8", Reported{}, false},
 		{"3,0,8,1", Reported{}, false},
+		{"5000000000000000000,5000000000000000000,9223372036854775807", Reported{mostReported, mostReported, mostReported}, true},
 	}
 	for _, tt := range tests {
 		if got, ok := ParseReported(tt.text); got != tt.want || ok != tt.ok {
@@ -219,6 +220,33 @@
 	}
 }
 
+// FuzzReported: whatever a server says of its load, it is never taken for idler than one
+// that says nothing, and predictions are waits. Found by reading: a server that said
+// 5 * 10^18 requests twice was taken for idle, as the sum filled the sign.
+func FuzzReported(f *testing.F) {
+	f.Add("3,0,8")
+	f.Add("5000000000000000000,5000000000000000000,8")
+	f.Add("0,9223372036854775807,9223372036854775807")
+	f.Fuzz(func(t *testing.T, text string) {
+		r, ok := ParseReported(text)
+		if !ok {
+			return
+		}
+		tb, _, _ := table(plain, 2)
+		job := NewJob(plain, prompt.Prompt{}, 0, nil)
+		k := tb.Choose(job)
+		k.Report(r, false)
+		s := k.Server()
+		if s.inFlight() < 1 || r.running > 1 && s.inFlight() < 2 {
+			t.Errorf("%q: %d requests in flight", text, s.inFlight())
+		}
+		k.Done(Served)
+		if e, ok := tb.Predict(job); !ok || e.Wait() < 0 || e.Wait() > time.Minute {
+			t.Errorf("%q: a request is expected to take %v at the other server", text, e.Wait())
+		}
+	})
+}
+
 // A server that has refused at so many requests is left before it is full again.
 func TestNearlyFullServerIsLeft(t *testing.T) {
 	tests := []struct {
--- a/serverset/reported.go
+++ b/serverset/reported.go
@@ -16,6 +16,9 @@
 	// shedCost is what a refusal by a full server costs a user, in milliseconds of
 	// waiting: a second way, and a repeat of the few that all hosts may make.
 	shedCost = 300.0
+	// mostReported bounds each number that a server says of its load: sums of them stay
+	// numbers of requests.
+	mostReported = 1_000_000
 )
 
 // Reported is what a server says of its own load in an answer.
@@ -36,7 +39,7 @@
 		if err != nil || n < 0 {
 			return Reported{}, false
 		}
-		*to = n
+		*to = min(n, mostReported)
 	}
 	return r, true
 }
