Numbers of the list of servers are bounded

Cause, found by reading: cold_remaining_ms is a float and was turned into an int64 as it came; 1e300 became -2^63 and the server was taken for warm, so that it got more than it bears. Slots are added up over a region and told to others: one entry with 2^63-1 made the sum negative, and the region's wait any number.

--- a/native/servers.go
+++ b/native/servers.go
@@ -43,7 +43,7 @@
 		case s.Instance == "" || s.Service == "" || s.Address == "" || s.Hall == "":
 			foreign[wheelgauge.EntryMissing]++
 		default:
-			out = append(out, s)
+			out = append(out, s.Bounded())
 		}
 	}
 	return out, foreign, nil
--- a/routes.go
+++ b/routes.go
@@ -125,6 +125,21 @@
 	return s.Instance + "@" + strconv.FormatInt(s.Born, 10)
 }
 
+const (
+	// MostSlots is the most requests that a backend server is taken to run at once.
+	MostSlots = 100_000
+	// MostColdMS is the longest that a server is taken to stay cold, in ms: a day.
+	MostColdMS = 24 * 3600 * 1000
+)
+
+// Bounded returns the server with numbers that can be added up and turned into times: the
+// list says what it likes.
+func (s Server) Bounded() Server {
+	s.Slots = min(max(s.Slots, 0), MostSlots)
+	s.ColdMS = min(max(s.ColdMS, 0), MostColdMS)
+	return s
+}
+
 // ServerList is the list of backend servers; it lags behind reality.
 type ServerList interface {
 	// Servers returns all servers of the halls, or of all halls when none is named, and
--- a/validate/validate.go
+++ b/validate/validate.go
@@ -15,7 +15,6 @@
 const (
 	maxNameLength = 128
 	maxPriority   = 9
-	maxSlots      = 100_000
 )
 
 var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._:-]*$`)
@@ -136,7 +135,7 @@
 	c.refers(wheelgauge.KindRegion, s.Region, "region")
 	c.refers(wheelgauge.KindHall, s.Hall, "hall")
 	c.address(s.Address, "address")
-	c.that(s.Slots > 0 && s.Slots <= maxSlots, "slots", "1 to 100000")
+	c.that(s.Slots > 0 && s.Slots <= wheelgauge.MostSlots, "slots", "1 to 100000")
 }
 
 func checkPool(c *checker, spec json.RawMessage) {
