A very long idle time of a server keeps its connections

Cause, found by reading: Keep-Alive times were multiplied as they came; timeout= became -2562047 h, and each request opened a new connection to that server.

--- a/serverconn/conn_test.go
+++ b/serverconn/conn_test.go
@@ -207,6 +207,8 @@
 		{"timeout=5, max=100", 3 * time.Second},
 		{"10", 6 * time.Second},
 		{"max=3", idleNear},
+		{"timeout=9223372036854775807", 36 * time.Minute},
+		{"timeout=-1", 0},
 	}
 	for _, tt := range tests {
 		if got := idleLife(tt.header, idleNear); got != tt.want {
