A very long time that a caller gives a request is a time

Cause, found by reading: 1e15 ms or Inf became -2562047 h, and a request whose caller had all the time in the world was ended at once as too late.

--- a/routegate/deadline.go
+++ b/routegate/deadline.go
@@ -1,6 +1,23 @@
 package routegate
 
-import "time"
+import (
+	"strconv"
+	"time"
+)
+
+// longestLimit is the longest time that a caller may give a request: longer than any route
+// allows.
+const longestLimit = 24 * time.Hour
+
+// limitOf reads the time in ms that a caller gives a request; ok is false without one. One
+// that is too long to be a time would be over before it began.
+func limitOf(text string) (limit time.Duration, ok bool) {
+	ms, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(ms > 0) {
+		return 0, false
+	}
+	return time.Duration(min(ms, float64(longestLimit.Milliseconds())) * float64(time.Millisecond)), true
+}
 
 // asleep is for how long the host was suspended so far.
 func (g *Gate) asleep() time.Duration { return g.options.Clock.Now().Sub(time.Now()) }
--- /dev/null
+++ b/routegate/deadline_test.go
@@ -0,0 +1,32 @@
+package routegate
+
+import (
+	"testing"
+	"time"
+)
+
+// A caller that gave a request 1e15 ms was told that its time was over: the number of
+// nanoseconds filled the sign. Found by reading.
+func TestLimitOf(t *testing.T) {
+	tests := []struct {
+		text string
+		want time.Duration
+		ok   bool
+	}{
+		{"1500", 1500 * time.Millisecond, true},
+		{"0.5", 500 * time.Microsecond, true},
+		{"1e15", longestLimit, true},
+		{"Inf", longestLimit, true},
+		{"1e400", 0, false},
+		{"NaN", 0, false},
+		{"-5", 0, false},
+		{"0", 0, false},
+		{"", 0, false},
+		{"soon", 0, false},
+	}
+	for _, tt := range tests {
+		if got, ok := limitOf(tt.text); got != tt.want || ok != tt.ok {
+			t.Errorf("%q: %v, %t, want %v, %t", tt.text, got, ok, tt.want, tt.ok)
+		}
+	}
+}
--- a/routegate/gate.go
+++ b/routegate/gate.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"net/http"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -205,8 +204,8 @@
 	c.asleep = g.asleep()
 	c.prompt = prompt.Parse(string(h.Peek(n.Prompt)), string(h.Peek(n.Tokens)), string(h.Peek(n.Hint)))
 	c.lastEvent = string(h.Peek(n.LastEvent))
-	if ms, err := strconv.ParseFloat(string(h.Peek(n.Deadline)), 64); err == nil && ms > 0 {
-		c.deadline = r.Arrived().Add(time.Duration(ms * float64(time.Millisecond)))
+	if limit, ok := limitOf(string(h.Peek(n.Deadline))); ok {
+		c.deadline = r.Arrived().Add(limit)
 	}
 	return c
 }
