One judge of what servers get within a window

Cause: the bound of a server's limit and the search of the worst window stood in four tests, that of cold servers in one, each written anew.

--- a/coldrate/views_test.go
+++ b/coldrate/views_test.go
@@ -7,6 +7,8 @@
 	"slices"
 	"testing"
 	"time"
+
+	"wheelgauge/fake/judge"
 )
 
 var (
@@ -19,12 +21,9 @@
 	// viewLate is how much later than the first the last host hears of a change: two
 	// heartbeats, and one between stores.
 	viewLate = 500 * time.Millisecond
-	// viewRate is a server's cold rate; in any second it may get viewOver times that and
-	// viewSlack.
-	viewRate  = 3.5
-	viewOver  = 1.5
-	viewSlack = 3.0
-	viewDay   = 9 * time.Second
+	// viewRate is a server's cold rate, in requests a second.
+	viewRate = 3.5
+	viewDay  = 9 * time.Second
 	// viewNamed is the most hosts that share.
 	viewNamed = 32
 )
@@ -45,7 +44,7 @@
 	r     *rand.Rand
 	at    time.Duration
 	hosts []*viewHost
-	sent  []time.Duration
+	sent  []time.Time
 }
 
 func newViews(seed uint64, hosts int) *views {
@@ -89,24 +88,12 @@
 			h.view, h.pending = h.pending, nil
 		}
 		if !h.down && h.shares.Take("server", h.name, h.view, viewRate) {
-			v.sent = append(v.sent, v.at)
+			v.sent = append(v.sent, v.now())
 		}
 	}
 	v.at += viewTick
 }
 
-// worst is the most that the server got in a second.
-func (v *views) worst() int {
-	first, most := 0, 0
-	for i, at := range v.sent {
-		for at-v.sent[first] >= time.Second {
-			first++
-		}
-		most = max(most, i-first+1)
-	}
-	return most
-}
-
 // A cold server gets its rate, and what is allowed besides, while hosts join, leave, start
 // again, and hear of it one after another.
 func TestViewsThatDiffer(t *testing.T) {
@@ -147,15 +134,14 @@
 					}
 					v.step()
 				}
-				got := v.worst()
-				most = max(most, got)
-				if allowed := viewOver*viewRate + viewSlack; float64(got) > allowed {
-					t.Errorf("%s, %d hosts, seed %d: %d in a second, allowed %.2f", tt.name, hosts, seed, got, allowed)
+				most = max(most, judge.ColdRate().Worst(v.sent).Got())
+				if err := judge.ColdRate().Check(viewRate, v.sent); err != nil {
+					t.Errorf("%s, %d hosts, seed %d: %v", tt.name, hosts, seed, err)
 				}
 			}
 		}
 		if *viewFigures {
-			t.Logf("%s: %d in the worst second, allowed %.2f", tt.name, most, viewOver*viewRate+viewSlack)
+			t.Logf("%s: %d in the worst second, allowed %.2f", tt.name, most, judge.ColdRate().Allowed(viewRate))
 		}
 	}
 }
--- a/entrynode/limit_test.go
+++ b/entrynode/limit_test.go
@@ -12,14 +12,11 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"wheelgauge/fake/judge"
 )
 
 const (
-	// limitWindow, limitOver and limitSlack are what a server with a limit may get at
-	// most: in any such time that many times its limit and some requests.
-	limitWindow = 4 * time.Second
-	limitOver   = 1.5
-	limitSlack  = 5
 	// limitSpan is for how long arrivals are judged.
 	limitSpan = 6 * time.Second
 	// askEvery is how often a caller asks.
@@ -95,8 +92,8 @@
 		got := f.engines.since(name, from)
 		total += len(got)
 		each = append(each, len(got))
-		if most, allowed := worstWindow(got), limitOver*lc.rate*limitWindow.Seconds()+limitSlack; float64(most) > allowed {
-			t.Errorf("%s, which takes %g a second, got %d requests in %v, allowed %.0f", name, lc.rate, most, limitWindow, allowed)
+		if err := judge.ServerLimit().Check(lc.rate, got); err != nil {
+			t.Errorf("%s got %v", name, err)
 		}
 	}
 	offered := lc.rate * float64(lc.limited) * limitSpan.Seconds()
@@ -113,18 +110,6 @@
 	return c
 }
 
-// worstWindow is the most that came within one window.
-func worstWindow(at []time.Time) int {
-	first, most := 0, 0
-	for i := range at {
-		for at[i].Sub(at[first]) >= limitWindow {
-			first++
-		}
-		most = max(most, i-first+1)
-	}
-	return most
-}
-
 // limit lets the first engines name a limit, the others none, and returns their names.
 func (e *engines) limit(count int, rate float64) []string {
 	e.mu.Lock()
--- a/permitclient/model_test.go
+++ b/permitclient/model_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"wheelgauge"
+	"wheelgauge/fake/judge"
 	"wheelgauge/permitissuer"
 	"wheelgauge/serverlimit"
 )
@@ -30,12 +31,6 @@
 	// holds.
 	firstNamed = 2 * time.Second
 	boundFrom  = 5 * time.Second
-	// window, over and slack are what a server may get at most: in any window that many
-	// times its limit and some requests. What hosts send that were not told yet, or were
-	// disturbed, counts like all else.
-	window = 4 * time.Second
-	over   = 1.5
-	slack  = 5
 	// settle is how much later a lower limit binds: its first answer, and half a second.
 	settle     = time.Second
 	patience   = 2500 * time.Millisecond
@@ -299,17 +294,18 @@
 	}
 }
 
-// worst is the largest part of what is allowed that a server got in a window.
+// worst is the largest part of what is allowed that a server got in a window. What hosts
+// send that were not told yet, or were disturbed, counts like all else.
 func (m *model) worst(s *modelServer) float64 {
-	got := s.since(firstNamed + boundFrom)
-	first, most := 0, 0.0
-	for i, at := range got {
-		for at-got[first] >= window {
-			first++
-		}
-		rate, limited := s.most(max(firstNamed, got[first]-settle), at)
-		if limited {
-			most = max(most, float64(i-first+1)/(over*rate*window.Seconds()+slack))
+	var got []time.Time
+	for _, at := range s.since(firstNamed + boundFrom) {
+		got = append(got, time.Unix(0, 0).Add(at))
+	}
+	bound, most := judge.ServerLimit(), 0.0
+	for _, w := range bound.Windows(got) {
+		from, to := w.From().Sub(time.Unix(0, 0)), w.To().Sub(time.Unix(0, 0))
+		if rate, limited := s.most(max(firstNamed, from-settle), to); limited {
+			most = max(most, float64(w.Got())/bound.Allowed(rate))
 		}
 	}
 	return most
--- a/systemtest/fault_limit_test.go
+++ b/systemtest/fault_limit_test.go
@@ -8,18 +8,13 @@
 	"sync/atomic"
 	"testing"
 	"time"
-)
 
-const (
-	// limitWindow, limitOver and limitSlack are what a server with a limit may get from all
-	// hosts: in any such time that many times its limit, and some requests.
-	limitWindow = 4 * time.Second
-	limitOver   = 1.5
-	limitSlack  = 5
-	// limitRate is what each engine takes, in requests a second.
-	limitRate = 1.5
+	"wheelgauge/fake/judge"
 )
 
+// limitRate is what each engine takes, in requests a second.
+const limitRate = 1.5
+
 // TestFaultServersThatNameALimit: engines in need name a limit in their answers. Hosts of all
 // regions passed it over: each engine got 222 to 232 in four seconds, 14 being allowed. Cause:
 // as in the mode with routes nothing read the header. Evidence: no host was restarted or cut
@@ -55,7 +50,7 @@
 	time.Sleep(2 * time.Second) // hosts tell each other
 	from := time.Now()
 	served.Store(0)
-	time.Sleep(2 * limitWindow)
+	time.Sleep(2 * judge.ServerLimit().Window())
 	to := time.Now()
 	cancel()
 	got := served.Load()
@@ -69,19 +64,14 @@
 		if err := getJSON("http://"+e.addr+"/v1/arrivals", &at); err != nil {
 			t.Fatal(err)
 		}
-		first, most := 0, 0
-		for i := range at {
-			if at[i] < from.UnixMilli() {
-				first = i + 1
-				continue
-			}
-			for at[i]-at[first] >= limitWindow.Milliseconds() {
-				first++
+		var arrivals []time.Time
+		for _, ms := range at {
+			if ms >= from.UnixMilli() {
+				arrivals = append(arrivals, time.UnixMilli(ms))
 			}
-			most = max(most, i-first+1)
 		}
-		if allowed := limitOver*limitRate*limitWindow.Seconds() + limitSlack; float64(most) > allowed {
-			t.Errorf("%s, which takes %g a second, got %d requests in %v, allowed %.0f", e.name, limitRate, most, limitWindow, allowed)
+		if err := judge.ServerLimit().Check(limitRate, arrivals); err != nil {
+			t.Errorf("%s got %v", e.name, err)
 		}
 	}
 	t.Logf("%d served of %.0f offered, %d refused, %d otherwise", got, offered, refused.Load(), silent.Load())
