A leading store that was suspended gives no late order

Cause: the lease of orders was judged by the steady clock, which does not count suspended time. A store suspended after a quorum had confirmed it gave its order on waking, however long after: the next leader had waited for the lease (3.5 s) and given its own, and an engine that checks no fences took the earlier leader's order after it. "No engine takes an order of an earlier leader after one of a later" did not hold then.

Ruled out: frozen processes, for which the steady clock goes on (TestFaultOrders).

Change: the lease, the wait of a new leader and the time of a load go by the clock that counts suspended time. What is left: a suspension within the 5 ms that a reading is good, or between the judgement and the write.

Suspended for half a lease, or not at all: given, as before.

--- a/orders/giver.go
+++ b/orders/giver.go
@@ -51,7 +51,9 @@
 	Leadership Leadership
 	Catalog    func() *catalog.Catalog
 	Engines    wheelgauge.OrderTaker
-	Log        logr.Logger
+	// Clock judges the lease; the steady one when nil.
+	Clock wheelgauge.Clock
+	Log   logr.Logger
 }
 
 // row is what is known of an engine.
@@ -74,6 +76,9 @@
 // Start begins to give orders.
 func Start(ctx context.Context, o Options) *Giver {
 	ctx, cancel := context.WithCancel(ctx)
+	if o.Clock == nil {
+		o.Clock = wheelgauge.SteadyClock{}
+	}
 	g := &Giver{o: o, loading: map[string]time.Time{}, cancel: cancel, done: make(chan error, 1)}
 	go func() { g.done <- every.Interval(ctx, o.Interval, g.tick) }()
 	return g
@@ -92,7 +97,7 @@
 		return
 	}
 	if term := g.o.Leadership.Term(); term != g.term {
-		g.term, g.since = term, time.Now()
+		g.term, g.since = term, g.o.Clock.Now()
 		clear(g.loading)
 	}
 	c := g.o.Catalog()
@@ -157,7 +162,7 @@
 			continue
 		}
 		complete = false
-		if given, under := g.loading[key]; under && time.Since(given) < g.o.LoadLimit || !r.known || len(g.loading)+len(*out) >= g.o.LoadsAtOnce {
+		if given, under := g.loading[key]; under && g.o.Clock.Now().Sub(given) < g.o.LoadLimit || !r.known || len(g.loading)+len(*out) >= g.o.LoadsAtOnce {
 			continue
 		}
 		*out = append(*out, due{r.server, g.order(wheelgauge.ActionLoad, model, version)})
@@ -209,13 +214,13 @@
 // give sends one order, if a quorum has just confirmed this leader and, for an
 // engine that checks no fences, every earlier leader's orders have ended.
 func (g *Giver) give(ctx context.Context, d due) {
-	if !d.server.ChecksFences && time.Since(g.since) < firstWait {
+	if !d.server.ChecksFences && g.o.Clock.Now().Sub(g.since) < firstWait {
 		return
 	}
-	began := time.Now()
+	began := g.o.Clock.Now()
 	limit, cancel := context.WithTimeout(ctx, lease)
 	defer cancel()
-	if err := g.o.Leadership.ReadBarrier(limit); err != nil || g.o.Leadership.Term() != g.term || time.Since(began) > lease {
+	if err := g.o.Leadership.ReadBarrier(limit); err != nil || g.o.Leadership.Term() != g.term || g.o.Clock.Now().Sub(began) > lease {
 		return
 	}
 	sending, stop := context.WithTimeout(ctx, orderLimit)
@@ -226,6 +231,6 @@
 	}
 	g.o.Log.Info("Order is given.", "server", d.server.Name, "action", d.order.Action, "model", d.order.Model, "version", d.order.Version, "fence", d.order.Fence)
 	if d.order.Action == wheelgauge.ActionLoad {
-		g.loading[loadKey(d.server, d.order.Model, d.order.Version)] = time.Now()
+		g.loading[loadKey(d.server, d.order.Model, d.order.Version)] = g.o.Clock.Now()
 	}
 }
--- a/orders/giver_test.go
+++ b/orders/giver_test.go
@@ -14,6 +14,7 @@
 
 	"wheelgauge"
 	"wheelgauge/catalog"
+	"wheelgauge/fake/fakeclock"
 )
 
 // engines is a fake of all engines; an order takes effect at once.
@@ -53,6 +54,46 @@
 	barrier error
 }
 
+// sleeper is a leader whose machine is suspended while a quorum confirms it.
+type sleeper struct {
+	leader
+	clock *fakeclock.Clock
+	sleep time.Duration
+}
+
+func (s *sleeper) ReadBarrier(context.Context) error {
+	s.clock.Suspend(s.sleep)
+	return nil
+}
+
+// A leader that was suspended after a quorum had confirmed it gave its order when it woke, as
+// the steady clock had counted none of that time: by then another leads, has waited for the
+// lease to end, and engines that check no fences take the earlier leader's order after its.
+func TestSuspendedLeaderGivesNoOrder(t *testing.T) {
+	tests := []struct {
+		sleep time.Duration
+		want  int
+	}{
+		{0, 1},
+		{lease / 2, 1},
+		{lease + time.Second, 0},
+		{time.Minute, 0},
+	}
+	for _, tt := range tests {
+		e := &engines{ready: map[string][]string{}}
+		c := build(`{"model":"m","version":"1","servers":["e1"]}`)
+		clock := &fakeclock.Clock{}
+		g := &Giver{loading: map[string]time.Time{}, o: Options{
+			LoadsAtOnce: 2, LoadLimit: time.Hour, Engines: e, Clock: clock, Log: logr.Discard(),
+			Leadership: &sleeper{leader{true, 7, nil}, clock, tt.sleep}, Catalog: func() *catalog.Catalog { return c },
+		}}
+		g.tick(context.Background())
+		if len(e.log) != tt.want {
+			t.Errorf("suspended for %v: orders %v, want %d", tt.sleep, e.log, tt.want)
+		}
+	}
+}
+
 func (l *leader) Leading() bool                     { return l.leading }
 func (l *leader) Term() uint64                      { return l.term }
 func (l *leader) ReadBarrier(context.Context) error { return l.barrier }
@@ -100,7 +141,7 @@
 			}
 			c := build(tt.place...)
 			g := &Giver{loading: map[string]time.Time{}, o: Options{
-				LoadsAtOnce: 2, LoadLimit: time.Hour, Leadership: &tt.leader, Engines: e, Log: logr.Discard(),
+				LoadsAtOnce: 2, LoadLimit: time.Hour, Leadership: &tt.leader, Engines: e, Clock: wheelgauge.SteadyClock{}, Log: logr.Discard(),
 				Catalog: func() *catalog.Catalog { return c },
 			}}
 			for range tt.ticks {
--- a/storenode/node.go
+++ b/storenode/node.go
@@ -15,6 +15,7 @@
 
 	"wheelgauge/acceptor"
 	"wheelgauge/adapter/engine"
+	"wheelgauge/bootclock"
 	"wheelgauge/catalog"
 	"wheelgauge/claims"
 	"wheelgauge/every"
@@ -116,6 +117,7 @@
 
 func (n *Node) open(ctx context.Context) error {
 	o := n.o
+	clock := bootclock.OrSteady(o.Log)
 	var err error
 	n.claims, err = claims.Open(context.WithoutCancel(ctx), claims.Options{Dir: filepath.Join(o.Dir, folderClaims), TTL: o.ClaimTTL, Skew: o.Skew})
 	if err != nil {
@@ -134,7 +136,7 @@
 	plain := peerhttp.NewDialer(o.Source, nil)
 	n.giver = orders.Start(context.WithoutCancel(ctx), orders.Options{
 		Interval: o.OrderInterval, LoadsAtOnce: o.LoadsAtOnce, LoadLimit: o.LoadLimit, Leadership: n.replica, Catalog: n.current,
-		Engines: engine.New(upstream.New(plain), peerhttp.NewClient(plain, "")), Log: o.Log.WithName("orders"),
+		Engines: engine.New(upstream.New(plain), peerhttp.NewClient(plain, "")), Clock: clock, Log: o.Log.WithName("orders"),
 	})
 	api := &storeapi.API{
 		Registry: n.registry, Replica: n.replica, Claims: n.claims, InForce: table, Acceptor: n.acceptor,
