Mode with resources: ages and deadlines count suspended time

Cause: gateways and stores of this mode judged everything by the steady clock. A gateway that was suspended sent, on waking, requests whose callers had left long ago, with the time that they had had before; it and its hub took hosts, limits, permits and servers set aside for as new as before.

Change: both open the clock that counts suspended time and hand it to the tables; a request's time goes on while its host is suspended, as in the mode with routes, and servers and other regions get what is left. make clocks keeps time.Now out of orders, membership and the gateway's side of limits.

--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 
 # Code that judges ages, leases and deadlines goes by a clock that it is given: the steady
 # one stands still while the machine is suspended.
-CLOCKED = capbank cappurse coldrate hosttable peerset quarantine retrybudget serverconn permitclient permitissuer serverlimit serverlist serverset beat/state.go beat/stores.go $(filter-out confstore/node.go %_test.go,$(wildcard confstore/*.go))
+CLOCKED = orders membership gateway/limit.go capbank cappurse coldrate hosttable peerset quarantine retrybudget serverconn permitclient permitissuer serverlimit serverlist serverset beat/state.go beat/stores.go $(filter-out confstore/node.go %_test.go,$(wildcard confstore/*.go))
 
 clocks: ## no steady clock where ages are judged
 	@! grep -rnE 'time\.(Now|Since|Until)\(' --include='*.go' $(CLOCKED) | grep -v '_test\.go:'
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -47,7 +47,7 @@
 // survey lists the servers of a route in this region that may take work now.
 func (g *Gateway) survey(f *field, c *catalog.Catalog, route *catalog.Route, model string, tried []string) {
 	f.candidates, f.load, f.slots = f.candidates[:0], 0, 0
-	now := time.Now()
+	now := g.clock.Now()
 	for _, s := range c.Servers(route.Pool, g.o.Region, "") {
 		if s.Leaving || contains(tried, s.Name) || !g.aside.Allowed(s.Name, now) || g.deferred.holds(s.Name, now) {
 			continue
@@ -102,7 +102,7 @@
 	service := g.inflight.Mean(rq.route.Pool)
 	here := away.Place{Region: g.o.Region, Wait: g.waitHere(rq, f, service), Price: rq.catalog.Region(g.o.Region).Price}
 	fits := f.slots > 0 && !admission.Shed(rq.call.Priority, here.Wait, g.o.LongestWait) &&
-		!admission.Late(here.Wait, leastService, time.Until(rq.call.Deadline))
+		!admission.Late(here.Wait, leastService, time.Until(g.due(rq)))
 	if !rq.forwarded {
 		if region, ok := g.elsewhere(rq, here, fits, service); ok {
 			return plan{region: region, must: !fits}, nil
@@ -132,7 +132,7 @@
 	}
 	reason, status := wheelgauge.ReasonOverloaded, http.StatusServiceUnavailable
 	shed := admission.Shed(rq.call.Priority, here.Wait, g.o.LongestWait)
-	if !shed && admission.Late(here.Wait, leastService, time.Until(rq.call.Deadline)) {
+	if !shed && admission.Late(here.Wait, leastService, time.Until(g.due(rq))) {
 		reason = wheelgauge.ReasonDeadline
 	}
 	return wheelgauge.NewError(reason, wheelgauge.OutcomeNotRun, status,
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -45,7 +45,7 @@
 // inquest notes that a server ended with a request in flight, if it did: one that takes
 // a new connection only broke this one off.
 func (g *Gateway) inquest(rq *request, s *catalog.Server) {
-	if s == nil || rq.left() || !time.Now().Before(rq.call.Deadline) {
+	if s == nil || rq.left() || g.over(rq) {
 		return
 	}
 	limit, cancel := context.WithTimeout(g.ctx, quarantine.InquestLimit)
--- /dev/null
+++ b/gateway/deadline.go
@@ -0,0 +1,13 @@
+package gateway
+
+import "time"
+
+// asleep is for how long the host was suspended so far.
+func (g *Gateway) asleep() time.Duration { return g.clock.Now().Sub(time.Now()) }
+
+// due is when the request's time is over, by the steady clock that connections go by. Its
+// caller's time goes on while the host is suspended.
+func (g *Gateway) due(rq *request) time.Time { return rq.call.Deadline.Add(rq.asleep - g.asleep()) }
+
+// over tells whether the request's time is over.
+func (g *Gateway) over(rq *request) bool { return !time.Now().Before(g.due(rq)) }
--- a/gateway/decide_test.go
+++ b/gateway/decide_test.go
@@ -28,7 +28,7 @@
 			Host: "h0", Region: "r0", Picker: affinity.New(0), LongestWait: 10 * time.Second,
 			Decider: away.New(away.PolicyCost, away.Weights{Second: 1, Share: 0.05, ColdPrefill: 60 * time.Millisecond}),
 		},
-		aside: setaside.New(), meter: meter.New(), ctx: ctx, cancel: cancel,
+		aside: setaside.New(), meter: meter.New(), clock: wheelgauge.SteadyClock{}, ctx: ctx, cancel: cancel,
 	}
 	g.node = membership.Start(ctx, membership.Options{
 		Host: "h0", Region: "r0", Interval: time.Hour, Catalog: func() *catalog.Catalog { return nil }, Log: logr.Discard(),
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -110,7 +110,7 @@
 	if !isOutcome(err, wheelgauge.OutcomeNotRun) {
 		rq.mayHaveRun = true
 	}
-	if time.Now().After(rq.call.Deadline) || rq.left() {
+	if g.over(rq) || rq.left() {
 		return false
 	}
 	if isOutcome(err, wheelgauge.OutcomeNotRun) {
@@ -145,7 +145,9 @@
 // is closed.
 func (g *Gateway) sendTo(ctx context.Context, rq *request, s *catalog.Server) (*wheelgauge.Answer, error) {
 	started := time.Now()
+	sent := g.clock.Now()
 	call := rq.call // an abandoned call keeps its own
+	call.Deadline = g.due(rq)
 	g.inflight.Start(s.Name)
 	g.inflight.Start(rq.route.Pool)
 	g.inflight.Sent(s.Name, started)
@@ -160,13 +162,13 @@
 		g.inflight.End(s.Name, 0)
 		g.inflight.End(rq.route.Pool, 0)
 		if !rq.left() && wheelgauge.AsError(err).Reason() != wheelgauge.ReasonOverloaded {
-			g.aside.Failed(s.Name, time.Now())
+			g.aside.Failed(s.Name, g.clock.Now())
 			g.o.Log.V(1).Info("Attempt failed.", "server", s.Name, "cause", err.Error())
 		}
 		return nil, err
 	}
 	g.aside.Worked(s.Name)
-	g.hearLimit(s.Name, answer, started)
+	g.hearLimit(s.Name, answer, sent)
 	rq.target.Store(&target{server: s.Name, region: g.o.Region})
 	answer.Body = &countedBody{ReadCloser: answer.Body, end: func() {
 		took := time.Since(started)
@@ -271,7 +273,9 @@
 func (g *Gateway) sendOld(ctx context.Context, rq *request, address string) (*wheelgauge.Answer, error) {
 	g.meter.Count("old_path")
 	rq.target.Store(&target{server: oldServer, region: g.o.Region})
-	answer, err := g.adapter(rq).Send(ctx, address, &rq.call)
+	call := rq.call
+	call.Deadline = g.due(rq)
+	answer, err := g.adapter(rq).Send(ctx, address, &call)
 	if err != nil {
 		return nil, fmt.Errorf("old path: %w", err)
 	}
@@ -341,7 +345,8 @@
 	if !rq.route.Engine {
 		call.Path = pathForward + "/s" + rq.call.Path
 	}
-	call.Extra = forwardMarks(rq, g.o.Region)
+	call.Deadline = g.due(rq)
+	call.Extra = forwardMarks(rq, g.o.Region, time.Until(call.Deadline))
 	return &call
 }
 
@@ -354,13 +359,13 @@
 }
 
 // forwardMarks is what a forwarded request carries besides its body.
-func forwardMarks(rq *request, from string) [][2]string {
+func forwardMarks(rq *request, from string, left time.Duration) [][2]string {
 	out := [][2]string{
 		{wheelgauge.HeaderForwardedFrom, from},
 		{wheelgauge.HeaderClient, rq.identity.Client},
 		{wheelgauge.HeaderClass, rq.identity.Class},
 		{wheelgauge.HeaderHome, rq.identity.Home},
-		{wheelgauge.HeaderDeadline, fmt.Sprint(max(1, time.Until(rq.call.Deadline).Milliseconds()))},
+		{wheelgauge.HeaderDeadline, fmt.Sprint(max(1, left.Milliseconds()))},
 	}
 	if rq.once {
 		out = append(out, [2]string{wheelgauge.HeaderNotRepeatable, "true"})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"wheelgauge/adapter/service"
 	"wheelgauge/admission"
 	"wheelgauge/away"
+	"wheelgauge/bootclock"
 	"wheelgauge/catalog"
 	"wheelgauge/confwatch"
 	"wheelgauge/gate"
@@ -70,14 +71,18 @@
 	PeerTLS   *tls.Config
 	// Secure makes connections to peers; nil on loopback.
 	Secure peerhttp.Secure
-	Log    logr.Logger
+	// Clock judges ages and deadlines; one that counts suspended time when nil.
+	Clock wheelgauge.Clock
+	Log   logr.Logger
 }
 
 // Gateway is a running gateway.
 type Gateway struct {
-	o       Options
-	boot    uint64
-	meter   *meter.Meter
+	o     Options
+	boot  uint64
+	meter *meter.Meter
+	// clock counts suspended time.
+	clock   wheelgauge.Clock
 	client  *peerhttp.Client
 	servers *upstream.Pool
 	peers   *upstream.Pool
@@ -115,10 +120,14 @@
 func Open(ctx context.Context, o Options) (*Gateway, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	plainDialer, peerDialer := peerhttp.NewDialer(o.Source, nil), peerhttp.NewDialer(o.Source, o.Secure)
+	clock := o.Clock
+	if clock == nil {
+		clock = bootclock.OrSteady(o.Log)
+	}
 	g := &Gateway{
-		o: o, boot: uint64(time.Now().UnixNano()), meter: meter.New(), client: peerhttp.NewClient(peerDialer, ""),
+		o: o, boot: uint64(time.Now().UnixNano()), meter: meter.New(), clock: clock, client: peerhttp.NewClient(peerDialer, ""),
 		servers: upstream.New(plainDialer), peers: upstream.New(peerDialer), limiter: admission.NewLimiter(),
-		budget: admission.NewBudget(), aside: setaside.New(), quarantine: quarantine.New(time.Now), serving: gate.New(), ctx: ctx, cancel: cancel,
+		budget: admission.NewBudget(), aside: setaside.New(), quarantine: quarantine.New(clock.Now), serving: gate.New(), ctx: ctx, cancel: cancel,
 	}
 	g.openPermits()
 	plain := peerhttp.NewClient(plainDialer, "")
@@ -130,7 +139,7 @@
 	})
 	g.node = membership.Start(ctx, membership.Options{
 		Host: o.Host, Region: o.Region, Hall: o.Hall, Boot: g.boot, Interval: o.Heartbeat, Client: g.client,
-		Catalog: g.watcher.Current, Poll: g.poll, Asks: g.waiting, Crashes: g.quarantine, Limits: g.limits, Log: o.Log.WithName("members"),
+		Catalog: g.watcher.Current, Poll: g.poll, Asks: g.waiting, Crashes: g.quarantine, Limits: g.limits, Clock: clock, Log: o.Log.WithName("members"),
 	})
 	g.hints = startHints(ctx, o.HostList, o.Log.WithName("hosts"))
 	if err := g.listen(); err != nil {
--- a/gateway/limit.go
+++ b/gateway/limit.go
@@ -52,10 +52,10 @@
 
 // openPermits prepares what servers with limits need.
 func (g *Gateway) openPermits() {
-	g.limits = serverlimit.New(time.Now)
+	g.limits = serverlimit.New(g.clock.Now)
 	g.deferred.limits = g.limits
 	g.permits = permitclient.New(permitclient.Options{
-		Host: g.o.Host, Limits: g.limits, Stores: g.permitStores, Sharers: g.sharers, Ask: g.askPermit, Now: time.Now,
+		Host: g.o.Host, Limits: g.limits, Stores: g.permitStores, Sharers: g.sharers, Ask: g.askPermit, Now: g.clock.Now,
 	})
 }
 
@@ -79,7 +79,7 @@
 // pickPermitted picks a server that may get the call: what one takes that has named a limit
 // binds all hosts of the region together.
 func (g *Gateway) pickPermitted(ctx context.Context, rq *request, tried []string) (*catalog.Server, bool) {
-	limit, cancel := context.WithDeadline(ctx, rq.call.Deadline)
+	limit, cancel := context.WithDeadline(ctx, g.due(rq))
 	defer cancel()
 	for limit.Err() == nil {
 		server, ok := g.pick(rq, tried)
@@ -91,7 +91,7 @@
 			return server, true
 		}
 		g.meter.Count("permits.refused")
-		g.deferred.add(server.Name, after, time.Now())
+		g.deferred.add(server.Name, after, g.clock.Now())
 	}
 	return nil, false
 }
--- a/gateway/peer.go
+++ b/gateway/peer.go
@@ -69,7 +69,7 @@
 
 func (g *Gateway) fromPeer(ctx *fasthttp.RequestCtx) (*request, error) {
 	h := &ctx.Request.Header
-	rq := &request{started: time.Now(), forwarded: true}
+	rq := &request{started: time.Now(), asleep: g.asleep(), forwarded: true}
 	rq.target.Store(&target{region: g.o.Region})
 	rq.call.ID = string(h.Peek(wheelgauge.HeaderRequestID))
 	rq.call.Method = string(ctx.Method())
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -47,6 +47,8 @@
 	forwarded bool
 	must      bool // forwarded because its own region cannot serve it
 	started   time.Time
+	// asleep is for how long the host had been suspended when the request came.
+	asleep time.Duration
 	// gone tells whether whoever asked has left; nil means never.
 	gone      func() bool
 	cancelled atomic.Bool
@@ -88,7 +90,7 @@
 // fromCaller reads the head of a caller's request. Marks that only peers may
 // set are not looked at.
 func (g *Gateway) fromCaller(ctx *fasthttp.RequestCtx) (*request, error) {
-	rq := &request{started: time.Now()}
+	rq := &request{started: time.Now(), asleep: g.asleep()}
 	rq.target.Store(&target{region: g.o.Region})
 	rq.call.ID = g.newID()
 	rq.call.Method = string(ctx.Method())
--- a/membership/node.go
+++ b/membership/node.go
@@ -58,7 +58,9 @@
 	Crashes *quarantine.Table
 	// Limits are those that servers have named to this host, and what others heard.
 	Limits *serverlimit.Table
-	Log    logr.Logger
+	// Clock judges who is heard; the steady one when nil.
+	Clock wheelgauge.Clock
+	Log   logr.Logger
 }
 
 // Node is the member of one gateway.
@@ -94,14 +96,17 @@
 // Start begins to send heartbeats.
 func Start(ctx context.Context, options Options) *Node {
 	ctx, cancel := context.WithCancel(ctx)
+	if options.Clock == nil {
+		options.Clock = wheelgauge.SteadyClock{}
+	}
 	if options.Crashes == nil {
-		options.Crashes = quarantine.New(time.Now)
+		options.Crashes = quarantine.New(options.Clock.Now)
 	}
 	if options.Limits == nil {
-		options.Limits = serverlimit.New(time.Now)
+		options.Limits = serverlimit.New(options.Clock.Now)
 	}
 	n := &Node{
-		options: options, hub: NewHub(options.Region, options.Boot, options.Interval, options.Catalog, time.Now),
+		options: options, hub: NewHub(options.Region, options.Boot, options.Interval, options.Catalog, options.Clock.Now),
 		hosts: map[string]wheelgauge.HostEntry{}, servers: map[string]*ServerState{}, names: map[int]string{}, models: map[int]string{}, regions: map[string]wheelgauge.RegionSummary{},
 		cancel: cancel, done: make(chan error, 1),
 	}
@@ -332,7 +337,7 @@
 
 // applyOwn puts entries into the server table.
 func (n *Node) applyOwn(entries []wheelgauge.ServerEntry) {
-	now := time.Now()
+	now := n.options.Clock.Now()
 	for _, e := range entries {
 		s := n.servers[e.Server]
 		if s == nil {
--- a/storenode/node.go
+++ b/storenode/node.go
@@ -130,7 +130,7 @@
 	if err != nil {
 		return errors.Join(err, n.claims.Close())
 	}
-	n.hub = membership.NewHub(o.Region, uint64(time.Now().UnixNano()), o.Heartbeat, n.current, time.Now)
+	n.hub = membership.NewHub(o.Region, uint64(time.Now().UnixNano()), o.Heartbeat, n.current, clock.Now)
 	table := inforce.New()
 	n.acceptor = acceptor.Start(context.WithoutCancel(ctx), n.registry, n.replica, table, n.client, o.Log.WithName("acceptor"))
 	plain := peerhttp.NewDialer(o.Source, nil)
