Mode with resources: a very long time that a caller gives is a time

Cause: as in the mode with routes; 10^15 ms and more were multiplied into a time below zero, and the request was ended as too late.

--- a/gateway/deadline.go
+++ b/gateway/deadline.go
@@ -2,6 +2,10 @@
 
 import "time"
 
+// longestLimit is the longest time that a caller may give a request: a number of ms that is
+// too large for a time would be over before it began.
+const longestLimit = 24 * time.Hour
+
 // asleep is for how long the host was suspended so far.
 func (g *Gateway) asleep() time.Duration { return g.clock.Now().Sub(time.Now()) }
 
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -121,7 +121,7 @@
 	if err != nil || ms <= 0 {
 		return otherwise, badRequest(wheelgauge.HeaderDeadline + " must be a number of milliseconds above 0")
 	}
-	return time.Duration(ms) * time.Millisecond, nil
+	return time.Duration(min(ms, longestLimit.Milliseconds())) * time.Millisecond, nil
 }
 
 // place finds out who calls and whether this region may serve it, from the
