Mode with resources: a call in flight ends when its host wakes too late

Cause: a call's own deadline goes by the steady clock. After a suspension its caller was long gone and the server went on; the gateway waited by as much as was not counted.

Change: the look that finds callers who left (every 0.1 s) also ends what is over by the clock that counts suspended time: the caller is answered at once with outcome unknown, the server's side is cancelled beside.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -210,6 +210,12 @@
 				cancelled = true
 				cancel()
 			}
+			if g.over(rq) && !cancelled {
+				// The call's own deadline does not count the time that the host was suspended.
+				g.strays.Go(cancel)
+				g.abandon(done)
+				return nil, wheelgauge.NewError(wheelgauge.ReasonDeadline, wheelgauge.OutcomeUnknown, http.StatusGatewayTimeout, "the request's time is over")
+			}
 			if dead() {
 				g.abandon(done)
 				return nil, wheelgauge.NewError(wheelgauge.ReasonServerFailed, wheelgauge.OutcomeUnknown, http.StatusBadGateway, "the other side stopped answering")
--- a/gateway/suspend_test.go
+++ b/gateway/suspend_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"wheelgauge"
 	"wheelgauge/fake/fakeclock"
 )
 
@@ -44,3 +45,33 @@
 		})
 	}
 }
+
+// A call in flight waited on by what a suspended host had not counted: its own deadline goes
+// by the steady clock.
+func TestCallInFlightEndsAfterWaking(t *testing.T) {
+	const limit = time.Hour
+	g, clock := idle(t), &fakeclock.Clock{}
+	g.clock = clock
+	rq := asked(regions(1), 1)
+	rq.call.Deadline = time.Now().Add(limit)
+	answer, cancelled, sent := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	t.Cleanup(g.strays.Wait)
+	defer close(answer)
+	go func() {
+		<-sent
+		clock.Suspend(limit + time.Second)
+	}()
+	_, err := g.watched(rq,
+		func() (*wheelgauge.Answer, error) {
+			close(sent)
+			<-answer
+			return nil, context.Canceled
+		},
+		func() { close(cancelled) },
+		func() bool { return false })
+	fault := wheelgauge.AsError(err)
+	if fault.Reason() != wheelgauge.ReasonDeadline || fault.Outcome() != wheelgauge.OutcomeUnknown {
+		t.Errorf("it ends with %v", err)
+	}
+	<-cancelled // or the server goes on with it
+}
