--- a/entrynode/fleet_test.go
+++ b/entrynode/fleet_test.go
@@ -18,6 +18,7 @@
 
 	"wheelgauge"
 	"wheelgauge/confstore"
+	"wheelgauge/fake/fakeclock"
 	"wheelgauge/native"
 	"wheelgauge/retrybudget"
 )
@@ -41,15 +42,17 @@
 	// limits are those that engines name, arrivals when requests came to each.
 	limits   map[string]float64
 	arrivals map[string][]time.Time
-	ended    atomic.Int64
-	group    sync.WaitGroup
-	stop     context.CancelFunc
-	ctx      context.Context
+	// told is when each engine first named its limit.
+	told  map[string]time.Time
+	ended atomic.Int64
+	group sync.WaitGroup
+	stop  context.CancelFunc
+	ctx   context.Context
 }
 
 func newEngines(t *testing.T, count int, hall string) *engines {
 	t.Helper()
-	e := &engines{hall: hall, conns: map[string][]net.Conn{}, limits: map[string]float64{}, arrivals: map[string][]time.Time{}}
+	e := &engines{hall: hall, conns: map[string][]net.Conn{}, limits: map[string]float64{}, arrivals: map[string][]time.Time{}, told: map[string]time.Time{}}
 	e.ctx, e.stop = context.WithCancel(context.Background())
 	for n := range count {
 		e.start(t, n, fmt.Sprintf("127.0.84.%d:9000", 100+n))
@@ -146,6 +149,9 @@
 	defer e.mu.Unlock()
 	e.arrivals[name] = append(e.arrivals[name], time.Now())
 	if rate, ok := e.limits[name]; ok {
+		if e.told[name].IsZero() {
+			e.told[name] = time.Now()
+		}
 		return fmt.Sprintf("%s: %g\r\n", native.Headers().Limit, rate)
 	}
 	return ""
@@ -169,6 +175,8 @@
 	dirs   []string
 	stores []*confstore.Node
 	hosts  []*Node
+	// storeClocks and hostClocks are those by which each judges ages.
+	storeClocks, hostClocks [fleetSize]fakeclock.Clock
 }
 
 const fleetSize = 3
@@ -183,7 +191,7 @@
 	t.Helper()
 	s, err := confstore.Open(context.Background(), confstore.Options{
 		Name: fmt.Sprint("store-", n), Region: regionOf[f.halls[n]], Hall: f.halls[n], Halls: regionOf, Dir: f.dirs[n], Peer: f.storeAddresses()[n],
-		Seeds: f.storeAddresses(), First: first, Tick: 20 * time.Millisecond, PollEvery: 50 * time.Millisecond, Decode: native.Decode, List: f.engines, Log: logr.Discard(),
+		Seeds: f.storeAddresses(), First: first, Tick: 20 * time.Millisecond, PollEvery: 50 * time.Millisecond, Decode: native.Decode, List: f.engines, Clock: &f.storeClocks[n], Log: logr.Discard(),
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -196,7 +204,7 @@
 	h, err := Open(context.Background(), Options{
 		Name: fmt.Sprint("g-", n), Region: regionOf[f.halls[n]], Hall: f.halls[n], Caller: f.caller(n), Peer: fmt.Sprintf("127.0.84.%d:7802", 11+n), Seeds: f.storeAddresses(),
 		Interval: 100 * time.Millisecond, FarInterval: 200 * time.Millisecond, Grace: time.Second,
-		Budget: retrybudget.Options{Ratio: 0.2, Slack: 200, Window: testLimit}, Decode: native.Decode, Names: native.Headers(), Log: logr.Discard(),
+		Budget: retrybudget.Options{Ratio: 0.2, Slack: 200, Window: testLimit}, Decode: native.Decode, Names: native.Headers(), Clock: &f.hostClocks[n], Log: logr.Discard(),
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/entrynode/limit_test.go
+++ b/entrynode/limit_test.go
@@ -115,6 +115,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	clear(e.limits)
+	clear(e.told)
 	var names []string
 	for _, s := range e.list[:count] {
 		e.limits[s.Instance] = rate
@@ -136,6 +137,13 @@
 	return nil
 }
 
+// toldLimit returns when an engine first named its limit; zero if it has not.
+func (e *engines) toldLimit(name string) time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.told[name]
+}
+
 // told tells whether every host of the engines' region knows the limits.
 func (f *fleet) told(names []string) bool {
 	for n, h := range f.hosts {
@@ -161,11 +169,14 @@
 	asked, served, unpromised atomic.Int64
 	// servedAt counts those served by each host.
 	servedAt [fleetSize]atomic.Int64
+	// statuses counts answers by status, 0 being none.
+	mu       sync.Mutex
+	statuses map[int]int64
 }
 
 func (f *fleet) callers(count int) *callers {
 	ctx, cancel := context.WithCancel(context.Background())
-	c := &callers{fleet: f, cancel: cancel}
+	c := &callers{fleet: f, cancel: cancel, statuses: map[int]int64{}}
 	for n := range count {
 		c.group.Go(func() {
 			for i := 0; ctx.Err() == nil; i++ {
@@ -193,6 +204,7 @@
 func (c *callers) ask(ctx context.Context, host int, body string) {
 	status, after, err := postFor(c.fleet.caller(host), "/a/plain", body)
 	c.asked.Add(1)
+	c.note(status)
 	wait := askEvery
 	switch {
 	case err == nil && status == http.StatusOK:
@@ -209,6 +221,12 @@
 	}
 }
 
+func (c *callers) note(status int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.statuses[status]++
+}
+
 // postFor sends a request and returns the status and when to come back.
 func postFor(address, path, body string) (int, time.Duration, error) {
 	conn, err := net.Dial("tcp", address)
