One place decodes, runs and answers a typed call

The gateway's peer listener decoded and answered three calls by hand, storeapi had a function for it.

--- a/gateway/peer.go
+++ b/gateway/peer.go
@@ -20,26 +20,11 @@
 	path := string(ctx.Path())
 	switch {
 	case path == membership.PathBeat:
-		b, err := peerhttp.Decode[wheelgauge.Heartbeat](ctx)
-		if err != nil {
-			peerhttp.AnswerError(ctx, err)
-			return
-		}
-		peerhttp.Answer(ctx, g.node.Hub().Beat(b))
+		peerhttp.Serve(ctx, peerhttp.Infallible(g.node.Hub().Beat))
 	case path == permitclient.Path:
-		ask, err := peerhttp.Decode[wheelgauge.PermitAsk](ctx)
-		if err != nil {
-			peerhttp.AnswerError(ctx, err)
-			return
-		}
-		peerhttp.Answer(ctx, g.node.Hub().Permit(ask))
+		peerhttp.Serve(ctx, peerhttp.Infallible(g.node.Hub().Permit))
 	case path == membership.PathSummary:
-		s, err := peerhttp.Decode[wheelgauge.RegionSummary](ctx)
-		if err != nil {
-			peerhttp.AnswerError(ctx, err)
-			return
-		}
-		peerhttp.Answer(ctx, g.node.Hub().Exchange(s))
+		peerhttp.Serve(ctx, peerhttp.Infallible(g.node.Hub().Exchange))
 	case path == confwatch.PathList:
 		peerhttp.Answer(ctx, g.watcher.List())
 	case path == confwatch.PathGeneration:
--- a/peerhttp/answer.go
+++ b/peerhttp/answer.go
@@ -49,6 +49,26 @@
 	return v, nil
 }
 
+// Serve decodes a call, runs it, and writes its answer or its error.
+func Serve[In, Out any](ctx *fasthttp.RequestCtx, run func(In) (Out, error)) {
+	in, err := Decode[In](ctx)
+	if err != nil {
+		AnswerError(ctx, err)
+		return
+	}
+	out, err := run(in)
+	if err != nil {
+		AnswerError(ctx, err)
+		return
+	}
+	Answer(ctx, out)
+}
+
+// Infallible makes a call of a function that has no error.
+func Infallible[In, Out any](f func(In) Out) func(In) (Out, error) {
+	return func(in In) (Out, error) { return f(in), nil }
+}
+
 // NotFound answers a path that does not exist.
 func NotFound(ctx *fasthttp.RequestCtx) {
 	AnswerError(ctx, wheelgauge.NewError(wheelgauge.ReasonNotFound, wheelgauge.OutcomeNotRun, fasthttp.StatusNotFound, "no such path: "+string(ctx.Path())))
--- a/storeapi/api.go
+++ b/storeapi/api.go
@@ -120,31 +120,16 @@
 	case PathClaims:
 		a.claim(ctx)
 	case membership.PathBeat:
-		serve(ctx, func(b wheelgauge.Heartbeat) (wheelgauge.View, error) { return a.Hub.Beat(b), nil })
+		peerhttp.Serve(ctx, peerhttp.Infallible(a.Hub.Beat))
 	case permitclient.Path:
-		serve(ctx, func(ask wheelgauge.PermitAsk) (wheelgauge.PermitAnswer, error) { return a.Hub.Permit(ask), nil })
+		peerhttp.Serve(ctx, peerhttp.Infallible(a.Hub.Permit))
 	case membership.PathSummary:
-		serve(ctx, func(s wheelgauge.RegionSummary) (wheelgauge.RegionSummary, error) { return a.Hub.Exchange(s), nil })
+		peerhttp.Serve(ctx, peerhttp.Infallible(a.Hub.Exchange))
 	default:
 		peerhttp.NotFound(ctx)
 	}
 }
 
-// serve decodes, runs and answers one typed call.
-func serve[In, Out any](ctx *fasthttp.RequestCtx, run func(In) (Out, error)) {
-	in, err := peerhttp.Decode[In](ctx)
-	if err != nil {
-		peerhttp.AnswerError(ctx, err)
-		return
-	}
-	out, err := run(in)
-	if err != nil {
-		peerhttp.AnswerError(ctx, err)
-		return
-	}
-	peerhttp.Answer(ctx, out)
-}
-
 func (a *API) ready(ctx *fasthttp.RequestCtx) {
 	if a.Replica.LeaderAddress() == "" {
 		peerhttp.AnswerError(ctx, wheelgauge.NewError(wheelgauge.ReasonNoLeader, wheelgauge.OutcomeNotRun, http.StatusServiceUnavailable, "no leader is known"))
@@ -156,7 +141,7 @@
 func (a *API) claim(ctx *fasthttp.RequestCtx) {
 	limit, cancel := context.WithTimeout(a.Stop, changeTimeout)
 	defer cancel()
-	serve(ctx, func(c wheelgauge.Claim) (wheelgauge.Claim, error) {
+	peerhttp.Serve(ctx, func(c wheelgauge.Claim) (wheelgauge.Claim, error) {
 		a.Meter.Count("claims." + string(c.State))
 		return a.Claims.Take(limit, c)
 	})
