--- a/entrynode/fleet_test.go
+++ b/entrynode/fleet_test.go
@@ -42,6 +42,8 @@
 	// limits are those that engines name, arrivals when requests came to each.
 	limits   map[string]float64
 	arrivals map[string][]time.Time
+	// endedAt is when engines ended.
+	endedAt []time.Time
 	// told is when each engine first named its limit.
 	told  map[string]time.Time
 	ended atomic.Int64
@@ -136,6 +138,7 @@
 		time.Sleep(runTime)
 		if string(body) == deadly && req.URL.Path == "/a/deadly" {
 			e.ended.Add(1)
+			e.noteEnd()
 			end()
 			return
 		}
@@ -143,6 +146,12 @@
 	}
 }
 
+func (e *engines) noteEnd() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.endedAt = append(e.endedAt, time.Now())
+}
+
 // arrived notes that a request came, and renders the limit that its answer names.
 func (e *engines) arrived(name string) string {
 	e.mu.Lock()
--- a/entrynode/limit_test.go
+++ b/entrynode/limit_test.go
@@ -169,14 +169,21 @@
 	asked, served, unpromised atomic.Int64
 	// servedAt counts those served by each host.
 	servedAt [fleetSize]atomic.Int64
-	// statuses counts answers by status, 0 being none.
-	mu       sync.Mutex
-	statuses map[int]int64
+	// answers are those that were neither success nor refusal.
+	mu      sync.Mutex
+	answers []answered
+}
+
+// answered is an answer that a caller got from a host.
+type answered struct {
+	host   int
+	status int
+	at     time.Time
 }
 
 func (f *fleet) callers(count int) *callers {
 	ctx, cancel := context.WithCancel(context.Background())
-	c := &callers{fleet: f, cancel: cancel, statuses: map[int]int64{}}
+	c := &callers{fleet: f, cancel: cancel}
 	for n := range count {
 		c.group.Go(func() {
 			for i := 0; ctx.Err() == nil; i++ {
@@ -204,7 +211,7 @@
 func (c *callers) ask(ctx context.Context, host int, body string) {
 	status, after, err := postFor(c.fleet.caller(host), "/a/plain", body)
 	c.asked.Add(1)
-	c.note(status)
+	c.note(host, status)
 	wait := askEvery
 	switch {
 	case err == nil && status == http.StatusOK:
@@ -221,10 +228,13 @@
 	}
 }
 
-func (c *callers) note(status int) {
+func (c *callers) note(host, status int) {
+	if status == 0 || status == http.StatusOK || status == http.StatusServiceUnavailable {
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.statuses[status]++
+	c.answers = append(c.answers, answered{host, status, time.Now()})
 }
 
 // postFor sends a request and returns the status and when to come back.
--- a/entrynode/lost_time_test.go
+++ b/entrynode/lost_time_test.go
@@ -23,6 +23,8 @@
 	lostPause  = 300 * time.Millisecond
 	// lostHeard is how long hosts have to tell each other of a limit.
 	lostHeard = 1500 * time.Millisecond
+	// lostSeen is how much later a caller may see what a waking or an end was the cause of.
+	lostSeen = time.Second
 )
 
 // lostTimes are how long a machine is suspended: in sum less than what ended engines is
@@ -41,22 +43,21 @@
 
 func playLostTime(t *testing.T, seed uint64) {
 	f, r := openFleet(t), rand.New(rand.NewPCG(seed, 11))
-	var log []string
+	l := &lostTime{fleet: f}
 	t.Cleanup(func() {
 		if t.Failed() {
-			t.Log(strings.Join(log, "\n"))
+			t.Log(strings.Join(l.log, "\n"))
 		}
 	})
-	note := func(format string, args ...any) { log = append(log, fmt.Sprintf(format, args...)) }
 	c := f.callers(4 * fleetSize)
 	defer c.end()
 	limited, rate := []string(nil), []float64{0.5, 2, 5}[r.IntN(3)]
 	for i := range lostEvents {
 		if i == 2 {
 			limited = f.engines.limit(1+r.IntN(3), rate)
-			note("engines %v name a limit of %g", limited, rate)
+			l.note("engines %v name a limit of %g", limited, rate)
 		}
-		f.loseTime(t, r, note)
+		l.lose(t, r)
 		f.ask(r.IntN(fleetSize), "/a/deadly", deadly)
 		time.Sleep(time.Duration(r.Int64N(int64(lostPause))))
 	}
@@ -74,8 +75,10 @@
 	if ended := f.engines.ended.Load(); ended > mostEnds {
 		t.Errorf("%d engines ended under one request", ended)
 	}
-	if foreign := c.foreignStatuses(); len(foreign) > 0 {
-		t.Errorf("answers that no caller should get: %v", foreign)
+	for _, a := range c.answers {
+		if !l.excuse(a) {
+			t.Errorf("host %d answered %d at %s, with nothing to excuse it", a.host, a.status, a.at.Format("05.000"))
+		}
 	}
 	for _, name := range limited {
 		f.engines.mu.Lock()
@@ -89,39 +92,60 @@
 	}
 }
 
-// loseTime lets some machines lose time, or starts one again.
-func (f *fleet) loseTime(t *testing.T, r *rand.Rand, note func(format string, args ...any)) {
+// lostTime is what has happened to the machines of a fleet.
+type lostTime struct {
+	fleet *fleet
+	log   []string
+	// wokeLate is when each host woke after more than a request's time.
+	wokeLate [fleetSize][]time.Time
+}
+
+func (l *lostTime) note(format string, args ...any) {
+	l.log = append(l.log, time.Now().Format("05.000 ")+fmt.Sprintf(format, args...))
+}
+
+// lose lets some machines lose time, or starts one again.
+func (l *lostTime) lose(t *testing.T, r *rand.Rand) {
 	n, lost := r.IntN(fleetSize), lostTimes[r.IntN(len(lostTimes))]
 	switch r.IntN(6) {
 	case 0, 1:
-		note("host %d is suspended for %v", n, lost)
-		f.hostClocks[n].Suspend(lost)
+		l.note("host %d is suspended for %v", n, lost)
+		l.suspendHost(n, lost)
 	case 2, 3:
-		note("store %d is suspended for %v", n, lost)
-		f.storeClocks[n].Suspend(lost)
+		l.note("store %d is suspended for %v", n, lost)
+		l.fleet.storeClocks[n].Suspend(lost)
 	case 4:
-		note("all are suspended for %v", lost)
+		l.note("all are suspended for %v", lost)
 		for i := range fleetSize {
-			f.hostClocks[i].Suspend(lost)
-			f.storeClocks[i].Suspend(lost)
+			l.suspendHost(i, lost)
+			l.fleet.storeClocks[i].Suspend(lost)
 		}
 	case 5:
-		note("host %d starts again", n)
-		f.closeHost(t, n)
-		f.openHost(t, n)
+		l.note("host %d starts again", n)
+		l.fleet.closeHost(t, n)
+		l.fleet.openHost(t, n)
 	}
 }
 
-// foreignStatuses are those of answers that say neither that a request was served nor that
-// it was not run and when to come back, nor that the host is away.
-func (c *callers) foreignStatuses() map[int]int64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	out := map[int]int64{}
-	for status, count := range c.statuses {
-		if status != http.StatusOK && status != http.StatusServiceUnavailable && status != 0 {
-			out[status] = count
-		}
+func (l *lostTime) suspendHost(n int, lost time.Duration) {
+	if lost >= testLimit {
+		l.wokeLate[n] = append(l.wokeLate[n], time.Now())
+	}
+	l.fleet.hostClocks[n].Suspend(lost)
+}
+
+// excuse tells whether an answer may be neither success nor refusal: the request's time was
+// over when its host woke, or the engine that ran it ended.
+func (l *lostTime) excuse(a answered) bool {
+	recently := func(at time.Time) bool { return a.at.After(at) && a.at.Sub(at) < lostSeen }
+	switch a.status {
+	case http.StatusGatewayTimeout:
+		return slices.ContainsFunc(l.wokeLate[a.host], recently)
+	case http.StatusBadGateway:
+		l.fleet.engines.mu.Lock()
+		defer l.fleet.engines.mu.Unlock()
+		return slices.ContainsFunc(l.fleet.engines.endedAt, recently)
+	default:
+		return false
 	}
-	return out
 }
