The judge of windows has one exported type

Windows were a second type with three accessors for one reader; a function called for each window says the same. No check changes; tests of judge, coldrate and permitclient pass.

--- a/coldrate/views_test.go
+++ b/coldrate/views_test.go
@@ -134,7 +134,8 @@
 					}
 					v.step()
 				}
-				most = max(most, judge.ColdRate().Worst(v.sent).Got())
+				got, _ := judge.ColdRate().Worst(v.sent)
+				most = max(most, got)
 				if err := judge.ColdRate().Check(viewRate, v.sent); err != nil {
 					t.Errorf("%s, %d hosts, seed %d: %v", tt.name, hosts, seed, err)
 				}
--- a/fake/judge/bound.go
+++ b/fake/judge/bound.go
@@ -29,51 +29,34 @@
 // requests a second.
 func (b Bound) Allowed(rate float64) float64 { return b.over*rate*b.window.Seconds() + b.slack }
 
-// Window is the arrivals within one window.
-type Window struct {
-	from, to time.Time
-	got      int
-}
-
-// From returns when the first of the arrivals came, To when the last did.
-func (w Window) From() time.Time { return w.from }
-
-// To returns when the last of the arrivals came.
-func (w Window) To() time.Time { return w.to }
-
-// Got returns how many came.
-func (w Window) Got() int { return w.got }
-
-// Windows returns the longest window that ends with each arrival, in order of time.
-func (b Bound) Windows(arrivals []time.Time) []Window {
+// Each calls f for each arrival, in order of time, with the longest window that ends with
+// it: when its first arrival came, when its last, and how many came.
+func (b Bound) Each(arrivals []time.Time, f func(from, to time.Time, got int)) {
 	at := slices.SortedFunc(slices.Values(arrivals), time.Time.Compare)
-	out := make([]Window, 0, len(at))
 	first := 0
 	for i := range at {
 		for at[i].Sub(at[first]) >= b.window {
 			first++
 		}
-		out = append(out, Window{from: at[first], to: at[i], got: i - first + 1})
+		f(at[first], at[i], i-first+1)
 	}
-	return out
 }
 
-// Worst returns the window with the most arrivals, the first of several.
-func (b Bound) Worst(arrivals []time.Time) Window {
-	var worst Window
-	for _, w := range b.Windows(arrivals) {
-		if w.got > worst.got {
-			worst = w
+// Worst returns how many came within one window at most, and when the first such began.
+func (b Bound) Worst(arrivals []time.Time) (most int, began time.Time) {
+	b.Each(arrivals, func(from, _ time.Time, got int) {
+		if got > most {
+			most, began = got, from
 		}
-	}
-	return worst
+	})
+	return most, began
 }
 
 // Check returns an error if more came within a window than a server with a rate may get.
 func (b Bound) Check(rate float64, arrivals []time.Time) error {
-	w := b.Worst(arrivals)
-	if allowed := b.Allowed(rate); float64(w.got) > allowed {
-		return fmt.Errorf("%d requests within %s from %s, allowed %.0f at %g a second", w.got, b.window, w.from.Format("15:04:05.000"), allowed, rate)
+	got, began := b.Worst(arrivals)
+	if allowed := b.Allowed(rate); float64(got) > allowed {
+		return fmt.Errorf("%d requests within %s from %s, allowed %.0f at %g a second", got, b.window, began.Format("15:04:05.000"), allowed, rate)
 	}
 	return nil
 }
--- a/permitclient/model_test.go
+++ b/permitclient/model_test.go
@@ -302,12 +302,12 @@
 		got = append(got, time.Unix(0, 0).Add(at))
 	}
 	bound, most := judge.ServerLimit(), 0.0
-	for _, w := range bound.Windows(got) {
-		from, to := w.From().Sub(time.Unix(0, 0)), w.To().Sub(time.Unix(0, 0))
-		if rate, limited := s.most(max(firstNamed, from-settle), to); limited {
-			most = max(most, float64(w.Got())/bound.Allowed(rate))
+	bound.Each(got, func(from, to time.Time, count int) {
+		first, last := from.Sub(time.Unix(0, 0)), to.Sub(time.Unix(0, 0))
+		if rate, limited := s.most(max(firstNamed, first-settle), last); limited {
+			most = max(most, float64(count)/bound.Allowed(rate))
 		}
-	}
+	})
 	return most
 }
 
