Failed tests of whole programs say what the programs wrote

Neither the answer to the request that ends engines nor how many ended was told, and programs' logs are printed with -v only.

Sight: both are in the message now, and the last 25 lines of each program are printed whenever a test fails.

--- a/systemtest/fault_crash_test.go
+++ b/systemtest/fault_crash_test.go
@@ -38,12 +38,16 @@
 		}
 		return n
 	}
-	if r := deadly(hosts[0]); r.status == http.StatusOK {
-		t.Fatalf("it was served: %s", r)
+	first := deadly(hosts[0])
+	if first.status == http.StatusOK {
+		t.Fatalf("it was served: %s", first)
 	}
 	for _, n := range hosts {
 		eventually(t, 20*time.Second, n.name+" knows of it", func() error {
-			return d.heldBack(n, 1)
+			if err := d.heldBack(n, 1); err != nil {
+				return fmt.Errorf("%w; it was answered %s, and %d engines ended", err, first, ended())
+			}
+			return nil
 		})
 	}
 	before := ended()
--- a/systemtest/process_test.go
+++ b/systemtest/process_test.go
@@ -99,7 +99,7 @@
 		p.t.Errorf("%s: race or panic:\n%s", p.name, text)
 		return
 	}
-	if p.t.Failed() && testing.Verbose() {
+	if p.t.Failed() {
 		p.t.Logf("log of %s:\n%s", p.name, lastLines(text, 25))
 	}
 }
