Mode with resources: an engine that is just ending counts as ended

What callers saw: a request that ended three engines was not held back, and could end a fourth.

The third took a new connection when it was looked at within 1 ms, so that it seemed only to have broken the first off. Ruled out: a refusal as not run (the answer was 502).

Change: a server that takes a connection is looked at once more 10 ms later; only a port that refuses then says that it ended, so that a busy one is not taken for it.

--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -10,6 +10,7 @@
 	"net"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -24,6 +25,8 @@
 	// hardly ever used at the moment its server closes it.
 	idleLimit   = 5 * time.Second
 	longestCall = 10 * time.Minute
+	// endingTime is how long a process that ends may still take connections.
+	endingTime = 10 * time.Millisecond
 )
 
 var longAgo = time.Unix(1, 0)
@@ -80,13 +83,30 @@
 
 // Reaches tells whether an address takes a new connection in time.
 func (p *Pool) Reaches(ctx context.Context, address string) bool {
+	if touch(ctx, address) != nil {
+		return false
+	}
+	// A process that is just ending breaks its connections off before its port refuses new
+	// ones: looked at once, it seems to go on.
+	timer := time.NewTimer(endingTime)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return !errors.Is(touch(ctx, address), syscall.ECONNREFUSED)
+	case <-ctx.Done():
+		return true
+	}
+}
+
+// touch opens a connection and closes it.
+func touch(ctx context.Context, address string) error {
 	d := net.Dialer{}
 	c, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return false
+		return fmt.Errorf("connect to %s: %w", address, err)
 	}
 	_ = c.Close() // nothing was sent on it
-	return true
+	return nil
 }
 
 // host returns the client of a way. Fresh connections are never kept, so that
