Mode with resources: no deadline is set up for calls that need no permit

Read again: each attempt made a context with a timer before it was known whether the server had named a limit, which is rare, and whether a request's time is over read two clocks where one reading says the same (routegate's does).

Change: a permit is asked for, with its deadline, only where there is a limit; over compares the clock that counts suspended time with the deadline moved by what had been lost when the request came: the same moment as before. No behaviour changes.

--- a/gateway/deadline.go
+++ b/gateway/deadline.go
@@ -13,5 +13,8 @@
 // caller's time goes on while the host is suspended.
 func (g *Gateway) due(rq *request) time.Time { return rq.call.Deadline.Add(rq.asleep - g.asleep()) }
 
-// over tells whether the request's time is over.
-func (g *Gateway) over(rq *request) bool { return !time.Now().Before(g.due(rq)) }
+// over tells whether the request's time is over; of the clock that counts suspended time one
+// reading is enough.
+func (g *Gateway) over(rq *request) bool {
+	return !g.clock.Now().Before(rq.call.Deadline.Add(rq.asleep))
+}
--- a/gateway/limit.go
+++ b/gateway/limit.go
@@ -79,14 +79,12 @@
 // pickPermitted picks a server that may get the call: what one takes that has named a limit
 // binds all hosts of the region together.
 func (g *Gateway) pickPermitted(ctx context.Context, rq *request, tried []string) (*catalog.Server, bool) {
-	limit, cancel := context.WithDeadline(ctx, g.due(rq))
-	defer cancel()
-	for limit.Err() == nil {
+	for ctx.Err() == nil && !g.over(rq) {
 		server, ok := g.pick(rq, tried)
 		if !ok {
 			return nil, false
 		}
-		after, permitted := g.permits.Take(limit, server.Name, 0)
+		after, permitted := g.permit(ctx, rq, server.Name)
 		if permitted {
 			return server, true
 		}
@@ -96,6 +94,16 @@
 	return nil, false
 }
 
+// permit takes a permit for a call to a server, if that has named a limit.
+func (g *Gateway) permit(ctx context.Context, rq *request, server string) (after time.Duration, ok bool) {
+	if _, limited := g.limits.Rate(server); !limited {
+		return 0, true
+	}
+	limit, cancel := context.WithDeadline(ctx, g.due(rq))
+	defer cancel()
+	return g.permits.Take(limit, server, 0)
+}
+
 // permitStores returns the stores of the region, whose hubs give permits; without any, the
 // gateway that all agree on.
 func (g *Gateway) permitStores() []wheelgauge.RegionStore {
