Rollouts of a backend version: one decision for all hosts, held to its share by construction

Cause: orders to move a service's requests to another version were not known (404), servers of a new version that stood on the list got their even part at once, and nothing compared versions.

An order is agreed on by the group of stores and lives in its log. Each host keeps the target version to a share of its own requests, so that the sum over all hosts keeps to the share whatever is cut off, suspended or restarted; a choice needs a state that was confirmed lately. Hosts count answers by route and version; every store takes all counts, the leader decides. A sequential likelihood-ratio test by route, without the worst server, finds a bad version; answers are held against those of the other versions at the same time. A good one takes a request over when it would still be in flight on another version at the time limit. Complete is agreed on when each host has closed the other versions and has nothing on its way there. A version that is new on the list gets nothing until a state is known that is newer than it.

A test of serverset calls holder with the job, which now says which versions may be used; nothing else of it changed.

--- a/beat/client.go
+++ b/beat/client.go
@@ -77,6 +77,13 @@
 	Merge(limits []wheelgauge.ServerLimit)
 }
 
+// RolloutLog tells what the host did and saw in the rollouts that are under way.
+type RolloutLog interface {
+	Reports() []wheelgauge.RolloutReport
+	// Changes grows when all stores are to hear of it at once.
+	Changes() uint64
+}
+
 // Options of a Client.
 type Options struct {
 	// Self tells of the host at each beat.
@@ -89,6 +96,9 @@
 	// Limits is told to every store, and takes what the primary tells; nil where none are
 	// known.
 	Limits LimitLog
+	// Rollouts is told to every store, so that any of them can decide how they go on; nil
+	// where none are known.
+	Rollouts RolloutLog
 	// Seeds are peer addresses of stores.
 	Seeds []string
 	// Interval is that of beats to the primary, FarInterval to stores of other regions.
@@ -166,7 +176,7 @@
 	c.choosePrimary()
 	now, self := c.now(), c.options.Self()
 	for _, s := range c.stores {
-		if s.calling || now.Before(s.due) && s.told == self && !c.hasCrashes(s) {
+		if s.calling || now.Before(s.due) && s.told == self && !c.hasCrashes(s) && !c.hasRollouts(s) {
 			continue
 		}
 		c.start(ctx, s, now)
@@ -184,6 +194,15 @@
 	return len(news) > 0
 }
 
+// hasRollouts tells whether a store that answers is to hear of rollouts at once: it waits for
+// the last host.
+func (c *Client) hasRollouts(s *store) bool {
+	if c.options.Rollouts == nil || s.misses > 0 || s.boot == 0 {
+		return false
+	}
+	return c.options.Rollouts.Changes() > s.rollouts
+}
+
 // Now sends a beat to every store at once, as when the host is leaving.
 func (c *Client) Now() {
 	c.mu.Lock()
@@ -236,6 +255,10 @@
 	if c.options.Limits != nil {
 		b.Limits, s.limitsSent = c.options.Limits.Heard(s.limits)
 	}
+	if c.options.Rollouts != nil {
+		s.rollouts = c.options.Rollouts.Changes()
+		b.Rollouts = c.options.Rollouts.Reports()
+	}
 	if b.Primary {
 		b.Uses, b.Store, b.Hosts, b.Servers, b.CrashesAt, b.LimitsAt = uses, s.boot, s.hosts, s.servers, s.crashesAt, s.limitsAt
 		if !c.listedAt.IsZero() {
--- a/beat/stores.go
+++ b/beat/stores.go
@@ -42,6 +42,8 @@
 	limitsAt   uint64
 	limits     uint64
 	limitsSent uint64
+	// rollouts numbers what the store was told last of rollouts.
+	rollouts uint64
 }
 
 // Stores returns the stores that answer, near ones first. A near one that is cut off
--- a/beats.go
+++ b/beats.go
@@ -101,6 +101,8 @@
 	// does not know them, LimitsAt numbers what the store told last; see BeatAnswer.
 	Limits   []ServerLimit `json:"limits,omitempty"`
 	LimitsAt uint64        `json:"limits_at,omitempty"`
+	// Rollouts tell what the host did and saw in those that are under way.
+	Rollouts []RolloutReport `json:"rollouts,omitempty"`
 }
 
 // FleetState is the replicated state of the routes mode.
@@ -112,6 +114,8 @@
 	Body json.RawMessage `json:"body,omitempty"`
 	// Drained are the halls whose servers get no new work.
 	Drained []string `json:"drained,omitempty"`
+	// Rollouts are the last ones of each service.
+	Rollouts []Rollout `json:"rollouts,omitempty"`
 	// Crashes are those by which requests are held back.
 	Crashes []Crash `json:"crashes,omitempty"`
 }
@@ -143,6 +147,8 @@
 	Generation uint64   `json:"generation"`
 	Version    uint64   `json:"version"`
 	Drained    []string `json:"drained,omitempty"`
+	// Rollouts tell how long each has run by now.
+	Rollouts []Rollout `json:"rollouts,omitempty"`
 	// Packed is of size 0 when the body is that of the version held.
 	Packed PackedBody `json:"packed"`
 	Offset int        `json:"offset,omitempty"`
--- a/cmd/wheelgauge-gateway/routes.go
+++ b/cmd/wheelgauge-gateway/routes.go
@@ -40,6 +40,8 @@
 	{Section: "retry", Name: "ratio", Type: settings.Float, Default: "0.2", Max: 10, Help: "repeats for each first send, over all hosts"},
 	{Section: "retry", Name: "slack", Type: settings.Float, Default: "50", Max: 1e6, Help: "repeats beyond that in a window, over all hosts"},
 	{Section: "retry", Name: "window_seconds", Type: settings.Float, Default: "10", Min: 1, Max: 3600, Help: "length of the window"},
+	{Section: "rollout", Name: "share", Type: settings.Float, Default: "0.1", Max: 1, Help: "part of a service's requests that may go to the version it is rolled out to before the rollout's time limit, from all hosts"},
+	{Section: "rollout", Name: "slack", Type: settings.Float, Default: "50", Max: 1e9, Help: "requests that may go there besides, from all hosts"},
 	{Section: "limits", Name: "memory_mb", Type: settings.Int, Default: "0", Max: 1 << 20, Help: "memory of the process; 0 means no limit"},
 	{Section: "dialect", Name: "name", Type: settings.Choice, Choices: dialect.Names(), Default: dialect.Native, Help: "how callers, servers and operators speak"},
 }
@@ -69,6 +71,7 @@
 		Budget: retrybudget.Options{
 			Ratio: v.Float("retry", "ratio"), Slack: v.Float("retry", "slack"), Window: seconds(v.Float("retry", "window_seconds")),
 		},
+		RolloutShare: v.Float("rollout", "share"), RolloutSlack: v.Float("rollout", "slack"),
 		Decode: d.Decode, Names: d.Headers, Log: log,
 	}
 	n, err := entrynode.Open(context.WithoutCancel(ctx), o)
--- a/configlog/machine.go
+++ b/configlog/machine.go
@@ -1,6 +1,6 @@
 // Package configlog is the replicated state of the routes mode: one whole
-// configuration under an operator's version number, the drained halls, and the crashes
-// by which requests are held back.
+// configuration under an operator's version number, the drained halls, the last rollout of
+// each service, and the crashes by which requests are held back.
 package configlog
 
 import (
@@ -21,6 +21,11 @@
 	// OpCrashes keeps crashes by which requests are held back, OpForget lets requests go.
 	OpCrashes = "crashes"
 	OpForget  = "forget"
+	// OpRollout begins a rollout, OpRolloutStep takes it on, OpRolloutAge notes how long it
+	// runs, for stores that start anew.
+	OpRollout     = "rollout"
+	OpRolloutStep = "rollout-step"
+	OpRolloutAge  = "rollout-age"
 )
 
 // Command is one change.
@@ -32,6 +37,10 @@
 	// Crashes are those of OpCrashes, Requests those of OpForget.
 	Crashes  []wheelgauge.Crash       `json:"crashes,omitempty"`
 	Requests []wheelgauge.Fingerprint `json:"requests,omitempty"`
+	// Rollout is the one to begin, or what one of its number has become. Again begins one
+	// anew that was rolled back.
+	Rollout *wheelgauge.Rollout `json:"rollout,omitempty"`
+	Again   bool                `json:"again,omitempty"`
 }
 
 // Result answers a Command.
@@ -40,6 +49,8 @@
 	Version uint64 `json:"version"`
 	// Taken is false for a change that was there already, or is older.
 	Taken bool `json:"taken"`
+	// Rollout is the one of the service that is held after a change of rollouts.
+	Rollout wheelgauge.Rollout `json:"rollout,omitzero"`
 }
 
 // Machine implements wheelgauge.StateMachine. It is safe for concurrent use.
@@ -76,6 +87,8 @@
 		taken = m.drain(c.Hall)
 	case OpResume:
 		taken = m.resume(c.Hall)
+	case OpRollout, OpRolloutStep, OpRolloutAge:
+		return m.changeRollout(c)
 	case OpCrashes:
 		return m.keep(quarantine.Join(m.state.Crashes, c.Crashes))
 	case OpForget:
@@ -87,6 +100,27 @@
 	return Result{Version: m.state.Version, Taken: taken}
 }
 
+// changeRollout changes the rollout of a service.
+func (m *Machine) changeRollout(c Command) Result {
+	if c.Rollout == nil {
+		return Result{Version: m.state.Version}
+	}
+	list, taken := rollouts{m.state.Rollouts}, false
+	switch c.Op {
+	case OpRollout:
+		list, taken = list.begin(*c.Rollout, m.state.Generation+1, c.Again)
+	case OpRolloutStep:
+		list, taken = list.step(*c.Rollout)
+	case OpRolloutAge:
+		list, _ = list.age(*c.Rollout)
+	}
+	m.state.Rollouts = list.all
+	if taken {
+		m.state.Generation++
+	}
+	return Result{Version: m.state.Version, Taken: taken, Rollout: list.of(c.Rollout.Service)}
+}
+
 // keep takes the crashes to keep from now on. No generation is theirs: hosts are told of
 // them by their heartbeats, and need not fetch the state.
 func (m *Machine) keep(crashes []wheelgauge.Crash, changed bool) Result {
--- a/confstore/beat.go
+++ b/confstore/beat.go
@@ -19,6 +19,7 @@
 		n.bank.Seen(b.Host.Name, b.Host.Boot)
 		n.crashes.Merge(b.Crashes)
 		n.limits.Merge(b.Limits)
+		n.director.Take(b.Host.Name, b.Host.Boot, b.Rollouts)
 		return n.answer(b), nil
 	})
 }
--- a/confstore/node.go
+++ b/confstore/node.go
@@ -27,6 +27,8 @@
 	"wheelgauge/permitissuer"
 	"wheelgauge/quarantine"
 	"wheelgauge/replica"
+	"wheelgauge/rollout/director"
+	"wheelgauge/rollout/sequential"
 	"wheelgauge/serverlimit"
 	"wheelgauge/serverlist"
 	"wheelgauge/statefeed"
@@ -109,6 +111,9 @@
 	// limits are those that servers have named, permits what is given of them.
 	limits  *serverlimit.Table
 	permits *permitissuer.Issuer
+	// director decides how rollouts go on, ages tells how long they have run.
+	director *director.Director
+	ages     rolloutAges
 	// heldSince is when this store first knew of each request that is held back; only
 	// keepCrashes uses it.
 	heldSince map[wheelgauge.Fingerprint]time.Time
@@ -135,7 +140,8 @@
 		foreign: map[string]wheelgauge.ForeignEntries{},
 	}
 	n.client.Watch(n.meter.Call)
-	n.feed = statefeed.New(n.machine.State)
+	n.feed = statefeed.New(n.fleetState)
+	n.director = director.New(func() wheelgauge.VersionJudge { return sequential.New() }, now)
 	n.servers = serverlist.New(n.boot, now)
 	n.crashes = quarantine.New(now)
 	n.limits = serverlimit.New(now)
@@ -153,6 +159,7 @@
 	n.task(func() error { return every.Interval(ctx, capsEvery, n.keepCaps) })
 	n.task(func() error { return every.Interval(ctx, refusedEvery, n.logCaps) })
 	n.task(func() error { return every.Interval(ctx, crashesEvery, n.keepCrashes) })
+	n.task(func() error { return every.Interval(ctx, rolloutsEvery, n.keepRollouts) })
 	n.task(func() error { return every.Interval(ctx, pruneEvery, n.pruneLimits) })
 	watch := wake.New(o.Clock, o.Log)
 	n.task(func() error { return every.Interval(ctx, wakeEvery, func(context.Context) { watch.Look(wakeEvery) }) })
--- a/confstore/servers.go
+++ b/confstore/servers.go
@@ -94,12 +94,12 @@
 // regionUses joins what hosts have in flight with the servers there are.
 func (n *Node) regionUses() []wheelgauge.RegionUse {
 	sums := n.hosts.Regions()
-	drained := n.machine.State().Drained
+	state := n.machine.State()
 	list, _ := n.servers.All()
 	limited := n.limits.Limited()
 	for _, s := range list {
 		region := n.o.Halls[s.Hall]
-		if s.Leaving || slices.Contains(drained, s.Hall) {
+		if s.Leaving || slices.Contains(state.Drained, s.Hall) || !offered(state.Rollouts, s) {
 			continue
 		}
 		if sums[region] == nil {
--- a/entrynode/fleet_test.go
+++ b/entrynode/fleet_test.go
@@ -42,6 +42,9 @@
 	// limits are those that engines name, arrivals when requests came to each.
 	limits   map[string]float64
 	arrivals map[string][]time.Time
+	// versions are those of engines, failing the part of their requests that a version fails.
+	versions map[string]string
+	failing  map[string]float64
 	// endedAt is when engines ended.
 	endedAt []time.Time
 	// told is when each engine first named its limit.
@@ -54,7 +57,7 @@
 
 func newEngines(t *testing.T, count int, hall string) *engines {
 	t.Helper()
-	e := &engines{hall: hall, conns: map[string][]net.Conn{}, limits: map[string]float64{}, arrivals: map[string][]time.Time{}, told: map[string]time.Time{}}
+	e := &engines{hall: hall, conns: map[string][]net.Conn{}, limits: map[string]float64{}, arrivals: map[string][]time.Time{}, versions: map[string]string{}, failing: map[string]float64{}, told: map[string]time.Time{}}
 	e.ctx, e.stop = context.WithCancel(context.Background())
 	for n := range count {
 		e.start(t, n, fmt.Sprintf("127.0.84.%d:9000", 100+n))
@@ -74,8 +77,8 @@
 		return
 	}
 	name := fmt.Sprintf("i-%d-%d", n, e.ended.Load())
-	s := wheelgauge.Server{Instance: name, Service: "s", Address: address, Hall: e.hall, Slots: 8}
 	e.mu.Lock()
+	s := wheelgauge.Server{Instance: name, Service: "s", Version: e.versions[address], Address: address, Hall: e.hall, Slots: 8}
 	if n < len(e.list) {
 		e.list[n] = s
 	} else {
@@ -136,6 +139,10 @@
 		}
 		limit := e.arrived(name)
 		time.Sleep(runTime)
+		if e.fails(name) {
+			_, _ = io.WriteString(c, "HTTP/1.1 500 Internal Server Error\r\nWheelgauge-Signature: s\r\nContent-Length: 3\r\n\r\nbad")
+			continue
+		}
 		if string(body) == deadly && req.URL.Path == "/a/deadly" {
 			e.ended.Add(1)
 			e.noteEnd()
@@ -213,7 +220,7 @@
 	h, err := Open(context.Background(), Options{
 		Name: fmt.Sprint("g-", n), Region: regionOf[f.halls[n]], Hall: f.halls[n], Caller: f.caller(n), Peer: fmt.Sprintf("127.0.84.%d:7802", 11+n), Seeds: f.storeAddresses(),
 		Interval: 100 * time.Millisecond, FarInterval: 200 * time.Millisecond, Grace: time.Second,
-		Budget: retrybudget.Options{Ratio: 0.2, Slack: 200, Window: testLimit}, Decode: native.Decode, Names: native.Headers(), Clock: &f.hostClocks[n], Log: logr.Discard(),
+		Budget: retrybudget.Options{Ratio: 0.2, Slack: 200, Window: testLimit}, RolloutShare: rolloutShare, RolloutSlack: rolloutSlack, Decode: native.Decode, Names: native.Headers(), Clock: &f.hostClocks[n], Log: logr.Discard(),
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/entrynode/news.go
+++ b/entrynode/news.go
@@ -25,12 +25,17 @@
 		n.gate.SetTable(routetable.New(set))
 	}
 	n.generation = s.Generation
+	n.versions.Set(s.Rollouts)
 	n.servers.SetDrained(s.Drained)
-	n.o.Log.Info("State is in force.", "generation", s.Generation, "version", s.Version, "drained", s.Drained)
+	n.o.Log.Info("State is in force.", "generation", s.Generation, "version", s.Version, "drained", s.Drained, "rollouts", s.Rollouts)
 }
 
 // SameState implements beat.News.
-func (n *Node) SameState() { n.gate.Confirm() }
+func (n *Node) SameState() {
+	n.gate.Confirm()
+	n.versions.Confirm()
+	n.servers.ConfirmState()
+}
 
 // Hosts implements beat.News.
 func (n *Node) Hosts(hosts []wheelgauge.FleetHost, partial bool) {
@@ -39,6 +44,7 @@
 	n.servers.SetPeers(region, named)
 	n.peers.SetHosts(hosts)
 	n.budget.SetHosts(len(hosts))
+	n.versions.SetHosts(len(hosts))
 	n.o.Log.Info("Hosts change.", "hosts", len(hosts), "region", len(region))
 }
 
--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -30,6 +30,8 @@
 	"wheelgauge/permitclient"
 	"wheelgauge/quarantine"
 	"wheelgauge/retrybudget"
+	"wheelgauge/rollout/ledger"
+	"wheelgauge/rollout/tally"
 	"wheelgauge/routegate"
 	"wheelgauge/serverlimit"
 	"wheelgauge/serverset"
@@ -87,6 +89,10 @@
 	// stopMargin when zero.
 	Last   time.Duration
 	Budget retrybudget.Options
+	// RolloutShare of a service's requests, and RolloutSlack besides, may go to the version
+	// that it is rolled out to before the rollout's time limit, from all hosts together.
+	RolloutShare float64
+	RolloutSlack float64
 	// Client calls stores; one of the node's own when nil.
 	Client *peerhttp.Client
 	// Clock judges ages, leases and deadlines; one that counts suspended time when nil.
@@ -110,6 +116,8 @@
 	// limits are those that servers have named.
 	limits    *serverlimit.Table
 	permits   *permitclient.Client
+	versions  *ledger.Ledger
+	tally     *tally.Tally
 	meter     *meter.Meter
 	beats     atomic.Pointer[beat.Client]
 	client    *peerhttp.Client
@@ -149,16 +157,19 @@
 	n.permits = permitclient.New(permitclient.Options{
 		Host: o.Name, Limits: n.limits, Stores: n.regionStores, Sharers: n.servers.Sharers, Ask: n.askPermit, Now: clock.Now,
 	})
+	n.versions = ledger.New(ledger.Options{Host: o.Name, Share: o.RolloutShare, Slack: o.RolloutSlack, Now: clock.Now})
+	n.tally = tally.New()
 	n.gate = routegate.New(routegate.Options{
 		Region: o.Region, Names: o.Names, Servers: n.servers, Peers: n.peers, Budget: n.budget, Meter: n.meter, Log: o.Log.WithName("gate"),
 		Caps: n.purse, Quarantine: n.quarantine, Limits: n.limits, Permits: n.permits, Clock: clock,
+		Versions: n.versions, Tally: n.tally,
 	})
 	if err := n.listen(); err != nil {
 		stop()
 		return nil, err
 	}
 	n.beats.Store(beat.Start(beat.Options{
-		Self: n.self, Report: n.servers.Uses, Crashes: n.quarantine, Limits: n.limits, Seeds: o.Seeds, Interval: o.Interval, FarInterval: o.FarInterval,
+		Self: n.self, Report: n.servers.Uses, Crashes: n.quarantine, Limits: n.limits, Rollouts: rolloutReports{n.versions, n.tally}, Seeds: o.Seeds, Interval: o.Interval, FarInterval: o.FarInterval,
 		Clock: clock, Client: n.client, News: n, Log: o.Log.WithName("beat"),
 	}))
 	go func() { n.pruned <- every.Interval(ctx, pruneEvery, n.prune) }()
@@ -263,6 +274,7 @@
 	n.peers.Prune()
 	n.quarantine.Prune()
 	n.limits.Prune()
+	n.tally.Keep(n.versions.Runs())
 }
 
 func (n *Node) serveReady(ctx *fasthttp.RequestCtx) {
--- a/error.go
+++ b/error.go
@@ -31,10 +31,12 @@
 	ReasonClaimHeld       Reason = "claim-held"
 	ReasonClaimStore      Reason = "claim-store"
 	ReasonConflict        Reason = "conflict"
-	ReasonInvalid         Reason = "invalid"
-	ReasonTooOld          Reason = "too-old"
-	ReasonNoLeader        Reason = "no-leader"
-	ReasonInternal        Reason = "internal"
+	// ReasonUnderWay: the same order was taken before and is being carried out.
+	ReasonUnderWay Reason = "under-way"
+	ReasonInvalid  Reason = "invalid"
+	ReasonTooOld   Reason = "too-old"
+	ReasonNoLeader Reason = "no-leader"
+	ReasonInternal Reason = "internal"
 )
 
 // Error is the error answer of every program. It travels as JSON.
--- a/native/operations.go
+++ b/native/operations.go
@@ -15,6 +15,8 @@
 	pathRoutes = "/v1/routes"
 	pathHalls  = "/v1/halls/"
 	pathEntry  = "/v1/entry"
+	// PathRollouts is followed by the name of a service.
+	PathRollouts = "/v1/rollouts/"
 )
 
 // Version answers an accepted configuration with the version held.
@@ -23,7 +25,7 @@
 }
 
 // Control returns the handler of PUT and GET /v1/routes, and of PUT and DELETE
-// /v1/halls/HALL/drain.
+// /v1/halls/HALL/drain, and of PUT, GET and DELETE /v1/rollouts/SERVICE.
 func Control(o wheelgauge.Operations) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
 		path := string(ctx.Path())
@@ -34,6 +36,8 @@
 			put(ctx, o)
 		case path == pathRoutes && ctx.IsGet():
 			get(ctx, o)
+		case strings.HasPrefix(path, PathRollouts):
+			rollout(ctx, o, strings.TrimPrefix(path, PathRollouts))
 		case isHall && isDrain && (ctx.IsPut() || ctx.IsDelete()):
 			answer(ctx, struct{}{}, o.DrainHall(context.Background(), hall, ctx.IsPut()))
 		default:
@@ -57,6 +61,26 @@
 	ctx.SetBody(body)
 }
 
+// rollout starts a rollout of a service, tells of its last one, or takes it back.
+func rollout(ctx *fasthttp.RequestCtx, o wheelgauge.Operations, service string) {
+	switch {
+	case ctx.IsPut():
+		order, err := peerhttp.Decode[wheelgauge.RolloutOrder](ctx)
+		if err == nil {
+			order.Service = service
+			err = o.StartRollout(context.Background(), order)
+		}
+		answer(ctx, struct{}{}, err)
+	case ctx.IsGet():
+		r, err := o.Rollout(context.Background(), service)
+		answer(ctx, r, err)
+	case ctx.IsDelete():
+		answer(ctx, struct{}{}, o.AbortRollout(context.Background(), service))
+	default:
+		peerhttp.NotFound(ctx)
+	}
+}
+
 func answer(ctx *fasthttp.RequestCtx, v any, err error) {
 	if err != nil {
 		peerhttp.AnswerError(ctx, err)
--- /dev/null
+++ b/rollout/ledger/ledger.go
@@ -0,0 +1,370 @@
+// Package ledger decides at an entry host which version of a service gets a request while
+// versions are rolled out. All hosts together keep to a share of a service's requests, as
+// each keeps to that share of its own: nobody has to be asked, and a host that is cut off,
+// suspended or started again keeps to it as well.
+package ledger
+
+import (
+	"cmp"
+	"hash/fnv"
+	"math"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"wheelgauge"
+	"wheelgauge/meanrate"
+)
+
+const (
+	// countedPart of the share is used: some requests that a host counts do not reach a
+	// server.
+	countedPart = 0.95
+	// slackPart of the slack is shared by the hosts that are there when a rollout begins, or
+	// slackWithin of it; the rest covers those that are not known of. A host that starts
+	// later does not know whether it had its part already.
+	slackPart   = 0.5
+	slackWithin = 500 * time.Millisecond
+	// canaryPart of the share goes to the target version until it has proved good, provenPart
+	// from then on: the rest is needed to move over in time.
+	canaryPart = 0.4
+	provenPart = 0.15
+	// mostCredit bounds what is made up for when the target version had no server.
+	mostCredit = 2.0
+	// lease is how long a host goes by a state that it cannot confirm: it may have been rolled
+	// back since.
+	lease = 1500 * time.Millisecond
+	// lostLease is after how long without a confirmation a host takes it that a rollout, past
+	// its limit and found good, was completed without it.
+	lostLease = 4 * time.Second
+	// settleBefore is how long before the time limit the last requests are sent to other
+	// versions: stores hear of it and agree in that time.
+	settleBefore = 700 * time.Millisecond
+	// spareDeviations is by how many standard deviations more than expected must be left of
+	// the host's share when it settles before the limit.
+	spareDeviations = 3.0
+	// rateSpan is the time after which a request counts 1/e in the host's rate.
+	rateSpan = time.Second
+)
+
+// Options of a Ledger.
+type Options struct {
+	// Host names the entry host.
+	Host string
+	// Share of a service's requests, and Slack requests besides, may go to the target version
+	// before the time limit, from all hosts together.
+	Share float64
+	Slack float64
+	Now   func() time.Time
+}
+
+// Ledger is safe for concurrent use.
+type Ledger struct {
+	options  Options
+	mu       sync.Mutex
+	hosts    int
+	services map[string]*service
+	// confirmed is when the state was last known to be the newest.
+	confirmed time.Time
+	changes   uint64
+}
+
+// service is what is known of one service.
+type service struct {
+	// open counts the choices whose requests are on their way, by the only version that
+	// they allow; empty for those that allow others.
+	open map[string]int
+	// known is set once there was a rollout.
+	known   bool
+	rollout wheelgauge.Rollout
+	// limit is when its time is over.
+	limit time.Time
+	// early is set if this host knew of the rollout from its beginning.
+	early bool
+	// rate is that of requests sent.
+	rate       meanrate.Rate
+	sent       uint64
+	sentTarget uint64
+	// credit is what each route may send to the target version.
+	credit map[string]float64
+	// closed is set once nothing is sent to other versions any more.
+	closed bool
+	// told is what the last report said of being settled.
+	told bool
+}
+
+// New returns a ledger that knows of no rollout.
+func New(o Options) *Ledger {
+	return &Ledger{options: o, hosts: 1, services: map[string]*service{}}
+}
+
+// SetHosts tells how many hosts keep the common share.
+func (l *Ledger) SetHosts(count int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.hosts = max(1, count)
+}
+
+// Set takes the rollouts of the state in force, with the time that has passed of each.
+func (l *Ledger) Set(rollouts []wheelgauge.Rollout) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.options.Now()
+	for _, r := range rollouts {
+		s := l.service(r.Service)
+		if !s.known || s.rollout.Number != r.Number {
+			s.begin(r)
+		}
+		s.known, s.rollout = true, r
+		if r.Running() {
+			s.limit = now.Add(r.Left())
+		}
+	}
+	l.confirmed = now
+}
+
+// begin forgets an earlier rollout.
+func (s *service) begin(r wheelgauge.Rollout) {
+	s.early = time.Duration(r.ElapsedMS)*time.Millisecond < slackWithin
+	s.sent, s.sentTarget, s.closed, s.told = 0, 0, false, false
+	s.rate = meanrate.New(rateSpan)
+	s.credit = map[string]float64{}
+}
+
+// Confirm tells that no newer state is known now.
+func (l *Ledger) Confirm() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.confirmed = l.options.Now()
+}
+
+// service returns what is known of a service; the lock is held.
+func (l *Ledger) service(name string) *service {
+	s := l.services[name]
+	if s == nil {
+		s = &service{open: map[string]int{}}
+		l.services[name] = s
+	}
+	return s
+}
+
+// Choose says which versions may get a request of a route that is expected to last for a
+// while. A repeat goes to the versions that are known to work. The choice holds until release
+// is called: when the request has ended, or is not sent to a server of this region.
+func (l *Ledger) Choose(name, route string, lasts time.Duration, repeat bool) (c wheelgauge.VersionChoice, release func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.service(name)
+	c = l.choose(s, route, lasts, repeat)
+	return c, l.hold(s, c)
+}
+
+// Otherwise chooses anew where no server of the version chosen takes the request; ok is
+// false if no other may get it. listed is set if the version has servers in the region.
+func (l *Ledger) Otherwise(name string, was wheelgauge.VersionChoice, listed bool) (c wheelgauge.VersionChoice, release func(), ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.service(name)
+	version, only := was.Only()
+	switch {
+	case !only || s.closed && s.rollout.Running() || s.rollout.Version != version:
+		return c, nil, false
+	case s.rollout.Running():
+		c = wheelgauge.ExceptVersion(version)
+	case s.rollout.State != wheelgauge.RolloutCompleted || listed:
+		return c, nil, false
+	}
+	return c, l.hold(s, c), true
+}
+
+// hold keeps a choice open; the lock is held.
+func (l *Ledger) hold(s *service, c wheelgauge.VersionChoice) (release func()) {
+	version, only := c.Only()
+	if !only {
+		version = ""
+	}
+	s.open[version]++
+	return sync.OnceFunc(func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if s.open[version]--; s.open[version] <= 0 {
+			delete(s.open, version)
+		}
+	})
+}
+
+func (l *Ledger) choose(s *service, route string, lasts time.Duration, repeat bool) wheelgauge.VersionChoice {
+	if !s.known {
+		return wheelgauge.VersionChoice{}
+	}
+	target, others := wheelgauge.OnlyVersion(s.rollout.Version), wheelgauge.ExceptVersion(s.rollout.Version)
+	switch {
+	case s.rollout.State == wheelgauge.RolloutCompleted:
+		return target
+	case !s.rollout.Running():
+		return others
+	}
+	now := l.options.Now()
+	l.close(s, now)
+	switch {
+	case s.closed && !l.allows(s, now):
+		return wheelgauge.NoVersion() // for the moments until the time limit
+	case s.closed:
+		return target
+	case repeat || now.Sub(l.confirmed) > lease || !l.allows(s, now):
+		return others
+	case s.rollout.Shifting && !now.Add(lasts).Before(s.limit.Add(-settleBefore)):
+		return target // on another version it would still be in flight then
+	case l.creditOf(s, route) >= 1:
+		return target
+	}
+	return others
+}
+
+// allows tells whether one more request may go to the target version: all of them after the
+// time limit, this host's part of the share before.
+func (l *Ledger) allows(s *service, now time.Time) bool {
+	return s.rollout.Shifting && !now.Before(s.limit) || l.spare(s) >= 1
+}
+
+// spare is how many more requests may go to the target version by the host's share.
+func (l *Ledger) spare(s *service) float64 {
+	allowed := countedPart * l.options.Share * float64(s.sent+1)
+	if s.early {
+		allowed += slackPart * l.options.Slack / float64(l.hosts)
+	}
+	return allowed - float64(s.sentTarget)
+}
+
+// close notes when nothing may be sent to other versions any more.
+func (l *Ledger) close(s *service, now time.Time) {
+	if s.closed || !s.rollout.Shifting || s.sent > 0 && s.sentTarget == 0 {
+		return // no server of the target version is known to answer here
+	}
+	silent := now.Sub(l.confirmed)
+	switch {
+	case !now.Before(s.limit):
+		s.closed = silent <= lease || silent > lostLease
+	case now.Before(s.limit.Add(-settleBefore)) || silent > lease:
+	default:
+		expected := s.rate.At(now) * s.limit.Sub(now).Seconds()
+		s.closed = l.spare(s) >= 1+expected+spareDeviations*math.Sqrt(expected+1)
+	}
+}
+
+// creditOf returns the credit of a route. It begins anywhere from 0 to 1, so that hosts
+// that send little do not all begin late, nor all at once.
+func (l *Ledger) creditOf(s *service, route string) float64 {
+	credit, ok := s.credit[route]
+	if !ok {
+		credit = part(l.options.Host, route, strconv.FormatUint(s.rollout.Number, 10))
+		s.credit[route] = credit
+	}
+	return credit
+}
+
+// part returns a number from 0 to 1 that looks drawn.
+func part(words ...string) float64 {
+	h := fnv.New64a()
+	for _, w := range words {
+		_, _ = h.Write([]byte(w)) // never fails
+		_, _ = h.Write([]byte{0})
+	}
+	// The high bits of short words differ little.
+	mixed := h.Sum64() * 0x9e3779b97f4a7c15
+	mixed ^= mixed >> 29
+	return float64(mixed>>11) / (1 << 53)
+}
+
+// Sent notes that a request of a route is sent to a server of a version.
+func (l *Ledger) Sent(name, route, version string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s := l.service(name); s.known && s.rollout.Running() {
+		l.count(s, route, version)
+	}
+}
+
+func (l *Ledger) count(s *service, route, version string) {
+	s.sent++
+	s.rate.Add(1, l.options.Now())
+	canary := canaryPart
+	if s.rollout.Shifting {
+		canary = provenPart
+	}
+	credit := min(mostCredit, l.creditOf(s, route)+canary*l.options.Share)
+	if version == s.rollout.Version {
+		s.sentTarget++
+		credit = max(0, credit-1)
+	}
+	s.credit[route] = credit
+}
+
+// Runs returns the numbers of the rollouts that are under way, by service.
+func (l *Ledger) Runs() map[string]uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := map[string]uint64{}
+	for name, s := range l.services {
+		if s.known && s.rollout.Running() {
+			out[name] = s.rollout.Number
+		}
+	}
+	return out
+}
+
+// Target returns the version that a service is rolled out to, and the number of the rollout;
+// ok is false when none is under way.
+func (l *Ledger) Target(name string) (version string, number uint64, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.services[name]
+	if s == nil || !s.known || !s.rollout.Running() {
+		return "", 0, false
+	}
+	return s.rollout.Version, s.rollout.Number, true
+}
+
+// Reports tells of the rollouts that are under way, without counts of answers.
+func (l *Ledger) Reports() []wheelgauge.RolloutReport {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []wheelgauge.RolloutReport
+	now := l.options.Now()
+	for name, s := range l.services {
+		if !s.known || !s.rollout.Running() {
+			continue
+		}
+		l.close(s, now)
+		settled := s.settled()
+		if settled != s.told {
+			s.told = settled
+			l.changes++
+		}
+		out = append(out, wheelgauge.RolloutReport{Service: name, Number: s.rollout.Number, Sent: s.sent, SentTarget: s.sentTarget, Settled: settled})
+	}
+	slices.SortFunc(out, func(a, b wheelgauge.RolloutReport) int { return cmp.Compare(a.Service, b.Service) })
+	return out
+}
+
+// settled tells whether other versions have nothing to do for this host any more.
+func (s *service) settled() bool {
+	if !s.closed {
+		return false
+	}
+	for version := range s.open {
+		if version != s.rollout.Version {
+			return false
+		}
+	}
+	return true
+}
+
+// Changes returns a number that grows when stores should hear of this host at once.
+func (l *Ledger) Changes() uint64 {
+	l.Reports()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.changes
+}
--- /dev/null
+++ b/rollout/sequential/judge.go
@@ -0,0 +1,226 @@
+// Package sequential judges a version that is rolled out by a sequential likelihood-ratio
+// test: each answer adds the evidence that it gives for a version that is worse than those it
+// replaces against one that is as good, by route. Evidence for a good version is forgotten
+// (Page's test), so that one that turns bad late is found as soon as one that is bad at once.
+package sequential
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"time"
+
+	"wheelgauge"
+)
+
+const (
+	// baselineSpan is the time after which answers of the other versions count 1/e.
+	baselineSpan = 8 * time.Second
+	// priorAnswers of the other versions are taken to have come before, priorPart of them bad.
+	priorAnswers = 25.0
+	priorPart    = 0.02
+	// failMore and slowMore are how many more of a bad version's answers fail or are slow, as
+	// parts of all; slow ones also come from a cache that is still cold.
+	failMore = 0.12
+	slowMore = 0.4
+	// worseFactor is how many times as many they are at least.
+	worseFactor = 2.5
+	// failEnough and slowEnough are the evidence, a log likelihood ratio, that makes a
+	// version bad.
+	failEnough = 9.0
+	slowEnough = 13.0
+	// mostExcess is how many more answers than expected may be bad in all, beyond so many
+	// standard deviations: a version that is worse by little shows by their number.
+	mostExcess = 25.0
+	deviations = 3.0
+	// mostPart bounds what is expected of either version.
+	mostPart = 0.95
+	// everything names the sum over all routes.
+	everything = ""
+)
+
+// aspect is what may be worse about answers.
+type aspect struct {
+	name   string
+	more   float64
+	enough float64
+	// of returns how many answers could show it, and how many did.
+	of func(c wheelgauge.VersionCount) (all, bad float64)
+}
+
+var aspects = []aspect{
+	{"failed", failMore, failEnough, func(c wheelgauge.VersionCount) (float64, float64) {
+		return float64(c.Answers), float64(c.Failed)
+	}},
+	{"slow", slowMore, slowEnough, func(c wheelgauge.VersionCount) (float64, float64) {
+		return float64(c.Timed), float64(c.Slow)
+	}},
+}
+
+// baseline are the answers of the other versions, newer ones counting more.
+type baseline struct {
+	all, bad float64
+}
+
+func (b *baseline) fade(passed time.Duration) {
+	by := math.Exp(-passed.Seconds() / baselineSpan.Seconds())
+	b.all *= by
+	b.bad *= by
+}
+
+func (b *baseline) part() float64 {
+	return min(mostPart, (b.bad+priorPart*priorAnswers)/(b.all+priorAnswers))
+}
+
+// total is all that was seen of the target version.
+type total struct {
+	bad, expected float64
+	faults        map[string]float64
+}
+
+// test is that of one aspect on one route.
+type test struct {
+	aspect   aspect
+	route    string
+	baseline baseline
+	// evidence is the log likelihood ratio since it was last nothing; all, bad and faults
+	// are the target version's answers since then, weight is what a bad one adds.
+	evidence float64
+	all, bad float64
+	faults   map[string]float64
+	weight   float64
+	total    total
+}
+
+// add takes answers of the target version.
+func (t *test) add(all, bad float64, c wheelgauge.VersionCount) {
+	if all <= 0 {
+		return
+	}
+	was := t.baseline.part()
+	t.total.add(all*was, bad, c.Faults)
+	worse := min(mostPart, max(was+t.aspect.more, worseFactor*was))
+	if worse <= was {
+		return // the others are as bad as can be
+	}
+	t.weight = math.Log(worse / was)
+	t.evidence += bad*t.weight + (all-bad)*math.Log((1-worse)/(1-was))
+	t.all, t.bad = t.all+all, t.bad+bad
+	addFaults(t.faults, c.Faults)
+	if t.evidence <= 0 {
+		t.evidence, t.all, t.bad = 0, 0, 0
+		clear(t.faults)
+	}
+}
+
+func addFaults(to map[string]float64, faults []wheelgauge.ServerFaults) {
+	for _, f := range faults {
+		to[f.Server] += float64(f.Count)
+	}
+}
+
+func (t *total) add(expected, bad float64, faults []wheelgauge.ServerFaults) {
+	t.expected, t.bad = t.expected+expected, t.bad+bad
+	addFaults(t.faults, faults)
+}
+
+// excess is how many more answers were bad than expected, as a part of how many may be.
+func (t *total) excess(servers int) float64 {
+	chance := deviations * math.Sqrt(t.expected+1)
+	return (t.bad - worst(t.faults, servers) - t.expected - chance) / mostExcess
+}
+
+// worst is the faults of the worst server: one server that fails is no reason to take its
+// version back, unless it is the only one.
+func worst(faults map[string]float64, servers int) float64 {
+	most := 0.0
+	if servers > 1 {
+		for _, n := range faults {
+			most = max(most, n)
+		}
+	}
+	return most
+}
+
+// score is the evidence against the version as a part of what is enough.
+func (t *test) score(servers int) float64 {
+	recent := (t.evidence - worst(t.faults, servers)*t.weight) / t.aspect.enough
+	return max(0, recent, t.total.excess(servers))
+}
+
+// Judge implements wheelgauge.VersionJudge. It is not safe for concurrent use.
+type Judge struct {
+	tests map[string][]*test
+	at    time.Time
+}
+
+// New returns a judge that has seen nothing.
+func New() *Judge { return &Judge{tests: map[string][]*test{}} }
+
+// Add implements wheelgauge.VersionJudge.
+func (j *Judge) Add(at time.Time, counts []wheelgauge.VersionCount) {
+	passed := max(0, at.Sub(j.at))
+	j.at = at
+	for _, tests := range j.tests {
+		for _, t := range tests {
+			t.baseline.fade(passed)
+		}
+	}
+	// What the others do at the same time sets what is expected.
+	for _, target := range []bool{false, true} {
+		for _, c := range counts {
+			if c.Target != target {
+				continue
+			}
+			j.take(c.Route, c)
+			j.take(everything, c)
+		}
+	}
+}
+
+func (j *Judge) take(route string, c wheelgauge.VersionCount) {
+	tests := j.tests[route]
+	if tests == nil {
+		for _, a := range aspects {
+			tests = append(tests, &test{aspect: a, route: route, faults: map[string]float64{}, total: total{faults: map[string]float64{}}})
+		}
+		j.tests[route] = tests
+	}
+	for _, t := range tests {
+		all, bad := t.aspect.of(c)
+		if c.Target {
+			t.add(all, bad, c)
+			continue
+		}
+		t.baseline.all, t.baseline.bad = t.baseline.all+all, t.baseline.bad+bad
+	}
+}
+
+// Verdict implements wheelgauge.VersionJudge.
+func (j *Judge) Verdict(servers int) wheelgauge.Verdict {
+	var worst *test
+	for _, tests := range j.tests {
+		for _, t := range tests {
+			if worst == nil || cmp.Or(cmp.Compare(t.score(servers), worst.score(servers)), cmp.Compare(t.route, worst.route)) > 0 {
+				worst = t
+			}
+		}
+	}
+	if worst == nil {
+		return wheelgauge.Verdict{}
+	}
+	v := wheelgauge.Verdict{Score: worst.score(servers)}
+	if v.Bad = v.Score >= 1; v.Bad {
+		v.Cause = worst.cause()
+	}
+	return v
+}
+
+func (t *test) cause() string {
+	route := t.route
+	if route == everything {
+		route = "all routes"
+	}
+	return fmt.Sprintf("%s: %.0f of %.0f answers %s lately, %.0f in all where %.1f are expected; %.1f in 100 do of other versions; at %d servers",
+		route, t.bad, t.all, t.aspect.name, t.total.bad, t.total.expected, 100*t.baseline.part(), len(t.total.faults))
+}
--- a/routegate/call.go
+++ b/routegate/call.go
@@ -69,6 +69,12 @@
 	// permitWait is how long asking for permits took.
 	permitWait time.Duration
 
+	// versions may get the request; freeVersions ends that choice.
+	versions     wheelgauge.VersionChoice
+	freeVersions func()
+	// sentTo is the version of the last server that the request was sent to.
+	sentTo string
+
 	tried  []string
 	away   []string
 	sends  int
@@ -152,7 +158,8 @@
 
 // dispatch sends the request once, where the least wait is predicted.
 func (c *call) dispatch(ctx context.Context) result {
-	p := c.placePermitted(ctx)
+	p := c.placeVersion(ctx)
+	defer c.freeVersion()
 	if ctx.Err() != nil || c.over() {
 		p.abandon()
 		return notSent
@@ -162,6 +169,7 @@
 		c.wait, c.pick = p.pick.Wait(), p.pick
 		return c.toServer(ctx, p.pick)
 	case p.peer != nil:
+		c.freeVersion() // the gateway there chooses
 		return c.toPeer(ctx, p.peer)
 	case p.leaving && c.runs == 0:
 		c.refuse(leavingRefusal())
@@ -261,7 +269,7 @@
 	g.options.Log.Info("Request ends.", "id", c.id, "request", c.asked(), "route", name, "workspace", c.workspaceName(), "version", c.version,
 		"state_age_ms", g.stateAge().Milliseconds(), "list_age_ms", g.options.Servers.ListAge().Milliseconds(), "status", c.status, "cause", c.cause,
 		"servers", strings.Join(c.tried, " "), "peers", strings.Join(c.away, " "), "runs", c.runs, "forwarded", c.forwarded,
-		"cap_ms", c.capWait.Milliseconds(), "permit_ms", c.permitWait.Milliseconds(), "predicted_ms", c.wait.Milliseconds(), "first_ms", c.first.Milliseconds(), "ms", took.Milliseconds(),
+		"cap_ms", c.capWait.Milliseconds(), "permit_ms", c.permitWait.Milliseconds(), "version_sent", c.sentTo, "predicted_ms", c.wait.Milliseconds(), "first_ms", c.first.Milliseconds(), "ms", took.Milliseconds(),
 		"events", c.splitter.Events(), "pause_ms", c.pause.Milliseconds(), "expected_tokens", c.prompt.Output(), "load", c.inputs())
 }
 
--- a/routegate/dispatch.go
+++ b/routegate/dispatch.go
@@ -33,6 +33,10 @@
 	begun bool
 	// broken is why the answer did not come whole.
 	broken error
+	// firstAfter is how long after it was sent the first event or byte came, eventsBefore
+	// how many events came in earlier exchanges.
+	firstAfter   time.Duration
+	eventsBefore int
 }
 
 // toServer dispatches to a server of the region.
@@ -66,6 +70,10 @@
 	head := c.head(set)
 	c.sends++
 	c.runs++
+	x.eventsBefore = c.splitter.Events()
+	c.sentTo = k.Version()
+	c.gate.options.Versions.Sent(c.service, c.route.Name, c.sentTo)
+	defer c.tally(ctx, x, k)
 	if err := x.roundTrip(head); err != nil {
 		x.broken = err
 		c.cause = err.Error()
@@ -227,6 +235,9 @@
 	if x.call.first == 0 {
 		x.call.first = time.Since(x.call.started)
 	}
+	if x.firstAfter == 0 {
+		x.firstAfter = time.Since(x.sent)
+	}
 	if x.pick != nil && !x.begun {
 		x.begun = true
 		x.pick.Began()
--- a/routegate/gate.go
+++ b/routegate/gate.go
@@ -19,6 +19,8 @@
 	"wheelgauge/prompt"
 	"wheelgauge/quarantine"
 	"wheelgauge/retrybudget"
+	"wheelgauge/rollout/ledger"
+	"wheelgauge/rollout/tally"
 	"wheelgauge/routetable"
 	"wheelgauge/serverlimit"
 	"wheelgauge/serverset"
@@ -60,8 +62,12 @@
 	Limits *serverlimit.Table
 	// Permits bounds what servers with a limit get; nil lets all through.
 	Permits wheelgauge.Permits
-	Meter   *meter.Meter
-	Log     logr.Logger
+	// Versions says which versions of a service get a request while it is in a rollout, Tally
+	// counts how they answer; those of the gate's own, which know of none, when nil.
+	Versions *ledger.Ledger
+	Tally    *tally.Tally
+	Meter    *meter.Meter
+	Log      logr.Logger
 }
 
 // Gate is safe for concurrent use.
@@ -97,6 +103,12 @@
 	if o.Limits == nil {
 		o.Limits = serverlimit.New(time.Now)
 	}
+	if o.Versions == nil {
+		o.Versions = ledger.New(ledger.Options{Now: time.Now})
+	}
+	if o.Tally == nil {
+		o.Tally = tally.New()
+	}
 	if o.Clock == nil {
 		o.Clock = wheelgauge.SteadyClock{}
 	}
--- a/routegate/place.go
+++ b/routegate/place.go
@@ -97,7 +97,7 @@
 }
 
 func (c *call) job() serverset.Job {
-	return serverset.NewJob(c.service, c.prompt, c.rank, c.tried).Within(c.allowedIn)
+	return serverset.NewJob(c.service, c.prompt, c.rank, c.tried).Within(c.allowedIn).Of(c.versions)
 }
 
 // excess is how much longer than predicted a request would wait here than
--- a/routes.go
+++ b/routes.go
@@ -107,6 +107,8 @@
 	// not told.
 	Born    int64  `json:"b,omitempty"`
 	Service string `json:"s"`
+	// Version is that of the server's software.
+	Version string `json:"v,omitempty"`
 	Address string `json:"a"`
 	Hall    string `json:"h"`
 	// Region is that of the hall; stores fill it in.
@@ -210,6 +212,13 @@
 	Routes(ctx context.Context) ([]byte, error)
 	// DrainHall stops or resumes sending work to the backend servers of a hall.
 	DrainHall(ctx context.Context, hall string, drained bool) error
+	// StartRollout begins to move a service's requests to another version. An order for a
+	// service that is in a rollout is refused.
+	StartRollout(ctx context.Context, order RolloutOrder) error
+	// Rollout returns the last rollout of a service, after a read barrier.
+	Rollout(ctx context.Context, service string) (Rollout, error)
+	// AbortRollout takes a rollout back that is under way.
+	AbortRollout(ctx context.Context, service string) error
 	// EntryAddresses returns where callers of a region may connect to reach a
 	// host name, and how long the answer holds.
 	EntryAddresses(name, region string) ([]string, time.Duration, error)
--- a/serverset/born_test.go
+++ b/serverset/born_test.go
@@ -77,7 +77,7 @@
 	if len(s.cached) > 0 || s.full > 0 || s.failRate > 0 || s.running != 0 || s.others.Running != 0 || !s.pausedUntil.IsZero() {
 		t.Errorf("the new start is taken for %+v", s)
 	}
-	if table.holder(j.prompt, now) != nil {
+	if table.holder(j, now) != nil {
 		t.Error("the new start is taken to hold what the earlier one read")
 	}
 	table.Update([]wheelgauge.Server{engineBorn(100)}, now)
--- a/serverset/candidates.go
+++ b/serverset/candidates.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"wheelgauge/prompt"
 	"wheelgauge/rendezvous"
 )
 
@@ -44,7 +43,7 @@
 	var homes ranking
 	t.near, t.far, t.listed = t.near[:0], t.far[:0], t.listed[:0]
 	for _, s := range servers {
-		if !t.takes(s, now) {
+		if !j.versions.Allows(s.spec.Version) || !t.takes(s, now) {
 			continue
 		}
 		tried := slices.Contains(j.tried, s.spec.Instance)
@@ -63,7 +62,7 @@
 			*in = append(*in, s)
 		}
 	}
-	c := candidates{last: t.holder(j.prompt, now)}
+	c := candidates{last: t.holder(j, now)}
 	if subject != 0 {
 		c.home = homes.first[0].server
 	}
@@ -146,9 +145,10 @@
 
 // holder returns the server that used the prompt's subject last, as far as this host
 // knows; nil if it may get no work. The lock is held.
-func (t *Table) holder(p prompt.Prompt, now time.Time) *Server {
+func (t *Table) holder(j Job, now time.Time) *Server {
+	p := j.prompt
 	s := t.used[p.Subject()]
-	if s == nil || t.servers[s.instance] != s || !s.holds(p, now, cacheLife) || !t.takes(s, now) {
+	if s == nil || !j.versions.Allows(s.spec.Version) || t.servers[s.instance] != s || !s.holds(p, now, cacheLife) || !t.takes(s, now) {
 		return nil
 	}
 	return s
--- a/serverset/job.go
+++ b/serverset/job.go
@@ -1,6 +1,9 @@
 package serverset
 
-import "wheelgauge/prompt"
+import (
+	"wheelgauge"
+	"wheelgauge/prompt"
+)
 
 // Job is a request that needs a server.
 type Job struct {
@@ -10,6 +13,8 @@
 	tried   []string
 	// within tells in which regions the request may run; all when nil.
 	within func(region string) bool
+	// versions are those that may get the request.
+	versions wheelgauge.VersionChoice
 }
 
 // NewJob returns a job of a rank, 0 the most urgent, for a service. It goes to
@@ -23,3 +28,9 @@
 	j.within = allowed
 	return j
 }
+
+// Of returns the job bound to versions of its service.
+func (j Job) Of(versions wheelgauge.VersionChoice) Job {
+	j.versions = versions
+	return j
+}
--- a/serverset/limited.go
+++ b/serverset/limited.go
@@ -84,7 +84,7 @@
 func (t *Table) soonest(j Job, now time.Time) *Server {
 	var first *Server
 	for _, s := range t.services[j.service] {
-		if !t.deferred(s, now) || !t.able(s, now) || now.Before(s.coldUntil) || slices.Contains(j.tried, s.spec.Instance) {
+		if !j.versions.Allows(s.spec.Version) || !t.deferred(s, now) || !t.able(s, now) || now.Before(s.coldUntil) || slices.Contains(j.tried, s.spec.Instance) {
 			continue
 		}
 		if first == nil || s.limitedUntil.Before(first.limitedUntil) {
--- a/serverset/server.go
+++ b/serverset/server.go
@@ -45,8 +45,12 @@
 	life     string
 	// spec is what the list says now.
 	spec wheelgauge.Server
-	hash uint64
-	pool *serverconn.Pool
+	// since is when this host first knew of it, versionAt since when its version is listed
+	// if that is new.
+	since     time.Time
+	versionAt time.Time
+	hash      uint64
+	pool      *serverconn.Pool
 	// running and tokens are this host's own requests in flight and the prompt
 	// tokens of those without a first event.
 	running int
@@ -87,7 +91,7 @@
 	return &Server{
 		instance: spec.Instance, address: spec.Address, born: spec.Born, life: spec.Life(),
 		spec: spec, hash: rendezvous.Hash(spec.Instance), pool: serverconn.New(spec.Address, conns, serverconn.Near(now)),
-		cached: map[uint64]time.Time{},
+		cached: map[uint64]time.Time{}, since: now(),
 	}
 }
 
--- a/serverset/table.go
+++ b/serverset/table.go
@@ -69,6 +69,10 @@
 	asked  time.Time
 	limits func(service string) *wheelgauge.Service
 	cold   *coldrate.Shares
+	// versions are those listed of each service, with the time since when they are if they
+	// are new; stateAt is when the state was last known to be the newest.
+	versions map[string]map[string]time.Time
+	stateAt  time.Time
 	// limitOf gives the limits that servers have named; nil without any.
 	limitOf LimitOf
 	// used is the server that had a subject last.
@@ -215,6 +219,7 @@
 }
 
 func (t *Table) arrange() {
+	defer t.noteVersions()
 	t.services = map[string][]*Server{}
 	for _, s := range t.servers {
 		t.services[s.spec.Service] = append(t.services[s.spec.Service], s)
@@ -335,5 +340,5 @@
 
 // able is the same but for the server's limit.
 func (t *Table) able(s *Server, now time.Time) bool {
-	return !s.spec.Leaving && !s.gone && !slices.Contains(t.drained, s.spec.Hall) && now.After(s.pausedUntil)
+	return !s.spec.Leaving && !s.gone && !slices.Contains(t.drained, s.spec.Hall) && now.After(s.pausedUntil) && !t.unproved(s, now)
 }
--- a/statefeed/feed.go
+++ b/statefeed/feed.go
@@ -51,7 +51,7 @@
 	defer f.mu.Unlock()
 	s := f.state()
 	if s.Generation <= r.Generation || s.Version == r.Version {
-		return wheelgauge.StatePart{Generation: s.Generation, Version: s.Version, Drained: s.Drained, Packed: wheelgauge.PackedBody{Version: s.Version}}, nil
+		return wheelgauge.StatePart{Generation: s.Generation, Version: s.Version, Drained: s.Drained, Rollouts: s.Rollouts, Packed: wheelgauge.PackedBody{Version: s.Version}}, nil
 	}
 	p := f.kept(r.Packed)
 	if p == nil {
@@ -123,6 +123,6 @@
 	from := min(max(0, offset), len(p.data))
 	to := min(from+min(max(1, most), mostPart), len(p.data))
 	return wheelgauge.StatePart{
-		Generation: p.state.Generation, Version: p.state.Version, Drained: p.state.Drained, Packed: p.name, Offset: from, Data: p.data[from:to],
+		Generation: p.state.Generation, Version: p.state.Version, Drained: p.state.Drained, Rollouts: p.state.Rollouts, Packed: p.name, Offset: from, Data: p.data[from:to],
 	}
 }
--- a/statefetch/fetcher.go
+++ b/statefetch/fetcher.go
@@ -82,7 +82,7 @@
 		if p.Generation <= held.Generation {
 			return wheelgauge.FleetState{}, errNothingNewer
 		}
-		s := wheelgauge.FleetState{Generation: p.Generation, Version: p.Version, Drained: p.Drained, Crashes: p.Crashes}
+		s := wheelgauge.FleetState{Generation: p.Generation, Version: p.Version, Drained: p.Drained, Rollouts: p.Rollouts, Crashes: p.Crashes}
 		if p.Packed.Size == 0 {
 			return s, nil
 		}
