wheelgaugectl: rollout start, status, abort

Cause: the product's own interface could order rollouts by HTTP only. Change: three commands over PUT, GET and DELETE /v1/rollouts/SERVICE of stores of the routes mode. Ruled out: a resource of the mode with resources.

--- a/cmd/wheelgaugectl/options.go
+++ b/cmd/wheelgaugectl/options.go
@@ -45,7 +45,7 @@
 	f.StringVar(&o.token, "token", "", "operator's token (or "+envToken+")")
 	f.StringVar(&o.authority, "authority", "", "PEM file of the authority that signs the stores; plain HTTP when empty")
 	f.StringVarP(&o.form, "output", "o", formTable, "table or json")
-	root.AddCommand(getCommand(o), applyCommand(o), deleteCommand(o), watchCommand(o), statusCommand(o), drainCommand(o), importCommand(o), storeCommand(o), certsCommand())
+	root.AddCommand(getCommand(o), applyCommand(o), deleteCommand(o), watchCommand(o), statusCommand(o), drainCommand(o), rolloutCommand(o), importCommand(o), storeCommand(o), certsCommand())
 	return root
 }
 
