Callers that read slowly are cut off after 5 s and counted; connections are bounded by memory

An answer's relay holds its server up while its caller does not read, so what is held for one stream is bounded (a piece, an event, two sockets). But a caller that took nothing held it for 10 s for each write, a large write was cut though it went on, an answer that we cut counted as served, and 2,300 connections of 128 KB are twice the memory of a host of 144 MB.

Change: 8 KB must be taken within 5 s; such an answer is counted as answers.unread, told in the request's line, and no success; a host takes only so many connections as 0.7 of its memory bears, 525 and 280 at 144 MB.

Test: TestCallerThatDoesNotRead (a stream without end is held up, then cut; another caller of the host is served; 16 MB at most had left the server), TestConnsWithin. Not measured: 2,000 slow readers at once on one host; bodies of requests to servers that read slowly (4 MB each at most) are not bounded over all requests.

--- a/callerhttp/request.go
+++ b/callerhttp/request.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"syscall"
 	"time"
@@ -15,8 +16,8 @@
 	"wheelgauge"
 )
 
-// writeTimeout bounds one write to a caller that does not read.
-const writeTimeout = 10 * time.Second
+// writePiece is what a caller must take within Options.Unread, in bytes.
+const writePiece = 8 << 10
 
 // Request is one request with the means to answer it. Exactly one of Answer,
 // Begin, Refuse and Cut begins the answer.
@@ -103,9 +104,11 @@
 		p = append(r.head, p...)
 		r.head = nil
 	}
-	_ = r.conn.net.SetWriteDeadline(time.Now().Add(writeTimeout)) // a closed connection fails below
-	if _, err := r.conn.net.Write(p); err != nil {
-		return fmt.Errorf("write to caller: %w", err)
+	for piece := range slices.Chunk(p, writePiece) {
+		_ = r.conn.net.SetWriteDeadline(time.Now().Add(r.conn.server.options.Unread)) // a closed connection fails below
+		if _, err := r.conn.net.Write(piece); err != nil {
+			return fmt.Errorf("write to caller: %w", err)
+		}
 	}
 	return nil
 }
--- a/callerhttp/server.go
+++ b/callerhttp/server.go
@@ -5,6 +5,7 @@
 package callerhttp
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -25,6 +26,8 @@
 	// keepAliveIdle and keepAliveEvery find a caller whose host is gone.
 	keepAliveIdle  = 10 * time.Second
 	keepAliveEvery = 5 * time.Second
+	// unread is the default of Options.Unread.
+	unread = 5 * time.Second
 )
 
 // Options of a Server.
@@ -35,6 +38,9 @@
 	Serve func(ctx context.Context, r *Request)
 	// Conns is the most connections; further ones are closed at once.
 	Conns int
+	// Unread is after how long a caller is cut off that takes nothing of its answer; unread
+	// when 0.
+	Unread time.Duration
 }
 
 // Server is a running listener.
@@ -53,6 +59,7 @@
 
 // Listen starts serving on address.
 func Listen(address string, o Options) (*Server, error) {
+	o.Unread = cmp.Or(o.Unread, unread)
 	config := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveEvery, Count: 3}}
 	listener, err := config.Listen(context.Background(), "tcp", address)
 	if err != nil {
--- a/cmd/wheelgauge-gateway/routes.go
+++ b/cmd/wheelgauge-gateway/routes.go
@@ -71,6 +71,7 @@
 		Budget: retrybudget.Options{
 			Ratio: v.Float("retry", "ratio"), Slack: v.Float("retry", "slack"), Window: seconds(v.Float("retry", "window_seconds")),
 		},
+		Memory:       int64(v.Int("limits", "memory_mb")) << 20,
 		RolloutShare: v.Float("rollout", "share"), RolloutSlack: v.Float("rollout", "slack"),
 		Decode: d.Decode, Names: d.Headers, Log: log,
 	}
--- /dev/null
+++ b/entrynode/conns_test.go
@@ -0,0 +1,28 @@
+package entrynode
+
+import "testing"
+
+// However small a host is, connections that are all read slowly stay within its memory
+// together with what else it holds.
+func TestConnsWithin(t *testing.T) {
+	const rest = 36 << 20 // the most that a busy host was seen to hold
+	tests := []struct {
+		megabytes     int64
+		callers, peer int
+	}{
+		{0, callerConns, peerConns},
+		{136, 496, 264},
+		{144, 525, 280},
+		{424, 1500, 800},
+		{2048, callerConns, peerConns},
+	}
+	for _, tt := range tests {
+		callers, peers := connsWithin(tt.megabytes<<20, callerConns), connsWithin(tt.megabytes<<20, peerConns)
+		if held := int64(callers+peers)*connMemory + rest; tt.megabytes > 0 && held > tt.megabytes<<20 {
+			t.Errorf("%d MB: %d and %d connections may hold %d MB", tt.megabytes, callers, peers, held>>20)
+		}
+		if callers != tt.callers || peers != tt.peer {
+			t.Errorf("%d MB: %d and %d connections, want %d and %d", tt.megabytes, callers, peers, tt.callers, tt.peer)
+		}
+	}
+}
--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -67,6 +67,10 @@
 	// of a small host.
 	callerConns = 1500
 	peerConns   = 800
+	// connMemory is what a connection takes at most whose other side reads slowly, in bytes:
+	// buffers of both sides of the relay. connsPart of the host's memory is for them.
+	connMemory = 128 << 10
+	connsPart  = 0.7
 )
 
 // Options of a Node.
@@ -89,6 +93,8 @@
 	// stopMargin when zero.
 	Last   time.Duration
 	Budget retrybudget.Options
+	// Memory is the limit of the process, in bytes; 0 means none.
+	Memory int64
 	// RolloutShare of a service's requests, and RolloutSlack besides, may go to the version
 	// that it is rolled out to before the rollout's time limit, from all hosts together.
 	RolloutShare float64
@@ -219,11 +225,11 @@
 
 func (n *Node) listen() error {
 	var err error
-	n.callers, err = callerhttp.Listen(n.o.Caller, callerhttp.Options{Limits: n.gate.Limits, Serve: n.gate.Serve, Conns: callerConns})
+	n.callers, err = callerhttp.Listen(n.o.Caller, callerhttp.Options{Limits: n.gate.Limits, Serve: n.gate.Serve, Conns: connsWithin(n.o.Memory, callerConns)})
 	if err != nil {
 		return fmt.Errorf("start gateway: %w", err)
 	}
-	n.forwards, err = callerhttp.Listen(n.o.Peer, callerhttp.Options{Limits: n.peerLimits, Serve: n.gate.ServePeer, Conns: peerConns})
+	n.forwards, err = callerhttp.Listen(n.o.Peer, callerhttp.Options{Limits: n.peerLimits, Serve: n.gate.ServePeer, Conns: connsWithin(n.o.Memory, peerConns)})
 	if err != nil {
 		return fmt.Errorf("start gateway: %w", err)
 	}
@@ -240,6 +246,15 @@
 	return nil
 }
 
+// connsWithin bounds a listener's connections by its part of the host's memory.
+func connsWithin(memory int64, most int) int {
+	if memory <= 0 {
+		return most
+	}
+	part := float64(most) / (callerConns + peerConns)
+	return min(most, int(connsPart*part*float64(memory)/connMemory))
+}
+
 // peerLimits let forwarded requests carry a little more than callers may send.
 func (n *Node) peerLimits() wheelgauge.Limits {
 	l := n.gate.Limits()
--- a/routegate/call.go
+++ b/routegate/call.go
@@ -248,7 +248,7 @@
 	if c.route != nil {
 		name = c.route.Name
 	}
-	good := isSuccess(c.status)
+	good := isSuccess(c.status) && !c.left
 	switch {
 	case good:
 		g.options.Meter.Count("requests.ok")
--- a/routegate/relay.go
+++ b/routegate/relay.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"wheelgauge"
@@ -74,6 +75,10 @@
 func (c *call) lost(err error) result {
 	c.leave()
 	c.cause = err.Error()
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		c.gate.options.Meter.Count("answers.unread")
+		c.cause = "caller does not read its answer: " + c.cause
+	}
 	return answered
 }
 
--- /dev/null
+++ b/routegate/slow_test.go
@@ -0,0 +1,94 @@
+package routegate
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"wheelgauge/callerhttp"
+)
+
+// flood is a stream that never ends.
+type flood struct {
+	sent  atomic.Int64
+	ended chan error
+}
+
+func (f *flood) serve(c net.Conn) {
+	defer c.Close()
+	if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+		return
+	}
+	_, _ = c.Write([]byte(events))
+	for n := 0; ; n++ {
+		event := fmt.Sprintf("id: %d\ndata: %s\n\n", n, strings.Repeat("x", 4000))
+		sent, err := c.Write([]byte(chunk(event)))
+		f.sent.Add(int64(sent))
+		if err != nil {
+			f.ended <- err
+			return
+		}
+	}
+}
+
+// A caller that takes nothing of a stream holds its server up and not the host's memory; after
+// a while it is cut off, which is counted, and other callers are served meanwhile.
+func TestCallerThatDoesNotRead(t *testing.T) {
+	f := &flood{ended: make(chan error, 1)}
+	slow := &backend{conn: listen(t, f.serve)}
+	g, quick := newGate(t, routes(), slow)
+	s, err := callerhttp.Listen("127.0.0.1:0", callerhttp.Options{Limits: g.Limits, Serve: g.Serve, Conns: 8, Unread: 300 * time.Millisecond})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = s.Close(t.Context()) })
+	c, err := net.Dial("tcp", s.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if _, err := fmt.Fprint(c, "GET /stream/ HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	if resp, _, err := ask(t, quick, "/none/", ""); err != nil || resp.StatusCode != http.StatusNotFound {
+		t.Errorf("another caller got %v, %v", resp, err)
+	}
+	select {
+	case <-f.ended:
+	case <-time.After(testLimit):
+		t.Fatal("the server is still held up")
+	}
+	for end := time.Now().Add(testLimit); counted(t, g, "answers.unread") == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("it is not counted")
+		}
+	}
+	if got := counted(t, g, "requests.ok"); got != 0 {
+		t.Errorf("%d requests count as served", got)
+	}
+	// What is on the way is in the buffers of two connections.
+	if sent := f.sent.Load(); sent > 16<<20 {
+		t.Errorf("the server sent %d bytes to a caller that took none", sent)
+	}
+}
+
+// counted reads one of the gate's counters.
+func counted(t *testing.T, g *Gate, name string) int {
+	t.Helper()
+	var out bytes.Buffer
+	g.options.Meter.WriteJSON(&out)
+	var all map[string]struct {
+		Count int `json:"count"`
+	}
+	if err := json.Unmarshal(out.Bytes(), &all); err != nil {
+		t.Fatal(err)
+	}
+	return all[name].Count
+}
