--- /dev/null
+++ b/serverset/versions_test.go
@@ -0,0 +1,59 @@
+package serverset
+
+import (
+	"testing"
+	"time"
+
+	"wheelgauge"
+	"wheelgauge/prompt"
+)
+
+// Servers of a version that is new on the list get nothing before a state is known that is
+// newer than it, as its service may be in a rollout; those that a host knew first do, and
+// after a while a host that learns of no state uses what there is.
+func TestNewVersionWaits(t *testing.T) {
+	at := time.Unix(1000, 0)
+	now := func() time.Time { return at }
+	of := func(instance, version string) wheelgauge.Server {
+		return wheelgauge.Server{Instance: instance, Service: plain, Version: version, Address: "127.0.0.1:1", Hall: "h", Slots: 4}
+	}
+	tb := New(Place{Host: "g", Hall: "h", Peers: []string{"g"}}, func(string) *wheelgauge.Service { return nil }, now)
+	chosen := func(versions wheelgauge.VersionChoice) string {
+		k := tb.Choose(NewJob(plain, prompt.Prompt{}, 0, nil).Of(versions))
+		if k == nil {
+			return ""
+		}
+		defer k.Done(Served)
+		return k.Version()
+	}
+	only := wheelgauge.OnlyVersion("v2")
+	steps := []struct {
+		name  string
+		do    func()
+		want  string
+		other string
+	}{
+		{"the first version", func() { tb.Update([]wheelgauge.Server{of("a", "v1")}, at) }, "", "v1"},
+		{"a new one", func() { tb.Update([]wheelgauge.Server{of("a", "v1"), of("b", "v2")}, at) }, "", "v1"},
+		{"a state from before", func() { tb.ConfirmState() }, "", "v1"},
+		{"a state from after", func() { at = at.Add(time.Second); tb.ConfirmState() }, "v2", "v1"},
+		{"no state for long", func() {
+			tb.Update([]wheelgauge.Server{of("a", "v1")}, at)
+			tb.Update([]wheelgauge.Server{of("a", "v1"), of("c", "v2")}, at)
+			at = at.Add(versionHold)
+		}, "v2", "v1"},
+		{"the others are gone", func() { tb.Update([]wheelgauge.Server{of("c", "v2")}, at) }, "v2", ""},
+	}
+	for _, s := range steps {
+		s.do()
+		if got, other := chosen(only), chosen(wheelgauge.ExceptVersion("v2")); got != s.want || other != s.other {
+			t.Errorf("%s: %q and %q, want %q and %q", s.name, got, other, s.want, s.other)
+		}
+		if got := chosen(wheelgauge.NoVersion()); got != "" {
+			t.Errorf("%s: %q where none is allowed", s.name, got)
+		}
+	}
+	if !tb.Lists(plain, only) || tb.Lists(plain, wheelgauge.OnlyVersion("v1")) {
+		t.Error("the versions listed are wrong")
+	}
+}
