Answers of a foreign version or without a status are no answers

Cause (FuzzAnswer, seeds another-version and status-zero): the parser takes an answer of HTTP/5.1 for one without chunks, so chunk lines would have reached the caller as its body, and status 000 for 200. Ruled out: the own body reader, which goes by what the parser says.

Change: version and first digit of the status are looked at before an answer is parsed; anything but HTTP/1.0 and HTTP/1.1 with a status from 100 on fails.

Before: both seeds fail.

--- a/serverconn/conn.go
+++ b/serverconn/conn.go
@@ -35,7 +35,10 @@
 	strayAnswers = 2
 )
 
-var errStray = errors.New("the answer belongs to another request")
+var (
+	errStray   = errors.New("the answer belongs to another request")
+	errForeign = errors.New("the answer is no HTTP/1.1")
+)
 
 // Conn is one connection.
 type Conn struct {
@@ -136,6 +139,9 @@
 // readFinal reads a head, passing over informational ones.
 func (c *Conn) readFinal() (*fasthttp.ResponseHeader, error) {
 	for {
+		if err := c.checkStart(); err != nil {
+			return nil, fmt.Errorf("read answer: %w", err)
+		}
 		h := &fasthttp.ResponseHeader{}
 		h.DisableNormalizing()
 		h.SetNoDefaultContentType(true)
@@ -148,6 +154,20 @@
 	}
 }
 
+// checkStart looks at the version and the status of an answer that is about to be read. The
+// parser takes any version for one without chunks, and status 000 for a success.
+func (c *Conn) checkStart() error {
+	start, err := c.in.Peek(len("HTTP/1.1 200"))
+	if err != nil {
+		return err
+	}
+	version, status := string(start[:len("HTTP/1.1 ")]), start[len("HTTP/1.1 "):]
+	if version != "HTTP/1.1 " && version != "HTTP/1.0 " || status[0] < '1' || status[0] > '9' {
+		return errForeign
+	}
+	return nil
+}
+
 // sent tells whether the whole request has left.
 func (c *Conn) sent() bool {
 	if c.written == nil {
