Memory of streams that nobody reads is measured, and bounds a host's connections

Cause: the 128 kB by which connections were counted was a figure of streams in use, not of streams that are held up. Measured: 40 streams without a reader hold 108 to 119 kB each of the gateway, the stand-in's 27 to 35 kB left out; 136 kB with the race detector. Counted are 160 kB now: 420 callers' connections and 224 of other gateways at 144 MB, for 525 and 280 before.

--- a/entrynode/conns_test.go
+++ b/entrynode/conns_test.go
@@ -1,6 +1,10 @@
 package entrynode
 
-import "testing"
+import (
+	"testing"
+
+	"wheelgauge"
+)
 
 // However small a host is, connections that are all read slowly stay within its memory
 // together with what else it holds.
@@ -11,14 +15,14 @@
 		callers, peer int
 	}{
 		{0, callerConns, peerConns},
-		{136, 496, 264},
-		{144, 525, 280},
-		{424, 1500, 800},
+		{136, 397, 211},
+		{144, 420, 224},
+		{424, 1238, 660},
 		{2048, callerConns, peerConns},
 	}
 	for _, tt := range tests {
 		callers, peers := connsWithin(tt.megabytes<<20, callerConns), connsWithin(tt.megabytes<<20, peerConns)
-		if held := int64(callers+peers)*connMemory + rest; tt.megabytes > 0 && held > tt.megabytes<<20 {
+		if held := int64(callers+peers)*wheelgauge.SlowConnBytes + rest; tt.megabytes > 0 && held > tt.megabytes<<20 {
 			t.Errorf("%d MB: %d and %d connections may hold %d MB", tt.megabytes, callers, peers, held>>20)
 		}
 		if callers != tt.callers || peers != tt.peer {
--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -67,10 +67,8 @@
 	// of a small host.
 	callerConns = 1500
 	peerConns   = 800
-	// connMemory is what a connection takes at most whose other side reads slowly, in bytes:
-	// buffers of both sides of the relay. connsPart of the host's memory is for them.
-	connMemory = 128 << 10
-	connsPart  = 0.7
+	// connsPart of the host's memory is for connections whose other side reads slowly.
+	connsPart = 0.7
 )
 
 // Options of a Node.
@@ -252,7 +250,7 @@
 		return most
 	}
 	part := float64(most) / (callerConns + peerConns)
-	return min(most, int(connsPart*part*float64(memory)/connMemory))
+	return min(most, int(connsPart*part*float64(memory)/wheelgauge.SlowConnBytes))
 }
 
 // peerLimits let forwarded requests carry a little more than callers may send.
--- a/routegate/slow_test.go
+++ b/routegate/slow_test.go
@@ -7,11 +7,13 @@
 	"fmt"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"wheelgauge"
 	"wheelgauge/callerhttp"
 )
 
@@ -92,3 +94,58 @@
 	}
 	return all[name].Count
 }
+
+// slowStreams is how many callers read nothing at once.
+const slowStreams = 40
+
+// Streams that nobody reads hold no more of the host's memory than its connections are
+// counted by. The stand-in's own part, measured without a host, is left out.
+func TestMemoryOfSlowReaders(t *testing.T) {
+	f := &flood{ended: make(chan error, 2*slowStreams)}
+	server := &backend{conn: listen(t, f.serve)}
+	g, _ := newGate(t, routes(), server)
+	s, err := callerhttp.Listen("127.0.0.1:0", callerhttp.Options{Limits: g.Limits, Serve: g.Serve, Conns: slowStreams, Unread: testLimit})
+	if err != nil {
+		t.Fatal(err)
+	}
+	alone := f.held(t, server.conn.Addr().String())
+	held := f.held(t, s.Address()) - alone
+	t.Logf("%d kB a stream, and %d kB of the stand-in", held>>10, alone>>10)
+	if held > wheelgauge.SlowConnBytes {
+		t.Errorf("a stream that nobody reads holds %d bytes, want %d at most", held, wheelgauge.SlowConnBytes)
+	}
+	_ = s.Close(t.Context())
+}
+
+// held asks an address for streams, reads none, and returns the memory that each holds when
+// all are held up.
+func (f *flood) held(t *testing.T, address string) int {
+	t.Helper()
+	before, from := inUse(), f.sent.Load()
+	for range slowStreams {
+		c, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		if _, err := fmt.Fprint(c, "GET /stream/ HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	until := time.Now().Add(testLimit / 2)
+	for sent, last := int64(-1), from; sent != last || last == from; time.Sleep(100 * time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatalf("not all streams are held up: %d bytes sent", last-from)
+		}
+		sent, last = last, f.sent.Load()
+	}
+	return int(inUse()-before) / slowStreams
+}
+
+// inUse returns the memory in use, in bytes.
+func inUse() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapInuse + m.StackInuse
+}
--- a/routes.go
+++ b/routes.go
@@ -77,6 +77,10 @@
 	CacheTokens int `json:"cache_tokens"`
 }
 
+// SlowConnBytes is what a connection holds at most whose other side reads slowly: the buffers
+// of both sides of the relay.
+const SlowConnBytes = 160 << 10
+
 // Limits bound what a caller may send and how long it may take.
 type Limits struct {
 	HeaderBytes   int           `json:"header_bytes"`
