--- a/beats.go
+++ b/beats.go
@@ -27,8 +27,8 @@
 	Tokens int `json:"t,omitempty"`
 	// Work tells both by rank.
 	Work Work `json:"w,omitempty"`
-	// Pace sums up how long work takes there by the word of the server to each of Paced hosts,
-	// in hundredths of the usual time.
+	// Pace sums up how long work takes there by the server's reports to each of Paced hosts, in
+	// hundredths of the usual time.
 	Pace  int `json:"p,omitempty"`
 	Paced int `json:"q,omitempty"`
 	// Lost is how many hosts could not reach the server lately, or found another one
--- a/rollout/director/play_test.go
+++ b/rollout/director/play_test.go
@@ -109,10 +109,11 @@
 // planted is a fault of the code that the checks must see.
 type planted struct {
 	name string
-	// eager hosts send a part of their requests to the target version without asking, blind
-	// stores never find it bad, hasty ones do not wait for hosts, deaf hosts do not hear that
-	// it is taken back, and shy judges find any version bad.
-	eager, blind, hasty, deaf, shy bool
+	// ignoresShare: hosts send a part of their requests to the target version without asking.
+	// neverBad: stores never take a version back. skipsWaiting: stores complete without waiting
+	// for hosts. missesRollback: hosts do not hear that a version was taken back. alwaysBad:
+	// stores take any version back.
+	ignoresShare, neverBad, skipsWaiting, missesRollback, alwaysBad bool
 	// version and want are the one that shows it and a part of what is seen.
 	version string
 	want    string
@@ -209,7 +210,7 @@
 		if p.at == 0 {
 			p.order()
 		}
-		if p.at > 0 && !p.rollout.Running() && !p.planted.deaf && p.at > p.ended+playAfter {
+		if p.at > 0 && !p.rollout.Running() && !p.planted.missesRollback && p.at > p.ended+playAfter {
 			return
 		}
 		p.fire()
@@ -243,7 +244,7 @@
 		p.after(100*time.Millisecond, func() { p.hear(h) })
 		return
 	}
-	if !p.planted.deaf || p.rollout.Running() {
+	if !p.planted.missesRollback || p.rollout.Running() {
 		h.ledger.Set([]wheelgauge.Rollout{p.seen()})
 	}
 }
@@ -306,7 +307,7 @@
 		return
 	}
 	v := oldVersion
-	if p.planted.eager && p.at > 0 && p.rng.Float64() < 0.3 {
+	if p.planted.ignoresShare && p.at > 0 && p.rng.Float64() < 0.3 {
 		v = newVersion
 	}
 	if only, ok := choice.Only(); ok && p.at > 300*time.Millisecond {
@@ -450,11 +451,11 @@
 	}
 	d := p.stores[n].Decide(p.rollout, director.View{Left: p.limit - p.at, Live: live, Servers: playServers})
 	switch {
-	case p.planted.blind && d.Step == director.RollBack:
+	case p.planted.neverBad && d.Step == director.RollBack:
 		d.Step = director.Wait
-	case p.planted.hasty && p.rollout.Shifting:
+	case p.planted.skipsWaiting && p.rollout.Shifting:
 		d.Step = director.Complete
-	case p.planted.shy && d.Answers > 20:
+	case p.planted.alwaysBad && d.Answers > 20:
 		d.Step = director.RollBack
 	}
 	if d.Step == director.Wait {
@@ -533,11 +534,11 @@
 // Each check sees a fault of the code that it is there for.
 func TestPlantedFaults(t *testing.T) {
 	tests := []planted{
-		{name: "hosts do not keep to the share", eager: true, blind: true, version: "fails", want: "allowed"},
-		{name: "stores do not find it bad", blind: true, version: "fails", want: "long after"},
-		{name: "hosts do not hear of it", deaf: true, version: "fails", want: "long after"},
-		{name: "stores do not wait for hosts", hasty: true, version: "good", want: "in flight at old servers"},
-		{name: "stores find a good version bad", shy: true, version: "good", want: "was rolled back"},
+		{name: "hosts do not keep to the share", ignoresShare: true, neverBad: true, version: "fails", want: "allowed"},
+		{name: "stores do not find it bad", neverBad: true, version: "fails", want: "long after"},
+		{name: "hosts do not hear of it", missesRollback: true, version: "fails", want: "long after"},
+		{name: "stores do not wait for hosts", skipsWaiting: true, version: "good", want: "in flight at old servers"},
+		{name: "stores find a good version bad", alwaysBad: true, version: "good", want: "was rolled back"},
 		{name: "none", version: "good"},
 	}
 	for _, tt := range tests {
--- a/serverset/pace.go
+++ b/serverset/pace.go
@@ -1,10 +1,10 @@
 package serverset
 
-// paceWeight is the weight of a server's newest word on how long its work takes. The word
-// changes many times a second: what a request meets while it runs is nearer the mean.
+// paceWeight is the weight of a server's newest report of how long its work takes. Reports
+// change many times a second: what a request meets while it runs is nearer the mean.
 const paceWeight = 0.25
 
-// notePace takes the server's word; 0 is none. The lock is held.
+// notePace takes what the server reported; 0 is none. The lock is held.
 func (s *Server) notePace(pace int) {
 	switch {
 	case pace == 0:
@@ -15,8 +15,8 @@
 	}
 }
 
-// slowness is how many times as long as usual work takes at the server, by its word to all
-// hosts of the region; 1 where it says nothing.
+// slowness is how many times as long as usual work takes at the server, by its reports to all
+// hosts of the region; 1 where it reports nothing.
 func (s *Server) slowness() float64 {
 	sum, hosts := s.pace, 1
 	if s.pace == 0 {
--- a/serverset/pace_test.go
+++ b/serverset/pace_test.go
@@ -10,28 +10,28 @@
 	"wheelgauge/prompt"
 )
 
-// A server's word of how long its work takes is noise around a mean of its own: single words
+// A server's reports of how long its work takes are noise around a mean of its own: single ones
 // are passed over, the mean counts, and what other hosts heard counts as much.
 func TestSlowness(t *testing.T) {
 	tests := []struct {
-		name   string
-		words  []int
-		others wheelgauge.ServerUse
-		least  float64
-		most   float64
+		name    string
+		reports []int
+		others  wheelgauge.ServerUse
+		least   float64
+		most    float64
 	}{
-		{"says nothing", nil, wheelgauge.ServerUse{}, 1, 1},
+		{"reports nothing", nil, wheelgauge.ServerUse{}, 1, 1},
 		{"as usual", []int{100, 100}, wheelgauge.ServerUse{}, 1, 1},
 		{"once slow", []int{100, 100, 100, 400}, wheelgauge.ServerUse{}, 1.2, 2},
 		{"always slow", []int{400, 400, 400}, wheelgauge.ServerUse{}, 4, 4},
-		{"a pause in its words", []int{400, 0, 0}, wheelgauge.ServerUse{}, 4, 4},
+		{"reports nothing for a while", []int{400, 0, 0}, wheelgauge.ServerUse{}, 4, 4},
 		{"others heard it", nil, wheelgauge.ServerUse{Pace: 600, Paced: 3}, 2, 2},
 		{"most others heard otherwise", []int{400}, wheelgauge.ServerUse{Pace: 300, Paced: 3}, 1.75, 1.75},
 	}
 	for _, tt := range tests {
 		s := &Server{others: tt.others}
-		for _, w := range tt.words {
-			s.notePace(w)
+		for _, r := range tt.reports {
+			s.notePace(r)
 		}
 		if got := s.slowness(); got < tt.least || got > tt.most {
 			t.Errorf("%s: %.2f, want %.2f to %.2f", tt.name, got, tt.least, tt.most)
@@ -40,16 +40,16 @@
 }
 
 // Engines of which some work two and a half times as slowly as others get requests such that
-// callers wait less than where all count alike: played over a minute, with words that are
+// callers wait less than where all count alike: played over a minute, with reports that are
 // noise around each engine's own mean.
 func TestSlowEnginesGetLess(t *testing.T) {
 	var means [2]time.Duration
 	for n, told := range []bool{false, true} {
 		means[n] = playPaces(told)
 	}
-	t.Logf("mean wait %s where words are left out, %s where they count", means[0], means[1])
+	t.Logf("mean wait %s where reports are left out, %s where they count", means[0], means[1])
 	if means[1] > means[0]*9/10 {
-		t.Errorf("words gain too little: %s, then %s", means[0], means[1])
+		t.Errorf("reports gain too little: %s, then %s", means[0], means[1])
 	}
 }
 
@@ -91,8 +91,8 @@
 				left = append(left, r)
 				continue
 			}
-			if word := slow[r.pick.Server().Instance()] * (0.6 + 0.8*rng.Float64()); told {
-				r.pick.Report(Reported{running: 1, slots: 64, pace: int(100 * word)}, false)
+			if pace := slow[r.pick.Server().Instance()] * (0.6 + 0.8*rng.Float64()); told {
+				r.pick.Report(Reported{running: 1, slots: 64, pace: int(100 * pace)}, false)
 			}
 			r.pick.Done(Served)
 		}
--- a/serverset/reported.go
+++ b/serverset/reported.go
@@ -19,8 +19,8 @@
 	// mostReported bounds each number that a server says of its load: sums of them stay
 	// numbers of requests.
 	mostReported = 1_000_000
-	// usualPace is what a server says whose work takes as long as usual, fastestPace and
-	// slowestPace bound what is believed: no word draws all requests to one server.
+	// usualPace is what a server reports whose work takes as long as usual; fastestPace and
+	// slowestPace bound what is believed, so that no report draws all requests to one server.
 	usualPace   = 100
 	fastestPace = usualPace / 4
 	slowestPace = 100 * usualPace
--- a/serverset/server.go
+++ b/serverset/server.go
@@ -66,7 +66,7 @@
 	// many requests it held when it refused one, 0 while it has not.
 	slots int
 	full  int
-	// pace is the mean of what the server said to this host of how long its work takes, in
+	// pace is the mean of what the server reported to this host of how long its work takes, in
 	// hundredths of the usual time; 0 while it has not.
 	pace float64
 	// coldUntil is when the server bears full load again.
