Rollouts: a minute after one is complete any version is used again

Cause, by reading: once a rollout was complete, servers of other versions got nothing for good. A later release that changes versions without an order would have left all requests to the servers that were not replaced yet. Change: a minute after its time limit a completed rollout says nothing any more. A version that was taken back still gets nothing until ordered again. Besides, the usual times of routes that come and go are bounded (4,096). Nothing changes without a rollout.

--- a/confstore/rollouts.go
+++ b/confstore/rollouts.go
@@ -258,7 +258,8 @@
 func offered(rollouts []wheelgauge.Rollout, s wheelgauge.Server) bool {
 	for _, r := range rollouts {
 		if r.Service == s.Service {
-			return (s.Version == r.Version) == (r.State == wheelgauge.RolloutCompleted)
+			completed := r.State == wheelgauge.RolloutCompleted
+			return completed && r.Left() < -wheelgauge.RetiredAfter || (s.Version == r.Version) == completed
 		}
 	}
 	return true
--- a/confstore/servers.go
+++ b/confstore/servers.go
@@ -94,7 +94,7 @@
 // regionUses joins what hosts have in flight with the servers there are.
 func (n *Node) regionUses() []wheelgauge.RegionUse {
 	sums := n.hosts.Regions()
-	state := n.machine.State()
+	state := n.fleetState()
 	list, _ := n.servers.All()
 	limited := n.limits.Limited()
 	for _, s := range list {
--- a/rollout/ledger/choose.go
+++ b/rollout/ledger/choose.go
@@ -58,13 +58,15 @@
 		return wheelgauge.VersionChoice{}
 	}
 	target, others := wheelgauge.OnlyVersion(s.rollout.Version), wheelgauge.ExceptVersion(s.rollout.Version)
+	now := l.options.Now()
 	switch {
+	case s.rollout.State == wheelgauge.RolloutCompleted && now.After(s.limit.Add(wheelgauge.RetiredAfter)):
+		return wheelgauge.VersionChoice{}
 	case s.rollout.State == wheelgauge.RolloutCompleted:
 		return target
 	case !s.rollout.Running():
 		return others
 	}
-	now := l.options.Now()
 	l.close(s, now)
 	switch {
 	case s.closed && !l.allows(s, now):
--- a/rollout/ledger/ledger.go
+++ b/rollout/ledger/ledger.go
@@ -114,9 +114,7 @@
 			s.begin(r)
 		}
 		s.known, s.rollout = true, r
-		if r.Running() {
-			s.limit = now.Add(r.Left())
-		}
+		s.limit = now.Add(r.Left())
 	}
 	l.confirmed = now
 }
--- a/rollout/tally/tally.go
+++ b/rollout/tally/tally.go
@@ -21,6 +21,8 @@
 	// longer it takes at least.
 	slowFactor = 2.5
 	slowFloor  = 40 * time.Millisecond
+	// mostUsual bounds the routes whose usual times are kept; beyond it all begin anew.
+	mostUsual = 4096
 	// mostFaulty bounds the servers whose bad answers are told one by one.
 	mostFaulty = 8
 )
@@ -104,6 +106,9 @@
 	of := [2]string{a.Service, a.Route}
 	u := t.usual[of]
 	if u == nil {
+		if len(t.usual) >= mostUsual {
+			clear(t.usual)
+		}
 		u = &times{}
 		t.usual[of] = u
 	}
--- a/rollouts.go
+++ b/rollouts.go
@@ -15,6 +15,10 @@
 	RolloutRolledBack RolloutState = "rolled-back"
 )
 
+// RetiredAfter is how long after the time limit of a completed rollout the servers of other
+// versions are gone from the list. Those that stand there later came after it.
+const RetiredAfter = time.Minute
+
 // RolloutOrder asks that the requests of a service move to servers of another version.
 type RolloutOrder struct {
 	Service string `json:"service"`
