--- a/rollout/director/director.go
+++ b/rollout/director/director.go
@@ -16,13 +16,14 @@
 	// leastAnswers of the target version are needed before requests move over, leastRoute on
 	// each route that had busyRoute of the other versions.
 	leastAnswers = 40
-	leastRoute   = 5
+	leastRoute   = 20
 	busyRoute    = 150
 	// clearScore is the evidence against the version that is too much to move over by.
-	clearScore = 0.5
-	// silentFor is how long after a host was last heard it is taken to send nothing to other
-	// versions any more, once the time limit is over too: it stops by itself before.
-	silentFor = 6 * time.Second
+	clearScore = 0.35
+	// silentFor is how long after a host was last heard it is taken to have nothing in flight at
+	// other versions any more, once the time limit is over too: it stops to use them by itself
+	// before, and what it sent until then has ended.
+	silentFor = 20 * time.Second
 	// emptyFor is how long after its limit a rollout is given up whose target version
 	// answered nothing.
 	emptyFor = 10 * time.Second
