--- a/beat/client.go
+++ b/beat/client.go
@@ -174,9 +174,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.choosePrimary()
-	now, self := c.now(), c.options.Self()
+	now, self, rollouts := c.now(), c.options.Self(), c.rolloutChanges()
 	for _, s := range c.stores {
-		if s.calling || now.Before(s.due) && s.told == self && !c.hasCrashes(s) && !c.hasRollouts(s) {
+		if s.calling || now.Before(s.due) && s.told == self && !c.hasCrashes(s) && (rollouts <= s.rollouts || !s.reached()) {
 			continue
 		}
 		c.start(ctx, s, now)
@@ -187,20 +187,20 @@
 // hasCrashes tells whether there is a crash that a store which answers was not told of: it
 // is told at once, as each further server that ends is one less for all callers.
 func (c *Client) hasCrashes(s *store) bool {
-	if c.options.Crashes == nil || s.misses > 0 || s.boot == 0 {
+	if c.options.Crashes == nil || !s.reached() {
 		return false
 	}
 	news, _ := c.options.Crashes.Since(s.crashes)
 	return len(news) > 0
 }
 
-// hasRollouts tells whether a store that answers is to hear of rollouts at once: it waits for
-// the last host.
-func (c *Client) hasRollouts(s *store) bool {
-	if c.options.Rollouts == nil || s.misses > 0 || s.boot == 0 {
-		return false
+// rolloutChanges numbers what stores are to hear of rollouts at once: they wait for the last
+// host.
+func (c *Client) rolloutChanges() uint64 {
+	if c.options.Rollouts == nil {
+		return 0
 	}
-	return c.options.Rollouts.Changes() > s.rollouts
+	return c.options.Rollouts.Changes()
 }
 
 // Now sends a beat to every store at once, as when the host is leaving.
--- a/beat/stores.go
+++ b/beat/stores.go
@@ -46,6 +46,9 @@
 	rollouts uint64
 }
 
+// reached tells whether the store answered the last call.
+func (s *store) reached() bool { return s.misses == 0 && s.boot != 0 }
+
 // Stores returns the stores that answer, near ones first. A near one that is cut off
 // from the others comes before a far one: what is drawn there takes 2 ms, not 115.
 func (c *Client) Stores() []wheelgauge.StoreAt {
--- a/configlog/rollouts.go
+++ b/configlog/rollouts.go
@@ -12,16 +12,10 @@
 	all []wheelgauge.Rollout
 }
 
-func (l rollouts) at(service string) int {
-	return slices.IndexFunc(l.all, func(r wheelgauge.Rollout) bool { return r.Service == service })
-}
-
 // of returns the rollout of a service; the zero value without one.
 func (l rollouts) of(service string) wheelgauge.Rollout {
-	if at := l.at(service); at >= 0 {
-		return l.all[at]
-	}
-	return wheelgauge.Rollout{}
+	r, _ := wheelgauge.RolloutOf(l.all, service)
+	return r
 }
 
 // begin begins a rollout unless the service is in one, has the version already, or went back
@@ -64,10 +58,6 @@
 }
 
 func (l rollouts) put(r wheelgauge.Rollout) rollouts {
-	all := slices.Clone(l.all)
-	if at := l.at(r.Service); at >= 0 {
-		all[at] = r
-		return rollouts{all}
-	}
+	all := slices.DeleteFunc(slices.Clone(l.all), func(was wheelgauge.Rollout) bool { return was.Service == r.Service })
 	return rollouts{append(all, r)}
 }
--- a/confstore/beat.go
+++ b/confstore/beat.go
@@ -48,17 +48,7 @@
 	if string(ctx.Path()) != path {
 		return false
 	}
-	q, err := peerhttp.Decode[Q](ctx)
-	if err != nil {
-		peerhttp.AnswerError(ctx, err)
-		return true
-	}
-	answer, err := f(q)
-	if err != nil {
-		peerhttp.AnswerError(ctx, err)
-		return true
-	}
-	peerhttp.Answer(ctx, answer)
+	peerhttp.Serve(ctx, f)
 	return true
 }
 
--- a/confstore/rollouts.go
+++ b/confstore/rollouts.go
@@ -96,8 +96,8 @@
 	if err := n.hasService(order.Service); err != nil {
 		return err
 	}
-	held := n.rollout(order.Service)
-	again := !held.Running() && n.ages.age(held, n.now()) > resendFor
+	held, known := wheelgauge.RolloutOf(n.rollouts(), order.Service)
+	again := known && !held.Running() && held.ElapsedMS > resendFor.Milliseconds()
 	res, err := n.change(ctx, configlog.Command{Op: configlog.OpRollout, Rollout: &wheelgauge.Rollout{RolloutOrder: order}, Again: again})
 	if err != nil {
 		return err
@@ -112,16 +112,6 @@
 		"the service is being rolled out to version "+res.Rollout.Version)
 }
 
-// rollout returns the last rollout of a service; the zero value without one.
-func (n *Node) rollout(service string) wheelgauge.Rollout {
-	for _, r := range n.machine.State().Rollouts {
-		if r.Service == service {
-			return r
-		}
-	}
-	return wheelgauge.Rollout{}
-}
-
 func checkRollout(o wheelgauge.RolloutOrder) error {
 	switch {
 	case o.Service == "":
@@ -153,12 +143,11 @@
 	if err := n.replica.ReadBarrier(ctx); err != nil {
 		return wheelgauge.Rollout{}, fmt.Errorf("read rollout: %w", err)
 	}
-	for _, r := range n.rollouts() {
-		if r.Service == service {
-			return r, nil
-		}
+	r, ok := wheelgauge.RolloutOf(n.rollouts(), service)
+	if !ok {
+		return r, wheelgauge.NewError(wheelgauge.ReasonNotFound, wheelgauge.OutcomeNotRun, http.StatusNotFound, "no rollout of service "+service)
 	}
-	return wheelgauge.Rollout{}, wheelgauge.NewError(wheelgauge.ReasonNotFound, wheelgauge.OutcomeNotRun, http.StatusNotFound, "no rollout of service "+service)
+	return r, nil
 }
 
 // AbortRollout implements wheelgauge.Operations.
@@ -226,8 +215,8 @@
 // noteAge has the group note how long a rollout has run, so that stores that all start anew
 // do not give it all its time again.
 func (n *Node) noteAge(ctx context.Context, r wheelgauge.Rollout) {
-	noted := n.rollout(r.Service).ElapsedMS
-	if r.ElapsedMS-noted < ageEvery.Milliseconds() {
+	noted, _ := wheelgauge.RolloutOf(n.machine.State().Rollouts, r.Service)
+	if r.ElapsedMS-noted.ElapsedMS < ageEvery.Milliseconds() {
 		return
 	}
 	limit, cancel := context.WithTimeout(ctx, rolloutTimeout)
@@ -256,11 +245,7 @@
 // offered tells whether a server takes requests as far as its version goes, so that regions
 // are compared by the servers that they can use.
 func offered(rollouts []wheelgauge.Rollout, s wheelgauge.Server) bool {
-	for _, r := range rollouts {
-		if r.Service == s.Service {
-			completed := r.State == wheelgauge.RolloutCompleted
-			return completed && r.Left() < -wheelgauge.RetiredAfter || (s.Version == r.Version) == completed
-		}
-	}
-	return true
+	r, known := wheelgauge.RolloutOf(rollouts, s.Service)
+	completed := r.State == wheelgauge.RolloutCompleted
+	return !known || completed && r.Left() < -wheelgauge.RetiredAfter || (s.Version == r.Version) == completed
 }
--- a/entrynode/conns_test.go
+++ b/entrynode/conns_test.go
@@ -9,7 +9,7 @@
 // However small a host is, connections that are all read slowly stay within its memory
 // together with what else it holds.
 func TestConnsWithin(t *testing.T) {
-	const rest = 36 << 20 // the most that a busy host was seen to hold
+	const rest = 36 << 20 // what a busy host holds besides
 	tests := []struct {
 		megabytes     int64
 		callers, peer int
--- a/rollout/ledger/choose.go
+++ b/rollout/ledger/choose.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"sync"
 	"time"
 
 	"wheelgauge"
@@ -10,7 +9,7 @@
 
 // Choose says which versions may get a request of a route that is expected to last for a
 // while. A repeat goes to the versions that are known to work. The choice holds until release
-// is called: when the request has ended, or is not sent to a server of this region.
+// is called, once: when the request has ended, or is not sent to a server of this region.
 func (l *Ledger) Choose(name, route string, lasts time.Duration, repeat bool) (c wheelgauge.VersionChoice, release func()) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -44,13 +43,13 @@
 		version = ""
 	}
 	s.open[version]++
-	return sync.OnceFunc(func() {
+	return func() {
 		l.mu.Lock()
 		defer l.mu.Unlock()
-		if s.open[version]--; s.open[version] <= 0 {
+		if s.open[version]--; s.open[version] == 0 {
 			delete(s.open, version)
 		}
-	})
+	}
 }
 
 func (l *Ledger) choose(s *service, route string, lasts time.Duration, repeat bool) wheelgauge.VersionChoice {
--- a/rollout/ledger/ledger.go
+++ b/rollout/ledger/ledger.go
@@ -5,13 +5,13 @@
 package ledger
 
 import (
-	"hash/fnv"
-	"strconv"
+	"math"
 	"sync"
 	"time"
 
 	"wheelgauge"
 	"wheelgauge/meanrate"
+	"wheelgauge/rendezvous"
 )
 
 const (
@@ -149,25 +149,13 @@
 func (l *Ledger) creditOf(s *service, route string) float64 {
 	credit, ok := s.credit[route]
 	if !ok {
-		credit = part(l.options.Host, route, strconv.FormatUint(s.rollout.Number, 10))
+		drawn := rendezvous.Score(rendezvous.Hash(l.options.Host)+s.rollout.Number, rendezvous.Hash(route))
+		credit = float64(drawn) / math.MaxUint64
 		s.credit[route] = credit
 	}
 	return credit
 }
 
-// part returns a number from 0 to 1 that looks drawn.
-func part(words ...string) float64 {
-	h := fnv.New64a()
-	for _, w := range words {
-		_, _ = h.Write([]byte(w)) // never fails
-		_, _ = h.Write([]byte{0})
-	}
-	// The high bits of short words differ little.
-	mixed := h.Sum64() * 0x9e3779b97f4a7c15
-	mixed ^= mixed >> 29
-	return float64(mixed>>11) / (1 << 53)
-}
-
 // Sent notes that a request of a route is sent to a server of a version.
 func (l *Ledger) Sent(name, route, version string) {
 	l.mu.Lock()
--- a/rollout/ledger/report.go
+++ b/rollout/ledger/report.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"wheelgauge"
 )
@@ -42,13 +43,8 @@
 		if !s.known || !s.rollout.Running() {
 			continue
 		}
-		l.close(s, now)
-		settled := s.settled()
-		if settled != s.told {
-			s.told = settled
-			l.changes++
-		}
-		out = append(out, wheelgauge.RolloutReport{Service: name, Number: s.rollout.Number, Sent: s.sent, SentTarget: s.sentTarget, Settled: settled})
+		l.note(s, now)
+		out = append(out, wheelgauge.RolloutReport{Service: name, Number: s.rollout.Number, Sent: s.sent, SentTarget: s.sentTarget, Settled: s.told})
 	}
 	slices.SortFunc(out, func(a, b wheelgauge.RolloutReport) int { return cmp.Compare(a.Service, b.Service) })
 	return out
@@ -67,10 +63,24 @@
 	return true
 }
 
+// note notes whether the host is settled now; the lock is held.
+func (l *Ledger) note(s *service, now time.Time) {
+	l.close(s, now)
+	if settled := s.settled(); settled != s.told {
+		s.told = settled
+		l.changes++
+	}
+}
+
 // Changes returns a number that grows when stores should hear of this host at once.
 func (l *Ledger) Changes() uint64 {
-	l.Reports()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	now := l.options.Now()
+	for _, s := range l.services {
+		if s.known && s.rollout.Running() {
+			l.note(s, now)
+		}
+	}
 	return l.changes
 }
--- a/rollouts.go
+++ b/rollouts.go
@@ -1,6 +1,9 @@
 package wheelgauge
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // RolloutState is how far a rollout has come.
 type RolloutState string
@@ -43,6 +46,15 @@
 	Cause string `json:"cause,omitempty"`
 }
 
+// RolloutOf returns the rollout of a service among those of all; ok is false without one.
+func RolloutOf(all []Rollout, service string) (r Rollout, ok bool) {
+	at := slices.IndexFunc(all, func(r Rollout) bool { return r.Service == service })
+	if at < 0 {
+		return Rollout{}, false
+	}
+	return all[at], true
+}
+
 // Running tells whether the rollout is under way.
 func (r Rollout) Running() bool { return r.State == RolloutRunning }
 
--- a/routegate/slow_test.go
+++ b/routegate/slow_test.go
@@ -98,12 +98,12 @@
 const (
 	// slowStreams is how many callers read nothing at once.
 	slowStreams = 40
-	// slowLimit bounds the time until all are held up: the sockets' buffers take 200 MB.
+	// slowLimit bounds the time until all are held up, with their sockets' buffers full.
 	slowLimit = 2 * time.Minute
 )
 
 // Streams that nobody reads hold no more of the host's memory than its connections are
-// counted by. The stand-in's own part, measured without a host, is left out.
+// counted by, the stand-in's own part left out.
 func TestMemoryOfSlowReaders(t *testing.T) {
 	f := &flood{ended: make(chan error, 2*slowStreams)}
 	server := &backend{conn: listen(t, f.serve)}
--- a/serverset/pick.go
+++ b/serverset/pick.go
@@ -12,15 +12,17 @@
 type Pick struct {
 	table  *Table
 	server *Server
-	tokens int
-	rank   int
-	prompt prompt.Prompt
-	wait   time.Duration
-	source string
-	load   Load
-	sent   time.Time
-	began  bool
-	ended  bool
+	// version is that of the server when it was chosen.
+	version string
+	tokens  int
+	rank    int
+	prompt  prompt.Prompt
+	wait    time.Duration
+	source  string
+	load    Load
+	sent    time.Time
+	began   bool
+	ended   bool
 }
 
 // Load is what a server had to do, by what was known, when it was chosen.
@@ -75,7 +77,7 @@
 // pick counts a job as in flight at the server chosen; the lock is held.
 func (t *Table) pick(c choice, home *Server, j Job, now time.Time) *Pick {
 	s := c.server
-	k := &Pick{table: t, server: s, prompt: j.prompt, rank: j.rank, tokens: s.missing(j.prompt, s == home), wait: duration(c.wait), sent: now}
+	k := &Pick{table: t, server: s, version: s.spec.Version, prompt: j.prompt, rank: j.rank, tokens: s.missing(j.prompt, s == home), wait: duration(c.wait), sent: now}
 	k.load = Load{running: s.inFlight(), tokens: s.tokens + s.others.Tokens, age: now.Sub(s.othersAt)}
 	s.running++
 	s.tokens += k.tokens
--- a/serverset/reported.go
+++ b/serverset/reported.go
@@ -60,9 +60,6 @@
 	return r, true
 }
 
-// Pace returns how long work takes at the server now, 100 as usual; 0 if it is not told.
-func (r Reported) Pace() int { return r.pace }
-
 // Report takes what the server said in its answer to this request; shed is set
 // when it refused the request because it was full.
 func (k *Pick) Report(r Reported, shed bool) {
--- a/serverset/versions.go
+++ b/serverset/versions.go
@@ -72,9 +72,5 @@
 	return now.Sub(k.server.since) < freshFor || now.Before(k.server.coldUntil)
 }
 
-// Version is that of the server's software.
-func (k *Pick) Version() string {
-	k.table.mu.Lock()
-	defer k.table.mu.Unlock()
-	return k.server.spec.Version
-}
+// Version is that of the server's software when it was chosen.
+func (k *Pick) Version() string { return k.version }
