--- a/message.go
+++ b/message.go
@@ -14,6 +14,8 @@
 	// HeaderLimit is the requests a second that a server in need takes from all hosts
 	// together, as it says in its answers.
 	HeaderLimit = "Wheelgauge-Limit"
+	// HeaderLeaving is "1" in the answers of a server that leaves.
+	HeaderLeaving = "Wheelgauge-Leaving"
 	// The headers below exist on the peer listener only.
 	HeaderForwardedFrom = "Wheelgauge-Forwarded-From"
 	HeaderMust          = "Wheelgauge-Forward-Must"
--- a/native/headers.go
+++ b/native/headers.go
@@ -14,6 +14,7 @@
 		Signature: "Wheelgauge-Signature",
 		Load:      "Wheelgauge-Load",
 		Limit:     wheelgauge.HeaderLimit,
+		Leaving:   wheelgauge.HeaderLeaving,
 		Prompt:    "Wheelgauge-Prompt",
 		Tokens:    "Wheelgauge-Tokens",
 		Hint:      "Wheelgauge-Output-Hint",
--- a/routegate/dispatch.go
+++ b/routegate/dispatch.go
@@ -68,6 +68,7 @@
 		set = append(set, [2]string{n.Fetch, from})
 	}
 	head := c.head(set)
+	c.noteAsked(k)
 	c.sends++
 	c.runs++
 	x.eventsBefore = c.splitter.Events()
@@ -83,6 +84,7 @@
 		return failed
 	}
 	c.hearLimit(x, s)
+	c.hearAsk(x, k)
 	notRun := len(x.head.Peek(n.NotRun)) > 0
 	if r, ok := serverset.ParseReported(string(x.head.Peek(n.Load))); ok {
 		k.Report(r, notRun && x.head.StatusCode() == http.StatusServiceUnavailable)
--- a/routegate/gate_test.go
+++ b/routegate/gate_test.go
@@ -26,16 +26,17 @@
 )
 
 const (
-	testLimit = 10 * time.Second
-	signed    = "Wheelgauge-Signature: s\r\n"
-	okAnswer  = "HTTP/1.1 200 OK\r\n" + signed + "Content-Length: 2\r\n\r\nok"
-	failure   = "HTTP/1.1 500 Internal Server Error\r\n" + signed + "Content-Length: 3\r\n\r\nbad"
-	shed      = "HTTP/1.1 503 Service Unavailable\r\nWheelgauge-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
-	other     = "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n"
-	cut       = "HTTP/1.1 200 OK\r\n" + signed + "Content-Length: 9\r\n\r\nok"
-	unsigned  = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
-	garbage   = "no answer at all\r\n\r\n"
-	events    = "HTTP/1.1 200 OK\r\n" + signed + "Transfer-Encoding: chunked\r\n\r\n"
+	testLimit   = 10 * time.Second
+	signed      = "Wheelgauge-Signature: s\r\n"
+	okAnswer    = "HTTP/1.1 200 OK\r\n" + signed + "Content-Length: 2\r\n\r\nok"
+	failure     = "HTTP/1.1 500 Internal Server Error\r\n" + signed + "Content-Length: 3\r\n\r\nbad"
+	shed        = "HTTP/1.1 503 Service Unavailable\r\nWheelgauge-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	unsigned503 = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+	other       = "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n"
+	cut         = "HTTP/1.1 200 OK\r\n" + signed + "Content-Length: 9\r\n\r\nok"
+	unsigned    = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	garbage     = "no answer at all\r\n\r\n"
+	events      = "HTTP/1.1 200 OK\r\n" + signed + "Transfer-Encoding: chunked\r\n\r\n"
 )
 
 // chunk renders one chunk of a body.
@@ -89,14 +90,22 @@
 		_, _ = io.Copy(io.Discard, req.Body)
 		answer := b.next(req.Header)
 		_, _ = c.Write([]byte(answer))
-		switch withoutLimits(answer) {
-		case okAnswer, failure, shed, other:
-		default:
+		if b.ends(answer) {
 			return
 		}
 	}
 }
 
+// ends tells whether the connection ends with an answer that is none, or not whole.
+func (b *backend) ends(answer string) bool {
+	resp, err := http.ReadResponse(bufio.NewReader(strings.NewReader(answer)), nil)
+	if err != nil {
+		return true
+	}
+	_, err = io.Copy(io.Discard, resp.Body)
+	return err != nil || resp.ContentLength < 0
+}
+
 func (b *backend) next(h http.Header) string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/routegate/limit_test.go
+++ b/routegate/limit_test.go
@@ -22,17 +22,6 @@
 	return status + "\r\n" + rest
 }
 
-// withoutLimits is the answer without what limited added.
-func withoutLimits(answer string) string {
-	var lines []string
-	for _, line := range strings.SplitAfter(answer, "\r\n") {
-		if !strings.HasPrefix(line, "Wheelgauge-Limit: ") {
-			lines = append(lines, line)
-		}
-	}
-	return strings.Join(lines, "")
-}
-
 // What a server says of its limit is heard in any answer of its own; only a success without
 // it says that there is none.
 func TestLimitIsHeard(t *testing.T) {
--- a/routes.go
+++ b/routes.go
@@ -189,6 +189,8 @@
 	// Limit is the requests a second that a server in need takes from all hosts
 	// together, a decimal number; answers of servers without a limit lack it.
 	Limit string
+	// Leaving is "1" in the answers of a server that leaves.
+	Leaving string
 	// Prompt lists the parts of the prompt as ID:TOKENS, separated by commas.
 	Prompt string
 	// Tokens is "prompt tokens,most tokens to generate".
--- a/serverset/server.go
+++ b/serverset/server.go
@@ -7,6 +7,7 @@
 	"wheelgauge"
 	"wheelgauge/prompt"
 	"wheelgauge/rendezvous"
+	"wheelgauge/serverask"
 	"wheelgauge/serverconn"
 )
 
@@ -85,6 +86,8 @@
 	lostUntil time.Time
 	reached   time.Time
 	gone      bool
+	// ask is what the server asks of this host.
+	ask serverask.Ask
 	// service is the mean time of an answer of a plain service.
 	service time.Duration
 	cached  map[uint64]time.Time
