--- a/entrynode/fleet_test.go
+++ b/entrynode/fleet_test.go
@@ -47,6 +47,8 @@
 	failing  map[string]float64
 	// endedAt is when engines ended.
 	endedAt []time.Time
+	// book says what engines ask of hosts.
+	book *restBook
 	// told is when each engine first named its limit.
 	told  map[string]time.Time
 	ended atomic.Int64
@@ -57,7 +59,7 @@
 
 func newEngines(t *testing.T, count int, hall string) *engines {
 	t.Helper()
-	e := &engines{hall: hall, conns: map[string][]net.Conn{}, limits: map[string]float64{}, arrivals: map[string][]time.Time{}, versions: map[string]string{}, failing: map[string]float64{}, told: map[string]time.Time{}}
+	e := &engines{hall: hall, book: newRestBook(), conns: map[string][]net.Conn{}, limits: map[string]float64{}, arrivals: map[string][]time.Time{}, versions: map[string]string{}, failing: map[string]float64{}, told: map[string]time.Time{}}
 	e.ctx, e.stop = context.WithCancel(context.Background())
 	for n := range count {
 		e.start(t, n, fmt.Sprintf("127.0.84.%d:9000", 100+n))
@@ -138,6 +140,11 @@
 			continue
 		}
 		limit := e.arrived(name)
+		instead, more := e.book.answer(name, string(body))
+		if instead != "" {
+			_, _ = io.WriteString(c, instead)
+			continue
+		}
 		time.Sleep(runTime)
 		if e.fails(name) {
 			_, _ = io.WriteString(c, "HTTP/1.1 500 Internal Server Error\r\nWheelgauge-Signature: s\r\nContent-Length: 3\r\n\r\nbad")
@@ -149,7 +156,7 @@
 			end()
 			return
 		}
-		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nWheelgauge-Signature: s\r\n"+limit+"Content-Length: 2\r\n\r\nok")
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nWheelgauge-Signature: s\r\n"+limit+more+"Content-Length: 2\r\n\r\nok")
 	}
 }
 
--- a/entrynode/limit_test.go
+++ b/entrynode/limit_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -161,9 +162,10 @@
 
 // callers ask again and again, and come back when they are told to.
 type callers struct {
-	fleet  *fleet
-	cancel context.CancelFunc
-	group  sync.WaitGroup
+	options callerOptions
+	fleet   *fleet
+	cancel  context.CancelFunc
+	group   sync.WaitGroup
 	// asked, served and unpromised count requests, those that were served, and those
 	// refused without a time to come back.
 	asked, served, unpromised atomic.Int64
@@ -182,12 +184,28 @@
 }
 
 func (f *fleet) callers(count int) *callers {
+	return f.callersWith(callerOptions{count: count, word: "caller"})
+}
+
+// callerOptions say how callers ask.
+type callerOptions struct {
+	count int
+	// word begins the bodies; a verb in it stands for the host.
+	word string
+	// impatient callers come back sooner than they are told to.
+	impatient bool
+}
+
+// count returns how many callers ask.
+func (c *callers) count() int64 { return int64(c.options.count) }
+
+func (f *fleet) callersWith(o callerOptions) *callers {
 	ctx, cancel := context.WithCancel(context.Background())
-	c := &callers{fleet: f, cancel: cancel}
-	for n := range count {
+	c := &callers{fleet: f, cancel: cancel, options: o}
+	for n := range o.count {
 		c.group.Go(func() {
 			for i := 0; ctx.Err() == nil; i++ {
-				c.ask(ctx, n%fleetSize, fmt.Sprintf("caller %d %d", n, i))
+				c.ask(ctx, n%fleetSize, fmt.Sprintf("%s %d %d", strings.ReplaceAll(o.word, "%d", strconv.Itoa(n%fleetSize)), n, i))
 			}
 		})
 	}
@@ -218,7 +236,9 @@
 		c.served.Add(1)
 		c.servedAt[host].Add(1)
 	case err == nil && status == http.StatusServiceUnavailable && after > 0:
-		wait = after
+		if !c.options.impatient {
+			wait = after
+		}
 	default:
 		c.unpromised.Add(1)
 	}
--- /dev/null
+++ b/fake/engine/ask.go
@@ -0,0 +1,69 @@
+package engine
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"wheelgauge"
+	"wheelgauge/peerhttp"
+)
+
+// Asked is a request that came and what the engine asked of its sender in the answer.
+type Asked struct {
+	ID   string `json:"id"`
+	AtMS int64  `json:"at_ms"`
+	// Rest is the Retry-After of a request that was turned away for a rest.
+	Rest string `json:"rest,omitempty"`
+	// Leaving is set once the answers say so.
+	Leaving bool `json:"leaving,omitempty"`
+}
+
+// asking is what the engine asks of all who send requests.
+type asking struct {
+	until   time.Time
+	rest    string
+	leaving bool
+	log     []Asked
+}
+
+// Rest makes the engine turn requests away for a time, with a Retry-After.
+func (e *Engine) Rest(sick time.Duration, retryAfter string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.asking.until, e.asking.rest = time.Now().Add(sick), retryAfter
+}
+
+// SayLeaving makes answers say that the engine leaves, not its reports.
+func (e *Engine) SayLeaving() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.asking.leaving = true
+}
+
+// Asked returns all requests that came, with what was asked of their senders.
+func (e *Engine) Asked() []Asked {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]Asked{}, e.asking.log...)
+}
+
+// ask writes into the answer what the engine asks; it tells whether the request is turned
+// away.
+func (e *Engine) ask(ctx *fasthttp.RequestCtx, id string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	one := Asked{ID: id, AtMS: now.UnixMilli(), Leaving: e.asking.leaving}
+	if e.asking.leaving {
+		ctx.Response.Header.Set(wheelgauge.HeaderLeaving, "1")
+	}
+	if now.Before(e.asking.until) {
+		one.Rest = e.asking.rest
+		peerhttp.AnswerError(ctx, wheelgauge.NewError(wheelgauge.ReasonOverloaded, wheelgauge.OutcomeNotRun, http.StatusServiceUnavailable, "the engine rests"))
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, e.asking.rest)
+	}
+	e.asking.log = append(e.asking.log, one)
+	return one.Rest != ""
+}
--- a/fake/engine/engine.go
+++ b/fake/engine/engine.go
@@ -103,6 +103,7 @@
 	unready int
 	// arrivals are when requests came, in Unix milliseconds.
 	arrivals []int64
+	asking   asking
 	server   *httpserve.Server
 	cancel   context.CancelFunc
 	done     chan error
--- a/fake/engine/handler.go
+++ b/fake/engine/handler.go
@@ -77,6 +77,12 @@
 		e.kv(ctx)
 	case "/v1/leave":
 		e.Leave()
+	case "/v1/rest":
+		e.Rest(time.Duration(ctx.QueryArgs().GetUintOrZero("for_ms"))*time.Millisecond, string(ctx.QueryArgs().Peek("retry_after")))
+	case "/v1/say-leaving":
+		e.SayLeaving()
+	case "/v1/asked":
+		peerhttp.Answer(ctx, e.Asked())
 	case "/v1/slow":
 		e.Slow(ctx.QueryArgs().GetUintOrZero("factor"))
 	case "/v1/arrivals":
@@ -105,6 +111,9 @@
 	priority, _ := strconv.Atoi(string(ctx.Request.Header.Peek("X-Priority")))
 	skip, _ := strconv.Atoi(string(ctx.Request.Header.Peek("X-Resume-From")))
 	id := string(ctx.Request.Header.Peek(wheelgauge.HeaderRequestID))
+	if e.ask(ctx, id) {
+		return
+	}
 	s := e.submit(id, c.Model, c.text(), priority, skip, n)
 	if s == nil {
 		peerhttp.AnswerError(ctx, wheelgauge.NewError(wheelgauge.ReasonOverloaded, wheelgauge.OutcomeNotRun, http.StatusServiceUnavailable, "the queue is full"))
