A server that asks for a rest, or says that it leaves, gets nothing from the host that it told

What callers saw: requests were turned away by one to three servers in a row before one ran them, and what that took of the common allowance of repeats was missing elsewhere; with all servers at rest they were told to come back too early, and refused again.

A refusal kept a server out for 100 ms, a server that left went on until the list said so. After the rest it got nothing for long, as each refusal had counted as a failure, or as what fills the server.

Ruled out: one forgotten way (first sends, repeats, resumes and forwarded requests all went there), a rest that ends early (requests came from its first 100 ms on).

Change: serverask.Ask is what one start of a server asks of this host; serverset chooses by it, keeps it while the server is off the list, and a request that waited for a permit or a connection is held against it once more. What was learned before a rest (failures, pace, how much fills the server) is not held against it after, and a server that nothing has gone to a second after its rest gets the next request. Where all rest, callers are refused at once, with when the first server takes work again, one after another; gateways of other regions that refuse for the same reason are not asked before. The mode with resources does the same, also on an old path, whose servers have no name for each start: what they say as they leave ends when they are seen back, or reports have said otherwise for a minute.

--- a/callerhttp/request.go
+++ b/callerhttp/request.go
@@ -173,7 +173,7 @@
 	if err != nil {
 		body = []byte(`{"reason":"internal","outcome":"unknown","status":500}`)
 	}
-	fields := []Field{NewField("Content-Type", "application/json"), NewField(wheelgauge.HeaderOutcome, string(e.Outcome()))}
+	fields := []Field{NewField("Content-Type", "application/json"), NewField(wheelgauge.HeaderOutcome, string(e.Outcome())), NewField(wheelgauge.HeaderReason, string(e.Reason()))}
 	if wait := e.RetryAfter(); wait > 0 {
 		fields = append(fields, NewField("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64)))
 	}
--- a/contract.go
+++ b/contract.go
@@ -45,6 +45,10 @@
 	Skip int
 	// Extra headers, for the peer listener only.
 	Extra [][2]string
+	// Heard takes the status and the headers of the answer as soon as they are read, also of
+	// one that becomes an error; nil if nobody listens. values holds until its
+	// next call.
+	Heard func(status int, values func(name string) [][]byte)
 }
 
 // Answer is a backend server's answer whose body is still to be read.
--- a/entrynode/rest_test.go
+++ b/entrynode/rest_test.go
@@ -89,8 +89,7 @@
 			c := f.hostCallers(4, tt.patient)
 			names := f.engines.names()
 			if !tt.all {
-				until(t, "some engines are used", func() bool { return len(f.engines.book.usedSince(time.Time{})) >= 3 })
-				names = f.engines.book.usedSince(time.Time{})[:3]
+				names = f.busy(t, c)
 			}
 			f.engines.book.rest(names)
 			time.Sleep(restSick + restAsked)
@@ -117,8 +116,7 @@
 	f := openFleet(t)
 	c := f.hostCallers(4, true)
 	defer c.end()
-	until(t, "some engines are used", func() bool { return len(f.engines.book.usedSince(time.Time{})) >= 3 })
-	f.engines.book.leave(f.engines.book.usedSince(time.Time{})[:3])
+	f.engines.book.leave(f.busy(t, c))
 	time.Sleep(restAsked)
 	c.end()
 	f.engines.book.mu.Lock()
@@ -133,6 +131,15 @@
 	}
 }
 
+// busy returns two of the engines that callers' requests go to, or one: a request that is
+// turned away by both still has a send left.
+func (f *fleet) busy(t *testing.T, c *callers) []string {
+	t.Helper()
+	until(t, "callers are served", func() bool { return c.served.Load() >= 100 })
+	used := f.engines.book.usedSince(time.Time{})
+	return used[:min(2, len(used))]
+}
+
 // names returns those of the engines.
 func (e *engines) names() []string {
 	e.mu.Lock()
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -12,6 +12,7 @@
 	"wheelgauge/catalog"
 	"wheelgauge/entrylist"
 	"wheelgauge/rendezvous"
+	"wheelgauge/serverask"
 )
 
 // usualFirst is the time to a first byte that says nothing of a queue.
@@ -40,13 +41,15 @@
 	candidates []wheelgauge.Candidate
 	load       int
 	slots      int
+	// rest is after what time the first of those that rest takes work again; 0 if none rests.
+	rest time.Duration
 }
 
 var fields = sync.Pool{New: func() any { return &field{} }}
 
 // survey lists the servers of a route in this region that may take work now.
 func (g *Gateway) survey(f *field, c *catalog.Catalog, route *catalog.Route, model string, tried []string) {
-	f.candidates, f.load, f.slots = f.candidates[:0], 0, 0
+	f.candidates, f.load, f.slots, f.rest = f.candidates[:0], 0, 0, 0
 	now := g.clock.Now()
 	for _, s := range c.Servers(route.Pool, g.o.Region, "") {
 		if s.Leaving || contains(tried, s.Name) || !g.aside.Allowed(s.Name, now) || g.deferred.holds(s.Name, now) {
@@ -56,6 +59,10 @@
 		if state.Leaving || state.Known && !state.Alive {
 			continue
 		}
+		if ask := g.asks.look(s.Name, state, now); !ask.Allows(now) {
+			f.noteRest(ask, now)
+			continue
+		}
 		// A model with placements is served where it is ready, also while it
 		// moves: not by where it should be.
 		if placed, version, _ := c.Placed(model, s.Name); placed && !state.Ready(model, version) {
@@ -70,6 +77,13 @@
 	}
 }
 
+// noteRest takes a server that asks for no work now.
+func (f *field) noteRest(ask serverask.Ask, now time.Time) {
+	if left := ask.Left(now); !ask.Leaving() && (f.rest == 0 || left < f.rest) {
+		f.rest = left
+	}
+}
+
 func contains(list []string, name string) bool {
 	for _, one := range list {
 		if one == name {
@@ -127,6 +141,9 @@
 
 func (g *Gateway) overloaded(rq *request, here away.Place, slots int) error {
 	if slots == 0 {
+		if after, rest := g.restOver(rq); rest {
+			return restError(rq, g.o.Region, after)
+		}
 		return wheelgauge.NewError(wheelgauge.ReasonNoServer, wheelgauge.OutcomeNotRun, http.StatusServiceUnavailable,
 			"no backend server of "+rq.route.Name+" takes work in "+g.o.Region).WithRetryAfter(admission.RetryAfter(time.Second))
 	}
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -73,6 +73,9 @@
 	h.Set(wheelgauge.HeaderOutcome, string(wheelgauge.OutcomeRan))
 	ctx.SetStatusCode(answer.Status)
 	ctx.SetContentType(answer.ContentType)
+	if after := answer.Header(fasthttp.HeaderRetryAfter); after != "" {
+		h.Set(fasthttp.HeaderRetryAfter, after)
+	}
 	if held == nil && strings.HasPrefix(answer.ContentType, eventStream) {
 		g.replyStream(ctx, rq, answer)
 		return
--- a/gateway/decide_test.go
+++ b/gateway/decide_test.go
@@ -43,7 +43,10 @@
 }
 
 // regions builds a configuration of five regions, with so many servers in r0.
-func regions(servers int) *catalog.Catalog {
+func regions(servers int) *catalog.Catalog { return regionsAt(servers, "127.0.0.1:1") }
+
+// regionsAt is the same with the servers at an address.
+func regionsAt(servers int, address string) *catalog.Catalog {
 	var list []wheelgauge.Resource
 	add := func(kind wheelgauge.Kind, name, spec string, args ...any) {
 		list = append(list, wheelgauge.Resource{Kind: kind, Name: name, Spec: json.RawMessage(fmt.Sprintf(spec, args...))})
@@ -55,7 +58,7 @@
 	add(wheelgauge.KindPool, "engines", `{"type":"engine"}`)
 	add(wheelgauge.KindRoute, "m", `{"model":"m","pool":"engines"}`)
 	for s := range servers {
-		add(wheelgauge.KindBackendServer, fmt.Sprint("e", s), `{"pool":"engines","region":"r0","slots":8,"address":"127.0.0.1:1"}`)
+		add(wheelgauge.KindBackendServer, fmt.Sprint("e", s), `{"pool":"engines","region":"r0","slots":8,"address":"%s"}`, address)
 	}
 	return catalog.Build(1, list)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -99,6 +99,7 @@
 	limits   *serverlimit.Table
 	permits  wheelgauge.Permits
 	deferred deferrals
+	asks     asks
 	inflight inflight.Table
 	hints    *hints
 
--- a/message.go
+++ b/message.go
@@ -6,6 +6,7 @@
 const (
 	HeaderRequestID     = "X-Request-Id"
 	HeaderOutcome       = "Wheelgauge-Outcome"
+	HeaderReason        = "Wheelgauge-Reason"
 	HeaderNotRepeatable = "Wheelgauge-Not-Repeatable"
 	HeaderIdempotency   = "Idempotency-Key"
 	HeaderDeadline      = "Wheelgauge-Deadline-Ms"
--- a/peerset/table.go
+++ b/peerset/table.go
@@ -33,6 +33,9 @@
 	host   wheelgauge.FleetHost
 	pool   *serverconn.Pool
 	paused time.Time
+	// rests is until when the servers of a service rest as far as this gateway has to do
+	// with them.
+	rests map[string]time.Time
 	// named is set while the callers of its region are told of it.
 	named bool
 }
@@ -128,7 +131,7 @@
 	case p.host == h:
 		return p
 	case p.host.Peer == h.Peer && p.host.Boot == h.Boot:
-		return &Peer{host: h, pool: p.pool, paused: p.paused, named: p.named}
+		return &Peer{host: h, pool: p.pool, paused: p.paused, rests: p.rests, named: p.named}
 	default:
 		p.pool.Close()
 	}
@@ -152,13 +155,13 @@
 // Regions returns the other regions that have live gateways and, as far as is
 // known, servers of the service which take work.
 func (t *Table) Regions(service string) []string {
-	return t.regions(stays, func(uses map[string]*use) bool { return offers(uses[service]) })
+	return t.regions(service, stays, func(uses map[string]*use) bool { return offers(uses[service]) })
 }
 
 // LimitedRegions returns those that have live gateways, and of the service only servers
 // that have named a limit.
 func (t *Table) LimitedRegions(service string) []string {
-	return t.regions(stays, func(uses map[string]*use) bool {
+	return t.regions(service, stays, func(uses map[string]*use) bool {
 		u := uses[service]
 		return !offers(u) && u != nil && u.told.Limited > 0
 	})
@@ -167,19 +170,19 @@
 // LeavingRegions returns those whose gateways leave: a last resort for what may
 // run nowhere else, as they still take what they can finish.
 func (t *Table) LeavingRegions(service string) []string {
-	return t.regions(func(p *Peer) bool { return p.host.Leaving }, func(uses map[string]*use) bool { return offers(uses[service]) })
+	return t.regions(service, func(p *Peer) bool { return p.host.Leaving }, func(uses map[string]*use) bool { return offers(uses[service]) })
 }
 
 func stays(p *Peer) bool { return !p.host.Leaving }
 
 func offers(u *use) bool { return u != nil && u.told.Servers > 0 }
 
-func (t *Table) regions(fits func(p *Peer) bool, serves func(uses map[string]*use) bool) []string {
+func (t *Table) regions(service string, fits func(p *Peer) bool, serves func(uses map[string]*use) bool) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []string
 	for _, p := range t.peers {
-		if !fits(p) || slices.Contains(out, p.host.Region) || t.now().Before(p.paused) || t.now().Before(t.silent[p.host.Region]) {
+		if !fits(p) || slices.Contains(out, p.host.Region) || !p.takes(service, t.now()) || t.now().Before(t.silent[p.host.Region]) {
 			continue
 		}
 		// A region whose load is not known yet may be tried.
@@ -238,7 +241,7 @@
 func (t *Table) Choose(region, service string, rank, tokens int, tried []string) *Peer {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	fit := t.fit(region, tried)
+	fit := t.fit(region, service, tried)
 	if len(fit) == 0 {
 		return nil
 	}
@@ -252,13 +255,13 @@
 	return p
 }
 
-// fit returns the best gateways of a region, none of those tried; the lock is
-// held.
-func (t *Table) fit(region string, tried []string) []*Peer {
+// fit returns the best gateways of a region for a service, none of those tried; the lock
+// is held.
+func (t *Table) fit(region, service string, tried []string) []*Peer {
 	var best []*Peer
 	top := -1
 	for _, p := range t.peers {
-		if p.host.Region != region || slices.Contains(tried, p.host.Name) || t.now().Before(p.paused) {
+		if p.host.Region != region || slices.Contains(tried, p.host.Name) || !p.takes(service, t.now()) {
 			continue
 		}
 		rank := p.rank()
@@ -288,6 +291,44 @@
 	return rank
 }
 
+// takes tells whether the gateway may get requests for a service.
+func (p *Peer) takes(service string, now time.Time) bool {
+	return !now.Before(p.paused) && !now.Before(p.rests[service])
+}
+
+// Rest keeps requests for a service off a gateway that has no server for them but some that
+// rest.
+func (t *Table) Rest(p *Peer, service string, wait time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.peers[p.host.Name]
+	if now == nil {
+		return
+	}
+	if now.rests == nil {
+		now.rests = map[string]time.Time{}
+	}
+	now.rests[service] = t.now().Add(wait)
+}
+
+// RestOver returns after which time the first gateway of some regions takes requests for a
+// service again whose servers rest; ok is false if none has said that they do.
+func (t *Table) RestOver(service string, in func(region string) bool) (after time.Duration, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	for _, p := range t.peers {
+		left := p.rests[service].Sub(now)
+		if left <= 0 || !in(p.host.Region) {
+			continue
+		}
+		if !ok || left < after {
+			after, ok = left, true
+		}
+	}
+	return after, ok
+}
+
 // Refused tells that a gateway did not take a request. It gets no work for a
 // while, unless it leaves: it refuses some requests then and takes others.
 func (t *Table) Refused(p *Peer) {
--- a/routegate/ask.go
+++ b/routegate/ask.go
@@ -3,13 +3,19 @@
 import (
 	"bytes"
 	"net/http"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"wheelgauge"
+	"wheelgauge/peerset"
 	"wheelgauge/serverask"
 	"wheelgauge/serverset"
 )
 
+// restSpread is within what time after a rest callers come back that were refused in it.
+const restSpread = 500 * time.Millisecond
+
 // hearAsk takes what a server's answer asks of this host: a rest, or nothing more as it
 // leaves. It tells whether the answer asks for a rest.
 func (c *call) hearAsk(x *exchange, k *serverset.Pick) (rests bool) {
@@ -60,13 +66,53 @@
 	return values
 }
 
-// noteAsked writes a line when a request goes to a server that asked for none.
-func (c *call) noteAsked(k *serverset.Pick) {
+// mayStillSend tells whether the server chosen still takes the request: it may have asked for
+// none while a permit or a connection was waited for.
+func (c *call) mayStillSend(k *serverset.Pick) bool {
+	if k.Allowed() {
+		return true
+	}
 	asked, now := k.Asked(), c.gate.options.Clock.Now()
-	if asked.Allows(now) {
-		return
+	c.gate.options.Meter.Count("servers.asked.kept")
+	c.gate.options.Log.V(1).Info("A server asked for no request while one was on its way.", "id", c.id, "server", k.Server().Life(),
+		"rest_left_ms", asked.Left(now).Milliseconds(), "leaving", asked.Leaving(), "forwarded", c.forwarded, "sends", c.sends, "resumed", c.request.Begun())
+	return false
+}
+
+// hearPeerRest tells whether a gateway refused a request as all servers there rest, and
+// takes until when.
+func (c *call) hearPeerRest(x *exchange, p *peerset.Peer) bool {
+	wait, ok := serverask.ParseRest(headerValues(x.head, "Retry-After"), nil)
+	if !ok || wheelgauge.Reason(x.head.Peek(wheelgauge.HeaderReason)) != wheelgauge.ReasonResting {
+		return false
+	}
+	c.gate.options.Peers.Rest(p, c.service, wait)
+	return true
+}
+
+// restOver returns when the first server takes the request again, where all that might take
+// it rest, in this region and at the gateways of others that were asked; ok is false if there
+// is another reason to wait.
+func (c *call) restOver() (after time.Duration, ok bool) {
+	o := c.gate.options
+	if c.allowedIn(o.Region) {
+		job := serverset.NewJob(c.service, c.prompt, c.rank, nil).Within(c.allowedIn).Of(c.versions)
+		if after, ok = o.Servers.RestOver(job); ok && after == 0 {
+			return 0, false
+		}
+	}
+	if c.forwarded {
+		return after, ok
 	}
-	c.gate.options.Meter.Count("servers.asked.passed_over")
-	c.gate.options.Log.Info("A request goes to a server that asked for none.", "id", c.id, "server", k.Server().Life(), "rest_left_ms", asked.Left(now).Milliseconds(),
-		"leaving", asked.Leaving(), "forwarded", c.forwarded, "sends", c.sends, "resumed", c.request.Begun())
+	if there, rest := o.Peers.RestOver(c.service, c.allowedIn); rest && (!ok || there < after) {
+		return there, true
+	}
+	return after, ok
+}
+
+// afterRest says when a caller comes back that was refused as servers rest: they return one
+// after another as fast as the service answers, within restSpread.
+func (c *call) afterRest(over time.Duration) time.Duration {
+	over = (over + time.Millisecond - 1).Truncate(time.Millisecond)
+	return c.gate.returns.next(c.service, c.gate.options.Clock.Now(), over, over+restSpread)
 }
--- a/routegate/ask_test.go
+++ b/routegate/ask_test.go
@@ -1,12 +1,19 @@
 package routegate
 
 import (
+	"bufio"
+	"context"
 	"fmt"
+	"io"
+	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
 
+	"wheelgauge"
 	"wheelgauge/prompt"
+	"wheelgauge/serverask"
 	"wheelgauge/serverset"
 )
 
@@ -63,3 +70,207 @@
 		})
 	}
 }
+
+// resumable is a stream that breaks off after its first event.
+const resumable = events + "f\r\nid: 1\ndata: a\n\n\r\n"
+
+// A server that rests, or leaves, gets no request by any way there.
+func TestNoWayToAServerThatAsksForNone(t *testing.T) {
+	tests := []struct {
+		name      string
+		path      string
+		forwarded bool
+		// script is that of the other server.
+		script []string
+		// permits are waited for while the server asks for none.
+		permits bool
+		status  int
+	}{
+		{"the first send", "/once/", false, nil, false, 200},
+		{"a repeat after a failure", "/safe/", false, []string{failure}, false, 502},
+		{"a repeat after a broken answer", "/safe/", false, []string{cut}, false, 502},
+		{"a repeat of what did not run", "/once/", false, []string{shed}, false, 503},
+		{"a resumed stream", "/resume/", false, []string{resumable}, false, 200},
+		{"a forwarded request", "/once/", true, nil, false, 200},
+		{"a forwarded one that did not run", "/once/", true, []string{shed}, false, 503},
+		{"after a permit was waited for", "/once/", false, nil, true, 200},
+	}
+	for _, tt := range tests {
+		for _, ask := range []string{"rest", "leaving"} {
+			t.Run(tt.name+", "+ask, func(t *testing.T) {
+				quiet, other := newBackend(t), newBackend(t, tt.script...)
+				g, c := newGate(t, routes(), quiet, other)
+				if tt.forwarded {
+					c = peerConn(t, g)
+				}
+				tell := func() {
+					k := pickOf(t, g, "i0")
+					defer k.Done(serverset.Left)
+					if ask == "rest" {
+						k.Rest(testLimit)
+						return
+					}
+					k.Leave()
+				}
+				if tt.permits {
+					g.options.Limits.Named("i0", 1)
+					g.options.Permits = waitingPermits(tell)
+				} else {
+					tell()
+				}
+				resp, _, _ := send(t, c, tt.path)
+				if resp == nil || resp.StatusCode != tt.status {
+					t.Errorf("got %v, want %d", resp, tt.status)
+				}
+				if got := len(quiet.seen()); got > 0 {
+					t.Errorf("the server got %d requests", got)
+				}
+				if len(other.seen()) == 0 {
+					t.Error("the other server got none")
+				}
+			})
+		}
+	}
+}
+
+// pickOf chooses a server by its name.
+func pickOf(t *testing.T, g *Gate, instance string) *serverset.Pick {
+	t.Helper()
+	var tried []string
+	for {
+		k := g.options.Servers.Choose(serverset.NewJob("s", prompt.Prompt{}, 0, tried))
+		if k == nil {
+			t.Fatalf("%s cannot be chosen", instance)
+		}
+		if k.Server().Instance() == instance {
+			return k
+		}
+		k.Done(serverset.Left)
+		tried = append(tried, k.Server().Instance())
+	}
+}
+
+// waitingPermits are given at once, after something has happened.
+type waitingPermits func()
+
+func (w waitingPermits) Take(context.Context, string, time.Duration) (time.Duration, bool) {
+	w()
+	return 0, true
+}
+
+// send is as ask, for answers that may break off.
+func send(t *testing.T, c net.Conn, path string) (*http.Response, string, error) {
+	t.Helper()
+	if _, err := fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\n\r\n", path); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return nil, "", err
+	}
+	body, err := io.ReadAll(resp.Body)
+	return resp, string(body), err
+}
+
+// A request that no server takes before it has rested is refused at once, with the time
+// when the first of them does.
+func TestRefusedWhileAllRest(t *testing.T) {
+	tests := []struct {
+		name string
+		// rests are those of the servers, none below 0.
+		rests  []time.Duration
+		status int
+		soon   time.Duration
+	}{
+		{"one", []time.Duration{8 * time.Second}, 503, 8 * time.Second},
+		{"the first of three", []time.Duration{9 * time.Second, 5 * time.Second, 7 * time.Second}, 503, 5 * time.Second},
+		{"longer than the caller waits", []time.Duration{time.Minute}, 503, time.Minute},
+		{"one does not rest", []time.Duration{9 * time.Second, -1}, 200, 0},
+		{"none rests", []time.Duration{-1}, 200, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var backends []*backend
+			for range tt.rests {
+				backends = append(backends, newBackend(t))
+			}
+			g, c := newGate(t, routes(), backends...)
+			for i, rest := range tt.rests {
+				if rest > 0 {
+					k := pickOf(t, g, fmt.Sprint("i", i))
+					k.Rest(rest)
+					k.Done(serverset.Rested)
+				}
+			}
+			for range 3 {
+				began := time.Now()
+				resp, body, err := ask(t, c, "/safe/", "")
+				if err != nil || resp.StatusCode != tt.status {
+					t.Fatalf("got %v, %v, want %d", resp, err, tt.status)
+				}
+				if tt.status == http.StatusOK {
+					continue
+				}
+				if resp.Header.Get(wheelgauge.HeaderOutcome) != string(wheelgauge.OutcomeNotRun) || !strings.Contains(body, string(wheelgauge.ReasonResting)) {
+					t.Errorf("refused with %v %s", resp.Header, body)
+				}
+				after, ok := serverask.ParseSeconds(resp.Header.Get("Retry-After"))
+				if left := tt.soon - time.Since(began); !ok || after < left || after > tt.soon+restSpread+time.Millisecond {
+					t.Errorf("told to come back after %s, %s are left of the rest", after, left)
+				}
+			}
+			for i, b := range backends {
+				if tt.rests[i] > 0 && len(b.seen()) > 0 {
+					t.Errorf("server %d got %d requests in its rest", i, len(b.seen()))
+				}
+			}
+		})
+	}
+}
+
+// A gateway whose servers rest is not asked again before they have; its callers are told
+// when that is.
+func TestForwardToAGatewayWhoseServersRest(t *testing.T) {
+	const rest = 7 * time.Second
+	tests := []struct {
+		name string
+		// here is the rest of the own region's server, which may not be used below 0.
+		here time.Duration
+		path string
+		soon time.Duration
+	}{
+		{"nothing may run here", -1, "/away/", rest},
+		{"servers here rest longer", 9 * time.Second, "/safe/", rest},
+		{"servers here rest shorter", 4 * time.Second, "/safe/", 4 * time.Second},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			far := newBackend(t, resting(rest.Seconds()))
+			there, _ := newGate(t, routes(), far)
+			there.options.Region = "there"
+			g, c := newGate(t, routes(), newBackend(t))
+			at := peerConn(t, there).RemoteAddr().String()
+			g.options.Peers.SetHosts([]wheelgauge.FleetHost{{Name: "far", Region: "there", Peer: at, Ready: true}})
+			g.options.Peers.SetUses([]wheelgauge.RegionUse{{Region: "there", Uses: []wheelgauge.ServiceUse{{Service: "s", Servers: 1, Slots: 4}}}})
+			if tt.here > 0 {
+				k := pickOf(t, g, "i0")
+				k.Rest(tt.here)
+				k.Done(serverset.Rested)
+			}
+			began := time.Now()
+			for range 3 {
+				resp, _, err := ask(t, c, tt.path, "")
+				if err != nil || resp.StatusCode != http.StatusServiceUnavailable {
+					t.Fatalf("got %v, %v", resp, err)
+				}
+				after, ok := serverask.ParseSeconds(resp.Header.Get("Retry-After"))
+				if left := tt.soon - time.Since(began); !ok || after < left || after > tt.soon+2*restSpread {
+					t.Errorf("told to come back after %s, %s are left", after, left)
+				}
+			}
+			if got := len(far.seen()); got != 1 {
+				t.Errorf("the server there got %d requests, want 1", got)
+			}
+		})
+	}
+}
--- a/routegate/call.go
+++ b/routegate/call.go
@@ -192,6 +192,10 @@
 	}
 	switch {
 	case c.runs == 0:
+		if over, rest := c.restOver(); rest {
+			c.refuse(refusal(wheelgauge.ReasonResting, http.StatusServiceUnavailable, "all backend servers have asked for a rest").WithRetryAfter(c.afterRest(over)))
+			return
+		}
 		c.refuse(refusal(wheelgauge.ReasonOverloaded, http.StatusServiceUnavailable, detail).WithRetryAfter(c.comeBack()))
 	case c.over():
 		c.refuse(wheelgauge.NewError(wheelgauge.ReasonDeadline, wheelgauge.OutcomeUnknown, http.StatusGatewayTimeout, detail))
@@ -253,6 +257,7 @@
 	case good:
 		g.options.Meter.Count("requests.ok")
 		g.durations.note(name, took)
+		g.returns.served(c.service, g.options.Clock.Now())
 		g.options.Meter.Observe("requests.ms", name, name, took)
 	case c.left:
 		g.options.Meter.Count("requests.left")
--- a/routegate/dispatch.go
+++ b/routegate/dispatch.go
@@ -31,6 +31,8 @@
 	clock time.Time
 	// begun is set at the first event or byte of the answer.
 	begun bool
+	// rest is set by an answer that turns the request away and asks for a rest.
+	rest bool
 	// broken is why the answer did not come whole.
 	broken error
 	// firstAfter is how long after it was sent the first event or byte came, eventsBefore
@@ -49,6 +51,11 @@
 		k.Done(unreached(err))
 		return notSent
 	}
+	if !c.mayStillSend(k) {
+		s.Pool().Return(conn)
+		k.Done(serverset.Left)
+		return notSent
+	}
 	x := &exchange{call: c, conn: conn, pool: s.Pool(), pick: k, sent: time.Now(), clock: c.gate.options.Clock.Now()}
 	defer func() {
 		x.release()
@@ -68,7 +75,6 @@
 		set = append(set, [2]string{n.Fetch, from})
 	}
 	head := c.head(set)
-	c.noteAsked(k)
 	c.sends++
 	c.runs++
 	x.eventsBefore = c.splitter.Events()
@@ -84,7 +90,7 @@
 		return failed
 	}
 	c.hearLimit(x, s)
-	c.hearAsk(x, k)
+	x.rest = c.hearAsk(x, k)
 	notRun := len(x.head.Peek(n.NotRun)) > 0
 	if r, ok := serverset.ParseReported(string(x.head.Peek(n.Load))); ok {
 		k.Report(r, notRun && x.head.StatusCode() == http.StatusServiceUnavailable)
@@ -120,15 +126,23 @@
 		k.Done(serverset.Gone)
 		return notRun
 	}
-	k.Done(serverset.Shed)
+	k.Done(x.turnedAway(serverset.Shed))
 	return notRun
 }
 
+// turnedAway is what an answer says of the server that would otherwise count as an outcome.
+func (x *exchange) turnedAway(otherwise serverset.Outcome) serverset.Outcome {
+	if x.rest {
+		return serverset.Rested
+	}
+	return otherwise
+}
+
 // relayFrom relays a server's answer, or decides that the request is repeated.
 func (c *call) relayFrom(ctx context.Context, x *exchange, k *serverset.Pick) result {
 	status := x.head.StatusCode()
 	if status >= http.StatusInternalServerError {
-		k.Done(serverset.Failed)
+		k.Done(x.turnedAway(serverset.Failed))
 		if c.mayRepeat() {
 			_ = x.discard() // a connection that breaks here is not kept
 			return repeat
@@ -189,7 +203,9 @@
 		// next one is a repeat, and is paid for here. Else each request would be
 		// repeated while servers are full.
 		c.sends += sends
-		c.gate.options.Peers.Refused(p)
+		if !c.hearPeerRest(x, p) {
+			c.gate.options.Peers.Refused(p)
+		}
 		return notRun
 	}
 	c.sends += max(1, sends)
--- a/routegate/gate.go
+++ b/routegate/gate.go
@@ -92,7 +92,10 @@
 	durations durations
 	active    inFlight
 	seen      waits
-	turns     turns
+	// turns are those of callers that wait for limits of servers, returns those that wait
+	// until servers have rested.
+	turns   turns
+	returns turns
 }
 
 // New returns a gate without a configuration: it refuses everything as not run.
--- a/routegate/turns.go
+++ b/routegate/turns.go
@@ -7,11 +7,11 @@
 	"wheelgauge/meanrate"
 )
 
-// turnSpan is over how long the permits of a service are averaged.
+// turnSpan is over how long the requests of a service are averaged that are served.
 const turnSpan = 2 * time.Second
 
-// turns tells callers that were refused because of servers' limits when to come back: one
-// after another, as fast as permits come. Told the same moment, or to come when the next
+// turns tells callers that were refused because of servers' limits or rests when to come
+// back: one after another, as fast as others are served. Told the same moment, or to come when the next
 // permit is due, most of them would be refused again and again.
 type turns struct {
 	mu       sync.Mutex
@@ -20,8 +20,8 @@
 
 // turn is that of a service.
 type turn struct {
-	permits meanrate.Rate
-	last    time.Time
+	rate meanrate.Rate
+	last time.Time
 }
 
 // of returns a service's; the lock is held.
@@ -30,26 +30,26 @@
 		t.services = map[string]*turn{}
 	}
 	if t.services[service] == nil {
-		t.services[service] = &turn{permits: meanrate.New(turnSpan)}
+		t.services[service] = &turn{rate: meanrate.New(turnSpan)}
 	}
 	return t.services[service]
 }
 
-// served notes that a permit was used.
+// served notes that a request got its turn.
 func (t *turns) served(service string, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.of(service).permits.Add(1, now)
+	t.of(service).rate.Add(1, now)
 }
 
-// next returns when the next caller that is refused should come back, where the next permit
+// next returns when the next caller that is refused should come back, where the next turn
 // is due after soonest: within the latest time.
 func (t *turns) next(service string, now time.Time, soonest, latest time.Duration) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.of(service)
 	gap := latest
-	if rate := s.permits.At(now); rate*latest.Seconds() > 1 {
+	if rate := s.rate.At(now); rate*latest.Seconds() > 1 {
 		gap = time.Duration(float64(time.Second) / rate)
 	}
 	first := now.Add(soonest)
--- a/serverask/ask.go
+++ b/serverask/ask.go
@@ -15,7 +15,8 @@
 	// longestRest bounds one rest.
 	longestRest = time.Hour
 	// doubtAfter is how long a server that said that it leaves must have been listed as one
-	// that does not before it is taken for a new start under the old name.
+	// that does not before it is taken for a new start under the old name, and for how long
+	// what is over is remembered of one that is not listed.
 	doubtAfter = time.Minute
 	// leavingValue is what a leaving server says.
 	leavingValue = "1"
@@ -73,9 +74,12 @@
 // Left returns how much of the rest is left; 0 when it is over.
 func (a Ask) Left(now time.Time) time.Duration { return max(0, a.until.Sub(now)) }
 
-// Over tells whether nothing that was asked can matter any more.
+// Rested tells whether the server has ever asked for a rest.
+func (a Ask) Rested() bool { return !a.until.IsZero() }
+
+// Over tells whether nothing that was asked matters any more.
 func (a Ask) Over(now time.Time) bool {
-	return !a.Resting(now) && (a.left.IsZero() || now.Sub(a.left) > doubtAfter)
+	return now.Sub(a.until) > doubtAfter && now.Sub(a.left) > doubtAfter
 }
 
 // Values are those of a header, in the order of the answer.
--- a/serverconn/pool.go
+++ b/serverconn/pool.go
@@ -177,6 +177,18 @@
 	p.open--
 }
 
+// Return takes a connection back on which nothing was sent since Get.
+func (p *Pool) Return(c *Conn) {
+	if c.Aborted() {
+		p.drop(c)
+		return
+	}
+	if c.life == 0 {
+		c.idle, c.life = p.link.Now(), p.link.Idle
+	}
+	p.rest(c)
+}
+
 // Put takes a connection back after an answer; h is the answer's head, nil if
 // there was none. The connection is closed unless its next answer is certain
 // to be its own.
--- a/serverset/candidates.go
+++ b/serverset/candidates.go
@@ -99,6 +99,11 @@
 	}
 	seed := t.seed(j)
 	for _, from := range [][]*Server{t.near, t.far} {
+		for _, s := range from {
+			if s.rested {
+				t.list(s, j)
+			}
+		}
 		for i := range min(drawn, len(from)) {
 			t.list(from[rendezvous.Score(seed, uint64(i))%uint64(len(from))], j)
 		}
--- a/serverset/pick.go
+++ b/serverset/pick.go
@@ -79,6 +79,7 @@
 	s := c.server
 	k := &Pick{table: t, server: s, version: s.spec.Version, prompt: j.prompt, rank: j.rank, tokens: s.missing(j.prompt, s == home), wait: duration(c.wait), sent: now}
 	k.load = Load{running: s.inFlight(), tokens: s.tokens + s.others.Tokens, age: now.Sub(s.othersAt)}
+	s.resumed = !s.ask.Resting(now)
 	s.running++
 	s.tokens += k.tokens
 	s.work = s.work.Add(k.rank, 1, k.tokens)
@@ -132,6 +133,8 @@
 			if c.better(cold) {
 				cold = c
 			}
+		case s.due(now):
+			return c
 		case c.better(best):
 			best = c
 		}
@@ -198,14 +201,14 @@
 }
 
 // answerTime is how long a plain service is expected to take by itself. A server with a
-// limit is expected to be as fast as any: what it bears it has said, and few answers renew
+// limit, or after a rest, is expected to be as fast as any: what it bears it has said, and few answers renew
 // its mean, so that a single late one would keep all work from it.
 func (t *Table) answerTime(s *Server, from candidates) time.Duration {
 	mean := s.service
 	if mean == 0 {
 		mean = firstService
 	}
-	if from.fastest > 0 && from.fastest < mean && t.hasLimit(s) {
+	if from.fastest > 0 && from.fastest < mean && (s.rested || t.hasLimit(s)) {
 		return from.fastest
 	}
 	return mean
@@ -316,6 +319,9 @@
 	Failed
 	// Shed: the server said that it did not run the request.
 	Shed
+	// Rested: the server turned the request away and asked for a rest, which says when it
+	// takes work again.
+	Rested
 	// Unreached: no connection could be had.
 	Unreached
 	// Gone: another server has the address.
@@ -339,10 +345,12 @@
 	s.work = s.work.Add(k.rank, -1, 0)
 	switch o {
 	case Served:
+		s.rested = s.rested && s.ask.Resting(k.sent)
 		s.outcome(now, false)
 		s.pause, s.lostUntil, s.reached = 0, time.Time{}, now
 		s.lasted(now.Sub(k.sent), k.load.running, t.engine(s))
 	case Failed:
+		s.rested = s.rested && s.ask.Resting(k.sent)
 		s.outcome(now, true)
 	case Shed:
 		s.pausedUntil = now.Add(shedPause)
@@ -350,6 +358,7 @@
 		s.pause = min(longestPause, max(firstPause, 2*s.pause))
 		s.pausedUntil = now.Add(s.pause)
 		s.lostUntil = s.pausedUntil
+		s.rested = false
 		s.outcome(now, true)
 	case Gone:
 		s.gone = true
--- a/serverset/server.go
+++ b/serverset/server.go
@@ -86,8 +86,11 @@
 	lostUntil time.Time
 	reached   time.Time
 	gone      bool
-	// ask is what the server asks of this host.
-	ask serverask.Ask
+	// ask is what the server asks of this host; rested is set by a rest until the server
+	// answers after it, resumed once a request is sent there after it.
+	ask     serverask.Ask
+	rested  bool
+	resumed bool
 	// service is the mean time of an answer of a plain service.
 	service time.Duration
 	cached  map[uint64]time.Time
--- a/serverset/table.go
+++ b/serverset/table.go
@@ -11,6 +11,7 @@
 
 	"wheelgauge"
 	"wheelgauge/coldrate"
+	"wheelgauge/serverask"
 )
 
 const (
@@ -73,6 +74,8 @@
 	// are new; stateAt is when the state was last known to be the newest.
 	versions map[string]map[string]time.Time
 	stateAt  time.Time
+	// asks are those of starts of servers that are on the list no more, by life.
+	asks map[string]serverask.Ask
 	// limitOf gives the limits that servers have named; nil without any.
 	limitOf LimitOf
 	// used is the server that had a subject last.
@@ -88,7 +91,7 @@
 // New returns an empty table. limits gives the configuration of a service.
 func New(place Place, limits func(service string) *wheelgauge.Service, now func() time.Time) *Table {
 	return &Table{
-		place: place, servers: map[string]*Server{}, services: map[string][]*Server{}, resumed: map[string]time.Time{},
+		place: place, servers: map[string]*Server{}, services: map[string][]*Server{}, resumed: map[string]time.Time{}, asks: map[string]serverask.Ask{},
 		limits: limits, cold: coldrate.New(now), used: map[uint64]*Server{}, now: now,
 	}
 }
@@ -145,9 +148,11 @@
 	for name, s := range t.servers {
 		if !seen[name] {
 			s.pool.Close()
+			t.keepAsk(s)
 			delete(t.servers, name)
 		}
 	}
+	t.heardOf(asked)
 	t.arrange()
 }
 
@@ -156,8 +161,11 @@
 func (t *Table) started(was *Server, spec wheelgauge.Server) *Server {
 	if was != nil {
 		was.pool.Close()
+		t.keepAsk(was)
 	}
 	s := newServer(spec, t.conns(spec.Service), t.now)
+	s.ask = t.takeAsk(s.life)
+	s.rested = s.ask.Rested()
 	t.servers[spec.Instance] = s
 	return s
 }
@@ -201,6 +209,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.asked = asked
+	t.heardOf(asked)
 	for _, s := range t.servers {
 		if s.spec.ColdMS == 0 {
 			t.warm(s, asked)
@@ -297,6 +306,7 @@
 func (t *Table) Prune() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.pruneAsks()
 	old := t.now().Add(-cacheLife)
 	for subject, s := range t.used {
 		if s.cached[subject].Before(old) {
@@ -340,5 +350,10 @@
 
 // able is the same but for the server's limit.
 func (t *Table) able(s *Server, now time.Time) bool {
-	return !s.spec.Leaving && !s.gone && !slices.Contains(t.drained, s.spec.Hall) && now.After(s.pausedUntil) && !t.unproved(s, now)
+	return s.ask.Allows(now) && now.After(s.pausedUntil) && t.fit(s, now)
+}
+
+// fit is the same but for a rest or a pause.
+func (t *Table) fit(s *Server, now time.Time) bool {
+	return !s.spec.Leaving && !s.gone && !slices.Contains(t.drained, s.spec.Hall) && !t.unproved(s, now)
 }
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -152,6 +152,9 @@
 		fasthttp.ReleaseResponse(resp)
 		return nil, classify(address, err)
 	}
+	if call.Heard != nil {
+		call.Heard(resp.StatusCode(), resp.Header.PeekAll)
+	}
 	b := &body{resp: resp}
 	local := resp.LocalAddr()
 	return &wheelgauge.Answer{
