--- a/routegate/dispatch.go
+++ b/routegate/dispatch.go
@@ -84,6 +84,9 @@
 	if err := x.roundTrip(head); err != nil {
 		x.broken = err
 		c.cause = err.Error()
+		if _, ok := errors.AsType[*serverconn.ForeignError](err); ok {
+			c.gate.options.Meter.Count("answers.foreign")
+		}
 		// The wait was longer than this, which the next prediction must know.
 		x.note()
 		k.Done(c.brokenOutcome(ctx))
--- a/serverconn/conn.go
+++ b/serverconn/conn.go
@@ -35,10 +35,7 @@
 	strayAnswers = 2
 )
 
-var (
-	errStray   = errors.New("the answer belongs to another request")
-	errForeign = errors.New("the answer is no HTTP/1.1")
-)
+var errStray = errors.New("the answer belongs to another request")
 
 // Conn is one connection.
 type Conn struct {
@@ -163,7 +160,7 @@
 	}
 	version, status := string(start[:len("HTTP/1.1 ")]), start[len("HTTP/1.1 "):]
 	if version != "HTTP/1.1 " && version != "HTTP/1.0 " || status[0] < '1' || status[0] > '9' {
-		return errForeign
+		return foreign("version or status", start)
 	}
 	return nil
 }
