--- a/serverconn/fuzz_test.go
+++ b/serverconn/fuzz_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -43,35 +44,44 @@
 		f.Add([]byte(seed))
 	}
 	f.Fuzz(func(t *testing.T, in []byte) {
-		c := &Conn{net: &bytesConn{in: bytes.NewReader(in)}, in: bufio.NewReaderSize(bytes.NewReader(in), readBuffer), reusable: true}
-		h, b, err := c.ReadHead("Id", "", false)
-		if err != nil {
-			return
-		}
-		body, err := io.ReadAll(b)
-		if err != nil {
-			return // cut, and said so
-		}
-		other := bufio.NewReader(bytes.NewReader(in))
-		resp, err := final(other)
-		if err != nil {
-			t.Fatalf("%q: complete with %q here, the other reader refuses it: %v", in, body, err)
-		}
-		otherBody, err := io.ReadAll(resp.Body)
-		// The last chunk says that the body is whole; without the end of the trailers the
-		// connection is not used again.
-		if err != nil && b.Length() == -1 && !c.reusable && bytes.Equal(body, otherBody) {
-			return
-		}
-		if err != nil {
-			t.Fatalf("%q: complete with %q here, the other reader's is cut: %v", in, body, err)
-		}
-		if resp.StatusCode != h.StatusCode() || !bytes.Equal(body, otherBody) {
-			t.Fatalf("%q: status %d, body %q; the other reader has %d, %q", in, h.StatusCode(), body, resp.StatusCode, otherBody)
+		if err := compare(in); err != nil {
+			t.Fatal(err)
 		}
 	})
 }
 
+// compare returns an error if an answer that is taken for complete is not one for another
+// reader of HTTP too, with the same body.
+func compare(in []byte) error {
+	c := &Conn{net: &bytesConn{in: bytes.NewReader(in)}, in: bufio.NewReaderSize(bytes.NewReader(in), readBuffer), reusable: true}
+	h, b, err := c.ReadHead("Id", "", false)
+	if err != nil {
+		return nil
+	}
+	body, err := io.ReadAll(b)
+	if err != nil {
+		return nil // cut, and said so
+	}
+	other := bufio.NewReader(bytes.NewReader(in))
+	resp, err := final(other)
+	if err != nil {
+		return fmt.Errorf("%q: complete with %q here, the other reader refuses it: %w", in, body, err)
+	}
+	otherBody, err := io.ReadAll(resp.Body)
+	// The last chunk says that the body is whole; without the end of the trailers the
+	// connection is not used again.
+	if err != nil && b.Length() == -1 && !c.reusable && bytes.Equal(body, otherBody) {
+		return nil
+	}
+	if err != nil {
+		return fmt.Errorf("%q: complete with %q here, the other reader's is cut: %w", in, body, err)
+	}
+	if resp.StatusCode != h.StatusCode() || !bytes.Equal(body, otherBody) {
+		return fmt.Errorf("%q: status %d, body %q; the other reader has %d, %q", in, h.StatusCode(), body, resp.StatusCode, otherBody)
+	}
+	return nil
+}
+
 // final reads an answer past informational ones.
 func final(in *bufio.Reader) (*http.Response, error) {
 	for {
