Answers whose head is foreign are no answers: it is checked whole before it is parsed

What callers saw: an answer with status 101, or with a space before the colon of a length, went to them as whole with a body that another reader of HTTP does not see, or with less of it.

Ruled out: our list of statuses without a body alone (252 of 2,070 differences have a status of 200 and the like), and the other reader being odd (RFC 9112, 5.1 and 6).

Change: answerhead checks the start line, the syntax of each line, lengths and encodings; what is foreign is a broken answer, repeated where the route allows it. 101 answers nothing, as no Upgrade is ever passed on.

--- a/serverconn/foreign.go
+++ b/answerhead/error.go
@@ -1,4 +1,4 @@
-package serverconn
+package answerhead
 
 import "fmt"
 
--- a/routegate/dispatch.go
+++ b/routegate/dispatch.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"wheelgauge"
+	"wheelgauge/answerhead"
 	"wheelgauge/peerset"
 	"wheelgauge/serverconn"
 	"wheelgauge/serverset"
@@ -84,7 +85,7 @@
 	if err := x.roundTrip(head); err != nil {
 		x.broken = err
 		c.cause = err.Error()
-		if _, ok := errors.AsType[*serverconn.ForeignError](err); ok {
+		if _, ok := errors.AsType[*answerhead.ForeignError](err); ok {
 			c.gate.options.Meter.Count("answers.foreign")
 		}
 		// The wait was longer than this, which the next prediction must know.
--- a/serverconn/conn.go
+++ b/serverconn/conn.go
@@ -10,12 +10,14 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/http"
 	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"wheelgauge/answerhead"
 	"wheelgauge/callerconn"
 )
 
@@ -136,7 +138,11 @@
 // readFinal reads a head, passing over informational ones.
 func (c *Conn) readFinal() (*fasthttp.ResponseHeader, error) {
 	for {
-		if err := c.checkStart(); err != nil {
+		head, err := answerhead.Peek(c.in)
+		if err != nil {
+			return nil, fmt.Errorf("read answer: %w", err)
+		}
+		if err := answerhead.Check(head); err != nil {
 			return nil, fmt.Errorf("read answer: %w", err)
 		}
 		h := &fasthttp.ResponseHeader{}
@@ -145,26 +151,12 @@
 		if err := h.Read(c.in); err != nil {
 			return nil, fmt.Errorf("read answer: %w", err)
 		}
-		if status := h.StatusCode(); status >= 200 || status == fasthttp.StatusSwitchingProtocols {
+		if status := h.StatusCode(); status >= http.StatusOK {
 			return h, nil
 		}
 	}
 }
 
-// checkStart looks at the version and the status of an answer that is about to be read. The
-// parser takes any version for one without chunks, and status 000 for a success.
-func (c *Conn) checkStart() error {
-	start, err := c.in.Peek(len("HTTP/1.1 200"))
-	if err != nil {
-		return err
-	}
-	version, status := string(start[:len("HTTP/1.1 ")]), start[len("HTTP/1.1 "):]
-	if version != "HTTP/1.1 " && version != "HTTP/1.0 " || status[0] < '1' || status[0] > '9' {
-		return foreign("version or status", start)
-	}
-	return nil
-}
-
 // sent tells whether the whole request has left.
 func (c *Conn) sent() bool {
 	if c.written == nil {
