Mode with resources: answers with a foreign head are no answers

The same cause: fasthttp's client takes HTTP/5.1, status 000 and a length with a space before its colon. Its reader can't be changed, so the connection below it looks at each head before it gives any byte of it.

--- /dev/null
+++ b/upstream/foreign_test.go
@@ -0,0 +1,87 @@
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"wheelgauge"
+	"wheelgauge/peerhttp"
+)
+
+// No answer is taken for whole that another reader of HTTP refuses or reads otherwise.
+func TestForeignAnswersAreNotWhole(t *testing.T) {
+	starts := []string{"HTTP/1.1 200 OK", "HTTP/1.0 200 OK", "HTTP/5.1 200 OK", "HTTP/1.1 000 OK", "HTTP/1.0 101 0", "HTTP/1.1 101 Switching Protocols", "HTTP/1.1 2x0 OK", "ICY 200 OK", "HTTP/1.1 204 No Content", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK", "HTTP/1.1 100 Continue\r\n\r\nHTTP/5.1 200 OK"}
+	heads := []string{
+		"", "Content-Length: 3", "Content-Length : 3", "Content-Length: 3|Content-Length: 5", "Content-Length: +3", "Content-Length: 3,3", "Transfer-Encoding: chunked", "Transfer-Encoding : chunked",
+		"Transfer-Encoding: gzip, chunked", "Transfer-Encoding: identity", "X: a|\tContent-Length: 3", "X: a\rContent-Length: 3", "Connection: close",
+	}
+	bodies := []string{"", "abc", "abcde", "3\r\nabc\r\n0\r\n\r\n"}
+	for _, start := range starts {
+		for _, head := range heads {
+			for _, body := range bodies {
+				lines := start + "\r\n"
+				if head != "" {
+					lines += strings.ReplaceAll(head, "|", "\r\n") + "\r\n"
+				}
+				in := lines + "\r\n" + body
+				if err := compare(t, in); err != nil {
+					t.Errorf("%q: %v", in, err)
+				}
+			}
+		}
+	}
+}
+
+// compare sends a call to a server that answers with some bytes and closes.
+func compare(t *testing.T, in string) error {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			_, _ = io.WriteString(c, in)
+		}
+	}()
+	p := New(peerhttp.NewDialer("", nil))
+	defer p.CloseIdle()
+	answer, err := p.Send(context.Background(), l.Addr().String(), &wheelgauge.Call{ID: "r", Method: http.MethodGet, Path: "/", Deadline: time.Now().Add(10 * time.Second)}, true)
+	if err != nil {
+		return nil
+	}
+	body, err := io.ReadAll(answer.Body)
+	_ = answer.Body.Close() // read to its end
+	if err != nil {
+		return nil // cut, and said so
+	}
+	other := bufio.NewReader(strings.NewReader(in))
+	for {
+		resp, err := http.ReadResponse(other, nil)
+		if err != nil {
+			return fmt.Errorf("whole with status %d, %q here, the other reader refuses it: %w", answer.Status, body, err)
+		}
+		if resp.StatusCode == http.StatusContinue {
+			continue
+		}
+		otherBody, err := io.ReadAll(resp.Body)
+		if err != nil || resp.StatusCode != answer.Status || !bytes.Equal(body, otherBody) {
+			return fmt.Errorf("status %d, body %q; the other reader has %d, %q, %v", answer.Status, body, resp.StatusCode, otherBody, err)
+		}
+		return nil
+	}
+}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -57,7 +57,7 @@
 		return nil, err
 	}
 	p.conns.Store(c.LocalAddr().String(), c)
-	return &tracked{c, p}, nil
+	return &tracked{guarded(c), p}, nil
 }
 
 // abort ends reads on the connection with that local address.
