Header names of servers and callers are read in any case

What callers saw: a success of a server that writes its names in lower case, as many HTTP libraries do, was answered 502 (a success without the server's signature), what it had not run was not sent to another server, and its limit was passed over; a caller's own deadline in lower case was not kept. Found while looking at what else servers say that nobody reads.

Cause: messages are parsed with names as written, to pass them on unchanged, and looked up as the dialect writes them. httpfield looks them up in any case (RFC 9110, 5.1). TestHeaderNamesInAnyCase and TestCallersHeaderNamesInAnyCase were seen failing.

--- a/routegate/ask.go
+++ b/routegate/ask.go
@@ -1,13 +1,11 @@
 package routegate
 
 import (
-	"bytes"
 	"net/http"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"wheelgauge"
+	"wheelgauge/httpfield"
 	"wheelgauge/peerset"
 	"wheelgauge/serverask"
 	"wheelgauge/serverset"
@@ -27,8 +25,8 @@
 	if status != http.StatusServiceUnavailable {
 		return false
 	}
-	values := headerValues(x.head, "Retry-After")
-	wait, ok := serverask.ParseRest(values, headerValues(x.head, "Date"))
+	values := httpfield.Values(x.head, "Retry-After")
+	wait, ok := serverask.ParseRest(values, httpfield.Values(x.head, "Date"))
 	switch {
 	case !ok && len(values) > 0:
 		c.gate.options.Meter.Count("servers.rests.unreadable")
@@ -46,7 +44,7 @@
 	if name == "" {
 		return
 	}
-	leaving, ok := serverask.ParseLeaving(headerValues(x.head, name))
+	leaving, ok := serverask.ParseLeaving(httpfield.Values(x.head, name))
 	if !ok {
 		c.gate.options.Meter.Count("servers.leaving.unreadable")
 	}
@@ -56,16 +54,6 @@
 	}
 }
 
-// headerValues returns all values of a header, whose name is written in any case.
-func headerValues(h *fasthttp.ResponseHeader, name string) (values serverask.Values) {
-	for n, value := range h.All() {
-		if len(n) == len(name) && bytes.EqualFold(n, []byte(name)) {
-			values = append(values, value)
-		}
-	}
-	return values
-}
-
 // mayStillSend tells whether the server chosen still takes the request: it may have asked for
 // none while a permit or a connection was waited for.
 func (c *call) mayStillSend(k *serverset.Pick) bool {
@@ -82,8 +70,8 @@
 // hearPeerRest tells whether a gateway refused a request as all servers there rest, and
 // takes until when.
 func (c *call) hearPeerRest(x *exchange, p *peerset.Peer) bool {
-	wait, ok := serverask.ParseRest(headerValues(x.head, "Retry-After"), nil)
-	if !ok || wheelgauge.Reason(x.head.Peek(wheelgauge.HeaderReason)) != wheelgauge.ReasonResting {
+	wait, ok := serverask.ParseRest(httpfield.Values(x.head, "Retry-After"), nil)
+	if !ok || wheelgauge.Reason(httpfield.Value(x.head, wheelgauge.HeaderReason)) != wheelgauge.ReasonResting {
 		return false
 	}
 	c.gate.options.Peers.Rest(p, c.service, wait)
--- a/routegate/ask_test.go
+++ b/routegate/ask_test.go
@@ -195,6 +195,7 @@
 				backends = append(backends, newBackend(t))
 			}
 			g, c := newGate(t, routes(), backends...)
+			began := time.Now()
 			for i, rest := range tt.rests {
 				if rest > 0 {
 					k := pickOf(t, g, fmt.Sprint("i", i))
@@ -203,7 +204,6 @@
 				}
 			}
 			for range 3 {
-				began := time.Now()
 				resp, body, err := ask(t, c, "/safe/", "")
 				if err != nil || resp.StatusCode != tt.status {
 					t.Fatalf("got %v, %v, want %d", resp, err, tt.status)
--- a/routegate/dispatch.go
+++ b/routegate/dispatch.go
@@ -13,6 +13,7 @@
 
 	"wheelgauge"
 	"wheelgauge/answerhead"
+	"wheelgauge/httpfield"
 	"wheelgauge/peerset"
 	"wheelgauge/serverconn"
 	"wheelgauge/serverset"
@@ -95,8 +96,8 @@
 	}
 	c.hearLimit(x, s)
 	x.rest = c.hearAsk(x, k)
-	notRun := len(x.head.Peek(n.NotRun)) > 0
-	if r, ok := serverset.ParseReported(string(x.head.Peek(n.Load))); ok {
+	notRun := len(httpfield.Value(x.head, n.NotRun)) > 0
+	if r, ok := serverset.ParseReported(string(httpfield.Value(x.head, n.Load))); ok {
 		k.Report(r, notRun && x.head.StatusCode() == http.StatusServiceUnavailable)
 	}
 	if status := x.head.StatusCode(); notRun || status == http.StatusMisdirectedRequest {
@@ -194,12 +195,12 @@
 		c.missed(p, err)
 		return failed
 	}
-	outcome := wheelgauge.Outcome(x.head.Peek(wheelgauge.HeaderOutcome))
+	outcome := wheelgauge.Outcome(httpfield.Value(x.head, wheelgauge.HeaderOutcome))
 	if outcome == "" {
 		return c.relay(x)
 	}
 	c.cause = "gateway " + p.Name() + " answered " + strconv.Itoa(x.head.StatusCode())
-	sends := sendsOf(string(x.head.Peek(wheelgauge.HeaderSends)))
+	sends := sendsOf(string(httpfield.Value(x.head, wheelgauge.HeaderSends)))
 	_ = x.discard() // a connection that breaks here is not kept
 	if outcome == wheelgauge.OutcomeNotRun {
 		c.runs--
--- a/routegate/gate.go
+++ b/routegate/gate.go
@@ -14,6 +14,7 @@
 
 	"wheelgauge"
 	"wheelgauge/callerhttp"
+	"wheelgauge/httpfield"
 	"wheelgauge/meter"
 	"wheelgauge/peerset"
 	"wheelgauge/prompt"
@@ -215,11 +216,11 @@
 // open gathers what decides about a request.
 func (g *Gate) open(r *callerhttp.Request, forwarded bool) *call {
 	h, n := r.Header(), g.options.Names
-	c := &call{gate: g, request: r, forwarded: forwarded, id: string(h.Peek(n.RequestID)), started: r.Arrived()}
+	c := &call{gate: g, request: r, forwarded: forwarded, id: string(httpfield.Value(h, n.RequestID)), started: r.Arrived()}
 	c.asleep = g.asleep()
-	c.prompt = prompt.Parse(string(h.Peek(n.Prompt)), string(h.Peek(n.Tokens)), string(h.Peek(n.Hint)))
-	c.lastEvent = string(h.Peek(n.LastEvent))
-	if limit, ok := limitOf(string(h.Peek(n.Deadline))); ok {
+	c.prompt = prompt.Parse(string(httpfield.Value(h, n.Prompt)), string(httpfield.Value(h, n.Tokens)), string(httpfield.Value(h, n.Hint)))
+	c.lastEvent = string(httpfield.Value(h, n.LastEvent))
+	if limit, ok := limitOf(string(httpfield.Value(h, n.Deadline))); ok {
 		c.deadline = r.Arrived().Add(limit)
 	}
 	return c
--- a/routegate/identify.go
+++ b/routegate/identify.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"wheelgauge"
+	"wheelgauge/httpfield"
 	"wheelgauge/routetable"
 )
 
@@ -49,7 +50,7 @@
 // identifyForwarded takes the word of the host that the caller came to. A workspace
 // that is not known here may have homes that are not known either.
 func (g *Gate) identifyForwarded(c *call, t *routetable.Table) *wheelgauge.Error {
-	name := string(c.request.Header().Peek(wheelgauge.HeaderWorkspace))
+	name := string(httpfield.Value(c.request.Header(), wheelgauge.HeaderWorkspace))
 	if name == "" {
 		return nil
 	}
--- a/routegate/limit.go
+++ b/routegate/limit.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"wheelgauge"
+	"wheelgauge/httpfield"
 	"wheelgauge/serverlimit"
 	"wheelgauge/serverset"
 )
@@ -21,7 +22,7 @@
 	if name == "" || x.head.StatusCode() == http.StatusMisdirectedRequest {
 		return // another server answered
 	}
-	server, values := s.Life(), x.head.PeekAll(name)
+	server, values := s.Life(), httpfield.Values(x.head, name)
 	rate, named := least(values)
 	switch {
 	case named:
--- /dev/null
+++ b/routegate/names_test.go
@@ -0,0 +1,69 @@
+package routegate
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+)
+
+// Servers that write header names in another case were not understood.
+func TestHeaderNamesInAnyCase(t *testing.T) {
+	lower := func(answer string) string {
+		head, body, _ := strings.Cut(answer, "\r\n\r\n")
+		start, lines, _ := strings.Cut(head, "\r\n")
+		return start + "\r\n" + strings.ToLower(lines) + "\r\n\r\n" + body
+	}
+	stray := saying(okAnswer, "X-Request-Id: another")
+	tests := []struct {
+		name   string
+		script []string
+		status int
+		sends  int
+	}{
+		{"a signature", []string{okAnswer}, 200, 1},
+		{"not run", []string{shed, okAnswer}, 200, 2},
+		{"an answer to another request", []string{stray + okAnswer}, 200, 1},
+		{"a limit", []string{limited(okAnswer, "2")}, 200, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var script []string
+			for _, answer := range tt.script {
+				for _, part := range strings.SplitAfter(answer, "\r\nok") {
+					if part != "" {
+						script = append(script, lower(part))
+					}
+				}
+			}
+			if tt.name == "an answer to another request" {
+				script = []string{strings.Join(script, "")}
+			}
+			b := newBackend(t, script...)
+			g, c := newGate(t, routes(), b, b)
+			resp, _, err := ask(t, c, "/once/", "")
+			if err != nil {
+				t.Fatal(err)
+			}
+			if resp.StatusCode != tt.status || len(b.seen()) != tt.sends {
+				t.Errorf("got %d after %d sends, want %d after %d", resp.StatusCode, len(b.seen()), tt.status, tt.sends)
+			}
+			if _, ok := g.options.Limits.Rate("i0"); tt.name == "a limit" && !ok && resp.StatusCode == http.StatusOK {
+				t.Error("the limit was not heard")
+			}
+		})
+	}
+}
+
+// What callers wrote in another case was passed on, but not gone by.
+func TestCallersHeaderNamesInAnyCase(t *testing.T) {
+	for _, name := range []string{"Wheelgauge-Deadline-Ms", "wheelgauge-deadline-ms", "WHEELGAUGE-DEADLINE-MS"} {
+		b := newBackend(t)
+		_, c := newGate(t, routes(), b)
+		if _, _, err := ask(t, c, "/safe/", name+": 700\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		if left := b.seen()[0].Get("Wheelgauge-Deadline-Ms"); len(left) != 3 {
+			t.Errorf("%s: the server has %q ms, want what is left of 700", name, left)
+		}
+	}
+}
--- a/routegate/relay.go
+++ b/routegate/relay.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"wheelgauge"
+	"wheelgauge/httpfield"
 )
 
 const (
@@ -25,7 +26,7 @@
 func (c *call) relay(x *exchange) result {
 	status := x.head.StatusCode()
 	success := isSuccess(status)
-	if success && len(x.head.Peek(c.gate.options.Names.Signature)) == 0 {
+	if success && len(httpfield.Value(x.head, c.gate.options.Names.Signature)) == 0 {
 		c.cause = errUnsigned.Error()
 		return failed
 	}
--- a/routegate/version.go
+++ b/routegate/version.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"wheelgauge"
+	"wheelgauge/httpfield"
 	"wheelgauge/rollout/tally"
 	"wheelgauge/serverset"
 )
@@ -53,7 +54,7 @@
 		a.Failed = true
 	} else {
 		status := x.head.StatusCode()
-		if len(x.head.Peek(c.gate.options.Names.NotRun)) > 0 || status == http.StatusMisdirectedRequest {
+		if len(httpfield.Value(x.head, c.gate.options.Names.NotRun)) > 0 || status == http.StatusMisdirectedRequest {
 			return
 		}
 		a.Failed = status >= http.StatusInternalServerError
--- a/serverconn/conn.go
+++ b/serverconn/conn.go
@@ -19,6 +19,7 @@
 
 	"wheelgauge/answerhead"
 	"wheelgauge/callerconn"
+	"wheelgauge/httpfield"
 )
 
 const (
@@ -123,7 +124,7 @@
 			return nil, nil, err
 		}
 		b := newBody(c, h, isHead)
-		echoed := string(h.Peek(requestID))
+		echoed := string(httpfield.Value(h, requestID))
 		if echoed == "" || echoed == id {
 			return h, b, nil
 		}
--- a/serverconn/pool.go
+++ b/serverconn/pool.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"wheelgauge/httpfield"
 )
 
 const (
@@ -197,7 +199,7 @@
 		p.drop(c)
 		return
 	}
-	c.idle, c.life = p.link.Now(), idleLife(string(h.Peek("Keep-Alive")), p.link.Idle)
+	c.idle, c.life = p.link.Now(), idleLife(string(httpfield.Value(h, "Keep-Alive")), p.link.Idle)
 	if c.life <= 0 {
 		p.drop(c)
 		return
