--- a/rollout/director/play_test.go
+++ b/rollout/director/play_test.go
@@ -1,6 +1,7 @@
 package director_test
 
 import (
+	"cmp"
 	"flag"
 	"fmt"
 	"math"
@@ -62,6 +63,14 @@
 	{"post", 40, 60 * time.Millisecond, 60 * time.Millisecond},
 }
 
+// size is that of a played deployment.
+type size struct {
+	hosts, servers int
+	routes         []playRoute
+}
+
+var playSize = size{playHosts, playServers, playRoutes}
+
 // version is how the target version behaves.
 type version struct {
 	name string
@@ -72,6 +81,8 @@
 	from        float64
 	route       string
 	load        int
+	// slowBy is how many times as long slow answers take; four times when 0.
+	slowBy float64
 }
 
 var versions = []version{
@@ -121,6 +132,7 @@
 
 // play is one rollout.
 type play struct {
+	size    size
 	rng     *rand.Rand
 	version version
 	trouble trouble
@@ -171,8 +183,12 @@
 }
 
 func newPlay(seed uint64, v version, tr trouble, limit time.Duration, judge func() wheelgauge.VersionJudge) *play {
-	p := &play{rng: rand.New(rand.NewPCG(seed, 1)), version: v, trouble: tr, limit: limit, events: map[int64][]func(){}, inFlight: map[string]int{}, answers: map[string]int{}, fiftieth: -1}
-	for n := range playHosts {
+	return newPlayOf(playSize, seed, v, tr, limit, judge)
+}
+
+func newPlayOf(of size, seed uint64, v version, tr trouble, limit time.Duration, judge func() wheelgauge.VersionJudge) *play {
+	p := &play{size: of, rng: rand.New(rand.NewPCG(seed, 1)), version: v, trouble: tr, limit: limit, events: map[int64][]func(){}, inFlight: map[string]int{}, answers: map[string]int{}, fiftieth: -1}
+	for n := range of.hosts {
 		h := &playHost{name: fmt.Sprint("h", n)}
 		p.start(h)
 		p.hosts = append(p.hosts, h)
@@ -188,7 +204,7 @@
 	p.oldInFlight -= h.old // ended with the process
 	h.old = 0
 	h.ledger = ledger.New(ledger.Options{Host: h.name, Share: playShare, Slack: playSlack, Now: p.now})
-	h.ledger.SetHosts(playHosts)
+	h.ledger.SetHosts(p.size.hosts)
 	h.tally = tally.New()
 	h.told = 0
 	if p.rollout.Number > 0 {
@@ -278,7 +294,7 @@
 	if p.trouble.burst && p.at > p.limit/3 && p.at < p.limit/2 {
 		factor = 2.3
 	}
-	for _, r := range playRoutes {
+	for _, r := range p.size.routes {
 		mean := r.rate * factor * playTick.Seconds()
 		for range poisson(p.rng, mean) {
 			h := p.hosts[p.rng.IntN(len(p.hosts))]
@@ -313,7 +329,7 @@
 	if only, ok := choice.Only(); ok && p.at > 300*time.Millisecond {
 		v = only
 	}
-	server := fmt.Sprint(v, "-", p.rng.IntN(playServers))
+	server := fmt.Sprint(v, "-", p.rng.IntN(p.size.servers))
 	h.ledger.Sent(service, r.name, v)
 	p.note(v, h)
 	p.inFlight[server]++
@@ -322,7 +338,8 @@
 	noise := math.Exp(0.25 * p.rng.NormFloat64())
 	first, takes := time.Duration(noise*float64(r.first)), time.Duration(noise*float64(r.takes))
 	if slow {
-		first, takes = 4*first, takes+3*first
+		by := time.Duration(cmp.Or(p.version.slowBy, 4) * 100)
+		first, takes = by*first/100, takes+(by-100)*first/100
 	}
 	boot, number, fresh := h.boot, h.ledger.Runs()[service], v == newVersion && p.at < playFresh
 	p.after(takes, func() {
@@ -452,7 +469,7 @@
 			live[h.name] = h.boot
 		}
 	}
-	d := p.stores[n].Decide(p.rollout, director.View{Left: p.limit - p.at, Live: live, Servers: playServers})
+	d := p.stores[n].Decide(p.rollout, director.View{Left: p.limit - p.at, Live: live, Servers: p.size.servers})
 	switch {
 	case p.planted.neverBad && d.Step == director.RollBack:
 		d.Step = director.Wait
