--- a/rollout/ledger/ledger.go
+++ b/rollout/ledger/ledger.go
@@ -23,9 +23,10 @@
 	// later does not know whether it had its part already.
 	slackPart   = 0.5
 	slackWithin = 500 * time.Millisecond
-	// canaryPart of the share goes to the target version until it has proved good, provenPart
-	// from then on: the rest is needed to move over in time.
-	canaryPart = 0.4
+	// canaryPart of the share goes to the target version until it has proved good: what is not
+	// used is no evidence. provenPart goes there from then on, as requests that would end too
+	// late move over besides.
+	canaryPart = 0.9
 	provenPart = 0.15
 	// mostCredit bounds what is made up for when the target version had no server.
 	mostCredit = 2.0
