Rollouts: faults that are spread over servers are not taken off as those of the worst one

The faults of the worst server were left out whole, so that of 5 to 7 faults over nine servers a third was no evidence. A server is left out now, down to what its fellows have, only if it has more than two standard deviations more than they; one that fails alone still is.

--- a/rollout/sequential/judge.go
+++ b/rollout/sequential/judge.go
@@ -34,6 +34,9 @@
 	// standard deviations: a version that is worse by little shows by their number.
 	mostExcess = 25.0
 	deviations = 3.0
+	// outlier is by how many standard deviations more faults than its fellows a server has
+	// that is left out.
+	outlier = 2.0
 	// mostPart bounds what is expected of either version.
 	mostPart = 0.95
 	// everything names the sum over all routes.
@@ -136,16 +139,21 @@
 	return (t.bad - worst(t.faults, servers) - expected - chance) / mostExcess
 }
 
-// worst is the faults of the worst server: one server that fails is no reason to take its
-// version back, unless it is the only one.
+// worst is the faults of a server that has more than its fellows explain: one server that fails
+// is no reason to take its version back, faults that are spread over all of them are.
 func worst(faults map[string]float64, servers int) float64 {
-	most := 0.0
-	if servers > 1 {
-		for _, n := range faults {
-			most = max(most, n)
-		}
+	if servers < 2 {
+		return 0
+	}
+	most, sum := 0.0, 0.0
+	for _, n := range faults {
+		most, sum = max(most, n), sum+n
+	}
+	fellows := (sum - most) / float64(servers-1)
+	if most <= fellows+outlier*math.Sqrt(fellows+1) {
+		return 0
 	}
-	return most
+	return most - fellows
 }
 
 // score is the evidence against the version as a part of what is enough.
--- a/rollout/sequential/judge_test.go
+++ b/rollout/sequential/judge_test.go
@@ -34,7 +34,8 @@
 	failing := wheelgauge.VersionCount{Answers: 5, Failed: 2, Timed: 3}
 	slow := wheelgauge.VersionCount{Answers: 5, Timed: 5, Slow: 4}
 	thin := wheelgauge.VersionCount{Answers: 25, Failed: 1, Timed: 24}
-	two := []string{"a", "b"}
+	eighth := wheelgauge.VersionCount{Answers: 8, Failed: 1, Timed: 7}
+	two, nine := []string{"a", "b"}, strings.Split("abcdefghi", "")
 	tests := []struct {
 		name    string
 		phases  []phase
@@ -50,6 +51,8 @@
 		{"one server of two fails", []phase{{20, failing, sound, two[:1]}}, 2, false, ""},
 		{"the only server fails", []phase{{20, failing, sound, two[:1]}}, 1, true, "failed"},
 		{"the others fail as well", []phase{{20, failing, shaken, two}}, 2, false, ""},
+		{"one in eight fails, spread over nine servers", []phase{{9, eighth, sound, nine}}, 9, true, "failed"},
+		{"one in eight fails, all at one of nine", []phase{{60, eighth, sound, nine[:1]}}, 9, false, ""},
 		{"a little worse for long", []phase{{600, thin, sound, two}}, 2, true, "failed"},
 	}
 	for _, tt := range tests {
