Rollouts: a version is proved by evidence that it is as good, not by a count of answers

A version was proved by 40 answers, and completed at its limit by a single one, whatever they said. Now the likelihood that it is as good is held against one that is worse by what callers would notice (6 more failures in 100, 15 more slow answers; on a busy route what makes it bad), the worst server left out: three natural logs show it, so that one in twenty versions that are just so much worse seem as good by chance. Before the limit and at it nothing moves over without. One that has shown neither goes on with its share for 30 s; then it is completed if it rather seems as good, and taken back if it rather seems worse: a rollout that is late, or ordered again, costs callers less than a bad version on all of their requests.

The row of TestDecide that asked for a shift at 20 answers of a busy route, and the one at a single answer past the limit, asked for what was wrong: they ask for the evidence now, with rows for both ends of a doubt.

--- a/rollout/director/director.go
+++ b/rollout/director/director.go
@@ -13,13 +13,16 @@
 )
 
 const (
-	// leastAnswers of the target version are needed before requests move over, leastRoute on
-	// each route that had busyRoute of the other versions.
+	// leastAnswers of the target version are needed before requests move over before the time
+	// limit, leastRoute on each route that had busyRoute of the other versions.
 	leastAnswers = 40
 	leastRoute   = 20
 	busyRoute    = 150
 	// clearScore is the evidence against the version that is too much to move over by.
 	clearScore = 0.35
+	// doubtFor is how long after its limit a rollout goes on with its share that has shown
+	// neither: late is better than a bad version for all callers.
+	doubtFor = 30 * time.Second
 	// silentFor is how long after a host was last heard it is taken to have nothing in flight at
 	// other versions any more, once the time limit is over too: it stops to use them by itself
 	// before, and what it sent until then has ended.
@@ -46,6 +49,8 @@
 	Cause string
 	// Score is the evidence against the version as a part of what would make it bad.
 	Score float64
+	// Proof is the evidence that it is as good as a part of what shows it.
+	Proof float64
 	// Answers are those of the target version, Waiting the hosts that are not settled.
 	Answers uint64
 	Waiting int
@@ -183,12 +188,14 @@
 		return Decision{}
 	}
 	verdict := x.judge.Verdict(v.Servers)
-	out := Decision{Score: verdict.Score, Answers: total(x.target), Waiting: x.waiting(v, d.now())}
+	out := Decision{Score: verdict.Score, Proof: verdict.Proof, Answers: total(x.target), Waiting: x.waiting(v, d.now())}
 	switch {
 	case verdict.Bad:
 		out.Step, out.Cause = RollBack, verdict.Cause
 	case !r.Shifting && v.Left <= -emptyFor && out.Answers == 0 && x.sent > 0:
 		out.Step, out.Cause = RollBack, fmt.Sprintf("no answer of version %s within its time", r.Version)
+	case !r.Shifting && v.Left <= -doubtFor && out.Proof < 0:
+		out.Step, out.Cause = RollBack, fmt.Sprintf("%d answers of version %s have not shown that it is as good", out.Answers, r.Version)
 	case !r.Shifting && x.proved(v.Left, out):
 		out.Step = Shift
 	case r.Shifting && out.Waiting == 0:
@@ -197,13 +204,17 @@
 	return out
 }
 
-// proved tells whether requests may move over. After the time limit the little that a
+// proved tells whether requests may move over. Long after the time limit the little that a
 // service with few requests could show is enough.
 func (x *run) proved(left time.Duration, d Decision) bool {
-	if left <= 0 {
-		return d.Answers > 0 || x.sent == 0
-	}
-	if d.Score >= clearScore || d.Answers < leastAnswers {
+	switch {
+	case left <= 0 && x.sent == 0:
+		return true // nobody asks for the service
+	case left <= -doubtFor:
+		return d.Answers > 0 && d.Proof >= 0
+	case left <= 0:
+		return d.Answers > 0 && d.Proof >= 1
+	case d.Proof < 1 || d.Score >= clearScore || d.Answers < leastAnswers:
 		return false
 	}
 	for route, n := range x.others {
--- a/rollout/director/director_test.go
+++ b/rollout/director/director_test.go
@@ -25,6 +25,9 @@
 			{Route: route, Target: true, Answers: target, Timed: target}, {Route: route, Answers: others, Timed: others}, {Route: "other", Target: true, Answers: 100, Timed: 100},
 		}}
 	}
+	// failing has some failures on a busy route, not enough to find the version bad.
+	failing := counted(false, 30, 400)
+	failing.Counts[0].Failed = 3
 	live := map[string]uint64{"a": boot}
 	tests := []struct {
 		name    string
@@ -37,8 +40,14 @@
 	}{
 		{"nobody reported", running, nil, 0, time.Second, live, Wait},
 		{"too few answers of a busy route", running, map[string]wheelgauge.RolloutReport{"a": counted(false, 19, 400)}, 0, time.Second, live, Wait},
-		{"enough", running, map[string]wheelgauge.RolloutReport{"a": counted(false, 20, 400)}, 0, time.Second, live, Shift},
-		{"few, past the limit", running, map[string]wheelgauge.RolloutReport{"a": counted(false, 1, 400)}, 0, -time.Second, live, Shift},
+		{"not enough to show that it is as good there", running, map[string]wheelgauge.RolloutReport{"a": counted(false, 20, 400)}, 0, time.Second, live, Wait},
+		{"enough", running, map[string]wheelgauge.RolloutReport{"a": counted(false, 30, 400)}, 0, time.Second, live, Shift},
+		{"enough, past the limit", running, map[string]wheelgauge.RolloutReport{"a": counted(false, 30, 400)}, 0, -time.Second, live, Shift},
+		{"few, past the limit", running, map[string]wheelgauge.RolloutReport{"a": counted(false, 1, 400)}, 0, -time.Second, live, Wait},
+		{"few, long past the limit", running, map[string]wheelgauge.RolloutReport{"a": counted(false, 1, 400)}, 0, -doubtFor, live, Shift},
+		{"rather worse, past the limit", running, map[string]wheelgauge.RolloutReport{"a": failing}, 0, -time.Second, live, Wait},
+		{"rather worse, long past the limit", running, map[string]wheelgauge.RolloutReport{"a": failing}, 0, -doubtFor, live, RollBack},
+		{"nobody asks for the service", running, map[string]wheelgauge.RolloutReport{"a": {Service: service, Number: 1}}, 0, -time.Second, live, Shift},
 		{"a host is not settled", shifting, map[string]wheelgauge.RolloutReport{"a": counted(false, 20, 400)}, 0, -time.Second, live, Wait},
 		{"all are settled", shifting, map[string]wheelgauge.RolloutReport{"a": counted(true, 20, 400)}, 0, time.Second, live, Complete},
 		{"it started again since", shifting, map[string]wheelgauge.RolloutReport{"a": counted(true, 20, 400)}, 0, time.Second, map[string]uint64{"a": boot + 1}, Wait},
--- a/rollout/director/play_test.go
+++ b/rollout/director/play_test.go
@@ -67,9 +67,11 @@
 type size struct {
 	hosts, servers int
 	routes         []playRoute
+	// settle is for how long after its limit a rollout is played.
+	settle time.Duration
 }
 
-var playSize = size{playHosts, playServers, playRoutes}
+var playSize = size{playHosts, playServers, playRoutes, playSettle}
 
 // version is how the target version behaves.
 type version struct {
@@ -222,7 +224,7 @@
 // run plays from three seconds before the order until everything ended.
 func (p *play) run() {
 	p.at = -3 * time.Second
-	for ; p.at < p.limit+playSettle; p.at += playTick {
+	for ; p.at < p.limit+p.size.settle; p.at += playTick {
 		if p.at == 0 {
 			p.order()
 		}
@@ -515,7 +517,7 @@
 		add("a good version was rolled back: %s", p.cause)
 	}
 	if p.rollout.Running() {
-		add("still running %s after its limit", playSettle)
+		add("still running %s after its limit", p.size.settle)
 	}
 	return out
 }
--- a/rollout/director/thin_test.go
+++ b/rollout/director/thin_test.go
@@ -8,15 +8,19 @@
 	"wheelgauge"
 )
 
-// thinSeeds are played of each version.
-const thinSeeds = 24
+const (
+	// thinSeeds are played of each version.
+	thinSeeds = 24
+	// thinSettle is longer than a version may stay in doubt after its limit.
+	thinSettle = 45 * time.Second
+)
 
 // smallSize is a deployment of so many requests a second, a part of them on one route.
 func smallSize(rate, part float64) size {
 	return size{6, 9, []playRoute{
 		{"most", rate * (1 - part), 300 * time.Millisecond, 150 * time.Millisecond},
 		{"part", rate * part, 200 * time.Millisecond, 100 * time.Millisecond},
-	}}
+	}, thinSettle}
 }
 
 // Versions that were bad by little, or on one route, were completed.
--- a/rollout/fixed/judge.go
+++ b/rollout/fixed/judge.go
@@ -68,5 +68,5 @@
 			return wheelgauge.Verdict{Bad: true, Score: 1, Cause: fmt.Sprintf("%s: %d of %d answers are bad, %.1f in 100 of other versions", route, target.bad, target.all, 100*usual)}
 		}
 	}
-	return wheelgauge.Verdict{}
+	return wheelgauge.Verdict{Proof: 1}
 }
--- a/rollout/sequential/judge.go
+++ b/rollout/sequential/judge.go
@@ -37,6 +37,20 @@
 	// outlier is by how many standard deviations more faults than its fellows a server has
 	// that is left out.
 	outlier = 2.0
+	// failNoticed and slowNoticed are how many more failures and slow answers callers would
+	// notice over all routes, as parts of all: a version is as good once it is shown not to be
+	// worse by that, on a busy route by what makes it bad.
+	failNoticed = 0.06
+	slowNoticed = 0.15
+	// goodEnough is the evidence, a log likelihood ratio, that shows it: one in twenty that are
+	// worse by what callers would notice, and no more, seem as good by chance.
+	goodEnough = 3.0
+	// leastSupport and mostSupport bound that evidence, so that what came long ago does not
+	// outweigh what comes now.
+	leastSupport = -goodEnough
+	mostSupport  = 2 * goodEnough
+	// busyRoute is how many answers of the other versions make a route busy.
+	busyRoute = 150
 	// mostPart bounds what is expected of either version.
 	mostPart = 0.95
 	// everything names the sum over all routes.
@@ -45,18 +59,20 @@
 
 // aspect is what may be worse about answers.
 type aspect struct {
-	name   string
-	more   float64
-	enough float64
+	name string
+	more float64
+	// noticed is the same for a version that is shown to be as good over all routes.
+	noticed float64
+	enough  float64
 	// of returns how many answers could show it, and how many did.
 	of func(c wheelgauge.VersionCount) (all, bad float64)
 }
 
 var aspects = []aspect{
-	{"failed", failMore, failEnough, func(c wheelgauge.VersionCount) (float64, float64) {
+	{"failed", failMore, failNoticed, failEnough, func(c wheelgauge.VersionCount) (float64, float64) {
 		return float64(c.Answers), float64(c.Failed)
 	}},
-	{"slow", slowMore, slowEnough, func(c wheelgauge.VersionCount) (float64, float64) {
+	{"slow", slowMore, slowNoticed, slowEnough, func(c wheelgauge.VersionCount) (float64, float64) {
 		return float64(c.Timed), float64(c.Slow)
 	}},
 }
@@ -94,6 +110,30 @@
 	faults   map[string]float64
 	weight   float64
 	total    total
+	// support is the evidence that the version is as good, noted of an answer that is not.
+	support support
+	// others is how many answers of the other versions came.
+	others float64
+}
+
+// support is the evidence that the target version is as good.
+type support struct {
+	evidence, weight float64
+	faults           map[string]float64
+}
+
+// add takes answers that are bad with a probability of was if the version is as good, and of
+// worse if it is not.
+func (s *support) add(all, bad, was, worse float64, faults []wheelgauge.ServerFaults) {
+	s.weight = math.Log(worse / was)
+	s.evidence -= bad*s.weight + (all-bad)*math.Log((1-worse)/(1-was))
+	s.evidence = min(mostSupport, s.evidence)
+	addFaults(s.faults, faults)
+}
+
+// of returns the evidence; the worst server is left out.
+func (s *support) of(servers int) float64 {
+	return max(leastSupport, s.evidence+worst(s.faults, servers)*s.weight)
 }
 
 // add takes answers of the target version.
@@ -103,6 +143,13 @@
 	}
 	was := t.baseline.part()
 	t.total.add(all*was, bad, c.Faults)
+	noticed := t.aspect.noticed
+	if t.route != everything {
+		noticed = t.aspect.more
+	}
+	if as := min(mostPart, max(was+noticed, worseFactor*was)); as > was {
+		t.support.add(all, bad, was, as, c.Faults)
+	}
 	worse := min(mostPart, max(was+t.aspect.more, worseFactor*was))
 	if worse <= was {
 		return // the others are as bad as can be
@@ -131,12 +178,12 @@
 // excess is how many more answers were bad than expected, as a part of how many may be; the
 // worst server and its part of what is expected are left out.
 func (t *total) excess(servers int) float64 {
-	expected := t.expected
-	if servers > 1 {
+	expected, left := t.expected, worst(t.faults, servers)
+	if left > 0 {
 		expected *= float64(servers-1) / float64(servers)
 	}
 	chance := deviations * math.Sqrt(expected+1)
-	return (t.bad - worst(t.faults, servers) - expected - chance) / mostExcess
+	return (t.bad - left - expected - chance) / mostExcess
 }
 
 // worst is the faults of a server that has more than its fellows explain: one server that fails
@@ -196,7 +243,7 @@
 	tests := j.tests[route]
 	if tests == nil {
 		for _, a := range aspects {
-			tests = append(tests, &test{aspect: a, route: route, faults: map[string]float64{}, total: total{faults: map[string]float64{}}})
+			tests = append(tests, &test{aspect: a, route: route, faults: map[string]float64{}, total: total{faults: map[string]float64{}}, support: support{faults: map[string]float64{}}})
 		}
 		j.tests[route] = tests
 	}
@@ -206,6 +253,7 @@
 			t.add(all, bad, c)
 			continue
 		}
+		t.others += all
 		t.baseline.all, t.baseline.bad = t.baseline.all+all, t.baseline.bad+bad
 	}
 }
@@ -223,13 +271,27 @@
 	if worst == nil {
 		return wheelgauge.Verdict{}
 	}
-	v := wheelgauge.Verdict{Score: worst.score(servers)}
+	v := wheelgauge.Verdict{Score: worst.score(servers), Proof: j.proof(servers)}
 	if v.Bad = v.Score >= 1; v.Bad {
 		v.Cause = worst.cause()
 	}
 	return v
 }
 
+// proof is the evidence that the version is as good over all routes and on each busy one, as a
+// part of what is enough; the least of it.
+func (j *Judge) proof(servers int) float64 {
+	least := float64(mostSupport)
+	for _, tests := range j.tests {
+		for _, t := range tests {
+			if t.route == everything || t.others >= busyRoute {
+				least = min(least, t.support.of(servers))
+			}
+		}
+	}
+	return least / goodEnough
+}
+
 func (t *test) cause() string {
 	route := t.route
 	if route == everything {
--- a/rollouts.go
+++ b/rollouts.go
@@ -133,6 +133,9 @@
 	Cause string
 	// Score is the evidence against the version as a part of what would make it bad.
 	Score float64
+	// Proof is the evidence that it is as good as a part of what shows it; below 0 it rather
+	// seems worse.
+	Proof float64
 }
 
 // VersionJudge compares the target version of a rollout with the versions that it replaces.
