--- a/rollout/ledger/ledger.go
+++ b/rollout/ledger/ledger.go
@@ -27,7 +27,7 @@
 	// used is no evidence. provenPart goes there from then on, as requests that would end too
 	// late move over besides.
 	canaryPart = 0.9
-	provenPart = 0.15
+	provenPart = 0.5
 	// mostCredit bounds what is made up for when the target version had no server.
 	mostCredit = 2.0
 	// lease is how long a host goes by a state that it cannot confirm: it may have been rolled
