Rollouts: canaries of the slack go to the routes that have shown the least

A host spreads its part of the slack over the rollout's time, and gives it to the route with the fewest canaries so far; the bound stays as it is by construction.

--- a/rollout/ledger/choose.go
+++ b/rollout/ledger/choose.go
@@ -76,7 +76,7 @@
 		return others
 	case s.rollout.Shifting && !now.Add(lasts).Before(s.limit.Add(-settleBefore)):
 		return target // on another version it would still be in flight then
-	case l.creditOf(s, route) >= 1:
+	case l.creditOf(s, route) >= 1 || l.seldom(s, route, now):
 		return target
 	}
 	return others
@@ -88,11 +88,33 @@
 	return s.rollout.Shifting && !now.Before(s.limit) || l.spare(s) >= 1
 }
 
+// seldom tells whether a request is a canary of the slack: it is spread over the rollout's time
+// and goes to the routes that have shown the least. The lock is held.
+func (l *Ledger) seldom(s *service, route string, now time.Time) bool {
+	if !s.early || s.rollout.Shifting || !now.Before(s.limit) {
+		return false
+	}
+	duration := time.Duration(s.rollout.DurationMS) * time.Millisecond
+	passed := 1 - float64(s.limit.Sub(now))/float64(duration)
+	if l.slack()*passed-s.slackUsed < 1 {
+		return false
+	}
+	for _, sent := range s.canaries {
+		if sent < s.canaries[route] {
+			return false
+		}
+	}
+	return true
+}
+
+// slack is this host's part of it.
+func (l *Ledger) slack() float64 { return slackPart * l.options.Slack / float64(l.hosts) }
+
 // spare is how many more requests may go to the target version by the host's share.
 func (l *Ledger) spare(s *service) float64 {
 	allowed := countedPart * l.options.Share * float64(s.sent+1)
 	if s.early {
-		allowed += slackPart * l.options.Slack / float64(l.hosts)
+		allowed += l.slack()
 	}
 	return allowed - float64(s.sentTarget)
 }
--- a/rollout/ledger/ledger.go
+++ b/rollout/ledger/ledger.go
@@ -84,8 +84,11 @@
 	rate       meanrate.Rate
 	sent       uint64
 	sentTarget uint64
-	// credit is what each route may send to the target version.
-	credit map[string]float64
+	// credit is what each route may send to the target version, canaries what it has sent there.
+	credit   map[string]float64
+	canaries map[string]int
+	// slackUsed are canaries that were sent beyond that, of the slack.
+	slackUsed float64
 	// closed is set once nothing is sent to other versions any more.
 	closed bool
 	// told is what the last report said of being settled.
@@ -125,7 +128,7 @@
 	s.early = time.Duration(r.ElapsedMS)*time.Millisecond < slackWithin
 	s.sent, s.sentTarget, s.closed, s.told = 0, 0, false, false
 	s.rate = meanrate.New(rateSpan)
-	s.credit = map[string]float64{}
+	s.credit, s.canaries, s.slackUsed = map[string]float64{}, map[string]int{}, 0
 }
 
 // Confirm tells that no newer state is known now.
@@ -174,8 +177,13 @@
 		canary = provenPart
 	}
 	credit := min(mostCredit, l.creditOf(s, route)+canary*l.options.Share)
+	s.canaries[route] += 0 // it is a route of the service
 	if version == s.rollout.Version {
 		s.sentTarget++
+		s.canaries[route]++
+		if credit < 1 {
+			s.slackUsed++
+		}
 		credit = max(0, credit-1)
 	}
 	s.credit[route] = credit
--- a/rollout/ledger/ledger_test.go
+++ b/rollout/ledger/ledger_test.go
@@ -225,3 +225,42 @@
 		release()
 	}
 }
+
+// Canaries of the slack go to the routes that have shown the least, over the rollout's time,
+// and stay within the slack.
+func TestSlackShowsSeldomRoutes(t *testing.T) {
+	const share, slack = 0.1, 60.0
+	l, c := newLedger(share, slack)
+	l.Set(rollout(wheelgauge.RolloutRunning, false, 0))
+	sent, canaries := 0, map[string]int{}
+	early := 0
+	for ; c.at.Before(time.Unix(1020, 0)); c.at = c.at.Add(10 * time.Millisecond) {
+		l.Confirm()
+		route := "often"
+		if sent%20 == 0 {
+			route = "seldom"
+		}
+		sent++
+		choice, release := l.Choose(name, route, 0, false)
+		version := "v1"
+		if only, ok := choice.Only(); ok {
+			version = only
+			canaries[route]++
+		}
+		l.Sent(name, route, version)
+		release()
+		if c.at.Before(time.Unix(1002, 0)) {
+			early = canaries["often"] + canaries["seldom"]
+		}
+	}
+	part := slackPart * slack
+	if got := canaries["seldom"]; got < int(part)/2 {
+		t.Errorf("the seldom route got %d canaries of %d requests, %g are of the slack", got, sent/20, part)
+	}
+	if got := float64(canaries["seldom"] + canaries["often"]); got > share*float64(sent)+part {
+		t.Errorf("%g canaries of %d requests", got, sent)
+	}
+	if most := share*200 + part/5; float64(early) > most {
+		t.Errorf("%d canaries in the first tenth of the time, want %g at most", early, most)
+	}
+}
