Rollouts: a route is proved apart from 60 answers of the other versions on

150 were asked for, so that at 30 requests a second no route counted apart before a limit of 12 s, and a version that was slow on one was proved by the others.

--- a/rollout/sequential/judge.go
+++ b/rollout/sequential/judge.go
@@ -50,7 +50,7 @@
 	leastSupport = -goodEnough
 	mostSupport  = 2 * goodEnough
 	// busyRoute is how many answers of the other versions make a route busy.
-	busyRoute = 150
+	busyRoute = 60
 	// mostPart bounds what is expected of either version.
 	mostPart = 0.95
 	// everything names the sum over all routes.
