--- a/entrynode/rollout_test.go
+++ b/entrynode/rollout_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -25,12 +26,28 @@
 	defer e.mu.Unlock()
 	for _, s := range e.list {
 		if s.Instance == name {
+			if every := e.failEvery[s.Version]; every > 0 {
+				e.answered[s.Version]++
+				return e.answered[s.Version]%every == 0
+			}
 			return rand.Float64() < e.failing[s.Version]
 		}
 	}
 	return false
 }
 
+// takes is how long an engine takes for a request.
+func (e *engines) takes(name, path string) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, s := range e.list {
+		if s.Instance == name && e.slowBy[s.Version] > 0 && strings.HasPrefix(path, "/b/") {
+			return time.Duration(e.slowBy[s.Version]) * runTime
+		}
+	}
+	return runTime
+}
+
 // deploy starts engines of a version beside those that there are.
 func (e *engines) deploy(t *testing.T, version string, count int, failing float64) {
 	t.Helper()
@@ -188,3 +205,42 @@
 		t.Errorf("an order whose answer was lost began anew: %s", r.State)
 	}
 }
+
+// Versions that fail one in eight, or are six times slower on a fifth of the requests, were
+// completed.
+func TestRolloutOfAVersionThatIsBadByLittle(t *testing.T) {
+	tests := []struct {
+		name string
+		bad  func(e *engines)
+	}{
+		{"one in eight fails", func(e *engines) { e.failEvery["v2"] = 8 }},
+		{"six times slower on a fifth", func(e *engines) { e.slowBy["v2"] = 6 }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			const limit = 14 * time.Second
+			f := openFleet(t)
+			f.engines.mu.Lock()
+			tt.bad(f.engines)
+			f.engines.mu.Unlock()
+			c := f.callersWith(callerOptions{count: 3 * fleetSize, word: "caller", paths: []string{"/a/plain", "/a/plain", "/a/plain", "/a/plain", "/b/plain"}})
+			defer c.end()
+			began := time.Now()
+			order := wheelgauge.RolloutOrder{Service: "s", Version: "v2", DurationMS: limit.Milliseconds()}
+			until(t, "the order is taken", func() bool { return f.stores[0].StartRollout(context.Background(), order) == nil })
+			f.engines.deploy(t, "v2", 8, 0)
+			var r wheelgauge.Rollout
+			for r = f.rollout(t); r.Number == 0 || r.Running(); r = f.rollout(t) {
+				time.Sleep(100 * time.Millisecond)
+			}
+			if r.State != wheelgauge.RolloutRolledBack {
+				t.Errorf("the rollout is %s", r.State)
+			}
+			target, others := f.engines.got("v2", began, began.Add(limit)), f.engines.got("", began, began.Add(limit))
+			if allowed := rolloutShare*float64(target+others) + rolloutSlack; float64(target) > allowed {
+				t.Errorf("%d of %d requests went to the target version, allowed %.0f", target, target+others, allowed)
+			}
+			t.Logf("%s after %s; %d of %d requests went to the target version; %s", r.State, time.Since(began).Round(time.Millisecond), target, target+others, r.Cause)
+		})
+	}
+}
