Rollouts: the server that is left out is judged by its answers, not by its faults alone

With real hosts, where few servers get most requests, a version that fails one in eight was found 1.7 s after its limit of 14 s: the server with most requests had most faults, and was left out as a faulty one. Hosts tell how many answers the servers with faults gave; one is left out if it has two standard deviations more faults than the rate of its fellows explains, that rate smoothed by what is usual.

--- a/rollout/director/director.go
+++ b/rollout/director/director.go
@@ -154,14 +154,16 @@
 }
 
 func faultsSince(was, faults []wheelgauge.ServerFaults) []wheelgauge.ServerFaults {
-	before := map[string]uint64{}
+	before := map[string]wheelgauge.ServerFaults{}
 	for _, f := range was {
-		before[f.Server] = f.Count
+		before[f.Server] = f
 	}
 	var out []wheelgauge.ServerFaults
 	for _, f := range faults {
-		if n := minus(f.Count, before[f.Server]); n > 0 {
-			out = append(out, wheelgauge.ServerFaults{Server: f.Server, Count: n})
+		b := before[f.Server]
+		f.Count, f.Answers = minus(f.Count, b.Count), minus(f.Answers, b.Answers)
+		if f.Count > 0 || f.Answers > 0 {
+			out = append(out, f)
 		}
 	}
 	return out
--- a/rollout/sequential/judge.go
+++ b/rollout/sequential/judge.go
@@ -95,7 +95,7 @@
 // total is all that was seen of the target version.
 type total struct {
 	bad, expected float64
-	faults        map[string]float64
+	faults        faults
 }
 
 // test is that of one aspect on one route.
@@ -107,7 +107,7 @@
 	// are the target version's answers since then, weight is what a bad one adds.
 	evidence float64
 	all, bad float64
-	faults   map[string]float64
+	faults   faults
 	weight   float64
 	total    total
 	// support is the evidence that the version is as good, noted of an answer that is not.
@@ -119,21 +119,21 @@
 // support is the evidence that the target version is as good.
 type support struct {
 	evidence, weight float64
-	faults           map[string]float64
+	faults           faults
 }
 
 // add takes answers that are bad with a probability of was if the version is as good, and of
 // worse if it is not.
-func (s *support) add(all, bad, was, worse float64, faults []wheelgauge.ServerFaults) {
+func (s *support) add(all, bad, was, worse float64, told []wheelgauge.ServerFaults) {
 	s.weight = math.Log(worse / was)
 	s.evidence -= bad*s.weight + (all-bad)*math.Log((1-worse)/(1-was))
 	s.evidence = min(mostSupport, s.evidence)
-	addFaults(s.faults, faults)
+	s.faults.add(all, told)
 }
 
 // of returns the evidence; the worst server is left out.
-func (s *support) of(servers int) float64 {
-	return max(leastSupport, s.evidence+worst(s.faults, servers)*s.weight)
+func (s *support) of(servers int, usual float64) float64 {
+	return max(leastSupport, s.evidence+s.faults.worst(servers, usual)*s.weight)
 }
 
 // add takes answers of the target version.
@@ -142,7 +142,7 @@
 		return
 	}
 	was := t.baseline.part()
-	t.total.add(all*was, bad, c.Faults)
+	t.total.add(all, all*was, bad, c.Faults)
 	noticed := t.aspect.noticed
 	if t.route != everything {
 		noticed = t.aspect.more
@@ -157,28 +157,22 @@
 	t.weight = math.Log(worse / was)
 	t.evidence += bad*t.weight + (all-bad)*math.Log((1-worse)/(1-was))
 	t.all, t.bad = t.all+all, t.bad+bad
-	addFaults(t.faults, c.Faults)
+	t.faults.add(all, c.Faults)
 	if t.evidence <= 0 {
 		t.evidence, t.all, t.bad = 0, 0, 0
-		clear(t.faults)
+		t.faults = faults{}
 	}
 }
 
-func addFaults(to map[string]float64, faults []wheelgauge.ServerFaults) {
-	for _, f := range faults {
-		to[f.Server] += float64(f.Count)
-	}
-}
-
-func (t *total) add(expected, bad float64, faults []wheelgauge.ServerFaults) {
+func (t *total) add(all, expected, bad float64, told []wheelgauge.ServerFaults) {
 	t.expected, t.bad = t.expected+expected, t.bad+bad
-	addFaults(t.faults, faults)
+	t.faults.add(all, told)
 }
 
 // excess is how many more answers were bad than expected, as a part of how many may be; the
 // worst server and its part of what is expected are left out.
-func (t *total) excess(servers int) float64 {
-	expected, left := t.expected, worst(t.faults, servers)
+func (t *total) excess(servers int, usual float64) float64 {
+	expected, left := t.expected, t.faults.worst(servers, usual)
 	if left > 0 {
 		expected *= float64(servers-1) / float64(servers)
 	}
@@ -186,27 +180,10 @@
 	return (t.bad - left - expected - chance) / mostExcess
 }
 
-// worst is the faults of a server that has more than its fellows explain: one server that fails
-// is no reason to take its version back, faults that are spread over all of them are.
-func worst(faults map[string]float64, servers int) float64 {
-	if servers < 2 {
-		return 0
-	}
-	most, sum := 0.0, 0.0
-	for _, n := range faults {
-		most, sum = max(most, n), sum+n
-	}
-	fellows := (sum - most) / float64(servers-1)
-	if most <= fellows+outlier*math.Sqrt(fellows+1) {
-		return 0
-	}
-	return most - fellows
-}
-
 // score is the evidence against the version as a part of what is enough.
 func (t *test) score(servers int) float64 {
-	recent := (t.evidence - worst(t.faults, servers)*t.weight) / t.aspect.enough
-	return max(0, recent, t.total.excess(servers))
+	recent := (t.evidence - t.faults.worst(servers, t.baseline.part())*t.weight) / t.aspect.enough
+	return max(0, recent, t.total.excess(servers, t.baseline.part()))
 }
 
 // Judge implements wheelgauge.VersionJudge. It is not safe for concurrent use.
@@ -243,7 +220,7 @@
 	tests := j.tests[route]
 	if tests == nil {
 		for _, a := range aspects {
-			tests = append(tests, &test{aspect: a, route: route, faults: map[string]float64{}, total: total{faults: map[string]float64{}}, support: support{faults: map[string]float64{}}})
+			tests = append(tests, &test{aspect: a, route: route})
 		}
 		j.tests[route] = tests
 	}
@@ -285,7 +262,7 @@
 	for _, tests := range j.tests {
 		for _, t := range tests {
 			if t.route == everything || t.others >= busyRoute {
-				least = min(least, t.support.of(servers))
+				least = min(least, t.support.of(servers, t.baseline.part()))
 			}
 		}
 	}
@@ -298,5 +275,5 @@
 		route = "all routes"
 	}
 	return fmt.Sprintf("%s: %.0f of %.0f answers %s lately, %.0f in all where %.1f are expected; %.1f in 100 do of other versions; at %d servers",
-		route, t.bad, t.all, t.aspect.name, t.total.bad, t.total.expected, 100*t.baseline.part(), len(t.total.faults))
+		route, t.bad, t.all, t.aspect.name, t.total.bad, t.total.expected, 100*t.baseline.part(), len(t.total.faults.servers))
 }
--- a/rollout/sequential/judge_test.go
+++ b/rollout/sequential/judge_test.go
@@ -20,7 +20,7 @@
 	target, others := p.target, p.others
 	target.Route, others.Route, target.Target = "r", "r", true
 	if bad := target.Failed + target.Slow; bad > 0 {
-		target.Faults = []wheelgauge.ServerFaults{{Server: p.servers[tick%len(p.servers)], Count: bad}}
+		target.Faults = []wheelgauge.ServerFaults{{Server: p.servers[tick%len(p.servers)], Count: bad, Answers: target.Answers}}
 	}
 	return []wheelgauge.VersionCount{target, others}
 }
@@ -52,6 +52,7 @@
 		{"the only server fails", []phase{{20, failing, sound, two[:1]}}, 1, true, "failed"},
 		{"the others fail as well", []phase{{20, failing, shaken, two}}, 2, false, ""},
 		{"one in eight fails, spread over nine servers", []phase{{9, eighth, sound, nine}}, 9, true, "failed"},
+		{"one in eight fails, at servers of which one has most requests", []phase{{12, eighth, sound, []string{"a", "a", "a", "b"}}}, 2, true, "failed"},
 		{"one in eight fails, all at one of nine", []phase{{60, eighth, sound, nine[:1]}}, 9, false, ""},
 		{"a little worse for long", []phase{{600, thin, sound, two}}, 2, true, "failed"},
 	}
--- a/rollout/tally/tally.go
+++ b/rollout/tally/tally.go
@@ -78,7 +78,8 @@
 type count struct {
 	number uint64
 	seen   wheelgauge.VersionCount
-	faults map[string]uint64
+	// servers counts the answers of each server of the target version.
+	servers map[string]*wheelgauge.ServerFaults
 }
 
 // times are the usual ones of a route of a service.
@@ -144,7 +145,7 @@
 	k := key{a.Service, a.Route, a.Target}
 	c := t.counts[k]
 	if c == nil || c.number != a.Number {
-		c = &count{number: a.Number, seen: wheelgauge.VersionCount{Route: a.Route, Target: a.Target}, faults: map[string]uint64{}}
+		c = &count{number: a.Number, seen: wheelgauge.VersionCount{Route: a.Route, Target: a.Target}, servers: map[string]*wheelgauge.ServerFaults{}}
 		t.counts[k] = c
 	}
 	c.seen.Answers++
@@ -157,8 +158,17 @@
 	if timed {
 		c.seen.Timed++
 	}
-	if a.Target && (a.Failed || slow) {
-		c.faults[a.Server]++
+	if !a.Target {
+		return
+	}
+	s := c.servers[a.Server]
+	if s == nil {
+		s = &wheelgauge.ServerFaults{Server: a.Server}
+		c.servers[a.Server] = s
+	}
+	s.Answers++
+	if a.Failed || slow {
+		s.Count++
 	}
 }
 
@@ -170,7 +180,7 @@
 	for k, c := range t.counts {
 		if k.service == service && c.number == number {
 			seen := c.seen
-			seen.Faults = most(c.faults)
+			seen.Faults = most(c.servers)
 			out = append(out, seen)
 		}
 	}
@@ -181,10 +191,12 @@
 }
 
 // most returns the servers with the most faults.
-func most(faults map[string]uint64) []wheelgauge.ServerFaults {
+func most(servers map[string]*wheelgauge.ServerFaults) []wheelgauge.ServerFaults {
 	var out []wheelgauge.ServerFaults
-	for server, n := range faults {
-		out = append(out, wheelgauge.ServerFaults{Server: server, Count: n})
+	for _, s := range servers {
+		if s.Count > 0 {
+			out = append(out, *s)
+		}
 	}
 	slices.SortFunc(out, func(a, b wheelgauge.ServerFaults) int {
 		return cmp.Or(cmp.Compare(b.Count, a.Count), cmp.Compare(a.Server, b.Server))
--- a/rollouts.go
+++ b/rollouts.go
@@ -88,10 +88,11 @@
 // Only returns the version if it is the only one allowed.
 func (c VersionChoice) Only() (version string, ok bool) { return c.version, c.only }
 
-// ServerFaults counts bad answers of one server.
+// ServerFaults counts bad answers of one server, and all that it gave.
 type ServerFaults struct {
-	Server string `json:"s"`
-	Count  uint64 `json:"n"`
+	Server  string `json:"s"`
+	Count   uint64 `json:"n"`
+	Answers uint64 `json:"a,omitempty"`
 }
 
 // VersionCount counts the answers of one side of a rollout on one route.
