Rollouts: each step is told with the proof and what its answers could have shown

A version was completed with no word of what could not be seen at the size of its service. The line says which part of failures from the beginning on the answers so far find in the mean: 0.18 after 36, 0.11 after 100, 0.08 after 225 (TestDetects).

--- a/confstore/rollouts.go
+++ b/confstore/rollouts.go
@@ -208,7 +208,7 @@
 		return
 	}
 	n.meter.Count("rollouts." + string(d.Step))
-	n.o.Log.Info("Rollout goes on.", "service", r.Service, "target", r.Version, "number", r.Number, "step", d.Step, "cause", d.Cause, "score", d.Score,
+	n.o.Log.Info("Rollout goes on.", "service", r.Service, "target", r.Version, "number", r.Number, "step", d.Step, "cause", d.Cause, "score", d.Score, "proof", d.Proof, "detects", d.Detects,
 		"answers", d.Answers, "waiting", d.Waiting, "left_ms", r.Left().Milliseconds(), "taken", res.Taken)
 }
 
--- a/rollout/director/director.go
+++ b/rollout/director/director.go
@@ -51,6 +51,8 @@
 	Score float64
 	// Proof is the evidence that it is as good as a part of what shows it.
 	Proof float64
+	// Detects is the smallest part of failures that the answers so far would have shown.
+	Detects float64
 	// Answers are those of the target version, Waiting the hosts that are not settled.
 	Answers uint64
 	Waiting int
@@ -190,7 +192,7 @@
 		return Decision{}
 	}
 	verdict := x.judge.Verdict(v.Servers)
-	out := Decision{Score: verdict.Score, Proof: verdict.Proof, Answers: total(x.target), Waiting: x.waiting(v, d.now())}
+	out := Decision{Score: verdict.Score, Proof: verdict.Proof, Detects: verdict.Detects, Answers: total(x.target), Waiting: x.waiting(v, d.now())}
 	switch {
 	case verdict.Bad:
 		out.Step, out.Cause = RollBack, verdict.Cause
--- a/rollout/sequential/judge.go
+++ b/rollout/sequential/judge.go
@@ -94,8 +94,8 @@
 
 // total is all that was seen of the target version.
 type total struct {
-	bad, expected float64
-	faults        faults
+	all, bad, expected float64
+	faults             faults
 }
 
 // test is that of one aspect on one route.
@@ -165,7 +165,7 @@
 }
 
 func (t *total) add(all, expected, bad float64, told []wheelgauge.ServerFaults) {
-	t.expected, t.bad = t.expected+expected, t.bad+bad
+	t.all, t.expected, t.bad = t.all+all, t.expected+expected, t.bad+bad
 	t.faults.add(all, told)
 }
 
@@ -246,9 +246,9 @@
 		}
 	}
 	if worst == nil {
-		return wheelgauge.Verdict{}
+		return wheelgauge.Verdict{Detects: 1}
 	}
-	v := wheelgauge.Verdict{Score: worst.score(servers), Proof: j.proof(servers)}
+	v := wheelgauge.Verdict{Score: worst.score(servers), Proof: j.proof(servers), Detects: j.tests[everything][0].detects()}
 	if v.Bad = v.Score >= 1; v.Bad {
 		v.Cause = worst.cause()
 	}
@@ -269,6 +269,18 @@
 	return least / goodEnough
 }
 
+// detects returns which part of bad answers, from the beginning on, makes the evidence enough
+// in the mean of as many answers as came.
+func (t *test) detects() float64 {
+	was := t.baseline.part()
+	worse := min(mostPart, max(was+t.aspect.more, worseFactor*was))
+	if t.total.all == 0 || worse <= was {
+		return 1
+	}
+	good := -math.Log((1 - worse) / (1 - was))
+	return min(1, (t.aspect.enough/t.total.all+good)/(math.Log(worse/was)+good))
+}
+
 func (t *test) cause() string {
 	route := t.route
 	if route == everything {
--- a/rollout/sequential/judge_test.go
+++ b/rollout/sequential/judge_test.go
@@ -25,6 +25,23 @@
 	return []wheelgauge.VersionCount{target, others}
 }
 
+// What a rollout could have shown follows from how many answers it has seen.
+func TestDetects(t *testing.T) {
+	tests := []struct {
+		answers uint64
+		want    float64
+	}{
+		{0, 1}, {4, 1}, {36, 0.18}, {100, 0.11}, {225, 0.08}, {2000, 0.065},
+	}
+	for _, tt := range tests {
+		j := New()
+		j.Add(time.Unix(1000, 0), []wheelgauge.VersionCount{{Route: "r", Answers: 10_000}, {Route: "r", Target: true, Answers: tt.answers, Timed: tt.answers}})
+		if got := j.Verdict(3).Detects; got < tt.want-0.01 || got > tt.want+0.01 {
+			t.Errorf("after %d answers: %.3f, want %.3f", tt.answers, got, tt.want)
+		}
+	}
+}
+
 // A version is judged by how it does beside the others: what both suffer from says nothing,
 // nor what a single server of several does.
 func TestVerdict(t *testing.T) {
--- a/rollouts.go
+++ b/rollouts.go
@@ -137,6 +137,9 @@
 	// Proof is the evidence that it is as good as a part of what shows it; below 0 it rather
 	// seems worse.
 	Proof float64
+	// Detects is the smallest part of all answers that would have been found if a version failed
+	// it from the beginning, as far as it was asked; 1 if nothing was seen.
+	Detects float64
 }
 
 // VersionJudge compares the target version of a rollout with the versions that it replaces.
