A server gets its part again after a rest, and after a limit it had named

Cause: a server's mean time is renewed by a tenth with each answer, and one that seems slow gets no request that would renew it. Change: with the first answer after its need a server's mean begins anew, and until then it counts as fast as any of its service; the end of a limit is treated as that of a rest.

--- a/serverset/ask.go
+++ b/serverset/ask.go
@@ -21,15 +21,28 @@
 	return s.rest(t.now(), wait)
 }
 
-// rest takes a rest: how the server failed and how long its work took before say little of
-// how it does afterwards. The lock is held.
+// rest takes a rest. The lock is held.
 func (s *Server) rest(now time.Time, wait time.Duration) bool {
 	if !s.ask.Rest(now, wait) {
 		return false
 	}
+	s.renew()
+	return true
+}
+
+// renew begins anew with what answers tell: how the server failed and how long its work took
+// in its need say little of how it does after it. The lock is held.
+func (s *Server) renew() {
 	s.rested, s.resumed = true, false
 	s.failRate, s.pace = 0, 0
-	return true
+}
+
+// renewed tells that the server has answered a request that was sent after its need. The lock
+// is held.
+func (s *Server) renewed(k *Pick) {
+	if s.rested && !s.ask.Resting(k.sent) {
+		s.rested, s.service = false, 0
+	}
 }
 
 // Leave takes that the server leaves, and tells whether that is new.
--- a/serverset/limited.go
+++ b/serverset/limited.go
@@ -43,6 +43,15 @@
 	return limited
 }
 
+// noteLimitOver begins anew with a server that no longer names the limit by which it got
+// requests. The lock is held.
+func (t *Table) noteLimitOver(s *Server) {
+	if s.limited && !t.hasLimit(s) {
+		s.limited = false
+		s.renew()
+	}
+}
+
 // deferred tells whether the server's limit allows nothing now. At a tenth of a request a
 // second it says so for ten seconds, by which time the limit may have ended.
 func (t *Table) deferred(s *Server, now time.Time) bool {
--- a/serverset/limited_test.go
+++ b/serverset/limited_test.go
@@ -1,6 +1,7 @@
 package serverset
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -149,3 +150,88 @@
 		t.Errorf("a request is expected to take %v, want %v", e.Wait(), usual)
 	}
 }
+
+// A server that had been slow before its rest, or while it named a limit, got next to nothing
+// for long after it: its mean time is renewed by a tenth with each answer.
+func TestServerGetsItsPartAgain(t *testing.T) {
+	const (
+		tick   = 5 * time.Millisecond
+		usual  = 20 * time.Millisecond
+		slow   = 200 * time.Millisecond
+		span   = 10 * time.Second
+		server = "i0"
+	)
+	tests := []struct {
+		name string
+		need func(tb *Table, c *clock, job Job, limited *bool)
+	}{
+		{"after a rest", func(tb *Table, c *clock, job Job, _ *bool) {
+			k := chosen(t, tb, job, server)
+			k.Rest(2 * time.Second)
+			k.Done(Rested)
+			c.pass(2 * time.Second)
+		}},
+		{"after a limit", func(tb *Table, c *clock, job Job, limited *bool) {
+			*limited = true
+			for range 4 {
+				k := chosen(t, tb, job, server)
+				k.Sent()
+				c.pass(slow)
+				k.Done(Served)
+			}
+			*limited = false
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			tb, c, _ := table(plain, 6)
+			limited := false
+			tb.SetLimits(func(life string) (float64, bool) { return 0.4, limited && life == server })
+			job := NewJob(plain, prompt.Prompt{}, 0, nil)
+			for range 20 {
+				for n := range 6 {
+					k := chosen(t, tb, job, fmt.Sprint("i", n))
+					c.pass(usual)
+					if k.Server().Life() == server {
+						c.pass(slow)
+					}
+					k.Done(Served)
+				}
+			}
+			tt.need(tb, c, job, &limited)
+			got, all := 0, 0
+			var flight []*Pick
+			for end := c.now().Add(span); c.now().Before(end); c.pass(tick) {
+				if len(flight) == int(usual/tick) {
+					flight[0].Done(Served)
+					flight = flight[1:]
+				}
+				k := tb.Choose(job)
+				flight = append(flight, k)
+				all++
+				if k.Server().Life() == server {
+					got++
+				}
+			}
+			if got < all/12 {
+				t.Errorf("it got %d of %d requests, with six servers", got, all)
+			}
+		})
+	}
+}
+
+// chosen chooses a server by its life.
+func chosen(t *testing.T, tb *Table, job Job, life string) *Pick {
+	t.Helper()
+	for {
+		k := tb.Choose(job)
+		if k == nil {
+			t.Fatalf("%s cannot be chosen", life)
+		}
+		if k.Server().Life() == life {
+			return k
+		}
+		job.tried = append(job.tried, k.Server().Instance())
+		k.Done(Left)
+	}
+}
--- a/serverset/pick.go
+++ b/serverset/pick.go
@@ -160,6 +160,7 @@
 // rate predicts the wait at a server, and scores it by what the choice costs
 // this request and others, both in milliseconds.
 func (t *Table) rate(s *Server, j Job, from candidates, now time.Time) choice {
+	t.noteLimitOver(s)
 	p, home := j.prompt, s == from.home
 	c := choice{server: s, score: max(0, s.fails(now)-failTolerated) * failCost}
 	if s.spec.Hall != t.place.Hall {
@@ -274,6 +275,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	k.sent = t.now()
+	k.server.limited = true
 }
 
 // Began tells that the first event has come.
@@ -345,12 +347,12 @@
 	s.work = s.work.Add(k.rank, -1, 0)
 	switch o {
 	case Served:
-		s.rested = s.rested && s.ask.Resting(k.sent)
+		s.renewed(k)
 		s.outcome(now, false)
 		s.pause, s.lostUntil, s.reached = 0, time.Time{}, now
 		s.lasted(now.Sub(k.sent), k.load.running, t.engine(s))
 	case Failed:
-		s.rested = s.rested && s.ask.Resting(k.sent)
+		s.renewed(k)
 		s.outcome(now, true)
 	case Shed:
 		s.pausedUntil = now.Add(shedPause)
--- a/serverset/server.go
+++ b/serverset/server.go
@@ -79,15 +79,16 @@
 	pause       time.Duration
 	// limitedUntil is until when a server that has named a limit takes no more.
 	limitedUntil time.Time
-	// limitedTo is the limit that this was by.
+	// limitedTo is the limit that this was by; limited is set once requests went there by one.
 	limitedTo float64
+	limited   bool
 	// lostUntil is until when this host itself takes the server for out of reach,
 	// reached when it last answered.
 	lostUntil time.Time
 	reached   time.Time
 	gone      bool
-	// ask is what the server asks of this host; rested is set by a rest until the server
-	// answers after it, resumed once a request is sent there after it.
+	// ask is what the server asks of this host; rested is set by a rest, and by the end of a
+	// limit, until the server answers after it, resumed once a request is sent there after it.
 	ask     serverask.Ask
 	rested  bool
 	resumed bool
