An entry of the list whose address has no host and port is no server

What callers saw: an entry such as "nowhere" was taken for a server, chosen, and failed each time its pause was over. Cause: addresses were not looked at.

--- a/native/servers.go
+++ b/native/servers.go
@@ -42,6 +42,8 @@
 			foreign[wheelgauge.EntryOtherType]++
 		case s.Instance == "" || s.Service == "" || s.Address == "" || s.Hall == "":
 			foreign[wheelgauge.EntryMissing]++
+		case !s.Reachable():
+			foreign[wheelgauge.EntryNoAddress]++
 		default:
 			out = append(out, s.Bounded())
 		}
--- a/routes.go
+++ b/routes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"slices"
 	"strconv"
 	"time"
@@ -138,6 +139,16 @@
 	MostColdMS = 24 * 3600 * 1000
 )
 
+// Reachable tells whether the address is a host with a port.
+func (s Server) Reachable() bool {
+	host, port, err := net.SplitHostPort(s.Address)
+	if err != nil || host == "" {
+		return false
+	}
+	n, err := strconv.ParseUint(port, 10, 16)
+	return err == nil && n > 0
+}
+
 // Bounded returns the server with numbers that can be added up and turned into times: the
 // list says what it likes.
 func (s Server) Bounded() Server {
@@ -162,6 +173,8 @@
 	EntryOtherType    EntryFault = "other-type"
 	EntryUnknownState EntryFault = "unknown-state"
 	EntryUnreadable   EntryFault = "unreadable"
+	// EntryNoAddress: a connection cannot be opened to what the entry gives as one.
+	EntryNoAddress EntryFault = "no-address"
 )
 
 // ForeignEntries counts the entries of the list that name no server.
