Test of slow readers' memory: what earlier tests held goes first

A stand-in cannot hold less than nothing: memory of earlier tests went while it was measured, and was added to the stream's share (123 kB without it). The reading before waits until the memory in use falls no more; the bound stays.

--- a/routegate/slow_test.go
+++ b/routegate/slow_test.go
@@ -125,7 +125,7 @@
 // all are held up.
 func (f *flood) held(t *testing.T, address string) int {
 	t.Helper()
-	before, from := inUse(), f.sent.Load()
+	before, from := settled(t), f.sent.Load()
 	for range slowStreams {
 		c, err := net.Dial("tcp", address)
 		if err != nil {
@@ -146,6 +146,23 @@
 	return int(inUse()-before) / slowStreams
 }
 
+// settled returns the memory in use once it falls no more: what earlier tests held goes first.
+func settled(t *testing.T) uint64 {
+	t.Helper()
+	const still = 64 << 10
+	last := inUse()
+	for until := time.Now().Add(slowLimit); time.Now().Before(until); {
+		time.Sleep(100 * time.Millisecond)
+		now := inUse()
+		if now+still >= last {
+			return now
+		}
+		last = now
+	}
+	t.Fatal("the memory in use still falls")
+	return 0
+}
+
 // inUse returns the memory in use, in bytes.
 func inUse() uint64 {
 	runtime.GC()
