--- a/entrynode/fleet_test.go
+++ b/entrynode/fleet_test.go
@@ -51,7 +51,7 @@
 	// endedAt is when engines ended.
 	endedAt []time.Time
 	// book says what engines ask of hosts.
-	book *restBook
+	book *pushbackBook
 	// told is when each engine first named its limit.
 	told  map[string]time.Time
 	ended atomic.Int64
@@ -62,7 +62,7 @@
 
 func newEngines(t *testing.T, count int, hall string) *engines {
 	t.Helper()
-	e := &engines{hall: hall, book: newRestBook(), conns: map[string][]net.Conn{}, limits: map[string]float64{}, arrivals: map[string][]time.Time{}, versions: map[string]string{}, failing: map[string]float64{}, failEvery: map[string]int{}, answered: map[string]int{}, slowBy: map[string]int{}, told: map[string]time.Time{}}
+	e := &engines{hall: hall, book: newPushbackBook(), conns: map[string][]net.Conn{}, limits: map[string]float64{}, arrivals: map[string][]time.Time{}, versions: map[string]string{}, failing: map[string]float64{}, failEvery: map[string]int{}, answered: map[string]int{}, slowBy: map[string]int{}, told: map[string]time.Time{}}
 	e.ctx, e.stop = context.WithCancel(context.Background())
 	for n := range count {
 		e.start(t, n, fmt.Sprintf("127.0.84.%d:9000", 100+n))
--- a/entrynode/rest_test.go
+++ b/entrynode/pushback_test.go
@@ -14,30 +14,30 @@
 )
 
 const (
-	// restAsked is the rest that an engine asks for, restSick for how long it turns requests
+	// backoffAsked is the rest that an engine asks for, sickTime for how long it turns requests
 	// away.
-	restAsked = 1500 * time.Millisecond
-	restSick  = 700 * time.Millisecond
+	backoffAsked = 1500 * time.Millisecond
+	sickTime     = 700 * time.Millisecond
 )
 
-// restBook notes what engines asked of hosts and what they got from them.
-type restBook struct {
+// pushbackBook notes what engines asked of hosts and what they got from them.
+type pushbackBook struct {
 	mu sync.Mutex
 	// sick is until when an engine turns requests away, leaving since when one leaves.
 	sick    map[string]time.Time
 	leaving map[string]bool
-	// asked and got are when a host was asked for a rest, or told that the engine leaves, and
+	// asked and got are when a host was asked to back off, or told that the engine leaves, and
 	// when its requests came, by engine and host.
 	asked, told, got map[[2]string][]time.Time
 }
 
-func newRestBook() *restBook {
-	return &restBook{sick: map[string]time.Time{}, leaving: map[string]bool{}, asked: map[[2]string][]time.Time{}, told: map[[2]string][]time.Time{}, got: map[[2]string][]time.Time{}}
+func newPushbackBook() *pushbackBook {
+	return &pushbackBook{sick: map[string]time.Time{}, leaving: map[string]bool{}, asked: map[[2]string][]time.Time{}, told: map[[2]string][]time.Time{}, got: map[[2]string][]time.Time{}}
 }
 
 // answer renders what an engine answers a request instead of running it, and what it adds to
 // any answer; both are empty if it asks nothing.
-func (b *restBook) answer(engine, body string) (instead, more string) {
+func (b *pushbackBook) answer(engine, body string) (instead, more string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	host, _, _ := strings.Cut(body, " ")
@@ -49,21 +49,21 @@
 	}
 	if now.Before(b.sick[engine]) {
 		b.asked[row] = append(b.asked[row], now)
-		instead = fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\n%s: 1\r\nRetry-After: %g\r\n%sContent-Length: 0\r\n\r\n", native.Headers().NotRun, restAsked.Seconds(), more)
+		instead = fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\n%s: 1\r\nRetry-After: %g\r\n%sContent-Length: 0\r\n\r\n", native.Headers().NotRun, backoffAsked.Seconds(), more)
 	}
 	return instead, more
 }
 
 // rest lets engines turn requests away for a while.
-func (b *restBook) rest(names []string) {
+func (b *pushbackBook) rest(names []string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, name := range names {
-		b.sick[name] = time.Now().Add(restSick)
+		b.sick[name] = time.Now().Add(sickTime)
 	}
 }
 
-func (b *restBook) leave(names []string) {
+func (b *pushbackBook) leave(names []string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, name := range names {
@@ -71,8 +71,8 @@
 	}
 }
 
-// Engines that asked hosts for a rest got requests all the same.
-func TestRestingServersGetNothing(t *testing.T) {
+// Engines that asked hosts for a backoff got requests all the same.
+func TestBackoffIsKept(t *testing.T) {
 	tests := []struct {
 		name string
 		all  bool
@@ -92,10 +92,10 @@
 				names = f.busy(t, c)
 			}
 			f.engines.book.rest(names)
-			time.Sleep(restSick + restAsked)
-			until(t, "every engine that asked for a rest is used again", f.engines.book.usedAgain)
+			time.Sleep(sickTime + backoffAsked)
+			until(t, "every engine that asked to back off is used again", f.engines.book.usedAgain)
 			c.end()
-			f.engines.book.checkRests(t)
+			f.engines.book.checkBackoffs(t)
 			if c.unpromised.Load() > 0 {
 				t.Errorf("%d requests were refused without a time to come back, or failed", c.unpromised.Load())
 			}
@@ -112,12 +112,12 @@
 }
 
 // Engines that said that they leave got requests for as long as they were listed.
-func TestLeavingServersGetNothing(t *testing.T) {
+func TestServerThatSaysItLeavesGetsNothing(t *testing.T) {
 	f := openFleet(t)
 	c := f.hostCallers(4, true)
 	defer c.end()
 	f.engines.book.leave(f.busy(t, c))
-	time.Sleep(restAsked)
+	time.Sleep(backoffAsked)
 	c.end()
 	f.engines.book.mu.Lock()
 	defer f.engines.book.mu.Unlock()
@@ -152,7 +152,7 @@
 }
 
 // usedSince returns the engines that got a request after a moment, in order of their names.
-func (b *restBook) usedSince(at time.Time) []string {
+func (b *pushbackBook) usedSince(at time.Time) []string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	used := map[string]bool{}
@@ -165,13 +165,13 @@
 }
 
 // usedAgain tells whether each engine got requests after the last rest that it asked for.
-func (b *restBook) usedAgain() bool {
+func (b *pushbackBook) usedAgain() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	again := map[string]bool{}
 	for row, asked := range b.asked {
 		got := b.got[row]
-		again[row[0]] = again[row[0]] || got[len(got)-1].After(asked[len(asked)-1].Add(restAsked))
+		again[row[0]] = again[row[0]] || got[len(got)-1].After(asked[len(asked)-1].Add(backoffAsked))
 	}
 	for _, one := range again {
 		if !one {
@@ -181,16 +181,16 @@
 	return true
 }
 
-func (b *restBook) checkRests(t *testing.T) {
+func (b *pushbackBook) checkBackoffs(t *testing.T) {
 	t.Helper()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if len(b.asked) == 0 {
-		t.Error("no host was asked for a rest")
+		t.Error("no host was asked to back off")
 	}
 	for row, asked := range b.asked {
 		for _, at := range asked {
-			if err := judge.ServerRest().Check(at, restAsked, b.got[row]); err != nil {
+			if err := judge.ServerBackoff().Check(at, backoffAsked, b.got[row]); err != nil {
 				t.Errorf("%v: %v", row, err)
 				break
 			}
--- a/error.go
+++ b/error.go
@@ -23,7 +23,7 @@
 	ReasonDraining        Reason = "draining"
 	ReasonRateLimited     Reason = "rate-limited"
 	ReasonOverloaded      Reason = "overloaded"
-	ReasonResting         Reason = "resting"
+	ReasonBackoff         Reason = "backoff"
 	ReasonDeadline        Reason = "deadline"
 	ReasonNoServer        Reason = "no-server"
 	ReasonServerFailed    Reason = "server-failed"
--- a/fake/engine/handler.go
+++ b/fake/engine/handler.go
@@ -77,8 +77,8 @@
 		e.kv(ctx)
 	case "/v1/leave":
 		e.Leave()
-	case "/v1/rest":
-		e.Rest(time.Duration(ctx.QueryArgs().GetUintOrZero("for_ms"))*time.Millisecond, string(ctx.QueryArgs().Peek("retry_after")))
+	case "/v1/back-off":
+		e.BackOff(time.Duration(ctx.QueryArgs().GetUintOrZero("for_ms"))*time.Millisecond, string(ctx.QueryArgs().Peek("retry_after")))
 	case "/v1/say-leaving":
 		e.SayLeaving()
 	case "/v1/asked":
--- a/fake/engine/ask.go
+++ b/fake/engine/pushback.go
@@ -14,7 +14,7 @@
 type Asked struct {
 	ID   string `json:"id"`
 	AtMS int64  `json:"at_ms"`
-	// Rest is the Retry-After of a request that was turned away for a rest.
+	// Rest is the Retry-After of a request that was turned away for a backoff.
 	Rest string `json:"rest,omitempty"`
 	// Leaving is set once the answers say so.
 	Leaving bool `json:"leaving,omitempty"`
@@ -28,8 +28,8 @@
 	log     []Asked
 }
 
-// Rest makes the engine turn requests away for a time, with a Retry-After.
-func (e *Engine) Rest(sick time.Duration, retryAfter string) {
+// BackOff makes the engine turn requests away for a time, with a Retry-After.
+func (e *Engine) BackOff(sick time.Duration, retryAfter string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.asking.until, e.asking.rest = time.Now().Add(sick), retryAfter
@@ -61,7 +61,7 @@
 	}
 	if now.Before(e.asking.until) {
 		one.Rest = e.asking.rest
-		peerhttp.AnswerError(ctx, wheelgauge.NewError(wheelgauge.ReasonOverloaded, wheelgauge.OutcomeNotRun, http.StatusServiceUnavailable, "the engine rests"))
+		peerhttp.AnswerError(ctx, wheelgauge.NewError(wheelgauge.ReasonOverloaded, wheelgauge.OutcomeNotRun, http.StatusServiceUnavailable, "the engine backs off"))
 		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, e.asking.rest)
 	}
 	e.asking.log = append(e.asking.log, one)
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -11,8 +11,8 @@
 	"wheelgauge/away"
 	"wheelgauge/catalog"
 	"wheelgauge/entrylist"
+	"wheelgauge/pushback"
 	"wheelgauge/rendezvous"
-	"wheelgauge/serverask"
 )
 
 // usualFirst is the time to a first byte that says nothing of a queue.
@@ -41,26 +41,32 @@
 	candidates []wheelgauge.Candidate
 	load       int
 	slots      int
-	// rest is after what time the first of those that rest takes work again; 0 if none rests.
-	rest time.Duration
+	// backoff is after what time the first of those that back off takes work again; 0 if none does.
+	backoff time.Duration
+	// barred is set if one is kept out for another reason that passes.
+	barred bool
 }
 
 var fields = sync.Pool{New: func() any { return &field{} }}
 
 // survey lists the servers of a route in this region that may take work now.
 func (g *Gateway) survey(f *field, c *catalog.Catalog, route *catalog.Route, model string, tried []string) {
-	f.candidates, f.load, f.slots, f.rest = f.candidates[:0], 0, 0, 0
+	f.candidates, f.load, f.slots, f.backoff, f.barred = f.candidates[:0], 0, 0, 0, false
 	now := g.clock.Now()
 	for _, s := range c.Servers(route.Pool, g.o.Region, "") {
-		if s.Leaving || contains(tried, s.Name) || !g.aside.Allowed(s.Name, now) || g.deferred.holds(s.Name, now) {
+		if s.Leaving || contains(tried, s.Name) {
+			continue
+		}
+		if !g.aside.Allowed(s.Name, now) || g.deferred.holds(s.Name, now) {
+			f.barred = true
 			continue
 		}
 		state := g.node.Server(s.Name)
 		if state.Leaving || state.Known && !state.Alive {
 			continue
 		}
-		if ask := g.asks.look(s.Name, state, now); !ask.Allows(now) {
-			f.noteRest(ask, now)
+		if asks := g.pushbacks.look(s.Name, state, now); !asks.Allows(now) {
+			f.noteBackoff(asks, now)
 			continue
 		}
 		// A model with placements is served where it is ready, also while it
@@ -77,10 +83,10 @@
 	}
 }
 
-// noteRest takes a server that asks for no work now.
-func (f *field) noteRest(ask serverask.Ask, now time.Time) {
-	if left := ask.Left(now); !ask.Leaving() && (f.rest == 0 || left < f.rest) {
-		f.rest = left
+// noteBackoff takes a server that asks for no work now.
+func (f *field) noteBackoff(state pushback.State, now time.Time) {
+	if left := state.Left(now); !state.Leaving() && (f.backoff == 0 || left < f.backoff) {
+		f.backoff = left
 	}
 }
 
@@ -141,8 +147,8 @@
 
 func (g *Gateway) overloaded(rq *request, here away.Place, slots int) error {
 	if slots == 0 {
-		if after, rest := g.restOver(rq); rest {
-			return restError(rq, g.o.Region, after)
+		if after, ok := g.backoffEnds(rq); ok {
+			return backoffError(rq, g.o.Region, after)
 		}
 		return wheelgauge.NewError(wheelgauge.ReasonNoServer, wheelgauge.OutcomeNotRun, http.StatusServiceUnavailable,
 			"no backend server of "+rq.route.Name+" takes work in "+g.o.Region).WithRetryAfter(admission.RetryAfter(time.Second))
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -102,8 +102,8 @@
 		}
 		tried = append(tried, server.Name)
 	}
-	if after, rest := g.restOver(rq); rest && !rq.mayHaveRun {
-		return nil, restError(rq, g.o.Region, after)
+	if after, ok := g.backoffEnds(rq); ok && !rq.mayHaveRun {
+		return nil, backoffError(rq, g.o.Region, after)
 	}
 	if last == nil {
 		last = g.overloaded(rq, away.Place{}, 0)
@@ -154,8 +154,8 @@
 	sent := g.clock.Now()
 	call := rq.call // an abandoned call keeps its own
 	call.Deadline = g.due(rq)
-	asked := &askListener{gateway: g, server: s.Name}
-	call.Heard = asked.hear
+	listener := &pushbackListener{gateway: g, server: s.Name}
+	call.Heard = listener.hear
 	g.inflight.Start(s.Name)
 	g.inflight.Start(rq.route.Pool)
 	g.inflight.Sent(s.Name, started)
@@ -169,13 +169,13 @@
 	if err != nil {
 		g.inflight.End(s.Name, 0)
 		g.inflight.End(rq.route.Pool, 0)
-		if !rq.left() && !asked.rest.Load() && wheelgauge.AsError(err).Reason() != wheelgauge.ReasonOverloaded {
+		if !rq.left() && !listener.backoff.Load() && wheelgauge.AsError(err).Reason() != wheelgauge.ReasonOverloaded {
 			g.aside.Failed(s.Name, g.clock.Now())
 			g.o.Log.V(1).Info("Attempt failed.", "server", s.Name, "cause", err.Error())
 		}
 		return nil, err
 	}
-	if !asked.rest.Load() {
+	if !listener.backoff.Load() {
 		g.aside.Worked(s.Name)
 	}
 	g.hearLimit(s.Name, answer, sent)
@@ -288,14 +288,14 @@
 
 func (g *Gateway) sendOld(ctx context.Context, rq *request, address string) (*wheelgauge.Answer, error) {
 	name, now := oldServer+" "+address, g.clock.Now()
-	if ask := g.asks.look(name, membership.ServerState{}, now); !ask.Allows(now) {
-		return nil, restError(rq, "the old path", max(oldRetry, ask.Left(now)))
+	if state := g.pushbacks.look(name, membership.ServerState{}, now); !state.Allows(now) {
+		return nil, backoffError(rq, "the old path", max(oldRetry, state.Left(now)))
 	}
 	g.meter.Count("old_path")
 	rq.target.Store(&target{server: oldServer, region: g.o.Region})
 	call := rq.call
 	call.Deadline = g.due(rq)
-	call.Heard = (&askListener{gateway: g, server: name}).hear
+	call.Heard = (&pushbackListener{gateway: g, server: name}).hear
 	answer, err := g.adapter(rq).Send(ctx, address, &call)
 	if err != nil {
 		return nil, fmt.Errorf("old path: %w", err)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -96,12 +96,12 @@
 	// quarantine holds requests back that end servers.
 	quarantine *quarantine.Table
 	// limits are those that servers have named, permits bounds what these get.
-	limits   *serverlimit.Table
-	permits  wheelgauge.Permits
-	deferred deferrals
-	asks     asks
-	inflight inflight.Table
-	hints    *hints
+	limits    *serverlimit.Table
+	permits   wheelgauge.Permits
+	deferred  deferrals
+	pushbacks pushbacks
+	inflight  inflight.Table
+	hints     *hints
 
 	sequence atomic.Uint64
 	serving  *gate.Gate
--- a/gateway/ask_test.go
+++ b/gateway/pushback_test.go
@@ -39,7 +39,7 @@
 	return g, clock
 }
 
-// turner turns requests away for a rest, and counts them.
+// turner turns requests away for a backoff, and counts them.
 type turner struct {
 	rest atomic.Value
 	got  atomic.Int64
@@ -69,8 +69,8 @@
 	return r, l.Addr().String()
 }
 
-// A server that asks for a rest gets no request in it, by any way there, and some after it.
-func TestRestingServerGetsNothing(t *testing.T) {
+// A server that asks to back off gets no request in it, by any way there, and some after it.
+func TestBackoffIsKept(t *testing.T) {
 	const rest = 5 * time.Second
 	ways := []struct {
 		name string
@@ -111,17 +111,17 @@
 				clock.Suspend(rest / 6)
 				err := ask()
 				fault := wheelgauge.AsError(err)
-				if err == nil || fault.Reason() != wheelgauge.ReasonResting || fault.Outcome() != wheelgauge.OutcomeNotRun || fault.RetryAfter() <= 0 || fault.RetryAfter() > rest {
+				if err == nil || fault.Reason() != wheelgauge.ReasonBackoff || fault.Outcome() != wheelgauge.OutcomeNotRun || fault.RetryAfter() <= 0 || fault.RetryAfter() > rest {
 					t.Errorf("got %v, told to come back after %s", err, fault.RetryAfter())
 				}
 			}
 			if got := server.got.Load() - before; got != 0 {
-				t.Errorf("the server got %d requests in its rest", got)
+				t.Errorf("the server got %d requests in its backoff", got)
 			}
 			server.rest.Store("")
 			clock.Suspend(rest / 6)
 			if err := ask(); err != nil {
-				t.Errorf("after the rest: %v", err)
+				t.Errorf("after the backoff: %v", err)
 			}
 		})
 	}
@@ -151,7 +151,7 @@
 	}
 	tests := []struct {
 		name   string
-		look   func(a *asks)
+		look   func(a *pushbacks)
 		after  int
 		state  membership.ServerState
 		allows bool
@@ -161,12 +161,12 @@
 		{"reports have said otherwise for long", nil, 61, state(false, time.Time{}), true},
 		{"it was down and is back", nil, 3, state(false, at(2)), true},
 		{"it was down before", nil, 3, state(false, at(-2)), false},
-		{"reports said so and do no more", func(a *asks) { a.look("s", state(true, time.Time{}), at(1)) }, 2, state(false, time.Time{}), true},
-		{"reports say so", func(a *asks) { a.look("s", state(true, time.Time{}), at(1)) }, 500, state(true, time.Time{}), false},
+		{"reports said so and do no more", func(a *pushbacks) { a.look("s", state(true, time.Time{}), at(1)) }, 2, state(false, time.Time{}), true},
+		{"reports say so", func(a *pushbacks) { a.look("s", state(true, time.Time{}), at(1)) }, 500, state(true, time.Time{}), false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			var a asks
+			var a pushbacks
 			a.leave("s", at(0))
 			if tt.look != nil {
 				tt.look(&a)
--- a/peerset/table.go
+++ b/peerset/table.go
@@ -33,9 +33,9 @@
 	host   wheelgauge.FleetHost
 	pool   *serverconn.Pool
 	paused time.Time
-	// rests is until when the servers of a service rest as far as this gateway has to do
+	// backoffs is until when the servers of a service back off as far as this gateway has to do
 	// with them.
-	rests map[string]time.Time
+	backoffs map[string]time.Time
 	// named is set while the callers of its region are told of it.
 	named bool
 }
@@ -131,7 +131,7 @@
 	case p.host == h:
 		return p
 	case p.host.Peer == h.Peer && p.host.Boot == h.Boot:
-		return &Peer{host: h, pool: p.pool, paused: p.paused, rests: p.rests, named: p.named}
+		return &Peer{host: h, pool: p.pool, paused: p.paused, backoffs: p.backoffs, named: p.named}
 	default:
 		p.pool.Close()
 	}
@@ -142,10 +142,14 @@
 func (t *Table) SetUses(regions []wheelgauge.RegionUse) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	before := t.uses
 	t.uses = map[string]map[string]*use{}
 	for _, r := range regions {
 		services := map[string]*use{}
 		for _, u := range r.Uses {
+			if was := before[r.Region][u.Service]; was != nil && u.Servers > was.told.Servers {
+				t.endBackoffs(r.Region, u.Service)
+			}
 			services[u.Service] = &use{told: u}
 		}
 		t.uses[r.Region] = services
@@ -293,32 +297,42 @@
 
 // takes tells whether the gateway may get requests for a service.
 func (p *Peer) takes(service string, now time.Time) bool {
-	return !now.Before(p.paused) && !now.Before(p.rests[service])
+	return !now.Before(p.paused) && !now.Before(p.backoffs[service])
 }
 
-// Rest keeps requests for a service off a gateway that has no server for them but some that
-// rest.
-func (t *Table) Rest(p *Peer, service string, wait time.Duration) {
+// BackOff keeps requests for a service off a gateway that has no server for them but some that
+// back off.
+func (t *Table) BackOff(p *Peer, service string, wait time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.peers[p.host.Name]
 	if now == nil {
 		return
 	}
-	if now.rests == nil {
-		now.rests = map[string]time.Time{}
+	if now.backoffs == nil {
+		now.backoffs = map[string]time.Time{}
 	}
-	now.rests[service] = t.now().Add(wait)
+	now.backoffs[service] = t.now().Add(wait)
 }
 
-// RestOver returns after which time the first gateway of some regions takes requests for a
-// service again whose servers rest; ok is false if none has said that they do.
-func (t *Table) RestOver(service string, in func(region string) bool) (after time.Duration, ok bool) {
+// endBackoffs lets requests for a service go again to the gateways of a region that has
+// servers more of it. The lock is held.
+func (t *Table) endBackoffs(region, service string) {
+	for _, p := range t.peers {
+		if p.host.Region == region {
+			delete(p.backoffs, service)
+		}
+	}
+}
+
+// BackoffEnds returns after which time the first gateway of some regions takes requests for a
+// service again whose servers back off; ok is false if none has said that they do.
+func (t *Table) BackoffEnds(service string, in func(region string) bool) (after time.Duration, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
 	for _, p := range t.peers {
-		left := p.rests[service].Sub(now)
+		left := p.backoffs[service].Sub(now)
 		if left <= 0 || !in(p.host.Region) {
 			continue
 		}
--- a/peerset/table_test.go
+++ b/peerset/table_test.go
@@ -45,6 +45,32 @@
 			tb.SetUses([]wheelgauge.RegionUse{uses("north", 2, 1), uses("east", 0, 0)})
 		}, []string{"north"}},
 		{"one gateway of two paused", func(tb *Table, _ *time.Time) { tb.Pause(tb.peers["n1"]) }, []string{"east", "north"}},
+		{"all gateways back off", func(tb *Table, _ *time.Time) {
+			tb.BackOff(tb.peers["n1"], service, time.Minute)
+			tb.BackOff(tb.peers["n2"], service, time.Minute)
+		}, []string{"east"}},
+		{"one gateway of two backs off", func(tb *Table, _ *time.Time) { tb.BackOff(tb.peers["n1"], service, time.Minute) }, []string{"east", "north"}},
+		{"for another service", func(tb *Table, _ *time.Time) {
+			tb.BackOff(tb.peers["n1"], "other", time.Minute)
+			tb.BackOff(tb.peers["n2"], "other", time.Minute)
+		}, []string{"east", "north"}},
+		{"all gateways backed off a while ago", func(tb *Table, at *time.Time) {
+			tb.BackOff(tb.peers["n1"], service, time.Minute)
+			tb.BackOff(tb.peers["n2"], service, time.Minute)
+			*at = at.Add(time.Minute)
+		}, []string{"east", "north"}},
+		{"all gateways back off, then there are more servers", func(tb *Table, _ *time.Time) {
+			tb.SetUses([]wheelgauge.RegionUse{uses("north", 2, 1), uses("east", 1, 0)})
+			tb.BackOff(tb.peers["n1"], service, time.Minute)
+			tb.BackOff(tb.peers["n2"], service, time.Minute)
+			tb.SetUses([]wheelgauge.RegionUse{uses("north", 3, 1), uses("east", 1, 0)})
+		}, []string{"east", "north"}},
+		{"all gateways back off, and the servers stay", func(tb *Table, _ *time.Time) {
+			tb.SetUses([]wheelgauge.RegionUse{uses("north", 2, 1), uses("east", 1, 0)})
+			tb.BackOff(tb.peers["n1"], service, time.Minute)
+			tb.BackOff(tb.peers["n2"], service, time.Minute)
+			tb.SetUses([]wheelgauge.RegionUse{uses("north", 2, 5), uses("east", 1, 0)})
+		}, []string{"east"}},
 		{"a silent region", func(tb *Table, _ *time.Time) { tb.Silent(tb.peers["n1"]) }, []string{"east"}},
 		{"silent, but a while ago", func(tb *Table, at *time.Time) {
 			tb.Silent(tb.peers["n1"])
--- /dev/null
+++ b/pushback/fuzz_test.go
@@ -0,0 +1,25 @@
+package pushback
+
+import (
+	"testing"
+	"time"
+)
+
+// FuzzParseRetryAfter: whatever a server writes, a backoff is neither negative nor too long, and digits
+// with a fraction are read as seconds.
+func FuzzParseRetryAfter(f *testing.F) {
+	for _, seed := range []string{"3", "0.25", ".5", "-1", "1e9", "99999999999999999999", "NaN", "Thu, 16 Apr 2026 09:28:20 GMT", "1.2.3", "", " 7 ", "0x1", "1_0", "٣"} {
+		f.Add(seed, "Thu, 16 Apr 2026 09:28:13 GMT")
+	}
+	f.Fuzz(func(t *testing.T, text, date string) {
+		wait, ok := ParseRetryAfter(values(text), values(date))
+		if wait < 0 || wait > longestBackoff || !ok && wait != 0 {
+			t.Fatalf("%q, %q: %s, %t", text, date, wait, ok)
+		}
+		var s State
+		now := time.Unix(1000, 0)
+		if s.BackOff(now, wait); s.Left(now) != wait || s.Allows(now) != (wait == 0) {
+			t.Fatalf("%q: %s are left of %s", text, s.Left(now), wait)
+		}
+	})
+}
--- a/serverask/ask.go
+++ b/pushback/state.go
@@ -1,7 +1,7 @@
-// Package serverask holds what a backend server asks of a host by its answers: no requests
+// Package pushback holds what a backend server asks of a host by its answers: no requests
 // for a while after a 503 with Retry-After, none at all once it leaves. It binds the host
 // that was asked, and decides nothing but whether a request may go there.
-package serverask
+package pushback
 
 import (
 	"errors"
@@ -12,8 +12,8 @@
 )
 
 const (
-	// longestRest bounds one rest.
-	longestRest = time.Hour
+	// longestBackoff bounds one backoff.
+	longestBackoff = time.Hour
 	// doubtAfter is how long a server that said that it leaves must have been listed as one
 	// that does not before it is taken for a new start under the old name, and for how long
 	// what is over is remembered of one that is not listed.
@@ -22,64 +22,64 @@
 	leavingValue = "1"
 )
 
-// Ask is what one start of a server asks of this host. The zero value asks nothing.
-type Ask struct {
-	// until is when the last rest ends.
+// State is what one start of a server asks of this host. The zero value asks nothing.
+type State struct {
+	// until is when the last backoff ends.
 	until time.Time
 	// left is when the server last said that it leaves; zero if it has not.
 	left time.Time
 }
 
-// Rest takes that the server wants nothing for a time from now on. It tells whether that
+// BackOff takes that the server wants nothing for a time from now on. It tells whether that
 // is longer than what it asked before.
-func (a *Ask) Rest(now time.Time, wait time.Duration) bool {
-	until := now.Add(min(wait, longestRest))
-	if !until.After(a.until) {
+func (s *State) BackOff(now time.Time, wait time.Duration) bool {
+	until := now.Add(min(wait, longestBackoff))
+	if !until.After(s.until) {
 		return false
 	}
-	a.until = until
+	s.until = until
 	return true
 }
 
 // Leave takes that the server leaves, and tells whether that is new.
-func (a *Ask) Leave(now time.Time) bool {
-	known := !a.left.IsZero()
-	a.left = now
+func (s *State) Leave(now time.Time) bool {
+	known := !s.left.IsZero()
+	s.left = now
 	return !known
 }
 
 // Listed takes that the server was listed at a moment as one that does not leave.
-func (a *Ask) Listed(at time.Time) {
-	if !a.left.IsZero() && at.Sub(a.left) > doubtAfter {
-		a.left = time.Time{}
+func (s *State) Listed(at time.Time) {
+	if !s.left.IsZero() && at.Sub(s.left) > doubtAfter {
+		s.left = time.Time{}
 	}
 }
 
 // Returned takes that the server came back at a moment: what it said before is over.
-func (a *Ask) Returned(at time.Time) {
-	if at.After(a.left) {
-		a.left = time.Time{}
+func (s *State) Returned(at time.Time) {
+	if at.After(s.left) {
+		s.left = time.Time{}
 	}
 }
 
 // Allows tells whether a request may go to the server.
-func (a Ask) Allows(now time.Time) bool { return !a.Leaving() && !a.Resting(now) }
+func (s State) Allows(now time.Time) bool { return !s.Leaving() && !s.BackingOff(now) }
 
-// Resting tells whether the server wants nothing now.
-func (a Ask) Resting(now time.Time) bool { return now.Before(a.until) }
+// BackingOff tells whether the server wants nothing now.
+func (s State) BackingOff(now time.Time) bool { return now.Before(s.until) }
 
 // Leaving tells whether the server leaves.
-func (a Ask) Leaving() bool { return !a.left.IsZero() }
+func (s State) Leaving() bool { return !s.left.IsZero() }
 
-// Left returns how much of the rest is left; 0 when it is over.
-func (a Ask) Left(now time.Time) time.Duration { return max(0, a.until.Sub(now)) }
+// Left returns how much of the backoff is left; 0 when it is over.
+func (s State) Left(now time.Time) time.Duration { return max(0, s.until.Sub(now)) }
 
-// Rested tells whether the server has ever asked for a rest.
-func (a Ask) Rested() bool { return !a.until.IsZero() }
+// BackedOff tells whether the server has ever asked for a backoff.
+func (s State) BackedOff() bool { return !s.until.IsZero() }
 
 // Over tells whether nothing that was asked matters any more.
-func (a Ask) Over(now time.Time) bool {
-	return now.Sub(a.until) > doubtAfter && now.Sub(a.left) > doubtAfter
+func (s State) Over(now time.Time) bool {
+	return now.Sub(s.until) > doubtAfter && now.Sub(s.left) > doubtAfter
 }
 
 // Values are those of a header, in the order of the answer.
@@ -99,19 +99,19 @@
 	return leaving, ok || leaving
 }
 
-// ParseRest reads the rest that an answer asks for, from its Retry-After and Date headers:
+// ParseRetryAfter reads the backoff that an answer asks for, from its Retry-After and Date headers:
 // seconds, also fractions, or an HTTP date, which is held against the answer's own, as
 // clocks differ. Of several values the longest counts; ok is false if none can be read.
-func ParseRest(values, dates Values) (wait time.Duration, ok bool) {
+func ParseRetryAfter(values, dates Values) (wait time.Duration, ok bool) {
 	for _, v := range values {
-		if one, good := parseRest(strings.TrimSpace(string(v)), dates); good {
+		if one, good := parseRetryAfter(strings.TrimSpace(string(v)), dates); good {
 			wait, ok = max(wait, one), true
 		}
 	}
 	return wait, ok
 }
 
-func parseRest(text string, dates Values) (time.Duration, bool) {
+func parseRetryAfter(text string, dates Values) (time.Duration, bool) {
 	if seconds, ok := ParseSeconds(text); ok {
 		return seconds, true
 	}
@@ -126,7 +126,7 @@
 	return bounded(until.Sub(from).Seconds()), true
 }
 
-// ParseSeconds reads digits, perhaps with a fraction, as seconds; longestRest at most.
+// ParseSeconds reads digits, perhaps with a fraction, as seconds; longestBackoff at most.
 func ParseSeconds(text string) (time.Duration, bool) {
 	if text == "" || strings.Trim(text, "0123456789.") != "" {
 		return 0, false
@@ -139,5 +139,5 @@
 }
 
 func bounded(seconds float64) time.Duration {
-	return time.Duration(min(max(seconds, 0), longestRest.Seconds()) * float64(time.Second))
+	return time.Duration(min(max(seconds, 0), longestBackoff.Seconds()) * float64(time.Second))
 }
--- a/routegate/call.go
+++ b/routegate/call.go
@@ -192,8 +192,8 @@
 	}
 	switch {
 	case c.runs == 0:
-		if over, rest := c.restOver(); rest {
-			c.refuse(refusal(wheelgauge.ReasonResting, http.StatusServiceUnavailable, "all backend servers have asked for a rest").WithRetryAfter(c.afterRest(over)))
+		if over, ok := c.backoffEnds(); ok {
+			c.refuse(refusal(wheelgauge.ReasonBackoff, http.StatusServiceUnavailable, "all backend servers have asked to back off").WithRetryAfter(c.afterBackoff(over)))
 			return
 		}
 		c.refuse(refusal(wheelgauge.ReasonOverloaded, http.StatusServiceUnavailable, detail).WithRetryAfter(c.comeBack()))
--- a/routegate/dispatch.go
+++ b/routegate/dispatch.go
@@ -33,8 +33,8 @@
 	clock time.Time
 	// begun is set at the first event or byte of the answer.
 	begun bool
-	// rest is set by an answer that turns the request away and asks for a rest.
-	rest bool
+	// pushedBack is set by an answer that turns the request away and asks to back off.
+	pushedBack bool
 	// broken is why the answer did not come whole.
 	broken error
 	// firstAfter is how long after it was sent the first event or byte came, eventsBefore
@@ -95,7 +95,7 @@
 		return failed
 	}
 	c.hearLimit(x, s)
-	x.rest = c.hearAsk(x, k)
+	x.pushedBack = c.hearPushback(x, k)
 	notRun := len(httpfield.Value(x.head, n.NotRun)) > 0
 	if r, ok := serverset.ParseReported(string(httpfield.Value(x.head, n.Load))); ok {
 		k.Report(r, notRun && x.head.StatusCode() == http.StatusServiceUnavailable)
@@ -137,8 +137,8 @@
 
 // turnedAway is what an answer says of the server that would otherwise count as an outcome.
 func (x *exchange) turnedAway(otherwise serverset.Outcome) serverset.Outcome {
-	if x.rest {
-		return serverset.Rested
+	if x.pushedBack {
+		return serverset.BackedOff
 	}
 	return otherwise
 }
@@ -208,7 +208,7 @@
 		// next one is a repeat, and is paid for here. Else each request would be
 		// repeated while servers are full.
 		c.sends += sends
-		if !c.hearPeerRest(x, p) {
+		if !c.hearPeerBackoff(x, p) {
 			c.gate.options.Peers.Refused(p)
 		}
 		return notRun
--- a/routegate/gate.go
+++ b/routegate/gate.go
@@ -94,7 +94,7 @@
 	active    inFlight
 	seen      waits
 	// turns are those of callers that wait for limits of servers, returns those that wait
-	// until servers have rested.
+	// until servers take work again.
 	turns   turns
 	returns turns
 }
--- a/routegate/ask_test.go
+++ b/routegate/pushback_test.go
@@ -13,7 +13,7 @@
 
 	"wheelgauge"
 	"wheelgauge/prompt"
-	"wheelgauge/serverask"
+	"wheelgauge/pushback"
 	"wheelgauge/serverset"
 )
 
@@ -27,24 +27,24 @@
 	return status + "\r\n" + strings.Join(append(lines, rest), "\r\n")
 }
 
-func resting(seconds float64) string { return saying(shed, fmt.Sprintf("Retry-After: %g", seconds)) }
+func backingOff(seconds float64) string { return saying(shed, fmt.Sprintf("Retry-After: %g", seconds)) }
 
 // What an answer asks of this host is heard in any answer of the server itself, a rest in
 // its 503 only.
-func TestAskIsHeard(t *testing.T) {
+func TestPushbackIsHeard(t *testing.T) {
 	const rest = 30 * time.Second
 	tests := []struct {
-		name    string
-		answer  string
-		resting bool
-		leaving bool
+		name       string
+		answer     string
+		backingOff bool
+		leaving    bool
 	}{
 		{"nothing", okAnswer, false, false},
-		{"a rest", resting(30), true, false},
+		{"a rest", backingOff(30), true, false},
 		{"a rest, in lower case", saying(shed, "retry-after: 30"), true, false},
 		{"a rest as a date", saying(shed, "Date: Thu, 16 Apr 2026 09:28:13 GMT", "Retry-After: Thu, 16 Apr 2026 09:28:43 GMT"), true, false},
 		{"a rest by an answer that may have run", saying(unsigned503, "Retry-After: 30"), true, false},
-		{"a rest of no time", resting(0), false, false},
+		{"a rest of no time", backingOff(0), false, false},
 		{"a rest that cannot be read", saying(shed, "Retry-After: soon"), false, false},
 		{"a time to come back in a success", saying(okAnswer, "Retry-After: 30"), false, false},
 		{"a time to come back in a failure", saying(failure, "Retry-After: 30"), false, false},
@@ -52,7 +52,7 @@
 		{"leaving, in a success", saying(okAnswer, leavingWord), false, true},
 		{"leaving, in a failure", saying(failure, leavingWord), false, true},
 		{"leaving, in a refusal", saying(shed, leavingWord), false, true},
-		{"leaving and a rest", saying(resting(30), leavingWord), true, true},
+		{"leaving and a rest", saying(backingOff(30), leavingWord), true, true},
 		{"not leaving", saying(okAnswer, "Wheelgauge-Leaving: 0"), false, false},
 	}
 	for _, tt := range tests {
@@ -63,9 +63,9 @@
 			if _, _, err := ask(t, c, "/once/", ""); err != nil {
 				t.Fatal(err)
 			}
-			asked := k.Asked()
-			if asked.Resting(time.Now().Add(rest-time.Second)) != tt.resting || asked.Leaving() != tt.leaving {
-				t.Errorf("it asks %+v, want a rest %t, leaving %t", asked, tt.resting, tt.leaving)
+			asked := k.Pushback()
+			if asked.BackingOff(time.Now().Add(rest-time.Second)) != tt.backingOff || asked.Leaving() != tt.leaving {
+				t.Errorf("it asks %+v, want a rest %t, leaving %t", asked, tt.backingOff, tt.leaving)
 			}
 		})
 	}
@@ -75,7 +75,7 @@
 const resumable = events + "f\r\nid: 1\ndata: a\n\n\r\n"
 
 // A server that rests, or leaves, gets no request by any way there.
-func TestNoWayToAServerThatAsksForNone(t *testing.T) {
+func TestNoWayToAServerThatPushesBack(t *testing.T) {
 	tests := []struct {
 		name      string
 		path      string
@@ -107,7 +107,7 @@
 					k := pickOf(t, g, "i0")
 					defer k.Done(serverset.Left)
 					if ask == "rest" {
-						k.Rest(testLimit)
+						k.BackOff(testLimit)
 						return
 					}
 					k.Leave()
@@ -174,7 +174,7 @@
 
 // A request that no server takes before it has rested is refused at once, with the time
 // when the first of them does.
-func TestRefusedWhileAllRest(t *testing.T) {
+func TestRefusedWhileAllBackOff(t *testing.T) {
 	tests := []struct {
 		name string
 		// rests are those of the servers, none below 0.
@@ -199,8 +199,8 @@
 			for i, rest := range tt.rests {
 				if rest > 0 {
 					k := pickOf(t, g, fmt.Sprint("i", i))
-					k.Rest(rest)
-					k.Done(serverset.Rested)
+					k.BackOff(rest)
+					k.Done(serverset.BackedOff)
 				}
 			}
 			for range 3 {
@@ -211,26 +211,26 @@
 				if tt.status == http.StatusOK {
 					continue
 				}
-				if resp.Header.Get(wheelgauge.HeaderOutcome) != string(wheelgauge.OutcomeNotRun) || !strings.Contains(body, string(wheelgauge.ReasonResting)) {
+				if resp.Header.Get(wheelgauge.HeaderOutcome) != string(wheelgauge.OutcomeNotRun) || !strings.Contains(body, string(wheelgauge.ReasonBackoff)) {
 					t.Errorf("refused with %v %s", resp.Header, body)
 				}
-				after, ok := serverask.ParseSeconds(resp.Header.Get("Retry-After"))
-				if left := tt.soon - time.Since(began); !ok || after < left || after > tt.soon+restSpread+time.Millisecond {
+				after, ok := pushback.ParseSeconds(resp.Header.Get("Retry-After"))
+				if left := tt.soon - time.Since(began); !ok || after < left || after > tt.soon+returnSpread+time.Millisecond {
 					t.Errorf("told to come back after %s, %s are left of the rest", after, left)
 				}
 			}
 			for i, b := range backends {
 				if tt.rests[i] > 0 && len(b.seen()) > 0 {
-					t.Errorf("server %d got %d requests in its rest", i, len(b.seen()))
+					t.Errorf("server %d got %d requests in its backoff", i, len(b.seen()))
 				}
 			}
 		})
 	}
 }
 
-// A gateway whose servers rest is not asked again before they have; its callers are told
+// A gateway whose servers back off is not asked again before they have; its callers are told
 // when that is.
-func TestForwardToAGatewayWhoseServersRest(t *testing.T) {
+func TestForwardToAGatewayWhoseServersBackOff(t *testing.T) {
 	const rest = 7 * time.Second
 	tests := []struct {
 		name string
@@ -245,7 +245,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			far := newBackend(t, resting(rest.Seconds()))
+			far := newBackend(t, backingOff(rest.Seconds()))
 			there, _ := newGate(t, routes(), far)
 			there.options.Region = "there"
 			g, c := newGate(t, routes(), newBackend(t))
@@ -254,8 +254,8 @@
 			g.options.Peers.SetUses([]wheelgauge.RegionUse{{Region: "there", Uses: []wheelgauge.ServiceUse{{Service: "s", Servers: 1, Slots: 4}}}})
 			if tt.here > 0 {
 				k := pickOf(t, g, "i0")
-				k.Rest(tt.here)
-				k.Done(serverset.Rested)
+				k.BackOff(tt.here)
+				k.Done(serverset.BackedOff)
 			}
 			began := time.Now()
 			for range 3 {
@@ -263,8 +263,8 @@
 				if err != nil || resp.StatusCode != http.StatusServiceUnavailable {
 					t.Fatalf("got %v, %v", resp, err)
 				}
-				after, ok := serverask.ParseSeconds(resp.Header.Get("Retry-After"))
-				if left := tt.soon - time.Since(began); !ok || after < left || after > tt.soon+2*restSpread {
+				after, ok := pushback.ParseSeconds(resp.Header.Get("Retry-After"))
+				if left := tt.soon - time.Since(began); !ok || after < left || after > tt.soon+2*returnSpread {
 					t.Errorf("told to come back after %s, %s are left", after, left)
 				}
 			}
--- a/routegate/turns.go
+++ b/routegate/turns.go
@@ -10,7 +10,7 @@
 // turnSpan is over how long the requests of a service are averaged that are served.
 const turnSpan = 2 * time.Second
 
-// turns tells callers that were refused because of servers' limits or rests when to come
+// turns tells callers that were refused because of limits or backoffs of servers when to come
 // back: one after another, as fast as others are served. Told the same moment, or to come when the next
 // permit is due, most of them would be refused again and again.
 type turns struct {
--- a/serverset/candidates.go
+++ b/serverset/candidates.go
@@ -100,7 +100,7 @@
 	seed := t.seed(j)
 	for _, from := range [][]*Server{t.near, t.far} {
 		for _, s := range from {
-			if s.rested {
+			if s.stale {
 				t.list(s, j)
 			}
 		}
--- a/serverset/limited_test.go
+++ b/serverset/limited_test.go
@@ -151,7 +151,7 @@
 	}
 }
 
-// A server that had been slow before its rest, or while it named a limit, got next to nothing
+// A server that had been slow before its backoff, or while it named a limit, got next to nothing
 // for long after it: its mean time is renewed by a tenth with each answer.
 func TestServerGetsItsPartAgain(t *testing.T) {
 	const (
@@ -165,10 +165,10 @@
 		name string
 		need func(tb *Table, c *clock, job Job, limited *bool)
 	}{
-		{"after a rest", func(tb *Table, c *clock, job Job, _ *bool) {
+		{"after a backoff", func(tb *Table, c *clock, job Job, _ *bool) {
 			k := chosen(t, tb, job, server)
-			k.Rest(2 * time.Second)
-			k.Done(Rested)
+			k.BackOff(2 * time.Second)
+			k.Done(BackedOff)
 			c.pass(2 * time.Second)
 		}},
 		{"after a limit", func(tb *Table, c *clock, job Job, limited *bool) {
--- a/serverset/pick.go
+++ b/serverset/pick.go
@@ -79,7 +79,7 @@
 	s := c.server
 	k := &Pick{table: t, server: s, version: s.spec.Version, prompt: j.prompt, rank: j.rank, tokens: s.missing(j.prompt, s == home), wait: duration(c.wait), sent: now}
 	k.load = Load{running: s.inFlight(), tokens: s.tokens + s.others.Tokens, age: now.Sub(s.othersAt)}
-	s.resumed = !s.ask.Resting(now)
+	s.resumed = !s.pushback.BackingOff(now)
 	s.running++
 	s.tokens += k.tokens
 	s.work = s.work.Add(k.rank, 1, k.tokens)
@@ -202,14 +202,14 @@
 }
 
 // answerTime is how long a plain service is expected to take by itself. A server with a
-// limit, or after a rest, is expected to be as fast as any: what it bears it has said, and few answers renew
+// limit, or after a backoff, is expected to be as fast as any: what it bears it has said, and few answers renew
 // its mean, so that a single late one would keep all work from it.
 func (t *Table) answerTime(s *Server, from candidates) time.Duration {
 	mean := s.service
 	if mean == 0 {
 		mean = firstService
 	}
-	if from.fastest > 0 && from.fastest < mean && (s.rested || t.hasLimit(s)) {
+	if from.fastest > 0 && from.fastest < mean && (s.stale || t.hasLimit(s)) {
 		return from.fastest
 	}
 	return mean
@@ -321,9 +321,9 @@
 	Failed
 	// Shed: the server said that it did not run the request.
 	Shed
-	// Rested: the server turned the request away and asked for a rest, which says when it
+	// BackedOff: the server turned the request away and asked to back off, which says when it
 	// takes work again.
-	Rested
+	BackedOff
 	// Unreached: no connection could be had.
 	Unreached
 	// Gone: another server has the address.
@@ -360,7 +360,7 @@
 		s.pause = min(longestPause, max(firstPause, 2*s.pause))
 		s.pausedUntil = now.Add(s.pause)
 		s.lostUntil = s.pausedUntil
-		s.rested = false
+		s.stale = false
 		s.outcome(now, true)
 	case Gone:
 		s.gone = true
--- a/serverset/ask.go
+++ b/serverset/pushback.go
@@ -3,27 +3,27 @@
 import (
 	"time"
 
-	"wheelgauge/serverask"
+	"wheelgauge/pushback"
 )
 
-// overdue is how long after its rest a server that was not chosen yet gets the next request:
+// overdue is how long after its backoff a server that was not chosen yet gets the next request:
 // its part of them may be small, and only an answer tells how it does now.
 const overdue = time.Second
 
-// Rest takes that the server wants nothing from this host for a time. It tells whether that
+// BackOff takes that the server wants nothing from this host for a time. It tells whether that
 // is longer than what it asked before.
-func (k *Pick) Rest(wait time.Duration) bool {
+func (k *Pick) BackOff(wait time.Duration) bool {
 	t := k.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.current(k.server)
 	defer t.keepUnlisted(s)
-	return s.rest(t.now(), wait)
+	return s.backOff(t.now(), wait)
 }
 
-// rest takes a rest. The lock is held.
-func (s *Server) rest(now time.Time, wait time.Duration) bool {
-	if !s.ask.Rest(now, wait) {
+// backOff takes a backoff. The lock is held.
+func (s *Server) backOff(now time.Time, wait time.Duration) bool {
+	if !s.pushback.BackOff(now, wait) {
 		return false
 	}
 	s.renew()
@@ -33,15 +33,15 @@
 // renew begins anew with what answers tell: how the server failed and how long its work took
 // in its need say little of how it does after it. The lock is held.
 func (s *Server) renew() {
-	s.rested, s.resumed = true, false
+	s.stale, s.resumed = true, false
 	s.failRate, s.pace = 0, 0
 }
 
 // renewed tells that the server has answered a request that was sent after its need. The lock
 // is held.
 func (s *Server) renewed(k *Pick) {
-	if s.rested && !s.ask.Resting(k.sent) {
-		s.rested, s.service = false, 0
+	if s.stale && !s.pushback.BackingOff(k.sent) {
+		s.stale, s.service = false, 0
 	}
 }
 
@@ -52,7 +52,7 @@
 	defer t.mu.Unlock()
 	s := t.current(k.server)
 	defer t.keepUnlisted(s)
-	return s.ask.Leave(t.now())
+	return s.pushback.Leave(t.now())
 }
 
 // Allowed tells whether the server still takes the request.
@@ -60,15 +60,15 @@
 	t := k.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.current(k.server).ask.Allows(t.now())
+	return t.current(k.server).pushback.Allows(t.now())
 }
 
-// Asked returns what the server asks of this host.
-func (k *Pick) Asked() serverask.Ask {
+// Pushback returns what the server asks of this host.
+func (k *Pick) Pushback() pushback.State {
 	t := k.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.current(k.server).ask
+	return t.current(k.server).pushback
 }
 
 // current returns the entry of a start of a server that is on the list now: it may have been
@@ -84,62 +84,62 @@
 // back on the next one. The lock is held.
 func (t *Table) keepUnlisted(s *Server) {
 	if t.servers[s.instance] != s {
-		t.keepAsk(s)
+		t.keepPushback(s)
 	}
 }
 
-// RestOver returns after which time the first server takes a job again, where all that might
-// take it rest: 0 if one does not. ok is false if there is no server for it at all.
-func (t *Table) RestOver(j Job) (after time.Duration, ok bool) {
+// BackoffEnds returns after which time the first server takes a job again, where all that might
+// take it have asked to back off: 0 if one does not. ok is false if there is no server for it at all.
+func (t *Table) BackoffEnds(j Job) (after time.Duration, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
 	var first time.Time
-	resting := false
+	backingOff := false
 	for _, s := range t.services[j.service] {
-		if !j.versions.Allows(s.spec.Version) || s.ask.Leaving() || !t.fit(s, now) {
+		if !j.versions.Allows(s.spec.Version) || s.pushback.Leaving() || !t.fit(s, now) {
 			continue
 		}
-		takes := now.Add(s.ask.Left(now))
+		takes := now.Add(s.pushback.Left(now))
 		if s.pausedUntil.After(takes) {
 			takes = s.pausedUntil
 		}
-		resting = resting || s.ask.Resting(now)
+		backingOff = backingOff || s.pushback.BackingOff(now)
 		if first.IsZero() || takes.Before(first) {
 			first = takes
 		}
 	}
-	if !resting {
+	if !backingOff {
 		return 0, !first.IsZero()
 	}
 	return max(0, first.Sub(now)), true
 }
 
-// due tells whether the next request is to show how a server does after its rest: the first
+// due tells whether the next request is to show how a server does after its backoff: the first
 // one that is sent there. The lock is held.
 func (s *Server) due(now time.Time) bool {
-	return s.rested && !s.resumed && !s.ask.Resting(now.Add(-overdue))
+	return s.stale && !s.resumed && !s.pushback.BackingOff(now.Add(-overdue))
 }
 
-// keepAsk remembers what a start of a server asks. The lock is held.
-func (t *Table) keepAsk(s *Server) {
-	if !s.ask.Over(t.now()) {
-		t.asks[s.life] = s.ask
+// keepPushback remembers what a start of a server asks. The lock is held.
+func (t *Table) keepPushback(s *Server) {
+	if !s.pushback.Over(t.now()) {
+		t.pushbacks[s.life] = s.pushback
 	}
 }
 
-// takeAsk returns what a start of a server asked before it was off the list. The lock is held.
-func (t *Table) takeAsk(life string) serverask.Ask {
-	ask := t.asks[life]
-	delete(t.asks, life)
-	return ask
+// takePushback returns what a start of a server asked before it was off the list. The lock is held.
+func (t *Table) takePushback(life string) pushback.State {
+	state := t.pushbacks[life]
+	delete(t.pushbacks, life)
+	return state
 }
 
-// pruneAsks forgets what cannot matter any more. The lock is held.
-func (t *Table) pruneAsks() {
-	for life, ask := range t.asks {
-		if ask.Over(t.now()) {
-			delete(t.asks, life)
+// prunePushbacks forgets what cannot matter any more. The lock is held.
+func (t *Table) prunePushbacks() {
+	for life, state := range t.pushbacks {
+		if state.Over(t.now()) {
+			delete(t.pushbacks, life)
 		}
 	}
 }
@@ -149,7 +149,7 @@
 func (t *Table) heardOf(asked time.Time) {
 	for _, s := range t.servers {
 		if !s.spec.Leaving {
-			s.ask.Listed(asked)
+			s.pushback.Listed(asked)
 		}
 	}
 }
--- a/serverset/rest_play_test.go
+++ b/serverset/pushback_play_test.go
@@ -13,39 +13,39 @@
 )
 
 var (
-	restSeeds = flag.Int("rest.seeds", 200, "how many schedules of resting servers are played")
-	restFrom  = flag.Uint64("rest.from", 1, "the first of them")
+	backoffSeeds = flag.Int("backoff.seeds", 200, "how many schedules of backingOff servers are played")
+	backoffFrom  = flag.Uint64("backoff.from", 1, "the first of them")
 )
 
 const (
-	// restPlay is how long a schedule lasts, restListEvery how often the host gets the list.
-	restPlay      = 40 * time.Second
-	restListEvery = time.Second
-	// restTries bounds the servers that a request is sent to.
-	restTries = 3
+	// backoffPlay is how long a schedule lasts, backoffListEvery how often the host gets the list.
+	backoffPlay      = 40 * time.Second
+	backoffListEvery = time.Second
+	// backoffTries bounds the servers that a request is sent to.
+	backoffTries = 3
 )
 
-// restEvent is something that happens at a moment of a schedule.
-type restEvent struct {
+// backoffEvent is something that happens at a moment of a schedule.
+type backoffEvent struct {
 	at time.Time
 	do func()
 }
 
-type restEvents []restEvent
+type backoffEvents []backoffEvent
 
-func (e restEvents) Len() int           { return len(e) }
-func (e restEvents) Less(i, k int) bool { return e[i].at.Before(e[k].at) }
-func (e restEvents) Swap(i, k int)      { e[i], e[k] = e[k], e[i] }
-func (e *restEvents) Push(x any)        { *e = append(*e, x.(restEvent)) }
-func (e *restEvents) Pop() any {
+func (e backoffEvents) Len() int           { return len(e) }
+func (e backoffEvents) Less(i, k int) bool { return e[i].at.Before(e[k].at) }
+func (e backoffEvents) Swap(i, k int)      { e[i], e[k] = e[k], e[i] }
+func (e *backoffEvents) Push(x any)        { *e = append(*e, x.(backoffEvent)) }
+func (e *backoffEvents) Pop() any {
 	old := *e
 	last := old[len(old)-1]
 	*e = old[:len(old)-1]
 	return last
 }
 
-// restServer is a server of a schedule.
-type restServer struct {
+// backoffServer is a server of a schedule.
+type backoffServer struct {
 	spec wheelgauge.Server
 	// sick is until when it turns requests away, rest the most that it asks for then.
 	sick time.Time
@@ -64,15 +64,15 @@
 	chances int
 }
 
-// restSchedule plays one host before servers that ask for rests and leave.
-type restSchedule struct {
+// backoffSchedule plays one host before servers that ask for rests and leave.
+type backoffSchedule struct {
 	t       *testing.T
 	seed    uint64
 	rnd     *rand.Rand
 	table   *Table
 	clock   *clock
-	events  restEvents
-	servers []*restServer
+	events  backoffEvents
+	servers []*backoffServer
 	service string
 	// awake is when the host's suspension ends.
 	awake time.Time
@@ -82,10 +82,10 @@
 
 // Servers that rest, or leave, get nothing from a host that was told, on any way there, and
 // are used again after their rest.
-func TestPlayedRests(t *testing.T) {
+func TestPlayedBackoffs(t *testing.T) {
 	sent, turned, refused := 0, 0, 0
-	for i := range *restSeeds {
-		s := newRestSchedule(t, *restFrom+uint64(i))
+	for i := range *backoffSeeds {
+		s := newBackoffSchedule(t, *backoffFrom+uint64(i))
 		s.play()
 		sent, turned, refused = sent+s.sent, turned+s.turned, refused+s.refused
 	}
@@ -95,29 +95,29 @@
 	}
 }
 
-func newRestSchedule(t *testing.T, seed uint64) *restSchedule {
+func newBackoffSchedule(t *testing.T, seed uint64) *backoffSchedule {
 	t.Helper()
 	rnd := rand.New(rand.NewPCG(seed, 44))
-	s := &restSchedule{t: t, seed: seed, rnd: rnd, service: []string{plain, engines}[rnd.IntN(2)]}
+	s := &backoffSchedule{t: t, seed: seed, rnd: rnd, service: []string{plain, engines}[rnd.IntN(2)]}
 	s.table, s.clock, _ = table(s.service, 0)
 	for n := range []int{1, 2, 3, 6, 20}[rnd.IntN(5)] {
-		s.servers = append(s.servers, &restServer{listed: true, spec: wheelgauge.Server{
+		s.servers = append(s.servers, &backoffServer{listed: true, spec: wheelgauge.Server{
 			Instance: fmt.Sprint("i", n), Service: s.service, Address: "127.0.0.1:1", Hall: []string{"h", "k"}[rnd.IntN(2)], Slots: 4,
 		}})
 	}
 	return s
 }
 
-func (s *restSchedule) after(d time.Duration, do func()) {
-	heap.Push(&s.events, restEvent{s.clock.at.Add(d), do})
+func (s *backoffSchedule) after(d time.Duration, do func()) {
+	heap.Push(&s.events, backoffEvent{s.clock.at.Add(d), do})
 }
 
-func (s *restSchedule) between(low, high time.Duration) time.Duration {
+func (s *backoffSchedule) between(low, high time.Duration) time.Duration {
 	return low + time.Duration(s.rnd.Int64N(int64(high-low)))
 }
 
-func (s *restSchedule) play() {
-	end := s.clock.at.Add(restPlay)
+func (s *backoffSchedule) play() {
+	end := s.clock.at.Add(backoffPlay)
 	s.list()
 	gap := s.between(5*time.Millisecond, 300*time.Millisecond)
 	s.every(gap, s.arrive)
@@ -130,12 +130,12 @@
 		s.every(9*time.Second, s.suspend)
 	}
 	for len(s.events) > 0 {
-		e := heap.Pop(&s.events).(restEvent)
+		e := heap.Pop(&s.events).(backoffEvent)
 		if e.at.After(end) {
 			return
 		}
 		if e.at.Before(s.awake) {
-			heap.Push(&s.events, restEvent{s.awake, e.do}) // the host notices when it wakes
+			heap.Push(&s.events, backoffEvent{s.awake, e.do}) // the host notices when it wakes
 			continue
 		}
 		s.clock.at = e.at
@@ -144,14 +144,14 @@
 }
 
 // every repeats something at random times, after a mean time.
-func (s *restSchedule) every(mean time.Duration, do func()) {
+func (s *backoffSchedule) every(mean time.Duration, do func()) {
 	s.after(s.between(0, 2*mean), func() {
 		do()
 		s.every(mean, do)
 	})
 }
 
-func (s *restSchedule) list() {
+func (s *backoffSchedule) list() {
 	var list []wheelgauge.Server
 	for _, one := range s.servers {
 		if one.listed {
@@ -160,12 +160,12 @@
 	}
 	s.table.Update(list, s.clock.at)
 	s.table.Prune()
-	s.after(restListEvery, s.list)
+	s.after(backoffListEvery, s.list)
 }
 
 // fallSick lets one server, or all, turn requests away for a while.
-func (s *restSchedule) fallSick() {
-	sick := []*restServer{s.servers[s.rnd.IntN(len(s.servers))]}
+func (s *backoffSchedule) fallSick() {
+	sick := []*backoffServer{s.servers[s.rnd.IntN(len(s.servers))]}
 	if s.rnd.IntN(4) == 0 {
 		sick = s.servers
 	}
@@ -176,23 +176,23 @@
 }
 
 // leave lets a server say that it leaves; it stays listed as before.
-func (s *restSchedule) leave() { s.servers[s.rnd.IntN(len(s.servers))].leaving = true }
+func (s *backoffSchedule) leave() { s.servers[s.rnd.IntN(len(s.servers))].leaving = true }
 
 // flap takes a server off the list for a while.
-func (s *restSchedule) flap() {
+func (s *backoffSchedule) flap() {
 	one := s.servers[s.rnd.IntN(len(s.servers))]
 	one.listed, one.dueFrom = false, time.Time{}
 	s.after(s.between(0, 3*time.Second), func() { one.listed = true })
 }
 
-func (s *restSchedule) suspend() {
+func (s *backoffSchedule) suspend() {
 	s.awake = s.clock.at.Add(s.between(100*time.Millisecond, 8*time.Second))
 }
 
-func (s *restSchedule) arrive() { s.try(nil) }
+func (s *backoffSchedule) arrive() { s.try(nil) }
 
 // try places a request that went to some servers before.
-func (s *restSchedule) try(tried []string) {
+func (s *backoffSchedule) try(tried []string) {
 	job := NewJob(s.service, prompt.Prompt{}, 0, tried)
 	k := s.table.Choose(job)
 	if k == nil {
@@ -215,7 +215,7 @@
 	s.after(wait, func() { s.send(k, one, append(tried, one.spec.Instance)) })
 }
 
-func (s *restSchedule) of(k *Pick) *restServer {
+func (s *backoffSchedule) of(k *Pick) *backoffServer {
 	for _, one := range s.servers {
 		if one.spec.Instance == k.Server().Instance() {
 			return one
@@ -225,7 +225,7 @@
 	return nil
 }
 
-func (s *restSchedule) send(k *Pick, one *restServer, tried []string) {
+func (s *backoffSchedule) send(k *Pick, one *backoffServer, tried []string) {
 	now := s.clock.at
 	if !k.Allowed() {
 		k.Done(Left)
@@ -234,7 +234,7 @@
 	}
 	s.sent++
 	if now.Before(one.until) {
-		s.t.Errorf("seed %d: %s got a request %s before the end of its rest", s.seed, one.spec.Instance, one.until.Sub(now))
+		s.t.Errorf("seed %d: %s got a request %s before the end of its backoff", s.seed, one.spec.Instance, one.until.Sub(now))
 	}
 	if one.left {
 		s.t.Errorf("seed %d: %s got a request though it leaves", s.seed, one.spec.Instance)
@@ -254,11 +254,11 @@
 	})
 }
 
-func (s *restSchedule) turnAway(k *Pick, one *restServer, rest time.Duration, tried []string) {
+func (s *backoffSchedule) turnAway(k *Pick, one *backoffServer, rest time.Duration, tried []string) {
 	s.turned++
-	k.Rest(rest)
+	k.BackOff(rest)
 	k.Report(Reported{running: 1, slots: 4}, true)
-	k.Done(Rested)
+	k.Done(BackedOff)
 	if until := s.clock.at.Add(rest); until.After(one.until) {
 		one.until = until
 	}
@@ -267,28 +267,28 @@
 	s.again(tried)
 }
 
-// due begins to wait for a request to a server after its rest.
-func (s *restSchedule) due(one *restServer, until time.Time) {
+// due begins to wait for a request to a server after its backoff.
+func (s *backoffSchedule) due(one *backoffServer, until time.Time) {
 	if one.until != until || one.usedAt.After(until) || one.left || !one.listed {
 		return
 	}
 	one.dueFrom, one.chances = s.clock.at, 0
 	s.after(2*time.Second, func() {
 		if enough := 2 * len(s.servers); one.until == until && !one.dueFrom.IsZero() && one.listed && !one.left && one.chances > enough {
-			s.t.Errorf("seed %d: %s got none of %d requests since its rest was over for %s", s.seed, one.spec.Instance, one.chances, s.clock.at.Sub(until))
+			s.t.Errorf("seed %d: %s got none of %d requests since its backoff was over for %s", s.seed, one.spec.Instance, one.chances, s.clock.at.Sub(until))
 		}
 		one.dueFrom = time.Time{}
 	})
 }
 
-func (s *restSchedule) again(tried []string) {
-	if len(tried) < restTries {
+func (s *backoffSchedule) again(tried []string) {
+	if len(tried) < backoffTries {
 		s.try(tried)
 	}
 }
 
 // refuse checks what a caller is told whom no server takes.
-func (s *restSchedule) refuse() {
+func (s *backoffSchedule) refuse() {
 	var first time.Time
 	for _, one := range s.servers {
 		if s.table.servers[one.spec.Instance] == nil || one.left {
@@ -305,7 +305,7 @@
 		return
 	}
 	s.refused++
-	after, ok := s.table.RestOver(NewJob(s.service, prompt.Prompt{}, 0, nil))
+	after, ok := s.table.BackoffEnds(NewJob(s.service, prompt.Prompt{}, 0, nil))
 	if want := first.Sub(s.clock.at); !ok || after != want {
 		s.t.Errorf("seed %d: with all servers at rest for %s a caller is told %s, %t", s.seed, want, after, ok)
 	}
--- a/serverset/reported.go
+++ b/serverset/reported.go
@@ -73,7 +73,7 @@
 	s.notePace(r.pace)
 	held := r.running + r.waiting
 	switch {
-	case s.ask.Resting(t.now()):
+	case s.pushback.BackingOff(t.now()):
 	case shed && held > 0:
 		s.full = held
 	case held > s.full && s.full > 0:
--- a/serverset/server.go
+++ b/serverset/server.go
@@ -6,8 +6,8 @@
 
 	"wheelgauge"
 	"wheelgauge/prompt"
+	"wheelgauge/pushback"
 	"wheelgauge/rendezvous"
-	"wheelgauge/serverask"
 	"wheelgauge/serverconn"
 )
 
@@ -87,11 +87,11 @@
 	lostUntil time.Time
 	reached   time.Time
 	gone      bool
-	// ask is what the server asks of this host; rested is set by a rest, and by the end of a
+	// pushback is what the server asks of this host; stale is set by a backoff, and by the end of a
 	// limit, until the server answers after it, resumed once a request is sent there after it.
-	ask     serverask.Ask
-	rested  bool
-	resumed bool
+	pushback pushback.State
+	stale    bool
+	resumed  bool
 	// service is the mean time of an answer of a plain service.
 	service time.Duration
 	cached  map[uint64]time.Time
--- a/serverset/table.go
+++ b/serverset/table.go
@@ -11,7 +11,7 @@
 
 	"wheelgauge"
 	"wheelgauge/coldrate"
-	"wheelgauge/serverask"
+	"wheelgauge/pushback"
 )
 
 const (
@@ -74,8 +74,8 @@
 	// are new; stateAt is when the state was last known to be the newest.
 	versions map[string]map[string]time.Time
 	stateAt  time.Time
-	// asks are those of starts of servers that are on the list no more, by life.
-	asks map[string]serverask.Ask
+	// pushbacks are those of starts of servers that are on the list no more, by life.
+	pushbacks map[string]pushback.State
 	// limitOf gives the limits that servers have named; nil without any.
 	limitOf LimitOf
 	// used is the server that had a subject last.
@@ -91,7 +91,7 @@
 // New returns an empty table. limits gives the configuration of a service.
 func New(place Place, limits func(service string) *wheelgauge.Service, now func() time.Time) *Table {
 	return &Table{
-		place: place, servers: map[string]*Server{}, services: map[string][]*Server{}, resumed: map[string]time.Time{}, asks: map[string]serverask.Ask{},
+		place: place, servers: map[string]*Server{}, services: map[string][]*Server{}, resumed: map[string]time.Time{}, pushbacks: map[string]pushback.State{},
 		limits: limits, cold: coldrate.New(now), used: map[uint64]*Server{}, now: now,
 	}
 }
@@ -148,7 +148,7 @@
 	for name, s := range t.servers {
 		if !seen[name] {
 			s.pool.Close()
-			t.keepAsk(s)
+			t.keepPushback(s)
 			delete(t.servers, name)
 		}
 	}
@@ -161,11 +161,11 @@
 func (t *Table) started(was *Server, spec wheelgauge.Server) *Server {
 	if was != nil {
 		was.pool.Close()
-		t.keepAsk(was)
+		t.keepPushback(was)
 	}
 	s := newServer(spec, t.conns(spec.Service), t.now)
-	s.ask = t.takeAsk(s.life)
-	s.rested = s.ask.Rested()
+	s.pushback = t.takePushback(s.life)
+	s.stale = s.pushback.BackedOff()
 	t.servers[spec.Instance] = s
 	return s
 }
@@ -306,7 +306,7 @@
 func (t *Table) Prune() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.pruneAsks()
+	t.prunePushbacks()
 	old := t.now().Add(-cacheLife)
 	for subject, s := range t.used {
 		if s.cached[subject].Before(old) {
@@ -350,10 +350,10 @@
 
 // able is the same but for the server's limit.
 func (t *Table) able(s *Server, now time.Time) bool {
-	return s.ask.Allows(now) && now.After(s.pausedUntil) && t.fit(s, now)
+	return s.pushback.Allows(now) && now.After(s.pausedUntil) && t.fit(s, now)
 }
 
-// fit is the same but for a rest or a pause.
+// fit is the same but for a backoff or a pause.
 func (t *Table) fit(s *Server, now time.Time) bool {
 	return !s.spec.Leaving && !s.gone && !slices.Contains(t.drained, s.spec.Hall) && !t.unproved(s, now)
 }
--- a/systemtest/fault_rest_test.go
+++ b/systemtest/fault_pushback_test.go
@@ -15,21 +15,21 @@
 )
 
 const (
-	// restSick is for how long an engine turns requests away, restAsked the rest that it asks
+	// sickTime is for how long an engine turns requests away, backoffAsked the rest that it asks
 	// for each time.
-	restSick  = 2 * time.Second
-	restAsked = 3 * time.Second
+	sickTime     = 2 * time.Second
+	backoffAsked = 3 * time.Second
 )
 
-// Engines that asked hosts for a rest got requests all the same, then none for long.
-func TestFaultServersThatAskForRest(t *testing.T) {
+// Engines that asked hosts for a backoff got requests all the same, then none for long.
+func TestFaultBackoffIsKept(t *testing.T) {
 	load := launchAsking(t)
-	until := time.Now().Add(restSick)
-	load.tell(t, fmt.Sprintf("/v1/rest?for_ms=%d&retry_after=%g", restSick.Milliseconds(), restAsked.Seconds()))
-	time.Sleep(time.Until(until.Add(restAsked + judge.ServerRest().Again())))
+	until := time.Now().Add(sickTime)
+	load.tell(t, fmt.Sprintf("/v1/back-off?for_ms=%d&retry_after=%g", sickTime.Milliseconds(), backoffAsked.Seconds()))
+	time.Sleep(time.Until(until.Add(backoffAsked + judge.ServerBackoff().Again())))
 	load.await(t, "each engine is used again", func() bool {
 		for _, s := range load.asking {
-			if at := load.last(t, s); at.Before(until.Add(restAsked)) {
+			if at := load.last(t, s); at.Before(until.Add(backoffAsked)) {
 				return false
 			}
 		}
@@ -48,7 +48,7 @@
 					continue
 				}
 				turned++
-				if err := judge.ServerRest().Check(arrivals[i], restAsked, arrivals); err != nil {
+				if err := judge.ServerBackoff().Check(arrivals[i], backoffAsked, arrivals); err != nil {
 					t.Errorf("%s from %s: %v", s.name, host, err)
 					break
 				}
@@ -63,11 +63,11 @@
 
 // Engines that said in their answers that they leave got requests for as long as their
 // reports did not say so.
-func TestFaultServersThatSayTheyLeave(t *testing.T) {
+func TestFaultServerThatSaysItLeaves(t *testing.T) {
 	const known = time.Second
 	load := launchAsking(t)
 	load.tell(t, "/v1/say-leaving")
-	time.Sleep(2 * restAsked)
+	time.Sleep(2 * backoffAsked)
 	load.end()
 	for _, s := range load.asking {
 		for host, log := range load.read(t, s) {
