One look-up of callers' keys, one survey fewer after a failed call, the stand-in's field by its header

httpfield finds the keys that identify looked for by a loop of its own. In the mode with resources the servers were surveyed for backoffs after each failed call that may have run, where the answer was not used.

--- a/fake/engine/pushback.go
+++ b/fake/engine/pushback.go
@@ -14,25 +14,25 @@
 type Asked struct {
 	ID   string `json:"id"`
 	AtMS int64  `json:"at_ms"`
-	// Rest is the Retry-After of a request that was turned away for a backoff.
-	Rest string `json:"rest,omitempty"`
+	// RetryAfter is that of a request that was turned away for a backoff.
+	RetryAfter string `json:"retry_after,omitempty"`
 	// Leaving is set once the answers say so.
 	Leaving bool `json:"leaving,omitempty"`
 }
 
 // asking is what the engine asks of all who send requests.
 type asking struct {
-	until   time.Time
-	rest    string
-	leaving bool
-	log     []Asked
+	until      time.Time
+	retryAfter string
+	leaving    bool
+	log        []Asked
 }
 
 // BackOff makes the engine turn requests away for a time, with a Retry-After.
 func (e *Engine) BackOff(sick time.Duration, retryAfter string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.asking.until, e.asking.rest = time.Now().Add(sick), retryAfter
+	e.asking.until, e.asking.retryAfter = time.Now().Add(sick), retryAfter
 }
 
 // SayLeaving makes answers say that the engine leaves, not its reports.
@@ -60,10 +60,10 @@
 		ctx.Response.Header.Set(wheelgauge.HeaderLeaving, "1")
 	}
 	if now.Before(e.asking.until) {
-		one.Rest = e.asking.rest
+		one.RetryAfter = e.asking.retryAfter
 		peerhttp.AnswerError(ctx, wheelgauge.NewError(wheelgauge.ReasonOverloaded, wheelgauge.OutcomeNotRun, http.StatusServiceUnavailable, "the engine backs off"))
-		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, e.asking.rest)
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, e.asking.retryAfter)
 	}
 	e.asking.log = append(e.asking.log, one)
-	return one.Rest != ""
+	return one.RetryAfter != ""
 }
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -102,11 +102,13 @@
 		}
 		tried = append(tried, server.Name)
 	}
-	if after, ok := g.backoffEnds(rq); ok && !rq.mayHaveRun {
-		return nil, backoffError(rq, g.o.Region, after)
-	}
 	if last == nil {
-		last = g.overloaded(rq, away.Place{}, 0)
+		return nil, g.overloaded(rq, away.Place{}, 0)
+	}
+	if !rq.mayHaveRun {
+		if after, ok := g.backoffEnds(rq); ok {
+			return nil, backoffError(rq, g.o.Region, after)
+		}
 	}
 	return nil, last
 }
--- a/routegate/identify.go
+++ b/routegate/identify.go
@@ -1,7 +1,6 @@
 package routegate
 
 import (
-	"bytes"
 	"net/http"
 	"time"
 
@@ -62,14 +61,11 @@
 
 // key returns the caller's key and how many it sent.
 func (g *Gate) key(h *fasthttp.RequestHeader) (key []byte, count int) {
-	name := g.options.Names.Key
-	for n, value := range h.All() {
-		if len(n) == len(name) && bytes.EqualFold(n, []byte(name)) {
-			key = value
-			count++
-		}
+	keys := httpfield.Values(h, g.options.Names.Key)
+	if len(keys) == 0 {
+		return nil, 0
 	}
-	return key, count
+	return keys[len(keys)-1], len(keys)
 }
 
 // allowedIn tells whether the request may run in a region: homes of the route and of
--- a/systemtest/fault_pushback_test.go
+++ b/systemtest/fault_pushback_test.go
@@ -44,7 +44,7 @@
 				arrivals = append(arrivals, time.UnixMilli(one.AtMS))
 			}
 			for i, one := range log {
-				if one.Rest == "" {
+				if one.RetryAfter == "" {
 					continue
 				}
 				turned++
