--- a/configlog/rollouts_test.go
+++ b/configlog/rollouts_test.go
@@ -24,8 +24,7 @@
 	return &wheelgauge.Rollout{RolloutOrder: wheelgauge.RolloutOrder{Service: service, Version: version, DurationMS: 1000}}
 }
 
-// A service has one rollout at a time. One that ended stays until another begins, and stays
-// as it ended whatever comes late.
+// A service has one rollout at a time, and one that ended stays as it ended whatever comes late.
 func TestRollouts(t *testing.T) {
 	m := New()
 	step := func(number uint64, state wheelgauge.RolloutState, shifting bool) Command {
--- a/entrynode/conns_test.go
+++ b/entrynode/conns_test.go
@@ -6,8 +6,7 @@
 	"wheelgauge"
 )
 
-// However small a host is, connections that are all read slowly stay within its memory
-// together with what else it holds.
+// Connections that are all read slowly stay within the memory of any host.
 func TestConnsWithin(t *testing.T) {
 	const rest = 36 << 20 // what a busy host holds besides
 	tests := []struct {
--- a/entrynode/rollout_loss_test.go
+++ b/entrynode/rollout_loss_test.go
@@ -9,8 +9,7 @@
 	"wheelgauge"
 )
 
-// A rollout that was acknowledged goes on where it was when all stores ended at once and one
-// came back without its disk.
+// An acknowledged rollout goes on after all stores ended at once and one lost its disk.
 func TestRolloutOutlivesStores(t *testing.T) {
 	f := openFleet(t)
 	order := wheelgauge.RolloutOrder{Service: "s", Version: "v2", DurationMS: time.Hour.Milliseconds()}
@@ -40,8 +39,7 @@
 	}
 }
 
-// A rollout whose service leaves the configuration in the middle ends by itself, and its name
-// may be rolled out again once it is back.
+// A rollout whose service leaves the configuration ends, and may be ordered again.
 func TestRolloutOfServiceThatLeaves(t *testing.T) {
 	f := openFleet(t)
 	order := wheelgauge.RolloutOrder{Service: "s", Version: "v2", DurationMS: 1500}
--- a/entrynode/rollout_operator_test.go
+++ b/entrynode/rollout_operator_test.go
@@ -13,8 +13,7 @@
 	"wheelgauge/opsclient"
 )
 
-// Operators order, look at and take back rollouts through the product's own API; a repeated
-// order is no error to them.
+// Operators order, look at and take back rollouts through the product's own API.
 func TestRolloutByOperator(t *testing.T) {
 	f := openFleet(t)
 	const address = "127.0.84.9:7804"
--- a/entrynode/rollout_test.go
+++ b/entrynode/rollout_test.go
@@ -94,8 +94,7 @@
 	return wheelgauge.Rollout{}
 }
 
-// A version that proves good gets all requests, one that fails a part of them is taken back.
-// Until the limit it gets no more than its share, also while a store starts again.
+// A good version gets all requests, a bad one is taken back, also while a store restarts.
 func TestRollout(t *testing.T) {
 	tests := []struct {
 		name    string
@@ -160,8 +159,7 @@
 	})
 }
 
-// An order that is repeated finds itself under way, another one changes nothing, and what
-// cannot be carried out is refused.
+// A repeated order is under way, another one changes nothing, the impossible is refused.
 func TestRolloutOrders(t *testing.T) {
 	f := openFleet(t)
 	order := wheelgauge.RolloutOrder{Service: "s", Version: "v2", DurationMS: time.Hour.Milliseconds()}
@@ -206,8 +204,7 @@
 	}
 }
 
-// Versions that fail one in eight, or are six times slower on a fifth of the requests, were
-// completed.
+// Versions that fail seldom, or are slow on one route, were completed.
 func TestRolloutOfAVersionThatIsBadByLittle(t *testing.T) {
 	tests := []struct {
 		name string
--- a/pushback/fuzz_test.go
+++ b/pushback/fuzz_test.go
@@ -5,8 +5,7 @@
 	"time"
 )
 
-// FuzzParseRetryAfter: whatever a server writes, a backoff is neither negative nor too long, and digits
-// with a fraction are read as seconds.
+// FuzzParseRetryAfter: whatever a server writes, a backoff is neither negative nor too long.
 func FuzzParseRetryAfter(f *testing.F) {
 	for _, seed := range []string{"3", "0.25", ".5", "-1", "1e9", "99999999999999999999", "NaN", "Thu, 16 Apr 2026 09:28:20 GMT", "1.2.3", "", " 7 ", "0x1", "1_0", "٣"} {
 		f.Add(seed, "Thu, 16 Apr 2026 09:28:13 GMT")
--- a/rollout/director/director_test.go
+++ b/rollout/director/director_test.go
@@ -8,13 +8,7 @@
 	"wheelgauge/rollout/sequential"
 )
 
-// A rollout was told to be complete while two requests were in flight at servers that were
-// replaced: a host that was cut off goes on with them for 4 s, its requests last some seconds
-// more, and it counted as settled after 6 s. Evidence: seeds 9 and 21 of 24 of a good version
-// with hosts cut off, and none with 20 s.
-// A version that failed half of one route's requests was completed in one play: it counted as
-// proved by five answers of that route, and got too few from then on to show it. Evidence: seed
-// 18 of 24 with a grey server among the others, and none with twenty answers.
+// Rollouts were complete with requests in flight, and proved by a few answers of a route.
 func TestDecide(t *testing.T) {
 	const service, route, boot = "s", "r", 7
 	running := wheelgauge.Rollout{RolloutOrder: wheelgauge.RolloutOrder{Service: service, Version: "v2", DurationMS: 10_000}, Number: 1, State: wheelgauge.RolloutRunning}
--- a/rollout/director/play_test.go
+++ b/rollout/director/play_test.go
@@ -576,8 +576,7 @@
 	}
 }
 
-// Two ways to judge are compared over all kinds of versions and troubles: a good version
-// that goes back is lost work, a bad one that is not found is worse.
+// The sequential test is wrong no more often than fixed thresholds.
 func TestWaysToJudge(t *testing.T) {
 	type score struct{ wrong, missed, exposed int }
 	scores := map[string]*score{}
--- a/rollout/ledger/ledger_test.go
+++ b/rollout/ledger/ledger_test.go
@@ -34,8 +34,7 @@
 	}}
 }
 
-// Which versions a request may get follows from how far the rollout is, whether that is
-// certain, and how long the request will last.
+// The versions for a request follow from how far the rollout is and whether that is certain.
 func TestChoose(t *testing.T) {
 	only, others := wheelgauge.OnlyVersion(target), wheelgauge.ExceptVersion(target)
 	tests := []struct {
@@ -79,8 +78,7 @@
 	}
 }
 
-// However many hosts there are, whatever comes when, and whoever starts again, the target
-// version gets no more than its share before the limit.
+// All hosts together send the target version no more than its share before the limit.
 func TestShareOfAllHosts(t *testing.T) {
 	const share, slack = 0.1, 50.0
 	for _, count := range []int{1, 6, 30, 300, 1000} {
@@ -129,8 +127,7 @@
 	}
 }
 
-// A host is settled once it has closed the other versions and nothing is on its way there,
-// which it then tells at once. What it chose before a rollout counts.
+// A host is settled once the other versions are closed and nothing is on its way there.
 func TestSettled(t *testing.T) {
 	l, c := newLedger(0.1, 1000)
 	_, before := l.Choose(name, "r", 0, false)
@@ -164,8 +161,7 @@
 	}
 }
 
-// A settled host whose share is used up refuses what comes until the limit: it may not go
-// back to the other versions.
+// A settled host whose share is used up refuses requests until the limit.
 func TestSettledWithoutShare(t *testing.T) {
 	l, c := newLedger(0.1, 40)
 	l.Set(rollout(wheelgauge.RolloutRunning, false, 0))
@@ -226,8 +222,7 @@
 	}
 }
 
-// Canaries of the slack go to the routes that have shown the least, over the rollout's time,
-// and stay within the slack.
+// Canaries of the slack go to the routes that have shown the least, within the slack.
 func TestSlackShowsSeldomRoutes(t *testing.T) {
 	const share, slack = 0.1, 60.0
 	l, c := newLedger(share, slack)
--- a/rollout/sequential/judge_test.go
+++ b/rollout/sequential/judge_test.go
@@ -42,8 +42,7 @@
 	}
 }
 
-// A version is judged by how it does beside the others: what both suffer from says nothing,
-// nor what a single server of several does.
+// A version is judged beside the others, and not by what a single server of several does.
 func TestVerdict(t *testing.T) {
 	sound := wheelgauge.VersionCount{Answers: 100, Failed: 1, Timed: 100, Slow: 1}
 	shaken := wheelgauge.VersionCount{Answers: 100, Failed: 40, Timed: 60, Slow: 30}
--- a/rollout/tally/tally_test.go
+++ b/rollout/tally/tally_test.go
@@ -7,8 +7,7 @@
 	"wheelgauge"
 )
 
-// An answer is held against the usual time of its route, which failures, fresh servers and
-// the target version do not set.
+// The usual time of a route is not set by failures, fresh servers or the target version.
 func TestCounts(t *testing.T) {
 	usual := Answer{Service: "s", Route: "r", Server: "old", First: 100 * time.Millisecond, Step: 10 * time.Millisecond}
 	with := func(change func(a *Answer)) Answer {
--- a/routegate/pushback_test.go
+++ b/routegate/pushback_test.go
@@ -29,8 +29,7 @@
 
 func backingOff(seconds float64) string { return saying(shed, fmt.Sprintf("Retry-After: %g", seconds)) }
 
-// What an answer asks of this host is heard in any answer of the server itself, a rest in
-// its 503 only.
+// A server's own answers may push back; only its 503 asks to back off.
 func TestPushbackIsHeard(t *testing.T) {
 	const rest = 30 * time.Second
 	tests := []struct {
@@ -172,8 +171,7 @@
 	return resp, string(body), err
 }
 
-// A request that no server takes before it has rested is refused at once, with the time
-// when the first of them does.
+// A request that all servers push back is refused at once, with when the first takes work.
 func TestRefusedWhileAllBackOff(t *testing.T) {
 	tests := []struct {
 		name string
@@ -228,8 +226,7 @@
 	}
 }
 
-// A gateway whose servers back off is not asked again before they have; its callers are told
-// when that is.
+// A gateway whose servers back off is not asked before they take work again.
 func TestForwardToAGatewayWhoseServersBackOff(t *testing.T) {
 	const rest = 7 * time.Second
 	tests := []struct {
--- a/routegate/slow_test.go
+++ b/routegate/slow_test.go
@@ -40,8 +40,7 @@
 	}
 }
 
-// A caller that takes nothing of a stream holds its server up and not the host's memory; after
-// a while it is cut off, which is counted, and other callers are served meanwhile.
+// A caller that takes nothing of a stream is cut off, while others are served.
 func TestCallerThatDoesNotRead(t *testing.T) {
 	f := &flood{ended: make(chan error, 1)}
 	slow := &backend{conn: listen(t, f.serve)}
@@ -102,8 +101,7 @@
 	slowLimit = 2 * time.Minute
 )
 
-// Streams that nobody reads hold no more of the host's memory than its connections are
-// counted by, the stand-in's own part left out.
+// Streams that nobody reads hold no more memory than connections are counted by.
 func TestMemoryOfSlowReaders(t *testing.T) {
 	f := &flood{ended: make(chan error, 2*slowStreams)}
 	server := &backend{conn: listen(t, f.serve)}
--- a/serverset/limited_test.go
+++ b/serverset/limited_test.go
@@ -151,8 +151,7 @@
 	}
 }
 
-// A server that had been slow before its backoff, or while it named a limit, got next to nothing
-// for long after it: its mean time is renewed by a tenth with each answer.
+// A server that was slow in its need got next to nothing after it.
 func TestServerGetsItsPartAgain(t *testing.T) {
 	const (
 		tick   = 5 * time.Millisecond
--- a/serverset/pace_test.go
+++ b/serverset/pace_test.go
@@ -10,8 +10,7 @@
 	"wheelgauge/prompt"
 )
 
-// A server's reports of how long its work takes are noise around a mean of its own: single ones
-// are passed over, the mean counts, and what other hosts heard counts as much.
+// Single reports of how long work takes are noise; the mean over all hosts counts.
 func TestSlowness(t *testing.T) {
 	tests := []struct {
 		name    string
@@ -39,9 +38,7 @@
 	}
 }
 
-// Engines of which some work two and a half times as slowly as others get requests such that
-// callers wait less than where all count alike: played over a minute, with reports that are
-// noise around each engine's own mean.
+// Callers wait less where slow engines get fewer requests.
 func TestSlowEnginesGetLess(t *testing.T) {
 	var means [2]time.Duration
 	for n, told := range []bool{false, true} {
--- a/serverset/pushback_play_test.go
+++ b/serverset/pushback_play_test.go
@@ -80,8 +80,7 @@
 	sent, turned, refused int
 }
 
-// Servers that rest, or leave, get nothing from a host that was told, on any way there, and
-// are used again after their rest.
+// Servers that back off or leave get nothing by any way, and are used again after a backoff.
 func TestPlayedBackoffs(t *testing.T) {
 	sent, turned, refused := 0, 0, 0
 	for i := range *backoffSeeds {
--- a/serverset/size_test.go
+++ b/serverset/size_test.go
@@ -16,8 +16,7 @@
 	return float64(m.HeapAlloc)
 }
 
-// BenchmarkSize gives the live bytes of each server at a host of a large deployment, and the time that a
-// list takes that has not changed.
+// BenchmarkSize gives the live bytes of each server, and the time to take an unchanged list.
 func BenchmarkSize(b *testing.B) {
 	for _, count := range []int{1000, 10_000, 20_000} {
 		b.Run(fmt.Sprint(count, " servers"), func(b *testing.B) {
--- a/serverset/versions_test.go
+++ b/serverset/versions_test.go
@@ -8,9 +8,7 @@
 	"wheelgauge/prompt"
 )
 
-// Servers of a version that is new on the list get nothing before a state is known that is
-// newer than it, as its service may be in a rollout; those that a host knew first do, and
-// after a while a host that learns of no state uses what there is.
+// A version that is new on the list gets nothing before a newer state is known.
 func TestNewVersionWaits(t *testing.T) {
 	at := time.Unix(1000, 0)
 	now := func() time.Time { return at }
--- a/systemtest/fault_pushback_test.go
+++ b/systemtest/fault_pushback_test.go
@@ -61,8 +61,7 @@
 	load.report(t)
 }
 
-// Engines that said in their answers that they leave got requests for as long as their
-// reports did not say so.
+// Engines that said in their answers that they leave got requests all the same.
 func TestFaultServerThatSaysItLeaves(t *testing.T) {
 	const known = time.Second
 	load := launchAsking(t)
