Interfaces for hard load; where a request goes, split by decision

Cause: both new customers need decisions that do not exist yet: a model of engines, credits between regions, a waiting room, shares of workspaces, a schedule of returns. Their interfaces stand in the root package; routegate's choice of place is split into the files that each of them changes. Nothing changes in behaviour.

--- /dev/null
+++ b/engines.go
@@ -0,0 +1,55 @@
+package wheelgauge
+
+import "time"
+
+// EngineLoad is what a model engine has in flight, as seen by one request.
+type EngineLoad struct {
+	// InFlight are all requests in flight, InFlightAhead those of the same or a higher
+	// priority.
+	InFlight, InFlightAhead float64
+	// TokensAhead are the prompt tokens to be prefilled before the request's own,
+	// TokensBehind those of lower priority, OwnTokens those that the request itself needs.
+	TokensAhead, TokensBehind, OwnTokens float64
+	// Slots is the most requests that run at once; 0 if unknown.
+	Slots float64
+	// DurationMS is the usual duration of a request there, in milliseconds.
+	DurationMS float64
+	// Overtaken is set if requests of a higher priority are in flight.
+	Overtaken bool
+	// OutputTokens are the tokens that the request is expected to generate; 0 if unknown.
+	OutputTokens float64
+}
+
+// EngineForecast is how a request is expected to run at an engine.
+type EngineForecast struct {
+	// First is the time to the first event, Last that to the last one; 0 if unknown.
+	First, Last time.Duration
+	// Pause is the longest pause between two events; 0 if unknown.
+	Pause time.Duration
+	// Delay is the total delay that the request causes to those that run there.
+	Delay time.Duration
+	// Error is the mean absolute error of First in similar forecasts; 0 if unknown.
+	Error time.Duration
+}
+
+// EngineRun is how a request ran at an engine.
+type EngineRun struct {
+	// Load is the engine's load when the request was sent.
+	Load EngineLoad
+	// First and Last are the times to the first and to the last event, Pause is the longest
+	// pause between two events.
+	First, Last, Pause time.Duration
+	// Events is the number of events received.
+	Events int
+	// Complete is false if the stream broke off or has not ended.
+	Complete bool
+}
+
+// EngineModel predicts how requests run at model engines.
+type EngineModel interface {
+	// Predict forecasts a request that would be sent to an engine now. speed is how many times
+	// as long as usual work takes there.
+	Predict(service string, l EngineLoad, speed float64) EngineForecast
+	// Observe records how a request ran at an engine with a speed.
+	Observe(service string, r EngineRun, speed float64)
+}
--- /dev/null
+++ b/routegate/forward.go
@@ -0,0 +1,55 @@
+package routegate
+
+import (
+	"wheelgauge"
+	"wheelgauge/peerset"
+	"wheelgauge/serverset"
+)
+
+// peer chooses a gateway of another region; nil when none accepts requests.
+func (c *call) peer(region string) *peerset.Peer {
+	return c.gate.options.Peers.Choose(region, c.service, c.rank, c.prompt.Tokens(), c.triedPeers)
+}
+
+// bestRemote returns the other region with the lowest predicted cost. A request that cannot
+// run in this region falls back to regions with rate-limited servers only, then to regions
+// whose gateways are leaving.
+func (c *call) bestRemote(localOK bool) (string, serverset.Estimate) {
+	peers := c.gate.options.Peers
+	region, remote := c.bestRegion(peers.Regions)
+	for _, candidates := range []func(service string) []string{peers.LimitedRegions, peers.LeavingRegions} {
+		if region == "" && !localOK {
+			region, remote = c.bestRegion(candidates)
+		}
+	}
+	return region, remote
+}
+
+// bestRegion returns the region with the lowest predicted cost; empty when the request may not
+// be forwarded.
+func (c *call) bestRegion(regions func(service string) []string) (string, serverset.Estimate) {
+	best, lowest := "", serverset.Estimate{}
+	if c.forwarded || len(c.triedPeers) >= maxSends {
+		return best, lowest
+	}
+	o := c.gate.options
+	for _, region := range regions(c.service) {
+		if !c.allowedIn(region) {
+			continue
+		}
+		e := c.predictRemote(o.Peers.Load(region, c.service)).AddLatency(o.Peers.RoundTrip(region))
+		if best == "" || e.Cost() < lowest.Cost() {
+			best, lowest = region, e
+		}
+	}
+	return best, lowest
+}
+
+// predictRemote estimates the wait and cost in a region from its aggregate load.
+func (c *call) predictRemote(u wheelgauge.ServiceUsage) serverset.Estimate {
+	s := c.gate.RouteTable().Service(c.service)
+	if s == nil {
+		return serverset.Estimate{}
+	}
+	return c.gate.options.Servers.PredictAt(*s, u, c.prompt, c.rank)
+}
