--- /dev/null
+++ b/enginemodel/model.go
@@ -0,0 +1,270 @@
+// Package enginemodel learns from a host's own requests how they run at model engines: the time
+// to the first event, the pace, the longest pause and the end.
+package enginemodel
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"wheelgauge"
+	"wheelgauge/enginewait"
+)
+
+const (
+	// Units of the features, so that usual values are near 1.
+	tokensUnit        = 1000.0
+	runningUnit       = 10.0
+	pendingTokensUnit = 10_000.0
+	// minPrefillRate and maxPrefillRate bound the tokens prefilled in a millisecond.
+	minPrefillRate = 5.0
+	maxPrefillRate = 500.0
+	// maxConstantMS bounds the part of a first event that does not depend on the load,
+	// maxRunningMS what ten running requests add.
+	maxConstantMS = 2000.0
+	maxRunningMS  = 500.0
+	// maxPaceMS bounds the time of an output token, maxPauseMS that of a pause.
+	maxPaceMS  = 1000.0
+	maxPauseMS = 20_000.0
+	// minSamples is how many answers must have ended before paces, pauses and ends are predicted.
+	minSamples = 20
+	// A sample further from its prediction than outlierErrors mean errors, and than minOutlierMS,
+	// counts as if it were that far.
+	outlierErrors = 3.0
+	minOutlierMS  = 200.0
+	// varianceMS is where half of a wait's variance is constant; the rest grows with the wait.
+	varianceMS = 100.0
+	// errorWeight is the weight of a new error in the mean, and of other running means.
+	errorWeight = 0.05
+	// freshTime is how long what was learned holds without new samples. After it the first event
+	// returns to the fixed figures by half every staleHalfLife, and the rest is unknown: a host
+	// whose forecasts refuse everything must try again.
+	freshTime     = 5 * time.Second
+	staleHalfLife = 5 * time.Second
+)
+
+// Model is a learned model of the engines of each service. It is safe for concurrent use.
+type Model struct {
+	mu       sync.Mutex
+	services map[string]*serviceModel
+	now      func() time.Time
+}
+
+// serviceModel is what is known of the engines of a service, at usual speed.
+type serviceModel struct {
+	// first predicts the first event, pace the time of an output token, pause the longest pause;
+	// all in milliseconds.
+	first, pace, pause regression
+	// firstErrorMS and lastErrorMS are mean absolute errors.
+	firstErrorMS, lastErrorMS float64
+	// decodeMS is the mean time from the first to the last event, tokensPerEvent the mean of the
+	// expected tokens by event.
+	decodeMS, tokensPerEvent float64
+	// firstAt and lastAt are the times of the latest samples of first events and of ends.
+	firstAt, lastAt time.Time
+}
+
+// Figures are what a model has learned of the engines of a service at usual speed.
+type Figures struct {
+	Service string
+	// ConstantMS, PrefillMSPerToken and RunningMS are the parts of a first event: always, for each
+	// prompt token, and for each running request.
+	ConstantMS, PrefillMSPerToken, RunningMS float64
+	// PaceMS is the time of an output token and PauseMS the longest pause, at an engine with ten
+	// requests.
+	PaceMS, PauseMS float64
+	// ErrorMS is the mean absolute error of first events, Samples their number.
+	ErrorMS float64
+	Samples int
+}
+
+// New returns a model that has learned nothing: its first events are those of package enginewait.
+func New(now func() time.Time) *Model {
+	return &Model{services: map[string]*serviceModel{}, now: now}
+}
+
+// service returns the model of a service; the lock is held.
+func (m *Model) service(name string) *serviceModel {
+	if s := m.services[name]; s != nil {
+		return s
+	}
+	s := &serviceModel{
+		first: newRegression([features]figure{
+			{initial: 0, weight: 4, least: 0, most: maxConstantMS},
+			{initial: tokensUnit / enginewait.PrefillTokensPerMS, weight: 10, least: tokensUnit / maxPrefillRate, most: tokensUnit / minPrefillRate},
+			{initial: runningUnit * enginewait.DelayPerRunningMS, weight: 10, least: 0, most: maxRunningMS},
+		}),
+		pace:  newRegression([features]figure{{weight: 0.1, most: maxPaceMS}, {weight: 1, most: maxPaceMS}, {weight: 1}}),
+		pause: newRegression([features]figure{{weight: 0.1, most: maxPauseMS}, {weight: 1, most: maxPauseMS}, {weight: 1, most: maxPauseMS}}),
+	}
+	m.services[name] = s
+	return s
+}
+
+// Predict forecasts a request that would be sent to an engine now. speed is how many times as
+// long as usual work takes there.
+func (m *Model) Predict(service string, l wheelgauge.EngineLoad, speed float64) wheelgauge.EngineForecast {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s, now := m.service(service), m.now()
+	known := s.knowsEnds(now)
+	if l.DurationMS <= 0 && known {
+		l.DurationMS = speed * s.decodeMS
+	}
+	first := speed*s.first.predict(firstFeatures(l), s.trust(now)) + queueMS(l)
+	f := wheelgauge.EngineForecast{First: duration(first), Delay: duration(speed * enginewait.SlowdownCostMS * l.InFlight), Error: duration(s.firstErrorMS)}
+	if !known {
+		return f
+	}
+	f.Last = f.First + duration(speed*s.decode(l))
+	f.LastError = duration(s.lastErrorMS)
+	if l.OutputTokens == 0 || l.OutputTokens > s.tokensPerEvent {
+		f.Pause = duration(speed * s.pause.predict(pauseFeatures(l), 1))
+	}
+	return f
+}
+
+// Observe records how a request ran at an engine with a speed: once at its first event, and again
+// when it ended.
+func (m *Model) Observe(service string, r wheelgauge.EngineRun, speed float64) {
+	if speed <= 0 {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s, now := m.service(service), m.now()
+	if r.Last > 0 {
+		if r.Complete && r.Events > 1 {
+			s.observeEnd(r, speed, now)
+		}
+		return
+	}
+	if r.Load.Full() || mayBeDisplaced(r.Load) {
+		return // it shows the wait for a slot
+	}
+	x := firstFeatures(r.Load)
+	predicted := s.first.predict(x, 1)
+	observed := milliseconds(r.First) / speed
+	most := max(minOutlierMS, outlierErrors*s.firstErrorMS)
+	off := min(most, max(-most, observed-predicted))
+	s.first.add(x, predicted+off, varianceMS/(varianceMS+predicted))
+	s.firstErrorMS += errorWeight * (min(outlierErrors*most, math.Abs(observed-predicted)) - s.firstErrorMS)
+	s.firstAt = now
+}
+
+// observeEnd records a complete answer of several events.
+func (s *serviceModel) observeEnd(r wheelgauge.EngineRun, speed float64, now time.Time) {
+	decode := milliseconds(r.Last-r.First) / speed
+	if s.pace.samples >= minSamples {
+		s.lastErrorMS += errorWeight * (math.Abs(decode-s.decode(r.Load)) - s.lastErrorMS)
+	}
+	tokens := r.Load.OutputTokens
+	if s.decodeMS == 0 {
+		s.decodeMS, s.tokensPerEvent = decode, tokens/float64(r.Events)
+	}
+	s.decodeMS += errorWeight * (decode - s.decodeMS)
+	if tokens > 0 {
+		s.tokensPerEvent += errorWeight * (tokens/float64(r.Events) - s.tokensPerEvent)
+		s.pace.add(paceFeatures(r.Load), min(maxPaceMS, decode/tokens), 1)
+	}
+	s.pause.add(pauseFeatures(r.Load), min(maxPauseMS, milliseconds(r.Pause)/speed), 1)
+	s.lastAt = now
+}
+
+// PrefillRate is the prompt tokens that an engine of usual speed prefills in a millisecond, at most
+// the fixed figure: where prompts fit in steps that are full anyway, a first event does not show
+// how long they take.
+func (m *Model) PrefillRate(service string) float64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return min(enginewait.PrefillTokensPerMS, tokensUnit/m.service(service).first.fitted[1])
+}
+
+// Figures returns what was learned of each service, by name.
+func (m *Model) Figures() []Figures {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make([]Figures, 0, len(m.services))
+	ten := wheelgauge.EngineLoad{InFlight: runningUnit}
+	for name, s := range m.services {
+		out = append(out, Figures{
+			Service: name, ConstantMS: s.first.fitted[0], PrefillMSPerToken: s.first.fitted[1] / tokensUnit, RunningMS: s.first.fitted[2] / runningUnit,
+			PaceMS: s.pace.predict(paceFeatures(ten), 1), PauseMS: s.pause.predict(pauseFeatures(ten), 1), ErrorMS: s.firstErrorMS, Samples: s.first.samples,
+		})
+	}
+	slices.SortFunc(out, func(a, b Figures) int { return cmp.Compare(a.Service, b.Service) })
+	return out
+}
+
+// trust is how much of what was learned of first events still holds, from 0 to 1.
+func (s *serviceModel) trust(now time.Time) float64 {
+	idle := now.Sub(s.firstAt) - freshTime
+	if idle <= 0 {
+		return 1
+	}
+	return math.Exp2(-idle.Seconds() / staleHalfLife.Seconds())
+}
+
+// knowsEnds reports whether paces, pauses and ends are predicted.
+func (s *serviceModel) knowsEnds(now time.Time) bool {
+	return s.pause.samples >= minSamples && now.Sub(s.lastAt) <= freshTime
+}
+
+// decode predicts the time from the first to the last event, in milliseconds.
+func (s *serviceModel) decode(l wheelgauge.EngineLoad) float64 {
+	if l.OutputTokens == 0 || s.pace.samples < minSamples {
+		return s.decodeMS
+	}
+	return l.OutputTokens * s.pace.predict(paceFeatures(l), 1)
+}
+
+// mayBeDisplaced reports whether more urgent requests are likely to take the request's slot before
+// its first event.
+func mayBeDisplaced(l wheelgauge.EngineLoad) bool {
+	return l.Overtaken && l.Slots > 0 && l.InFlight >= l.Slots-l.Reserved
+}
+
+// running is how many of the requests in flight run.
+func running(l wheelgauge.EngineLoad) float64 {
+	if l.Slots <= 0 {
+		return l.InFlight
+	}
+	return min(l.InFlight, l.Slots)
+}
+
+// behindInSlots are the prompt tokens of less urgent requests that hold a slot: those that wait
+// for one are not prefilled before the request.
+func behindInSlots(l wheelgauge.EngineLoad) float64 {
+	behind := l.InFlight - l.InFlightAhead
+	if l.Slots <= 0 || behind <= 0 {
+		return l.TokensBehind
+	}
+	return l.TokensBehind * min(1, max(0, l.Slots-l.InFlightAhead)/behind)
+}
+
+func firstFeatures(l wheelgauge.EngineLoad) [features]float64 {
+	tokens := l.TokensAhead + enginewait.LowerPriorityShare*behindInSlots(l) + l.OwnTokens
+	return [features]float64{1, tokens / tokensUnit, running(l) / runningUnit}
+}
+
+func paceFeatures(l wheelgauge.EngineLoad) [features]float64 {
+	return [features]float64{1, running(l) / runningUnit, 0}
+}
+
+func pauseFeatures(l wheelgauge.EngineLoad) [features]float64 {
+	return [features]float64{1, running(l) / runningUnit, (l.TokensAhead + behindInSlots(l)) / pendingTokensUnit}
+}
+
+// queueMS is the wait for a slot beside those that are reserved.
+func queueMS(l wheelgauge.EngineLoad) float64 {
+	if l.Slots > 0 {
+		l.Slots = max(1, l.Slots-l.Reserved)
+	}
+	return enginewait.Load(l).Queue()
+}
+
+func duration(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/engines.go
+++ b/engines.go
@@ -18,8 +18,13 @@
 	Overtaken bool
 	// OutputTokens are the tokens that the request is expected to generate; 0 if unknown.
 	OutputTokens float64
+	// Reserved are the slots that requests of a higher priority are likely to take soon.
+	Reserved float64
 }
 
+// Full reports whether the request would wait for a slot.
+func (l EngineLoad) Full() bool { return l.Slots > 0 && l.InFlightAhead >= l.Slots-l.Reserved }
+
 // EngineForecast is how a request is expected to run at an engine.
 type EngineForecast struct {
 	// First is the time to the first event, Last that to the last one; 0 if unknown.
@@ -28,8 +33,9 @@
 	Pause time.Duration
 	// Delay is the total delay that the request causes to those that run there.
 	Delay time.Duration
-	// Error is the mean absolute error of First in similar forecasts; 0 if unknown.
-	Error time.Duration
+	// Error is the mean absolute error of First in earlier forecasts, LastError that of Last; 0
+	// if unknown.
+	Error, LastError time.Duration
 }
 
 // EngineRun is how a request ran at an engine.
@@ -37,11 +43,11 @@
 	// Load is the engine's load when the request was sent.
 	Load EngineLoad
 	// First and Last are the times to the first and to the last event, Pause is the longest
-	// pause between two events.
+	// pause between two events. Last is 0 when only the first event has arrived.
 	First, Last, Pause time.Duration
 	// Events is the number of events received.
 	Events int
-	// Complete is false if the stream broke off or has not ended.
+	// Complete is false if the answer broke off or has not ended.
 	Complete bool
 }
 
@@ -50,6 +56,10 @@
 	// Predict forecasts a request that would be sent to an engine now. speed is how many times
 	// as long as usual work takes there.
 	Predict(service string, l EngineLoad, speed float64) EngineForecast
-	// Observe records how a request ran at an engine with a speed.
+	// Observe records how a request ran at an engine with a speed: once at its first event, and
+	// again when it ended.
 	Observe(service string, r EngineRun, speed float64)
+	// PrefillRate is the prompt tokens that an engine of usual speed prefills in a millisecond; an
+	// estimate that is rather too low than too high.
+	PrefillRate(service string) float64
 }
--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -21,6 +21,7 @@
 	"wheelgauge/callerhttp"
 	"wheelgauge/capclient"
 	"wheelgauge/countconn"
+	"wheelgauge/enginemodel"
 	"wheelgauge/heartbeat"
 	"wheelgauge/httpserve"
 	"wheelgauge/meter"
@@ -97,6 +98,8 @@
 	// requests to the target version, plus a fixed number of requests.
 	RolloutShare float64
 	RolloutSlack float64
+	// LearnEngines predicts waits at model engines by a learned model instead of fixed figures.
+	LearnEngines bool
 	// Client calls stores; nil creates one.
 	Client *peerhttp.Client
 	// Clock for ages, leases and deadlines; nil means one that counts suspended time.
@@ -118,9 +121,11 @@
 	// quarantine rejects requests that crash servers.
 	quarantine *quarantine.Table
 	// limits are the rate limits that servers have reported.
-	limits       *serverlimit.Table
-	permits      *permitclient.Client
-	versions     *selector.Selector
+	limits   *serverlimit.Table
+	permits  *permitclient.Client
+	versions *selector.Selector
+	// engines is nil unless LearnEngines is set.
+	engines      *enginemodel.Model
 	tally        *tally.Tally
 	meter        *meter.Meter
 	heartbeats   atomic.Pointer[heartbeat.Client]
@@ -158,6 +163,7 @@
 	n.quarantine = quarantine.New(clock.Now)
 	n.limits = serverlimit.New(clock.Now)
 	n.servers.SetLimits(n.limits.Rate)
+	n.learnEngines()
 	n.permits = permitclient.New(permitclient.Options{
 		Host: o.Name, Limits: n.limits, Stores: n.regionStores, Sharers: n.servers.LowRateHosts, Request: n.requestPermit, Now: clock.Now,
 	})
@@ -184,7 +190,7 @@
 			n.peers.OpenIdle(ctx)
 		})
 	}()
-	o.Log.Info("Gateway serves.", "name", o.Name, "callers", o.CallerAddress, "peer", o.PeerAddress, "seeds", o.Seeds)
+	o.Log.Info("Gateway serves.", "name", o.Name, "callers", o.CallerAddress, "peer", o.PeerAddress, "seeds", o.Seeds, "learns_engines", o.LearnEngines)
 	return n, nil
 }
 
@@ -301,6 +307,7 @@
 
 func (n *Node) serveMetrics(ctx *fasthttp.RequestCtx) {
 	n.meter.Gauge("connections.dialed", int64(n.servers.Dialed()))
+	n.gaugeEngines()
 	n.meter.Gauge("requests.serving", int64(n.callerServer.InFlight()))
 	ctx.SetContentType("application/json")
 	n.meter.WriteJSON(ctx)
--- a/routegate/call.go
+++ b/routegate/call.go
@@ -259,7 +259,7 @@
 		"state_age_ms", g.configAge().Milliseconds(), "list_age_ms", g.options.Servers.ListAge().Milliseconds(), "status", c.status, "cause", c.cause,
 		"servers", strings.Join(c.triedServers, " "), "peers", strings.Join(c.triedPeers, " "), "runs", c.runs, "forwarded", c.forwarded,
 		"cap_ms", c.capWait.Milliseconds(), "permit_ms", c.permitWait.Milliseconds(), "version_sent", c.sentVersion, "predicted_ms", c.predictedWait.Milliseconds(), "first_ms", c.firstAfter.Milliseconds(), "ms", elapsed.Milliseconds(),
-		"events", c.splitter.Events(), "pause_ms", c.longestPause.Milliseconds(), "expected_tokens", c.prompt.Output(), "load", c.placementInputs())
+		"events", c.splitter.Events(), "pause_ms", c.longestPause.Milliseconds(), "expected_tokens", c.prompt.Output(), "load", c.placementInputs(), "forecast", c.forecastText())
 }
 
 // placementInputs renders the load figures behind the last choice of a server; empty without
@@ -272,3 +272,16 @@
 	limit, _ := c.gate.options.Limits.Rate(c.lastPick.Server().InstanceKey())
 	return fmt.Sprintf("running=%d tokens=%d missing=%d source=%s age_ms=%d limit=%g", l.Running(), l.Tokens(), c.lastPick.MissingTokens(), c.lastPick.Source(), l.Age().Milliseconds(), limit)
 }
+
+// forecastText renders the engine model's forecast at the last choice of a server; empty without
+// one.
+func (c *call) forecastText() string {
+	if c.lastPick == nil {
+		return ""
+	}
+	f, speed, ok := c.lastPick.Forecast()
+	if !ok {
+		return ""
+	}
+	return fmt.Sprintf("first_ms=%d pause_ms=%d last_ms=%d speed=%.2f", f.First.Milliseconds(), f.Pause.Milliseconds(), f.Last.Milliseconds(), speed)
+}
--- a/routegate/dispatch.go
+++ b/routegate/dispatch.go
@@ -41,6 +41,8 @@
 	// of events received in earlier exchanges.
 	firstAfter   time.Duration
 	eventsBefore int
+	// pace is how the events of a stream arrived.
+	pace streamPace
 }
 
 // sendToServer dispatches to a server of the region.
@@ -90,7 +92,7 @@
 			c.gate.options.Meter.Count("answers.foreign")
 		}
 		// The true wait is longer still; the next predictions have to account for it.
-		x.recordWait()
+		x.recordWait(true)
 		k.Done(c.failureOutcome(ctx))
 		return failed
 	}
@@ -264,11 +266,14 @@
 	if x.pick != nil && !x.begun {
 		x.begun = true
 		x.pick.FirstEvent()
-		x.recordWait()
+		x.recordWait(false)
 	}
 }
 
-// recordWait compares the predicted wait with the time waited so far.
-func (x *exchange) recordWait() {
-	x.call.gate.waits.observe(x.call.route.Name, x.pick.Wait(), time.Since(x.sentAt))
+// recordWait compares the predicted wait with the time waited so far; failed is set if no event
+// came.
+func (x *exchange) recordWait(failed bool) {
+	waited := time.Since(x.sentAt)
+	x.call.gate.waits.observe(x.call.route.Name, x.pick.Wait(), waited)
+	x.pick.FirstEventAfter(waited, failed)
 }
--- a/routegate/forward.go
+++ b/routegate/forward.go
@@ -51,5 +51,5 @@
 	if s == nil {
 		return serverset.Estimate{}
 	}
-	return c.gate.options.Servers.PredictAt(*s, u, c.prompt, c.rank)
+	return c.gate.options.Servers.PredictAt(*s, u, c.job())
 }
--- a/routegate/late.go
+++ b/routegate/late.go
@@ -1,6 +1,11 @@
 package routegate
 
-import "time"
+import (
+	"time"
+
+	"wheelgauge"
+	"wheelgauge/serverset"
+)
 
 const (
 	// maxWaitFactor is the predicted wait, as a multiple of the objective, above which a
@@ -11,6 +16,9 @@
 	// late.
 	congestedWaitFactor = 0.75
 	congestedShare      = 0.5
+	// modelledWaitFactor is that factor where the wait is learned: it holds the constant part of
+	// each first event, and what comes in time is served.
+	modelledWaitFactor = 1.0
 	// forwardWaitShare is the share of the objective that the mean wait must exceed before
 	// long prompts are forwarded earlier than short ones. Without a queue, forwarding them
 	// only loses their cache hits.
@@ -20,6 +28,9 @@
 // excess returns how much longer than predicted a request would wait here than elsewhere;
 // correction is what the correction of its predicted wait adds.
 func (c *call) excess(correction time.Duration) time.Duration {
+	if c.modelled() {
+		return 0 // the model has learned it
+	}
 	if c.congested(forwardWaitShare) {
 		return correction
 	}
@@ -35,10 +46,45 @@
 	factor := maxWaitFactor
 	if c.congested(congestedShare) {
 		factor = congestedWaitFactor
+		if c.modelled() {
+			factor = modelledWaitFactor
+		}
 	}
 	return wait > time.Duration(factor*float64(c.route.LatencyObjective))
 }
 
+// modelled reports whether an engine model predicts how the request runs.
+func (c *call) modelled() bool { return c.gate.options.Servers.HasModel(c.service) }
+
+// correctedWait returns the wait to be expected at the servers of the region.
+func (c *call) correctedWait(local serverset.Estimate) time.Duration {
+	if c.modelled() {
+		return local.Wait()
+	}
+	return c.gate.waits.correct(c.route.Name, local.Wait())
+}
+
+// endsTooLate reports whether the answer cannot end in the time left where the request would be
+// sent: its caller would get part of it, for the work of all.
+func (c *call) endsTooLate(forward bool, local, remote serverset.Estimate) bool {
+	if c.forwarded || c.sends > 0 {
+		return false
+	}
+	e := local
+	if forward {
+		e = remote
+	}
+	return !e.EndsWithin(time.Until(c.connDeadline()))
+}
+
+// pauseObjective is the target for the longest pause of a stream; 0 without one.
+func (c *call) pauseObjective() time.Duration {
+	if c.route.Kind != wheelgauge.RouteStream {
+		return 0
+	}
+	return c.route.GapObjective
+}
+
 // congested reports whether the mean wait of the route here exceeds a share of its objective.
 func (c *call) congested(share float64) bool {
 	return c.gate.waits.mean(c.route.Name) > time.Duration(share*float64(c.route.LatencyObjective))
--- a/routegate/place.go
+++ b/routegate/place.go
@@ -1,6 +1,8 @@
 package routegate
 
 import (
+	"time"
+
 	"wheelgauge/peerset"
 	"wheelgauge/serverset"
 )
@@ -18,7 +20,7 @@
 // choosePlacement compares the servers of the region with other regions.
 func (c *call) choosePlacement() placement {
 	local, ok := c.predictLocal()
-	wait := c.gate.waits.correct(c.route.Name, local.Wait())
+	wait := c.correctedWait(local)
 	region, remote := c.bestRemote(ok)
 	forward := region != "" && (!ok || remote.Cost() < local.Cost()+c.excess(wait-local.Wait()) || c.tooLate(wait))
 	if forward && c.gate.mayOutlastProcess(c.route.Name, c.route.Timeout, c.gate.options.Peers.RoundTrip(region)) {
@@ -33,7 +35,7 @@
 	switch {
 	case !ok && !forward:
 		return placement{}
-	case c.tooLate(wait):
+	case c.tooLate(wait) || c.endsTooLate(forward, local, remote):
 		c.predictedWait = wait
 		return placement{tooLate: true}
 	}
@@ -60,7 +62,7 @@
 }
 
 func (c *call) job() serverset.Job {
-	return serverset.NewJob(c.service, c.prompt, c.rank, c.triedServers).WithRegions(c.allowedIn).WithVersions(c.versionFilter)
+	return serverset.NewJob(c.service, c.prompt, c.rank, c.triedServers).WithRegions(c.allowedIn).WithVersions(c.versionFilter).WithTargets(c.route.LatencyObjective, c.pauseObjective(), time.Until(c.connDeadline()))
 }
 
 // release gives back a chosen server that the request is not sent to.
--- a/routegate/relay.go
+++ b/routegate/relay.go
@@ -147,7 +147,9 @@
 	}
 	c.longestPause = max(c.longestPause, now.Sub(c.lastEventAt))
 	c.lastEventAt = now
+	x.pace.arrived(now)
 	_, err := c.request.Write(complete)
+	x.pace.written(now, time.Now())
 	return err
 }
 
@@ -159,6 +161,7 @@
 		}
 	}
 	x.noteFirstByte()
+	x.recordEnd()
 	if err := c.request.End(); err != nil {
 		return c.endWriteFailed(err)
 	}
--- /dev/null
+++ b/serverset/forecast.go
@@ -0,0 +1,215 @@
+package serverset
+
+import (
+	"math"
+	"time"
+
+	"wheelgauge"
+	"wheelgauge/enginewait"
+)
+
+const (
+	// endCostMS is the cost of a server where the answer cannot end in its time, in milliseconds
+	// of waiting: any other that can take the request is preferred.
+	endCostMS = 10_000.0
+	// A pause costs from pauseCostFrom of its objective on, and the whole cost from pauseCostTo:
+	// forecasts are means, and half of the answers pause for longer.
+	pauseCostFrom = 0.8
+	pauseCostTo   = 1.2
+	// urgentMeanTime is the time over which the urgent requests at a server are averaged: some
+	// times that of a request with little output.
+	urgentMeanTime = 2 * time.Second
+	// residentWeight is the weight of a new request in the mean tokens that one of its rank
+	// keeps in an engine's memory.
+	residentWeight = 0.05
+)
+
+// SetEngineModel sets the model that predicts how requests run at engines; without one, fixed
+// figures are used. It is called before the first request.
+func (t *Table) SetEngineModel(m wheelgauge.EngineModel) { t.model = m }
+
+// HasModel reports whether a model predicts how requests of a service run.
+func (t *Table) HasModel(service string) bool {
+	if t.model == nil {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	config := t.serviceConfig(service)
+	return config != nil && config.KVCacheTokens > 0
+}
+
+// modelled adds the forecast of the model to a choice: the wait, and the cost of what the request
+// delays, of a long pause and of an end that comes too late. The lock is held.
+func (t *Table) modelled(c choice, j Job, missing, reread int, now time.Time) choice {
+	s := c.server
+	c.load = t.modelLoad(s, j, missing, now)
+	c.speed = s.speed(now)
+	c.forecast = t.model.Predict(j.service, c.load, c.speed)
+	fetch := c.wait
+	c.wait += ms(c.forecast.First)
+	c.score += ms(c.forecast.Delay) + targetCost(c.forecast, j)
+	c.score += rereadCostFactor * float64(reread) / t.model.PrefillRate(j.service) * c.speed
+	c.forecast.First += duration(fetch)
+	if c.forecast.Last > 0 {
+		c.forecast.Last += duration(fetch)
+	}
+	return c
+}
+
+// targetCost is the cost of a forecast that misses the targets of a job, in milliseconds of
+// waiting. A caller has no more use of an answer that pauses for too long than of one that begins
+// twice as late as it should.
+func targetCost(f wheelgauge.EngineForecast, j Job) float64 {
+	cost := 0.0
+	if j.pauseObjective > 0 {
+		share := (float64(f.Pause)/float64(j.pauseObjective) - pauseCostFrom) / (pauseCostTo - pauseCostFrom)
+		cost += min(1, max(0, share)) * ms(j.firstObjective)
+	}
+	if j.timeLeft > 0 && f.Last > j.timeLeft {
+		cost += endCostMS
+	}
+	return cost
+}
+
+// modelLoad is the load of an engine as the model sees it. The lock is held.
+func (t *Table) modelLoad(s *Server, j Job, missing int, now time.Time) wheelgauge.EngineLoad {
+	l := wheelgauge.EngineLoad(engineLoad(s, j.rank, missing, now, t.model.PrefillRate(j.service)))
+	l.OutputTokens = float64(j.prompt.Output())
+	work := s.workByRank.Plus(s.peerUse.Work)
+	l.Reserved = s.urgentLevels.reserved(work, j.rank, now)
+	if slots := t.memorySlots(work, j); slots > 0 && (l.Slots <= 0 || slots < l.Slots) {
+		l.Slots = slots
+	}
+	return l
+}
+
+// memorySlots is how many requests like work, which is in flight at an engine, and this one fit in
+// its memory; 0 if unknown. Parts of prompts that requests share are not counted.
+func (t *Table) memorySlots(work wheelgauge.Work, j Job) float64 {
+	config := t.serviceConfig(j.service)
+	if config == nil || config.KVCacheTokens <= 0 {
+		return 0
+	}
+	tokens, requests := j.residentTokens(), 1.0
+	for _, r := range work {
+		mean := t.residentTokens[rankOfService{j.service, r.Rank}]
+		if mean <= 0 || r.Running <= 0 {
+			continue
+		}
+		tokens += mean * float64(r.Running)
+		requests += float64(r.Running)
+	}
+	if tokens <= 0 {
+		return 0
+	}
+	return max(1, math.Floor(float64(config.KVCacheTokens)*requests/tokens))
+}
+
+// rankOfService identifies the requests of a rank for a service.
+type rankOfService struct {
+	service string
+	rank    int
+}
+
+// residentTokens are the tokens that the job alone keeps in an engine's memory until it ends.
+func (j Job) residentTokens() float64 {
+	return float64(j.prompt.Tokens() - j.prompt.SharedTokens() + j.prompt.Output())
+}
+
+// recordResident updates the mean tokens of a rank; the lock is held.
+func (t *Table) recordResident(j Job) {
+	key := rankOfService{j.service, j.rank}
+	mean, ok := t.residentTokens[key]
+	if !ok {
+		mean = j.residentTokens()
+	}
+	t.residentTokens[key] = mean + residentWeight*(j.residentTokens()-mean)
+}
+
+// urgentLevels are the mean requests of each rank in flight at a server lately.
+type urgentLevels struct {
+	means map[int]float64
+	at    time.Time
+}
+
+// note records what is in flight now.
+func (u *urgentLevels) note(work wheelgauge.Work, now time.Time) {
+	kept := 1.0
+	if u.means == nil {
+		u.means, kept = map[int]float64{}, 0
+	} else if age := now.Sub(u.at); age > 0 {
+		kept = math.Exp(-age.Seconds() / urgentMeanTime.Seconds())
+	}
+	u.at = now
+	for rank := range u.means {
+		u.means[rank] *= kept
+	}
+	for _, r := range work {
+		u.means[r.Rank] += (1 - kept) * float64(r.Running)
+	}
+}
+
+// reserved is how many more requests that are more urgent than a rank are to be expected: their
+// mean and its usual spread, without those in flight.
+func (u *urgentLevels) reserved(work wheelgauge.Work, rank int, now time.Time) float64 {
+	u.note(work, now)
+	mean := 0.0
+	for q, m := range u.means {
+		if q < rank {
+			mean += m
+		}
+	}
+	_, urgent, _ := work.AheadAndUrgent(rank)
+	return max(0, mean+math.Sqrt(mean)-float64(urgent))
+}
+
+// observeFirst records the time to the first event, or a lower bound of it if the request
+// failed. The lock is held.
+func (k *Pick) observeFirst(after time.Duration, failed bool) {
+	model := k.table.model
+	if model == nil || !k.modelled || failed && after <= k.forecast.First {
+		return
+	}
+	service := k.server.spec.Service
+	if unit := model.Predict(service, k.load, 1); !k.load.Full() {
+		k.server.speedSums.add(ms(after), ms(unit.First), k.server.reportedSpeed(), k.table.now())
+	}
+	model.Observe(service, wheelgauge.EngineRun{Load: k.load, First: after}, k.speed)
+}
+
+// FirstEventAfter records how long the first event took, or how long the request waited until it
+// failed.
+func (k *Pick) FirstEventAfter(after time.Duration, failed bool) {
+	k.table.mu.Lock()
+	defer k.table.mu.Unlock()
+	k.observeFirst(after, failed)
+}
+
+// Ended records how an answer ran that is complete.
+func (k *Pick) Ended(first, last, pause time.Duration, events int) {
+	t := k.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.model == nil || !k.modelled || last <= first {
+		return
+	}
+	service := k.server.spec.Service
+	if unit := t.model.Predict(service, k.load, 1); unit.Last > unit.First && events > 1 {
+		k.server.speedSums.add(ms(last-first), ms(unit.Last-unit.First), k.server.reportedSpeed(), t.now())
+	}
+	t.model.Observe(service, wheelgauge.EngineRun{Load: k.load, First: first, Last: last, Pause: pause, Events: events, Complete: true}, k.speed)
+}
+
+// Forecast returns how the request was expected to run, and the speed of the server; ok is false
+// without a model.
+func (k *Pick) Forecast() (f wheelgauge.EngineForecast, speed float64, ok bool) {
+	return k.forecast, k.speed, k.modelled
+}
+
+// fixedLoad returns the load that the fixed figures are applied to.
+func fixedLoad(s *Server, j Job, missing int, now time.Time) enginewait.Load {
+	return engineLoad(s, j.rank, missing, now, enginewait.PrefillTokensPerMS)
+}
+
+func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/serverset/job.go
+++ b/serverset/job.go
@@ -1,6 +1,8 @@
 package serverset
 
 import (
+	"time"
+
 	"wheelgauge"
 	"wheelgauge/prompt"
 )
@@ -15,6 +17,9 @@
 	regionAllowed func(region string) bool
 	// versions are the server versions that may get the request.
 	versions wheelgauge.VersionFilter
+	// firstObjective is the target of the first event, pauseObjective that of the longest pause,
+	// timeLeft the time until the answer must have ended; 0 for none.
+	firstObjective, pauseObjective, timeLeft time.Duration
 }
 
 // NewJob returns a job for a service; rank 0 is the most urgent. It excludes the
@@ -34,3 +39,10 @@
 	j.versions = versions
 	return j
 }
+
+// WithTargets returns the job with the target of its first event, that of its longest pause and
+// the time until it must have ended; 0 for none.
+func (j Job) WithTargets(first, pause, left time.Duration) Job {
+	j.firstObjective, j.pauseObjective, j.timeLeft = first, pause, left
+	return j
+}
--- a/serverset/pick.go
+++ b/serverset/pick.go
@@ -23,6 +23,11 @@
 	sentAt         time.Time
 	firstEventSeen bool
 	ended          bool
+	// load, speed and forecast are those of the engine model, modelled is set if there is one.
+	load     wheelgauge.EngineLoad
+	speed    float64
+	forecast wheelgauge.EngineForecast
+	modelled bool
 }
 
 // Load is the known load of a server at the time of the choice.
@@ -79,6 +84,10 @@
 	s := c.server
 	k := &Pick{table: t, server: s, version: s.spec.Version, prompt: j.prompt, rank: j.rank, missingTokens: s.missingTokens(j.prompt, s == home), predictedWait: duration(c.wait), sentAt: now}
 	k.loadBefore = Load{running: s.inFlight(), tokens: s.pendingTokens + s.peerUse.PrefillTokens, age: now.Sub(s.peerUseAt)}
+	if t.model != nil && t.isEngine(s) {
+		k.load, k.speed, k.forecast, k.modelled = c.load, c.speed, c.forecast, true
+		t.recordResident(j)
+	}
 	s.probeSent = !s.pushback.BackingOff(now)
 	s.running++
 	s.pendingTokens += k.missingTokens
@@ -90,11 +99,18 @@
 type Estimate struct {
 	wait time.Duration
 	cost time.Duration
+	// forecast is that of the engine model; zero without one.
+	forecast wheelgauge.EngineForecast
 }
 
 // AddLatency returns the estimate with the latency of a link added.
 func (e Estimate) AddLatency(latency time.Duration) Estimate {
-	return Estimate{wait: e.wait + latency, cost: e.cost + latency}
+	e.wait += latency
+	e.cost += latency
+	if e.forecast.Last > 0 {
+		e.forecast.Last += latency
+	}
+	return e
 }
 
 // Wait returns the predicted time to the first event or to the answer.
@@ -103,6 +119,11 @@
 // Cost returns the wait plus the other costs of the choice.
 func (e Estimate) Cost() time.Duration { return e.cost }
 
+// EndsWithin reports whether the answer may end in a time; true if its end is not known.
+func (e Estimate) EndsWithin(left time.Duration) bool {
+	return e.forecast.Last == 0 || e.forecast.Last-e.forecast.LastError <= left
+}
+
 // Predict estimates without choosing; ok is false if no server can take the
 // request.
 func (t *Table) Predict(j Job) (e Estimate, ok bool) {
@@ -110,7 +131,7 @@
 	defer t.mu.Unlock()
 	now := t.now()
 	c := t.bestChoice(t.candidates(j, now), j, now, false)
-	return Estimate{wait: duration(c.wait), cost: duration(c.score)}, c.server != nil
+	return Estimate{wait: duration(c.wait), cost: duration(c.score), forecast: c.forecast}, c.server != nil
 }
 
 func duration(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
@@ -120,6 +141,10 @@
 	server *Server
 	score  float64
 	wait   float64
+	// load, speed and forecast are those of the engine model.
+	load     wheelgauge.EngineLoad
+	speed    float64
+	forecast wheelgauge.EngineForecast
 }
 
 func (c choice) better(other choice) bool { return other.server == nil || c.score < other.score }
@@ -174,11 +199,15 @@
 			c.score += moveCostMS
 			missing, reread = missing-reread, 0
 		}
-		l, slowdown := engineLoad(s, j.rank, missing, now), s.slowdownFactor()
-		c.wait += l.Wait() * slowdown
-		c.score += (l.Cost() - l.Wait()) * slowdown
-		// Prefilling shared parts again delays all requests that come after.
-		c.score += rereadCostFactor * float64(reread) / enginewait.PrefillTokensPerMS * slowdown
+		if t.model != nil {
+			c = t.modelled(c, j, missing, reread, now)
+		} else {
+			l, slowdown := fixedLoad(s, j, missing, now), s.slowdownFactor()
+			c.wait += l.Wait() * slowdown
+			c.score += (l.Cost() - l.Wait()) * slowdown
+			// Prefilling shared parts again delays all requests that come after.
+			c.score += rereadCostFactor * float64(reread) / enginewait.PrefillTokensPerMS * slowdown
+		}
 	} else {
 		c.wait = s.serviceWait(t.expectedServiceTime(s, cands))
 	}
@@ -186,12 +215,13 @@
 	return c
 }
 
-// engineLoad is the load of an engine as seen by a request of a rank.
-func engineLoad(s *Server, rank, missing int, now time.Time) enginewait.Load {
+// engineLoad is the load of an engine that prefills rate tokens in a millisecond, as seen by a
+// request of a rank.
+func engineLoad(s *Server, rank, missing int, now time.Time, rate float64) enginewait.Load {
 	running, urgent, tokens := s.workByRank.AheadAndUrgent(rank)
 	othersRunning, othersUrgent, othersTokens := s.peerUse.Work.AheadAndUrgent(rank)
 	// The engine went on prefilling after the other hosts' report.
-	prefilled := enginewait.PrefillTokensPerMS * float64(now.Sub(s.peerUseAt).Milliseconds())
+	prefilled := rate * float64(now.Sub(s.peerUseAt).Milliseconds())
 	aheadOfOthers := max(0, float64(othersTokens)-prefilled)
 	all := max(0, float64(s.peerUse.PrefillTokens)-prefilled)
 	return enginewait.Load{
@@ -232,12 +262,17 @@
 }
 
 // PredictAt estimates the wait and cost in a region from the totals of its load.
-func (t *Table) PredictAt(service wheelgauge.Service, u wheelgauge.ServiceUsage, p prompt.Prompt, rank int) Estimate {
+func (t *Table) PredictAt(service wheelgauge.Service, u wheelgauge.ServiceUsage, j Job) Estimate {
 	if u.Servers == 0 {
 		return Estimate{}
 	}
 	if service.KVCacheTokens > 0 {
-		l := meanEngineLoad(u, p, rank)
+		l := meanEngineLoad(u, j.prompt, j.rank)
+		if t.model != nil {
+			l.OutputTokens = float64(j.prompt.Output())
+			f := t.model.Predict(service.Name, wheelgauge.EngineLoad(l), 1)
+			return Estimate{wait: f.First, cost: f.First + f.Delay + duration(targetCost(f, j)), forecast: f}
+		}
 		return Estimate{wait: duration(l.Wait()), cost: duration(l.Cost())}
 	}
 	slots := max(1, u.Slots)
--- a/serverset/server.go
+++ b/serverset/server.go
@@ -71,6 +71,10 @@
 	// slowdown is the moving average of the server's reports to this host of how long its work
 	// takes, in hundredths of the usual time; 0 without a report.
 	slowdown float64
+	// speedSums are what the model observed of the server's speed, urgentLevels what was in
+	// flight there lately; both only with a model.
+	speedSums    speedSums
+	urgentLevels urgentLevels
 	// coldUntil is when the server can take full load again.
 	coldUntil     time.Time
 	failureRate   float64
@@ -143,8 +147,8 @@
 // use returns what this host reports to others about the server.
 func (s *Server) use(now time.Time) wheelgauge.ServerUsage {
 	u := wheelgauge.ServerUsage{Instance: s.spec.Instance, StartUnixMS: s.spec.StartUnixMS, Running: s.running, PrefillTokens: s.pendingTokens, Work: s.workByRank.NonZero()}
-	if s.slowdown > 0 {
-		u.SlowdownSum, u.SlowdownHosts = int(s.slowdown), 1
+	if slowdown := s.ownSlowdown(now); slowdown > 0 {
+		u.SlowdownSum, u.SlowdownHosts = int(slowdown), 1
 	}
 	if s.replaced || now.Before(s.unreachableUntil) {
 		u.UnreachableFrom = 1
--- a/serverset/simulation_test.go
+++ b/serverset/simulation_test.go
@@ -99,8 +99,7 @@
 	for i, uses := range sim.reported {
 		for _, u := range uses {
 			if i != host {
-				was := sums[u.Instance]
-				sums[u.Instance] = wheelgauge.ServerUsage{Instance: u.Instance, Running: was.Running + u.Running, PrefillTokens: was.PrefillTokens + u.PrefillTokens, Work: was.Work.Plus(u.Work)}
+				sums[u.Instance] = sums[u.Instance].Plus(u)
 			}
 		}
 	}
--- a/serverset/slowdown.go
+++ b/serverset/slowdown.go
@@ -17,9 +17,13 @@
 
 // slowdownFactor is how many times as long as usual work takes at the server, by its reports
 // to all hosts of the region; 1 without reports.
-func (s *Server) slowdownFactor() float64 {
-	sum, hosts := s.slowdown, 1
-	if s.slowdown == 0 {
+func (s *Server) slowdownFactor() float64 { return s.meanSlowdown(s.slowdown) }
+
+// meanSlowdown is the mean of this host's figure, 0 if it has none, and of the others', as a
+// factor; 1 without any.
+func (s *Server) meanSlowdown(own float64) float64 {
+	sum, hosts := own, 1
+	if own == 0 {
 		hosts = 0
 	}
 	sum += float64(s.peerUse.SlowdownSum)
--- a/serverset/step_engine_test.go
+++ b/serverset/step_engine_test.go
@@ -14,6 +14,12 @@
 	busy    bool
 	// slow multiplies the duration of each step; 1 at a normal engine.
 	slow float64
+	// rate is the tokens prefilled in a ms at normal speed; stepPrefillRate if 0.
+	rate float64
+	// displaces lets more urgent requests take the slots of less urgent ones, whose prompts are
+	// prefilled again; displaced counts those.
+	displaces bool
+	displaced int
 }
 
 // stepRequest is a request at a stepEngine.
@@ -24,9 +30,13 @@
 	unread float64
 	tokens int
 	want   int
-	// first is called with the first event, last with the last token.
+	// first is called with the first event, event with each, last with the last token; event may
+	// be nil.
 	first func()
+	event func()
 	last  func()
+	// prompt are the tokens to prefill when the request is displaced.
+	prompt float64
 }
 
 const (
@@ -45,17 +55,39 @@
 		e.running = append(e.running, e.waiting[0])
 		e.waiting = e.waiting[1:]
 	}
+	e.displace()
 	e.busy = len(e.running) > 0
 	if !e.busy {
 		return
 	}
-	took := e.slow * (stepBase + stepEach*float64(len(e.running)) + e.chunk()/stepPrefillRate)
+	took := e.slow * (stepBase + stepEach*float64(len(e.running)) + e.chunk()/cmp.Or(e.rate, stepPrefillRate))
 	after(time.Duration(took*float64(time.Millisecond)), func() {
 		e.decode()
 		e.step(after)
 	})
 }
 
+// displace gives the slots of less urgent requests to more urgent ones that wait.
+func (e *stepEngine) displace() {
+	for e.displaces && len(e.waiting) > 0 {
+		slices.SortStableFunc(e.waiting, func(a, b *stepRequest) int { return cmp.Compare(a.rank, b.rank) })
+		last := 0
+		for i, r := range e.running {
+			if r.rank >= e.running[last].rank {
+				last = i
+			}
+		}
+		out := e.running[last]
+		if out.rank <= e.waiting[0].rank {
+			return
+		}
+		e.running[last] = e.waiting[0]
+		out.unread = out.prompt + float64(out.tokens)
+		e.waiting[0] = out
+		e.displaced++
+	}
+}
+
 // chunk prefills the most urgent prompts, as much as fits in a step, and returns the tokens.
 func (e *stepEngine) chunk() float64 {
 	slices.SortStableFunc(e.running, func(a, b *stepRequest) int { return cmp.Compare(a.rank, b.rank) })
@@ -78,6 +110,9 @@
 		if r.tokens == min(stepStride, r.want) {
 			r.first()
 		}
+		if r.event != nil && (r.tokens%stepStride == 0 || r.tokens == r.want) {
+			r.event()
+		}
 		if r.tokens == r.want {
 			r.last()
 		}
--- a/serverset/table.go
+++ b/serverset/table.go
@@ -86,14 +86,18 @@
 	sameHall, otherHalls []*Server
 	shortlist            []*Server
 	drawCount            uint64
-	now                  func() time.Time
+	// model predicts how requests run at engines; nil for the fixed figures. residentTokens are
+	// the mean tokens that a request keeps in memory there.
+	model          wheelgauge.EngineModel
+	residentTokens map[rankOfService]float64
+	now            func() time.Time
 }
 
 // New returns an empty table. serviceConfig returns the configuration of a service.
 func New(place Place, serviceConfig func(service string) *wheelgauge.Service, now func() time.Time) *Table {
 	return &Table{
 		place: place, servers: map[string]*Server{}, services: map[string][]*Server{}, undrainedAt: map[string]time.Time{}, unlistedPushbacks: map[string]pushback.State{},
-		serviceConfig: serviceConfig, coldRates: coldrate.New(now), lastHolders: map[uint64]*Server{}, now: now,
+		serviceConfig: serviceConfig, coldRates: coldrate.New(now), lastHolders: map[uint64]*Server{}, residentTokens: map[rankOfService]float64{}, now: now,
 	}
 }
 
--- /dev/null
+++ b/serverset/uneven_test.go
@@ -0,0 +1,217 @@
+package serverset
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"wheelgauge"
+	"wheelgauge/enginemodel"
+	"wheelgauge/prompt"
+)
+
+// class is a kind of requests with its targets.
+type class struct {
+	rank         int
+	shared       string
+	own, most    float64
+	output       int
+	first, pause time.Duration
+	limit        time.Duration
+}
+
+var (
+	urgentClass = class{rank: 0, shared: "sys:340,s%d:230", own: 1800, most: 6900, output: 20, first: 600 * time.Millisecond, pause: 400 * time.Millisecond, limit: 2 * time.Second}
+	lessUrgent  = class{rank: 2, shared: "sys:510,l%d:4900", own: 6600, most: 54_600, output: 380, first: 800 * time.Millisecond, pause: 400 * time.Millisecond, limit: 8 * time.Second}
+)
+
+// got is what the callers of a class got.
+type got struct {
+	asked, first, pause, inTime, ended int
+}
+
+// share is the share of callers whose answer met all targets.
+func (g got) share() float64 { return float64(g.inTime) / float64(max(1, g.asked)) }
+
+func (g got) String() string {
+	return fmt.Sprintf("%d asked, first %.3f, pause %.3f, ended %.3f, all %.3f", g.asked, float64(g.first)/float64(g.asked), float64(g.pause)/float64(g.asked), float64(g.ended)/float64(g.asked), g.share())
+}
+
+// way chooses the server of a job.
+type way func(t *Table, j Job) *Pick
+
+func byTable(t *Table, j Job) *Pick { return t.Choose(j) }
+
+// leastInFlight is the simplest other way.
+func leastInFlight(t *Table, j Job) *Pick {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	cands := t.candidates(j, now)
+	var best *Server
+	for _, s := range cands.list {
+		if best == nil || s.inFlight() < best.inFlight() {
+			best = s
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	return t.newPick(t.evaluate(best, j, cands, now), cands.home, j, now)
+}
+
+// unevenSim plays classes on engines of different speeds.
+type unevenSim struct {
+	mixedSim
+	choose way
+	got    map[int]*got
+	// errors are the absolute errors of forecast first events.
+	errors []time.Duration
+	models []*enginemodel.Model
+}
+
+// newUnevenSim has an engine of each speed; with learned, each host has a model.
+func newUnevenSim(seed uint64, hosts int, speeds []float64, learned bool, choose way) *unevenSim {
+	sim := &unevenSim{choose: choose, got: map[int]*got{}}
+	sim.mixedSim = *newMixedSim(seed, hosts, len(speeds))
+	for i, speed := range speeds {
+		e := sim.engines[fmt.Sprint("e", i)]
+		e.slow, e.displaces = speed, true
+	}
+	// The events scheduled by newMixedSim hold on to its own simulation.
+	sim.restart(seed, hosts, len(speeds))
+	for _, tb := range sim.hosts {
+		if learned {
+			m := enginemodel.New(sim.now)
+			tb.SetEngineModel(m)
+			sim.models = append(sim.models, m)
+		}
+	}
+	return sim
+}
+
+func (sim *unevenSim) restart(seed uint64, hosts, engineCount int) {
+	var list []wheelgauge.Server
+	for i := range engineCount {
+		list = append(list, wheelgauge.Server{Instance: fmt.Sprint("e", i), Service: engines, Address: fmt.Sprint("127.0.0.1:", i+1), Hall: fmt.Sprint("h", i%2), Slots: stepSlots})
+	}
+	sim.start(seed, hosts, list)
+}
+
+// request sends one request of a class; its result counts if it is sent after the warm-up.
+func (sim *unevenSim) request(host int, c class, counted func() bool) {
+	sim.count++
+	own := sim.lognormal(c.own, 1.1, c.most)
+	text := fmt.Sprintf(c.shared+",own%d:%d", sim.random.IntN(1900), sim.count, int(own))
+	pr := prompt.Parse(text, fmt.Sprintf("%d,%d", int(own)+600, c.output), fmt.Sprint(c.output))
+	j := NewJob(engines, pr, c.rank, nil).WithTargets(c.first, c.pause, c.limit)
+	k := sim.choose(sim.hosts[host], j)
+	if k == nil {
+		return
+	}
+	e := sim.engines[k.Server().Instance()]
+	r := &stepRequest{rank: c.rank, unread: float64(k.MissingTokens()), prompt: float64(k.MissingTokens()), want: c.output}
+	if k.Source() != "" {
+		r.unread = own
+	}
+	result := &got{}
+	if counted() {
+		if sim.got[c.rank] == nil {
+			sim.got[c.rank] = &got{}
+		}
+		result = sim.got[c.rank]
+	}
+	sim.track(r, k, c, result, counted())
+	e.waiting = append(e.waiting, r)
+	if !e.busy {
+		e.step(sim.after)
+	}
+}
+
+// track observes how a request runs and counts whether it met its targets.
+func (sim *unevenSim) track(r *stepRequest, k *Pick, c class, result *got, counted bool) {
+	result.asked++
+	start, events := sim.at, 0
+	var first, pause time.Duration
+	var lastAt time.Time
+	r.first = func() {
+		first = sim.at.Sub(start)
+		k.FirstEvent()
+		k.FirstEventAfter(first, false)
+		if counted {
+			sim.errors = append(sim.errors, (k.Wait() - first).Abs())
+		}
+	}
+	r.event = func() {
+		events++
+		if !lastAt.IsZero() {
+			pause = max(pause, sim.at.Sub(lastAt))
+		}
+		lastAt = sim.at
+	}
+	r.last = func() {
+		took := sim.at.Sub(start)
+		k.Ended(first, took, pause, events)
+		k.Done(Served)
+		for n, ok := range map[*int]bool{&result.first: first <= c.first, &result.pause: pause <= c.pause, &result.ended: took <= c.limit, &result.inTime: first <= c.first && pause <= c.pause && took <= c.limit} {
+			if ok {
+				*n++
+			}
+		}
+	}
+}
+
+// play runs urgent and less urgent requests at rates per second.
+func (sim *unevenSim) play(urgent, less float64, warmUp, playTime time.Duration) {
+	from, until := sim.at.Add(warmUp), sim.at.Add(warmUp+playTime)
+	counted := func() bool { return !sim.at.Before(from) && sim.at.Before(until) }
+	if urgent > 0 {
+		sim.scheduleArrivals(urgent, func(host int) { sim.request(host, urgentClass, counted) })
+	}
+	if less > 0 {
+		sim.scheduleArrivals(less, func(host int) { sim.request(host, lessUrgent, counted) })
+	}
+	sim.run(warmUp + playTime + lessUrgent.limit)
+}
+
+func (sim *unevenSim) displacedCount() int {
+	n := 0
+	for _, e := range sim.engines {
+		n += e.displaced
+	}
+	return n
+}
+
+func (sim *unevenSim) meanError() time.Duration {
+	sum := 0.0
+	for _, e := range sim.errors {
+		sum += float64(e)
+	}
+	return time.Duration(sum / math.Max(1, float64(len(sim.errors))))
+}
+
+func repeatSpeeds(n int, speeds ...float64) []float64 {
+	var out []float64
+	for i := range n {
+		out = append(out, speeds[i%len(speeds)])
+	}
+	return out
+}
+
+func TestExploreUneven(t *testing.T) {
+	for _, load := range []struct{ urgent, less float64 }{{250, 50}, {300,60}} {
+		for _, sp := range [][]float64{{1}, {0.6, 1, 1.6}} {
+			for name, w := range map[string]struct {
+				learned bool
+				choose  way
+			}{"old": {false, byTable}, "learned": {true, byTable}, } {
+				for _, seed := range []uint64{1, 2,3,4} {
+					sim := newUnevenSim(seed, 8, repeatSpeeds(12, sp...), w.learned, w.choose)
+					sim.play(load.urgent, load.less, 4*time.Second, 6*time.Second)
+					t.Logf("%v %v %s: urgent %s; less %s; displaced %d, error %s", load, sp, name, sim.got[0], sim.got[2], sim.displacedCount(), sim.meanError())
+				}
+			}
+		}
+	}
+}
