--- a/enginemodel/model.go
+++ b/enginemodel/model.go
@@ -36,6 +36,10 @@
 	minOutlierMS  = 200.0
 	// varianceMS is where half of a wait's variance is constant; the rest grows with the wait.
 	varianceMS = 100.0
+	// queuePriorMS is the predicted wait for a slot that counts as observed before any sample, and
+	// the most that a sample counts; maxQueueFactor bounds the factor of such waits.
+	queuePriorMS   = 1000.0
+	maxQueueFactor = 4.0
 	// errorWeight is the weight of a new error in the mean, and of other running means.
 	errorWeight = 0.05
 	// freshTime is how long what was learned holds without new samples. After it the first event
@@ -54,9 +58,11 @@
 
 // serviceModel is what is known of the engines of a service, at usual speed.
 type serviceModel struct {
-	// first predicts the first event, pace the time of an output token, pause the longest pause;
-	// all in milliseconds.
-	first, pace, pause regression
+	// first predicts the first event, overtaken that of requests that more urgent ones overtake,
+	// pace the time of an output token, pause the longest pause; all in milliseconds.
+	first, overtaken, pace, pause regression
+	// queueObserved and queuePredicted are decaying sums of the waits for a slot, in milliseconds.
+	queueObserved, queuePredicted float64
 	// firstErrorMS and lastErrorMS are mean absolute errors.
 	firstErrorMS, lastErrorMS float64
 	// decodeMS is the mean time from the first to the last event, tokensPerEvent the mean of the
@@ -90,13 +96,14 @@
 	if s := m.services[name]; s != nil {
 		return s
 	}
+	firstFigures := [features]figure{
+		{initial: 0, weight: 4, least: 0, most: maxConstantMS},
+		{initial: tokensUnit / enginewait.PrefillTokensPerMS, weight: 10, least: tokensUnit / maxPrefillRate, most: tokensUnit / minPrefillRate},
+		{initial: runningUnit * enginewait.DelayPerRunningMS, weight: 10, least: 0, most: maxRunningMS},
+	}
 	s := &serviceModel{
-		first: newRegression([features]figure{
-			{initial: 0, weight: 4, least: 0, most: maxConstantMS},
-			{initial: tokensUnit / enginewait.PrefillTokensPerMS, weight: 10, least: tokensUnit / maxPrefillRate, most: tokensUnit / minPrefillRate},
-			{initial: runningUnit * enginewait.DelayPerRunningMS, weight: 10, least: 0, most: maxRunningMS},
-		}),
-		pace:  newRegression([features]figure{{weight: 0.1, most: maxPaceMS}, {weight: 1, most: maxPaceMS}, {weight: 1}}),
+		first: newRegression(firstFigures), overtaken: newRegression(firstFigures), queueObserved: queuePriorMS, queuePredicted: queuePriorMS,
+		pace:  newRegression([features]figure{{weight: 0.1, most: maxPaceMS}, {weight: 1, most: maxPaceMS}, {weight: 1, most: maxPaceMS}}),
 		pause: newRegression([features]figure{{weight: 0.1, most: maxPauseMS}, {weight: 1, most: maxPauseMS}, {weight: 1, most: maxPauseMS}}),
 	}
 	m.services[name] = s
@@ -113,7 +120,11 @@
 	if l.DurationMS <= 0 && known {
 		l.DurationMS = speed * s.decodeMS
 	}
-	first := speed*s.first.predict(firstFeatures(l), s.trust(now)) + queueMS(l)
+	trust := s.trust(now)
+	first := speed * s.firsts(l).predict(firstFeatures(l), trust)
+	if queue := queueMS(l); queue > 0 {
+		first += queue * (1 + trust*(s.queueFactor()-1))
+	}
 	f := wheelgauge.EngineForecast{First: duration(first), Delay: duration(speed * enginewait.SlowdownCostMS * l.InFlight), Error: duration(s.firstErrorMS)}
 	if !known {
 		return f
@@ -141,17 +152,41 @@
 		}
 		return
 	}
-	if r.Load.Full() || mayBeDisplaced(r.Load) {
-		return // it shows the wait for a slot
+	x, first := firstFeatures(r.Load), s.firsts(r.Load)
+	predicted := first.predict(x, 1)
+	s.firstAt = now
+	if queue := queueMS(r.Load); queue > 0 {
+		s.observeQueue(milliseconds(r.First)-speed*predicted, queue)
+		return
 	}
-	x := firstFeatures(r.Load)
-	predicted := s.first.predict(x, 1)
 	observed := milliseconds(r.First) / speed
 	most := max(minOutlierMS, outlierErrors*s.firstErrorMS)
 	off := min(most, max(-most, observed-predicted))
-	s.first.add(x, predicted+off, varianceMS/(varianceMS+predicted))
+	first.add(x, predicted+off, varianceMS/(varianceMS+predicted))
 	s.firstErrorMS += errorWeight * (min(outlierErrors*most, math.Abs(observed-predicted)) - s.firstErrorMS)
-	s.firstAt = now
+}
+
+// firsts returns the regression of first events for a load.
+func (s *serviceModel) firsts(l wheelgauge.EngineLoad) *regression {
+	if l.Overtaken {
+		return &s.overtaken
+	}
+	return &s.first
+}
+
+// observeQueue records a wait for a slot, in milliseconds.
+func (s *serviceModel) observeQueue(observed, predicted float64) {
+	part := min(queuePriorMS, predicted) / predicted
+	observed = min(maxQueueFactor*predicted, max(0, observed))
+	s.queueObserved += errorWeight * (queuePriorMS - s.queueObserved)
+	s.queuePredicted += errorWeight * (queuePriorMS - s.queuePredicted)
+	s.queueObserved += part * observed
+	s.queuePredicted += part * predicted
+}
+
+// queueFactor is how many times as long as predicted requests wait for a slot.
+func (s *serviceModel) queueFactor() float64 {
+	return min(maxQueueFactor, max(1/maxQueueFactor, s.queueObserved/s.queuePredicted))
 }
 
 // observeEnd records a complete answer of several events.
@@ -220,12 +255,6 @@
 	return l.OutputTokens * s.pace.predict(paceFeatures(l), 1)
 }
 
-// mayBeDisplaced reports whether more urgent requests are likely to take the request's slot before
-// its first event.
-func mayBeDisplaced(l wheelgauge.EngineLoad) bool {
-	return l.Overtaken && l.Slots > 0 && l.InFlight >= l.Slots-l.Reserved
-}
-
 // running is how many of the requests in flight run.
 func running(l wheelgauge.EngineLoad) float64 {
 	if l.Slots <= 0 {
@@ -250,7 +279,7 @@
 }
 
 func paceFeatures(l wheelgauge.EngineLoad) [features]float64 {
-	return [features]float64{1, running(l) / runningUnit, 0}
+	return [features]float64{1, running(l) / runningUnit, (l.TokensAhead + behindInSlots(l)) / pendingTokensUnit}
 }
 
 func pauseFeatures(l wheelgauge.EngineLoad) [features]float64 {
--- a/serverset/speed.go
+++ b/serverset/speed.go
@@ -12,7 +12,7 @@
 	// speedPriorMS is the predicted time that counts as if it had been observed at the reported
 	// speed, or at the usual one; maxSpeedSampleMS bounds the part of one observation, so that no
 	// single request moves the speed by more than a third of its own.
-	speedPriorMS     = 1000.0
+	speedPriorMS     = 2000.0
 	maxSpeedSampleMS = 500.0
 	// minSpeed and maxSpeed bound a speed and that of a single observation.
 	minSpeed = 1.0 / 4
--- a/serverset/uneven_test.go
+++ b/serverset/uneven_test.go
@@ -28,14 +28,14 @@
 
 // got is what the callers of a class got.
 type got struct {
-	asked, first, pause, inTime, ended int
+	asked, refused, first, pause, inTime, ended int
 }
 
 // share is the share of callers whose answer met all targets.
 func (g got) share() float64 { return float64(g.inTime) / float64(max(1, g.asked)) }
 
 func (g got) String() string {
-	return fmt.Sprintf("%d asked, first %.3f, pause %.3f, ended %.3f, all %.3f", g.asked, float64(g.first)/float64(g.asked), float64(g.pause)/float64(g.asked), float64(g.ended)/float64(g.asked), g.share())
+	return fmt.Sprintf("%d asked, %d refused, first %.3f, pause %.3f, ended %.3f, all %.3f", g.asked, g.refused, float64(g.first)/float64(g.asked), float64(g.pause)/float64(g.asked), float64(g.ended)/float64(g.asked), g.share())
 }
 
 // way chooses the server of a job.
@@ -69,6 +69,35 @@
 	// errors are the absolute errors of forecast first events.
 	errors []time.Duration
 	models []*enginemodel.Model
+	// refuses is set if requests are refused that would be late, as in the gate; waits are what
+	// each host knows of the classes for that.
+	refuses bool
+	waits   []map[int]*classWaits
+}
+
+// classWaits are the means by which the gate corrects the fixed figures.
+type classWaits struct{ predicted, observed float64 }
+
+func (w *classWaits) observe(predicted, observed float64) {
+	w.predicted += 0.05 * (predicted - w.predicted)
+	w.observed += 0.05 * (observed - w.observed)
+}
+
+// tooLate decides as the gate does.
+func (sim *unevenSim) tooLate(host int, c class, e Estimate) bool {
+	w, wait := sim.waits[host][c.rank], ms(e.Wait())
+	learned := sim.hosts[host].HasModel(engines)
+	congested := 0.75
+	if learned {
+		congested = 1
+	} else {
+		wait *= min(8, max(1, (w.observed+50)/(w.predicted+50)))
+	}
+	factor := 1.5
+	if w.observed > 0.5*ms(c.first) {
+		factor = congested
+	}
+	return wait > factor*ms(c.first) || !e.EndsWithin(c.limit)
 }
 
 // newUnevenSim has an engine of each speed; with learned, each host has a model.
@@ -82,6 +111,7 @@
 	// The events scheduled by newMixedSim hold on to its own simulation.
 	sim.restart(seed, hosts, len(speeds))
 	for _, tb := range sim.hosts {
+		sim.waits = append(sim.waits, map[int]*classWaits{0: {50, 50}, 2: {50, 50}})
 		if learned {
 			m := enginemodel.New(sim.now)
 			tb.SetEngineModel(m)
@@ -106,15 +136,6 @@
 	text := fmt.Sprintf(c.shared+",own%d:%d", sim.random.IntN(1900), sim.count, int(own))
 	pr := prompt.Parse(text, fmt.Sprintf("%d,%d", int(own)+600, c.output), fmt.Sprint(c.output))
 	j := NewJob(engines, pr, c.rank, nil).WithTargets(c.first, c.pause, c.limit)
-	k := sim.choose(sim.hosts[host], j)
-	if k == nil {
-		return
-	}
-	e := sim.engines[k.Server().Instance()]
-	r := &stepRequest{rank: c.rank, unread: float64(k.MissingTokens()), prompt: float64(k.MissingTokens()), want: c.output}
-	if k.Source() != "" {
-		r.unread = own
-	}
 	result := &got{}
 	if counted() {
 		if sim.got[c.rank] == nil {
@@ -122,7 +143,18 @@
 		}
 		result = sim.got[c.rank]
 	}
-	sim.track(r, k, c, result, counted())
+	result.asked++
+	if e, ok := sim.hosts[host].Predict(j); !ok || sim.refuses && sim.tooLate(host, c, e) {
+		result.refused++
+		return
+	}
+	k := sim.choose(sim.hosts[host], j)
+	e := sim.engines[k.Server().Instance()]
+	r := &stepRequest{rank: c.rank, unread: float64(k.MissingTokens()), prompt: float64(k.MissingTokens()), want: c.output}
+	if k.Source() != "" {
+		r.unread = own
+	}
+	sim.track(host, r, k, c, result, counted())
 	e.waiting = append(e.waiting, r)
 	if !e.busy {
 		e.step(sim.after)
@@ -130,8 +162,7 @@
 }
 
 // track observes how a request runs and counts whether it met its targets.
-func (sim *unevenSim) track(r *stepRequest, k *Pick, c class, result *got, counted bool) {
-	result.asked++
+func (sim *unevenSim) track(host int, r *stepRequest, k *Pick, c class, result *got, counted bool) {
 	start, events := sim.at, 0
 	var first, pause time.Duration
 	var lastAt time.Time
@@ -139,6 +170,7 @@
 		first = sim.at.Sub(start)
 		k.FirstEvent()
 		k.FirstEventAfter(first, false)
+		sim.waits[host][c.rank].observe(ms(k.Wait()), ms(first))
 		if counted {
 			sim.errors = append(sim.errors, (k.Wait() - first).Abs())
 		}
@@ -200,18 +232,24 @@
 }
 
 func TestExploreUneven(t *testing.T) {
-	for _, load := range []struct{ urgent, less float64 }{{250, 50}, {300,60}} {
+	for _, load := range []struct{ urgent, less float64 }{{200, 40}, {250, 50}, {300, 60}, {350, 75}, {450, 100}} {
 		for _, sp := range [][]float64{{1}, {0.6, 1, 1.6}} {
-			for name, w := range map[string]struct {
-				learned bool
-				choose  way
-			}{"old": {false, byTable}, "learned": {true, byTable}, } {
-				for _, seed := range []uint64{1, 2,3,4} {
-					sim := newUnevenSim(seed, 8, repeatSpeeds(12, sp...), w.learned, w.choose)
+			for _, learned := range []bool{false, true} {
+				u, l := got{}, got{}
+				d := 0
+				for seed := range 4 {
+					sim := newUnevenSim(uint64(seed+1), 8, repeatSpeeds(12, sp...), learned, byTable)
+					sim.refuses = true
 					sim.play(load.urgent, load.less, 4*time.Second, 6*time.Second)
-					t.Logf("%v %v %s: urgent %s; less %s; displaced %d, error %s", load, sp, name, sim.got[0], sim.got[2], sim.displacedCount(), sim.meanError())
+					u, l = u.plus(*sim.got[0]), l.plus(*sim.got[2])
+					d += sim.displacedCount()
 				}
+				t.Logf("%v %v learned %t: urgent %s less %s displaced %d", load, sp, learned, u, l, d)
 			}
 		}
 	}
 }
+
+func (g got) plus(o got) got {
+	return got{g.asked + o.asked, g.refused + o.refused, g.first + o.first, g.pause + o.pause, g.inTime + o.inTime, g.ended + o.ended}
+}
