--- a/routegate/late.go
+++ b/routegate/late.go
@@ -16,8 +16,8 @@
 	// late.
 	congestedWaitFactor = 0.75
 	congestedShare      = 0.5
-	// modelledWaitFactor is that factor where the wait is learned: it holds the constant part of
-	// each first event, and what comes in time is served.
+	// modelledWaitFactor is that factor for the most urgent requests where the wait is learned: it
+	// holds the constant part of each first event, and no others overtake them.
 	modelledWaitFactor = 1.0
 	// forwardWaitShare is the share of the objective that the mean wait must exceed before
 	// long prompts are forwarded earlier than short ones. Without a queue, forwarding them
@@ -46,7 +46,7 @@
 	factor := maxWaitFactor
 	if c.congested(congestedShare) {
 		factor = congestedWaitFactor
-		if c.modelled() {
+		if c.rank == 0 && c.modelled() {
 			factor = modelledWaitFactor
 		}
 	}
--- a/serverset/forecast.go
+++ b/serverset/forecast.go
@@ -19,6 +19,11 @@
 	// urgentMeanTime is the time over which the urgent requests at a server are averaged: some
 	// times that of a request with little output.
 	urgentMeanTime = 2 * time.Second
+	// urgentSpread is by how many times the square root of that mean the urgent ones exceed it at
+	// times while a less urgent request runs, which would be displaced then. maxUrgentShare is the
+	// share of the slots that is kept for them at most.
+	urgentSpread   = 4.0
+	maxUrgentShare = 0.8
 	// residentWeight is the weight of a new request in the mean tokens that one of its rank
 	// keeps in an engine's memory.
 	residentWeight = 0.05
@@ -77,10 +82,10 @@
 	l := wheelgauge.EngineLoad(engineLoad(s, j.rank, missing, now, t.model.PrefillRate(j.service)))
 	l.OutputTokens = float64(j.prompt.Output())
 	work := s.workByRank.Plus(s.peerUse.Work)
-	l.Reserved = s.urgentLevels.reserved(work, j.rank, now)
 	if slots := t.memorySlots(work, j); slots > 0 && (l.Slots <= 0 || slots < l.Slots) {
 		l.Slots = slots
 	}
+	l.Reserved = s.urgentLevels.reserved(work, j.rank, l.Slots, now)
 	return l
 }
 
@@ -150,9 +155,9 @@
 	}
 }
 
-// reserved is how many more requests that are more urgent than a rank are to be expected: their
-// mean and its usual spread, without those in flight.
-func (u *urgentLevels) reserved(work wheelgauge.Work, rank int, now time.Time) float64 {
+// reserved is how many more requests that are more urgent than a rank are to be expected: the peak
+// of them, without those in flight.
+func (u *urgentLevels) reserved(work wheelgauge.Work, rank int, slots float64, now time.Time) float64 {
 	u.note(work, now)
 	mean := 0.0
 	for q, m := range u.means {
@@ -161,7 +166,11 @@
 		}
 	}
 	_, urgent, _ := work.AheadAndUrgent(rank)
-	return max(0, mean+math.Sqrt(mean)-float64(urgent))
+	peak := mean + urgentSpread*math.Sqrt(mean)
+	if slots > 0 {
+		peak = min(peak, maxUrgentShare*slots)
+	}
+	return max(0, peak-float64(urgent))
 }
 
 // observeFirst records the time to the first event, or a lower bound of it if the request
