--- a/serverset/speed.go
+++ b/serverset/speed.go
@@ -8,11 +8,11 @@
 const (
 	// speedHalfLife is how long it takes until half of what was observed of a server's speed is
 	// forgotten: servers are slow for seconds.
-	speedHalfLife = 3 * time.Second
+	speedHalfLife = 5 * time.Second
 	// speedPriorMS is the predicted time that counts as if it had been observed at the reported
 	// speed, or at the usual one; maxSpeedSampleMS bounds the part of one observation, so that no
 	// single request moves the speed by more than a third of its own.
-	speedPriorMS     = 2000.0
+	speedPriorMS     = 4000.0
 	maxSpeedSampleMS = 500.0
 	// minSpeed and maxSpeed bound a speed and that of a single observation.
 	minSpeed = 1.0 / 4
