--- a/routegate/dispatch.go
+++ b/routegate/dispatch.go
@@ -275,5 +275,9 @@
 func (x *exchange) recordWait(failed bool) {
 	waited := time.Since(x.sentAt)
 	x.call.gate.waits.observe(x.call.route.Name, x.pick.Wait(), waited)
-	x.pick.FirstEventAfter(waited, failed)
+	// The first byte of an answer that is not a stream comes after its last token, and an error
+	// takes no work.
+	if failed || x.call.route.Kind == wheelgauge.RouteStream && isSuccess(x.head.StatusCode()) {
+		x.pick.FirstEventAfter(waited, failed)
+	}
 }
--- a/routegate/gate_test.go
+++ b/routegate/gate_test.go
@@ -129,7 +129,12 @@
 // connection of a caller.
 func newGate(t testing.TB, routes []wheelgauge.PathRoute, backends ...*backend) (*Gate, net.Conn) {
 	t.Helper()
-	service := &wheelgauge.Service{Name: "s", MaxConns: 100}
+	return newGateOf(t, &wheelgauge.Service{Name: "s", MaxConns: 100}, routes, backends...)
+}
+
+// newGateOf is newGate for a service s.
+func newGateOf(t testing.TB, service *wheelgauge.Service, routes []wheelgauge.PathRoute, backends ...*backend) (*Gate, net.Conn) {
+	t.Helper()
 	servers := serverset.New(serverset.Place{Host: "g", Hall: "h", Peers: []string{"g"}}, func(string) *wheelgauge.Service { return service }, time.Now)
 	var list []wheelgauge.Server
 	for i, b := range backends {
--- a/routegate/late.go
+++ b/routegate/late.go
@@ -16,9 +16,6 @@
 	// late.
 	congestedWaitFactor = 0.75
 	congestedShare      = 0.5
-	// modelledWaitFactor is that factor for the most urgent requests where the wait is learned: it
-	// holds the constant part of each first event, and no others overtake them.
-	modelledWaitFactor = 1.0
 	// forwardWaitShare is the share of the objective that the mean wait must exceed before
 	// long prompts are forwarded earlier than short ones. Without a queue, forwarding them
 	// only loses their cache hits.
@@ -46,9 +43,6 @@
 	factor := maxWaitFactor
 	if c.congested(congestedShare) {
 		factor = congestedWaitFactor
-		if c.rank == 0 && c.modelled() {
-			factor = modelledWaitFactor
-		}
 	}
 	return wait > time.Duration(factor*float64(c.route.LatencyObjective))
 }
@@ -59,6 +53,9 @@
 // correctedWait returns the wait to be expected at the servers of the region.
 func (c *call) correctedWait(local serverset.Estimate) time.Duration {
 	if c.modelled() {
+		if c.route.Kind != wheelgauge.RouteStream {
+			return local.End()
+		}
 		return local.Wait()
 	}
 	return c.gate.waits.correct(c.route.Name, local.Wait())
--- a/serverset/forecast.go
+++ b/serverset/forecast.go
@@ -123,6 +123,16 @@
 	return float64(j.prompt.Tokens() - j.prompt.SharedTokens() + j.prompt.Output())
 }
 
+// leastEngineLoad is the load of the engine that a region would choose, from the mean load of its
+// engines: it runs one request less than the mean, and has one prompt less before it.
+func leastEngineLoad(mean enginewait.Load, j Job) wheelgauge.EngineLoad {
+	l := wheelgauge.EngineLoad(mean)
+	l.OutputTokens = float64(j.prompt.Output())
+	l.TokensAhead = max(0, l.TokensAhead-l.OwnTokens)
+	l.InFlight, l.InFlightAhead = max(0, l.InFlight-1), max(0, l.InFlightAhead-1)
+	return l
+}
+
 // recordResident updates the mean tokens of a rank; the lock is held.
 func (t *Table) recordResident(j Job) {
 	key := rankOfService{j.service, j.rank}
--- a/serverset/pick.go
+++ b/serverset/pick.go
@@ -124,6 +124,10 @@
 	return e.forecast.Last == 0 || e.forecast.Last-e.forecast.LastError <= left
 }
 
+// End returns the predicted time to the end of the answer, or to its first event if the end is not
+// known.
+func (e Estimate) End() time.Duration { return max(e.wait, e.forecast.Last) }
+
 // Predict estimates without choosing; ok is false if no server can take the
 // request.
 func (t *Table) Predict(j Job) (e Estimate, ok bool) {
@@ -269,8 +273,7 @@
 	if service.KVCacheTokens > 0 {
 		l := meanEngineLoad(u, j.prompt, j.rank)
 		if t.model != nil {
-			l.OutputTokens = float64(j.prompt.Output())
-			f := t.model.Predict(service.Name, wheelgauge.EngineLoad(l), 1)
+			f := t.model.Predict(service.Name, leastEngineLoad(l, j), 1)
 			return Estimate{wait: f.First, cost: f.First + f.Delay + duration(targetCost(f, j)), forecast: f}
 		}
 		return Estimate{wait: duration(l.Wait()), cost: duration(l.Cost())}
