--- a/routegate/pace_test.go
+++ b/routegate/pace_test.go
@@ -54,21 +54,26 @@
 func TestForecastRefuses(t *testing.T) {
 	tests := []struct {
 		name     string
+		path     string
 		forecast wheelgauge.EngineForecast
 		status   int
 	}{
-		{"in time", wheelgauge.EngineForecast{First: 300 * time.Millisecond, Last: 900 * time.Millisecond}, http.StatusOK},
-		{"nothing known", wheelgauge.EngineForecast{}, http.StatusOK},
-		{"begins too late", wheelgauge.EngineForecast{First: time.Second}, http.StatusServiceUnavailable},
-		{"ends too late", wheelgauge.EngineForecast{First: 300 * time.Millisecond, Last: 3 * time.Second}, http.StatusServiceUnavailable},
-		{"may end in time", wheelgauge.EngineForecast{First: 300 * time.Millisecond, Last: 3 * time.Second, LastError: 2 * time.Second}, http.StatusOK},
-		{"a long pause", wheelgauge.EngineForecast{First: 300 * time.Millisecond, Pause: time.Second, Last: time.Second}, http.StatusOK},
+		{"in time", "/stream/", wheelgauge.EngineForecast{First: 300 * time.Millisecond, Last: 900 * time.Millisecond}, http.StatusOK},
+		{"nothing known", "/stream/", wheelgauge.EngineForecast{}, http.StatusOK},
+		{"begins too late", "/stream/", wheelgauge.EngineForecast{First: time.Second}, http.StatusServiceUnavailable},
+		{"ends too late", "/stream/", wheelgauge.EngineForecast{First: 300 * time.Millisecond, Last: 3 * time.Second}, http.StatusServiceUnavailable},
+		{"may end in time", "/stream/", wheelgauge.EngineForecast{First: 300 * time.Millisecond, Last: 3 * time.Second, LastError: 2 * time.Second}, http.StatusOK},
+		{"no stream, ends after its objective", "/once/", wheelgauge.EngineForecast{First: 300 * time.Millisecond, Last: 1500 * time.Millisecond}, http.StatusServiceUnavailable},
+		{"a long pause", "/stream/", wheelgauge.EngineForecast{First: 300 * time.Millisecond, Pause: time.Second, Last: time.Second}, http.StatusOK},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			b := newBackend(t)
+			if tt.path == "/stream/" {
+				b.fallback = streamHead + chunk("id: 1\ndata: a\n\n") + "0\r\n\r\n"
+			}
 			_, c := newModelGate(t, &scriptedModel{forecast: tt.forecast}, b)
-			resp, _, err := get(t, c, "/once/", "Wheelgauge-Deadline-Ms: 2000\r\n")
+			resp, _, err := get(t, c, tt.path, "Wheelgauge-Deadline-Ms: 2000\r\n")
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -91,7 +96,7 @@
 		model  *scriptedModel
 		status int
 	}{
-		{"with a model", &scriptedModel{forecast: wheelgauge.EngineForecast{First: 500 * time.Millisecond}}, http.StatusOK},
+		{"with a model", &scriptedModel{forecast: wheelgauge.EngineForecast{First: 400 * time.Millisecond}}, http.StatusOK},
 		{"without one", nil, http.StatusServiceUnavailable},
 	} {
 		b := newBackend(t)
--- a/serverset/table_test.go
+++ b/serverset/table_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"wheelgauge"
+	"wheelgauge/enginemodel"
 	"wheelgauge/prompt"
 )
 
@@ -224,6 +225,15 @@
 				tb.Predict(NewJob(engines, p, 1, nil))
 			}
 		})
+		b.Run(fmt.Sprint(n, " learned"), func(b *testing.B) {
+			tb, c, _ := newTestTable(engines, n)
+			tb.SetEngineModel(enginemodel.New(c.now))
+			p := promptWithPrefix("x")
+			b.ReportAllocs()
+			for b.Loop() {
+				tb.Predict(NewJob(engines, p, 1, nil))
+			}
+		})
 	}
 }
 
