--- a/serverset/forecast.go
+++ b/serverset/forecast.go
@@ -124,9 +124,11 @@
 }
 
 // leastEngineLoad is the load of the engine that a region would choose, from the mean load of its
-// engines: it runs one request less than the mean, and has one prompt less before it.
-func leastEngineLoad(mean enginewait.Load, j Job) wheelgauge.EngineLoad {
+// engines: it runs one request less than the mean, and has one prompt less before it. urgent are
+// the more urgent requests in the region by engine: slots are kept for them there as here.
+func leastEngineLoad(mean enginewait.Load, urgent float64, j Job) wheelgauge.EngineLoad {
 	l := wheelgauge.EngineLoad(mean)
+	l.Reserved = max(0, urgentPeak(urgent, l.Slots)-urgent)
 	l.OutputTokens = float64(j.prompt.Output())
 	l.TokensAhead = max(0, l.TokensAhead-l.OwnTokens)
 	l.InFlight, l.InFlightAhead = max(0, l.InFlight-1), max(0, l.InFlightAhead-1)
@@ -185,11 +187,17 @@
 		}
 	}
 	_, urgent, _ := work.AheadAndUrgent(rank)
+	return max(0, urgentPeak(mean, slots)-float64(urgent))
+}
+
+// urgentPeak is how many urgent requests are to be expected at times at an engine that has mean of
+// them.
+func urgentPeak(mean, slots float64) float64 {
 	peak := mean + urgentSpread*math.Sqrt(mean)
 	if slots > 0 {
 		peak = min(peak, maxUrgentShare*slots)
 	}
-	return max(0, peak-float64(urgent))
+	return peak
 }
 
 // observeFirst records the time to the first event, or a lower bound of it if the request
--- a/serverset/forecast_test.go
+++ b/serverset/forecast_test.go
@@ -246,3 +246,30 @@
 		}
 	}
 }
+
+// Another region is judged by the engine that it would choose: it has room for one more while the
+// mean engine is nearly full, and keeps slots for the urgent requests there.
+func TestPredictAtOtherRegion(t *testing.T) {
+	tb, _, _ := newModelTable(1)
+	usage := func(urgent, less int) wheelgauge.ServiceUsage {
+		return wheelgauge.ServiceUsage{Service: engines, Running: urgent + less, Servers: 10, Slots: 240, Work: wheelgauge.Work{{Rank: 0, Running: urgent}, {Rank: 2, Running: less}}}
+	}
+	tests := []struct {
+		name         string
+		rank         int
+		urgent, less int
+		full         bool
+	}{
+		{"room for one", 2, 0, 235, false},
+		{"no room", 2, 0, 300, true},
+		{"little is running", 2, 20, 50, false},
+		{"urgent requests come and go", 2, 60, 130, true},
+		{"urgent, behind less urgent", 0, 60, 600, false},
+	}
+	for _, tt := range tests {
+		e := tb.PredictAt(*engineService, usage(tt.urgent, tt.less), engineJob(tt.rank, 2000, 300))
+		if full := e.Wait() > 250*time.Millisecond; full != tt.full {
+			t.Errorf("%s: the wait is %s, want it long: %t", tt.name, e.Wait(), tt.full)
+		}
+	}
+}
--- a/serverset/pick.go
+++ b/serverset/pick.go
@@ -273,7 +273,8 @@
 	if service.KVCacheTokens > 0 {
 		l := meanEngineLoad(u, j.prompt, j.rank)
 		if t.model != nil {
-			f := t.model.Predict(service.Name, leastEngineLoad(l, j), 1)
+			_, urgent, _ := u.Work.AheadAndUrgent(j.rank)
+			f := t.model.Predict(service.Name, leastEngineLoad(l, float64(urgent)/float64(u.Servers), j), 1)
 			return Estimate{wait: f.First, cost: f.First + f.Delay + duration(targetCost(f, j)), forecast: f}
 		}
 		return Estimate{wait: duration(l.Wait()), cost: duration(l.Cost())}
