--- a/routegate/late.go
+++ b/routegate/late.go
@@ -16,6 +16,10 @@
 	// late.
 	congestedWaitFactor = 0.75
 	congestedShare      = 0.5
+	// modelledWaitFactor is that factor for the most urgent requests where the wait is learned: the
+	// constant part of each first event is in both the forecast and the mean, and alone may exceed
+	// congestedShare.
+	modelledWaitFactor = 1.0
 	// forwardWaitShare is the share of the objective that the mean wait must exceed before
 	// long prompts are forwarded earlier than short ones. Without a queue, forwarding them
 	// only loses their cache hits.
@@ -43,6 +47,9 @@
 	factor := maxWaitFactor
 	if c.congested(congestedShare) {
 		factor = congestedWaitFactor
+		if c.rank == 0 && c.modelled() {
+			factor = modelledWaitFactor
+		}
 	}
 	return wait > time.Duration(factor*float64(c.route.LatencyObjective))
 }
