--- a/cmd/wheelgauge-gateway/routes.go
+++ b/cmd/wheelgauge-gateway/routes.go
@@ -40,6 +40,7 @@
 	{Section: "retry", Name: "ratio", Type: settings.Float, Default: "0.2", Max: 10, Help: "retries for each first attempt, over all hosts"},
 	{Section: "retry", Name: "slack", Type: settings.Float, Default: "50", Max: 1e6, Help: "additional retries in each window, over all hosts"},
 	{Section: "retry", Name: "window_seconds", Type: settings.Float, Default: "10", Min: 1, Max: 3600, Help: "length of the window"},
+	{Section: "forward", Name: "credits", Type: settings.Bool, Default: "false", Help: "forward to a region only what it has room for, and turn back forwarded requests that would be late"},
 	{Section: "rollout", Name: "share", Type: settings.Float, Default: "0.1", Max: 1, Help: "fraction of a service's requests that may go to the target version before the rollout's time limit, from all hosts"},
 	{Section: "rollout", Name: "slack", Type: settings.Float, Default: "50", Max: 1e9, Help: "additional requests that may go to the target version, from all hosts"},
 	{Section: "limits", Name: "memory_mb", Type: settings.Int, Default: "0", Max: 1 << 20, Help: "memory available to the process in MB; 0 means no limit"},
@@ -71,6 +72,7 @@
 		Budget: retrybudget.Options{
 			Ratio: v.Float("retry", "ratio"), Slack: v.Float("retry", "slack"), Window: seconds(v.Float("retry", "window_seconds")),
 		},
+		ForwardCredits: v.Bool("forward", "credits"),
 		MemoryLimit:  int64(v.Int("limits", "memory_mb")) << 20,
 		RolloutShare: v.Float("rollout", "share"), RolloutSlack: v.Float("rollout", "slack"),
 		DecodeRoutes: d.Decode, Names: d.Headers, Log: log,
--- a/confstore/servers.go
+++ b/confstore/servers.go
@@ -113,12 +113,19 @@
 			u.LimitedServers++
 		} else {
 			u.Servers, u.Slots = u.Servers+1, u.Slots+s.Slots
+			if listAge, _ := n.servers.Age(region); s.ColdMS > listAge.Milliseconds() {
+				u.ColdServers, u.ColdSlots = u.ColdServers+1, u.ColdSlots+s.Slots
+			}
 		}
 		sums[region][s.Service] = u
 	}
 	out := make([]wheelgauge.RegionUsage, 0, len(sums))
+	ages := n.hosts.RegionAges()
 	for region, uses := range sums {
-		r := wheelgauge.RegionUsage{Region: region}
+		r := wheelgauge.RegionUsage{Region: region, AgeMS: -1}
+		if age, ok := ages[region]; ok {
+			r.AgeMS = age.Milliseconds()
+		}
 		for _, u := range uses {
 			r.Services = append(r.Services, u)
 		}
--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -21,6 +21,7 @@
 	"wheelgauge/callerhttp"
 	"wheelgauge/capclient"
 	"wheelgauge/countconn"
+	"wheelgauge/forwardcredits"
 	"wheelgauge/heartbeat"
 	"wheelgauge/httpserve"
 	"wheelgauge/meter"
@@ -91,6 +92,8 @@
 	// lastRequestMargin if zero.
 	LastRequestMargin time.Duration
 	Budget            retrybudget.Options
+	// ForwardCredits limits what is forwarded to regions to their room.
+	ForwardCredits bool
 	// MemoryLimit is the memory limit of the process in bytes; 0 means none.
 	MemoryLimit int64
 	// Before a rollout's time limit, all hosts together may send this share of the service's
@@ -114,6 +117,8 @@
 	servers *serverset.Table
 	peers   *peerset.Table
 	budget  *retrybudget.Budget
+	// credits is nil unless they are turned on.
+	credits wheelgauge.ForwardCredits
 	caps    *capclient.Client
 	// quarantine rejects requests that crash servers.
 	quarantine *quarantine.Table
@@ -154,6 +159,9 @@
 	n.servers = serverset.New(serverset.Place{Host: o.Name, Hall: o.Hall}, n.service, clock.Now)
 	n.peers = peerset.New(o.Region, o.FarHeartbeatInterval+crossRegionResponseTime, clock.Now)
 	n.budget = retrybudget.New(o.Budget, clock.Now)
+	if o.ForwardCredits {
+		n.credits = forwardcredits.New(forwardcredits.Options{Region: o.Region, Service: n.service, Now: clock.Now})
+	}
 	n.caps = capclient.New(capclient.Options{Host: o.Name, Boot: n.boot, Stores: n.stores, Draw: n.requestCaps, Now: clock.Now})
 	n.quarantine = quarantine.New(clock.Now)
 	n.limits = serverlimit.New(clock.Now)
@@ -166,7 +174,7 @@
 	n.gate = routegate.New(routegate.Options{
 		Region: o.Region, Names: o.Names, Servers: n.servers, Peers: n.peers, Budget: n.budget, Meter: n.meter, Log: o.Log.WithName("gate"),
 		Caps: n.caps, Quarantine: n.quarantine, Limits: n.limits, Permits: n.permits, Clock: clock,
-		Versions: n.versions, Tally: n.tally,
+		Versions: n.versions, Tally: n.tally, Credits: n.credits,
 	})
 	if err := n.listen(); err != nil {
 		stop()
@@ -184,7 +192,7 @@
 			n.peers.OpenIdle(ctx)
 		})
 	}()
-	o.Log.Info("Gateway serves.", "name", o.Name, "callers", o.CallerAddress, "peer", o.PeerAddress, "seeds", o.Seeds)
+	o.Log.Info("Gateway serves.", "name", o.Name, "callers", o.CallerAddress, "peer", o.PeerAddress, "seeds", o.Seeds, "forward_credits", o.ForwardCredits)
 	return n, nil
 }
 
--- a/entrynode/updates.go
+++ b/entrynode/updates.go
@@ -98,9 +98,23 @@
 	}
 	n.completeTotals = n.completeTotals || !partial
 	n.peers.SetLoads(regions)
+	if n.credits != nil {
+		n.credits.SetUsage(regions, forwardingHosts(n.hosts, n.options.Region))
+	}
 	n.servers.SetBusiestRegion(n.peers.BusiestRegion())
 }
 
+// forwardingHosts returns how many hosts of a region accept callers.
+func forwardingHosts(hosts []wheelgauge.FleetHost, region string) int {
+	count := 0
+	for _, h := range hosts {
+		if h.Region == region && h.Ready && !h.Leaving {
+			count++
+		}
+	}
+	return count
+}
+
 // Crashes updates the crashes by which requests are quarantined. A partial list comes from a
 // store that has not received the replicated crashes yet, so it removes none.
 func (n *Node) Crashes(crashes []wheelgauge.Crash, partial bool) {
--- a/error.go
+++ b/error.go
@@ -38,6 +38,8 @@
 	ReasonTooOld     Reason = "too-old"
 	ReasonNoLeader   Reason = "no-leader"
 	ReasonInternal   Reason = "internal"
+	// ReasonNoRoom: a region turns back a forwarded request that it cannot answer in time.
+	ReasonNoRoom Reason = "no-room"
 )
 
 // Error is the error response of every program, sent as JSON.
--- a/fleet.go
+++ b/fleet.go
@@ -69,6 +69,10 @@
 	Slots   int `json:"n,omitempty"`
 	// LimitedServers is the number of additional servers that have announced a limit.
 	LimitedServers int `json:"l,omitempty"`
+	// ColdServers and ColdSlots are those of Servers and Slots that can handle only their cold
+	// rate.
+	ColdServers int `json:"c,omitempty"`
+	ColdSlots   int `json:"d,omitempty"`
 }
 
 // Plus adds what other hosts have in flight. The counts of servers and slots stay those of u.
@@ -163,7 +167,10 @@
 
 // RegionUsage is the load of another region.
 type RegionUsage struct {
-	Region   string         `json:"r"`
+	Region string `json:"r"`
+	// AgeMS is how long ago the store received the last report of the load, in ms; negative if
+	// there is none.
+	AgeMS    int64          `json:"a,omitempty"`
 	Services []ServiceUsage `json:"u"`
 }
 
--- a/hosttable/sums.go
+++ b/hosttable/sums.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"time"
 
 	"wheelgauge"
 )
@@ -12,12 +13,17 @@
 
 // load is what several hosts of a region have in flight, by service.
 type load struct {
-	hosts    int
+	hosts int
+	// newest is when the last report of it was received.
+	newest   time.Time
 	services map[string]wheelgauge.ServiceUsage
 }
 
-func (l *load) add(hosts int, uses []wheelgauge.ServiceUsage) {
+func (l *load) add(hosts int, uses []wheelgauge.ServiceUsage, receivedAt time.Time) {
 	l.hosts += hosts
+	if receivedAt.After(l.newest) {
+		l.newest = receivedAt
+	}
 	for _, u := range uses {
 		l.services[u.Service] = l.services[u.Service].Plus(u)
 	}
@@ -26,11 +32,11 @@
 // regionLoads maps regions to their load.
 type regionLoads map[string]*load
 
-func (l regionLoads) add(region string, hosts int, uses []wheelgauge.ServiceUsage) {
+func (l regionLoads) add(region string, hosts int, uses []wheelgauge.ServiceUsage, receivedAt time.Time) {
 	if l[region] == nil {
 		l[region] = &load{services: map[string]wheelgauge.ServiceUsage{}}
 	}
-	l[region].add(hosts, uses)
+	l[region].add(hosts, uses, receivedAt)
 }
 
 // serverUsage is what is in flight at each server, by region and instance.
@@ -62,19 +68,19 @@
 
 func (s *sums) add(e *entry) {
 	region := e.host.Region
-	s.direct.add(region, 1, e.totals)
+	s.direct.add(region, 1, e.totals, e.lastSeen)
 	if !e.primary {
 		return
 	}
-	s.local.add(region, 1, e.totals)
-	s.combined.add(region, 1, e.totals)
+	s.local.add(region, 1, e.totals, e.lastSeen)
+	s.combined.add(region, 1, e.totals, e.lastSeen)
 	s.uses.add(region, e.uses)
 	s.localUses.add(region, e.uses)
 }
 
 func (s *sums) addRelayed(r relayed) {
 	for _, l := range r.loads {
-		s.combined.add(l.Region, l.Hosts, l.Services)
+		s.combined.add(l.Region, l.Hosts, l.Services, r.receivedAt)
 	}
 	s.uses.add(r.region, r.uses)
 }
@@ -82,12 +88,18 @@
 // regions returns the load of each region by service.
 func (s *sums) regions() map[string]map[string]wheelgauge.ServiceUsage {
 	out := make(map[string]map[string]wheelgauge.ServiceUsage, len(s.combined))
-	for region, l := range s.combined {
+	for region, l := range s.bestLoads() {
 		out[region] = maps.Clone(l.services)
 	}
+	return out
+}
+
+// bestLoads returns the most accurate load of each region.
+func (s *sums) bestLoads() regionLoads {
+	out := maps.Clone(s.combined)
 	for region, l := range s.direct {
 		if combined := s.combined[region]; combined == nil || float64(combined.hosts) < minRelayed*float64(l.hosts) {
-			out[region] = maps.Clone(l.services)
+			out[region] = l
 		}
 	}
 	return out
--- a/hosttable/table.go
+++ b/hosttable/table.go
@@ -211,3 +211,16 @@
 	t.refresh()
 	return t.sums.regions()
 }
+
+// RegionAges returns how long ago the last report of each region's load was received.
+func (t *Table) RegionAges() map[string]time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.refresh()
+	now := t.now()
+	out := map[string]time.Duration{}
+	for region, l := range t.sums.bestLoads() {
+		out[region] = now.Sub(l.newest)
+	}
+	return out
+}
--- a/routegate/call.go
+++ b/routegate/call.go
@@ -32,6 +32,8 @@
 	notSent
 	// notRun: a server or gateway reported that it did not run the request.
 	notRun
+	// turnedBack: another region has no room for the request, and sent it to no server.
+	turnedBack
 	// failed: the request may have run, and the caller has no answer yet.
 	failed
 	// retry: the request ran and failed, and its retry is taken from the budget.
@@ -78,6 +80,10 @@
 
 	triedServers []string
 	triedPeers   []string
+	// turnedBackBy are the regions that turned the request back, withheld those for which this
+	// dispatch got no credit.
+	turnedBackBy []string
+	withheld     []string
 	sends        int
 	runs         int
 	status       int
@@ -128,7 +134,7 @@
 		switch res {
 		case answered:
 			return
-		case retry:
+		case retry, turnedBack:
 			continue
 		case notSent, notRun:
 			if ctx.Err() != nil || c.expired() {
@@ -160,6 +166,7 @@
 
 // dispatch sends the request once, to where the shortest wait is predicted.
 func (c *call) dispatch(ctx context.Context) result {
+	c.withheld = nil
 	p := c.placeForVersion(ctx)
 	defer c.releaseVersions()
 	if ctx.Err() != nil || c.expired() {
@@ -176,6 +183,9 @@
 	case p.leaving && c.runs == 0:
 		c.refuse(leavingRefusal())
 		return answered
+	case p.tooLate && c.forwarded:
+		c.turnBack()
+		return answered
 	case p.tooLate:
 		c.fail("late", "every backend server is too busy to answer in time")
 		return answered
--- a/routegate/dispatch.go
+++ b/routegate/dispatch.go
@@ -204,6 +204,9 @@
 	_ = x.discard() // a connection that breaks here is not kept
 	if outcome == wheelgauge.OutcomeNotRun {
 		c.runs--
+		if sends == 0 && wheelgauge.Reason(httpfield.Value(x.head, wheelgauge.HeaderReason)) == wheelgauge.ReasonNoRoom {
+			return c.endTurnedBack(p)
+		}
 		// Sends refused by servers there count like any other send of this request:
 		// the next one is a retry and takes from the budget here. Otherwise every
 		// request would be retried while servers are full.
--- a/routegate/gate.go
+++ b/routegate/gate.go
@@ -55,6 +55,9 @@
 	Servers *serverset.Table
 	Peers   *peerset.Table
 	Budget  *retrybudget.Budget
+	// Credits limit what is forwarded to other regions; nil limits nothing, and no forwarded
+	// request is turned back.
+	Credits wheelgauge.ForwardCredits
 	// Caps enforces the rate caps of workspaces; nil enforces none.
 	Caps wheelgauge.CapLimiter
 	// Clock measures ages and deadlines; the monotonic clock, which stops while the host is
@@ -97,6 +100,7 @@
 	durations routeDurations
 	active    inFlightCalls
 	waits     waitStats
+	creditLog creditLog
 	// limitRetries spreads the return of callers refused because of server limits,
 	// backoffRetries of those refused while servers back off.
 	limitRetries   retrySchedules
--- a/routegate/late.go
+++ b/routegate/late.go
@@ -29,7 +29,7 @@
 // tooLate reports whether a request that was not sent anywhere yet should be refused now:
 // served late, it would delay the requests behind it as well.
 func (c *call) tooLate(wait time.Duration) bool {
-	if c.forwarded || c.sends > 0 || c.route.LatencyObjective <= 0 {
+	if c.forwarded && !c.turnsBack() || c.sends > 0 || c.route.LatencyObjective <= 0 {
 		return false
 	}
 	factor := maxWaitFactor
--- a/routegate/place.go
+++ b/routegate/place.go
@@ -38,6 +38,9 @@
 		return placement{tooLate: true}
 	}
 	if forward {
+		if !c.takeCredit(region, ok) {
+			return c.choosePlacement() // without that region
+		}
 		if p := c.peer(region); p != nil {
 			c.predictedWait = wait
 			return placement{peer: p}
--- a/scarcity.go
+++ b/scarcity.go
@@ -12,11 +12,27 @@
 	// region may forward.
 	SetUsage(regions []RegionUsage, hosts int)
 	// Take takes the credit for a request with a prompt of some tokens. It returns false if the
-	// host may not forward it to the region now.
+	// host may not forward it to the region now. A credit that is smaller than the request is a
+	// chance, spent in any case: it is taken for a request that is sent if it returns true.
 	Take(region, service string, rank, tokens int) bool
 	// TurnedBack records that a region refused a forwarded request for lack of room. It gets no
 	// requests as urgent or less until it reports its load again.
 	TurnedBack(region, service string, rank int)
+	// Credit returns what is known of the credit, for the log.
+	Credit(region, service string, rank int) ForwardCredit
+}
+
+// ForwardCredit is the credit of a host for a service in a region.
+type ForwardCredit struct {
+	// Known is set if the load of the region was reported.
+	Known bool
+	// Requests and Tokens are the room of the region: how many requests and prompt tokens from
+	// other regions it can take in a second.
+	Requests, Tokens float64
+	// Share is the part of the room that the host may use, Left what is left of it now.
+	Share, Left float64
+	// Age is the age of the report.
+	Age time.Duration
 }
 
 // QueuedRequest is a request that finds no room and has time to wait for some.
