--- a/forwardcredits/ledger.go
+++ b/forwardcredits/ledger.go
@@ -11,30 +11,30 @@
 )
 
 const (
-	// lease is how long a report of a region's load allows forwarding, and the time to which
-	// its room applies. Reports are 0.2 to 0.6 s old on arrival and come several times in it.
+	// lease is how old a report of a region's load may be to allow forwarding. Reports are 0.2
+	// to 0.6 s old on arrival and come several times in it.
 	lease = time.Second
+	// period is the time for which a region's room is given out once: what was sent before that
+	// shows in the reports. One that arrives sooner after a request was turned back may not show
+	// yet what fills the region.
+	period = 600 * time.Millisecond
 	// overcommitment is how many times the room is given out: not every host uses its share,
 	// and the region turns back what is too much.
 	overcommitment = 1.25
 	// maxUtilisation is the share of its slots up to which a region gets forwarded requests.
 	// The rest is for what its own callers send before its next report is known.
-	maxUtilisation = 0.85
+	maxUtilisation = 0.95
 	// burstShare is the most of an allowance that can be used at once. The engines prefill for
 	// 0.2 s at most then, which leaves time for the round trip within 500 ms.
-	burstShare = 0.25
-	// reportDelay is how old a report may be on arrival: one that arrives sooner than this after
-	// a request was turned back may not show yet what fills the region.
-	reportDelay = 600 * time.Millisecond
+	burstShare = 0.3
 	// lowerPriorityShare is the share of less urgent prompts that a request waits for anyway.
 	lowerPriorityShare = 0.2
-	// engineDuration and plainDuration are the assumed times for which a request has a slot.
-	engineDuration = 2500 * time.Millisecond
-	plainDuration  = 30 * time.Millisecond
+	// plainDuration is the assumed time for which a request has a slot of a plain server.
+	plainDuration = 30 * time.Millisecond
 	// normalBacklog is the time for which engines have prompts pending without needing room.
 	normalBacklog = 100 * time.Millisecond
 	// baseNeed is the weight of a region without need, in servers. A peak shows in the reports
-	// only after reportDelay; until then its region has an equal part.
+	// only after period; until then its region has an equal part.
 	baseNeed = 0.5
 )
 
@@ -106,7 +106,7 @@
 		if l.regions[k.region] == nil && now.Sub(a.filledAt) > lease {
 			delete(l.accounts, k)
 		}
-		if a.refused && now.Sub(a.refusedAt) >= reportDelay && l.reportedAt[k.region].After(a.refusedAt) {
+		if a.refused && now.Sub(a.refusedAt) >= period && l.reportedAt[k.region].After(a.refusedAt) {
 			a.refused = false
 		}
 	}
@@ -183,16 +183,16 @@
 }
 
 // refill adds what a credit has grown by since the last time, and returns the most that it may
-// become; the lock is held. Both together never exceed the allowance in any lease.
+// become; the lock is held. Both together never exceed the allowance in any period.
 func (l *Ledger) refill(a *account, r room, region, service string, now time.Time) (most float64) {
 	allowance := l.allowance(region, service)
 	most = allowance * r.burst
-	growth := (allowance - most) * now.Sub(a.filledAt).Seconds() / lease.Seconds()
+	growth := (allowance - most) * now.Sub(a.filledAt).Seconds() / period.Seconds()
 	a.left, a.filledAt = min(most, a.left+max(0, growth)), now
 	return most
 }
 
-// allowance is the part of a region's room that the host may use in a lease; the lock is held.
+// allowance is the part of a region's room that the host may use in a period; the lock is held.
 func (l *Ledger) allowance(region, service string) float64 {
 	own, all := 0.0, 0.0
 	for name, services := range l.regions {
@@ -220,7 +220,7 @@
 	}
 	excess := max(0, float64(u.Running)-slots) * servers / slots
 	if l.isEngine(u.Service) {
-		perServer := enginewait.PrefillTokensPerMS * float64(lease.Milliseconds())
+		perServer := enginewait.PrefillTokensPerMS * float64(time.Second.Milliseconds())
 		backlog := float64(u.PrefillTokens) - servers*enginewait.PrefillTokensPerMS*float64(normalBacklog.Milliseconds())
 		excess = max(excess, backlog/perServer)
 	}
@@ -238,7 +238,7 @@
 	return s != nil && s.KVCacheTokens > 0
 }
 
-// room is what a region can take from others in a lease.
+// room is what a region can take from others in a period.
 type room struct {
 	requests float64
 	// tokens is unlimited if negative.
@@ -254,16 +254,15 @@
 	if servers == 0 {
 		return room{}
 	}
-	free := max(0, maxUtilisation*slots-float64(u.Running))
+	running, pending := ahead(u, rank)
+	free := max(0, maxUtilisation*slots-running)
 	if !l.isEngine(service) {
-		turnover := float64(lease) / float64(plainDuration)
+		turnover := float64(period) / float64(plainDuration)
 		return room{requests: free * turnover, tokens: -1, burst: 1 / turnover}
 	}
-	_, ahead := u.Work.Ahead(rank)
-	pending := float64(ahead) + lowerPriorityShare*float64(u.PrefillTokens-ahead)
-	prefill := servers * enginewait.PrefillTokensPerMS * float64(lease.Milliseconds()) * free / slots
+	prefill := servers * enginewait.PrefillTokensPerMS * float64(period.Milliseconds())
 	return room{
-		requests: free * max(1, float64(lease)/float64(engineDuration)),
+		requests: free,
 		tokens:   max(0, prefill-pending), burst: burstShare,
 	}
 }
@@ -279,3 +278,12 @@
 	}
 	return cost
 }
+
+// ahead is what a request of a rank finds in flight that delays it, in requests and prompt
+// tokens.
+func ahead(u wheelgauge.ServiceUsage, rank int) (running, tokens float64) {
+	r, t := u.Work.Ahead(rank)
+	running = float64(r) + lowerPriorityShare*float64(max(0, u.Running-r))
+	tokens = float64(t) + lowerPriorityShare*float64(max(0, u.PrefillTokens-t))
+	return running, tokens
+}
--- a/scarcity.go
+++ b/scarcity.go
@@ -27,7 +27,7 @@
 	// Known is set if the load of the region was reported.
 	Known bool
 	// Requests and Tokens are the room of the region: how many requests and prompt tokens from
-	// other regions it can take in a second.
+	// other regions it can take until its reports show them.
 	Requests, Tokens float64
 	// Share is the part of the room that the host may use, Left what is left of it now.
 	Share, Left float64
