--- a/forwardcredits/simulation_test.go
+++ b/forwardcredits/simulation_test.go
@@ -21,7 +21,7 @@
 	simSlots       = 24
 	simHeartbeat   = 150 * time.Millisecond
 	simRoundTrip   = 110 * time.Millisecond
-	simPeak        = 6 * time.Second
+	simPeak        = 4 * time.Second
 	simLateFactor  = 1.5
 	simRetryFactor = 0.25
 )
@@ -61,14 +61,16 @@
 // load is the engine's load as a request of a class sees it.
 func (e *simEngine) load(c simClass) enginewait.Load {
 	l := enginewait.Load{InFlight: float64(len(e.waiting) + len(e.running)), OwnTokens: float64(c.tokens), Slots: simSlots, DurationMS: 2500}
-	for _, r := range slices.Concat(e.waiting, e.running) {
-		if r.class.rank > c.rank {
-			l.TokensBehind += r.unread
-			continue
+	for _, list := range [][]*simRequest{e.waiting, e.running} {
+		for _, r := range list {
+			if r.class.rank > c.rank {
+				l.TokensBehind += r.unread
+				continue
+			}
+			l.InFlightAhead++
+			l.TokensAhead += r.unread
+			l.Overtaken = l.Overtaken || r.class.rank < c.rank
 		}
-		l.InFlightAhead++
-		l.TokensAhead += r.unread
-		l.Overtaken = l.Overtaken || r.class.rank < c.rank
 	}
 	return l
 }
@@ -82,14 +84,17 @@
 	parts map[string]int
 }
 
-// simResult is what callers got: begun in time, late and refused, by class and home region.
+// simResult is what callers got: how many came and began in time, by class and by class and home
+// region.
 type simResult struct {
 	inTime, all map[string]int
 	// forwarded and turnedBack count requests, most is the most in flight in the region at rest.
 	forwarded, turnedBack, most int
 }
 
-func (r simResult) share(class string) float64 { return float64(r.inTime[class]) / float64(r.all[class]) }
+func (r simResult) share(class string) float64 {
+	return float64(r.inTime[class]) / float64(r.all[class])
+}
 
 // regionSim simulates regions whose hosts learn of each other's load from old totals.
 type regionSim struct {
@@ -198,7 +203,7 @@
 func (s *regionSim) place(r *simRequest, h *simHost) {
 	limit := simLateFactor * float64(r.class.objective.Milliseconds())
 	e, local := s.best(r.home, r.class)
-	region, least := -1, e.load(r.class).Cost()
+	region, least := -1, local.Cost()
 	for i, name := range simRegions {
 		u, known := h.loads[name]
 		if !known || r.tried[i] || len(r.tried) > 1 && s.Now().Add(simRoundTrip).Sub(r.arrivedAt) > time.Duration(simRetryFactor*float64(r.class.objective)) {
@@ -213,7 +218,7 @@
 	switch {
 	case region >= 0:
 		s.forward(r, h, region)
-	case local <= limit:
+	case local.Wait() <= limit:
 		e.waiting = append(e.waiting, r)
 	}
 }
@@ -238,8 +243,8 @@
 	h.loads[name] = u
 	r.forwarded, r.tried[region] = true, true
 	s.after(simRoundTrip/2, func() {
-		e, wait := s.best(region, r.class)
-		if s.way != "credits" || wait <= simLateFactor*float64(r.class.objective.Milliseconds()) {
+		e, l := s.best(region, r.class)
+		if s.way != "credits" || l.Wait() <= simLateFactor*float64(r.class.objective.Milliseconds()) {
 			e.waiting = append(e.waiting, r)
 			return
 		}
@@ -257,10 +262,16 @@
 	s.due[at] = append(s.due[at], do)
 }
 
-// best returns the engine of a region with the least cost, and the wait there in milliseconds.
-func (s *regionSim) best(region int, c simClass) (*simEngine, float64) {
-	e := slices.MinFunc(s.engines[region], func(a, b *simEngine) int { return int(1000 * (a.load(c).Cost() - b.load(c).Cost())) })
-	return e, e.load(c).Wait()
+// best returns the engine of a region with the least cost, and its load.
+func (s *regionSim) best(region int, c simClass) (*simEngine, enginewait.Load) {
+	var best *simEngine
+	var least enginewait.Load
+	for _, e := range s.engines[region] {
+		if l := e.load(c); best == nil || l.Cost() < least.Cost() {
+			best, least = e, l
+		}
+	}
+	return best, least
 }
 
 // work lets an engine prefill, the most urgent first, for a tick.
@@ -299,13 +310,57 @@
 	}
 }
 
-func TestSimPrint(t *testing.T) {
-	for _, loads := range [][]float64{{1.8, 0.6, 0.2}, {1.6, 1.6, 0.2}, {2.5, 2.5, 0.3}, {0.5, 0.5, 0.5}} {
-		for _, way := range []string{"race", "equal", "credits"} {
-			for seed := range uint64(2) {
-				r := newRegionSim(way, seed).run(loads)
-				fmt.Printf("%v %8s check %.3f draft %.3f; check c %.3f draft c %.3f forwarded %d back %d most %d of %d (all %d/%d)\n", loads, way, r.share("check"), r.share("draft"), r.share("check c"), r.share("draft c"), r.forwarded, r.turnedBack, r.most, simEngines*simSlots, r.all["check"], r.all["draft"])
+// Hosts that all see the same old totals: a region at rest takes what it has room for and still
+// answers its own callers, and the regions at their peak are not worse off than by a race for the
+// lowest total or by equal parts.
+func TestPeakGoesToTheRegionAtRest(t *testing.T) {
+	tests := []struct {
+		name  string
+		loads []float64
+		// ownInTime is the least share of the requests of the region at rest to begin within
+		// their objective, allInTime that of all checks.
+		ownInTime, allInTime float64
+		// mostInFlight bounds what is in flight in the region at rest, in parts of its slots.
+		mostInFlight float64
+	}{
+		{"none at its peak", []float64{0.5, 0.5, 0.5}, 0.95, 0.95, 1},
+		{"one at its peak", []float64{1.8, 0.6, 0.2}, 0.95, 0.95, 1},
+		{"two at their peak", []float64{1.6, 1.6, 0.2}, 0.95, 0.95, 1.1},
+		{"two far above it", []float64{2.5, 2.5, 0.3}, 0.9, 0.85, 1.5},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			for _, seed := range []uint64{1, 2} {
+				results := map[string]simResult{}
+				for _, way := range []string{"race", "equal", "credits"} {
+					r := newRegionSim(way, seed).run(tt.loads)
+					results[way] = r
+					t.Logf("seed %d, %s: checks in time %.3f, drafts %.3f; of the region at rest %.3f, %.3f; forwarded %d, turned back %d, most in flight there %d",
+						seed, way, r.share("check"), r.share("draft"), r.share("check c"), r.share("draft c"), r.forwarded, r.turnedBack, r.most)
+				}
+				r, race := results["credits"], results["race"]
+				if r.share("check") < tt.allInTime {
+					t.Errorf("seed %d: %.3f of the checks begin in time, want %.3f", seed, r.share("check"), tt.allInTime)
+				}
+				if r.share("check c") < tt.ownInTime || r.share("draft c") < tt.ownInTime {
+					t.Errorf("seed %d: %.3f and %.3f of the requests of the region at rest begin in time, want %.3f", seed, r.share("check c"), r.share("draft c"), tt.ownInTime)
+				}
+				if float64(r.most) > tt.mostInFlight*simEngines*simSlots {
+					t.Errorf("seed %d: %d were in flight in the region at rest, want %.1f of %d at most", seed, r.most, tt.mostInFlight, simEngines*simSlots)
+				}
+				if r.turnedBack*10 > r.forwarded {
+					t.Errorf("seed %d: %d of %d were turned back, want a tenth at most", seed, r.turnedBack, r.forwarded)
+				}
+				if tt.mostInFlight > 1 && r.most >= race.most {
+					t.Errorf("seed %d: %d in flight in the region at rest, want fewer than the %d of a race", seed, r.most, race.most)
+				}
+				if got, want := r.begun(), 0.95*max(race.begun(), results["equal"].begun()); got < want {
+					t.Errorf("seed %d: %.0f requests began in time, want %.0f", seed, got, want)
+				}
 			}
-		}
+		})
 	}
 }
+
+// begun is how many requests of all classes began within their objective.
+func (r simResult) begun() float64 { return float64(r.inTime["check"] + r.inTime["draft"]) }
--- a/routegate/place.go
+++ b/routegate/place.go
@@ -38,11 +38,11 @@
 		return placement{tooLate: true}
 	}
 	if forward {
+		c.predictedWait = wait
 		if !c.takeCredit(region, ok) {
 			return c.choosePlacement() // without that region
 		}
 		if p := c.peer(region); p != nil {
-			c.predictedWait = wait
 			return placement{peer: p}
 		}
 	}
