--- a/cmd/wheelgauge-gateway/routes.go
+++ b/cmd/wheelgauge-gateway/routes.go
@@ -73,8 +73,8 @@
 			Ratio: v.Float("retry", "ratio"), Slack: v.Float("retry", "slack"), Window: seconds(v.Float("retry", "window_seconds")),
 		},
 		ForwardCredits: v.Bool("forward", "credits"),
-		MemoryLimit:  int64(v.Int("limits", "memory_mb")) << 20,
-		RolloutShare: v.Float("rollout", "share"), RolloutSlack: v.Float("rollout", "slack"),
+		MemoryLimit:    int64(v.Int("limits", "memory_mb")) << 20,
+		RolloutShare:   v.Float("rollout", "share"), RolloutSlack: v.Float("rollout", "slack"),
 		DecodeRoutes: d.Decode, Names: d.Headers, Log: log,
 	}
 	n, err := entrynode.Open(context.WithoutCancel(ctx), o)
--- a/forwardcredits/ledger.go
+++ b/forwardcredits/ledger.go
@@ -29,6 +29,9 @@
 	burstShare = 0.3
 	// lowerPriorityShare is the share of less urgent prompts that a request waits for anyway.
 	lowerPriorityShare = 0.2
+	// lessUrgentShare is the share of a credit that requests may use while more urgent ones get
+	// none.
+	lessUrgentShare = 0.5
 	// plainDuration is the assumed time for which a request has a slot of a plain server.
 	plainDuration = 30 * time.Millisecond
 	// normalBacklog is the time for which engines have prompts pending without needing room.
@@ -70,6 +73,9 @@
 	refused     bool
 	refusedRank int
 	refusedAt   time.Time
+	// withheldRank is the most urgent rank that lately got no credit, withheldAt when.
+	withheldRank int
+	withheldAt   time.Time
 }
 
 // New returns a ledger that knows no loads: it allows everything.
@@ -134,14 +140,33 @@
 		return false
 	}
 	most := l.refill(a, r, region, service, now)
+	if a.take(cost, most, a.usable(rank, now), l.options.Random) {
+		return true
+	}
+	if rank <= a.withheldRank || now.Sub(a.withheldAt) >= period {
+		a.withheldRank, a.withheldAt = rank, now
+	}
+	return false
+}
+
+// usable is how much of the credit a request of a rank may use: not all of it while more urgent
+// ones are refused for want of credit.
+func (a *account) usable(rank int, now time.Time) float64 {
+	if rank > a.withheldRank && now.Sub(a.withheldAt) < period {
+		return lessUrgentShare * a.left
+	}
+	return a.left
+}
+
+// take takes the credit for a request out of the usable part.
+func (a *account) take(cost, most, usable float64, random func() float64) bool {
 	if cost > most {
 		// Hosts have less than one request each when they are many. If each saved up for one,
 		// all could send theirs at once.
-		won := l.options.Random()*cost < a.left
-		a.left = 0
-		return won
+		a.left -= usable
+		return random()*cost < usable
 	}
-	if cost > a.left {
+	if cost > usable {
 		return false
 	}
 	a.left -= cost
--- a/forwardcredits/ledger_test.go
+++ b/forwardcredits/ledger_test.go
@@ -85,6 +85,36 @@
 	}
 }
 
+// While urgent requests get no credit, less urgent ones leave them half of what grows.
+func TestUrgentRequestsComeFirst(t *testing.T) {
+	tests := []struct {
+		name     string
+		withheld int // the rank that got no credit before
+		after    time.Duration
+		half     bool
+	}{
+		{"a more urgent one", 0, period / 2, true},
+		{"one of the same rank", 1, period / 2, false},
+		{"a less urgent one", 2, period / 2, false},
+		{"a more urgent one, long ago", 0, period, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			clock := manualclock.New()
+			l := newLedger("a", clock.Now, never)
+			l.SetUsage([]wheelgauge.RegionUsage{engines("a", 100, 0, 0), engines("c", 100, 0, 0)}, 1)
+			takeAll(l, "c", tt.withheld, 0)
+			clock.Advance(tt.after)
+			l.SetUsage([]wheelgauge.RegionUsage{engines("a", 100, 0, 0), engines("c", 100, 0, 0)}, 1)
+			got := takeAll(l, "c", 1, 0)
+			// With half of what is left for each, the last credit is not taken.
+			if left := l.Credit("c", "s", 1); got == 0 || tt.half != (left.Left*left.Requests > 1) {
+				t.Errorf("%d were taken and credit for %.1f is left", got, left.Left*left.Requests)
+			}
+		})
+	}
+}
+
 // Whatever hosts see of a region, and however old, together they forward in a period no more
 // than the greatest room that it reported, overcommitted.
 func TestSumIsBounded(t *testing.T) {
--- a/hosttable/table_test.go
+++ b/hosttable/table_test.go
@@ -99,3 +99,21 @@
 	at = at.Add(maxSumAge)
 	check("report covers too few hosts", 20, 6)
 }
+
+// The age of a region's load is that of the report it is taken from.
+func TestRegionAges(t *testing.T) {
+	at := time.Unix(1000, 0)
+	table := New(func() time.Time { return at })
+	table.RecordHeartbeat(heartbeatOf("a", "north", true), interval)
+	at = at.Add(relayTTL / 2)
+	table.RecordStore(wheelgauge.StoreUpdate{Address: "other", Region: "south", Loads: []wheelgauge.RegionLoad{{Region: "south", Hosts: 1}}})
+	at = at.Add(relayTTL / 4)
+	ages := table.RegionAges()
+	if len(ages) != 2 || ages["north"] != 3*relayTTL/4 || ages["south"] != relayTTL/4 {
+		t.Errorf("got ages %v, want %s of north and %s of south", ages, 3*relayTTL/4, relayTTL/4)
+	}
+	at = at.Add(relayTTL)
+	if age, ok := table.RegionAges()["south"]; ok {
+		t.Errorf("the region whose store is silent has age %s, want none", age)
+	}
+}
--- a/routegate/credits_test.go
+++ b/routegate/credits_test.go
@@ -103,13 +103,13 @@
 		name string
 		path string
 		// far is the round trip to the region far.
-		far       time.Duration
-		busy      []string
-		withheld  []string
-		status    int
-		servedBy  string
-		taken     string
-		back      string
+		far      time.Duration
+		busy     []string
+		withheld []string
+		status   int
+		servedBy string
+		taken    string
+		back     string
 	}{
 		{"near has room", "/once/", short, []string{"here"}, nil, 200, "near", "near", ""},
 		{"here has room", "/once/", short, []string{"near", "far"}, nil, 200, "here", "", ""},
@@ -233,4 +233,3 @@
 		t.Errorf("%d lines that count %d others, want 10 and 81", logged, skipped)
 	}
 }
-
