--- a/confstore/regionuses_test.go
+++ b/confstore/regionuses_test.go
@@ -11,8 +11,8 @@
 	"wheelgauge/serverlist"
 )
 
-// Servers of drained halls and leaving ones are no capacity; cold ones are named apart until the
-// list's countdown ends. A region without a reporting host has no age.
+// Leaving servers are no capacity; cold ones are named apart until the
+// countdown of the list ends. A region without a reporting host has no age.
 func TestRegionUsesTellColdServers(t *testing.T) {
 	at := time.Unix(1000, 0)
 	now := func() time.Time { return at }
--- a/forwardcredits/simulation_test.go
+++ b/forwardcredits/simulation_test.go
@@ -129,9 +129,13 @@
 	return s
 }
 
-// run plays loads, as shares of what the regions can do, and returns what callers got.
-func (s *regionSim) run(loads []float64) simResult {
+// run plays loads, as shares of what the regions can do, the second ones after half of the time,
+// and returns what callers got.
+func (s *regionSim) run(loads, then []float64) simResult {
 	for began := s.Now(); s.Now().Sub(began) < simPeak; s.Advance(simTick) {
+		if s.Now().Sub(began) >= simPeak/2 {
+			loads = then
+		}
 		s.history = append(s.history, s.totals())
 		for _, h := range s.hosts {
 			s.heartbeat(h)
@@ -317,33 +321,39 @@
 	tests := []struct {
 		name  string
 		loads []float64
-		// ownInTime is the least share of the requests of the region at rest to begin within
-		// their objective, allInTime that of all checks.
-		ownInTime, allInTime float64
+		// then are the loads of the second half; the same if nil.
+		then []float64
+		// ownChecks and ownDrafts are the least shares of the requests of the region at rest to
+		// begin within their objective, allChecks that of the checks of all regions.
+		ownChecks, ownDrafts, allChecks float64
 		// mostInFlight bounds what is in flight in the region at rest, in parts of its slots.
 		mostInFlight float64
 	}{
-		{"none at its peak", []float64{0.5, 0.5, 0.5}, 0.95, 0.95, 1},
-		{"one at its peak", []float64{1.8, 0.6, 0.2}, 0.95, 0.95, 1},
-		{"two at their peak", []float64{1.6, 1.6, 0.2}, 0.95, 0.95, 1.1},
-		{"two far above it", []float64{2.5, 2.5, 0.3}, 0.9, 0.85, 1.5},
+		{"none at its peak", []float64{0.5, 0.5, 0.5}, nil, 0.95, 0.95, 0.95, 1},
+		{"one at its peak", []float64{1.8, 0.6, 0.2}, nil, 0.95, 0.95, 0.95, 1},
+		{"two at their peak", []float64{1.6, 1.6, 0.2}, nil, 0.95, 0.95, 0.95, 1.1},
+		{"two far above it", []float64{2.5, 2.5, 0.3}, nil, 0.95, 0.9, 0.85, 1.5},
+		{"the one at rest gets a peak of its own", []float64{1.6, 1.6, 0.2}, []float64{1.6, 1.6, 1.6}, 0.85, 0.3, 0.85, 1.5},
 	}
 	for _, tt := range tests {
+		if tt.then == nil {
+			tt.then = tt.loads
+		}
 		t.Run(tt.name, func(t *testing.T) {
 			for _, seed := range []uint64{1, 2, 3} {
 				results := map[string]simResult{}
 				for _, way := range []string{"race", "equal", "credits"} {
-					r := newRegionSim(way, seed).run(tt.loads)
+					r := newRegionSim(way, seed).run(tt.loads, tt.then)
 					results[way] = r
 					t.Logf("seed %d, %s: checks in time %.3f, drafts %.3f; of the region at rest %.3f, %.3f; forwarded %d, turned back %d, most in flight there %d",
 						seed, way, r.share("check"), r.share("draft"), r.share("check c"), r.share("draft c"), r.forwarded, r.turnedBack, r.most)
 				}
 				r, race := results["credits"], results["race"]
-				if r.share("check") < tt.allInTime {
-					t.Errorf("seed %d: %.3f of the checks begin in time, want %.3f", seed, r.share("check"), tt.allInTime)
+				if r.share("check") < tt.allChecks {
+					t.Errorf("seed %d: %.3f of the checks begin in time, want %.3f", seed, r.share("check"), tt.allChecks)
 				}
-				if r.share("check c") < tt.ownInTime || r.share("draft c") < tt.ownInTime {
-					t.Errorf("seed %d: %.3f and %.3f of the requests of the region at rest begin in time, want %.3f", seed, r.share("check c"), r.share("draft c"), tt.ownInTime)
+				if r.share("check c") < tt.ownChecks || r.share("draft c") < tt.ownDrafts {
+					t.Errorf("seed %d: %.3f and %.3f of the checks and drafts of the region at rest begin in time, want %.2f and %.2f", seed, r.share("check c"), r.share("draft c"), tt.ownChecks, tt.ownDrafts)
 				}
 				if float64(r.most) > tt.mostInFlight*simEngines*simSlots {
 					t.Errorf("seed %d: %d were in flight in the region at rest, want %.1f of %d at most", seed, r.most, tt.mostInFlight, simEngines*simSlots)
