--- a/forwardcredits/simulation_test.go
+++ b/forwardcredits/simulation_test.go
@@ -340,6 +340,7 @@
 			tt.then = tt.loads
 		}
 		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
 			for _, seed := range []uint64{1, 2, 3} {
 				results := map[string]simResult{}
 				for _, way := range []string{"race", "equal", "credits"} {
