--- a/forwardcredits/ledger.go
+++ b/forwardcredits/ledger.go
@@ -18,6 +18,10 @@
 	// shows in the reports. One that arrives sooner after a request was turned back may not show
 	// yet what fills the region.
 	period = 600 * time.Millisecond
+	// maxHold is the longest time for which a region gets nothing after it has turned a request
+	// back: period at first, doubled while the first request after that is turned back too.
+	// What makes its answers late may not show in its load.
+	maxHold = 4 * period
 	// overcommitment is how many times the room is given out: not every host uses its share,
 	// and the region turns back what is too much.
 	overcommitment = 1.25
@@ -73,6 +77,8 @@
 	refused     bool
 	refusedRank int
 	refusedAt   time.Time
+	// hold is for how long.
+	hold time.Duration
 	// withheldRank is the most urgent rank that lately got no credit, withheldAt when.
 	withheldRank int
 	withheldAt   time.Time
@@ -112,7 +118,7 @@
 		if l.regions[k.region] == nil && now.Sub(a.filledAt) > lease {
 			delete(l.accounts, k)
 		}
-		if a.refused && now.Sub(a.refusedAt) >= period && l.reportedAt[k.region].After(a.refusedAt) {
+		if a.refused && now.Sub(a.refusedAt) >= a.hold && l.reportedAt[k.region].After(a.refusedAt) {
 			a.refused = false
 		}
 	}
@@ -178,10 +184,17 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	a := l.account(region, service)
+	now := l.options.Now()
 	if !a.refused || rank < a.refusedRank {
 		a.refusedRank = rank
 	}
-	a.refused, a.refusedAt = true, l.options.Now()
+	if !a.refused {
+		again := a.hold > 0 && now.Sub(a.refusedAt) < 2*a.hold
+		if a.hold = min(2*a.hold, maxHold); !again {
+			a.hold = period
+		}
+	}
+	a.refused, a.refusedAt = true, now
 }
 
 // Credit implements wheelgauge.ForwardCredits.
--- a/forwardcredits/ledger_test.go
+++ b/forwardcredits/ledger_test.go
@@ -205,6 +205,37 @@
 	}
 }
 
+// A region that goes on turning back is asked less and less often, up to a bound, and as before
+// once it has taken requests for a while.
+func TestHold(t *testing.T) {
+	clock := manualclock.New()
+	l := newLedger("a", clock.Now, never)
+	report := func() {
+		l.SetUsage([]wheelgauge.RegionUsage{engines("a", 10, 0, 0), engines("c", 100, 0, 0)}, 1)
+	}
+	held := func() time.Duration {
+		l.TurnedBack("c", "s", 1)
+		l.TurnedBack("c", "s", 1) // sent before the first came back
+		began := clock.Now()
+		for !l.Take("c", "s", 1, 0) {
+			clock.Advance(period / 4)
+			report()
+		}
+		return clock.Now().Sub(began)
+	}
+	report()
+	for i, want := range []time.Duration{period, 2 * period, 4 * period, 4 * period} {
+		if got := held(); got != want {
+			t.Errorf("turned back %d times: held for %s, want %s", i+1, got, want)
+		}
+	}
+	clock.Advance(2 * maxHold)
+	report()
+	if got := held(); got != period {
+		t.Errorf("turned back again much later: held for %s, want %s", got, period)
+	}
+}
+
 // The failures of the design page.
 func TestFailures(t *testing.T) {
 	peak, rest := engines("a", 10, 400, 0), engines("c", 100, 0, 0)
