--- a/forwardcredits/ledger.go
+++ b/forwardcredits/ledger.go
@@ -15,13 +15,13 @@
 	// to 0.6 s old on arrival and come several times in it.
 	lease = time.Second
 	// period is the time for which a region's room is given out once: what was sent before that
-	// shows in the reports. One that arrives sooner after a request was turned back may not show
-	// yet what fills the region.
+	// shows in the reports.
 	period = 600 * time.Millisecond
-	// maxHold is the longest time for which a region gets nothing after it has turned a request
-	// back: period at first, doubled while the first request after that is turned back too.
-	// What makes its answers late may not show in its load.
-	maxHold = 4 * period
+	// minHold is for how long a region gets nothing after it has turned a request back: about
+	// until its next report. It is doubled up to maxHold while the next requests are turned back
+	// too: what makes its answers late may not show in its load.
+	minHold = 150 * time.Millisecond
+	maxHold = 1200 * time.Millisecond
 	// overcommitment is how many times the room is given out: not every host uses its share,
 	// and the region turns back what is too much.
 	overcommitment = 1.25
@@ -189,9 +189,9 @@
 		a.refusedRank = rank
 	}
 	if !a.refused {
-		again := a.hold > 0 && now.Sub(a.refusedAt) < 2*a.hold
+		again := a.hold > 0 && now.Sub(a.refusedAt) < a.hold+period
 		if a.hold = min(2*a.hold, maxHold); !again {
-			a.hold = period
+			a.hold = minHold
 		}
 	}
 	a.refused, a.refusedAt = true, now
