--- a/entrynode/updates_test.go
+++ b/entrynode/updates_test.go
@@ -4,9 +4,12 @@
 	"fmt"
 	"slices"
 	"testing"
+	"time"
 
 	"wheelgauge"
 	"wheelgauge/announcedhosts"
+	"wheelgauge/peerset"
+	"wheelgauge/serverset"
 )
 
 // A store that has just started knows few hosts; the others must not be removed.
@@ -64,3 +67,44 @@
 		t.Errorf("all hosts are leaving: got %d announced, want all", len(announced))
 	}
 }
+
+// usageRecorder records what credits are told.
+type usageRecorder struct {
+	wheelgauge.ForwardCredits
+	regions, hosts int
+}
+
+func (r *usageRecorder) SetUsage(regions []wheelgauge.RegionUsage, hosts int) {
+	r.regions, r.hosts = len(regions), hosts
+}
+
+// Credits are shared by the hosts of the region that accept callers, and partial totals do not
+// replace complete ones.
+func TestCreditsAreToldTheUsage(t *testing.T) {
+	r := &usageRecorder{}
+	now := time.Now
+	n := &Node{options: Options{Region: "here"}, credits: r, peers: peerset.New("here", time.Second, now), servers: serverset.New(serverset.Place{}, nil, now)}
+	n.mergeHosts([]wheelgauge.FleetHost{
+		{Name: "a", Region: "here", Ready: true},
+		{Name: "b", Region: "here", Ready: true},
+		{Name: "leaving", Region: "here", Ready: true, Leaving: true},
+		{Name: "starting", Region: "here"},
+		{Name: "far", Region: "there", Ready: true},
+	}, false)
+	tests := []struct {
+		name    string
+		regions int
+		partial bool
+		want    int
+	}{
+		{"partial ones at first", 1, true, 1},
+		{"complete ones", 2, false, 2},
+		{"partial ones later", 1, true, 2},
+	}
+	for _, tt := range tests {
+		n.RegionUsage(make([]wheelgauge.RegionUsage, tt.regions), tt.partial)
+		if r.regions != tt.want || r.hosts != 2 {
+			t.Errorf("%s: the credits know %d regions and %d hosts, want %d and 2", tt.name, r.regions, r.hosts, tt.want)
+		}
+	}
+}
--- a/forwardcredits/ledger.go
+++ b/forwardcredits/ledger.go
@@ -142,7 +142,7 @@
 		return false
 	}
 	a := l.account(region, service)
-	if a.refused && rank >= a.refusedRank {
+	if a.holds(rank) {
 		return false
 	}
 	most := l.refill(a, r, region, service, now)
@@ -155,6 +155,9 @@
 	return false
 }
 
+// holds reports whether the region gets no requests of a rank, as it turned one back.
+func (a *account) holds(rank int) bool { return a.refused && rank >= a.refusedRank }
+
 // usable is how much of the credit a request of a rank may use: not all of it while more urgent
 // ones are refused for want of credit.
 func (a *account) usable(rank int, now time.Time) float64 {
@@ -206,7 +209,7 @@
 	}
 	r, a := l.room(region, service, rank), l.account(region, service)
 	return wheelgauge.ForwardCredit{
-		Known: true, Requests: r.requests, Tokens: r.tokens, Share: l.allowance(region, service), Left: a.left, Age: l.options.Now().Sub(l.reportedAt[region]),
+		Known: true, Requests: r.requests, Tokens: r.tokens, Share: l.allowance(region, service), Left: a.left, Held: a.holds(rank), Age: l.options.Now().Sub(l.reportedAt[region]),
 	}
 }
 
--- a/routegate/credits.go
+++ b/routegate/credits.go
@@ -21,6 +21,7 @@
 // The kinds of decisions on forwarding, as counted and logged.
 const (
 	forwardSent         = "forward.sent"
+	forwardExempt       = "forward.exempt"
 	forwardWithheld     = "forward.withheld"
 	forwardTurnedBack   = "forward.turned_back"
 	forwardReceivedBack = "forward.received.turned_back"
@@ -58,12 +59,16 @@
 	if credits == nil {
 		return true
 	}
-	if localOK && !credits.Take(region, c.service, c.rank, c.creditTokens()) {
+	switch {
+	case !localOK:
+		c.recordCredit(forwardExempt, region)
+	case credits.Take(region, c.service, c.rank, c.creditTokens()):
+		c.recordCredit(forwardSent, region)
+	default:
 		c.withheld = append(c.withheld, region)
 		c.recordCredit(forwardWithheld, region)
 		return false
 	}
-	c.recordCredit(forwardSent, region)
 	return true
 }
 
@@ -117,5 +122,5 @@
 		known = o.Credits.Credit(region, c.service, c.rank)
 	}
 	o.Log.Info("Forwarding is decided.", "id", c.id, "decision", kind, "service", c.service, "region", region, "rank", c.rank, "tokens", c.creditTokens(), "predicted_ms", c.predictedWait.Milliseconds(),
-		"known", known.Known, "room", int(known.Requests), "room_tokens", int(known.Tokens), "share", known.Share, "left", known.Left, "age_ms", known.Age.Milliseconds(), "more", skipped)
+		"known", known.Known, "room", int(known.Requests), "room_tokens", int(known.Tokens), "share", known.Share, "left", known.Left, "held", known.Held, "age_ms", known.Age.Milliseconds(), "more", skipped)
 }
--- a/scarcity.go
+++ b/scarcity.go
@@ -31,6 +31,8 @@
 	Requests, Tokens float64
 	// Share is the part of the room that the host may use, Left what is left of it now.
 	Share, Left float64
+	// Held is set while the region gets nothing of the rank, as it turned a request back.
+	Held bool
 	// Age is the age of the report.
 	Age time.Duration
 }
