--- a/callerhttp/conn.go
+++ b/callerhttp/conn.go
@@ -55,31 +55,59 @@
 	defer func() { _ = k.net.Close() }() // an error changes nothing for the caller
 	for ctx.Err() == nil {
 		r := &Request{conn: k, arrived: time.Now()}
-		if !k.read(r) {
+		if !k.readHead(r) {
 			return
 		}
-		k.serve(ctx, r)
-		if !r.finished || r.closeAfter {
+		if serve := k.admit(ctx, r); serve != nil {
+			if !k.readBody(r) {
+				return
+			}
+			k.withCancel(ctx, serve)
+		}
+		k.server.shares.end(k)
+		if !r.finished || !k.passBody(r) || r.closeAfter {
 			return
 		}
 	}
 }
 
-func (k *conn) serve(ctx context.Context, r *Request) {
+// withCancel calls f with a context that Request.Cancel cancels.
+func (k *conn) withCancel(ctx context.Context, f func(ctx context.Context)) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	k.setCancel(cancel)
 	defer k.setCancel(nil)
-	k.server.options.Serve(ctx, r)
+	f(ctx)
+}
+
+// admit returns the function that serves a request whose body is not read yet; nil if the
+// request was refused from its header.
+func (k *conn) admit(ctx context.Context, r *Request) (serve func(ctx context.Context)) {
+	o := &k.server.options
+	if o.Admit == nil {
+		return func(ctx context.Context) { o.Serve(ctx, r) }
+	}
+	r.unread = bodyRest(&r.request.Header)
+	k.withCancel(ctx, func(ctx context.Context) { serve = o.Admit(ctx, r) })
+	if serve == nil {
+		k.server.refusedEarly.Add(1)
+	}
+	return serve
 }
 
 // read reads one request. It returns false if the connection must be closed.
-func (k *conn) read(r *Request) bool {
+func (k *conn) read(r *Request) bool { return k.readHead(r) && k.readBody(r) }
+
+// readHead reads the header of a request. It returns false if the connection must be closed.
+func (k *conn) readHead(r *Request) bool {
 	limits := k.server.options.Limits()
 	k.setReadTimeout(limits.IdleTimeout)
 	if _, err := k.in.Peek(1); err != nil {
 		return false // closed or timed out between requests
 	}
+	if !k.server.shares.begin(k) {
+		return false // it gives way to another connection
+	}
 	r.arrived = time.Now()
 	k.setReadTimeout(limits.HeaderTimeout)
 	if err := k.readHeader(r); err != nil {
@@ -90,16 +118,23 @@
 		k.reject(r, http.StatusRequestEntityTooLarge, fasthttp.ErrBodyTooLarge)
 		return false
 	}
+	return true
+}
+
+// readBody reads the body of a request. It returns false if the connection must be closed.
+func (k *conn) readBody(r *Request) bool {
+	r.unread = 0
 	if r.request.MayContinue() {
 		if _, err := k.net.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
 			return false
 		}
 	}
 	k.setReadTimeout(bodyTimeout)
-	if err := r.request.ContinueReadBody(k.in, limits.MaxBodyBytes, false); err != nil {
+	if err := r.request.ContinueReadBody(k.in, k.server.options.Limits().MaxBodyBytes, false); err != nil {
 		k.reject(r, bodyErrorStatus(err), err)
 		return false
 	}
+	k.server.bodyBytes.Add(int64(len(r.request.Body())))
 	_ = k.net.SetReadDeadline(time.Time{}) // fails only on a closed connection
 	return true
 }
--- a/callerhttp/request.go
+++ b/callerhttp/request.go
@@ -26,6 +26,8 @@
 	request     fasthttp.Request
 	arrived     time.Time
 	closeAfter  bool
+	// unread is the length of a body that was not read, unknownRest if it is not known.
+	unread      int
 	started     bool
 	finished    bool
 	chunked     bool
@@ -46,9 +48,12 @@
 // Header returns the request's header.
 func (r *Request) Header() *fasthttp.RequestHeader { return &r.request.Header }
 
-// Body returns the whole body of the request.
+// Body returns the whole body of the request; nothing before it has been read.
 func (r *Request) Body() []byte { return r.request.Body() }
 
+// BodyRead reports whether the whole body has been read.
+func (r *Request) BodyRead() bool { return r.unread == 0 }
+
 // Arrived returns when the request's first byte was received.
 func (r *Request) Arrived() time.Time { return r.arrived }
 
@@ -62,6 +67,12 @@
 	}
 }
 
+// SetOwner sets the owner of the connection, until the next request sets another. It returns
+// false if the owner has more than its part of the requests in progress while places are short
+// (Options.ShareConns); the request should be refused then. Requests without an owner ("") are
+// not counted.
+func (r *Request) SetOwner(owner string) bool { return r.conn.server.shares.setOwner(r.conn, owner) }
+
 // Started reports whether a response was started.
 func (r *Request) Started() bool { return r.started }
 
@@ -70,7 +81,7 @@
 // body, -1 if unknown. To an HTTP/1.0 caller, a body of unknown length ends when
 // the connection closes.
 func (r *Request) StartResponse(status int, fields []Field, length int) {
-	if r.conn.server.draining.Load() {
+	if r.conn.server.draining.Load() || !r.canDropBody() {
 		r.closeAfter = true
 	}
 	noBody := r.request.Header.IsHead() || status == http.StatusNoContent || status == http.StatusNotModified
--- a/callerhttp/server.go
+++ b/callerhttp/server.go
@@ -36,8 +36,15 @@
 	Limits func() wheelgauge.CallerLimits
 	// Serve handles a request and returns when the response is done.
 	Serve func(ctx context.Context, r *Request)
+	// Admit decides on a request from its header, before its body is read. It returns the
+	// function that serves the request once the body has been read, or nil after it has
+	// responded with a refusal. Serve handles all requests when Admit is nil.
+	Admit func(ctx context.Context, r *Request) (serve func(ctx context.Context))
 	// MaxConns is the maximum number of connections; further ones are closed at once.
 	MaxConns int
+	// ShareConns lets idle connections give way to new ones, and bounds the requests in
+	// progress of one owner, while connections are near MaxConns.
+	ShareConns bool
 	// WriteTimeout is the time after which a caller that does not read its response is
 	// disconnected; defaultWriteTimeout when 0.
 	WriteTimeout time.Duration
@@ -52,6 +59,9 @@
 	cancel   context.CancelFunc
 	handlers sync.WaitGroup
 	done     chan error
+	shares   shares
+	// Totals since the start; see Counts.
+	turnedAway, gaveWay, refusedEarly, bodyBytes, droppedBytes atomic.Int64
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
@@ -67,6 +77,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Server{options: o, listener: listener, ctx: ctx, cancel: cancel, done: make(chan error, 2), conns: map[*conn]struct{}{}}
+	s.shares.init(o)
 	go func() { s.done <- s.accept() }()
 	go func() { s.done <- periodic.Run(ctx, disconnectScanInterval, s.cancelDisconnected) }()
 	return s, nil
@@ -93,22 +104,42 @@
 func (s *Server) start(c net.Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.conns) >= s.options.MaxConns || s.ctx.Err() != nil {
+	if s.ctx.Err() != nil {
+		_ = c.Close() // nothing was read, so the caller can retry at another host
+		return
+	}
+	s.makeRoom()
+	if len(s.conns) >= s.options.MaxConns {
+		s.turnedAway.Add(1)
 		_ = c.Close() // nothing was read, so the caller can retry at another host
 		return
 	}
 	k := newConn(s, c)
 	s.conns[k] = struct{}{}
+	s.shares.add(k)
 	s.handlers.Add(1)
 	go func() {
 		defer s.handlers.Done()
 		k.run(s.ctx)
+		s.shares.remove(k)
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		delete(s.conns, k)
 	}()
 }
 
+// makeRoom closes an idle connection if places are short. Its place is free at once, though its
+// handler may take a moment to end. The lock must be held.
+func (s *Server) makeRoom() {
+	k, ok := s.shares.giveWay()
+	if !ok {
+		return
+	}
+	s.gaveWay.Add(1)
+	delete(s.conns, k)
+	_ = k.net.Close() // an error changes nothing for the caller
+}
+
 // cancelDisconnected cancels the requests of callers that disconnected.
 func (s *Server) cancelDisconnected(context.Context) {
 	for _, k := range s.snapshot() {
--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -97,6 +97,7 @@
 	// requests to the target version, plus a fixed number of requests.
 	RolloutShare float64
 	RolloutSlack float64
+	Flood        FloodOptions
 	// Client calls stores; nil creates one.
 	Client *peerhttp.Client
 	// Clock for ages, leases and deadlines; nil means one that counts suspended time.
@@ -128,6 +129,7 @@
 	callerServer *callerhttp.Server
 	peerServer   *callerhttp.Server
 	listeners    []*httpserve.Server
+	turnedAway   turnedAwayLog
 	cancel       context.CancelFunc
 	pruneDone    chan error
 	warmDone     chan error
@@ -184,7 +186,7 @@
 			n.peers.OpenIdle(ctx)
 		})
 	}()
-	o.Log.Info("Gateway serves.", "name", o.Name, "callers", o.CallerAddress, "peer", o.PeerAddress, "seeds", o.Seeds)
+	o.Log.Info("Gateway serves.", "name", o.Name, "callers", o.CallerAddress, "peer", o.PeerAddress, "seeds", o.Seeds, "refuse_early", o.Flood.RefuseEarly, "share_connections", o.Flood.ShareConns)
 	return n, nil
 }
 
@@ -223,11 +225,11 @@
 
 func (n *Node) listen() error {
 	var err error
-	n.callerServer, err = callerhttp.Listen(n.options.CallerAddress, callerhttp.Options{Limits: n.gate.Limits, Serve: n.gate.Serve, MaxConns: connLimit(n.options.MemoryLimit, maxCallerConns)})
+	n.callerServer, err = callerhttp.Listen(n.options.CallerAddress, n.callerOptions())
 	if err != nil {
 		return fmt.Errorf("start gateway: %w", err)
 	}
-	n.peerServer, err = callerhttp.Listen(n.options.PeerAddress, callerhttp.Options{Limits: n.peerLimits, Serve: n.gate.ServePeer, MaxConns: connLimit(n.options.MemoryLimit, maxPeerConns)})
+	n.peerServer, err = callerhttp.Listen(n.options.PeerAddress, n.peerOptions())
 	if err != nil {
 		return fmt.Errorf("start gateway: %w", err)
 	}
@@ -289,6 +291,7 @@
 	n.quarantine.Prune()
 	n.limits.Prune()
 	n.tally.Retain(n.versions.RunningRollouts())
+	n.logTurnedAway()
 }
 
 func (n *Node) serveReady(ctx *fasthttp.RequestCtx) {
@@ -302,6 +305,7 @@
 func (n *Node) serveMetrics(ctx *fasthttp.RequestCtx) {
 	n.meter.Gauge("connections.dialed", int64(n.servers.Dialed()))
 	n.meter.Gauge("requests.serving", int64(n.callerServer.InFlight()))
+	n.gaugeConns()
 	ctx.SetContentType("application/json")
 	n.meter.WriteJSON(ctx)
 }
--- a/routegate/call.go
+++ b/routegate/call.go
@@ -255,7 +255,7 @@
 	if ok && c.sends < 2 && g.successes.Add(1)%successLogInterval != 0 {
 		return
 	}
-	g.options.Log.Info("Request ends.", "id", c.id, "request", c.fingerprint(), "route", name, "workspace", c.workspaceName(), "version", c.version,
+	g.options.Log.Info("Request ends.", "id", c.id, "request", c.loggedFingerprint(), "route", name, "workspace", c.workspaceName(), "version", c.version,
 		"state_age_ms", g.configAge().Milliseconds(), "list_age_ms", g.options.Servers.ListAge().Milliseconds(), "status", c.status, "cause", c.cause,
 		"servers", strings.Join(c.triedServers, " "), "peers", strings.Join(c.triedPeers, " "), "runs", c.runs, "forwarded", c.forwarded,
 		"cap_ms", c.capWait.Milliseconds(), "permit_ms", c.permitWait.Milliseconds(), "version_sent", c.sentVersion, "predicted_ms", c.predictedWait.Milliseconds(), "first_ms", c.firstAfter.Milliseconds(), "ms", elapsed.Milliseconds(),
--- a/routegate/gate.go
+++ b/routegate/gate.go
@@ -200,14 +200,9 @@
 func (g *Gate) ServePeer(ctx context.Context, r *callerhttp.Request) { g.serve(ctx, r, true) }
 
 func (g *Gate) serve(ctx context.Context, r *callerhttp.Request, forwarded bool) {
-	c := g.newCall(r, forwarded)
-	g.awaitReady(ctx)
-	if apiErr := g.admit(c); apiErr != nil {
-		c.refuse(apiErr)
-	} else {
-		g.runTracked(ctx, c)
+	if run := g.decide(ctx, r, forwarded); run != nil {
+		run(ctx)
 	}
-	c.close()
 }
 
 // runTracked runs a request and registers it, so that EndExpired can end it.
