--- a/callerhttp/request.go
+++ b/callerhttp/request.go
@@ -22,10 +22,10 @@
 // Request is a request with the methods to respond to it. A handler calls exactly
 // one of Respond, StartResponse, RespondError and Abort first.
 type Request struct {
-	conn        *conn
-	request     fasthttp.Request
-	arrived     time.Time
-	closeAfter  bool
+	conn       *conn
+	request    fasthttp.Request
+	arrived    time.Time
+	closeAfter bool
 	// unread is the length of a body that was not read, unknownRest if it is not known.
 	unread      int
 	started     bool
--- a/routegate/early.go
+++ b/routegate/early.go
@@ -34,8 +34,12 @@
 		return nil
 	}
 	return func(ctx context.Context) {
+		defer c.close()
+		if g.mayOutlastProcess(c.route.Name, c.route.Timeout, 0) {
+			c.refuse(leavingRefusal()) // the host began to leave while the body arrived
+			return
+		}
 		g.runTracked(ctx, c)
-		c.close()
 	}
 }
 
