--- a/callerhttp/unreadbody_test.go
+++ b/callerhttp/unreadbody_test.go
@@ -184,8 +184,8 @@
 		// what the caller does after the header and a part of the body
 		then func(c *net.TCPConn)
 	}{
-		{"a small body that never ends", small, func(c *net.TCPConn) {}},
-		{"a large body that never ends", large, func(c *net.TCPConn) {}},
+		{"a small body that never ends", small, func(*net.TCPConn) {}},
+		{"a large body that never ends", large, func(*net.TCPConn) {}},
 		{"a body without an end", large, func(c *net.TCPConn) {
 			go func() {
 				for part := make([]byte, 4096); ; {
