Callers that wait for 100 Continue

A refused request whose header field was spelled "expect" kept its connection: the parser knows only "Expect". If its caller did not send the body, the next request was dropped as the body. Any Expect field now ends the connection. The write of 100 Continue had the deadline of the answer before it and failed on a connection idle for longer than the write timeout. It now has its own. Run: go test -race ./callerhttp, both tests seen to fail before; FuzzDroppedBody for 15 s.

--- a/callerhttp/conn.go
+++ b/callerhttp/conn.go
@@ -125,6 +125,7 @@
 func (k *conn) readBody(r *Request) bool {
 	r.unread = 0
 	if r.request.MayContinue() {
+		_ = k.net.SetWriteDeadline(time.Now().Add(k.server.options.WriteTimeout)) // on a closed connection the write fails
 		if _, err := k.net.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
 			return false
 		}
--- a/callerhttp/unreadbody.go
+++ b/callerhttp/unreadbody.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"wheelgauge/httpfield"
 )
 
 const (
@@ -36,9 +38,9 @@
 
 // canDropBody reports whether the connection can be kept without the body being read for the
 // request. A caller that waits for 100 Continue may send the body or not after another answer,
-// so what follows has no known end.
+// so what follows has no known end. MayContinue does not recognize all spellings of Expect.
 func (r *Request) canDropBody() bool {
-	return r.unread == 0 || r.unread > 0 && r.unread <= maxDroppedBytes && !r.request.MayContinue()
+	return r.unread == 0 || r.unread > 0 && r.unread <= maxDroppedBytes && httpfield.Value(&r.request.Header, "Expect") == nil
 }
 
 // passBody drops a body that was not read. It returns false if the connection must be closed.
--- a/callerhttp/unreadbody_test.go
+++ b/callerhttp/unreadbody_test.go
@@ -90,6 +90,7 @@
 		{"a request in place of a chunk", "POST /bad HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" + good, []int{421}, true, -1},
 		{"broken chunk", "POST /bad HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", []int{421}, true, -1},
 		{"waits for 100 Continue", "POST /bad HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n", []int{421}, true, 0},
+		{"waits for 100 Continue, name in lower case", "POST /bad HTTP/1.1\r\nHost: h\r\nexpect: 100-continue\r\nContent-Length: 2\r\n\r\n" + good, []int{421}, true, -1},
 		{"waits for 100 Continue without a body", "POST /bad HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 0\r\n\r\n" + good, []int{421, 200}, false, 0},
 		{"last of its connection", "POST /bad HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: 2\r\n\r\nhi" + good, []int{421}, true, -1},
 		{"version 1.0", "POST /bad HTTP/1.0\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi", []int{421}, true, -1},
@@ -145,6 +146,22 @@
 	}
 }
 
+// The write of 100 Continue has its own deadline, not that of the answer before.
+func TestContinueLongAfterAnswer(t *testing.T) {
+	const writeTimeout = 20 * time.Millisecond
+	c := dial(t, listenWith(t, Options{Admit: admitGood, MaxConns: 8, WriteTimeout: writeTimeout}))
+	in := bufio.NewReader(c)
+	_, _ = c.Write([]byte("GET /good HTTP/1.1\r\nHost: h\r\n\r\n"))
+	if status, _, err := readStatus(in); err != nil || status != http.StatusOK {
+		t.Fatalf("got %d, %v, want 200", status, err)
+	}
+	time.Sleep(2 * writeTimeout)
+	_, _ = c.Write([]byte("POST /good HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n"))
+	if line, err := in.ReadString('\n'); err != nil || line != "HTTP/1.1 100 Continue\r\n" {
+		t.Errorf("got %q, %v, want 100 Continue", line, err)
+	}
+}
+
 // A caller that sends a large body reads its answer, though most of the body is never read.
 func TestLargeBodyDoesNotDestroyAnswer(t *testing.T) {
 	s := listenWith(t, Options{Admit: admitGood, MaxConns: 8})
