A connection with an arrived request does not give way

A connection could be closed after its next request was read: the request was marked only after its first byte, and a pipelined request lay in the buffer while the connection counted as idle. Requests are now recorded before a byte is read, dropping a body reads nothing beyond it, and a connection with unread bytes of a request is passed over. Run: go test -race ./callerhttp ./connshare ./connpeek; TestRequestThatWasReadIsAnswered seen to fail before.

--- a/callerhttp/conn.go
+++ b/callerhttp/conn.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"wheelgauge"
+	"wheelgauge/connpeek"
 )
 
 const (
@@ -29,6 +30,8 @@
 	net        net.Conn
 	in         *bufio.Reader
 	callerLeft atomic.Bool
+	// dropping is set while the connection counts as idle and a body that was not read is dropped.
+	dropping atomic.Bool
 
 	mu     sync.Mutex
 	cancel context.CancelFunc
@@ -64,10 +67,14 @@
 			}
 			k.withCancel(ctx, serve)
 		}
-		k.server.shares.end(k)
+		k.dropping.Store(r.unread != 0)
+		if r.closeAfter || k.in.Buffered() <= max(0, r.unread) { // else a byte of the next request was read
+			k.server.shares.end(k)
+		}
 		if !r.finished || !k.passBody(r) || r.closeAfter {
 			return
 		}
+		k.dropping.Store(false)
 	}
 }
 
@@ -102,12 +109,12 @@
 func (k *conn) readHead(r *Request) bool {
 	limits := k.server.options.Limits()
 	k.setReadTimeout(limits.IdleTimeout)
+	if !k.begin() {
+		return false // it gave way to another connection
+	}
 	if _, err := k.in.Peek(1); err != nil {
 		return false // closed or timed out between requests
 	}
-	if !k.server.shares.begin(k) {
-		return false // it gives way to another connection
-	}
 	r.arrived = time.Now()
 	k.setReadTimeout(limits.HeaderTimeout)
 	if err := k.readHeader(r); err != nil {
@@ -121,6 +128,27 @@
 	return true
 }
 
+// begin waits for a request where connections are shared, and records it before a byte of it is
+// read. It returns false if the connection must be closed.
+func (k *conn) begin() bool {
+	shares := &k.server.shares
+	if !shares.enabled() {
+		return true
+	}
+	if k.in.Buffered() == 0 {
+		if connpeek.Await(k.net) != nil {
+			return false
+		}
+	}
+	return shares.begin(k)
+}
+
+// arriving reports whether the caller of an idle connection has sent bytes of a request, none of
+// which is read yet.
+func (k *conn) arriving() bool {
+	return !k.dropping.Load() && connpeek.Readable(k.net) && !connpeek.PeerClosed(k.net)
+}
+
 // readBody reads the body of a request. It returns false if the connection must be closed.
 func (k *conn) readBody(r *Request) bool {
 	r.unread = 0
--- a/callerhttp/flood_test.go
+++ b/callerhttp/flood_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"runtime"
 	"strings"
@@ -11,6 +12,7 @@
 	"time"
 
 	"wheelgauge"
+	"wheelgauge/connpeek"
 )
 
 const (
@@ -159,3 +161,88 @@
 	}
 	close(release)
 }
+
+// A connection does not give way once a byte of a request was read: the caller of many requests
+// gets all answers, though new connections arrive all the time.
+func TestRequestThatWasReadIsAnswered(t *testing.T) {
+	const requests = 2000
+	s := listenWith(t, Options{MaxConns: 1, ShareConns: true, Admit: func(_ context.Context, r *Request) func(context.Context) {
+		r.RespondError(wheelgauge.NewError(wheelgauge.ReasonNotFound, wheelgauge.OutcomeNotRun, http.StatusNotFound, ""))
+		return nil
+	}})
+	c := dial(t, s)
+	go func() {
+		_, _ = c.Write([]byte(strings.Repeat("POST /bad HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello", requests)))
+	}()
+	in := bufio.NewReader(c)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan bool)
+	defer func() { cancel(); <-done }()
+	for i := range requests {
+		if status, _, err := readStatus(in); err != nil || status != http.StatusNotFound {
+			t.Errorf("request %d: got %d, %v, want 404", i, status, err)
+			break
+		}
+		if i > 0 {
+			continue
+		}
+		go func() {
+			defer close(done)
+			for ctx.Err() == nil {
+				if other, err := net.Dial("tcp", s.Address()); err == nil {
+					_ = other.Close()
+				}
+			}
+		}()
+	}
+}
+
+func TestArriving(t *testing.T) {
+	tests := []struct {
+		name     string
+		dropping bool
+		send     string
+		leave    bool
+		want     bool
+	}{
+		{"nothing sent", false, "", false, false},
+		{"a byte of a request", false, "G", false, true},
+		{"a byte of a dropped body", true, "x", false, false},
+		{"the caller left", false, "", true, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			caller, err := net.Dial("tcp", l.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer caller.Close()
+			c, err := l.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			k := &conn{net: c}
+			k.dropping.Store(tt.dropping)
+			if _, err := caller.Write([]byte(tt.send)); err != nil {
+				t.Fatal(err)
+			}
+			if tt.leave {
+				_ = caller.Close()
+			}
+			if tt.leave || tt.send != "" {
+				if err := connpeek.Await(c); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if k.arriving() != tt.want {
+				t.Errorf("got %v, want %v", k.arriving(), tt.want)
+			}
+		})
+	}
+}
--- a/callerhttp/shares.go
+++ b/callerhttp/shares.go
@@ -42,6 +42,8 @@
 	return s.with(func(t *connshare.Table[*conn]) bool { return t.Begin(k) }, true)
 }
 
+// end records that the connection has no request in progress. After it, no byte of another
+// request may be read before begin.
 func (s *shares) end(k *conn) {
 	s.with(func(t *connshare.Table[*conn]) bool { t.End(k); return true }, true)
 }
@@ -50,8 +52,16 @@
 	return s.with(func(t *connshare.Table[*conn]) bool { return t.SetOwner(k, owner) }, true)
 }
 
+// short reports whether places are short.
+func (s *shares) short() bool {
+	return s.with(func(t *connshare.Table[*conn]) bool { return t.Short() }, false)
+}
+
+// enabled reports whether connections are shared.
+func (s *shares) enabled() bool { return s.table != nil }
+
 // giveWay returns the connection to close; ok is false if there is none.
 func (s *shares) giveWay() (k *conn, ok bool) {
-	ok = s.with(func(t *connshare.Table[*conn]) (found bool) { k, found = t.GiveWay(); return found }, false)
+	ok = s.with(func(t *connshare.Table[*conn]) (found bool) { k, found = t.GiveWay((*conn).arriving); return found }, false)
 	return k, ok
 }
--- a/callerhttp/unreadbody.go
+++ b/callerhttp/unreadbody.go
@@ -52,9 +52,10 @@
 		k.linger()
 		return false
 	}
-	_ = k.net.SetReadDeadline(time.Now().Add(dropTimeout)) // fails only on a closed connection
-	n, err := k.in.Discard(r.unread)
-	k.server.droppedBytes.Add(int64(n))
+	_ = k.net.SetReadDeadline(time.Now().Add(dropTimeout))          // fails only on a closed connection
+	buffered, _ := k.in.Discard(min(k.in.Buffered(), r.unread))     // cannot fail
+	n, err := io.CopyN(io.Discard, k.net, int64(r.unread-buffered)) // past the buffer: reads nothing of the next request
+	k.server.droppedBytes.Add(int64(buffered) + n)
 	return err == nil
 }
 
--- a/connpeek/connpeek.go
+++ b/connpeek/connpeek.go
@@ -2,6 +2,7 @@
 package connpeek
 
 import (
+	"fmt"
 	"net"
 	"syscall"
 )
@@ -27,6 +28,29 @@
 	return gone || err != nil
 }
 
+// Await waits without reading until data, the end of the stream or an error has arrived. Its
+// error is that of the read deadline or of a closed connection. It returns at once for
+// connections that cannot be peeked at.
+func Await(c net.Conn) error {
+	raw, ok := c.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	rc, err := raw.SyscallConn()
+	if err != nil {
+		return fmt.Errorf("await data: %w", err)
+	}
+	err = rc.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return err != syscall.EAGAIN
+	})
+	if err != nil {
+		return fmt.Errorf("await data: %w", err)
+	}
+	return nil
+}
+
 // Readable reports whether data, the end of the stream or an error has arrived on a
 // connection that is not being read.
 func Readable(c net.Conn) bool {
--- a/connpeek/connpeek_test.go
+++ b/connpeek/connpeek_test.go
@@ -61,3 +61,31 @@
 		})
 	}
 }
+
+func TestAwait(t *testing.T) {
+	tests := []struct {
+		name string
+		do   func(local, remote net.Conn) error
+		ok   bool
+	}{
+		{"bytes wait", func(_, remote net.Conn) error { _, err := remote.Write([]byte("n")); return err }, true},
+		{"closed by the peer", func(_, remote net.Conn) error { return remote.Close() }, true},
+		{"read deadline over", func(local, _ net.Conn) error { return local.SetReadDeadline(time.Unix(1, 0)) }, false},
+		{"closed", func(local, _ net.Conn) error { return local.Close() }, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			local, remote := pair(t)
+			defer remote.Close()
+			if err := tt.do(local, remote); err != nil {
+				t.Fatal(err)
+			}
+			if err := Await(local); (err == nil) != tt.ok {
+				t.Fatalf("got %v, want success: %v", err, tt.ok)
+			}
+			if n, _ := local.Read(make([]byte, 1)); tt.name == "bytes wait" && n != 1 {
+				t.Error("Await took the byte")
+			}
+		})
+	}
+}
--- a/connshare/table.go
+++ b/connshare/table.go
@@ -101,12 +101,27 @@
 
 // GiveWay removes and returns the connection that gives way to a new one: the longest idle
 // connection of the owner that holds most among those with idle ones. While there are free
-// places, only owners that hold more than an even part of all give way. ok is false if places
-// are not short or none gives way.
-func (t *Table[K]) GiveWay() (k K, ok bool) {
-	if float64(len(t.conns)) < t.short() {
-		return k, false
+// places, only owners that hold more than an even part of all give way. A connection on which a
+// request is arriving does not give way: that request has begun. ok is false if places are not
+// short or none gives way.
+func (t *Table[K]) GiveWay(arriving func(K) bool) (k K, ok bool) {
+	for t.Short() {
+		o := t.holdsMost()
+		if o == nil {
+			break
+		}
+		k = o.idle.Front().Value.(K)
+		if !arriving(k) {
+			t.Remove(k)
+			return k, true
+		}
+		t.Begin(k)
 	}
+	return *new(K), false
+}
+
+// holdsMost returns the owner whose idle connection gives way, nil if there is none.
+func (t *Table[K]) holdsMost() *owner {
 	var most *owner
 	for _, o := range t.owners {
 		if o.idle.Len() > 0 && (most == nil || o.conns > most.conns || o.conns == most.conns && o.name < most.name) {
@@ -114,13 +129,14 @@
 		}
 	}
 	if most == nil || len(t.conns) < t.places && most.conns*len(t.owners) <= t.places {
-		return k, false
+		return nil
 	}
-	k = most.idle.Front().Value.(K)
-	t.Remove(k)
-	return k, true
+	return most
 }
 
+// Short reports whether places are short.
+func (t *Table[K]) Short() bool { return float64(len(t.conns)) >= t.short() }
+
 func (t *Table[K]) short() float64 { return shortShare * float64(t.places) }
 
 func (t *Table[K]) owner(name string) *owner {
--- a/connshare/table_test.go
+++ b/connshare/table_test.go
@@ -17,6 +17,8 @@
 	}
 }
 
+func never(int) bool { return false }
+
 func TestGiveWay(t *testing.T) {
 	type group struct {
 		owner       string
@@ -45,7 +47,7 @@
 				fill(table, first, g.count, g.busy, g.owner)
 				first += g.count
 			}
-			if k, ok := table.GiveWay(); ok != (tt.want >= 0) || ok && k != tt.want {
+			if k, ok := table.GiveWay(never); ok != (tt.want >= 0) || ok && k != tt.want {
 				t.Errorf("got %d, %v, want %d", k, ok, tt.want)
 			}
 		})
@@ -83,13 +85,38 @@
 func TestGivenWayMayNotBegin(t *testing.T) {
 	table := New[int](1)
 	table.Add(1)
-	if k, ok := table.GiveWay(); !ok || k != 1 || table.Begin(1) {
+	if k, ok := table.GiveWay(never); !ok || k != 1 || table.Begin(1) {
 		t.Error("a request began on a connection that gave way")
 	}
 	table.End(1)
 	table.Remove(1)
 }
 
+// A connection on which a request is arriving counts as one with a request in progress.
+func TestArrivingDoesNotGiveWay(t *testing.T) {
+	table := New[int](4)
+	fill(table, 0, 4, 0, "a")
+	if k, ok := table.GiveWay(func(k int) bool { return k < 2 }); !ok || k != 2 {
+		t.Errorf("got %d, %v, want 2", k, ok)
+	}
+	if table.busy != 2 {
+		t.Errorf("%d requests in progress, want 2", table.busy)
+	}
+	if k, ok := table.GiveWay(func(int) bool { return true }); ok {
+		t.Errorf("%d gives way though requests arrive on all", k)
+	}
+}
+
+func TestShort(t *testing.T) {
+	for conns, want := range []bool{false, false, false, true, true} {
+		table := New[int](4)
+		fill(table, 0, conns, 0, "a")
+		if table.Short() != want {
+			t.Errorf("%d connections of 4 places: got %v, want %v", conns, table.Short(), want)
+		}
+	}
+}
+
 // After any operations the sums hold, and a connection that gives way has no request in
 // progress.
 func TestTableRandom(t *testing.T) {
@@ -108,7 +135,7 @@
 			s := model[k]
 			switch random.IntN(6) {
 			case 0:
-				if g, ok := table.GiveWay(); ok {
+				if g, ok := table.GiveWay(never); ok {
 					if model[g] == nil || model[g].busy {
 						t.Fatalf("seed %d: connection %d gives way: %+v", seed, g, model[g])
 					}
