--- a/callerhttp/conn.go
+++ b/callerhttp/conn.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"wheelgauge"
+	"wheelgauge/connpeek"
 )
 
 const (
@@ -29,6 +30,8 @@
 	net        net.Conn
 	in         *bufio.Reader
 	callerLeft atomic.Bool
+	// dropping is set while the connection counts as idle and a body that was not read is dropped.
+	dropping atomic.Bool
 
 	mu     sync.Mutex
 	cancel context.CancelFunc
@@ -55,28 +58,60 @@
 	defer func() { _ = k.net.Close() }() // an error changes nothing for the caller
 	for ctx.Err() == nil {
 		r := &Request{conn: k, arrived: time.Now()}
-		if !k.read(r) {
+		if !k.readHead(r) {
 			return
 		}
-		k.serve(ctx, r)
-		if !r.finished || r.closeAfter {
+		if serve := k.admit(ctx, r); serve != nil {
+			if !k.readBody(r) {
+				return
+			}
+			k.withCancel(ctx, serve)
+		}
+		k.dropping.Store(r.unread != 0)
+		if r.closeAfter || k.in.Buffered() <= max(0, r.unread) { // else a byte of the next request was read
+			k.server.shares.end(k)
+		}
+		if !r.finished || !k.passBody(r) || r.closeAfter {
 			return
 		}
+		k.dropping.Store(false)
 	}
 }
 
-func (k *conn) serve(ctx context.Context, r *Request) {
+// withCancel calls f with a context that Request.Cancel cancels.
+func (k *conn) withCancel(ctx context.Context, f func(ctx context.Context)) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	k.setCancel(cancel)
 	defer k.setCancel(nil)
-	k.server.options.Serve(ctx, r)
+	f(ctx)
+}
+
+// admit returns the function that serves a request whose body is not read yet; nil if the
+// request was refused from its header.
+func (k *conn) admit(ctx context.Context, r *Request) (serve func(ctx context.Context)) {
+	o := &k.server.options
+	if o.Admit == nil {
+		return func(ctx context.Context) { o.Serve(ctx, r) }
+	}
+	r.unread = bodyRest(&r.request.Header)
+	k.withCancel(ctx, func(ctx context.Context) { serve = o.Admit(ctx, r) })
+	if serve == nil {
+		k.server.refusedEarly.Add(1)
+	}
+	return serve
 }
 
 // read reads one request. It returns false if the connection must be closed.
-func (k *conn) read(r *Request) bool {
+func (k *conn) read(r *Request) bool { return k.readHead(r) && k.readBody(r) }
+
+// readHead reads the header of a request. It returns false if the connection must be closed.
+func (k *conn) readHead(r *Request) bool {
 	limits := k.server.options.Limits()
 	k.setReadTimeout(limits.IdleTimeout)
+	if !k.begin() {
+		return false // it gave way to another connection
+	}
 	if _, err := k.in.Peek(1); err != nil {
 		return false // closed or timed out between requests
 	}
@@ -90,16 +125,45 @@
 		k.reject(r, http.StatusRequestEntityTooLarge, fasthttp.ErrBodyTooLarge)
 		return false
 	}
+	return true
+}
+
+// begin waits for a request where connections are shared, and records it before a byte of it is
+// read. It returns false if the connection must be closed.
+func (k *conn) begin() bool {
+	shares := &k.server.shares
+	if !shares.enabled() {
+		return true
+	}
+	if k.in.Buffered() == 0 {
+		if connpeek.Await(k.net) != nil {
+			return false
+		}
+	}
+	return shares.begin(k)
+}
+
+// arriving reports whether the caller of an idle connection has sent bytes of a request, none of
+// which is read yet.
+func (k *conn) arriving() bool {
+	return !k.dropping.Load() && connpeek.Readable(k.net) && !connpeek.PeerClosed(k.net)
+}
+
+// readBody reads the body of a request. It returns false if the connection must be closed.
+func (k *conn) readBody(r *Request) bool {
+	r.unread = 0
 	if r.request.MayContinue() {
+		_ = k.net.SetWriteDeadline(time.Now().Add(k.server.options.WriteTimeout)) // on a closed connection the write fails
 		if _, err := k.net.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
 			return false
 		}
 	}
 	k.setReadTimeout(bodyTimeout)
-	if err := r.request.ContinueReadBody(k.in, limits.MaxBodyBytes, false); err != nil {
+	if err := r.request.ContinueReadBody(k.in, k.server.options.Limits().MaxBodyBytes, false); err != nil {
 		k.reject(r, bodyErrorStatus(err), err)
 		return false
 	}
+	k.server.bodyBytes.Add(int64(len(r.request.Body())))
 	_ = k.net.SetReadDeadline(time.Time{}) // fails only on a closed connection
 	return true
 }
--- a/cmd/wheelgauge-gateway/routes.go
+++ b/cmd/wheelgauge-gateway/routes.go
@@ -47,6 +47,8 @@
 	{Section: "rollout", Name: "share", Type: settings.Float, Default: "0.1", Max: 1, Help: "fraction of a service's requests that may go to the target version before the rollout's time limit, from all hosts"},
 	{Section: "rollout", Name: "slack", Type: settings.Float, Default: "50", Max: 1e9, Help: "additional requests that may go to the target version, from all hosts"},
 	{Section: "engines", Name: "model", Type: settings.Choice, Choices: []string{fixedModel, learnedModel}, Default: fixedModel, Help: "how waits at model engines are predicted: by fixed figures, or as learned from this host's requests"},
+	{Section: "flood", Name: "refuse_early", Type: settings.Bool, Default: "false", Help: "refuse requests before their bodies are read, where the header decides"},
+	{Section: "flood", Name: "share_connections", Type: settings.Bool, Default: "false", Help: "divide callers' connections among workspaces while they are near the limit"},
 	{Section: "limits", Name: "memory_mb", Type: settings.Int, Default: "0", Max: 1 << 20, Help: "memory available to the process in MB; 0 means no limit"},
 	{Section: "dialect", Name: "name", Type: settings.Choice, Choices: dialect.Names(), Default: dialect.Native, Help: "protocol of callers, servers and operators"},
 }
@@ -80,6 +82,7 @@
 		RolloutShare: v.Float("rollout", "share"), RolloutSlack: v.Float("rollout", "slack"),
 		LearnEngines:   v.Text("engines", "model") == learnedModel,
 		ForwardCredits: v.Bool("forward", "credits"),
+		Flood:          entrynode.FloodOptions{RefuseEarly: v.Bool("flood", "refuse_early"), ShareConns: v.Bool("flood", "share_connections")},
 		DecodeRoutes:   d.Decode, Names: d.Headers, Log: log,
 	}
 	n, err := entrynode.Open(context.WithoutCancel(ctx), o)
