Forward credits: bound odd totals, forget services that are gone

An age of more than some 290 years overflowed and became a report from the future; figures below zero gave more room than an idle region has; the account of a service that is no longer reported stayed. The steps of a hold read plainly. A report that a store received before a region turned back must not end the hold: tested. The list's age is read for cold servers only.

--- a/confstore/servers.go
+++ b/confstore/servers.go
@@ -91,6 +91,15 @@
 	}
 }
 
+// isCold reports whether a server of a region can still handle only its cold rate.
+func (n *Node) isCold(s wheelgauge.Server, region string) bool {
+	if s.ColdMS <= 0 {
+		return false
+	}
+	listAge, _ := n.servers.Age(region)
+	return s.ColdMS > listAge.Milliseconds()
+}
+
 // regionUses returns the load and the capacity of each region: what hosts have in flight
 // there, and the servers in use.
 func (n *Node) regionUses() []wheelgauge.RegionUsage {
@@ -113,7 +122,7 @@
 			u.LimitedServers++
 		} else {
 			u.Servers, u.Slots = u.Servers+1, u.Slots+s.Slots
-			if listAge, _ := n.servers.Age(region); s.ColdMS > listAge.Milliseconds() {
+			if n.isCold(s, region) {
 				u.ColdServers, u.ColdSlots = u.ColdServers+1, u.ColdSlots+s.Slots
 			}
 		}
--- a/forwardcredits/ledger.go
+++ b/forwardcredits/ledger.go
@@ -29,7 +29,7 @@
 	// The rest is for what its own callers send before its next report is known.
 	maxUtilisation = 0.95
 	// burstShare is the most of an allowance that can be used at once. The engines prefill for
-	// 0.2 s at most then, which leaves time for the round trip within 500 ms.
+	// 0.23 s at most then, which leaves time for the round trip within 500 ms.
 	burstShare = 0.3
 	// lowerPriorityShare is the share of less urgent prompts that a request waits for anyway.
 	lowerPriorityShare = 0.2
@@ -43,6 +43,8 @@
 	// baseNeed is the weight of a region without need, in servers. A peak shows in the reports
 	// only after period; until then its region has an equal part.
 	baseNeed = 0.5
+	// maxAge bounds the ages of reports.
+	maxAge = time.Hour
 )
 
 // Options configure a Ledger.
@@ -77,7 +79,7 @@
 	refused     bool
 	refusedRank int
 	refusedAt   time.Time
-	// hold is for how long.
+	// hold is for how long at least.
 	hold time.Duration
 	// withheldRank is the most urgent rank that lately got no credit, withheldAt when.
 	withheldRank int
@@ -112,10 +114,11 @@
 		for _, u := range r.Services {
 			services[u.Service] = u
 		}
-		l.regions[r.Region], l.reportedAt[r.Region] = services, now.Add(-time.Duration(r.AgeMS)*time.Millisecond)
+		age := time.Duration(min(r.AgeMS, maxAge.Milliseconds())) * time.Millisecond
+		l.regions[r.Region], l.reportedAt[r.Region] = services, now.Add(-age)
 	}
 	for k, a := range l.accounts {
-		if l.regions[k.region] == nil && now.Sub(a.filledAt) > lease {
+		if _, reported := l.regions[k.region][k.service]; !reported && now.Sub(a.filledAt) > lease {
 			delete(l.accounts, k)
 		}
 		if a.refused && now.Sub(a.refusedAt) >= a.hold && l.reportedAt[k.region].After(a.refusedAt) {
@@ -192,10 +195,11 @@
 		a.refusedRank = rank
 	}
 	if !a.refused {
-		again := a.hold > 0 && now.Sub(a.refusedAt) < a.hold+period
-		if a.hold = min(2*a.hold, maxHold); !again {
-			a.hold = minHold
+		hold := minHold
+		if now.Sub(a.refusedAt) < a.hold+period {
+			hold = max(minHold, min(2*a.hold, maxHold))
 		}
+		a.hold = hold
 	}
 	a.refused, a.refusedAt = true, now
 }
@@ -326,5 +330,5 @@
 	r, t := u.Work.Ahead(rank)
 	running = float64(r) + lowerPriorityShare*float64(max(0, u.Running-r))
 	tokens = float64(t) + lowerPriorityShare*float64(max(0, u.PrefillTokens-t))
-	return running, tokens
+	return max(0, running), max(0, tokens)
 }
--- a/forwardcredits/ledger_test.go
+++ b/forwardcredits/ledger_test.go
@@ -285,6 +285,13 @@
 			clock.Advance(minHold / 2)
 			l.SetUsage([]wheelgauge.RegionUsage{peak, rest}, 10)
 		}, 0, 0},
+		{"it turns one back, and only older reports arrive", func(l *Ledger, clock *manualclock.Clock) {
+			l.TurnedBack("c", "s", 1)
+			clock.Advance(minHold)
+			old := rest
+			old.AgeMS = 2 * minHold.Milliseconds()
+			l.SetUsage([]wheelgauge.RegionUsage{peak, old}, 10)
+		}, 0, 0},
 		{"it turns one back and reports later", func(l *Ledger, clock *manualclock.Clock) {
 			l.TurnedBack("c", "s", 1)
 			clock.Advance(minHold)
@@ -307,6 +314,50 @@
 	}
 }
 
+// Odd totals give no more credit than those of an idle region, and an age that is out of range is
+// old.
+func TestOddTotals(t *testing.T) {
+	idle := engines("c", 100, 0, 0)
+	old := idle
+	old.AgeMS = math.MaxInt64
+	tests := []struct {
+		name  string
+		usage wheelgauge.RegionUsage
+		hosts int
+		want  int
+	}{
+		{"idle", idle, 1, 712},
+		{"no hosts", idle, 0, 712},
+		{"fewer than no hosts", idle, -5, 712},
+		{"less than nothing in flight", engines("c", 100, -1000, -1000), 1, 712},
+		{"very much in flight", engines("c", 100, math.MaxInt64, math.MaxInt64), 1, 0},
+		{"fewer than no servers", engines("c", -100, 0, 0), 1, 0},
+		{"an age out of range", old, 1, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			l := newLedger("a", manualclock.New().Now, never)
+			l.SetUsage([]wheelgauge.RegionUsage{engines("a", 10, 0, 0), tt.usage}, tt.hosts)
+			if got := takeAll(l, "c", 1, 0); got != tt.want {
+				t.Errorf("%d requests may be forwarded at once, want %d", got, tt.want)
+			}
+		})
+	}
+}
+
+// The credit for a service that is no longer reported is forgotten.
+func TestCreditsEndWithTheirService(t *testing.T) {
+	clock := manualclock.New()
+	l := newLedger("a", clock.Now, never)
+	l.SetUsage([]wheelgauge.RegionUsage{engines("a", 10, 0, 0), engines("c", 100, 0, 0)}, 1)
+	takeAll(l, "c", 1, 0)
+	clock.Advance(2 * lease)
+	l.SetUsage([]wheelgauge.RegionUsage{engines("a", 10, 0, 0), {Region: "c"}}, 1)
+	if len(l.accounts) != 0 {
+		t.Errorf("%d accounts are left, want none", len(l.accounts))
+	}
+}
+
 // Hosts whose views of the needs differ give out no more than the room once for each region.
 func TestViewsDiffer(t *testing.T) {
 	clock := manualclock.New()
--- a/forwardcredits/simulation_test.go
+++ b/forwardcredits/simulation_test.go
@@ -315,8 +315,8 @@
 }
 
 // Hosts that all see the same old totals: a region at rest takes what it has room for and still
-// answers its own callers, and the regions at their peak are not worse off than by a race for the
-// lowest total or by equal parts.
+// answers its own callers. Of all requests at least 0.95 as many begin in time as by a race for the
+// lowest total or by equal parts; single classes may lose more.
 func TestPeakGoesToTheRegionAtRest(t *testing.T) {
 	tests := []struct {
 		name  string
