Routegate: one credit and one count for a forwarded request

A dispatch that chooses twice, for the fallback version of a rollout, took two credits for one request, and forward.sent counted requests for which no gateway was found. The count is now taken at the send. Tested besides: a refusal without room after a send at a server takes a retry from the budget; a region without credit is asked again at the next dispatch.

--- a/routegate/call.go
+++ b/routegate/call.go
@@ -81,9 +81,10 @@
 	triedServers []string
 	triedPeers   []string
 	// turnedBackBy are the regions that turned the request back, withheld those for which this
-	// dispatch got no credit.
+	// dispatch got no credit, creditFor is the one for which it got one.
 	turnedBackBy []string
 	withheld     []string
+	creditFor    string
 	sends        int
 	runs         int
 	status       int
@@ -166,7 +167,7 @@
 
 // dispatch sends the request once, to where the shortest wait is predicted.
 func (c *call) dispatch(ctx context.Context) result {
-	c.withheld = nil
+	c.withheld, c.creditFor = nil, ""
 	p := c.placeForVersion(ctx)
 	defer c.releaseVersions()
 	if ctx.Err() != nil || c.expired() {
@@ -179,6 +180,7 @@
 		return c.sendToServer(ctx, p.pick)
 	case p.peer != nil:
 		c.releaseVersions() // the gateway there chooses
+		c.recordForward(p.peer.Region())
 		return c.forwardToPeer(ctx, p.peer)
 	case p.leaving && c.runs == 0:
 		c.refuse(leavingRefusal())
--- a/routegate/credits.go
+++ b/routegate/credits.go
@@ -53,23 +53,30 @@
 }
 
 // takeCredit reports whether the request may be forwarded to a region. One that has no server
-// here needs no credit.
+// here needs no credit; a dispatch that chooses a region twice takes one.
 func (c *call) takeCredit(region string, localOK bool) bool {
 	credits := c.gate.options.Credits
-	if credits == nil {
+	if credits == nil || !localOK || c.creditFor == region {
 		return true
 	}
+	if credits.Take(region, c.service, c.rank, c.creditTokens()) {
+		c.creditFor = region
+		return true
+	}
+	c.withheld = append(c.withheld, region)
+	c.recordCredit(forwardWithheld, region)
+	return false
+}
+
+// recordForward records that the request is sent to a region.
+func (c *call) recordForward(region string) {
 	switch {
-	case !localOK:
-		c.recordCredit(forwardExempt, region)
-	case credits.Take(region, c.service, c.rank, c.creditTokens()):
+	case c.gate.options.Credits == nil:
+	case c.creditFor == region:
 		c.recordCredit(forwardSent, region)
 	default:
-		c.withheld = append(c.withheld, region)
-		c.recordCredit(forwardWithheld, region)
-		return false
+		c.recordCredit(forwardExempt, region)
 	}
-	return true
 }
 
 // creditTokens are the prompt tokens that a server of another region has to prefill.
@@ -88,9 +95,6 @@
 	return spent <= time.Duration(turnBackShare*float64(c.route.LatencyObjective))
 }
 
-// turnsBack reports whether a forwarded request is refused here if it would be late.
-func (c *call) turnsBack() bool { return c.forwarded && c.gate.options.Credits != nil }
-
 // turnBack refuses a forwarded request that would be late here.
 func (c *call) turnBack() {
 	c.cause = "turned back"
--- a/routegate/credits_test.go
+++ b/routegate/credits_test.go
@@ -1,6 +1,7 @@
 package routegate
 
 import (
+	"bufio"
 	"net"
 	"net/http"
 	"strings"
@@ -120,6 +121,7 @@
 		{"no time for a second one", "/once/", long, []string{"here", "near"}, nil, 503, "", "near", "near"},
 		{"no credit for near", "/once/", short, []string{"here"}, []string{"near"}, 200, "far", "near far", ""},
 		{"no credit", "/once/", short, []string{"here"}, []string{"near", "far"}, 503, "", "near far", ""},
+		{"no credit for near at first, far turns back", "/once/", short, []string{"here", "far"}, []string{"near"}, 503, "", "near far near", "far"},
 		{"it may not run here and needs no credit", "/away/", short, nil, []string{"near", "far"}, 200, "near", "", ""},
 		{"it may not run here and is turned back", "/away/", short, []string{"near"}, nil, 503, "", "", "near"},
 	}
@@ -154,10 +156,27 @@
 			if got := strings.Join(g.credits.turnedBack, " "); got != tt.back {
 				t.Errorf("turned back by %q, want %q", got, tt.back)
 			}
+			if got := counterValue(t, g.here, forwardExempt) > 0; got != (tt.path == "/away/") {
+				t.Errorf("counted as sent without a credit: %t", got)
+			}
 		})
 	}
 }
 
+// A dispatch that chooses a region again, for another version, takes no second credit for it.
+func TestOneCreditForADispatch(t *testing.T) {
+	g := newCreditGates(t)
+	c := &call{gate: g.here, service: "s"}
+	for _, region := range []string{"near", "near", "far"} {
+		if !c.takeCredit(region, true) {
+			t.Errorf("no credit for %s", region)
+		}
+	}
+	if got := strings.Join(g.credits.taken, " "); got != "near far" {
+		t.Errorf("credits were taken for %q, want one each for near and far", got)
+	}
+}
+
 // A gateway that turned a request back gets the next one, without a pause.
 func TestTurningBackIsNoFailure(t *testing.T) {
 	g := newCreditGates(t, "here", "near")
@@ -203,8 +222,35 @@
 	}
 }
 
-// A sender that dies leaves nothing behind at the receiver: a request that it turned back is not
-// in flight there.
+// A region that lacks room after a server there refused the request has used a send: it turns
+// nothing back, and the next send needs a retry from the budget.
+func TestNoRoomAfterASend(t *testing.T) {
+	g := newCreditGates(t, "here")
+	peer := listen(t, func(c net.Conn) {
+		defer c.Close()
+		req, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		h := http.Header{}
+		h.Set(wheelgauge.HeaderOutcome, string(wheelgauge.OutcomeNotRun))
+		h.Set(wheelgauge.HeaderReason, string(wheelgauge.ReasonNoRoom))
+		h.Set(wheelgauge.HeaderSends, "1")
+		h.Set(g.here.options.Names.RequestID, req.Header.Get(g.here.options.Names.RequestID))
+		_ = (&http.Response{StatusCode: http.StatusServiceUnavailable, ProtoMajor: 1, ProtoMinor: 1, Header: h}).Write(c)
+	})
+	g.here.options.Peers.SetHosts([]wheelgauge.FleetHost{{Name: "peer", Region: "near", PeerAddress: peer.Addr().String(), Ready: true}})
+	resp, _, err := get(t, g.caller, "/once/", "")
+	if err != nil || resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get(wheelgauge.HeaderOutcome) != string(wheelgauge.OutcomeNotRun) {
+		t.Errorf("got %v, %v, want 503 not run", resp, err)
+	}
+	if len(g.credits.taken) != 1 || len(g.credits.turnedBack) > 0 {
+		t.Errorf("credits were taken for %v, turned back by %v; want one and none", g.credits.taken, g.credits.turnedBack)
+	}
+}
+
+// A request that is turned back is not in flight at the receiver, so a sender that dies then leaves
+// nothing behind.
 func TestSenderDies(t *testing.T) {
 	g := newCreditGates(t, "here", "near", "far")
 	c := peerConn(t, g.here)
--- a/routegate/late.go
+++ b/routegate/late.go
@@ -27,9 +27,10 @@
 }
 
 // tooLate reports whether a request that was not sent anywhere yet should be refused now:
-// served late, it would delay the requests behind it as well.
+// served late, it would delay the requests behind it as well. Without credits a forwarded one
+// is taken in any case.
 func (c *call) tooLate(wait time.Duration) bool {
-	if c.forwarded && !c.turnsBack() || c.sends > 0 || c.route.LatencyObjective <= 0 {
+	if c.forwarded && c.gate.options.Credits == nil || c.sends > 0 || c.route.LatencyObjective <= 0 {
 		return false
 	}
 	factor := maxWaitFactor
