--- a/scarcity.go
+++ b/scarcity.go
@@ -12,8 +12,8 @@
 	// region may forward.
 	SetUsage(regions []RegionUsage, hosts int)
 	// Take takes the credit for a request with a prompt of some tokens. It returns false if the
-	// host may not forward it to the region now. A credit that is smaller than the request is a
-	// chance, spent in any case: it is taken for a request that is sent if it returns true.
+	// host may not forward it to the region now. Where the host's credit never grows to a whole
+	// request, Take spends it in any case, and returns true with the probability credit/request.
 	Take(region, service string, rank, tokens int) bool
 	// TurnedBack records that a region refused a forwarded request for lack of room. It gets no
 	// requests as urgent or less until it reports its load again.
