Waiting room and workspace shares: first form

Cause: requests with seconds left were refused when the predicted wait passed 1.5 objectives, and the workspace that asks for most took room from the others at the same rate. Ran: go build, go vet, go test ./routegate ./entrynode ./cmd/...

--- a/cmd/wheelgauge-gateway/routes.go
+++ b/cmd/wheelgauge-gateway/routes.go
@@ -43,6 +43,8 @@
 	{Section: "rollout", Name: "share", Type: settings.Float, Default: "0.1", Max: 1, Help: "fraction of a service's requests that may go to the target version before the rollout's time limit, from all hosts"},
 	{Section: "rollout", Name: "slack", Type: settings.Float, Default: "50", Max: 1e9, Help: "additional requests that may go to the target version, from all hosts"},
 	{Section: "limits", Name: "memory_mb", Type: settings.Int, Default: "0", Max: 1 << 20, Help: "memory available to the process in MB; 0 means no limit"},
+	{Section: "admission", Name: "waiting_room", Type: settings.Bool, Default: "false", Help: "hold requests that no server would take in time until there is room, where their time allows"},
+	{Section: "admission", Name: "workspace_shares", Type: settings.Bool, Default: "false", Help: "while there is not room for all, refuse workspaces first that ask for and get more than their share"},
 	{Section: "dialect", Name: "name", Type: settings.Choice, Choices: dialect.Names(), Default: dialect.Native, Help: "protocol of callers, servers and operators"},
 }
 
@@ -73,6 +75,7 @@
 		},
 		MemoryLimit:  int64(v.Int("limits", "memory_mb")) << 20,
 		RolloutShare: v.Float("rollout", "share"), RolloutSlack: v.Float("rollout", "slack"),
+		WaitingRoom: v.Bool("admission", "waiting_room"), WorkspaceShares: v.Bool("admission", "workspace_shares"),
 		DecodeRoutes: d.Decode, Names: d.Headers, Log: log,
 	}
 	n, err := entrynode.Open(context.WithoutCancel(ctx), o)
--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -36,6 +36,7 @@
 	"wheelgauge/serverlimit"
 	"wheelgauge/serverset"
 	"wheelgauge/stallwatch"
+	"wheelgauge/waitroom"
 )
 
 const (
@@ -97,6 +98,9 @@
 	// requests to the target version, plus a fixed number of requests.
 	RolloutShare float64
 	RolloutSlack float64
+	// WaitingRoom holds requests until there is room for them, WorkspaceShares divides scarce
+	// room among workspaces.
+	WaitingRoom, WorkspaceShares bool
 	// Client calls stores; nil creates one.
 	Client *peerhttp.Client
 	// Clock for ages, leases and deadlines; nil means one that counts suspended time.
@@ -122,6 +126,7 @@
 	permits      *permitclient.Client
 	versions     *selector.Selector
 	tally        *tally.Tally
+	room         *waitroom.Room
 	meter        *meter.Meter
 	heartbeats   atomic.Pointer[heartbeat.Client]
 	client       *peerhttp.Client
@@ -163,11 +168,13 @@
 	})
 	n.versions = selector.New(selector.Options{Host: o.Name, Share: o.RolloutShare, Slack: o.RolloutSlack, Now: clock.Now})
 	n.tally = tally.New()
-	n.gate = routegate.New(routegate.Options{
+	gateOptions := routegate.Options{
 		Region: o.Region, Names: o.Names, Servers: n.servers, Peers: n.peers, Budget: n.budget, Meter: n.meter, Log: o.Log.WithName("gate"),
 		Caps: n.caps, Quarantine: n.quarantine, Limits: n.limits, Permits: n.permits, Clock: clock,
 		Versions: n.versions, Tally: n.tally,
-	})
+	}
+	n.openAdmission(&gateOptions)
+	n.gate = routegate.New(gateOptions)
 	if err := n.listen(); err != nil {
 		stop()
 		return nil, err
@@ -326,7 +333,7 @@
 	errs := []error{err}
 	limit, cancel := n.withDeadline(ctx, end)
 	defer cancel()
-	errs = append(errs, n.callerServer.Close(limit), n.peerServer.Close(limit))
+	errs = append(errs, n.closeRoom(), n.callerServer.Close(limit), n.peerServer.Close(limit))
 	n.caps.Close()
 	n.cancel()
 	errs = append(errs, n.heartbeats.Load().Close(), <-n.pruneDone, <-n.warmDone)
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -106,6 +106,17 @@
 	}
 }
 
+// ShareOfWorkspace records that a workspace has come above its share or back: what it asked for
+// and got, as rates of costs.
+func (m *Meter) ShareOfWorkspace(name string, above bool, asked, served float64) {
+	name = m.label(m.workspaces, name, maxWorkspaces)
+	if above {
+		m.Count("workspace.above_share." + name)
+	}
+	m.Gauge("workspace.asked."+name, int64(asked))
+	m.Gauge("workspace.served."+name, int64(served))
+}
+
 // label returns name if it is one of the first limit names seen, else the name that all
 // others share.
 func (m *Meter) label(seen map[string]bool, name string, limit int) string {
--- a/routegate/call.go
+++ b/routegate/call.go
@@ -68,6 +68,10 @@
 	capWait time.Duration
 	// permitWait is the time spent on waiting for permits.
 	permitWait time.Duration
+	// roomWait is the time spent in the waiting room.
+	roomWait time.Duration
+	// asked and taken are set once the request is counted in the shares of workspaces.
+	asked, taken bool
 
 	// versionFilter holds the versions that may get the request; releaseChoice ends that
 	// choice.
@@ -160,7 +164,7 @@
 
 // dispatch sends the request once, to where the shortest wait is predicted.
 func (c *call) dispatch(ctx context.Context) result {
-	p := c.placeForVersion(ctx)
+	p := c.placeInTurn(ctx)
 	defer c.releaseVersions()
 	if ctx.Err() != nil || c.expired() {
 		p.release()
@@ -169,9 +173,11 @@
 	switch {
 	case p.pick != nil:
 		c.predictedWait, c.lastPick = p.pick.Wait(), p.pick
+		c.recordTaken()
 		return c.sendToServer(ctx, p.pick)
 	case p.peer != nil:
 		c.releaseVersions() // the gateway there chooses
+		c.recordTaken()
 		return c.forwardToPeer(ctx, p.peer)
 	case p.leaving && c.runs == 0:
 		c.refuse(leavingRefusal())
@@ -240,7 +246,7 @@
 	switch {
 	case ok:
 		g.options.Meter.Count("requests.ok")
-		g.durations.observe(name, elapsed)
+		g.durations.observe(name, elapsed-c.roomWait)
 		g.backoffRetries.served(c.service, g.options.Clock.Now())
 		g.options.Meter.Observe("requests.ms", name, name, elapsed)
 	case c.callerLeft:
@@ -258,7 +264,7 @@
 	g.options.Log.Info("Request ends.", "id", c.id, "request", c.fingerprint(), "route", name, "workspace", c.workspaceName(), "version", c.version,
 		"state_age_ms", g.configAge().Milliseconds(), "list_age_ms", g.options.Servers.ListAge().Milliseconds(), "status", c.status, "cause", c.cause,
 		"servers", strings.Join(c.triedServers, " "), "peers", strings.Join(c.triedPeers, " "), "runs", c.runs, "forwarded", c.forwarded,
-		"cap_ms", c.capWait.Milliseconds(), "permit_ms", c.permitWait.Milliseconds(), "version_sent", c.sentVersion, "predicted_ms", c.predictedWait.Milliseconds(), "first_ms", c.firstAfter.Milliseconds(), "ms", elapsed.Milliseconds(),
+		"cap_ms", c.capWait.Milliseconds(), "permit_ms", c.permitWait.Milliseconds(), "room_ms", c.roomWait.Milliseconds(), "version_sent", c.sentVersion, "predicted_ms", c.predictedWait.Milliseconds(), "first_ms", c.firstAfter.Milliseconds(), "ms", elapsed.Milliseconds(),
 		"events", c.splitter.Events(), "pause_ms", c.longestPause.Milliseconds(), "expected_tokens", c.prompt.Output(), "load", c.placementInputs())
 }
 
--- a/routegate/gate.go
+++ b/routegate/gate.go
@@ -66,6 +66,10 @@
 	Limits *serverlimit.Table
 	// Permits enforces the limits of servers across hosts; nil enforces none.
 	Permits wheelgauge.PermitSource
+	// Room holds requests until there is room for them; nil refuses them at once.
+	Room wheelgauge.WaitingRoom
+	// Shares divides scarce room among workspaces; nil treats all alike.
+	Shares wheelgauge.WorkspaceShares
 	// Versions chooses the service versions that may get a request during a rollout, and Tally
 	// counts how they answer. When nil, the gate uses empty ones of its own.
 	Versions *selector.Selector
@@ -97,6 +101,8 @@
 	durations routeDurations
 	active    inFlightCalls
 	waits     waitStats
+	// weights are computed once for each configuration.
+	weights atomic.Pointer[shareWeights]
 	// limitRetries spreads the return of callers refused because of server limits,
 	// backoffRetries of those refused while servers back off.
 	limitRetries   retrySchedules
--- a/routegate/late.go
+++ b/routegate/late.go
@@ -36,6 +36,9 @@
 	if c.congested(congestedShare) {
 		factor = congestedWaitFactor
 	}
+	if c.aboveShare() {
+		factor *= aboveShareWaitFactor
+	}
 	return wait > time.Duration(factor*float64(c.route.LatencyObjective))
 }
 
--- /dev/null
+++ b/routegate/wait.go
@@ -0,0 +1,166 @@
+package routegate
+
+import (
+	"context"
+	"math"
+	"time"
+
+	"wheelgauge"
+	"wheelgauge/routetable"
+)
+
+// aboveShareWaitFactor lowers the predicted wait above which requests of a workspace above its
+// share are refused, so that room is left for the others.
+const aboveShareWaitFactor = 0.5
+
+// placeInTurn places the request, or holds it until there is room. It goes behind those that
+// wait and are as urgent. Cap units stay taken meanwhile: taken again after a wait, they could be
+// denied to a request that has a server.
+func (c *call) placeInTurn(ctx context.Context) placement {
+	c.recordAsked()
+	if c.gate.options.Room == nil || !c.mayWait() {
+		return c.placeForVersion(ctx)
+	}
+	refused := false
+	if c.mustQueue() {
+		refused = !c.waitForRoom(ctx, false)
+		if refused && c.aboveShare() {
+			return c.refusedByRoom()
+		}
+	}
+	for again := false; ; again = true {
+		p := c.placeForVersion(ctx)
+		if !p.tooLate || ctx.Err() != nil || c.expired() {
+			return p
+		}
+		c.releaseVersions()
+		if refused || !c.waitForRoom(ctx, again) {
+			return c.refusedByRoom()
+		}
+	}
+}
+
+// mayWait reports whether the request may wait for room. One that was forwarded waits at the host
+// that its caller connected to, and one that was sent before is not held up again.
+func (c *call) mayWait() bool {
+	return !c.forwarded && c.sends == 0 && c.runs == 0 && c.route.LatencyObjective > 0 && !c.request.Started()
+}
+
+// mustQueue reports whether others that wait go before the request.
+func (c *call) mustQueue() bool {
+	rank := c.rank
+	if c.aboveShare() {
+		rank = math.MaxInt
+	}
+	return c.gate.options.Room.Holds(c.service, rank)
+}
+
+// waitForRoom waits in the room, and reports whether the request was let go.
+func (c *call) waitForRoom(ctx context.Context, again bool) bool {
+	g := c.gate
+	usual := g.durations.get(c.route.Name, c.route.Timeout).mean
+	arrived := c.started.Add(c.suspendedBefore)
+	began := time.Now()
+	defer func() { c.roomWait += time.Since(began) }()
+	return g.options.Room.Wait(ctx, wheelgauge.QueuedRequest{
+		Service: c.service, Route: c.route.Name, Workspace: c.workspaceName(), Rank: c.rank,
+		ArrivedAt: arrived, ObjectiveAt: arrived.Add(c.route.LatencyObjective),
+		StartBy: c.deadline.Add(c.suspendedBefore - time.Duration(leaveMeanFactor*float64(usual))), Run: usual,
+		Bytes: len(c.request.Body()), Again: again, HasRoom: c.hasRoom, Ended: c.cannotStart,
+	})
+}
+
+// refusedByRoom is the placement of a request that the room did not let go.
+func (c *call) refusedByRoom() placement {
+	if !c.expired() && c.cannotStart() {
+		return placement{leaving: true}
+	}
+	return placement{tooLate: true}
+}
+
+// cannotStart reports whether the request has expired or may outlast this host.
+func (c *call) cannotStart() bool {
+	return c.expired() || c.gate.mayOutlastProcess(c.route.Name, c.route.Timeout, 0)
+}
+
+// hasRoom reports whether a placement now would not be too late. It chooses nothing.
+func (c *call) hasRoom() bool {
+	local, ok := c.predictLocal()
+	if ok && !c.tooLate(c.gate.waits.correct(c.route.Name, local.Wait())) {
+		return true
+	}
+	region, remote := c.bestRemote(ok)
+	if region == "" || c.tooLate(remote.Wait()) {
+		return false
+	}
+	return !c.gate.mayOutlastProcess(c.route.Name, c.route.Timeout, c.gate.options.Peers.RoundTrip(region))
+}
+
+// aboveShare reports whether the workspace of the request is above its share.
+func (c *call) aboveShare() bool {
+	shares := c.gate.options.Shares
+	return shares != nil && c.workspace != nil && !c.forwarded && shares.Above(c.service, c.workspace.Name)
+}
+
+// recordAsked records the request in the shares of workspaces, once. A forwarded request is
+// recorded by the host that the caller connected to.
+func (c *call) recordAsked() {
+	if c.gate.options.Shares == nil || c.workspace == nil || c.forwarded || c.asked {
+		return
+	}
+	c.asked = true
+	c.gate.options.Shares.Asked(c.service, c.workspace.Name, c.gate.shareWeight(c.workspace), c.shareCost())
+}
+
+// recordTaken records in the shares of workspaces that the request is sent, once.
+func (c *call) recordTaken() {
+	if !c.asked || c.taken {
+		return
+	}
+	c.taken = true
+	c.gate.options.Shares.Served(c.service, c.workspace.Name, c.shareCost())
+}
+
+func (c *call) shareCost() float64 { return float64(max(1, c.prompt.Tokens())) }
+
+// shareWeights are the weights of workspaces under one configuration.
+type shareWeights struct {
+	table *routetable.Table
+	// meanRates are the mean rates of the workspaces' caps, by unit.
+	meanRates map[wheelgauge.CapUnit]float64
+}
+
+// shareWeight is the rate of the workspace's cap relative to the mean of caps with the same
+// unit, and 1 without a cap: rates in tokens and in requests cannot be compared.
+func (g *Gate) shareWeight(w *wheelgauge.Workspace) float64 {
+	if !w.Cap.HasLimit() {
+		return 1
+	}
+	t, weights := g.table.Load(), g.weights.Load()
+	if weights == nil || weights.table != t {
+		weights = newShareWeights(t)
+		g.weights.Store(weights)
+	}
+	if mean := weights.meanRates[w.Cap.Unit]; mean > 0 {
+		return w.Cap.Rate / mean
+	}
+	return 1
+}
+
+func newShareWeights(t *routetable.Table) *shareWeights {
+	s := &shareWeights{table: t, meanRates: map[wheelgauge.CapUnit]float64{}}
+	if t == nil {
+		return s
+	}
+	counts := map[wheelgauge.CapUnit]float64{}
+	for _, w := range t.Workspaces() {
+		if w.Cap.HasLimit() {
+			s.meanRates[w.Cap.Unit] += w.Cap.Rate
+			counts[w.Cap.Unit]++
+		}
+	}
+	for unit, n := range counts {
+		s.meanRates[unit] /= n
+	}
+	return s
+}
--- a/scarcity.go
+++ b/scarcity.go
@@ -21,17 +21,27 @@
 
 // QueuedRequest is a request that finds no room and has time to wait for some.
 type QueuedRequest struct {
-	Service   string
-	Workspace string
+	Service, Route, Workspace string
 	// Rank is the priority in engines, 0 first.
 	Rank int
-	// ObjectiveAt is when its answer must begin to be in time. StartBy is the last moment at
-	// which it can be sent and still be answered completely.
-	ObjectiveAt, StartBy time.Time
+	// ArrivedAt is when the request came, ObjectiveAt when its answer must begin to be in time.
+	// StartBy is the last moment at which it can be sent and still be answered completely. All
+	// are times of the room's clock.
+	ArrivedAt, ObjectiveAt, StartBy time.Time
+	// Run is how long such requests usually take once they are sent.
+	Run time.Duration
+	// Bytes is the memory that the request holds while it waits.
+	Bytes int
 	// Returning is set for a caller that was refused before and comes back when it was told to.
 	Returning bool
-	// HasRoom reports whether a server would take it in time now.
+	// Again is set for a request that was let go and found no room.
+	Again bool
+	// HasRoom reports whether a server would take it in time now. It takes nothing. It is never
+	// called after Wait has returned.
 	HasRoom func() bool
+	// Ended reports whether the request cannot be sent by this host any more; nil if it
+	// always can. It is never called after Wait has returned.
+	Ended func() bool
 }
 
 // WaitingRoom holds requests at a host until there is room for them.
@@ -39,17 +49,20 @@
 	// Wait returns true once the request may be sent. It returns false, at once if that is known
 	// at once, if the request cannot be served in its time, and when ctx ends.
 	Wait(ctx context.Context, q QueuedRequest) bool
+	// Holds reports whether requests of a service wait that are as urgent as rank or more and
+	// not above their share.
+	Holds(service string, rank int) bool
 }
 
 // WorkspaceShares divides scarce room among workspaces: each gets what it asks for up to a
 // common level in proportion to its weight.
 type WorkspaceShares interface {
-	// Asked records a request of a workspace, Served one that a server has taken. cost is in
+	// Asked records a request of a workspace, Served one that was sent to a server. cost is in
 	// prompt tokens, or 1 for services without prompts.
 	Asked(service, workspace string, weight, cost float64)
 	Served(service, workspace string, cost float64)
-	// Above reports whether a workspace asks for more than its share while there is not room
-	// for all.
+	// Above reports whether a workspace asked for and got more than its share in the last
+	// seconds while there was not room for all.
 	Above(service, workspace string) bool
 }
 
--- /dev/null
+++ b/waitroom/queue.go
@@ -0,0 +1,286 @@
+package waitroom
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"wheelgauge"
+)
+
+const (
+	// patientRun is how many objectives a request must usually run to be worth holding past its
+	// objective. Its caller waits for the whole answer, and a wait of an objective lengthens
+	// that by half at most. Callers of shorter requests want the answer within the objective.
+	patientRun = 2
+	// shortWaitShare is the share of the objective that other requests may wait: a caller that
+	// is refused then still has most of its objective to try elsewhere.
+	shortWaitShare = 0.25
+	// firstRate is the assumed rate of releases, in requests a second, while none is known.
+	firstRate = 4.0
+	// rateSpan is the time over which the rate of releases is averaged, and after which it is
+	// forgotten while nobody waits: less than the length of a peak.
+	rateSpan = 2 * time.Second
+	// entryMargin is how many times its predicted wait the time of an entering request must be,
+	// holdMargin the same for one that waits already: one that entered with a good chance is not
+	// refused for a small change of the rate.
+	entryMargin = 1.25
+	holdMargin  = 0.5
+	// releaseInterval is the interval of releases. The other hosts see the same room, and see
+	// what this one takes only some 150 ms later.
+	releaseInterval = 100 * time.Millisecond
+	// releasePart is the part of those waiting, one in so many, that may go in an interval.
+	releasePart = 8
+	// againPause is the time without releases after one that found no room.
+	againPause = 150 * time.Millisecond
+	// longestEvery is how many releases are by order before one is by time waited.
+	longestEvery = 8
+	// maxTries bounds the placements that are predicted in a tick.
+	maxTries = 8
+)
+
+// refusal is why a request leaves the queue without being sent.
+type refusal string
+
+const (
+	refusedEnded    refusal = "ended"
+	refusedShort    refusal = "no time"
+	refusedTurn     refusal = "turn too late"
+	refusedFull     refusal = "full"
+	refusedExpired  refusal = "time over"
+	refusedDoomed   refusal = "rate fell"
+	refusedReplaced refusal = "replaced"
+	refusedClosed   refusal = "closed"
+	refusedLeft     refusal = "left"
+)
+
+// entry is a request in the queue.
+type entry struct {
+	request wheelgauge.QueuedRequest
+	// startBy is the last moment at which the entry is let go.
+	startBy time.Time
+	// above is set while its workspace is above its share.
+	above     bool
+	enteredAt time.Time
+	// verdict is set, and done closed, when the entry leaves the queue.
+	released bool
+	refused  refusal
+	done     chan struct{}
+}
+
+func newEntry(q wheelgauge.QueuedRequest, above bool, now time.Time) *entry {
+	e := &entry{request: q, startBy: q.StartBy, above: above, enteredAt: now, done: make(chan struct{})}
+	objective := q.ObjectiveAt.Sub(q.ArrivedAt)
+	if q.Run < patientRun*objective {
+		if latest := q.ArrivedAt.Add(time.Duration(shortWaitShare * float64(objective))); latest.Before(e.startBy) {
+			e.startBy = latest
+		}
+	}
+	return e
+}
+
+// before reports whether an entry goes before another.
+func (e *entry) before(other *entry, now time.Time) bool { return compare(e, other, now) < 0 }
+
+// compare orders entries: those of workspaces above their share last, returning callers first,
+// then by rank, then those that can still make their objective, then by time left.
+func compare(a, b *entry, now time.Time) int {
+	if c := falseFirst(a.above, b.above); c != 0 {
+		return c
+	}
+	if c := falseFirst(!a.request.Returning, !b.request.Returning); c != 0 {
+		return c
+	}
+	if c := cmp.Compare(a.request.Rank, b.request.Rank); c != 0 {
+		return c
+	}
+	lateA, lateB := !now.Before(a.request.ObjectiveAt), !now.Before(b.request.ObjectiveAt)
+	if c := falseFirst(lateA, lateB); c != 0 {
+		return c
+	}
+	if lateA {
+		return a.startBy.Compare(b.startBy)
+	}
+	return a.request.ObjectiveAt.Compare(b.request.ObjectiveAt)
+}
+
+func falseFirst(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
+// queue decides who waits for a service and who is let go. It is not safe for concurrent use.
+type queue struct {
+	entries []*entry
+	// above reports whether a workspace is above its share of the service.
+	above func(workspace string) bool
+	// rate is the mean rate of releases while somebody waited, in requests a second.
+	rate    float64
+	ratedAt time.Time
+	// nextRelease is when the next release is allowed.
+	nextRelease time.Time
+	// sinceLongest counts releases since the last by time waited.
+	sinceLongest int
+}
+
+func newQueue(above func(workspace string) bool, now time.Time) *queue {
+	return &queue{above: above, rate: firstRate, ratedAt: now}
+}
+
+// updateRate lets the rate fall while somebody waits, and return to firstRate while nobody does.
+func (k *queue) updateRate(now time.Time) {
+	d := now.Sub(k.ratedAt)
+	if d <= 0 {
+		return
+	}
+	k.ratedAt = now
+	rest := 0.0
+	if len(k.entries) == 0 {
+		rest = firstRate
+	}
+	k.rate = rest + (k.rate-rest)*math.Exp(-d.Seconds()/rateSpan.Seconds())
+}
+
+// turn predicts how long an entry behind others waits.
+func (k *queue) turn(ahead int) time.Duration {
+	const longest = 1e6 // seconds, so that it can be converted
+	return time.Duration(min(longest, (float64(ahead)+0.5)/max(k.rate, 1/longest)) * float64(time.Second))
+}
+
+// enter adds an entry, or returns why it is refused.
+func (k *queue) enter(e *entry, now time.Time) refusal {
+	k.updateRate(now)
+	if e.request.Again {
+		k.rate = max(0, k.rate-1/rateSpan.Seconds())
+		k.nextRelease = now.Add(againPause)
+	}
+	if e.request.Ended != nil && e.request.Ended() {
+		return refusedEnded
+	}
+	left := e.startBy.Sub(now)
+	if left <= 0 {
+		return refusedShort
+	}
+	ahead := 0
+	for _, other := range k.entries {
+		if !e.before(other, now) {
+			ahead++
+		}
+	}
+	if time.Duration(entryMargin*float64(k.turn(ahead))) > left {
+		return refusedTurn
+	}
+	k.entries = append(k.entries, e)
+	return ""
+}
+
+func (k *queue) remove(e *entry) {
+	if i := slices.Index(k.entries, e); i >= 0 {
+		k.entries = slices.Delete(k.entries, i, i+1)
+	}
+}
+
+// end takes an entry out of the queue with its result.
+func (k *queue) end(e *entry, released bool, why refusal) {
+	k.remove(e)
+	e.released, e.refused = released, why
+	close(e.done)
+}
+
+// last returns the entry that would go last; nil if the queue is empty.
+func (k *queue) last(now time.Time) *entry {
+	if len(k.entries) == 0 {
+		return nil
+	}
+	return slices.MaxFunc(k.entries, func(a, b *entry) int { return compare(a, b, now) })
+}
+
+// holds reports whether an entry as urgent as rank or more waits that is not above its share.
+func (k *queue) holds(rank int) bool {
+	return slices.ContainsFunc(k.entries, func(e *entry) bool { return !e.above && e.request.Rank <= rank })
+}
+
+// tick refuses those that cannot be served any more, lets go those that may, and returns both.
+func (k *queue) tick(now time.Time) []*entry {
+	k.updateRate(now)
+	for _, e := range k.entries {
+		e.above = k.above(e.request.Workspace)
+	}
+	slices.SortStableFunc(k.entries, func(a, b *entry) int { return compare(a, b, now) })
+	ended := k.release(now)
+	return append(ended, k.refuseHopeless(now)...)
+}
+
+// refuseHopeless refuses those whose turn comes too late.
+func (k *queue) refuseHopeless(now time.Time) []*entry {
+	var ended []*entry
+	ahead := 0
+	for _, e := range slices.Clone(k.entries) {
+		left := e.startBy.Sub(now)
+		why := refusal("")
+		switch {
+		case e.request.Ended != nil && e.request.Ended():
+			why = refusedEnded
+		case left <= 0:
+			why = refusedExpired
+		case time.Duration(holdMargin*float64(k.turn(ahead))) > left:
+			why = refusedDoomed
+		default:
+			ahead++
+			continue
+		}
+		k.end(e, false, why)
+		ended = append(ended, e)
+	}
+	return ended
+}
+
+// release lets go a part of those that wait, if there is room for them now.
+func (k *queue) release(now time.Time) []*entry {
+	if len(k.entries) == 0 || now.Before(k.nextRelease) {
+		return nil
+	}
+	var ended []*entry
+	most := 1 + len(k.entries)/releasePart
+	for _, e := range k.nextEntries(now) {
+		if len(ended) >= most {
+			break
+		}
+		if !e.request.HasRoom() {
+			continue
+		}
+		k.rate += 1 / rateSpan.Seconds()
+		k.sinceLongest = (k.sinceLongest + 1) % longestEvery
+		k.end(e, true, "")
+		ended = append(ended, e)
+	}
+	if len(ended) > 0 {
+		k.nextRelease = now.Add(releaseInterval)
+	}
+	return ended
+}
+
+// nextEntries returns the entries to be tried, in order. Each longestEvery releases, the one
+// that has waited longest comes first, of those not above their share if there are any.
+func (k *queue) nextEntries(now time.Time) []*entry {
+	var next []*entry
+	for _, e := range k.entries {
+		if now.Before(e.startBy) && (e.request.Ended == nil || !e.request.Ended()) {
+			next = append(next, e)
+		}
+	}
+	if k.sinceLongest == longestEvery-1 && len(next) > 0 {
+		longest := slices.MinFunc(next, func(a, b *entry) int {
+			return cmp.Or(falseFirst(a.above, b.above), a.request.ArrivedAt.Compare(b.request.ArrivedAt))
+		})
+		i := slices.Index(next, longest)
+		next = slices.Insert(slices.Delete(next, i, i+1), 0, longest)
+	}
+	return next[:min(len(next), maxTries)]
+}
