Waiting room: rates of releases by rank; shares over all ranks

Change: rates by rank; AboveShare in QueuedRequest; shortage by rank. Ran: go vet, go test ./waitroom

--- a/entrynode/admission.go
+++ b/entrynode/admission.go
@@ -20,11 +20,7 @@
 	if !o.WaitingRoom {
 		return
 	}
-	roomOptions := waitroom.Options{MaxBytes: int(o.MemoryLimit / roomMemoryShare), Now: o.Clock.Now, Meter: n.meter, Log: o.Log.WithName("room")}
-	if g.Shares != nil {
-		roomOptions.Above = g.Shares.Above
-	}
-	n.room = waitroom.New(roomOptions)
+	n.room = waitroom.New(waitroom.Options{MaxBytes: int(o.MemoryLimit / roomMemoryShare), Now: o.Clock.Now, Meter: n.meter, Log: o.Log.WithName("room")})
 	g.Room = n.room
 }
 
--- a/fairshare/shares.go
+++ b/fairshare/shares.go
@@ -19,8 +19,8 @@
 	// span is the time over which rates are averaged: some requests of each workspace at a host
 	// with ten a second, and less than a peak of load.
 	span = 3 * time.Second
-	// shortageFactor is how many times what is served workspaces must ask for to be short of
-	// room. Below it, the difference is of requests on their way.
+	// shortageFactor is how many times what is served must be asked for before there is a
+	// shortage. Below it, the difference is of requests on their way.
 	shortageFactor = 1.15
 	// levelMargin is how many times its share a workspace may get before it is above it.
 	levelMargin = 1.1
@@ -41,28 +41,37 @@
 
 // Shares implements wheelgauge.WorkspaceShares. It is safe for concurrent use.
 type Shares struct {
-	options Options
-	mu      sync.Mutex
-	// services are the shares by service.
+	options  Options
+	mu       sync.Mutex
 	services map[string]*serviceShares
 }
 
+// serviceShares are the shares of a service. What workspaces use is counted over all ranks, as a
+// host sees few requests of each; whether there is a shortage is known for each rank.
 type serviceShares struct {
 	workspaces map[string]*usage
+	ranks      map[int]*rates
 	// requests is the mean rate of requests, asked that of their costs.
 	requests, asked meanrate.Rate
-	// level is the cost a second that a workspace of weight 1 may have; infinite without
-	// shortage.
+	// level is the cost a second that a workspace of weight 1 may have; infinite if all get what
+	// they ask for.
 	level      float64
 	computedAt time.Time
 	loggedAt   time.Time
 }
 
+// rates are what was asked for and what was served, in cost a second.
+type rates struct {
+	asked, served meanrate.Rate
+}
+
+func newRates() rates { return rates{asked: meanrate.New(span), served: meanrate.New(span)} }
+
 // usage is what a workspace asked for and got.
 type usage struct {
-	weight        float64
-	asked, served meanrate.Rate
-	askedAt       time.Time
+	rates
+	weight  float64
+	askedAt time.Time
 	// above is the last result of Above.
 	above bool
 }
@@ -76,18 +85,20 @@
 }
 
 // Asked implements wheelgauge.WorkspaceShares.
-func (s *Shares) Asked(service, workspace string, weight, cost float64) {
+func (s *Shares) Asked(service string, rank int, workspace string, weight, cost float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.options.Now()
 	v := s.services[service]
 	if v == nil {
-		v = &serviceShares{workspaces: map[string]*usage{}, requests: meanrate.New(span), asked: meanrate.New(span), level: math.Inf(1)}
+		v = &serviceShares{
+			workspaces: map[string]*usage{}, ranks: map[int]*rates{}, requests: meanrate.New(span), asked: meanrate.New(span), level: math.Inf(1),
+		}
 		s.services[service] = v
 	}
 	u := v.workspaces[workspace]
 	if u == nil {
-		u = &usage{asked: meanrate.New(span), served: meanrate.New(span)}
+		u = &usage{rates: newRates()}
 		v.workspaces[workspace] = u
 	}
 	u.weight, u.askedAt = weight, now
@@ -95,49 +106,68 @@
 		u.weight = 1
 	}
 	u.asked.Add(cost, now)
+	v.rank(rank).asked.Add(cost, now)
 	v.asked.Add(cost, now)
 	v.requests.Add(1, now)
 }
 
 // Served implements wheelgauge.WorkspaceShares.
-func (s *Shares) Served(service, workspace string, cost float64) {
+func (s *Shares) Served(service string, rank int, workspace string, cost float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if u := s.usage(service, workspace); u != nil {
-		u.served.Add(cost, s.options.Now())
+	v, u := s.usage(service, workspace)
+	if u == nil {
+		return
+	}
+	now := s.options.Now()
+	u.served.Add(cost, now)
+	v.rank(rank).served.Add(cost, now)
+}
+
+// usage returns nil for a workspace that is not known.
+func (s *Shares) usage(service, workspace string) (*serviceShares, *usage) {
+	v := s.services[service]
+	if v == nil {
+		return nil, nil
 	}
+	return v, v.workspaces[workspace]
 }
 
-func (s *Shares) usage(service, workspace string) *usage {
-	if v := s.services[service]; v != nil {
-		return v.workspaces[workspace]
+func (v *serviceShares) rank(rank int) *rates {
+	r := v.ranks[rank]
+	if r == nil {
+		fresh := newRates()
+		r = &fresh
+		v.ranks[rank] = r
 	}
-	return nil
+	return r
 }
 
 // Above implements wheelgauge.WorkspaceShares.
-func (s *Shares) Above(service, workspace string) bool {
+func (s *Shares) Above(service string, rank int, workspace string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	u := s.usage(service, workspace)
+	v, u := s.usage(service, workspace)
 	if u == nil {
 		return false
 	}
 	now := s.options.Now()
-	v := s.services[service]
 	v.update(now)
 	share := v.level * u.weight
-	// A single request is no excess.
-	above := u.asked.At(now) > share && u.served.At(now) > levelMargin*share+v.requestRate(now)
+	above := v.rank(rank).short(now) && u.asked.At(now) > share && u.served.At(now) > levelMargin*share+v.requestRate(now)
 	if above != u.above {
 		u.above = above
-		s.record(service, workspace, u, v, now)
+		s.record(service, rank, workspace, now)
 	}
 	return above
 }
 
+// short reports whether clearly more is asked for than served.
+func (r *rates) short(now time.Time) bool { return r.asked.At(now) > shortageFactor*r.served.At(now) }
+
 // record counts and logs that a workspace has passed its share, in either direction.
-func (s *Shares) record(service, workspace string, u *usage, v *serviceShares, now time.Time) {
+func (s *Shares) record(service string, rank int, workspace string, now time.Time) {
+	v, u := s.usage(service, workspace)
 	s.options.Meter.ShareOfWorkspace(workspace, u.above, u.asked.At(now), u.served.At(now))
 	if !math.IsInf(v.level, 1) {
 		s.options.Meter.Gauge("shares.level."+service, int64(v.level))
@@ -146,14 +176,12 @@
 		return
 	}
 	v.loggedAt = now
-	s.options.Log.Info("Share of a workspace.", "service", service, "workspace", workspace, "above", u.above, "asked", u.asked.At(now), "served", u.served.At(now),
-		"weight", u.weight, "level", levelText(v.level), "workspaces", len(v.workspaces), "level_age_ms", now.Sub(v.computedAt).Milliseconds())
+	// The level is text, as JSON has no infinite numbers.
+	s.options.Log.Info("Share of a workspace.", "service", service, "rank", rank, "workspace", workspace, "above", u.above, "asked", u.asked.At(now), "served", u.served.At(now),
+		"weight", u.weight, "level", strconv.FormatFloat(v.level, 'f', 1, 64), "workspaces", len(v.workspaces), "level_age_ms", now.Sub(v.computedAt).Milliseconds())
 }
 
-// levelText renders a level; JSON has no infinite numbers.
-func levelText(level float64) string { return strconv.FormatFloat(level, 'f', 1, 64) }
-
-// requestRate is the rate of one mean request in the span.
+// requestRate is the rate of one mean request in the span: a single request is no excess.
 func (v *serviceShares) requestRate(now time.Time) float64 {
 	requests := v.requests.At(now)
 	if requests <= 0 {
@@ -169,24 +197,19 @@
 	}
 	v.computedAt = now
 	demands := make([]demand, 0, len(v.workspaces))
-	asked, served := 0.0, 0.0
+	served := 0.0
 	for name, u := range v.workspaces {
 		if now.Sub(u.askedAt) > forgetAfter {
 			delete(v.workspaces, name)
 			continue
 		}
-		d := demand{weight: u.weight, asked: u.asked.At(now)}
-		asked += d.asked
 		served += u.served.At(now)
-		demands = append(demands, d)
-	}
-	v.level = math.Inf(1)
-	if asked > shortageFactor*served {
-		v.level = maxMinLevel(demands, served)
+		demands = append(demands, demand{weight: u.weight, asked: u.asked.At(now)})
 	}
+	v.level = maxMinLevel(demands, served)
 }
 
-// demand is what a workspace asks for, as a rate of costs.
+// demand is what a workspace asks for, in cost a second.
 type demand struct {
 	weight, asked float64
 }
--- a/routegate/wait.go
+++ b/routegate/wait.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"time"
 
 	"wheelgauge"
@@ -10,8 +9,8 @@
 )
 
 // aboveShareWaitFactor lowers the predicted wait above which requests of a workspace above its
-// share are refused, so that room is left for the others.
-const aboveShareWaitFactor = 0.5
+// share are refused: it may use room that nobody else waits for, not the room of a queue.
+const aboveShareWaitFactor = 0.25
 
 // placeInTurn places the request, or holds it until there is room. It goes behind those that
 // wait and are as urgent. Cap units stay taken meanwhile: taken again after a wait, they could be
@@ -47,13 +46,7 @@
 }
 
 // mustQueue reports whether others that wait go before the request.
-func (c *call) mustQueue() bool {
-	rank := c.rank
-	if c.aboveShare() {
-		rank = math.MaxInt
-	}
-	return c.gate.options.Room.Holds(c.service, rank)
-}
+func (c *call) mustQueue() bool { return c.gate.options.Room.Holds(c.service, c.rank) }
 
 // waitForRoom waits in the room, and reports whether the request was let go.
 func (c *call) waitForRoom(ctx context.Context, again bool) bool {
@@ -66,7 +59,7 @@
 		Service: c.service, Route: c.route.Name, Workspace: c.workspaceName(), Rank: c.rank,
 		ArrivedAt: arrived, ObjectiveAt: arrived.Add(c.route.LatencyObjective),
 		StartBy: c.deadline.Add(c.suspendedBefore - time.Duration(leaveMeanFactor*float64(usual))), Run: usual,
-		Bytes: len(c.request.Body()), Again: again, HasRoom: c.hasRoom, Ended: c.cannotStart,
+		Bytes: len(c.request.Body()), Again: again, HasRoom: c.hasRoom, AboveShare: c.aboveShare, Ended: c.cannotStart,
 	})
 }
 
@@ -99,7 +92,7 @@
 // aboveShare reports whether the workspace of the request is above its share.
 func (c *call) aboveShare() bool {
 	shares := c.gate.options.Shares
-	return shares != nil && c.workspace != nil && !c.forwarded && shares.Above(c.service, c.workspace.Name)
+	return shares != nil && c.workspace != nil && !c.forwarded && shares.Above(c.service, c.rank, c.workspace.Name)
 }
 
 // recordAsked records the request in the shares of workspaces, once. A forwarded request is
@@ -109,7 +102,7 @@
 		return
 	}
 	c.asked = true
-	c.gate.options.Shares.Asked(c.service, c.workspace.Name, c.gate.shareWeight(c.workspace), c.shareCost())
+	c.gate.options.Shares.Asked(c.service, c.rank, c.workspace.Name, c.gate.shareWeight(c.workspace), c.shareCost())
 }
 
 // recordTaken records in the shares of workspaces that the request is sent, once.
@@ -118,7 +111,7 @@
 		return
 	}
 	c.taken = true
-	c.gate.options.Shares.Served(c.service, c.workspace.Name, c.shareCost())
+	c.gate.options.Shares.Served(c.service, c.rank, c.workspace.Name, c.shareCost())
 }
 
 func (c *call) shareCost() float64 { return float64(max(1, c.prompt.Tokens())) }
--- a/scarcity.go
+++ b/scarcity.go
@@ -39,6 +39,9 @@
 	// HasRoom reports whether a server would take it in time now. It takes nothing. It is never
 	// called after Wait has returned.
 	HasRoom func() bool
+	// AboveShare reports whether its workspace is above its share; nil if it never is. It is
+	// never called after Wait has returned.
+	AboveShare func() bool
 	// Ended reports whether the request cannot be sent by this host any more; nil if it
 	// always can. It is never called after Wait has returned.
 	Ended func() bool
@@ -55,15 +58,16 @@
 }
 
 // WorkspaceShares divides scarce room among workspaces: each gets what it asks for up to a
-// common level in proportion to its weight.
+// common level in proportion to its weight. Room that is short for less urgent requests is no
+// reason to refuse urgent ones, so each rank has a shortage of its own.
 type WorkspaceShares interface {
 	// Asked records a request of a workspace, Served one that was sent to a server. cost is in
 	// prompt tokens, or 1 for services without prompts.
-	Asked(service, workspace string, weight, cost float64)
-	Served(service, workspace string, cost float64)
+	Asked(service string, rank int, workspace string, weight, cost float64)
+	Served(service string, rank int, workspace string, cost float64)
 	// Above reports whether a workspace asked for and got more than its share in the last
-	// seconds while there was not room for all.
-	Above(service, workspace string) bool
+	// seconds while there was not room for all requests of the rank.
+	Above(service string, rank int, workspace string) bool
 }
 
 // RefusedRequest is a request that is refused for lack of room.
--- a/waitroom/queue.go
+++ b/waitroom/queue.go
@@ -69,8 +69,9 @@
 	done     chan struct{}
 }
 
-func newEntry(q wheelgauge.QueuedRequest, above bool, now time.Time) *entry {
-	e := &entry{request: q, startBy: q.StartBy, above: above, enteredAt: now, done: make(chan struct{})}
+func newEntry(q wheelgauge.QueuedRequest, now time.Time) *entry {
+	e := &entry{request: q, startBy: q.StartBy, enteredAt: now, done: make(chan struct{})}
+	e.updateAbove()
 	objective := q.ObjectiveAt.Sub(q.ArrivedAt)
 	if q.Run < patientRun*objective {
 		if latest := q.ArrivedAt.Add(time.Duration(shortWaitShare * float64(objective))); latest.Before(e.startBy) {
@@ -80,6 +81,8 @@
 	return e
 }
 
+func (e *entry) updateAbove() { e.above = e.request.AboveShare != nil && e.request.AboveShare() }
+
 // before reports whether an entry goes before another.
 func (e *entry) before(other *entry, now time.Time) bool { return compare(e, other, now) < 0 }
 
@@ -118,10 +121,9 @@
 // queue decides who waits for a service and who is let go. It is not safe for concurrent use.
 type queue struct {
 	entries []*entry
-	// above reports whether a workspace is above its share of the service.
-	above func(workspace string) bool
-	// rate is the mean rate of releases while somebody waited, in requests a second.
-	rate    float64
+	// rates are the mean rates of releases while somebody waited, by rank, in requests a second:
+	// releases of requests with a longer objective say nothing of the room for urgent ones.
+	rates   map[int]float64
 	ratedAt time.Time
 	// nextRelease is when the next release is allowed.
 	nextRelease time.Time
@@ -129,35 +131,56 @@
 	sinceLongest int
 }
 
-func newQueue(above func(workspace string) bool, now time.Time) *queue {
-	return &queue{above: above, rate: firstRate, ratedAt: now}
-}
+func newQueue(now time.Time) *queue { return &queue{rates: map[int]float64{}, ratedAt: now} }
 
-// updateRate lets the rate fall while somebody waits, and return to firstRate while nobody does.
-func (k *queue) updateRate(now time.Time) {
+// updateRates lets the rate of a rank fall while somebody of it waits, and return to firstRate
+// while nobody does.
+func (k *queue) updateRates(now time.Time) {
 	d := now.Sub(k.ratedAt)
 	if d <= 0 {
 		return
 	}
 	k.ratedAt = now
-	rest := 0.0
-	if len(k.entries) == 0 {
-		rest = firstRate
+	left := math.Exp(-d.Seconds() / rateSpan.Seconds())
+	for _, e := range k.entries {
+		if _, ok := k.rates[e.request.Rank]; !ok {
+			k.rates[e.request.Rank] = firstRate
+		}
+	}
+	for rank, rate := range k.rates {
+		rest := firstRate
+		if slices.ContainsFunc(k.entries, func(e *entry) bool { return e.request.Rank == rank }) {
+			rest = 0
+		}
+		k.rates[rank] = rest + (rate-rest)*left
 	}
-	k.rate = rest + (k.rate-rest)*math.Exp(-d.Seconds()/rateSpan.Seconds())
 }
 
-// turn predicts how long an entry behind others waits.
-func (k *queue) turn(ahead int) time.Duration {
+// rate returns the rate of releases of a rank.
+func (k *queue) rate(rank int) float64 {
+	if rate, ok := k.rates[rank]; ok {
+		return rate
+	}
+	return firstRate
+}
+
+// addReleases corrects the rate of a rank by a number of releases.
+func (k *queue) addReleases(rank, n int) {
+	k.rates[rank] = max(0, k.rate(rank)+float64(n)/rateSpan.Seconds())
+}
+
+// turn predicts how long an entry of a rank waits behind others of it. Those of other ranks
+// have slowed the releases already from which the rate is known.
+func (k *queue) turn(rank, ahead int) time.Duration {
 	const longest = 1e6 // seconds, so that it can be converted
-	return time.Duration(min(longest, (float64(ahead)+0.5)/max(k.rate, 1/longest)) * float64(time.Second))
+	return time.Duration(min(longest, (float64(ahead)+0.5)/max(k.rate(rank), 1/longest)) * float64(time.Second))
 }
 
 // enter adds an entry, or returns why it is refused.
 func (k *queue) enter(e *entry, now time.Time) refusal {
-	k.updateRate(now)
+	k.updateRates(now)
 	if e.request.Again {
-		k.rate = max(0, k.rate-1/rateSpan.Seconds())
+		k.addReleases(e.request.Rank, -1)
 		k.nextRelease = now.Add(againPause)
 	}
 	if e.request.Ended != nil && e.request.Ended() {
@@ -169,11 +192,11 @@
 	}
 	ahead := 0
 	for _, other := range k.entries {
-		if !e.before(other, now) {
+		if other.request.Rank == e.request.Rank && !e.before(other, now) {
 			ahead++
 		}
 	}
-	if time.Duration(entryMargin*float64(k.turn(ahead))) > left {
+	if time.Duration(entryMargin*float64(k.turn(e.request.Rank, ahead))) > left {
 		return refusedTurn
 	}
 	k.entries = append(k.entries, e)
@@ -208,9 +231,9 @@
 
 // tick refuses those that cannot be served any more, lets go those that may, and returns both.
 func (k *queue) tick(now time.Time) []*entry {
-	k.updateRate(now)
+	k.updateRates(now)
 	for _, e := range k.entries {
-		e.above = k.above(e.request.Workspace)
+		e.updateAbove()
 	}
 	slices.SortStableFunc(k.entries, func(a, b *entry) int { return compare(a, b, now) })
 	ended := k.release(now)
@@ -220,7 +243,7 @@
 // refuseHopeless refuses those whose turn comes too late.
 func (k *queue) refuseHopeless(now time.Time) []*entry {
 	var ended []*entry
-	ahead := 0
+	ahead := map[int]int{}
 	for _, e := range slices.Clone(k.entries) {
 		left := e.startBy.Sub(now)
 		why := refusal("")
@@ -229,10 +252,10 @@
 			why = refusedEnded
 		case left <= 0:
 			why = refusedExpired
-		case time.Duration(holdMargin*float64(k.turn(ahead))) > left:
+		case time.Duration(holdMargin*float64(k.turn(e.request.Rank, ahead[e.request.Rank]))) > left:
 			why = refusedDoomed
 		default:
-			ahead++
+			ahead[e.request.Rank]++
 			continue
 		}
 		k.end(e, false, why)
@@ -255,7 +278,7 @@
 		if !e.request.HasRoom() {
 			continue
 		}
-		k.rate += 1 / rateSpan.Seconds()
+		k.addReleases(e.request.Rank, 1)
 		k.sinceLongest = (k.sinceLongest + 1) % longestEvery
 		k.end(e, true, "")
 		ended = append(ended, e)
--- a/waitroom/room.go
+++ b/waitroom/room.go
@@ -32,11 +32,9 @@
 type Options struct {
 	// MaxBytes bounds the memory of the requests that wait, in bytes; a default if 0.
 	MaxBytes int
-	// Above reports whether a workspace is above its share of a service; nil if none ever is.
-	Above func(service, workspace string) bool
-	Now   func() time.Time
-	Meter *meter.Meter
-	Log   logr.Logger
+	Now      func() time.Time
+	Meter    *meter.Meter
+	Log      logr.Logger
 }
 
 // Room is a waiting room. It is safe for concurrent use. While somebody waits, one goroutine
@@ -61,9 +59,6 @@
 	if o.MaxBytes <= 0 {
 		o.MaxBytes = defaultMaxBytes
 	}
-	if o.Above == nil {
-		o.Above = func(string, string) bool { return false }
-	}
 	if o.Meter == nil {
 		o.Meter = meter.New()
 	}
@@ -98,7 +93,7 @@
 	defer r.mu.Unlock()
 	now := r.options.Now()
 	k := r.queue(q.Service, now)
-	e := newEntry(q, k.above(q.Workspace), now)
+	e := newEntry(q, now)
 	why := refusedClosed
 	if !r.closed {
 		why = r.admit(k, e, now)
@@ -137,7 +132,7 @@
 func (r *Room) queue(service string, now time.Time) *queue {
 	k := r.queues[service]
 	if k == nil {
-		k = newQueue(func(workspace string) bool { return r.options.Above(service, workspace) }, now)
+		k = newQueue(now)
 		r.queues[service] = k
 	}
 	return k
@@ -153,7 +148,7 @@
 	default:
 	}
 	k, now := r.queues[e.request.Service], r.options.Now()
-	k.updateRate(now)
+	k.updateRates(now)
 	k.end(e, false, refusedLeft)
 	r.ended(k, e, now)
 }
@@ -219,7 +214,7 @@
 	q := e.request
 	r.options.Log.Info("Waiting room decides.", "decision", decision, "cause", string(e.refused), "service", q.Service, "route", q.Route, "workspace", q.Workspace, "rank", q.Rank,
 		"above_share", e.above, "returning", q.Returning, "again", q.Again, "waited_ms", now.Sub(e.enteredAt).Milliseconds(), "left_ms", e.startBy.Sub(now).Milliseconds(),
-		"waiting", r.waiting, "bytes", r.bytes, "rate", k.rate, "unlogged", r.unlogged)
+		"waiting", r.waiting, "bytes", r.bytes, "rate", k.rate(q.Rank), "unlogged", r.unlogged)
 	r.loggedAt, r.unlogged = now, 0
 }
 
