--- a/waitroom/queue.go
+++ b/waitroom/queue.go
@@ -26,7 +26,7 @@
 	// holdMargin the same for one that waits already: one that entered with a good chance is not
 	// refused for a small change of the rate.
 	entryMargin = 1.25
-	holdMargin  = 0.5
+	holdMargin  = 0.75
 	// releaseInterval is the interval of releases. The other hosts see the same room, and see
 	// what this one takes only some 150 ms later.
 	releaseInterval = 100 * time.Millisecond
