--- a/fairshare/shares.go
+++ b/fairshare/shares.go
@@ -70,12 +70,18 @@
 // usage is what a workspace asked for and got.
 type usage struct {
 	rates
+	// initial is the common level at the time of the first request after a pause, which counts as
+	// served: idleness earns no credit.
+	initial meanrate.Rate
 	weight  float64
 	askedAt time.Time
 	// above is the last result of Above.
 	above bool
 }
 
+// got is what the workspace got, in cost a second.
+func (u *usage) got(now time.Time) float64 { return u.served.At(now) + u.initial.At(now) }
+
 // New returns shares without any workspace.
 func New(o Options) *Shares {
 	if o.Meter == nil {
@@ -98,13 +104,17 @@
 	}
 	u := v.workspaces[workspace]
 	if u == nil {
-		u = &usage{rates: newRates()}
+		u = &usage{rates: newRates(), initial: meanrate.New(span)}
 		v.workspaces[workspace] = u
 	}
+	idle := now.Sub(u.askedAt) > span
 	u.weight, u.askedAt = weight, now
 	if weight <= 0 {
 		u.weight = 1
 	}
+	if share := v.level * u.weight; idle && !math.IsInf(share, 1) {
+		u.initial.Add(max(0, share-u.got(now)-v.requestRate(now))*span.Seconds(), now)
+	}
 	u.asked.Add(cost, now)
 	v.rank(rank).asked.Add(cost, now)
 	v.asked.Add(cost, now)
@@ -154,7 +164,7 @@
 	now := s.options.Now()
 	v.update(now)
 	share := v.level * u.weight
-	above := v.rank(rank).short(now) && u.asked.At(now) > share && u.served.At(now) > levelMargin*share+v.requestRate(now)
+	above := v.rank(rank).short(now) && u.asked.At(now) > share && u.got(now) > levelMargin*share+v.requestRate(now)
 	if above != u.above {
 		u.above = above
 		s.record(service, rank, workspace, now)
