--- a/fairshare/shares.go
+++ b/fairshare/shares.go
@@ -70,8 +70,8 @@
 // usage is what a workspace asked for and got.
 type usage struct {
 	rates
-	// initial is the common level at the time of the first request after a pause, which counts as
-	// served: idleness earns no credit.
+	// initial is the common level at the time of the first request after a pause. It counts as
+	// served as far as the workspace asks for it: idleness earns no credit.
 	initial meanrate.Rate
 	weight  float64
 	askedAt time.Time
@@ -79,8 +79,12 @@
 	above bool
 }
 
-// got is what the workspace got, in cost a second.
-func (u *usage) got(now time.Time) float64 { return u.served.At(now) + u.initial.At(now) }
+// got is what the workspace got, in cost a second. allowance is the rate of what it may ask for
+// after a pause without it counting as served.
+func (u *usage) got(now time.Time, allowance float64) float64 {
+	served := u.served.At(now)
+	return served + min(u.initial.At(now), max(0, u.asked.At(now)-served-allowance))
+}
 
 // New returns shares without any workspace.
 func New(o Options) *Shares {
@@ -113,7 +117,7 @@
 		u.weight = 1
 	}
 	if share := v.level * u.weight; idle && !math.IsInf(share, 1) {
-		u.initial.Add(max(0, share-u.got(now)-v.requestRate(now))*span.Seconds(), now)
+		u.initial.Add(max(0, share-u.served.At(now)-u.initial.At(now))*span.Seconds(), now)
 	}
 	u.asked.Add(cost, now)
 	v.rank(rank).asked.Add(cost, now)
@@ -164,7 +168,8 @@
 	now := s.options.Now()
 	v.update(now)
 	share := v.level * u.weight
-	above := v.rank(rank).short(now) && u.asked.At(now) > share && u.got(now) > levelMargin*share+v.requestRate(now)
+	allowance := v.requestRate(now)
+	above := v.rank(rank).short(now) && u.asked.At(now) > share && u.got(now, allowance) > levelMargin*share+allowance
 	if above != u.above {
 		u.above = above
 		s.record(service, rank, workspace, now)
--- a/waitroom/queue.go
+++ b/waitroom/queue.go
@@ -37,7 +37,7 @@
 	// longestEvery is how many releases are by order before one is by time waited.
 	longestEvery = 8
 	// maxTries bounds the placements that are predicted in a tick.
-	maxTries = 8
+	maxTries = 4
 )
 
 // refusal is why a request leaves the queue without being sent.
