Waiting room: who has waited goes only where it still starts in time

Cause: the wait at the server came on top of the last moment to start. Ran: go test ./waitroom; go test ./routegate -run 'Wait|Room|Share|Leaves|Suspend'

--- a/routegate/call.go
+++ b/routegate/call.go
@@ -70,6 +70,9 @@
 	permitWait time.Duration
 	// roomWait is the time spent in the waiting room.
 	roomWait time.Duration
+	// startBy is the last moment at which a request that has waited for room can start at a
+	// server, by the clock of the gate; zero for one that has not.
+	startBy time.Time
 	// asked and taken are set once the request is counted in the shares of workspaces.
 	asked, taken bool
 
--- a/routegate/late.go
+++ b/routegate/late.go
@@ -32,6 +32,9 @@
 	if c.forwarded || c.sends > 0 || c.route.LatencyObjective <= 0 {
 		return false
 	}
+	if !c.startBy.IsZero() && c.gate.options.Clock.Now().Add(wait).After(c.startBy) {
+		return true
+	}
 	factor := maxWaitFactor
 	if c.congested(congestedShare) {
 		factor = congestedWaitFactor
--- a/routegate/wait.go
+++ b/routegate/wait.go
@@ -28,6 +28,9 @@
 		}
 	}
 	for again := false; ; again = true {
+		if refused {
+			c.startBy = time.Time{} // it is placed as one that has not waited
+		}
 		p := c.placeForVersion(ctx)
 		if !p.tooLate || ctx.Err() != nil || c.expired() {
 			return p
@@ -53,12 +56,13 @@
 	g := c.gate
 	usual := g.durations.get(c.route.Name, c.route.Timeout).mean
 	arrived := c.started.Add(c.suspendedBefore)
+	c.startBy = c.deadline.Add(c.suspendedBefore - time.Duration(leaveMeanFactor*float64(usual)))
 	began := time.Now()
 	defer func() { c.roomWait += time.Since(began) }()
 	return g.options.Room.Wait(ctx, wheelgauge.QueuedRequest{
 		Service: c.service, Route: c.route.Name, Workspace: c.workspaceName(), Rank: c.rank,
 		ArrivedAt: arrived, ObjectiveAt: arrived.Add(c.route.LatencyObjective),
-		StartBy: c.deadline.Add(c.suspendedBefore - time.Duration(leaveMeanFactor*float64(usual))), Run: usual,
+		StartBy: c.startBy, Run: usual,
 		Bytes: len(c.request.Body()), Again: again, HasRoom: c.hasRoom, AboveShare: c.aboveShare, Ended: c.cannotStart,
 	})
 }
--- a/waitroom/simulation_test.go
+++ b/waitroom/simulation_test.go
@@ -273,7 +273,7 @@
 		factor *= aboveShareFactor
 	}
 	c := s.classes[r.class]
-	if s.policy == "room" && s.elapsed()+wait > r.arrivedAt+s.startWithin(r) {
+	if r.entry != nil && s.elapsed()+wait > r.entry.request.StartBy.Sub(s.start) {
 		return true
 	}
 	return wait > time.Duration(factor*float64(c.objective))
