--- a/waitroom/queue.go
+++ b/waitroom/queue.go
@@ -129,6 +129,9 @@
 	nextRelease time.Time
 	// sinceLongest counts releases since the last by time waited.
 	sinceLongest int
+	// withoutRoom is how many entries, in order, found no room in the last ticks. The next tick
+	// goes on behind them: their room may be that of other regions or versions.
+	withoutRoom int
 }
 
 func newQueue(now time.Time) *queue { return &queue{rates: map[int]float64{}, ratedAt: now} }
@@ -285,6 +288,9 @@
 	}
 	if len(ended) > 0 {
 		k.nextRelease = now.Add(releaseInterval)
+		k.withoutRoom = 0
+	} else {
+		k.withoutRoom += maxTries
 	}
 	return ended
 }
@@ -305,5 +311,9 @@
 		i := slices.Index(next, longest)
 		next = slices.Insert(slices.Delete(next, i, i+1), 0, longest)
 	}
+	if k.withoutRoom >= len(next) {
+		k.withoutRoom = 0
+	}
+	next = next[k.withoutRoom:]
 	return next[:min(len(next), maxTries)]
 }
--- a/waitroom/queue_test.go
+++ b/waitroom/queue_test.go
@@ -184,6 +184,24 @@
 	}
 }
 
+// Those that find no room do not hold up others that do.
+func TestOthersGoPast(t *testing.T) {
+	clock := manualclock.New()
+	k := newQueue(clock.Now())
+	none := 0
+	fill(k, 20, &none, clock.Now())
+	last := newEntry(patientRequest(clock.Now(), always), clock.Now())
+	last.request.Rank = 2
+	k.entries = append(k.entries, last)
+	for range 20/maxTries + 1 {
+		if slices.Contains(k.tick(clock.Now()), last) {
+			return
+		}
+		clock.Advance(tickInterval)
+	}
+	t.Error("a request with room is not let go")
+}
+
 // When the rate falls, those whose turn will not come are refused before their time is over, the
 // last ones first.
 func TestRateFalls(t *testing.T) {
