--- a/cmd/wheelgauge-gateway/routes.go
+++ b/cmd/wheelgauge-gateway/routes.go
@@ -50,6 +50,8 @@
 	{Section: "flood", Name: "refuse_early", Type: settings.Bool, Default: "false", Help: "refuse requests before their bodies are read, where the header decides"},
 	{Section: "flood", Name: "share_connections", Type: settings.Bool, Default: "false", Help: "divide callers' connections among workspaces while they are near the limit"},
 	{Section: "limits", Name: "memory_mb", Type: settings.Int, Default: "0", Max: 1 << 20, Help: "memory available to the process in MB; 0 means no limit"},
+	{Section: "admission", Name: "waiting_room", Type: settings.Bool, Default: "false", Help: "hold requests that no server would take in time until there is room, where their time allows"},
+	{Section: "admission", Name: "workspace_shares", Type: settings.Bool, Default: "false", Help: "while there is not room for all, refuse workspaces first that ask for and get more than their share"},
 	{Section: "dialect", Name: "name", Type: settings.Choice, Choices: dialect.Names(), Default: dialect.Native, Help: "protocol of callers, servers and operators"},
 }
 
@@ -83,7 +85,8 @@
 		LearnEngines:   v.Text("engines", "model") == learnedModel,
 		ForwardCredits: v.Bool("forward", "credits"),
 		Flood:          entrynode.FloodOptions{RefuseEarly: v.Bool("flood", "refuse_early"), ShareConns: v.Bool("flood", "share_connections")},
-		DecodeRoutes:   d.Decode, Names: d.Headers, Log: log,
+		WaitingRoom:    v.Bool("admission", "waiting_room"), WorkspaceShares: v.Bool("admission", "workspace_shares"),
+		DecodeRoutes: d.Decode, Names: d.Headers, Log: log,
 	}
 	n, err := entrynode.Open(context.WithoutCancel(ctx), o)
 	if err != nil {
--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -38,6 +38,7 @@
 	"wheelgauge/serverlimit"
 	"wheelgauge/serverset"
 	"wheelgauge/stallwatch"
+	"wheelgauge/waitroom"
 )
 
 const (
@@ -104,6 +105,9 @@
 	// LearnEngines predicts waits at model engines by a learned model instead of fixed figures.
 	LearnEngines bool
 	Flood        FloodOptions
+	// WaitingRoom holds requests until there is room for them, WorkspaceShares divides scarce
+	// room among workspaces.
+	WaitingRoom, WorkspaceShares bool
 	// Client calls stores; nil creates one.
 	Client *peerhttp.Client
 	// Clock for ages, leases and deadlines; nil means one that counts suspended time.
@@ -133,6 +137,7 @@
 	// engines is nil unless LearnEngines is set.
 	engines      *enginemodel.Model
 	tally        *tally.Tally
+	room         *waitroom.Room
 	meter        *meter.Meter
 	heartbeats   atomic.Pointer[heartbeat.Client]
 	client       *peerhttp.Client
@@ -179,11 +184,13 @@
 	})
 	n.versions = selector.New(selector.Options{Host: o.Name, Share: o.RolloutShare, Slack: o.RolloutSlack, Now: clock.Now})
 	n.tally = tally.New()
-	n.gate = routegate.New(routegate.Options{
+	gateOptions := routegate.Options{
 		Region: o.Region, Names: o.Names, Servers: n.servers, Peers: n.peers, Budget: n.budget, Meter: n.meter, Log: o.Log.WithName("gate"),
 		Caps: n.caps, Quarantine: n.quarantine, Limits: n.limits, Permits: n.permits, Clock: clock,
 		Versions: n.versions, Tally: n.tally, Credits: n.credits,
-	})
+	}
+	n.openAdmission(&gateOptions)
+	n.gate = routegate.New(gateOptions)
 	if err := n.listen(); err != nil {
 		stop()
 		return nil, err
@@ -346,7 +353,7 @@
 	errs := []error{err}
 	limit, cancel := n.withDeadline(ctx, end)
 	defer cancel()
-	errs = append(errs, n.callerServer.Close(limit), n.peerServer.Close(limit))
+	errs = append(errs, n.closeRoom(), n.callerServer.Close(limit), n.peerServer.Close(limit))
 	n.caps.Close()
 	n.cancel()
 	errs = append(errs, n.heartbeats.Load().Close(), <-n.pruneDone, <-n.warmDone)
--- a/routegate/credits.go
+++ b/routegate/credits.go
@@ -79,6 +79,16 @@
 	}
 }
 
+// hasCredit reports whether a credit could be taken for a region now.
+func (c *call) hasCredit(region string) bool {
+	credits := c.gate.options.Credits
+	if credits == nil {
+		return true
+	}
+	known := credits.Credit(region, c.service, c.rank)
+	return !known.Known || !known.Held && known.Left >= 1
+}
+
 // creditTokens are the prompt tokens that a server of another region has to prefill.
 func (c *call) creditTokens() int { return c.prompt.Tokens() - c.prompt.SharedTokens() }
 
--- a/routegate/late.go
+++ b/routegate/late.go
@@ -45,6 +45,9 @@
 	if c.forwarded && c.gate.options.Credits == nil || c.sends > 0 || c.route.LatencyObjective <= 0 {
 		return false
 	}
+	if !c.startBy.IsZero() && c.gate.options.Clock.Now().Add(wait).After(c.startBy) {
+		return true
+	}
 	factor := maxWaitFactor
 	if c.congested(congestedShare) {
 		factor = congestedWaitFactor
@@ -52,6 +55,9 @@
 			factor = modelledWaitFactor
 		}
 	}
+	if c.aboveShare() {
+		factor *= aboveShareWaitFactor
+	}
 	return wait > time.Duration(factor*float64(c.route.LatencyObjective))
 }
 
