Refused callers return one after another and are recognised

Cause: every caller of a route was told the same moment, and stood no better than new ones when it came back, at any host.

Change: returnschedule tells moments at the rate at which room comes free, later to those who can wait longer; promises keeps who was told which, and heartbeats and store updates carry that to the hosts of the region (promiserelay). A caller in its window has the wider limit of the predicted wait, new ones a limit narrowed by the part of the room that is promised. Setting [returns] schedule, off by default.

--- a/cmd/wheelgauge-gateway/routes.go
+++ b/cmd/wheelgauge-gateway/routes.go
@@ -42,6 +42,7 @@
 	{Section: "retry", Name: "window_seconds", Type: settings.Float, Default: "10", Min: 1, Max: 3600, Help: "length of the window"},
 	{Section: "rollout", Name: "share", Type: settings.Float, Default: "0.1", Max: 1, Help: "fraction of a service's requests that may go to the target version before the rollout's time limit, from all hosts"},
 	{Section: "rollout", Name: "slack", Type: settings.Float, Default: "50", Max: 1e9, Help: "additional requests that may go to the target version, from all hosts"},
+	{Section: "returns", Name: "schedule", Type: settings.Bool, Default: "false", Help: "tell refused callers to return one after another as room comes free, and serve them first then"},
 	{Section: "limits", Name: "memory_mb", Type: settings.Int, Default: "0", Max: 1 << 20, Help: "memory available to the process in MB; 0 means no limit"},
 	{Section: "dialect", Name: "name", Type: settings.Choice, Choices: dialect.Names(), Default: dialect.Native, Help: "protocol of callers, servers and operators"},
 }
@@ -73,7 +74,8 @@
 		},
 		MemoryLimit:  int64(v.Int("limits", "memory_mb")) << 20,
 		RolloutShare: v.Float("rollout", "share"), RolloutSlack: v.Float("rollout", "slack"),
-		DecodeRoutes: d.Decode, Names: d.Headers, Log: log,
+		ScheduleReturns: v.Bool("returns", "schedule"),
+		DecodeRoutes:    d.Decode, Names: d.Headers, Log: log,
 	}
 	n, err := entrynode.Open(context.WithoutCancel(ctx), o)
 	if err != nil {
--- a/confstore/heartbeat.go
+++ b/confstore/heartbeat.go
@@ -19,6 +19,7 @@
 		n.caps.HostSeen(hb.Host.Name, hb.Host.Boot)
 		n.crashes.Merge(hb.Crashes)
 		n.limits.Merge(hb.Limits)
+		n.promises.Add(hb.Host.Region, hb.Host.Name, hb.Promises)
 		n.rolloutController.Take(hb.Host.Name, hb.Host.Boot, hb.Rollouts)
 		return n.heartbeatResponse(hb), nil
 	})
@@ -57,6 +58,7 @@
 	a.Connected, a.StoreAddresses = n.replica.LeaderAddress() != "", n.replica.MemberAddresses()
 	if hb.Primary {
 		n.addCrashes(&a, hb)
+		n.addPromises(&a, hb)
 	}
 	return a
 }
--- a/confstore/node.go
+++ b/confstore/node.go
@@ -25,6 +25,7 @@
 	"wheelgauge/peerhttp"
 	"wheelgauge/periodic"
 	"wheelgauge/permitissuer"
+	"wheelgauge/promiserelay"
 	"wheelgauge/quarantine"
 	"wheelgauge/replica"
 	"wheelgauge/rollout/controller"
@@ -116,6 +117,8 @@
 	// limits are the rate limits reported by servers; permits issues permits within them.
 	limits  *serverlimit.Table
 	permits *permitissuer.Issuer
+	// promises are those that hosts made to refused callers in the last seconds.
+	promises *promiserelay.Relay
 	// rolloutController decides the next step of each rollout; rolloutClock tracks elapsed times.
 	rolloutController *controller.Controller
 	rolloutClock      rolloutClock
@@ -152,6 +155,7 @@
 	n.crashes = quarantine.New(now)
 	n.limits = serverlimit.New(now)
 	n.permits = permitissuer.New(n.limits, now)
+	n.promises = promiserelay.New(now)
 	n.caps = capallocator.New(capallocator.Options{Self: o.PeerAddress, Boot: n.boot, Window: o.CapWindow, Overage: o.CapOverage, Slack: o.CapSlack, Now: now})
 	if err := n.open(ctx); err != nil {
 		stop()
--- a/confstore/updates.go
+++ b/confstore/updates.go
@@ -59,6 +59,7 @@
 	update.Loads = loads
 	if known.region == n.o.Region {
 		update.ServerUsage = uses
+		update.Promises = n.promises.OfHosts(n.o.Region)
 	}
 	update.Caps = n.caps.Report(address)
 	return update
@@ -109,6 +110,7 @@
 func (n *Node) applyUpdate(update wheelgauge.StoreUpdate) wheelgauge.StoreUpdateResponse {
 	n.peers.recordUpdate(update.Address, update.Region, n.now())
 	n.hosts.RecordStore(update)
+	n.promises.Add(update.Region, "", update.Promises)
 	response := wheelgauge.StoreUpdateResponse{CapLease: n.caps.GrantLease(update.Address, update.StoreBoot, update.Caps)}
 	for _, part := range update.ServerLists {
 		if !n.servers.Receive(update.StoreBoot, part) && !slices.Contains(response.MissingRegions, part.Region) {
--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -28,6 +28,7 @@
 	"wheelgauge/peerset"
 	"wheelgauge/periodic"
 	"wheelgauge/permitclient"
+	"wheelgauge/promises"
 	"wheelgauge/quarantine"
 	"wheelgauge/retrybudget"
 	"wheelgauge/rollout/selector"
@@ -97,6 +98,9 @@
 	// requests to the target version, plus a fixed number of requests.
 	RolloutShare float64
 	RolloutSlack float64
+	// ScheduleReturns tells refused callers to return one after another, and recognises those
+	// that do.
+	ScheduleReturns bool
 	// Client calls stores; nil creates one.
 	Client *peerhttp.Client
 	// Clock for ages, leases and deadlines; nil means one that counts suspended time.
@@ -118,8 +122,10 @@
 	// quarantine rejects requests that crash servers.
 	quarantine *quarantine.Table
 	// limits are the rate limits that servers have reported.
-	limits       *serverlimit.Table
-	permits      *permitclient.Client
+	limits  *serverlimit.Table
+	permits *permitclient.Client
+	// promises are nil unless returns are scheduled.
+	promises     *promises.Table
 	versions     *selector.Selector
 	tally        *tally.Tally
 	meter        *meter.Meter
@@ -163,9 +169,10 @@
 	})
 	n.versions = selector.New(selector.Options{Host: o.Name, Share: o.RolloutShare, Slack: o.RolloutSlack, Now: clock.Now})
 	n.tally = tally.New()
+	returns, promiseTable := n.newReturns()
 	n.gate = routegate.New(routegate.Options{
 		Region: o.Region, Names: o.Names, Servers: n.servers, Peers: n.peers, Budget: n.budget, Meter: n.meter, Log: o.Log.WithName("gate"),
-		Caps: n.caps, Quarantine: n.quarantine, Limits: n.limits, Permits: n.permits, Clock: clock,
+		Caps: n.caps, Quarantine: n.quarantine, Limits: n.limits, Permits: n.permits, Clock: clock, Returns: returns,
 		Versions: n.versions, Tally: n.tally,
 	})
 	if err := n.listen(); err != nil {
@@ -173,7 +180,7 @@
 		return nil, err
 	}
 	n.heartbeats.Store(heartbeat.Start(heartbeat.Options{
-		Self: n.self, Usage: n.servers.Uses, Crashes: n.quarantine, Limits: n.limits, Rollouts: rolloutReports{n.versions, n.tally}, Seeds: o.Seeds, Interval: o.HeartbeatInterval, FarInterval: o.FarHeartbeatInterval,
+		Self: n.self, Usage: n.servers.Uses, Crashes: n.quarantine, Limits: n.limits, Promises: promiseTable, Rollouts: rolloutReports{n.versions, n.tally}, Seeds: o.Seeds, Interval: o.HeartbeatInterval, FarInterval: o.FarHeartbeatInterval,
 		Clock: clock, Client: n.client, Receiver: n, Log: o.Log.WithName("beat"),
 	}))
 	go func() { n.pruneDone <- periodic.Run(ctx, pruneInterval, n.prune) }()
@@ -184,7 +191,7 @@
 			n.peers.OpenIdle(ctx)
 		})
 	}()
-	o.Log.Info("Gateway serves.", "name", o.Name, "callers", o.CallerAddress, "peer", o.PeerAddress, "seeds", o.Seeds)
+	o.Log.Info("Gateway serves.", "name", o.Name, "callers", o.CallerAddress, "peer", o.PeerAddress, "seeds", o.Seeds, "returns_schedule", o.ScheduleReturns)
 	return n, nil
 }
 
@@ -288,6 +295,9 @@
 	n.peers.Prune()
 	n.quarantine.Prune()
 	n.limits.Prune()
+	if n.promises != nil {
+		n.promises.Prune()
+	}
 	n.tally.Retain(n.versions.RunningRollouts())
 }
 
--- a/fleet.go
+++ b/fleet.go
@@ -108,6 +108,10 @@
 	LimitsVersion uint64        `json:"limits_at,omitempty"`
 	// Rollouts are the host's reports on rollouts in progress.
 	Rollouts []RolloutReport `json:"rollouts,omitempty"`
+	// Promises are those made here that the primary store has not acknowledged yet.
+	// PromisesVersion is the version of those last received from it.
+	Promises        ReturnPromises `json:"promises,omitempty"`
+	PromisesVersion uint64         `json:"promises_at,omitempty"`
 }
 
 // FleetState is the replicated state of the routes mode.
@@ -201,6 +205,9 @@
 	// Limits are those that changed since the version named in the heartbeat.
 	LimitsVersion uint64        `json:"limits_at,omitempty"`
 	Limits        []ServerLimit `json:"limits,omitempty"`
+	// Promises are those of the region's other hosts after the version named in the heartbeat.
+	PromisesVersion uint64         `json:"promises_at,omitempty"`
+	Promises        ReturnPromises `json:"promises,omitempty"`
 }
 
 // RegionServerList is the list of backend servers of one region, as sent by one store to
@@ -235,7 +242,10 @@
 	Loads       []RegionLoad       `json:"loads,omitempty"`
 	// ServerUsage is sent only to stores of the same region.
 	ServerUsage []ServerUsage `json:"uses,omitempty"`
-	Caps        CapUpdate     `json:"caps,omitzero"`
+	// Promises are those of the last moments by hosts whose primary is this store, sent only to
+	// stores of the same region.
+	Promises ReturnPromises `json:"promises,omitempty"`
+	Caps     CapUpdate      `json:"caps,omitzero"`
 }
 
 // StoreUpdateResponse is the response to a store's update. It leases shares of caps to the sender.
--- a/heartbeat/client.go
+++ b/heartbeat/client.go
@@ -78,6 +78,15 @@
 	Merge(limits []wheelgauge.ServerLimit)
 }
 
+// PromiseTable holds which refused callers were told when to return.
+type PromiseTable interface {
+	// LocalSince returns those promised by this host after a change, and the number of the last
+	// change returned.
+	LocalSince(change uint64) (wheelgauge.ReturnPromises, uint64)
+	// Merge adds those promised by others.
+	Merge(promises wheelgauge.ReturnPromises)
+}
+
 // RolloutSource returns what the host did and observed in the rollouts in progress.
 type RolloutSource interface {
 	Reports() []wheelgauge.RolloutReport
@@ -97,6 +106,8 @@
 	// Limits is sent to every store, and merges those sent by the primary; nil where none
 	// are known.
 	Limits LimitTable
+	// Promises is sent to the primary, and merges those that it sends; nil where none are made.
+	Promises PromiseTable
 	// Rollouts is sent to every store, so that any of them can decide on the next step; nil
 	// where none are known.
 	Rollouts RolloutSource
@@ -264,6 +275,10 @@
 	}
 	if hb.Primary {
 		hb.ServerUsage, hb.StoreBoot, hb.HostsVersion, hb.ServersVersion, hb.CrashesVersion, hb.LimitsVersion = uses, s.boot, s.hostsVersion, s.serversVersion, s.crashesVersion, s.limitsVersion
+		if c.options.Promises != nil {
+			hb.Promises, s.promisesSent = c.options.Promises.LocalSince(s.promisesAcked)
+			hb.PromisesVersion = s.promisesVersion
+		}
 		if !c.listTime.IsZero() {
 			hb.ListAgeMS = max(1, c.now().Sub(c.listTime).Milliseconds())
 		}
@@ -327,13 +342,15 @@
 	s.inFlight, s.longTimeout, s.answeredInterval, s.misses = false, false, s.sentInterval, 0
 	s.answeredAt, s.connected, s.generation = c.now(), a.Connected, a.Generation
 	s.region, s.hall = a.Region, a.Hall
-	s.crashesAcked, s.limitsAcked = s.crashesSent, s.limitsSent
+	s.crashesAcked, s.limitsAcked, s.promisesAcked = s.crashesSent, s.limitsSent, s.promisesSent
 	if s.boot != a.StoreBoot {
 		// The store has restarted and lost what was sent to it before.
 		s.boot, s.hostsVersion, s.serversVersion, s.crashesVersion, s.crashesAcked, s.limitsAcked = a.StoreBoot, 0, 0, 0, 0, 0
+		s.promisesVersion, s.promisesAcked = 0, 0
 	}
 	if hb.Primary {
 		s.hostsVersion, s.serversVersion, s.crashesVersion, s.limitsVersion = a.HostsVersion, a.ServersVersion, a.CrashesVersion, a.LimitsVersion
+		s.promisesVersion = a.PromisesVersion
 	}
 	if a.Connected && len(a.StoreAddresses) > 0 {
 		c.addStores(a.StoreAddresses)
@@ -387,6 +404,9 @@
 	if c.options.Limits != nil {
 		c.options.Limits.Merge(a.Limits)
 	}
+	if c.options.Promises != nil {
+		c.options.Promises.Merge(a.Promises)
+	}
 	requestedAt := listTime(a, sentAt)
 	switch {
 	case a.Servers != nil:
--- a/heartbeat/stores.go
+++ b/heartbeat/stores.go
@@ -43,6 +43,10 @@
 	limitsVersion uint64
 	limitsAcked   uint64
 	limitsSent    uint64
+	// promisesVersion, promisesAcked and promisesSent are the same for promises to callers.
+	promisesVersion uint64
+	promisesAcked   uint64
+	promisesSent    uint64
 	// rolloutsSent is the version of the rollout reports last sent to the store.
 	rolloutsSent uint64
 }
--- a/routegate/call.go
+++ b/routegate/call.go
@@ -91,6 +91,8 @@
 	lastEventAt  time.Time
 	longestPause time.Duration
 	callerLeft   bool
+	// returning is set for a caller that was refused before and comes when it was told to.
+	returning bool
 }
 
 // run dispatches until the caller has an answer.
@@ -237,6 +239,7 @@
 		name = c.route.Name
 	}
 	ok := isSuccess(c.status) && !c.callerLeft
+	c.recordReturnEnd(ok)
 	switch {
 	case ok:
 		g.options.Meter.Count("requests.ok")
--- a/routegate/dispatch.go
+++ b/routegate/dispatch.go
@@ -257,6 +257,7 @@
 func (x *exchange) noteFirstByte() {
 	if x.call.firstAfter == 0 {
 		x.call.firstAfter = time.Since(x.call.started)
+		x.call.recordServed()
 	}
 	if x.firstAfter == 0 {
 		x.firstAfter = time.Since(x.sentAt)
--- a/routegate/gate.go
+++ b/routegate/gate.go
@@ -66,6 +66,8 @@
 	Limits *serverlimit.Table
 	// Permits enforces the limits of servers across hosts; nil enforces none.
 	Permits wheelgauge.PermitSource
+	// Returns tells refused callers when to return; nil tells all of a route the same.
+	Returns wheelgauge.ReturnSchedule
 	// Versions chooses the service versions that may get a request during a rollout, and Tally
 	// counts how they answer. When nil, the gate uses empty ones of its own.
 	Versions *selector.Selector
@@ -101,6 +103,8 @@
 	// backoffRetries of those refused while servers back off.
 	limitRetries   retrySchedules
 	backoffRetries retrySchedules
+	// returnsLogged samples the log of what refused callers are told.
+	returnsLogged atomic.Uint64
 }
 
 // New returns a gate without a configuration. It refuses every request as not run.
@@ -214,6 +218,7 @@
 func (g *Gate) runTracked(ctx context.Context, c *call) {
 	g.active.add(c)
 	defer g.active.remove(c)
+	c.recogniseReturn()
 	c.run(ctx)
 }
 
--- a/routegate/late.go
+++ b/routegate/late.go
@@ -33,9 +33,10 @@
 		return false
 	}
 	factor := maxWaitFactor
-	if c.congested(congestedShare) {
+	if c.congested(congestedShare) && !c.returning {
 		factor = congestedWaitFactor
 	}
+	factor *= 1 - c.promisedShare()
 	return wait > time.Duration(factor*float64(c.route.LatencyObjective))
 }
 
--- a/routegate/pushback.go
+++ b/routegate/pushback.go
@@ -102,5 +102,8 @@
 // another at the rate that the service answers, within backoffRetrySpread.
 func (c *call) backoffRetryAfter(remaining time.Duration) time.Duration {
 	remaining = (remaining + time.Millisecond - 1).Truncate(time.Millisecond)
+	if after, ok := c.scheduledReturn(remaining); ok {
+		return max(remaining, after) // servers have said that they take nothing before
+	}
 	return c.gate.backoffRetries.next(c.service, c.gate.options.Clock.Now(), remaining, remaining+backoffRetrySpread)
 }
--- a/routegate/retryafter.go
+++ b/routegate/retryafter.go
@@ -14,6 +14,9 @@
 func (c *call) overloadRetryAfter() time.Duration {
 	latest := min(maxOverloadRetryAfter, max(minOverloadRetryAfter, time.Until(c.connDeadline())/overloadRetryDivisor))
 	earliest, limited := c.gate.options.Servers.NextDeferred(c.job())
+	if after, ok := c.scheduledReturn(earliest); ok {
+		return after
+	}
 	if !limited {
 		return latest
 	}
--- /dev/null
+++ b/routegate/returns_test.go
@@ -0,0 +1,198 @@
+package routegate
+
+import (
+	"bufio"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"wheelgauge"
+	"wheelgauge/fake/manualclock"
+	"wheelgauge/promises"
+	"wheelgauge/returnschedule"
+)
+
+// fakeReturns recognises all requests or none, and tells a fixed moment.
+type fakeReturns struct {
+	returning bool
+	share     float64
+	after     time.Duration
+	refused   []wheelgauge.RefusedRequest
+}
+
+func (f *fakeReturns) Arrived(string, bool) {}
+func (f *fakeReturns) Served(string)        {}
+func (f *fakeReturns) Returning(int, func() wheelgauge.Fingerprint) (returning, early bool) {
+	return f.returning, false
+}
+func (f *fakeReturns) PromisedShare(string, int) float64 { return f.share }
+func (f *fakeReturns) Next(r wheelgauge.RefusedRequest) wheelgauge.Return {
+	f.refused = append(f.refused, r)
+	return wheelgauge.Return{After: f.after}
+}
+
+// A returning caller is refused at the wider limit only, a new one earlier by the share of the
+// room that is promised. Without a schedule, and for forwarded requests, limits are as before.
+func TestLimitOfReturningCallers(t *testing.T) {
+	const objective = time.Second
+	tests := []struct {
+		name      string
+		returns   *fakeReturns
+		returning bool
+		forwarded bool
+		congested bool
+		limit     time.Duration
+	}{
+		{"no schedule", nil, false, false, false, 1500 * time.Millisecond},
+		{"no schedule, congested", nil, false, false, true, 750 * time.Millisecond},
+		{"new caller", &fakeReturns{}, false, false, false, 1500 * time.Millisecond},
+		{"new caller, congested", &fakeReturns{}, false, false, true, 750 * time.Millisecond},
+		{"new caller beside promised ones", &fakeReturns{share: 0.2}, false, false, false, 1200 * time.Millisecond},
+		{"new caller beside promised ones, congested", &fakeReturns{share: 0.2}, false, false, true, 600 * time.Millisecond},
+		{"returning caller", &fakeReturns{share: 0.2}, true, false, false, 1500 * time.Millisecond},
+		{"returning caller, congested", &fakeReturns{share: 0.2}, true, false, true, 1500 * time.Millisecond},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g := New(Options{})
+			if tt.returns != nil {
+				g.options.Returns = tt.returns
+			}
+			c := &call{gate: g, route: &wheelgauge.PathRoute{Name: "r", LatencyObjective: objective}, returning: tt.returning}
+			if tt.congested {
+				for range 100 {
+					g.waits.observe("r", objective, objective)
+				}
+			}
+			if c.tooLate(tt.limit - time.Millisecond) {
+				t.Errorf("refused before %v", tt.limit)
+			}
+			if !c.tooLate(tt.limit + time.Millisecond) {
+				t.Errorf("not refused after %v", tt.limit)
+			}
+			c.forwarded = true
+			if c.tooLate(time.Hour) {
+				t.Error("a forwarded request is refused as late")
+			}
+		})
+	}
+}
+
+// The moments offered to the schedule are within what the caller can use, and leave time for the
+// answer.
+func TestUsableReturns(t *testing.T) {
+	const slack = 20 * time.Millisecond // time passes while the test runs
+	tests := []struct {
+		name             string
+		left             time.Duration
+		mean             time.Duration
+		earliest, latest time.Duration
+	}{
+		{"long time", 12 * time.Second, 0, 500 * time.Millisecond, 4 * time.Second},
+		{"short time", 900 * time.Millisecond, 0, 300 * time.Millisecond, 300 * time.Millisecond},
+		{"long answers", 12 * time.Second, 10 * time.Second, 500 * time.Millisecond, 2 * time.Second},
+		{"longer answers than time", 3 * time.Second, 10 * time.Second, 500 * time.Millisecond, 500 * time.Millisecond},
+	}
+	for _, tt := range tests {
+		g := New(Options{})
+		if tt.mean > 0 {
+			g.durations.observe("r", tt.mean)
+		}
+		c := &call{gate: g, route: &wheelgauge.PathRoute{Name: "r"}, deadline: time.Now().Add(tt.left)}
+		earliest, latest := c.usableReturns()
+		if earliest > tt.earliest || earliest < tt.earliest-slack || latest > tt.latest || latest < tt.latest-slack {
+			t.Errorf("%s: %v to %v, want %v to %v", tt.name, earliest, latest, tt.earliest, tt.latest)
+		}
+	}
+}
+
+// retryAfter sends a request and returns the status and the moment told.
+func retryAfter(t *testing.T, conn io.ReadWriter, header string) (status int, after time.Duration) {
+	t.Helper()
+	if _, err := io.WriteString(conn, "GET /safe/x HTTP/1.1\r\nHost: h\r\n"+header+"\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		t.Fatal(err)
+	}
+	if text := resp.Header.Get("Retry-After"); text != "" {
+		seconds, err := strconv.ParseFloat(text, 64)
+		if err != nil {
+			t.Fatal(err)
+		}
+		after = time.Duration(seconds * float64(time.Second))
+	}
+	return resp.StatusCode, after
+}
+
+// A refused caller is told what the schedule says; one that is refused with too little time for
+// any return is told nothing; one that has returned is offered no promise again.
+func TestRefusedByTheSchedule(t *testing.T) {
+	tests := []struct {
+		name      string
+		header    string
+		returning bool
+		after     time.Duration
+		asked     int
+	}{
+		{"new", "", false, 1234 * time.Millisecond, 1},
+		{"returning", "", true, 1234 * time.Millisecond, 1},
+		{"no time left", "Wheelgauge-Deadline-Ms: 200\r\n", false, 0, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g, conn := newGate(t, routes())
+			returns := &fakeReturns{returning: tt.returning, after: 1234 * time.Millisecond}
+			g.options.Returns = returns
+			status, after := retryAfter(t, conn, tt.header)
+			if status != http.StatusServiceUnavailable || after != tt.after {
+				t.Errorf("status %d, Retry-After %v, want 503 and %v", status, after, tt.after)
+			}
+			if len(returns.refused) != tt.asked {
+				t.Fatalf("the schedule was asked %d times, want %d", len(returns.refused), tt.asked)
+			}
+			for _, r := range returns.refused {
+				if r.Returning != tt.returning || r.Service != "s" || r.Fingerprint == "" || r.Earliest != minOverloadRetryAfter {
+					t.Errorf("the schedule was asked with %+v", r)
+				}
+			}
+		})
+	}
+}
+
+// A caller that is refused and comes back when it was told to is recognised, once.
+func TestReturningCallerIsRecognised(t *testing.T) {
+	g, conn := newGate(t, routes())
+	clock := manualclock.New()
+	table := promises.New(clock.Now)
+	schedule := returnschedule.New(returnschedule.Options{Promises: table, Random: rand.New(rand.NewPCG(1, 1)).Float64, Now: clock.Now})
+	g.options.Returns = schedule
+	for range 400 {
+		schedule.Served("s")
+	}
+	_, after := retryAfter(t, conn, "")
+	if after <= 0 {
+		t.Fatal("no moment was told")
+	}
+	count := func(name string) int { return counterValue(t, g, name) }
+	if got := count("returns.promised"); got != 1 {
+		t.Fatalf("%d promises, want 1", got)
+	}
+	retryAfter(t, conn, "") // at once
+	clock.Advance(after)
+	retryAfter(t, conn, "")
+	retryAfter(t, conn, "")
+	for name, want := range map[string]int{"returns.early": 1, "returns.in_window": 1, "returns.refused_again": 1, "returns.kept": 0} {
+		if got := count(name); got != want {
+			t.Errorf("%s is %d, want %d", name, got, want)
+		}
+	}
+}
--- a/scarcity.go
+++ b/scarcity.go
@@ -55,21 +55,41 @@
 
 // RefusedRequest is a request that is refused for lack of room.
 type RefusedRequest struct {
-	Service     string
+	Service string
+	// Rank is the priority in engines, 0 first.
 	Rank        int
 	Fingerprint Fingerprint
+	// BodyBytes is the size of the body.
+	BodyBytes int
 	// Earliest is the shortest time after which the caller may return, Latest the longest after
-	// which it can still be served.
+	// which it can still be served. If Latest is shorter, nothing is promised.
 	Earliest, Latest time.Duration
+	// Returning is set for a caller that gets no promise, as it came back by one already or as
+	// servers take nothing within its time.
+	Returning bool
+}
+
+// Return is when a refused caller should return.
+type Return struct {
+	After time.Duration
+	// Promised is set if room is kept for it then.
+	Promised bool
+	// RoomRate is the room that can be promised, in requests a second; ServedRate and NewRate
+	// are the requests served and those that come new a second.
+	RoomRate, ServedRate, NewRate float64
 }
 
 // ReturnSchedule tells refused callers when to return, and recognises those that do.
 type ReturnSchedule interface {
-	// Served records that a server has taken a request.
-	Served(service string, rank int)
-	// Next returns after what time a refused caller should return.
-	Next(r RefusedRequest) time.Duration
+	// Arrived records a request that came here, Served one that is answered.
+	Arrived(service string, returning bool)
+	Served(service string)
+	// Next returns when a refused caller should return.
+	Next(r RefusedRequest) Return
 	// Returning reports whether a request was refused before, by any host of the region, and
-	// comes back when its caller was told to.
-	Returning(service string, f Fingerprint) bool
+	// comes back when its caller was told to. early is set if it comes before that.
+	Returning(bodyBytes int, fingerprint func() Fingerprint) (returning, early bool)
+	// PromisedShare returns the share, 0 to 1, of the room of the next moments that is promised
+	// to callers of a rank or of more urgent ones.
+	PromisedShare(service string, rank int) float64
 }
