--- a/promiserelay/relay.go
+++ b/promiserelay/relay.go
@@ -102,26 +102,25 @@
 	g.items = kept
 }
 
-// Since returns promises of a region added after a version, without those of one host, and the
-// version up to which they are complete.
+// Since returns the promises of a region added after a version, without those of one host, and
+// the version to name next. Of more than a message holds, it returns the newest: a backlog would
+// bring each one after its moment.
 func (r *Relay) Since(name, except string, version uint64) (wheelgauge.ReturnPromises, uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.now()
 	var out wheelgauge.ReturnPromises
-	for _, k := range r.region(name).items {
-		switch {
-		case k.version <= version:
-			continue
-		case len(out) == maxSent:
-			return out, version
-		}
-		version = k.version
-		if k.host != except && now.Sub(k.at) <= maxAge {
-			out = append(out, k.aged(now))
+	items := r.region(name).items
+	next := version
+	if len(items) > 0 {
+		next = max(next, items[len(items)-1].version)
+	}
+	for i := len(items) - 1; i >= 0 && len(out) < maxSent && items[i].version > version; i-- {
+		if items[i].host != except && now.Sub(items[i].at) <= maxAge {
+			out = append(out, items[i].aged(now))
 		}
 	}
-	return out, version
+	return out, next
 }
 
 // OfHosts returns the promises of a region's hosts that arrived in the last moments, the newest
--- a/returnschedule/schedule.go
+++ b/returnschedule/schedule.go
@@ -32,15 +32,19 @@
 	countedPromises = 4
 	// dueWindow is how far ahead promises count as due: callers of that time are on their way.
 	dueWindow = 500 * time.Millisecond
+	// maxKeptShare bounds the room kept from new callers: each one refused for it has to return
+	// in turn.
+	maxKeptShare = 0.1
 	// ranks is how many ranks are told apart; further ones count as the last.
 	ranks = 8
 	// maxServices bounds the services with a schedule.
 	maxServices = 1024
 )
 
-// slot holds the promises of one part of the schedule, by rank.
+// slot holds the promises of one part of the schedule, all of them and by rank.
 type slot struct {
 	index  int64
+	total  int
 	byRank [ranks]int
 }
 
@@ -162,7 +166,9 @@
 		if !add(after) {
 			return 0, false
 		}
-		v.at(index).byRank[rankIndex(rank)]++
+		s := v.at(index)
+		s.total++
+		s.byRank[rankIndex(rank)]++
 		return after, true
 	}
 	return 0, false
@@ -186,7 +192,13 @@
 
 // countIn returns how many promises the slots from one index to another hold.
 func (v *service) countIn(from, to int64) int {
-	return v.countRank(from, to, ranks-1)
+	n := 0
+	for index := from; index <= to; index++ {
+		if s := &v.slots[position(index)]; s.index == index {
+			n += s.total
+		}
+	}
+	return n
 }
 
 // countRank returns how many promises of a rank or of more urgent ones some slots hold.
@@ -204,8 +216,7 @@
 	return n
 }
 
-// PromisedShare implements wheelgauge.ReturnSchedule. It is at most guaranteedShare, also if
-// less is served than when the promises were made.
+// PromisedShare implements wheelgauge.ReturnSchedule. It is at most maxKeptShare.
 func (s *Schedule) PromisedShare(name string, rank int) float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -219,5 +230,5 @@
 	if due == 0 {
 		return 0
 	}
-	return min(guaranteedShare, float64(due)/max(1, v.served.At(now)*dueWindow.Seconds()))
+	return min(maxKeptShare, float64(due)/max(1, v.served.At(now)*dueWindow.Seconds()))
 }
--- a/scarcity.go
+++ b/scarcity.go
@@ -89,7 +89,7 @@
 	// Returning reports whether a request was refused before, by any host of the region, and
 	// comes back when its caller was told to. early is set if it comes before that.
 	Returning(bodyBytes int, fingerprint func() Fingerprint) (returning, early bool)
-	// PromisedShare returns the share, 0 to 1, of the room of the next moments that is promised
-	// to callers of a rank or of more urgent ones.
+	// PromisedShare returns the share, 0 to 1, of the room of the next moments that is kept from
+	// new callers of a rank, as it is promised to callers of that rank or of more urgent ones.
 	PromisedShare(service string, rank int) float64
 }
