Returns: a tenth guaranteed, returning callers up to one objective while congested

Cause: trials showed more answers late: callers that return displaced new ones that would have been in time, and waited up to 1.5 objectives in engines.

--- a/returnschedule/schedule.go
+++ b/returnschedule/schedule.go
@@ -19,8 +19,9 @@
 	slotWidth = 100 * time.Millisecond
 	slots     = int(promises.MaxAhead/slotWidth) + 8
 	// guaranteedShare of what is served may be promised even if new callers ask for all of it.
-	// The rest is theirs: who is refused first is served no sooner for it.
-	guaranteedShare = 0.25
+	// The rest is theirs: served at their first try, they are in time more often than callers
+	// that return, and not fewer are served in all.
+	guaranteedShare = 0.1
 	// preferredShare is where in its time a caller gets its moment if there is room: who can wait
 	// longer leaves the next moments to those who cannot. Later than the middle, as the overload
 	// is more likely over then.
--- a/routegate/late.go
+++ b/routegate/late.go
@@ -11,6 +11,9 @@
 	// late.
 	congestedWaitFactor = 0.75
 	congestedShare      = 0.5
+	// returningWaitFactor applies to returning callers meanwhile: their answers still begin
+	// within an objective. Any longer they would make those behind them late.
+	returningWaitFactor = 1.0
 	// forwardWaitShare is the share of the objective that the mean wait must exceed before
 	// long prompts are forwarded earlier than short ones. Without a queue, forwarding them
 	// only loses their cache hits.
@@ -33,8 +36,11 @@
 		return false
 	}
 	factor := maxWaitFactor
-	if c.congested(congestedShare) && !c.returning {
+	if c.congested(congestedShare) {
 		factor = congestedWaitFactor
+		if c.returning {
+			factor = returningWaitFactor
+		}
 	}
 	factor *= 1 - c.promisedShare()
 	return wait > time.Duration(factor*float64(c.route.LatencyObjective))
