--- a/cmd/wheelgauge-gateway/routes.go
+++ b/cmd/wheelgauge-gateway/routes.go
@@ -49,6 +49,7 @@
 	{Section: "engines", Name: "model", Type: settings.Choice, Choices: []string{fixedModel, learnedModel}, Default: fixedModel, Help: "how waits at model engines are predicted: by fixed figures, or as learned from this host's requests"},
 	{Section: "flood", Name: "refuse_early", Type: settings.Bool, Default: "false", Help: "refuse requests before their bodies are read, where the header decides"},
 	{Section: "flood", Name: "share_connections", Type: settings.Bool, Default: "false", Help: "divide callers' connections among workspaces while they are near the limit"},
+	{Section: "returns", Name: "schedule", Type: settings.Bool, Default: "false", Help: "tell refused callers to return one after another as room comes free, and serve them first then"},
 	{Section: "limits", Name: "memory_mb", Type: settings.Int, Default: "0", Max: 1 << 20, Help: "memory available to the process in MB; 0 means no limit"},
 	{Section: "admission", Name: "waiting_room", Type: settings.Bool, Default: "false", Help: "hold requests that no server would take in time until there is room, where their time allows"},
 	{Section: "admission", Name: "workspace_shares", Type: settings.Bool, Default: "false", Help: "while there is not room for all, refuse workspaces first that ask for and get more than their share"},
@@ -86,7 +87,8 @@
 		ForwardCredits: v.Bool("forward", "credits"),
 		Flood:          entrynode.FloodOptions{RefuseEarly: v.Bool("flood", "refuse_early"), ShareConns: v.Bool("flood", "share_connections")},
 		WaitingRoom:    v.Bool("admission", "waiting_room"), WorkspaceShares: v.Bool("admission", "workspace_shares"),
-		DecodeRoutes: d.Decode, Names: d.Headers, Log: log,
+		ScheduleReturns: v.Bool("returns", "schedule"),
+		DecodeRoutes:    d.Decode, Names: d.Headers, Log: log,
 	}
 	n, err := entrynode.Open(context.WithoutCancel(ctx), o)
 	if err != nil {
--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -30,6 +30,7 @@
 	"wheelgauge/peerset"
 	"wheelgauge/periodic"
 	"wheelgauge/permitclient"
+	"wheelgauge/promises"
 	"wheelgauge/quarantine"
 	"wheelgauge/retrybudget"
 	"wheelgauge/rollout/selector"
@@ -108,6 +109,9 @@
 	// WaitingRoom holds requests until there is room for them, WorkspaceShares divides scarce
 	// room among workspaces.
 	WaitingRoom, WorkspaceShares bool
+	// ScheduleReturns tells refused callers to return one after another, and recognises those
+	// that do.
+	ScheduleReturns bool
 	// Client calls stores; nil creates one.
 	Client *peerhttp.Client
 	// Clock for ages, leases and deadlines; nil means one that counts suspended time.
@@ -135,7 +139,9 @@
 	permits  *permitclient.Client
 	versions *selector.Selector
 	// engines is nil unless LearnEngines is set.
-	engines      *enginemodel.Model
+	engines *enginemodel.Model
+	// promises are nil unless returns are scheduled.
+	promises     *promises.Table
 	tally        *tally.Tally
 	room         *waitroom.Room
 	meter        *meter.Meter
@@ -184,10 +190,11 @@
 	})
 	n.versions = selector.New(selector.Options{Host: o.Name, Share: o.RolloutShare, Slack: o.RolloutSlack, Now: clock.Now})
 	n.tally = tally.New()
+	returns, promiseTable := n.newReturns()
 	gateOptions := routegate.Options{
 		Region: o.Region, Names: o.Names, Servers: n.servers, Peers: n.peers, Budget: n.budget, Meter: n.meter, Log: o.Log.WithName("gate"),
 		Caps: n.caps, Quarantine: n.quarantine, Limits: n.limits, Permits: n.permits, Clock: clock,
-		Versions: n.versions, Tally: n.tally, Credits: n.credits,
+		Versions: n.versions, Tally: n.tally, Credits: n.credits, Returns: returns,
 	}
 	n.openAdmission(&gateOptions)
 	n.gate = routegate.New(gateOptions)
@@ -196,7 +203,7 @@
 		return nil, err
 	}
 	n.heartbeats.Store(heartbeat.Start(heartbeat.Options{
-		Self: n.self, Usage: n.servers.Uses, Crashes: n.quarantine, Limits: n.limits, Rollouts: rolloutReports{n.versions, n.tally}, Seeds: o.Seeds, Interval: o.HeartbeatInterval, FarInterval: o.FarHeartbeatInterval,
+		Self: n.self, Usage: n.servers.Uses, Crashes: n.quarantine, Limits: n.limits, Promises: promiseTable, Rollouts: rolloutReports{n.versions, n.tally}, Seeds: o.Seeds, Interval: o.HeartbeatInterval, FarInterval: o.FarHeartbeatInterval,
 		Clock: clock, Client: n.client, Receiver: n, Log: o.Log.WithName("beat"),
 	}))
 	go func() { n.pruneDone <- periodic.Run(ctx, pruneInterval, n.prune) }()
@@ -208,7 +215,7 @@
 		})
 	}()
 	o.Log.Info("Gateway serves.", "name", o.Name, "callers", o.CallerAddress, "peer", o.PeerAddress, "seeds", o.Seeds,
-		"learns_engines", o.LearnEngines, "forward_credits", o.ForwardCredits, "refuse_early", o.Flood.RefuseEarly, "share_connections", o.Flood.ShareConns)
+		"learns_engines", o.LearnEngines, "forward_credits", o.ForwardCredits, "refuse_early", o.Flood.RefuseEarly, "share_connections", o.Flood.ShareConns, "returns_schedule", o.ScheduleReturns)
 	return n, nil
 }
 
@@ -312,6 +319,9 @@
 	n.peers.Prune()
 	n.quarantine.Prune()
 	n.limits.Prune()
+	if n.promises != nil {
+		n.promises.Prune()
+	}
 	n.tally.Retain(n.versions.RunningRollouts())
 	n.logTurnedAway()
 }
--- a/routegate/late.go
+++ b/routegate/late.go
@@ -16,10 +16,9 @@
 	// late.
 	congestedWaitFactor = 0.75
 	congestedShare      = 0.5
-	// modelledWaitFactor is that factor for the most urgent requests where the wait is learned: the
-	// constant part of each first event is in both the forecast and the mean, and alone may exceed
-	// congestedShare.
-	modelledWaitFactor = 1.0
+	// returningWaitFactor applies to returning callers meanwhile: their answers still begin
+	// within an objective. Any longer they would make those behind them late.
+	returningWaitFactor = 1.0
 	// forwardWaitShare is the share of the objective that the mean wait must exceed before
 	// long prompts are forwarded earlier than short ones. Without a queue, forwarding them
 	// only loses their cache hits.
@@ -42,23 +41,29 @@
 // served late, it would delay the requests behind it as well. Without credits a forwarded one
 // is taken in any case.
 func (c *call) tooLate(wait time.Duration) bool {
-	if c.forwarded && c.gate.options.Credits == nil || c.sends > 0 || c.route.LatencyObjective <= 0 {
+	if c.forwarded && c.gate.options.Credits == nil || c.sends > 0 || c.runs > 0 || c.route.LatencyObjective <= 0 {
 		return false
 	}
 	if !c.startBy.IsZero() && c.gate.options.Clock.Now().Add(wait).After(c.startBy) {
 		return true
 	}
+	return wait > time.Duration(c.lateFactor()*float64(c.route.LatencyObjective))
+}
+
+// lateFactor is the predicted wait, as a multiple of the objective, above which the request is
+// refused. A learned forecast includes what congestion adds.
+func (c *call) lateFactor() float64 {
 	factor := maxWaitFactor
-	if c.congested(congestedShare) {
+	if !c.modelled() && c.congested(congestedShare) {
 		factor = congestedWaitFactor
-		if c.rank == 0 && c.modelled() {
-			factor = modelledWaitFactor
+		if c.returning {
+			factor = returningWaitFactor
 		}
 	}
 	if c.aboveShare() {
 		factor *= aboveShareWaitFactor
 	}
-	return wait > time.Duration(factor*float64(c.route.LatencyObjective))
+	return factor * (1 - c.promisedShare())
 }
 
 // modelled reports whether an engine model predicts how the request runs.
