Refusals end their connections while places are short

Idle connections of refused callers filled the places, so that connections of workspaces that are served gave way. While places are short, the host's own 401, 421, 429 and 503, not run, now say Connection: close. Part of the setting share_connections. Run: go test -race ./callerhttp ./connshare ./connpeek ./routegate; make lint.

--- a/callerhttp/flood_test.go
+++ b/callerhttp/flood_test.go
@@ -162,6 +162,66 @@
 	close(release)
 }
 
+// While places are short, refused callers lose their connections, so a workspace that is served
+// keeps its own. If refused callers keep theirs, it loses some.
+func TestRefusalsDoNotFillPlaces(t *testing.T) {
+	const kept, refused = 6, 30
+	tests := []struct {
+		name   string
+		refuse func(r *Request)
+		keeps  bool
+	}{
+		{"refused callers keep connections", func(r *Request) { _ = r.Respond(http.StatusTooManyRequests, nil, nil) }, false},
+		{"refusals end connections", func(r *Request) {
+			r.RespondError(wheelgauge.NewError(wheelgauge.ReasonOverloaded, wheelgauge.OutcomeNotRun, http.StatusTooManyRequests, ""))
+		}, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := listenWith(t, Options{MaxConns: floodPlaces, ShareConns: true, Serve: func(ctx context.Context, r *Request) {
+				_, owner, _ := strings.Cut(string(r.Header().RequestURI())[1:], "/")
+				r.SetOwner(owner)
+				if owner != "served" {
+					tt.refuse(r)
+					return
+				}
+				echo(ctx, r)
+			}})
+			// call returns whether it was answered, and whether the answer ends the connection.
+			call := func(c *net.TCPConn, owner string) (answered, closes bool) {
+				_, _ = fmt.Fprintf(c, "GET /good/%s HTTP/1.1\r\nHost: h\r\n\r\n", owner)
+				_, closes, err := readStatus(bufio.NewReader(c))
+				return err == nil, closes
+			}
+			var conns [kept]*net.TCPConn
+			for i := range conns {
+				conns[i] = dial(t, s)
+				if answered, closes := call(conns[i], "served"); !answered || closes {
+					t.Fatal("a caller without a flood is not served")
+				}
+			}
+			for i := range refused {
+				answered, closes := call(dial(t, s), fmt.Sprint(i))
+				if !answered {
+					t.Fatal("a refused caller got no answer")
+				}
+				for closes && len(s.snapshot()) >= floodPlaces*3/4 {
+					time.Sleep(time.Millisecond)
+				}
+			}
+			lost := 0
+			for _, c := range conns {
+				if answered, _ := call(c, "served"); !answered {
+					lost++
+				}
+			}
+			if (lost == 0) != tt.keeps {
+				t.Errorf("%d of %d kept connections lost, want none: %v", lost, kept, tt.keeps)
+			}
+		})
+	}
+}
+
 // A connection does not give way once a byte of a request was read: the caller of many requests
 // gets all answers, though new connections arrive all the time.
 func TestRequestThatWasReadIsAnswered(t *testing.T) {
--- a/callerhttp/request.go
+++ b/callerhttp/request.go
@@ -180,7 +180,8 @@
 	r.finished = false
 }
 
-// RespondError responds with the gateway's own error.
+// RespondError responds with the gateway's own error. While places are short, a refusal ends
+// the connection.
 func (r *Request) RespondError(e *wheelgauge.Error) {
 	body, err := json.Marshal(e)
 	if err != nil {
@@ -193,10 +194,26 @@
 	if sends := e.Sends(); sends > 0 {
 		fields = append(fields, NewField(wheelgauge.HeaderSends, strconv.Itoa(sends)))
 	}
+	if refuses(e) && r.conn.server.shares.short() {
+		r.closeAfter = true
+	}
 	// Fails only if the caller has disconnected.
 	_ = r.Respond(e.Status(), fields, body)
 }
 
+// refuses reports whether a caller that gets e tries again elsewhere or later, on a new
+// connection, or not at all.
+func refuses(e *wheelgauge.Error) bool {
+	if e.Outcome() != wheelgauge.OutcomeNotRun {
+		return false
+	}
+	switch e.Status() {
+	case http.StatusUnauthorized, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 func appendHead(dst []byte, status int, fields []Field) []byte {
 	dst = append(dst, "HTTP/1.1 "...)
 	dst = strconv.AppendInt(dst, int64(status), 10)
--- a/callerhttp/server.go
+++ b/callerhttp/server.go
@@ -42,8 +42,8 @@
 	Admit func(ctx context.Context, r *Request) (serve func(ctx context.Context))
 	// MaxConns is the maximum number of connections; further ones are closed at once.
 	MaxConns int
-	// ShareConns lets idle connections give way to new ones, and bounds the requests in
-	// progress of one owner, while connections are near MaxConns.
+	// ShareConns lets idle connections give way to new ones, bounds the requests in progress of
+	// one owner, and ends the connections of refused requests, while connections are near MaxConns.
 	ShareConns bool
 	// WriteTimeout is the time after which a caller that does not read its response is
 	// disconnected; defaultWriteTimeout when 0.
--- a/routegate/early.go
+++ b/routegate/early.go
@@ -26,7 +26,7 @@
 	apiErr := g.admit(c)
 	if withinPart := forwarded || r.SetOwner(c.workspaceName()); apiErr == nil && !withinPart {
 		g.options.Meter.Count("requests.over_part")
-		apiErr = refusal(wheelgauge.ReasonOverloaded, http.StatusServiceUnavailable, "the workspace has its part of this host's connections at work").WithRetryAfter(minOverloadRetryAfter)
+		apiErr = refusal(wheelgauge.ReasonOverloaded, http.StatusServiceUnavailable, "the workspace has its part of the requests in progress at this host").WithRetryAfter(minOverloadRetryAfter)
 	}
 	if apiErr != nil {
 		c.refuse(apiErr)
