--- a/routegate/late.go
+++ b/routegate/late.go
@@ -44,12 +44,27 @@
 	if c.forwarded && c.gate.options.Credits == nil || c.sends > 0 || c.runs > 0 || c.route.LatencyObjective <= 0 {
 		return false
 	}
+	if limit := c.route.SilenceLimit; limit > 0 && time.Since(c.started)+wait > limit {
+		return true // its caller would have given up
+	}
 	if !c.startBy.IsZero() && c.gate.options.Clock.Now().Add(wait).After(c.startBy) {
 		return true
 	}
 	return wait > time.Duration(c.lateFactor()*float64(c.route.LatencyObjective))
 }
 
+// heldBack reports whether a less urgent request would wait for a slot at an engine, where more
+// urgent ones displace it and its prompt is prefilled again, although it can wait at a host.
+func (c *call) heldBack(e serverset.Estimate) bool {
+	if c.gate.options.Room == nil || c.rank == 0 || !e.Queued() {
+		return false
+	}
+	if c.forwarded {
+		return c.gate.options.Credits != nil && c.sends == 0 && c.runs == 0
+	}
+	return c.mayWait()
+}
+
 // lateFactor is the predicted wait, as a multiple of the objective, above which the request is
 // refused. A learned forecast includes what congestion adds.
 func (c *call) lateFactor() float64 {
@@ -83,7 +98,7 @@
 // endsTooLate reports whether the answer cannot end in the time left where the request would be
 // sent: its caller would get part of it, for the work of all.
 func (c *call) endsTooLate(forward bool, local, remote serverset.Estimate) bool {
-	if c.forwarded || c.sends > 0 {
+	if c.forwarded || c.sends > 0 || c.runs > 0 {
 		return false
 	}
 	e := local
--- a/routegate/place.go
+++ b/routegate/place.go
@@ -22,7 +22,8 @@
 	local, ok := c.predictLocal()
 	wait := c.correctedWait(local)
 	region, remote := c.bestRemote(ok)
-	forward := region != "" && (!ok || remote.Cost() < local.Cost()+c.excess(wait-local.Wait()) || c.tooLate(wait))
+	late := c.tooLate(wait) || c.heldBack(local)
+	forward := region != "" && (!ok || remote.Cost() < local.Cost()+c.excess(wait-local.Wait()) || late)
 	if forward && c.gate.mayOutlastProcess(c.route.Name, c.route.Timeout, c.gate.options.Peers.RoundTrip(region)) {
 		if !ok {
 			return placement{leaving: true}
@@ -31,11 +32,12 @@
 	}
 	if forward {
 		wait = remote.Wait()
+		late = c.tooLate(wait) || c.heldBack(remote)
 	}
 	switch {
 	case !ok && !forward:
 		return placement{}
-	case c.tooLate(wait) || c.endsTooLate(forward, local, remote):
+	case late || c.endsTooLate(forward, local, remote):
 		c.predictedWait = wait
 		return placement{tooLate: true}
 	}
--- a/routegate/wait.go
+++ b/routegate/wait.go
@@ -59,6 +59,9 @@
 	usual := g.durations.get(c.route.Name, c.route.Timeout).mean
 	arrived := c.started.Add(c.suspendedBefore)
 	c.startBy = c.deadline.Add(c.suspendedBefore - time.Duration(leaveMeanFactor*float64(usual)))
+	if limit := c.route.SilenceLimit; limit > 0 && arrived.Add(limit).Before(c.startBy) {
+		c.startBy = arrived.Add(limit)
+	}
 	began := time.Now()
 	defer func() { c.roomWait += time.Since(began) }()
 	return g.options.Room.Wait(ctx, wheelgauge.QueuedRequest{
@@ -85,11 +88,11 @@
 // hasRoom reports whether a placement now would not be too late. It chooses nothing.
 func (c *call) hasRoom() bool {
 	local, ok := c.predictLocal()
-	if ok && !c.tooLate(c.correctedWait(local)) {
+	if ok && !c.tooLate(c.correctedWait(local)) && !c.heldBack(local) {
 		return true
 	}
 	region, remote := c.bestRemote(ok)
-	if region == "" || c.tooLate(remote.Wait()) || ok && !c.hasCredit(region) {
+	if region == "" || c.tooLate(remote.Wait()) || c.heldBack(remote) || ok && !c.hasCredit(region) {
 		return false
 	}
 	return !c.gate.mayOutlastProcess(c.route.Name, c.route.Timeout, c.gate.options.Peers.RoundTrip(region))
--- a/routes.go
+++ b/routes.go
@@ -40,6 +40,9 @@
 	LatencyObjective time.Duration `json:"objective_ns"`
 	// GapObjective is the target for the longest gap between events of a stream.
 	GapObjective time.Duration `json:"pause_ns"`
+	// SilenceLimit is how long callers wait for the first event, and for each later one, before
+	// they give up; 0 if unknown.
+	SilenceLimit time.Duration `json:"silence_ns,omitempty"`
 	// Priority is the rank of the route; 0 is the most urgent.
 	Priority int `json:"priority"`
 	// MaxAttempts is the maximum number of servers that may run one request.
--- a/serverset/pick.go
+++ b/serverset/pick.go
@@ -101,6 +101,8 @@
 	cost time.Duration
 	// forecast is that of the engine model; zero without one.
 	forecast wheelgauge.EngineForecast
+	// queued is set if the request would wait for a slot.
+	queued bool
 }
 
 // AddLatency returns the estimate with the latency of a link added.
@@ -124,6 +126,9 @@
 	return e.forecast.Last == 0 || e.forecast.Last-e.forecast.LastError <= left
 }
 
+// Queued reports whether the request would wait for a slot at an engine.
+func (e Estimate) Queued() bool { return e.queued }
+
 // End returns the predicted time to the end of the answer, or to its first event if the end is not
 // known.
 func (e Estimate) End() time.Duration { return max(e.wait, e.forecast.Last) }
@@ -135,7 +140,7 @@
 	defer t.mu.Unlock()
 	now := t.now()
 	c := t.bestChoice(t.candidates(j, now), j, now, false)
-	return Estimate{wait: duration(c.wait), cost: duration(c.score), forecast: c.forecast}, c.server != nil
+	return Estimate{wait: duration(c.wait), cost: duration(c.score), forecast: c.forecast, queued: c.server != nil && c.load.Full()}, c.server != nil
 }
 
 func duration(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
@@ -274,8 +279,9 @@
 		l := meanEngineLoad(u, j.prompt, j.rank)
 		if t.model != nil {
 			_, urgent, _ := u.Work.AheadAndUrgent(j.rank)
-			f := t.model.Predict(service.Name, leastEngineLoad(l, float64(urgent)/float64(u.Servers), j), 1)
-			return Estimate{wait: f.First, cost: f.First + f.Delay + duration(targetCost(f, j)), forecast: f}
+			least := leastEngineLoad(l, float64(urgent)/float64(u.Servers), j)
+			f := t.model.Predict(service.Name, least, 1)
+			return Estimate{wait: f.First, cost: f.First + f.Delay + duration(targetCost(f, j)), forecast: f, queued: least.Full()}
 		}
 		return Estimate{wait: duration(l.Wait()), cost: duration(l.Cost())}
 	}
