--- a/engines.go
+++ b/engines.go
@@ -22,7 +22,10 @@
 	Reserved float64
 }
 
-// Full reports whether the request would wait for a slot.
+// NoSlot reports whether requests as urgent or more hold all slots.
+func (l EngineLoad) NoSlot() bool { return l.Slots > 0 && l.InFlightAhead >= l.Slots }
+
+// Full reports whether the request would wait for a slot, or would soon be displaced from it.
 func (l EngineLoad) Full() bool { return l.Slots > 0 && l.InFlightAhead >= l.Slots-l.Reserved }
 
 // EngineForecast is how a request is expected to run at an engine.
--- a/serverset/pick.go
+++ b/serverset/pick.go
@@ -140,7 +140,7 @@
 	defer t.mu.Unlock()
 	now := t.now()
 	c := t.bestChoice(t.candidates(j, now), j, now, false)
-	return Estimate{wait: duration(c.wait), cost: duration(c.score), forecast: c.forecast, queued: c.server != nil && c.load.Full()}, c.server != nil
+	return Estimate{wait: duration(c.wait), cost: duration(c.score), forecast: c.forecast, queued: c.load.NoSlot()}, c.server != nil
 }
 
 func duration(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
@@ -281,7 +281,7 @@
 			_, urgent, _ := u.Work.AheadAndUrgent(j.rank)
 			least := leastEngineLoad(l, float64(urgent)/float64(u.Servers), j)
 			f := t.model.Predict(service.Name, least, 1)
-			return Estimate{wait: f.First, cost: f.First + f.Delay + duration(targetCost(f, j)), forecast: f, queued: least.Full()}
+			return Estimate{wait: f.First, cost: f.First + f.Delay + duration(targetCost(f, j)), forecast: f, queued: least.NoSlot()}
 		}
 		return Estimate{wait: duration(l.Wait()), cost: duration(l.Cost())}
 	}
--- a/waitroom/queue.go
+++ b/waitroom/queue.go
@@ -13,7 +13,7 @@
 	// patientRun is how many objectives a request must usually run to be worth holding past its
 	// objective. Its caller waits for the whole answer, and a wait of an objective lengthens
 	// that by half at most. Callers of shorter requests want the answer within the objective.
-	patientRun = 2
+	patientRun = 1.5
 	// shortWaitShare is the share of the objective that other requests may wait: a caller that
 	// is refused then still has most of its objective to try elsewhere.
 	shortWaitShare = 0.25
@@ -73,7 +73,7 @@
 	e := &entry{request: q, startBy: q.StartBy, enteredAt: now, done: make(chan struct{})}
 	e.updateAbove()
 	objective := q.ObjectiveAt.Sub(q.ArrivedAt)
-	if q.Run < patientRun*objective {
+	if float64(q.Run) < patientRun*float64(objective) {
 		if latest := q.ArrivedAt.Add(time.Duration(shortWaitShare * float64(objective))); latest.Before(e.startBy) {
 			e.startBy = latest
 		}
