--- a/routegate/wait.go
+++ b/routegate/wait.go
@@ -22,7 +22,7 @@
 		return c.placeForVersion(ctx)
 	}
 	refused := false
-	if c.mustQueue() {
+	if c.mustQueue() && !c.hasRoom() {
 		refused = !c.waitForRoom(ctx, false)
 		if refused && c.aboveShare() {
 			return c.refusedByRoom()
