--- a/callerhttp/conn.go
+++ b/callerhttp/conn.go
@@ -71,7 +71,7 @@
 		if r.closeAfter || k.in.Buffered() <= max(0, r.unread) { // else a byte of the next request was read
 			k.server.shares.end(k)
 		}
-		if !r.finished || !k.passBody(r) || r.closeAfter {
+		if !r.finished || !k.dropBody(r) || r.closeAfter {
 			return
 		}
 		k.dropping.Store(false)
@@ -110,7 +110,7 @@
 	limits := k.server.options.Limits()
 	k.setReadTimeout(limits.IdleTimeout)
 	if !k.begin() {
-		return false // it gave way to another connection
+		return false // it was evicted for another connection
 	}
 	if _, err := k.in.Peek(1); err != nil {
 		return false // closed or timed out between requests
--- a/callerhttp/flood_test.go
+++ b/callerhttp/flood_test.go
@@ -120,7 +120,7 @@
 	}
 }
 
-// One workspace has slow requests in progress. Beyond its part it is refused, and others find
+// One workspace has slow requests in progress. Beyond its share it is refused, and others find
 // places.
 func TestFloodOfWork(t *testing.T) {
 	release := make(chan struct{})
@@ -222,7 +222,7 @@
 	}
 }
 
-// A connection does not give way once a byte of a request was read: the caller of many requests
+// A connection is not evicted once a byte of a request was read: the caller of many requests
 // gets all answers, though new connections arrive all the time.
 func TestRequestThatWasReadIsAnswered(t *testing.T) {
 	const requests = 2000
--- a/callerhttp/server.go
+++ b/callerhttp/server.go
@@ -42,7 +42,7 @@
 	Admit func(ctx context.Context, r *Request) (serve func(ctx context.Context))
 	// MaxConns is the maximum number of connections; further ones are closed at once.
 	MaxConns int
-	// ShareConns lets idle connections give way to new ones, bounds the requests in progress of
+	// ShareConns evicts idle connections for new ones, bounds the requests in progress of
 	// one owner, and ends the connections of refused requests, while connections are near MaxConns.
 	ShareConns bool
 	// WriteTimeout is the time after which a caller that does not read its response is
@@ -61,7 +61,7 @@
 	done     chan error
 	shares   shares
 	// Totals since the start; see Counts.
-	turnedAway, gaveWay, refusedEarly, bodyBytes, droppedBytes atomic.Int64
+	turnedAway, evicted, refusedEarly, bodyBytes, droppedBytes atomic.Int64
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
@@ -131,11 +131,11 @@
 // makeRoom closes an idle connection if places are short. Its place is free at once, though its
 // handler may take a moment to end. The lock must be held.
 func (s *Server) makeRoom() {
-	k, ok := s.shares.giveWay()
+	k, ok := s.shares.evict()
 	if !ok {
 		return
 	}
-	s.gaveWay.Add(1)
+	s.evicted.Add(1)
 	delete(s.conns, k)
 	_ = k.net.Close() // an error changes nothing for the caller
 }
--- a/callerhttp/shares.go
+++ b/callerhttp/shares.go
@@ -60,8 +60,8 @@
 // enabled reports whether connections are shared.
 func (s *shares) enabled() bool { return s.table != nil }
 
-// giveWay returns the connection to close; ok is false if there is none.
-func (s *shares) giveWay() (k *conn, ok bool) {
-	ok = s.with(func(t *connshare.Table[*conn]) (found bool) { k, found = t.GiveWay((*conn).arriving); return found }, false)
+// evict returns the connection to close; ok is false if there is none.
+func (s *shares) evict() (k *conn, ok bool) {
+	ok = s.with(func(t *connshare.Table[*conn]) (found bool) { k, found = t.Evict((*conn).arriving); return found }, false)
 	return k, ok
 }
--- a/callerhttp/unreadbody.go
+++ b/callerhttp/unreadbody.go
@@ -43,8 +43,8 @@
 	return r.unread == 0 || r.unread > 0 && r.unread <= maxDroppedBytes && httpfield.Value(&r.request.Header, "Expect") == nil
 }
 
-// passBody drops a body that was not read. It returns false if the connection must be closed.
-func (k *conn) passBody(r *Request) bool {
+// dropBody drops a body that was not read. It returns false if the connection must be closed.
+func (k *conn) dropBody(r *Request) bool {
 	if r.unread == 0 {
 		return true
 	}
--- a/connshare/table.go
+++ b/connshare/table.go
@@ -1,5 +1,5 @@
 // Package connshare divides a listener's connections among their owners while places are short:
-// which idle connection gives way to a new one, and whether an owner may have another request
+// which idle connection is evicted for a new one, and whether an owner may have another request
 // in progress.
 package connshare
 
@@ -57,7 +57,7 @@
 }
 
 // Begin records that a request arrives on a connection. It returns false if the connection has
-// given way.
+// been evicted.
 func (t *Table[K]) Begin(k K) bool {
 	e := t.conns[k]
 	if e == nil {
@@ -80,7 +80,7 @@
 }
 
 // SetOwner sets the owner of a connection with a request in progress. It returns false if that
-// request exceeds the owner's part: while requests in progress take more than shortShare of
+// request exceeds the owner's share: while requests in progress take more than shortShare of
 // the places, that many are divided evenly among the owners that have any.
 func (t *Table[K]) SetOwner(k K, name string) bool {
 	e := t.conns[k]
@@ -99,12 +99,12 @@
 	return float64(e.owner.busy) <= max(1, t.short()/float64(t.working))
 }
 
-// GiveWay removes and returns the connection that gives way to a new one: the longest idle
+// Evict removes and returns the connection that is evicted for a new one: the longest idle
 // connection of the owner that holds most among those with idle ones. While there are free
-// places, only owners that hold more than an even part of all give way. A connection on which a
-// request is arriving does not give way: that request has begun. ok is false if places are not
-// short or none gives way.
-func (t *Table[K]) GiveWay(arriving func(K) bool) (k K, ok bool) {
+// places, only owners that hold more than an even share of all lose one. A connection on which a
+// request is arriving is not evicted: that request has begun. ok is false if places are not
+// short or none can be evicted.
+func (t *Table[K]) Evict(arriving func(K) bool) (k K, ok bool) {
 	for t.Short() {
 		o := t.holdsMost()
 		if o == nil {
@@ -120,7 +120,7 @@
 	return *new(K), false
 }
 
-// holdsMost returns the owner whose idle connection gives way, nil if there is none.
+// holdsMost returns the owner whose idle connection is evicted, nil if there is none.
 func (t *Table[K]) holdsMost() *owner {
 	var most *owner
 	for _, o := range t.owners {
--- a/connshare/table_test.go
+++ b/connshare/table_test.go
@@ -19,7 +19,7 @@
 
 func never(int) bool { return false }
 
-func TestGiveWay(t *testing.T) {
+func TestEvict(t *testing.T) {
 	type group struct {
 		owner       string
 		count, busy int
@@ -32,7 +32,7 @@
 	}{
 		{"places are free", []group{{"a", 7, 0}}, -1},
 		{"short, one holds most", []group{{"b", 2, 0}, {"a", 6, 0}}, 2},
-		{"short, even parts", []group{{"a", 4, 0}, {"b", 4, 0}}, -1},
+		{"short, even shares", []group{{"a", 4, 0}, {"b", 4, 0}}, -1},
 		{"short, one owner alone", []group{{"a", 9, 0}}, -1},
 		{"full, one owner alone", []group{{"a", 10, 0}}, 0},
 		{"full, the longest idle", []group{{"a", 7, 3}, {"b", 3, 0}}, 3},
@@ -47,7 +47,7 @@
 				fill(table, first, g.count, g.busy, g.owner)
 				first += g.count
 			}
-			if k, ok := table.GiveWay(never); ok != (tt.want >= 0) || ok && k != tt.want {
+			if k, ok := table.Evict(never); ok != (tt.want >= 0) || ok && k != tt.want {
 				t.Errorf("got %d, %v, want %d", k, ok, tt.want)
 			}
 		})
@@ -85,25 +85,25 @@
 func TestGivenWayMayNotBegin(t *testing.T) {
 	table := New[int](1)
 	table.Add(1)
-	if k, ok := table.GiveWay(never); !ok || k != 1 || table.Begin(1) {
-		t.Error("a request began on a connection that gave way")
+	if k, ok := table.Evict(never); !ok || k != 1 || table.Begin(1) {
+		t.Error("a request began on a connection that was evicted")
 	}
 	table.End(1)
 	table.Remove(1)
 }
 
 // A connection on which a request is arriving counts as one with a request in progress.
-func TestArrivingDoesNotGiveWay(t *testing.T) {
+func TestArrivingIsNotEvicted(t *testing.T) {
 	table := New[int](4)
 	fill(table, 0, 4, 0, "a")
-	if k, ok := table.GiveWay(func(k int) bool { return k < 2 }); !ok || k != 2 {
+	if k, ok := table.Evict(func(k int) bool { return k < 2 }); !ok || k != 2 {
 		t.Errorf("got %d, %v, want 2", k, ok)
 	}
 	if table.busy != 2 {
 		t.Errorf("%d requests in progress, want 2", table.busy)
 	}
-	if k, ok := table.GiveWay(func(int) bool { return true }); ok {
-		t.Errorf("%d gives way though requests arrive on all", k)
+	if k, ok := table.Evict(func(int) bool { return true }); ok {
+		t.Errorf("%d is evicted though requests arrive on all", k)
 	}
 }
 
@@ -117,7 +117,7 @@
 	}
 }
 
-// After any operations the sums hold, and a connection that gives way has no request in
+// After any operations the sums hold, and an evicted connection has no request in
 // progress.
 func TestTableRandom(t *testing.T) {
 	type state struct {
@@ -135,9 +135,9 @@
 			s := model[k]
 			switch random.IntN(6) {
 			case 0:
-				if g, ok := table.GiveWay(never); ok {
+				if g, ok := table.Evict(never); ok {
 					if model[g] == nil || model[g].busy {
-						t.Fatalf("seed %d: connection %d gives way: %+v", seed, g, model[g])
+						t.Fatalf("seed %d: connection %d is evicted: %+v", seed, g, model[g])
 					}
 					delete(model, g)
 				}
--- a/entrynode/flood.go
+++ b/entrynode/flood.go
@@ -13,10 +13,10 @@
 	ShareConns bool
 }
 
-// turnedAwayLog is how many connections had been turned away, and had given way, when it was
+// turnedAwayLog is how many connections had been turned away, and evicted, when it was
 // last logged. Only prune uses it.
 type turnedAwayLog struct {
-	callers, peers, gaveWay int64
+	callers, peers, evicted int64
 }
 
 func (n *Node) callerOptions() callerhttp.Options {
@@ -39,17 +39,17 @@
 	return o
 }
 
-// logTurnedAway logs connections that were turned away or gave way since the last call.
+// logTurnedAway logs connections that were turned away or evicted since the last call.
 func (n *Node) logTurnedAway() {
 	callers, peers := n.callerServer.Counts(), n.peerServer.Counts()
-	now := turnedAwayLog{callers: callers.TurnedAway, peers: peers.TurnedAway, gaveWay: callers.GaveWay}
+	now := turnedAwayLog{callers: callers.TurnedAway, peers: peers.TurnedAway, evicted: callers.Evicted}
 	if now == n.turnedAway {
 		return
 	}
 	last := n.turnedAway
 	n.turnedAway = now
 	n.options.Log.Info("Connections are turned away.", "callers", now.callers-last.callers, "peers", now.peers-last.peers,
-		"gave_way", now.gaveWay-last.gaveWay, "places", n.callerOptions().MaxConns, "serving", n.callerServer.InFlight())
+		"evicted", now.evicted-last.evicted, "places", n.callerOptions().MaxConns, "serving", n.callerServer.InFlight())
 }
 
 // gaugeConns sets the metrics of both listeners.
@@ -57,7 +57,7 @@
 	for name, s := range map[string]*callerhttp.Server{"callers.": n.callerServer, "peers.": n.peerServer} {
 		c := s.Counts()
 		n.meter.Gauge(name+"turned_away", c.TurnedAway)
-		n.meter.Gauge(name+"gave_way", c.GaveWay)
+		n.meter.Gauge(name+"evicted", c.Evicted)
 		n.meter.Gauge(name+"refused_early", c.RefusedEarly)
 		n.meter.Gauge(name+"body_bytes", c.BodyBytes)
 		n.meter.Gauge(name+"dropped_bytes", c.DroppedBytes)
--- a/forwardcredits/ledger.go
+++ b/forwardcredits/ledger.go
@@ -31,8 +31,6 @@
 	// burstShare is the most of an allowance that can be used at once. The engines prefill for
 	// 0.23 s at most then, which leaves time for the round trip within 500 ms.
 	burstShare = 0.3
-	// lowerPriorityShare is the share of less urgent prompts that a request waits for anyway.
-	lowerPriorityShare = 0.2
 	// lessUrgentShare is the share of a credit that requests may use while more urgent ones get
 	// none.
 	lessUrgentShare = 0.5
@@ -328,7 +326,7 @@
 // tokens.
 func ahead(u wheelgauge.ServiceUsage, rank int) (running, tokens float64) {
 	r, t := u.Work.Ahead(rank)
-	running = float64(r) + lowerPriorityShare*float64(max(0, u.Running-r))
-	tokens = float64(t) + lowerPriorityShare*float64(max(0, u.PrefillTokens-t))
+	running = float64(r) + enginewait.LowerPriorityShare*float64(max(0, u.Running-r))
+	tokens = float64(t) + enginewait.LowerPriorityShare*float64(max(0, u.PrefillTokens-t))
 	return max(0, running), max(0, tokens)
 }
--- a/routegate/call.go
+++ b/routegate/call.go
@@ -199,7 +199,7 @@
 		c.turnBack()
 		return answered
 	case p.tooLate:
-		c.fail("late", "every backend server is too busy to answer in time")
+		c.fail("late", "no backend server or region is expected to answer in time")
 		return answered
 	}
 	c.fail("full", "no backend server can take the request now")
--- a/routegate/early.go
+++ b/routegate/early.go
@@ -25,8 +25,8 @@
 	g.awaitReady(ctx)
 	apiErr := g.admit(c)
 	if withinPart := forwarded || r.SetOwner(c.workspaceName()); apiErr == nil && !withinPart {
-		g.options.Meter.Count("requests.over_part")
-		apiErr = refusal(wheelgauge.ReasonOverloaded, http.StatusServiceUnavailable, "the workspace has its part of the requests in progress at this host").WithRetryAfter(minOverloadRetryAfter)
+		g.options.Meter.Count("requests.over_share")
+		apiErr = refusal(wheelgauge.ReasonOverloaded, http.StatusServiceUnavailable, "the workspace has its share of the requests in progress at this host").WithRetryAfter(minOverloadRetryAfter)
 	}
 	if apiErr != nil {
 		c.refuse(apiErr)
--- a/routegate/early_test.go
+++ b/routegate/early_test.go
@@ -106,9 +106,9 @@
 	}
 }
 
-// While places are short, a workspace with more than its part of the requests in progress is
+// While places are short, a workspace with more than its share of the requests in progress is
 // refused as not run, and told when to return; another is served.
-func TestWorkspaceAboveItsPart(t *testing.T) {
+func TestWorkspaceAboveItsShare(t *testing.T) {
 	tests := []struct {
 		key    string
 		status int
