Credits: none by partial totals; a region without warm servers needs room for its prompts

A host that starts beside a fresh store knows few hosts of its region and gave itself the region's whole part.

--- a/entrynode/updates.go
+++ b/entrynode/updates.go
@@ -98,7 +98,7 @@
 	}
 	n.completeTotals = n.completeTotals || !partial
 	n.peers.SetLoads(regions)
-	if n.credits != nil {
+	if n.credits != nil && n.completeTotals { // by partial totals and hosts its part would be too large
 		n.credits.SetUsage(regions, forwardingHosts(n.hosts, n.options.Region))
 	}
 	n.servers.SetBusiestRegion(n.peers.BusiestRegion())
--- a/forwardcredits/ledger.go
+++ b/forwardcredits/ledger.go
@@ -258,10 +258,10 @@
 // need is how much work a region has beyond what it can begin, in servers; the lock is held.
 func (l *Ledger) need(u wheelgauge.ServiceUsage) float64 {
 	servers, slots := capacity(u)
-	if servers == 0 {
-		return baseNeed
+	excess := 0.0
+	if servers > 0 {
+		excess = max(0, float64(u.Running)-slots) * servers / slots
 	}
-	excess := max(0, float64(u.Running)-slots) * servers / slots
 	if l.isEngine(u.Service) {
 		perServer := enginewait.PrefillTokensPerMS * float64(time.Second.Milliseconds())
 		backlog := float64(u.PrefillTokens) - servers*enginewait.PrefillTokensPerMS*float64(normalBacklog.Milliseconds())
--- a/forwardcredits/ledger_test.go
+++ b/forwardcredits/ledger_test.go
@@ -53,6 +53,7 @@
 		{"only its region needs room", []wheelgauge.RegionUsage{engines("a", 10, 400, 0), engines("b", 10, 0, 0), rest}, 10, 0, 66, 69},
 		{"both need the same", []wheelgauge.RegionUsage{engines("a", 10, 400, 0), engines("b", 10, 400, 0), rest}, 10, 0, 34, 36},
 		{"the other one needs it by its prompts", []wheelgauge.RegionUsage{engines("a", 10, 0, 0), engines("b", 10, 0, 1_400_000), rest}, 1, 0, 18, 25},
+		{"the other one has prompts and no warm server", []wheelgauge.RegionUsage{engines("a", 10, 400, 0), engines("b", 0, 0, 1_400_000), rest}, 10, 0, 25, 27},
 		// 100 engines prefill 4.8 million tokens in the period.
 		{"long prompts", []wheelgauge.RegionUsage{engines("a", 10, 0, 0), engines("b", 10, 0, 0), rest}, 1, 10_000, 88, 90},
 		{"prompts pending there", []wheelgauge.RegionUsage{engines("a", 10, 0, 0), engines("b", 10, 0, 0), engines("c", 100, 0, 2_400_000)}, 1, 10_000, 44, 45},
