Promises: a lost one is sent again after a change of the primary; only to hosts that ask

A heartbeat without promises, answered after one that was lost, acknowledged the lost promises. A host with the setting off got up to 48 promises with each answer while others had it on; a host now names a version if it makes promises, and gets none otherwise. TestPromisesAreSent failed where the far store answered first: heartbeats are judged by whether they name the store primary.

--- a/confstore/promises_test.go
+++ b/confstore/promises_test.go
@@ -21,12 +21,15 @@
 		boot, since  uint64
 		want         int
 	}{
-		{"new host", "b", "north", 0, 0, 2},
-		{"up to date", "b", "north", 7, 2, 0},
-		{"one is new", "b", "north", 7, 1, 1},
-		{"another start of the store", "b", "north", 6, 2, 2},
-		{"the host that promised", "a", "north", 7, 0, 0},
-		{"another region", "c", "south", 7, 0, 0},
+		{"new host", "b", "north", 0, 1, 2},
+		{"none yet", "b", "north", 7, 1, 2},
+		{"up to date", "b", "north", 7, 3, 0},
+		{"one is new", "b", "north", 7, 2, 1},
+		{"another start of the store", "b", "north", 6, 3, 2},
+		{"makes no promises", "b", "north", 7, 0, 0},
+		{"makes no promises, new", "b", "north", 0, 0, 0},
+		{"the host that promised", "a", "north", 7, 1, 0},
+		{"another region", "c", "south", 7, 1, 0},
 	}
 	for _, tt := range tests {
 		var a wheelgauge.FleetHeartbeatResponse
@@ -34,5 +37,8 @@
 		if len(a.Promises) != tt.want {
 			t.Errorf("%s: got %d promises, want %d", tt.name, len(a.Promises), tt.want)
 		}
+		if tt.since == 0 && a.PromisesVersion != 0 {
+			t.Errorf("%s: got version %d, want none", tt.name, a.PromisesVersion)
+		}
 	}
 }
--- a/fleet.go
+++ b/fleet.go
@@ -113,7 +113,8 @@
 	// Rollouts are the host's reports on rollouts in progress.
 	Rollouts []RolloutReport `json:"rollouts,omitempty"`
 	// Promises are those made here that the primary store has not acknowledged yet.
-	// PromisesVersion is the version of those last received from it.
+	// PromisesVersion is the version of those last received from it, 1 before the first; 0 if the
+	// host makes none and gets none.
 	Promises        ReturnPromises `json:"promises,omitempty"`
 	PromisesVersion uint64         `json:"promises_at,omitempty"`
 }
--- a/heartbeat/client.go
+++ b/heartbeat/client.go
@@ -277,7 +277,7 @@
 		hb.ServerUsage, hb.StoreBoot, hb.HostsVersion, hb.ServersVersion, hb.CrashesVersion, hb.LimitsVersion = uses, s.boot, s.hostsVersion, s.serversVersion, s.crashesVersion, s.limitsVersion
 		if c.options.Promises != nil {
 			hb.Promises, s.promisesSent = c.options.Promises.LocalSince(s.promisesAcked)
-			hb.PromisesVersion = s.promisesVersion
+			hb.PromisesVersion = max(1, s.promisesVersion) // 1: none yet, asks for all
 		}
 		if !c.listTime.IsZero() {
 			hb.ListAgeMS = max(1, c.now().Sub(c.listTime).Milliseconds())
@@ -342,7 +342,10 @@
 	s.inFlight, s.longTimeout, s.answeredInterval, s.misses = false, false, s.sentInterval, 0
 	s.answeredAt, s.connected, s.generation = c.now(), a.Connected, a.Generation
 	s.region, s.hall = a.Region, a.Hall
-	s.crashesAcked, s.limitsAcked, s.promisesAcked = s.crashesSent, s.limitsSent, s.promisesSent
+	s.crashesAcked, s.limitsAcked = s.crashesSent, s.limitsSent
+	if hb.Primary {
+		s.promisesAcked = s.promisesSent // other heartbeats carry none
+	}
 	if s.boot != a.StoreBoot {
 		// The store has restarted and lost what was sent to it before.
 		s.boot, s.hostsVersion, s.serversVersion, s.crashesVersion, s.crashesAcked, s.limitsAcked = a.StoreBoot, 0, 0, 0, 0, 0
--- a/promiserelay/relay.go
+++ b/promiserelay/relay.go
@@ -49,11 +49,14 @@
 	mu      sync.Mutex
 	now     func() time.Time
 	regions map[string]*region
+	// version is that of the newest promise. A host that has none names 1, one that wants none 0.
 	version uint64
 }
 
 // New returns an empty relay that reads the time from now.
-func New(now func() time.Time) *Relay { return &Relay{now: now, regions: map[string]*region{}} }
+func New(now func() time.Time) *Relay {
+	return &Relay{now: now, regions: map[string]*region{}, version: 1}
+}
 
 // Add adds promises of a host of a region; host is empty for those reported by another store.
 func (r *Relay) Add(name, host string, list wheelgauge.ReturnPromises) {
--- a/promiserelay/relay_test.go
+++ b/promiserelay/relay_test.go
@@ -71,7 +71,7 @@
 		r.Add("north", "a", promise(i, time.Second))
 	}
 	got, version := r.Since("north", "b", 0)
-	if len(got) != maxSent || got[0].Hash != maxPerRegion-1 || version != maxPerRegion {
+	if len(got) != maxSent || got[0].Hash != maxPerRegion-1 || version != maxPerRegion+1 {
 		t.Errorf("%d promises sent from %d on, version %d, want the newest %d of the %d held", len(got), got[0].Hash, version, maxSent, maxPerRegion)
 	}
 	if more, _ := r.Since("north", "b", version); len(more) != 0 {
