Promises: one entry to report for each request

A request that was promised a moment again and again left an entry each time for as long as it came back, and its last promise was reported several times. Each entry now belongs to the promise that stands. TestPromisedAgain kept 101 before.

--- a/promises/table.go
+++ b/promises/table.go
@@ -30,6 +30,8 @@
 	at   time.Time
 	size uint16
 	used bool
+	// change is that of a promise made here, 0 for one that another host made.
+	change uint64
 }
 
 // made is a promise made here, with the number of its change.
@@ -70,7 +72,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	hash := wheelgauge.HashOf(f)
-	if !t.put(hash, entry{at: at, size: uint16(bodyBytes)}) {
+	if !t.put(hash, entry{at: at, size: uint16(bodyBytes), change: t.changes + 1}) {
 		return false
 	}
 	t.changes++
@@ -126,7 +128,7 @@
 	}
 	kept := t.local[:0]
 	for _, m := range t.local {
-		if _, ok := t.entries[m.hash]; ok {
+		if t.entries[m.hash].change == m.change {
 			kept = append(kept, m)
 		}
 	}
@@ -184,7 +186,7 @@
 			return out, change
 		}
 		change = m.change
-		if e, ok := t.entries[m.hash]; ok && !e.used && !e.expired(now) {
+		if e := t.entries[m.hash]; e.change == m.change && !e.used && !e.expired(now) {
 			out = append(out, wheelgauge.ReturnPromise{Hash: m.hash, BodySize: e.size, In: e.at.Sub(now)})
 		}
 	}
--- a/promises/table_test.go
+++ b/promises/table_test.go
@@ -173,3 +173,25 @@
 		}
 	}
 }
+
+// A request that is promised a moment again and again leaves one promise to report, however long
+// that goes on.
+func TestPromisedAgain(t *testing.T) {
+	clock := manualclock.New()
+	table := New(clock.Now)
+	for range 100 {
+		table.Add("f", 70, clock.Now().Add(time.Second))
+		clock.Advance(time.Second)
+		if returning, _ := table.Take(70, of("f")); !returning {
+			t.Fatal("the caller is not recognised")
+		}
+	}
+	table.Add("f", 70, clock.Now().Add(time.Second))
+	table.Prune()
+	if n := len(table.local); n != 1 {
+		t.Errorf("%d promises kept to report, want 1", n)
+	}
+	if list, _ := table.LocalSince(0); len(list) != 1 || list[0].In != time.Second {
+		t.Errorf("got %v, want the last promise", list)
+	}
+}
