--- a/returnschedule/schedule.go
+++ b/returnschedule/schedule.go
@@ -147,9 +147,7 @@
 // reserve finds room at a rate, from the preferred moment to the latest and then back to the
 // earliest, and reserves it if add takes the promise. elapsed is the time since slot 0.
 func (v *service) reserve(elapsed, earliest, latest time.Duration, rate float64, rank int, add func(after time.Duration) bool) (time.Duration, bool) {
-	perSlot := rate * slotWidth.Seconds()
-	span := int64(min(float64(promises.MaxAhead/slotWidth), math.Ceil(countedPromises/max(perSlot, 1e-9))))
-	most := int(perSlot*float64(span) + 0.5)
+	span, most := counted(rate)
 	first, last := indexOf(elapsed+earliest+slotWidth-1), indexOf(elapsed+latest)
 	if most == 0 || first > last {
 		return 0, false
@@ -160,7 +158,7 @@
 		if index > last {
 			index = last - i // those from the preferred one on are full
 		}
-		if v.countIn(index-span+1, index) >= most || v.countIn(index, index+span-1) >= most {
+		if v.full(index, span, most) {
 			continue
 		}
 		after := time.Duration(index)*slotWidth - elapsed
@@ -175,6 +173,14 @@
 	return 0, false
 }
 
+// counted returns over how many slots in a row a rate is held, and how many promises they hold at
+// most.
+func counted(rate float64) (span int64, most int) {
+	perSlot := rate * slotWidth.Seconds()
+	span = int64(min(float64(promises.MaxAhead/slotWidth), math.Ceil(countedPromises/max(perSlot, 1e-9))))
+	return span, int(perSlot*float64(span) + 0.5)
+}
+
 func indexOf(elapsed time.Duration) int64 { return int64(elapsed / slotWidth) }
 
 func rankIndex(rank int) int { return min(max(rank, 0), ranks-1) }
@@ -191,15 +197,24 @@
 // position is where a slot is kept. The index is negative if the clock was set back.
 func position(index int64) int64 { return (index%int64(slots) + int64(slots)) % int64(slots) }
 
-// countIn returns how many promises the slots from one index to another hold.
-func (v *service) countIn(from, to int64) int {
+// promised returns how many promises a slot holds.
+func (v *service) promised(index int64) int {
+	if s := &v.slots[position(index)]; s.index == index {
+		return s.total
+	}
+	return 0
+}
+
+// full reports whether a span of slots that a slot is part of holds as many promises as it may.
+func (v *service) full(index, span int64, most int) bool {
 	n := 0
-	for index := from; index <= to; index++ {
-		if s := &v.slots[position(index)]; s.index == index {
-			n += s.total
-		}
+	for i := index - span + 1; i <= index; i++ {
+		n += v.promised(i)
 	}
-	return n
+	for i := index + 1; i < index+span && n < most; i++ {
+		n += v.promised(i) - v.promised(i-span)
+	}
+	return n >= most
 }
 
 // countRank returns how many promises of a rank or of more urgent ones some slots hold.
--- a/returnschedule/schedule_test.go
+++ b/returnschedule/schedule_test.go
@@ -78,6 +78,34 @@
 	}
 }
 
+// No span of slots holds more promises than the rate allows, in whatever order callers with more
+// and less time come, and at the low rates of one host of many as well.
+func TestNoSpanHoldsMore(t *testing.T) {
+	tests := []struct{ served, arrived int }{{10, 0}, {40, 0}, {100, 0}, {100, 200}, {20, 100}, {10, 100}}
+	for _, tt := range tests {
+		for _, seed := range []uint64{1, 2, 3, 4, 5, 6, 7, 8} {
+			rng := rand.New(rand.NewPCG(seed, 1))
+			s, _ := newSchedule(tt.served, tt.arrived)
+			var rate float64
+			for i := range 300 {
+				latest := time.Duration(600+rng.IntN(4000)) * time.Millisecond
+				rate = s.Next(refused(i, 500*time.Millisecond, latest)).RoomRate
+			}
+			span, most := counted(rate)
+			now := indexOf(s.options.Now().Sub(s.start))
+			for from := now - span; from < now+int64(slots)-span; from++ {
+				n := 0
+				for i := from; i < from+span; i++ {
+					n += s.services["s"].promised(i)
+				}
+				if n > most {
+					t.Fatalf("%d served, %d new a second, seed %d: %d promises in %d slots, want %d at most", tt.served, tt.arrived, seed, n, span, most)
+				}
+			}
+		}
+	}
+}
+
 // Who can wait longer gets a later moment, and leaves the next ones to those who cannot.
 func TestLongerWaitsLater(t *testing.T) {
 	s, _ := newSchedule(40, 0)
--- a/returnschedule/simulation_test.go
+++ b/returnschedule/simulation_test.go
@@ -134,7 +134,7 @@
 }
 
 // run plays an overload and returns the tallies by class. ignoring is the share of callers that
-// repeat at once, whatever they are told.
+// repeat once, at once, whatever they are told.
 func (s *sim) run(load simLoad, ignoring float64, each func(step int)) [2]simTally {
 	id, tokens := 0, 0.0
 	for step := range int(simEnd / simStep) {
@@ -391,8 +391,8 @@
 	}
 }
 
-// Callers that repeat at once, whatever they are told, are not served more often for it.
-func TestIgnoringGainsNothing(t *testing.T) {
+// Callers that repeat once, at once, whatever they are told, are not served more often for it.
+func TestRepeatingOnceGainsNothing(t *testing.T) {
 	for _, load := range []simLoad{
 		{"dip of 2 s", 0.7, 1, 0.15, 2 * time.Second},
 		{"twice the capacity for 6 s", 0.7, 2 / 0.7, 1, 6 * time.Second},
