Engine model: kinds of requests age apart; bounds on stated tokens and on services kept

Stated tokens count for no more than an engine's memory: one false figure left an engine a single slot for its rank. Services without servers or samples are forgotten.

Run: go test ./enginemodel ./serverset.

--- a/enginemodel/model.go
+++ b/enginemodel/model.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"sync"
@@ -50,6 +51,8 @@
 	// whose forecasts refuse everything must try again.
 	freshTime     = 5 * time.Second
 	staleHalfLife = 5 * time.Second
+	// forgetTime is how long a service is kept without samples: routes and services come and go.
+	forgetTime = time.Hour
 )
 
 // Model is a learned model of the engines of each service. It is safe for concurrent use.
@@ -66,13 +69,15 @@
 	first, overtaken, pace, pause regression
 	// queueObserved and queuePredicted are decaying sums of the waits for a slot, in milliseconds.
 	queueObserved, queuePredicted float64
+	// firstAt, overtakenAt, queueAt and lastAt are the times of the latest samples of first events,
+	// of those of overtaken requests, of waits for a slot and of ends. Each ages apart: a kind of
+	// request that is refused is not confirmed by those that are served.
+	firstAt, overtakenAt, queueAt, lastAt time.Time
 	// firstErrorMS and lastErrorMS are mean absolute errors.
 	firstErrorMS, lastErrorMS float64
 	// decodeMS is the mean time from the first to the last event, tokensPerEvent the mean of the
 	// expected tokens by event.
 	decodeMS, tokensPerEvent float64
-	// firstAt and lastAt are the times of the latest samples of first events and of ends.
-	firstAt, lastAt time.Time
 }
 
 // Figures are what a model has learned of the engines of a service at usual speed.
@@ -109,10 +114,19 @@
 		pace:  newRegression([features]figure{{weight: 0.1, most: maxPaceMS}, {weight: 1, most: maxPaceMS}, {weight: 1, most: maxPaceMS}}),
 		pause: newRegression([features]figure{{weight: 0.1, most: maxPauseMS}, {weight: 1, most: maxPauseMS}, {weight: 1, most: maxPauseMS}}),
 	}
+	m.forget()
 	m.services[name] = s
 	return s
 }
 
+// forget drops services without recent samples; the lock is held.
+func (m *Model) forget() {
+	from := m.now().Add(-forgetTime)
+	maps.DeleteFunc(m.services, func(_ string, s *serviceModel) bool {
+		return s.firstAt.Before(from) && s.overtakenAt.Before(from) && s.lastAt.Before(from)
+	})
+}
+
 // Predict forecasts a request that would be sent to an engine now. speed is how many times as
 // long as usual work takes there.
 func (m *Model) Predict(service string, l wheelgauge.EngineLoad, speed float64) wheelgauge.EngineForecast {
@@ -123,10 +137,10 @@
 	if l.DurationMS <= 0 && known {
 		l.DurationMS = speed * s.decodeMS
 	}
-	trust := s.trust(now)
-	first := speed * s.firsts(l).predict(firstFeatures(l), trust)
+	regression, at := s.firsts(l)
+	first := speed * regression.predict(firstFeatures(l), trust(*at, now))
 	if queue := queueMS(l); queue > 0 {
-		first += queue * (1 + trust*(s.queueFactor()-1))
+		first += queue * (1 + trust(s.queueAt, now)*(s.queueFactor()-1))
 	}
 	f := wheelgauge.EngineForecast{First: duration(first), Delay: duration(speed * enginewait.SlowdownCostMS * l.InFlight), Error: duration(s.firstErrorMS)}
 	if !known {
@@ -143,7 +157,7 @@
 // Observe records how a request ran at an engine with a speed: once at its first event, and again
 // when it ended.
 func (m *Model) Observe(service string, r wheelgauge.EngineRun, speed float64) {
-	if speed <= 0 {
+	if !(speed > 0) {
 		return
 	}
 	m.mu.Lock()
@@ -155,10 +169,12 @@
 		}
 		return
 	}
-	x, first := firstFeatures(r.Load), s.firsts(r.Load)
+	x := firstFeatures(r.Load)
+	first, at := s.firsts(r.Load)
 	predicted := first.predict(x, 1)
-	s.firstAt = now
+	*at = now
 	if queue := queueMS(r.Load); queue > 0 {
+		s.queueAt = now
 		s.observeQueue(milliseconds(r.First)-speed*predicted, queue)
 		return
 	}
@@ -169,12 +185,12 @@
 	s.firstErrorMS += errorWeight * (min(outlierErrors*most, math.Abs(observed-predicted)) - s.firstErrorMS)
 }
 
-// firsts returns the regression of first events for a load.
-func (s *serviceModel) firsts(l wheelgauge.EngineLoad) *regression {
+// firsts returns the regression of first events for a load, and the time of its latest sample.
+func (s *serviceModel) firsts(l wheelgauge.EngineLoad) (*regression, *time.Time) {
 	if l.Overtaken {
-		return &s.overtaken
+		return &s.overtaken, &s.overtakenAt
 	}
-	return &s.first
+	return &s.first, &s.firstAt
 }
 
 // observeQueue records a wait for a slot, in milliseconds.
@@ -236,9 +252,9 @@
 	return out
 }
 
-// trust is how much of what was learned of first events still holds, from 0 to 1.
-func (s *serviceModel) trust(now time.Time) float64 {
-	idle := now.Sub(s.firstAt) - freshTime
+// trust is how much still holds of what was last confirmed at a time, from 0 to 1.
+func trust(at, now time.Time) float64 {
+	idle := now.Sub(at) - freshTime
 	if idle <= 0 {
 		return 1
 	}
--- a/enginemodel/model_test.go
+++ b/enginemodel/model_test.go
@@ -151,6 +151,58 @@
 	}
 }
 
+// Requests that are refused because of what was learned of them are tried again, although others
+// of the service are served meanwhile: each kind is given up apart.
+func TestKindsAreGivenUpApart(t *testing.T) {
+	overtaken := func(l wheelgauge.EngineLoad) wheelgauge.EngineLoad { l.Overtaken = true; return l }
+	queued := func(l wheelgauge.EngineLoad) wheelgauge.EngineLoad { l.InFlight, l.InFlightAhead = 36, 36; return l }
+	for _, tt := range []struct {
+		name string
+		kind func(wheelgauge.EngineLoad) wheelgauge.EngineLoad
+		took time.Duration // of the first event
+	}{
+		{"overtaken", overtaken, 2500 * time.Millisecond},
+		{"waiting for a slot", queued, 4 * time.Second},
+	} {
+		m, c := newModel()
+		r := rand.New(rand.NewPCG(8, 8))
+		usual := engine{0, enginewait.PrefillTokensPerMS, enginewait.DelayPerRunningMS, 4}
+		for range 200 {
+			m.Observe(service, wheelgauge.EngineRun{Load: tt.kind(randomLoad(r)), First: tt.took}, 1)
+			learn(m, usual, 1, r)
+		}
+		l := tt.kind(randomLoad(r))
+		fixed := enginewait.Load(l).Wait()
+		if got := milliseconds(m.Predict(service, l, 1).First); got < 1.5*fixed {
+			t.Errorf("%s: forecast after %.0f ms, want at least 1.5 times the fixed %.0f", tt.name, got, fixed)
+		}
+		for range 600 {
+			c.at = c.at.Add(100 * time.Millisecond)
+			learn(m, usual, 1, r)
+		}
+		if got := milliseconds(m.Predict(service, l, 1).First); got > 1.1*fixed {
+			t.Errorf("%s: forecast after %.0f ms a minute after the last one, want the fixed %.0f", tt.name, got, fixed)
+		}
+	}
+}
+
+// Services that are gone are forgotten.
+func TestServicesAreForgotten(t *testing.T) {
+	m, c := newModel()
+	r := rand.New(rand.NewPCG(9, 9))
+	learn(m, engine{150, 80, 1, 4}, 30, r)
+	c.at = c.at.Add(forgetTime / 2)
+	m.Predict("other", randomLoad(r), 1)
+	if m.services[service] == nil {
+		t.Error("a service is forgotten too early")
+	}
+	c.at = c.at.Add(forgetTime)
+	m.Predict("third", randomLoad(r), 1)
+	if got := len(m.services); got != 1 {
+		t.Errorf("%d services are known, want the one in use", got)
+	}
+}
+
 // Pauses are forecast for answers of more than one event only, and grow with the speed.
 func TestPauses(t *testing.T) {
 	m, _ := newModel()
--- a/serverset/forecast.go
+++ b/serverset/forecast.go
@@ -1,6 +1,7 @@
 package serverset
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -135,14 +136,24 @@
 	return l
 }
 
-// recordResident updates the mean tokens of a rank; the lock is held.
+// recordResident updates the mean tokens of a rank. What a caller states counts for no more than
+// the memory of an engine, or one false figure would fill them all. The lock is held.
 func (t *Table) recordResident(j Job) {
-	key := rankOfService{j.service, j.rank}
+	config := t.serviceConfig(j.service)
+	if config == nil {
+		return
+	}
+	key, tokens := rankOfService{j.service, j.rank}, min(j.residentTokens(), float64(config.KVCacheTokens))
 	mean, ok := t.residentTokens[key]
 	if !ok {
-		mean = j.residentTokens()
+		mean = tokens
 	}
-	t.residentTokens[key] = mean + residentWeight*(j.residentTokens()-mean)
+	t.residentTokens[key] = mean + residentWeight*(tokens-mean)
+}
+
+// forgetResident drops the means of services that have no servers any more; the lock is held.
+func (t *Table) forgetResident() {
+	maps.DeleteFunc(t.residentTokens, func(r rankOfService, _ float64) bool { return len(t.services[r.service]) == 0 })
 }
 
 // urgentLevels are the mean requests of each rank in flight at a server lately.
@@ -204,7 +215,7 @@
 // failed. The lock is held.
 func (k *Pick) observeFirst(after time.Duration, failed bool) {
 	model := k.table.model
-	if model == nil || !k.modelled || failed && after <= k.forecast.First {
+	if !k.modelled || failed && after <= k.forecast.First {
 		return
 	}
 	service := k.server.spec.Service
@@ -217,6 +228,9 @@
 // FirstEventAfter records how long the first event took, or how long the request waited until it
 // failed.
 func (k *Pick) FirstEventAfter(after time.Duration, failed bool) {
+	if k.table.model == nil {
+		return
+	}
 	k.table.mu.Lock()
 	defer k.table.mu.Unlock()
 	k.observeFirst(after, failed)
@@ -225,11 +239,11 @@
 // Ended records how an answer ran that is complete.
 func (k *Pick) Ended(first, last, pause time.Duration, events int) {
 	t := k.table
-	t.mu.Lock()
-	defer t.mu.Unlock()
 	if t.model == nil || !k.modelled || last <= first {
 		return
 	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	service := k.server.spec.Service
 	if unit := t.model.Predict(service, k.load, 1); unit.Last > unit.First && events > 1 {
 		k.server.speedSums.add(ms(last-first), ms(unit.Last-unit.First), k.server.reportedSpeed(), t.now())
--- a/serverset/forecast_test.go
+++ b/serverset/forecast_test.go
@@ -273,3 +273,23 @@
 		}
 	}
 }
+
+// A caller that states far more tokens than an engine holds must not make engines look full to
+// others of its rank; what is known of a service goes with its servers.
+func TestStatedTokensAreBounded(t *testing.T) {
+	tb, c, _ := newModelTable(1)
+	for range 100 {
+		tb.Choose(engineJob(1, 2000, 100)).Done(Abandoned)
+	}
+	tb.Choose(engineJob(1, 100_000_000, 100_000_000)).Done(Abandoned)
+	for range 8 {
+		tb.Choose(engineJob(1, 2000, 100))
+	}
+	if l := tb.modelLoad(tb.servers["i0"], engineJob(1, 2000, 100), 2000, tb.now()); l.NoSlot() {
+		t.Errorf("an engine with 8 short requests has %.0f slots, want more", l.Slots)
+	}
+	tb.Update(nil, c.at)
+	if n := len(tb.residentTokens); n != 0 {
+		t.Errorf("means of %d ranks are kept for a service without servers", n)
+	}
+}
--- a/serverset/table.go
+++ b/serverset/table.go
@@ -237,6 +237,7 @@
 	for _, s := range t.servers {
 		t.services[s.spec.Service] = append(t.services[s.spec.Service], s)
 	}
+	t.forgetResident()
 	for _, list := range t.services {
 		slices.SortFunc(list, func(a, b *Server) int { return cmp.Compare(a.spec.Instance, b.spec.Instance) })
 	}
--- a/serverset/uneven_test.go
+++ b/serverset/uneven_test.go
@@ -83,7 +83,8 @@
 	w.observed += 0.05 * (observed - w.observed)
 }
 
-// tooLate decides as the gate does.
+// tooLate decides as the gate does, except that learned forecasts too are held to less while the
+// class waits long.
 func (sim *unevenSim) tooLate(host int, c class, e Estimate) bool {
 	w, wait := sim.waits[host][c.rank], ms(e.Wait())
 	learned := sim.hosts[host].HasModel(engines)
