--- a/routegate/late.go
+++ b/routegate/late.go
@@ -44,8 +44,8 @@
 	if c.forwarded && c.gate.options.Credits == nil || c.sends > 0 || c.runs > 0 || c.route.LatencyObjective <= 0 {
 		return false
 	}
-	if limit := c.route.SilenceLimit; limit > 0 && time.Since(c.started)+wait > limit {
-		return true // its caller would have given up
+	if c.callerGivesUp(wait) {
+		return true
 	}
 	if !c.startBy.IsZero() && c.gate.options.Clock.Now().Add(wait).After(c.startBy) {
 		return true
@@ -53,6 +53,16 @@
 	return wait > time.Duration(c.lateFactor()*float64(c.route.LatencyObjective))
 }
 
+// callerGivesUp reports whether the caller would have given up after a wait. Without an engine model
+// and a waiting room the silence of callers decides nothing.
+func (c *call) callerGivesUp(wait time.Duration) bool {
+	limit := c.route.SilenceLimit
+	if limit <= 0 || c.gate.options.Room == nil && !c.modelled() {
+		return false
+	}
+	return c.gate.options.Clock.Now().Add(wait).After(c.started.Add(c.suspendedBefore + limit))
+}
+
 // heldBack reports whether a less urgent request would wait for a slot at an engine, where more
 // urgent ones displace it and its prompt is prefilled again, although it can wait at a host.
 func (c *call) heldBack(e serverset.Estimate) bool {
@@ -82,7 +92,10 @@
 }
 
 // modelled reports whether an engine model predicts how the request runs.
-func (c *call) modelled() bool { return c.gate.options.Servers.HasModel(c.service) }
+func (c *call) modelled() bool {
+	servers := c.gate.options.Servers
+	return servers != nil && servers.HasModel(c.service)
+}
 
 // correctedWait returns the wait to be expected at the servers of the region.
 func (c *call) correctedWait(local serverset.Estimate) time.Duration {
