Waiting room: late requests go only into room that nobody in time needs

Cause: with the room on, requests of a peak waited past their objective and were let go as soon as a wait of 1.5 objectives was predicted, and each slot that came free went to them; those who came after the peak were late in their place. A request held back from an engine's queue and refused by the room after a quarter of its objective was refused, although the queue would have taken it in time. Change: a late request that has waited goes where a quarter of the objective is predicted at most, and two objectives after the last late one or the last in time without room. A request that the room refuses is placed in a queue that takes it in time.

--- a/routegate/call.go
+++ b/routegate/call.go
@@ -72,6 +72,8 @@
 	permitWait time.Duration
 	// roomWait is the time spent in the waiting room.
 	roomWait time.Duration
+	// roomRefused is set once the room has refused the request: it is not held back any more.
+	roomRefused bool
 	// startBy is the last moment at which a request that has waited for room can start at a
 	// server, by the clock of the gate; zero for one that has not.
 	startBy time.Time
--- a/routegate/late.go
+++ b/routegate/late.go
@@ -47,7 +47,7 @@
 	if limit := c.route.SilenceLimit; limit > 0 && time.Since(c.started)+wait > limit {
 		return true // its caller would have given up
 	}
-	if !c.startBy.IsZero() && c.gate.options.Clock.Now().Add(wait).After(c.startBy) {
+	if c.waitedTooLong(wait) {
 		return true
 	}
 	return wait > time.Duration(c.lateFactor()*float64(c.route.LatencyObjective))
--- a/routegate/wait.go
+++ b/routegate/wait.go
@@ -12,6 +12,11 @@
 // share are refused: it may use room that nobody else waits for, not the room of a queue.
 const aboveShareWaitFactor = 0.25
 
+// troughWaitFactor is the predicted wait, as a multiple of the objective, from which a request
+// that has waited and is late in any case is not let go: it may use room that is free, and must
+// not make those late that are still in time.
+const troughWaitFactor = 0.25
+
 // placeInTurn places the request, or holds it until there is room. It goes behind those that
 // wait and are as urgent. Cap units stay taken meanwhile: taken again after a wait, they could be
 // denied to a request that has a server.
@@ -21,33 +26,42 @@
 	if c.gate.options.Room == nil || !c.mayWait() {
 		return c.placeForVersion(ctx)
 	}
-	refused := false
+	refused, startBy := false, time.Time{}
 	if c.mustQueue() && !c.hasRoom() {
 		refused = !c.waitForRoom(ctx, false)
 		if refused && c.aboveShare() {
 			return c.refusedByRoom()
 		}
 	}
+	if refused {
+		startBy, c.startBy = c.startBy, time.Time{} // it is placed as one that has not waited
+	}
 	for again := false; ; again = true {
-		if refused {
-			c.startBy = time.Time{} // it is placed as one that has not waited
-		}
 		c.withheld = nil
 		p := c.placeForVersion(ctx)
 		if !p.tooLate || ctx.Err() != nil || c.expired() {
 			return p
 		}
 		c.releaseVersions()
-		if refused || !c.waitForRoom(ctx, again) {
+		if c.roomRefused {
 			return c.refusedByRoom()
 		}
+		if refused {
+			c.startBy = startBy
+		}
+		if refused || !c.waitForRoom(ctx, again) {
+			if ctx.Err() != nil || c.cannotStart() {
+				return c.refusedByRoom()
+			}
+			c.roomRefused = true // it may be in time in the queue of a server
+		}
 	}
 }
 
 // mayWait reports whether the request may wait for room. One that was forwarded waits at the host
 // that its caller connected to, and one that was sent before is not held up again.
 func (c *call) mayWait() bool {
-	return !c.forwarded && c.sends == 0 && c.runs == 0 && c.route.LatencyObjective > 0 && !c.request.Started()
+	return !c.forwarded && !c.roomRefused && c.sends == 0 && c.runs == 0 && c.route.LatencyObjective > 0 && !c.request.Started()
 }
 
 // mustQueue reports whether others that wait go before the request.
@@ -72,6 +86,20 @@
 	})
 }
 
+// waitedTooLong reports whether a request that has waited for room should not go where a wait is
+// predicted.
+func (c *call) waitedTooLong(wait time.Duration) bool {
+	if c.startBy.IsZero() {
+		return false
+	}
+	now, objective := c.gate.options.Clock.Now(), c.route.LatencyObjective
+	if now.Add(wait).After(c.startBy) {
+		return true
+	}
+	left := c.started.Add(c.suspendedBefore + objective).Sub(now)
+	return wait > max(left, time.Duration(troughWaitFactor*float64(objective)))
+}
+
 // refusedByRoom is the placement of a request that the room did not let go.
 func (c *call) refusedByRoom() placement {
 	if !c.expired() && c.cannotStart() {
--- a/routegate/wait_test.go
+++ b/routegate/wait_test.go
@@ -11,7 +11,10 @@
 	"github.com/go-logr/logr"
 
 	"wheelgauge"
+	"wheelgauge/enginemodel"
+	"wheelgauge/fake/manualclock"
 	"wheelgauge/fake/suspendclock"
+	"wheelgauge/prompt"
 	"wheelgauge/routetable"
 	"wheelgauge/serverset"
 	"wheelgauge/waitroom"
@@ -31,6 +34,12 @@
 	t.Helper()
 	g, c := newGate(t, roomRoutes(), b)
 	g.durations.observe("safe", usual)
+	addRoom(t, g)
+	return g, c
+}
+
+func addRoom(t *testing.T, g *Gate) {
+	t.Helper()
 	room := waitroom.New(waitroom.Options{Now: func() time.Time { return g.options.Clock.Now() }, Meter: g.options.Meter, Log: logr.Discard()})
 	g.options.Room = room
 	t.Cleanup(func() {
@@ -38,7 +47,6 @@
 			t.Error(err)
 		}
 	})
-	return g, c
 }
 
 // fillServers has the servers hold so many requests that any other would be late. The returned
@@ -237,3 +245,62 @@
 		}
 	}
 }
+
+// A request that finds no slot waits here and not at an engine. If the room refuses it while the
+// engine's queue would still take it in time, it is sent.
+func TestHeldBackOnlyWhileTheRoomHoldsIt(t *testing.T) {
+	tests := []struct {
+		name string
+		room bool
+	}{{"without a room", false}, {"with a room", true}}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBackend(t)
+			g, c := newGateOf(t, &wheelgauge.Service{Name: "s", MaxConns: 100, KVCacheTokens: 1 << 20}, roomRoutes(), b)
+			g.options.Servers.SetEngineModel(enginemodel.New(time.Now))
+			g.durations.observe("safe", 300*time.Millisecond)
+			if tt.room {
+				addRoom(t, g)
+			}
+			job := serverset.NewJob("s", prompt.Prompt{}, 3, nil)
+			for range 4 {
+				g.options.Servers.Choose(job)
+			}
+			if e, ok := g.options.Servers.Predict(job); !ok || !e.Queued() || e.Wait() > time.Second/4 {
+				t.Fatalf("queued %t, wait %v, want a short wait for a slot", e.Queued(), e.Wait())
+			}
+			if r := <-startGet(t, c, "/safe/", ""); r.status != http.StatusOK || len(b.received()) != 1 {
+				t.Errorf("got %d %s after %d sends, want 200", r.status, r.body, len(b.received()))
+			}
+		})
+	}
+}
+
+// A request that has waited and is late in any case goes only where it hardly waits; one that can
+// still be in time goes where it is.
+func TestWaitedTooLong(t *testing.T) {
+	tests := []struct {
+		name         string
+		waited, left time.Duration
+		wait         time.Duration
+		tooLong      bool
+	}{
+		{"in time", 200 * time.Millisecond, 5 * time.Second, 700 * time.Millisecond, false},
+		{"late by its wait", 600 * time.Millisecond, 5 * time.Second, 700 * time.Millisecond, true},
+		{"late, room free", 2 * time.Second, 5 * time.Second, 200 * time.Millisecond, false},
+		{"late, a queue", 2 * time.Second, 5 * time.Second, 300 * time.Millisecond, true},
+		{"no time left", 2 * time.Second, 100 * time.Millisecond, 200 * time.Millisecond, true},
+	}
+	for _, tt := range tests {
+		clock := manualclock.New()
+		g := &Gate{options: Options{Clock: clock}}
+		c := &call{gate: g, route: &wheelgauge.PathRoute{LatencyObjective: time.Second}, started: clock.Now().Add(-tt.waited)}
+		if c.waitedTooLong(time.Hour) {
+			t.Errorf("%s: it has not waited", tt.name)
+		}
+		c.startBy = clock.Now().Add(tt.left)
+		if got := c.waitedTooLong(tt.wait); got != tt.tooLong {
+			t.Errorf("%s: got %t, want %t", tt.name, got, tt.tooLong)
+		}
+	}
+}
--- a/waitroom/queue.go
+++ b/waitroom/queue.go
@@ -13,7 +13,7 @@
 	// patientRun is how many objectives a request must usually run to be worth holding past its
 	// objective. Its caller waits for the whole answer, and a wait of an objective lengthens
 	// that by half at most. Callers of shorter requests want the answer within the objective.
-	patientRun = 1.5
+	patientRun = 2
 	// shortWaitShare is the share of the objective that other requests may wait: a caller that
 	// is refused then still has most of its objective to try elsewhere.
 	shortWaitShare = 0.25
@@ -32,6 +32,10 @@
 	releaseInterval = 100 * time.Millisecond
 	// releasePart is the part of those waiting, one in so many, that may go in an interval.
 	releasePart = 8
+	// lateObjectives is how many objectives pass before a late request is let go, after another
+	// one was or one in time found no room. Room that is free by this host's view may be what
+	// those in time at other hosts need.
+	lateObjectives = 2
 	// againPause is the time without releases after one that found no room.
 	againPause = 150 * time.Millisecond
 	// longestEvery is how many releases are by order before one is by time waited.
@@ -125,6 +129,8 @@
 	// releases of requests with a longer objective say nothing of the room for urgent ones.
 	rates   map[int]float64
 	ratedAt time.Time
+	// contendedAt is when a request in time last found no room, or a late one was let go.
+	contendedAt time.Time
 	// nextRelease is when the next release is allowed.
 	nextRelease time.Time
 	// sinceLongest counts releases since the last by time waited.
@@ -278,7 +284,16 @@
 		if len(ended) >= most {
 			break
 		}
-		if !e.request.HasRoom() {
+		objective := e.request.ObjectiveAt.Sub(e.request.ArrivedAt)
+		late := !now.Before(e.request.ObjectiveAt)
+		if late && now.Sub(k.contendedAt) < lateObjectives*objective {
+			continue
+		}
+		hasRoom := e.request.HasRoom()
+		if late == hasRoom {
+			k.contendedAt = now
+		}
+		if !hasRoom {
 			continue
 		}
 		k.addReleases(e.request.Rank, 1)
--- a/waitroom/simulation_test.go
+++ b/waitroom/simulation_test.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -22,14 +23,17 @@
 	// The load is twice the room from peakStart to peakEnd, near it before and half of it after.
 	peakStart = 4 * time.Second
 	peakEnd   = 10 * time.Second
+	afterPeak = 5 * time.Second
 	// Hosts see the others as they were viewDelay ago, rounded up by up to viewInterval.
 	viewDelay    = 150 * time.Millisecond
 	viewInterval = 150 * time.Millisecond
 	// startDelay is the time that a request runs before its first event.
 	startDelay    = 50 * time.Millisecond
 	simWorkspaces = 13
-	// aboveShareFactor lowers the wait above which requests above their share are refused.
+	// aboveShareFactor lowers the wait above which requests above their share are refused,
+	// troughFactor is the longest wait, in objectives, of those that are late already.
 	aboveShareFactor = 0.25
+	troughFactor     = 0.25
 	// greedyFactor is how many times as much as others the first workspace asks for.
 	greedyFactor = 7
 )
@@ -82,6 +86,8 @@
 	refusedAt        time.Duration
 	entry            *entry
 	again            bool
+	// unheld is set once the room has refused it.
+	unheld bool
 }
 
 // view is the load of the servers by rank.
@@ -239,7 +245,8 @@
 }
 
 // best returns the server with the shortest wait that a host predicts.
-func (s *simulation) best(r *simRequest) (server int, wait time.Duration) {
+// queued is set if the request would wait for a slot.
+func (s *simulation) best(r *simRequest) (server int, wait time.Duration, queued bool) {
 	seen := s.view(r.host)
 	first := s.random.IntN(simServers)
 	least := math.Inf(1)
@@ -257,10 +264,10 @@
 			predicted += float64(ahead-simSlots+1) * s.classes[r.class].mean().Seconds() / simSlots
 		}
 		if predicted < least {
-			least, server = predicted, k
+			least, server, queued = predicted, k, ahead >= simSlots
 		}
 	}
-	return server, time.Duration(min(least, 1e6) * float64(time.Second))
+	return server, time.Duration(min(least, 1e6) * float64(time.Second)), queued
 }
 
 func (s *simulation) above(r *simRequest) bool {
@@ -273,20 +280,28 @@
 		factor *= aboveShareFactor
 	}
 	c := s.classes[r.class]
-	if r.entry != nil && s.elapsed()+wait > r.entry.request.StartBy.Sub(s.start) {
-		return true
+	if r.entry != nil || r.unheld {
+		left := r.arrivedAt + c.objective - s.elapsed()
+		if s.elapsed()+wait > r.arrivedAt+s.startWithin(r) || wait > max(left, time.Duration(troughFactor*float64(c.objective))) {
+			return true
+		}
 	}
 	return wait > time.Duration(factor*float64(c.objective))
 }
 
+// heldBack reports whether a less urgent request waits at its host and not for a slot.
+func (s *simulation) heldBack(r *simRequest, queued bool) bool {
+	return s.policy == "room" && r.class > 0 && queued && !r.unheld
+}
+
 func (s *simulation) hasRoom(r *simRequest) bool {
-	_, wait := s.best(r)
-	return !s.tooLate(r, wait)
+	_, wait, queued := s.best(r)
+	return !s.tooLate(r, wait) && !s.heldBack(r, queued)
 }
 
 func (s *simulation) trySend(r *simRequest) bool {
-	server, wait := s.best(r)
-	if s.tooLate(r, wait) {
+	server, wait, queued := s.best(r)
+	if s.tooLate(r, wait) || s.heldBack(r, queued) {
 		return false
 	}
 	r.sent, r.sentAt = true, s.elapsed()
@@ -328,7 +343,7 @@
 // placeInTurn follows the rules of routegate.
 func (s *simulation) placeInTurn(r *simRequest) {
 	k, above := s.queues[r.host], s.above(r)
-	if k.holds(r.class) {
+	if k.holds(r.class) && !s.hasRoom(r) {
 		if s.enter(r) {
 			return
 		}
@@ -338,6 +353,14 @@
 		}
 	}
 	if !s.trySend(r) && !s.enter(r) {
+		s.refusedByRoom(r)
+	}
+}
+
+// refusedByRoom sends a request that was held back, and that a server takes in time still.
+func (s *simulation) refusedByRoom(r *simRequest) {
+	r.unheld = true
+	if !s.trySend(r) {
 		s.refuse(r)
 	}
 }
@@ -374,7 +397,7 @@
 		}
 		r.again = true
 		if !e.released || !s.enter(r) {
-			s.refuse(r)
+			s.refusedByRoom(r)
 		}
 	}
 }
@@ -410,9 +433,13 @@
 }
 
 // of counts the requests of the peak and its end that a filter selects.
-func (s *simulation) of(selects func(r *simRequest) bool) (f figures) {
+func (s *simulation) of(selects func(r *simRequest) bool) figures {
+	return s.between(peakStart, peakEnd+time.Second, selects)
+}
+
+func (s *simulation) between(from, to time.Duration, selects func(r *simRequest) bool) (f figures) {
 	for _, r := range s.requests {
-		if r.arrivedAt < peakStart || r.arrivedAt >= peakEnd+time.Second || !selects(r) {
+		if r.arrivedAt < from || r.arrivedAt >= to || !selects(r) {
 			continue
 		}
 		c := s.classes[r.class]
@@ -461,7 +488,9 @@
 
 // results are the figures of all seeds, by class and by workspace.
 type results struct {
-	classes    [2]figures
+	classes [2]figures
+	// after are those that come in the afterPeak after the peak.
+	after      [2]figures
 	workspaces [simWorkspaces]figures
 	others     figures
 }
@@ -473,6 +502,7 @@
 		s.run()
 		for class := range r.classes {
 			r.classes[class] = r.classes[class].plus(s.of(ofClass(class)))
+			r.after[class] = r.after[class].plus(s.between(peakEnd, peakEnd+afterPeak, ofClass(class)))
 		}
 		for w := range r.workspaces {
 			r.workspaces[w] = r.workspaces[w].plus(s.of(ofWorkspace(w)))
@@ -484,7 +514,16 @@
 	return r
 }
 
-func unchanged(*simulation) {}
+// plays are the results of playOnce, functions by load and policy.
+var plays sync.Map
+
+// playOnce plays without a change, once for all tests.
+func playOnce(load scenario, policy string) results {
+	f, _ := plays.LoadOrStore([2]string{load.name, policy}, sync.OnceValue(func() results {
+		return play(load, policy, func(*simulation) {})
+	}))
+	return f.(func() results)()
+}
 
 // Callers get more in time with the room than with refusals at once or with a plain queue,
 // urgent requests are not worse off than others, and few are held for nothing.
@@ -507,7 +546,7 @@
 	for _, tt := range tests {
 		t.Run(tt.load.name, func(t *testing.T) {
 			t.Parallel()
-			before, plain, room := play(tt.load, "refuse", unchanged), play(tt.load, "first in, first out", unchanged), play(tt.load, "room", unchanged)
+			before, plain, room := playOnce(tt.load, "refuse"), playOnce(tt.load, "first in, first out"), playOnce(tt.load, "room")
 			for class, f := range room.classes {
 				if f.all == 0 {
 					continue
@@ -543,6 +582,39 @@
 	}
 }
 
+// Those who come after a peak are in time as often as with refusals at once: requests of the peak
+// that are late already do not take the room from them.
+func TestPeakDoesNotDelayLaterRequests(t *testing.T) {
+	t.Parallel()
+	for _, load := range []scenario{mixedLoad, draftsLoad} {
+		t.Run(load.name, func(t *testing.T) {
+			t.Parallel()
+			checkLaterRequests(t, load)
+		})
+	}
+}
+
+func checkLaterRequests(t *testing.T, load scenario) {
+	t.Helper()
+	const tolerance = 0.01
+	before, plain, room := playOnce(load, "refuse"), playOnce(load, "first in, first out"), playOnce(load, "room")
+	for class, f := range room.after {
+		if f.all == 0 {
+			continue
+		}
+		name, b := load.classes[class].name, before.after[class]
+		t.Logf("%s: refused at once: %s", name, b)
+		t.Logf("%s: plain queue: %s", name, plain.after[class])
+		t.Logf("%s: room: %s", name, f)
+		if f.inTime/f.all < b.inTime/b.all-tolerance {
+			t.Errorf("%.3f are in time, %.3f with refusals at once", f.inTime/f.all, b.inTime/b.all)
+		}
+		if p, pb := room.classes[class], before.classes[class]; p.inTime/p.all < pb.inTime/pb.all-tolerance {
+			t.Errorf("%.3f of the peak are in time, %.3f with refusals at once", p.inTime/p.all, pb.inTime/pb.all)
+		}
+	}
+}
+
 // When servers crash, the room refuses early those whose turn will not come.
 func TestServersCrash(t *testing.T) {
 	t.Parallel()
