--- a/waitroom/queue_test.go
+++ b/waitroom/queue_test.go
@@ -275,3 +275,42 @@
 		}
 	}
 }
+
+// Late requests are let go two objectives apart, and not while others in time find no room.
+func TestLateRequestsGoApart(t *testing.T) {
+	tests := []struct {
+		name     string
+		inTime   bool
+		released int
+	}{{"nobody in time", false, 3}, {"one in time without room", true, 2}}
+	for _, tt := range tests {
+		clock := manualclock.New()
+		k := newQueue(clock.Now())
+		late := map[*entry]bool{}
+		arrived := clock.Now()
+		clock.Advance(1100 * time.Millisecond)
+		start := clock.Now()
+		for range 4 {
+			q := patientRequest(arrived, always)
+			q.StartBy = arrived.Add(time.Minute)
+			e := newEntry(q, start)
+			late[e] = true
+			k.entries = append(k.entries, e)
+		}
+		released := 0
+		for clock.Now().Sub(start) < 4500*time.Millisecond {
+			if tt.inTime && clock.Now().Sub(start) == time.Second {
+				k.entries = append(k.entries, newEntry(patientRequest(clock.Now(), never), clock.Now()))
+			}
+			for _, e := range k.tick(clock.Now()) {
+				if late[e] && e.released {
+					released++
+				}
+			}
+			clock.Advance(tickInterval)
+		}
+		if released != tt.released {
+			t.Errorf("%s: %d late ones are let go, want %d", tt.name, released, tt.released)
+		}
+	}
+}
