Averages that refuse every request fade

Cause: the average time of a plain server and the means of a route change only with answers; above the limit nothing is sent. With credits the other regions turn its requests back as well. Both fade now after 2 s without an answer.

--- a/routegate/waitstats.go
+++ b/routegate/waitstats.go
@@ -1,6 +1,7 @@
 package routegate
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -17,6 +18,11 @@
 	// idleExcessMS is by how much requests exceed the prediction at an idle server: the first
 	// step of an engine, and the additional cost of long prompts.
 	idleExcessMS = 60.0
+	// staleWaitAfter is how long the means hold without a new wait; then what exceeds waitFloorMS
+	// halves every staleWaitHalfLife. While the means refuse every request none is observed: they
+	// must not refuse an idle service for good.
+	staleWaitAfter    = 2 * time.Second
+	staleWaitHalfLife = 2 * time.Second
 )
 
 // waitStats compares predicted with observed waits per route, so that effects outside the
@@ -24,11 +30,37 @@
 type waitStats struct {
 	mu     sync.Mutex
 	routes map[string]*waitMeans
+	// now is time.Now if nil.
+	now func() time.Time
 }
 
 type waitMeans struct {
 	predicted float64
 	observed  float64
+	// at is the time of the last wait.
+	at time.Time
+}
+
+func (w *waitStats) clock() time.Time {
+	if w.now != nil {
+		return w.now()
+	}
+	return time.Now()
+}
+
+// means returns what holds now of the means of a route; ok is false without any. The lock is held.
+func (w *waitStats) means(route string) (m waitMeans, ok bool) {
+	p := w.routes[route]
+	if p == nil {
+		return m, false
+	}
+	m = *p
+	if stale := w.clock().Sub(m.at) - staleWaitAfter; stale > 0 {
+		left := math.Exp2(-stale.Seconds() / staleWaitHalfLife.Seconds())
+		m.predicted = waitFloorMS + (m.predicted-waitFloorMS)*left
+		m.observed = waitFloorMS + (m.observed-waitFloorMS)*left
+	}
+	return m, true
 }
 
 // observe records a predicted wait and the observed one.
@@ -38,21 +70,22 @@
 	if w.routes == nil {
 		w.routes = map[string]*waitMeans{}
 	}
-	m := w.routes[route]
-	if m == nil {
-		m = &waitMeans{predicted: waitFloorMS, observed: waitFloorMS}
-		w.routes[route] = m
+	m, ok := w.means(route)
+	if !ok {
+		m = waitMeans{predicted: waitFloorMS, observed: waitFloorMS}
 	}
+	m.at = w.clock()
 	m.predicted += waitWeight * (float64(predicted.Milliseconds()) - m.predicted)
 	m.observed += waitWeight * (float64(observed.Milliseconds()) - m.observed)
+	w.routes[route] = &m
 }
 
 // correct scales a predicted wait by the ratio of observed to predicted waits.
 func (w *waitStats) correct(route string, predicted time.Duration) time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	m := w.routes[route]
-	if m == nil {
+	m, ok := w.means(route)
+	if !ok {
 		return predicted
 	}
 	factor := (m.observed + waitFloorMS) / (m.predicted + waitFloorMS)
@@ -64,8 +97,8 @@
 func (w *waitStats) excess(route string) time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	m := w.routes[route]
-	if m == nil {
+	m, ok := w.means(route)
+	if !ok {
 		return 0
 	}
 	return time.Duration(max(0, m.observed-m.predicted-idleExcessMS) * float64(time.Millisecond))
@@ -75,7 +108,7 @@
 func (w *waitStats) mean(route string) time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if m := w.routes[route]; m != nil {
+	if m, ok := w.means(route); ok {
 		return time.Duration(m.observed * float64(time.Millisecond))
 	}
 	return 0
--- a/routegate/waitstats_test.go
+++ b/routegate/waitstats_test.go
@@ -53,3 +53,24 @@
 		})
 	}
 }
+
+// Means that refuse every request of a route get no new wait. They fade, so that an idle service
+// is tried again.
+func TestStaleWaitsFade(t *testing.T) {
+	at := time.Unix(1000, 0)
+	w := waitStats{now: func() time.Time { return at }}
+	for range 200 {
+		w.observe("r", 30*time.Millisecond, 800*time.Millisecond)
+	}
+	at = at.Add(staleWaitAfter)
+	if got := w.mean("r"); got < 790*time.Millisecond {
+		t.Errorf("mean is %s while it is fresh, want 790ms at least", got)
+	}
+	at = at.Add(8 * staleWaitHalfLife)
+	if got := w.mean("r"); got > 60*time.Millisecond {
+		t.Errorf("mean is %s long after the last wait, want 60ms at most", got)
+	}
+	if got := w.correct("r", 30*time.Millisecond); got > 40*time.Millisecond {
+		t.Errorf("a wait of 30 ms is corrected to %s long after the last one, want 40ms at most", got)
+	}
+}
--- a/serverset/pick.go
+++ b/serverset/pick.go
@@ -245,7 +245,7 @@
 // stated what it can take, and few answers update its average, so that a single late one
 // would keep all work from it.
 func (t *Table) expectedServiceTime(s *Server, cands candidates) time.Duration {
-	mean := s.serviceTime
+	mean := s.currentServiceTime(t.now())
 	if mean == 0 {
 		mean = defaultServiceTime
 	}
@@ -398,6 +398,7 @@
 		s.recordOutcome(now, false)
 		s.pause, s.unreachableUntil, s.lastReached = 0, time.Time{}, now
 		s.recordServiceTime(now.Sub(k.sentAt), k.loadBefore.running, t.isEngine(s))
+		s.serviceTimeAt = now
 	case Failed:
 		s.noteAnswer(k)
 		s.recordOutcome(now, true)
--- a/serverset/server.go
+++ b/serverset/server.go
@@ -35,6 +35,11 @@
 	shedPause = 100 * time.Millisecond
 	// serviceTimeWeight is the weight of a new duration in the moving average.
 	serviceTimeWeight = 0.1
+	// staleServiceTimeAfter is how long the average of a plain service holds without an answer;
+	// then what exceeds defaultServiceTime halves every staleServiceTimeHalfLife: a server that
+	// gets no request for its average would keep it for good.
+	staleServiceTimeAfter    = 2 * time.Second
+	staleServiceTimeHalfLife = 2 * time.Second
 )
 
 // Server is one backend server as seen by this host. The lock of its table guards it,
@@ -102,7 +107,9 @@
 	// serviceTime is the moving average of the time to answer; for plain services without
 	// the time in the queue.
 	serviceTime time.Duration
-	cachedParts map[uint64]time.Time
+	// serviceTimeAt is when an answer last updated serviceTime.
+	serviceTimeAt time.Time
+	cachedParts   map[uint64]time.Time
 }
 
 func newServer(spec wheelgauge.Server, conns int, now func() time.Time) *Server {
@@ -135,6 +142,17 @@
 	return s.failureRate * math.Exp2(-now.Sub(s.failureRateAt).Seconds()/failureRateHalfLife.Seconds())
 }
 
+// currentServiceTime returns what holds now of the average time to answer of a plain service; 0
+// without any.
+func (s *Server) currentServiceTime(now time.Time) time.Duration {
+	stale := now.Sub(s.serviceTimeAt) - staleServiceTimeAfter
+	if stale <= 0 || s.serviceTime <= defaultServiceTime {
+		return s.serviceTime
+	}
+	left := math.Exp2(-stale.Seconds() / staleServiceTimeHalfLife.Seconds())
+	return defaultServiceTime + time.Duration(left*float64(s.serviceTime-defaultServiceTime))
+}
+
 func (s *Server) recordOutcome(now time.Time, failed bool) {
 	value := 0.0
 	if failed {
--- a/serverset/table_test.go
+++ b/serverset/table_test.go
@@ -276,3 +276,20 @@
 		t.Errorf("reported %+v, want no urgent requests ahead", totals[0])
 	}
 }
+
+// A plain server whose average keeps all requests from it gets no answer that would lower it. The
+// average fades, so that the server is tried again.
+func TestStaleServiceTimeFades(t *testing.T) {
+	tb, c, _ := newTestTable(plain, 1)
+	job := NewJob(plain, prompt.Prompt{}, 0, nil)
+	k := tb.Choose(job)
+	c.at = c.at.Add(2 * time.Second)
+	k.Done(Served)
+	if e, _ := tb.Predict(job); e.Wait() < time.Second {
+		t.Errorf("predicted wait is %s right after a slow answer, want 1s at least", e.Wait())
+	}
+	c.at = c.at.Add(staleServiceTimeAfter + 8*staleServiceTimeHalfLife)
+	if e, _ := tb.Predict(job); e.Wait() > 50*time.Millisecond {
+		t.Errorf("predicted wait is %s long after that answer, want 50ms at most", e.Wait())
+	}
+}
