--- a/routegate/late.go
+++ b/routegate/late.go
@@ -44,13 +44,7 @@
 	if c.forwarded && c.gate.options.Credits == nil || c.sends > 0 || c.runs > 0 || c.route.LatencyObjective <= 0 {
 		return false
 	}
-	if c.callerGivesUp(wait) {
-		return true
-	}
-	if c.waitedTooLong(wait) {
-		return true
-	}
-	return wait > time.Duration(c.lateFactor()*float64(c.route.LatencyObjective))
+	return c.callerGivesUp(wait) || c.waitedTooLong(wait) || wait > time.Duration(c.lateFactor()*float64(c.route.LatencyObjective))
 }
 
 // callerGivesUp reports whether the caller would have given up after a wait. Without an engine model
--- a/routegate/wait.go
+++ b/routegate/wait.go
@@ -26,38 +26,59 @@
 	if c.gate.options.Room == nil || !c.mayWait() {
 		return c.placeForVersion(ctx)
 	}
-	refused, startBy := false, time.Time{}
-	if c.mustQueue() && !c.hasRoom() {
-		refused = !c.waitForRoom(ctx, false)
-		if refused && c.aboveShare() {
+	if c.mustQueue() && !c.hasRoom() && !c.waitForRoom(ctx, false) {
+		if c.aboveShare() {
 			return c.refusedByRoom()
 		}
-	}
-	if refused {
-		startBy, c.startBy = c.startBy, time.Time{} // it is placed as one that has not waited
+		if p, ok := c.placeAsNew(ctx); ok {
+			return p
+		}
+		return c.placeInServerQueue(ctx)
 	}
 	for again := false; ; again = true {
-		c.withheld = nil
-		p := c.placeForVersion(ctx)
-		if !p.tooLate || ctx.Err() != nil || c.expired() {
+		if p, ok := c.tryPlace(ctx); ok {
 			return p
 		}
-		c.releaseVersions()
-		if c.roomRefused {
-			return c.refusedByRoom()
-		}
-		if refused {
-			c.startBy = startBy
-		}
-		if refused || !c.waitForRoom(ctx, again) {
-			if ctx.Err() != nil || c.cannotStart() {
-				return c.refusedByRoom()
-			}
-			c.roomRefused = true // it may be in time in the queue of a server
+		if !c.waitForRoom(ctx, again) {
+			return c.placeInServerQueue(ctx)
 		}
 	}
 }
 
+// tryPlace places the request; ok is false if it would be late.
+func (c *call) tryPlace(ctx context.Context) (p placement, ok bool) {
+	c.withheld = nil
+	p = c.placeForVersion(ctx)
+	if !p.tooLate || ctx.Err() != nil || c.expired() {
+		return p, true
+	}
+	c.releaseVersions()
+	return placement{}, false
+}
+
+// placeAsNew places a request that the room did not hold as one that has not waited.
+func (c *call) placeAsNew(ctx context.Context) (p placement, ok bool) {
+	startBy := c.startBy
+	c.startBy = time.Time{}
+	if p, ok = c.tryPlace(ctx); !ok {
+		c.startBy = startBy
+	}
+	return p, ok
+}
+
+// placeInServerQueue places a request that the room does not hold where it may be in time behind
+// others that wait for a slot.
+func (c *call) placeInServerQueue(ctx context.Context) placement {
+	if ctx.Err() != nil || c.cannotStart() {
+		return c.refusedByRoom()
+	}
+	c.roomRefused = true
+	if p, ok := c.tryPlace(ctx); ok {
+		return p
+	}
+	return c.refusedByRoom()
+}
+
 // mayWait reports whether the request may wait for room. One that was forwarded waits at the host
 // that its caller connected to, and one that was sent before is not held up again.
 func (c *call) mayWait() bool {
