--- a/routegate/credits.go
+++ b/routegate/credits.go
@@ -86,7 +86,7 @@
 		return true
 	}
 	known := credits.Credit(region, c.service, c.rank)
-	return !known.Known || !known.Held && known.Left >= 1
+	return !known.Known || !known.Held && known.Left > 0
 }
 
 // creditTokens are the prompt tokens that a server of another region has to prefill.
--- a/routegate/credits_test.go
+++ b/routegate/credits_test.go
@@ -19,6 +19,7 @@
 	withheld   map[string]bool
 	taken      []string
 	turnedBack []string
+	credit     wheelgauge.ForwardCredit
 }
 
 func (s *creditScript) SetUsage([]wheelgauge.RegionUsage, int) {}
@@ -37,7 +38,7 @@
 }
 
 func (s *creditScript) Credit(string, string, int) wheelgauge.ForwardCredit {
-	return wheelgauge.ForwardCredit{}
+	return s.credit
 }
 
 // creditGates is a gate of region "here", and one each of regions "near" and "far", which
@@ -279,3 +280,24 @@
 		t.Errorf("%d lines that count %d others, want 10 and 81", logged, skipped)
 	}
 }
+
+// A waiting request counts on another region only if a credit for it is left. A credit is a part of
+// the region's room, so that even a large one is less than 1.
+func TestWaitingCountsOnCredits(t *testing.T) {
+	tests := []struct {
+		name   string
+		credit wheelgauge.ForwardCredit
+		want   bool
+	}{
+		{"load of the region unknown", wheelgauge.ForwardCredit{}, true},
+		{"a part of the room", wheelgauge.ForwardCredit{Known: true, Requests: 100, Left: 0.05}, true},
+		{"used up", wheelgauge.ForwardCredit{Known: true, Requests: 100}, false},
+		{"held", wheelgauge.ForwardCredit{Known: true, Requests: 100, Left: 0.05, Held: true}, false},
+	}
+	for _, tt := range tests {
+		c := &call{gate: New(Options{Credits: &creditScript{credit: tt.credit}})}
+		if got := c.hasCredit("near"); got != tt.want {
+			t.Errorf("%s: %t, want %t", tt.name, got, tt.want)
+		}
+	}
+}
