--- a/enginemodel/model.go
+++ b/enginemodel/model.go
@@ -127,37 +127,37 @@
 	})
 }
 
-// Predict forecasts a request that would be sent to an engine now. speed is how many times as
+// Predict forecasts a request that would be sent to an engine now. slowness is how many times as
 // long as usual work takes there.
-func (m *Model) Predict(service string, l wheelgauge.EngineLoad, speed float64) wheelgauge.EngineForecast {
+func (m *Model) Predict(service string, l wheelgauge.EngineLoad, slowness float64) wheelgauge.EngineForecast {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s, now := m.service(service), m.now()
 	known := s.knowsEnds(now)
 	if l.DurationMS <= 0 && known {
-		l.DurationMS = speed * s.decodeMS
+		l.DurationMS = slowness * s.decodeMS
 	}
 	regression, at := s.firsts(l)
-	first := speed * regression.predict(firstFeatures(l), trust(*at, now))
+	first := slowness * regression.predict(firstFeatures(l), trust(*at, now))
 	if queue := queueMS(l); queue > 0 {
 		first += queue * (1 + trust(s.queueAt, now)*(s.queueFactor()-1))
 	}
-	f := wheelgauge.EngineForecast{First: duration(first), Delay: duration(speed * enginewait.SlowdownCostMS * l.InFlight), Error: duration(s.firstErrorMS)}
+	f := wheelgauge.EngineForecast{First: duration(first), Delay: duration(slowness * enginewait.SlowdownCostMS * l.InFlight), Error: duration(s.firstErrorMS)}
 	if !known {
 		return f
 	}
-	f.Last = f.First + duration(speed*s.decode(l))
+	f.Last = f.First + duration(slowness*s.decode(l))
 	f.LastError = duration(s.lastErrorMS)
 	if l.OutputTokens == 0 || l.OutputTokens > s.tokensPerEvent {
-		f.Pause = duration(speed * s.pause.predict(pauseFeatures(l), 1))
+		f.Pause = duration(slowness * s.pause.predict(pauseFeatures(l), 1))
 	}
 	return f
 }
 
-// Observe records how a request ran at an engine with a speed: once at its first event, and again
+// Observe records how a request ran at an engine with a slowness: once at its first event, and again
 // when it ended.
-func (m *Model) Observe(service string, r wheelgauge.EngineRun, speed float64) {
-	if !(speed > 0) {
+func (m *Model) Observe(service string, r wheelgauge.EngineRun, slowness float64) {
+	if !(slowness > 0) {
 		return
 	}
 	m.mu.Lock()
@@ -165,7 +165,7 @@
 	s, now := m.service(service), m.now()
 	if r.Last > 0 {
 		if r.Complete && r.Events > 1 {
-			s.observeEnd(r, speed, now)
+			s.observeEnd(r, slowness, now)
 		}
 		return
 	}
@@ -175,10 +175,10 @@
 	*at = now
 	if queue := queueMS(r.Load); queue > 0 {
 		s.queueAt = now
-		s.observeQueue(milliseconds(r.First)-speed*predicted, queue)
+		s.observeQueue(milliseconds(r.First)-slowness*predicted, queue)
 		return
 	}
-	observed := milliseconds(r.First) / speed
+	observed := milliseconds(r.First) / slowness
 	most := max(minOutlierMS*min(1, float64(first.samples+firstSamples)/minSamples), outlierErrors*s.firstErrorMS)
 	off := min(most, max(-most, observed-predicted))
 	first.add(x, predicted+off, varianceMS/(varianceMS+predicted))
@@ -209,8 +209,8 @@
 }
 
 // observeEnd records a complete answer of several events.
-func (s *serviceModel) observeEnd(r wheelgauge.EngineRun, speed float64, now time.Time) {
-	decode := milliseconds(r.Last-r.First) / speed
+func (s *serviceModel) observeEnd(r wheelgauge.EngineRun, slowness float64, now time.Time) {
+	decode := milliseconds(r.Last-r.First) / slowness
 	if s.pace.samples >= minSamples {
 		s.lastErrorMS += errorWeight * (math.Abs(decode-s.decode(r.Load)) - s.lastErrorMS)
 	}
@@ -223,7 +223,7 @@
 		s.tokensPerEvent += errorWeight * (tokens/float64(r.Events) - s.tokensPerEvent)
 		s.pace.add(paceFeatures(r.Load), min(maxPaceMS, decode/tokens), 1)
 	}
-	s.pause.add(pauseFeatures(r.Load), min(maxPauseMS, milliseconds(r.Pause)/speed), 1)
+	s.pause.add(pauseFeatures(r.Load), min(maxPauseMS, milliseconds(r.Pause)/slowness), 1)
 	s.lastAt = now
 }
 
--- a/enginemodel/model_test.go
+++ b/enginemodel/model_test.go
@@ -39,11 +39,11 @@
 }
 
 // observe records a run as hosts do: at the first event, and at the end.
-func observe(m *Model, run wheelgauge.EngineRun, speed float64) {
+func observe(m *Model, run wheelgauge.EngineRun, slowness float64) {
 	first := run
 	first.Last, first.Complete = 0, false
-	m.Observe(service, first, speed)
-	m.Observe(service, run, speed)
+	m.Observe(service, first, slowness)
+	m.Observe(service, run, slowness)
 }
 
 func learn(m *Model, e engine, samples int, r *rand.Rand) {
@@ -203,7 +203,7 @@
 	}
 }
 
-// Pauses are forecast for answers of more than one event only, and grow with the speed.
+// Pauses are forecast for answers of more than one event only, and grow with the slowness.
 func TestPauses(t *testing.T) {
 	m, _ := newModel()
 	r := rand.New(rand.NewPCG(6, 6))
--- a/engines.go
+++ b/engines.go
@@ -56,12 +56,12 @@
 
 // EngineModel predicts how requests run at model engines.
 type EngineModel interface {
-	// Predict forecasts a request that would be sent to an engine now. speed is how many times
+	// Predict forecasts a request that would be sent to an engine now. slowness is how many times
 	// as long as usual work takes there.
-	Predict(service string, l EngineLoad, speed float64) EngineForecast
-	// Observe records how a request ran at an engine with a speed: once at its first event, and
+	Predict(service string, l EngineLoad, slowness float64) EngineForecast
+	// Observe records how a request ran at an engine with a slowness: once at its first event, and
 	// again when it ended.
-	Observe(service string, r EngineRun, speed float64)
+	Observe(service string, r EngineRun, slowness float64)
 	// PrefillRate is the prompt tokens that an engine of usual speed prefills in a millisecond; an
 	// estimate that is rather too low than too high.
 	PrefillRate(service string) float64
--- a/routegate/call.go
+++ b/routegate/call.go
@@ -304,9 +304,9 @@
 	if c.lastPick == nil {
 		return ""
 	}
-	f, speed, ok := c.lastPick.Forecast()
+	f, slowness, ok := c.lastPick.Forecast()
 	if !ok {
 		return ""
 	}
-	return fmt.Sprintf("first_ms=%d pause_ms=%d last_ms=%d speed=%.2f", f.First.Milliseconds(), f.Pause.Milliseconds(), f.Last.Milliseconds(), speed)
+	return fmt.Sprintf("first_ms=%d pause_ms=%d last_ms=%d slowness=%.2f", f.First.Milliseconds(), f.Pause.Milliseconds(), f.Last.Milliseconds(), slowness)
 }
--- a/serverset/forecast.go
+++ b/serverset/forecast.go
@@ -51,12 +51,12 @@
 func (t *Table) modelled(c choice, j Job, missing, reread int, now time.Time) choice {
 	s := c.server
 	c.load = t.modelLoad(s, j, missing, now)
-	c.speed = s.speed(now)
-	c.forecast = t.model.Predict(j.service, c.load, c.speed)
+	c.slowness = s.slowness(now)
+	c.forecast = t.model.Predict(j.service, c.load, c.slowness)
 	fetch := c.wait
 	c.wait += ms(c.forecast.First)
 	c.score += ms(c.forecast.Delay) + targetCost(c.forecast, j)
-	c.score += rereadCostFactor * float64(reread) / t.model.PrefillRate(j.service) * c.speed
+	c.score += rereadCostFactor * float64(reread) / t.model.PrefillRate(j.service) * c.slowness
 	c.forecast.First += duration(fetch)
 	if c.forecast.Last > 0 {
 		c.forecast.Last += duration(fetch)
@@ -220,9 +220,9 @@
 	}
 	service := k.server.spec.Service
 	if unit := model.Predict(service, k.load, 1); !k.load.Full() {
-		k.server.speedSums.add(ms(after), ms(unit.First), k.server.reportedSpeed(), k.table.now())
+		k.server.slownessSums.add(ms(after), ms(unit.First), k.server.reportedSlowness(), k.table.now())
 	}
-	model.Observe(service, wheelgauge.EngineRun{Load: k.load, First: after}, k.speed)
+	model.Observe(service, wheelgauge.EngineRun{Load: k.load, First: after}, k.slowness)
 }
 
 // FirstEventAfter records how long the first event took, or how long the request waited until it
@@ -246,15 +246,15 @@
 	defer t.mu.Unlock()
 	service := k.server.spec.Service
 	if unit := t.model.Predict(service, k.load, 1); unit.Last > unit.First && events > 1 {
-		k.server.speedSums.add(ms(last-first), ms(unit.Last-unit.First), k.server.reportedSpeed(), t.now())
+		k.server.slownessSums.add(ms(last-first), ms(unit.Last-unit.First), k.server.reportedSlowness(), t.now())
 	}
-	t.model.Observe(service, wheelgauge.EngineRun{Load: k.load, First: first, Last: last, Pause: pause, Events: events, Complete: true}, k.speed)
+	t.model.Observe(service, wheelgauge.EngineRun{Load: k.load, First: first, Last: last, Pause: pause, Events: events, Complete: true}, k.slowness)
 }
 
-// Forecast returns how the request was expected to run, and the speed of the server; ok is false
+// Forecast returns how the request was expected to run, and the slowness of the server; ok is false
 // without a model.
-func (k *Pick) Forecast() (f wheelgauge.EngineForecast, speed float64, ok bool) {
-	return k.forecast, k.speed, k.modelled
+func (k *Pick) Forecast() (f wheelgauge.EngineForecast, slowness float64, ok bool) {
+	return k.forecast, k.slowness, k.modelled
 }
 
 // fixedLoad returns the load that the fixed figures are applied to.
--- a/serverset/forecast_test.go
+++ b/serverset/forecast_test.go
@@ -37,9 +37,9 @@
 	k.Done(Served)
 }
 
-// A server that turns slow gets a speed near the true one within some requests, and is as usual
+// A server that turns slow gets a slowness near the true one within some requests, and is as usual
 // again within some half-lives of its recovery.
-func TestSpeedFollowsServer(t *testing.T) {
+func TestSlownessFollowsServer(t *testing.T) {
 	tests := []struct {
 		name        string
 		times       []float64 // of each request, 50 ms apart
@@ -47,60 +47,60 @@
 		least, most float64
 	}{
 		{"unknown", nil, 0, 1, 1},
-		{"as usual", repeatSpeeds(50, 1), 0, 0.9, 1.1},
-		{"a single odd request", append(repeatSpeeds(20, 1), 30), 0, 0.9, 1.2},
+		{"as usual", repeatSlowness(50, 1), 0, 0.9, 1.1},
+		{"a single odd request", append(repeatSlowness(20, 1), 30), 0, 0.9, 1.2},
 		{"a single odd first request", []float64{30}, 0, 0.9, 1.2},
-		{"slow", repeatSpeeds(100, 2.7), 0, 1.5, 2.7},
-		{"fast", repeatSpeeds(100, 0.6), 0, 0.6, 0.9},
-		{"slow, then recovered", append(repeatSpeeds(100, 2.7), repeatSpeeds(200, 1)...), 0, 0.8, 1.3},
-		{"slow, then idle", repeatSpeeds(100, 2.7), 30 * time.Second, 0.95, 1.25},
+		{"slow", repeatSlowness(100, 2.7), 0, 1.5, 2.7},
+		{"fast", repeatSlowness(100, 0.6), 0, 0.6, 0.9},
+		{"slow, then recovered", append(repeatSlowness(100, 2.7), repeatSlowness(200, 1)...), 0, 0.8, 1.3},
+		{"slow, then idle", repeatSlowness(100, 2.7), 30 * time.Second, 0.95, 1.25},
 	}
 	for _, tt := range tests {
 		c := &clock{at: time.Unix(1000, 0)}
-		var u speedSums
+		var u slownessSums
 		for _, times := range tt.times {
 			u.add(200*times, 200, 1, c.at)
 			c.advance(50 * time.Millisecond)
 		}
 		c.advance(tt.idle)
-		if got := u.speed(1, c.at); got < tt.least || got > tt.most {
-			t.Errorf("%s: speed %.2f, want %.2f to %.2f", tt.name, got, tt.least, tt.most)
+		if got := u.slowness(1, c.at); got < tt.least || got > tt.most {
+			t.Errorf("%s: slowness %.2f, want %.2f to %.2f", tt.name, got, tt.least, tt.most)
 		}
 	}
 }
 
-// The speed learned before a restart does not apply to the new instance.
-func TestRestartForgetsSpeed(t *testing.T) {
+// The slowness learned before a restart does not apply to the new instance.
+func TestRestartForgetsSlowness(t *testing.T) {
 	tb, c, list := newModelTable(1)
 	for range 50 {
 		runAt(tb, c, 2.7)
 	}
-	if got := tb.servers[list[0].Instance].speed(c.at); got < 1.3 {
-		t.Fatalf("speed of a slow server is %.2f, want at least 1.3", got)
+	if got := tb.servers[list[0].Instance].slowness(c.at); got < 1.3 {
+		t.Fatalf("slowness of a slow server is %.2f, want at least 1.3", got)
 	}
 	list[0].StartUnixMS = 77
 	tb.Update(list, c.at)
-	if got := tb.servers[list[0].Instance].speed(c.at); got != 1 {
-		t.Errorf("speed of the new instance is %.2f, want 1", got)
+	if got := tb.servers[list[0].Instance].slowness(c.at); got != 1 {
+		t.Errorf("slowness of the new instance is %.2f, want 1", got)
 	}
 }
 
 // A slow server that also reports that it is slow is slow once.
-func TestReportedSpeedCountsOnce(t *testing.T) {
+func TestReportedSlownessCountsOnce(t *testing.T) {
 	c := &clock{at: time.Unix(1000, 0)}
 	s := &Server{}
 	for range 50 {
 		s.recordSlowdown(2 * nominalSlowdown)
-		s.speedSums.add(400, 200, s.reportedSpeed(), c.at)
+		s.slownessSums.add(400, 200, s.reportedSlowness(), c.at)
 	}
-	if got := s.speed(c.at); got < 1.9 || got > 2.1 {
-		t.Errorf("speed is %.2f, want the 2 that is both reported and observed", got)
+	if got := s.slowness(c.at); got < 1.9 || got > 2.1 {
+		t.Errorf("slowness is %.2f, want the 2 that is both reported and observed", got)
 	}
 }
 
 // What one host has learned of a server reaches the others with its heartbeats, as long as the
 // host reports use of the server.
-func TestSpeedIsShared(t *testing.T) {
+func TestSlownessIsShared(t *testing.T) {
 	tb, c, list := newModelTable(1)
 	for range 100 {
 		runAt(tb, c, 2.7)
@@ -112,12 +112,12 @@
 	other.SetEngineModel(enginemodel.New(c.now))
 	other.SetUses(uses)
 	s := other.servers[list[0].Instance]
-	if got := s.speed(c.at); got < 1.3 {
-		t.Errorf("speed at a host that knows nothing itself is %.2f, want at least 1.3", got)
+	if got := s.slowness(c.at); got < 1.3 {
+		t.Errorf("slowness at a host that knows nothing itself is %.2f, want at least 1.3", got)
 	}
 	other.SetUses(nil)
-	if got := s.speed(c.at); got != 1 {
-		t.Errorf("speed is %.2f after the other host's report has gone, want 1", got)
+	if got := s.slowness(c.at); got != 1 {
+		t.Errorf("slowness is %.2f after the other host's report has gone, want 1", got)
 	}
 }
 
--- a/serverset/pick.go
+++ b/serverset/pick.go
@@ -23,9 +23,9 @@
 	sentAt         time.Time
 	firstEventSeen bool
 	ended          bool
-	// load, speed and forecast are those of the engine model, modelled is set if there is one.
+	// load, slowness and forecast are those of the engine model, modelled is set if there is one.
 	load     wheelgauge.EngineLoad
-	speed    float64
+	slowness float64
 	forecast wheelgauge.EngineForecast
 	modelled bool
 }
@@ -85,7 +85,7 @@
 	k := &Pick{table: t, server: s, version: s.spec.Version, prompt: j.prompt, rank: j.rank, missingTokens: s.missingTokens(j.prompt, s == home), predictedWait: duration(c.wait), sentAt: now}
 	k.loadBefore = Load{running: s.inFlight(), tokens: s.pendingTokens + s.peerUse.PrefillTokens, age: now.Sub(s.peerUseAt)}
 	if t.model != nil && t.isEngine(s) {
-		k.load, k.speed, k.forecast, k.modelled = c.load, c.speed, c.forecast, true
+		k.load, k.slowness, k.forecast, k.modelled = c.load, c.slowness, c.forecast, true
 		t.recordResident(j)
 	}
 	s.probeSent = !s.pushback.BackingOff(now)
@@ -150,9 +150,9 @@
 	server *Server
 	score  float64
 	wait   float64
-	// load, speed and forecast are those of the engine model.
+	// load, slowness and forecast are those of the engine model.
 	load     wheelgauge.EngineLoad
-	speed    float64
+	slowness float64
 	forecast wheelgauge.EngineForecast
 }
 
--- a/serverset/server.go
+++ b/serverset/server.go
@@ -76,9 +76,9 @@
 	// slowdown is the moving average of the server's reports to this host of how long its work
 	// takes, in hundredths of the usual time; 0 without a report.
 	slowdown float64
-	// speedSums are what the model observed of the server's speed, urgentLevels what was in
+	// slownessSums are what the model observed of the server's slowness, urgentLevels what was in
 	// flight there lately; both only with a model.
-	speedSums    speedSums
+	slownessSums slownessSums
 	urgentLevels urgentLevels
 	// coldUntil is when the server can take full load again.
 	coldUntil     time.Time
--- a/serverset/uneven_test.go
+++ b/serverset/uneven_test.go
@@ -97,16 +97,16 @@
 	return wait > factor*ms(c.first) || !e.EndsWithin(c.limit)
 }
 
-// newUnevenSim has an engine of each speed; with learned, each host has a model.
-func newUnevenSim(seed uint64, hosts int, speeds []float64, learned bool, choose way) *unevenSim {
+// newUnevenSim has an engine of each slowness; with learned, each host has a model.
+func newUnevenSim(seed uint64, hosts int, slowness []float64, learned bool, choose way) *unevenSim {
 	sim := &unevenSim{choose: choose, got: map[int]*got{}}
-	sim.mixedSim = *newMixedSim(seed, hosts, len(speeds))
-	for i, speed := range speeds {
+	sim.mixedSim = *newMixedSim(seed, hosts, len(slowness))
+	for i, factor := range slowness {
 		e := sim.engines[fmt.Sprint("e", i)]
-		e.slow, e.displaces = speed, true
+		e.slow, e.displaces = factor, true
 	}
 	// The events scheduled by newMixedSim hold on to its own simulation.
-	sim.restart(seed, hosts, len(speeds))
+	sim.restart(seed, hosts, len(slowness))
 	for _, tb := range sim.hosts {
 		sim.waits = append(sim.waits, map[int]*classWaits{0: {50, 50}, 2: {50, 50}})
 		if learned {
@@ -220,19 +220,19 @@
 	return time.Duration(sum / math.Max(1, float64(len(sim.errors))))
 }
 
-func repeatSpeeds(n int, speeds ...float64) []float64 {
+func repeatSlowness(n int, slowness ...float64) []float64 {
 	var out []float64
 	for i := range n {
-		out = append(out, speeds[i%len(speeds)])
+		out = append(out, slowness[i%len(slowness)])
 	}
 	return out
 }
 
 // sums plays a load once for each seed and returns what the callers of both classes got, and how
 // many requests were displaced.
-func sums(seeds []uint64, speeds []float64, urgent, less float64, learned bool, choose way) (u, l got, displaced int) {
+func sums(seeds []uint64, slowness []float64, urgent, less float64, learned bool, choose way) (u, l got, displaced int) {
 	for _, seed := range seeds {
-		sim := newUnevenSim(seed, 6, speeds, learned, choose)
+		sim := newUnevenSim(seed, 6, slowness, learned, choose)
 		sim.refuses = true
 		sim.play(urgent, less, 4*time.Second, 6*time.Second)
 		u, l = u.plus(*sim.got[urgentClass.rank]), l.plus(*sim.got[lessUrgent.rank])
@@ -255,10 +255,10 @@
 		{175, 38, []uint64{1, 2, 3}},
 	}
 	for _, tt := range tests {
-		speeds := repeatSpeeds(6, 0.6, 1, 1.6)
-		urgent, less, displaced := sums(tt.seeds, speeds, tt.urgent, tt.less, true, byTable)
-		oldUrgent, oldLess, oldDisplaced := sums(tt.seeds, speeds, tt.urgent, tt.less, false, byTable)
-		leastUrgents, leastLess, _ := sums(tt.seeds, speeds, tt.urgent, tt.less, false, leastInFlight)
+		slowness := repeatSlowness(6, 0.6, 1, 1.6)
+		urgent, less, displaced := sums(tt.seeds, slowness, tt.urgent, tt.less, true, byTable)
+		oldUrgent, oldLess, oldDisplaced := sums(tt.seeds, slowness, tt.urgent, tt.less, false, byTable)
+		leastUrgents, leastLess, _ := sums(tt.seeds, slowness, tt.urgent, tt.less, false, leastInFlight)
 		t.Logf("%g and %g a second, learned: %s; %s; displaced %d", tt.urgent, tt.less, urgent, less, displaced)
 		t.Logf("fixed: %s; %s; displaced %d", oldUrgent, oldLess, oldDisplaced)
 		t.Logf("least in flight: %s; %s", leastUrgents, leastLess)
@@ -278,9 +278,9 @@
 func TestEvenEngines(t *testing.T) {
 	const tolerance = 0.01 // of the callers of a class
 	for _, load := range [][2]float64{{100, 20}, {125, 25}, {175, 38}} {
-		seeds, speeds := []uint64{1, 2, 3}, repeatSpeeds(6, 1)
-		urgent, less, _ := sums(seeds, speeds, load[0], load[1], true, byTable)
-		oldUrgent, oldLess, _ := sums(seeds, speeds, load[0], load[1], false, byTable)
+		seeds, slowness := []uint64{1, 2, 3}, repeatSlowness(6, 1)
+		urgent, less, _ := sums(seeds, slowness, load[0], load[1], true, byTable)
+		oldUrgent, oldLess, _ := sums(seeds, slowness, load[0], load[1], false, byTable)
 		t.Logf("%v a second, learned: %s; %s; fixed: %s; %s", load, urgent, less, oldUrgent, oldLess)
 		if urgent.share() < oldUrgent.share()-tolerance || less.share() < oldLess.share()-tolerance {
 			t.Errorf("%v a second: %.3f and %.3f of the callers of the classes get what they need, want at least %.3f and %.3f", load, urgent.share(), less.share(), oldUrgent.share(), oldLess.share())
@@ -289,29 +289,29 @@
 }
 
 // First events must be forecast more closely than by the fixed figures at engines of any rate and
-// speed: fast, slow, uneven, with the load of both classes and of one, and with few hosts that
+// slowness: fast, slow, uneven, with the load of both classes and of one, and with few hosts that
 // know all or many that each know little.
 func TestForecastErrors(t *testing.T) {
 	tests := []struct {
 		name         string
 		rate         float64 // tokens prefilled in a ms
-		speeds       []float64
+		slowness     []float64
 		hosts        int
 		urgent, less float64
 	}{
-		{"usual", 112, repeatSpeeds(6, 1), 6, 100, 20},
-		{"uneven", 112, repeatSpeeds(6, 0.6, 1, 1.6), 6, 100, 20},
-		{"one host", 112, repeatSpeeds(3, 0.6, 1, 1.6), 1, 50, 10},
-		{"many hosts", 112, repeatSpeeds(6, 0.6, 1, 1.6), 24, 100, 20},
-		{"urgent only", 112, repeatSpeeds(4, 1), 4, 150, 0},
-		{"500 tokens a ms", 500, repeatSpeeds(4, 1), 4, 60, 12},
-		{"20 tokens a ms", 20, repeatSpeeds(4, 1), 4, 15, 2},
-		{"5 tokens a ms", 5, repeatSpeeds(4, 1), 4, 4, 0},
+		{"usual", 112, repeatSlowness(6, 1), 6, 100, 20},
+		{"uneven", 112, repeatSlowness(6, 0.6, 1, 1.6), 6, 100, 20},
+		{"one host", 112, repeatSlowness(3, 0.6, 1, 1.6), 1, 50, 10},
+		{"many hosts", 112, repeatSlowness(6, 0.6, 1, 1.6), 24, 100, 20},
+		{"urgent only", 112, repeatSlowness(4, 1), 4, 150, 0},
+		{"500 tokens a ms", 500, repeatSlowness(4, 1), 4, 60, 12},
+		{"20 tokens a ms", 20, repeatSlowness(4, 1), 4, 15, 2},
+		{"5 tokens a ms", 5, repeatSlowness(4, 1), 4, 4, 0},
 	}
 	for _, tt := range tests {
 		var means [2]time.Duration
 		for i, learned := range []bool{false, true} {
-			sim := newUnevenSim(5, tt.hosts, tt.speeds, learned, byTable)
+			sim := newUnevenSim(5, tt.hosts, tt.slowness, learned, byTable)
 			for _, e := range sim.engines {
 				e.rate = tt.rate
 			}
