Ends are judged for the estimate that was chosen

endsTooLate took both estimates and the choice between them, and chose again. It takes the chosen one; withinShare is named as the share it asks for.

--- a/routegate/early.go
+++ b/routegate/early.go
@@ -24,7 +24,7 @@
 	c := g.newCall(r, forwarded)
 	g.awaitReady(ctx)
 	apiErr := g.admit(c)
-	if withinPart := forwarded || r.SetOwner(c.workspaceName()); apiErr == nil && !withinPart {
+	if withinShare := forwarded || r.SetOwner(c.workspaceName()); apiErr == nil && !withinShare {
 		g.options.Meter.Count("requests.over_share")
 		apiErr = refusal(wheelgauge.ReasonOverloaded, http.StatusServiceUnavailable, "the workspace has its share of the requests in progress at this host").WithRetryAfter(minOverloadRetryAfter)
 	}
--- a/routegate/late.go
+++ b/routegate/late.go
@@ -104,14 +104,10 @@
 
 // endsTooLate reports whether the answer cannot end in the time left where the request would be
 // sent: its caller would get part of it, for the work of all.
-func (c *call) endsTooLate(forward bool, local, remote serverset.Estimate) bool {
+func (c *call) endsTooLate(e serverset.Estimate) bool {
 	if c.forwarded || c.sends > 0 || c.runs > 0 {
 		return false
 	}
-	e := local
-	if forward {
-		e = remote
-	}
 	return !e.EndsWithin(time.Until(c.connDeadline()))
 }
 
--- a/routegate/place.go
+++ b/routegate/place.go
@@ -30,14 +30,15 @@
 		}
 		forward = false
 	}
+	chosen := local
 	if forward {
-		wait = remote.Wait()
+		chosen, wait = remote, remote.Wait()
 		late = c.tooLate(wait) || c.heldBack(remote)
 	}
 	switch {
 	case !ok && !forward:
 		return placement{}
-	case late || c.endsTooLate(forward, local, remote):
+	case late || c.endsTooLate(chosen):
 		c.predictedWait = wait
 		return placement{tooLate: true}
 	}
