--- a/message.go
+++ b/message.go
@@ -31,6 +31,9 @@
 	// HeaderSends reports to the forwarding gateway how many servers the request
 	// was sent to.
 	HeaderSends = "Wheelgauge-Sends"
+	// HeaderStreamVersion is the version of the server that answers a forwarded stream, as
+	// reported to the forwarding gateway.
+	HeaderStreamVersion = "Wheelgauge-Stream-Version"
 )
 
 // EntryHost is one host of the entry list.
--- a/native/headers.go
+++ b/native/headers.go
@@ -21,6 +21,7 @@
 		CacheSource: "Wheelgauge-Cache-From",
 		Priority:    wheelgauge.HeaderPriority,
 		LastEventID: "Last-Event-Id",
+		Resumes:     "Wheelgauge-Resumes",
 		APIKey:      "Wheelgauge-Key",
 		Workspace:   wheelgauge.HeaderWorkspace,
 	}
--- a/routegate/call.go
+++ b/routegate/call.go
@@ -53,8 +53,13 @@
 	id          string
 	prompt      prompt.Prompt
 	lastEventID string
-	forwarded   bool
-	started     time.Time
+	// resumes is the ID of the request that brought the first event of a stream that the caller
+	// takes up again.
+	resumes string
+	// origin is what began the stream, as far as this host knows.
+	origin    streamOrigin
+	forwarded bool
+	started   time.Time
 	// deadline is when the request expires if the host is not suspended after its arrival;
 	// suspendedBefore is how long the host had been suspended by then. See connDeadline.
 	deadline        time.Time
@@ -283,7 +288,7 @@
 	g.options.Log.Info("Request ends.", "id", c.id, "request", c.loggedFingerprint(), "route", name, "workspace", c.workspaceName(), "version", c.version,
 		"state_age_ms", g.configAge().Milliseconds(), "list_age_ms", g.options.Servers.ListAge().Milliseconds(), "status", c.status, "cause", c.cause,
 		"servers", strings.Join(c.triedServers, " "), "peers", strings.Join(c.triedPeers, " "), "runs", c.runs, "forwarded", c.forwarded,
-		"cap_ms", c.capWait.Milliseconds(), "permit_ms", c.permitWait.Milliseconds(), "room_ms", c.roomWait.Milliseconds(), "version_sent", c.sentVersion, "predicted_ms", c.predictedWait.Milliseconds(), "first_ms", c.firstAfter.Milliseconds(), "ms", elapsed.Milliseconds(),
+		"cap_ms", c.capWait.Milliseconds(), "permit_ms", c.permitWait.Milliseconds(), "room_ms", c.roomWait.Milliseconds(), "version_sent", c.sentVersion, "version_began", c.origin.version, "resumes", c.resumes, "resumed_after", c.lastEventID, "predicted_ms", c.predictedWait.Milliseconds(), "first_ms", c.firstAfter.Milliseconds(), "ms", elapsed.Milliseconds(),
 		"events", c.splitter.Events(), "pause_ms", c.longestPause.Milliseconds(), "expected_tokens", c.prompt.Output(), "load", c.placementInputs(), "forecast", c.forecastText())
 }
 
--- a/routegate/dispatch.go
+++ b/routegate/dispatch.go
@@ -41,6 +41,8 @@
 	// of events received in earlier exchanges.
 	firstAfter   time.Duration
 	eventsBefore int
+	// delivering is set once events of this exchange were passed on.
+	delivering bool
 	// pace is how the events of a stream arrived.
 	pace streamPace
 }
--- a/routegate/gate.go
+++ b/routegate/gate.go
@@ -233,7 +233,7 @@
 	c := &call{gate: g, request: r, forwarded: forwarded, id: string(httpfield.Value(h, n.RequestID)), started: r.Arrived()}
 	c.suspendedBefore = g.suspendedFor()
 	c.prompt = prompt.Parse(string(httpfield.Value(h, n.PromptParts)), string(httpfield.Value(h, n.TokenCounts)), string(httpfield.Value(h, n.OutputHint)))
-	c.lastEventID = string(httpfield.Value(h, n.LastEventID))
+	c.lastEventID, c.resumes = string(httpfield.Value(h, n.LastEventID)), string(httpfield.Value(h, n.Resumes))
 	if timeout, ok := parseTimeout(string(httpfield.Value(h, n.Deadline))); ok {
 		c.deadline = r.Arrived().Add(timeout)
 	}
--- a/routegate/gate_test.go
+++ b/routegate/gate_test.go
@@ -134,11 +134,22 @@
 
 // newGateOf is newGate for a service s.
 func newGateOf(t testing.TB, service *wheelgauge.Service, routes []wheelgauge.PathRoute, backends ...*backend) (*Gate, net.Conn) {
+	t.Helper()
+	return newGateFor(t, service, routes, make([]string, len(backends)), backends...)
+}
+
+// newGateOfVersions is newGate for backends of the given software versions.
+func newGateOfVersions(t testing.TB, versions []string, backends ...*backend) (*Gate, net.Conn) {
+	t.Helper()
+	return newGateFor(t, &wheelgauge.Service{Name: "s", MaxConns: 100}, routes(), versions, backends...)
+}
+
+func newGateFor(t testing.TB, service *wheelgauge.Service, routes []wheelgauge.PathRoute, versions []string, backends ...*backend) (*Gate, net.Conn) {
 	t.Helper()
 	servers := serverset.New(serverset.Place{Host: "g", Hall: "h", Peers: []string{"g"}}, func(string) *wheelgauge.Service { return service }, time.Now)
 	var list []wheelgauge.Server
 	for i, b := range backends {
-		list = append(list, wheelgauge.Server{Instance: fmt.Sprint("i", i), Service: "s", Address: b.conn.Addr().String(), Hall: "h", Slots: 4})
+		list = append(list, wheelgauge.Server{Instance: fmt.Sprint("i", i), Service: "s", Version: versions[i], Address: b.conn.Addr().String(), Hall: "h", Slots: 4})
 	}
 	servers.Update(list, time.Now())
 	g := New(Options{
--- a/routegate/headers.go
+++ b/routegate/headers.go
@@ -17,6 +17,9 @@
 	"transfer-encoding": true, "upgrade": true, "content-length": true, "expect": true,
 }
 
+// streamVersionField is the lower-case name of the header that is meant for gateways only.
+var streamVersionField = strings.ToLower(wheelgauge.HeaderStreamVersion)
+
 // reservedNames are the headers that are removed from callers' requests and set by the
 // gateway.
 func reservedNames(n wheelgauge.HeaderNames) map[string]bool {
@@ -92,7 +95,7 @@
 	fields := make([]callerhttp.Field, 0, 8)
 	for name, value := range h.All() {
 		lower := strings.ToLower(string(name))
-		if hopByHop[lower] || connectionHeaders[lower] {
+		if hopByHop[lower] || connectionHeaders[lower] || lower == streamVersionField {
 			continue
 		}
 		fields = append(fields, callerhttp.NewField(string(name), string(value)))
--- a/routegate/relay.go
+++ b/routegate/relay.go
@@ -140,9 +140,10 @@
 
 func (c *call) writeEvents(x *exchange, complete []byte) error {
 	now := time.Now()
+	c.recordOrigin(x)
 	if !c.request.Started() {
 		c.status = x.head.StatusCode()
-		c.request.StartResponse(http.StatusOK, responseFields(x.head), -1)
+		c.request.StartResponse(http.StatusOK, c.streamFields(x), -1)
 		c.lastEventAt = now
 	}
 	c.longestPause = max(c.longestPause, now.Sub(c.lastEventAt))
--- a/routes.go
+++ b/routes.go
@@ -221,6 +221,8 @@
 	Priority string
 	// LastEventID is the ID of the last event that the caller of a resumed stream received.
 	LastEventID string
+	// Resumes names the request that brought the first event of a resumed stream.
+	Resumes string
 	// Reserved lists headers that only the system sets; those sent by callers are dropped.
 	Reserved []string
 }
