A stream goes on only at the version that began it, at any host

Cause: no code kept the version of a stream's first event. A continuation was placed as a new request, over all versions and, on routes with several services, over all services; the name of the request that a caller resumes was read by nobody. Ruled out: a version that is known and overruled (no rollout ran), and a fault of callers' next tries alone (streams mixed within one answer too).

Now the gateway that a caller is connected to records service and version of the first event, and every way to continue goes by them: the next server within an answer, a forwarded request (gateways tell one another, and an answer of another version is not passed on), a caller's next try at any host. For the last, hosts tell a store of their region while a service has several versions, and ask the stores of the region, then the others. A service that has had only one version for as long as a stream may last needs no record: in that time nothing is sent. What is not known is refused as not run, reason unknown-stream, at once. Rollouts keep their bounds. Prompts' memory is fetched only from versions that may serve.

--- a/confstore/node.go
+++ b/confstore/node.go
@@ -34,6 +34,8 @@
 	"wheelgauge/serverlist"
 	"wheelgauge/stallwatch"
 	"wheelgauge/statefeed"
+	"wheelgauge/streamorigin"
+	"wheelgauge/versionhistory"
 )
 
 const (
@@ -119,6 +121,12 @@
 	permits *permitissuer.Issuer
 	// promises are those that hosts made to refused callers in the last seconds.
 	promises *promiserelay.Relay
+	// streams holds what began the streams of the region's callers, versions the versions that
+	// were listed lately; versionsRecorded is the version of the list last recorded there, which
+	// only updateStreams uses.
+	streams          *streamorigin.Table
+	versions         *versionhistory.History
+	versionsRecorded uint64
 	// rolloutController decides the next step of each rollout; rolloutClock tracks elapsed times.
 	rolloutController *controller.Controller
 	rolloutClock      rolloutClock
@@ -156,6 +164,7 @@
 	n.limits = serverlimit.New(now)
 	n.permits = permitissuer.New(n.limits, now)
 	n.promises = promiserelay.New(now)
+	n.streams, n.versions = streamorigin.New(maxStreams, now), versionhistory.New(now)
 	n.caps = capallocator.New(capallocator.Options{Self: o.PeerAddress, Boot: n.boot, Window: o.CapWindow, Overage: o.CapOverage, Slack: o.CapSlack, Now: now})
 	if err := n.open(ctx); err != nil {
 		stop()
@@ -171,6 +180,7 @@
 	n.runTask(func() error { return periodic.Run(ctx, crashSyncInterval, n.syncCrashes) })
 	n.runTask(func() error { return periodic.Run(ctx, rolloutInterval, n.advanceRollouts) })
 	n.runTask(func() error { return periodic.Run(ctx, limitPruneInterval, n.pruneLimits) })
+	n.runTask(func() error { return periodic.Run(ctx, streamUpdateInterval, n.updateStreams) })
 	watch := stallwatch.New(o.Clock, o.Log)
 	n.runTask(func() error {
 		return periodic.Run(ctx, suspendCheckInterval, func(context.Context) { watch.Check(suspendCheckInterval) })
@@ -226,7 +236,7 @@
 
 func (n *Node) servePeer(ctx *fasthttp.RequestCtx) {
 	received := len(ctx.Request.Body())
-	if !n.serveCaps(ctx) && !n.servePermits(ctx) && !n.serveHeartbeat(ctx) && !n.serveState(ctx) && !n.serveUpdate(ctx) && !n.replica.Handle(ctx) {
+	if !n.serveCaps(ctx) && !n.servePermits(ctx) && !n.serveHeartbeat(ctx) && !n.serveStreams(ctx) && !n.serveState(ctx) && !n.serveUpdate(ctx) && !n.replica.Handle(ctx) {
 		peerhttp.NotFound(ctx)
 		return
 	}
--- /dev/null
+++ b/confstore/streams.go
@@ -0,0 +1,71 @@
+package confstore
+
+import (
+	"context"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"wheelgauge"
+	"wheelgauge/originclient"
+)
+
+const (
+	// maxStreams bounds the streams whose origin a store holds: 25 s of 5,000 a second.
+	maxStreams = 1 << 17
+	// streamUpdateInterval is how often expired origins are removed, and listed versions
+	// recorded.
+	streamUpdateInterval = 500 * time.Millisecond
+	// maxVersionsListAge is the oldest list of a region from which a store concludes which
+	// versions there are.
+	maxVersionsListAge = 5 * time.Second
+)
+
+// serveStreams takes from entry hosts what began streams, and tells them; false means another
+// path.
+func (n *Node) serveStreams(ctx *fasthttp.RequestCtx) bool {
+	return serve(ctx, originclient.Path, func(request wheelgauge.StreamOriginsRequest) (wheelgauge.StreamOriginsResponse, error) {
+		return n.exchangeStreams(request), nil
+	})
+}
+
+func (n *Node) exchangeStreams(request wheelgauge.StreamOriginsRequest) wheelgauge.StreamOriginsResponse {
+	n.streams.Add(request.Origins...)
+	resp := wheelgauge.StreamOriginsResponse{StoreBoot: n.boot}
+	q := request.Query
+	if q == nil {
+		return resp
+	}
+	if o, ok := n.streams.Find(q.Key); ok {
+		resp.Found = &o
+		n.meter.Count("streams.found")
+		return resp
+	}
+	if version, ok := n.versions.Sole(q.Service, q.Within()+maxVersionsListAge); ok && n.listsAreRecent() {
+		resp.Sole = &version
+	}
+	n.meter.Count("streams.not_found")
+	return resp
+}
+
+// listsAreRecent reports whether the lists of all regions are recent.
+func (n *Node) listsAreRecent() bool {
+	for _, region := range n.regions() {
+		if age, ok := n.servers.Age(region); !ok || age > maxVersionsListAge {
+			return false
+		}
+	}
+	return true
+}
+
+// updateStreams removes expired origins, and records the versions that are listed now.
+func (n *Node) updateStreams(context.Context) {
+	n.streams.Prune()
+	n.meter.Gauge("streams.held", int64(n.streams.Len()))
+	n.meter.Gauge("streams.dropped", int64(n.streams.Dropped()))
+	list, version := n.servers.All()
+	if version != n.versionsRecorded && n.listsAreRecent() {
+		n.versions.Update(list)
+		n.versionsRecorded = version
+	}
+}
--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -26,6 +26,7 @@
 	"wheelgauge/heartbeat"
 	"wheelgauge/httpserve"
 	"wheelgauge/meter"
+	"wheelgauge/originclient"
 	"wheelgauge/peerhttp"
 	"wheelgauge/peerset"
 	"wheelgauge/periodic"
@@ -143,6 +144,7 @@
 	// promises are nil unless returns are scheduled.
 	promises     *promises.Table
 	tally        *tally.Tally
+	origins      *originclient.Client
 	room         *waitroom.Room
 	meter        *meter.Meter
 	heartbeats   atomic.Pointer[heartbeat.Client]
@@ -190,11 +192,14 @@
 	})
 	n.versions = selector.New(selector.Options{Host: o.Name, Share: o.RolloutShare, Slack: o.RolloutSlack, Now: clock.Now})
 	n.tally = tally.New()
+	n.origins = originclient.New(originclient.Options{
+		Stores: n.stores, Sole: n.servers.SoleVersion, Request: n.exchangeOrigins, Now: clock.Now, Meter: n.meter, Log: o.Log.WithName("origins"),
+	})
 	returns, promiseTable := n.newReturns()
 	gateOptions := routegate.Options{
 		Region: o.Region, Names: o.Names, Servers: n.servers, Peers: n.peers, Budget: n.budget, Meter: n.meter, Log: o.Log.WithName("gate"),
 		Caps: n.caps, Quarantine: n.quarantine, Limits: n.limits, Permits: n.permits, Clock: clock,
-		Versions: n.versions, Tally: n.tally, Credits: n.credits, Returns: returns,
+		Versions: n.versions, Tally: n.tally, Origins: n.origins, Credits: n.credits, Returns: returns,
 	}
 	n.openAdmission(&gateOptions)
 	n.gate = routegate.New(gateOptions)
@@ -212,6 +217,7 @@
 		n.warmDone <- periodic.Run(ctx, warmInterval, func(ctx context.Context) {
 			n.checkSuspension(watcher)
 			n.peers.OpenIdle(ctx)
+			n.origins.Tick()
 		})
 	}()
 	o.Log.Info("Gateway serves.", "name", o.Name, "callers", o.CallerAddress, "peer", o.PeerAddress, "seeds", o.Seeds,
@@ -247,6 +253,12 @@
 	return resp, err
 }
 
+// exchangeOrigins tells a store what began streams, or asks it.
+func (n *Node) exchangeOrigins(ctx context.Context, address string, req wheelgauge.StreamOriginsRequest) (resp wheelgauge.StreamOriginsResponse, err error) {
+	err = n.client.Call(ctx, http.MethodPost, address, originclient.Path, req, &resp)
+	return resp, err
+}
+
 // countBytes wraps a connection to a store to count its bytes in the meter.
 func (n *Node) countBytes(c net.Conn) net.Conn {
 	return countconn.New(c, func(b int64) { n.meter.Add("control.bytes.in", b) }, func(b int64) { n.meter.Add("control.bytes.out", b) })
@@ -338,6 +350,7 @@
 	n.meter.Gauge("connections.dialed", int64(n.servers.Dialed()))
 	n.gaugeEngines()
 	n.meter.Gauge("requests.serving", int64(n.callerServer.InFlight()))
+	n.meter.Gauge("streams.origins.known", int64(n.origins.Known()))
 	n.gaugeConns()
 	ctx.SetContentType("application/json")
 	n.meter.WriteJSON(ctx)
@@ -365,6 +378,7 @@
 	defer cancel()
 	errs = append(errs, n.closeRoom(), n.callerServer.Close(limit), n.peerServer.Close(limit))
 	n.caps.Close()
+	n.origins.Close()
 	n.cancel()
 	errs = append(errs, n.heartbeats.Load().Close(), <-n.pruneDone, <-n.warmDone)
 	n.servers.Close()
--- a/entrynode/updates.go
+++ b/entrynode/updates.go
@@ -80,6 +80,8 @@
 	}
 	n.servers.Update(own, requestedAt)
 	n.servers.SetRemoteServers(others)
+	n.servers.RecordListed(list)
+	n.origins.Tick()
 	n.gate.SetServersKnown()
 	n.options.Log.Info("Servers change.", "servers", len(own), "age_ms", n.options.Clock.Now().Sub(requestedAt).Milliseconds())
 }
--- a/error.go
+++ b/error.go
@@ -40,6 +40,9 @@
 	ReasonInternal   Reason = "internal"
 	// ReasonNoRoom: a region turns back a forwarded request that it cannot answer in time.
 	ReasonNoRoom Reason = "no-room"
+	// ReasonUnknownStream: a stream cannot be taken up, as it is not known which version of its
+	// service began it.
+	ReasonUnknownStream Reason = "unknown-stream"
 )
 
 // Error is the error response of every program, sent as JSON.
--- a/message.go
+++ b/message.go
@@ -31,8 +31,10 @@
 	// HeaderSends reports to the forwarding gateway how many servers the request
 	// was sent to.
 	HeaderSends = "Wheelgauge-Sends"
-	// HeaderStreamVersion is the version of the server that answers a forwarded stream, as
-	// reported to the forwarding gateway.
+	// HeaderStreamService and HeaderStreamVersion are, in the answer to a forwarded stream, the
+	// service and the version of the server that answers; in the request, those that began the
+	// stream which it continues. Only gateways send them, to one another.
+	HeaderStreamService = "Wheelgauge-Stream-Service"
 	HeaderStreamVersion = "Wheelgauge-Stream-Version"
 )
 
--- a/rollout/selector/choose.go
+++ b/rollout/selector/choose.go
@@ -19,6 +19,38 @@
 	return c, sel.trackChoice(s, c)
 }
 
+// ChooseVersion returns the filter for a request that only one version may serve, as it continues
+// what that version began; it allows none while the rollout excludes the version.
+func (sel *Selector) ChooseVersion(name, version string) (c wheelgauge.VersionFilter, release func()) {
+	sel.mu.Lock()
+	defer sel.mu.Unlock()
+	s := sel.service(name)
+	c = wheelgauge.NoVersion()
+	if sel.allowsVersion(s, version) {
+		c = wheelgauge.OnlyVersion(version)
+	}
+	return c, sel.trackChoice(s, c)
+}
+
+// allowsVersion reports whether one more request may go to a version. The caller holds the lock.
+func (sel *Selector) allowsVersion(s *service, version string) bool {
+	if !s.hasRollout {
+		return true
+	}
+	now, target := sel.options.Now(), version == s.rollout.Version
+	switch {
+	case s.rollout.State == wheelgauge.RolloutCompleted:
+		return target || now.After(s.deadline.Add(wheelgauge.OldVersionGracePeriod))
+	case !s.rollout.Running():
+		return !target
+	}
+	sel.closeOthers(s, now)
+	if !target {
+		return !s.othersClosed
+	}
+	return sel.allowsTarget(s, now) && (s.othersClosed || now.Sub(sel.confirmedAt) <= stateLease)
+}
+
 // ChooseFallback returns the versions to use if no server of the chosen version takes the request;
 // ok is false if no other version may serve it. listed reports whether the chosen version has
 // servers in the region.
--- a/rollout/selector/selector_test.go
+++ b/rollout/selector/selector_test.go
@@ -264,3 +264,40 @@
 		t.Errorf("got %d canaries in the first tenth of the time, want %g at most", early, limit)
 	}
 }
+
+func TestStreamsKeepTheirVersionWithinTheRolloutsBounds(t *testing.T) {
+	deadline := 10 * time.Second
+	tests := []struct {
+		name        string
+		rollout     []wheelgauge.Rollout
+		at          time.Duration // since the rollout was last confirmed
+		old, target bool
+	}{
+		{"no rollout", nil, 0, true, true},
+		{"running", rollout(wheelgauge.RolloutRunning, false, 0), 0, true, true},
+		{"running, not confirmed lately", rollout(wheelgauge.RolloutRunning, false, 0), stateLease + 1, true, false},
+		{"rolled back", rollout(wheelgauge.RolloutRolledBack, false, 0), 0, true, false},
+		{"completed", rollout(wheelgauge.RolloutCompleted, true, deadline), 0, false, true},
+		{"completed long ago", rollout(wheelgauge.RolloutCompleted, true, deadline), wheelgauge.OldVersionGracePeriod + time.Minute, true, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			sel, c := newSelector(0.1, 50)
+			sel.SetRollouts(tt.rollout)
+			c.at = c.at.Add(tt.at)
+			for _, v := range []struct {
+				version string
+				want    bool
+			}{{"v1", tt.old}, {"v2", tt.target}} {
+				filter, release := sel.ChooseVersion("s", v.version)
+				release()
+				if filter.Allows(v.version) != v.want {
+					t.Errorf("version %s is allowed: %v, want %v", v.version, !v.want, v.want)
+				}
+				if filter.Allows("v3") {
+					t.Errorf("a stream of version %s is allowed another version", v.version)
+				}
+			}
+		})
+	}
+}
--- a/rollouts.go
+++ b/rollouts.go
@@ -83,7 +83,13 @@
 
 // Allows reports whether a server of the given version may receive the request.
 func (c VersionFilter) Allows(version string) bool {
-	return !c.none && (c.version == "" || (version == c.version) == c.only)
+	if c.none {
+		return false
+	}
+	if c.only {
+		return version == c.version
+	}
+	return c.version == "" || version != c.version
 }
 
 // Only returns the version if it is the only one allowed.
--- a/routegate/call.go
+++ b/routegate/call.go
@@ -56,8 +56,8 @@
 	// resumes is the ID of the request that brought the first event of a stream that the caller
 	// takes up again.
 	resumes string
-	// origin is what began the stream, as far as this host knows.
-	origin    streamOrigin
+	// origin is what began the stream, nil if this host does not know.
+	origin    *streamOrigin
 	forwarded bool
 	started   time.Time
 	// deadline is when the request expires if the host is not suspended after its arrival;
@@ -118,6 +118,10 @@
 
 // run dispatches until the caller has an answer.
 func (c *call) run(ctx context.Context) {
+	if apiErr := c.findOrigin(ctx); apiErr != nil {
+		c.refuse(apiErr)
+		return
+	}
 	firstDispatch := true
 	for {
 		if c.expired() {
@@ -178,7 +182,7 @@
 // the budget. A forwarded request is retried only by the host that the caller connected to, as
 // no other knows on how many servers it ran.
 func (c *call) mayRetry() bool {
-	return !c.forwarded && c.route.Repeatable() && c.runs < c.route.MaxAttempts && c.sends < maxSends && c.gate.options.Budget.TryRetry(c.service)
+	return c.mayContinue() && !c.forwarded && c.route.Repeatable() && c.runs < c.route.MaxAttempts && c.sends < maxSends && c.gate.options.Budget.TryRetry(c.service)
 }
 
 // dispatch sends the request once, to where the shortest wait is predicted.
@@ -209,6 +213,10 @@
 		c.fail("late", "no backend server or region is expected to answer in time")
 		return answered
 	}
+	if c.continues() {
+		c.fail("no server of its version", "no backend server of the version that began the stream can take it now")
+		return answered
+	}
 	c.fail("full", "no backend server can take the request now")
 	return answered
 }
@@ -288,7 +296,7 @@
 	g.options.Log.Info("Request ends.", "id", c.id, "request", c.loggedFingerprint(), "route", name, "workspace", c.workspaceName(), "version", c.version,
 		"state_age_ms", g.configAge().Milliseconds(), "list_age_ms", g.options.Servers.ListAge().Milliseconds(), "status", c.status, "cause", c.cause,
 		"servers", strings.Join(c.triedServers, " "), "peers", strings.Join(c.triedPeers, " "), "runs", c.runs, "forwarded", c.forwarded,
-		"cap_ms", c.capWait.Milliseconds(), "permit_ms", c.permitWait.Milliseconds(), "room_ms", c.roomWait.Milliseconds(), "version_sent", c.sentVersion, "version_began", c.origin.version, "resumes", c.resumes, "resumed_after", c.lastEventID, "predicted_ms", c.predictedWait.Milliseconds(), "first_ms", c.firstAfter.Milliseconds(), "ms", elapsed.Milliseconds(),
+		"cap_ms", c.capWait.Milliseconds(), "permit_ms", c.permitWait.Milliseconds(), "room_ms", c.roomWait.Milliseconds(), "version_sent", c.sentVersion, "version_began", c.origin.text(), "resumes", c.resumes, "resumed_after", c.lastEventID, "predicted_ms", c.predictedWait.Milliseconds(), "first_ms", c.firstAfter.Milliseconds(), "ms", elapsed.Milliseconds(),
 		"events", c.splitter.Events(), "pause_ms", c.longestPause.Milliseconds(), "expected_tokens", c.prompt.Output(), "load", c.placementInputs(), "forecast", c.forecastText())
 }
 
--- a/routegate/dispatch.go
+++ b/routegate/dispatch.go
@@ -191,6 +191,9 @@
 	if c.workspace != nil {
 		set = append(set, [2]string{wheelgauge.HeaderWorkspace, c.workspace.Name})
 	}
+	if c.continues() {
+		set = append(set, [2]string{wheelgauge.HeaderStreamService, c.origin.service}, [2]string{wheelgauge.HeaderStreamVersion, c.origin.version})
+	}
 	head := c.requestHead(set)
 	c.runs++
 	if err := x.roundTrip(head); err != nil {
--- a/routegate/forward.go
+++ b/routegate/forward.go
@@ -34,7 +34,7 @@
 	}
 	o := c.gate.options
 	for _, region := range regions(c.service) {
-		if !c.allowedIn(region) || !c.mayForwardTo(region) {
+		if !c.allowedIn(region) || !c.mayForwardTo(region) || !c.mayContinueIn(region) {
 			continue
 		}
 		e := c.predictRemote(o.Peers.Load(region, c.service)).AddLatency(o.Peers.RoundTrip(region))
--- a/routegate/gate.go
+++ b/routegate/gate.go
@@ -75,6 +75,9 @@
 	Shares wheelgauge.WorkspaceShares
 	// Returns tells refused callers when to return; nil tells all of a route the same.
 	Returns wheelgauge.ReturnSchedule
+	// Origins holds what began streams, for callers that take them up again; a gate without it
+	// knows of none but those in progress.
+	Origins wheelgauge.StreamOrigins
 	// Versions chooses the service versions that may get a request during a rollout, and Tally
 	// counts how they answer. When nil, the gate uses empty ones of its own.
 	Versions *selector.Selector
@@ -270,6 +273,9 @@
 		return refusal(wheelgauge.ReasonNoServer, http.StatusServiceUnavailable, "no servers are known yet").WithRetryAfter(startupRetryAfter)
 	}
 	c.service = routetable.PickService(c.route)
+	if c.forwarded && c.continues() {
+		return c.adoptOrigin()
+	}
 	return nil
 }
 
--- a/routegate/headers.go
+++ b/routegate/headers.go
@@ -17,8 +17,8 @@
 	"transfer-encoding": true, "upgrade": true, "content-length": true, "expect": true,
 }
 
-// streamVersionField is the lower-case name of the header that is meant for gateways only.
-var streamVersionField = strings.ToLower(wheelgauge.HeaderStreamVersion)
+// originFields are the lower-case names of the headers that gateways send only to one another.
+var originFields = map[string]bool{strings.ToLower(wheelgauge.HeaderStreamService): true, strings.ToLower(wheelgauge.HeaderStreamVersion): true}
 
 // reservedNames are the headers that are removed from callers' requests and set by the
 // gateway.
@@ -65,7 +65,7 @@
 	lastEvent := strings.ToLower(c.gate.options.Names.LastEventID)
 	for name, value := range h.All() {
 		lower := strings.ToLower(string(name))
-		if hopByHop[lower] || c.gate.reservedHeaders[lower] || connectionHeaders[lower] || lower == lastEvent {
+		if hopByHop[lower] || originFields[lower] || c.gate.reservedHeaders[lower] || connectionHeaders[lower] || lower == lastEvent {
 			continue
 		}
 		dst = appendHeader(dst, string(name), string(value))
@@ -95,7 +95,7 @@
 	fields := make([]callerhttp.Field, 0, 8)
 	for name, value := range h.All() {
 		lower := strings.ToLower(string(name))
-		if hopByHop[lower] || connectionHeaders[lower] || lower == streamVersionField {
+		if hopByHop[lower] || connectionHeaders[lower] || originFields[lower] {
 			continue
 		}
 		fields = append(fields, callerhttp.NewField(string(name), string(value)))
--- a/routegate/origin_test.go
+++ b/routegate/origin_test.go
@@ -1,12 +1,55 @@
 package routegate
 
 import (
+	"context"
+	"net/http"
+	"slices"
 	"strings"
+	"sync"
 	"testing"
 
 	"wheelgauge"
 )
 
+// originScript holds origins, and records those that a gate shares.
+type originScript struct {
+	mu       sync.Mutex
+	known    map[wheelgauge.StreamKey]wheelgauge.StreamOrigin
+	sole     *wheelgauge.StreamOrigin
+	recorded []wheelgauge.StreamOrigin
+}
+
+func (o *originScript) Record(r wheelgauge.StreamOrigin) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.recorded = append(o.recorded, r)
+}
+
+func (o *originScript) Find(_ context.Context, q wheelgauge.StreamQuery) (wheelgauge.StreamOrigin, bool) {
+	if r, ok := o.known[q.Key]; ok {
+		return r, true
+	}
+	if o.sole == nil || q.Service != o.sole.Service {
+		return wheelgauge.StreamOrigin{}, false
+	}
+	return *o.sole, true
+}
+
+// versions returns the recorded versions by the ID of the request, of the IDs given.
+func (o *originScript) versions(ids ...string) map[string]string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	out := map[string]string{}
+	for _, id := range ids {
+		for _, r := range o.recorded {
+			if r.Key == wheelgauge.NewStreamKey(id) {
+				out[id] = r.Service + " " + r.Version
+			}
+		}
+	}
+	return out
+}
+
 func TestVersionOfAStreamIsReportedToGatewaysOnly(t *testing.T) {
 	tests := []struct {
 		name string
@@ -76,3 +119,150 @@
 		})
 	}
 }
+
+const takeUp = "Last-Event-Id: 7\r\nWheelgauge-Resumes: r0\r\n"
+
+func TestStreamTakenUpIsNotContinuedAtAnotherVersion(t *testing.T) {
+	of := func(service, version string) *wheelgauge.StreamOrigin {
+		return &wheelgauge.StreamOrigin{Service: service, Version: version}
+	}
+	tests := []struct {
+		name    string
+		headers string
+		known   *wheelgauge.StreamOrigin // of request r0
+		sole    *wheelgauge.StreamOrigin
+		want    string // version of the events; empty if the request is refused
+		reason  wheelgauge.Reason
+	}{
+		{"known", takeUp, of("s", "v2"), nil, "v2", ""},
+		{"known, while others list another version only", takeUp, of("s", "v2"), of("s", "v1"), "v2", ""},
+		{"not known", takeUp, nil, nil, "", wheelgauge.ReasonUnknownStream},
+		{"not known, and the service has had one version", takeUp, nil, of("s", "v1"), "v1", ""},
+		{"the caller does not say what it resumes", "Last-Event-Id: 7\r\n", of("s", "v2"), nil, "", wheelgauge.ReasonUnknownStream},
+		{"the caller does not say, and the service has had one version", "Last-Event-Id: 7\r\n", nil, of("s", "v1"), "v1", ""},
+		{"no server of the version", takeUp, of("s", "v9"), nil, "", wheelgauge.ReasonOverloaded},
+		{"the route has moved to another service", takeUp, of("old", "v1"), nil, "", wheelgauge.ReasonUnknownStream},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			versions := []string{"v1", "v2", "v1"}
+			backends := versionedBackends(t, versions)
+			for i, b := range backends {
+				b.fallback = streamHead + chunk("id: 8\ndata: "+versions[i]+"\n\n") + "0\r\n\r\n"
+			}
+			g, c := newGateOfVersions(t, versions, backends...)
+			origins := &originScript{known: map[wheelgauge.StreamKey]wheelgauge.StreamOrigin{}, sole: tt.sole}
+			if tt.known != nil {
+				origins.known[wheelgauge.NewStreamKey("r0")] = *tt.known
+			}
+			g.options.Origins = origins
+			resp, body, err := get(t, c, "/resume/", tt.headers)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if tt.want != "" {
+				if body != "id: 8\ndata: "+tt.want+"\n\n" {
+					t.Errorf("got %d %q, want an event of version %s", resp.StatusCode, body, tt.want)
+				}
+				return
+			}
+			if resp.StatusCode != http.StatusServiceUnavailable || !strings.Contains(body, string(tt.reason)) || resp.Header.Get("Retry-After") == "" {
+				t.Errorf("got %d %s, want 503 with reason %s and Retry-After", resp.StatusCode, body, tt.reason)
+			}
+			for _, b := range backends {
+				if len(b.received()) > 0 {
+					t.Error("a server got a request that was refused as not run")
+				}
+			}
+		})
+	}
+}
+
+func TestHostsShareWhatBeganStreams(t *testing.T) {
+	versions := []string{"v1", "v1"}
+	backends := versionedBackends(t, versions)
+	g, c := newGateOfVersions(t, versions, backends...)
+	origins := &originScript{known: map[wheelgauge.StreamKey]wheelgauge.StreamOrigin{wheelgauge.NewStreamKey("r0"): {Service: "s", Version: "v1"}}}
+	g.options.Origins = origins
+	_, _, _ = get(t, c, "/resume/", takeUp) // ends as broken
+	if got := origins.versions("r0", "r1"); got["r0"] != "s v1" || got["r1"] != "s v1" {
+		t.Errorf("got %v for a stream taken up, want v1 for the request that began it and for the last one", got)
+	}
+	origins.recorded = nil
+	_, _, _ = get(t, peerConn(t, g), "/resume/", "") // ends as broken
+	if got := origins.versions("r1"); len(got) > 0 {
+		t.Errorf("a gateway that serves another one has recorded %v, want nothing: it does not know what the caller got", got)
+	}
+}
+
+func TestForwardedStreamIsNotContinuedAtAnotherVersion(t *testing.T) {
+	origin := func(version string) string {
+		return "Wheelgauge-Stream-Service: s\r\nWheelgauge-Stream-Version: " + version + "\r\n"
+	}
+	tests := []struct {
+		name, headers, want string
+	}{
+		{"the forwarding gateway names the version", origin("v2"), "v2"},
+		{"no server of the version", origin("v9"), ""},
+		{"the forwarding gateway does not name it", "", ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			versions := []string{"v1", "v2", "v1"}
+			g, _ := newGateOfVersions(t, versions, versionedBackends(t, versions)...)
+			resp, body, _ := get(t, peerConn(t, g), "/resume/", takeUp+tt.headers) // ends as broken
+			if tt.want == "" && resp.StatusCode != http.StatusServiceUnavailable || tt.want != "" && !strings.Contains(body, "data: "+tt.want) {
+				t.Errorf("got %d %q, want version %q, or 503 if that is empty", resp.StatusCode, body, tt.want)
+			}
+		})
+	}
+}
+
+func TestAnswerOfAnotherGatewayAtAnotherVersionIsNotDelivered(t *testing.T) {
+	headers := func(service, version string) string {
+		return strings.Replace(streamHead, "\r\n\r\n", "\r\nWheelgauge-Stream-Service: "+service+"\r\nWheelgauge-Stream-Version: "+version+"\r\n\r\n", 1)
+	}
+	tests := []struct {
+		name, head string
+		status     int
+	}{
+		{"the version that began it", headers("s", "v1"), http.StatusOK},
+		{"another version", headers("s", "v2"), http.StatusBadGateway},
+		{"another service", headers("x", "v1"), http.StatusBadGateway},
+		{"a gateway that does not say", streamHead, http.StatusBadGateway},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			peer := newBackend(t)
+			peer.fallback = tt.head + chunk("id: 8\ndata: x\n\n") + "0\r\n\r\n"
+			versions := []string{"v2"}
+			local := versionedBackends(t, versions)
+			g, c := newGateOfVersions(t, versions, local...)
+			g.options.Origins = &originScript{known: map[wheelgauge.StreamKey]wheelgauge.StreamOrigin{wheelgauge.NewStreamKey("r0"): {Service: "s", Version: "v1"}}}
+			g.options.Servers.SetRemoteServers([]wheelgauge.Server{{Instance: "far", Service: "s", Version: "v1", Region: "there", Address: "127.0.0.1:1"}})
+			g.options.Peers.SetHosts([]wheelgauge.FleetHost{{Name: "far", Region: "there", PeerAddress: peer.conn.Addr().String(), Ready: true}})
+			g.options.Peers.SetLoads([]wheelgauge.RegionUsage{{Region: "there", Services: []wheelgauge.ServiceUsage{{Service: "s", Servers: 1, Slots: 4}}}})
+			resp, body, err := get(t, c, "/resume/", takeUp)
+			if err != nil || resp.StatusCode != tt.status {
+				t.Errorf("got %v %q, %v, want %d", resp, body, err, tt.status)
+			}
+			if got := peer.received()[0]; got.Get(wheelgauge.HeaderStreamVersion) != "v1" || got.Get(wheelgauge.HeaderStreamService) != "s" {
+				t.Errorf("the other gateway was sent %v, want what began the stream", got)
+			}
+			if len(local[0].received()) > 0 {
+				t.Error("a server of another version got the request")
+			}
+		})
+	}
+}
+
+func TestCallersCannotNameTheOriginOfAStream(t *testing.T) {
+	b := newBackend(t)
+	_, c := newGateOfVersions(t, []string{"v1"}, b)
+	if _, _, err := get(t, c, "/safe/", "Wheelgauge-Stream-Service: s\r\nWheelgauge-Stream-Version: v2\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	if h := b.received()[0]; slices.ContainsFunc([]string{wheelgauge.HeaderStreamService, wheelgauge.HeaderStreamVersion}, func(n string) bool { return h.Get(n) != "" }) {
+		t.Errorf("the server got %v", h)
+	}
+}
--- a/routegate/relay.go
+++ b/routegate/relay.go
@@ -20,7 +20,10 @@
 	relayBufferBytes = 16 << 10
 )
 
-var errUnsigned = errors.New("a success without the server's signature")
+var (
+	errUnsigned     = errors.New("a success without the server's signature")
+	errOtherVersion = errors.New("answered by another version than the one that began the stream")
+)
 
 // relay passes an answer on to the caller.
 func (c *call) relay(x *exchange) result {
@@ -31,6 +34,11 @@
 		return failed
 	}
 	if success && c.route.Kind == wheelgauge.RouteStream {
+		if !c.mayDeliver(x) {
+			x.err = errOtherVersion
+			c.cause = x.err.Error()
+			return failed
+		}
 		return c.relayStream(x)
 	}
 	if c.request.Started() {
--- a/routegate/version.go
+++ b/routegate/version.go
@@ -16,6 +16,10 @@
 func (c *call) placeForVersion(ctx context.Context) placement {
 	g := c.gate.options
 	c.releaseVersions()
+	if c.continues() {
+		c.versionFilter, c.releaseChoice = g.Versions.ChooseVersion(c.service, c.origin.version)
+		return c.placeWithPermit(ctx)
+	}
 	c.versionFilter, c.releaseChoice = g.Versions.Choose(c.service, c.route.Name, c.longestDuration(), c.runs > 0)
 	p := c.placeWithPermit(ctx)
 	if _, only := c.versionFilter.Only(); !only || p.pick != nil || ctx.Err() != nil {
--- a/serverset/prefix_source.go
+++ b/serverset/prefix_source.go
@@ -21,6 +21,8 @@
 	address string
 	region  string
 	service string
+	version string
+	leaving bool
 	hash    uint64
 }
 
@@ -31,9 +33,9 @@
 	defer t.mu.Unlock()
 	t.remoteServers = t.remoteServers[:0]
 	for _, s := range list {
-		if !s.Leaving {
-			t.remoteServers = append(t.remoteServers, remoteServer{address: s.Address, region: s.Region, service: s.Service, hash: rendezvous.Hash(s.Instance)})
-		}
+		t.remoteServers = append(t.remoteServers, remoteServer{
+			address: s.Address, region: s.Region, service: s.Service, version: s.Version, leaving: s.Leaving, hash: rendezvous.Hash(s.Instance),
+		})
 	}
 }
 
@@ -70,7 +72,7 @@
 	}
 	best, bestScore := "", uint64(0)
 	for _, h := range t.remoteServers {
-		if h.service != service || h.region != t.busiestRegion {
+		if h.service != service || h.region != t.busiestRegion || h.leaving || !j.versions.Allows(h.version) {
 			continue
 		}
 		if score := rendezvous.Score(j.prompt.PrefixID(), h.hash); best == "" || score > bestScore {
--- a/serverset/prefix_source_test.go
+++ b/serverset/prefix_source_test.go
@@ -63,3 +63,33 @@
 		})
 	}
 }
+
+func TestMemoryIsNotFetchedFromAVersionThatMayNotServe(t *testing.T) {
+	tb, _, _ := newTestTable(engines, 1)
+	tb.SetRemoteServers([]wheelgauge.Server{{Instance: "far", Service: engines, Address: "far:1", Region: "busy", Version: "v2"}})
+	tb.SetBusiestRegion("busy")
+	if k := tb.Choose(NewJob(engines, promptWithPrefix("x"), 1, nil).WithVersions(wheelgauge.OnlyVersion(""))); k.Source() != "" {
+		t.Errorf("got source %q, want none of another version", k.Source())
+	}
+	for _, tt := range []struct {
+		region, version string
+		want            bool
+	}{{"busy", "v2", true}, {"busy", "v1", false}, {"calm", "v2", false}} {
+		if got := tb.RegionHasVersion(tt.region, engines, wheelgauge.OnlyVersion(tt.version)); got != tt.want {
+			t.Errorf("region %s has version %s: %v, want %v", tt.region, tt.version, got, tt.want)
+		}
+	}
+}
+
+func TestSoleVersionNeedsARecentList(t *testing.T) {
+	tb, c, _ := newTestTable(engines, 1)
+	tb.RecordListed([]wheelgauge.Server{{Service: engines, Version: "v1"}})
+	c.advance(time.Minute)
+	if version, ok := tb.SoleVersion(engines, time.Second); ok {
+		t.Errorf("got %q of a list that is a minute old, want none", version)
+	}
+	tb.ConfirmList(c.now())
+	if version, ok := tb.SoleVersion(engines, time.Second); !ok || version != "v1" {
+		t.Errorf("got %q, %v of a recent list, want v1", version, ok)
+	}
+}
--- a/serverset/table.go
+++ b/serverset/table.go
@@ -12,6 +12,7 @@
 	"wheelgauge"
 	"wheelgauge/coldrate"
 	"wheelgauge/pushback"
+	"wheelgauge/versionhistory"
 )
 
 const (
@@ -75,6 +76,8 @@
 	// that are not new; stateConfirmedAt is when the state was last confirmed as the newest.
 	versionsSince    map[string]map[string]time.Time
 	stateConfirmedAt time.Time
+	// history holds the versions listed lately, in all regions.
+	history *versionhistory.History
 	// unlistedPushbacks are those of instances that are no longer listed, by instance key.
 	unlistedPushbacks map[string]pushback.State
 	// limitOf returns the limits that servers have announced; nil without any.
@@ -97,7 +100,7 @@
 func New(place Place, serviceConfig func(service string) *wheelgauge.Service, now func() time.Time) *Table {
 	return &Table{
 		place: place, servers: map[string]*Server{}, services: map[string][]*Server{}, undrainedAt: map[string]time.Time{}, unlistedPushbacks: map[string]pushback.State{},
-		serviceConfig: serviceConfig, coldRates: coldrate.New(now), lastHolders: map[uint64]*Server{}, residentTokens: map[rankOfService]float64{}, now: now,
+		serviceConfig: serviceConfig, coldRates: coldrate.New(now), lastHolders: map[uint64]*Server{}, history: versionhistory.New(now), residentTokens: map[rankOfService]float64{}, now: now,
 	}
 }
 
