Mode with resources: a stream is resumed only at the version that began it

Servers had no version there at all. They have one now (BackendServer, version); empty is a version like any other, so configurations without it behave as before. A broken stream keeps the version of the server that sent its first token, by the newest configuration; gateways tell one another; an old path is a version of its own; where it is not known and the pool has several, the stream ends as broken.

--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -50,12 +51,12 @@
 
 var candidateSets = sync.Pool{New: func() any { return &candidateSet{} }}
 
-// collectCandidates fills cs with the servers of a route in this region that may take work now.
-func (g *Gateway) collectCandidates(cs *candidateSet, c *catalog.Catalog, route *catalog.Route, model string, tried []string) {
+// collectCandidates fills cs with the servers in this region that may take the request now.
+func (g *Gateway) collectCandidates(cs *candidateSet, rq *request, tried []string) {
 	cs.candidates, cs.load, cs.slots, cs.backoff, cs.excluded = cs.candidates[:0], 0, 0, 0, false
 	now := g.clock.Now()
-	for _, s := range c.Servers(route.Pool, g.options.Region, "") {
-		if s.Leaving || contains(tried, s.Name) {
+	for _, s := range rq.catalog.Servers(rq.route.Pool, g.options.Region, "") {
+		if s.Leaving || contains(tried, s.Name) || !rq.mayContinueAt(s) {
 			continue
 		}
 		if !g.breakers.Allowed(s.Name, now) || g.deferrals.blocks(s.Name, now) {
@@ -72,7 +73,7 @@
 		}
 		// A model with placements is served where it is ready, which differs from
 		// where it is placed while it moves.
-		if placed, version, _ := c.Placement(model, s.Name); placed && !state.Ready(model, version) {
+		if placed, version, _ := rq.catalog.Placement(rq.model, s.Name); placed && !state.Ready(rq.model, version) {
 			continue
 		}
 		counted := g.inflight.Snapshot(s.Name, state.Running+state.Waiting, state.Reports)
@@ -119,7 +120,7 @@
 func (g *Gateway) decide(rq *request) (plan, error) {
 	cs := candidateSets.Get().(*candidateSet)
 	defer candidateSets.Put(cs)
-	g.collectCandidates(cs, rq.catalog, rq.route, rq.model, nil)
+	g.collectCandidates(cs, rq, nil)
 	service := g.inflight.MeanDuration(rq.route.Pool)
 	here := spillover.RegionState{Region: g.options.Region, Wait: g.localWait(rq, cs, service), Price: rq.catalog.Region(g.options.Region).Price}
 	fits := cs.slots > 0 && !admission.ShouldShed(rq.call.Priority, here.Wait, g.options.MaxWait) &&
@@ -173,7 +174,7 @@
 		}
 		summary := g.node.Region(region)
 		pool := summary.Pools[rq.route.Pool]
-		if summary.Hosts == 0 || pool.Slots == 0 || len(rq.catalog.Servers(rq.route.Pool, region, rq.model)) == 0 {
+		if summary.Hosts == 0 || pool.Slots == 0 || !slices.ContainsFunc(rq.catalog.Servers(rq.route.Pool, region, rq.model), rq.mayContinueAt) {
 			continue
 		}
 		link := time.Duration(rq.catalog.Region(g.options.Region).LinkDelaysMS[region] * float64(time.Millisecond))
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -111,6 +111,11 @@
 	initialSkip := rq.call.SkipTokens
 	return func(ctx context.Context, skip int) (*wheelgauge.Response, error) {
 		g.attributeLocalCrash(rq)
+		if initialSkip+skip > 0 {
+			if err := g.keepVersion(rq); err != nil {
+				return nil, err
+			}
+		}
 		if !g.budget.TakeRetry() {
 			g.meter.Count("retries.no_budget")
 			return nil, wheelgauge.NewError(wheelgauge.ReasonBrokenStream, wheelgauge.OutcomeRan, http.StatusBadGateway, "the retry budget is exhausted")
--- a/gateway/decide_test.go
+++ b/gateway/decide_test.go
@@ -12,6 +12,7 @@
 	"wheelgauge"
 	"wheelgauge/catalog"
 	"wheelgauge/circuitbreaker"
+	"wheelgauge/confwatch"
 	"wheelgauge/membership"
 	"wheelgauge/meter"
 	"wheelgauge/rendezvous"
@@ -28,7 +29,7 @@
 			Host: "h0", Region: "r0", Picker: affinity.New(0), MaxWait: 10 * time.Second,
 			Decider: spillover.New(spillover.PolicyCost, spillover.Weights{SecondValue: 1, ForwardCost: 0.05, ColdPrefill: 60 * time.Millisecond}),
 		},
-		breakers: circuitbreaker.New(), meter: meter.New(), clock: wheelgauge.MonotonicClock{}, ctx: ctx, cancel: cancel,
+		watcher: &confwatch.Watcher{}, breakers: circuitbreaker.New(), meter: meter.New(), clock: wheelgauge.MonotonicClock{}, ctx: ctx, cancel: cancel,
 	}
 	g.node = membership.Start(ctx, membership.Options{
 		Host: "h0", Region: "r0", Interval: time.Hour, Catalog: func() *catalog.Catalog { return nil }, Log: logr.Discard(),
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -42,7 +42,7 @@
 	if err := g.checkQuarantine(rq); err != nil {
 		return nil, err
 	}
-	if address := g.oldPath(rq); address != "" {
+	if address := g.oldPath(rq); address != "" && rq.mayContinueAtOldPath(address) {
 		return g.sendOldPath(ctx, rq, address)
 	}
 	var turnedBack error // the error of another region, where this one cannot serve at all
@@ -132,7 +132,7 @@
 func (g *Gateway) pickServer(rq *request, tried []string) (*catalog.Server, bool) {
 	cs := candidateSets.Get().(*candidateSet)
 	defer candidateSets.Put(cs)
-	g.collectCandidates(cs, rq.catalog, rq.route, rq.model, tried)
+	g.collectCandidates(cs, rq, tried)
 	if len(cs.candidates) == 0 {
 		return nil, false
 	}
@@ -181,7 +181,7 @@
 		g.breakers.Succeeded(s.Name)
 	}
 	g.observeLimit(s.Name, answer, sent)
-	rq.target.Store(&target{server: s.Name, region: g.options.Region})
+	rq.target.Store(&target{server: s.Name, region: g.options.Region, version: &s.Version})
 	answer.Body = &notifyingBody{ReadCloser: answer.Body, onClose: func() {
 		took := time.Since(started)
 		g.inflight.End(s.Name, took)
@@ -294,7 +294,7 @@
 		return nil, backoffError(rq, "the old path", max(minOldPathRetry, state.Remaining(now)))
 	}
 	g.meter.Count("old_path")
-	rq.target.Store(&target{server: oldPathServer, region: g.options.Region})
+	rq.target.Store(&target{server: oldPathServer, region: g.options.Region, version: oldPathVersion(address)})
 	call := rq.call
 	call.Deadline = g.localDeadline(rq)
 	call.OnResponse = (&pushbackListener{gateway: g, server: name}).observe
@@ -317,7 +317,16 @@
 		g.inflight.End(regionCounter(region), 0)
 		return nil, err
 	}
-	rq.target.Store(&target{server: answer.Header(wheelgauge.HeaderServedBy), region: region, host: host})
+	to := &target{server: answer.Header(wheelgauge.HeaderServedBy), region: region, host: host}
+	if s := rq.catalog.Server(to.server); s != nil {
+		to.version = &s.Version
+	}
+	if rq.began != nil && (to.version == nil || *to.version != *rq.began) {
+		_ = answer.Body.Close() // it is not read
+		g.inflight.End(regionCounter(region), 0)
+		return nil, wheelgauge.NewError(wheelgauge.ReasonBrokenStream, wheelgauge.OutcomeUnknown, http.StatusBadGateway, "a peer resumed the stream at another version")
+	}
+	rq.target.Store(to)
 	answer.Body = &notifyingBody{ReadCloser: answer.Body, onClose: func() { g.inflight.End(regionCounter(region), 0) }}
 	return answer, nil
 }
@@ -395,6 +404,9 @@
 	if rq.notRepeatable {
 		out = append(out, [2]string{wheelgauge.HeaderNotRepeatable, "true"})
 	}
+	if rq.began != nil {
+		out = append(out, [2]string{wheelgauge.HeaderStreamVersion, *rq.began})
+	}
 	if rq.mustAccept {
 		out = append(out, [2]string{wheelgauge.HeaderMustAccept, "true"})
 	}
--- a/gateway/peer.go
+++ b/gateway/peer.go
@@ -63,6 +63,10 @@
 	rq.call.Body = append([]byte(nil), ctx.PostBody()...)
 	rq.call.IdempotencyKey = string(h.Peek(wheelgauge.HeaderIdempotencyKey))
 	rq.call.SkipTokens, _ = strconv.Atoi(string(h.Peek("X-Resume-From")))
+	if rq.call.SkipTokens > 0 {
+		began := string(h.Peek(wheelgauge.HeaderStreamVersion)) // empty where servers have no version
+		rq.began = &began
+	}
 	rq.call.Priority, _ = strconv.Atoi(string(h.Peek("X-Priority")))
 	rq.notRepeatable = len(h.Peek(wheelgauge.HeaderNotRepeatable)) > 0
 	rq.mustAccept = len(h.Peek(wheelgauge.HeaderMustAccept)) > 0
--- a/gateway/pushback.go
+++ b/gateway/pushback.go
@@ -127,7 +127,7 @@
 func (g *Gateway) backoffLeft(rq *request) (after time.Duration, ok bool) {
 	cs := candidateSets.Get().(*candidateSet)
 	defer candidateSets.Put(cs)
-	g.collectCandidates(cs, rq.catalog, rq.route, rq.model, nil)
+	g.collectCandidates(cs, rq, nil)
 	return cs.backoff, cs.slots == 0 && cs.backoff > 0 && !cs.excluded
 }
 
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -57,6 +57,9 @@
 	mayHaveRun bool
 	// cachedFingerprint is set by the first call of fingerprint.
 	cachedFingerprint wheelgauge.Fingerprint
+	// began is the version of the server that sent the first token of a stream which is resumed;
+	// nil before.
+	began *string
 	// target is the server that answers; a resumed stream may change it while it is read.
 	target atomic.Pointer[target]
 }
@@ -66,6 +69,8 @@
 	server string
 	region string
 	host   string // the peer that a request was forwarded to
+	// version is that of the server, nil if it is not known.
+	version *string
 }
 
 // completionRequest holds the fields of a completion request that the gateway reads.
--- a/resource.go
+++ b/resource.go
@@ -90,6 +90,9 @@
 	Address string `json:"address"`
 	// Slots is the number of requests that the server runs concurrently.
 	Slots int `json:"slots"`
+	// Version is the version of the server's software. A stream goes on only at servers of the
+	// version that began it.
+	Version string `json:"version,omitempty"`
 	// ChecksFences is set if the server is known to check the fences of orders. If not, a new
 	// issuer of orders first waits until the lease of its predecessor has expired.
 	ChecksFences bool `json:"checks_fences,omitempty"`
