A service counts as out of reach only while tries fail

A host that gets a service's requests from other hosts alone would have stayed out of reach for good: the others send it nothing, so no answer ends it. It lapses 6 s after the last failed try. A request whose own time is over no longer counts as a failed try: an overloaded service is no cut.

--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -10,7 +10,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -190,7 +189,7 @@
 	n.caps = capclient.New(capclient.Options{Host: o.Name, Boot: n.boot, Stores: n.stores, Draw: n.requestCaps, Now: clock.Now})
 	n.quarantine = quarantine.New(clock.Now)
 	n.reach = reachability.New(clock.Now)
-	n.servers.SetOutOfReach(func(service string) bool { return slices.Contains(n.reach.OutOfReach(), service) })
+	n.servers.SetOutOfReach(n.reach.IsOutOfReach)
 	n.limits = serverlimit.New(clock.Now)
 	n.servers.SetLimits(n.limits.Rate)
 	n.learnEngines()
--- a/reachability/tracker.go
+++ b/reachability/tracker.go
@@ -18,6 +18,10 @@
 	failureWindow = 3 * time.Second
 	// probeInterval is the time between two requests that try a service which is out of reach.
 	probeInterval = 500 * time.Millisecond
+	// forgetAfter is how long a service counts as out of reach after the last failed try: a host
+	// that gets no request of it would never learn that the cut has ended. It exceeds the longest
+	// pause of a server that cannot be reached.
+	forgetAfter = 6 * time.Second
 	// rampTime is how long after the first answer the host takes only a growing part of what
 	// others send it.
 	rampTime = 2 * time.Second
@@ -28,9 +32,10 @@
 	// failed are the last failed tries by server since the last answer, failures their number.
 	failed   map[string]time.Time
 	failures int
-	// isolated is set while no server is reached; probedAt is when one was last tried
-	// meanwhile, reachedAt when isolation ended.
+	// isolated is set while no server is reached; failedAt is when a try last failed, probedAt
+	// when one was last allowed meanwhile, reachedAt when isolation ended.
 	isolated  bool
+	failedAt  time.Time
 	probedAt  time.Time
 	reachedAt time.Time
 	// credit is what part of the next forwarded request may be taken during the ramp.
@@ -69,7 +74,7 @@
 	if len(s.failed) == 0 {
 		s.failures = 0
 	}
-	s.failed[server] = now
+	s.failed[server], s.failedAt = now, now
 	s.failures++
 	if s.isolated || len(s.failed) < min(minServers, listed) || s.failures < minFailures {
 		return false
@@ -100,11 +105,10 @@
 func (t *Tracker) MayTry(name string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.services[name]
-	if s == nil || !s.isolated {
+	s, now := t.services[name], t.now()
+	if !s.outOfReach(now) {
 		return true
 	}
-	now := t.now()
 	if since := now.Sub(s.probedAt); since >= 0 && since < probeInterval {
 		return false
 	}
@@ -117,14 +121,14 @@
 func (t *Tracker) MayTake(name string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.services[name]
+	s, now := t.services[name], t.now()
 	switch {
 	case s == nil:
 		return true
-	case s.isolated:
+	case s.outOfReach(now):
 		return false
 	}
-	part := float64(t.now().Sub(s.reachedAt)) / float64(rampTime)
+	part := float64(now.Sub(s.reachedAt)) / float64(rampTime)
 	if part < 0 || part >= 1 {
 		return true
 	}
@@ -140,11 +144,24 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []string
+	now := t.now()
 	for name, s := range t.services {
-		if s.isolated {
+		if s.outOfReach(now) {
 			out = append(out, name)
 		}
 	}
 	slices.Sort(out)
 	return out
 }
+
+// IsOutOfReach reports whether no server of a service is reached.
+func (t *Tracker) IsOutOfReach(name string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.services[name].outOfReach(t.now())
+}
+
+// outOfReach reports whether no server is reached; false for a service that is not known.
+func (s *service) outOfReach(now time.Time) bool {
+	return s != nil && s.isolated && now.Sub(s.failedAt) <= forgetAfter
+}
--- a/reachability/tracker_test.go
+++ b/reachability/tracker_test.go
@@ -18,7 +18,7 @@
 func TestOneServerThatIsDownIsNoCut(t *testing.T) {
 	type try struct {
 		after  time.Duration
-		server string // empty: a server answered
+		server string // empty: a server answered; none: no try
 	}
 	fails := func(servers ...string) (out []try) {
 		for _, s := range servers {
@@ -41,6 +41,7 @@
 		{"two of two fail", 2, fails("a", "b", "a"), true},
 		{"two of two fail once", 2, fails("a", "b"), false},
 		{"the only server fails", 1, fails("a", "a", "a"), true},
+		{"no try for long afterwards", 12, append(fails("a", "b", "c"), try{forgetAfter + 1, "none"}), false},
 		{"an answer afterwards", 12, append(fails("a", "b", "c"), try{time.Second, ""}), false},
 	}
 	for _, tt := range tests {
@@ -49,13 +50,16 @@
 			tr := New(func() time.Time { return at })
 			for _, try := range tt.tries {
 				at = at.Add(try.after)
-				if try.server == "" {
+				switch try.server {
+				case "":
 					tr.Reached("lm")
 					continue
+				case "none":
+					continue
 				}
 				tr.Failed("lm", try.server, tt.listed)
 			}
-			if got := len(tr.OutOfReach()) > 0; got != tt.want {
+			if got := len(tr.OutOfReach()) > 0; got != tt.want || got != tr.IsOutOfReach("lm") {
 				t.Errorf("out of reach: %v, want %v", got, tt.want)
 			}
 			if !tr.MayTry("app") || !tr.MayTake("app") {
@@ -87,6 +91,7 @@
 		at = at.Add(probeInterval / 10)
 		if tr.MayTry("lm") {
 			probes++
+			tr.Failed("lm", "a", 12)
 		}
 	}
 	if probes != 10 {
--- a/routegate/dispatch.go
+++ b/routegate/dispatch.go
@@ -55,8 +55,8 @@
 	if err != nil {
 		c.cause = err.Error()
 		outcome := connectOutcome(err)
-		if outcome == serverset.Unreachable && ctx.Err() == nil {
-			c.recordUnreached(s)
+		if outcome == serverset.Unreachable {
+			c.recordUnreached(ctx, s)
 		}
 		k.Done(outcome)
 		return notSent
@@ -97,8 +97,8 @@
 		if _, ok := errors.AsType[*responsehead.MalformedError](err); ok {
 			c.gate.options.Meter.Count("answers.foreign")
 			c.recordReached()
-		} else if ctx.Err() == nil {
-			c.recordUnreached(s)
+		} else {
+			c.recordUnreached(ctx, s)
 		}
 		// The true wait is longer still; the next predictions have to account for it.
 		x.recordWait(true)
--- a/routegate/reach.go
+++ b/routegate/reach.go
@@ -9,8 +9,12 @@
 	"wheelgauge/serverset"
 )
 
-// recordUnreached records that a server could not be reached, or did not begin to answer.
-func (c *call) recordUnreached(s *serverset.Server) {
+// recordUnreached records that a server could not be reached, or did not begin to answer. A request
+// whose time is over says nothing of the server.
+func (c *call) recordUnreached(ctx context.Context, s *serverset.Server) {
+	if ctx.Err() != nil || c.expired() {
+		return
+	}
 	o := c.gate.options
 	listed := o.Servers.ListedServers(c.service)
 	if !o.Reach.Failed(c.service, s.InstanceKey(), listed) {
