--- a/systemtest/fault_limit_test.go
+++ b/systemtest/fault_limit_test.go
@@ -40,6 +40,7 @@
 						refused.Add(1)
 					default:
 						failed.Add(1)
+						t.Logf("question %d of %d at %s: %s", i, w, n.name, r)
 					}
 					time.Sleep(50 * time.Millisecond)
 				}
