--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -198,9 +198,7 @@
 	})
 	n.versions = selector.New(selector.Options{Host: o.Name, Share: o.RolloutShare, Slack: o.RolloutSlack, Now: clock.Now})
 	n.tally = tally.New()
-	n.origins = originclient.New(originclient.Options{
-		Stores: n.stores, Sole: n.servers.SoleVersion, Request: n.exchangeOrigins, Now: clock.Now, Meter: n.meter, Log: o.Log.WithName("origins"),
-	})
+	n.origins = n.newOrigins()
 	returns, promiseTable := n.newReturns()
 	gateOptions := routegate.Options{
 		Region: o.Region, Names: o.Names, Servers: n.servers, Peers: n.peers, Budget: n.budget, Meter: n.meter, Log: o.Log.WithName("gate"),
@@ -259,12 +257,6 @@
 	return resp, err
 }
 
-// exchangeOrigins tells a store what began streams, or asks it.
-func (n *Node) exchangeOrigins(ctx context.Context, address string, req wheelgauge.StreamOriginsRequest) (resp wheelgauge.StreamOriginsResponse, err error) {
-	err = n.client.Call(ctx, http.MethodPost, address, originclient.Path, req, &resp)
-	return resp, err
-}
-
 // countBytes wraps a connection to a store to count its bytes in the meter.
 func (n *Node) countBytes(c net.Conn) net.Conn {
 	return countconn.New(c, func(b int64) { n.meter.Add("control.bytes.in", b) }, func(b int64) { n.meter.Add("control.bytes.out", b) })
