Lines and counters that tell how answers end

A line of a request said status 200 and no cause for an answer that its server had broken off, so the hypotheses could not be told apart. Request ends. now says how the server marked the end (length, chunks, close) and how many bytes came after the last complete event, and a success with such bytes is always logged; counters answers.unframed and answers.ended_inside_event.

--- a/routegate/call.go
+++ b/routegate/call.go
@@ -11,6 +11,7 @@
 	"wheelgauge/callerhttp"
 	"wheelgauge/eventstream"
 	"wheelgauge/prompt"
+	"wheelgauge/serverconn"
 	"wheelgauge/serverset"
 )
 
@@ -105,6 +106,10 @@
 	runs          int
 	status        int
 	cause         string
+	// framing is how the end of the last answer was marked, partialBytes how much of an event
+	// came before that end, both for the log.
+	framing      serverconn.Framing
+	partialBytes int
 	// lastPick is the last server chosen, for the log.
 	lastPick      *serverset.Pick
 	predictedWait time.Duration
@@ -292,14 +297,14 @@
 		inTime := ok && c.firstAfter <= c.route.LatencyObjective
 		g.options.Meter.CountWorkspace(c.workspace.Name, ok, inTime, c.status == http.StatusTooManyRequests, elapsed)
 	}
-	if ok && c.sends < 2 && g.successes.Add(1)%successLogInterval != 0 {
+	if ok && c.sends < 2 && c.partialBytes == 0 && g.successes.Add(1)%successLogInterval != 0 {
 		return
 	}
 	g.options.Log.Info("Request ends.", "id", c.id, "request", c.loggedFingerprint(), "route", name, "workspace", c.workspaceName(), "version", c.version,
 		"state_age_ms", g.configAge().Milliseconds(), "list_age_ms", g.options.Servers.ListAge().Milliseconds(), "status", c.status, "cause", c.cause,
 		"servers", strings.Join(c.triedServers, " "), "peers", strings.Join(c.triedPeers, " "), "runs", c.runs, "forwarded", c.forwarded,
 		"cap_ms", c.capWait.Milliseconds(), "permit_ms", c.permitWait.Milliseconds(), "room_ms", c.roomWait.Milliseconds(), "version_sent", c.sentVersion, "version_began", c.origin.text(), "resumes", c.resumes, "resumed_after", c.lastEventID, "predicted_ms", c.predictedWait.Milliseconds(), "first_ms", c.firstAfter.Milliseconds(), "ms", elapsed.Milliseconds(),
-		"events", c.splitter.Events(), "pause_ms", c.longestPause.Milliseconds(), "expected_tokens", c.prompt.Output(), "load", c.placementInputs(), "forecast", c.forecastText())
+		"events", c.splitter.Events(), "framing", c.framing, "partial_bytes", c.partialBytes, "pause_ms", c.longestPause.Milliseconds(), "expected_tokens", c.prompt.Output(), "load", c.placementInputs(), "forecast", c.forecastText())
 }
 
 // placementInputs renders the load figures behind the last choice of a server; empty without
--- a/routegate/relay.go
+++ b/routegate/relay.go
@@ -10,6 +10,7 @@
 
 	"wheelgauge"
 	"wheelgauge/httpfield"
+	"wheelgauge/serverconn"
 )
 
 const (
@@ -27,6 +28,7 @@
 
 // relay passes an answer on to the caller.
 func (c *call) relay(x *exchange) result {
+	c.recordFraming(x)
 	status := x.head.StatusCode()
 	success := isSuccess(status)
 	if success && len(httpfield.Value(x.head, c.gate.options.Names.Signature)) == 0 {
@@ -49,6 +51,22 @@
 	return c.relayBuffered(x)
 }
 
+// recordFraming records how the end of an answer is marked.
+func (c *call) recordFraming(x *exchange) {
+	c.framing, c.partialBytes = x.body.Framing(), 0
+	if c.framing == serverconn.Unframed {
+		c.gate.options.Meter.Count("answers.unframed")
+	}
+}
+
+// recordPartial records that a stream ended after a part of an event.
+func (c *call) recordPartial(rest []byte) {
+	c.partialBytes = len(rest)
+	if len(rest) > 0 {
+		c.gate.options.Meter.Count("answers.ended_inside_event")
+	}
+}
+
 // relayBuffered relays an answer that is not a stream, and reads it completely first if it is
 // small.
 func (c *call) relayBuffered(x *exchange) result {
@@ -164,7 +182,9 @@
 
 // endStream completes a stream, including any bytes after the last complete event.
 func (c *call) endStream(x *exchange) result {
-	if rest := c.splitter.TakePending(); len(rest) > 0 || !c.request.Started() {
+	rest := c.splitter.TakePending()
+	c.recordPartial(rest)
+	if len(rest) > 0 || !c.request.Started() {
 		if err := c.writeEvents(x, rest); err != nil {
 			return c.endWriteFailed(err)
 		}
@@ -180,7 +200,7 @@
 // endBrokenStream discards an incomplete event and records the event ID to resume from.
 func (c *call) endBrokenStream(err error) result {
 	c.cause = err.Error()
-	c.splitter.TakePending()
+	c.recordPartial(c.splitter.TakePending())
 	if id := c.splitter.LastID(); id != "" {
 		c.lastEventID = id
 	}
--- a/serverconn/body.go
+++ b/serverconn/body.go
@@ -44,6 +44,17 @@
 // Length returns the Content-Length, less than 0 if there is none.
 func (b *Body) Length() int { return b.length }
 
+// Framing returns how the end of the response is marked.
+func (b *Body) Framing() Framing {
+	switch b.length {
+	case -1:
+		return FramedByChunks
+	case -2:
+		return Unframed
+	}
+	return FramedByLength
+}
+
 // Read implements io.Reader.
 func (b *Body) Read(p []byte) (int, error) {
 	if b.done {
