An answer is framed no further than its server framed it

Callers got answers that servers had broken off as complete ones. Cause: an answer with neither a length nor chunks ends when its connection does, which is also what a break looks like; a gateway took it for the end and wrote a length or a last chunk of its own. And the rest after the last complete event was passed on whatever the framing, so a stream that ended inside an event was whole for its caller. Excluded: a misread framing (grids and fuzzing of heads and chunks find nothing, and no answer with a reset was passed on as whole).

Now an answer that ends with its connection ends so for the caller and for the gateway in between; its break is a reset, also when the gateway is killed (SO_LINGER 0 until the end). A stream that ends inside an event is broken: resumed or cut. One that began framed is not ended by a server that does not mark ends; resumable streams of a service that answered so within the last minute begin without a framing, so that they can end there. An end at which the server refuses a new connection is a crash. An unknown end clears no request from quarantine. HEAD, 204 and 304 promise no length that the server did not give.

--- a/callerhttp/request.go
+++ b/callerhttp/request.go
@@ -19,6 +19,15 @@
 // maxWriteBytes bounds one write, which must finish within Options.WriteTimeout.
 const maxWriteBytes = 8 << 10
 
+// Lengths of a response's body that is not known when it starts.
+const (
+	// UnknownLength is that of a response whose end the handler vouches for with End.
+	UnknownLength = -1
+	// UnknownEnd is that of a response for whose end nobody vouches: it has neither a length nor
+	// chunks and ends with its connection, for HTTP/1.1 callers too.
+	UnknownEnd = -2
+)
+
 // Request is a request with the methods to respond to it. A handler calls exactly
 // one of Respond, StartResponse, RespondError and Abort first.
 type Request struct {
@@ -27,13 +36,15 @@
 	arrived    time.Time
 	closeAfter bool
 	// unread is the length of a body that was not read, unknownRest if it is not known.
-	unread      int
-	started     bool
-	finished    bool
-	chunked     bool
-	pendingHead []byte // sent with the first part of the body
-	length      int
-	written     int
+	unread   int
+	started  bool
+	finished bool
+	chunked  bool
+	// endsWithConn is set for a response that ends with its connection.
+	endsWithConn bool
+	pendingHead  []byte // sent with the first part of the body
+	length       int
+	written      int
 }
 
 // Field is a header field.
@@ -76,9 +87,13 @@
 // Started reports whether a response was started.
 func (r *Request) Started() bool { return r.started }
 
+// EndsWithConn reports whether the response that was started ends with its connection, so that
+// End claims nothing about whether it is complete.
+func (r *Request) EndsWithConn() bool { return r.endsWithConn }
+
 // StartResponse sets the head of a response whose body follows by Write and ends with
 // End; the head is sent with the first part of the body. length is that of the
-// body, -1 if unknown. To an HTTP/1.0 caller, a body of unknown length ends when
+// body, UnknownLength or UnknownEnd. To an HTTP/1.0 caller, a body of unknown length ends when
 // the connection closes.
 func (r *Request) StartResponse(status int, fields []Field, length int) {
 	if r.conn.server.draining.Load() || !r.canDropBody() {
@@ -87,16 +102,18 @@
 	noBody := r.request.Header.IsHead() || status == http.StatusNoContent || status == http.StatusNotModified
 	head := appendHead(nil, status, fields)
 	switch {
-	case noBody && length < 0:
-		r.length = 0
 	case length >= 0:
-		head = appendField(head, "Content-Length", strconv.Itoa(length))
+		if status != http.StatusNoContent { // RFC 9110, 8.6
+			head = appendField(head, "Content-Length", strconv.Itoa(length))
+		}
 		r.length = length
-	case r.request.Header.IsHTTP11():
+	case noBody:
+	case length == UnknownLength && r.request.Header.IsHTTP11():
 		head = appendField(head, "Transfer-Encoding", "chunked")
-		r.length = -1
+		r.length, r.chunked = UnknownLength, true
 	default:
-		r.length, r.closeAfter = -1, true
+		r.length, r.closeAfter, r.endsWithConn = UnknownEnd, true, true
+		r.conn.resetOnClose(true)
 	}
 	if noBody {
 		r.length = 0
@@ -106,7 +123,6 @@
 	}
 	head = append(head, '\r', '\n')
 	r.started = true
-	r.chunked = r.length < 0 && r.request.Header.IsHTTP11()
 	r.pendingHead = head
 }
 
@@ -159,6 +175,9 @@
 		}
 	}
 	r.finished = true
+	if r.endsWithConn {
+		r.conn.resetOnClose(false)
+	}
 	return nil
 }
 
@@ -174,7 +193,7 @@
 }
 
 // Abort closes the connection without completing the response, so that the caller
-// detects the truncation.
+// detects the truncation. A response that ends with its connection is reset.
 func (r *Request) Abort() {
 	r.closeAfter = true
 	r.finished = false
--- a/eventstream/splitter.go
+++ b/eventstream/splitter.go
@@ -29,21 +29,27 @@
 	return complete, true
 }
 
+// blankLines are the ends of an event: an empty line after a line that ends with LF, CRLF or CR.
+var blankLines = [][]byte{[]byte("\n\n"), []byte("\n\r\n"), []byte("\r\r")}
+
 // lastEventEnd returns the offset after the last complete event, 0 if there is none.
 func lastEventEnd(p []byte) int {
 	end := 0
-	if at := bytes.LastIndex(p, []byte("\n\n")); at >= 0 {
-		end = at + 2
-	}
-	if at := bytes.LastIndex(p, []byte("\r\n\r\n")); at >= 0 {
-		end = max(end, at+4)
+	for _, blank := range blankLines {
+		if at := bytes.LastIndex(p, blank); at >= 0 {
+			end = max(end, at+len(blank))
+		}
 	}
 	return end
 }
 
 func (s *Splitter) record(complete []byte) {
+	newline := []byte("\n")
+	if !bytes.Contains(complete, newline) {
+		newline = []byte("\r")
+	}
 	inEvent := false
-	for line := range bytes.SplitSeq(complete, []byte("\n")) {
+	for line := range bytes.SplitSeq(complete, newline) {
 		line = bytes.TrimSuffix(line, []byte("\r"))
 		if len(line) == 0 {
 			if inEvent {
@@ -59,6 +65,10 @@
 	}
 }
 
+// InsideEvent reports whether a part of an event follows the last complete one. A stream that
+// ends there has been broken off.
+func (s *Splitter) InsideEvent() bool { return len(bytes.Trim(s.pending, "\r\n")) > 0 }
+
 // TakePending returns the bytes after the last complete event and clears them.
 func (s *Splitter) TakePending() []byte {
 	rest := s.pending
--- a/routegate/crash_test.go
+++ b/routegate/crash_test.go
@@ -150,7 +150,7 @@
 }
 
 // A success clears a request of the crashes that it was in flight at. A failure does not:
-// servers that fail some requests may not have run it.
+// servers that fail some requests may not have run it. Nor does an answer that may be broken off.
 func TestSuccessClearsCrashes(t *testing.T) {
 	tests := []struct {
 		name    string
@@ -159,6 +159,7 @@
 	}{
 		{"well", nil, 1},
 		{"its servers fail", []string{failureAnswer, failureAnswer}, 3},
+		{"its server does not mark the end", []string{openHead + "ok"}, 3},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -173,6 +174,7 @@
 				if _, _, err := get(t, c, path, ""); err != nil {
 					t.Fatal(err)
 				}
+				c = serveGate(t, g)
 			}
 			if crashes := q.RecordCrash(wheelgauge.Crash{Fingerprint: request, Server: "2"}); crashes != tt.crashes {
 				t.Errorf("%d crashes count, want %d", crashes, tt.crashes)
--- a/routegate/dispatch.go
+++ b/routegate/dispatch.go
@@ -165,10 +165,10 @@
 			return retry
 		}
 	}
-	res := c.relay(x)
+	res := c.relay(ctx, x)
 	switch {
 	case res == answered && !c.callerLeft:
-		if x.err == nil && status < http.StatusMultipleChoices {
+		if x.err == nil && status < http.StatusMultipleChoices && x.body.Framing() != serverconn.Unframed {
 			c.recordSuccess()
 		}
 		k.Done(serverset.Served)
@@ -213,7 +213,7 @@
 	}
 	outcome := wheelgauge.Outcome(httpfield.Value(x.head, wheelgauge.HeaderOutcome))
 	if outcome == "" {
-		res := c.relay(x)
+		res := c.relay(ctx, x)
 		c.recordForwardEnd(ctx, p, res == failed)
 		return res
 	}
--- a/routegate/gate.go
+++ b/routegate/gate.go
@@ -98,6 +98,8 @@
 	// ready is closed once requests can be placed.
 	ready     chan struct{}
 	readyOnce sync.Once
+	// unframed are the services that answer without marking the end.
+	unframed unframedServices
 	// startupDeadline ends waiting for ready; each request waits for startupWait at most.
 	startupDeadline time.Time
 	startupWait     time.Duration
--- a/routegate/gate_test.go
+++ b/routegate/gate_test.go
@@ -48,8 +48,10 @@
 	script []string
 	// fallback is the answer after the end of the script; success when empty.
 	fallback string
-	headers  []http.Header
-	conn     net.Listener
+	// beforeAnswer is called before each answer if it is set.
+	beforeAnswer func()
+	headers      []http.Header
+	conn         net.Listener
 }
 
 func newBackend(t testing.TB, script ...string) *backend {
@@ -89,6 +91,9 @@
 		}
 		_, _ = io.Copy(io.Discard, req.Body)
 		answer := b.nextAnswer(req.Header)
+		if b.beforeAnswer != nil {
+			b.beforeAnswer()
+		}
 		_, _ = c.Write([]byte(answer))
 		if b.closesAfter(answer) {
 			return
@@ -159,6 +164,13 @@
 	})
 	g.SetServersKnown()
 	g.SetTable(routetable.New(&wheelgauge.RouteSet{Version: 1, Routes: routes, Services: []wheelgauge.Service{*service}}))
+	t.Cleanup(servers.Close)
+	return g, serveGate(t, g)
+}
+
+// serveGate serves a gate's callers and returns the connection of one.
+func serveGate(t testing.TB, g *Gate) net.Conn {
+	t.Helper()
 	s, err := callerhttp.Listen("127.0.0.1:0", callerhttp.Options{Limits: g.Limits, Serve: g.Serve, MaxConns: 8})
 	if err != nil {
 		t.Fatal(err)
@@ -173,9 +185,8 @@
 		ctx, cancel := context.WithTimeout(context.Background(), testLimit)
 		defer cancel()
 		_ = s.Close(ctx)
-		servers.Close()
 	})
-	return g, c
+	return c
 }
 
 func routes() []wheelgauge.PathRoute {
--- a/routegate/relay.go
+++ b/routegate/relay.go
@@ -1,10 +1,10 @@
 package routegate
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
-	"net/http"
 	"os"
 	"time"
 
@@ -24,10 +24,14 @@
 var (
 	errUnsigned     = errors.New("a success without the server's signature")
 	errOtherVersion = errors.New("answered by another version than the one that began the stream")
+	errInsideEvent  = fmt.Errorf("the stream ends inside an event: %w", io.ErrUnexpectedEOF)
+	errUnvouchedEnd = fmt.Errorf("the connection ends without an end of the stream: %w", io.ErrUnexpectedEOF)
+	errServerGone   = fmt.Errorf("the connection ends and the server refuses a new one: %w", io.ErrUnexpectedEOF)
 )
 
-// relay passes an answer on to the caller.
-func (c *call) relay(x *exchange) result {
+// relay passes an answer on to the caller. It claims no more about the end of the answer than the
+// server did: one that ends with its connection ends so for the caller too.
+func (c *call) relay(ctx context.Context, x *exchange) result {
 	c.recordFraming(x)
 	status := x.head.StatusCode()
 	success := isSuccess(status)
@@ -41,35 +45,19 @@
 			c.cause = x.err.Error()
 			return failed
 		}
-		return c.relayStream(x)
+		return c.relayStream(ctx, x)
 	}
 	if c.request.Started() {
 		// The server did not resume the stream: its answer is no success.
 		c.cause = fmt.Sprintf("resume answered %d", status)
 		return failed
 	}
-	return c.relayBuffered(x)
-}
-
-// recordFraming records how the end of an answer is marked.
-func (c *call) recordFraming(x *exchange) {
-	c.framing, c.partialBytes = x.body.Framing(), 0
-	if c.framing == serverconn.Unframed {
-		c.gate.options.Meter.Count("answers.unframed")
-	}
-}
-
-// recordPartial records that a stream ended after a part of an event.
-func (c *call) recordPartial(rest []byte) {
-	c.partialBytes = len(rest)
-	if len(rest) > 0 {
-		c.gate.options.Meter.Count("answers.ended_inside_event")
-	}
+	return c.relayBuffered(ctx, x)
 }
 
 // relayBuffered relays an answer that is not a stream, and reads it completely first if it is
 // small.
-func (c *call) relayBuffered(x *exchange) result {
+func (c *call) relayBuffered(ctx context.Context, x *exchange) result {
 	status := x.head.StatusCode()
 	if x.body.Length() > maxBufferedBytes {
 		return c.relayUnbuffered(x, nil)
@@ -84,12 +72,13 @@
 	if len(body) == maxBufferedBytes {
 		return c.relayUnbuffered(x, body)
 	}
-	length := len(body)
-	if c.request.Header().IsHead() && x.head.ContentLength() > 0 {
-		length = x.head.ContentLength()
+	if x.endedByCrash(ctx) {
+		x.err = errServerGone
+		c.cause = x.err.Error()
+		return failed
 	}
 	c.status = status
-	c.request.StartResponse(status, responseFields(x.head), length)
+	c.request.StartResponse(status, responseFields(x.head), x.bufferedLength(len(body)))
 	if _, err := c.request.Write(body); err != nil {
 		return c.endWriteFailed(err)
 	}
@@ -113,7 +102,7 @@
 // relayUnbuffered relays a large answer as it arrives; buffered holds what was already read.
 func (c *call) relayUnbuffered(x *exchange, buffered []byte) result {
 	c.status = x.head.StatusCode()
-	c.request.StartResponse(c.status, responseFields(x.head), max(-1, x.body.Length()))
+	c.request.StartResponse(c.status, responseFields(x.head), x.lengthOrOpen(x.body.Length()))
 	buf := make([]byte, relayBufferBytes)
 	for {
 		if _, err := c.request.Write(buffered); err != nil {
@@ -141,7 +130,7 @@
 
 // relayStream relays complete events. A broken stream is resumed if its route allows that, and
 // closed otherwise.
-func (c *call) relayStream(x *exchange) result {
+func (c *call) relayStream(ctx context.Context, x *exchange) result {
 	buf := make([]byte, relayBufferBytes)
 	for {
 		n, err := x.body.Read(buf)
@@ -154,12 +143,11 @@
 		}
 		switch {
 		case errors.Is(err, io.EOF):
-			return c.endStream(x)
+			return c.endStream(ctx, x)
 		case err != nil:
-			x.err = err
-			return c.endBrokenStream(err)
+			return c.endBrokenStream(x, err)
 		case !ok:
-			return c.endBrokenStream(errors.New("an event is too long"))
+			return c.endBrokenStream(x, errors.New("an event is too long"))
 		}
 	}
 }
@@ -169,7 +157,7 @@
 	c.recordOrigin(x)
 	if !c.request.Started() {
 		c.status = x.head.StatusCode()
-		c.request.StartResponse(http.StatusOK, c.streamFields(x), -1)
+		c.request.StartResponse(c.status, c.streamFields(x), c.streamLength(x))
 		c.lastEventAt = now
 	}
 	c.longestPause = max(c.longestPause, now.Sub(c.lastEventAt))
@@ -180,11 +168,12 @@
 	return err
 }
 
-// endStream completes a stream, including any bytes after the last complete event.
-func (c *call) endStream(x *exchange) result {
-	rest := c.splitter.TakePending()
-	c.recordPartial(rest)
-	if len(rest) > 0 || !c.request.Started() {
+// endStream completes a stream, unless its end shows that it was broken off.
+func (c *call) endStream(ctx context.Context, x *exchange) result {
+	if err := c.checkStreamEnd(ctx, x); err != nil {
+		return c.endBrokenStream(x, err)
+	}
+	if rest := c.splitter.TakePending(); len(rest) > 0 || !c.request.Started() {
 		if err := c.writeEvents(x, rest); err != nil {
 			return c.endWriteFailed(err)
 		}
@@ -197,8 +186,29 @@
 	return answered
 }
 
+// checkStreamEnd returns why a stream whose answer ended must not be passed on as it is.
+func (c *call) checkStreamEnd(ctx context.Context, x *exchange) error {
+	if c.splitter.InsideEvent() && isEventStream(x.head) {
+		return errInsideEvent
+	}
+	if x.body.Framing() != serverconn.Unframed {
+		return nil
+	}
+	// An earlier server of the stream marked its end, so this answer has to, or it never began.
+	promised := c.request.Started() && !c.request.EndsWithConn()
+	empty := !c.request.Started() && c.lastEventID == "" && c.splitter.Events() == 0
+	if promised || empty {
+		return errUnvouchedEnd
+	}
+	if x.endedByCrash(ctx) {
+		return errServerGone
+	}
+	return nil
+}
+
 // endBrokenStream discards an incomplete event and records the event ID to resume from.
-func (c *call) endBrokenStream(err error) result {
+func (c *call) endBrokenStream(x *exchange, err error) result {
+	x.err = err
 	c.cause = err.Error()
 	c.recordPartial(c.splitter.TakePending())
 	if id := c.splitter.LastID(); id != "" {
--- a/serverconn/body.go
+++ b/serverconn/body.go
@@ -13,18 +13,20 @@
 // Body is the body of a response. Read returns io.EOF only when the response
 // is complete.
 type Body struct {
-	conn      *Conn
+	conn *Conn
+	// length is the Content-Length, -1 for chunks, -2 for neither.
 	length    int
+	hasBody   bool
 	remaining int
 	chunks    io.Reader
 	done      bool
 }
 
 func newBody(c *Conn, h *fasthttp.ResponseHeader, isHead bool) *Body {
-	b := &Body{conn: c, length: h.ContentLength()}
+	b := &Body{conn: c, length: h.ContentLength(), hasBody: true}
 	status := h.StatusCode()
 	if isHead || status == http.StatusNoContent || status == http.StatusNotModified {
-		b.length = 0
+		b.length, b.hasBody = 0, false
 	}
 	if h.ConnectionClose() {
 		c.reusable = false
@@ -44,6 +46,9 @@
 // Length returns the Content-Length, less than 0 if there is none.
 func (b *Body) Length() int { return b.length }
 
+// HasBody reports whether responses of this kind have a body, even if it is empty.
+func (b *Body) HasBody() bool { return b.hasBody }
+
 // Framing returns how the end of the response is marked.
 func (b *Body) Framing() Framing {
 	switch b.length {
