Mode with resources: an answer without a marked end stays open, and is not kept

Callers of plain services got an answer that its server had broken off as a whole one, with a length or a last chunk by the gateway, and a call with a key got that part again for good. Same cause as in the routes mode: the end of a connection was taken for the end of the answer. Such an answer now ends with the caller's connection too, between gateways as well; a break that shows, or an end at which the server refuses a new connection, is an error. It is recorded for no key: retries get an unknown outcome. A stream that is read whole for a key needs its [DONE] event. What is set on a connection so that its break is seen moved to connclose, which both modes use.

--- a/callerhttp/conn.go
+++ b/callerhttp/conn.go
@@ -78,20 +78,6 @@
 	}
 }
 
-// resetOnClose sets whether closing the connection resets it, also if the process is killed. The
-// caller of a response that ends with its connection can only tell a break from the end by a reset.
-func (k *conn) resetOnClose(reset bool) {
-	c, ok := k.net.(interface{ SetLinger(sec int) error })
-	if !ok {
-		return
-	}
-	linger := -1 // close sends what is left, then ends the connection
-	if reset {
-		linger = 0
-	}
-	_ = c.SetLinger(linger) // fails only on a closed connection
-}
-
 // withCancel calls f with a context that Request.Cancel cancels.
 func (k *conn) withCancel(ctx context.Context, f func(ctx context.Context)) {
 	ctx, cancel := context.WithCancel(ctx)
--- a/callerhttp/request.go
+++ b/callerhttp/request.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"wheelgauge"
+	"wheelgauge/connclose"
 )
 
 // maxWriteBytes bounds one write, which must finish within Options.WriteTimeout.
@@ -113,7 +114,7 @@
 		r.length, r.chunked = UnknownLength, true
 	default:
 		r.length, r.closeAfter, r.endsWithConn = UnknownEnd, true, true
-		r.conn.resetOnClose(true)
+		connclose.ResetOnClose(r.conn.net, true)
 	}
 	if noBody {
 		r.length = 0
@@ -176,7 +177,7 @@
 	}
 	r.finished = true
 	if r.endsWithConn {
-		r.conn.resetOnClose(false)
+		connclose.ResetOnClose(r.conn.net, false)
 	}
 	return nil
 }
--- a/contract.go
+++ b/contract.go
@@ -58,6 +58,9 @@
 	// Header must not be called once Body is closed.
 	Header func(name string) string
 	Body   io.ReadCloser
+	// EndUnknown is set if Body has neither a length nor chunks: it ends with its connection, as
+	// does one that was broken off.
+	EndUnknown bool
 	// Abort makes a pending Read of Body fail immediately. It may be called at any
 	// time before Body is closed.
 	Abort func()
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -165,12 +165,20 @@
 
 func (g *Gateway) replyBuffered(ctx *fasthttp.RequestCtx, rq *request, answer *wheelgauge.Response, claim *heldClaim) {
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBufferedBody))
+	if err == nil {
+		err = g.checkEnd(rq, answer, body)
+	}
 	if err != nil {
-		_ = answer.Body.Close() // reading it has failed already
+		_ = answer.Body.Close() // nothing of it is passed on
 		g.attributeLocalCrash(rq)
 		g.finishWithError(ctx, rq, wheelgauge.NewError(wheelgauge.ReasonServerFailed, wheelgauge.OutcomeRan, http.StatusBadGateway, "the answer was cut short: "+err.Error()))
 		return
 	}
+	if answer.EndUnknown {
+		g.leaveUnrecorded(claim)
+		g.replyOpen(ctx, rq, io.MultiReader(bytes.NewReader(body), answer.Body), answer.Body)
+		return
+	}
 	if len(body) == maxBufferedBody {
 		remainder := &notifyingBody{ReadCloser: answer.Body, onClose: func() { g.observeAnswer(rq); g.serving.Leave() }}
 		ctx.SetBodyStream(struct {
--- a/gateway/claim.go
+++ b/gateway/claim.go
@@ -128,6 +128,16 @@
 	g.endClaim(c, wheelgauge.Claim{State: wheelgauge.ClaimDone, Status: answer.Status, ContentType: answer.ContentType, Body: body})
 }
 
+// leaveUnrecorded leaves the outcome of a claim unknown, as that of an answer which may have been
+// broken off: retries with its key must not get a part as the answer.
+func (g *Gateway) leaveUnrecorded(c *heldClaim) {
+	if c == nil {
+		return
+	}
+	g.meter.Count("claims.not_recorded")
+	g.options.Log.Info("Claim outcome is not recorded, as its answer has no marked end; retries with this key get an unknown outcome.", "id", c.Holder)
+}
+
 func (g *Gateway) endClaim(c *heldClaim, ended wheelgauge.Claim) {
 	ended.Client, ended.Key, ended.Digest, ended.Holder = c.Client, c.Key, c.Digest, c.Holder
 	if _, err := g.postClaim(g.client.CallNewConn, c.store, ended, recordTimeout); err != nil {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -263,6 +263,16 @@
 	}
 }
 
+// IsComplete reports whether a whole stream ends as one that was not broken off.
+func IsComplete(stream []byte) bool {
+	for event := range bytes.SplitSeq(stream, separator) {
+		if bytes.HasPrefix(event, doneEvent) {
+			return true
+		}
+	}
+	return false
+}
+
 // countTokens counts the tokens in complete events and reports whether [DONE] is among them.
 func (s *Stream) countTokens(events []byte) bool {
 	s.mu.Lock()
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -27,6 +27,8 @@
 	defaultCallTimeout = 10 * time.Minute
 	// exitGrace is how long a process that exits may still accept connections.
 	exitGrace = 10 * time.Millisecond
+	// identityLength is fasthttp's length of a body that ends with its connection.
+	identityLength = -2
 )
 
 var longAgo = time.Unix(1, 0)
@@ -160,7 +162,8 @@
 	return &wheelgauge.Response{
 		Status: resp.StatusCode(), ContentType: string(resp.Header.ContentType()),
 		Header: func(name string) string { return string(resp.Header.Peek(name)) }, Body: b,
-		Abort: func() { p.abort(local) },
+		EndUnknown: resp.Header.ContentLength() == identityLength && call.Method != fasthttp.MethodHead,
+		Abort:      func() { p.abort(local) },
 	}, nil
 }
 
