Failed requests name the parts of their prompts if their server ended

The lines of an end held the content of each request in flight, so the part that all ends have in common could not be found from them.

--- a/prompt/prompt.go
+++ b/prompt/prompt.go
@@ -14,12 +14,19 @@
 // sums over all requests do not overflow.
 const maxTokens = 100_000_000
 
+// maxNameBytes bounds a part's name as kept for the log.
+const maxNameBytes = 32
+
 // Part is one part of a prompt; parts with the same ID have the same content.
 type Part struct {
 	id     uint64
+	name   string
 	tokens int
 }
 
+// Name returns the beginning of the part's name as the request states it.
+func (p Part) Name() string { return p.name }
+
 // ID returns the hash of the part's name.
 func (p Part) ID() uint64 { return p.id }
 
@@ -48,7 +55,7 @@
 		if !ok || !valid {
 			continue
 		}
-		p.parts = append(p.parts, Part{id: xxhash.Sum64String(id), tokens: n})
+		p.parts = append(p.parts, Part{id: xxhash.Sum64String(id), name: id[:min(len(id), maxNameBytes)], tokens: n})
 		p.tokens += n
 	}
 	in, out, _ := strings.Cut(tokens, ",")
--- a/routegate/call.go
+++ b/routegate/call.go
@@ -21,6 +21,8 @@
 	// successLogInterval is the sampling of successful requests in the log: one in this many.
 	// Failures are always logged.
 	successLogInterval = 64
+	// maxLoggedParts bounds the parts of a prompt in the log.
+	maxLoggedParts = 8
 )
 
 // result is the outcome of one dispatch.
@@ -110,6 +112,8 @@
 	// came before that end, both for the log.
 	framing      serverconn.Framing
 	partialBytes int
+	// endedServers are the servers that ended with the request in flight, for the log.
+	endedServers []string
 	// lastPick is the last server chosen, for the log.
 	lastPick      *serverset.Pick
 	predictedWait time.Duration
@@ -304,7 +308,20 @@
 		"state_age_ms", g.configAge().Milliseconds(), "list_age_ms", g.options.Servers.ListAge().Milliseconds(), "status", c.status, "cause", c.cause,
 		"servers", strings.Join(c.triedServers, " "), "peers", strings.Join(c.triedPeers, " "), "runs", c.runs, "forwarded", c.forwarded,
 		"cap_ms", c.capWait.Milliseconds(), "permit_ms", c.permitWait.Milliseconds(), "room_ms", c.roomWait.Milliseconds(), "version_sent", c.sentVersion, "version_began", c.origin.text(), "resumes", c.resumes, "resumed_after", c.lastEventID, "predicted_ms", c.predictedWait.Milliseconds(), "first_ms", c.firstAfter.Milliseconds(), "ms", elapsed.Milliseconds(),
-		"events", c.splitter.Events(), "framing", c.framing, "partial_bytes", c.partialBytes, "pause_ms", c.longestPause.Milliseconds(), "expected_tokens", c.prompt.Output(), "load", c.placementInputs(), "forecast", c.forecastText())
+		"events", c.splitter.Events(), "ended", strings.Join(c.endedServers, " "), "parts", c.loggedParts(), "framing", c.framing, "partial_bytes", c.partialBytes, "pause_ms", c.longestPause.Milliseconds(), "expected_tokens", c.prompt.Output(), "load", c.placementInputs(), "forecast", c.forecastText())
+}
+
+// loggedParts renders the parts of the prompt that other requests may share, of a request whose
+// server ended; empty otherwise.
+func (c *call) loggedParts() string {
+	if len(c.endedServers) == 0 {
+		return ""
+	}
+	ids := make([]string, 0, maxLoggedParts)
+	for _, p := range c.prompt.Shared()[:min(maxLoggedParts, len(c.prompt.Shared()))] {
+		ids = append(ids, p.Name())
+	}
+	return strings.Join(ids, " ")
 }
 
 // placementInputs renders the load figures behind the last choice of a server; empty without
--- a/routegate/crash.go
+++ b/routegate/crash.go
@@ -62,6 +62,7 @@
 		return
 	}
 	crashes := c.gate.options.Quarantine.RecordCrash(wheelgauge.Crash{Fingerprint: c.fingerprint(), BodyBytes: len(c.request.Body()), Server: s.InstanceKey()})
+	c.endedServers = append(c.endedServers, s.InstanceKey())
 	c.gate.options.Meter.Count("servers.ended")
 	if crashes >= minLoggedCrashes {
 		c.gate.options.Log.Info("A server ended with a request in flight.", "id", c.id, "request", c.fingerprint(), "server", s.InstanceKey(), "ends", crashes)
