Quarantine: parts of prompts that crash servers are known, by the same table

The key of a crash is now the content or one shared part of the prompt, for a service. A host records both for what was in flight; stores merge and keep them as before. A part is to blame from three crashes on that nothing else explains and that did not come all at one moment. Output of a server for a prompt that holds the part, 0.2 s after its first event or at its good end, clears it, so parts in common use stay free; a part that servers bore before counts again after 3 s without. What was in flight at two crashes is not tried at another server. A part is released after 15 minutes. Evicting an entry no longer looks at all of them.

Excluded: that the verdict comes late (stores told hosts within half a second of the third crash of a content) and that repeats do it alone (23 late sends came from as many arrivals).

--- a/confstore/crashes.go
+++ b/confstore/crashes.go
@@ -20,6 +20,9 @@
 	// of it: a server release that no longer crashes on it is deployed within a day.
 	// Afterwards it takes crashes of three more servers to quarantine it again.
 	quarantineDuration = 24 * time.Hour
+	// partQuarantineDuration is the same for a part of prompts: many requests may hold it, and one
+	// that was blamed wrongly while no server answered must not be refused for a day.
+	partQuarantineDuration = 15 * time.Minute
 )
 
 // syncCrashes commits the crashes reported by hosts to the replicated state, so that the
@@ -49,8 +52,8 @@
 	n.o.Log.Info("Crashes are kept.", "order", c.Op, "crashes", len(c.Crashes), "requests", c.Requests, "taken", res.Applied, "held", n.crashes.Quarantined())
 }
 
-// expiredQuarantines returns the requests whose crashes have been persisted for longer than
-// quarantineDuration. Only syncCrashes uses it.
+// expiredQuarantines returns the requests and parts whose crashes have been persisted for longer
+// than quarantineDuration or partQuarantineDuration. Only syncCrashes uses it.
 func (n *Node) expiredQuarantines(persisted []wheelgauge.Crash) []wheelgauge.Fingerprint {
 	now := n.now()
 	since := map[wheelgauge.Fingerprint]time.Time{}
@@ -61,7 +64,11 @@
 			first = now
 		}
 		since[c.Fingerprint] = first
-		if now.Sub(first) > quarantineDuration && !slices.Contains(expired, c.Fingerprint) {
+		duration := quarantineDuration
+		if c.IsPart() {
+			duration = partQuarantineDuration
+		}
+		if now.Sub(first) > duration && !slices.Contains(expired, c.Fingerprint) {
 			expired = append(expired, c.Fingerprint)
 		}
 	}
--- a/crash.go
+++ b/crash.go
@@ -1,13 +1,15 @@
 package wheelgauge
 
-// Fingerprint identifies the content of a request: all attempts of it, at any host, have
-// the same fingerprint.
+// Fingerprint identifies the content of a request, or one part of a prompt that requests of a
+// service have in common: all attempts of it, at any host, have the same fingerprint.
 type Fingerprint string
 
-// Crash records that a backend server terminated while a request was in flight on it. The
-// request may have caused the crash, or it may have run beside the one that did.
+// Crash records that a backend server terminated while a request was in flight on it, or one that
+// holds a part. It may have caused the crash, or it may have run beside the one that did.
 type Crash struct {
 	Fingerprint Fingerprint `json:"q"`
+	// Depth is the position of a part in the prompt, from 1; 0 for a whole request.
+	Depth int `json:"d,omitempty"`
 	// BodyBytes is the length of the request body in bytes. Requests of another size can be told
 	// apart without computing their fingerprints.
 	BodyBytes int `json:"z,omitempty"`
@@ -17,3 +19,6 @@
 	// another request caused this crash. It is never unset.
 	Cleared bool `json:"c,omitempty"`
 }
+
+// IsPart reports whether the crash is recorded for a part of prompts.
+func (c Crash) IsPart() bool { return c.Depth > 0 }
--- a/fingerprint/fingerprint.go
+++ b/fingerprint/fingerprint.go
@@ -8,6 +8,8 @@
 	"encoding/binary"
 	"sync"
 
+	"github.com/cespare/xxhash/v2"
+
 	"wheelgauge"
 )
 
@@ -50,6 +52,14 @@
 	return wheelgauge.Fingerprint(base64.RawURLEncoding.EncodeToString(sum.Sum(out[:0])[:fingerprintSize]))
 }
 
+// OfPart returns the fingerprint of a part of prompts of a service; id is the hash of its name. It
+// is shorter than those of requests, so the two never coincide.
+func OfPart(service string, id uint64) wheelgauge.Fingerprint {
+	var sum [8]byte
+	binary.BigEndian.PutUint64(sum[:], id^xxhash.Sum64String(service))
+	return wheelgauge.Fingerprint(base64.RawURLEncoding.EncodeToString(sum[:]))
+}
+
 // appendPart appends a part prefixed with its length, so that different lists of parts never
 // give the same bytes.
 func appendPart[T string | []byte](dst []byte, part T) []byte {
--- a/quarantine/refusal.go
+++ b/quarantine/refusal.go
@@ -21,5 +21,5 @@
 // RejectionError returns the error for a quarantined request.
 func RejectionError() *wheelgauge.Error {
 	return wheelgauge.NewError(wheelgauge.ReasonQuarantined, wheelgauge.OutcomeNotRun, http.StatusServiceUnavailable,
-		"this request ended the backend servers that ran it").WithRetryAfter(retryAfter)
+		"this request, or a part of its prompt, ended the backend servers that ran it").WithRetryAfter(retryAfter)
 }
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -1,5 +1,5 @@
 // Package quarantine keeps requests that crash every server that runs them away from backend
-// servers. Hosts record which requests were in flight at a server that crashed, stores merge
+// servers: single requests by their whole content, and all that hold a part of a prompt. Hosts record which requests were in flight at a server that crashed, stores merge
 // the records of all hosts, and both attribute crashes to requests by the same rule.
 package quarantine
 
@@ -18,8 +18,8 @@
 	// callers keep retrying a request, short enough that unrelated crashes, days apart, never
 	// add up.
 	crashTTL = 10 * time.Minute
-	// maxEntries bounds the crashes in a table: 64 servers that crash at once, each with 64
-	// requests in flight. The oldest are evicted first.
+	// maxEntries bounds the crashes in a table: 32 servers that crash at once, each with 64
+	// requests in flight whose prompts have a part that no other holds. The oldest are evicted first.
 	maxEntries = 4096
 	// maxReported bounds the crashes in one message: 256 crashes are 15 kB, a heartbeat's
 	// part of a narrow link. The next heartbeat sends the rest.
@@ -27,6 +27,12 @@
 	// recentWindow is how long a crash counts as recent: several reporting intervals between
 	// regions.
 	recentWindow = 30 * time.Second
+	// partProofTTL is how long the output of a request that holds a part counts against a later
+	// crash of that part. Servers may begin to crash on a part that they bore before.
+	partProofTTL = 3 * time.Second
+	// suspectThreshold is how many servers must have crashed with a request or part in flight
+	// before it is suspected: it is not tried again at another server then.
+	suspectThreshold = 2
 )
 
 // crashKey identifies a crash.
@@ -43,6 +49,12 @@
 	change uint64
 }
 
+// orderedChange is a change of an entry.
+type orderedChange struct {
+	key    crashKey
+	change uint64
+}
+
 // snapshot holds the requests in quarantine for readers without a lock.
 type snapshot struct {
 	quarantined map[wheelgauge.Fingerprint]bool
@@ -50,6 +62,11 @@
 	// requests that were in flight at a crash.
 	quarantinedSizes map[int]bool
 	suspectedSizes   map[int]bool
+	// quarantinedParts is set if parts are among the quarantined, crashedParts holds all parts
+	// with crashes that are not cleared, suspects what has suspectThreshold of them.
+	quarantinedParts bool
+	crashedParts     map[wheelgauge.Fingerprint]bool
+	suspects         map[wheelgauge.Fingerprint]bool
 }
 
 // Table holds crashes and derives the requests in quarantine from them. It is safe for
@@ -58,11 +75,16 @@
 	now func() time.Time
 	// snapshot is replaced on each change.
 	snapshot atomic.Pointer[snapshot]
-	// good holds requests that recently ran to a good end here.
-	good *goodRequests
+	// good holds requests that recently ran to a good end here, provenParts the parts of prompts
+	// that servers have just produced output for.
+	good        *goodRequests
+	provenParts *goodRequests
 
 	mu      sync.Mutex
 	entries map[crashKey]*entry
+	// order holds the changes of entries, oldest first; a later change of an entry makes its
+	// earlier ones void.
+	order   []orderedChange
 	changes uint64
 	// crashCounts counts the entries of each request that are not cleared, overThreshold the
 	// requests with enough of them to be quarantined.
@@ -79,7 +101,7 @@
 
 // New returns an empty table that reads the time from now.
 func New(now func() time.Time) *Table {
-	t := &Table{now: now, entries: map[crashKey]*entry{}, crashCounts: map[wheelgauge.Fingerprint]int{}, good: newGoodRequests(now), candidatesVersion: 1}
+	t := &Table{now: now, entries: map[crashKey]*entry{}, crashCounts: map[wheelgauge.Fingerprint]int{}, good: newGoodRequests(now, crashTTL), provenParts: newGoodRequests(now, partProofTTL), candidatesVersion: 1}
 	t.snapshot.Store(&snapshot{})
 	return t
 }
@@ -91,16 +113,57 @@
 	return s.quarantinedSizes[size] && s.quarantined[request()]
 }
 
-// RecordCrash records that a server crashed with a request in flight, and returns how many crashes
-// of the request are recorded here.
-func (t *Table) RecordCrash(c wheelgauge.Crash) int {
+// HoldsQuarantinedPart reports whether a part of a prompt is quarantined. The fingerprints are
+// computed only if any part is.
+func (t *Table) HoldsQuarantinedPart(parts func() []wheelgauge.Fingerprint) bool {
+	s := t.snapshot.Load()
+	return s.quarantinedParts && slices.ContainsFunc(parts(), func(part wheelgauge.Fingerprint) bool { return s.quarantined[part] })
+}
+
+// IsSuspected reports whether a request or a part of its prompt was in flight when several servers
+// crashed.
+func (t *Table) IsSuspected(request func() wheelgauge.Fingerprint, parts func() []wheelgauge.Fingerprint) bool {
+	s := t.snapshot.Load()
+	if len(s.suspects) == 0 {
+		return false
+	}
+	return s.suspects[request()] || slices.ContainsFunc(parts(), func(part wheelgauge.Fingerprint) bool { return s.suspects[part] })
+}
+
+// RecordCrash records that a server crashed with a request in flight, and the parts of its prompt
+// in order, and returns how many crashes of the request are recorded here. Parts that a server has
+// just produced output for are not to blame.
+func (t *Table) RecordCrash(c wheelgauge.Crash, parts ...wheelgauge.Fingerprint) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.put(c)
+	for n, part := range parts {
+		if !t.provenParts.has(part) {
+			t.put(wheelgauge.Crash{Fingerprint: part, Depth: n + 1, Server: c.Server})
+		}
+	}
 	t.reevaluate()
 	return t.crashCounts[c.Fingerprint]
 }
 
+// RecordOutput records that a server has produced output for a prompt and goes on, which clears
+// the parts of the prompt of earlier crashes.
+func (t *Table) RecordOutput(parts []wheelgauge.Fingerprint) {
+	crashed := t.snapshot.Load().crashedParts
+	isCleared := false
+	for _, part := range parts {
+		t.provenParts.add(part)
+		isCleared = isCleared || crashed[part]
+	}
+	if !isCleared {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.clear(t.merged(), func(c wheelgauge.Crash) bool { return c.IsPart() && slices.Contains(parts, c.Fingerprint) })
+	t.reevaluate()
+}
+
 // RecordSuccess records that a request ran to a good end, which clears it of earlier crashes.
 func (t *Table) RecordSuccess(size int, request func() wheelgauge.Fingerprint) {
 	suspected := t.snapshot.Load().suspectedSizes[size]
@@ -116,14 +179,22 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.clear(t.merged(), func(request wheelgauge.Fingerprint) bool { return request == ran })
+	t.clear(t.merged(), func(c wheelgauge.Crash) bool { return c.Fingerprint == ran })
 	t.reevaluate()
 }
 
-// clear marks the crashes of matching requests as cleared. The caller holds the lock.
-func (t *Table) clear(crashes []wheelgauge.Crash, match func(wheelgauge.Fingerprint) bool) (changed bool) {
+// isGood reports whether the request or part of a crash ran well here recently.
+func (t *Table) isGood(c wheelgauge.Crash) bool {
+	if c.IsPart() {
+		return t.provenParts.has(c.Fingerprint)
+	}
+	return t.good.has(c.Fingerprint)
+}
+
+// clear marks the matching crashes as cleared. The caller holds the lock.
+func (t *Table) clear(crashes []wheelgauge.Crash, match func(wheelgauge.Crash) bool) (changed bool) {
 	for _, c := range crashes {
-		if !c.Cleared && match(c.Fingerprint) {
+		if !c.Cleared && match(c) {
 			c.Cleared = true
 			t.put(c)
 			changed = true
@@ -261,6 +332,10 @@
 		}
 	}
 	if len(t.entries) < before {
+		t.order = slices.DeleteFunc(t.order, func(o orderedChange) bool {
+			e := t.entries[o.key]
+			return e == nil || e.change != o.change
+		})
 		t.reevaluate()
 	}
 }
@@ -280,6 +355,7 @@
 	t.updateCount(c.Fingerprint, e.crash.Cleared, c.Cleared)
 	t.changes++
 	e.crash, e.changedAt, e.change = c, t.now(), t.changes
+	t.order = append(t.order, orderedChange{key: k, change: t.changes})
 }
 
 // updateCount updates crashCounts when an entry of a request is added, cleared or removed.
@@ -311,17 +387,13 @@
 // evictOldest drops the entry with the oldest change if the table is full. The caller holds
 // the lock.
 func (t *Table) evictOldest() {
-	if len(t.entries) < maxEntries {
-		return
-	}
-	var oldest crashKey
-	var lowest uint64
-	for k, e := range t.entries {
-		if lowest == 0 || e.change < lowest {
-			oldest, lowest = k, e.change
+	for len(t.entries) >= maxEntries {
+		oldest := t.order[0]
+		t.order = t.order[1:]
+		if e := t.entries[oldest.key]; e != nil && e.change == oldest.change {
+			t.remove(oldest.key)
 		}
 	}
-	t.remove(oldest)
 }
 
 // merged returns the crashes recorded here and those persisted elsewhere, each once and
@@ -351,30 +423,83 @@
 	// crash each. Evaluating these on each heartbeat costs a store 165 ms when 64 servers
 	// crash at once.
 	if t.overThreshold > 0 || len(t.persisted) > 0 {
-		candidates = candidateCrashes(t.merged())
+		candidates = t.spreadCrashes(candidateCrashes(t.merged()))
 		// A request that many callers repeat is in flight whenever a server crashes, at any
 		// host, but also ran to a good end recently: a host that saw that clears it for all.
-		if t.clear(candidates, t.good.has) {
-			candidates = candidateCrashes(t.merged())
+		if t.clear(candidates, t.isGood) {
+			candidates = t.spreadCrashes(candidateCrashes(t.merged()))
 		}
 	}
 	if !slices.Equal(candidates, t.candidates) {
 		t.candidates = candidates
 		t.candidatesVersion++
 	}
-	s := &snapshot{quarantined: attribute(candidates), quarantinedSizes: map[int]bool{}, suspectedSizes: map[int]bool{}}
-	for _, e := range t.entries {
-		if !e.crash.Cleared {
-			s.suspectedSizes[e.crash.BodyBytes] = true
+	t.snapshot.Store(t.newSnapshot(candidates))
+}
+
+// spreadCrashes returns the crashes without those of parts all of whose crashes came together.
+// Crashes persisted elsewhere were judged there. The caller holds the lock.
+func (t *Table) spreadCrashes(crashes []wheelgauge.Crash) []wheelgauge.Crash {
+	judged := map[wheelgauge.Fingerprint]bool{}
+	for _, c := range t.persisted {
+		judged[c.Fingerprint] = true
+	}
+	type extent struct{ first, last time.Time }
+	extents := map[wheelgauge.Fingerprint]extent{}
+	for _, c := range crashes {
+		e := t.entries[crashKey{request: c.Fingerprint, server: c.Server}]
+		if !c.IsPart() || c.Cleared || e == nil {
+			continue
+		}
+		x, known := extents[c.Fingerprint]
+		if !known || e.changedAt.Before(x.first) {
+			x.first = e.changedAt
+		}
+		if e.changedAt.After(x.last) {
+			x.last = e.changedAt
 		}
+		extents[c.Fingerprint] = x
+	}
+	return slices.DeleteFunc(crashes, func(c wheelgauge.Crash) bool {
+		x := extents[c.Fingerprint]
+		return c.IsPart() && !judged[c.Fingerprint] && x.last.Sub(x.first) < minPartExtent
+	})
+}
+
+// newSnapshot derives the snapshot for readers. The caller holds the lock.
+func (t *Table) newSnapshot(candidates []wheelgauge.Crash) *snapshot {
+	s := &snapshot{
+		quarantined: attribute(candidates), quarantinedSizes: map[int]bool{}, suspectedSizes: map[int]bool{},
+		crashedParts: map[wheelgauge.Fingerprint]bool{}, suspects: map[wheelgauge.Fingerprint]bool{},
+	}
+	for _, e := range t.entries {
+		s.addCrash(e.crash)
 	}
 	for _, c := range candidates {
-		if !c.Cleared {
-			s.suspectedSizes[c.BodyBytes] = true
-		}
-		if s.quarantined[c.Fingerprint] {
+		s.addCrash(c)
+		switch {
+		case !s.quarantined[c.Fingerprint]:
+		case c.IsPart():
+			s.quarantinedParts = true
+		default:
 			s.quarantinedSizes[c.BodyBytes] = true
 		}
 	}
-	t.snapshot.Store(s)
+	for request, count := range t.crashCounts {
+		if count >= suspectThreshold {
+			s.suspects[request] = true
+		}
+	}
+	return s
+}
+
+// addCrash adds a crash that is not cleared to what is suspected.
+func (s *snapshot) addCrash(c wheelgauge.Crash) {
+	switch {
+	case c.Cleared:
+	case c.IsPart():
+		s.crashedParts[c.Fingerprint] = true
+	default:
+		s.suspectedSizes[c.BodyBytes] = true
+	}
 }
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -105,16 +105,24 @@
 	sentChanges [][]uint64
 	// persisted are the crashes that the group of stores persists.
 	persisted []wheelgauge.Crash
+	now       func() time.Time
+	// cut holds the hosts that reach no store.
+	cut map[int]bool
 }
 
 func newCluster(seed uint64, hosts, stores int) *cluster {
-	c := &cluster{rng: rand.New(rand.NewPCG(seed, 1)), sentChanges: make([][]uint64, hosts)}
+	return newClusterAt(seed, hosts, stores, time.Now)
+}
+
+// newClusterAt is newCluster with a clock.
+func newClusterAt(seed uint64, hosts, stores int, now func() time.Time) *cluster {
+	c := &cluster{rng: rand.New(rand.NewPCG(seed, 1)), sentChanges: make([][]uint64, hosts), now: now}
 	for n := range hosts {
-		c.hosts = append(c.hosts, New(time.Now))
+		c.hosts = append(c.hosts, New(now))
 		c.sentChanges[n] = make([]uint64, stores)
 	}
 	for range stores {
-		c.stores = append(c.stores, New(time.Now))
+		c.stores = append(c.stores, New(now))
 	}
 	return c
 }
@@ -124,7 +132,7 @@
 func (c *cluster) round(probability float64, quorum bool) {
 	for h, host := range c.hosts {
 		for s, store := range c.stores {
-			if c.rng.Float64() >= probability {
+			if c.rng.Float64() >= probability || c.cut[h] {
 				continue
 			}
 			updates, change := host.Since(c.sentChanges[h][s])
@@ -144,7 +152,7 @@
 // restartStore clears a store, which recovers the persisted crashes from the group's log and
 // gets the others from the hosts again.
 func (c *cluster) restartStore(s int) {
-	c.stores[s] = New(time.Now)
+	c.stores[s] = New(c.now)
 	c.stores[s].SetPersisted(c.persisted)
 	for h := range c.hosts {
 		c.sentChanges[h][s] = 0
@@ -153,7 +161,7 @@
 
 // restartHost clears a host, which serves no callers before a store has sent it the crashes.
 func (c *cluster) restartHost(h int) {
-	c.hosts[h] = New(time.Now)
+	c.hosts[h] = New(c.now)
 	clear(c.sentChanges[h])
 	list, _ := c.stores[c.rng.IntN(len(c.stores))].Candidates()
 	c.hosts[h].SetPersisted(list)
@@ -334,7 +342,7 @@
 
 func TestGoodRequestsExpire(t *testing.T) {
 	c := &clock{at: time.Unix(1000, 0)}
-	g := newGoodRequests(c.now)
+	g := newGoodRequests(c.now, crashTTL)
 	steps := []struct {
 		name  string
 		wait  time.Duration
--- a/routegate/call.go
+++ b/routegate/call.go
@@ -69,8 +69,10 @@
 	suspendedBefore time.Duration
 	version         uint64
 	splitter        eventstream.Splitter
-	// cachedFingerprint is set by the first call of fingerprint.
+	// cachedFingerprint is set by the first call of fingerprint, cachedParts by that of
+	// partFingerprints.
 	cachedFingerprint wheelgauge.Fingerprint
+	cachedParts       []wheelgauge.Fingerprint
 
 	// capUnits are units taken from the cap of the workspace and not used yet.
 	capUnits float64
@@ -112,6 +114,8 @@
 	// came before that end, both for the log.
 	framing      serverconn.Framing
 	partialBytes int
+	// heldInQuarantine is set for a request that is refused as quarantined.
+	heldInQuarantine bool
 	// endedServers are the servers that ended with the request in flight, for the log.
 	endedServers []string
 	// lastPick is the last server chosen, for the log.
@@ -193,7 +197,7 @@
 // the budget. A forwarded request is retried only by the host that the caller connected to, as
 // no other knows on how many servers it ran.
 func (c *call) mayRetry() bool {
-	return c.mayContinue() && !c.forwarded && c.route.Repeatable() && c.runs < c.route.MaxAttempts && c.sends < maxSends && c.gate.options.Budget.TryRetry(c.service)
+	return c.mayContinue() && !c.forwarded && c.route.Repeatable() && c.runs < c.route.MaxAttempts && c.sends < maxSends && !c.suspected() && c.gate.options.Budget.TryRetry(c.service)
 }
 
 // dispatch sends the request once, to where the shortest wait is predicted.
@@ -311,17 +315,18 @@
 		"events", c.splitter.Events(), "ended", strings.Join(c.endedServers, " "), "parts", c.loggedParts(), "framing", c.framing, "partial_bytes", c.partialBytes, "pause_ms", c.longestPause.Milliseconds(), "expected_tokens", c.prompt.Output(), "load", c.placementInputs(), "forecast", c.forecastText())
 }
 
-// loggedParts renders the parts of the prompt that other requests may share, of a request whose
-// server ended; empty otherwise.
+// loggedParts renders the parts of the prompt that other requests may share, with their
+// fingerprints, of a request that is held back or whose server ended; empty otherwise.
 func (c *call) loggedParts() string {
-	if len(c.endedServers) == 0 {
+	if len(c.endedServers) == 0 && !c.heldInQuarantine {
 		return ""
 	}
-	ids := make([]string, 0, maxLoggedParts)
-	for _, p := range c.prompt.Shared()[:min(maxLoggedParts, len(c.prompt.Shared()))] {
-		ids = append(ids, p.Name())
+	fingerprints := c.partFingerprints()
+	parts := make([]string, 0, maxLoggedParts)
+	for n, p := range c.prompt.Shared()[:min(maxLoggedParts, len(fingerprints))] {
+		parts = append(parts, fmt.Sprintf("%s=%s", p.Name(), fingerprints[n]))
 	}
-	return strings.Join(ids, " ")
+	return strings.Join(parts, " ")
 }
 
 // placementInputs renders the load figures behind the last choice of a server; empty without
--- a/routegate/crash.go
+++ b/routegate/crash.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"syscall"
+	"time"
 
 	"wheelgauge"
 	"wheelgauge/fingerprint"
@@ -15,7 +16,14 @@
 // minLoggedCrashes is how many servers must have crashed with a request in flight before each
 // crash is logged: some tens of requests are in flight at each server, and all but one are
 // unrelated to the crash.
-const minLoggedCrashes = 2
+const (
+	minLoggedCrashes = 2
+	// maxJudgedParts bounds the parts of a prompt, from the first, that may be to blame for a crash.
+	maxJudgedParts = 16
+	// outputProofTime is how long after its first event a server must go on until the parts of the
+	// prompt are taken for good. A server that crashes as it begins to answer does so before.
+	outputProofTime = 200 * time.Millisecond
+)
 
 // fingerprint identifies the content of the request, the same for all attempts at all hosts.
 func (c *call) fingerprint() wheelgauge.Fingerprint {
@@ -26,15 +34,36 @@
 	return c.cachedFingerprint
 }
 
-// quarantined reports whether the request is quarantined: every server that began to run it
-// crashed, and further servers would too.
+// partFingerprints identify the parts of the prompt that other requests may hold too.
+func (c *call) partFingerprints() []wheelgauge.Fingerprint {
+	shared := c.prompt.Shared()
+	shared = shared[:min(maxJudgedParts, len(shared))]
+	if c.cachedParts == nil && len(shared) > 0 {
+		c.cachedParts = make([]wheelgauge.Fingerprint, 0, len(shared))
+		for _, part := range shared {
+			c.cachedParts = append(c.cachedParts, fingerprint.OfPart(c.service, part.ID()))
+		}
+	}
+	return c.cachedParts
+}
+
+// quarantined reports whether the request or a part of its prompt is quarantined: every server that
+// began to run it crashed, and further servers would too.
 func (c *call) quarantined() bool {
-	return c.gate.options.Quarantine.IsQuarantined(len(c.request.Body()), c.fingerprint)
+	q := c.gate.options.Quarantine
+	return q.HoldsQuarantinedPart(c.partFingerprints) || q.IsQuarantined(len(c.request.Body()), c.fingerprint)
+}
+
+// suspected reports whether the request or a part of its prompt may have crashed several servers.
+// Another try could cost one more.
+func (c *call) suspected() bool {
+	return c.gate.options.Quarantine.IsSuspected(c.fingerprint, c.partFingerprints)
 }
 
 // refuseQuarantined refuses a quarantined request at once.
 func (c *call) refuseQuarantined() {
 	c.gate.options.Meter.Count("requests.held")
+	c.heldInQuarantine = true
 	apiErr := quarantine.RejectionError()
 	if c.runs > 0 || c.request.Started() {
 		c.fail("held back", apiErr.Detail())
@@ -48,6 +77,22 @@
 // that fails some requests may have failed this one before it began to run it.
 func (c *call) recordSuccess() {
 	c.gate.options.Quarantine.RecordSuccess(len(c.request.Body()), c.fingerprint)
+	c.gate.options.Quarantine.RecordOutput(c.partFingerprints())
+}
+
+// recordOutput records that a server goes on some time after it began to answer. By then it has
+// read the whole prompt, so no part of it crashes servers; the request may still do.
+func (x *exchange) recordOutput(now time.Time) {
+	if x.pick == nil {
+		return // the gateway that is connected to the server records it
+	}
+	if x.outputAt.IsZero() {
+		x.outputAt = now
+	}
+	if now.Sub(x.outputAt) >= outputProofTime {
+		x.outputAt = now
+		x.call.gate.options.Quarantine.RecordOutput(x.call.partFingerprints())
+	}
 }
 
 // attributeCrash records a crash of the server with the request in flight. A server that
@@ -61,7 +106,8 @@
 	if s.Pool().OpenIdle(limit) == nil {
 		return
 	}
-	crashes := c.gate.options.Quarantine.RecordCrash(wheelgauge.Crash{Fingerprint: c.fingerprint(), BodyBytes: len(c.request.Body()), Server: s.InstanceKey()})
+	crash := wheelgauge.Crash{Fingerprint: c.fingerprint(), BodyBytes: len(c.request.Body()), Server: s.InstanceKey()}
+	crashes := c.gate.options.Quarantine.RecordCrash(crash, c.partFingerprints()...)
 	c.endedServers = append(c.endedServers, s.InstanceKey())
 	c.gate.options.Meter.Count("servers.ended")
 	if crashes >= minLoggedCrashes {
--- a/routegate/dispatch.go
+++ b/routegate/dispatch.go
@@ -43,6 +43,9 @@
 	eventsBefore int
 	// delivering is set once events of this exchange were passed on.
 	delivering bool
+	// outputAt is when the output of the server last counted as proof of the prompt's parts, its first
+	// event before that.
+	outputAt time.Time
 	// pace is how the events of a stream arrived.
 	pace streamPace
 }
--- a/routegate/relay.go
+++ b/routegate/relay.go
@@ -163,6 +163,7 @@
 	c.longestPause = max(c.longestPause, now.Sub(c.lastEventAt))
 	c.lastEventAt = now
 	x.pace.arrived(now)
+	x.recordOutput(now)
 	_, err := c.request.Write(complete)
 	x.pace.written(now, time.Now())
 	return err
