Quarantine: hosts learn that what they hold themselves is cleared

A host that had recorded three crashes of a part, or of a request, refused it until it saw a good run itself, though another host had cleared them: stores told hosts of what is to blame only, so what they left out said nothing. Reports carry the age of a crash, so that crashes of one heartbeat are not taken for crashes of one moment.

TestHostLearnsThatWhatItHoldsIsCleared failed before.

--- a/crash.go
+++ b/crash.go
@@ -18,6 +18,8 @@
 	// Cleared is set once the request ran on a server that did not crash, which shows that
 	// another request caused this crash. It is never unset.
 	Cleared bool `json:"c,omitempty"`
+	// AgoMS is how long ago the crash was recorded or cleared when it is reported, in ms.
+	AgoMS int64 `json:"a,omitempty"`
 }
 
 // IsPart reports whether the crash is recorded for a part of prompts.
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -107,6 +107,36 @@
 	}
 }
 
+func TestHostLearnsThatWhatItHoldsIsCleared(t *testing.T) {
+	c := &clock{at: time.Unix(1000, 0)}
+	r := newClusterAt(1, 2, 3, c.now)
+	parts := []wheelgauge.Fingerprint{"p"}
+	held := func(h int) bool {
+		return r.hosts[h].HoldsQuarantinedPart(func() []wheelgauge.Fingerprint { return parts })
+	}
+	for n := range 4 {
+		c.at = c.at.Add(minPartExtent)
+		r.hosts[0].RecordCrash(wheelgauge.Crash{Fingerprint: wheelgauge.Fingerprint(fmt.Sprint("r", n)), Server: fmt.Sprint(n)}, parts...)
+	}
+	r.round(1, true)
+	if !held(0) || !held(1) {
+		t.Fatal("a part with four crashes is not quarantined")
+	}
+	r.hosts[1].RecordOutput(parts)
+	for range 3 {
+		r.round(1, true)
+	}
+	if held(0) || held(1) {
+		t.Error("a part that a server bears is quarantined at the host that recorded its crashes")
+	}
+	c.at = c.at.Add(2 * recentWindow)
+	r.stores[0].Prune()
+	r.round(1, true)
+	if held(0) {
+		t.Error("a part is quarantined again once nobody reports it as cleared")
+	}
+}
+
 func TestNewPartsWithEachRequestAreBounded(t *testing.T) {
 	table := New(time.Now)
 	for n := range 3 * maxEntries {
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -93,15 +93,16 @@
 	// persisted are crashes persisted elsewhere: for a host by its store, for a store by the
 	// group of stores.
 	persisted []wheelgauge.Crash
-	// candidates are the crashes to report to others; candidatesVersion increases when they
-	// change.
-	candidates        []wheelgauge.Crash
-	candidatesVersion uint64
+	// candidates are the crashes of what is or may be quarantined, reported those to report to
+	// others: candidates and what was cleared lately. reportedVersion increases when they change.
+	candidates      []wheelgauge.Crash
+	reported        []wheelgauge.Crash
+	reportedVersion uint64
 }
 
 // New returns an empty table that reads the time from now.
 func New(now func() time.Time) *Table {
-	t := &Table{now: now, entries: map[crashKey]*entry{}, crashCounts: map[wheelgauge.Fingerprint]int{}, good: newGoodRequests(now, crashTTL), provenParts: newGoodRequests(now, partProofTTL), candidatesVersion: 1}
+	t := &Table{now: now, entries: map[crashKey]*entry{}, crashCounts: map[wheelgauge.Fingerprint]int{}, good: newGoodRequests(now, crashTTL), provenParts: newGoodRequests(now, partProofTTL), reportedVersion: 1}
 	t.snapshot.Store(&snapshot{})
 	return t
 }
@@ -227,9 +228,20 @@
 		return
 	}
 	t.persisted = slices.Clone(crashes)
+	t.absorbCleared()
 	t.reevaluate()
 }
 
+// absorbCleared clears the entries that are known elsewhere as cleared, so that they stay so once
+// that is not reported any more. The caller holds the lock.
+func (t *Table) absorbCleared() {
+	for _, c := range t.persisted {
+		if c.Cleared && t.entries[crashKey{request: c.Fingerprint, server: c.Server}] != nil {
+			t.put(c)
+		}
+	}
+}
+
 // AddPersisted adds to the crashes persisted elsewhere, from a source that may not have all of
 // them yet.
 func (t *Table) AddPersisted(crashes []wheelgauge.Crash) {
@@ -240,6 +252,7 @@
 		return
 	}
 	t.persisted = merged
+	t.absorbCleared()
 	t.reevaluate()
 }
 
@@ -261,11 +274,18 @@
 	entries = entries[:min(len(entries), maxReported)]
 	out := make([]wheelgauge.Crash, 0, len(entries))
 	for _, e := range entries {
-		out, change = append(out, e.crash), e.change
+		out, change = append(out, t.report(e)), e.change
 	}
 	return out, change
 }
 
+// report returns the crash of an entry with its age.
+func (t *Table) report(e *entry) wheelgauge.Crash {
+	c := e.crash
+	c.AgoMS = t.now().Sub(e.changedAt).Milliseconds()
+	return c
+}
+
 // Recent returns the crashes that changed within recentWindow, newest first, for receivers
 // that get them repeatedly.
 func (t *Table) Recent() []wheelgauge.Crash {
@@ -281,17 +301,18 @@
 	slices.SortFunc(entries, func(a, b *entry) int { return cmp.Compare(b.change, a.change) })
 	out := make([]wheelgauge.Crash, 0, min(len(entries), maxReported))
 	for _, e := range entries[:min(len(entries), maxReported)] {
-		out = append(out, e.crash)
+		out = append(out, t.report(e))
 	}
 	return out
 }
 
-// Candidates returns the crashes of requests that are quarantined or candidates for it, and a
-// version number of that list. The caller must not change the list.
+// Candidates returns the crashes of requests that are quarantined or candidates for it, those of
+// candidates that were cleared within recentWindow, and a version number of that list. The caller
+// must not change the list.
 func (t *Table) Candidates() ([]wheelgauge.Crash, uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.candidates, t.candidatesVersion
+	return t.reported, t.reportedVersion
 }
 
 // CrashesToPersist returns the crashes to persist elsewhere: those that quarantine requests, and
@@ -354,7 +375,9 @@
 	}
 	t.updateCount(c.Fingerprint, e.crash.Cleared, c.Cleared)
 	t.changes++
-	e.crash, e.changedAt, e.change = c, t.now(), t.changes
+	at := t.now().Add(-time.Duration(c.AgoMS) * time.Millisecond)
+	c.AgoMS = 0
+	e.crash, e.changedAt, e.change = c, at, t.changes
 	t.order = append(t.order, orderedChange{key: k, change: t.changes})
 }
 
@@ -430,19 +453,42 @@
 			candidates = t.spreadCrashes(candidateCrashes(t.merged()))
 		}
 	}
-	if !slices.Equal(candidates, t.candidates) {
-		t.candidates = candidates
-		t.candidatesVersion++
+	t.candidates = candidates
+	if reported := append(slices.Clone(candidates), t.recentlyCleared()...); !slices.Equal(reported, t.reported) {
+		t.reported = reported
+		t.reportedVersion++
 	}
 	t.snapshot.Store(t.newSnapshot(candidates))
 }
 
+// recentlyCleared returns the latest crashes, cleared within recentWindow, of what would be a
+// candidate without that: another host may hold it in quarantine by its own crashes. The caller
+// holds the lock.
+func (t *Table) recentlyCleared() []wheelgauge.Crash {
+	counts, cutoff := map[wheelgauge.Fingerprint]int{}, t.now().Add(-recentWindow)
+	var recent []*entry
+	for k, e := range t.entries {
+		counts[k.request]++
+		if e.crash.Cleared && e.changedAt.After(cutoff) {
+			recent = append(recent, e)
+		}
+	}
+	recent = slices.DeleteFunc(recent, func(e *entry) bool { return counts[e.crash.Fingerprint] < crashThreshold })
+	slices.SortFunc(recent, func(a, b *entry) int { return cmp.Compare(b.change, a.change) })
+	var out []wheelgauge.Crash
+	for _, e := range recent[:min(len(recent), maxReported)] {
+		out = append(out, e.crash)
+	}
+	slices.SortFunc(out, compareCrashes)
+	return out
+}
+
 // spreadCrashes returns the crashes without those of parts all of whose crashes came together.
 // Crashes persisted elsewhere were judged there. The caller holds the lock.
 func (t *Table) spreadCrashes(crashes []wheelgauge.Crash) []wheelgauge.Crash {
 	judged := map[wheelgauge.Fingerprint]bool{}
 	for _, c := range t.persisted {
-		judged[c.Fingerprint] = true
+		judged[c.Fingerprint] = judged[c.Fingerprint] || !c.Cleared
 	}
 	type extent struct{ first, last time.Time }
 	extents := map[wheelgauge.Fingerprint]extent{}
