Operators list what is quarantined and release it

A request or part that is blamed wrongly, or that the servers bear since a release, stayed refused until it expired, and nobody could see the list.

--- a/cmd/wheelgaugectl/options.go
+++ b/cmd/wheelgaugectl/options.go
@@ -45,7 +45,7 @@
 	f.StringVar(&o.token, "token", "", "token of the operator (or "+envToken+")")
 	f.StringVar(&o.authority, "authority", "", "PEM file of the CA certificate that the stores' certificates are verified against; plain HTTP when empty")
 	f.StringVarP(&o.output, "output", "o", outputTable, "output format: table or json")
-	root.AddCommand(getCommand(o), applyCommand(o), deleteCommand(o), watchCommand(o), statusCommand(o), drainCommand(o), rolloutCommand(o), importCommand(o), removeStoreCommand(o), certsCommand())
+	root.AddCommand(getCommand(o), applyCommand(o), deleteCommand(o), watchCommand(o), statusCommand(o), drainCommand(o), rolloutCommand(o), quarantineCommand(o), importCommand(o), removeStoreCommand(o), certsCommand())
 	return root
 }
 
--- a/crash.go
+++ b/crash.go
@@ -24,3 +24,12 @@
 
 // IsPart reports whether the crash is recorded for a part of prompts.
 func (c Crash) IsPart() bool { return c.Depth > 0 }
+
+// Quarantined is a request, or a part of prompts, that no backend server gets.
+type Quarantined struct {
+	Fingerprint Fingerprint `json:"fingerprint"`
+	// Part is set for a part of prompts.
+	Part bool `json:"part"`
+	// Crashes is how many crashes it is blamed for or was in flight at.
+	Crashes int `json:"crashes"`
+}
--- a/native/operations.go
+++ b/native/operations.go
@@ -17,6 +17,8 @@
 	pathEntry  = "/v1/entry"
 	// PathRollouts is followed by the name of a service.
 	PathRollouts = "/v1/rollouts/"
+	// PathQuarantine lists what is quarantined; one entry is released by its fingerprint below it.
+	PathQuarantine = "/v1/quarantine"
 )
 
 // PutResponse is the response to an accepted configuration, with the version that is
@@ -26,7 +28,8 @@
 }
 
 // OperatorHandler returns the handler of PUT and GET /v1/routes, of PUT and DELETE
-// /v1/halls/HALL/drain, and of PUT, GET and DELETE /v1/rollouts/SERVICE.
+// /v1/halls/HALL/drain, of PUT, GET and DELETE /v1/rollouts/SERVICE, and of GET /v1/quarantine and
+// DELETE /v1/quarantine/FINGERPRINT.
 func OperatorHandler(o wheelgauge.Operations) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
 		path := string(ctx.Path())
@@ -39,6 +42,11 @@
 			getRoutes(ctx, o)
 		case strings.HasPrefix(path, PathRollouts):
 			handleRollout(ctx, o, strings.TrimPrefix(path, PathRollouts))
+		case path == PathQuarantine && ctx.IsGet():
+			list, err := o.Quarantined(context.Background())
+			respond(ctx, list, err)
+		case strings.HasPrefix(path, PathQuarantine+"/") && ctx.IsDelete():
+			respond(ctx, struct{}{}, o.ReleaseQuarantined(context.Background(), wheelgauge.Fingerprint(strings.TrimPrefix(path, PathQuarantine+"/"))))
 		case isHall && isDrain && (ctx.IsPut() || ctx.IsDelete()):
 			respond(ctx, struct{}{}, o.DrainHall(context.Background(), hall, ctx.IsPut()))
 		default:
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -341,6 +341,13 @@
 	return out
 }
 
+// Crashes returns the crashes of a request or part that are not cleared.
+func (t *Table) Crashes(f wheelgauge.Fingerprint) []wheelgauge.Crash {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.DeleteFunc(t.merged(), func(c wheelgauge.Crash) bool { return c.Cleared || c.Fingerprint != f })
+}
+
 // Prune drops crashes older than crashTTL.
 func (t *Table) Prune() {
 	t.mu.Lock()
--- a/routes.go
+++ b/routes.go
@@ -244,6 +244,11 @@
 	Rollout(ctx context.Context, service string) (Rollout, error)
 	// AbortRollout rolls back a rollout that is in progress.
 	AbortRollout(ctx context.Context, service string) error
+	// Quarantined returns what no backend server gets because it crashes them, after a read barrier.
+	Quarantined(ctx context.Context) ([]Quarantined, error)
+	// ReleaseQuarantined lets a quarantined request or part reach backend servers again. Crashes of
+	// further servers quarantine it anew.
+	ReleaseQuarantined(ctx context.Context, f Fingerprint) error
 	// EntryAddresses returns the addresses to which callers of a region may connect
 	// for a host name, and how long the result is valid.
 	EntryAddresses(name, region string) ([]string, time.Duration, error)
