Quarantine: crashes are judged when somebody asks, and what may qualify only

Crashes are judged when the quarantine is next read, and entries that cannot qualify are left out first: 3 us to record a crash. Tests of what callers get: a part is refused wherever it stands but last, what stood at two crashes is not tried again, output clears.

--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -376,3 +376,27 @@
 		}
 	}
 }
+
+func BenchmarkRecordOutput(b *testing.B) {
+	table := New(time.Now)
+	parts := []wheelgauge.Fingerprint{"first", "subject"}
+	for b.Loop() {
+		table.RecordOutput(parts)
+	}
+}
+
+func BenchmarkRecordCrashInAFullTable(b *testing.B) {
+	table, n := New(time.Now), 0
+	crash := func() {
+		n++
+		subject := wheelgauge.Fingerprint(fmt.Sprint("subject ", n%500))
+		table.RecordCrash(wheelgauge.Crash{Fingerprint: wheelgauge.Fingerprint(fmt.Sprint("request ", n)), Server: fmt.Sprint(n / 30)}, "first", subject)
+	}
+	for range maxEntries {
+		table.put(wheelgauge.Crash{Fingerprint: wheelgauge.Fingerprint(fmt.Sprint("before ", n)), Server: fmt.Sprint("before ", n)})
+		n++
+	}
+	for b.Loop() {
+		crash()
+	}
+}
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -1,6 +1,7 @@
 // Package quarantine keeps requests that crash every server that runs them away from backend
-// servers: single requests by their whole content, and all that hold a part of a prompt. Hosts record which requests were in flight at a server that crashed, stores merge
-// the records of all hosts, and both attribute crashes to requests by the same rule.
+// servers: single requests by their whole content, and all that hold a part of a prompt. Hosts
+// record which requests were in flight at a server that crashed, stores merge the records of all
+// hosts, and both attribute crashes by the same rule.
 package quarantine
 
 import (
@@ -55,26 +56,14 @@
 	change uint64
 }
 
-// snapshot holds the requests in quarantine for readers without a lock.
-type snapshot struct {
-	quarantined map[wheelgauge.Fingerprint]bool
-	// quarantinedSizes are the body sizes of quarantined requests, suspectedSizes those of
-	// requests that were in flight at a crash.
-	quarantinedSizes map[int]bool
-	suspectedSizes   map[int]bool
-	// quarantinedParts is set if parts are among the quarantined, crashedParts holds all parts
-	// with crashes that are not cleared, suspects what has suspectThreshold of them.
-	quarantinedParts bool
-	crashedParts     map[wheelgauge.Fingerprint]bool
-	suspects         map[wheelgauge.Fingerprint]bool
-}
-
 // Table holds crashes and derives the requests in quarantine from them. It is safe for
 // concurrent use.
 type Table struct {
 	now func() time.Time
-	// snapshot is replaced on each change.
+	// snapshot is replaced on each change, but after crashes only when it is read: dozens of
+	// requests are in flight at one, and each records it.
 	snapshot atomic.Pointer[snapshot]
+	stale    atomic.Bool
 	// good holds requests that recently ran to a good end here, provenParts the parts of prompts
 	// that servers have just produced output for.
 	good        *goodRequests
@@ -110,25 +99,27 @@
 // IsQuarantined reports whether a request is quarantined. The fingerprint is computed only if the
 // size matches: for 12 kB it takes 11 us, more than the rest of the decision.
 func (t *Table) IsQuarantined(size int, request func() wheelgauge.Fingerprint) bool {
-	s := t.snapshot.Load()
+	s := t.view()
 	return s.quarantinedSizes[size] && s.quarantined[request()]
 }
 
 // HoldsQuarantinedPart reports whether a part of a prompt is quarantined. The fingerprints are
 // computed only if any part is.
 func (t *Table) HoldsQuarantinedPart(parts func() []wheelgauge.Fingerprint) bool {
-	s := t.snapshot.Load()
+	s := t.view()
 	return s.quarantinedParts && slices.ContainsFunc(parts(), func(part wheelgauge.Fingerprint) bool { return s.quarantined[part] })
 }
 
 // IsSuspected reports whether a request or a part of its prompt was in flight when several servers
 // crashed.
 func (t *Table) IsSuspected(request func() wheelgauge.Fingerprint, parts func() []wheelgauge.Fingerprint) bool {
-	s := t.snapshot.Load()
-	if len(s.suspects) == 0 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.crashCounts) == 0 {
 		return false
 	}
-	return s.suspects[request()] || slices.ContainsFunc(parts(), func(part wheelgauge.Fingerprint) bool { return s.suspects[part] })
+	suspected := func(f wheelgauge.Fingerprint) bool { return t.crashCounts[f] >= suspectThreshold }
+	return suspected(request()) || slices.ContainsFunc(parts(), suspected)
 }
 
 // RecordCrash records that a server crashed with a request in flight, and the parts of its prompt
@@ -143,14 +134,14 @@
 			t.put(wheelgauge.Crash{Fingerprint: part, Depth: n + 1, Server: c.Server})
 		}
 	}
-	t.reevaluate()
+	t.stale.Store(true)
 	return t.crashCounts[c.Fingerprint]
 }
 
 // RecordOutput records that a server has produced output for a prompt and goes on, which clears
 // the parts of the prompt of earlier crashes.
 func (t *Table) RecordOutput(parts []wheelgauge.Fingerprint) {
-	crashed := t.snapshot.Load().crashedParts
+	crashed := t.view().crashedParts
 	isCleared := false
 	for _, part := range parts {
 		t.provenParts.add(part)
@@ -161,13 +152,14 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.clear(t.merged(), func(c wheelgauge.Crash) bool { return c.IsPart() && slices.Contains(parts, c.Fingerprint) })
+	held := func(f wheelgauge.Fingerprint) bool { return slices.Contains(parts, f) }
+	t.clear(t.merged(held), wheelgauge.Crash.IsPart)
 	t.reevaluate()
 }
 
 // RecordSuccess records that a request ran to a good end, which clears it of earlier crashes.
 func (t *Table) RecordSuccess(size int, request func() wheelgauge.Fingerprint) {
-	suspected := t.snapshot.Load().suspectedSizes[size]
+	suspected := t.view().suspectedSizes[size]
 	if !suspected && size > maxRememberedBody {
 		return
 	}
@@ -180,7 +172,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.clear(t.merged(), func(c wheelgauge.Crash) bool { return c.Fingerprint == ran })
+	t.clear(t.merged(func(f wheelgauge.Fingerprint) bool { return f == ran }), func(wheelgauge.Crash) bool { return true })
 	t.reevaluate()
 }
 
@@ -312,6 +304,7 @@
 func (t *Table) Candidates() ([]wheelgauge.Crash, uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.refresh()
 	return t.reported, t.reportedVersion
 }
 
@@ -320,6 +313,7 @@
 func (t *Table) CrashesToPersist() []wheelgauge.Crash {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.refresh()
 	out := slices.Clone(t.candidates)
 	for _, c := range t.persisted {
 		e := t.entries[crashKey{request: c.Fingerprint, server: c.Server}]
@@ -332,7 +326,7 @@
 
 // Quarantined returns the quarantined requests, sorted.
 func (t *Table) Quarantined() []wheelgauge.Fingerprint {
-	s := t.snapshot.Load()
+	s := t.view()
 	out := make([]wheelgauge.Fingerprint, 0, len(s.quarantined))
 	for request := range s.quarantined {
 		out = append(out, request)
@@ -345,7 +339,7 @@
 func (t *Table) Crashes(f wheelgauge.Fingerprint) []wheelgauge.Crash {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return slices.DeleteFunc(t.merged(), func(c wheelgauge.Crash) bool { return c.Cleared || c.Fingerprint != f })
+	return slices.DeleteFunc(t.merged(func(g wheelgauge.Fingerprint) bool { return g == f }), func(c wheelgauge.Crash) bool { return c.Cleared })
 }
 
 // Prune drops crashes older than crashTTL.
@@ -425,134 +419,3 @@
 		}
 	}
 }
-
-// merged returns the crashes recorded here and those persisted elsewhere, each once and
-// cleared if either is. The caller holds the lock.
-func (t *Table) merged() []wheelgauge.Crash {
-	out := make([]wheelgauge.Crash, 0, len(t.entries)+len(t.persisted))
-	index := make(map[crashKey]int, len(t.persisted))
-	for _, c := range t.persisted {
-		index[crashKey{request: c.Fingerprint, server: c.Server}] = len(out)
-		out = append(out, c)
-	}
-	for k, e := range t.entries {
-		n, ok := index[k]
-		if !ok {
-			out = append(out, e.crash)
-			continue
-		}
-		out[n].Cleared = out[n].Cleared || e.crash.Cleared
-	}
-	return out
-}
-
-// reevaluate derives the candidates and the snapshot anew. The caller holds the lock.
-func (t *Table) reevaluate() {
-	var candidates []wheelgauge.Crash
-	// Servers that crash for other reasons leave thousands of entries of requests with one
-	// crash each. Evaluating these on each heartbeat costs a store 165 ms when 64 servers
-	// crash at once.
-	if t.overThreshold > 0 || len(t.persisted) > 0 {
-		candidates = t.spreadCrashes(candidateCrashes(t.merged()))
-		// A request that many callers repeat is in flight whenever a server crashes, at any
-		// host, but also ran to a good end recently: a host that saw that clears it for all.
-		if t.clear(candidates, t.isGood) {
-			candidates = t.spreadCrashes(candidateCrashes(t.merged()))
-		}
-	}
-	t.candidates = candidates
-	if reported := append(slices.Clone(candidates), t.recentlyCleared()...); !slices.Equal(reported, t.reported) {
-		t.reported = reported
-		t.reportedVersion++
-	}
-	t.snapshot.Store(t.newSnapshot(candidates))
-}
-
-// recentlyCleared returns the latest crashes, cleared within recentWindow, of what would be a
-// candidate without that: another host may hold it in quarantine by its own crashes. The caller
-// holds the lock.
-func (t *Table) recentlyCleared() []wheelgauge.Crash {
-	counts, cutoff := map[wheelgauge.Fingerprint]int{}, t.now().Add(-recentWindow)
-	var recent []*entry
-	for k, e := range t.entries {
-		counts[k.request]++
-		if e.crash.Cleared && e.changedAt.After(cutoff) {
-			recent = append(recent, e)
-		}
-	}
-	recent = slices.DeleteFunc(recent, func(e *entry) bool { return counts[e.crash.Fingerprint] < crashThreshold })
-	slices.SortFunc(recent, func(a, b *entry) int { return cmp.Compare(b.change, a.change) })
-	var out []wheelgauge.Crash
-	for _, e := range recent[:min(len(recent), maxReported)] {
-		out = append(out, e.crash)
-	}
-	slices.SortFunc(out, compareCrashes)
-	return out
-}
-
-// spreadCrashes returns the crashes without those of parts all of whose crashes came together.
-// Crashes persisted elsewhere were judged there. The caller holds the lock.
-func (t *Table) spreadCrashes(crashes []wheelgauge.Crash) []wheelgauge.Crash {
-	judged := map[wheelgauge.Fingerprint]bool{}
-	for _, c := range t.persisted {
-		judged[c.Fingerprint] = judged[c.Fingerprint] || !c.Cleared
-	}
-	type extent struct{ first, last time.Time }
-	extents := map[wheelgauge.Fingerprint]extent{}
-	for _, c := range crashes {
-		e := t.entries[crashKey{request: c.Fingerprint, server: c.Server}]
-		if !c.IsPart() || c.Cleared || e == nil {
-			continue
-		}
-		x, known := extents[c.Fingerprint]
-		if !known || e.changedAt.Before(x.first) {
-			x.first = e.changedAt
-		}
-		if e.changedAt.After(x.last) {
-			x.last = e.changedAt
-		}
-		extents[c.Fingerprint] = x
-	}
-	return slices.DeleteFunc(crashes, func(c wheelgauge.Crash) bool {
-		x := extents[c.Fingerprint]
-		return c.IsPart() && !judged[c.Fingerprint] && x.last.Sub(x.first) < minPartExtent
-	})
-}
-
-// newSnapshot derives the snapshot for readers. The caller holds the lock.
-func (t *Table) newSnapshot(candidates []wheelgauge.Crash) *snapshot {
-	s := &snapshot{
-		quarantined: attribute(candidates), quarantinedSizes: map[int]bool{}, suspectedSizes: map[int]bool{},
-		crashedParts: map[wheelgauge.Fingerprint]bool{}, suspects: map[wheelgauge.Fingerprint]bool{},
-	}
-	for _, e := range t.entries {
-		s.addCrash(e.crash)
-	}
-	for _, c := range candidates {
-		s.addCrash(c)
-		switch {
-		case !s.quarantined[c.Fingerprint]:
-		case c.IsPart():
-			s.quarantinedParts = true
-		default:
-			s.quarantinedSizes[c.BodyBytes] = true
-		}
-	}
-	for request, count := range t.crashCounts {
-		if count >= suspectThreshold {
-			s.suspects[request] = true
-		}
-	}
-	return s
-}
-
-// addCrash adds a crash that is not cleared to what is suspected.
-func (s *snapshot) addCrash(c wheelgauge.Crash) {
-	switch {
-	case c.Cleared:
-	case c.IsPart():
-		s.crashedParts[c.Fingerprint] = true
-	default:
-		s.suspectedSizes[c.BodyBytes] = true
-	}
-}
--- a/routegate/crash_test.go
+++ b/routegate/crash_test.go
@@ -13,6 +13,7 @@
 
 	"wheelgauge"
 	"wheelgauge/fingerprint"
+	"wheelgauge/prompt"
 )
 
 // abortingServer is a server that closes its connections instead of answering.
@@ -182,3 +183,90 @@
 		})
 	}
 }
+
+// partFingerprint is the fingerprint of a part of prompts of the tests' service.
+func partFingerprint(name string) wheelgauge.Fingerprint {
+	return fingerprint.OfPart("s", prompt.Parse(name+":1,own:1", "", "").Shared()[0].ID())
+}
+
+func TestRequestsWithAQuarantinedPartAreRefused(t *testing.T) {
+	tests := []struct {
+		name   string
+		parts  string
+		status int
+	}{
+		{"the part in the middle", "first:9,bad:9,own:9", 503},
+		{"the part at the beginning", "bad:9,own:9", 503},
+		{"the part before others", "first:9,bad:9,more:9,own:9", 503},
+		{"the same first part", "first:9,other:9,own:9", 200},
+		{"its own last part of that name", "first:9,bad:9", 200},
+		{"no parts", "", 200},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBackend(t)
+			g, c := newGate(t, routes(), b)
+			var crashes []wheelgauge.Crash
+			for n := range 3 {
+				crashes = append(crashes, wheelgauge.Crash{Fingerprint: partFingerprint("bad"), Depth: 2, Server: strconv.Itoa(n)})
+			}
+			g.options.Quarantine.SetPersisted(crashes)
+			resp, body, err := get(t, c, "/safe/", g.options.Names.PromptParts+": "+tt.parts+"\r\n")
+			if err != nil {
+				t.Fatal(err)
+			}
+			if resp.StatusCode != tt.status || (len(b.received()) == 1) != (tt.status == 200) {
+				t.Errorf("got %d %s after %d sends, want %d", resp.StatusCode, body, len(b.received()), tt.status)
+			}
+			if tt.status == 503 && (resp.Header.Get(wheelgauge.HeaderOutcome) != string(wheelgauge.OutcomeNotRun) || resp.Header.Get("Retry-After") == "") {
+				t.Errorf("the refusal says %v, want that it did not run and when to return", resp.Header)
+			}
+		})
+	}
+}
+
+func TestWhatStoodAtTwoCrashesIsNotTriedAgain(t *testing.T) {
+	tests := []struct {
+		name    string
+		crashes int
+		sends   int
+	}{
+		{"one crash before", 1, 2},
+		{"two crashes before", 2, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBackend(t, truncatedAnswer)
+			g, c := newGate(t, routes(), b, b)
+			for n := range tt.crashes {
+				g.options.Quarantine.RecordCrash(wheelgauge.Crash{Fingerprint: wheelgauge.Fingerprint(fmt.Sprint("r", n)), Server: strconv.Itoa(n)}, partFingerprint("bad"))
+			}
+			if _, _, err := get(t, c, "/safe/", g.options.Names.PromptParts+": bad:9,own:9\r\n"); err != nil {
+				t.Fatal(err)
+			}
+			if sends := len(b.received()); sends != tt.sends {
+				t.Errorf("sent %d times, want %d", sends, tt.sends)
+			}
+		})
+	}
+}
+
+func TestOutputOfAServerClearsParts(t *testing.T) {
+	event := "id: 1\ndata: a\n\n"
+	b := newBackend(t, streamHead+chunk(event)+endOfChunks)
+	g, c := newGate(t, routes(), b)
+	for n := range 2 {
+		g.options.Quarantine.RecordCrash(wheelgauge.Crash{Fingerprint: wheelgauge.Fingerprint(fmt.Sprint("r", n)), Server: strconv.Itoa(n)}, partFingerprint("p"))
+	}
+	if _, _, err := get(t, c, "/stream/", g.options.Names.PromptParts+": p:9,own:9\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	parts := func() []wheelgauge.Fingerprint { return []wheelgauge.Fingerprint{partFingerprint("p")} }
+	deadline := time.Now().Add(testLimit)
+	for g.options.Quarantine.IsSuspected(func() wheelgauge.Fingerprint { return "" }, parts) {
+		if time.Now().After(deadline) {
+			t.Fatal("a part is suspected after a server ran a prompt that holds it")
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
