A server whose connections are all in use is not taken for crashed

A host that may open no further connection to a server took that for a refused one, and recorded a crash under what was in flight when a connection broke. TestServerWithAllConnectionsInUseIsNotTakenForCrashed failed before.

--- a/routegate/crash.go
+++ b/routegate/crash.go
@@ -10,6 +10,7 @@
 	"wheelgauge"
 	"wheelgauge/fingerprint"
 	"wheelgauge/quarantine"
+	"wheelgauge/serverconn"
 	"wheelgauge/serverset"
 )
 
@@ -96,14 +97,15 @@
 }
 
 // attributeCrash records a crash of the server with the request in flight. A server that
-// accepts a new connection did not crash, it only closed this one.
+// accepts a new connection did not crash, it only closed this one. One to which no further
+// connection may be opened was not asked.
 func (c *call) attributeCrash(ctx context.Context, x *exchange, s *serverset.Server) {
 	if ctx.Err() != nil || !closedByServer(x.err) {
 		return
 	}
 	limit, cancel := context.WithTimeout(ctx, quarantine.ProbeTimeout)
 	defer cancel()
-	if s.Pool().OpenIdle(limit) == nil {
+	if err := s.Pool().OpenIdle(limit); err == nil || errors.Is(err, serverconn.ErrNoConns) {
 		return
 	}
 	crash := wheelgauge.Crash{Fingerprint: c.fingerprint(), BodyBytes: len(c.request.Body()), Server: s.InstanceKey()}
--- a/routegate/crash_test.go
+++ b/routegate/crash_test.go
@@ -12,8 +12,10 @@
 	"time"
 
 	"wheelgauge"
+	"wheelgauge/callerhttp"
 	"wheelgauge/fingerprint"
 	"wheelgauge/prompt"
+	"wheelgauge/serverset"
 )
 
 // abortingServer is a server that closes its connections instead of answering.
@@ -270,3 +272,23 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+func TestServerWithAllConnectionsInUseIsNotTakenForCrashed(t *testing.T) {
+	g, _ := newGate(t, routes(), newBackend(t))
+	k := g.options.Servers.Choose(serverset.NewJob("s", prompt.Prompt{}, 0, nil))
+	if k == nil {
+		t.Fatal("no server")
+	}
+	defer k.Done(serverset.Abandoned)
+	k.Server().Pool().SetMaxConns(1)
+	conn, err := k.Server().Pool().Get(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Abort()
+	c := &call{gate: g, request: &callerhttp.Request{}, service: "s", cachedFingerprint: "r"}
+	c.attributeCrash(t.Context(), &exchange{call: c, err: io.ErrUnexpectedEOF}, k.Server())
+	if crashes, _ := g.options.Quarantine.Since(0); len(crashes) > 0 {
+		t.Errorf("%v recorded, want no crash", crashes)
+	}
+}
