An answer that ends with its connection survives bytes that its caller sent meanwhile

Closing a connection with bytes unread resets it, and a whole answer without a marked end looked broken to a caller that had sent its next request. The sending side is ended first now and the rest read for a while. TestAnswerThatEndsWithItsConnectionSurvivesAnotherRequest failed before (connection reset by peer).

--- a/callerhttp/conn.go
+++ b/callerhttp/conn.go
@@ -72,6 +72,9 @@
 			k.server.shares.end(k)
 		}
 		if !r.finished || !k.dropBody(r) || r.closeAfter {
+			if r.finished && r.endsWithConn && k.arriving() {
+				k.linger() // a close with bytes unread would reset, and the answer look broken
+			}
 			return
 		}
 		k.dropping.Store(false)
--- a/callerhttp/server_test.go
+++ b/callerhttp/server_test.go
@@ -186,3 +186,31 @@
 		t.Error("no Connection: close from a draining server")
 	}
 }
+
+func TestAnswerThatEndsWithItsConnectionSurvivesAnotherRequest(t *testing.T) {
+	sent := make(chan struct{})
+	_, c := listen(t, func(_ context.Context, r *Request) {
+		r.StartResponse(http.StatusOK, nil, UnknownEnd)
+		_, _ = r.Write([]byte("part"))
+		<-sent
+		_, _ = r.Write([]byte(" and rest"))
+		_ = r.End()
+	})
+	if _, err := io.WriteString(c, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	in := bufio.NewReader(c)
+	resp, err := http.ReadResponse(in, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.WriteString(c, "GET /b HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(20 * time.Millisecond) // the request arrives
+	close(sent)
+	body, err := io.ReadAll(resp.Body)
+	if err != nil || string(body) != "part and rest" {
+		t.Errorf("got %q, %v, want the whole answer", body, err)
+	}
+}
