A large unframed answer that ends as its server crashes is reset

Only small answers and streams asked whether the server still takes connections; a large one ended as whole for its caller. TestLargeAnswerOfAServerThatCrashedAtItsEndIsReset failed before (ends by close).

--- a/routegate/framing_test.go
+++ b/routegate/framing_test.go
@@ -160,3 +160,13 @@
 		t.Errorf("got %v, %q, %v, want the answer of the other server", resp, body, err)
 	}
 }
+
+func TestLargeAnswerOfAServerThatCrashedAtItsEndIsReset(t *testing.T) {
+	crashing := newBackend(t, openHead+strings.Repeat("x", maxBufferedBytes+10))
+	_, c := newGate(t, routes(), crashing)
+	crashing.beforeAnswer = func() { _ = crashing.conn.Close() }
+	answer, err := rawAnswer(t, c, "GET /once/ HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\n\r\n")
+	if got, _ := endingOf(answer, err); got != byReset {
+		t.Errorf("the answer ends by %s after %d bytes, want reset", got, len(answer))
+	}
+}
--- a/routegate/relay.go
+++ b/routegate/relay.go
@@ -60,7 +60,7 @@
 func (c *call) relayBuffered(ctx context.Context, x *exchange) result {
 	status := x.head.StatusCode()
 	if x.body.Length() > maxBufferedBytes {
-		return c.relayUnbuffered(x, nil)
+		return c.relayUnbuffered(ctx, x, nil)
 	}
 	body, err := io.ReadAll(io.LimitReader(x.body, maxBufferedBytes))
 	if err != nil {
@@ -70,7 +70,7 @@
 	}
 	x.noteFirstByte()
 	if len(body) == maxBufferedBytes {
-		return c.relayUnbuffered(x, body)
+		return c.relayUnbuffered(ctx, x, body)
 	}
 	if x.endedByCrash(ctx) {
 		x.err = errServerGone
@@ -100,7 +100,7 @@
 }
 
 // relayUnbuffered relays a large answer as it arrives; buffered holds what was already read.
-func (c *call) relayUnbuffered(x *exchange, buffered []byte) result {
+func (c *call) relayUnbuffered(ctx context.Context, x *exchange, buffered []byte) result {
 	c.status = x.head.StatusCode()
 	c.request.StartResponse(c.status, responseFields(x.head), x.lengthOrOpen(x.body.Length()))
 	buf := make([]byte, relayBufferBytes)
@@ -110,9 +110,12 @@
 		}
 		n, err := x.body.Read(buf)
 		buffered = buf[:n]
-		if errors.Is(err, io.EOF) {
+		if errors.Is(err, io.EOF) && !x.endedByCrash(ctx) {
 			break
 		}
+		if errors.Is(err, io.EOF) {
+			err = errServerGone
+		}
 		if err != nil {
 			x.err = err
 			c.fail(err.Error(), "")
