--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -50,12 +50,6 @@
 	change uint64
 }
 
-// orderedChange is a change of an entry.
-type orderedChange struct {
-	key    crashKey
-	change uint64
-}
-
 // Table holds crashes and derives the requests in quarantine from them. It is safe for
 // concurrent use.
 type Table struct {
@@ -361,61 +355,3 @@
 		t.reevaluate()
 	}
 }
-
-// put adds a crash or marks it as cleared. The caller holds the lock.
-func (t *Table) put(c wheelgauge.Crash) {
-	k := crashKey{request: c.Fingerprint, server: c.Server}
-	e := t.entries[k]
-	if e != nil && (e.crash.Cleared || !c.Cleared) {
-		return
-	}
-	if e == nil {
-		t.evictOldest()
-		e = &entry{crash: wheelgauge.Crash{Cleared: true}}
-		t.entries[k] = e
-	}
-	t.updateCount(c.Fingerprint, e.crash.Cleared, c.Cleared)
-	t.changes++
-	at := t.now().Add(-time.Duration(c.AgoMS) * time.Millisecond)
-	c.AgoMS = 0
-	e.crash, e.changedAt, e.change = c, at, t.changes
-	t.order = append(t.order, orderedChange{key: k, change: t.changes})
-}
-
-// updateCount updates crashCounts when an entry of a request is added, cleared or removed.
-// The caller holds the lock.
-func (t *Table) updateCount(request wheelgauge.Fingerprint, wasCleared, isCleared bool) {
-	switch {
-	case wasCleared && !isCleared:
-		t.crashCounts[request]++
-		if t.crashCounts[request] == crashThreshold {
-			t.overThreshold++
-		}
-	case !wasCleared && isCleared:
-		t.crashCounts[request]--
-		if t.crashCounts[request] == crashThreshold-1 {
-			t.overThreshold--
-		}
-		if t.crashCounts[request] == 0 {
-			delete(t.crashCounts, request)
-		}
-	}
-}
-
-// remove drops an entry. The caller holds the lock.
-func (t *Table) remove(k crashKey) {
-	t.updateCount(k.request, t.entries[k].crash.Cleared, true)
-	delete(t.entries, k)
-}
-
-// evictOldest drops the entry with the oldest change if the table is full. The caller holds
-// the lock.
-func (t *Table) evictOldest() {
-	for len(t.entries) >= maxEntries {
-		oldest := t.order[0]
-		t.order = t.order[1:]
-		if e := t.entries[oldest.key]; e != nil && e.change == oldest.change {
-			t.remove(oldest.key)
-		}
-	}
-}
