Mode with resources: a message of chats that crashes servers is known

The same cause as in the routes mode: chats that share a document or a system message but nothing else were each new to the quarantine, and cost engines one after the other. Messages but for the last, by text and model, are parts now, in the same table and with the same rule; a chat that holds one at two crashes is not sent to another engine. Not run with real programs.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -89,7 +89,7 @@
 		resume = g.resumeFunc(rq)
 	}
 	s := relay.New(g.ctx, answer, relay.Options{
-		Started: rq.started, Resume: resume, OnEnd: func(e relay.Summary) { g.streamEnded(rq, e) },
+		Started: rq.started, Resume: resume, OnEnd: func(e relay.Summary) { g.streamEnded(rq, e) }, OnOutput: func() { g.recordOutput(rq) },
 		ServerDead: func() bool { return g.targetDead(rq) },
 	})
 	ctx.Response.ImmediateHeaderFlush = true
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -17,6 +17,9 @@
 // both had in flight.
 const instanceWindow = 5 * time.Second
 
+// maxJudgedParts bounds the messages of a chat, from the first, that may be to blame for a crash.
+const maxJudgedParts = 16
+
 // fingerprint identifies a request by its content, so that it is the same for all its attempts
 // on all hosts.
 func (rq *request) fingerprint() wheelgauge.Fingerprint {
@@ -26,17 +29,36 @@
 	return rq.cachedFingerprint
 }
 
-// checkQuarantine refuses a request that crashed the servers which ran it.
+// partList returns the identities of the messages that other requests may hold too.
+func (rq *request) partList() []wheelgauge.Fingerprint { return rq.parts }
+
+// checkQuarantine refuses a request that crashed the servers which ran it, or holds a message that
+// did.
 func (g *Gateway) checkQuarantine(rq *request) error {
-	if !g.quarantine.IsQuarantined(len(rq.call.Body), rq.fingerprint) {
+	if !g.quarantine.HoldsQuarantinedPart(rq.partList) && !g.quarantine.IsQuarantined(len(rq.call.Body), rq.fingerprint) {
 		return nil
 	}
 	return quarantine.RejectionError()
 }
 
+// holdsSuspectedPart reports whether a message of a request may have crashed several servers.
+// Another try could cost one more.
+func (g *Gateway) holdsSuspectedPart(rq *request) bool {
+	return len(rq.parts) > 0 && g.quarantine.IsSuspected(func() wheelgauge.Fingerprint { return "" }, rq.partList)
+}
+
 // noteSuccess records that a request completed, so earlier crashes were not caused by it.
 func (g *Gateway) noteSuccess(rq *request) {
 	g.quarantine.RecordSuccess(len(rq.call.Body), rq.fingerprint)
+	g.recordOutput(rq)
+}
+
+// recordOutput records that a server produces output for a prompt, so none of its messages crashes
+// servers. The gateway that is connected to the server records it.
+func (g *Gateway) recordOutput(rq *request) {
+	if rq.target.Load().region == g.options.Region {
+		g.quarantine.RecordOutput(rq.parts)
+	}
 }
 
 // attributeLocalCrash calls attributeCrash for the server that answers a request, if it is in
@@ -59,7 +81,7 @@
 		return
 	}
 	instance := fmt.Sprint(s.Name, "@", time.Now().Unix()/int64(instanceWindow.Seconds()))
-	crashes := g.quarantine.RecordCrash(wheelgauge.Crash{Fingerprint: rq.fingerprint(), BodyBytes: len(rq.call.Body), Server: instance})
+	crashes := g.quarantine.RecordCrash(wheelgauge.Crash{Fingerprint: rq.fingerprint(), BodyBytes: len(rq.call.Body), Server: instance}, rq.parts...)
 	g.meter.Count("servers.ended")
 	g.options.Log.Info("A server ended with a request in flight.", "id", rq.call.ID, "request", rq.fingerprint(), "server", instance, "ends", crashes)
 }
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -94,7 +94,7 @@
 		if !hasOutcome(err, wheelgauge.OutcomeNotRun) {
 			g.attributeCrash(rq, server)
 		}
-		if !g.mayRetry(rq, err) {
+		if !g.mayRetry(rq, err) || rq.mayHaveRun && g.holdsSuspectedPart(rq) {
 			return nil, err
 		}
 		if err := g.checkQuarantine(rq); err != nil {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -16,6 +16,7 @@
 
 	"wheelgauge"
 	"wheelgauge/catalog"
+	"wheelgauge/fingerprint"
 )
 
 const (
@@ -57,6 +58,8 @@
 	mayHaveRun bool
 	// cachedFingerprint is set by the first call of fingerprint.
 	cachedFingerprint wheelgauge.Fingerprint
+	// parts identify the messages of a chat that other requests may hold too: all but the last.
+	parts []wheelgauge.Fingerprint
 	// began is the version of the server that sent the first token of a stream which is resumed;
 	// nil before.
 	began *string
@@ -189,10 +192,24 @@
 		rq.tokens = defaultTokens
 	}
 	rq.prefix = g.prefixHash(p)
+	rq.parts = messageParts(rq.model, p)
 	rq.notRepeatable = rq.notRepeatable || rq.route.NotRepeatable
 	return nil
 }
 
+// messageParts identifies the messages of a chat but for the last, from the first.
+func messageParts(model string, p completionRequest) []wheelgauge.Fingerprint {
+	count := min(maxJudgedParts, len(p.Messages)-1)
+	if count <= 0 {
+		return nil
+	}
+	parts := make([]wheelgauge.Fingerprint, 0, count)
+	for _, m := range p.Messages[:count] {
+		parts = append(parts, fingerprint.OfPart(model, xxhash.Sum64(m.Content)))
+	}
+	return parts
+}
+
 // prefixHash hashes the model and the first bytes of the prompt, which requests must
 // have in common to share an engine's cache.
 func (g *Gateway) prefixHash(p completionRequest) uint64 {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -21,6 +21,9 @@
 	maxEventBytes     = 1 << 20
 	keepAliveInterval = time.Second
 	maxResumes        = 2
+	// outputInterval is the time from the first token of an answer, and then between calls of
+	// Options.OnOutput.
+	outputInterval = 200 * time.Millisecond
 )
 
 var (
@@ -54,7 +57,10 @@
 	resume     Resume
 	serverDead func() bool
 	onEnd      func(Summary)
-	started    time.Time
+	onOutput   func()
+	// outputAt is when OnOutput was last called, the first token of the answer before that.
+	outputAt time.Time
+	started  time.Time
 
 	events    chan []byte
 	done      chan error
@@ -80,13 +86,15 @@
 	ServerDead func() bool
 	// OnEnd is called once, from Close.
 	OnEnd func(Summary)
+	// OnOutput is called while tokens arrive some time after the first one; may be nil.
+	OnOutput func()
 }
 
 // New starts to relay the body of answer.
 func New(ctx context.Context, answer *wheelgauge.Response, o Options) *Stream {
 	ctx, cancel := context.WithCancel(ctx)
 	s := &Stream{
-		ctx: ctx, cancel: cancel, resume: o.Resume, serverDead: o.ServerDead, onEnd: o.OnEnd, started: o.Started, answer: answer,
+		ctx: ctx, cancel: cancel, resume: o.Resume, serverDead: o.ServerDead, onEnd: o.OnEnd, onOutput: o.OnOutput, started: o.Started, answer: answer,
 		events: make(chan []byte, eventBufferSize), done: make(chan error, 1), timer: time.NewTimer(keepAliveInterval),
 	}
 	go func() { s.done <- s.pump() }()
@@ -215,6 +223,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.answer, s.bodyClosed = answer, false
+	s.outputAt = time.Time{}
 	s.summary.Resumes++
 	return true
 }
@@ -255,6 +264,7 @@
 	end += len(separator)
 	complete := bytes.Clone(pending[:end])
 	done = s.countTokens(complete)
+	s.reportOutput(time.Now())
 	select {
 	case s.events <- complete:
 		return pending[end:], done, nil
@@ -263,6 +273,18 @@
 	}
 }
 
+// reportOutput calls onOutput if an answer has gone on for some time.
+func (s *Stream) reportOutput(now time.Time) {
+	switch {
+	case s.onOutput == nil:
+	case s.outputAt.IsZero():
+		s.outputAt = now
+	case now.Sub(s.outputAt) >= outputInterval:
+		s.outputAt = now
+		s.onOutput()
+	}
+}
+
 // IsComplete reports whether a whole stream ends as one that was not broken off.
 func IsComplete(stream []byte) bool {
 	for event := range bytes.SplitSeq(stream, separator) {
--- a/routegate/relay.go
+++ b/routegate/relay.go
@@ -198,7 +198,8 @@
 	if x.body.Framing() != serverconn.Unframed {
 		return nil
 	}
-	// An earlier server of the stream marked its end, so this answer has to, or it never began.
+	// The head already promises a last chunk that this answer does not vouch for, or not even the
+	// first event came.
 	promised := c.request.Started() && !c.request.EndsWithConn()
 	empty := !c.request.Started() && c.lastEventID == "" && c.splitter.Events() == 0
 	if promised || empty {
