Rejections that servers bear are read and told to all hosts; rejections are logged

The lines told of requests, not of the servers that reject: neither who rejected how often nor what the host had believed of the server's room. Server-Brittle is kept with the limits that servers name, by kind, and goes the same ways (heartbeats, stores). Nothing is decided by it yet. One line a second and server tells of rejections.

--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 	$(GO) test -race -count=1 -timeout 20m -parallel 8 ./...
 
 # The platform's names of headers, paths and fields; they stand in platform/ and deploy/ only.
-NAMES = Response-Stamp|Not-Executed|Target-Instance|Instance-Id|Prompt-Prefix|Token-Count|"Deadline-Ms|Server-Load|Server-Limit|Server-Leaving|Request-Priority|Cold-Remaining|Kv-[A-Z]|"/wheelgauge/|"/instances|seed_nodes|listen_addresses|availability_zone|traffic_split|target_latency_ms|max_attempts|session_affinity|cold_remaining_ms|path_prefix|route_kind
+NAMES = Response-Stamp|Not-Executed|Target-Instance|Instance-Id|Prompt-Prefix|Token-Count|"Deadline-Ms|Server-Load|Server-Limit|Server-Brittle|Server-Leaving|Request-Priority|Cold-Remaining|Kv-[A-Z]|"/wheelgauge/|"/instances|seed_nodes|listen_addresses|availability_zone|traffic_split|target_latency_ms|max_attempts|session_affinity|cold_remaining_ms|path_prefix|route_kind
 
 # Code that judges ages, leases and deadlines goes by a clock that it is given: the steady
 # one stands still while the machine is suspended.
--- a/limits.go
+++ b/limits.go
@@ -10,12 +10,24 @@
 // to the permits that it grants.
 const MaxPermitLead = 300 * time.Millisecond
 
-// ServerLimit is the request rate that one start of a backend server last announced to accept
-// from all hosts together.
+// LimitKind is what a limit that a server announces counts.
+type LimitKind string
+
+// Kinds of limits.
+const (
+	// LimitRequests counts the requests that the server accepts.
+	LimitRequests LimitKind = ""
+	// LimitRejections counts the requests that it can reject for lack of room before it fails.
+	LimitRejections LimitKind = "rejections"
+)
+
+// ServerLimit is a limit per second that one start of a backend server last announced, over all
+// hosts together.
 type ServerLimit struct {
 	// Server identifies the start of the server: the instance and, if the server list gives
 	// it, the start time.
-	Server string `json:"s"`
+	Server string    `json:"s"`
+	Kind   LimitKind `json:"k,omitempty"`
 	// Rate is in requests per second.
 	Rate float64 `json:"r,omitempty"`
 	// Removed is set when the server has lifted its limit.
--- a/message.go
+++ b/message.go
@@ -15,6 +15,9 @@
 	// HeaderLimit carries, in responses of an overloaded server, the requests per second
 	// that it accepts from all hosts together.
 	HeaderLimit = "Wheelgauge-Limit"
+	// HeaderBrittle carries the requests per second that a server can reject for lack of room
+	// before it fails, from all hosts together.
+	HeaderBrittle = "Wheelgauge-Brittle"
 	// HeaderLeaving is "1" in the responses of a server that is leaving.
 	HeaderLeaving = "Wheelgauge-Leaving"
 	// The headers below are used on the peer listener only.
--- a/native/headers.go
+++ b/native/headers.go
@@ -14,6 +14,7 @@
 		Signature:   "Wheelgauge-Signature",
 		Load:        "Wheelgauge-Load",
 		Limit:       wheelgauge.HeaderLimit,
+		Brittle:     wheelgauge.HeaderBrittle,
 		Leaving:     wheelgauge.HeaderLeaving,
 		PromptParts: "Wheelgauge-Prompt",
 		TokenCounts: "Wheelgauge-Tokens",
--- a/routegate/dispatch.go
+++ b/routegate/dispatch.go
@@ -109,7 +109,7 @@
 		return failed
 	}
 	c.recordReached()
-	c.observeLimit(x, s)
+	c.observeLimits(x, s)
 	x.pushedBack = c.observePushback(x, k)
 	notRun := len(httpfield.Value(x.head, n.NotRun)) > 0
 	if r, ok := serverset.ParseLoadReport(string(httpfield.Value(x.head, n.Load))); ok {
@@ -146,6 +146,9 @@
 		k.Done(serverset.AddressReused)
 		return notRun
 	}
+	if status == http.StatusServiceUnavailable && !x.pushedBack {
+		c.recordRejection(k)
+	}
 	k.Done(x.pushbackOr(serverset.Shed))
 	return notRun
 }
--- a/routegate/gate.go
+++ b/routegate/gate.go
@@ -115,6 +115,8 @@
 	active    inFlightCalls
 	waits     waitStats
 	creditLog creditLog
+	// rejections samples the log of requests that servers rejected.
+	rejections rejectionLog
 	// weights are computed once for each configuration.
 	weights atomic.Pointer[shareWeights]
 	// limitRetries spreads the return of callers refused because of server limits,
--- a/routegate/limit.go
+++ b/routegate/limit.go
@@ -15,24 +15,36 @@
 // rate-limited server; the rest is left for the answer.
 const permitWaitShare = 0.25
 
-// observeLimit records the limit that an answer announces for its server, and logs changes.
-func (c *call) observeLimit(x *exchange, s *serverset.Server) {
-	name := c.gate.options.Names.Limit
+// limitTexts are the lines and counters of a kind of limit.
+type limitTexts struct{ begins, ends, counter, unreadable string }
+
+var limitTextsOf = map[wheelgauge.LimitKind]limitTexts{
+	wheelgauge.LimitRequests:   {"A server names a limit.", "A server's limit ends.", "servers.limited", "servers.limit.unreadable"},
+	wheelgauge.LimitRejections: {"A server names the rejections that it bears.", "A server names no rejections any more.", "servers.brittle", "servers.brittle.unreadable"},
+}
+
+// observeLimits records the limits that an answer announces for its server, and logs changes.
+func (c *call) observeLimits(x *exchange, s *serverset.Server) {
+	c.observeLimit(x, s, wheelgauge.LimitRequests, c.gate.options.Names.Limit)
+	c.observeLimit(x, s, wheelgauge.LimitRejections, c.gate.options.Names.Brittle)
+}
+
+func (c *call) observeLimit(x *exchange, s *serverset.Server, kind wheelgauge.LimitKind, name string) {
 	if name == "" || x.head.StatusCode() == http.StatusMisdirectedRequest {
 		return // another server answered
 	}
-	server, values := s.InstanceKey(), httpfield.Values(x.head, name)
+	server, values, texts := s.InstanceKey(), httpfield.Values(x.head, name), limitTextsOf[kind]
 	rate, ok := smallestLimit(values)
 	switch {
 	case ok:
-		if c.gate.options.Limits.ObserveLimit(server, rate) {
-			c.gate.options.Meter.Count("servers.limited")
-			c.gate.options.Log.Info("A server names a limit.", "id", c.id, "server", server, "rate", rate, "status", x.head.StatusCode())
+		if c.gate.options.Limits.Observe(kind, server, rate) {
+			c.gate.options.Meter.Count(texts.counter)
+			c.gate.options.Log.Info(texts.begins, "id", c.id, "server", server, "rate", rate, "status", x.head.StatusCode())
 		}
 	case len(values) > 0:
-		c.gate.options.Meter.Count("servers.limit.unreadable")
-	case isSuccess(x.head.StatusCode()) && c.gate.options.Limits.ObserveNoLimit(server, x.sentClock):
-		c.gate.options.Log.Info("A server's limit ends.", "id", c.id, "server", server)
+		c.gate.options.Meter.Count(texts.unreadable)
+	case isSuccess(x.head.StatusCode()) && c.gate.options.Limits.ObserveNone(kind, server, x.sentClock):
+		c.gate.options.Log.Info(texts.ends, "id", c.id, "server", server)
 	}
 }
 
--- a/routes.go
+++ b/routes.go
@@ -207,6 +207,9 @@
 	// Limit is the number of requests per second that an overloaded server accepts from all
 	// hosts together, in decimal. Responses of servers without a limit lack it.
 	Limit string
+	// Brittle is the number of requests per second that a server can reject for lack of room
+	// before it fails, from all hosts together, in decimal. Other servers' responses lack it.
+	Brittle string
 	// Leaving is "1" in the responses of a server that is leaving.
 	Leaving string
 	// PromptParts lists the parts of the prompt as ID:TOKENS, separated by commas.
--- a/serverlimit/table.go
+++ b/serverlimit/table.go
@@ -1,5 +1,5 @@
 // Package serverlimit records the limits that backend servers have announced: the requests a
-// second that each accepts from all hosts together.
+// second that each accepts from all hosts together, and those that it can reject.
 package serverlimit
 
 import (
@@ -23,9 +23,15 @@
 	maxPerReport = 256
 )
 
-// entry is the latest limit of a server.
+// key is a limit of a server.
+type key struct {
+	server string
+	kind   wheelgauge.LimitKind
+}
+
+// entry is the latest value of a limit.
 type entry struct {
-	// rate is in requests a second; limited is false once the server no longer has a limit.
+	// rate is in requests a second; limited is false once the server no longer has the limit.
 	rate    float64
 	limited bool
 	// observed is when it was last observed.
@@ -41,13 +47,13 @@
 // Table holds the limits of servers. It is safe for concurrent use.
 type Table struct {
 	mu      sync.Mutex
-	entries map[string]entry
+	entries map[key]entry
 	changes uint64
 	now     func() time.Time
 }
 
 // New returns an empty table that reads time from now.
-func New(now func() time.Time) *Table { return &Table{entries: map[string]entry{}, now: now} }
+func New(now func() time.Time) *Table { return &Table{entries: map[key]entry{}, now: now} }
 
 // Parse parses a limit in requests a second; ok is false if text is not a valid limit.
 func Parse(text string) (rate float64, ok bool) {
@@ -58,30 +64,41 @@
 	return rate, true
 }
 
-// ObserveLimit records the limit that a server instance sent with an answer, and reports whether it
-// is new.
+// ObserveLimit is Observe for the requests that a server accepts.
 func (t *Table) ObserveLimit(server string, rate float64) bool {
+	return t.Observe(wheelgauge.LimitRequests, server, rate)
+}
+
+// ObserveNoLimit is ObserveNone for the requests that a server accepts.
+func (t *Table) ObserveNoLimit(server string, sent time.Time) bool {
+	return t.ObserveNone(wheelgauge.LimitRequests, server, sent)
+}
+
+// Observe records a limit that a server instance sent with an answer, and reports whether it is
+// new.
+func (t *Table) Observe(kind wheelgauge.LimitKind, server string, rate float64) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.set(server, entry{rate: rate, limited: true, observed: t.now(), local: true})
+	return t.set(key{server, kind}, entry{rate: rate, limited: true, observed: t.now(), local: true})
 }
 
-// ObserveNoLimit records an answer without a limit to a request sent at the given time, and reports
+// ObserveNone records an answer without a limit to a request sent at the given time, and reports
 // whether that ended a limit. An answer to an earlier request does not: it may be from before
 // the limit.
-func (t *Table) ObserveNoLimit(server string, sent time.Time) bool {
+func (t *Table) ObserveNone(kind wheelgauge.LimitKind, server string, sent time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	previous := t.entries[server]
+	k := key{server, kind}
+	previous := t.entries[k]
 	if !previous.limited || !sent.After(previous.observed) {
 		return false
 	}
-	return t.set(server, entry{observed: t.now(), local: true})
+	return t.set(k, entry{observed: t.now(), local: true})
 }
 
 // set stores an entry and reports whether the limit changed. The lock must be held.
-func (t *Table) set(server string, e entry) bool {
-	previous, known := t.entries[server]
+func (t *Table) set(k key, e entry) bool {
+	previous, known := t.entries[k]
 	changed := !known || !e.sameLimit(previous)
 	e.change = previous.change
 	if changed {
@@ -90,31 +107,38 @@
 	} else {
 		e.local = previous.local
 	}
-	t.entries[server] = e
+	t.entries[k] = e
 	return changed
 }
 
-// Rate returns the limit of a server instance; ok is false if it has none.
+// Rate returns the requests a second that a server instance accepts; ok is false if it has no such
+// limit.
 func (t *Table) Rate(server string) (rate float64, ok bool) {
+	return t.RateOf(wheelgauge.LimitRequests, server)
+}
+
+// RateOf returns a limit of a server instance; ok is false if it has none of the kind.
+func (t *Table) RateOf(kind wheelgauge.LimitKind, server string) (rate float64, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	e := t.entries[server]
+	e := t.entries[key{server, kind}]
 	return e.rate, e.limited
 }
 
-// Get returns what is known of a server, in the form sent to others.
+// Get returns what is known of the requests that a server accepts, in the form sent to others.
 func (t *Table) Get(server string) wheelgauge.ServerLimit {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	e, known := t.entries[server]
+	k := key{server, wheelgauge.LimitRequests}
+	e, known := t.entries[k]
 	if !known {
 		return wheelgauge.ServerLimit{Server: server, Removed: true, AgeMS: entryTTL.Milliseconds()}
 	}
-	return t.export(server, e)
+	return t.export(k, e)
 }
 
-func (t *Table) export(server string, e entry) wheelgauge.ServerLimit {
-	return wheelgauge.ServerLimit{Server: server, Rate: e.rate, Removed: !e.limited, AgeMS: t.now().Sub(e.observed).Milliseconds()}
+func (t *Table) export(k key, e entry) wheelgauge.ServerLimit {
+	return wheelgauge.ServerLimit{Server: k.server, Kind: k.kind, Rate: e.rate, Removed: !e.limited, AgeMS: t.now().Sub(e.observed).Milliseconds()}
 }
 
 // Merge applies limits observed by others, unless a later observation is known.
@@ -123,14 +147,15 @@
 	defer t.mu.Unlock()
 	for _, l := range limits {
 		e := entry{rate: l.Rate, limited: !l.Removed, observed: t.now().Add(-time.Duration(l.AgeMS) * time.Millisecond)}
-		previous, known := t.entries[l.Server]
+		k := key{l.Server, l.Kind}
+		previous, known := t.entries[k]
 		if !known && l.Removed {
 			continue // no limit is the default
 		}
 		// The age does not include the latency of the exchange: an equal limit would seem
 		// observed later with each exchange, and no answer would be late enough to end it.
 		if !known || !e.sameLimit(previous) && e.observed.After(previous.observed) {
-			t.set(l.Server, e)
+			t.set(k, e)
 		}
 	}
 }
@@ -152,36 +177,36 @@
 	if change >= t.changes {
 		return nil, change
 	}
-	var servers []string
-	for server, e := range t.entries {
+	var keys []key
+	for k, e := range t.entries {
 		if e.change > change && (e.local || !localOnly) {
-			servers = append(servers, server)
+			keys = append(keys, k)
 		}
 	}
-	if len(servers) == 0 {
+	if len(keys) == 0 {
 		return nil, t.changes
 	}
-	slices.SortFunc(servers, func(a, b string) int { return cmp.Compare(t.entries[a].change, t.entries[b].change) })
+	slices.SortFunc(keys, func(a, b key) int { return cmp.Compare(t.entries[a].change, t.entries[b].change) })
 	last := t.changes
-	if len(servers) > maxPerReport {
-		servers = servers[:maxPerReport]
-		last = t.entries[servers[maxPerReport-1]].change
+	if len(keys) > maxPerReport {
+		keys = keys[:maxPerReport]
+		last = t.entries[keys[maxPerReport-1]].change
 	}
-	out := make([]wheelgauge.ServerLimit, 0, len(servers))
-	for _, server := range servers {
-		out = append(out, t.export(server, t.entries[server]))
+	out := make([]wheelgauge.ServerLimit, 0, len(keys))
+	for _, k := range keys {
+		out = append(out, t.export(k, t.entries[k]))
 	}
 	return out, last
 }
 
-// Limited returns the server instances that have a limit.
+// Limited returns the server instances that limit the requests that they accept.
 func (t *Table) Limited() map[string]bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	out := map[string]bool{}
-	for server, e := range t.entries {
-		if e.limited {
-			out[server] = true
+	for k, e := range t.entries {
+		if e.limited && k.kind == wheelgauge.LimitRequests {
+			out[k.server] = true
 		}
 	}
 	return out
@@ -191,9 +216,9 @@
 func (t *Table) Prune() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for server, e := range t.entries {
+	for k, e := range t.entries {
 		if t.now().Sub(e.observed) > entryTTL {
-			delete(t.entries, server)
+			delete(t.entries, k)
 		}
 	}
 }
--- a/serverset/pick.go
+++ b/serverset/pick.go
@@ -33,6 +33,7 @@
 // Load is the known load of a server at the time of the choice.
 type Load struct {
 	running int
+	own     int
 	tokens  int
 	age     time.Duration
 }
@@ -40,6 +41,9 @@
 // Running returns the requests in flight from all hosts.
 func (l Load) Running() int { return l.running }
 
+// Own returns the requests in flight from this host.
+func (l Load) Own() int { return l.own }
+
 // Tokens returns the tokens of prompts that waited for their first event.
 func (l Load) Tokens() int { return l.tokens }
 
@@ -89,7 +93,7 @@
 func (t *Table) newPick(c choice, home *Server, j Job, now time.Time) *Pick {
 	s := c.server
 	k := &Pick{table: t, server: s, version: s.spec.Version, prompt: j.prompt, rank: j.rank, missingTokens: s.missingTokens(j.prompt, s == home), predictedWait: duration(c.wait), sentAt: now}
-	k.loadBefore = Load{running: s.inFlight(), tokens: s.pendingTokens + s.peerUse.PrefillTokens, age: now.Sub(s.peerUseAt)}
+	k.loadBefore = Load{running: s.inFlight(), own: s.running, tokens: s.pendingTokens + s.peerUse.PrefillTokens, age: now.Sub(s.peerUseAt)}
 	if t.model != nil && t.isEngine(s) {
 		k.load, k.slowness, k.forecast, k.modelled = c.load, c.slowness, c.forecast, true
 		t.recordResident(j)
