Requests go to servers that fail over rejections only while they have room

Cause: a rejection costs its server something, and nobody counts it. Hosts believed in room that was taken (2 or 3 requests at servers of 4 places, by news of 23 to 147 ms), and each found out for itself. Excluded as the only cause: second sends (seven of nine lines of rejections are of first sends).

Change: the permits that hold a server's limit over all hosts hold its places, too. Before a request goes to such a server its host asks the store that gives that server's permits for a place; the store counts what each host reports in flight, the server's own reports beyond that, the rejections, and how many the server ran when it rejected. Queues count as no room. A request waits for a place 0.25 of its objective at most, the most urgent first, and is refused at once if none is expected. While no store answers, a host goes on with what it had in flight, and 0.4 of the number is risked over all hosts. Servers without the header need no place and no call.

--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -160,6 +160,7 @@
 	cancel       context.CancelFunc
 	pruneDone    chan error
 	warmDone     chan error
+	permitsDone  chan error
 	leaving      atomic.Bool
 	// generation is that of the applied state; updates arrive one at a time.
 	generation uint64
@@ -171,7 +172,7 @@
 // Open starts the gateway, which serves callers from then on.
 func Open(ctx context.Context, o Options) (*Node, error) {
 	ctx, stop := context.WithCancel(ctx)
-	n := &Node{options: o, boot: uint64(time.Now().UnixNano()), meter: meter.New(), cancel: stop, pruneDone: make(chan error, 1), warmDone: make(chan error, 1), client: o.Client}
+	n := &Node{options: o, boot: uint64(time.Now().UnixNano()), meter: meter.New(), cancel: stop, pruneDone: make(chan error, 1), warmDone: make(chan error, 1), permitsDone: make(chan error, 1), client: o.Client}
 	if n.client == nil {
 		n.client = peerhttp.NewClient(peerhttp.NewDialer("", nil).WrapConns(n.countBytes), "")
 		n.client.OnCall(n.meter.CountCall)
@@ -192,9 +193,10 @@
 	n.servers.SetOutOfReach(n.reach.IsOutOfReach)
 	n.limits = serverlimit.New(clock.Now)
 	n.servers.SetLimits(n.limits.Rate)
+	n.servers.SetRejections(func(server string) (float64, bool) { return n.limits.RateOf(wheelgauge.LimitRejections, server) })
 	n.learnEngines()
 	n.permits = permitclient.New(permitclient.Options{
-		Host: o.Name, Limits: n.limits, Stores: n.regionStores, Sharers: n.servers.LowRateHosts, Request: n.requestPermit, Now: clock.Now,
+		Host: o.Name, Boot: n.boot, Limits: n.limits, Stores: n.regionStores, Sharers: n.servers.LowRateHosts, Request: n.requestPermit, Now: clock.Now,
 	})
 	n.versions = selector.New(selector.Options{Host: o.Name, Share: o.RolloutShare, Slack: o.RolloutSlack, Now: clock.Now})
 	n.tally = tally.New()
@@ -215,6 +217,7 @@
 		Self: n.self, Usage: n.servers.Uses, Crashes: n.quarantine, Limits: n.limits, Promises: promiseTable, Rollouts: rolloutReports{n.versions, n.tally}, Seeds: o.Seeds, Interval: o.HeartbeatInterval, FarInterval: o.FarHeartbeatInterval,
 		Clock: clock, Client: n.client, Receiver: n, Log: o.Log.WithName("beat"),
 	}))
+	go func() { n.permitsDone <- n.permits.Run(ctx) }()
 	go func() { n.pruneDone <- periodic.Run(ctx, pruneInterval, n.prune) }()
 	watcher := stallwatch.New(clock, o.Log)
 	go func() {
@@ -378,7 +381,7 @@
 	n.caps.Close()
 	n.origins.Close()
 	n.cancel()
-	errs = append(errs, n.heartbeats.Load().Close(), <-n.pruneDone, <-n.warmDone)
+	errs = append(errs, n.heartbeats.Load().Close(), <-n.pruneDone, <-n.warmDone, <-n.permitsDone)
 	n.servers.Close()
 	n.peers.Close()
 	n.client.CloseIdle()
--- a/permitclient/client.go
+++ b/permitclient/client.go
@@ -1,6 +1,7 @@
 // Package permitclient is the entry host's client for the limits that backend servers
 // announce. It takes a permit from a store of the region before a request is sent to a limited
-// server, and uses a small share of the limit by itself while no store answers.
+// server, or a place if the server fails when it has to reject requests. While no store answers it
+// uses a small share of the limit by itself.
 package permitclient
 
 import (
@@ -36,6 +37,8 @@
 // Options are the options of New.
 type Options struct {
 	Host string
+	// Boot identifies this start of the host's process.
+	Boot uint64
 	// Limits are the limits that servers have announced.
 	Limits *serverlimit.Table
 	// Stores returns all stores of the region, including silent ones.
@@ -54,11 +57,18 @@
 	mu      sync.Mutex
 	// silentUntil is until when a store that did not answer is not tried.
 	silentUntil map[string]time.Time
+	// misses are the consecutive requests for places without an answer, by store.
+	misses map[string]int
+	// uses are what is in flight, by server. seq numbers messages, nextNumber requests for places.
+	uses            map[string]*use
+	seq, nextNumber uint64
+	// wake has a message while a report is due.
+	wake chan struct{}
 }
 
 // New returns a client that considers all stores reachable.
 func New(o Options) *Client {
-	return &Client{options: o, shares: coldrate.New(o.Now), silentUntil: map[string]time.Time{}}
+	return &Client{options: o, shares: coldrate.New(o.Now), silentUntil: map[string]time.Time{}, misses: map[string]int{}, uses: map[string]*use{}, wake: make(chan struct{}, 1)}
 }
 
 // Acquire implements wheelgauge.PermitSource.
--- a/permitclient/model_test.go
+++ b/permitclient/model_test.go
@@ -86,6 +86,7 @@
 
 type modelHost struct {
 	name   string
+	boot   uint64
 	limits *serverlimit.Table
 	client *Client
 	// downUntil is until when the host is down.
@@ -109,16 +110,21 @@
 	t       *testing.T
 	r       *rand.Rand
 	at      time.Duration
+	until   time.Duration
 	stores  []*modelStore
 	hosts   []*modelHost
 	servers []*modelServer
 	events  []event
 	// take decides in place of the hosts' clients, if it is set.
 	take func(h *modelHost, s *modelServer) bool
+	// lost is the part of the calls to stores that are lost, half of them on the way back.
+	lost float64
+	// onTick is called every tick, if it is set.
+	onTick func()
 }
 
 func newModel(t *testing.T, seed uint64, hosts, stores int, servers ...*modelServer) *model {
-	m := &model{t: t, r: rand.New(rand.NewPCG(seed, 7)), servers: servers}
+	m := &model{t: t, r: rand.New(rand.NewPCG(seed, 7)), until: runTime, servers: servers}
 	for i := range stores {
 		s := &modelStore{address: fmt.Sprint("store-", i)}
 		m.startStore(s)
@@ -142,9 +148,10 @@
 
 func (m *model) startHost(h *modelHost) {
 	h.ready = false
+	h.boot++
 	h.limits, h.sentUpTo, h.receivedUpTo = serverlimit.New(m.now), map[uint64]uint64{}, map[uint64]uint64{}
 	h.client = New(Options{
-		Host: h.name, Limits: h.limits, Now: m.now,
+		Host: h.name, Boot: h.boot, Limits: h.limits, Now: m.now,
 		Stores:  func() []wheelgauge.RegionStore { return m.storesOf(h) },
 		Sharers: m.hostNames,
 		Request: func(_ context.Context, address string, req wheelgauge.PermitRequest) (wheelgauge.PermitResponse, error) {
@@ -182,14 +189,19 @@
 		if s.address != address {
 			continue
 		}
-		if !m.reaches(h, i) {
+		if !m.reaches(h, i) || m.loses() {
+			return a, errUnreachable
+		}
+		if a = s.issuer.Answer(req); m.loses() {
 			return a, errUnreachable
 		}
-		return s.issuer.Answer(req), nil
+		return a, nil
 	}
 	return a, nil
 }
 
+func (m *model) loses() bool { return m.lost > 0 && m.r.Float64() < m.lost/2 }
+
 // heartbeat sends the limits observed by the host to stores, and merges the answer of the
 // first.
 func (m *model) heartbeat(h *modelHost) {
@@ -268,7 +280,7 @@
 
 func (m *model) run() {
 	slices.SortStableFunc(m.events, func(a, b event) int { return cmp.Compare(a.at, b.at) })
-	for ; m.at < runTime; m.at += tick {
+	for ; m.at < m.until; m.at += tick {
 		due := m.events
 		m.events = nil
 		for _, e := range due {
@@ -284,6 +296,9 @@
 				m.heartbeat(h)
 			}
 		}
+		if m.onTick != nil {
+			m.onTick()
+		}
 		for _, s := range m.servers {
 			want := s.demand * tick.Seconds()
 			for want > 0 {
--- a/permitissuer/issuer.go
+++ b/permitissuer/issuer.go
@@ -1,5 +1,6 @@
 // Package permitissuer issues permits to send requests to backend servers that have announced
-// a limit: as many a second as the server accepts from all hosts together.
+// a limit: as many a second as the server accepts from all hosts together, or only while it has
+// room, if it fails when it has to reject requests.
 package permitissuer
 
 import (
@@ -51,17 +52,27 @@
 	limits    *serverlimit.Table
 	mu        sync.Mutex
 	schedules map[key]*schedule
-	now       func() time.Time
+	// places are those of servers that bear few rejections.
+	places map[string]*places
+	now    func() time.Time
 }
 
 // New returns an issuer that applies limits and reads time from now. It has no permits saved
 // for any server: those granted before its start are not known.
 func New(limits *serverlimit.Table, now func() time.Time) *Issuer {
-	return &Issuer{limits: limits, schedules: map[key]*schedule{}, now: now}
+	return &Issuer{limits: limits, schedules: map[key]*schedule{}, places: map[string]*places{}, now: now}
 }
 
-// Answer answers a permit request, and merges the limit that the host knows.
+// Answer answers a permit request, and merges the limit that the host knows. A request for a
+// place may wait for MaxWaitMS.
 func (i *Issuer) Answer(req wheelgauge.PermitRequest) wheelgauge.PermitResponse {
+	switch {
+	case req.Uses != nil && req.Place != nil && len(req.Uses.Uses) > 0:
+		return i.answerPlace(req)
+	case req.Uses != nil:
+		i.Report(req.Uses)
+		return wheelgauge.PermitResponse{}
+	}
 	server := req.Limit.Server
 	i.limits.Merge([]wheelgauge.ServerLimit{req.Limit})
 	a := wheelgauge.PermitResponse{Limit: i.limits.Get(server)}
@@ -158,4 +169,9 @@
 			delete(i.schedules, k)
 		}
 	}
+	for server, p := range i.places {
+		if i.now().Sub(p.usedAt) > idleTTL {
+			delete(i.places, server)
+		}
+	}
 }
--- a/routegate/call.go
+++ b/routegate/call.go
@@ -78,8 +78,10 @@
 	capUnits float64
 	// capWait is the time spent on taking cap units.
 	capWait time.Duration
-	// permitWait is the time spent on waiting for permits.
+	// permitWait is the time spent on waiting for permits. noPlaces counts the servers that had no
+	// place for the request.
 	permitWait time.Duration
+	noPlaces   int
 	// roomWait is the time spent in the waiting room.
 	roomWait time.Duration
 	// roomRefused is set once the room has refused the request: it is not held back any more.
@@ -311,7 +313,7 @@
 	g.options.Log.Info("Request ends.", "id", c.id, "request", c.loggedFingerprint(), "route", name, "workspace", c.workspaceName(), "version", c.version,
 		"state_age_ms", g.configAge().Milliseconds(), "list_age_ms", g.options.Servers.ListAge().Milliseconds(), "status", c.status, "cause", c.cause,
 		"servers", strings.Join(c.triedServers, " "), "peers", strings.Join(c.triedPeers, " "), "runs", c.runs, "forwarded", c.forwarded,
-		"cap_ms", c.capWait.Milliseconds(), "permit_ms", c.permitWait.Milliseconds(), "room_ms", c.roomWait.Milliseconds(), "version_sent", c.sentVersion, "version_began", c.origin.text(), "resumes", c.resumes, "resumed_after", c.lastEventID, "predicted_ms", c.predictedWait.Milliseconds(), "first_ms", c.firstAfter.Milliseconds(), "ms", elapsed.Milliseconds(),
+		"cap_ms", c.capWait.Milliseconds(), "permit_ms", c.permitWait.Milliseconds(), "no_places", c.noPlaces, "room_ms", c.roomWait.Milliseconds(), "version_sent", c.sentVersion, "version_began", c.origin.text(), "resumes", c.resumes, "resumed_after", c.lastEventID, "predicted_ms", c.predictedWait.Milliseconds(), "first_ms", c.firstAfter.Milliseconds(), "ms", elapsed.Milliseconds(),
 		"events", c.splitter.Events(), "ended", strings.Join(c.endedServers, " "), "parts", c.loggedParts(), "framing", c.framing, "partial_bytes", c.partialBytes, "pause_ms", c.longestPause.Milliseconds(), "expected_tokens", c.prompt.Output(), "load", c.placementInputs(), "forecast", c.forecastText())
 }
 
--- a/routegate/dispatch.go
+++ b/routegate/dispatch.go
@@ -112,9 +112,12 @@
 	c.observeLimits(x, s)
 	x.pushedBack = c.observePushback(x, k)
 	notRun := len(httpfield.Value(x.head, n.NotRun)) > 0
-	if r, ok := serverset.ParseLoadReport(string(httpfield.Value(x.head, n.Load))); ok {
-		k.Report(r, notRun && x.head.StatusCode() == http.StatusServiceUnavailable)
+	rejected := notRun && x.head.StatusCode() == http.StatusServiceUnavailable
+	r, loadKnown := serverset.ParseLoadReport(string(httpfield.Value(x.head, n.Load)))
+	if loadKnown {
+		k.Report(r, rejected)
 	}
+	c.recordPlaces(x, k, r, loadKnown, rejected && !x.pushedBack)
 	if status := x.head.StatusCode(); notRun || status == http.StatusMisdirectedRequest {
 		return c.endNotRun(x, k, status)
 	}
--- a/routegate/limit.go
+++ b/routegate/limit.go
@@ -11,6 +11,10 @@
 	"wheelgauge/serverset"
 )
 
+// maxPermitTries is how many servers are asked for at once, and how many waited for: each try is a
+// round trip to a store, and others of the host's requests have just asked the rest.
+const maxPermitTries = 3
+
 // permitWaitShare is the share of its objective that a request waits at most for a permit of a
 // rate-limited server; the rest is left for the answer.
 const permitWaitShare = 0.25
@@ -63,27 +67,37 @@
 	return status >= http.StatusOK && status < http.StatusMultipleChoices
 }
 
-// placeWithPermit chooses a server that the request may be sent to. The limit that a server
-// announces applies to all hosts together: enforced by each host on its own, or ignored
-// because a limited server looks idle, it would be exceeded by a factor of the number of
+// placeWithPermit chooses a server that the request may be sent to. The limits that a server
+// announces apply to all hosts together: enforced by each host on its own, or ignored
+// because a limited server looks idle, they would be exceeded by a factor of the number of
 // hosts.
 func (c *call) placeWithPermit(ctx context.Context) placement {
 	p := c.choosePlacement()
-	for p.pick != nil && !c.takePermit(ctx, p.pick, 0) {
+	for tries := 1; p.pick != nil && !c.takePermit(ctx, p.pick, 0); tries++ {
 		if ctx.Err() != nil || c.expired() {
 			return placement{}
 		}
+		if tries == maxPermitTries {
+			p = placement{}
+			break
+		}
 		p = c.choosePlacement()
 	}
 	if p.pick != nil || p.peer != nil || p.leaving {
 		return p
 	}
-	// No server accepts it now: waiting for a rate-limited one is better than refusing.
-	maxWait := min(wheelgauge.MaxPermitLead, time.Duration(permitWaitShare*float64(c.route.LatencyObjective)))
-	for k := c.chooseLimited(maxWait); k != nil && ctx.Err() == nil; k = c.chooseLimited(maxWait) {
-		if c.takePermit(ctx, k, maxWait) {
+	// No server accepts it now: waiting for one that limits its requests is better than refusing.
+	left := min(wheelgauge.MaxPermitLead, time.Duration(permitWaitShare*float64(c.route.LatencyObjective)))
+	for tries := 0; tries < maxPermitTries && left >= 0 && ctx.Err() == nil; tries++ {
+		k := c.chooseLimited(left)
+		if k == nil {
+			return p
+		}
+		began := time.Now()
+		if c.takePermit(ctx, k, left) {
 			return placement{pick: k}
 		}
+		left -= time.Since(began)
 	}
 	return p
 }
@@ -99,14 +113,49 @@
 // takePermit reports whether the request may be sent to the chosen server, and waits until it
 // may.
 func (c *call) takePermit(ctx context.Context, k *serverset.Pick, maxWait time.Duration) bool {
-	server := k.Server().InstanceKey()
-	if _, limited := c.gate.options.Limits.Rate(server); !limited || c.gate.options.Permits == nil {
+	if c.gate.options.Permits == nil {
 		return true
 	}
 	ctx, cancel := context.WithDeadline(ctx, c.connDeadline())
 	defer cancel()
 	began := time.Now()
 	defer func() { c.permitWait += time.Since(began) }()
+	left, ok := c.takePlace(ctx, k, maxWait)
+	return ok && c.takeRate(ctx, k, left)
+}
+
+// takePlace takes a place at the chosen server, and returns what is left of the time to wait. A
+// server that fails if it has to reject many requests gets one only while it has room.
+func (c *call) takePlace(ctx context.Context, k *serverset.Pick, maxWait time.Duration) (left time.Duration, ok bool) {
+	began := time.Now()
+	server, permits := k.Server().InstanceKey(), c.gate.options.Permits
+	bears, brittle := k.Bears()
+	after, ok := permits.Enter(ctx, wheelgauge.PlaceQuery{Server: server, Slots: k.Slots(), Brittle: brittle, Bears: bears, Rank: c.rank, MaxWait: maxWait})
+	switch {
+	case ok:
+		k.OnEnd(func() { permits.Leave(server) })
+		if !brittle {
+			return maxWait, true
+		}
+		c.gate.limitRetries.served(c.service, c.gate.options.Clock.Now())
+		k.Sent()
+		return max(0, maxWait-time.Since(began)), true
+	case ctx.Err() != nil:
+		k.Done(serverset.Abandoned)
+		return 0, false
+	}
+	c.gate.options.Meter.Count("places.refused")
+	c.noPlaces++
+	k.Defer(after)
+	return 0, false
+}
+
+// takeRate takes a permit of a server that limits the requests a second.
+func (c *call) takeRate(ctx context.Context, k *serverset.Pick, maxWait time.Duration) bool {
+	server := k.Server().InstanceKey()
+	if _, limited := c.gate.options.Limits.Rate(server); !limited {
+		return true
+	}
 	for ctx.Err() == nil {
 		rate, _ := c.gate.options.Limits.Rate(server)
 		after, ok := c.gate.options.Permits.Acquire(ctx, server, maxWait)
@@ -126,6 +175,18 @@
 	return false
 }
 
+// recordPlaces records what an answer says of the places of its server.
+func (c *call) recordPlaces(x *exchange, k *serverset.Pick, r serverset.LoadReport, loadKnown, rejected bool) {
+	if c.gate.options.Permits == nil {
+		return
+	}
+	a := wheelgauge.PlaceAnswer{Rejected: rejected, LoadKnown: loadKnown, Running: r.Running(), Waiting: r.Waiting()}
+	if !rejected && c.route.Kind == wheelgauge.RouteStream && isSuccess(x.head.StatusCode()) {
+		a.Running = max(0, a.Running-1) // the stream itself goes on
+	}
+	c.gate.options.Permits.Answered(k.Server().InstanceKey(), a)
+}
+
 // waitForPermit waits until a permit granted ahead of time is due. It is void if the limit has
 // changed since: a server that lowers its limit would otherwise still get everything granted
 // ahead under the old one.
--- a/routegate/limit_test.go
+++ b/routegate/limit_test.go
@@ -58,8 +58,18 @@
 	}
 }
 
+// openPlaces has a place for every request.
+type openPlaces struct{}
+
+func (openPlaces) Enter(context.Context, wheelgauge.PlaceQuery) (time.Duration, bool) { return 0, true }
+
+func (openPlaces) Answered(string, wheelgauge.PlaceAnswer) {}
+
+func (openPlaces) Leave(string) {}
+
 // fakePermits grants a number of permits, then none, each after a wait.
 type fakePermits struct {
+	openPlaces
 	mu        sync.Mutex
 	remaining int
 	after     time.Duration
--- a/routegate/pushback_test.go
+++ b/routegate/pushback_test.go
@@ -116,7 +116,7 @@
 				}
 				if tt.permits {
 					g.options.Limits.ObserveLimit("i0", 1)
-					g.options.Permits = permitHook(pushBack)
+					g.options.Permits = permitHook{call: pushBack}
 				} else {
 					pushBack()
 				}
@@ -153,10 +153,13 @@
 }
 
 // permitHook grants every permit at once, after a callback.
-type permitHook func()
+type permitHook struct {
+	openPlaces
+	call func()
+}
 
 func (h permitHook) Acquire(context.Context, string, time.Duration) (time.Duration, bool) {
-	h()
+	h.call()
 	return 0, true
 }
 
--- a/serverset/limit.go
+++ b/serverset/limit.go
@@ -5,6 +5,10 @@
 	"time"
 )
 
+// brittleMemory is how long after its last brittle server is gone a service is still taken for
+// brittle by servers that have not answered yet: all may fail and return together.
+const brittleMemory = 30 * time.Second
+
 // LimitFunc returns the limit that an instance of a server has announced, in requests per
 // second; ok is false without one.
 type LimitFunc func(instanceKey string) (rate float64, ok bool)
@@ -16,24 +20,102 @@
 	t.limitOf = lookup
 }
 
+// SetRejections sets the function that returns how many rejections servers bear.
+func (t *Table) SetRejections(lookup LimitFunc) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.rejectionsOf = lookup
+}
+
+// announced are the limits that a server has announced.
+type announced struct {
+	rate    float64
+	limited bool
+	// bears is how many rejections a second the server bears if it is brittle.
+	bears   float64
+	brittle bool
+}
+
+// announcedBy returns the limits of a server. The lock is held.
+func (t *Table) announcedBy(s *Server) (a announced) {
+	if t.limitOf != nil {
+		a.rate, a.limited = t.limitOf(s.instanceKey)
+	}
+	a.bears, a.brittle = t.bears(s)
+	return a
+}
+
+// bears returns how many rejections a second a server bears; ok is false if it bears any number. A
+// server that has not answered since the first of its service became brittle is taken for one
+// like it. The lock is held.
+func (t *Table) bears(s *Server) (n float64, ok bool) {
+	if t.rejectionsOf == nil {
+		return 0, false
+	}
+	if n, ok = t.rejectionsOf(s.instanceKey); ok {
+		return n, true
+	}
+	b := t.brittleService(s.spec.Service)
+	return b.bears, !b.since.IsZero() && !s.lastReached.After(b.since)
+}
+
+// brittleService is what is known of a service whose servers bear few rejections.
+type brittleService struct {
+	// bears is the least number of rejections a second that a server bears.
+	bears         float64
+	since, seenAt time.Time
+}
+
+// brittleService returns what is known of the brittle servers of a service, the zero value if none
+// was there lately. The lock is held.
+func (t *Table) brittleService(service string) brittleService {
+	b, now, present := t.brittle[service], t.now(), false
+	for _, s := range t.services[service] {
+		if n, ok := t.rejectionsOf(s.instanceKey); ok && (!present || n < b.bears) {
+			b.bears, b.seenAt, present = n, now, true
+		}
+	}
+	switch {
+	case present && b.since.IsZero():
+		b.since = now
+	case now.Sub(b.seenAt) > brittleMemory:
+		b = brittleService{}
+	}
+	if b.since.IsZero() {
+		delete(t.brittle, service)
+		return b
+	}
+	t.brittle[service] = b
+	return b
+}
+
+// Bears returns how many rejections a second the server bears; ok is false if it bears any number.
+func (k *Pick) Bears() (n float64, ok bool) {
+	t := k.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.bears(k.server)
+}
+
+// Slots returns how many requests the server runs at once, as far as it is known.
+func (k *Pick) Slots() int {
+	t := k.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return k.server.concurrency()
+}
+
 // Defer ends a dispatch that the server's limit does not allow now: the server gets no work
 // from this host for a while, or until the limit changes.
 func (k *Pick) Defer(after time.Duration) {
 	t := k.table
 	t.mu.Lock()
 	k.server.deferredUntil = t.now().Add(after)
-	k.server.deferredAtRate, _ = t.currentLimit(k.server)
+	k.server.deferredAt = t.announcedBy(k.server)
 	t.mu.Unlock()
 	k.Done(Abandoned)
 }
 
-func (t *Table) currentLimit(s *Server) (rate float64, ok bool) {
-	if t.limitOf == nil {
-		return 0, true // nothing would show that the limit ended
-	}
-	return t.limitOf(s.instanceKey)
-}
-
 // hasLimit reports whether a server has announced a limit.
 func (t *Table) hasLimit(s *Server) bool {
 	if t.limitOf == nil {
@@ -58,8 +140,11 @@
 	if !now.Before(s.deferredUntil) {
 		return false
 	}
-	rate, limited := t.currentLimit(s)
-	return limited && rate == s.deferredAtRate
+	if t.limitOf == nil {
+		return true // nothing would show that the limit ended
+	}
+	a := t.announcedBy(s)
+	return (a.limited || a.brittle) && a == s.deferredAt
 }
 
 // NextDeferred returns the time until the first deferred server takes a request again; ok is
--- a/serverset/limit_test.go
+++ b/serverset/limit_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"wheelgauge"
+	"wheelgauge/fake/manualclock"
 	"wheelgauge/prompt"
 )
 
@@ -232,3 +234,50 @@
 		k.Done(Abandoned)
 	}
 }
+
+// A server that has not answered since another one of its service became brittle counts as
+// brittle, also after all of them have ended.
+func TestServerCountsAsBrittleLikeItsSiblings(t *testing.T) {
+	c := manualclock.New()
+	tb := New(Place{Host: "h"}, func(string) *wheelgauge.Service { return nil }, c.Now)
+	bears := map[string]float64{}
+	tb.SetRejections(func(instanceKey string) (float64, bool) {
+		n, ok := bears[instanceKey]
+		return n, ok
+	})
+	list := func(instances ...string) {
+		var servers []wheelgauge.Server
+		for _, name := range instances {
+			servers = append(servers, wheelgauge.Server{Instance: name, Service: "s", Slots: 4})
+		}
+		tb.Update(servers, c.Now())
+	}
+	check := func(when, instance string, wantBrittle bool) {
+		t.Helper()
+		tb.mu.Lock()
+		defer tb.mu.Unlock()
+		if _, brittle := tb.bears(tb.servers[instance]); brittle != wantBrittle {
+			t.Errorf("%s: %s counts as brittle: %v, want %v", when, instance, brittle, wantBrittle)
+		}
+	}
+	answer := func(instance string) {
+		c.Advance(time.Millisecond)
+		tb.mu.Lock()
+		defer tb.mu.Unlock()
+		tb.servers[instance].lastReached = c.Now()
+	}
+	list("a", "b")
+	answer("b")
+	check("no server is brittle", "b", false)
+	c.Advance(time.Millisecond)
+	bears["a"] = 5
+	check("its sibling is brittle", "b", true)
+	answer("b")
+	check("it answers without the number", "b", false)
+	list("c", "d") // both have ended and started again
+	check("it starts", "c", true)
+	answer("c")
+	check("the new one answers", "c", false)
+	c.Advance(brittleMemory + time.Second)
+	check("long after", "d", false)
+}
--- a/serverset/load_report.go
+++ b/serverset/load_report.go
@@ -35,6 +35,12 @@
 	slowdown int
 }
 
+// Running returns the requests that run, without those that wait.
+func (r LoadReport) Running() int { return r.running }
+
+// Waiting returns the requests that wait.
+func (r LoadReport) Waiting() int { return r.waiting }
+
 // ParseLoadReport reads "running,waiting,slots", optionally with ",slowdown"; ok is false for
 // anything else.
 func ParseLoadReport(text string) (r LoadReport, ok bool) {
--- a/serverset/pick.go
+++ b/serverset/pick.go
@@ -28,6 +28,8 @@
 	slowness float64
 	forecast wheelgauge.EngineForecast
 	modelled bool
+	// onEnd is called when the dispatch ends.
+	onEnd func()
 }
 
 // Load is the known load of a server at the time of the choice.
@@ -331,7 +333,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	k.sentAt = t.now()
-	k.server.sentUnderLimit = true
+	k.server.sentUnderLimit = k.server.sentUnderLimit || t.hasLimit(k.server)
 }
 
 // FirstEvent records that the first event has arrived.
@@ -389,13 +391,23 @@
 	Abandoned
 )
 
+// OnEnd sets a function that is called once when the dispatch ends.
+func (k *Pick) OnEnd(f func()) { k.onEnd = f }
+
 // Done ends the dispatch and records its outcome; later calls have no effect.
 func (k *Pick) Done(o Outcome) {
+	if k.end(o) && k.onEnd != nil {
+		k.onEnd()
+	}
+}
+
+// end records the outcome of the dispatch; false if it has ended before.
+func (k *Pick) end(o Outcome) bool {
 	t := k.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if k.ended {
-		return
+		return false
 	}
 	k.ended = true
 	k.endPrefill() // the tokens are still pending if no event came
@@ -423,6 +435,7 @@
 	case AddressReused:
 		s.replaced = true
 	}
+	return true
 }
 
 // endPrefill subtracts the prompt's tokens from the pending ones; false if that was done
--- a/serverset/server.go
+++ b/serverset/server.go
@@ -83,9 +83,9 @@
 	pause       time.Duration
 	// deferredUntil is when a server whose limit allows nothing now takes requests again.
 	deferredUntil time.Time
-	// deferredAtRate is the limit at the time of the deferral; sentUnderLimit is set once a
+	// deferredAt are the limits at the time of the deferral; sentUnderLimit is set once a
 	// request was sent under a limit.
-	deferredAtRate float64
+	deferredAt     announced
 	sentUnderLimit bool
 	// unreachableUntil is until when this host considers the server unreachable, lastReached
 	// is when it last answered.
--- a/serverset/table.go
+++ b/serverset/table.go
@@ -77,8 +77,10 @@
 	history *versionhistory.History
 	// unlistedPushbacks are those of instances that are no longer listed, by instance key.
 	unlistedPushbacks map[string]pushback.State
-	// limitOf returns the limits that servers have announced; nil without any.
-	limitOf LimitFunc
+	// limitOf and rejectionsOf return the limits that servers have announced; nil without any.
+	limitOf, rejectionsOf LimitFunc
+	// brittle are the services with servers that bear few rejections.
+	brittle map[string]brittleService
 	// lastHolders maps a prefix to the server that used it last.
 	lastHolders map[uint64]*Server
 	// sameHall, otherHalls and shortlist are scratch space for one choice, drawCount seeds the
@@ -96,7 +98,7 @@
 // New returns an empty table. serviceConfig returns the configuration of a service.
 func New(place Place, serviceConfig func(service string) *wheelgauge.Service, now func() time.Time) *Table {
 	return &Table{
-		place: place, servers: map[string]*Server{}, services: map[string][]*Server{}, undrainedAt: map[string]time.Time{}, unlistedPushbacks: map[string]pushback.State{},
+		place: place, servers: map[string]*Server{}, services: map[string][]*Server{}, undrainedAt: map[string]time.Time{}, brittle: map[string]brittleService{}, unlistedPushbacks: map[string]pushback.State{},
 		serviceConfig: serviceConfig, coldRates: coldrate.New(now), lastHolders: map[uint64]*Server{}, history: versionhistory.New(now), residentTokens: map[rankOfService]float64{}, now: now,
 	}
 }
