--- a/cmd/wheelgauge-fake/commands.go
+++ b/cmd/wheelgauge-fake/commands.go
@@ -53,6 +53,7 @@
 	f.DurationVar(&o.LoadTime, "load-time", time.Second, "time to load a model")
 	f.StringVar(&o.CrashOn, "ends-on", "", "exit when a prompt that contains this text starts to run")
 	f.Float64Var(&o.RequestsPerSecond, "limit", 0, "rate limit that responses announce, in requests per second; 0 means none")
+	f.Float64Var(&o.BearsRejections, "bears", 0, "rejections per second that responses say the engine bears; 0 means none")
 	f.BoolVar(&o.RandomLoad, "busy", false, "report a random load each time")
 	f.Uint64Var(&o.Seed, "seed", 1, "seed of the random generator")
 	return c
--- a/fake/arrivalbound/bound.go
+++ b/fake/arrivalbound/bound.go
@@ -22,6 +22,9 @@
 // ColdRate returns the bound for a cold server.
 func ColdRate() Bound { return Bound{window: time.Second, rateFactor: 1.5, slack: 3} }
 
+// Rejections returns the bound for the rejections of a server that announces how many it bears.
+func Rejections() Bound { return Bound{window: time.Second, rateFactor: 1} }
+
 // Window returns the length of a window.
 func (b Bound) Window() time.Duration { return b.window }
 
--- a/fake/engine/engine.go
+++ b/fake/engine/engine.go
@@ -43,6 +43,10 @@
 	Crash   func()
 	// RequestsPerSecond is the rate limit that responses announce; none when 0.
 	RequestsPerSecond float64
+	// BearsRejections is the number of rejections per second that all responses say that the
+	// engine bears; none when 0. An engine that says it rejects what finds neither a slot nor
+	// room in the queue, and counts its rejections.
+	BearsRejections float64
 	// RandomLoad makes the engine report a random load each time.
 	RandomLoad bool
 	Seed       uint64
@@ -100,8 +104,9 @@
 	started      int
 	cancelled    int
 	notLoaded    int
-	// arrivals are the arrival times of requests, in Unix milliseconds.
-	arrivals []int64
+	// arrivals are the arrival times of requests, rejections those of rejected ones, in Unix
+	// milliseconds.
+	arrivals, rejections []int64
 	pushback pushback
 	server   *httpserve.Server
 	cancel   context.CancelFunc
@@ -274,7 +279,8 @@
 	if len(e.orders) > 0 && !e.hasModel(model) {
 		e.notLoaded++
 	}
-	if len(e.waiting) >= e.o.Queue {
+	if len(e.waiting) >= e.o.Queue || e.o.BearsRejections > 0 && len(e.waiting)+len(e.running) >= e.o.Slots+e.o.Queue {
+		e.rejections = append(e.rejections, time.Now().UnixMilli())
 		return nil
 	}
 	e.submitted++
@@ -342,6 +348,13 @@
 	return slices.Clone(e.arrivals)
 }
 
+// Rejections returns the times of rejected requests, in Unix milliseconds.
+func (e *Engine) Rejections() []int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.rejections)
+}
+
 // Freeze stops all progress, with connections kept open, or resumes it.
 func (e *Engine) Freeze(frozen bool) {
 	e.mu.Lock()
--- a/fake/engine/handler.go
+++ b/fake/engine/handler.go
@@ -87,6 +87,8 @@
 		e.SetSlowdown(ctx.QueryArgs().GetUintOrZero("factor"))
 	case "/v1/arrivals":
 		peerhttp.WriteJSON(ctx, e.Arrivals())
+	case "/v1/rejections":
+		peerhttp.WriteJSON(ctx, e.Rejections())
 	case "/v1/stats":
 		peerhttp.WriteJSON(ctx, e.Stats())
 	default:
@@ -104,6 +106,9 @@
 	if e.o.RequestsPerSecond > 0 {
 		ctx.Response.Header.Set(wheelgauge.HeaderLimit, strconv.FormatFloat(e.o.RequestsPerSecond, 'g', -1, 64))
 	}
+	if e.o.BearsRejections > 0 {
+		ctx.Response.Header.Set(wheelgauge.HeaderBrittle, strconv.FormatFloat(e.o.BearsRejections, 'g', -1, 64))
+	}
 	n := c.MaxTokens
 	if n <= 0 || n > maxTokens {
 		n = defaultTokens
