Mode with resources: calls go to servers that fail over rejections only while they have room

Engines that bear 3 rejections a second rejected 44, 5 and 6 within one, as each host counts its own calls and polls loads that are half a second old. A call now takes a place by the same permits: the hub that gives a server's permits counts what hosts report in flight.

--- a/gateway/deadline.go
+++ b/gateway/deadline.go
@@ -20,3 +20,6 @@
 func (g *Gateway) expired(rq *request) bool {
 	return !g.clock.Now().Before(rq.call.Deadline.Add(rq.suspendedAtStart))
 }
+
+// timeLeft is how long the request may still take.
+func (g *Gateway) timeLeft(rq *request) time.Duration { return time.Until(g.localDeadline(rq)) }
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -149,7 +149,7 @@
 	return g.service
 }
 
-// sendTo dispatches a request to one server and counts it as in flight until the
+// sendTo dispatches a request that has a place at a server, and counts it as in flight until the
 // answer is closed.
 func (g *Gateway) sendTo(ctx context.Context, rq *request, s *catalog.Server) (*wheelgauge.Response, error) {
 	started := time.Now()
@@ -157,7 +157,11 @@
 	call := rq.call // a copy, as an abandoned call goes on using it
 	call.Deadline = g.localDeadline(rq)
 	listener := &pushbackListener{gateway: g, server: s.Name}
-	call.OnResponse = listener.observe
+	call.OnResponse = func(status int, values func(name string) [][]byte) {
+		listener.observe(status, values)
+		g.observeBrittle(s.Name, status, values(wheelgauge.HeaderBrittle), sent)
+		g.permits.Answered(s.Name, wheelgauge.PlaceAnswer{Rejected: status == http.StatusServiceUnavailable && !listener.backoff.Load()})
+	}
 	g.inflight.Start(s.Name)
 	g.inflight.Start(rq.route.Pool)
 	g.inflight.StartPending(s.Name, started)
@@ -169,6 +173,7 @@
 	g.endPending(s.Name, started, err)
 	g.endPending(rq.route.Pool, started, err)
 	if err != nil {
+		g.permits.Leave(s.Name)
 		g.inflight.End(s.Name, 0)
 		g.inflight.End(rq.route.Pool, 0)
 		if !rq.callerLeft() && !listener.backoff.Load() && wheelgauge.AsError(err).Reason() != wheelgauge.ReasonOverloaded {
@@ -184,6 +189,7 @@
 	rq.target.Store(&target{server: s.Name, region: g.options.Region, version: &s.Version})
 	answer.Body = &notifyingBody{ReadCloser: answer.Body, onClose: func() {
 		took := time.Since(started)
+		g.permits.Leave(s.Name)
 		g.inflight.End(s.Name, took)
 		g.inflight.End(rq.route.Pool, took)
 	}}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -28,6 +28,7 @@
 	"wheelgauge/membership"
 	"wheelgauge/meter"
 	"wheelgauge/peerhttp"
+	"wheelgauge/permitclient"
 	"wheelgauge/quarantine"
 	"wheelgauge/serverlimit"
 	"wheelgauge/spillover"
@@ -97,12 +98,13 @@
 	quarantine *quarantine.Table
 	// limits are those that servers have announced; permits enforces them over all hosts of the
 	// region.
-	limits    *serverlimit.Table
-	permits   wheelgauge.PermitSource
-	deferrals deferrals
-	pushbacks pushbackTable
-	inflight  inflight.Table
-	hints     *hints
+	limits      *serverlimit.Table
+	permits     *permitclient.Client
+	permitsDone chan error
+	deferrals   deferrals
+	pushbacks   pushbackTable
+	inflight    inflight.Table
+	hints       *hints
 
 	sequence   atomic.Uint64
 	serving    *gate.Gate
@@ -202,7 +204,7 @@
 	}
 	g.cancel()
 	g.background.Wait()
-	errs = append(errs, g.node.Close(), g.watcher.Close(), g.hints.close())
+	errs = append(errs, g.node.Close(), g.watcher.Close(), g.hints.close(), <-g.permitsDone)
 	g.servers.CloseIdle()
 	g.peers.CloseIdle()
 	g.client.CloseIdle()
--- a/gateway/limit.go
+++ b/gateway/limit.go
@@ -14,11 +14,29 @@
 	"wheelgauge/serverlimit"
 )
 
-// deferral is the time until which a server's limit allows no request, and the rate that the
-// limit had then.
+// maxPlaceWaitShare is the share of its remaining time that a request waits at most for a place at
+// a server that bears few rejections.
+const maxPlaceWaitShare = 0.25
+
+// announced are the limits that a server has announced.
+type announced struct {
+	rate    float64
+	limited bool
+	// bears is how many rejections a second the server bears if it is brittle.
+	bears   float64
+	brittle bool
+}
+
+func announcedBy(limits *serverlimit.Table, server string) (a announced) {
+	a.rate, a.limited = limits.Rate(server)
+	a.bears, a.brittle = limits.RateOf(wheelgauge.LimitRejections, server)
+	return a
+}
+
+// deferral is the time until which a server's limits allow no request, and what these were then.
 type deferral struct {
-	until time.Time
-	rate  float64
+	until  time.Time
+	limits announced
 }
 
 // deferrals holds the servers for which this host was refused a permit.
@@ -29,17 +47,17 @@
 }
 
 func (d *deferrals) add(server string, after time.Duration, now time.Time) {
-	rate, _ := d.limits.Rate(server)
+	limits := announcedBy(d.limits, server)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.rows == nil {
 		d.rows = map[string]deferral{}
 	}
-	d.rows[server] = deferral{until: now.Add(after), rate: rate}
+	d.rows[server] = deferral{until: now.Add(after), limits: limits}
 }
 
 // blocks reports whether a server must get no request now. A deferral no longer applies once
-// the server's limit has changed or ended.
+// the server's limits have changed or ended.
 func (d *deferrals) blocks(server string, now time.Time) bool {
 	d.mu.Lock()
 	row, known := d.rows[server]
@@ -47,8 +65,8 @@
 	if !known || !now.Before(row.until) {
 		return false
 	}
-	rate, limited := d.limits.Rate(server)
-	return limited && rate == row.rate
+	limits := announcedBy(d.limits, server)
+	return (limits.limited || limits.brittle) && limits == row.limits
 }
 
 // openPermits sets up the limits that servers announce and the permits for them.
@@ -56,8 +74,30 @@
 	g.limits = serverlimit.New(g.clock.Now)
 	g.deferrals.limits = g.limits
 	g.permits = permitclient.New(permitclient.Options{
-		Host: g.options.Host, Limits: g.limits, Stores: g.permitStores, Sharers: g.liveHosts, Request: g.requestPermit, Now: g.clock.Now,
+		Host: g.options.Host, Boot: g.boot, Limits: g.limits, Stores: g.permitStores, Sharers: g.liveHosts, Request: g.requestPermit, Now: g.clock.Now,
 	})
+	g.permitsDone = make(chan error, 1)
+	go func() { g.permitsDone <- g.permits.Run(g.ctx) }()
+}
+
+// observeBrittle reads how many rejections a server bears from its answer to a call that was sent
+// at the given time.
+func (g *Gateway) observeBrittle(server string, status int, values [][]byte, sent time.Time) {
+	kind := wheelgauge.LimitRejections
+	switch {
+	case len(values) == 1:
+		n, ok := serverlimit.Parse(string(values[0]))
+		if !ok {
+			g.meter.Count("servers.brittle.unreadable")
+		} else if g.limits.Observe(kind, server, n) {
+			g.meter.Count("servers.brittle")
+			g.options.Log.Info("A server names the rejections that it bears.", "server", server, "rate", n, "status", status)
+		}
+	case len(values) > 1:
+		g.meter.Count("servers.brittle.unreadable")
+	case status >= http.StatusOK && status < http.StatusMultipleChoices && g.limits.ObserveNone(kind, server, sent):
+		g.options.Log.Info("A server names no rejections any more.", "server", server)
+	}
 }
 
 // observeLimit reads a server's limit from its answer to a call that was sent at the given time.
@@ -77,33 +117,44 @@
 	}
 }
 
-// pickPermitted picks a server that may get the call. The limit that a server announces applies
-// to all hosts of the region together, so a call to it needs a permit.
+// pickPermitted picks a server that may get the call. The limits that a server announces apply
+// to all hosts of the region together, so a call to it needs a permit, or a place if the server
+// bears few rejections. The call holds its place until sendTo or its answer
+// ends.
 func (g *Gateway) pickPermitted(ctx context.Context, rq *request, tried []string) (*catalog.Server, bool) {
+	left := time.Duration(maxPlaceWaitShare * float64(g.timeLeft(rq)))
 	for ctx.Err() == nil && !g.expired(rq) {
 		server, ok := g.pickServer(rq, tried)
 		if !ok {
 			return nil, false
 		}
-		after, permitted := g.permit(ctx, rq, server.Name)
+		began := g.clock.Now()
+		after, permitted := g.permit(ctx, rq, server, min(wheelgauge.MaxPermitLead, max(0, left)))
 		if permitted {
 			return server, true
 		}
+		left -= g.clock.Now().Sub(began)
 		g.meter.Count("permits.refused")
 		g.deferrals.add(server.Name, after, g.clock.Now())
 	}
 	return nil, false
 }
 
-// permit takes a permit for a call to a server that has announced a limit; other servers need
-// none.
-func (g *Gateway) permit(ctx context.Context, rq *request, server string) (after time.Duration, ok bool) {
-	if _, limited := g.limits.Rate(server); !limited {
-		return 0, true
-	}
+// permit takes a place at a server, and a permit if the server has announced a limit.
+func (g *Gateway) permit(ctx context.Context, rq *request, server *catalog.Server, maxWait time.Duration) (after time.Duration, ok bool) {
 	permitCtx, cancel := context.WithDeadline(ctx, g.localDeadline(rq))
 	defer cancel()
-	return g.permits.Acquire(permitCtx, server, 0)
+	limits := announcedBy(g.limits, server.Name)
+	after, ok = g.permits.Enter(permitCtx, wheelgauge.PlaceQuery{
+		Server: server.Name, Slots: server.Slots, Brittle: limits.brittle, Bears: limits.bears, Rank: -rq.call.Priority, MaxWait: maxWait,
+	})
+	if !ok || !limits.limited {
+		return after, ok
+	}
+	if after, ok = g.permits.Acquire(permitCtx, server.Name, 0); !ok {
+		g.permits.Leave(server.Name)
+	}
+	return after, ok
 }
 
 // permitStores returns the stores of the region, whose hubs issue permits. In a region without
--- a/permitissuer/places.go
+++ b/permitissuer/places.go
@@ -81,7 +81,7 @@
 	waiting   int
 	loadKnown bool
 	// ceiling is how many requests the server ran when it last rejected one, which may be fewer
-	// than its slots; -1 if it has rejected none.
+	// than its slots, or half of what was granted if it did not say; -1 if it has rejected none.
 	ceiling   int
 	ceilingAt time.Time
 	rejected  []time.Time
@@ -146,10 +146,11 @@
 		p.rejected = append(p.rejected, now)
 	}
 	p.rejected = p.rejected[max(0, len(p.rejected)-maxRejections):]
-	p.ceiling, p.ceilingAt = u.Full, now
-	if u.Full < 0 {
-		p.ceiling = max(0, p.held()-1)
+	ceiling := u.Full
+	if ceiling < 0 {
+		ceiling = max(1, p.usable(false, now)/2)
 	}
+	p.ceiling, p.ceilingAt = ceiling, now
 }
 
 // maxRejections bounds the rejections that are remembered.
--- a/systemtest/fault_brittle_test.go
+++ b/systemtest/fault_brittle_test.go
@@ -27,6 +27,11 @@
 	s.hosts, s.engines = []int{2, 1, 1}, []int{1, 1, 1}
 	s.engineArgs = []string{"--bears", fmt.Sprint(engineBears), "--queue", "1", "--step", "10ms"}
 	d := launch(t, s)
+	for _, n := range d.nodes { // hosts learn the number by answers
+		if r := d.send(n, chat(testClient(n.region), "first question at "+n.name, 1)); r.status != http.StatusOK {
+			t.Fatalf("first question at %s: %s", n.name, r)
+		}
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), 8*time.Second)
 	defer cancel()
 	var group sync.WaitGroup
