--- a/confstore/permits.go
+++ b/confstore/permits.go
@@ -9,7 +9,7 @@
 	"wheelgauge/permitclient"
 )
 
-// servePermits handles entry hosts' requests for permits to send to a rate-limited server;
+// servePermits handles entry hosts' requests for permits to send to a server with limits;
 // false means another path.
 func (n *Node) servePermits(ctx *fasthttp.RequestCtx) bool {
 	return serve(ctx, permitclient.Path, func(request wheelgauge.PermitRequest) (wheelgauge.PermitResponse, error) {
@@ -19,10 +19,18 @@
 
 func (n *Node) requestPermit(request wheelgauge.PermitRequest) wheelgauge.PermitResponse {
 	a := n.permits.Answer(request)
+	kind := "permits"
+	switch {
+	case request.Place != nil:
+		kind = "places"
+	case request.Uses != nil:
+		n.meter.Count("places.reports")
+		return a
+	}
 	if a.Granted {
-		n.meter.Count("permits.granted")
+		n.meter.Count(kind + ".granted")
 	} else {
-		n.meter.Count("permits.refused")
+		n.meter.Count(kind + ".refused")
 	}
 	return a
 }
--- a/permitissuer/enter.go
+++ b/permitissuer/enter.go
@@ -36,15 +36,22 @@
 	now, maxWait := i.now(), min(wheelgauge.MaxPermitLead, time.Duration(req.MaxWaitMS)*time.Millisecond)
 	p := i.report(req.Uses, req.Uses.Uses[0], now)
 	p.serve(now)
-	w := &waiter{host: req.Uses.Host, number: req.Place.Number, rank: req.Place.Rank, fallback: req.Fallback, grant: func() { done(wheelgauge.PermitResponse{Granted: true}) }}
+	w := &waiter{host: req.Uses.Host, number: req.Place.Number, rank: req.Place.Rank, fallback: req.Fallback}
+	w.done = func(granted bool) {
+		if granted {
+			done(wheelgauge.PermitResponse{Granted: true})
+			return
+		}
+		done(p.refusal(w.rank, i.now()))
+	}
 	if !p.enter(w, maxWait, now) {
-		done(p.refusal(w.rank, now))
+		w.done(false)
 	}
 	return func() {
 		i.mu.Lock()
 		defer i.mu.Unlock()
 		if p.withdraw(w) {
-			done(p.refusal(w.rank, i.now()))
+			w.done(false)
 		}
 	}
 }
@@ -58,7 +65,7 @@
 func (i *Issuer) answerPlace(req wheelgauge.PermitRequest) wheelgauge.PermitResponse {
 	answer := make(chan wheelgauge.PermitResponse, 1)
 	withdraw := i.Enter(req, func(a wheelgauge.PermitResponse) { answer <- a })
-	timer := time.NewTimer(time.Duration(req.MaxWaitMS) * time.Millisecond)
+	timer := time.NewTimer(min(wheelgauge.MaxPermitLead, time.Duration(req.MaxWaitMS)*time.Millisecond))
 	defer timer.Stop()
 	select {
 	case a := <-answer:
--- a/permitissuer/places.go
+++ b/permitissuer/places.go
@@ -14,6 +14,8 @@
 	// hostTTL is how long what a host has in flight counts after its last report. Hosts renew
 	// their reports several times in that time.
 	hostTTL = 2 * time.Second
+	// expireInterval is how often hosts that have not reported are looked for.
+	expireInterval = 100 * time.Millisecond
 	// loadTTL is how long a server's report of its load counts.
 	loadTTL = time.Second
 	// loadReports is how many reports have to show requests of hosts that do not report here: a
@@ -65,8 +67,8 @@
 	number   uint64
 	rank     int
 	fallback bool
-	// grant is called once, with the lock held, when the request gets a place.
-	grant func()
+	// done is called once, with the lock held, when it is known whether the request gets a place.
+	done func(granted bool)
 }
 
 // places grants the places of one server that bears few rejections. A request gets one only if the
@@ -76,6 +78,10 @@
 	bears float64
 	since time.Time
 	hosts map[string]*hostUse
+	// held is how many requests these hosts have at the server, or may send to it; expiredAt is
+	// when hosts that do not report any more were last dropped.
+	held      int
+	expiredAt time.Time
 	// unknown are the latest reports, waiting is how many requests waited by the last one.
 	unknown   []unknownUse
 	waiting   int
@@ -105,6 +111,7 @@
 	}
 	h := p.hosts[from.Host]
 	if h == nil || h.boot != from.Boot {
+		p.drop(from.Host)
 		h = &hostUse{boot: from.Boot, rejected: u.Rejected, granted: map[uint64]bool{}}
 		p.hosts[from.Host] = h
 		p.identify(u.Sent)
@@ -119,6 +126,7 @@
 			delete(h.granted, number)
 		}
 	}
+	p.held += h.held() - before
 	if ended := before - h.held(); ended > 0 {
 		p.ends.Add(float64(ended), now)
 	}
@@ -158,20 +166,19 @@
 
 func (p *places) recordLoad(u wheelgauge.PlaceUse, now time.Time) {
 	p.loadKnown, p.waiting = true, u.Waiting
-	p.unknown = append(p.unknown, unknownUse{max(0, u.Load-p.held()), now})
+	p.unknown = append(p.unknown, unknownUse{max(0, u.Load-p.held), now})
 	p.unknown = p.unknown[max(0, len(p.unknown)-loadReports):]
 	if least, _ := p.unknownCount(now); least > 0 && len(p.unknown) == loadReports {
 		p.doubtedAt = now
 	}
 }
 
-// held is how many requests the hosts that report here have at the server, or may send to it.
-func (p *places) held() int {
-	n := 0
-	for _, h := range p.hosts {
-		n += h.held()
+// drop forgets what a host has in flight.
+func (p *places) drop(host string) {
+	if h := p.hosts[host]; h != nil {
+		p.held -= h.held()
+		delete(p.hosts, host)
 	}
-	return n
 }
 
 // unknownCount is how many requests of hosts that do not report here the server has: by the lowest
@@ -201,9 +208,12 @@
 
 // expire drops hosts that have not reported for long, and old rejections.
 func (p *places) expire(now time.Time) {
-	for name, h := range p.hosts {
-		if now.Sub(h.heardAt) > hostTTL {
-			delete(p.hosts, name)
+	if now.Sub(p.expiredAt) >= expireInterval {
+		p.expiredAt = now
+		for name, h := range p.hosts {
+			if now.Sub(h.heardAt) > hostTTL {
+				p.drop(name)
+			}
 		}
 	}
 	p.rejected = slices.DeleteFunc(p.rejected, func(at time.Time) bool { return now.Sub(at) >= rejectionWindow })
@@ -242,7 +252,7 @@
 		return false
 	}
 	unknown, fresh := p.unknownCount(now)
-	if fresh && p.waiting > 0 || p.held()+unknown >= p.usable(fallback, now) {
+	if fresh && p.waiting > 0 || p.held+unknown >= p.usable(fallback, now) {
 		return false
 	}
 	known := fresh || p.loadKnown && !p.isDoubtful(now) || !p.loadKnown && !fallback && now.Sub(p.since) >= settleTime
@@ -252,7 +262,8 @@
 func (p *places) grant(w *waiter, now time.Time) {
 	p.riskedAt = now
 	p.hosts[w.host].granted[w.number] = true
-	w.grant()
+	p.held++
+	w.done(true)
 }
 
 // enter grants a place or lets the request wait; false if neither.
@@ -301,7 +312,8 @@
 	for len(p.waiters) > 0 {
 		w := p.waiters[0]
 		if p.hosts[w.host] == nil {
-			p.waiters = p.waiters[1:] // its host is gone
+			p.waiters = p.waiters[1:]
+			w.done(false) // its host is gone
 			continue
 		}
 		if !p.mayGrant(w.fallback, now) {
--- a/permitissuer/places_test.go
+++ b/permitissuer/places_test.go
@@ -195,3 +195,34 @@
 		t.Errorf("the second request is %s, want refused", got)
 	}
 }
+
+func BenchmarkEnter(b *testing.B) {
+	var hosts []*testHost
+	c := manualclock.New()
+	i := New(serverlimit.New(c.Now), c.Now)
+	for n := range 61 {
+		hosts = append(hosts, &testHost{issuer: i, name: fmt.Sprint("host-", n), slots: 32, bears: 3, full: -1})
+	}
+	for n := 0; b.Loop(); n++ {
+		h := hosts[n%len(hosts)]
+		h.enter(0, 0, 0)
+		h.sent = 0
+		i.Report(h.uses(0, 0))
+	}
+}
+
+// A request that waits gets an answer also if its host has not reported for long.
+func TestWaitOfSilentHostEnds(t *testing.T) {
+	c, hosts := newTestHosts("a", "b")
+	a, b := hosts[0], hosts[1]
+	a.issuer.Report(a.uses(0, 0))
+	a.enter(0, -1, 0)
+	a.enter(0, -1, 0)
+	waits := b.enter(0, -1, time.Second)
+	c.Advance(hostTTL + time.Millisecond)
+	a.sent = 0
+	a.issuer.Report(a.uses(0, 0))
+	if got := waits(); got != "refused" {
+		t.Errorf("the request is %s, want refused", got)
+	}
+}
--- a/routegate/call.go
+++ b/routegate/call.go
@@ -234,6 +234,10 @@
 		c.fail("no server of its version", "no backend server of the version that began the stream can take it now")
 		return answered
 	}
+	if c.noPlaces > 0 {
+		c.fail("no place", "no backend server has room for the request now")
+		return answered
+	}
 	c.fail("full", "no backend server can take the request now")
 	return answered
 }
--- a/serverset/limit.go
+++ b/serverset/limit.go
@@ -1,6 +1,7 @@
 package serverset
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -102,7 +103,7 @@
 	t := k.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return k.server.concurrency()
+	return max(1, cmp.Or(k.server.slots, k.server.spec.Slots))
 }
 
 // Defer ends a dispatch that the server's limit does not allow now: the server gets no work
