--- a/permitclient/uses.go
+++ b/permitclient/uses.go
@@ -268,14 +268,26 @@
 }
 
 // report sends the uses of some servers to a store. What does not arrive goes with the next
-// renewal.
+// report.
 func (c *Client) report(ctx context.Context, address string, servers []string) {
 	c.mu.Lock()
 	uses := c.message(servers)
 	c.mu.Unlock()
-	if _, err := c.request(ctx, address, wheelgauge.PermitRequest{Uses: uses}); err != nil && ctx.Err() == nil {
+	_, err := c.request(ctx, address, wheelgauge.PermitRequest{Uses: uses})
+	if err != nil && ctx.Err() == nil {
 		c.recordMiss(address)
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err == nil {
+		delete(c.misses, address)
+		return
+	}
+	for _, server := range servers {
+		if u := c.uses[server]; u != nil {
+			u.dirty = true
+		}
+	}
 }
 
 // recordMiss records a call to a store without an answer, and reports whether the store counts as
--- a/routegate/limit.go
+++ b/routegate/limit.go
@@ -11,9 +11,9 @@
 	"wheelgauge/serverset"
 )
 
-// maxPermitTries is how many servers are asked for at once, and how many waited for: each try is a
-// round trip to a store, and others of the host's requests have just asked the rest.
-const maxPermitTries = 3
+// maxPlaceTries is how many servers are asked for a place at once, and how many of them a request
+// waits for: each is a round trip to a store, and other requests of the host ask the rest.
+const maxPlaceTries = 3
 
 // permitWaitShare is the share of its objective that a request waits at most for a permit of a
 // rate-limited server; the rest is left for the answer.
@@ -72,12 +72,13 @@
 // because a limited server looks idle, they would be exceeded by a factor of the number of
 // hosts.
 func (c *call) placeWithPermit(ctx context.Context) placement {
+	refusedBefore := c.noPlaces
 	p := c.choosePlacement()
-	for tries := 1; p.pick != nil && !c.takePermit(ctx, p.pick, 0); tries++ {
+	for p.pick != nil && !c.takePermit(ctx, p.pick, 0) {
 		if ctx.Err() != nil || c.expired() {
 			return placement{}
 		}
-		if tries == maxPermitTries {
+		if c.noPlaces-refusedBefore >= maxPlaceTries {
 			p = placement{}
 			break
 		}
@@ -87,8 +88,9 @@
 		return p
 	}
 	// No server accepts it now: waiting for one that limits its requests is better than refusing.
+	refusedBefore = c.noPlaces
 	left := min(wheelgauge.MaxPermitLead, time.Duration(permitWaitShare*float64(c.route.LatencyObjective)))
-	for tries := 0; tries < maxPermitTries && left >= 0 && ctx.Err() == nil; tries++ {
+	for left >= 0 && ctx.Err() == nil && c.noPlaces-refusedBefore < maxPlaceTries {
 		k := c.chooseLimited(left)
 		if k == nil {
 			return p
