Requests without limits set up no deadline for permits

Each request to a server without limits made a context with a timer that only a call to a store uses; before the places it was made for limited servers alone. Found by reading; no figure, as BenchmarkServe runs without permits.

--- a/gateway/limit.go
+++ b/gateway/limit.go
@@ -119,8 +119,8 @@
 
 // pickPermitted picks a server that may get the call. The limits that a server announces apply
 // to all hosts of the region together, so a call to it needs a permit, or a place if the server
-// bears few rejections. The call holds its place until sendTo or its answer
-// ends.
+// bears few rejections. The call holds its place until it
+// fails or its answer is closed.
 func (g *Gateway) pickPermitted(ctx context.Context, rq *request, tried []string) (*catalog.Server, bool) {
 	left := time.Duration(maxPlaceWaitShare * float64(g.timeLeft(rq)))
 	for ctx.Err() == nil && !g.expired(rq) {
--- a/routegate/limit.go
+++ b/routegate/limit.go
@@ -118,8 +118,6 @@
 	if c.gate.options.Permits == nil {
 		return true
 	}
-	ctx, cancel := context.WithDeadline(ctx, c.connDeadline())
-	defer cancel()
 	began := time.Now()
 	defer func() { c.permitWait += time.Since(began) }()
 	left, ok := c.takePlace(ctx, k, maxWait)
@@ -132,6 +130,11 @@
 	began := time.Now()
 	server, permits := k.Server().InstanceKey(), c.gate.options.Permits
 	bears, brittle := k.Bears()
+	if brittle {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, c.connDeadline())
+		defer cancel()
+	}
 	after, ok := permits.Enter(ctx, wheelgauge.PlaceQuery{Server: server, Slots: k.Slots(), Brittle: brittle, Bears: bears, Rank: c.rank, MaxWait: maxWait})
 	switch {
 	case ok:
@@ -158,6 +161,8 @@
 	if _, limited := c.gate.options.Limits.Rate(server); !limited {
 		return true
 	}
+	ctx, cancel := context.WithDeadline(ctx, c.connDeadline())
+	defer cancel()
 	for ctx.Err() == nil {
 		rate, _ := c.gate.options.Limits.Rate(server)
 		after, ok := c.gate.options.Permits.Acquire(ctx, server, maxWait)
