--- a/entrynode/updates.go
+++ b/entrynode/updates.go
@@ -9,11 +9,25 @@
 	"wheelgauge/routetable"
 )
 
+// Names of what stores tell, in metrics.
+const (
+	kindHosts   = "hosts"
+	kindRoutes  = "routes"
+	kindServers = "servers"
+)
+
+// countUpdate counts the rows of an update and the time that applying it took.
+func (n *Node) countUpdate(kind string, rows int, began time.Time) {
+	n.meter.Add("update.rows."+kind, int64(rows))
+	n.meter.Add("update.us."+kind, time.Since(began).Microseconds())
+}
+
 // State applies a state received from a store, unless it is older than the applied one.
 func (n *Node) State(s wheelgauge.FleetState) {
 	if s.Generation <= n.generation {
 		return
 	}
+	began := time.Now()
 	n.quarantine.AddPersisted(s.Crashes) // before the first request is routed by this state
 	if len(s.Body) > 0 && (n.gate.RouteTable() == nil || s.Version > n.gate.RouteTable().Version()) {
 		set, err := n.options.DecodeRoutes(s.Body)
@@ -23,6 +37,7 @@
 			return
 		}
 		n.gate.SetTable(routetable.New(set))
+		n.countUpdate(kindRoutes, len(set.Routes), began)
 	}
 	n.generation = s.Generation
 	n.versions.SetRollouts(s.Rollouts)
@@ -39,6 +54,7 @@
 
 // Hosts updates the entry hosts; a partial list does not remove any.
 func (n *Node) Hosts(hosts []wheelgauge.FleetHost, partial bool) {
+	defer n.countUpdate(kindHosts, len(hosts), time.Now())
 	hosts = n.mergeHosts(hosts, partial)
 	region, announced := hostsOf(hosts, n.options.Region)
 	n.servers.SetPeers(region, announced)
@@ -70,6 +86,7 @@
 
 // Servers updates the list of backend servers, as requested at the given time.
 func (n *Node) Servers(list []wheelgauge.Server, requestedAt time.Time) {
+	defer n.countUpdate(kindServers, len(list), time.Now())
 	var own, others []wheelgauge.Server
 	for _, s := range list {
 		if s.Region == n.options.Region {
