--- a/entrynode/slow_link_test.go
+++ b/entrynode/slow_link_test.go
@@ -22,10 +22,12 @@
 	"wheelgauge/serverset"
 )
 
-// link limits the throughput of all its connections together to rate bytes a second.
+// link limits the throughput of all its connections together to rate bytes a second, and counts
+// what was read.
 type link struct {
 	mu   sync.Mutex
 	rate int
+	read int
 }
 
 // limitedConn is a connection whose reads are limited by a link.
@@ -40,10 +42,17 @@
 	n, err := c.Conn.Read(p[:min(len(p), 4096)])
 	c.link.mu.Lock()
 	defer c.link.mu.Unlock()
+	c.link.read += n
 	time.Sleep(time.Duration(n) * time.Second / time.Duration(c.link.rate))
 	return n, err
 }
 
+func (l *link) bytes() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.read
+}
+
 // serverList is a list of servers that a test can change.
 type serverList struct {
 	mu   sync.Mutex
@@ -56,6 +65,12 @@
 	return slices.Clone(s.list), nil, nil
 }
 
+func (s *serverList) add(server wheelgauge.Server) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.list = append(s.list, server)
+}
+
 func (s *serverList) markLeaving(n int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
