--- a/announcedhosts/choose.go
+++ b/announcedhosts/choose.go
@@ -45,13 +45,6 @@
 	return out
 }
 
-// Minimum returns those of a region's hosts that are announced even at the lowest load: the
-// first MinHosts of those that are ready and not leaving.
-func Minimum(region []wheelgauge.FleetHost) []wheelgauge.FleetHost {
-	fits := slices.DeleteFunc(slices.Clone(region), func(h wheelgauge.FleetHost) bool { return !h.Ready || h.Leaving })
-	return Choose(fits, MinHosts)
-}
-
 // byHall groups hosts by hall, with the halls sorted by name.
 func byHall(hosts []wheelgauge.FleetHost) [][]wheelgauge.FleetHost {
 	sorted := slices.Clone(hosts)
--- /dev/null
+++ b/announcedhosts/set.go
@@ -0,0 +1,95 @@
+package announcedhosts
+
+import (
+	"cmp"
+	"slices"
+
+	"wheelgauge"
+	"wheelgauge/rendezvous"
+)
+
+// Set holds the hosts of one region that may be announced, and changes by single hosts. The zero
+// value is empty. It is not safe for concurrent use.
+type Set struct {
+	// halls are sorted by name, the members of each by hash and name.
+	halls []hall
+}
+
+type hall struct {
+	name    string
+	members []member
+}
+
+type member struct {
+	hash uint64
+	name string
+}
+
+func compareMembers(a, b member) int {
+	return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.name, b.name))
+}
+
+// Update replaces the description of a host, before, by another one. Either may be the zero value
+// for none. It reports whether the set changed.
+func (s *Set) Update(before, after wheelgauge.FleetHost) bool {
+	was, is := eligible(before), eligible(after)
+	if was && is && before.Hall == after.Hall && before.Name == after.Name {
+		return false
+	}
+	if was {
+		s.remove(before)
+	}
+	if is {
+		s.add(after)
+	}
+	return was || is
+}
+
+func eligible(h wheelgauge.FleetHost) bool { return h.Name != "" && h.Ready && !h.Leaving }
+
+func (s *Set) find(name string) (int, bool) {
+	return slices.BinarySearchFunc(s.halls, name, func(h hall, name string) int { return cmp.Compare(h.name, name) })
+}
+
+func (s *Set) add(h wheelgauge.FleetHost) {
+	i, ok := s.find(h.Hall)
+	if !ok {
+		s.halls = slices.Insert(s.halls, i, hall{name: h.Hall})
+	}
+	m := member{rendezvous.Hash(h.Name), h.Name}
+	if at, ok := slices.BinarySearchFunc(s.halls[i].members, m, compareMembers); !ok {
+		s.halls[i].members = slices.Insert(s.halls[i].members, at, m)
+	}
+}
+
+func (s *Set) remove(h wheelgauge.FleetHost) {
+	i, ok := s.find(h.Hall)
+	if !ok {
+		return
+	}
+	m := member{rendezvous.Hash(h.Name), h.Name}
+	if at, ok := slices.BinarySearchFunc(s.halls[i].members, m, compareMembers); ok {
+		s.halls[i].members = slices.Delete(s.halls[i].members, at, at+1)
+	}
+	if len(s.halls[i].members) == 0 {
+		s.halls = slices.Delete(s.halls, i, i+1)
+	}
+}
+
+// Minimum returns the names of the hosts that are announced even at the lowest load, as Choose
+// chooses them.
+func (s *Set) Minimum() []string {
+	total := 0
+	for _, h := range s.halls {
+		total += len(h.members)
+	}
+	out := make([]string, 0, min(MinHosts, total))
+	for round := 0; len(out) < cap(out); round++ {
+		for _, h := range s.halls {
+			if round < len(h.members) && len(out) < cap(out) {
+				out = append(out, h.members[round].name)
+			}
+		}
+	}
+	return out
+}
--- a/configstate/machine.go
+++ b/configstate/machine.go
@@ -54,10 +54,23 @@
 	Rollout wheelgauge.Rollout `json:"rollout,omitzero"`
 }
 
+// maxRecent bounds the versions that are kept until somebody takes them: after a restart the log
+// may hold many.
+const maxRecent = 8
+
 // Machine implements wheelgauge.StateMachine on a FleetState. It is safe for concurrent use.
 type Machine struct {
 	mu    sync.RWMutex
 	state wheelgauge.FleetState
+	// recent are the configurations applied since TakeRecent, the oldest first.
+	recent []Configuration
+}
+
+// Configuration is one version of the configuration.
+type Configuration struct {
+	Version uint64
+	// Body is as sent by the operator.
+	Body json.RawMessage
 }
 
 // New returns an empty state.
@@ -134,9 +147,23 @@
 		return false
 	}
 	m.state.Version, m.state.Body = c.Version, c.Body
+	m.recent = append(m.recent, Configuration{c.Version, c.Body})
+	if extra := len(m.recent) - maxRecent; extra > 0 {
+		m.recent = slices.Delete(m.recent, 0, extra)
+	}
 	return true
 }
 
+// TakeRecent returns the state and the last configurations applied since the call before, the
+// oldest first. The caller must not change their slices.
+func (m *Machine) TakeRecent() (wheelgauge.FleetState, []Configuration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	recent := m.recent
+	m.recent = nil
+	return m.state, recent
+}
+
 func (m *Machine) drain(hall string) bool {
 	if slices.Contains(m.state.DrainedHalls, hall) {
 		return false
--- a/confstore/entry.go
+++ b/confstore/entry.go
@@ -89,8 +89,10 @@
 // routes returns the current configuration, or nil if there is none yet. Each
 // version is decoded once: a large configuration takes about 20 ms to decode, and
 // all callers of a region that lost its hosts may ask within the same second.
-func (n *Node) routes() *wheelgauge.RouteSet {
-	s := n.machine.State()
+func (n *Node) routes() *wheelgauge.RouteSet { return n.routesOf(n.machine.State()) }
+
+// routesOf returns the configuration of a state, or nil if it has none.
+func (n *Node) routesOf(s wheelgauge.FleetState) *wheelgauge.RouteSet {
 	if set := n.routeSet.Load(); set != nil && set.Version == s.Version {
 		return set
 	}
--- a/confstore/node.go
+++ b/confstore/node.go
@@ -18,6 +18,8 @@
 	"wheelgauge"
 	"wheelgauge/bootclock"
 	"wheelgauge/capallocator"
+	"wheelgauge/changefeed"
+	"wheelgauge/changelog"
 	"wheelgauge/configstate"
 	"wheelgauge/hosttable"
 	"wheelgauge/httpserve"
@@ -33,7 +35,6 @@
 	"wheelgauge/serverlimit"
 	"wheelgauge/serverlist"
 	"wheelgauge/stallwatch"
-	"wheelgauge/statefeed"
 	"wheelgauge/streamorigin"
 	"wheelgauge/versionhistory"
 )
@@ -47,6 +48,9 @@
 	voters = 5
 	// suspendCheckInterval is how often a store checks whether it was suspended or stalled.
 	suspendCheckInterval = 250 * time.Millisecond
+	// configInterval is how often a store checks for a configuration to pass on; hosts that ask
+	// earlier need not wait for it.
+	configInterval = 50 * time.Millisecond
 	// limitPruneInterval is how often limits of servers that are no longer reported are removed.
 	limitPruneInterval = time.Minute
 	// listenerCloseTimeout bounds the shutdown of all listeners, which close in parallel: an
@@ -100,19 +104,23 @@
 	boot      uint64
 	started   time.Time
 	machine   *configstate.Machine
-	feed      *statefeed.Feed
+	feed      *changefeed.Feed
+	config    configTable
 	routeSet  atomic.Pointer[wheelgauge.RouteSet]
 	replica   *replica.Replica
 	hosts     *hosttable.Table
 	client    *peerhttp.Client
 	meter     *meter.Meter
 	listeners []*httpserve.Server
-	stop      context.CancelFunc
+	// ctx ends when the store stops.
+	ctx  context.Context
+	stop context.CancelFunc
 	// taskResults has one channel for each periodic task; it receives the result when the task
 	// ends.
 	taskResults []chan error
 
 	servers *serverlist.Table
+	lists   listFetches
 	peers   peerStores
 	caps    *capallocator.Allocator
 	crashes *quarantine.Table
@@ -139,8 +147,8 @@
 	// invalidEntries counts, by region, the entries of the server list that described no
 	// valid server at its last reading; only pollLists uses it.
 	invalidEntries map[string]wheelgauge.InvalidEntries
-	// updateCalls are the running calls that send updates to other stores; none starts once
-	// the tasks have ended.
+	// updateCalls are the running calls that send updates to other stores and fetch lists from
+	// them; none starts once the tasks and the listeners have ended.
 	updateCalls sync.WaitGroup
 }
 
@@ -153,13 +161,16 @@
 	now := o.Clock.Now
 	n := &Node{
 		o: o, boot: uint64(time.Now().UnixNano()), started: now(), machine: configstate.New(), hosts: hosttable.New(now),
-		client: peerhttp.NewClient(nil, ""), meter: meter.New(), stop: stop,
+		client: peerhttp.NewClient(nil, ""), meter: meter.New(), ctx: ctx, stop: stop,
 		invalidEntries: map[string]wheelgauge.InvalidEntries{},
 	}
 	n.client.OnCall(n.meter.CountCall)
-	n.feed = statefeed.New(n.fleetState)
+	n.feed = changefeed.New()
+	n.config.rows = changelog.New()
+	n.feed.Add(wheelgauge.TableRoutes, n.config.rows, true)
+	n.feed.Add(wheelgauge.TableHosts, n.hosts.Changes(), false)
 	n.rolloutController = controller.New(func() wheelgauge.VersionEvaluator { return sequential.New() }, now)
-	n.servers = serverlist.New(n.boot, now)
+	n.servers = serverlist.New(now)
 	n.crashes = quarantine.New(now)
 	n.limits = serverlimit.New(now)
 	n.permits = permitissuer.New(n.limits, now)
@@ -176,6 +187,7 @@
 	})
 	n.runTask(func() error { return periodic.Run(ctx, updateInterval, n.sendUpdates) })
 	n.runTask(func() error { return periodic.Run(ctx, capsUpdateInterval, n.updateCaps) })
+	n.runTask(func() error { return periodic.Run(ctx, configInterval, n.followConfig) })
 	n.runTask(func() error { return periodic.Run(ctx, refusalLogInterval, n.logRefusals) })
 	n.runTask(func() error { return periodic.Run(ctx, crashSyncInterval, n.syncCrashes) })
 	n.runTask(func() error { return periodic.Run(ctx, rolloutInterval, n.advanceRollouts) })
@@ -236,7 +248,7 @@
 
 func (n *Node) servePeer(ctx *fasthttp.RequestCtx) {
 	received := len(ctx.Request.Body())
-	if !n.serveCaps(ctx) && !n.servePermits(ctx) && !n.serveHeartbeat(ctx) && !n.serveStreams(ctx) && !n.serveState(ctx) && !n.serveUpdate(ctx) && !n.replica.Handle(ctx) {
+	if !n.serveCaps(ctx) && !n.servePermits(ctx) && !n.serveHeartbeat(ctx) && !n.serveStreams(ctx) && !n.serveChanges(ctx) && !n.serveUpdate(ctx) && !n.replica.Handle(ctx) {
 		peerhttp.NotFound(ctx)
 		return
 	}
@@ -265,7 +277,6 @@
 	for _, result := range n.taskResults {
 		errs = append(errs, <-result)
 	}
-	n.updateCalls.Wait()
 	// A stalled peer keeps its connection open; it will retry at another store.
 	closeCtx, cancel := context.WithTimeout(context.Background(), listenerCloseTimeout)
 	defer cancel()
@@ -273,6 +284,7 @@
 	if len(unfinished) > 0 {
 		n.o.Log.Info("Listeners closed with connections still open.", "addresses", unfinished)
 	}
+	n.updateCalls.Wait()
 	errs = append(errs, err, n.replica.Close())
 	n.client.CloseIdle()
 	n.o.Log.Info("Bytes by kind of call.", "bytes", n.meter.BytesByKind())
--- a/confstore/peerstores.go
+++ b/confstore/peerstores.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -14,9 +13,7 @@
 type peerStore struct {
 	region     string
 	lastUpdate time.Time
-	// acked has, by region, the version of this store's server list that the other store
-	// has acknowledged, sentAt when the list was last sent.
-	acked  map[string]uint64
+	// sentAt is when the state of a region's list was last sent to the store.
 	sentAt map[string]time.Time
 	// inCall is set while an update is being sent.
 	inCall bool
@@ -34,7 +31,7 @@
 		p.byAddress = map[string]*peerStore{}
 	}
 	if p.byAddress[address] == nil {
-		p.byAddress[address] = &peerStore{acked: map[string]uint64{}, sentAt: map[string]time.Time{}}
+		p.byAddress[address] = &peerStore{sentAt: map[string]time.Time{}}
 	}
 	return p.byAddress[address]
 }
@@ -58,23 +55,22 @@
 	}
 	s.inCall = true
 	known := *s
-	known.acked, known.sentAt = maps.Clone(s.acked), maps.Clone(s.sentAt)
+	known.sentAt = maps.Clone(s.sentAt)
 	return known, true
 }
 
-// endCall marks the end of a call and records which server lists the store has now.
-func (p *peerStores) endCall(address string, sentAt time.Time, parts []wheelgauge.RegionServerList, missing []string, err error) {
+// endCall marks the end of a call that told the states of server lists.
+func (p *peerStores) endCall(address string, sentAt time.Time, lists []wheelgauge.ListStatus, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.get(address)
 	s.inCall = false
-	for _, part := range parts {
-		if err != nil || slices.Contains(missing, part.Region) {
-			delete(s.acked, part.Region)
-			delete(s.sentAt, part.Region)
+	for _, l := range lists {
+		if err != nil {
+			delete(s.sentAt, l.Region)
 			continue
 		}
-		s.acked[part.Region], s.sentAt[part.Region] = part.Version, sentAt
+		s.sentAt[l.Region] = sentAt
 	}
 }
 
--- a/confstore/rollouts.go
+++ b/confstore/rollouts.go
@@ -56,16 +56,12 @@
 	return now.Sub(s.at)
 }
 
-// fleetState returns the replicated state with the current elapsed times of rollouts.
-func (n *Node) fleetState() wheelgauge.FleetState {
-	s := n.machine.State()
-	s.Rollouts = n.rollouts()
-	return s
-}
-
 // rollouts returns the last rollout of each service with its current elapsed time.
-func (n *Node) rollouts() []wheelgauge.Rollout {
-	list := slices.Clone(n.machine.State().Rollouts)
+func (n *Node) rollouts() []wheelgauge.Rollout { return n.withElapsed(n.machine.State().Rollouts) }
+
+// withElapsed returns rollouts with their current elapsed times.
+func (n *Node) withElapsed(rollouts []wheelgauge.Rollout) []wheelgauge.Rollout {
+	list := slices.Clone(rollouts)
 	for i, r := range list {
 		list[i].ElapsedMS = n.rolloutClock.elapsed(r, n.now()).Milliseconds()
 	}
@@ -233,19 +229,17 @@
 	for _, h := range hosts {
 		v.LiveHosts[h.Name] = h.Boot
 	}
-	list, _ := n.servers.All()
-	for _, s := range list {
-		if s.Service == r.Service && s.Version == r.Version && !s.Leaving {
-			v.TargetServers++
+	for g, sum := range n.servers.Sums() {
+		if g.Service == r.Service && g.Version == r.Version && !g.Leaving {
+			v.TargetServers += sum.Servers
 		}
 	}
 	return v
 }
 
-// versionInUse reports whether the rollout of a server's service lets its version take
-// requests, so that regions are compared by the servers that they can use.
-func versionInUse(rollouts []wheelgauge.Rollout, s wheelgauge.Server) bool {
-	r, known := wheelgauge.FindRollout(rollouts, s.Service)
+// versionInUse reports whether the rollout of a service lets a version take requests, so that regions are compared by the servers that they can use.
+func versionInUse(rollouts []wheelgauge.Rollout, service, version string) bool {
+	r, known := wheelgauge.FindRollout(rollouts, service)
 	completed := r.State == wheelgauge.RolloutCompleted
-	return !known || completed && r.Left() < -wheelgauge.OldVersionGracePeriod || (s.Version == r.Version) == completed
+	return !known || completed && r.Left() < -wheelgauge.OldVersionGracePeriod || (version == r.Version) == completed
 }
--- a/confstore/servers.go
+++ b/confstore/servers.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"wheelgauge"
+	"wheelgauge/serverlist"
 )
 
 // staleIntervals is how many poll intervals old the list of a region may be before this
@@ -71,62 +72,50 @@
 	for i := range list {
 		list[i].Region = region
 	}
-	n.servers.Read(region, list, readAt)
-}
-
-// addServers adds the server list if it changed, unless the host already has a newer
-// one. Servers of the host's region take its requests; those of other regions may have
-// its prompts cached. The age is that of the list of the host's region.
-func (n *Node) addServers(a *wheelgauge.FleetHeartbeatResponse, hb wheelgauge.FleetHeartbeat, sameStore bool) {
-	list, version := n.servers.All()
-	current := sameStore && hb.ServersVersion == version
-	since, ok := n.servers.Age(hb.Host.Region)
-	age := since.Milliseconds()
-	if !ok || !current && hb.ListAgeMS > 0 && age > hb.ListAgeMS {
+	if err := n.servers.Read(region, list, readAt); err != nil {
+		n.o.Log.Error(err, "Server list could not be taken over.", "region", region)
 		return
 	}
-	a.ServersVersion, a.ServersAgeMS = version, age
-	if !current {
-		a.Servers = list
-	}
-}
-
-// isCold reports whether a server of a region can still handle only its cold rate.
-func (n *Node) isCold(s wheelgauge.Server, region string) bool {
-	if s.ColdMS <= 0 {
-		return false
-	}
-	listAge, _ := n.servers.Age(region)
-	return s.ColdMS > listAge.Milliseconds()
+	n.lists.reset(region)
+	n.offerList(region)
 }
 
 // regionUses returns the load and the capacity of each region: what hosts have in flight
 // there, and the servers in use.
 func (n *Node) regionUses() []wheelgauge.RegionUsage {
 	sums := n.hosts.RegionUsage()
-	state := n.fleetState()
-	list, _ := n.servers.All()
-	limited := n.limits.Limited()
-	for _, s := range list {
-		region := n.o.RegionByHall[s.Hall]
-		if s.Leaving || slices.Contains(state.DrainedHalls, s.Hall) || !versionInUse(state.Rollouts, s) {
-			continue
+	drained, rollouts := n.machine.State().DrainedHalls, n.rollouts()
+	inUse := func(g serverlist.Group) bool {
+		return !g.Leaving && !slices.Contains(drained, g.Hall) && versionInUse(rollouts, g.Service, g.Version)
+	}
+	change := func(g serverlist.Group, f func(u *wheelgauge.ServiceUsage)) {
+		if sums[g.Region] == nil {
+			sums[g.Region] = map[string]wheelgauge.ServiceUsage{}
 		}
-		if sums[region] == nil {
-			sums[region] = map[string]wheelgauge.ServiceUsage{}
+		u := sums[g.Region][g.Service]
+		u.Service = g.Service
+		f(&u)
+		sums[g.Region][g.Service] = u
+	}
+	for g, sum := range n.servers.Sums() {
+		if inUse(g) {
+			change(g, func(u *wheelgauge.ServiceUsage) { u.Servers, u.Slots = u.Servers+sum.Servers, u.Slots+sum.Slots })
 		}
-		u := sums[region][s.Service]
-		u.Service = s.Service
-		if limited[s.InstanceKey()] {
+	}
+	limited := n.limits.Limited()
+	for key := range limited {
+		s, ok := n.servers.Find(key)
+		if g := serverlist.GroupOf(s); ok && inUse(g) {
 			// A rate-limited server has little capacity for other regions even when idle.
-			u.LimitedServers++
-		} else {
-			u.Servers, u.Slots = u.Servers+1, u.Slots+s.Slots
-			if n.isCold(s, region) {
-				u.ColdServers, u.ColdSlots = u.ColdServers+1, u.ColdSlots+s.Slots
-			}
+			change(g, func(u *wheelgauge.ServiceUsage) {
+				u.LimitedServers, u.Servers, u.Slots = u.LimitedServers+1, u.Servers-1, u.Slots-s.Slots
+			})
+		}
+	}
+	for _, s := range n.servers.Cold() {
+		if g := serverlist.GroupOf(s); inUse(g) && !limited[s.InstanceKey()] {
+			change(g, func(u *wheelgauge.ServiceUsage) { u.ColdServers, u.ColdSlots = u.ColdServers+1, u.ColdSlots+s.Slots })
 		}
-		sums[region][s.Service] = u
 	}
 	out := make([]wheelgauge.RegionUsage, 0, len(sums))
 	ages := n.hosts.RegionAges()
--- a/confstore/streams.go
+++ b/confstore/streams.go
@@ -63,9 +63,14 @@
 	n.streams.Prune()
 	n.meter.Gauge("streams.held", int64(n.streams.Len()))
 	n.meter.Gauge("streams.dropped", int64(n.streams.Dropped()))
-	list, version := n.servers.All()
-	if version != n.versionsRecorded && n.listsAreRecent() {
-		n.versions.Update(list)
-		n.versionsRecorded = version
+	version := n.servers.Version()
+	if version == n.versionsRecorded || !n.listsAreRecent() {
+		return
 	}
+	var listed []wheelgauge.Server
+	for g := range n.servers.Sums() {
+		listed = append(listed, wheelgauge.Server{Service: g.Service, Version: g.Version})
+	}
+	n.versions.Update(listed)
+	n.versionsRecorded = version
 }
--- a/confstore/updates.go
+++ b/confstore/updates.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -45,14 +44,13 @@
 	}
 }
 
-// buildUpdate returns the update for a store. Of the server lists that this store reads, it
-// includes those that were read since the last update to that store.
+// buildUpdate returns the update for a store, with the states of the server lists that this store
+// has read since the last update to that store.
 func (n *Node) buildUpdate(address string, known peerStore) wheelgauge.StoreUpdate {
 	update := wheelgauge.StoreUpdate{StoreBoot: n.boot, Address: n.o.PeerAddress, Region: n.o.Region}
 	for _, region := range n.regions() {
-		part, readAt, ok := n.servers.Export(region, known.acked[region])
-		if ok && readAt.After(known.sentAt[region]) {
-			update.ServerLists = append(update.ServerLists, part)
+		if status, ok := n.servers.Own(region, known.sentAt[region]); ok {
+			update.ServerLists = append(update.ServerLists, status)
 		}
 	}
 	loads, uses := n.hosts.LocalLoad(n.o.Region)
@@ -65,39 +63,24 @@
 	return update
 }
 
-// sendUpdate sends an update, and then the full lists that the other store reports as missing.
+// sendUpdate sends an update to a store.
 func (n *Node) sendUpdate(ctx context.Context, address string, update wheelgauge.StoreUpdate) {
 	sentAt := n.now()
-	missing, err := n.postUpdate(ctx, address, update)
-	if err == nil && len(missing) > 0 {
-		update.ServerLists = n.fullLists(missing)
-		missing, err = n.postUpdate(ctx, address, update)
-	}
+	err := n.postUpdate(ctx, address, update)
 	if err != nil && !errors.Is(err, context.Canceled) {
 		n.meter.Count("news.failed")
 	}
-	n.peers.endCall(address, sentAt, update.ServerLists, missing, err)
-}
-
-// fullLists returns the server lists of regions, even where they are unchanged.
-func (n *Node) fullLists(regions []string) []wheelgauge.RegionServerList {
-	var out []wheelgauge.RegionServerList
-	for _, region := range regions {
-		if part, _, ok := n.servers.Export(region, 0); ok {
-			out = append(out, part)
-		}
-	}
-	return out
+	n.peers.endCall(address, sentAt, update.ServerLists, err)
 }
 
-func (n *Node) postUpdate(ctx context.Context, address string, update wheelgauge.StoreUpdate) ([]string, error) {
+func (n *Node) postUpdate(ctx context.Context, address string, update wheelgauge.StoreUpdate) error {
 	var response wheelgauge.StoreUpdateResponse
 	sentAt := n.now()
 	err := n.client.Call(ctx, http.MethodPost, address, UpdatePath, update, &response)
 	if err == nil && response.CapLease.Lessor != 0 {
 		n.caps.ApplyLease(address, sentAt, response.CapLease)
 	}
-	return response.MissingRegions, err
+	return err
 }
 
 // serveUpdate handles the update of another store; false means another path.
@@ -112,10 +95,8 @@
 	n.hosts.RecordStore(update)
 	n.promises.Add(update.Region, "", update.Promises)
 	response := wheelgauge.StoreUpdateResponse{CapLease: n.caps.GrantLease(update.Address, update.StoreBoot, update.Caps)}
-	for _, part := range update.ServerLists {
-		if !n.servers.Receive(update.StoreBoot, part) && !slices.Contains(response.MissingRegions, part.Region) {
-			response.MissingRegions = append(response.MissingRegions, part.Region)
-		}
+	for _, status := range update.ServerLists {
+		n.listTold(update.Address, status)
 	}
 	return response
 }
--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -164,7 +164,9 @@
 	leaving      atomic.Bool
 	// generation is that of the applied state; updates arrive one at a time.
 	generation uint64
-	hosts      []wheelgauge.FleetHost
+	hosts      knownHosts
+	// pendingRoutes are the rows of the configuration received since the last state, by key.
+	pendingRoutes map[string]wheelgauge.TableRow
 	// completeTotals is set once the usage totals of all regions were complete.
 	completeTotals bool
 }
@@ -172,7 +174,7 @@
 // Open starts the gateway, which serves callers from then on.
 func Open(ctx context.Context, o Options) (*Node, error) {
 	ctx, stop := context.WithCancel(ctx)
-	n := &Node{options: o, boot: uint64(time.Now().UnixNano()), meter: meter.New(), cancel: stop, pruneDone: make(chan error, 1), warmDone: make(chan error, 1), permitsDone: make(chan error, 1), client: o.Client}
+	n := &Node{options: o, boot: uint64(time.Now().UnixNano()), pendingRoutes: map[string]wheelgauge.TableRow{}, meter: meter.New(), cancel: stop, pruneDone: make(chan error, 1), warmDone: make(chan error, 1), permitsDone: make(chan error, 1), client: o.Client}
 	if n.client == nil {
 		n.client = peerhttp.NewClient(peerhttp.NewDialer("", nil).WrapConns(n.countBytes), "")
 		n.client.OnCall(n.meter.CountCall)
--- a/entrynode/updates.go
+++ b/entrynode/updates.go
@@ -1,11 +1,14 @@
 package entrynode
 
 import (
+	"encoding/json"
+	"fmt"
+	"maps"
 	"slices"
 	"time"
 
 	"wheelgauge"
-	"wheelgauge/announcedhosts"
+	"wheelgauge/heartbeat"
 	"wheelgauge/routetable"
 )
 
@@ -22,22 +25,36 @@
 	n.meter.Add("update.us."+kind, time.Since(began).Microseconds())
 }
 
-// State applies a state received from a store, unless it is older than the applied one.
-func (n *Node) State(s wheelgauge.FleetState) {
+// RouteRows takes rows of the configuration, for the next State.
+func (n *Node) RouteRows(rows []wheelgauge.TableRow) {
+	for _, row := range rows {
+		n.pendingRoutes[row.Key] = row
+	}
+}
+
+// State applies a state received from a store, unless it is older than the applied one. The rows
+// received since the last state lead to its configuration.
+func (n *Node) State(s wheelgauge.ConfigHead) {
 	if s.Generation <= n.generation {
 		return
 	}
 	began := time.Now()
 	n.quarantine.AddPersisted(s.Crashes) // before the first request is routed by this state
-	if len(s.Body) > 0 && (n.gate.RouteTable() == nil || s.Version > n.gate.RouteTable().Version()) {
-		set, err := n.options.DecodeRoutes(s.Body)
+	current := n.gate.RouteTable()
+	if current == nil {
+		current = routetable.New(&wheelgauge.RouteSet{})
+	}
+	if s.Version > current.Version() {
+		rows := slices.Collect(maps.Values(n.pendingRoutes))
+		table, err := current.With(s.Version, rows)
 		if err != nil {
 			// Stores validate configurations, so only another release can fail to decode one.
 			n.options.Log.Error(err, "Configuration cannot be decoded; keeping the previous one.", "version", s.Version)
 			return
 		}
-		n.gate.SetTable(routetable.New(set))
-		n.countUpdate(kindRoutes, len(set.Routes), began)
+		clear(n.pendingRoutes)
+		n.gate.SetTable(table)
+		n.countUpdate(kindRoutes, len(rows), began)
 	}
 	n.generation = s.Generation
 	n.versions.SetRollouts(s.Rollouts)
@@ -52,59 +69,77 @@
 	n.servers.ConfirmState()
 }
 
-// Hosts updates the entry hosts; a partial list does not remove any.
-func (n *Node) Hosts(hosts []wheelgauge.FleetHost, partial bool) {
-	defer n.countUpdate(kindHosts, len(hosts), time.Now())
-	hosts = n.mergeHosts(hosts, partial)
-	region, announced := hostsOf(hosts, n.options.Region)
-	n.servers.SetPeers(region, announced)
-	n.peers.SetHosts(hosts)
-	n.budget.SetHosts(len(hosts))
-	n.versions.SetHosts(len(hosts))
-	n.options.Log.Info("Hosts change.", "hosts", len(hosts), "region", len(region))
-}
-
-// hostsOf returns the names of a region's hosts, and of those that are announced to callers
-// at any load. Only the latter get shares of a cold server's rate: shares of hosts without
-// callers would be unused.
-func hostsOf(hosts []wheelgauge.FleetHost, region string) (all, announced []string) {
-	var own []wheelgauge.FleetHost
-	for _, h := range hosts {
-		if h.Region == region {
-			own = append(own, h)
-			all = append(all, h.Name)
+// HostRows updates the entry hosts.
+func (n *Node) HostRows(rows []wheelgauge.TableRow) {
+	defer n.countUpdate(kindHosts, len(rows), time.Now())
+	var changed []wheelgauge.FleetHost
+	var removed []string
+	for _, row := range rows {
+		h, err := decodeRow[wheelgauge.FleetHost](row)
+		if err != nil {
+			n.options.Log.Error(err, "Host cannot be decoded; it is ignored.", "host", row.Key)
+			continue
 		}
+		if n.hosts.set(row.Key, h, n.options.Region); h == nil {
+			removed = append(removed, row.Key)
+			continue
+		}
+		changed = append(changed, *h)
 	}
-	for _, h := range announcedhosts.Minimum(own) {
-		announced = append(announced, h.Name)
+	n.servers.SetPeers(n.hosts.region, n.hosts.announced())
+	n.peers.UpdateHosts(changed, removed)
+	n.budget.SetHosts(len(n.hosts.all))
+	n.versions.SetHosts(len(n.hosts.all))
+	n.options.Log.Info("Hosts change.", "hosts", len(n.hosts.all), "region", len(n.hosts.region), "rows", len(rows))
+}
+
+// decodeRow returns the value of a row, nil if the row is removed.
+func decodeRow[V any](row wheelgauge.TableRow) (*V, error) {
+	if row.Value == nil {
+		return nil, nil
 	}
-	if len(announced) == 0 {
-		return all, all
+	v := new(V)
+	if err := json.Unmarshal(row.Value, v); err != nil {
+		return nil, fmt.Errorf("decode row %s: %w", row.Key, err)
 	}
-	return all, announced
+	return v, nil
 }
 
-// Servers updates the list of backend servers, as requested at the given time.
-func (n *Node) Servers(list []wheelgauge.Server, requestedAt time.Time) {
-	defer n.countUpdate(kindServers, len(list), time.Now())
-	var own, others []wheelgauge.Server
-	for _, s := range list {
-		if s.Region == n.options.Region {
-			own = append(own, s)
-			continue
+// ServerRows updates the list of a region's backend servers, as requested at a time.
+func (n *Node) ServerRows(region string, rows []wheelgauge.TableRow, at heartbeat.ListTime) {
+	defer n.countUpdate(kindServers, len(rows), time.Now())
+	var changed []wheelgauge.Server
+	var removed []string
+	for _, row := range rows {
+		s, err := decodeRow[wheelgauge.Server](row)
+		switch {
+		case err != nil:
+			n.options.Log.Error(err, "Server cannot be decoded; it is ignored.", "server", row.Key)
+		case s == nil:
+			removed = append(removed, row.Key)
+		default:
+			s.Region = region
+			if s.ColdUntilMS > 0 {
+				s.ColdMS, s.ColdUntilMS = max(0, s.ColdUntilMS-at.ClockMS), 0
+			}
+			changed = append(changed, *s)
 		}
-		others = append(others, s)
 	}
-	n.servers.Update(own, requestedAt)
-	n.servers.SetRemoteServers(others)
-	n.servers.RecordListed(list)
+	if region == n.options.Region {
+		n.servers.Update(changed, removed, at.RequestedAt)
+	} else {
+		n.servers.UpdateRemoteServers(region, changed, removed)
+	}
 	n.origins.Tick()
-	n.gate.SetServersKnown()
-	n.options.Log.Info("Servers change.", "servers", len(own), "age_ms", n.options.Clock.Now().Sub(requestedAt).Milliseconds())
+	n.options.Log.Info("Servers change.", "region", region, "rows", len(rows), "removed", len(removed), "age_ms", n.options.Clock.Now().Sub(at.RequestedAt).Milliseconds())
 }
 
-// ServersUnchanged records that the list was unchanged when requested at the given time.
-func (n *Node) ServersUnchanged(requestedAt time.Time) { n.servers.ConfirmList(requestedAt) }
+// ServersCurrent records that the list of the host's region is complete and was unchanged when
+// requested at the given time.
+func (n *Node) ServersCurrent(requestedAt time.Time) {
+	n.servers.ConfirmList(requestedAt)
+	n.gate.SetServersKnown()
+}
 
 // ServerUsage updates what the region's other hosts have in flight at each server.
 func (n *Node) ServerUsage(usage []wheelgauge.ServerUsage) { n.servers.SetUses(usage) }
@@ -118,22 +153,11 @@
 	n.completeTotals = n.completeTotals || !partial
 	n.peers.SetLoads(regions)
 	if n.credits != nil && n.completeTotals { // by partial totals and hosts its part would be too large
-		n.credits.SetUsage(regions, forwardingHosts(n.hosts, n.options.Region))
+		n.credits.SetUsage(regions, n.hosts.accepting)
 	}
 	n.servers.SetBusiestRegion(n.peers.BusiestRegion())
 }
 
-// forwardingHosts returns how many hosts of a region accept callers.
-func forwardingHosts(hosts []wheelgauge.FleetHost, region string) int {
-	count := 0
-	for _, h := range hosts {
-		if h.Region == region && h.Ready && !h.Leaving {
-			count++
-		}
-	}
-	return count
-}
-
 // Crashes updates the crashes by which requests are quarantined. A partial list comes from a
 // store that has not received the replicated crashes yet, so it removes none.
 func (n *Node) Crashes(crashes []wheelgauge.Crash, partial bool) {
@@ -152,16 +176,3 @@
 func (n *Node) RoundTrip(region string, roundTrip time.Duration) {
 	n.peers.ObserveRoundTrip(region, roundTrip)
 }
-
-// mergeHosts adds the hosts known before to a partial list.
-func (n *Node) mergeHosts(hosts []wheelgauge.FleetHost, partial bool) []wheelgauge.FleetHost {
-	if partial {
-		for _, old := range n.hosts {
-			if !slices.ContainsFunc(hosts, func(h wheelgauge.FleetHost) bool { return h.Name == old.Name }) {
-				hosts = append(hosts, old)
-			}
-		}
-	}
-	n.hosts = hosts
-	return hosts
-}
--- a/fleet.go
+++ b/fleet.go
@@ -110,14 +110,8 @@
 	Primary bool `json:"primary,omitempty"`
 	// IntervalMS is the time until the next heartbeat to this store, in ms.
 	IntervalMS int64 `json:"interval_ms"`
-	// StoreBoot is the boot of the store whose tables of hosts and servers this host holds;
-	// HostsVersion and ServersVersion are their versions.
-	StoreBoot      uint64 `json:"store,omitempty"`
-	HostsVersion   uint64 `json:"hosts,omitempty"`
-	ServersVersion uint64 `json:"servers,omitempty"`
-	// ListAgeMS is how long ago the server list that the host holds was requested, in ms; 0
-	// if it holds none. The store must not send an older list.
-	ListAgeMS     int64          `json:"list_age_ms,omitempty"`
+	// StoreBoot is the boot of the store that issued the versions below.
+	StoreBoot     uint64         `json:"store,omitempty"`
 	ServerUsage   []ServerUsage  `json:"uses,omitempty"`
 	ServiceTotals []ServiceUsage `json:"totals,omitempty"`
 	// Crashes are those recorded here since the last heartbeat that this store answered.
@@ -153,42 +147,6 @@
 	Crashes []Crash `json:"crashes,omitempty"`
 }
 
-// PackedBody identifies the body of a configuration in its compressed form.
-type PackedBody struct {
-	Version uint64 `json:"version"`
-	// Size is the compressed length in bytes, CRC32 the CRC-32 (IEEE) of the compressed bytes.
-	Size  int    `json:"size"`
-	CRC32 uint32 `json:"sum"`
-}
-
-// StateRequest asks a store for a chunk of a state that is newer than the one held by the
-// requester.
-type StateRequest struct {
-	// Generation and version held. A body of the version held is not sent again.
-	Generation uint64 `json:"generation"`
-	Version    uint64 `json:"version,omitempty"`
-	// Packed identifies the body to which the chunks received so far belong. Offset is how
-	// much of it was received, MaxBytes how much may be sent at once, both in bytes.
-	Packed   PackedBody `json:"packed"`
-	Offset   int        `json:"offset,omitempty"`
-	MaxBytes int        `json:"most"`
-}
-
-// StateChunk is a chunk of a state, or reports that there is no newer state.
-type StateChunk struct {
-	Generation   uint64   `json:"generation"`
-	Version      uint64   `json:"version"`
-	DrainedHalls []string `json:"drained,omitempty"`
-	// Rollouts carry the time that each one has run until now.
-	Rollouts []Rollout `json:"rollouts,omitempty"`
-	// Packed has size 0 if the body is the one of the version held by the requester.
-	Packed PackedBody `json:"packed"`
-	Offset int        `json:"offset,omitempty"`
-	Data   []byte     `json:"data,omitempty"`
-	// Crashes are those because of which requests are quarantined, for a host without a state.
-	Crashes []Crash `json:"crashes,omitempty"`
-}
-
 // RegionUsage is the load of another region.
 type RegionUsage struct {
 	Region string `json:"r"`
@@ -214,13 +172,11 @@
 	// Partial is set while the store has not been up long enough to have received a
 	// heartbeat of every host: hosts that it does not list may exist nevertheless.
 	Partial bool `json:"partial,omitempty"`
-	// Hosts is the complete table of entry hosts, sent when its version changed.
-	HostsVersion   uint64      `json:"hosts_at,omitempty"`
-	Hosts          []FleetHost `json:"hosts,omitempty"`
-	ServersVersion uint64      `json:"servers_at,omitempty"`
-	// ServersAgeMS is how long ago the server list was requested, in ms.
-	ServersAgeMS int64    `json:"servers_age_ms,omitempty"`
-	Servers      []Server `json:"servers,omitempty"`
+	// TablesDigest is the combined digest of the tables of hosts and servers: the host fetches
+	// what changed if it differs from its own. Servers is the state of the list of the host's
+	// region.
+	TablesDigest uint64      `json:"tables,omitempty"`
+	Servers      *ListStatus `json:"servers,omitempty"`
 	// ServerUsage is what the other hosts of the region have in flight.
 	ServerUsage []ServerUsage `json:"uses,omitempty"`
 	// Regions is the load of all regions.
@@ -237,16 +193,16 @@
 	Promises        ReturnPromises `json:"promises,omitempty"`
 }
 
-// RegionServerList is the list of backend servers of one region, as sent by one store to
-// another.
-type RegionServerList struct {
-	Region  string `json:"region"`
-	Version uint64 `json:"version"`
+// ListStatus is the state of the list of a region's backend servers, as a store holds it.
+type ListStatus struct {
+	Region string `json:"region,omitempty"`
+	// Digest is that of the region's table of servers, sent to stores only.
+	Digest uint64 `json:"digest,omitempty"`
 	// AgeMS is how long ago the list was requested, in ms.
 	AgeMS int64 `json:"age_ms"`
-	// Unchanged is set if the list has not changed since the version sent before.
-	Unchanged bool     `json:"same,omitempty"`
-	Servers   []Server `json:"servers,omitempty"`
+	// ClockMS is the time of that request by the clock of the list, which goes on from one store
+	// that reads the list to the next.
+	ClockMS int64 `json:"clock_ms"`
 }
 
 // RegionLoad is the load of the hosts of a region that take their updates from one
@@ -257,16 +213,17 @@
 	Services []ServiceUsage `json:"u,omitempty"`
 }
 
-// StoreUpdate is the update that a store sends to each other store: the part of the server
-// list that it has read, and the load of the hosts that take their updates from it.
+// StoreUpdate is the update that a store sends to each other store: the state of the server
+// lists that it reads, and the load of the hosts that take their updates from it.
 type StoreUpdate struct {
-	// StoreBoot is the boot of the sending store, which issues the versions of the parts. Address
-	// is where it is reached, Region where it is located.
-	StoreBoot   uint64             `json:"store"`
-	Address     string             `json:"address"`
-	Region      string             `json:"region"`
-	ServerLists []RegionServerList `json:"parts,omitempty"`
-	Loads       []RegionLoad       `json:"loads,omitempty"`
+	// StoreBoot is the boot of the sending store. Address is where it is reached, Region where it
+	// is located.
+	StoreBoot uint64 `json:"store"`
+	Address   string `json:"address"`
+	Region    string `json:"region"`
+	// ServerLists are the states of the lists that the sender has read since the last update.
+	ServerLists []ListStatus `json:"lists,omitempty"`
+	Loads       []RegionLoad `json:"loads,omitempty"`
 	// ServerUsage is sent only to stores of the same region.
 	ServerUsage []ServerUsage `json:"uses,omitempty"`
 	// Promises are those of the last moments by hosts whose primary is this store, sent only to
@@ -278,6 +235,4 @@
 // StoreUpdateResponse is the response to a store's update. It leases shares of caps to the sender.
 type StoreUpdateResponse struct {
 	CapLease CapLease `json:"caps,omitzero"`
-	// MissingRegions lists the regions whose part must be sent in full.
-	MissingRegions []string `json:"missing,omitempty"`
 }
--- a/heartbeat/client.go
+++ b/heartbeat/client.go
@@ -13,9 +13,9 @@
 	"github.com/go-logr/logr"
 
 	"wheelgauge"
+	"wheelgauge/changefetch"
 	"wheelgauge/peerhttp"
 	"wheelgauge/periodic"
-	"wheelgauge/statefetch"
 )
 
 // Path is where stores receive heartbeats.
@@ -46,14 +46,19 @@
 
 // Receiver receives updates from stores. Its methods are called one at a time.
 type Receiver interface {
-	State(s wheelgauge.FleetState)
+	// RouteRows takes rows of the configuration. They are in force only with the State that
+	// follows the last of them.
+	RouteRows(rows []wheelgauge.TableRow)
+	State(s wheelgauge.ConfigHead)
 	// Called when no store is known to hold a newer state.
 	StateCurrent()
-	// A partial update may lack what the store has not received yet.
-	Hosts(hosts []wheelgauge.FleetHost, partial bool)
-	Servers(list []wheelgauge.Server, requestedAt time.Time)
-	// Called when the last list was unchanged on another request.
-	ServersUnchanged(requestedAt time.Time)
+	// HostRows takes rows of the table of entry hosts.
+	HostRows(rows []wheelgauge.TableRow)
+	// ServerRows takes rows of a region's list of servers, as requested at a time.
+	ServerRows(region string, rows []wheelgauge.TableRow, at ListTime)
+	// ServersCurrent records that the list of the host's region is complete and was unchanged when
+	// requested at a time.
+	ServersCurrent(requestedAt time.Time)
 	ServerUsage(uses []wheelgauge.ServerUsage)
 	RegionUsage(regions []wheelgauge.RegionUsage, partial bool)
 	// Receives the crashes by which requests are quarantined, all of them unless
@@ -63,6 +68,12 @@
 	RoundTrip(region string, took time.Duration)
 }
 
+// ListTime is when a list of servers was requested, by the host's clock and by that of the list.
+type ListTime struct {
+	RequestedAt time.Time
+	ClockMS     int64
+}
+
 // CrashSource returns the crashes that the host recorded after a change, and the number
 // of the last change returned.
 type CrashSource interface {
@@ -139,20 +150,16 @@
 	// connected to the others; nil until then.
 	members []string
 	state   stateSync
-	// serversKnown is set once a list of servers has arrived; listTime is when the
-	// current list was requested.
-	serversKnown bool
-	listTime     time.Time
+	tables  tableSync
 	// deliverMu serialises calls of the Receiver: one answer at a time.
 	deliverMu sync.Mutex
-	// fetcher is used by one fetch at a time.
-	fetcher *statefetch.Fetcher
 }
 
 // Start begins to send heartbeats.
 func Start(o Options) *Client {
 	ctx, cancel := context.WithCancel(context.Background())
-	c := &Client{options: o, done: make(chan error, 1), cancel: cancel, ctx: ctx, stores: map[string]*store{}, fetcher: statefetch.New(o.Client)}
+	c := &Client{options: o, done: make(chan error, 1), cancel: cancel, ctx: ctx, stores: map[string]*store{}}
+	c.state.fetcher, c.tables.fetcher = changefetch.New(o.Client), changefetch.New(o.Client)
 	if c.options.Clock == nil {
 		c.options.Clock = wheelgauge.MonotonicClock{}
 	}
@@ -164,7 +171,7 @@
 func (c *Client) now() time.Time { return c.options.Clock.Now() }
 
 // startingUp reports whether the host still lacks what it needs to serve; the lock is held.
-func (c *Client) startingUp() bool { return c.state.held.Generation == 0 || !c.serversKnown }
+func (c *Client) startingUp() bool { return c.state.held.Generation == 0 || !c.tables.serversKnown }
 
 // Close stops sending and waits for calls in flight.
 func (c *Client) Close() error {
@@ -274,14 +281,11 @@
 		hb.Rollouts = c.options.Rollouts.Reports()
 	}
 	if hb.Primary {
-		hb.ServerUsage, hb.StoreBoot, hb.HostsVersion, hb.ServersVersion, hb.CrashesVersion, hb.LimitsVersion = uses, s.boot, s.hostsVersion, s.serversVersion, s.crashesVersion, s.limitsVersion
+		hb.ServerUsage, hb.StoreBoot, hb.CrashesVersion, hb.LimitsVersion = uses, s.boot, s.crashesVersion, s.limitsVersion
 		if c.options.Promises != nil {
 			hb.Promises, s.promisesSent = c.options.Promises.LocalSince(s.promisesAcked)
 			hb.PromisesVersion = max(1, s.promisesVersion) // 1: none yet, asks for all
 		}
-		if !c.listTime.IsZero() {
-			hb.ListAgeMS = max(1, c.now().Sub(c.listTime).Milliseconds())
-		}
 	}
 	return hb
 }
@@ -296,33 +300,11 @@
 		c.recordMiss(s, time.Since(began), err)
 		return
 	}
-	answer = c.dropOlderList(answer, sentAt)
 	c.recordAnswer(s, hb, answer)
 	c.options.Receiver.RoundTrip(answer.Region, time.Since(began))
 	c.deliver(hb, answer, sentAt)
 }
 
-// dropOlderList removes a list of servers from an answer if it is older than the current
-// one: a store that was not the primary of any host lately may hold an old list.
-func (c *Client) dropOlderList(a wheelgauge.FleetHeartbeatResponse, sentAt time.Time) wheelgauge.FleetHeartbeatResponse {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	requestedAt := listTime(a, sentAt)
-	switch {
-	case a.ServersVersion == 0:
-	case a.Servers != nil && requestedAt.Before(c.listTime):
-		a.Servers, a.ServersVersion = nil, 0
-	default:
-		c.listTime = requestedAt
-	}
-	return a
-}
-
-// listTime returns when the list of an answer was requested.
-func listTime(a wheelgauge.FleetHeartbeatResponse, sentAt time.Time) time.Time {
-	return sentAt.Add(-time.Duration(a.ServersAgeMS) * time.Millisecond)
-}
-
 func (c *Client) recordMiss(s *store, took time.Duration, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -348,11 +330,11 @@
 	}
 	if s.boot != a.StoreBoot {
 		// The store has restarted and lost what was sent to it before.
-		s.boot, s.hostsVersion, s.serversVersion, s.crashesVersion, s.crashesAcked, s.limitsAcked = a.StoreBoot, 0, 0, 0, 0, 0
+		s.boot, s.crashesVersion, s.crashesAcked, s.limitsAcked = a.StoreBoot, 0, 0, 0
 		s.promisesVersion, s.promisesAcked = 0, 0
 	}
 	if hb.Primary {
-		s.hostsVersion, s.serversVersion, s.crashesVersion, s.limitsVersion = a.HostsVersion, a.ServersVersion, a.CrashesVersion, a.LimitsVersion
+		s.crashesVersion, s.limitsVersion = a.CrashesVersion, a.LimitsVersion
 		s.promisesVersion = a.PromisesVersion
 	}
 	if a.Connected && len(a.StoreAddresses) > 0 {
@@ -360,7 +342,6 @@
 		c.removeStores(a.StoreAddresses)
 		c.members = a.StoreAddresses
 	}
-	c.serversKnown = c.serversKnown || len(a.Servers) > 0
 	if c.startingUp() {
 		c.contactPrimary()
 	}
@@ -398,9 +379,6 @@
 	if !hb.Primary {
 		return
 	}
-	if a.Hosts != nil {
-		receiver.Hosts(a.Hosts, a.Partial)
-	}
 	if a.CrashesVersion != hb.CrashesVersion || a.StoreBoot != hb.StoreBoot {
 		receiver.Crashes(a.Crashes, a.Partial || !a.Connected)
 	}
@@ -410,13 +388,7 @@
 	if c.options.Promises != nil {
 		c.options.Promises.Merge(a.Promises)
 	}
-	requestedAt := listTime(a, sentAt)
-	switch {
-	case a.Servers != nil:
-		receiver.Servers(a.Servers, requestedAt)
-	case a.ServersVersion > 0:
-		receiver.ServersUnchanged(requestedAt)
-	}
+	c.tablesTold(hb.Host.Region, a, sentAt)
 	receiver.ServerUsage(a.ServerUsage)
 	receiver.RegionUsage(a.Regions, a.Partial)
 }
--- a/heartbeat/state.go
+++ b/heartbeat/state.go
@@ -2,12 +2,17 @@
 
 import (
 	"cmp"
+	"errors"
+	"fmt"
 	"slices"
 	"time"
 
 	"wheelgauge"
+	"wheelgauge/changefetch"
 )
 
+var errNoNewerState = errors.New("store has no newer state")
+
 const (
 	// lagIntervals is how many intervals a host waits for the stores of its region to get a
 	// state that another store already holds.
@@ -19,8 +24,10 @@
 
 // stateSync tracks the state that the host holds against those that stores hold.
 type stateSync struct {
-	// held is the state in use, without its body.
-	held wheelgauge.FleetState
+	// held is the state in use.
+	held wheelgauge.ConfigHead
+	// fetcher is used by one fetch at a time.
+	fetcher *changefetch.Fetcher
 	// behindSince is when a newer state was first known; the zero time while none is.
 	behindSince time.Time
 	// logged is the newest generation for which lagging was logged.
@@ -32,9 +39,6 @@
 }
 
 // startFetch begins to fetch the newest state unless it is held already; the lock is held.
-// The state is not part of the answer to a heartbeat, which has a timeout of a second: a
-// large state that does not pass a narrow link in that time would be sent again with each
-// heartbeat, and the host would get no updates of any kind.
 func (c *Client) startFetch() {
 	if c.state.fetching || c.ctx.Err() != nil || c.now().Before(c.state.nextFetch) {
 		return
@@ -73,30 +77,58 @@
 	return out
 }
 
-// fetch fetches one state and passes it to the Receiver.
-func (c *Client) fetch(stores []string, held wheelgauge.FleetState) {
+// fetch fetches one state from the first of the stores that completes it, and passes it to the
+// Receiver.
+func (c *Client) fetch(stores []string, held wheelgauge.ConfigHead) {
 	began := c.now()
-	s, err := c.fetcher.Fetch(c.ctx, stores, held)
-	c.deliverMu.Lock()
-	defer c.deliverMu.Unlock()
-	if err != nil {
-		c.options.Log.Info("State is not fetched.", "generation", held.Generation, "took_ms", c.now().Sub(began).Milliseconds(),
-			"bytes", c.fetcher.ReceivedBytes(), "cause", err.Error())
-		c.fetchEnded(held, fetchRetryDelay)
+	var errs []error
+	for _, address := range stores {
+		head, rows, err := c.fetchState(address, held)
+		if err != nil {
+			errs = append(errs, err)
+			continue
+		}
+		c.options.Log.Info("State is fetched.", "generation", head.Generation, "version", head.Version, "took_ms", c.now().Sub(began).Milliseconds(), "rows", rows, "store", address)
+		c.fetchEnded(head, 0)
+		if c.current() {
+			c.deliverMu.Lock()
+			defer c.deliverMu.Unlock()
+			c.options.Receiver.StateCurrent()
+		}
 		return
 	}
-	c.options.Log.Info("State is fetched.", "generation", s.Generation, "version", s.Version, "took_ms", c.now().Sub(began).Milliseconds(),
-		"bytes", len(s.Body), "stores", stores)
-	c.options.Receiver.State(s)
-	s.Body = nil
-	c.fetchEnded(s, 0)
-	if c.current() {
-		c.options.Receiver.StateCurrent()
+	c.options.Log.Info("State is not fetched.", "generation", held.Generation, "took_ms", c.now().Sub(began).Milliseconds(), "cause", errors.Join(errs...).Error())
+	c.fetchEnded(held, fetchRetryDelay)
+}
+
+// fetchState fetches the state of a store, one response after another: each has its own timeout,
+// so that a state of any size passes a link of any bandwidth.
+func (c *Client) fetchState(address string, held wheelgauge.ConfigHead) (head wheelgauge.ConfigHead, rows int, err error) {
+	for {
+		batch, err := c.state.fetcher.Fetch(c.ctx, address, wheelgauge.ChangesRequest{Config: true, Generation: held.Generation})
+		c.deliverMu.Lock()
+		for _, u := range batch.Updates {
+			rows += len(u.Rows)
+			c.options.Receiver.RouteRows(u.Rows)
+		}
+		current := err == nil && batch.Config != nil && batch.Current
+		if current {
+			c.options.Receiver.State(*batch.Config)
+		}
+		c.deliverMu.Unlock()
+		switch {
+		case err != nil:
+			return head, rows, err
+		case batch.Config == nil:
+			return head, rows, fmt.Errorf("fetch state from %s: %w", address, errNoNewerState)
+		case current:
+			return *batch.Config, rows, nil
+		}
 	}
 }
 
 // fetchEnded records the state held after a fetch; the next fetch may begin after a delay.
-func (c *Client) fetchEnded(held wheelgauge.FleetState, pause time.Duration) {
+func (c *Client) fetchEnded(held wheelgauge.ConfigHead, pause time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.state.held, c.state.fetching, c.state.nextFetch = held, false, c.now().Add(pause)
--- a/heartbeat/stores.go
+++ b/heartbeat/stores.go
@@ -29,10 +29,7 @@
 	sentHost  wheelgauge.FleetHost
 	connected bool
 	// generation is that of the state which the store held at its last answer.
-	// hostsVersion and serversVersion identify the tables last received from it.
-	generation     uint64
-	hostsVersion   uint64
-	serversVersion uint64
+	generation uint64
 	// crashesVersion identifies the list last received of all hosts' crashes.
 	// crashesAcked is the last change of this host's own crashes that the store knows,
 	// crashesSent the last change in the heartbeat in flight.
@@ -131,7 +128,7 @@
 	c.options.Log.Info("Primary store changes.", "from", c.primary, "to", best)
 	c.primary = best
 	if s := c.stores[best]; s != nil {
-		s.hostsVersion, s.serversVersion, s.crashesVersion, s.limitsVersion, s.dueAt = 0, 0, 0, 0, time.Time{}
+		s.crashesVersion, s.limitsVersion, s.dueAt = 0, 0, time.Time{}
 	}
 }
 
--- a/hosttable/table.go
+++ b/hosttable/table.go
@@ -4,12 +4,15 @@
 
 import (
 	"cmp"
+	"encoding/json"
+	"fmt"
 	"maps"
 	"slices"
 	"sync"
 	"time"
 
 	"wheelgauge"
+	"wheelgauge/changelog"
 )
 
 const (
@@ -48,6 +51,8 @@
 type Table struct {
 	mu      sync.Mutex
 	entries map[string]*entry
+	// changes has the hosts for the feed of changes.
+	changes *changelog.Table
 	version uint64
 	// list holds the hosts at listVersion, which may be older than version.
 	list        []wheelgauge.FleetHost
@@ -65,16 +70,24 @@
 
 // New returns an empty table that reads time from now.
 func New(now func() time.Time) *Table {
-	return &Table{entries: map[string]*entry{}, version: 1, relays: map[string]relayed{}, peaks: map[string]peak{}, lastLoss: map[string]time.Time{}, now: now}
+	return &Table{entries: map[string]*entry{}, changes: changelog.New(), version: 1, relays: map[string]relayed{}, peaks: map[string]peak{}, lastLoss: map[string]time.Time{}, now: now}
 }
 
+// Changes returns the table of live hosts for the feed of changes.
+func (t *Table) Changes() *changelog.Table { return t.changes }
+
 // RecordHeartbeat records a heartbeat of a host that sends one every interval.
-func (t *Table) RecordHeartbeat(hb wheelgauge.FleetHeartbeat, interval time.Duration) {
+func (t *Table) RecordHeartbeat(hb wheelgauge.FleetHeartbeat, interval time.Duration) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.entries[hb.Host.Name]
 	if e == nil || e.host != hb.Host {
 		t.version++
+		value, err := json.Marshal(hb.Host)
+		if err != nil {
+			return fmt.Errorf("encode host %s: %w", hb.Host.Name, err)
+		}
+		t.changes.Apply([]wheelgauge.TableRow{{Key: hb.Host.Name, Value: value}})
 	}
 	if e == nil {
 		e = &entry{}
@@ -85,6 +98,7 @@
 	}
 	e.host, e.lastSeen, e.interval, e.primary = hb.Host, t.now(), interval, hb.Primary
 	e.totals, e.uses = hb.ServiceTotals, hb.ServerUsage
+	return nil
 }
 
 // refresh removes hosts that were silent for too long and recomputes the sums, unless these
@@ -95,13 +109,16 @@
 		return
 	}
 	t.summedAt = now
+	var gone []wheelgauge.TableRow
 	for name, e := range t.entries {
 		if now.Sub(e.lastSeen) > missedIntervals*e.interval+maxDelay {
 			delete(t.entries, name)
 			t.lastLoss[e.host.Region] = now
 			t.version++
+			gone = append(gone, wheelgauge.TableRow{Key: name})
 		}
 	}
+	t.changes.Apply(gone)
 	t.sums = newSums()
 	for _, e := range t.entries {
 		t.sums.add(e)
--- a/peerhttp/client.go
+++ b/peerhttp/client.go
@@ -205,7 +205,14 @@
 		*raw = bytes.Clone(resp.Body())
 		return nil
 	}
-	if err := json.Unmarshal(resp.Body(), out); err != nil {
+	body := resp.Body()
+	if len(resp.Header.ContentEncoding()) > 0 {
+		var err error
+		if body, err = resp.BodyUncompressed(); err != nil {
+			return fmt.Errorf("decompress response of %s: %w", path, err)
+		}
+	}
+	if err := json.Unmarshal(body, out); err != nil {
 		return fmt.Errorf("decode response of %s: %w", path, err)
 	}
 	return nil
--- a/peerset/table.go
+++ b/peerset/table.go
@@ -3,6 +3,7 @@
 package peerset
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -64,7 +65,11 @@
 	mu     sync.Mutex
 	region string
 	peers  map[string]*Peer
-	loads  map[string]map[string]*serviceLoad
+	// eligible are the hosts of each other region that may be announced to callers there, announced
+	// the names of those that are.
+	eligible  map[string]*announcedhosts.Set
+	announced map[string][]string
+	loads     map[string]map[string]*serviceLoad
 	// silentUntil is the time until which a region counts as unreachable.
 	silentUntil map[string]time.Time
 	// roundTrips are the running means of the round-trip times of calls to regions,
@@ -83,47 +88,72 @@
 // region may leave all calls unanswered.
 func New(region string, maxSilence time.Duration, now func() time.Time) *Table {
 	return &Table{
-		region: region, peers: map[string]*Peer{}, loads: map[string]map[string]*serviceLoad{}, silentUntil: map[string]time.Time{},
+		region: region, peers: map[string]*Peer{}, eligible: map[string]*announcedhosts.Set{}, announced: map[string][]string{}, loads: map[string]map[string]*serviceLoad{}, silentUntil: map[string]time.Time{},
 		roundTrips: map[string]time.Duration{}, lastAnswers: map[string]time.Time{}, idleMisses: map[string]int{}, maxSilence: maxSilence, now: now,
 	}
 }
 
-// SetHosts sets the live hosts of all regions.
-func (t *Table) SetHosts(hosts []wheelgauge.FleetHost) {
+// UpdateHosts sets and removes live hosts of all regions.
+func (t *Table) UpdateHosts(changed []wheelgauge.FleetHost, removed []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	seen := map[string]bool{}
-	for _, h := range hosts {
-		if h.Region == t.region || !h.Ready {
-			continue
+	regions := map[string]bool{}
+	for _, name := range removed {
+		t.updateHost(name, wheelgauge.FleetHost{}, regions)
+	}
+	for _, h := range changed {
+		t.updateHost(h.Name, h, regions)
+	}
+	for region, changed := range regions {
+		if changed {
+			t.markAnnounced(region)
 		}
-		seen[h.Name] = true
-		t.peers[h.Name] = updated(t.peers[h.Name], h, t.now)
 	}
-	for name, p := range t.peers {
-		if !seen[name] {
-			p.pool.Close()
-			delete(t.peers, name)
+}
+
+// updateHost sets a host, or removes it if h is the zero value, and adds the regions whose hosts
+// to announce may have changed; the lock is held.
+func (t *Table) updateHost(name string, h wheelgauge.FleetHost, regions map[string]bool) {
+	if h.Region == t.region || !h.Ready {
+		h = wheelgauge.FleetHost{} // no peer
+	}
+	var before wheelgauge.FleetHost
+	p := t.peers[name]
+	if p != nil {
+		before = p.host
+	}
+	if before.Region != h.Region && before.Name != "" && h.Name != "" {
+		t.updateHost(name, wheelgauge.FleetHost{}, regions) // moved to another region
+		p, before = nil, wheelgauge.FleetHost{}
+	}
+	if region := cmp.Or(h.Region, before.Region); region != "" {
+		if t.eligible[region] == nil {
+			t.eligible[region] = &announcedhosts.Set{}
 		}
+		regions[region] = t.eligible[region].Update(before, h) || regions[region]
+	}
+	if h.Name != "" {
+		t.peers[name] = updated(p, h, t.now)
+		return
+	}
+	if p != nil {
+		p.pool.Close()
+		delete(t.peers, name)
 	}
-	t.markAnnounced(hosts)
 }
 
-// markAnnounced marks the gateways that are announced to callers of their regions; the lock
-// is held.
-func (t *Table) markAnnounced(hosts []wheelgauge.FleetHost) {
-	regions := map[string][]wheelgauge.FleetHost{}
-	for _, h := range hosts {
-		regions[h.Region] = append(regions[h.Region], h)
-	}
-	names := map[string]bool{}
-	for _, list := range regions {
-		for _, h := range announcedhosts.Minimum(list) {
-			names[h.Name] = true
+// markAnnounced marks the gateways that are announced to callers of a region; the lock is held.
+func (t *Table) markAnnounced(region string) {
+	for _, name := range t.announced[region] {
+		if p := t.peers[name]; p != nil {
+			p.announced = false
 		}
 	}
-	for name, p := range t.peers {
-		p.announced = names[name]
+	t.announced[region] = t.eligible[region].Minimum()
+	for _, name := range t.announced[region] {
+		if p := t.peers[name]; p != nil {
+			p.announced = true
+		}
 	}
 }
 
--- a/routes.go
+++ b/routes.go
@@ -126,6 +126,9 @@
 	Leaving bool   `json:"l,omitempty"`
 	// ColdMS is how much longer the server can handle only its cold rate, in ms.
 	ColdMS int64 `json:"c,omitempty"`
+	// ColdUntilMS stands for ColdMS in the tables of stores, whose rows must not change with the
+	// time: the end by the clock of the list; see ListStatus. 0 for a server that is not cold.
+	ColdUntilMS int64 `json:"u,omitempty"`
 }
 
 // InstanceKey returns an identifier of this start of the server.
--- a/routetable/ranks.go
+++ b/routetable/ranks.go
@@ -1,6 +1,7 @@
 package routetable
 
 import (
+	"maps"
 	"slices"
 
 	"wheelgauge"
@@ -19,27 +20,21 @@
 	workspaceRanks int
 }
 
-func newRankOrder(set *wheelgauge.RouteSet) rankOrder {
+func newRankOrder(t *Table) rankOrder {
 	var k rankOrder
-	for i := range set.Workspaces {
-		k.workspacePriorities = append(k.workspacePriorities, set.Workspaces[i].Priority)
+	for _, w := range t.workspaces {
+		k.workspacePriorities = append(k.workspacePriorities, w.Priority)
 	}
-	for i := range set.Routes {
-		k.routePriorities = append(k.routePriorities, set.Routes[i].Priority)
-	}
-	k.workspacePriorities, k.routePriorities = distinct(k.workspacePriorities), distinct(k.routePriorities)
+	slices.Sort(k.workspacePriorities)
+	k.workspacePriorities = slices.Compact(k.workspacePriorities)
+	k.routePriorities = slices.Sorted(maps.Keys(t.priorities))
 	k.workspaceRanks = len(k.workspacePriorities)
-	if slices.ContainsFunc(set.Routes, func(r wheelgauge.PathRoute) bool { return r.AllowAnonymous }) {
+	if t.anonymous > 0 {
 		k.workspaceRanks++
 	}
 	return k
 }
 
-func distinct(list []int) []int {
-	slices.Sort(list)
-	return slices.Compact(list)
-}
-
 // Rank returns the rank of requests of a workspace and a route, 0 being the most urgent.
 // If there are no workspaces, it is the route's priority. Otherwise requests without a
 // workspace rank after all others.
--- a/serverconn/pool.go
+++ b/serverconn/pool.go
@@ -96,6 +96,13 @@
 	return n
 }
 
+// OpenCount returns the number of open connections.
+func (p *Pool) OpenCount() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open
+}
+
 // OpenIdle opens a connection and keeps it idle until it is used.
 func (p *Pool) OpenIdle(ctx context.Context) error {
 	p.mu.Lock()
--- a/serverset/load_report.go
+++ b/serverset/load_report.go
@@ -91,6 +91,9 @@
 	// The request just answered is no longer in flight there.
 	s.peerUse.Running = max(0, held-(s.running-1))
 	s.peerUseAt, s.loadReportedAt = t.now(), t.now()
+	if t.servers[s.instance] == s {
+		t.usedByPeers[s] = true
+	}
 }
 
 // hasRecentReport reports whether the server's own report is preferred to the region's sum.
--- a/serverset/pick.go
+++ b/serverset/pick.go
@@ -95,12 +95,16 @@
 func (t *Table) newPick(c choice, home *Server, j Job, now time.Time) *Pick {
 	s := c.server
 	k := &Pick{table: t, server: s, version: s.spec.Version, prompt: j.prompt, rank: j.rank, missingTokens: s.missingTokens(j.prompt, s == home), predictedWait: duration(c.wait), sentAt: now}
-	k.loadBefore = Load{running: s.inFlight(), own: s.running, tokens: s.pendingTokens + s.peerUse.PrefillTokens, age: now.Sub(s.peerUseAt)}
+	k.loadBefore = Load{running: s.inFlight(), own: s.running, tokens: s.pendingTokens + s.peerUse.PrefillTokens, age: now.Sub(t.peerUseTime(s))}
 	if t.model != nil && t.isEngine(s) {
 		k.load, k.slowness, k.forecast, k.modelled = c.load, c.slowness, c.forecast, true
 		t.recordResident(j)
 	}
 	s.probeSent = !s.pushback.BackingOff(now)
+	if !t.touched[s] {
+		t.touched[s] = true
+		s.pool.SetMaxConns(t.connLimit(s.spec.Service))
+	}
 	s.running++
 	s.pendingTokens += k.missingTokens
 	s.workByRank = s.workByRank.Add(k.rank, 1, k.missingTokens)
--- a/serverset/prefix_source.go
+++ b/serverset/prefix_source.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"wheelgauge"
 	"wheelgauge/prompt"
 	"wheelgauge/rendezvous"
 )
@@ -16,29 +15,6 @@
 	assuredCacheTime = 3 * time.Second
 )
 
-// remoteServer is a server of another region.
-type remoteServer struct {
-	address string
-	region  string
-	service string
-	version string
-	leaving bool
-	hash    uint64
-}
-
-// SetRemoteServers sets the servers of other regions, which may have prefixes cached that
-// the region's own do not.
-func (t *Table) SetRemoteServers(list []wheelgauge.Server) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.remoteServers = t.remoteServers[:0]
-	for _, s := range list {
-		t.remoteServers = append(t.remoteServers, remoteServer{
-			address: s.Address, region: s.Region, service: s.Service, version: s.Version, leaving: s.Leaving, hash: rendezvous.Hash(s.Instance),
-		})
-	}
-}
-
 // SetBusiestRegion names the other region with the most work: its servers are the likeliest
 // to have used a prefix lately.
 func (t *Table) SetBusiestRegion(region string) {
@@ -71,8 +47,8 @@
 		return ""
 	}
 	best, bestScore := "", uint64(0)
-	for _, h := range t.remoteServers {
-		if h.service != service || h.region != t.busiestRegion || h.leaving || !j.versions.Allows(h.version) {
+	for _, h := range t.remote(t.busiestRegion) {
+		if h.service != service || h.leaving || !j.versions.Allows(h.version) {
 			continue
 		}
 		if score := rendezvous.Score(j.prompt.PrefixID(), h.hash); best == "" || score > bestScore {
--- a/serverset/pushback.go
+++ b/serverset/pushback.go
@@ -53,6 +53,9 @@
 	defer t.mu.Unlock()
 	s := t.listedEntry(k.server)
 	defer t.saveIfUnlisted(s)
+	if t.servers[s.instance] == s {
+		t.leaving[s] = true
+	}
 	return s.pushback.Leave(t.now())
 }
 
@@ -148,9 +151,12 @@
 // confirmListed records that the list was current at requestedAt for all servers that it
 // does not show as leaving. The lock is held.
 func (t *Table) confirmListed(requestedAt time.Time) {
-	for _, s := range t.servers {
+	for s := range t.leaving {
 		if !s.spec.Leaving {
 			s.pushback.Listed(requestedAt)
 		}
+		if !s.pushback.Leaving() {
+			delete(t.leaving, s)
+		}
 	}
 }
--- a/serverset/sole_version.go
+++ b/serverset/sole_version.go
@@ -18,16 +18,13 @@
 	return t.history.Sole(service, within+maxSoleListAge)
 }
 
-// RecordListed records the servers that are listed now, in all regions.
-func (t *Table) RecordListed(list []wheelgauge.Server) { t.history.Update(list) }
-
 // RegionHasVersion reports whether another region lists a server of an allowed version that is not
 // leaving.
 func (t *Table) RegionHasVersion(region, service string, versions wheelgauge.VersionFilter) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, s := range t.remoteServers {
-		if s.region == region && s.service == service && !s.leaving && versions.Allows(s.version) {
+	for _, s := range t.remote(region) {
+		if s.service == service && !s.leaving && versions.Allows(s.version) {
 			return true
 		}
 	}
--- a/serverset/table.go
+++ b/serverset/table.go
@@ -60,17 +60,24 @@
 	services map[string][]*Server
 	drained  []string
 	// undrainedAt is when the drain of a hall last ended: its servers may be cold.
-	undrainedAt   map[string]time.Time
-	remoteServers []remoteServer
+	undrainedAt map[string]time.Time
+	// remoteServers are those of other regions, by region and instance.
+	remoteServers map[string]*remoteList
 	busiestRegion string
 	// listRequestedAt is when the current list of servers was requested.
 	listRequestedAt time.Time
 	serviceConfig   func(service string) *wheelgauge.Service
 	coldRates       *coldrate.Shares
-	// versionsSince holds when each listed version of a service was first listed, zero for those
-	// that are not new; stateConfirmedAt is when the state was last confirmed as the newest.
-	versionsSince    map[string]map[string]time.Time
-	stateConfirmedAt time.Time
+	// touched are the servers that this host has used lately, usedByPeers those that others use,
+	// cold those that may be cold, leaving those that announced their leaving themselves: what is
+	// done regularly costs nothing for all others.
+	touched, usedByPeers, cold, leaving map[*Server]bool
+	// usesAt is when others last reported what they use.
+	usesAt time.Time
+	// versions are those listed in the region, remoteVersions in others; stateConfirmedAt is when the state was last confirmed as the
+	// newest.
+	versions, remoteVersions listedVersions
+	stateConfirmedAt         time.Time
 	// outOfReach reports whether this host reaches no server of a service; nil if it does not know.
 	outOfReach func(service string) bool
 	// history holds the versions listed lately, in all regions.
@@ -99,6 +106,7 @@
 func New(place Place, serviceConfig func(service string) *wheelgauge.Service, now func() time.Time) *Table {
 	return &Table{
 		place: place, servers: map[string]*Server{}, services: map[string][]*Server{}, undrainedAt: map[string]time.Time{}, brittle: map[string]brittleService{}, unlistedPushbacks: map[string]pushback.State{},
+		remoteServers: map[string]*remoteList{}, remoteVersions: listedVersions{}, touched: map[*Server]bool{}, usedByPeers: map[*Server]bool{}, cold: map[*Server]bool{}, leaving: map[*Server]bool{}, versions: listedVersions{},
 		serviceConfig: serviceConfig, coldRates: coldrate.New(now), lastHolders: map[uint64]*Server{}, history: versionhistory.New(now), residentTokens: map[rankOfService]float64{}, now: now,
 	}
 }
@@ -108,7 +116,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.place.Peers, t.place.Announced = slices.Clone(peers), slices.Clone(announced)
-	for _, s := range t.servers {
+	for s := range t.touched {
 		s.pool.SetMaxConns(t.connLimit(s.spec.Service))
 	}
 }
@@ -144,50 +152,61 @@
 	return max(minConns, config.MaxConns/(len(t.place.Peers)+1))
 }
 
-// Update replaces the list of the region's servers by one that was requested at
-// requestedAt.
-func (t *Table) Update(list []wheelgauge.Server, requestedAt time.Time) {
+// Update sets and removes servers of the region's list. Cold ones are as of a request of the list
+// at requestedAt; which request all of the list is as of, ConfirmList tells.
+func (t *Table) Update(changed []wheelgauge.Server, removed []string, requestedAt time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.listRequestedAt = requestedAt
-	seen := map[string]bool{}
-	for _, spec := range list {
-		seen[spec.Instance] = true
+	for _, name := range removed {
+		if s := t.servers[name]; s != nil {
+			t.drop(s)
+		}
+	}
+	for _, spec := range changed {
 		s := t.servers[spec.Instance]
 		if s != nil && spec.StartUnixMS < s.spec.StartUnixMS {
 			continue // an outdated list, which names an earlier instance
 		}
-		if s == nil || spec.StartUnixMS > s.spec.StartUnixMS {
-			s = t.addInstance(s, spec)
+		if s != nil && (spec.StartUnixMS > s.spec.StartUnixMS || spec.Service != s.spec.Service) {
+			t.drop(s)
+			s = nil
+		}
+		if s == nil {
+			s = t.addInstance(spec)
 		}
 		if s.spec.Address == spec.Address && t.becameCold(s, spec, requestedAt) {
 			s.clearCache()
 		}
+		t.setVersion(s, spec.Version)
 		s.spec = spec
 		t.updateCold(s, requestedAt)
 	}
-	for name, s := range t.servers {
-		if !seen[name] {
-			s.pool.Close()
-			t.savePushback(s)
-			delete(t.servers, name)
-		}
+	t.forgetResident()
+	t.recordListed()
+}
+
+// drop removes a server.
+func (t *Table) drop(s *Server) {
+	s.pool.Close()
+	t.savePushback(s)
+	t.removeFromService(s)
+	delete(t.servers, s.instance)
+	for _, set := range []map[*Server]bool{t.touched, t.usedByPeers, t.cold, t.leaving} {
+		delete(set, s)
 	}
-	t.confirmListed(requestedAt)
-	t.indexByService()
 }
 
 // addInstance returns an entry for a new instance of a server: nothing learned of an
 // earlier one under the same name applies to it.
-func (t *Table) addInstance(old *Server, spec wheelgauge.Server) *Server {
-	if old != nil {
-		old.pool.Close()
-		t.savePushback(old)
-	}
+func (t *Table) addInstance(spec wheelgauge.Server) *Server {
 	s := newServer(spec, t.connLimit(spec.Service), t.now)
 	s.pushback = t.takePushback(s.instanceKey)
 	s.statsStale = s.pushback.BackedOff()
+	if s.pushback.Leaving() {
+		t.leaving[s] = true
+	}
 	t.servers[spec.Instance] = s
+	t.addToService(s)
 	return s
 }
 
@@ -203,6 +222,7 @@
 func (t *Table) updateCold(s *Server, requestedAt time.Time) {
 	if s.spec.ColdMS > 0 {
 		s.coldUntil = requestedAt.Add(time.Duration(s.spec.ColdMS)*time.Millisecond + coldMargin)
+		t.cold[s] = true
 		return
 	}
 	if undrainedAt, ok := t.undrainedAt[s.spec.Hall]; ok && requestedAt.Before(undrainedAt.Add(maxListLag)) {
@@ -225,16 +245,19 @@
 // newer list says otherwise.
 const coldAfterUndrain = 10 * time.Second
 
-// ConfirmList records that the last list was still current when requested again.
+// ConfirmList records that the list held was current when requested at a time.
 func (t *Table) ConfirmList(requestedAt time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.listRequestedAt = requestedAt
 	t.confirmListed(requestedAt)
-	for _, s := range t.servers {
+	for s := range t.cold {
 		if s.spec.ColdMS == 0 {
 			t.updateCold(s, requestedAt)
 		}
+		if t.now().After(s.coldUntil) {
+			delete(t.cold, s)
+		}
 	}
 }
 
@@ -248,16 +271,36 @@
 	return t.now().Sub(t.listRequestedAt)
 }
 
-func (t *Table) indexByService() {
-	defer t.updateVersions()
-	t.services = map[string][]*Server{}
-	for _, s := range t.servers {
-		t.services[s.spec.Service] = append(t.services[s.spec.Service], s)
+func compareInstances(a, b *Server) int { return cmp.Compare(a.instance, b.instance) }
+
+// addToService adds a server to those of its service, which are sorted by name.
+func (t *Table) addToService(s *Server) {
+	list := t.services[s.spec.Service]
+	i, _ := slices.BinarySearchFunc(list, s, compareInstances)
+	t.services[s.spec.Service] = slices.Insert(list, i, s)
+	s.versionListedAt = t.countVersion(s.spec.Service, s.spec.Version)
+}
+
+// removeFromService removes a server from those of its service.
+func (t *Table) removeFromService(s *Server) {
+	list := t.services[s.spec.Service]
+	if i, ok := slices.BinarySearchFunc(list, s, compareInstances); ok {
+		list = slices.Delete(list, i, i+1)
 	}
-	t.forgetResident()
-	for _, list := range t.services {
-		slices.SortFunc(list, func(a, b *Server) int { return cmp.Compare(a.spec.Instance, b.spec.Instance) })
+	t.services[s.spec.Service] = list
+	t.versions.remove(s.spec.Service, s.spec.Version)
+	if len(list) == 0 {
+		delete(t.services, s.spec.Service)
+	}
+}
+
+// setVersion counts another version of a listed server.
+func (t *Table) setVersion(s *Server, version string) {
+	if version == s.spec.Version {
+		return
 	}
+	s.versionListedAt = t.countVersion(s.spec.Service, version)
+	t.versions.remove(s.spec.Service, s.spec.Version)
 }
 
 // SetDrained sets the halls that get no work.
@@ -272,6 +315,7 @@
 		for _, s := range t.servers {
 			if config := t.serviceConfig(s.spec.Service); s.spec.Hall == hall && config != nil && config.ColdRate > 0 {
 				s.coldUntil = t.now().Add(coldAfterUndrain)
+				t.cold[s] = true
 			}
 		}
 	}
@@ -283,9 +327,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
-	for _, s := range t.servers {
+	t.usesAt = now
+	for s := range t.usedByPeers {
 		if !s.hasRecentReport(now) {
 			s.peerUse, s.peerUseAt = wheelgauge.ServerUsage{}, now
+			delete(t.usedByPeers, s)
 		}
 	}
 	for _, u := range uses {
@@ -294,19 +340,28 @@
 			continue // an earlier instance, or one that is not listed yet
 		}
 		if !s.hasRecentReport(now) {
-			s.peerUse = u
+			s.peerUse, s.peerUseAt = u, now
+			t.usedByPeers[s] = true
 		}
 		s.applyPeerReports(u, now)
 	}
 }
 
+// peerUseTime returns as of when it is known what others have in flight at a server.
+func (t *Table) peerUseTime(s *Server) time.Time {
+	if t.usesAt.After(s.peerUseAt) && !t.usedByPeers[s] {
+		return t.usesAt
+	}
+	return s.peerUseAt
+}
+
 // Uses returns what this host has in flight, by server and by service.
 func (t *Table) Uses() ([]wheelgauge.ServerUsage, []wheelgauge.ServiceUsage) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var uses []wheelgauge.ServerUsage
 	sums := map[string]wheelgauge.ServiceUsage{}
-	for _, s := range t.servers {
+	for s := range t.touched {
 		use := s.use(t.now())
 		if t.outOfReach != nil && t.outOfReach(s.spec.Service) {
 			use.UnreachableFrom = 0
@@ -338,13 +393,16 @@
 			delete(t.lastHolders, prefix)
 		}
 	}
-	for _, s := range t.servers {
+	for s := range t.touched {
 		s.pool.Prune()
 		for id, used := range s.cachedParts {
 			if used.Before(oldest) {
 				delete(s.cachedParts, id)
 			}
 		}
+		if s.running == 0 && s.pool.OpenCount() == 0 && len(s.cachedParts) == 0 && !s.use(t.now()).Reportable() {
+			delete(t.touched, s)
+		}
 	}
 }
 
--- a/serverset/versions.go
+++ b/serverset/versions.go
@@ -38,23 +38,50 @@
 	return false
 }
 
-// updateVersions records when each version of a service was first listed. Those that a
-// service was first listed with are not new. The lock is held.
-func (t *Table) updateVersions() {
-	old := t.versionsSince
-	t.versionsSince = map[string]map[string]time.Time{}
-	for service, list := range t.services {
-		known := old[service]
-		since := map[string]time.Time{}
-		for _, s := range list {
-			at, ok := known[s.spec.Version]
-			if !ok && known != nil {
-				at = t.now()
-			}
-			since[s.spec.Version], s.versionListedAt = at, at
-		}
-		t.versionsSince[service] = since
+// listedVersions counts the listed servers of each version of a service.
+type listedVersions map[string]map[string]*listedVersion
+
+type listedVersion struct {
+	servers int
+	// since is when the version was first listed; zero if it is not new.
+	since time.Time
+}
+
+// add counts a server and returns its version's count.
+func (l listedVersions) add(service, version string) *listedVersion {
+	if l[service] == nil {
+		l[service] = map[string]*listedVersion{}
+	}
+	if l[service][version] == nil {
+		l[service][version] = &listedVersion{}
+	}
+	l[service][version].servers++
+	return l[service][version]
+}
+
+func (l listedVersions) remove(service, version string) {
+	v := l[service][version]
+	if v == nil {
+		return
+	}
+	if v.servers--; v.servers > 0 {
+		return
+	}
+	delete(l[service], version)
+	if len(l[service]) == 0 {
+		delete(l, service)
+	}
+}
+
+// countVersion counts a listed server and returns since when its version counts as new. Those that
+// a service, or the whole list, comes with are not new: zero. The lock is held.
+func (t *Table) countVersion(service, version string) time.Time {
+	known := t.versions[service] != nil && !t.listRequestedAt.IsZero()
+	v := t.versions.add(service, version)
+	if known && v.servers == 1 {
+		v.since = t.now()
 	}
+	return v.since
 }
 
 // versionUnconfirmed reports whether the server's version is so new that this host may not
