Requests before old tables: a store is asked for the one route or server

What callers could see: nothing bounded what a host does on old news. The feed of changes makes that rare; this bounds it while any store can be reached.

A host whose configuration was not known to be the newest for 1.5 s asks a store for the routes of the request's host name, and goes by them if they are newer; one whose list of servers is older than 3 s asks for the server that it chose, and takes another one if that has left or is leaving. One answer serves all requests for 0.25 s; where no store answers (0.15 s near, 0.4 s far, two stores), what is held is used, and nobody is asked for a second: a region cut off from all stores serves on.

Weighed: handing such requests to another host (the host that holds the newer table is not known, and each forward is a hop), refusing them (callers of a cut-off region would get nothing).

--- a/confstore/node.go
+++ b/confstore/node.go
@@ -32,6 +32,7 @@
 	"wheelgauge/replica"
 	"wheelgauge/rollout/controller"
 	"wheelgauge/rollout/sequential"
+	"wheelgauge/routetable"
 	"wheelgauge/serverlimit"
 	"wheelgauge/serverlist"
 	"wheelgauge/stallwatch"
@@ -100,18 +101,20 @@
 
 // Node is a running store.
 type Node struct {
-	o         Options
-	boot      uint64
-	started   time.Time
-	machine   *configstate.Machine
-	feed      *changefeed.Feed
-	config    configTable
-	routeSet  atomic.Pointer[wheelgauge.RouteSet]
-	replica   *replica.Replica
-	hosts     *hosttable.Table
-	client    *peerhttp.Client
-	meter     *meter.Meter
-	listeners []*httpserve.Server
+	o        Options
+	boot     uint64
+	started  time.Time
+	machine  *configstate.Machine
+	feed     *changefeed.Feed
+	config   configTable
+	routeSet atomic.Pointer[wheelgauge.RouteSet]
+	// routeIndex is the index of routeSet for lookups.
+	routeIndex atomic.Pointer[routetable.Table]
+	replica    *replica.Replica
+	hosts      *hosttable.Table
+	client     *peerhttp.Client
+	meter      *meter.Meter
+	listeners  []*httpserve.Server
 	// ctx ends when the store stops.
 	ctx  context.Context
 	stop context.CancelFunc
@@ -248,7 +251,7 @@
 
 func (n *Node) servePeer(ctx *fasthttp.RequestCtx) {
 	received := len(ctx.Request.Body())
-	if !n.serveCaps(ctx) && !n.servePermits(ctx) && !n.serveHeartbeat(ctx) && !n.serveStreams(ctx) && !n.serveChanges(ctx) && !n.serveUpdate(ctx) && !n.replica.Handle(ctx) {
+	if !n.serveCaps(ctx) && !n.servePermits(ctx) && !n.serveHeartbeat(ctx) && !n.serveStreams(ctx) && !n.serveChanges(ctx) && !n.serveLookup(ctx) && !n.serveUpdate(ctx) && !n.replica.Handle(ctx) {
 		peerhttp.NotFound(ctx)
 		return
 	}
--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -26,6 +26,7 @@
 	"wheelgauge/forwardcredits"
 	"wheelgauge/heartbeat"
 	"wheelgauge/httpserve"
+	"wheelgauge/lookupclient"
 	"wheelgauge/meter"
 	"wheelgauge/originclient"
 	"wheelgauge/peerhttp"
@@ -207,7 +208,7 @@
 	gateOptions := routegate.Options{
 		Region: o.Region, Names: o.Names, Servers: n.servers, Peers: n.peers, Budget: n.budget, Meter: n.meter, Log: o.Log.WithName("gate"),
 		Caps: n.caps, Quarantine: n.quarantine, Reach: n.reach, Limits: n.limits, Permits: n.permits, Clock: clock,
-		Versions: n.versions, Tally: n.tally, Origins: n.origins, Credits: n.credits, Returns: returns,
+		Versions: n.versions, Tally: n.tally, Origins: n.origins, Credits: n.credits, Returns: returns, Lookup: lookupclient.New(lookupclient.Options{Stores: n.stores, Request: n.lookUp, Now: clock.Now}),
 	}
 	n.openAdmission(&gateOptions)
 	n.gate = routegate.New(gateOptions)
@@ -248,6 +249,12 @@
 	return resp, err
 }
 
+// lookUp asks a store for one route or server.
+func (n *Node) lookUp(ctx context.Context, address string, req wheelgauge.LookupRequest) (resp wheelgauge.LookupResponse, err error) {
+	err = n.client.Call(ctx, http.MethodPost, address, lookupclient.Path, req, &resp)
+	return resp, err
+}
+
 // regionStores returns the stores of the host's region; none before the heartbeat client has started.
 func (n *Node) regionStores() []wheelgauge.RegionStore {
 	if client := n.heartbeats.Load(); client != nil {
--- a/routegate/dispatch.go
+++ b/routegate/dispatch.go
@@ -64,7 +64,7 @@
 		k.Done(outcome)
 		return notSent
 	}
-	if !c.stillAccepted(k) {
+	if !c.stillListed(ctx, k) || !c.stillAccepted(k) {
 		s.Pool().PutUnused(conn)
 		k.Done(serverset.Abandoned)
 		return notSent
--- a/routegate/early.go
+++ b/routegate/early.go
@@ -23,7 +23,7 @@
 func (g *Gate) decide(ctx context.Context, r *callerhttp.Request, forwarded bool) func(ctx context.Context) {
 	c := g.newCall(r, forwarded)
 	g.awaitReady(ctx)
-	apiErr := g.admit(c)
+	apiErr := g.admit(ctx, c)
 	if withinShare := forwarded || r.SetOwner(c.workspaceName()); apiErr == nil && !withinShare {
 		g.options.Meter.Count("requests.over_share")
 		apiErr = refusal(wheelgauge.ReasonOverloaded, http.StatusServiceUnavailable, "the workspace has its share of the requests in progress at this host").WithRetryAfter(minOverloadRetryAfter)
--- a/routegate/gate.go
+++ b/routegate/gate.go
@@ -76,6 +76,9 @@
 	Room wheelgauge.WaitingRoom
 	// Shares divides scarce room among workspaces; nil treats all alike.
 	Shares wheelgauge.WorkspaceShares
+	// Lookup asks stores for single routes and servers while the tables held are old; nil uses
+	// these.
+	Lookup wheelgauge.Lookup
 	// Returns tells refused callers when to return; nil tells all of a route the same.
 	Returns wheelgauge.ReturnSchedule
 	// Origins holds what began streams, for callers that take them up again; a gate without it
@@ -254,13 +257,14 @@
 }
 
 // admit matches the route and identifies the workspace, or returns why the request is refused.
-func (g *Gate) admit(c *call) *wheelgauge.Error {
+func (g *Gate) admit(ctx context.Context, c *call) *wheelgauge.Error {
 	t := g.table.Load()
 	if t == nil {
 		return refusal(wheelgauge.ReasonNoConfiguration, http.StatusServiceUnavailable, "no configuration is known yet").WithRetryAfter(startupRetryAfter)
 	}
-	c.version = t.Version()
 	h := c.request.Header()
+	t = g.routesFor(ctx, t, string(h.Host()))
+	c.version = t.Version()
 	c.route = t.Match(string(h.Host()), string(h.RequestURI()))
 	if c.route == nil {
 		return refusal(wheelgauge.ReasonNotFound, http.StatusNotFound, "no route for this host and path")
--- a/routetable/rows_test.go
+++ b/routetable/rows_test.go
@@ -108,6 +108,32 @@
 	}
 }
 
+// The part of a newer version rules the requests of its host name, and no others.
+func TestPartOfAnotherVersion(t *testing.T) {
+	for seed := range uint64(20) {
+		r := rand.New(rand.NewPCG(seed, 5))
+		old, newer := randomSet(r, 1), randomSet(r, 2)
+		rows, err := Rows(New(newer).Part("HOST-3.example"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := New(old).WithPart("host-3.example", 2, rows)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for i := range 40 {
+			host, path := fmt.Sprintf("host-%d.example", i%5), fmt.Sprintf("/%d/x", i)
+			want := New(old)
+			if i%5 == 3 {
+				want = New(newer)
+			}
+			if a, b := got.Match(host, path), want.Match(host, path); !reflect.DeepEqual(a, b) {
+				t.Fatalf("seed %d: %s%s has route %+v, want %+v", seed, host, path, a, b)
+			}
+		}
+	}
+}
+
 func TestRowsOfAnotherRelease(t *testing.T) {
 	table := New(&wheelgauge.RouteSet{})
 	for _, row := range []wheelgauge.TableRow{{Key: "unknown/x", Value: []byte(`{}`)}, {Key: "route/h", Value: []byte(`{}`)}, {Key: "route/h/", Value: []byte(`[]`)}} {
--- a/routetable/table.go
+++ b/routetable/table.go
@@ -127,6 +127,34 @@
 	return nil
 }
 
+// Part returns the routes of a host name, with all services and the limits.
+func (t *Table) Part(host string) *wheelgauge.RouteSet {
+	set := &wheelgauge.RouteSet{Version: t.version, Limits: t.limits}
+	for _, s := range t.services {
+		set.Services = append(set.Services, *s)
+	}
+	for _, r := range t.routes.routes(strings.ToLower(host)) {
+		set.Routes = append(set.Routes, *r)
+	}
+	return set
+}
+
+// WithPart returns the table with the rows of a part of another version, which replace all routes
+// of the host name.
+func (t *Table) WithPart(host string, version uint64, rows []wheelgauge.TableRow) (*Table, error) {
+	c, err := decodeRows(rows)
+	if err != nil {
+		return nil, err
+	}
+	host = strings.ToLower(host)
+	for _, r := range t.routes.routes(host) {
+		if _, ok := c.routes[host][r.Prefix]; !ok {
+			c.setRoute(host, r.Prefix, nil)
+		}
+	}
+	return t.with(version, c), nil
+}
+
 // KeysRequired reports whether callers need a key, which is so if there are workspaces.
 func (t *Table) KeysRequired() bool { return len(t.workspaces) > 0 }
 
