Places of brittle servers: what a killed host had in flight counts as long as the server runs it

Cause: a store went by the reports of hosts. A gateway that starts again reports nothing in flight, and the store took that for room at once, while the server still ran what the killed process had sent: the others were granted those places and were rejected. One that stays away kept its places for 2 s, although the server had ended its requests within 0.3 s.

Now what an ended process had counts on for 2 s after its last report at most, and no longer than the server's own reports show it: the highest of three since then, beyond what other hosts have sent. A host counts as ended after 0.7 s without a report (they come each 0.5 s); if it had not, its next report counts as before. Failing first: TestRoomOfBrittleServer, "a host with two in flight starts again" granted two places of a server that ran two.

--- a/permitissuer/places.go
+++ b/permitissuer/places.go
@@ -14,6 +14,9 @@
 	// hostTTL is how long what a host has in flight counts after its last report. Hosts renew
 	// their reports several times in that time.
 	hostTTL = 2 * time.Second
+	// silentTime is how long after its last report a host may have ended: what it had in flight
+	// counts only as far as the server's own reports show it.
+	silentTime = 700 * time.Millisecond
 	// expireInterval is how often hosts that have not reported are looked for.
 	expireInterval = 100 * time.Millisecond
 	// loadTTL is how long a server's report of its load counts.
@@ -51,10 +54,19 @@
 	// granted are the numbers of the places that the host has not reported as sent or ended.
 	granted map[uint64]bool
 	heardAt time.Time
+	// silent is set once the host may have ended.
+	silent bool
 }
 
 func (h *hostUse) held() int { return h.sent + len(h.granted) }
 
+// endedUse is what a process that was replaced by another one of its host had in flight, which
+// the server may run until a time.
+type endedUse struct {
+	count int
+	until time.Time
+}
+
 // unknownUse is how many requests a server reported beyond those of the hosts that report here.
 type unknownUse struct {
 	count int
@@ -78,10 +90,16 @@
 	bears float64
 	since time.Time
 	hosts map[string]*hostUse
-	// held is how many requests these hosts have at the server, or may send to it; expiredAt is
-	// when hosts that do not report any more were last dropped.
+	// held is how many requests these hosts have at the server, or may send to it, without the
+	// silent ones; expiredAt is when hosts that do not report any more were last looked for.
 	held      int
 	expiredAt time.Time
+	// ended and silentHeld are what processes had in flight that have ended or may have;
+	// endedReports are the latest reports of the server since any of it came up: how many requests
+	// beyond those that other hosts have sent.
+	ended        []endedUse
+	silentHeld   int
+	endedReports []int
 	// unknown are the latest reports, waiting is how many requests waited by the last one.
 	unknown   []unknownUse
 	waiting   int
@@ -110,6 +128,15 @@
 		p.slots = u.Slots
 	}
 	h := p.hosts[from.Host]
+	if h != nil && h.boot != from.Boot && h.held() > 0 {
+		p.ended = append(p.ended, endedUse{h.held(), h.heardAt.Add(hostTTL)})
+		p.endedReports = nil
+	}
+	if h != nil && h.silent && h.boot == from.Boot {
+		h.silent = false
+		p.silentHeld -= h.held()
+		p.held += h.held()
+	}
 	if h == nil || h.boot != from.Boot {
 		p.drop(from.Host)
 		h = &hostUse{boot: from.Boot, rejected: u.Rejected, granted: map[uint64]bool{}}
@@ -166,6 +193,14 @@
 
 func (p *places) recordLoad(u wheelgauge.PlaceUse, now time.Time) {
 	p.loadKnown, p.waiting = true, u.Waiting
+	sent := 0
+	for _, h := range p.hosts {
+		if !h.silent {
+			sent += h.sent
+		}
+	}
+	p.endedReports = append(p.endedReports, max(0, u.Load-sent))
+	p.endedReports = p.endedReports[max(0, len(p.endedReports)-loadReports):]
 	p.unknown = append(p.unknown, unknownUse{max(0, u.Load-p.held), now})
 	p.unknown = p.unknown[max(0, len(p.unknown)-loadReports):]
 	if least, _ := p.unknownCount(now); least > 0 && len(p.unknown) == loadReports {
@@ -175,10 +210,30 @@
 
 // drop forgets what a host has in flight.
 func (p *places) drop(host string) {
-	if h := p.hosts[host]; h != nil {
+	h := p.hosts[host]
+	if h == nil {
+		return
+	}
+	if h.silent {
+		p.silentHeld -= h.held()
+	} else {
 		p.held -= h.held()
-		delete(p.hosts, host)
 	}
+	delete(p.hosts, host)
+}
+
+// mayRun is how many requests of processes that have ended, or may have, the server may still run:
+// as many as they had, or as its latest reports show at most.
+func (p *places) mayRun(now time.Time) int {
+	p.ended = slices.DeleteFunc(p.ended, func(e endedUse) bool { return !now.Before(e.until) })
+	n := p.silentHeld
+	for _, e := range p.ended {
+		n += e.count
+	}
+	if len(p.endedReports) == loadReports {
+		n = min(n, slices.Max(p.endedReports))
+	}
+	return n
 }
 
 // unknownCount is how many requests of hosts that do not report here the server has: by the lowest
@@ -211,8 +266,14 @@
 	if now.Sub(p.expiredAt) >= expireInterval {
 		p.expiredAt = now
 		for name, h := range p.hosts {
-			if now.Sub(h.heardAt) > hostTTL {
+			switch silence := now.Sub(h.heardAt); {
+			case silence > hostTTL:
 				p.drop(name)
+			case silence > silentTime && !h.silent:
+				h.silent = true
+				p.held -= h.held()
+				p.silentHeld += h.held()
+				p.endedReports = nil
 			}
 		}
 	}
@@ -252,7 +313,7 @@
 		return false
 	}
 	unknown, fresh := p.unknownCount(now)
-	if fresh && p.waiting > 0 || p.held+unknown >= p.usable(fallback, now) {
+	if fresh && p.waiting > 0 || p.held+max(unknown, p.mayRun(now)) >= p.usable(fallback, now) {
 		return false
 	}
 	known := fresh || p.loadKnown && !p.isDoubtful(now) || !p.loadKnown && !fallback && now.Sub(p.since) >= settleTime
@@ -261,8 +322,13 @@
 
 func (p *places) grant(w *waiter, now time.Time) {
 	p.riskedAt = now
-	p.hosts[w.host].granted[w.number] = true
-	p.held++
+	h := p.hosts[w.host]
+	h.granted[w.number] = true
+	if h.silent {
+		p.silentHeld++
+	} else {
+		p.held++
+	}
 	w.done(true)
 }
 
--- a/permitissuer/places_test.go
+++ b/permitissuer/places_test.go
@@ -16,17 +16,25 @@
 	name   string
 	slots  int
 	bears  float64
-	seq    uint64
-	next   uint64
-	sent   int
+	// restarts counts the processes of the host before this one.
+	restarts uint64
+	seq      uint64
+	next     uint64
+	sent     int
 	// rejected and full are as in wheelgauge.PlaceUse.
 	rejected, full int
 }
 
+// restart begins another process of the host, which has nothing in flight.
+func (h *testHost) restart() {
+	h.restarts++
+	h.seq, h.next, h.sent = 0, 0, 0
+}
+
 // uses reports what the host has in flight. A load below 0 is not known.
 func (h *testHost) uses(load, waiting int, pending ...uint64) *wheelgauge.HostUses {
 	h.seq++
-	return &wheelgauge.HostUses{Host: h.name, Boot: 1, Seq: h.seq, Next: h.next, Uses: []wheelgauge.PlaceUse{{
+	return &wheelgauge.HostUses{Host: h.name, Boot: 1 + h.restarts, Seq: h.seq, Next: h.next, Uses: []wheelgauge.PlaceUse{{
 		Server: "s", Bears: h.bears, Slots: h.slots, Sent: h.sent, Pending: pending,
 		Rejected: h.rejected, Full: h.full, LoadKnown: load >= 0, Load: max(0, load), Waiting: waiting,
 	}}}
@@ -124,6 +132,56 @@
 			b.sent = 0
 			a.issuer.Report(a.uses(0, 0))
 		}, 2},
+		{"a host with two in flight starts again", func(_ *manualclock.Clock, a, b *testHost) {
+			b.sent = 2
+			b.issuer.Report(b.uses(2, 0))
+			b.restart()
+			b.issuer.Report(b.uses(-1, 0))
+		}, 0},
+		{"it starts again, and the server shows one of them", func(_ *manualclock.Clock, a, b *testHost) {
+			b.sent = 2
+			b.issuer.Report(b.uses(2, 0))
+			b.restart()
+			b.issuer.Report(b.uses(-1, 0))
+			for _, load := range []int{2, 1, 1, 1} {
+				a.issuer.Report(a.uses(load, 0))
+			}
+		}, 1},
+		{"it starts again, and the server shows none", func(_ *manualclock.Clock, a, b *testHost) {
+			b.sent = 2
+			b.issuer.Report(b.uses(2, 0))
+			b.restart()
+			for range loadReports {
+				b.issuer.Report(b.uses(0, 0))
+			}
+		}, 2},
+		{"a host is silent, and the server shows none", func(c *manualclock.Clock, a, b *testHost) {
+			b.sent = 2
+			b.issuer.Report(b.uses(2, 0))
+			c.Advance(silentTime + time.Millisecond)
+			b.sent = 0
+			for range loadReports + 1 {
+				a.issuer.Report(a.uses(0, 0))
+			}
+		}, 2},
+		{"a host is silent, and the server shows what it sent", func(c *manualclock.Clock, a, b *testHost) {
+			b.sent = 2
+			b.issuer.Report(b.uses(2, 0))
+			c.Advance(silentTime + time.Millisecond)
+			b.sent = 0
+			for range loadReports + 1 {
+				a.issuer.Report(a.uses(2, 0))
+			}
+		}, 0},
+		{"a silent host reports again", func(c *manualclock.Clock, a, b *testHost) {
+			b.sent = 2
+			b.issuer.Report(b.uses(2, 0))
+			c.Advance(silentTime + time.Millisecond)
+			for range loadReports + 1 {
+				a.issuer.Report(a.uses(0, 0))
+			}
+			b.issuer.Report(b.uses(-1, 0))
+		}, 0},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
