Tables are fetched from the store whose heartbeat told of them

The primary may have changed between a heartbeat and its answer: digest, age and clock of the list were one store's, the rows of another, which may hold an older list. Found in review.

--- a/heartbeat/client.go
+++ b/heartbeat/client.go
@@ -302,7 +302,7 @@
 	}
 	c.recordAnswer(s, hb, answer)
 	c.options.Receiver.RoundTrip(answer.Region, time.Since(began))
-	c.deliver(hb, answer, sentAt)
+	c.deliver(s.address, hb, answer, sentAt)
 }
 
 func (c *Client) recordMiss(s *store, took time.Duration, err error) {
@@ -368,9 +368,9 @@
 	}
 }
 
-// deliver passes an answer to the Receiver: the updates of the primary, and that the state
+// deliver passes the answer of a store to the Receiver: the updates of the primary, and that the state
 // is current.
-func (c *Client) deliver(hb wheelgauge.FleetHeartbeat, a wheelgauge.FleetHeartbeatResponse, sentAt time.Time) {
+func (c *Client) deliver(address string, hb wheelgauge.FleetHeartbeat, a wheelgauge.FleetHeartbeatResponse, sentAt time.Time) {
 	receiver := c.options.Receiver
 	// A store that is cut off from the others may not know of a newer state.
 	if a.Connected && c.current() {
@@ -388,7 +388,7 @@
 	if c.options.Promises != nil {
 		c.options.Promises.Merge(a.Promises)
 	}
-	c.tablesTold(hb.Host.Region, a, sentAt)
+	c.tablesTold(address, hb.Host.Region, a, sentAt)
 	receiver.ServerUsage(a.ServerUsage)
 	receiver.RegionUsage(a.Regions, a.Partial)
 }
--- a/heartbeat/tables.go
+++ b/heartbeat/tables.go
@@ -22,12 +22,13 @@
 	requestedAt time.Time
 }
 
-// tablesTold takes what the primary store tells of its tables: either they are those held, or
-// what changed is fetched. deliverMu is held.
-func (c *Client) tablesTold(region string, a wheelgauge.FleetHeartbeatResponse, sentAt time.Time) {
-	at := ListTime{RequestedAt: sentAt}
+// tablesTold takes what a store, the primary when it was asked, tells of its tables: either they
+// are those held, or what changed is fetched. deliverMu is held.
+func (c *Client) tablesTold(address, region string, a wheelgauge.FleetHeartbeatResponse, sentAt time.Time) {
+	at, age := ListTime{RequestedAt: sentAt}, time.Duration(0)
 	if a.Servers != nil {
-		at.RequestedAt, at.ClockMS = sentAt.Add(-time.Duration(a.Servers.AgeMS)*time.Millisecond), a.Servers.ClockMS
+		age = time.Duration(a.Servers.AgeMS) * time.Millisecond
+		at.RequestedAt, at.ClockMS = sentAt.Add(-age), a.Servers.ClockMS
 	}
 	if a.TablesDigest == c.tables.fetcher.Digest() {
 		c.confirmServers(a.Servers != nil, at)
@@ -40,15 +41,14 @@
 	}
 	c.tables.fetching = true
 	request := wheelgauge.ChangesRequest{Region: region}
-	if a.Servers != nil && at.RequestedAt.Before(c.tables.requestedAt) {
+	if a.Servers != nil && c.now().Add(-age).Before(c.tables.requestedAt) {
 		// A store that was not the primary of any host lately may hold an old list.
 		request.Only = wheelgauge.TableHosts
 	}
-	primary, known := c.primary, a.Servers != nil
 	c.group.Add(1)
 	go func() {
 		defer c.group.Done()
-		c.fetchTables(primary, request, known, at)
+		c.fetchTables(address, request, a.Servers != nil, at)
 	}()
 }
 
