--- a/entrynode/updates.go
+++ b/entrynode/updates.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 	"time"
+	"unique"
 
 	"wheelgauge"
 	"wheelgauge/heartbeat"
@@ -119,6 +120,9 @@
 			removed = append(removed, row.Key)
 		default:
 			s.Region = region
+			for _, text := range []*string{&s.Service, &s.Version, &s.Hall} {
+				*text = unique.Make(*text).Value() // the same in thousands of rows
+			}
 			if s.ColdUntilMS > 0 {
 				s.ColdMS, s.ColdUntilMS = max(0, s.ColdUntilMS-at.ClockMS), 0
 			}
