--- a/permitissuer/places_test.go
+++ b/permitissuer/places_test.go
@@ -132,7 +132,7 @@
 			b.sent = 0
 			a.issuer.Report(a.uses(0, 0))
 		}, 2},
-		{"a host with two in flight starts again", func(_ *manualclock.Clock, a, b *testHost) {
+		{"a host with two in flight starts again", func(_ *manualclock.Clock, _, b *testHost) {
 			b.sent = 2
 			b.issuer.Report(b.uses(2, 0))
 			b.restart()
@@ -147,7 +147,7 @@
 				a.issuer.Report(a.uses(load, 0))
 			}
 		}, 1},
-		{"it starts again, and the server shows none", func(_ *manualclock.Clock, a, b *testHost) {
+		{"it starts again, and the server shows none", func(_ *manualclock.Clock, _, b *testHost) {
 			b.sent = 2
 			b.issuer.Report(b.uses(2, 0))
 			b.restart()
