--- a/announcedhosts/set.go
+++ b/announcedhosts/set.go
@@ -21,8 +21,9 @@
 }
 
 type member struct {
-	hash uint64
-	name string
+	hash    uint64
+	name    string
+	address string
 }
 
 func compareMembers(a, b member) int {
@@ -33,7 +34,7 @@
 // for none. It reports whether the set changed.
 func (s *Set) Update(before, after wheelgauge.FleetHost) bool {
 	was, is := eligible(before), eligible(after)
-	if was && is && before.Hall == after.Hall && before.Name == after.Name {
+	if was && is && before.Hall == after.Hall && before.Name == after.Name && before.CallerAddress == after.CallerAddress {
 		return false
 	}
 	if was {
@@ -56,7 +57,7 @@
 	if !ok {
 		s.halls = slices.Insert(s.halls, i, hall{name: h.Hall})
 	}
-	m := member{rendezvous.Hash(h.Name), h.Name}
+	m := memberOf(h)
 	if at, ok := slices.BinarySearchFunc(s.halls[i].members, m, compareMembers); !ok {
 		s.halls[i].members = slices.Insert(s.halls[i].members, at, m)
 	}
@@ -67,7 +68,7 @@
 	if !ok {
 		return
 	}
-	m := member{rendezvous.Hash(h.Name), h.Name}
+	m := memberOf(h)
 	if at, ok := slices.BinarySearchFunc(s.halls[i].members, m, compareMembers); ok {
 		s.halls[i].members = slices.Delete(s.halls[i].members, at, at+1)
 	}
@@ -76,20 +77,41 @@
 	}
 }
 
-// Minimum returns the names of the hosts that are announced even at the lowest load, as Choose
-// chooses them.
-func (s *Set) Minimum() []string {
+func memberOf(h wheelgauge.FleetHost) member {
+	return member{rendezvous.Hash(h.Name), h.Name, h.CallerAddress}
+}
+
+// choose returns at most limit members, as Choose chooses hosts.
+func (s *Set) choose(limit int) []member {
 	total := 0
 	for _, h := range s.halls {
 		total += len(h.members)
 	}
-	out := make([]string, 0, min(MinHosts, total))
+	out := make([]member, 0, min(limit, total))
 	for round := 0; len(out) < cap(out); round++ {
 		for _, h := range s.halls {
 			if round < len(h.members) && len(out) < cap(out) {
-				out = append(out, h.members[round].name)
+				out = append(out, h.members[round])
 			}
 		}
 	}
 	return out
 }
+
+// Minimum returns the names of the hosts that are announced even at the lowest load.
+func (s *Set) Minimum() []string {
+	out := make([]string, 0, MinHosts)
+	for _, m := range s.choose(MinHosts) {
+		out = append(out, m.name)
+	}
+	return out
+}
+
+// Addresses returns the addresses for callers of at most limit hosts.
+func (s *Set) Addresses(limit int) []string {
+	out := make([]string, 0, limit)
+	for _, m := range s.choose(limit) {
+		out = append(out, m.address)
+	}
+	return out
+}
--- a/announcedhosts/set_test.go
+++ b/announcedhosts/set_test.go
@@ -18,7 +18,7 @@
 		for range 400 {
 			name := fmt.Sprint("g", r.IntN(120))
 			before := hosts[name]
-			after := wheelgauge.FleetHost{Name: name, Hall: fmt.Sprint("h", r.IntN(3)), Ready: r.IntN(4) > 0, Leaving: r.IntN(4) == 0}
+			after := wheelgauge.FleetHost{Name: name, Hall: fmt.Sprint("h", r.IntN(3)), CallerAddress: fmt.Sprint(name, ":", r.IntN(2)), Ready: r.IntN(4) > 0, Leaving: r.IntN(4) == 0}
 			if r.IntN(5) == 0 {
 				after = wheelgauge.FleetHost{}
 			}
@@ -31,13 +31,16 @@
 			for _, h := range hosts {
 				all = append(all, h)
 			}
-			var want []string
+			var want, addresses []string
 			for _, h := range Choose(slices.DeleteFunc(all, func(h wheelgauge.FleetHost) bool { return !h.Ready || h.Leaving }), MinHosts) {
-				want = append(want, h.Name)
+				want, addresses = append(want, h.Name), append(addresses, h.CallerAddress)
 			}
 			if got := s.Minimum(); !slices.Equal(got, want) {
 				t.Fatalf("seed %d: got hosts %v, want %v", seed, got, want)
 			}
+			if got := s.Addresses(MinHosts); !slices.Equal(got, addresses) {
+				t.Fatalf("seed %d: got addresses %v, want %v", seed, got, addresses)
+			}
 		}
 	}
 }
--- a/confstore/changes.go
+++ b/confstore/changes.go
@@ -173,8 +173,8 @@
 	delete(l.fetchers, region)
 }
 
-// listTold takes the state of a list that another store reads, and fetches what changed.
-func (n *Node) listTold(address string, s wheelgauge.ListStatus) {
+// followList compares a list with that of the store which reads it, and fetches what changed.
+func (n *Node) followList(address string, s wheelgauge.ListStatus) {
 	toldAt := n.now()
 	if n.servers.Confirm(s) {
 		n.offerList(s.Region)
--- a/confstore/entry.go
+++ b/confstore/entry.go
@@ -33,14 +33,13 @@
 // that shut down refuse long requests, but are preferred to a region where some
 // routes may not run.
 func (n *Node) EntryAddresses(name, region string) ([]string, time.Duration, error) {
-	hosts, _ := n.hosts.Hosts()
-	count := announcedhosts.HostCount(n.hosts.PeakInFlight(region))
-	if own := chooseAddresses(hosts, count, func(h wheelgauge.FleetHost) bool { return h.Region == region && !h.Leaving }); len(own) > 0 {
+	if own := n.hosts.Announced(region, announcedhosts.HostCount(n.hosts.PeakInFlight(region))); len(own) > 0 {
 		return own, n.addressTTL(region), nil
 	}
 	if n.now().Sub(n.started) < warmUpPeriod {
 		return nil, 0, noEntryHostError()
 	}
+	hosts, _ := n.hosts.Hosts()
 	homeRegions := n.homeRegions(name)
 	fallbacks := []func(wheelgauge.FleetHost) bool{
 		func(h wheelgauge.FleetHost) bool { return !h.Leaving && slices.Contains(homeRegions, h.Region) },
--- a/confstore/updates.go
+++ b/confstore/updates.go
@@ -96,7 +96,7 @@
 	n.promises.Add(update.Region, "", update.Promises)
 	response := wheelgauge.StoreUpdateResponse{CapLease: n.caps.GrantLease(update.Address, update.StoreBoot, update.Caps)}
 	for _, status := range update.ServerLists {
-		n.listTold(update.Address, status)
+		n.followList(update.Address, status)
 	}
 	return response
 }
--- a/heartbeat/client.go
+++ b/heartbeat/client.go
@@ -388,7 +388,7 @@
 	if c.options.Promises != nil {
 		c.options.Promises.Merge(a.Promises)
 	}
-	c.tablesTold(address, hb.Host.Region, a, sentAt)
+	c.compareTables(address, hb.Host.Region, a, sentAt)
 	receiver.ServerUsage(a.ServerUsage)
 	receiver.RegionUsage(a.Regions, a.Partial)
 }
--- a/heartbeat/tables.go
+++ b/heartbeat/tables.go
@@ -22,9 +22,9 @@
 	requestedAt time.Time
 }
 
-// tablesTold takes what a store, the primary when it was asked, tells of its tables: either they
-// are those held, or what changed is fetched. deliverMu is held.
-func (c *Client) tablesTold(address, region string, a wheelgauge.FleetHeartbeatResponse, sentAt time.Time) {
+// compareTables compares the tables held with those of a store that answered as the primary:
+// either they are the same, or what changed is fetched. deliverMu is held.
+func (c *Client) compareTables(address, region string, a wheelgauge.FleetHeartbeatResponse, sentAt time.Time) {
 	at, age := ListTime{RequestedAt: sentAt}, time.Duration(0)
 	if a.Servers != nil {
 		age = time.Duration(a.Servers.AgeMS) * time.Millisecond
--- a/hosttable/table.go
+++ b/hosttable/table.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"wheelgauge"
+	"wheelgauge/announcedhosts"
 	"wheelgauge/changelog"
 )
 
@@ -51,9 +52,11 @@
 type Table struct {
 	mu      sync.Mutex
 	entries map[string]*entry
-	// changes has the hosts for the feed of changes.
-	changes *changelog.Table
-	version uint64
+	// changes has the hosts for the feed of changes, eligible those of each region that may be
+	// announced to callers.
+	changes  *changelog.Table
+	eligible map[string]*announcedhosts.Set
+	version  uint64
 	// list holds the hosts at listVersion, which may be older than version.
 	list        []wheelgauge.FleetHost
 	listVersion uint64
@@ -70,7 +73,7 @@
 
 // New returns an empty table that reads time from now.
 func New(now func() time.Time) *Table {
-	return &Table{entries: map[string]*entry{}, changes: changelog.New(), version: 1, relays: map[string]relayed{}, peaks: map[string]peak{}, lastLoss: map[string]time.Time{}, now: now}
+	return &Table{entries: map[string]*entry{}, changes: changelog.New(), eligible: map[string]*announcedhosts.Set{}, version: 1, relays: map[string]relayed{}, peaks: map[string]peak{}, lastLoss: map[string]time.Time{}, now: now}
 }
 
 // Changes returns the table of live hosts for the feed of changes.
@@ -88,6 +91,10 @@
 			return fmt.Errorf("encode host %s: %w", hb.Host.Name, err)
 		}
 		t.changes.Apply([]wheelgauge.TableRow{{Key: hb.Host.Name, Value: value}})
+		if e != nil {
+			t.eligibleIn(e.host.Region).Update(e.host, wheelgauge.FleetHost{})
+		}
+		t.eligibleIn(hb.Host.Region).Update(wheelgauge.FleetHost{}, hb.Host)
 	}
 	if e == nil {
 		e = &entry{}
@@ -116,6 +123,7 @@
 			t.lastLoss[e.host.Region] = now
 			t.version++
 			gone = append(gone, wheelgauge.TableRow{Key: name})
+			t.eligibleIn(e.host.Region).Update(e.host, wheelgauge.FleetHost{})
 		}
 	}
 	t.changes.Apply(gone)
@@ -153,6 +161,22 @@
 	return t.list, t.version
 }
 
+// eligibleIn returns the hosts of a region that may be announced; the lock is held.
+func (t *Table) eligibleIn(region string) *announcedhosts.Set {
+	if t.eligible[region] == nil {
+		t.eligible[region] = &announcedhosts.Set{}
+	}
+	return t.eligible[region]
+}
+
+// Announced returns the addresses for callers of at most limit hosts of a region.
+func (t *Table) Announced(region string, limit int) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.refresh()
+	return t.eligibleIn(region).Addresses(limit)
+}
+
 // LastLoss returns when a host of a region last left or became silent; the zero time if
 // none ever did.
 func (t *Table) LastLoss(region string) time.Time {
