--- a/permitissuer/places.go
+++ b/permitissuer/places.go
@@ -14,9 +14,6 @@
 	// hostTTL is how long what a host has in flight counts after its last report. Hosts renew
 	// their reports several times in that time.
 	hostTTL = 2 * time.Second
-	// silentTime is how long after its last report a host may have ended: what it had in flight
-	// counts only as far as the server's own reports show it.
-	silentTime = 700 * time.Millisecond
 	// expireInterval is how often hosts that have not reported are looked for.
 	expireInterval = 100 * time.Millisecond
 	// loadTTL is how long a server's report of its load counts.
@@ -54,8 +51,6 @@
 	// granted are the numbers of the places that the host has not reported as sent or ended.
 	granted map[uint64]bool
 	heardAt time.Time
-	// silent is set once the host may have ended.
-	silent bool
 }
 
 func (h *hostUse) held() int { return h.sent + len(h.granted) }
@@ -90,15 +85,13 @@
 	bears float64
 	since time.Time
 	hosts map[string]*hostUse
-	// held is how many requests these hosts have at the server, or may send to it, without the
-	// silent ones; expiredAt is when hosts that do not report any more were last looked for.
+	// held is how many requests these hosts have at the server, or may send to it; expiredAt is
+	// when hosts that do not report any more were last dropped.
 	held      int
 	expiredAt time.Time
-	// ended and silentHeld are what processes had in flight that have ended or may have;
-	// endedReports are the latest reports of the server since any of it came up: how many requests
-	// beyond those that other hosts have sent.
+	// ended is what processes had in flight that have ended; endedReports are the latest reports of
+	// the server since the last of them: how many requests beyond those that hosts have sent.
 	ended        []endedUse
-	silentHeld   int
 	endedReports []int
 	// unknown are the latest reports, waiting is how many requests waited by the last one.
 	unknown   []unknownUse
@@ -132,11 +125,6 @@
 		p.ended = append(p.ended, endedUse{h.held(), h.heardAt.Add(hostTTL)})
 		p.endedReports = nil
 	}
-	if h != nil && h.silent && h.boot == from.Boot {
-		h.silent = false
-		p.silentHeld -= h.held()
-		p.held += h.held()
-	}
 	if h == nil || h.boot != from.Boot {
 		p.drop(from.Host)
 		h = &hostUse{boot: from.Boot, rejected: u.Rejected, granted: map[uint64]bool{}}
@@ -195,9 +183,7 @@
 	p.loadKnown, p.waiting = true, u.Waiting
 	sent := 0
 	for _, h := range p.hosts {
-		if !h.silent {
-			sent += h.sent
-		}
+		sent += h.sent
 	}
 	p.endedReports = append(p.endedReports, max(0, u.Load-sent))
 	p.endedReports = p.endedReports[max(0, len(p.endedReports)-loadReports):]
@@ -210,23 +196,17 @@
 
 // drop forgets what a host has in flight.
 func (p *places) drop(host string) {
-	h := p.hosts[host]
-	if h == nil {
-		return
-	}
-	if h.silent {
-		p.silentHeld -= h.held()
-	} else {
+	if h := p.hosts[host]; h != nil {
 		p.held -= h.held()
+		delete(p.hosts, host)
 	}
-	delete(p.hosts, host)
 }
 
-// mayRun is how many requests of processes that have ended, or may have, the server may still run:
-// as many as they had, or as its latest reports show at most.
+// mayRun is how many requests of processes that have ended the server may still run: as many as
+// they had, or as its latest reports show at most.
 func (p *places) mayRun(now time.Time) int {
 	p.ended = slices.DeleteFunc(p.ended, func(e endedUse) bool { return !now.Before(e.until) })
-	n := p.silentHeld
+	n := 0
 	for _, e := range p.ended {
 		n += e.count
 	}
@@ -266,14 +246,8 @@
 	if now.Sub(p.expiredAt) >= expireInterval {
 		p.expiredAt = now
 		for name, h := range p.hosts {
-			switch silence := now.Sub(h.heardAt); {
-			case silence > hostTTL:
+			if now.Sub(h.heardAt) > hostTTL {
 				p.drop(name)
-			case silence > silentTime && !h.silent:
-				h.silent = true
-				p.held -= h.held()
-				p.silentHeld += h.held()
-				p.endedReports = nil
 			}
 		}
 	}
@@ -322,13 +296,8 @@
 
 func (p *places) grant(w *waiter, now time.Time) {
 	p.riskedAt = now
-	h := p.hosts[w.host]
-	h.granted[w.number] = true
-	if h.silent {
-		p.silentHeld++
-	} else {
-		p.held++
-	}
+	p.hosts[w.host].granted[w.number] = true
+	p.held++
 	w.done(true)
 }
 
