--- a/confstore/changes.go
+++ b/confstore/changes.go
@@ -30,22 +30,10 @@
 
 // serveChanges handles requests for changes of tables; false means another path.
 func (n *Node) serveChanges(ctx *fasthttp.RequestCtx) bool {
-	if string(ctx.Path()) != changefeed.Path {
-		return false
-	}
-	n.meter.Count("changes.requests")
-	r, err := peerhttp.Decode[wheelgauge.ChangesRequest](ctx)
-	if err != nil {
-		peerhttp.WriteError(ctx, err)
-		return true
-	}
-	body, err := n.changes(r)
-	if err != nil {
-		peerhttp.WriteError(ctx, err)
-		return true
-	}
-	peerhttp.WriteBody(ctx, body)
-	return true
+	return serve(ctx, changefeed.Path, func(r wheelgauge.ChangesRequest) (peerhttp.Body, error) {
+		n.meter.Count("changes.requests")
+		return n.changes(r)
+	})
 }
 
 func (n *Node) changes(r wheelgauge.ChangesRequest) (peerhttp.Body, error) {
@@ -110,7 +98,7 @@
 
 // setConfigRows sets the rows to those of a version; the lock is held.
 func (n *Node) setConfigRows(version uint64, body []byte) error {
-	set := n.routesOf(wheelgauge.FleetState{Version: version, Body: body})
+	set := n.routesOf(version, body)
 	if set == nil {
 		return fmt.Errorf("version %d: %w", version, errUndecodable)
 	}
--- a/confstore/entry.go
+++ b/confstore/entry.go
@@ -88,14 +88,17 @@
 // routes returns the current configuration, or nil if there is none yet. Each
 // version is decoded once: a large configuration takes about 20 ms to decode, and
 // all callers of a region that lost its hosts may ask within the same second.
-func (n *Node) routes() *wheelgauge.RouteSet { return n.routesOf(n.machine.State()) }
+func (n *Node) routes() *wheelgauge.RouteSet {
+	s := n.machine.State()
+	return n.routesOf(s.Version, s.Body)
+}
 
-// routesOf returns the configuration of a state, or nil if it has none.
-func (n *Node) routesOf(s wheelgauge.FleetState) *wheelgauge.RouteSet {
-	if set := n.routeSet.Load(); set != nil && set.Version == s.Version {
+// routesOf returns the configuration of a version, or nil if its body cannot be decoded.
+func (n *Node) routesOf(version uint64, body []byte) *wheelgauge.RouteSet {
+	if set := n.routeSet.Load(); set != nil && set.Version == version {
 		return set
 	}
-	set, err := n.o.DecodeRoutes(s.Body)
+	set, err := n.o.DecodeRoutes(body)
 	if err != nil {
 		return nil
 	}
--- a/confstore/rollouts.go
+++ b/confstore/rollouts.go
@@ -237,7 +237,8 @@
 	return v
 }
 
-// versionInUse reports whether the rollout of a service lets a version take requests, so that regions are compared by the servers that they can use.
+// versionInUse reports whether the rollout of a service lets a version take requests, so that
+// regions are compared by the servers that they can use.
 func versionInUse(rollouts []wheelgauge.Rollout, service, version string) bool {
 	r, known := wheelgauge.FindRollout(rollouts, service)
 	completed := r.State == wheelgauge.RolloutCompleted
--- a/peerhttp/answer.go
+++ b/peerhttp/answer.go
@@ -10,8 +10,12 @@
 	"wheelgauge"
 )
 
-// WriteJSON responds with v as JSON.
+// WriteJSON responds with v as JSON; a Body is encoded already.
 func WriteJSON(ctx *fasthttp.RequestCtx, v any) {
+	if b, ok := v.(Body); ok {
+		WriteBody(ctx, b)
+		return
+	}
 	body, err := json.Marshal(v)
 	if err != nil {
 		WriteError(ctx, err)
