Feed: a store that has just started passes on the hosts it knows

Cause: for its first 2 s a store's table of hosts is incomplete, and was not compared with a requester that held rows of another store. Such a host, which had changed its primary while starting, got no row of hosts for these 2 s, asked again at once each time, and its list of servers was not confirmed meanwhile (list_age_ms 1,720 to 1,935 in its log).

Change: an incomplete table is compared like any other, but its buckets are added to what the requester holds; the call is over once the last bucket was sent, so the next one comes with the next heartbeat.

--- a/changefeed/feed_test.go
+++ b/changefeed/feed_test.go
@@ -179,8 +179,8 @@
 	}
 }
 
-// A store that has just started does not know all hosts: it adds to what a requester holds of its
-// own accord only, and takes nothing away that it has not seen.
+// A store that has just started does not know all hosts: it adds to what a requester holds, and
+// takes nothing away that it has not seen.
 func TestIncompleteTableRemovesNothing(t *testing.T) {
 	full, started := newStore(), newStore()
 	full.follow(map[string]string{"a": "1", "b": "1", "c": "1"})
@@ -190,8 +190,8 @@
 	for range 3 {
 		q.take(t, started.table.Since(q.replica.Held(), 1000, false))
 	}
-	if len(q.rows) != 3 {
-		t.Errorf("the requester holds %v, want the three rows that it had", q.rows)
+	if want := map[string]string{"a": "2", "b": "1", "c": "1"}; !maps.Equal(q.rows, want) {
+		t.Errorf("the requester holds %v, want %v", q.rows, want)
 	}
 	fresh := &requester{replica: tablereplica.New("t"), rows: map[string]string{}}
 	fresh.take(t, started.table.Since(fresh.replica.Held(), 1000, false))
--- a/changefetch/fetcher.go
+++ b/changefetch/fetcher.go
@@ -34,7 +34,7 @@
 	Table string
 	// Rows are to be set or removed, in order.
 	Rows []wheelgauge.TableRow
-	// Current is set if the table is now the store's.
+	// Current is set if the table is now the store's, or has all that an incomplete one has.
 	Current bool
 }
 
@@ -44,7 +44,7 @@
 	// Config is the replicated state of a request for the configuration; nil if the store holds
 	// none that is newer.
 	Config *wheelgauge.ConfigHead
-	// Current is set if no table differs from the store's.
+	// Current is set if all tables are current.
 	Current bool
 }
 
@@ -113,7 +113,7 @@
 		}
 		rows, err := replica.Apply(c)
 		errs = append(errs, err)
-		u := Update{Table: c.Table, Rows: rows, Current: replica.Digest() == c.Digest}
+		u := Update{Table: c.Table, Rows: rows, Current: replica.Digest() == c.Digest || c.Incomplete && c.Next == 0}
 		out.Current = out.Current && u.Current
 		out.Updates = append(out.Updates, u)
 	}
--- a/changefetch/fetcher_test.go
+++ b/changefetch/fetcher_test.go
@@ -216,3 +216,26 @@
 		t.Errorf("got %d rows, error %v, want the two that are missing", rows, err)
 	}
 }
+
+// A host that changes to a store which has just started must get the rows of that store, without
+// a call after the other until it has run for some time.
+func TestIncompleteStoreIsFetchedOnce(t *testing.T) {
+	full, started := newFakeStore(t, wheelgauge.TableHosts), newFakeStore(t, wheelgauge.TableHosts)
+	full.fill(wheelgauge.TableHosts, 0, 3000)
+	started.fill(wheelgauge.TableHosts, 2000, 3000)
+	started.feed.Add(wheelgauge.TableHosts, started.tables[wheelgauge.TableHosts], false)
+	f := New(peerhttp.NewClient(nil, ""))
+	if _, err := fetchAll(t, f, full); err != nil {
+		t.Fatal(err)
+	}
+	rows, err := fetchAll(t, f, started)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if rows < 2000 || f.Len(wheelgauge.TableHosts) != 5000 {
+		t.Errorf("%d rows are received and %d held, want at least 2000 and 5000", rows, f.Len(wheelgauge.TableHosts))
+	}
+	if calls := len(started.requests); calls > 20 {
+		t.Errorf("%d calls, want at most 20", calls)
+	}
+}
--- a/changelog/table.go
+++ b/changelog/table.go
@@ -131,8 +131,8 @@
 }
 
 // Since returns changes of at most maxBytes, but at least one row or bucket, that lead from what
-// the requester holds towards the table. A table that is not complete is compared only with
-// requesters that hold nothing: others would drop what it lacks.
+// the requester holds towards the table. What a table that is not complete lacks stays with
+// requesters that hold it.
 func (t *Table) Since(held wheelgauge.HeldTable, maxBytes int, complete bool) wheelgauge.TableChanges {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -144,14 +144,12 @@
 		t.addSteps(&out, i, held, maxBytes)
 		return out
 	}
-	if held.Digest != 0 && !complete {
-		return out
-	}
 	if held.Digest != 0 && held.Buckets == nil {
 		out.Unknown = true
 		return out
 	}
-	t.addBuckets(&out, held.Buckets, maxBytes)
+	out.Incomplete = held.Digest != 0 && !complete
+	t.addBuckets(&out, held, maxBytes)
 	return out
 }
 
@@ -195,18 +193,26 @@
 }
 
 // addBuckets adds buckets that differ from those of the requester. The lock is held.
-func (t *Table) addBuckets(out *wheelgauge.TableChanges, encoded []byte, maxBytes int) {
+func (t *Table) addBuckets(out *wheelgauge.TableChanges, held wheelgauge.HeldTable, maxBytes int) {
 	used := 0
-	for _, i := range t.digest.Differing(encoded) {
+	for _, i := range t.digest.Differing(held.Buckets) {
+		if out.Incomplete && i < held.From {
+			continue
+		}
 		bytes := 0
 		for key, r := range t.buckets[i] {
 			bytes += len(key) + len(r.value)
 		}
 		if used > 0 && used+bytes > maxBytes {
+			if out.Incomplete {
+				out.Next = i
+			}
 			return
 		}
 		used += bytes
-		out.Buckets = append(out.Buckets, i)
+		if !out.Incomplete {
+			out.Buckets = append(out.Buckets, i)
+		}
 		for key, r := range t.buckets[i] {
 			out.Rows = append(out.Rows, wheelgauge.TableRow{Key: key, Value: r.value})
 		}
--- a/tablereplica/replica.go
+++ b/tablereplica/replica.go
@@ -24,8 +24,10 @@
 	// target and pending are a step of which some rows have been received.
 	target  uint64
 	pending []wheelgauge.TableRow
-	// compare is set once the store does not know the digest.
+	// compare is set once the store does not know the digest; from is the first bucket to compare
+	// with a store whose table is not complete.
 	compare bool
+	from    int
 }
 
 // New returns a replica of a table that holds the given rows.
@@ -45,7 +47,7 @@
 func (r *Replica) Held() wheelgauge.HeldTable {
 	held := wheelgauge.HeldTable{Table: r.table, Digest: r.digest.Sum(), Target: r.target, Offset: len(r.pending)}
 	if r.compare {
-		held.Buckets = r.digest.Bytes()
+		held.Buckets, held.From = r.digest.Bytes(), r.from
 	}
 	return held
 }
@@ -53,7 +55,12 @@
 // Apply takes changes and returns the rows to pass on, in order. After an error the next request
 // compares all buckets.
 func (r *Replica) Apply(c wheelgauge.TableChanges) ([]wheelgauge.TableRow, error) {
+	r.from = c.Next
 	switch {
+	case c.Incomplete:
+		r.dropPending()
+		r.set(c.Rows)
+		return c.Rows, nil
 	case c.Unknown:
 		r.dropPending()
 		r.compare = true
--- a/tables.go
+++ b/tables.go
@@ -41,6 +41,8 @@
 	Offset int    `json:"o,omitempty"`
 	// Buckets are the digests of all buckets, big-endian, sent after a response with Unknown set.
 	Buckets []byte `json:"b,omitempty"`
+	// From is the first bucket to compare with a table that is not complete.
+	From int `json:"f,omitempty"`
 }
 
 // ChangesRequest asks a store for the changes of tables since what the requester holds.
@@ -72,8 +74,12 @@
 	Offset  int    `json:"o,omitempty"`
 	Partial bool   `json:"p,omitempty"`
 	// Buckets are the numbers of buckets that consist of exactly these rows.
-	Buckets []int      `json:"b,omitempty"`
-	Rows    []TableRow `json:"r,omitempty"`
+	Buckets []int `json:"b,omitempty"`
+	// Incomplete is set if the store may lack rows of the table that others hold: the rows are
+	// those of the buckets that differ, up to Next; 0 if up to the last one.
+	Incomplete bool       `json:"i,omitempty"`
+	Next       int        `json:"n,omitempty"`
+	Rows       []TableRow `json:"r,omitempty"`
 }
 
 // ConfigHead is the replicated state besides the rows of TableRoutes.
