Reach: servers of which none sends anything are out of reach

What callers saw: while the servers of a region hung (connections open, nothing answered) callers at its two hosts were served 0 of 24 times in the first 6 s and 23 of 5,708 afterwards (again: 0 of 24, 47 of 6,365), at the other four hosts 2,101 of 2,125 and 1,660 of 1,698.

Cause: a request waited at a hanging server until its time was over, and one whose time is over says nothing of the server. So the region never counted as out of reach, kept its callers, and took what others forwarded.

Change: a host keeps the requests that it has in flight at servers. When three servers (all, where fewer are listed) and three requests have been silent for three times the wait expected (2 to 4 s) and no server of the service has sent anything for 2 s, the service is out of reach as after resets: requests that may run again are ended and sent to another region, probes included. Time in which the host does not run or a caller does not read does not count.

--- a/reachability/tracker.go
+++ b/reachability/tracker.go
@@ -40,6 +40,10 @@
 	reachedAt time.Time
 	// credit is what part of the next forwarded request may be taken during the ramp.
 	credit float64
+	// sends are the requests in flight, heardAt is when any server last sent something, by the time
+	// observed.
+	sends   map[*Send]struct{}
+	heardAt time.Duration
 }
 
 // Tracker is safe for concurrent use.
@@ -48,6 +52,10 @@
 
 	mu       sync.Mutex
 	services map[string]*service
+	// observed is the time that has gone by in which the host ran, checkedAt when it was last
+	// advanced.
+	observed  time.Duration
+	checkedAt time.Time
 }
 
 // New returns a tracker that considers all services within reach.
@@ -61,11 +69,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
-	s := t.services[name]
-	if s == nil {
-		s = &service{failed: map[string]time.Time{}}
-		t.services[name] = s
-	}
+	s := t.entry(name)
 	for other, at := range s.failed {
 		if now.Sub(at) > failureWindow {
 			delete(s.failed, other)
@@ -83,6 +87,16 @@
 	return true
 }
 
+// entry returns what is known of a service. The lock is held.
+func (t *Tracker) entry(name string) *service {
+	s := t.services[name]
+	if s == nil {
+		s = &service{failed: map[string]time.Time{}, sends: map[*Send]struct{}{}}
+		t.services[name] = s
+	}
+	return s
+}
+
 // Reached records that a server answered. It reports whether the service had been out of reach.
 func (t *Tracker) Reached(name string) (was bool) {
 	t.mu.Lock()
--- a/reachability/tracker_test.go
+++ b/reachability/tracker_test.go
@@ -111,3 +111,115 @@
 		}
 	}
 }
+
+func TestSilentRegionIsOutOfReach(t *testing.T) {
+	type step struct {
+		after time.Duration
+		do    string // what happens then: sent, held (sent and not to be sent again), heard, await, end
+		n     int    // number of the request, also of its server
+	}
+	sent := func(n ...int) (out []step) {
+		for _, i := range n {
+			out = append(out, step{0, "sent", i})
+		}
+		return out
+	}
+	const second = time.Second
+	tests := []struct {
+		name     string
+		listed   int
+		expected time.Duration
+		steps    []step
+		want     bool // out of reach 2 s after the first step
+		aborted  int
+	}{
+		{"nothing is sent", 12, 0, nil, false, 0},
+		{"three of twelve servers are silent", 12, 0, sent(1, 2, 3), true, 3},
+		{"two of twelve servers are silent", 12, 0, sent(1, 2), false, 0},
+		{"all of two servers are silent", 2, 0, append(sent(1, 2), sent(1)...), true, 3},
+		{"one of the three answers", 12, 0, append(sent(1, 2, 3), step{second, "heard", 1}), false, 0},
+		{"another server answers", 12, 0, append(sent(1, 2, 3, 4), step{second, "heard", 4}), false, 0},
+		{"an answer, then silence", 12, 0, append(sent(1, 2, 3), step{0, "heard", 1}, step{0, "await", 1}), true, 3},
+		{"an answer whose caller does not read", 12, 0, append(sent(1, 2, 3), step{0, "heard", 1}), false, 0},
+		{"one has ended", 12, 0, append(sent(1, 2, 3), step{second, "end", 1}), false, 0},
+		{"longer waits are expected", 12, second, sent(1, 2, 3), false, 0},
+		{"requests that cannot be sent again", 12, 0, append(sent(1, 2), step{0, "held", 3}), true, 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			at, aborted := time.Unix(1000, 0), 0
+			tr := New(func() time.Time { return at })
+			run := func(d time.Duration) {
+				for range d / (100 * time.Millisecond) {
+					at = at.Add(100 * time.Millisecond)
+					tr.AbortSilent(func(string) int { return tt.listed })
+				}
+			}
+			run(100 * time.Millisecond)
+			sends, left := map[int]*Send{}, 2*time.Second
+			for _, s := range tt.steps {
+				run(s.after)
+				left -= s.after
+				switch s.do {
+				case "sent":
+					sends[s.n] = tr.Sent("lm", fmt.Sprint(s.n), tt.expected, func() { aborted++ })
+				case "held":
+					sends[s.n] = tr.Sent("lm", fmt.Sprint(s.n), tt.expected, nil)
+				case "heard":
+					sends[s.n].Heard()
+				case "await":
+					sends[s.n].Await()
+				case "end":
+					sends[s.n].End()
+				}
+			}
+			run(left)
+			if got := tr.IsOutOfReach("lm"); got != tt.want || aborted != tt.aborted {
+				t.Errorf("out of reach: %v, %d requests aborted; want %v, %d", got, aborted, tt.want, tt.aborted)
+			}
+		})
+	}
+}
+
+// A host that was stopped has not read what arrived meanwhile: its servers are not silent.
+func TestStoppedHostTakesNoServerForSilent(t *testing.T) {
+	at := time.Unix(1000, 0)
+	tr := New(func() time.Time { return at })
+	listed := func(string) int { return 12 }
+	tr.AbortSilent(listed)
+	for _, server := range []string{"a", "b", "c"} {
+		tr.Sent("lm", server, 0, func() { t.Error("a request is aborted") })
+	}
+	at = at.Add(10 * time.Second)
+	if tr.AbortSilent(listed); tr.IsOutOfReach("lm") {
+		t.Error("the service is out of reach")
+	}
+}
+
+// Requests that probe a service out of reach end as well, and the first answer ends it.
+func TestProbeOfASilentServerEnds(t *testing.T) {
+	at, aborted := time.Unix(1000, 0), 0
+	tr := New(func() time.Time { return at })
+	for _, server := range []string{"a", "b", "c"} {
+		tr.Failed("lm", server, 12)
+	}
+	run := func() {
+		for range 21 {
+			at = at.Add(100 * time.Millisecond)
+			tr.AbortSilent(func(string) int { return 12 })
+		}
+	}
+	run()
+	tr.Sent("lm", "a", 0, func() { aborted++ })
+	run()
+	if aborted != 1 {
+		t.Errorf("%d requests are aborted, want 1", aborted)
+	}
+	probe := tr.Sent("lm", "a", 0, func() { aborted++ })
+	tr.Reached("lm")
+	probe.Heard()
+	run()
+	if tr.IsOutOfReach("lm") || aborted != 1 {
+		t.Errorf("out of reach: %v, %d requests aborted; want false, 1", tr.IsOutOfReach("lm"), aborted)
+	}
+}
--- a/routegate/dispatch.go
+++ b/routegate/dispatch.go
@@ -14,6 +14,7 @@
 	"wheelgauge"
 	"wheelgauge/httpfield"
 	"wheelgauge/peerset"
+	"wheelgauge/reachability"
 	"wheelgauge/responsehead"
 	"wheelgauge/serverconn"
 	"wheelgauge/serverset"
@@ -26,8 +27,9 @@
 	pool *serverconn.Pool
 	head *fasthttp.ResponseHeader
 	body *serverconn.Body
-	// pick is nil for an exchange with another gateway.
+	// pick and send are nil for an exchange with another gateway.
 	pick   *serverset.Pick
+	send   *reachability.Send
 	sentAt time.Time
 	// sentClock is sentAt by the clock of the gate, which counts suspended time.
 	sentClock time.Time
@@ -75,6 +77,8 @@
 		c.attributeCrash(ctx, x, s)
 	}()
 	defer context.AfterFunc(ctx, conn.Abort)()
+	x.send = c.recordSent(x)
+	defer x.send.End()
 	n := c.gate.options.Names
 	set := [][2]string{
 		{n.Deadline, remainingMS(c.connDeadline())},
@@ -109,6 +113,7 @@
 		return failed
 	}
 	c.recordReached()
+	x.send.Heard()
 	c.observeLimits(x, s)
 	x.pushedBack = c.observePushback(x, k)
 	notRun := len(httpfield.Value(x.head, n.NotRun)) > 0
--- a/routegate/reach.go
+++ b/routegate/reach.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"wheelgauge"
 	"wheelgauge/peerset"
+	"wheelgauge/reachability"
 	"wheelgauge/serverset"
 )
 
@@ -24,6 +26,40 @@
 	o.Log.Info("This host reaches no server of a service.", "id", c.id, "service", c.service, "servers", listed, "last", s.InstanceKey(), "cause", c.cause)
 }
 
+// recordSent records that the request is sent to a server. Another try must be left for one that is
+// ended because the server is silent.
+func (c *call) recordSent(x *exchange) *reachability.Send {
+	var abort func()
+	if c.route.Repeatable() && (c.forwarded || c.runs+1 < c.route.MaxAttempts) {
+		abort = x.conn.Abort
+	}
+	return c.gate.options.Reach.Sent(c.service, x.pick.Server().InstanceKey(), c.expectedFirst(x.pick), abort)
+}
+
+// expectedFirst returns when the first bytes of an answer are expected: of one that is not a stream,
+// with its last token.
+func (c *call) expectedFirst(k *serverset.Pick) time.Duration {
+	if c.route.Kind == wheelgauge.RouteStream {
+		return k.Wait()
+	}
+	if f, _, ok := k.Forecast(); ok {
+		return max(k.Wait(), f.Last)
+	}
+	return max(k.Wait(), c.gate.waits.mean(c.route.Name))
+}
+
+// EndSilent ends the requests that wait for servers of a service of which none sends anything any
+// more; they are sent elsewhere. It is called several times a second.
+func (g *Gate) EndSilent() {
+	o := g.options
+	isolated, ended := o.Reach.AbortSilent(o.Servers.ListedServers)
+	for _, service := range isolated {
+		o.Meter.Count("servers.out_of_reach")
+		o.Log.Info("This host reaches no server of a service.", "service", service, "servers", o.Servers.ListedServers(service), "ended", ended, "cause", "no server sends anything")
+	}
+	o.Meter.Add("servers.silent_ended", int64(ended))
+}
+
 // recordReached records that a server has answered.
 func (c *call) recordReached() {
 	o := c.gate.options
--- a/routegate/relay.go
+++ b/routegate/relay.go
@@ -136,7 +136,9 @@
 func (c *call) relayStream(ctx context.Context, x *exchange) result {
 	buf := make([]byte, relayBufferBytes)
 	for {
+		x.send.Await()
 		n, err := x.body.Read(buf)
+		x.send.Heard()
 		complete, ok := c.splitter.Feed(buf[:n])
 		if len(complete) > 0 {
 			x.noteFirstByte()
