Reach: until a server answers, requests go there one at a time

What callers saw: 6 s after a region's servers began to hang, all callers at its hosts waited for them once more, 2 s each (33 requests at one host at once, 12 of 538 lost), and again after that; with all regions hanging, requests on their last attempt waited 6 s.

Cause: a service counts as within reach 6 s after the last failed try, since a host that gets no request of it would never learn that the cut has ended. Then every request went there at once; its servers, left alone meanwhile, had just become eligible again. And a request without an attempt left was not ended.

Change: after those 6 s, and until a server answers (30 s at most), requests go there one at a time, twice a second, also forwarded ones. After 30 s one failure is no cut any more. Requests that may run again are ended in any case: without an attempt left they fail, their caller may come again.

TestUnprovedServiceGetsProbes fails before.

--- a/reachability/silence.go
+++ b/reachability/silence.go
@@ -91,7 +91,7 @@
 	t.checkedAt = now
 	for name, s := range t.services {
 		silent := s.silent(t.observed)
-		if !s.outOfReach(now) {
+		if !s.unproved(now) {
 			servers := map[string]bool{}
 			for _, r := range silent {
 				servers[r.server] = true
--- a/reachability/tracker.go
+++ b/reachability/tracker.go
@@ -22,6 +22,9 @@
 	// that gets no request of it would never learn that the cut has ended. It exceeds the longest
 	// pause of a server that cannot be reached.
 	forgetAfter = 6 * time.Second
+	// probeTime is how long after the last failed try requests are still sent one at a time, as
+	// none of them has been answered.
+	probeTime = 30 * time.Second
 	// rampTime is how long after the first answer the host takes only a growing part of what
 	// others send it.
 	rampTime = 2 * time.Second
@@ -70,6 +73,7 @@
 	defer t.mu.Unlock()
 	now := t.now()
 	s := t.entry(name)
+	s.isolated = s.unproved(now)
 	for other, at := range s.failed {
 		if now.Sub(at) > failureWindow {
 			delete(s.failed, other)
@@ -120,9 +124,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s, now := t.services[name], t.now()
-	if !s.outOfReach(now) {
-		return true
-	}
+	return !s.unproved(now) || s.mayProbe(now)
+}
+
+// mayProbe reports whether a probe may be sent, and counts it as sent. The lock is held.
+func (s *service) mayProbe(now time.Time) bool {
 	if since := now.Sub(s.probedAt); since >= 0 && since < probeInterval {
 		return false
 	}
@@ -131,7 +137,7 @@
 }
 
 // MayTake reports whether the host takes a request that another one forwards: none while the service
-// is out of reach, and a growing part for some time afterwards.
+// is out of reach, then probes, and a growing part for some time after the first answer.
 func (t *Tracker) MayTake(name string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -141,6 +147,8 @@
 		return true
 	case s.outOfReach(now):
 		return false
+	case s.unproved(now):
+		return s.mayProbe(now)
 	}
 	part := float64(now.Sub(s.reachedAt)) / float64(rampTime)
 	if part < 0 || part >= 1 {
@@ -175,6 +183,11 @@
 	return t.services[name].outOfReach(t.now())
 }
 
+// unproved reports whether no server has answered since the service was out of reach.
+func (s *service) unproved(now time.Time) bool {
+	return s != nil && s.isolated && now.Sub(s.failedAt) <= probeTime
+}
+
 // outOfReach reports whether no server is reached; false for a service that is not known.
 func (s *service) outOfReach(now time.Time) bool {
 	return s != nil && s.isolated && now.Sub(s.failedAt) <= forgetAfter
--- a/reachability/tracker_test.go
+++ b/reachability/tracker_test.go
@@ -223,3 +223,44 @@
 		t.Errorf("out of reach: %v, %d requests aborted; want false, 1", tr.IsOutOfReach("lm"), aborted)
 	}
 }
+
+// After a cut that nobody saw end, all requests would wait for servers that still hang.
+func TestUnprovedServiceGetsProbes(t *testing.T) {
+	at := time.Unix(1000, 0)
+	tr := New(func() time.Time { return at })
+	fail := func() { tr.Failed("lm", "a", 12) }
+	for _, server := range []string{"a", "b", "c"} {
+		tr.Failed("lm", server, 12)
+	}
+	tried := func(may func(string) bool) (n int) {
+		for range 100 {
+			if may("lm") {
+				n++
+			}
+		}
+		return n
+	}
+	steps := []struct {
+		name         string
+		after        time.Duration
+		do           func()
+		out          bool
+		tried, taken int // of 100 requests each
+	}{
+		{"out of reach", 0, func() {}, true, 0, 0},
+		{"its probe", probeInterval, func() {}, true, 1, 0},
+		{"forgotten, not proved", forgetAfter, func() {}, false, 1, 0},
+		{"forwarded ones probe, too", probeInterval, func() { tr.MayTake("lm") }, false, 0, 0},
+		{"a probe fails", probeInterval, fail, true, 1, 0},
+		{"nothing for long", probeTime + 1, func() {}, false, 100, 100},
+		{"one server fails", 0, fail, false, 100, 100},
+		{"an answer", forgetAfter, func() { tr.Reached("lm") }, false, 100, 100},
+	}
+	for _, s := range steps {
+		at = at.Add(s.after)
+		s.do()
+		if out, n, m := tr.IsOutOfReach("lm"), tried(tr.MayTry), tried(tr.MayTake); out != s.out || n != s.tried || m != s.taken {
+			t.Errorf("%s: out of reach %v, %d tried, %d taken; want %v, %d, %d", s.name, out, n, m, s.out, s.tried, s.taken)
+		}
+	}
+}
--- a/routegate/reach.go
+++ b/routegate/reach.go
@@ -26,11 +26,11 @@
 	o.Log.Info("This host reaches no server of a service.", "id", c.id, "service", c.service, "servers", listed, "last", s.InstanceKey(), "cause", c.cause)
 }
 
-// recordSent records that the request is sent to a server. Another try must be left for one that is
-// ended because the server is silent.
+// recordSent records that the request is sent to a server. One that may run again, if only at its
+// caller's next try, is ended if the server is silent.
 func (c *call) recordSent(x *exchange) *reachability.Send {
 	var abort func()
-	if c.route.Repeatable() && (c.forwarded || c.runs+1 < c.route.MaxAttempts) {
+	if c.route.Repeatable() {
 		abort = x.conn.Abort
 	}
 	return c.gate.options.Reach.Sent(c.service, x.pick.Server().InstanceKey(), c.expectedFirst(x.pick), abort)
