Reach: the tracker calls nothing of others under its lock

Read, not seen: at each check the tracker asked the table of servers, under its own lock, how many servers a service has, while the table asks the tracker, under its lock, whether a service is out of reach, with each heartbeat.

Change: the number of servers comes with each request that is sent. And the end of a connection no longer counts as something that the server sent.

--- a/program/routesmode.go
+++ b/program/routesmode.go
@@ -15,8 +15,8 @@
 	// heapFraction is the share of the process's memory that the heap may use: stacks and
 	// system buffers need the rest.
 	heapFraction = 0.6
-	// gcPercent keeps the heap below twice what is live: before 10,000 servers a gateway holds 6.5 MB
-	// of tables, and grew to 32 MB with 400.
+	// gcPercent keeps the heap below twice what is live. With 400, a gateway with 6.5 MB of tables
+	// grew to 32 MB.
 	gcPercent = 100
 )
 
--- a/reachability/silence.go
+++ b/reachability/silence.go
@@ -29,9 +29,10 @@
 }
 
 // Sent records that a request was sent to a server, whose first bytes are expected after some
-// time. abort ends the exchange; nil for a request that cannot be sent again. It returns nil where
-// so much time is expected that silence tells nothing.
-func (t *Tracker) Sent(name, server string, expected time.Duration, abort func()) *Send {
+// time; listed is how many servers the service has in the region. abort ends the exchange; nil for
+// a request that cannot be sent again. It returns nil where so much time is expected that silence
+// tells nothing.
+func (t *Tracker) Sent(name, server string, listed int, expected time.Duration, abort func()) *Send {
 	if expected > maxPatience {
 		return nil
 	}
@@ -42,7 +43,7 @@
 		tracker: t, service: s, server: server, abort: abort, waiting: true, since: t.observed,
 		patience: min(maxPatience, max(minPatience, patienceFactor*expected)),
 	}
-	s.sends[r] = struct{}{}
+	s.sends[r], s.listed = struct{}{}, listed
 	return r
 }
 
@@ -79,9 +80,9 @@
 }
 
 // AbortSilent finds services out of reach of which no server sends anything any more, and aborts
-// the requests that wait for silent servers of services out of reach. listed returns how many
-// servers of a service the region lists. It is called several times a second.
-func (t *Tracker) AbortSilent(listed func(name string) int) (isolated []string, aborted int) {
+// the requests that wait for silent servers of services out of reach. It is called several times a
+// second.
+func (t *Tracker) AbortSilent() (isolated []string, aborted int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
@@ -96,7 +97,7 @@
 			for _, r := range silent {
 				servers[r.server] = true
 			}
-			if t.observed-s.heardAt < minPatience || len(silent) < minFailures || len(servers) < min(minServers, listed(name)) {
+			if t.observed-s.heardAt < minPatience || len(silent) < minFailures || len(servers) < min(minServers, s.listed) {
 				continue
 			}
 			s.isolated, s.failedAt, s.probedAt = true, now, now
--- a/reachability/tracker.go
+++ b/reachability/tracker.go
@@ -43,9 +43,10 @@
 	reachedAt time.Time
 	// credit is what part of the next forwarded request may be taken during the ramp.
 	credit float64
-	// sends are the requests in flight, heardAt is when any server last sent something, by the time
-	// observed.
+	// sends are the requests in flight, listed is how many servers there were at the last one,
+	// heardAt is when any server last sent something, by the time observed.
 	sends   map[*Send]struct{}
+	listed  int
 	heardAt time.Duration
 }
 
--- a/reachability/tracker_test.go
+++ b/reachability/tracker_test.go
@@ -152,7 +152,7 @@
 			run := func(d time.Duration) {
 				for range d / (100 * time.Millisecond) {
 					at = at.Add(100 * time.Millisecond)
-					tr.AbortSilent(func(string) int { return tt.listed })
+					tr.AbortSilent()
 				}
 			}
 			run(100 * time.Millisecond)
@@ -162,9 +162,9 @@
 				left -= s.after
 				switch s.do {
 				case "sent":
-					sends[s.n] = tr.Sent("lm", fmt.Sprint(s.n), tt.expected, func() { aborted++ })
+					sends[s.n] = tr.Sent("lm", fmt.Sprint(s.n), tt.listed, tt.expected, func() { aborted++ })
 				case "held":
-					sends[s.n] = tr.Sent("lm", fmt.Sprint(s.n), tt.expected, nil)
+					sends[s.n] = tr.Sent("lm", fmt.Sprint(s.n), tt.listed, tt.expected, nil)
 				case "heard":
 					sends[s.n].Heard()
 				case "await":
@@ -185,13 +185,12 @@
 func TestStoppedHostTakesNoServerForSilent(t *testing.T) {
 	at := time.Unix(1000, 0)
 	tr := New(func() time.Time { return at })
-	listed := func(string) int { return 12 }
-	tr.AbortSilent(listed)
+	tr.AbortSilent()
 	for _, server := range []string{"a", "b", "c"} {
-		tr.Sent("lm", server, 0, func() { t.Error("a request is aborted") })
+		tr.Sent("lm", server, 12, 0, func() { t.Error("a request is aborted") })
 	}
 	at = at.Add(10 * time.Second)
-	if tr.AbortSilent(listed); tr.IsOutOfReach("lm") {
+	if tr.AbortSilent(); tr.IsOutOfReach("lm") {
 		t.Error("the service is out of reach")
 	}
 }
@@ -206,16 +205,16 @@
 	run := func() {
 		for range 21 {
 			at = at.Add(100 * time.Millisecond)
-			tr.AbortSilent(func(string) int { return 12 })
+			tr.AbortSilent()
 		}
 	}
 	run()
-	tr.Sent("lm", "a", 0, func() { aborted++ })
+	tr.Sent("lm", "a", 12, 0, func() { aborted++ })
 	run()
 	if aborted != 1 {
 		t.Errorf("%d requests are aborted, want 1", aborted)
 	}
-	probe := tr.Sent("lm", "a", 0, func() { aborted++ })
+	probe := tr.Sent("lm", "a", 12, 0, func() { aborted++ })
 	tr.Reached("lm")
 	probe.Heard()
 	run()
--- a/routegate/reach.go
+++ b/routegate/reach.go
@@ -33,7 +33,8 @@
 	if c.route.Repeatable() {
 		abort = x.conn.Abort
 	}
-	return c.gate.options.Reach.Sent(c.service, x.pick.Server().InstanceKey(), c.expectedFirst(x.pick), abort)
+	o := c.gate.options
+	return o.Reach.Sent(c.service, x.pick.Server().InstanceKey(), o.Servers.ListedServers(c.service), c.expectedFirst(x.pick), abort)
 }
 
 // expectedFirst returns when the first bytes of an answer are expected: of one that is not a stream,
@@ -52,7 +53,7 @@
 // more; they are sent elsewhere. It is called several times a second.
 func (g *Gate) EndSilent() {
 	o := g.options
-	isolated, ended := o.Reach.AbortSilent(o.Servers.ListedServers)
+	isolated, ended := o.Reach.AbortSilent()
 	for _, service := range isolated {
 		o.Meter.Count("servers.out_of_reach")
 		o.Log.Info("This host reaches no server of a service.", "service", service, "servers", o.Servers.ListedServers(service), "ended", ended, "cause", "no server sends anything")
--- a/routegate/relay.go
+++ b/routegate/relay.go
@@ -138,7 +138,9 @@
 	for {
 		x.send.Await()
 		n, err := x.body.Read(buf)
-		x.send.Heard()
+		if n > 0 {
+			x.send.Heard()
+		}
 		complete, ok := c.splitter.Feed(buf[:n])
 		if len(complete) > 0 {
 			x.noteFirstByte()
