--- a/reachability/silence.go
+++ b/reachability/silence.go
@@ -3,14 +3,14 @@
 import "time"
 
 const (
-	// minPatience is the shortest wait for a server that counts as silence: a sound one may
+	// minSilence is the shortest wait for a server that counts as silence: a sound one may
 	// pause for a second or so.
-	minPatience = 2 * time.Second
-	// maxPatience bounds the wait where more was expected. Waits that were expected to take
+	minSilence = 2 * time.Second
+	// maxSilence bounds the wait where more was expected. Waits that were expected to take
 	// longer tell nothing.
-	maxPatience = 4 * time.Second
-	// patienceFactor is the wait that counts as silence, as a multiple of the one expected.
-	patienceFactor = 3
+	maxSilence = 4 * time.Second
+	// silenceFactor is the wait that counts as silence, as a multiple of the one expected.
+	silenceFactor = 3
 	// maxStep bounds the time that counts between two checks: a host that was stopped has not
 	// read yet what arrived meanwhile.
 	maxStep = 500 * time.Millisecond
@@ -18,11 +18,11 @@
 
 // Send is a request that was sent to a server. A nil one does nothing.
 type Send struct {
-	tracker  *Tracker
-	service  *service
-	server   string
-	patience time.Duration
-	abort    func()
+	tracker *Tracker
+	service *service
+	server  string
+	timeout time.Duration
+	abort   func()
 	// waiting is set while the server is to send something, since the given time of the tracker.
 	waiting bool
 	since   time.Duration
@@ -33,7 +33,7 @@
 // a request that cannot be sent again. It returns nil where so much time is expected that silence
 // tells nothing.
 func (t *Tracker) Sent(name, server string, listed int, expected time.Duration, abort func()) *Send {
-	if expected > maxPatience {
+	if expected > maxSilence {
 		return nil
 	}
 	t.mu.Lock()
@@ -41,21 +41,21 @@
 	s := t.entry(name)
 	r := &Send{
 		tracker: t, service: s, server: server, abort: abort, waiting: true, since: t.observed,
-		patience: min(maxPatience, max(minPatience, patienceFactor*expected)),
+		timeout: min(maxSilence, max(minSilence, silenceFactor*expected)),
 	}
 	s.sends[r], s.listed = struct{}{}, listed
 	return r
 }
 
-// Heard records that the server sent something.
-func (r *Send) Heard() {
+// Received records that the server sent something.
+func (r *Send) Received() {
 	if r == nil {
 		return
 	}
 	r.tracker.mu.Lock()
 	defer r.tracker.mu.Unlock()
 	r.waiting = false
-	r.service.heardAt = r.tracker.observed
+	r.service.receivedAt = r.tracker.observed
 }
 
 // Await records that more is expected of the server. Time in which the caller does not read is not
@@ -92,12 +92,12 @@
 	t.checkedAt = now
 	for name, s := range t.services {
 		silent := s.silent(t.observed)
-		if !s.unproved(now) {
+		if !s.unconfirmed(now) {
 			servers := map[string]bool{}
 			for _, r := range silent {
 				servers[r.server] = true
 			}
-			if t.observed-s.heardAt < minPatience || len(silent) < minFailures || len(servers) < min(minServers, s.listed) {
+			if t.observed-s.receivedAt < minSilence || len(silent) < minFailures || len(servers) < min(minServers, s.listed) {
 				continue
 			}
 			s.isolated, s.failedAt, s.probedAt = true, now, now
@@ -119,7 +119,7 @@
 func (s *service) silent(observed time.Duration) []*Send {
 	var out []*Send
 	for r := range s.sends {
-		if r.waiting && observed-r.since >= r.patience {
+		if r.waiting && observed-r.since >= r.timeout {
 			out = append(out, r)
 		}
 	}
--- a/reachability/tracker.go
+++ b/reachability/tracker.go
@@ -44,10 +44,10 @@
 	// credit is what part of the next forwarded request may be taken during the ramp.
 	credit float64
 	// sends are the requests in flight, listed is how many servers there were at the last one,
-	// heardAt is when any server last sent something, by the time observed.
-	sends   map[*Send]struct{}
-	listed  int
-	heardAt time.Duration
+	// receivedAt is when any server last sent something, by the time observed.
+	sends      map[*Send]struct{}
+	listed     int
+	receivedAt time.Duration
 }
 
 // Tracker is safe for concurrent use.
@@ -74,7 +74,7 @@
 	defer t.mu.Unlock()
 	now := t.now()
 	s := t.entry(name)
-	s.isolated = s.unproved(now)
+	s.isolated = s.unconfirmed(now)
 	for other, at := range s.failed {
 		if now.Sub(at) > failureWindow {
 			delete(s.failed, other)
@@ -125,7 +125,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s, now := t.services[name], t.now()
-	return !s.unproved(now) || s.mayProbe(now)
+	return !s.unconfirmed(now) || s.mayProbe(now)
 }
 
 // mayProbe reports whether a probe may be sent, and counts it as sent. The lock is held.
@@ -148,7 +148,7 @@
 		return true
 	case s.outOfReach(now):
 		return false
-	case s.unproved(now):
+	case s.unconfirmed(now):
 		return s.mayProbe(now)
 	}
 	part := float64(now.Sub(s.reachedAt)) / float64(rampTime)
@@ -184,8 +184,8 @@
 	return t.services[name].outOfReach(t.now())
 }
 
-// unproved reports whether no server has answered since the service was out of reach.
-func (s *service) unproved(now time.Time) bool {
+// unconfirmed reports whether no server has answered since the service was out of reach.
+func (s *service) unconfirmed(now time.Time) bool {
 	return s != nil && s.isolated && now.Sub(s.failedAt) <= probeTime
 }
 
--- a/reachability/tracker_test.go
+++ b/reachability/tracker_test.go
@@ -115,7 +115,7 @@
 func TestSilentRegionIsOutOfReach(t *testing.T) {
 	type step struct {
 		after time.Duration
-		do    string // what happens then: sent, held (sent and not to be sent again), heard, await, end
+		do    string // what happens then: sent, held (sent and not to be sent again), received, await, end
 		n     int    // number of the request, also of its server
 	}
 	sent := func(n ...int) (out []step) {
@@ -137,10 +137,10 @@
 		{"three of twelve servers are silent", 12, 0, sent(1, 2, 3), true, 3},
 		{"two of twelve servers are silent", 12, 0, sent(1, 2), false, 0},
 		{"all of two servers are silent", 2, 0, append(sent(1, 2), sent(1)...), true, 3},
-		{"one of the three answers", 12, 0, append(sent(1, 2, 3), step{second, "heard", 1}), false, 0},
-		{"another server answers", 12, 0, append(sent(1, 2, 3, 4), step{second, "heard", 4}), false, 0},
-		{"an answer, then silence", 12, 0, append(sent(1, 2, 3), step{0, "heard", 1}, step{0, "await", 1}), true, 3},
-		{"an answer whose caller does not read", 12, 0, append(sent(1, 2, 3), step{0, "heard", 1}), false, 0},
+		{"one of the three answers", 12, 0, append(sent(1, 2, 3), step{second, "received", 1}), false, 0},
+		{"another server answers", 12, 0, append(sent(1, 2, 3, 4), step{second, "received", 4}), false, 0},
+		{"an answer, then silence", 12, 0, append(sent(1, 2, 3), step{0, "received", 1}, step{0, "await", 1}), true, 3},
+		{"an answer whose caller does not read", 12, 0, append(sent(1, 2, 3), step{0, "received", 1}), false, 0},
 		{"one has ended", 12, 0, append(sent(1, 2, 3), step{second, "end", 1}), false, 0},
 		{"longer waits are expected", 12, second, sent(1, 2, 3), false, 0},
 		{"requests that cannot be sent again", 12, 0, append(sent(1, 2), step{0, "held", 3}), true, 2},
@@ -165,8 +165,8 @@
 					sends[s.n] = tr.Sent("lm", fmt.Sprint(s.n), tt.listed, tt.expected, func() { aborted++ })
 				case "held":
 					sends[s.n] = tr.Sent("lm", fmt.Sprint(s.n), tt.listed, tt.expected, nil)
-				case "heard":
-					sends[s.n].Heard()
+				case "received":
+					sends[s.n].Received()
 				case "await":
 					sends[s.n].Await()
 				case "end":
@@ -216,7 +216,7 @@
 	}
 	probe := tr.Sent("lm", "a", 12, 0, func() { aborted++ })
 	tr.Reached("lm")
-	probe.Heard()
+	probe.Received()
 	run()
 	if tr.IsOutOfReach("lm") || aborted != 1 {
 		t.Errorf("out of reach: %v, %d requests aborted; want false, 1", tr.IsOutOfReach("lm"), aborted)
@@ -224,7 +224,7 @@
 }
 
 // After a cut that nobody saw end, all requests would wait for servers that still hang.
-func TestUnprovedServiceGetsProbes(t *testing.T) {
+func TestUnconfirmedServiceGetsProbes(t *testing.T) {
 	at := time.Unix(1000, 0)
 	tr := New(func() time.Time { return at })
 	fail := func() { tr.Failed("lm", "a", 12) }
@@ -248,7 +248,7 @@
 	}{
 		{"out of reach", 0, func() {}, true, 0, 0},
 		{"its probe", probeInterval, func() {}, true, 1, 0},
-		{"forgotten, not proved", forgetAfter, func() {}, false, 1, 0},
+		{"forgotten, not confirmed", forgetAfter, func() {}, false, 1, 0},
 		{"forwarded ones probe, too", probeInterval, func() { tr.MayTake("lm") }, false, 0, 0},
 		{"a probe fails", probeInterval, fail, true, 1, 0},
 		{"nothing for long", probeTime + 1, func() {}, false, 100, 100},
--- a/routegate/dispatch.go
+++ b/routegate/dispatch.go
@@ -113,7 +113,7 @@
 		return failed
 	}
 	c.recordReached()
-	x.send.Heard()
+	x.send.Received()
 	c.observeLimits(x, s)
 	x.pushedBack = c.observePushback(x, k)
 	notRun := len(httpfield.Value(x.head, n.NotRun)) > 0
--- a/routegate/relay.go
+++ b/routegate/relay.go
@@ -139,7 +139,7 @@
 		x.send.Await()
 		n, err := x.body.Read(buf)
 		if n > 0 {
-			x.send.Heard()
+			x.send.Received()
 		}
 		complete, ok := c.splitter.Feed(buf[:n])
 		if len(complete) > 0 {
