Rows of tables are encoded and decoded in one place

Read again: a row of the feed was decoded by the same function in entrynode and in routetable, and by hand in serverlist; encoded by hand in routetable, serverlist and hosttable. EncodeRow and DecodeRow stand beside TableRow now and serve all five. ServersTableRegion is strings.CutPrefix, Sums maps.Clone.

Behaviour is the same; texts of these errors name the key of the row once.

--- a/entrynode/updates.go
+++ b/entrynode/updates.go
@@ -1,8 +1,6 @@
 package entrynode
 
 import (
-	"encoding/json"
-	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -76,7 +74,7 @@
 	var changed []wheelgauge.FleetHost
 	var removed []string
 	for _, row := range rows {
-		h, err := decodeRow[wheelgauge.FleetHost](row)
+		h, err := wheelgauge.DecodeRow[wheelgauge.FleetHost](row)
 		if err != nil {
 			n.options.Log.Error(err, "Host cannot be decoded; it is ignored.", "host", row.Key)
 			continue
@@ -94,25 +92,13 @@
 	n.options.Log.Info("Hosts change.", "hosts", len(n.hosts.all), "region", len(n.hosts.region), "rows", len(rows))
 }
 
-// decodeRow returns the value of a row, nil if the row is removed.
-func decodeRow[V any](row wheelgauge.TableRow) (*V, error) {
-	if row.Value == nil {
-		return nil, nil
-	}
-	v := new(V)
-	if err := json.Unmarshal(row.Value, v); err != nil {
-		return nil, fmt.Errorf("decode row %s: %w", row.Key, err)
-	}
-	return v, nil
-}
-
 // ServerRows updates the list of a region's backend servers, as requested at a time.
 func (n *Node) ServerRows(region string, rows []wheelgauge.TableRow, at heartbeat.ListTime) {
 	defer n.countUpdate(kindServers, len(rows), time.Now())
 	var changed []wheelgauge.Server
 	var removed []string
 	for _, row := range rows {
-		s, err := decodeRow[wheelgauge.Server](row)
+		s, err := wheelgauge.DecodeRow[wheelgauge.Server](row)
 		switch {
 		case err != nil:
 			n.options.Log.Error(err, "Server cannot be decoded; it is ignored.", "server", row.Key)
--- a/hosttable/table.go
+++ b/hosttable/table.go
@@ -4,8 +4,6 @@
 
 import (
 	"cmp"
-	"encoding/json"
-	"fmt"
 	"maps"
 	"slices"
 	"sync"
@@ -86,11 +84,11 @@
 	e := t.entries[hb.Host.Name]
 	if e == nil || e.host != hb.Host {
 		t.version++
-		value, err := json.Marshal(hb.Host)
+		row, err := wheelgauge.EncodeRow(hb.Host.Name, hb.Host)
 		if err != nil {
-			return fmt.Errorf("encode host %s: %w", hb.Host.Name, err)
+			return err
 		}
-		t.changes.Apply([]wheelgauge.TableRow{{Key: hb.Host.Name, Value: value}})
+		t.changes.Apply([]wheelgauge.TableRow{row})
 		if e != nil {
 			t.eligibleIn(e.host.Region).Update(e.host, wheelgauge.FleetHost{})
 		}
--- a/routetable/rows.go
+++ b/routetable/rows.go
@@ -1,7 +1,6 @@
 package routetable
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"strings"
@@ -27,12 +26,9 @@
 func Rows(set *wheelgauge.RouteSet) ([]wheelgauge.TableRow, error) {
 	out := make([]wheelgauge.TableRow, 0, len(set.Routes)+len(set.Services)+len(set.Workspaces)+1)
 	add := func(key string, v any) error {
-		value, err := json.Marshal(v)
-		if err != nil {
-			return fmt.Errorf("encode %s: %w", key, err)
-		}
-		out = append(out, wheelgauge.TableRow{Key: key, Value: value})
-		return nil
+		row, err := wheelgauge.EncodeRow(key, v)
+		out = append(out, row)
+		return err
 	}
 	if err := add(limitsKey, set.Limits); err != nil {
 		return nil, err
@@ -81,46 +77,37 @@
 	c := newChanges()
 	for _, row := range rows {
 		if err := c.add(row); err != nil {
-			return c, fmt.Errorf("decode %s: %w", row.Key, err)
+			return c, err
 		}
 	}
 	return c, nil
 }
 
-var errUnknownRow = errors.New("row of an unknown kind")
+var errUnknownRow = errors.New("unknown kind of row")
 
 // add adds one row.
 func (c *changes) add(row wheelgauge.TableRow) error {
 	if row.Key == limitsKey {
 		var err error
-		c.limits, err = decodeRow[wheelgauge.CallerLimits](row)
+		c.limits, err = wheelgauge.DecodeRow[wheelgauge.CallerLimits](row)
 		return err
 	}
 	if name, ok := strings.CutPrefix(row.Key, serviceKey); ok {
-		v, err := decodeRow[wheelgauge.Service](row)
+		v, err := wheelgauge.DecodeRow[wheelgauge.Service](row)
 		c.services[name] = v
 		return err
 	}
 	if name, ok := strings.CutPrefix(row.Key, workspaceKey); ok {
-		v, err := decodeRow[wheelgauge.Workspace](row)
+		v, err := wheelgauge.DecodeRow[wheelgauge.Workspace](row)
 		c.workspaces[name] = v
 		return err
 	}
 	name, ok := strings.CutPrefix(row.Key, routeKey)
 	slash := strings.IndexByte(name, '/')
 	if !ok || slash < 0 {
-		return errUnknownRow
+		return fmt.Errorf("row %s: %w", row.Key, errUnknownRow)
 	}
-	v, err := decodeRow[wheelgauge.PathRoute](row)
+	v, err := wheelgauge.DecodeRow[wheelgauge.PathRoute](row)
 	c.setRoute(name[:slash], name[slash:], v)
 	return err
 }
-
-// decodeRow returns the value of a row, nil if the row is removed.
-func decodeRow[V any](row wheelgauge.TableRow) (*V, error) {
-	if row.Value == nil {
-		return nil, nil
-	}
-	v := new(V)
-	return v, json.Unmarshal(row.Value, v)
-}
--- a/serverlist/table.go
+++ b/serverlist/table.go
@@ -3,8 +3,7 @@
 package serverlist
 
 import (
-	"encoding/json"
-	"fmt"
+	"maps"
 	"strings"
 	"sync"
 	"time"
@@ -107,7 +106,7 @@
 		if ok && was == s {
 			continue
 		}
-		row, err := encode(s)
+		row, err := wheelgauge.EncodeRow(s.Instance, s)
 		if err != nil {
 			return err
 		}
@@ -139,14 +138,6 @@
 	return s
 }
 
-func encode(s wheelgauge.Server) (wheelgauge.TableRow, error) {
-	value, err := json.Marshal(s)
-	if err != nil {
-		return wheelgauge.TableRow{}, fmt.Errorf("encode server %s: %w", s.Instance, err)
-	}
-	return wheelgauge.TableRow{Key: s.Instance, Value: value}, nil
-}
-
 // apply adds rows to the feed of changes; the lock is held.
 func (t *Table) apply(r *regionList, rows []wheelgauge.TableRow) {
 	if len(rows) > 0 || !r.known {
@@ -194,15 +185,15 @@
 	defer t.mu.Unlock()
 	r := t.region(region)
 	for _, row := range rows {
-		if row.Value == nil {
+		s, err := wheelgauge.DecodeRow[wheelgauge.Server](row)
+		switch {
+		case err != nil:
+			return err
+		case s == nil:
 			t.remove(region, r, row.Key)
-			continue
+		default:
+			t.set(region, r, *s)
 		}
-		var s wheelgauge.Server
-		if err := json.Unmarshal(row.Value, &s); err != nil {
-			return fmt.Errorf("decode server %s: %w", row.Key, err)
-		}
-		t.set(region, r, s)
 	}
 	t.apply(r, rows)
 	return nil
@@ -295,11 +286,7 @@
 func (t *Table) Sums() map[Group]Sum {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	out := make(map[Group]Sum, len(t.sums))
-	for g, s := range t.sums {
-		out[g] = s
-	}
-	return out
+	return maps.Clone(t.sums)
 }
 
 // Cold returns the servers that are cold now, with their regions.
--- a/tables.go
+++ b/tables.go
@@ -1,6 +1,10 @@
 package wheelgauge
 
-import "encoding/json"
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+)
 
 // Names of tables that stores pass on.
 const (
@@ -18,10 +22,7 @@
 // ServersTableRegion returns the region whose backend servers a table holds; ok is false for
 // other tables.
 func ServersTableRegion(table string) (region string, ok bool) {
-	if len(table) < len(serversPrefix) || table[:len(serversPrefix)] != serversPrefix {
-		return "", false
-	}
-	return table[len(serversPrefix):], true
+	return strings.CutPrefix(table, serversPrefix)
 }
 
 // TableRow is one row of a table, or its removal if the value is nil.
@@ -30,6 +31,27 @@
 	Value json.RawMessage `json:"v,omitempty"`
 }
 
+// EncodeRow returns the row of a value.
+func EncodeRow(key string, v any) (TableRow, error) {
+	value, err := json.Marshal(v)
+	if err != nil {
+		return TableRow{}, fmt.Errorf("encode row %s: %w", key, err)
+	}
+	return TableRow{Key: key, Value: value}, nil
+}
+
+// DecodeRow returns the value of a row, nil if the row is removed.
+func DecodeRow[V any](row TableRow) (*V, error) {
+	if row.Value == nil {
+		return nil, nil
+	}
+	v := new(V)
+	if err := json.Unmarshal(row.Value, v); err != nil {
+		return nil, fmt.Errorf("decode row %s: %w", row.Key, err)
+	}
+	return v, nil
+}
+
 // HeldTable is what a requester holds of a table. Digests depend on the rows only, so they mean
 // the same at each store.
 type HeldTable struct {
