Announced hosts: one way to take from halls in turn; how many accept callers follows

Read again: Choose and Set.choose had the same loop over halls; interleave serves both. The number of the region's hosts that accept callers was counted beside the set of just these hosts, by a copy of its condition; it is the length of the set now.

Behaviour is the same. TestHostRows reads the number from the set, its expectations are as they were; TestSetChoosesAsChoose passes.

--- a/announcedhosts/choose.go
+++ b/announcedhosts/choose.go
@@ -33,8 +33,16 @@
 // hall the order is by a hash of the name. The same set of hosts always gives the same
 // choice, and adding or removing a host changes one. hosts is not modified.
 func Choose(hosts []wheelgauge.FleetHost, limit int) []wheelgauge.FleetHost {
-	queues := byHall(hosts)
-	out := make([]wheelgauge.FleetHost, 0, min(limit, len(hosts)))
+	return interleave(byHall(hosts), limit)
+}
+
+// interleave returns at most limit elements: the first of each queue in turn, then the second.
+func interleave[T any](queues [][]T, limit int) []T {
+	total := 0
+	for _, q := range queues {
+		total += len(q)
+	}
+	out := make([]T, 0, min(limit, total))
 	for round := 0; len(out) < cap(out); round++ {
 		for _, q := range queues {
 			if round < len(q) && len(out) < cap(out) {
--- a/announcedhosts/set.go
+++ b/announcedhosts/set.go
@@ -83,19 +83,20 @@
 
 // choose returns at most limit members, as Choose chooses hosts.
 func (s *Set) choose(limit int) []member {
-	total := 0
-	for _, h := range s.halls {
-		total += len(h.members)
+	queues := make([][]member, len(s.halls))
+	for i, h := range s.halls {
+		queues[i] = h.members
 	}
-	out := make([]member, 0, min(limit, total))
-	for round := 0; len(out) < cap(out); round++ {
-		for _, h := range s.halls {
-			if round < len(h.members) && len(out) < cap(out) {
-				out = append(out, h.members[round])
-			}
-		}
+	return interleave(queues, limit)
+}
+
+// Len returns the number of hosts.
+func (s *Set) Len() int {
+	n := 0
+	for _, h := range s.halls {
+		n += len(h.members)
 	}
-	return out
+	return n
 }
 
 // Minimum returns the names of the hosts that are announced even at the lowest load.
--- a/entrynode/knownhosts.go
+++ b/entrynode/knownhosts.go
@@ -10,11 +10,10 @@
 // knownHosts are the live entry hosts. Updates come one at a time.
 type knownHosts struct {
 	all map[string]wheelgauge.FleetHost
-	// region are the names of those of the host's region, sorted; eligible those of them that may
-	// be announced to callers; accepting is how many accept callers.
-	region    []string
-	eligible  announcedhosts.Set
-	accepting int
+	// region are the names of those of the host's region, sorted; eligible those of them that
+	// accept callers and may be announced to them.
+	region   []string
+	eligible announcedhosts.Set
 }
 
 // set sets a host, or removes it if h is nil. own is the region of the host itself.
@@ -29,7 +28,6 @@
 	}
 	before, after = in(before, own), in(after, own)
 	k.eligible.Update(before, after)
-	k.accepting += accepts(after) - accepts(before)
 	i, found := slices.BinarySearch(k.region, name)
 	switch {
 	case found && after.Name == "":
@@ -47,13 +45,6 @@
 	return h
 }
 
-func accepts(h wheelgauge.FleetHost) int {
-	if h.Name != "" && h.Ready && !h.Leaving {
-		return 1
-	}
-	return 0
-}
-
 // announced returns the names of the region's hosts that are announced to callers at any load, or
 // all if there are none. Only these get shares of a cold server's rate: shares of hosts without
 // callers would be unused.
--- a/entrynode/updates.go
+++ b/entrynode/updates.go
@@ -143,7 +143,7 @@
 	n.completeTotals = n.completeTotals || !partial
 	n.peers.SetLoads(regions)
 	if n.credits != nil && n.completeTotals { // by partial totals and hosts its part would be too large
-		n.credits.SetUsage(regions, n.hosts.accepting)
+		n.credits.SetUsage(regions, n.hosts.eligible.Len())
 	}
 	n.servers.SetBusiestRegion(n.peers.BusiestRegion())
 }
--- a/entrynode/updates_test.go
+++ b/entrynode/updates_test.go
@@ -49,9 +49,9 @@
 	n := newUpdateNode("here")
 	for _, s := range steps {
 		n.HostRows(s.rows)
-		if len(n.hosts.all) != s.all || len(n.hosts.region) != s.region || n.hosts.accepting != s.accepting || !slices.Equal(n.peers.Regions("s"), s.peers) {
+		if len(n.hosts.all) != s.all || len(n.hosts.region) != s.region || n.hosts.eligible.Len() != s.accepting || !slices.Equal(n.peers.Regions("s"), s.peers) {
 			t.Errorf("%s: got %d hosts, %d of the region, %d accepting, gateways of %v, want %d, %d, %d, %v",
-				s.name, len(n.hosts.all), len(n.hosts.region), n.hosts.accepting, n.peers.Regions("s"), s.all, s.region, s.accepting, s.peers)
+				s.name, len(n.hosts.all), len(n.hosts.region), n.hosts.eligible.Len(), n.peers.Regions("s"), s.all, s.region, s.accepting, s.peers)
 		}
 	}
 }
