--- a/changefeed/feed.go
+++ b/changefeed/feed.go
@@ -46,8 +46,7 @@
 	return &Feed{tables: map[string]*changelog.Table{}, incomplete: map[string]bool{}, encoded: map[uint64]peerhttp.Body{}}
 }
 
-// Add adds a table. An incomplete one is not compared with what requesters hold: they would drop
-// what it lacks.
+// Add adds a table. What an incomplete one lacks stays with requesters that hold it.
 func (f *Feed) Add(name string, t *changelog.Table, complete bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/confstore/entry.go
+++ b/confstore/entry.go
@@ -36,7 +36,7 @@
 	if own := n.hosts.Announced(region, announcedhosts.HostCount(n.hosts.PeakInFlight(region))); len(own) > 0 {
 		return own, n.addressTTL(region), nil
 	}
-	if n.now().Sub(n.started) < warmUpPeriod {
+	if n.warmingUp() {
 		return nil, 0, noEntryHostError()
 	}
 	hosts, _ := n.hosts.Hosts()
--- a/confstore/rollouts.go
+++ b/confstore/rollouts.go
@@ -180,7 +180,7 @@
 }
 
 func (n *Node) advanceRollout(ctx context.Context, r wheelgauge.Rollout) {
-	if !n.replica.IsLeader() || n.now().Sub(n.started) < warmUpPeriod {
+	if !n.replica.IsLeader() || n.warmingUp() {
 		return // not all hosts may have sent a heartbeat yet
 	}
 	d := n.rolloutController.Decide(r, n.rolloutView(r))
--- a/lookupclient/client.go
+++ b/lookupclient/client.go
@@ -62,8 +62,7 @@
 
 // Routes implements wheelgauge.Lookup.
 func (c *Client) Routes(ctx context.Context, hostName string, version uint64) (wheelgauge.LookupResponse, bool) {
-	resp, ok := c.find(ctx, wheelgauge.LookupRequest{HostName: hostName, Version: version}, func(r wheelgauge.LookupResponse) bool { return r.Version > version })
-	return resp, ok
+	return c.find(ctx, wheelgauge.LookupRequest{HostName: hostName, Version: version}, func(r wheelgauge.LookupResponse) bool { return r.Version > version })
 }
 
 // Gone implements wheelgauge.Lookup.
--- a/program/routesmode.go
+++ b/program/routesmode.go
@@ -15,8 +15,7 @@
 	// heapFraction is the share of the process's memory that the heap may use: stacks and
 	// system buffers need the rest.
 	heapFraction = 0.6
-	// gcPercent keeps the heap below twice what is live. With 400, a gateway with 6.5 MB of tables
-	// grew to 32 MB.
+	// gcPercent keeps the heap below twice what is live: memory is scarcer than processor time.
 	gcPercent = 100
 )
 
--- a/serverset/table.go
+++ b/serverset/table.go
@@ -74,8 +74,8 @@
 	touched, usedByPeers, cold, leaving map[*Server]bool
 	// usesAt is when others last reported what they use.
 	usesAt time.Time
-	// versions are those listed in the region, remoteVersions in others; stateConfirmedAt is when the state was last confirmed as the
-	// newest.
+	// versions are those listed in the region, remoteVersions in others; stateConfirmedAt is when
+	// the state was last confirmed as the newest.
 	versions, remoteVersions listedVersions
 	stateConfirmedAt         time.Time
 	// outOfReach reports whether this host reaches no server of a service; nil if it does not know.
