--- a/review/stand/deployment.go
+++ b/review/stand/deployment.go
@@ -27,12 +27,19 @@
 	namesText []byte
 )
 
+const (
+	storeCount = 5
+	// seedCount is how many stores all settings name.
+	seedCount = 3
+)
+
 // readyTime bounds the start of the deployment.
 const readyTime = 20 * time.Second
 
 // wireNames are the paths and names of the users' pages.
 type wireNames struct {
 	Put         string `json:"put"`
+	Get         string `json:"get"`
 	Evacuations string `json:"evacuations"`
 	Resolve     string `json:"resolve"`
 	Ready       string `json:"ready"`
@@ -53,6 +60,7 @@
 	names    wireNames
 	folder   string
 	block    string
+	seeds    []string
 	stores   []*process
 	gateways []*process
 	servers  []*server
@@ -128,20 +136,17 @@
 	if err := d.startList(); err != nil {
 		return err
 	}
-	var seeds []string
-	for n := range 5 {
-		p := places[n%len(places)]
-		ip := fmt.Sprintf("%s.%d", d.block, 10+n)
-		d.stores = append(d.stores, &process{name: fmt.Sprintf("core-%s-%d", p.zone, 1+n/len(places)), zone: p.zone, region: p.region, ip: ip, program: "wheelgauge-store"})
-		if n < 3 {
-			seeds = append(seeds, ip+":8146")
+	for n := range storeCount {
+		d.stores = append(d.stores, d.newStore(n))
+		if n < seedCount {
+			d.seeds = append(d.seeds, d.stores[n].ip+":8146")
 		}
 	}
 	for n, p := range places {
 		d.gateways = append(d.gateways, &process{name: "frontend-" + p.zone + "-1", zone: p.zone, region: p.region, ip: fmt.Sprintf("%s.%d", d.block, 100+n), program: "wheelgauge-gateway"})
 	}
 	for _, p := range append(append([]*process{}, d.stores...), d.gateways...) {
-		if err := d.settle(p, strings.Join(seeds, ",")); err != nil {
+		if err := d.settle(p, true); err != nil {
 			return err
 		}
 		if err := p.start(); err != nil {
@@ -154,14 +159,23 @@
 	return d.awaitReady(ctx)
 }
 
+// newStore returns a store that is not started yet.
+func (d *deployment) newStore(n int) *process {
+	p := places[n%len(places)]
+	return &process{name: fmt.Sprintf("core-%s-%d", p.zone, 1+n/len(places)), zone: p.zone, region: p.region, ip: fmt.Sprintf("%s.%d", d.block, 10+n), program: "wheelgauge-store"}
+}
+
+// dataFolder returns the disk of a store.
+func (d *deployment) dataFolder(p *process) string { return filepath.Join(d.folder, p.name) }
+
 // settle writes the settings file of a process from the template of the deploy file.
-func (d *deployment) settle(p *process, seeds string) error {
+func (d *deployment) settle(p *process, firstStart bool) error {
 	template, memory := "deploy/gateway.ini", "284"
 	if p.program == "wheelgauge-store" {
 		template, memory = "deploy/store.ini", "280"
 	}
-	text := strings.NewReplacer("%NAME%", p.name, "%IP%", p.ip, "%ZONE%", p.zone, "%REGION%", p.region, "%SEEDS%", seeds,
-		"%FIRST%", "true", "%FOLDER%", filepath.Join(d.folder, p.name), "%MEMORY%", memory, "%LIST%", d.listAt).Replace(settingsText)
+	text := strings.NewReplacer("%NAME%", p.name, "%IP%", p.ip, "%ZONE%", p.zone, "%REGION%", p.region, "%SEEDS%", strings.Join(d.seeds, ","),
+		"%FIRST%", fmt.Sprint(firstStart), "%FOLDER%", d.dataFolder(p), "%MEMORY%", memory, "%LIST%", d.listAt).Replace(settingsText)
 	var fields map[string]any
 	if err := json.Unmarshal([]byte(text), &fields); err != nil {
 		return fmt.Errorf("settings of %s: %w", p.name, err)
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -64,4 +64,5 @@
 // cases are the plays by name.
 var cases = map[string]func(ctx context.Context, d *deployment, trouble bool) (broken bool, err error){
 	"late-order": playLateOrder,
+	"replaced":   playReplaced,
 }
