Review, case 2: a store with an empty disk does not join while the first seed hangs, and a configuration is lost

Rule: CONFIG (and LOST). Disruptions: one store, the first seed, stands still for 5 s (node_freeze); another one is back with an empty disk (after_ack_wipe); at the end, right after an ack, two stores lose their disks, as many as must be borne.

The store with the empty disk asks the seeds one after another under one deadline. The frozen one accepts the connection and uses up the deadline, each time anew. After the time to catch up the store is still no member, so the two further disks leave two voters of five: no leader, 503 to every read.

--- a/review/stand/deployment.go
+++ b/review/stand/deployment.go
@@ -197,11 +197,16 @@
 
 // configure sends a version of the configuration until it is taken.
 func (d *deployment) configure(ctx context.Context, version int) error {
+	return d.configureAt(ctx, version, d.stores...)
+}
+
+// configureAt sends a version of the configuration to some stores in turn until it is taken.
+func (d *deployment) configureAt(ctx context.Context, version int, stores ...*process) error {
 	body := strings.Replace(configurationText, "%VERSION%", fmt.Sprint(version), 1)
 	ctx, cancel := context.WithTimeout(ctx, readyTime)
 	defer cancel()
 	for n := 0; ctx.Err() == nil; n++ {
-		if d.order(ctx, d.stores[n%len(d.stores)], d.names.Put, body) == http.StatusOK {
+		if d.order(ctx, stores[n%len(stores)], d.names.Put, body) == http.StatusOK {
 			return nil
 		}
 		time.Sleep(200 * time.Millisecond)
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -65,4 +65,5 @@
 var cases = map[string]func(ctx context.Context, d *deployment, trouble bool) (broken bool, err error){
 	"late-order": playLateOrder,
 	"replaced":   playReplaced,
+	"join":       playJoin,
 }
--- a/review/stand/replaced.go
+++ b/review/stand/replaced.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os"
 	"strings"
 	"syscall"
 	"time"
@@ -90,15 +89,13 @@
 		}
 	}
 	for _, s := range wiped {
-		s.kill()
-		if err := errors.Join(os.RemoveAll(d.dataFolder(s)), d.settle(s, false)); err != nil {
+		if err := d.wipe(s); err != nil {
 			return false, err
 		}
 	}
 	time.Sleep(downTime)
 	for _, s := range wiped {
-		d.record.note("%s is back, with an empty disk", s.name)
-		if err := s.start(); err != nil {
+		if err := d.returnBlank(s); err != nil {
 			return false, err
 		}
 	}
