--- a/review/stand/join.go
+++ b/review/stand/join.go
@@ -9,8 +9,6 @@
 )
 
 const (
-	// longFreezeTime is how long a store stands still, the length that the list of kinds gives.
-	longFreezeTime = 5 * time.Second
 	// catchUpTime is how long a machine counts as lost after it is back.
 	catchUpTime = 4 * time.Second
 	// strikeAfter is how long after catchUpTime the configuration is sent and the final fault
@@ -19,14 +17,15 @@
 )
 
 // playJoin freezes the first seed while another store comes back with an empty disk. Once that one
-// counts as lost no more, a configuration is acknowledged, and two other stores lose their disks.
+// counts as lost no more, a configuration is acknowledged, and the frozen store and one more lose
+// their disks: never more than two machines are lost at once.
 func playJoin(ctx context.Context, d *deployment, trouble bool) (broken bool, err error) {
 	if err := d.start(ctx); err != nil {
 		return false, err
 	}
 	time.Sleep(settleTime)
 	still, blank, sound := d.stores[0], d.stores[3], d.stores[2]
-	wiped := []*process{d.stores[1], d.stores[4]}
+	wiped := []*process{still, d.stores[1]}
 	if leader := d.leader(); leader != nil {
 		d.record.note("the leader is %s", leader.name)
 	}
@@ -36,7 +35,6 @@
 			return false, err
 		}
 	}
-	frozenAt := time.Now()
 	if err := errors.Join(d.wipe(blank), d.returnBlank(blank)); err != nil {
 		return false, err
 	}
@@ -57,13 +55,6 @@
 			return false, err
 		}
 	}
-	if trouble {
-		time.Sleep(time.Until(frozenAt.Add(longFreezeTime)))
-		if err := still.signal(syscall.SIGCONT); err != nil {
-			return false, err
-		}
-		d.record.note("%s goes on (SIGCONT)", still.name)
-	}
 	time.Sleep(downTime)
 	for _, s := range wiped {
 		if err := d.returnBlank(s); err != nil {
