--- a/raft/step.go
+++ b/raft/step.go
@@ -264,9 +264,10 @@
 // replicate sends entries that have not been sent to members yet, and announces
 // a new commit index, which would otherwise wait for the next heartbeat.
 func (c *Core) replicate() {
-	for id, p := range c.progress {
-		if id != c.options.ID && (p.next <= c.lastIndex() || c.announceCommit) && p.next > c.base && p.recentlyActive && !c.inTransfer(p) {
-			c.sendAppend(id)
+	for _, m := range c.members {
+		p := c.progress[m.ID]
+		if m.ID != c.options.ID && (p.next <= c.lastIndex() || c.announceCommit) && p.next > c.base && p.recentlyActive && !c.inTransfer(p) {
+			c.sendAppend(m.ID)
 		}
 	}
 	c.announceCommit = false
