--- a/raft/view.go
+++ b/raft/view.go
@@ -2,6 +2,9 @@
 
 import "slices"
 
+// ID returns the ID of this replica.
+func (c *Core) ID() uint64 { return c.options.ID }
+
 // Role returns the current role.
 func (c *Core) Role() Role { return c.role }
 
@@ -52,6 +55,13 @@
 	return 0
 }
 
+// RecentlyReplied reports whether a member's last reply to this leader is younger than an
+// election timeout.
+func (c *Core) RecentlyReplied(id uint64) bool {
+	p := c.progress[id]
+	return p != nil && p.sinceReply < c.options.ElectionTicks
+}
+
 // HardState returns the hard state of the last processed Ready.
 func (c *Core) HardState() HardState { return c.handledHardState }
 
