Stores: one that was replaced while it was out of touch joins again

Cause: a store that was removed while it was frozen had its own old list of members, found itself in it and campaigned for ever. Only a leader told it that it was replaced, and only one that the store knew; after the kill of all stores the leader was its successor, which it did not know. The group had four live voters of five, nobody saw it, and the next planned replacement and two lost disks left two of five. Change: nobody tells a store that it is out. A store without a leader asks all stores that it knows (seeds, members of its list, senders of messages) to be added; the leader commits an entry that adds it as a learner under its ID, or changes nothing if it is a member. So an old follower or a deposed leader can tell it nothing wrong, it votes once in a term as it keeps its disk, and it does not end. A forwarded join is handled by a leader only: two stores that took each other for the leader passed it on without end. The leader logs and reports the health of the group (wanted, voters, replying, learners, failures tolerated). TestFaultReplacedDiskReturns wanted the store to end with an error and a second start; it now wants more: it joins by itself, and is the only member of its name.

--- a/confstore/node.go
+++ b/confstore/node.go
@@ -38,6 +38,7 @@
 	"wheelgauge/stallwatch"
 	"wheelgauge/streamorigin"
 	"wheelgauge/versionhistory"
+	"wheelgauge/votergroup"
 )
 
 const (
@@ -47,6 +48,8 @@
 	servedPrefix = "served"
 	// voters is the size of the quorum group: five voters survive the loss of two disks at once.
 	voters = 5
+	// unknownGauge is the value of a metric that only the leader knows, at the other stores.
+	unknownGauge = -1
 	// suspendCheckInterval is how often a store checks whether it was suspended or stalled.
 	suspendCheckInterval = 250 * time.Millisecond
 	// configInterval is how often a store checks for a configuration to pass on; hosts that ask
@@ -266,10 +269,24 @@
 		refusesWrites = 1
 	}
 	n.meter.Gauge("disk.refuses", refusesWrites)
+	n.reportGroup()
 	ctx.SetContentType("application/json")
 	n.meter.WriteJSON(ctx)
 }
 
+// reportGroup sets the metrics of the replica group: unknownGauge at a store that does not lead.
+func (n *Node) reportGroup() {
+	h := n.replica.Status().Health
+	if h == nil {
+		h = &votergroup.Health{Wanted: voters, Voters: unknownGauge, Replying: unknownGauge, Learners: unknownGauge, Tolerated: unknownGauge}
+	}
+	n.meter.Gauge("group.voters.wanted", int64(h.Wanted))
+	n.meter.Gauge("group.voters", int64(h.Voters))
+	n.meter.Gauge("group.voters.replying", int64(h.Replying))
+	n.meter.Gauge("group.learners", int64(h.Learners))
+	n.meter.Gauge("group.failures.tolerated", int64(h.Tolerated))
+}
+
 // Done receives the error if the replica ends by itself.
 func (n *Node) Done() <-chan error { return n.replica.Done() }
 
--- a/replica/members.go
+++ b/replica/members.go
@@ -8,22 +8,22 @@
 
 	"wheelgauge"
 	"wheelgauge/raft"
+	"wheelgauge/votergroup"
 )
 
 const (
-	pathJoin       = "/raft/join"
-	joinInterval   = 400 * time.Millisecond
-	joinTimeout    = 3 * time.Second
-	maxCaughtUpLag = 16
-	maxMembers     = 15
-	// replaceVoterTicks is how long a voter must not reply before a learner that
-	// has caught up replaces it: longer than any election.
-	replaceVoterTicks = 3 * electionTicks
-	// removeLearnerTicks is how long a learner must not reply before it is removed.
+	pathJoin = "/raft/join"
+	// argForwarded marks a call that only a leader may handle: two stores that believe each
+	// other to lead would forward it forever.
+	argForwarded = "forwarded"
+	joinInterval = 400 * time.Millisecond
+	joinTimeout  = 3 * time.Second
+	// replaceVoterTicks is longer than any election.
+	replaceVoterTicks  = 3 * electionTicks
 	removeLearnerTicks = 20 * electionTicks
 )
 
-// joiner requests that the peers add a replica that is not a member yet.
+// joiner asks other stores to add this replica to the group whenever it may not be a member.
 type joiner struct {
 	r           *Replica
 	lastAttempt time.Time
@@ -31,63 +31,67 @@
 
 func newJoiner(r *Replica) *joiner { return &joiner{r: r} }
 
-// tick starts an attempt every joinInterval until this replica is a member.
+// tick starts an attempt every joinInterval while the replica needs to join.
 func (j *joiner) tick(ctx context.Context) {
 	r := j.r
-	isMember := slices.ContainsFunc(r.core.Members(), func(m raft.Member) bool { return m.ID == r.storage.self.ID })
-	if isMember || r.disk.unwritable.Load() || time.Since(j.lastAttempt) < joinInterval {
+	if !votergroup.NeedsJoin(r.core) || r.disk.unwritable.Load() || time.Since(j.lastAttempt) < joinInterval {
 		return
 	}
 	j.lastAttempt = time.Now()
+	addresses := r.knownStores()
 	r.net.senders.Add(1)
 	go func() {
 		defer r.net.senders.Done()
-		r.requestJoin(ctx)
+		r.requestJoin(ctx, addresses)
 	}()
 }
 
-func (r *Replica) requestJoin(ctx context.Context) {
+func (r *Replica) requestJoin(ctx context.Context, addresses []string) {
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
-	for _, peer := range r.options.Peers {
-		if peer == r.options.Address {
-			continue
-		}
-		err := r.options.Client.Call(ctx, http.MethodPost, peer, pathJoin, r.self(), nil)
+	for _, address := range addresses {
+		err := r.options.Client.Call(ctx, http.MethodPost, address, pathJoin, r.self(), nil)
 		if err == nil {
 			return
 		}
-		r.options.Log.V(1).Info("Join request failed.", "peer", peer, "cause", err.Error())
+		r.options.Log.V(1).Info("Join request failed.", "peer", address, "cause", err.Error())
+	}
+}
+
+// knownStores returns the addresses of the seeds, of the members and of all stores that sent
+// messages to this one, without its own. The members may all have been replaced.
+func (r *Replica) knownStores() []string {
+	addresses := append(slices.Clone(r.options.Peers), r.net.knownAddresses()...)
+	for _, m := range r.core.Members() {
+		addresses = append(addresses, m.Address)
 	}
+	slices.Sort(addresses)
+	return slices.DeleteFunc(slices.Compact(addresses), func(a string) bool { return a == r.options.Address })
 }
 
 // Join adds a learner. Replicas other than the leader forward the request to it.
 func (r *Replica) Join(ctx context.Context, m raft.Member) error {
 	if !r.IsLeader() {
-		return r.callLeader(ctx, http.MethodPost, pathJoin, m, nil)
+		return r.callLeader(ctx, http.MethodPost, pathJoin+"?"+argForwarded+"=true", m, nil)
 	}
-	m.Voter = false
-	return r.changeMembers(ctx, func(members []raft.Member) ([]raft.Member, error) {
-		if slices.ContainsFunc(members, func(o raft.Member) bool { return o.ID == m.ID }) {
-			return nil, nil
-		}
-		existing := slices.IndexFunc(members, func(o raft.Member) bool { return o.Name == m.Name })
-		if existing >= 0 && r.core.RecentlyActive(members[existing].ID) {
-			return nil, wheelgauge.NewError(wheelgauge.ReasonConflict, wheelgauge.OutcomeNotRun, http.StatusConflict, "a store of this name is still active: "+m.Name)
-		}
-		if len(members) >= maxMembers {
-			return nil, wheelgauge.NewError(wheelgauge.ReasonInvalid, wheelgauge.OutcomeNotRun, http.StatusConflict, "the group has the maximum number of members")
-		}
-		return append(members, m), nil
-	})
+	return r.joinLocal(ctx, m)
+}
+
+func (r *Replica) joinLocal(ctx context.Context, m raft.Member) error {
+	return r.changeMembers(ctx, func() ([]raft.Member, error) { return r.planner.Join(r.core, m) })
 }
 
 // Remove removes a member from the group.
 func (r *Replica) Remove(ctx context.Context, name string) error {
 	if !r.IsLeader() {
-		return r.callLeader(ctx, http.MethodDelete, pathJoin+"?name="+name, nil, nil)
+		return r.callLeader(ctx, http.MethodDelete, pathJoin+"?"+argForwarded+"=true&name="+name, nil, nil)
 	}
-	return r.changeMembers(ctx, func(members []raft.Member) ([]raft.Member, error) {
+	return r.removeLocal(ctx, name)
+}
+
+func (r *Replica) removeLocal(ctx context.Context, name string) error {
+	return r.changeMembers(ctx, func() ([]raft.Member, error) {
+		members := r.core.Members()
 		i := slices.IndexFunc(members, func(o raft.Member) bool { return o.Name == name })
 		if i < 0 {
 			return nil, wheelgauge.NewError(wheelgauge.ReasonNotFound, wheelgauge.OutcomeNotRun, http.StatusNotFound, "no store has this name: "+name)
@@ -96,10 +100,15 @@
 	})
 }
 
-func (r *Replica) changeMembers(ctx context.Context, edit func([]raft.Member) ([]raft.Member, error)) error {
+// changeMembers proposes the list that plan returns, unless it is nil, and waits for its commit.
+func (r *Replica) changeMembers(ctx context.Context, plan func() ([]raft.Member, error)) error {
 	done := make(chan result, 1)
 	err := r.submit(ctx, func() {
-		next, err := edit(r.core.Members())
+		if r.core.Role() != raft.Leader {
+			done <- result{err: noLeaderError("this store is not the leader")}
+			return
+		}
+		next, err := plan()
 		if err != nil || next == nil {
 			done <- result{err: err}
 			return
@@ -122,69 +131,13 @@
 	}
 }
 
-// maintainMembers makes the leader promote a learner that has caught up to a
-// voter. The member that it replaces is removed first, so that the number of
-// failures that the group tolerates never falls below what it was. Learners that
-// no longer reply are removed.
+// maintainMembers makes the leader propose the next planned change of the members.
 func (r *Replica) maintainMembers() {
-	if r.core.Role() != raft.Leader {
+	next, cause := r.planner.Next(r.core)
+	if next == nil {
 		return
 	}
-	members := r.core.Members()
-	for i, m := range members {
-		if m.Voter || !r.caughtUp(m) {
-			continue
-		}
-		next := slices.Clone(members)
-		replaced := r.memberToReplace(members, m)
-		switch {
-		case replaced >= 0:
-			next = slices.Delete(next, replaced, replaced+1)
-		case r.hasAllVoters(members):
-			continue
-		default:
-			next[i].Voter = true
-		}
-		r.proposeMembers(next, m.Name)
-		return
-	}
-	i := slices.IndexFunc(members, func(m raft.Member) bool { return !m.Voter && r.core.TicksSinceReply(m.ID) > removeLearnerTicks })
-	if i >= 0 {
-		r.proposeMembers(slices.Delete(slices.Clone(members), i, i+1), members[i].Name)
-	}
-}
-
-func (r *Replica) proposeMembers(next []raft.Member, cause string) {
 	if _, _, err := r.core.ProposeMembers(next); err == nil {
 		r.options.Log.Info("Membership change proposed.", "store", cause, "members", len(next))
 	}
 }
-
-func (r *Replica) caughtUp(m raft.Member) bool {
-	match := r.core.Match(m.ID)
-	return match > 0 && r.core.RecentlyActive(m.ID) && match+maxCaughtUpLag >= r.core.Commit()
-}
-
-// hasAllVoters reports whether the group has the configured number of voters.
-func (r *Replica) hasAllVoters(members []raft.Member) bool {
-	voters := 0
-	for _, m := range members {
-		if m.Voter {
-			voters++
-		}
-	}
-	return r.options.Voters > 0 && voters >= r.options.Voters
-}
-
-// memberToReplace returns the index of the member that a learner replaces, or -1:
-// the member of the same name, whose disk was lost, or, if the group has all
-// voters, a voter that has not replied for replaceVoterTicks.
-func (r *Replica) memberToReplace(members []raft.Member, learner raft.Member) int {
-	sameName := slices.IndexFunc(members, func(m raft.Member) bool { return m.Name == learner.Name && m.ID != learner.ID })
-	if sameName >= 0 || !r.hasAllVoters(members) {
-		return sameName
-	}
-	return slices.IndexFunc(members, func(m raft.Member) bool {
-		return m.Voter && m.ID != r.storage.self.ID && r.core.TicksSinceReply(m.ID) > replaceVoterTicks
-	})
-}
--- a/replica/network.go
+++ b/replica/network.go
@@ -2,13 +2,12 @@
 
 import (
 	"context"
-	"errors"
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
-	"wheelgauge"
 	"wheelgauge/peerhttp"
 	"wheelgauge/raft"
 )
@@ -40,8 +39,6 @@
 	addresses map[uint64]string
 	queues    map[string]chan raft.Message
 	senders   sync.WaitGroup
-	// replaced is set once a leader reports that this replica is no longer a member.
-	replaced atomic.Bool
 }
 
 func newNetwork(ctx context.Context, client *peerhttp.Client, self raft.Member) *network {
@@ -55,6 +52,13 @@
 	n.addresses[m.ID] = m.Address
 }
 
+// knownAddresses returns the addresses of all replicas that are known.
+func (n *network) knownAddresses() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.Collect(maps.Values(n.addresses))
+}
+
 func (n *network) send(members []raft.Member, messages []raft.Message) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -115,11 +119,8 @@
 func (n *network) sendBatch(address string, messages []raft.Message) {
 	ctx, cancel := context.WithTimeout(n.ctx, sendTimeoutFor(messages))
 	defer cancel()
-	err := n.client.Call(ctx, http.MethodPost, address, pathMessages, envelope{From: n.self, Messages: messages}, nil)
-	// The core sends lost messages again, so all other errors are ignored.
-	if fault, ok := errors.AsType[*wheelgauge.Error](err); ok && fault.Status() == http.StatusGone {
-		n.replaced.Store(true)
-	}
+	// The core sends lost messages again, so errors are ignored.
+	_ = n.client.Call(ctx, http.MethodPost, address, pathMessages, envelope{From: n.self, Messages: messages}, nil)
 }
 
 // sendTimeoutFor returns the timeout of a call that carries the messages.
--- a/replica/progress.go
+++ b/replica/progress.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"wheelgauge/raft"
+	"wheelgauge/votergroup"
 )
 
 // appliedIndex lets callers wait until an index is applied.
@@ -55,6 +56,8 @@
 	Applied  uint64        `json:"applied"`
 	LogBytes int64         `json:"log_bytes"`
 	Members  []raft.Member `json:"members"`
+	// Health is known to the leader only.
+	Health *votergroup.Health `json:"health,omitempty"`
 }
 
 // statusView holds the last published status, for readers outside the run loop.
@@ -83,14 +86,28 @@
 	if s.Role == "follower" && !s.Self.Voter {
 		s.Role = "learner"
 	}
+	if r.core.Role() == raft.Leader {
+		health := r.planner.Health(r.core)
+		s.Health = &health
+	}
 	r.view.mu.Lock()
 	defer r.view.mu.Unlock()
+	r.logHealth(s.Health)
 	if previous := r.view.status; previous.Role != s.Role || previous.Leader != s.Leader {
 		r.options.Log.Info("Replica changes role.", "role", s.Role, "term", s.Term, "leader", s.Leader)
 	}
 	r.view.status = s
 }
 
+// logHealth logs a change of the group's health. The lock of the view is held.
+func (r *Replica) logHealth(next *votergroup.Health) {
+	if last := r.view.status.Health; next == nil || last != nil && *last == *next {
+		return
+	}
+	r.options.Log.Info("Group changes.", "wanted", next.Wanted, "voters", next.Voters, "replying", next.Replying,
+		"learners", next.Learners, "tolerated", next.Tolerated, "short", next.Short())
+}
+
 // Status returns the last published status.
 func (r *Replica) Status() Status { return r.view.get() }
 
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -17,6 +17,7 @@
 	"wheelgauge"
 	"wheelgauge/peerhttp"
 	"wheelgauge/raft"
+	"wheelgauge/votergroup"
 	"wheelgauge/wal"
 )
 
@@ -46,7 +47,8 @@
 	// Voters is the maximum number of voters; 0 means that all members vote.
 	// Further members remain learners and replace voters that fail.
 	Voters int
-	// Peers are the addresses of the stores that a join request is sent to.
+	// Peers are the addresses of the stores that a join request is sent to, besides those that
+	// the replica knows.
 	Peers []string
 	// InitialVoters are the addresses of the initial voters when a whole new group
 	// starts at once, the same on each replica; empty at any other start. An
@@ -78,6 +80,7 @@
 type Replica struct {
 	options Options
 	core    *raft.Core
+	planner *votergroup.Planner
 	storage *storage
 	machine wheelgauge.StateMachine
 	net     *network
@@ -124,6 +127,9 @@
 	ctx, cancel := context.WithCancel(ctx)
 	r := &Replica{
 		options: options, core: core, storage: s, machine: machine,
+		planner: votergroup.New(votergroup.Options{
+			Voters: options.Voters, ReplaceVoterTicks: replaceVoterTicks, RemoveLearnerTicks: removeLearnerTicks,
+		}),
 		tasks: make(chan func(), taskQueueLength), waiters: map[uint64]waiter{}, barriers: map[uint64]chan result{},
 		applied: newAppliedIndex(), view: &statusView{}, cancel: cancel, done: make(chan error, 1),
 	}
@@ -179,9 +185,6 @@
 			f()
 			r.runQueued()
 		}
-		if r.net.replaced.Load() && !r.disk.unwritable.Load() {
-			return r.discardIdentity()
-		}
 		if err := r.processReady(); err != nil {
 			r.options.Log.Error(err, "Replica stops: its state cannot be persisted.")
 			return err
@@ -190,17 +193,6 @@
 	}
 }
 
-// discardIdentity replaces the ID of a replica that was replaced by a new one. The
-// next start joins as a new member.
-func (r *Replica) discardIdentity() error {
-	r.options.Log.Info("Replica was replaced by another member of the same name. Restart it to join as a new member.")
-	r.storage.self.ID = newID()
-	if err := r.storage.rewrite(nil, raft.HardState{}, nil); err != nil {
-		return fmt.Errorf("discard identity: %w", err)
-	}
-	return errReplaced
-}
-
 // runQueued runs further queued tasks, so that one sync covers them all.
 func (r *Replica) runQueued() {
 	for range maxBatchLength {
--- a/systemtest/fault_store_test.go
+++ b/systemtest/fault_store_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -17,6 +18,7 @@
 
 	"wheelgauge"
 	"wheelgauge/opsclient"
+	"wheelgauge/raft"
 )
 
 func class(name string, priority int) wheelgauge.Resource {
@@ -332,8 +334,7 @@
 }
 
 // TestFaultReplacedDiskReturns: a store starts on a disk whose member has been replaced.
-// It exits with an error, gives up the old identity, and joins as a new member on the
-// next start.
+// It joins again by itself, and takes the place of the member of its name.
 func TestFaultReplacedDiskReturns(t *testing.T) {
 	d := launch(t, smallTopology())
 	n := d.node("peshawar-1")
@@ -350,9 +351,15 @@
 		t.Fatal(err)
 	}
 	d.startStore(n)
-	n.store.awaitFailure(readyTimeout)
-	d.startStore(n)
 	d.awaitStore(n, generation)
+	s, err := d.operatorAt(n).Status(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	named := slices.DeleteFunc(slices.Clone(s.Replica.Members), func(m raft.Member) bool { return m.Name != n.name })
+	if len(named) != 1 || named[0].ID != s.Replica.Self.ID {
+		t.Errorf("members named %s: got %+v, want only the store that runs", n.name, named)
+	}
 }
 
 // corruptFile inverts one byte in the middle of a file.
