Stores: a peer that hangs keeps no store with an empty disk out of the group

Cause: a store with an empty disk asked its seeds one after another under one deadline of 3 s, each time in the same order; a frozen first seed took the connection and used the deadline up. Change: all known stores are asked at the same time, each under a deadline of its own (1 s, shorter than an election, after which a store may know another leader), and a store that hangs has one call at a time.

--- /dev/null
+++ b/replica/join_test.go
@@ -0,0 +1,36 @@
+package replica
+
+import (
+	"net"
+	"testing"
+)
+
+// hang listens on an address and never answers.
+func hang(t *testing.T, address string) {
+	t.Helper()
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+}
+
+// A seed that accepts connections and does not answer keeps no store out of the group.
+func TestBlankStoreJoinsWhileSeedsHang(t *testing.T) {
+	all := []string{"127.0.82.1:7801", "127.0.82.2:7801", "127.0.82.3:7801", "127.0.82.4:7801"}
+	hanging := []string{"127.0.82.10:7801", "127.0.82.11:7801"}
+	for _, a := range hanging {
+		hang(t, a)
+	}
+	g := &group{t: t, seeds: all[:3], nodes: map[string]*node{}}
+	defer g.stopAll()
+	for _, a := range all[:3] {
+		g.start(a, t.TempDir(), true)
+	}
+	g.waitFor("three voters", func() bool { return g.voters() == 3 })
+	g.propose(g.nodes[all[0]], "kept")
+	g.seeds = append(hanging, all[0])
+	g.start(all[3], t.TempDir(), false)
+	g.waitFor("four voters", func() bool { return g.voters() == 4 })
+	g.waitFor("the state on the new disk", func() bool { return g.nodes[all[3]].machine.value() == `"kept"` })
+}
--- a/replica/members.go
+++ b/replica/members.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
 
 	"wheelgauge"
@@ -17,7 +18,9 @@
 	// other to lead would forward it forever.
 	argForwarded = "forwarded"
 	joinInterval = 400 * time.Millisecond
-	joinTimeout  = 3 * time.Second
+	// joinTimeout bounds the call to one store. It is shorter than an election, after which the
+	// store may know another leader.
+	joinTimeout = time.Second
 	// replaceVoterTicks is longer than any election.
 	replaceVoterTicks  = 3 * electionTicks
 	removeLearnerTicks = 20 * electionTicks
@@ -27,34 +30,55 @@
 type joiner struct {
 	r           *Replica
 	lastAttempt time.Time
+	mu          sync.Mutex
+	// calling has the addresses with a call in progress: a store that hangs holds up no call to
+	// another one, and gets one at a time.
+	calling map[string]bool
 }
 
-func newJoiner(r *Replica) *joiner { return &joiner{r: r} }
+func newJoiner(r *Replica) *joiner { return &joiner{r: r, calling: map[string]bool{}} }
 
-// tick starts an attempt every joinInterval while the replica needs to join.
+// tick asks all known stores every joinInterval while the replica needs to join.
 func (j *joiner) tick(ctx context.Context) {
 	r := j.r
 	if !votergroup.NeedsJoin(r.core) || r.disk.unwritable.Load() || time.Since(j.lastAttempt) < joinInterval {
 		return
 	}
 	j.lastAttempt = time.Now()
-	addresses := r.knownStores()
-	r.net.senders.Add(1)
-	go func() {
-		defer r.net.senders.Done()
-		r.requestJoin(ctx, addresses)
-	}()
+	for _, address := range r.knownStores() {
+		if !j.begin(address) {
+			continue
+		}
+		r.net.senders.Add(1)
+		go func() {
+			defer r.net.senders.Done()
+			defer j.end(address)
+			j.request(ctx, address)
+		}()
+	}
+}
+
+func (j *joiner) begin(address string) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.calling[address] {
+		return false
+	}
+	j.calling[address] = true
+	return true
 }
 
-func (r *Replica) requestJoin(ctx context.Context, addresses []string) {
+func (j *joiner) end(address string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	delete(j.calling, address)
+}
+
+func (j *joiner) request(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
-	for _, address := range addresses {
-		err := r.options.Client.Call(ctx, http.MethodPost, address, pathJoin, r.self(), nil)
-		if err == nil {
-			return
-		}
-		r.options.Log.V(1).Info("Join request failed.", "peer", address, "cause", err.Error())
+	if err := j.r.options.Client.Call(ctx, http.MethodPost, address, pathJoin, j.r.self(), nil); err != nil {
+		j.r.options.Log.V(1).Info("Join request failed.", "peer", address, "cause", err.Error())
 	}
 }
 
