Stores: a voter that is stopped as planned hands its vote to a learner first

What callers would see (CONFIG): in a planned replacement the new store stayed a learner until the one to leave had been silent for 3 s. The removed machine stops counting once its successor has had its time to catch up, so two disks may be lost right after the stop; two voters of five were left. Change: a store that shuts down announces it to the leader and waits, for 2 s at most, while a learner that has caught up can take its place: the learner is promoted, then the store is removed. Without such a learner it ends at once and stays a voter. If it comes back it joins as a learner.

--- a/confstore/node.go
+++ b/confstore/node.go
@@ -297,6 +297,7 @@
 	for _, result := range n.taskResults {
 		errs = append(errs, <-result)
 	}
+	n.replica.Leave(context.Background())
 	// A stalled peer keeps its connection open; it will retry at another store.
 	closeCtx, cancel := context.WithTimeout(context.Background(), listenerCloseTimeout)
 	defer cancel()
--- a/replica/handler.go
+++ b/replica/handler.go
@@ -27,6 +27,8 @@
 		reply(ctx, p, err)
 	case pathJoin:
 		r.handleJoin(callCtx, ctx)
+	case pathLeave:
+		r.handleLeave(callCtx, ctx)
 	default:
 		return false
 	}
@@ -74,3 +76,13 @@
 	r.net.learn(m)
 	reply(ctx, struct{}{}, join(callCtx, m))
 }
+
+func (r *Replica) handleLeave(callCtx context.Context, ctx *fasthttp.RequestCtx) {
+	m, err := peerhttp.Decode[raft.Member](ctx)
+	if err != nil {
+		peerhttp.WriteError(ctx, err)
+		return
+	}
+	res, err := r.leaveLocal(callCtx, m.ID)
+	reply(ctx, res, err)
+}
--- a/replica/members.go
+++ b/replica/members.go
@@ -13,7 +13,8 @@
 )
 
 const (
-	pathJoin = "/raft/join"
+	pathJoin  = "/raft/join"
+	pathLeave = "/raft/leave"
 	// argForwarded marks a call that only a leader may handle: two stores that believe each
 	// other to lead would forward it forever.
 	argForwarded = "forwarded"
@@ -21,9 +22,14 @@
 	// joinTimeout bounds the call to one store. It is shorter than an election, after which the
 	// store may know another leader.
 	joinTimeout = time.Second
+	// leaveTimeout bounds how long a store that shuts down waits for a learner to replace it,
+	// leaveInterval is how often it asks.
+	leaveTimeout  = 2 * time.Second
+	leaveInterval = 50 * time.Millisecond
 	// replaceVoterTicks is longer than any election.
 	replaceVoterTicks  = 3 * electionTicks
 	removeLearnerTicks = 20 * electionTicks
+	leaveTicks         = 3 * electionTicks
 )
 
 // joiner asks other stores to add this replica to the group whenever it may not be a member.
@@ -155,6 +161,65 @@
 	}
 }
 
+// leaveReply is the leader's response to a member that shuts down.
+type leaveReply struct {
+	// Wait is set while the member votes and a learner is about to replace it.
+	Wait bool `json:"wait"`
+}
+
+// Leave announces that this replica shuts down, and waits until a learner votes in its place. It
+// returns at once if there is none, as the replica may well come back.
+func (r *Replica) Leave(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	for waited := false; ; waited = true {
+		reply, err := r.announceLeave(ctx)
+		replaced := err == nil && !reply.Wait
+		// While the group changes, its leader may be unknown for a moment.
+		if unreachable := err != nil && !waited; replaced || unreachable || ctx.Err() != nil {
+			r.options.Log.Info("Replica leaves.", "waited", waited, "replaced", waited && replaced)
+			return
+		}
+		select {
+		case <-time.After(leaveInterval):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (r *Replica) announceLeave(ctx context.Context) (leaveReply, error) {
+	if r.IsLeader() {
+		return r.leaveLocal(ctx, r.storage.self.ID)
+	}
+	var reply leaveReply
+	err := r.callLeader(ctx, http.MethodPost, pathLeave, r.self(), &reply)
+	return reply, err
+}
+
+// leaveLocal handles the announcement of a member at the leader.
+func (r *Replica) leaveLocal(ctx context.Context, id uint64) (leaveReply, error) {
+	done := make(chan leaveReply, 1)
+	err := r.submit(ctx, func() {
+		if r.core.Role() != raft.Leader {
+			close(done)
+			return
+		}
+		done <- leaveReply{Wait: r.planner.Leave(r.core, id)}
+	})
+	if err != nil {
+		return leaveReply{}, err
+	}
+	select {
+	case reply, ok := <-done:
+		if !ok {
+			return reply, noLeaderError("this store is not the leader")
+		}
+		return reply, nil
+	case <-ctx.Done():
+		return leaveReply{}, noLeaderError("the store is shutting down")
+	}
+}
+
 // maintainMembers makes the leader propose the next planned change of the members.
 func (r *Replica) maintainMembers() {
 	next, cause := r.planner.Next(r.core)
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -128,7 +128,7 @@
 	r := &Replica{
 		options: options, core: core, storage: s, machine: machine,
 		planner: votergroup.New(votergroup.Options{
-			Voters: options.Voters, ReplaceVoterTicks: replaceVoterTicks, RemoveLearnerTicks: removeLearnerTicks,
+			Voters: options.Voters, ReplaceVoterTicks: replaceVoterTicks, RemoveLearnerTicks: removeLearnerTicks, LeaveTicks: leaveTicks,
 		}),
 		tasks: make(chan func(), taskQueueLength), waiters: map[uint64]waiter{}, barriers: map[uint64]chan result{},
 		applied: newAppliedIndex(), view: &statusView{}, cancel: cancel, done: make(chan error, 1),
--- a/storenode/node.go
+++ b/storenode/node.go
@@ -184,6 +184,7 @@
 func (n *Node) Close(ctx context.Context) error {
 	n.stop()
 	errs := []error{<-n.exchangeDone}
+	n.replica.Leave(ctx)
 	unfinished, err := httpserve.CloseAll(ctx, n.listeners)
 	if len(unfinished) > 0 {
 		errs = append(errs, fmt.Errorf("close listeners %v: %w", unfinished, ctx.Err()))
