Stores: one that slept while all stores that it knew were replaced joins through later seeds

A store that works knows only the seeds that its settings had when it started, the members of its own list and stores that sent it messages. All of them may be gone when it wakes. While it has no leader it now reads the seeds from its settings file again, which the platform keeps current.

--- a/cmd/wheelgauge-store/routes.go
+++ b/cmd/wheelgauge-store/routes.go
@@ -88,7 +88,7 @@
 		Name: v.Text("host", "name"), Region: v.Text("host", "region"), Hall: v.Text("host", "hall"), RegionByHall: regions,
 		Dir: v.Text("store", "folder"), Bootstrap: v.Bool("store", "first"), Tick: v.Duration("store", "tick"),
 		PeerAddress: v.Text("listen", "peer"), MetricsAddress: v.Text("listen", "metrics"),
-		Seeds:        program.SeedAddresses(v.List("stores", "seeds"), v.Int("stores", "port")),
+		Seeds: seeds(v), RefreshSeeds: func() []string { return reloadSeeds(v, log) },
 		PollInterval: v.Duration("servers", "poll"), CapSlack: v.Float("caps", "slack"),
 		CapWindow: time.Duration(v.Float("caps", "window_seconds") * float64(time.Second)), CapOverage: v.Float("caps", "overage"),
 		DecodeRoutes: d.Decode, ServerList: d.ServerList(v.Text("servers", "list")), Log: log,
@@ -108,6 +108,20 @@
 	return err
 }
 
+func seeds(v *settings.Values) []string {
+	return program.SeedAddresses(v.List("stores", "seeds"), v.Int("stores", "port"))
+}
+
+// reloadSeeds returns the seeds that the settings file has now, none if it cannot be read.
+func reloadSeeds(v *settings.Values, log logr.Logger) []string {
+	current, err := v.Reload()
+	if err != nil {
+		log.V(1).Info("Settings cannot be read again for their seeds.", "cause", err.Error())
+		return nil
+	}
+	return seeds(current)
+}
+
 // listeners returns the listeners for operators and callers.
 func listeners(v *settings.Values, d dialect.Dialect) []confstore.Listener {
 	var out []confstore.Listener
--- a/confstore/node.go
+++ b/confstore/node.go
@@ -85,6 +85,8 @@
 	MetricsAddress string
 	// Seeds are peer addresses of stores; this store may be among them.
 	Seeds []string
+	// RefreshSeeds returns the seeds as they are configured now; it may be nil.
+	RefreshSeeds func() []string
 	// Bootstrap is set at the first start of the whole system: the seeds form the replica
 	// group.
 	Bootstrap    bool
@@ -219,7 +221,7 @@
 func (n *Node) open(ctx context.Context) error {
 	o := n.o
 	ro := replica.Options{
-		Dir: filepath.Join(o.Dir, folderReplica), Name: o.PeerAddress, Address: o.PeerAddress, Peers: o.Seeds, Voters: voters,
+		Dir: filepath.Join(o.Dir, folderReplica), Name: o.PeerAddress, Address: o.PeerAddress, Peers: o.Seeds, RefreshPeers: o.RefreshSeeds, Voters: voters,
 		Tick: o.Tick, Client: n.client, Log: o.Log.WithName("replica"),
 	}
 	if o.Bootstrap {
--- a/replica/join_test.go
+++ b/replica/join_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"sync/atomic"
 	"testing"
 )
 
@@ -34,3 +35,25 @@
 	g.waitFor("four voters", func() bool { return g.voters() == 4 })
 	g.waitFor("the state on the new disk", func() bool { return g.nodes[all[3]].machine.value() == `"kept"` })
 }
+
+// A store all of whose seeds were replaced joins through those that its settings have now.
+func TestStoreJoinsThroughLaterSeeds(t *testing.T) {
+	all := []string{"127.0.83.1:7801", "127.0.83.2:7801"}
+	g := &group{t: t, seeds: all[:1], nodes: map[string]*node{}}
+	defer g.stopAll()
+	g.start(all[0], t.TempDir(), true)
+	g.waitFor("one voter", func() bool { return g.voters() == 1 })
+	g.seeds = []string{"127.0.83.9:7801"}
+	var later atomic.Pointer[[]string]
+	g.editOptions = func(o *Options) {
+		o.RefreshPeers = func() []string {
+			if seeds := later.Load(); seeds != nil {
+				return *seeds
+			}
+			return nil
+		}
+	}
+	g.start(all[1], t.TempDir(), false)
+	later.Store(&[]string{all[0]})
+	g.waitFor("two voters", func() bool { return g.voters() == 2 })
+}
--- a/replica/members.go
+++ b/replica/members.go
@@ -92,6 +92,9 @@
 // messages to this one, without its own. The members may all have been replaced.
 func (r *Replica) knownStores() []string {
 	addresses := append(slices.Clone(r.options.Peers), r.net.knownAddresses()...)
+	if r.options.RefreshPeers != nil {
+		addresses = append(addresses, r.options.RefreshPeers()...)
+	}
 	for _, m := range r.core.Members() {
 		addresses = append(addresses, m.Address)
 	}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -48,8 +48,9 @@
 	// Further members remain learners and replace voters that fail.
 	Voters int
 	// Peers are the addresses of the stores that a join request is sent to, besides those that
-	// the replica knows.
-	Peers []string
+	// the replica knows. RefreshPeers returns later ones; it may be nil.
+	Peers        []string
+	RefreshPeers func() []string
 	// InitialVoters are the addresses of the initial voters when a whole new group
 	// starts at once, the same on each replica; empty at any other start. An
 	// initial voter on a blank disk bootstraps the group together with the others.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -46,6 +46,8 @@
 // Values holds validated settings.
 type Values struct {
 	values map[string]string
+	path   string
+	keys   []Key
 }
 
 // KeyError reports a missing, invalid or unknown key of a settings file.
@@ -70,14 +72,14 @@
 	return Parse(path, data, keys)
 }
 
-// Parse validates the text of an INI file; path is used in errors only.
+// Parse validates the text of an INI file; path is used in errors and by Reload.
 func Parse(path string, data []byte, keys []Key) (*Values, error) {
 	file, err := ini.LoadSources(ini.LoadOptions{IgnoreInlineComment: true}, data)
 	if err != nil {
 		return nil, fmt.Errorf("parse %s: %w", path, err)
 	}
 	known := make(map[string]bool, len(keys))
-	v := &Values{values: make(map[string]string, len(keys))}
+	v := &Values{values: make(map[string]string, len(keys)), path: path, keys: keys}
 	var errs []error
 	for i := range keys {
 		k := &keys[i]
@@ -96,6 +98,9 @@
 	return v, nil
 }
 
+// Reload returns the settings as the file has them now.
+func (v *Values) Reload() (*Values, error) { return Load(v.path, v.keys) }
+
 func unknownKeys(path string, file *ini.File, known map[string]bool) []error {
 	var errs []error
 	for _, s := range file.Sections() {
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -63,3 +65,25 @@
 		t.Fatalf("got %+v", v)
 	}
 }
+
+func TestReload(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "x.ini")
+	write := func(text string) {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write("[listen]\naddress = 1.1.1.1:1\n")
+	v, err := Load(path, keys)
+	if err != nil {
+		t.Fatal(err)
+	}
+	write("[listen]\naddress = 1.1.1.1:2\n")
+	if next, err := v.Reload(); err != nil || next.Text("listen", "address") != "1.1.1.1:2" || v.Text("listen", "address") != "1.1.1.1:1" {
+		t.Errorf("got %+v, error %v, want the changed file and the old values as they were", next, err)
+	}
+	write("[listen]\n")
+	if _, err := v.Reload(); err == nil {
+		t.Error("an invalid file was reloaded without an error")
+	}
+}
