Orders: one that was overtaken by a later acknowledged order changes nothing

A store that had been frozen read the end of an earlier evacuation from its socket and proposed it, though its sender had long had it acknowledged elsewhere and had started the evacuation again. In the same way a late start left a hall empty, and a late start of a rollout began it again. Cause: a drain, a resume and a rollout carried nothing that tells when they were given; a configuration has its version for that. Change: ordercheck.Runner reads the index of the log, then whether the sender still waits (its connection is open, and the order was held for less than its patience), then proposes the order with that index. The state machine keeps the index of the last order of each hall and service, and an order has no effect if there is a later one than its index: the check is where the state changes, so it holds for every stop on the way (socket, store, way to the leader, its queue, a deposed leader). An order that is overtaken while its sender waits is proposed again: two senders have no order between them, and nobody is refused. Weighed: a check at the store alone (passed before the later stops); a time limit alone (says nothing about the time in the socket); an ID for each order (callers send none).

--- a/configstate/machine.go
+++ b/configstate/machine.go
@@ -6,6 +6,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 
@@ -42,14 +43,26 @@
 	// allows the start of a rollout to a version that was rolled back.
 	Rollout *wheelgauge.Rollout `json:"rollout,omitempty"`
 	Retry   bool                `json:"again,omitempty"`
+	// Since makes an order of an operator valid only if the log has no other order for the same
+	// hall or service after this index; 0 makes it valid in any case.
+	Since uint64 `json:"since,omitempty"`
 }
 
+// Prefixes of the subjects of orders, before the name of a hall or service.
+const (
+	subjectHall    = "hall/"
+	subjectRollout = "rollout/"
+)
+
 // Result is the result of a Command.
 type Result struct {
 	// Version is the configuration version after the change.
 	Version uint64 `json:"version"`
 	// Applied is false if the change had no effect: it was made already, or is outdated.
 	Applied bool `json:"taken"`
+	// Overtaken is set if an order had no effect because of a later one, and the state is not what
+	// it asks for.
+	Overtaken bool `json:"overtaken,omitempty"`
 	// Rollout is the rollout of the service after a change of rollouts.
 	Rollout wheelgauge.Rollout `json:"rollout,omitzero"`
 }
@@ -77,31 +90,38 @@
 func New() *Machine { return &Machine{} }
 
 // Apply implements wheelgauge.StateMachine.
-func (m *Machine) Apply(_ uint64, data []byte) []byte {
+func (m *Machine) Apply(index uint64, data []byte) []byte {
 	var c Command
 	// All replicas ignore a command that this release cannot decode.
 	if err := json.Unmarshal(data, &c); err != nil {
 		return []byte(`{}`)
 	}
-	out, err := json.Marshal(m.change(c))
+	out, err := json.Marshal(m.change(index, c))
 	if err != nil {
 		return []byte(`{}`)
 	}
 	return out
 }
 
-func (m *Machine) change(c Command) Result {
+func (m *Machine) change(index uint64, c Command) Result {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	applied := false
 	switch c.Op {
 	case OpPut:
 		applied = m.put(c)
-	case OpDrain:
-		applied = m.drain(c.Hall)
-	case OpResume:
-		applied = m.resume(c.Hall)
-	case OpRollout, OpRolloutStep, OpRolloutAge:
+	case OpDrain, OpResume:
+		if m.overtaken(subjectHall+c.Hall, index, c.Since) {
+			return Result{Version: m.state.Version, Overtaken: m.drained(c.Hall) != (c.Op == OpDrain)}
+		}
+		applied = m.setDrained(c.Hall, c.Op == OpDrain)
+	case OpRollout:
+		if c.Rollout != nil && m.overtaken(subjectRollout+c.Rollout.Service, index, c.Since) {
+			last := rollouts{m.state.Rollouts}.forService(c.Rollout.Service)
+			return Result{Version: m.state.Version, Rollout: last, Overtaken: last.RolloutRequest != c.Rollout.RolloutRequest}
+		}
+		return m.changeRollout(c)
+	case OpRolloutStep, OpRolloutAge:
 		return m.changeRollout(c)
 	case OpCrashes:
 		return m.setCrashes(quarantine.MergePersisted(m.state.Crashes, c.Crashes))
@@ -164,21 +184,37 @@
 	return m.state, recent
 }
 
-func (m *Machine) drain(hall string) bool {
-	if slices.Contains(m.state.DrainedHalls, hall) {
-		return false
+// overtaken reports whether the log has another order for a subject after the index since. If
+// not, the order at index becomes the last one, also if it changes nothing: it is acknowledged,
+// and an order given before it must not change the state any more.
+func (m *Machine) overtaken(subject string, index, since uint64) bool {
+	if since > 0 && m.state.LastOrders[subject] > since {
+		return true
 	}
-	// Copy the slice: callers of State may still read the old one.
-	m.state.DrainedHalls = append(slices.Clone(m.state.DrainedHalls), hall)
-	return true
+	// Copy the map: callers of State may still read the old one.
+	last := maps.Clone(m.state.LastOrders)
+	if last == nil {
+		last = map[string]uint64{}
+	}
+	last[subject] = index
+	m.state.LastOrders = last
+	return false
 }
 
-func (m *Machine) resume(hall string) bool {
-	i := slices.Index(m.state.DrainedHalls, hall)
-	if i < 0 {
+func (m *Machine) drained(hall string) bool { return slices.Contains(m.state.DrainedHalls, hall) }
+
+// setDrained drains or resumes a hall and reports whether that changes the state.
+func (m *Machine) setDrained(hall string, drained bool) bool {
+	if m.drained(hall) == drained {
 		return false
 	}
-	m.state.DrainedHalls = slices.Delete(slices.Clone(m.state.DrainedHalls), i, i+1)
+	// Copy the slice: callers of State may still read the old one.
+	halls := slices.Clone(m.state.DrainedHalls)
+	if drained {
+		m.state.DrainedHalls = append(halls, hall)
+		return true
+	}
+	m.state.DrainedHalls = slices.DeleteFunc(halls, func(h string) bool { return h == hall })
 	return true
 }
 
--- a/configstate/machine_test.go
+++ b/configstate/machine_test.go
@@ -59,3 +59,46 @@
 		t.Errorf("got restored state %+v, want version 9 at generation 4", other.State())
 	}
 }
+
+// An order counts as the last one of its hall also if it changes nothing, and across snapshots.
+func TestOrdersSince(t *testing.T) {
+	steps := []struct {
+		name      string
+		index     uint64
+		command   Command
+		applied   bool
+		overtaken bool
+		drained   bool
+	}{
+		{"drain", 5, Command{Op: OpDrain, Hall: "h", Since: 4}, true, false, true},
+		{"drain again", 6, Command{Op: OpDrain, Hall: "h", Since: 5}, false, false, true},
+		{"a late resume", 7, Command{Op: OpResume, Hall: "h", Since: 5}, false, true, true},
+		{"a late copy", 8, Command{Op: OpDrain, Hall: "h", Since: 4}, false, false, true},
+		{"another hall", 9, Command{Op: OpDrain, Hall: "i", Since: 4}, true, false, true},
+		{"resume", 10, Command{Op: OpResume, Hall: "h", Since: 9}, true, false, false},
+		{"a late drain", 11, Command{Op: OpDrain, Hall: "h", Since: 9}, false, true, false},
+		{"a store of an earlier release", 12, Command{Op: OpDrain, Hall: "h"}, true, false, true},
+	}
+	m := New()
+	for _, s := range steps {
+		data, err := json.Marshal(s.command)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var r Result
+		if err := json.Unmarshal(m.Apply(s.index, data), &r); err != nil {
+			t.Fatal(err)
+		}
+		if drained := m.drained("h"); r.Applied != s.applied || r.Overtaken != s.overtaken || drained != s.drained {
+			t.Errorf("%s: got %+v, drained %v, want applied %v, overtaken %v, drained %v", s.name, r, drained, s.applied, s.overtaken, s.drained)
+		}
+		snapshot, err := m.Snapshot()
+		if err != nil {
+			t.Fatal(err)
+		}
+		m = New()
+		if err := m.Restore(snapshot); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
--- a/configstate/rollouts_test.go
+++ b/configstate/rollouts_test.go
@@ -91,3 +91,34 @@
 		t.Errorf("got %+v in the earlier state and %+v now, want 0 and 700 ms elapsed", before[0], m.State().Rollouts[0])
 	}
 }
+
+// A start of a rollout that comes after a later one was acknowledged starts nothing.
+func TestLateRolloutStartsNothing(t *testing.T) {
+	m := New()
+	start := func(index uint64, version string, since uint64, retry bool) Result {
+		data, err := json.Marshal(Command{Op: OpRollout, Rollout: order("s", version), Since: since, Retry: retry})
+		if err != nil {
+			t.Fatal(err)
+		}
+		var r Result
+		if err := json.Unmarshal(m.Apply(index, data), &r); err != nil {
+			t.Fatal(err)
+		}
+		return r
+	}
+	if r := start(2, "v2", 1, false); !r.Applied {
+		t.Fatalf("got %+v, want a start", r)
+	}
+	end := order("s", "v2")
+	end.Number, end.State = m.State().Rollouts[0].Number, wheelgauge.RolloutRolledBack
+	applyCommand(t, m, Command{Op: OpRolloutStep, Rollout: end})
+	if r := start(4, "v2", 1, true); r.Applied || r.Overtaken || r.Rollout.Running() {
+		t.Errorf("late copy after its rollout has ended: got %+v, want no start", r)
+	}
+	if r := start(5, "v3", 1, false); r.Applied || !r.Overtaken {
+		t.Errorf("late start of another version: got %+v, want it overtaken", r)
+	}
+	if r := start(6, "v2", 5, true); !r.Applied || !r.Rollout.Running() {
+		t.Errorf("later start: got %+v, want a start", r)
+	}
+}
--- a/confstore/node.go
+++ b/confstore/node.go
@@ -24,6 +24,7 @@
 	"wheelgauge/hosttable"
 	"wheelgauge/httpserve"
 	"wheelgauge/meter"
+	"wheelgauge/ordercheck"
 	"wheelgauge/peerhttp"
 	"wheelgauge/periodic"
 	"wheelgauge/permitissuer"
@@ -116,10 +117,12 @@
 	// routeIndex is the index of routeSet for lookups.
 	routeIndex atomic.Pointer[routetable.Table]
 	replica    *replica.Replica
-	hosts      *hosttable.Table
-	client     *peerhttp.Client
-	meter      *meter.Meter
-	listeners  []*httpserve.Server
+	// orders carries out the orders of operators.
+	orders    *ordercheck.Runner
+	hosts     *hosttable.Table
+	client    *peerhttp.Client
+	meter     *meter.Meter
+	listeners []*httpserve.Server
 	// ctx ends when the store stops.
 	ctx  context.Context
 	stop context.CancelFunc
@@ -231,6 +234,7 @@
 	if n.replica, err = replica.Open(context.WithoutCancel(ctx), ro, n.machine); err != nil {
 		return fmt.Errorf("open replica: %w", err)
 	}
+	n.orders = ordercheck.New(n.replica, n.o.Clock)
 	if err := n.listen(o.PeerAddress, n.servePeer, httpserve.Options{}); err != nil {
 		return err
 	}
--- a/confstore/operations.go
+++ b/confstore/operations.go
@@ -9,6 +9,7 @@
 
 	"wheelgauge"
 	"wheelgauge/configstate"
+	"wheelgauge/ordercheck"
 	"wheelgauge/routetable"
 )
 
@@ -37,7 +38,7 @@
 }
 
 // DrainHall implements wheelgauge.Operations.
-func (n *Node) DrainHall(ctx context.Context, hall string, drained bool) error {
+func (n *Node) DrainHall(ctx context.Context, sender wheelgauge.Sender, hall string, drained bool) error {
 	if _, ok := n.o.RegionByHall[hall]; !ok {
 		return wheelgauge.NewError(wheelgauge.ReasonNotFound, wheelgauge.OutcomeNotRun, http.StatusNotFound, "no hall of this name: "+hall)
 	}
@@ -45,7 +46,12 @@
 	if drained {
 		op = configstate.OpDrain
 	}
-	res, err := n.proposeChange(ctx, configstate.Command{Op: op, Hall: hall})
+	ctx, cancel := context.WithTimeout(ctx, operationTimeout)
+	defer cancel()
+	var res configstate.Result
+	err := n.orders.Run(ctx, sender, func(_ context.Context, since uint64) (ordercheck.Propose, error) {
+		return n.proposal(configstate.Command{Op: op, Hall: hall, Since: since}, &res), nil
+	})
 	if err != nil {
 		n.o.Log.Info("Drain or resume of a hall is not acknowledged.", "hall", hall, "order", op, "cause", err.Error())
 		return err
@@ -54,6 +60,14 @@
 	return nil
 }
 
+// proposal returns the proposal of an order, which sets res to its result.
+func (n *Node) proposal(c configstate.Command, res *configstate.Result) ordercheck.Propose {
+	return func(ctx context.Context) (overtaken bool, err error) {
+		*res, err = n.proposeChange(ctx, c)
+		return res.Overtaken, err
+	}
+}
+
 func (n *Node) proposeChange(ctx context.Context, c configstate.Command) (configstate.Result, error) {
 	ctx, cancel := context.WithTimeout(ctx, operationTimeout)
 	defer cancel()
--- a/confstore/rollouts.go
+++ b/confstore/rollouts.go
@@ -11,6 +11,7 @@
 
 	"wheelgauge"
 	"wheelgauge/configstate"
+	"wheelgauge/ordercheck"
 	"wheelgauge/rollout/controller"
 )
 
@@ -69,8 +70,8 @@
 }
 
 // StartRollout implements wheelgauge.Operations.
-func (n *Node) StartRollout(ctx context.Context, order wheelgauge.RolloutRequest) error {
-	err := n.startRollout(ctx, order)
+func (n *Node) StartRollout(ctx context.Context, sender wheelgauge.Sender, order wheelgauge.RolloutRequest) error {
+	err := n.startRollout(ctx, sender, order)
 	cause := ""
 	if err != nil {
 		cause = err.Error()
@@ -79,24 +80,18 @@
 	return err
 }
 
-func (n *Node) startRollout(ctx context.Context, order wheelgauge.RolloutRequest) error {
+func (n *Node) startRollout(ctx context.Context, sender wheelgauge.Sender, order wheelgauge.RolloutRequest) error {
 	if err := checkRollout(order); err != nil {
 		return wheelgauge.NewError(wheelgauge.ReasonInvalid, wheelgauge.OutcomeNotRun, http.StatusBadRequest, err.Error())
 	}
 	ctx, cancel := context.WithTimeout(ctx, operationTimeout)
 	defer cancel()
-	// Without the barrier a lagging replica would reject a service that was just added.
-	if err := n.replica.ReadBarrier(ctx); err != nil {
-		return fmt.Errorf("start rollout: %w", err)
-	}
-	if err := n.requireService(order.Service); err != nil {
-		return err
-	}
-	last, known := wheelgauge.FindRollout(n.rollouts(), order.Service)
-	retry := known && !last.Running() && last.ElapsedMS > resendWindow.Milliseconds()
-	res, err := n.proposeChange(ctx, configstate.Command{Op: configstate.OpRollout, Rollout: &wheelgauge.Rollout{RolloutRequest: order}, Retry: retry})
+	var res configstate.Result
+	err := n.orders.Run(ctx, sender, func(ctx context.Context, since uint64) (ordercheck.Propose, error) {
+		return n.prepareRollout(ctx, order, since, &res)
+	})
 	if err != nil {
-		return err
+		return fmt.Errorf("start rollout: %w", err)
 	}
 	switch {
 	case res.Applied || !res.Rollout.Running():
@@ -108,6 +103,19 @@
 		"the service is already being rolled out to version "+res.Rollout.Version)
 }
 
+func (n *Node) prepareRollout(ctx context.Context, order wheelgauge.RolloutRequest, since uint64, res *configstate.Result) (ordercheck.Propose, error) {
+	// A replica that lags would reject a service that was just added.
+	if err := n.replica.AwaitApplied(ctx, since); err != nil {
+		return nil, err
+	}
+	if err := n.requireService(order.Service); err != nil {
+		return nil, err
+	}
+	last, known := wheelgauge.FindRollout(n.rollouts(), order.Service)
+	retry := known && !last.Running() && last.ElapsedMS > resendWindow.Milliseconds()
+	return n.proposal(configstate.Command{Op: configstate.OpRollout, Rollout: &wheelgauge.Rollout{RolloutRequest: order}, Retry: retry, Since: since}, res), nil
+}
+
 func checkRollout(o wheelgauge.RolloutRequest) error {
 	switch {
 	case o.Service == "":
@@ -141,25 +149,23 @@
 	}
 	r, ok := wheelgauge.FindRollout(n.rollouts(), service)
 	if !ok {
-		return r, wheelgauge.NewError(wheelgauge.ReasonNotFound, wheelgauge.OutcomeNotRun, http.StatusNotFound, "no rollout of service "+service)
+		return r, noRolloutError(service)
 	}
 	return r, nil
 }
 
 // AbortRollout implements wheelgauge.Operations.
-func (n *Node) AbortRollout(ctx context.Context, service string) error {
-	r, err := n.Rollout(ctx, service)
+func (n *Node) AbortRollout(ctx context.Context, sender wheelgauge.Sender, service string) error {
+	ctx, cancel := context.WithTimeout(ctx, operationTimeout)
+	defer cancel()
+	var res configstate.Result
+	err := n.orders.Run(ctx, sender, func(ctx context.Context, since uint64) (ordercheck.Propose, error) {
+		return n.prepareAbort(ctx, service, since, &res)
+	})
 	if err != nil {
-		return err
-	}
-	if r.Running() {
-		r.State, r.Cause = wheelgauge.RolloutRolledBack, "ended by an operator"
-		res, err := n.proposeChange(ctx, configstate.Command{Op: configstate.OpRolloutStep, Rollout: &r})
-		if err != nil {
-			return err
-		}
-		r = res.Rollout
+		return fmt.Errorf("abort rollout: %w", err)
 	}
+	r := res.Rollout
 	n.o.Log.Info("Rollout is aborted by an operator.", "service", service, "target", r.Version, "number", r.Number, "state", r.State)
 	if r.State == wheelgauge.RolloutCompleted {
 		return wheelgauge.NewError(wheelgauge.ReasonInvalid, wheelgauge.OutcomeNotRun, http.StatusUnprocessableEntity, "the rollout has already completed")
@@ -167,6 +173,28 @@
 	return nil
 }
 
+// prepareAbort returns the roll-back of the rollout that is in progress now: a later one has
+// another number.
+func (n *Node) prepareAbort(ctx context.Context, service string, since uint64, res *configstate.Result) (ordercheck.Propose, error) {
+	if err := n.replica.AwaitApplied(ctx, since); err != nil {
+		return nil, err
+	}
+	r, known := wheelgauge.FindRollout(n.rollouts(), service)
+	if !known {
+		return nil, noRolloutError(service)
+	}
+	if !r.Running() {
+		res.Rollout = r
+		return func(context.Context) (bool, error) { return false, nil }, nil
+	}
+	r.State, r.Cause = wheelgauge.RolloutRolledBack, "ended by an operator"
+	return n.proposal(configstate.Command{Op: configstate.OpRolloutStep, Rollout: &r}, res), nil
+}
+
+func noRolloutError(service string) error {
+	return wheelgauge.NewError(wheelgauge.ReasonNotFound, wheelgauge.OutcomeNotRun, http.StatusNotFound, "no rollout of service "+service)
+}
+
 // advanceRollouts takes the next step of each running rollout if this store is the leader.
 func (n *Node) advanceRollouts(ctx context.Context) {
 	running := map[string]uint64{}
--- a/entrynode/rollout_recovery_test.go
+++ b/entrynode/rollout_recovery_test.go
@@ -13,7 +13,7 @@
 func TestRolloutSurvivesStoreRestarts(t *testing.T) {
 	f := openFleet(t)
 	req := wheelgauge.RolloutRequest{Service: "s", Version: "v2", DurationMS: time.Hour.Milliseconds()}
-	waitFor(t, "the rollout is accepted", func() bool { return f.stores[0].StartRollout(context.Background(), req) == nil })
+	waitFor(t, "the rollout is accepted", func() bool { return f.stores[0].StartRollout(context.Background(), waitingSender{}, req) == nil })
 	var before wheelgauge.Rollout
 	waitFor(t, "the rollout has run for 4 s", func() bool {
 		before = f.rollout(t)
@@ -44,7 +44,7 @@
 func TestRolloutOfRemovedService(t *testing.T) {
 	f := openFleet(t)
 	req := wheelgauge.RolloutRequest{Service: "s", Version: "v2", DurationMS: 1500}
-	waitFor(t, "the rollout is accepted", func() bool { return f.stores[0].StartRollout(context.Background(), req) == nil })
+	waitFor(t, "the rollout is accepted", func() bool { return f.stores[0].StartRollout(context.Background(), waitingSender{}, req) == nil })
 	body, err := json.Marshal(wheelgauge.RouteSet{
 		Version: 2, Services: []wheelgauge.Service{{Name: "x", MaxConns: 100}},
 		Routes: []wheelgauge.PathRoute{{
@@ -59,7 +59,7 @@
 		t.Fatal(err)
 	}
 	waitFor(t, "the rollout ends", func() bool { r := f.rollout(t); return r.Number != 0 && !r.Running() })
-	if err := f.stores[2].StartRollout(context.Background(), req); err == nil {
+	if err := f.stores[2].StartRollout(context.Background(), waitingSender{}, req); err == nil {
 		t.Error("got no error for a rollout of a removed service")
 	}
 }
--- a/entrynode/rollout_test.go
+++ b/entrynode/rollout_test.go
@@ -115,7 +115,7 @@
 			defer c.stop()
 			req := wheelgauge.RolloutRequest{Service: "s", Version: "v2", DurationMS: rolloutTimeLimit.Milliseconds()}
 			start := time.Now()
-			waitFor(t, "the rollout is accepted", func() bool { return f.stores[0].StartRollout(context.Background(), req) == nil })
+			waitFor(t, "the rollout is accepted", func() bool { return f.stores[0].StartRollout(context.Background(), waitingSender{}, req) == nil })
 			f.engines.deploy(t, "v2", 4, tt.failing)
 			if tt.restart {
 				f.closeStore(t, 1)
@@ -179,7 +179,7 @@
 		{"another version", other, http.StatusUnprocessableEntity},
 	}
 	for n, tt := range tests {
-		err := f.stores[n%fleetSize].StartRollout(context.Background(), tt.req)
+		err := f.stores[n%fleetSize].StartRollout(context.Background(), waitingSender{}, tt.req)
 		status := 0
 		if err != nil {
 			status = wheelgauge.AsError(err).Status()
@@ -191,13 +191,13 @@
 	if r := f.rollout(t); r.RolloutRequest != req || !r.Running() {
 		t.Errorf("got rollout %+v, want the accepted one, running", r)
 	}
-	if err := f.stores[0].AbortRollout(context.Background(), "s"); err != nil {
+	if err := f.stores[0].AbortRollout(context.Background(), waitingSender{}, "s"); err != nil {
 		t.Fatal(err)
 	}
 	if r := f.rollout(t); r.State != wheelgauge.RolloutRolledBack {
 		t.Errorf("rollout is %s after the abort, want it rolled back", r.State)
 	}
-	if err := f.stores[1].StartRollout(context.Background(), req); err != nil {
+	if err := f.stores[1].StartRollout(context.Background(), waitingSender{}, req); err != nil {
 		t.Errorf("request repeated after a lost response: got error %v", err)
 	}
 	if r := f.rollout(t); r.State != wheelgauge.RolloutRolledBack {
@@ -225,7 +225,7 @@
 			defer c.stop()
 			start := time.Now()
 			req := wheelgauge.RolloutRequest{Service: "s", Version: "v2", DurationMS: limit.Milliseconds()}
-			waitFor(t, "the rollout is accepted", func() bool { return f.stores[0].StartRollout(context.Background(), req) == nil })
+			waitFor(t, "the rollout is accepted", func() bool { return f.stores[0].StartRollout(context.Background(), waitingSender{}, req) == nil })
 			f.engines.deploy(t, "v2", 8, 0)
 			var r wheelgauge.Rollout
 			for r = f.rollout(t); r.Number == 0 || r.Running(); r = f.rollout(t) {
@@ -242,3 +242,9 @@
 		})
 	}
 }
+
+// waitingSender is an operator that waits for the response to its order.
+type waitingSender struct{}
+
+func (waitingSender) Waiting() bool           { return true }
+func (waitingSender) Patience() time.Duration { return 0 }
--- a/fleet.go
+++ b/fleet.go
@@ -145,6 +145,8 @@
 	Rollouts []Rollout `json:"rollouts,omitempty"`
 	// Crashes are those because of which requests are quarantined.
 	Crashes []Crash `json:"crashes,omitempty"`
+	// LastOrders has, by subject, the index in the replicated log of the last order carried out.
+	LastOrders map[string]uint64 `json:"last_orders,omitempty"`
 }
 
 // RegionUsage is the load of another region.
--- a/native/operations.go
+++ b/native/operations.go
@@ -46,9 +46,9 @@
 			list, err := o.Quarantined(context.Background())
 			respond(ctx, list, err)
 		case strings.HasPrefix(path, PathQuarantine+"/") && ctx.IsDelete():
-			respond(ctx, struct{}{}, o.ReleaseQuarantined(context.Background(), wheelgauge.Fingerprint(strings.TrimPrefix(path, PathQuarantine+"/"))))
+			respond(ctx, struct{}{}, o.ReleaseQuarantined(context.Background(), peerhttp.NewSender(ctx, 0), wheelgauge.Fingerprint(strings.TrimPrefix(path, PathQuarantine+"/"))))
 		case isHall && isDrain && (ctx.IsPut() || ctx.IsDelete()):
-			respond(ctx, struct{}{}, o.DrainHall(context.Background(), hall, ctx.IsPut()))
+			respond(ctx, struct{}{}, o.DrainHall(context.Background(), peerhttp.NewSender(ctx, 0), hall, ctx.IsPut()))
 		default:
 			peerhttp.NotFound(ctx)
 		}
@@ -77,14 +77,14 @@
 		order, err := peerhttp.Decode[wheelgauge.RolloutRequest](ctx)
 		if err == nil {
 			order.Service = service
-			err = o.StartRollout(context.Background(), order)
+			err = o.StartRollout(context.Background(), peerhttp.NewSender(ctx, 0), order)
 		}
 		respond(ctx, struct{}{}, err)
 	case ctx.IsGet():
 		r, err := o.Rollout(context.Background(), service)
 		respond(ctx, r, err)
 	case ctx.IsDelete():
-		respond(ctx, struct{}{}, o.AbortRollout(context.Background(), service))
+		respond(ctx, struct{}{}, o.AbortRollout(context.Background(), peerhttp.NewSender(ctx, 0), service))
 	default:
 		peerhttp.NotFound(ctx)
 	}
--- a/replica/propose.go
+++ b/replica/propose.go
@@ -79,8 +79,9 @@
 	}
 }
 
-// ReadBarrier implements wheelgauge.Proposer.
-func (r *Replica) ReadBarrier(ctx context.Context) error {
+// ReadIndex returns the index of a committed entry that is not before any that was committed
+// before the call, once a quorum has confirmed the leader.
+func (r *Replica) ReadIndex(ctx context.Context) (uint64, error) {
 	var p leaderResult
 	var err error
 	if r.IsLeader() {
@@ -89,12 +90,26 @@
 		err = r.callLeader(ctx, http.MethodGet, pathBarrier, nil, &p)
 	}
 	if err != nil {
-		return fmt.Errorf("read barrier: %w", err)
+		return 0, fmt.Errorf("read barrier: %w", err)
+	}
+	return p.Index, nil
+}
+
+// ReadBarrier implements wheelgauge.Proposer.
+func (r *Replica) ReadBarrier(ctx context.Context) error {
+	index, err := r.ReadIndex(ctx)
+	if err != nil {
+		return err
 	}
-	if applied, _ := r.applied.get(); applied < p.Index && r.disk.unwritable.Load() {
+	return r.AwaitApplied(ctx, index)
+}
+
+// AwaitApplied returns once this replica has applied the entry at index.
+func (r *Replica) AwaitApplied(ctx context.Context, index uint64) error {
+	if applied, _ := r.applied.get(); applied < index && r.disk.unwritable.Load() {
 		return diskUnwritableError()
 	}
-	if err := r.applied.wait(ctx, p.Index); err != nil {
+	if err := r.applied.wait(ctx, index); err != nil {
 		return noLeaderError("this store did not catch up with the leader in time")
 	}
 	return nil
--- a/routes.go
+++ b/routes.go
@@ -241,20 +241,21 @@
 	// Routes returns the current configuration as it was sent, after a read
 	// barrier; an error if there is none.
 	Routes(ctx context.Context) ([]byte, error)
-	// DrainHall stops or resumes sending requests to the backend servers of a hall.
-	DrainHall(ctx context.Context, hall string, drained bool) error
+	// DrainHall stops or resumes sending requests to the backend servers of a hall. Like the
+	// orders below it changes nothing once a later order of its sender was acknowledged.
+	DrainHall(ctx context.Context, sender Sender, hall string, drained bool) error
 	// StartRollout starts to move a service's requests to another version. It fails if the
 	// service has a rollout in progress.
-	StartRollout(ctx context.Context, order RolloutRequest) error
+	StartRollout(ctx context.Context, sender Sender, order RolloutRequest) error
 	// Rollout returns the last rollout of a service, after a read barrier.
 	Rollout(ctx context.Context, service string) (Rollout, error)
 	// AbortRollout rolls back a rollout that is in progress.
-	AbortRollout(ctx context.Context, service string) error
+	AbortRollout(ctx context.Context, sender Sender, service string) error
 	// Quarantined returns what no backend server gets because it crashes them, after a read barrier.
 	Quarantined(ctx context.Context) ([]Quarantined, error)
 	// ReleaseQuarantined lets a quarantined request or part reach backend servers again. Crashes of
 	// further servers quarantine it anew.
-	ReleaseQuarantined(ctx context.Context, f Fingerprint) error
+	ReleaseQuarantined(ctx context.Context, sender Sender, f Fingerprint) error
 	// EntryAddresses returns the addresses to which callers of a region may connect
 	// for a host name, and how long the result is valid.
 	EntryAddresses(name, region string) ([]string, time.Duration, error)
