Orders: a late removal of a store by name keeps a store that joined under it later

The removal now goes the way of the other orders: the index of the log is read while its sender waits, and the leader refuses it if the members changed after that index; it is tried again while the sender waits. TestLateRemovalKeepsTheStoreOfThatName; without the check of the index it removes the new store.

--- a/raft/view.go
+++ b/raft/view.go
@@ -26,6 +26,10 @@
 // Applied returns the highest applied index.
 func (c *Core) Applied() uint64 { return c.applied }
 
+// LastChange returns an index that is not before the last membership change of this leader or of
+// an earlier one.
+func (c *Core) LastChange() uint64 { return c.lastChangeIndex }
+
 // Match returns the highest index at which a member's log is known to match the
 // leader's.
 func (c *Core) Match(id uint64) uint64 {
--- a/replica/handler.go
+++ b/replica/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -60,12 +61,15 @@
 
 // handleJoin adds a store, or removes one by its name.
 func (r *Replica) handleJoin(callCtx context.Context, ctx *fasthttp.RequestCtx) {
-	join, remove := r.Join, r.Remove
-	if ctx.QueryArgs().GetBool(argForwarded) {
-		join, remove = r.joinLocal, r.removeLocal
-	}
+	args := ctx.QueryArgs()
 	if ctx.IsDelete() {
-		reply(ctx, struct{}{}, remove(callCtx, string(ctx.QueryArgs().Peek("name"))))
+		since, err := args.GetUint(argSince)
+		if err != nil {
+			peerhttp.WriteError(ctx, fmt.Errorf("remove a store: %w", err))
+			return
+		}
+		res, err := r.removeLocal(callCtx, string(args.Peek(argName)), uint64(since))
+		reply(ctx, res, err)
 		return
 	}
 	m, err := peerhttp.Decode[raft.Member](ctx)
@@ -74,6 +78,10 @@
 		return
 	}
 	r.net.learn(m)
+	join := r.Join
+	if args.GetBool(argForwarded) {
+		join = r.joinLocal
+	}
 	reply(ctx, struct{}{}, join(callCtx, m))
 }
 
--- a/replica/join_test.go
+++ b/replica/join_test.go
@@ -1,9 +1,13 @@
 package replica
 
 import (
+	"context"
 	"net"
+	"slices"
 	"sync/atomic"
 	"testing"
+
+	"wheelgauge/raft"
 )
 
 // hang listens on an address and never answers.
@@ -57,3 +61,47 @@
 	later.Store(&[]string{all[0]})
 	g.waitFor("two voters", func() bool { return g.voters() == 2 })
 }
+
+// A removal by name that comes late removes no store that joined under the name after it was given.
+func TestLateRemovalKeepsTheStoreOfThatName(t *testing.T) {
+	all := []string{"127.0.84.1:7801", "127.0.84.2:7801", "127.0.84.3:7801"}
+	g := &group{t: t, seeds: all, nodes: map[string]*node{}}
+	defer g.stopAll()
+	for _, a := range all {
+		g.start(a, t.TempDir(), true)
+	}
+	g.waitFor("three voters", func() bool { return g.voters() == 3 })
+	readIndex := func() (index uint64) {
+		t.Helper()
+		g.waitFor("an index", func() bool {
+			var err error
+			index, err = g.nodes[all[0]].replica.ReadIndex(context.Background())
+			return err == nil
+		})
+		return index
+	}
+	remove := func(since uint64) (overtaken bool) {
+		t.Helper()
+		g.waitFor("a response to the removal", func() bool {
+			var err error
+			overtaken, err = g.nodes[all[0]].replica.Remove(context.Background(), all[2], since)
+			return err == nil
+		})
+		return overtaken
+	}
+	since := readIndex()
+	g.stop(g.nodes[all[2]])
+	g.start(all[2], t.TempDir(), false)
+	joined := func() bool {
+		id := g.nodes[all[2]].replica.Status().Self.ID
+		return slices.ContainsFunc(g.nodes[all[0]].replica.Status().Members, func(m raft.Member) bool { return m.ID == id && m.Voter })
+	}
+	g.waitFor("the store on its new disk", joined)
+	if !remove(since) || !joined() {
+		t.Error("a late removal was carried out")
+	}
+	for g.voters() == 3 && remove(readIndex()) {
+		t.Log("the members changed meanwhile")
+	}
+	g.waitFor("a removal", func() bool { return g.voters() == 2 || !joined() })
+}
--- a/replica/members.go
+++ b/replica/members.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"net/url"
 	"slices"
 	"sync"
 	"time"
@@ -18,6 +20,8 @@
 	// argForwarded marks a call that only a leader may handle: two stores that believe each
 	// other to lead would forward it forever.
 	argForwarded = "forwarded"
+	argName      = "name"
+	argSince     = "since"
 	joinInterval = 400 * time.Millisecond
 	// joinTimeout bounds the call to one store. It is shorter than an election, after which the
 	// store may know another leader.
@@ -114,16 +118,31 @@
 	return r.changeMembers(ctx, func() ([]raft.Member, error) { return r.planner.Join(r.core, m) })
 }
 
-// Remove removes a member from the group.
-func (r *Replica) Remove(ctx context.Context, name string) error {
-	if !r.IsLeader() {
-		return r.callLeader(ctx, http.MethodDelete, pathJoin+"?"+argForwarded+"=true&name="+name, nil, nil)
+// removeReply is the leader's response to a removal.
+type removeReply struct {
+	// Overtaken is set if the members changed after the index that the removal is based on.
+	Overtaken bool `json:"overtaken"`
+}
+
+// Remove removes a member from the group, unless the members changed after the index since of the
+// log: another store may have joined under the name.
+func (r *Replica) Remove(ctx context.Context, name string, since uint64) (overtaken bool, err error) {
+	if r.IsLeader() {
+		reply, err := r.removeLocal(ctx, name, since)
+		return reply.Overtaken, err
 	}
-	return r.removeLocal(ctx, name)
+	var reply removeReply
+	path := fmt.Sprintf("%s?name=%s&%s=%d", pathJoin, url.QueryEscape(name), argSince, since)
+	err = r.callLeader(ctx, http.MethodDelete, path, nil, &reply)
+	return reply.Overtaken, err
 }
 
-func (r *Replica) removeLocal(ctx context.Context, name string) error {
-	return r.changeMembers(ctx, func() ([]raft.Member, error) {
+func (r *Replica) removeLocal(ctx context.Context, name string, since uint64) (removeReply, error) {
+	var reply removeReply
+	return reply, r.changeMembers(ctx, func() ([]raft.Member, error) {
+		if reply.Overtaken = r.core.LastChange() > since; reply.Overtaken {
+			return nil, nil
+		}
 		members := r.core.Members()
 		i := slices.IndexFunc(members, func(o raft.Member) bool { return o.Name == name })
 		if i < 0 {
--- a/storeapi/api.go
+++ b/storeapi/api.go
@@ -18,6 +18,7 @@
 	"wheelgauge/membership"
 	"wheelgauge/meter"
 	"wheelgauge/operatorauth"
+	"wheelgauge/ordercheck"
 	"wheelgauge/peerhttp"
 	"wheelgauge/pendingrules"
 	"wheelgauge/permitclient"
@@ -43,8 +44,10 @@
 
 // API serves the two listeners of a store.
 type API struct {
-	Registry           *registry.Registry
-	Replica            *replica.Replica
+	Registry *registry.Registry
+	Replica  *replica.Replica
+	// Orders carries out orders about stores.
+	Orders             *ordercheck.Runner
 	Claims             *claims.Table
 	AppliedGenerations *appliedgen.Table
 	Acceptor           *pendingrules.Acceptor
@@ -165,7 +168,10 @@
 func (a *API) removeStore(ctx *fasthttp.RequestCtx, name string) {
 	callCtx, cancel := context.WithTimeout(a.Context, changeTimeout)
 	defer cancel()
-	if err := a.Replica.Remove(callCtx, name); err != nil {
+	err := a.Orders.Run(callCtx, peerhttp.NewSender(ctx, 0), func(_ context.Context, since uint64) (ordercheck.Propose, error) {
+		return func(ctx context.Context) (bool, error) { return a.Replica.Remove(ctx, name, since) }, nil
+	})
+	if err != nil {
 		peerhttp.WriteError(ctx, err)
 		return
 	}
--- a/storenode/node.go
+++ b/storenode/node.go
@@ -22,6 +22,7 @@
 	"wheelgauge/membership"
 	"wheelgauge/meter"
 	"wheelgauge/operatorauth"
+	"wheelgauge/ordercheck"
 	"wheelgauge/orders"
 	"wheelgauge/peerhttp"
 	"wheelgauge/pendingrules"
@@ -139,7 +140,7 @@
 		Engines: engine.New(upstream.New(plain), peerhttp.NewClient(plain, "")), Clock: clock, Log: o.Log.WithName("orders"),
 	})
 	api := &storeapi.API{
-		Registry: n.registry, Replica: n.replica, Claims: n.claims, AppliedGenerations: table, Acceptor: n.acceptor,
+		Registry: n.registry, Replica: n.replica, Orders: ordercheck.New(n.replica, clock), Claims: n.claims, AppliedGenerations: table, Acceptor: n.acceptor,
 		Hub: n.hub, Tokens: o.Tokens, Meter: meter.New(), Context: ctx,
 	}
 	return n.listen(api)
