Stores: the folder of the replica's log outlives a power failure

By reading (review): the folder 'replica' was made without a sync of its parent, so a loss of power could take it with everything in it, and an acknowledged configuration with its disk. wal.MakeDir syncs the parent of each folder, also of one that an earlier start made; claims use it too. TestMakeDirSyncsParents checks which folders are synced; a loss of power itself was not played.

--- a/claims/claims.go
+++ b/claims/claims.go
@@ -14,7 +14,6 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"os"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -84,7 +83,7 @@
 	if options.Now == nil {
 		options.Now = time.Now
 	}
-	if err := os.MkdirAll(options.Dir, 0o700); err != nil {
+	if err := wal.MakeDir(options.Dir, 0o700); err != nil {
 		return nil, fmt.Errorf("create claims folder: %w", err)
 	}
 	log, records, err := wal.Open(filepath.Join(options.Dir, logFile))
@@ -355,7 +354,7 @@
 // Initialize initializes dir as a region's first claim disk, which means that no earlier
 // claims can have been lost.
 func Initialize(dir string) error {
-	if err := os.MkdirAll(dir, 0o700); err != nil {
+	if err := wal.MakeDir(dir, 0o700); err != nil {
 		return fmt.Errorf("create claims folder: %w", err)
 	}
 	log, records, err := wal.Open(filepath.Join(dir, logFile))
--- a/replica/storage.go
+++ b/replica/storage.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"os"
 	"path/filepath"
 
 	"wheelgauge/raft"
@@ -57,7 +56,7 @@
 // identity and no state. On a full disk it returns both the storage and an error
 // that satisfies wal.IsNoSpace.
 func openStorage(dir string) (*storage, raft.State, bool, error) {
-	if err := os.MkdirAll(dir, dirMode); err != nil {
+	if err := wal.MakeDir(dir, dirMode); err != nil {
 		return nil, raft.State{}, false, fmt.Errorf("create data directory: %w", err)
 	}
 	inode, err := diskID(dir)
--- a/wal/wal.go
+++ b/wal/wal.go
@@ -266,6 +266,25 @@
 	return nil
 }
 
+// MakeDir creates a directory and its missing parents. It syncs the parent of each that it
+// creates: without that, a power failure may lose the directory with all files in it.
+func MakeDir(path string, mode os.FileMode) error { return makeDir(path, mode, syncDir) }
+
+func makeDir(path string, mode os.FileMode, sync func(path string) error) error {
+	err := os.Mkdir(path, mode)
+	if errors.Is(err, os.ErrNotExist) {
+		if err := makeDir(filepath.Dir(path), mode, sync); err != nil {
+			return err
+		}
+		err = os.Mkdir(path, mode)
+	}
+	if err != nil && !errors.Is(err, os.ErrExist) {
+		return fmt.Errorf("create directory: %w", err)
+	}
+	// One that exists may be from a start that ended before the sync.
+	return sync(filepath.Dir(path))
+}
+
 func syncDir(path string) error {
 	d, err := os.Open(path)
 	if err != nil {
--- a/wal/wal_test.go
+++ b/wal/wal_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"testing"
 )
 
@@ -187,3 +188,25 @@
 		}
 	})
 }
+
+// A power failure loses no directory that was made, so each parent is synced, also at a later start.
+func TestMakeDirSyncsParents(t *testing.T) {
+	root := t.TempDir()
+	path := filepath.Join(root, "a", "b")
+	for _, want := range [][]string{{root, filepath.Join(root, "a")}, {filepath.Join(root, "a")}} {
+		var synced []string
+		err := makeDir(path, 0o700, func(p string) error {
+			synced = append(synced, p)
+			return nil
+		})
+		if err != nil || !slices.Equal(synced, want) {
+			t.Errorf("got synced %v, error %v, want %v", synced, err, want)
+		}
+		if info, err := os.Stat(path); err != nil || !info.IsDir() {
+			t.Errorf("%s is no directory: %v", path, err)
+		}
+	}
+	if err := MakeDir(filepath.Join(root, "c"), 0o700); err != nil {
+		t.Error(err)
+	}
+}
