Routes: a Connection header does not remove a request's ID

Seen by the review: a request whose Connection header named its Request-Id went to a server without it, and the server's answer could not be told from another's. Headers that servers and callers tell requests and answers by are passed on whatever Connection names; others it names are removed as before. TestConnectionHeaderKeepsRequestID fails without the change.

--- a/routegate/gate.go
+++ b/routegate/gate.go
@@ -111,6 +111,7 @@
 	// confirmedAt is when the configuration was last known to be the newest.
 	confirmedAt     atomic.Pointer[time.Time]
 	reservedHeaders map[string]bool
+	endToEndHeaders map[string]bool
 	successes       atomic.Uint64
 	// leaving is nil unless the process is shutting down.
 	leaving   atomic.Pointer[departure]
@@ -151,7 +152,7 @@
 		o.Clock = wheelgauge.MonotonicClock{}
 	}
 	return &Gate{
-		options: o, reservedHeaders: reservedNames(o.Names), ready: make(chan struct{}),
+		options: o, reservedHeaders: reservedNames(o.Names), endToEndHeaders: endToEndNames(o.Names), ready: make(chan struct{}),
 		startupDeadline: time.Now().Add(startupWindow), startupWait: startupWait,
 	}
 }
--- a/routegate/headernames_test.go
+++ b/routegate/headernames_test.go
@@ -54,6 +54,19 @@
 	}
 }
 
+// A Connection header does not remove what tells requests and answers apart.
+func TestConnectionHeaderKeepsRequestID(t *testing.T) {
+	b := newBackend(t)
+	_, c := newGate(t, routes(), b, b)
+	if _, _, err := get(t, c, "/once/", "X-Hop: 1\r\nConnection: x-request-id, X-Hop\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	received := b.received()
+	if len(received) != 1 || received[0].Get("X-Request-Id") != "r1" || received[0].Get("X-Hop") != "" {
+		t.Errorf("the server got %v, want the request's ID and no X-Hop", received)
+	}
+}
+
 // Header names of callers take effect in any case, and are not just passed on.
 func TestCallersHeaderNamesInAnyCase(t *testing.T) {
 	for _, name := range []string{"Wheelgauge-Deadline-Ms", "wheelgauge-deadline-ms", "WHEELGAUGE-DEADLINE-MS"} {
--- a/routegate/headers.go
+++ b/routegate/headers.go
@@ -32,6 +32,18 @@
 	return out
 }
 
+// endToEndNames are the headers that a Connection header cannot remove: servers and callers
+// tell requests and answers by them.
+func endToEndNames(n wheelgauge.HeaderNames) map[string]bool {
+	out := map[string]bool{}
+	for _, name := range []string{n.RequestID, n.Signature, n.PromptParts, n.TokenCounts, n.OutputHint, n.Resumes} {
+		if name != "" {
+			out[strings.ToLower(name)] = true
+		}
+	}
+	return out
+}
+
 // connectionTokens returns the header names listed in a Connection header.
 func connectionTokens(connection []byte) map[string]bool {
 	var out map[string]bool
@@ -65,7 +77,8 @@
 	lastEvent := strings.ToLower(c.gate.options.Names.LastEventID)
 	for name, value := range h.All() {
 		lower := strings.ToLower(string(name))
-		if hopByHop[lower] || originFields[lower] || c.gate.reservedHeaders[lower] || connectionHeaders[lower] || lower == lastEvent {
+		if hopByHop[lower] || originFields[lower] || c.gate.reservedHeaders[lower] || lower == lastEvent ||
+			connectionHeaders[lower] && !c.gate.endToEndHeaders[lower] {
 			continue
 		}
 		dst = appendHeader(dst, string(name), string(value))
