Gateways: the bodies of all requests in progress are bounded

By reading (review): a gateway reads whole bodies and had no bound on their sum; 40 uploads of 4 MiB exceed the 284 MB of a small host, which would be killed with all its requests. Bodies of callers' and forwarded requests now share a fifth of the host's memory. One of known length is refused before it is read, one of unknown length when it does not fit: 503, not run, Retry-After 1 s; the connection is kept where the rest of the body is short.

--- a/callerhttp/conn.go
+++ b/callerhttp/conn.go
@@ -20,15 +20,19 @@
 	// bodyTimeout bounds how long the read of a body may take. It also stands in for a
 	// header or idle timeout of 0.
 	bodyTimeout = 30 * time.Second
+	// bodyRetryAfter is told to callers whose bodies find no memory: about what an upload takes.
+	bodyRetryAfter = time.Second
 	// minReadBufferBytes holds ordinary headers before the limits are known.
 	minReadBufferBytes = 16 << 10
 )
 
 // conn is a caller's connection.
 type conn struct {
-	server     *Server
-	net        net.Conn
-	in         *bufio.Reader
+	server *Server
+	net    net.Conn
+	in     *bufio.Reader
+	// body is what in reads from.
+	body       bodyReader
 	callerLeft atomic.Bool
 	// dropping is set while the connection counts as idle and a body that was not read is dropped.
 	dropping atomic.Bool
@@ -38,7 +42,10 @@
 }
 
 func newConn(s *Server, c net.Conn) *conn {
-	return &conn{server: s, net: c, in: bufio.NewReaderSize(c, max(minReadBufferBytes, s.options.Limits().MaxHeaderBytes))}
+	k := &conn{server: s, net: c}
+	k.in = bufio.NewReaderSize(&k.body, max(minReadBufferBytes, s.options.Limits().MaxHeaderBytes))
+	k.body = bodyReader{net: c, budget: s.options.Bodies}
+	return k
 }
 
 // currentCancel returns the function that cancels the request in progress, nil if there is none.
@@ -65,7 +72,10 @@
 			if !k.readBody(r) {
 				return
 			}
-			k.withCancel(ctx, serve)
+			if !r.started { // else refused for want of memory
+				k.withCancel(ctx, serve)
+			}
+			k.body.release()
 		}
 		k.dropping.Store(r.unread != 0)
 		if r.closeAfter || k.in.Buffered() <= max(0, r.unread) { // else a byte of the next request was read
@@ -152,8 +162,13 @@
 	return !k.dropping.Load() && connpeek.Readable(k.net) && !connpeek.PeerClosed(k.net)
 }
 
-// readBody reads the body of a request. It returns false if the connection must be closed.
+// readBody reads the body of a request, or refuses the request if there is no memory for it. It
+// returns false if the connection must be closed.
 func (k *conn) readBody(r *Request) bool {
+	length := bodyRest(&r.request.Header)
+	if !k.body.reserve(length) {
+		return k.refuseBody(r, length)
+	}
 	r.unread = 0
 	if r.request.MayContinue() {
 		_ = k.net.SetWriteDeadline(time.Now().Add(k.server.options.WriteTimeout)) // on a closed connection the write fails
@@ -163,14 +178,31 @@
 	}
 	k.setReadTimeout(bodyTimeout)
 	if err := r.request.ContinueReadBody(k.in, k.server.options.Limits().MaxBodyBytes, false); err != nil {
+		if k.body.exhausted {
+			return k.refuseBody(r, unknownRest)
+		}
+		k.body.release()
 		k.reject(r, bodyErrorStatus(err), err)
 		return false
 	}
+	if !k.body.reserveRead(len(r.request.Body())) {
+		return k.refuseBody(r, 0)
+	}
 	k.server.bodyBytes.Add(int64(len(r.request.Body())))
 	_ = k.net.SetReadDeadline(time.Time{}) // fails only on a closed connection
 	return true
 }
 
+// refuseBody refuses a request whose body finds no memory. It returns true, as the connection may
+// be kept.
+func (k *conn) refuseBody(r *Request, unread int) bool {
+	k.body.release()
+	r.unread = unread
+	r.RespondError(wheelgauge.NewError(wheelgauge.ReasonOverloaded, wheelgauge.OutcomeNotRun, http.StatusServiceUnavailable,
+		"this host has no memory left for the body").WithRetryAfter(bodyRetryAfter))
+	return true
+}
+
 func (k *conn) readHeader(r *Request) error {
 	h := &r.request.Header
 	h.DisableNormalizing()
--- a/callerhttp/server.go
+++ b/callerhttp/server.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"wheelgauge"
+	"wheelgauge/bodybudget"
 	"wheelgauge/connpeek"
 	"wheelgauge/periodic"
 )
@@ -45,6 +46,8 @@
 	// ShareConns evicts idle connections for new ones, bounds the requests in progress of
 	// one owner, and ends the connections of refused requests, while connections are near MaxConns.
 	ShareConns bool
+	// Bodies bounds the bodies of all requests in progress; nil means no bound.
+	Bodies *bodybudget.Budget
 	// WriteTimeout is the time after which a caller that does not read its response is
 	// disconnected; defaultWriteTimeout when 0.
 	WriteTimeout time.Duration
--- a/entrynode/flood.go
+++ b/entrynode/flood.go
@@ -22,7 +22,7 @@
 func (n *Node) callerOptions() callerhttp.Options {
 	o := callerhttp.Options{
 		Limits: n.gate.Limits, Serve: n.gate.Serve, ShareConns: n.options.Flood.ShareConns,
-		MaxConns: connLimit(n.options.MemoryLimit, maxCallerConns),
+		MaxConns: connLimit(n.options.MemoryLimit, maxCallerConns), Bodies: n.bodies,
 	}
 	if n.options.Flood.RefuseEarly {
 		o.Admit = n.gate.Admit
@@ -32,7 +32,7 @@
 
 // peerOptions are without ShareConns: a connection of a gateway carries all workspaces.
 func (n *Node) peerOptions() callerhttp.Options {
-	o := callerhttp.Options{Limits: n.peerLimits, Serve: n.gate.ServePeer, MaxConns: connLimit(n.options.MemoryLimit, maxPeerConns)}
+	o := callerhttp.Options{Limits: n.peerLimits, Serve: n.gate.ServePeer, MaxConns: connLimit(n.options.MemoryLimit, maxPeerConns), Bodies: n.bodies}
 	if n.options.Flood.RefuseEarly {
 		o.Admit = n.gate.AdmitPeer
 	}
@@ -62,4 +62,7 @@
 		n.meter.Gauge(name+"body_bytes", c.BodyBytes)
 		n.meter.Gauge(name+"dropped_bytes", c.DroppedBytes)
 	}
+	held, refused := n.bodies.Held()
+	n.meter.Gauge("bodies.held_bytes", held)
+	n.meter.Gauge("bodies.refused", refused)
 }
--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -19,6 +19,7 @@
 
 	"wheelgauge"
 	"wheelgauge/bootclock"
+	"wheelgauge/bodybudget"
 	"wheelgauge/callerhttp"
 	"wheelgauge/capclient"
 	"wheelgauge/countconn"
@@ -78,6 +79,9 @@
 	// connMemoryShare is the share of the host's memory that connections may use when
 	// their peers read slowly.
 	connMemoryShare = 0.7
+	// bodyMemoryShare is the share that bodies of requests in progress may use. A body that is
+	// read takes up to twice its length while its buffer grows.
+	bodyMemoryShare = 0.2
 )
 
 // Options configures a Node.
@@ -128,6 +132,8 @@
 // Node is a running gateway.
 type Node struct {
 	options Options
+	// bodies bounds the bodies of callers' and forwarded requests together.
+	bodies *bodybudget.Budget
 	boot    uint64
 	gate    *routegate.Gate
 	servers *serverset.Table
@@ -277,6 +283,7 @@
 
 func (n *Node) listen() error {
 	var err error
+	n.bodies = bodybudget.New(int64(bodyMemoryShare * float64(n.options.MemoryLimit)))
 	n.callerServer, err = callerhttp.Listen(n.options.CallerAddress, n.callerOptions())
 	if err != nil {
 		return fmt.Errorf("start gateway: %w", err)
