Gateways: a whole URL as request target is served as its path

Seen by the review: a request with a whole URL in its first line got 404, as no route begins with it. RFC 9112, 3.2.2 has every server accept that form: the URL's host goes before the Host header, and the path and query go on unchanged.

--- a/callerhttp/conn.go
+++ b/callerhttp/conn.go
@@ -211,7 +211,10 @@
 		return err
 	}
 	r.closeAfter = h.ConnectionClose()
-	return checkFraming(h.RawHeaders())
+	if err := checkFraming(h.RawHeaders()); err != nil {
+		return err
+	}
+	return setOriginForm(h)
 }
 
 func (k *conn) setReadTimeout(d time.Duration) {
--- a/callerhttp/framing.go
+++ b/callerhttp/framing.go
@@ -3,6 +3,9 @@
 import (
 	"bytes"
 	"errors"
+	"strings"
+
+	"github.com/valyala/fasthttp"
 )
 
 var (
@@ -10,6 +13,7 @@
 	errFoldedLine     = errors.New("header line is folded")
 	errSeveralLengths = errors.New("header gives more than one body length")
 	errTransferCoding = errors.New("transfer coding is not chunked")
+	errTargetHost     = errors.New("request target has no valid host")
 )
 
 var (
@@ -19,6 +23,30 @@
 	crlf             = []byte("\r\n")
 )
 
+// setOriginForm replaces a request target that is a whole URL by its path and query. Its host
+// goes before the Host header (RFC 9112, 3.2.2).
+func setOriginForm(h *fasthttp.RequestHeader) error {
+	target := string(h.RequestURI())
+	scheme, rest, found := strings.Cut(target, "://")
+	if !found || strings.HasPrefix(target, "/") || !strings.EqualFold(scheme, "http") && !strings.EqualFold(scheme, "https") {
+		return nil
+	}
+	end := strings.IndexAny(rest, "/?#")
+	if end < 0 {
+		end = len(rest)
+	}
+	host, path := rest[:end], rest[end:]
+	if host == "" || strings.Contains(host, "@") {
+		return errTargetHost
+	}
+	if !strings.HasPrefix(path, "/") {
+		path = "/" + path
+	}
+	h.SetHost(host)
+	h.SetRequestURI(path)
+	return nil
+}
+
 // checkFraming rejects header blocks from which another HTTP parser could read
 // a different body length (request smuggling). fasthttp has already parsed the
 // block; this rejects what fasthttp tolerates.
--- a/callerhttp/framing_test.go
+++ b/callerhttp/framing_test.go
@@ -1,6 +1,13 @@
 package callerhttp
 
-import "testing"
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+)
 
 func TestCheckFraming(t *testing.T) {
 	tests := []struct {
@@ -26,3 +33,44 @@
 		})
 	}
 }
+
+// A request target that is a whole URL is the same request as its path at its host.
+func TestWholeURLAsTarget(t *testing.T) {
+	tests := []struct {
+		target, host string
+		status       int
+		path         string
+	}{
+		{"http://h/a?b=http://x/", "other", 200, "/a?b=http://x/"},
+		{"HTTP://h:80/a", "h", 200, "/a"},
+		{"http://h", "h", 200, "/"},
+		{"http://h?b", "h", 200, "/?b"},
+		{"/a?u=http://h/", "h", 200, "/a?u=http://h/"},
+		{"http:///a", "h", 400, ""},
+		{"http://user@h/a", "h", 400, ""},
+	}
+	for _, tt := range tests {
+		got := make(chan string, 1)
+		_, c := listen(t, func(_ context.Context, r *Request) {
+			got <- string(r.Header().Host()) + " " + string(r.Header().RequestURI())
+			_ = r.Respond(http.StatusOK, nil, nil)
+		})
+		if _, err := fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", tt.target, tt.host); err != nil {
+			t.Fatal(err)
+		}
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if resp.StatusCode != tt.status {
+			t.Errorf("%s: got status %d, want %d", tt.target, resp.StatusCode, tt.status)
+			continue
+		}
+		if tt.status != http.StatusOK {
+			continue
+		}
+		if host, path, _ := strings.Cut(<-got, " "); !strings.HasPrefix(host, "h") || path != tt.path {
+			t.Errorf("%s: served as %s at host %s, want %s at h", tt.target, path, host, tt.path)
+		}
+	}
+}
