Servers: bytes without end are closed instead of waited for

A request held its connection, and its server's place, until its own deadline in three cases: informational responses without end, a response to another request whose body has no end, and a body without end after a refusal or a failure that is to be retried. A connection in the pool to which bytes came took them until its idle timeout. A head was bounded by 8 KiB before. An answer that is relayed is held to 256 KiB and one buffer, and ends when its caller closes or its deadline is over: a long answer cannot be told from garbage. Not done: the mode with resources uses another client; it was not tested for this.

--- a/serverconn/body.go
+++ b/serverconn/body.go
@@ -6,10 +6,20 @@
 	"io"
 	"net/http"
 	"net/http/httputil"
+	"time"
 
 	"github.com/valyala/fasthttp"
 )
 
+const (
+	// maxDiscardBytes and discardTimeout bound what is read only to keep a connection: about what
+	// a new one costs.
+	maxDiscardBytes = 64 << 10
+	discardTimeout  = 200 * time.Millisecond
+)
+
+var errTooLong = fmt.Errorf("a body to discard exceeds %d bytes", maxDiscardBytes)
+
 // Body is the body of a response. Read returns io.EOF only when the response
 // is complete.
 type Body struct {
@@ -119,8 +129,25 @@
 	return fmt.Errorf("read body: %w", err)
 }
 
-// Discard reads the rest of the body, so that the connection can be reused.
+// Discard reads the rest of the body, so that the connection can be reused. One that is longer than
+// maxDiscardBytes or takes longer than discardTimeout may have no end: the connection is then not
+// reused.
 func (b *Body) Discard() error {
-	_, err := io.Copy(io.Discard, b)
-	return err
+	if b.done {
+		return nil
+	}
+	timer := time.AfterFunc(discardTimeout, func() {
+		_ = b.conn.net.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
+	})
+	_, err := io.CopyN(io.Discard, b, maxDiscardBytes)
+	if !timer.Stop() || !b.done {
+		b.conn.reusable = false
+	}
+	switch {
+	case b.done:
+		return nil
+	case err != nil:
+		return err
+	}
+	return errTooLong
 }
--- a/serverconn/conn.go
+++ b/serverconn/conn.go
@@ -36,9 +36,14 @@
 	keepAliveCount    = 3
 	// maxForeignResponses is how many responses to other requests are skipped.
 	maxForeignResponses = 2
+	// maxInformational is how many informational responses may precede a final one.
+	maxInformational = 8
 )
 
-var errForeignResponse = errors.New("received only responses to other requests")
+var (
+	errForeignResponse = errors.New("received only responses to other requests")
+	errInformational   = fmt.Errorf("received more than %d informational responses", maxInformational)
+)
 
 // Conn is a connection that carries one request at a time.
 type Conn struct {
@@ -138,7 +143,7 @@
 
 // readFinal reads the head of a final response and skips informational ones.
 func (c *Conn) readFinal() (*fasthttp.ResponseHeader, error) {
-	for {
+	for range maxInformational + 1 {
 		head, err := responsehead.Peek(c.in)
 		if err != nil {
 			return nil, fmt.Errorf("read response: %w", err)
@@ -156,6 +161,7 @@
 			return h, nil
 		}
 	}
+	return nil, fmt.Errorf("read response: %w", errInformational)
 }
 
 // sent reports whether the whole request was written.
--- a/serverconn/pool.go
+++ b/serverconn/pool.go
@@ -215,12 +215,13 @@
 	p.putIdle(c)
 }
 
-// Prune closes connections that exceed their idle timeout.
+// Prune closes connections that exceed their idle timeout, and those on which bytes have arrived:
+// the next response would not be that of the next request, and a server may send without end.
 func (p *Pool) Prune() {
 	p.mu.Lock()
 	var expired, keep []*Conn
 	for _, c := range p.idle {
-		if c.isFresh(p.link.Now()) {
+		if c.isFresh(p.link.Now()) && c.isQuiet() {
 			keep = append(keep, c)
 			continue
 		}
