Servers: one that rested gets its part of the work, and not that of the others

Cause: a host sends to the plain server with the least expected time, and a rest forgets its mean. The first answer became the mean, so a quick one drew all work until the server was full and a slow one got none for seconds; without any rest the same happened by differences of a few ms between means. Change: a mean counts as that of the fastest server while it exceeds it by less than answers vary (mean deviation, growing with the time since the last answer); the first answers of a mean count alike; of servers that cost the same the one that was not chosen for longest is next.

--- a/serverset/pick.go
+++ b/serverset/pick.go
@@ -105,6 +105,8 @@
 		t.touched[s] = true
 		s.pool.SetMaxConns(t.connLimit(s.spec.Service))
 	}
+	t.choices++
+	s.chosenAt = t.choices
 	s.running++
 	s.pendingTokens += k.missingTokens
 	s.workByRank = s.workByRank.Add(k.rank, 1, k.missingTokens)
@@ -172,7 +174,14 @@
 	forecast wheelgauge.EngineForecast
 }
 
-func (c choice) better(other choice) bool { return other.server == nil || c.score < other.score }
+// better reports whether c costs less than other. Of servers with the same cost the one that was
+// not chosen for longest goes first: each gets its part, and none that returns is passed over.
+func (c choice) better(other choice) bool {
+	if other.server == nil || c.score != other.score {
+		return other.server == nil || c.score < other.score
+	}
+	return c.server.chosenAt < other.server.chosenAt
+}
 
 func (t *Table) bestChoice(cands candidates, j Job, now time.Time, take bool) choice {
 	var best, cold choice
@@ -259,13 +268,16 @@
 // expectedServiceTime is how long a plain service is expected to take without queueing. A
 // server with a limit, or after a backoff, is assumed to be as fast as the fastest: it has
 // stated what it can take, and few answers update its average, so that a single late one
-// would keep all work from it.
+// would keep all work from it. So is one whose average exceeds the fastest by less than its
+// answers vary: by such differences one server would get the work of all others.
 func (t *Table) expectedServiceTime(s *Server, cands candidates) time.Duration {
-	mean := s.currentServiceTime(t.now())
+	now := t.now()
+	mean := s.currentServiceTime(now)
 	if mean == 0 {
 		mean = defaultServiceTime
 	}
-	if cands.fastestServiceTime > 0 && cands.fastestServiceTime < mean && (s.statsStale || t.hasLimit(s)) {
+	alike := mean-cands.fastestServiceTime <= s.serviceTimeNoise(now)
+	if cands.fastestServiceTime > 0 && cands.fastestServiceTime < mean && (s.statsStale || alike || t.hasLimit(s)) {
 		return cands.fastestServiceTime
 	}
 	return mean
@@ -360,10 +372,15 @@
 	if !engine {
 		took = time.Duration(float64(took) / s.queueFactor(inFlight))
 	}
+	s.serviceTimeSamples++
 	if s.serviceTime == 0 {
-		s.serviceTime = took
+		s.serviceTime, s.serviceTimeDeviation = took, took/2
+		return
 	}
-	s.serviceTime += time.Duration(serviceTimeWeight * float64(took-s.serviceTime))
+	// Until the average has as many answers as it remembers, all of them count alike.
+	weight := max(serviceTimeWeight, 1/float64(s.serviceTimeSamples))
+	s.serviceTimeDeviation += time.Duration(weight * float64((took-s.serviceTime).Abs()-s.serviceTimeDeviation))
+	s.serviceTime += time.Duration(weight * float64(took-s.serviceTime))
 }
 
 // isEngine reports whether a server is a model engine; the lock is held.
--- a/serverset/pushback.go
+++ b/serverset/pushback.go
@@ -42,7 +42,7 @@
 // backoff. The lock is held.
 func (s *Server) noteAnswer(k *Pick) {
 	if s.statsStale && !s.pushback.BackingOff(k.sentAt) {
-		s.statsStale, s.serviceTime = false, 0
+		s.statsStale, s.serviceTime, s.serviceTimeSamples = false, 0, 0
 	}
 }
 
--- a/serverset/server.go
+++ b/serverset/server.go
@@ -99,8 +99,13 @@
 	statsStale bool
 	probeSent  bool
 	// serviceTime is the moving average of the time to answer; for plain services without
-	// the time in the queue.
-	serviceTime time.Duration
+	// the time in the queue. serviceTimeDeviation is that of how far an answer is from it,
+	// serviceTimeSamples how many answers they have.
+	serviceTime          time.Duration
+	serviceTimeDeviation time.Duration
+	serviceTimeSamples   int
+	// chosenAt is the number of the last choice that fell on this server.
+	chosenAt uint64
 	// serviceTimeAt is when an answer last updated serviceTime.
 	serviceTimeAt time.Time
 	cachedParts   map[uint64]time.Time
@@ -140,6 +145,12 @@
 	return defaultServiceTime + time.Duration(left*float64(s.serviceTime-defaultServiceTime))
 }
 
+// serviceTimeNoise is by how much the average of a plain service may differ from that of another
+// server by chance. It grows without answers, so that a late one keeps no work away for long.
+func (s *Server) serviceTimeNoise(now time.Time) time.Duration {
+	return time.Duration(float64(s.serviceTimeDeviation) * (1 + now.Sub(s.serviceTimeAt).Seconds()))
+}
+
 // use returns what this host reports to others about the server.
 func (s *Server) use(now time.Time) wheelgauge.ServerUsage {
 	u := wheelgauge.ServerUsage{Instance: s.spec.Instance, StartUnixMS: s.spec.StartUnixMS, Running: s.running, PrefillTokens: s.pendingTokens, Work: s.workByRank.NonZero()}
--- a/serverset/table.go
+++ b/serverset/table.go
@@ -95,6 +95,8 @@
 	sameHall, otherHalls []*Server
 	shortlist            []*Server
 	drawCount            uint64
+	// choices counts the choices made.
+	choices uint64
 	// model predicts how requests run at engines; nil for the fixed figures. residentTokens are
 	// the mean tokens that a request keeps in memory there.
 	model          wheelgauge.EngineModel
