--- a/configstate/machine.go
+++ b/configstate/machine.go
@@ -111,12 +111,12 @@
 	case OpPut:
 		applied = m.put(c)
 	case OpDrain, OpResume:
-		if m.overtaken(subjectHall+c.Hall, index, c.Since) {
+		if !m.acceptOrder(subjectHall+c.Hall, index, c.Since) {
 			return Result{Version: m.state.Version, Overtaken: m.drained(c.Hall) != (c.Op == OpDrain)}
 		}
 		applied = m.setDrained(c.Hall, c.Op == OpDrain)
 	case OpRollout:
-		if c.Rollout != nil && m.overtaken(subjectRollout+c.Rollout.Service, index, c.Since) {
+		if c.Rollout != nil && !m.acceptOrder(subjectRollout+c.Rollout.Service, index, c.Since) {
 			last := rollouts{m.state.Rollouts}.forService(c.Rollout.Service)
 			return Result{Version: m.state.Version, Rollout: last, Overtaken: last.RolloutRequest != c.Rollout.RolloutRequest}
 		}
@@ -184,12 +184,12 @@
 	return m.state, recent
 }
 
-// overtaken reports whether the log has another order for a subject after the index since. If
-// not, the order at index becomes the last one, also if it changes nothing: it is acknowledged,
-// and an order given before it must not change the state any more.
-func (m *Machine) overtaken(subject string, index, since uint64) bool {
+// acceptOrder makes the order at index the last one for its subject, unless the log has another
+// after the index since: then it returns false. An order that changes nothing counts as well: it is
+// acknowledged, and one given before it must not change the state any more.
+func (m *Machine) acceptOrder(subject string, index, since uint64) bool {
 	if since > 0 && m.state.LastOrders[subject] > since {
-		return true
+		return false
 	}
 	// Copy the map: callers of State may still read the old one.
 	last := maps.Clone(m.state.LastOrders)
@@ -198,7 +198,7 @@
 	}
 	last[subject] = index
 	m.state.LastOrders = last
-	return false
+	return true
 }
 
 func (m *Machine) drained(hall string) bool { return slices.Contains(m.state.DrainedHalls, hall) }
--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -18,8 +18,8 @@
 	"github.com/valyala/fasthttp"
 
 	"wheelgauge"
-	"wheelgauge/bootclock"
 	"wheelgauge/bodybudget"
+	"wheelgauge/bootclock"
 	"wheelgauge/callerhttp"
 	"wheelgauge/capclient"
 	"wheelgauge/countconn"
@@ -133,7 +133,7 @@
 type Node struct {
 	options Options
 	// bodies bounds the bodies of callers' and forwarded requests together.
-	bodies *bodybudget.Budget
+	bodies  *bodybudget.Budget
 	boot    uint64
 	gate    *routegate.Gate
 	servers *serverset.Table
--- a/ordercheck/runner.go
+++ b/ordercheck/runner.go
@@ -86,18 +86,14 @@
 	return notCarriedOut("other orders for the same subject were carried out meanwhile")
 }
 
-// readIndex reads the index of the log and waits for closeDelay at the same time.
+// readIndex reads the index of the log. It takes closeDelay at least.
 func (r *Runner) readIndex(ctx context.Context) (uint64, error) {
-	waited := make(chan struct{})
-	go func() {
-		defer close(waited)
-		r.wait(ctx, closeDelay)
-	}()
+	began := r.clock.Now()
 	since, err := r.log.ReadIndex(ctx)
 	if err != nil {
 		return 0, err
 	}
-	<-waited
+	r.wait(ctx, closeDelay-r.clock.Now().Sub(began))
 	return since, nil
 }
 
--- a/replica/members.go
+++ b/replica/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/url"
@@ -36,6 +37,8 @@
 	leaveTicks         = 3 * electionTicks
 )
 
+var errMembersChanged = errors.New("the members changed meanwhile")
+
 // joiner asks other stores to add this replica to the group whenever it may not be a member.
 type joiner struct {
 	r           *Replica
@@ -138,10 +141,9 @@
 }
 
 func (r *Replica) removeLocal(ctx context.Context, name string, since uint64) (removeReply, error) {
-	var reply removeReply
-	return reply, r.changeMembers(ctx, func() ([]raft.Member, error) {
-		if reply.Overtaken = r.core.LastChange() > since; reply.Overtaken {
-			return nil, nil
+	err := r.changeMembers(ctx, func() ([]raft.Member, error) {
+		if r.core.LastChange() > since {
+			return nil, errMembersChanged
 		}
 		members := r.core.Members()
 		i := slices.IndexFunc(members, func(o raft.Member) bool { return o.Name == name })
@@ -150,6 +152,10 @@
 		}
 		return slices.Delete(members, i, i+1), nil
 	})
+	if errors.Is(err, errMembersChanged) {
+		return removeReply{Overtaken: true}, nil
+	}
+	return removeReply{}, err
 }
 
 // changeMembers proposes the list that plan returns, unless it is nil, and waits for its commit.
