--- a/replica/handler.go
+++ b/replica/handler.go
@@ -51,14 +51,30 @@
 		return
 	}
 	r.net.learn(e.From)
+	processed := make(chan struct{})
 	err = r.submit(callCtx, func() {
+		defer close(processed)
 		for _, m := range e.Messages {
 			r.core.Step(m)
 		}
 	})
+	if err == nil {
+		err = awaitProcessed(callCtx, processed)
+	}
 	reply(ctx, struct{}{}, err)
 }
 
+// awaitProcessed waits until the run loop has taken the messages of a call: a sender must not fill
+// the queue of a store that is slower. The timeout covers a run loop that has just ended.
+func awaitProcessed(callCtx context.Context, processed chan struct{}) error {
+	select {
+	case <-processed:
+		return nil
+	case <-callCtx.Done():
+		return noLeaderError("the store is shutting down")
+	}
+}
+
 // handleJoin adds a store, or removes one by its name.
 func (r *Replica) handleJoin(callCtx context.Context, ctx *fasthttp.RequestCtx) {
 	args := ctx.QueryArgs()
--- a/replica/join_test.go
+++ b/replica/join_test.go
@@ -22,8 +22,8 @@
 
 // A seed that accepts connections and does not answer keeps no store out of the group.
 func TestBlankStoreJoinsWhileSeedsHang(t *testing.T) {
-	all := []string{"127.0.82.1:7801", "127.0.82.2:7801", "127.0.82.3:7801", "127.0.82.4:7801"}
-	hanging := []string{"127.0.82.10:7801", "127.0.82.11:7801"}
+	all := []string{"127.0.67.1:7801", "127.0.67.2:7801", "127.0.67.3:7801", "127.0.67.4:7801"}
+	hanging := []string{"127.0.67.10:7801", "127.0.67.11:7801"}
 	for _, a := range hanging {
 		hang(t, a)
 	}
@@ -42,12 +42,12 @@
 
 // A store all of whose seeds were replaced joins through those that its settings have now.
 func TestStoreJoinsThroughLaterSeeds(t *testing.T) {
-	all := []string{"127.0.83.1:7801", "127.0.83.2:7801"}
+	all := []string{"127.0.68.1:7801", "127.0.68.2:7801"}
 	g := &group{t: t, seeds: all[:1], nodes: map[string]*node{}}
 	defer g.stopAll()
 	g.start(all[0], t.TempDir(), true)
 	g.waitFor("one voter", func() bool { return g.voters() == 1 })
-	g.seeds = []string{"127.0.83.9:7801"}
+	g.seeds = []string{"127.0.68.9:7801"}
 	var later atomic.Pointer[[]string]
 	g.editOptions = func(o *Options) {
 		o.RefreshPeers = func() []string {
@@ -64,7 +64,7 @@
 
 // A removal by name that comes late removes no store that joined under the name after it was given.
 func TestLateRemovalKeepsTheStoreOfThatName(t *testing.T) {
-	all := []string{"127.0.84.1:7801", "127.0.84.2:7801", "127.0.84.3:7801"}
+	all := []string{"127.0.69.1:7801", "127.0.69.2:7801", "127.0.69.3:7801"}
 	g := &group{t: t, seeds: all, nodes: map[string]*node{}}
 	defer g.stopAll()
 	for _, a := range all {
