Gateways: a connection that ends gives back what its body took

Found reading the change once more: a body's memory is taken before '100 Continue' is written, and a write that failed ended the connection without giving it back, so that a host would in time refuse all bodies. The release now stands at the end of the connection, for every way out of it. By reading; a write that fails just there was not played. Tests of callerhttp pass with the race detector.

--- a/callerhttp/conn.go
+++ b/callerhttp/conn.go
@@ -63,6 +63,7 @@
 
 func (k *conn) run(ctx context.Context) {
 	defer func() { _ = k.net.Close() }() // an error changes nothing for the caller
+	defer k.body.release()
 	for ctx.Err() == nil {
 		r := &Request{conn: k, arrived: time.Now()}
 		if !k.readHead(r) {
@@ -181,7 +182,6 @@
 		if k.body.exhausted {
 			return k.refuseBody(r, unknownRest)
 		}
-		k.body.release()
 		k.reject(r, bodyErrorStatus(err), err)
 		return false
 	}
