Voter group: one search for the voter that leaves; raft: an unused question is gone

The planner searched for a leaving voter twice in the same words, and nothing asks AppliedOwnTerm any more since no leader tells a store that it is out. Behaviour as before; tests of raft, votergroup and replica pass with the race detector.

--- a/raft/view.go
+++ b/raft/view.go
@@ -39,10 +39,6 @@
 	return 0
 }
 
-// AppliedOwnTerm reports whether this leader has applied an entry of its own
-// term, and therefore every membership change that was committed before.
-func (c *Core) AppliedOwnTerm() bool { return c.role == Leader && c.termAt(c.applied) == c.term }
-
 // RecentlyActive reports whether a member has replied since this leader's last
 // quorum check.
 func (c *Core) RecentlyActive(id uint64) bool {
--- a/votergroup/planner.go
+++ b/votergroup/planner.go
@@ -105,7 +105,7 @@
 		if replaced := p.voterToReplace(c, members, m); replaced >= 0 {
 			return slices.Delete(slices.Clone(members), replaced, replaced+1), m.Name
 		}
-		if p.hasAllVoters(members) && !p.hasLeavingVoter(members) {
+		if p.hasAllVoters(members) && p.leavingVoter(members) < 0 {
 			continue
 		}
 		next = slices.Clone(members)
@@ -145,8 +145,9 @@
 	return p.o.Voters > 0 && countVoters(members) >= p.o.Voters
 }
 
-func (p *Planner) hasLeavingVoter(members []raft.Member) bool {
-	return slices.ContainsFunc(members, func(m raft.Member) bool { return m.Voter && p.leaving[m.ID] > 0 })
+// leavingVoter returns the index of a voter that announced its shutdown, or -1.
+func (p *Planner) leavingVoter(members []raft.Member) int {
+	return slices.IndexFunc(members, func(m raft.Member) bool { return m.Voter && p.leaving[m.ID] > 0 })
 }
 
 // surplusVoter returns the index of a voter to remove from a group with more voters than wanted,
@@ -155,7 +156,7 @@
 	if p.o.Voters == 0 || countVoters(members) <= p.o.Voters {
 		return -1
 	}
-	if i := slices.IndexFunc(members, func(m raft.Member) bool { return m.Voter && p.leaving[m.ID] > 0 }); i >= 0 {
+	if i := p.leavingVoter(members); i >= 0 {
 		return i
 	}
 	return p.silentVoter(c, members)
