Gateways: a line for each choice of a cold server

Without it nobody can tell whether a server was held for cold, until when and by which source (the list, the end of a drain), among how many hosts its rate was shared, and how old that view and the list were. Lines are bounded by the cold rate; cold.sent.SOURCE counts them. Servers change. gets the number of cold rows. No decision changes.

--- a/entrynode/updates.go
+++ b/entrynode/updates.go
@@ -97,6 +97,7 @@
 	defer n.countUpdate(kindServers, len(rows), time.Now())
 	var changed []wheelgauge.Server
 	var removed []string
+	cold := 0
 	for _, row := range rows {
 		s, err := wheelgauge.DecodeRow[wheelgauge.Server](row)
 		switch {
@@ -111,6 +112,7 @@
 			}
 			if s.ColdUntilMS > 0 {
 				s.ColdMS, s.ColdUntilMS = max(0, s.ColdUntilMS-at.ClockMS), 0
+				cold++
 			}
 			changed = append(changed, *s)
 		}
@@ -121,7 +123,7 @@
 		n.servers.UpdateRemoteServers(region, changed, removed)
 	}
 	n.origins.Tick()
-	n.options.Log.Info("Servers change.", "region", region, "rows", len(rows), "removed", len(removed), "age_ms", n.options.Clock.Now().Sub(at.RequestedAt).Milliseconds())
+	n.options.Log.Info("Servers change.", "region", region, "rows", len(rows), "removed", len(removed), "cold", cold, "age_ms", n.options.Clock.Now().Sub(at.RequestedAt).Milliseconds())
 }
 
 // ServersCurrent records that the list of the host's region is complete and was unchanged when
--- a/routegate/call.go
+++ b/routegate/call.go
@@ -213,6 +213,7 @@
 	switch {
 	case p.pick != nil:
 		c.predictedWait, c.lastPick = p.pick.Wait(), p.pick
+		c.logCold(p.pick)
 		c.recordTaken()
 		return c.sendToServer(ctx, p.pick)
 	case p.peer != nil:
@@ -321,6 +322,18 @@
 		"events", c.splitter.Events(), "ended", strings.Join(c.endedServers, " "), "parts", c.loggedParts(), "framing", c.framing, "partial_bytes", c.partialBytes, "pause_ms", c.longestPause.Milliseconds(), "expected_tokens", c.prompt.Output(), "load", c.placementInputs(), "forecast", c.forecastText())
 }
 
+// logCold logs that the request goes to a cold server, and what the choice went by.
+func (c *call) logCold(k *serverset.Pick) {
+	cold, ok := k.Cold()
+	if !ok {
+		return
+	}
+	o := c.gate.options
+	o.Meter.Count("cold.sent." + string(cold.Source()))
+	o.Log.Info("A cold server is chosen.", "id", c.id, "server", k.Server().InstanceKey(), "left_ms", cold.Left().Milliseconds(), "source", cold.Source(),
+		"hosts", cold.Hosts(), "hosts_age_ms", cold.HostsAge().Milliseconds(), "list_age_ms", o.Servers.ListAge().Milliseconds())
+}
+
 // loggedParts renders the parts of the prompt that other requests may share, with their
 // fingerprints, of a request that is held back or whose server ended; empty otherwise.
 func (c *call) loggedParts() string {
--- a/serverset/pick.go
+++ b/serverset/pick.go
@@ -28,6 +28,8 @@
 	slowness float64
 	forecast wheelgauge.EngineForecast
 	modelled bool
+	// cold is how the choice of a cold server was made; nil for a warm one.
+	cold *ColdChoice
 	// onEnd is called when the dispatch ends.
 	onEnd func()
 }
@@ -95,6 +97,7 @@
 func (t *Table) newPick(c choice, home *Server, j Job, now time.Time) *Pick {
 	s := c.server
 	k := &Pick{table: t, server: s, version: s.spec.Version, prompt: j.prompt, rank: j.rank, missingTokens: s.missingTokens(j.prompt, s == home), predictedWait: duration(c.wait), sentAt: now}
+	k.cold = t.coldChoice(s, now)
 	k.loadBefore = Load{running: s.inFlight(), own: s.running, tokens: s.pendingTokens + s.peerUse.PrefillTokens, age: now.Sub(t.peerUseTime(s))}
 	if t.model != nil && t.isEngine(s) {
 		k.load, k.slowness, k.forecast, k.modelled = c.load, c.slowness, c.forecast, true
--- a/serverset/table.go
+++ b/serverset/table.go
@@ -59,6 +59,8 @@
 	servers  map[string]*Server
 	services map[string][]*Server
 	drained  []string
+	// peersAt is when the hosts of the place were last set.
+	peersAt time.Time
 	// undrainedAt is when the drain of a hall last ended: its servers may be cold.
 	undrainedAt map[string]time.Time
 	// remoteServers are those of other regions, by region and instance.
@@ -117,7 +119,7 @@
 func (t *Table) SetPeers(peers, announced []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.place.Peers, t.place.Announced = slices.Clone(peers), slices.Clone(announced)
+	t.place.Peers, t.place.Announced, t.peersAt = slices.Clone(peers), slices.Clone(announced), t.now()
 	for s := range t.touched {
 		s.pool.SetMaxConns(t.connLimit(s.spec.Service))
 	}
@@ -223,7 +225,7 @@
 // end of the hall's drain.
 func (t *Table) updateCold(s *Server, requestedAt time.Time) {
 	if s.spec.ColdMS > 0 {
-		s.coldUntil = requestedAt.Add(time.Duration(s.spec.ColdMS)*time.Millisecond + coldMargin)
+		s.coldUntil, s.coldSource = requestedAt.Add(time.Duration(s.spec.ColdMS)*time.Millisecond+coldMargin), ColdByList
 		t.cold[s] = true
 		return
 	}
@@ -316,7 +318,7 @@
 		t.undrainedAt[hall] = t.now()
 		for _, s := range t.servers {
 			if config := t.serviceConfig(s.spec.Service); s.spec.Hall == hall && config != nil && config.ColdRate > 0 {
-				s.coldUntil = t.now().Add(coldAfterUndrain)
+				s.coldUntil, s.coldSource = t.now().Add(coldAfterUndrain), ColdByResume
 				t.cold[s] = true
 			}
 		}
