Cold servers: halls with recent orders are cold, and a host with a partial view has no share

Cause: that a server is cold is known from the list alone, which lags by up to 1.5 s. Hosts made up for that only if they saw the drain of the hall end: not one that began since, and not while no store leads, as the order changes nothing then. Second, the rate was divided by the hosts that each host happened to know: one that knows itself alone takes all of it.

Change: stores keep the latest order for each hall, pending ones as given now until they are acknowledged or overtaken, tell each other and all hosts, and name those of the log in the first state of a host; a hall is held at the cold rate until a list is newer than its order. A rate is shared among the hosts of sharers.View: none without a view that is complete (from a store that has been connected for long enough to hear all hosts), recent, and settled; hosts that have gone keep their share until others may have it. Tables are confirmed only when no rows are on their way.

--- a/configstate/machine.go
+++ b/configstate/machine.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 
 	"wheelgauge"
@@ -218,6 +219,19 @@
 	return true
 }
 
+// HallOrders returns the index in the log of the last order for each hall that had one.
+func (m *Machine) HallOrders() map[string]uint64 {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	out := map[string]uint64{}
+	for subject, index := range m.state.LastOrders {
+		if hall, ok := strings.CutPrefix(subject, subjectHall); ok {
+			out[hall] = index
+		}
+	}
+	return out
+}
+
 // State returns the current state. The caller must not change its slices.
 func (m *Machine) State() wheelgauge.FleetState {
 	m.mu.RLock()
--- a/confstore/changes_test.go
+++ b/confstore/changes_test.go
@@ -13,6 +13,7 @@
 	"wheelgauge/changefeed"
 	"wheelgauge/changelog"
 	"wheelgauge/configstate"
+	"wheelgauge/hallorders"
 	"wheelgauge/hosttable"
 	"wheelgauge/meter"
 	"wheelgauge/native"
@@ -25,7 +26,7 @@
 func newFeedNode(started time.Time) *Node {
 	n := &Node{
 		o: Options{Clock: wheelgauge.MonotonicClock{}, DecodeRoutes: native.Decode}, started: started, machine: configstate.New(), crashes: quarantine.New(time.Now),
-		hosts: hosttable.New(time.Now), servers: serverlist.New(time.Now), feed: changefeed.New(), meter: meter.New(),
+		hosts: hosttable.New(time.Now), servers: serverlist.New(time.Now), feed: changefeed.New(), meter: meter.New(), hallOrders: hallorders.New(time.Now),
 	}
 	n.config.rows = changelog.New()
 	n.feed.Add(wheelgauge.TableRoutes, n.config.rows, true)
@@ -94,6 +95,23 @@
 	}
 }
 
+// A host that has just started did not see a drain end, so its first state names the hall.
+func TestFirstStateCarriesHallOrders(t *testing.T) {
+	n := newFeedNode(time.Now())
+	for _, op := range []string{configstate.OpDrain, configstate.OpResume} {
+		apply(t, n, configstate.Command{Op: op, Hall: "h1"})
+	}
+	for _, tt := range []struct {
+		generation uint64
+		want       int
+	}{{0, 1}, {1, 0}} {
+		got := requestChanges(t, n, wheelgauge.ChangesRequest{Config: true, Generation: tt.generation, MaxBytes: 1 << 10})
+		if got.Config == nil || len(got.Config.HallOrders) != tt.want || tt.want == 1 && got.Config.HallOrders[0].Hall != "h1" {
+			t.Errorf("host at generation %d: got %+v, want %d orders", tt.generation, got.Config, tt.want)
+		}
+	}
+}
+
 // A new version of the configuration is sent as the rows that differ, a drained hall without any;
 // a host that holds the newest state gets neither.
 func TestStateIsSentAsChanges(t *testing.T) {
--- a/confstore/heartbeat.go
+++ b/confstore/heartbeat.go
@@ -38,6 +38,7 @@
 func (n *Node) heartbeatResponse(hb wheelgauge.FleetHeartbeat) wheelgauge.FleetHeartbeatResponse {
 	a := n.localResponse(hb)
 	a.Connected, a.StoreAddresses = n.replica.LeaderAddress() != "", n.replica.MemberAddresses()
+	a.AllHosts = a.Connected && n.hasHeardAllHosts()
 	if hb.Primary {
 		n.addCrashes(&a, hb)
 		n.addPromises(&a, hb)
@@ -48,6 +49,8 @@
 // localResponse returns the heartbeat response without the fields that the replica provides.
 func (n *Node) localResponse(hb wheelgauge.FleetHeartbeat) wheelgauge.FleetHeartbeatResponse {
 	a := wheelgauge.FleetHeartbeatResponse{StoreBoot: n.boot, Generation: n.machine.State().Generation, Region: n.o.Region, Hall: n.o.Hall}
+	n.hallOrders.Applied(n.machine.HallOrders())
+	a.HallOrders = n.hallOrders.Recent()
 	if !hb.Primary {
 		return a
 	}
@@ -62,5 +65,15 @@
 	return a
 }
 
+// hasHeardAllHosts reports whether each live host has had time to reach this store. Hosts learn of
+// all stores only from one that is connected to the others. It is called while this store is.
+func (n *Node) hasHeardAllHosts() bool {
+	now := n.now()
+	if n.connectedAt.CompareAndSwap(0, now.UnixNano()) {
+		return false
+	}
+	return now.Sub(time.Unix(0, n.connectedAt.Load())) >= warmUpPeriod
+}
+
 // warmingUp reports whether hosts may exist that have not sent a heartbeat to this store yet.
 func (n *Node) warmingUp() bool { return n.now().Sub(n.started) < warmUpPeriod }
--- a/confstore/heartbeat_bench_test.go
+++ b/confstore/heartbeat_bench_test.go
@@ -9,6 +9,7 @@
 	"wheelgauge"
 	"wheelgauge/changefeed"
 	"wheelgauge/configstate"
+	"wheelgauge/hallorders"
 	"wheelgauge/hosttable"
 	"wheelgauge/meter"
 	"wheelgauge/serverlimit"
@@ -19,7 +20,7 @@
 // of its first host.
 func newLoadedNode(b *testing.B, hosts, servers int) (*Node, wheelgauge.FleetHeartbeat) {
 	regions := []string{"north", "south", "west"}
-	n := &Node{o: Options{Clock: wheelgauge.MonotonicClock{}, RegionByHall: map[string]string{}}, machine: configstate.New(), hosts: hosttable.New(time.Now), started: time.Now().Add(-time.Hour)}
+	n := &Node{o: Options{Clock: wheelgauge.MonotonicClock{}, RegionByHall: map[string]string{}}, machine: configstate.New(), hosts: hosttable.New(time.Now), started: time.Now().Add(-time.Hour), hallOrders: hallorders.New(time.Now)}
 	n.servers, n.limits, n.feed, n.meter = serverlist.New(time.Now), serverlimit.New(time.Now), changefeed.New(), meter.New()
 	n.feed.Add(wheelgauge.TableHosts, n.hosts.Changes(), true)
 	lists := map[string][]wheelgauge.Server{}
--- a/confstore/node.go
+++ b/confstore/node.go
@@ -21,6 +21,7 @@
 	"wheelgauge/changefeed"
 	"wheelgauge/changelog"
 	"wheelgauge/configstate"
+	"wheelgauge/hallorders"
 	"wheelgauge/hosttable"
 	"wheelgauge/httpserve"
 	"wheelgauge/meter"
@@ -146,6 +147,11 @@
 	streams          *streamorigin.Table
 	versions         *versionhistory.History
 	versionsRecorded uint64
+	// hallOrders are the latest orders of operators for halls.
+	hallOrders *hallorders.Table
+	// connectedAt is when this store was first connected to the others, in Unix nanoseconds of
+	// its clock; 0 if it never was.
+	connectedAt atomic.Int64
 	// rolloutController decides the next step of each rollout; rolloutClock tracks elapsed times.
 	rolloutController *controller.Controller
 	rolloutClock      rolloutClock
@@ -186,6 +192,7 @@
 	n.limits = serverlimit.New(now)
 	n.permits = permitissuer.New(n.limits, now)
 	n.promises = promiserelay.New(now)
+	n.hallOrders = hallorders.New(now)
 	n.streams, n.versions = streamorigin.New(maxStreams, now), versionhistory.New(now)
 	n.caps = capallocator.New(capallocator.Options{Self: o.PeerAddress, Boot: n.boot, Window: o.CapWindow, Overage: o.CapOverage, Slack: o.CapSlack, Now: now})
 	if err := n.open(ctx); err != nil {
--- a/confstore/operations.go
+++ b/confstore/operations.go
@@ -46,6 +46,7 @@
 	if drained {
 		op = configstate.OpDrain
 	}
+	n.hallOrders.Received(hall)
 	ctx, cancel := context.WithTimeout(ctx, operationTimeout)
 	defer cancel()
 	var res configstate.Result
@@ -56,6 +57,7 @@
 		n.o.Log.Info("Drain or resume of a hall is not acknowledged.", "hall", hall, "order", op, "cause", err.Error())
 		return err
 	}
+	n.hallOrders.Acknowledged(hall)
 	n.o.Log.Info("Drain or resume of a hall is acknowledged.", "hall", hall, "order", op, "taken", res.Applied)
 	return nil
 }
--- a/confstore/servers_test.go
+++ b/confstore/servers_test.go
@@ -11,6 +11,7 @@
 
 	"wheelgauge"
 	"wheelgauge/capallocator"
+	"wheelgauge/hallorders"
 	"wheelgauge/hosttable"
 	"wheelgauge/native"
 	"wheelgauge/serverlist"
@@ -136,7 +137,7 @@
 func TestStaleListIsPolledByAnyStore(t *testing.T) {
 	n := &Node{
 		o: Options{Clock: wheelgauge.MonotonicClock{}, PeerAddress: "b", Region: "north", PollInterval: time.Second}, servers: serverlist.New(time.Now), hosts: hosttable.New(time.Now),
-		caps: capallocator.New(capallocator.Options{Self: "b", Boot: 1, Now: time.Now}),
+		caps: capallocator.New(capallocator.Options{Self: "b", Boot: 1, Now: time.Now}), hallOrders: hallorders.New(time.Now),
 	}
 	n.applyUpdate(wheelgauge.StoreUpdate{StoreBoot: 2, Address: "a", Region: "south"})
 	tests := []struct {
--- a/confstore/updates.go
+++ b/confstore/updates.go
@@ -60,6 +60,7 @@
 		update.Promises = n.promises.OfHosts(n.o.Region)
 	}
 	update.Caps = n.caps.Report(address)
+	update.HallOrders = n.hallOrders.Recent()
 	return update
 }
 
@@ -94,6 +95,7 @@
 	n.peers.recordUpdate(update.Address, update.Region, n.now())
 	n.hosts.RecordStore(update)
 	n.promises.Add(update.Region, "", update.Promises)
+	n.hallOrders.Merge(update.HallOrders)
 	response := wheelgauge.StoreUpdateResponse{CapLease: n.caps.GrantLease(update.Address, update.StoreBoot, update.Caps)}
 	for _, status := range update.ServerLists {
 		n.followList(update.Address, status)
--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -43,6 +43,7 @@
 	"wheelgauge/routegate"
 	"wheelgauge/serverlimit"
 	"wheelgauge/serverset"
+	"wheelgauge/sharers"
 	"wheelgauge/stallwatch"
 	"wheelgauge/waitroom"
 )
@@ -137,6 +138,8 @@
 	boot    uint64
 	gate    *routegate.Gate
 	servers *serverset.Table
+	// sharers are the hosts among which the rates of servers are shared.
+	sharers *sharers.View
 	peers   *peerset.Table
 	budget  *retrybudget.Budget
 	// credits is nil unless they are turned on.
@@ -172,6 +175,8 @@
 	// generation is that of the applied state; updates arrive one at a time.
 	generation uint64
 	hosts      knownHosts
+	// hasShares is set while this host has shares of common rates, by its view of the hosts.
+	hasShares bool
 	// pendingRoutes are the rows of the configuration received since the last state, by key.
 	pendingRoutes map[string]wheelgauge.TableRow
 	// completeTotals is set once the usage totals of all regions were complete.
@@ -191,6 +196,8 @@
 	}
 	clock := n.options.Clock
 	n.servers = serverset.New(serverset.Place{Host: o.Name, Hall: o.Hall}, n.service, clock.Now)
+	n.sharers = sharers.New(clock.Now)
+	n.servers.SetSharers(func() ([]string, time.Duration) { return n.sharers.Hosts(), n.sharers.Age() })
 	n.peers = peerset.New(o.Region, o.FarHeartbeatInterval+crossRegionResponseTime, clock.Now)
 	n.budget = retrybudget.New(o.Budget, clock.Now)
 	if o.ForwardCredits {
@@ -205,7 +212,7 @@
 	n.servers.SetRejections(func(server string) (float64, bool) { return n.limits.RateOf(wheelgauge.LimitRejections, server) })
 	n.learnEngines()
 	n.permits = permitclient.New(permitclient.Options{
-		Host: o.Name, Boot: n.boot, Limits: n.limits, Stores: n.regionStores, Sharers: n.servers.LowRateHosts, Request: n.requestPermit, Now: clock.Now,
+		Host: o.Name, Boot: n.boot, Limits: n.limits, Stores: n.regionStores, Sharers: n.sharers.LastHosts, Request: n.requestPermit, Now: clock.Now,
 	})
 	n.versions = selector.New(selector.Options{Host: o.Name, Share: o.RolloutShare, Slack: o.RolloutSlack, Now: clock.Now})
 	n.tally = tally.New()
--- a/entrynode/updates.go
+++ b/entrynode/updates.go
@@ -57,8 +57,9 @@
 	}
 	n.generation = s.Generation
 	n.versions.SetRollouts(s.Rollouts)
+	n.HallOrders(s.HallOrders)
 	n.servers.SetDrained(s.DrainedHalls)
-	n.options.Log.Info("State is in force.", "generation", s.Generation, "version", s.Version, "drained", s.DrainedHalls, "rollouts", s.Rollouts)
+	n.options.Log.Info("State is in force.", "generation", s.Generation, "version", s.Version, "drained", s.DrainedHalls, "hall_orders", s.HallOrders, "rollouts", s.Rollouts)
 }
 
 // StateCurrent records that no store is known to hold a newer state.
@@ -85,13 +86,42 @@
 		}
 		changed = append(changed, *h)
 	}
-	n.servers.SetPeers(n.hosts.region, n.hosts.announced())
+	n.servers.SetPeers(n.hosts.region)
+	n.sharers.SetHosts(n.hosts.announced())
 	n.peers.UpdateHosts(changed, removed)
-	n.budget.SetHosts(len(n.hosts.all))
-	n.versions.SetHosts(len(n.hosts.all))
+	n.setHostCount()
 	n.options.Log.Info("Hosts change.", "hosts", len(n.hosts.all), "region", len(n.hosts.region), "rows", len(rows))
 }
 
+// HostsCurrent records that the table of entry hosts was that of a store at a time.
+func (n *Node) HostsCurrent(at time.Time, connected, complete bool) {
+	n.sharers.Confirm(at, connected, complete)
+	n.setHostCount()
+}
+
+// setHostCount sets the number of hosts that divide common allowances: none has a part before its
+// view of the hosts has settled.
+func (n *Node) setHostCount() {
+	count := 0
+	settled := n.sharers.Settled()
+	if settled {
+		count = len(n.hosts.all)
+	}
+	n.budget.SetHosts(count)
+	n.versions.SetHosts(count)
+	if settled != n.hasShares {
+		n.hasShares = settled
+		n.options.Log.Info("Shares of common rates change.", "has_shares", settled, "hosts", len(n.hosts.all), "region", len(n.hosts.region))
+	}
+}
+
+// HallOrders records the latest orders for halls.
+func (n *Node) HallOrders(orders []wheelgauge.HallOrder) {
+	for _, o := range orders {
+		n.servers.SetOrdered(o.Hall, n.options.Clock.Now().Add(-time.Duration(o.AgeMS)*time.Millisecond))
+	}
+}
+
 // ServerRows updates the list of a region's backend servers, as requested at a time.
 func (n *Node) ServerRows(region string, rows []wheelgauge.TableRow, at heartbeat.ListTime) {
 	defer n.countUpdate(kindServers, len(rows), time.Now())
--- a/entrynode/updates_test.go
+++ b/entrynode/updates_test.go
@@ -16,6 +16,7 @@
 	"wheelgauge/retrybudget"
 	"wheelgauge/rollout/selector"
 	"wheelgauge/serverset"
+	"wheelgauge/sharers"
 )
 
 // hostRow returns the row of a host.
@@ -62,6 +63,7 @@
 	return &Node{
 		options: Options{Region: region, Clock: wheelgauge.MonotonicClock{}, Log: logr.Discard()}, meter: meter.New(), peers: peerset.New(region, time.Second, now),
 		servers:  serverset.New(serverset.Place{}, func(string) *wheelgauge.Service { return nil }, now),
+		sharers:  sharers.New(now),
 		budget:   retrybudget.New(retrybudget.Options{Ratio: 0.2, Slack: 1, Window: time.Second}, now),
 		versions: selector.New(selector.Options{Now: now}),
 	}
--- a/fleet.go
+++ b/fleet.go
@@ -149,6 +149,14 @@
 	LastOrders map[string]uint64 `json:"last_orders,omitempty"`
 }
 
+// HallOrder is the latest order of an operator for a hall.
+type HallOrder struct {
+	Hall string `json:"h"`
+	// AgeMS is how long ago the order was given at most, in ms; 0 as long as none is
+	// acknowledged.
+	AgeMS int64 `json:"a,omitempty"`
+}
+
 // RegionUsage is the load of another region.
 type RegionUsage struct {
 	Region string `json:"r"`
@@ -174,6 +182,11 @@
 	// Partial is set while the store has not been up long enough to have received a
 	// heartbeat of every host: hosts that it does not list may exist nevertheless.
 	Partial bool `json:"partial,omitempty"`
+	// AllHosts is set once the store has been connected to the others for long enough for each
+	// live host to have reached it.
+	AllHosts bool `json:"all_hosts,omitempty"`
+	// HallOrders are the orders for halls that operators gave lately.
+	HallOrders []HallOrder `json:"hall_orders,omitempty"`
 	// TablesDigest is the combined digest of the tables of hosts and servers: the host fetches
 	// what changed if it differs from its own. Servers is the state of the list of the host's
 	// region.
@@ -232,6 +245,8 @@
 	// stores of the same region.
 	Promises ReturnPromises `json:"promises,omitempty"`
 	Caps     CapUpdate      `json:"caps,omitzero"`
+	// HallOrders are the orders for halls that operators gave lately.
+	HallOrders []HallOrder `json:"hall_orders,omitempty"`
 }
 
 // StoreUpdateResponse is the response to a store's update. It leases shares of caps to the sender.
--- /dev/null
+++ b/hallorders/table_test.go
@@ -0,0 +1,72 @@
+package hallorders
+
+import (
+	"testing"
+	"time"
+
+	"wheelgauge"
+	"wheelgauge/fake/manualclock"
+)
+
+// age returns the age of a hall's order among others; -1 if there is none.
+func age(orders []wheelgauge.HallOrder) int64 {
+	for _, o := range orders {
+		if o.Hall == "h" {
+			return o.AgeMS
+		}
+	}
+	return -1
+}
+
+// A pending order counts as given just now until it is acknowledged, overtaken or old.
+func TestAgesOfOrders(t *testing.T) {
+	tests := []struct {
+		name   string
+		events func(t *Table, clock *manualclock.Clock)
+		// recent and applied are the ages in ms without and with those of the log, -1 for none.
+		recent, applied int64
+	}{
+		{"none", func(*Table, *manualclock.Clock) {}, -1, -1},
+		{"pending", func(t *Table, c *manualclock.Clock) { t.Received("h"); c.Advance(7 * time.Second) }, 0, 0},
+		{"no longer pending", func(t *Table, c *manualclock.Clock) { t.Received("h"); c.Advance(8500 * time.Millisecond) }, 8500, 8500},
+		{"old", func(t *Table, c *manualclock.Clock) { t.Received("h"); c.Advance(11 * time.Second) }, -1, -1},
+		{"acknowledged", func(t *Table, c *manualclock.Clock) {
+			t.Received("h")
+			c.Advance(time.Second)
+			t.Acknowledged("h")
+			c.Advance(time.Second)
+		}, 1000, 1000},
+		{"overtaken by one that another store acknowledged", func(t *Table, c *manualclock.Clock) {
+			t.Applied(map[string]uint64{"h": 3})
+			t.Received("h")
+			c.Advance(time.Second)
+			t.Applied(map[string]uint64{"h": 4})
+			c.Advance(2 * time.Second)
+		}, 2000, 2000},
+		{"pending at another store", func(t *Table, c *manualclock.Clock) {
+			t.Received("h")
+			t.Acknowledged("h")
+			c.Advance(3 * time.Second)
+			t.Merge([]wheelgauge.HallOrder{{Hall: "h"}})
+		}, 0, 0},
+		{"an older one from another store", func(t *Table, c *manualclock.Clock) {
+			t.Received("h")
+			t.Acknowledged("h")
+			c.Advance(time.Second)
+			t.Merge([]wheelgauge.HallOrder{{Hall: "h", AgeMS: 4000}})
+		}, 1000, 1000},
+		{"in the log at the start of the store", func(t *Table, c *manualclock.Clock) {
+			t.Applied(map[string]uint64{"h": 3})
+			c.Advance(500 * time.Millisecond)
+			t.Applied(map[string]uint64{"h": 3})
+		}, -1, 500},
+	}
+	for _, tt := range tests {
+		clock := manualclock.New()
+		table := New(clock.Now)
+		tt.events(table, clock)
+		if recent, applied := age(table.Recent()), age(table.RecentApplied()); recent != tt.recent || applied != tt.applied {
+			t.Errorf("%s: got ages of %d and %d ms, want %d and %d", tt.name, recent, applied, tt.recent, tt.applied)
+		}
+	}
+}
--- a/heartbeat/client.go
+++ b/heartbeat/client.go
@@ -54,6 +54,11 @@
 	StateCurrent()
 	// HostRows takes rows of the table of entry hosts.
 	HostRows(rows []wheelgauge.TableRow)
+	// HostsCurrent records that the table of entry hosts was that of a store at a time, whether
+	// the store was connected to the others, and whether each live host had had time to reach it.
+	HostsCurrent(at time.Time, connected, complete bool)
+	// HallOrders takes the recent orders for halls, as of now.
+	HallOrders(orders []wheelgauge.HallOrder)
 	// ServerRows takes rows of a region's list of servers, as requested at a time.
 	ServerRows(region string, rows []wheelgauge.TableRow, at ListTime)
 	// ServersCurrent records that the list of the host's region is complete and was unchanged when
@@ -376,6 +381,9 @@
 	if a.Connected && c.current() {
 		receiver.StateCurrent()
 	}
+	if len(a.HallOrders) > 0 {
+		receiver.HallOrders(a.HallOrders)
+	}
 	if !hb.Primary {
 		return
 	}
--- a/heartbeat/tables.go
+++ b/heartbeat/tables.go
@@ -30,13 +30,17 @@
 		age = time.Duration(a.Servers.AgeMS) * time.Millisecond
 		at.RequestedAt, at.ClockMS = sentAt.Add(-age), a.Servers.ClockMS
 	}
+	if c.fetchingTables() {
+		return // rows that were fetched may not have been delivered yet
+	}
 	if a.TablesDigest == c.tables.fetcher.Digest() {
 		c.confirmServers(a.Servers != nil, at)
+		c.options.Receiver.HostsCurrent(sentAt, a.Connected, a.AllHosts)
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.tables.fetching || c.ctx.Err() != nil {
+	if c.ctx.Err() != nil {
 		return
 	}
 	c.tables.fetching = true
@@ -52,6 +56,13 @@
 	}()
 }
 
+// fetchingTables reports whether a fetch is in progress. None begins while deliverMu is held.
+func (c *Client) fetchingTables() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.tables.fetching
+}
+
 // confirmServers records that the list held of the region's servers is that of a time, if the
 // store knows it. deliverMu is held.
 func (c *Client) confirmServers(known bool, at ListTime) {
--- a/serverset/candidates.go
+++ b/serverset/candidates.go
@@ -47,7 +47,7 @@
 			continue
 		}
 		tried := slices.Contains(j.tried, s.spec.Instance)
-		if now.Before(s.coldUntil) {
+		if t.isCold(s, now) {
 			if !tried {
 				t.shortlist = append(t.shortlist, s)
 			}
--- a/serverset/cold.go
+++ b/serverset/cold.go
@@ -2,6 +2,18 @@
 
 import "time"
 
+const (
+	// coldMargin extends the cold period beyond what the list says: the rate applies to
+	// every second that begins while the server is cold, and requests are in transit.
+	coldMargin = 1200 * time.Millisecond
+	// maxListLag is how far the list of servers may lag behind: for that long after an order for
+	// a hall, the list is not trusted to know its cold servers.
+	maxListLag = 1500 * time.Millisecond
+	// coldAfterOrder bounds how long the servers of a hall stay at the cold rate after an order
+	// if no newer list arrives.
+	coldAfterOrder = 10 * time.Second
+)
+
 // ColdSource is what says that a server is cold.
 type ColdSource string
 
@@ -9,8 +21,9 @@
 const (
 	// ColdByList: the list of servers gives the time that is left.
 	ColdByList ColdSource = "list"
-	// ColdByResume: the drain of the server's hall has ended, and the list is older than that.
-	ColdByResume ColdSource = "resume"
+	// ColdByOrder: an order for the server's hall, such as the end of its drain, is newer than the
+	// list.
+	ColdByOrder ColdSource = "order"
 )
 
 // ColdChoice is what the choice of a cold server went by.
@@ -43,8 +56,62 @@
 
 // coldChoice returns what the choice of a server goes by; nil if it is warm. The lock is held.
 func (t *Table) coldChoice(s *Server, now time.Time) *ColdChoice {
-	if !now.Before(s.coldUntil) {
+	until, source := t.coldUntil(s)
+	if !now.Before(until) {
 		return nil
 	}
-	return &ColdChoice{left: s.coldUntil.Sub(now), source: s.coldSource, hosts: len(t.place.Announced), hostsAge: now.Sub(t.peersAt)}
+	hosts, age := t.sharers()
+	return &ColdChoice{left: until.Sub(now), source: source, hosts: len(hosts), hostsAge: age}
+}
+
+// isCold reports whether a server is held for cold. The lock is held.
+func (t *Table) isCold(s *Server, now time.Time) bool {
+	until, _ := t.coldUntil(s)
+	return now.Before(until)
+}
+
+// coldUntil returns until when a server is held for cold, and by which source. The lock is held.
+func (t *Table) coldUntil(s *Server) (until time.Time, source ColdSource) {
+	at, ok := t.orderedAt[s.spec.Hall]
+	if !ok || !t.turnsCold(s) || !s.coldUntil.Before(at.Add(coldAfterOrder)) {
+		return s.coldUntil, ColdByList
+	}
+	return at.Add(coldAfterOrder), ColdByOrder
+}
+
+// turnsCold reports whether a server's service has a cold rate. The lock is held.
+func (t *Table) turnsCold(s *Server) bool {
+	config := t.serviceConfig(s.spec.Service)
+	return config != nil && config.ColdRate > 0
+}
+
+// SetOrdered records that an operator gave an order for a hall at a time. Its servers may turn cold
+// before a drain ends, also if no store could acknowledge the orders.
+func (t *Table) SetOrdered(hall string, at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.setOrdered(hall, at)
+}
+
+func (t *Table) setOrdered(hall string, at time.Time) {
+	if at.After(t.orderedAt[hall]) && t.listRequestedAt.Before(at.Add(maxListLag)) {
+		t.orderedAt[hall] = at
+	}
+}
+
+// confirmOrdered forgets the orders that are older than a list: from then on it knows the servers
+// that turned cold. The lock is held.
+func (t *Table) confirmOrdered(requestedAt time.Time) {
+	for hall, at := range t.orderedAt {
+		if requestedAt.Before(at.Add(maxListLag)) {
+			continue
+		}
+		delete(t.orderedAt, hall)
+		for _, s := range t.servers {
+			if until := requestedAt.Add(coldMargin); s.spec.Hall == hall && t.turnsCold(s) && s.coldUntil.Before(until) {
+				s.coldUntil = until
+				t.cold[s] = true
+			}
+		}
+	}
 }
--- a/serverset/conns_test.go
+++ b/serverset/conns_test.go
@@ -50,7 +50,7 @@
 	for n := range known {
 		peers = append(peers, fmt.Sprint("h", n))
 	}
-	t.SetPeers(peers, peers)
+	t.SetPeers(peers)
 	defer t.Close()
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/serverset/hall_test.go
+++ b/serverset/hall_test.go
@@ -15,7 +15,7 @@
 // halls h and g.
 func twoHalls(each int) *Table {
 	c := &clock{at: time.Unix(1000, 0)}
-	tb := New(Place{Host: "a", Hall: "h", Peers: []string{"a"}, Announced: []string{"a"}}, testServiceConfig, c.now)
+	tb := New(Place{Host: "a", Hall: "h", Peers: []string{"a"}}, testServiceConfig, c.now)
 	var list []wheelgauge.Server
 	for _, hall := range []string{"g", "h"} {
 		for i := range each {
--- a/serverset/limit.go
+++ b/serverset/limit.go
@@ -179,7 +179,7 @@
 func (t *Table) firstDeferred(j Job, now time.Time) *Server {
 	var first *Server
 	for _, s := range t.services[j.service] {
-		if !j.versions.Allows(s.spec.Version) || !t.deferred(s, now) || !t.availableBesidesLimit(s, now) || now.Before(s.coldUntil) || slices.Contains(j.tried, s.spec.Instance) {
+		if !j.versions.Allows(s.spec.Version) || !t.deferred(s, now) || !t.availableBesidesLimit(s, now) || t.isCold(s, now) || slices.Contains(j.tried, s.spec.Instance) {
 			continue
 		}
 		if first == nil || s.deferredUntil.Before(first.deferredUntil) {
--- a/serverset/pick.go
+++ b/serverset/pick.go
@@ -191,7 +191,7 @@
 	for _, s := range cands.list {
 		c := t.evaluate(s, j, cands, now)
 		switch {
-		case now.Before(s.coldUntil):
+		case t.isCold(s, now):
 			if c.better(cold) {
 				cold = c
 			}
@@ -213,10 +213,11 @@
 	if config == nil || config.ColdRate <= 0 {
 		return true
 	}
+	hosts, _ := t.sharers()
 	if !take {
-		return t.coldRates.IsHolder(s.spec.Instance, t.place.Host, t.place.Announced)
+		return t.coldRates.IsHolder(s.spec.Instance, t.place.Host, hosts)
 	}
-	return t.coldRates.Take(s.spec.Instance, t.place.Host, t.place.Announced, config.ColdRate)
+	return t.coldRates.Take(s.spec.Instance, t.place.Host, hosts, config.ColdRate)
 }
 
 // evaluate predicts the wait at a server, and scores the choice by its cost to this
--- a/serverset/restart_test.go
+++ b/serverset/restart_test.go
@@ -14,7 +14,7 @@
 func tableWithInstance(t *testing.T, now *time.Time) (*Table, Job) {
 	t.Helper()
 	service := &wheelgauge.Service{Name: "s", MaxConns: 10, KVCacheTokens: 1000, ColdRate: 3}
-	table := New(Place{Host: "a", Hall: "h", Peers: []string{"a"}, Announced: []string{"a"}}, func(string) *wheelgauge.Service { return service }, func() time.Time { return *now })
+	table := New(Place{Host: "a", Hall: "h", Peers: []string{"a"}}, func(string) *wheelgauge.Service { return service }, func() time.Time { return *now })
 	table.replaceList([]wheelgauge.Server{engineInstance(100)}, *now)
 	j := NewJob("s", prompt.Parse("x:500,y:10", "510,10", ""), 0, nil)
 	k := table.Choose(j)
--- a/serverset/server.go
+++ b/serverset/server.go
@@ -75,10 +75,9 @@
 	// flight there lately; both only with a model.
 	slownessSums slownessSums
 	urgentLevels urgentLevels
-	// coldUntil is when the server can take full load again, coldSource what says so.
-	coldUntil  time.Time
-	coldSource ColdSource
-	failures   failurerate.Rate
+	// coldUntil is when the server can take full load again by the list.
+	coldUntil time.Time
+	failures  failurerate.Rate
 	// pausedUntil keeps work off a server that is unreachable or full.
 	pausedUntil time.Time
 	pause       time.Duration
--- a/serverset/slowdown_test.go
+++ b/serverset/slowdown_test.go
@@ -60,7 +60,7 @@
 	rng := rand.New(rand.NewPCG(3, 4))
 	at := time.Unix(1000, 0)
 	service := &wheelgauge.Service{Name: "s", MaxConns: 100, KVCacheTokens: 500_000}
-	table := New(Place{Host: "g", Hall: "h", Peers: []string{"g"}, Announced: []string{"g"}}, func(string) *wheelgauge.Service { return service }, func() time.Time { return at })
+	table := New(Place{Host: "g", Hall: "h", Peers: []string{"g"}}, func(string) *wheelgauge.Service { return service }, func() time.Time { return at })
 	var list []wheelgauge.Server
 	slowdowns := map[string]float64{}
 	for n := range engines {
--- a/serverset/table.go
+++ b/serverset/table.go
@@ -46,10 +46,8 @@
 type Place struct {
 	Host string
 	Hall string
-	// Peers are the names of all live hosts of the region, Announced those of them that are
-	// announced to callers.
-	Peers     []string
-	Announced []string
+	// Peers are the names of all live hosts of the region.
+	Peers []string
 }
 
 // Table is the set of servers of the region. It is safe for concurrent use.
@@ -59,10 +57,12 @@
 	servers  map[string]*Server
 	services map[string][]*Server
 	drained  []string
-	// peersAt is when the hosts of the place were last set.
-	peersAt time.Time
-	// undrainedAt is when the drain of a hall last ended: its servers may be cold.
-	undrainedAt map[string]time.Time
+	// sharers returns the hosts among which the rate of a cold server is shared, and how old that
+	// view is.
+	sharers func() (hosts []string, age time.Duration)
+	// orderedAt is when the latest order for a hall was given, or its drain was seen to end, until
+	// a list is newer than that: its servers may be cold.
+	orderedAt map[string]time.Time
 	// remoteServers are those of other regions, by region and instance.
 	remoteServers map[string]*remoteList
 	busiestRegion string
@@ -108,18 +108,28 @@
 
 // New returns an empty table. serviceConfig returns the configuration of a service.
 func New(place Place, serviceConfig func(service string) *wheelgauge.Service, now func() time.Time) *Table {
-	return &Table{
-		place: place, servers: map[string]*Server{}, services: map[string][]*Server{}, undrainedAt: map[string]time.Time{}, brittle: map[string]brittleService{}, unlistedPushbacks: map[string]pushback.State{},
+	t := &Table{
+		place: place, servers: map[string]*Server{}, services: map[string][]*Server{}, orderedAt: map[string]time.Time{}, brittle: map[string]brittleService{}, unlistedPushbacks: map[string]pushback.State{},
 		remoteServers: map[string]*remoteList{}, remoteVersions: listedVersions{}, touched: map[*Server]bool{}, usedByPeers: map[*Server]bool{}, cold: map[*Server]bool{}, leaving: map[*Server]bool{}, versions: listedVersions{},
 		serviceConfig: serviceConfig, coldRates: coldrate.New(now), lastHolders: map[uint64]*Server{}, history: versionhistory.New(now), residentTokens: map[rankOfService]float64{}, now: now,
 	}
+	t.sharers = func() ([]string, time.Duration) { return t.place.Peers, 0 }
+	return t
 }
 
-// SetPeers sets the hosts that share the region, and which of them are announced to callers.
-func (t *Table) SetPeers(peers, announced []string) {
+// SetSharers sets the function that returns the hosts among which the rate of a cold server is
+// shared, none while this host has no share, and how old that view is.
+func (t *Table) SetSharers(sharers func() (hosts []string, age time.Duration)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.place.Peers, t.place.Announced, t.peersAt = slices.Clone(peers), slices.Clone(announced), t.now()
+	t.sharers = sharers
+}
+
+// SetPeers sets the hosts that share the region.
+func (t *Table) SetPeers(peers []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.place.Peers = slices.Clone(peers)
 	for s := range t.touched {
 		s.pool.SetMaxConns(t.connLimit(s.spec.Service))
 	}
@@ -140,13 +150,6 @@
 	return len(t.services[service])
 }
 
-// LowRateHosts returns the hosts among which the rate of a server with a low limit is shared.
-func (t *Table) LowRateHosts() []string {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return slices.Clone(t.place.Announced)
-}
-
 // connLimit is this host's share of a server's connections.
 func (t *Table) connLimit(service string) int {
 	config := t.serviceConfig(service)
@@ -221,40 +224,25 @@
 	return spec.ColdMS > 0 && until.After(s.coldUntil.Add(coldMargin))
 }
 
-// updateCold updates how long a server stays cold, unless the list is older than the
-// end of the hall's drain.
+// updateCold updates how long a server stays cold by the list.
 func (t *Table) updateCold(s *Server, requestedAt time.Time) {
 	if s.spec.ColdMS > 0 {
-		s.coldUntil, s.coldSource = requestedAt.Add(time.Duration(s.spec.ColdMS)*time.Millisecond+coldMargin), ColdByList
+		s.coldUntil = requestedAt.Add(time.Duration(s.spec.ColdMS)*time.Millisecond + coldMargin)
 		t.cold[s] = true
 		return
 	}
-	if undrainedAt, ok := t.undrainedAt[s.spec.Hall]; ok && requestedAt.Before(undrainedAt.Add(maxListLag)) {
-		return
-	}
 	if until := requestedAt.Add(coldMargin); s.coldUntil.After(until) {
 		s.coldUntil = until
 	}
 }
 
-// coldMargin extends the cold period beyond what the list says: the rate applies to
-// every second that begins while the server is cold, and requests are in transit.
-const coldMargin = 1200 * time.Millisecond
-
-// maxListLag is how far the list of servers may lag behind: for that long after the drain
-// of a hall ends, the list is not trusted to know its cold servers.
-const maxListLag = 1500 * time.Millisecond
-
-// coldAfterUndrain keeps the servers of a hall whose drain ended at the cold rate until a
-// newer list says otherwise.
-const coldAfterUndrain = 10 * time.Second
-
 // ConfirmList records that the list held was current when requested at a time.
 func (t *Table) ConfirmList(requestedAt time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.listRequestedAt = requestedAt
 	t.confirmListed(requestedAt)
+	t.confirmOrdered(requestedAt)
 	for s := range t.cold {
 		if s.spec.ColdMS == 0 {
 			t.updateCold(s, requestedAt)
@@ -312,15 +300,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, hall := range t.drained {
-		if slices.Contains(halls, hall) {
-			continue
-		}
-		t.undrainedAt[hall] = t.now()
-		for _, s := range t.servers {
-			if config := t.serviceConfig(s.spec.Service); s.spec.Hall == hall && config != nil && config.ColdRate > 0 {
-				s.coldUntil, s.coldSource = t.now().Add(coldAfterUndrain), ColdByResume
-				t.cold[s] = true
-			}
+		if !slices.Contains(halls, hall) {
+			t.setOrdered(hall, t.now())
 		}
 	}
 	t.drained = slices.Clone(halls)
--- a/serverset/table_test.go
+++ b/serverset/table_test.go
@@ -36,7 +36,7 @@
 // newTestTable returns a table with n servers of a service, in hall h.
 func newTestTable(service string, n int) (*Table, *clock, []wheelgauge.Server) {
 	c := &clock{at: time.Unix(1000, 0)}
-	t := New(Place{Host: "a", Hall: "h", Peers: []string{"a"}, Announced: []string{"a"}}, testServiceConfig, c.now)
+	t := New(Place{Host: "a", Hall: "h", Peers: []string{"a"}}, testServiceConfig, c.now)
 	var list []wheelgauge.Server
 	for i := range n {
 		list = append(list, wheelgauge.Server{Instance: fmt.Sprint("i", i), Service: service, Address: "127.0.0.1:1", Hall: "h", Slots: 4})
@@ -145,6 +145,42 @@
 	}
 }
 
+// The servers of a hall for which an order was given are held for cold until a list is newer, by a
+// host that saw no drain end as well.
+func TestHallWithAnOrderIsCold(t *testing.T) {
+	tests := []struct {
+		name string
+		// age is how old the order is when the host learns of it, listAge how old its list is then.
+		age, listAge time.Duration
+		want         int
+	}{
+		{"an older list", 0, 100 * time.Millisecond, 1},
+		{"a list that may lag behind the order", time.Second, 100 * time.Millisecond, 1},
+		{"a newer list, for longer than requests are in transit", 3 * time.Second, 1300 * time.Millisecond, 5},
+		{"an old order, an older list", 11 * time.Second, 12 * time.Second, 5},
+	}
+	for _, tt := range tests {
+		tb, c, list := newTestTable(engines, 1)
+		c.advance(20 * time.Second)
+		tb.SetOrdered("h", c.at.Add(-tt.age))
+		tb.replaceList(list, c.at.Add(-tt.listAge))
+		sent := 0
+		for range 5 {
+			k := tb.Choose(NewJob(engines, promptWithPrefix("x"), 1, nil))
+			if k == nil {
+				continue
+			}
+			sent++
+			if cold, ok := k.Cold(); ok != (tt.want == 1) || ok && (cold.Source() != ColdByOrder || cold.Hosts() != 1) {
+				t.Errorf("%s: got choice %+v, cold %v, want one of %d hosts by the order if the hall is held for cold", tt.name, cold, ok, 1)
+			}
+		}
+		if sent != tt.want {
+			t.Errorf("%s: %d requests at once, want %d", tt.name, sent, tt.want)
+		}
+	}
+}
+
 // Servers of a hall whose drain has ended may be cold, which an older list does not know yet.
 func TestUndrainedHallIsCold(t *testing.T) {
 	tb, c, list := newTestTable(engines, 1)
--- a/serverset/versions.go
+++ b/serverset/versions.go
@@ -96,7 +96,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
-	return now.Sub(k.server.firstSeen) < newServerPeriod || now.Before(k.server.coldUntil)
+	return now.Sub(k.server.firstSeen) < newServerPeriod || t.isCold(k.server, now)
 }
 
 // Version returns the server's software version at the time of the choice.
--- a/tables.go
+++ b/tables.go
@@ -115,6 +115,9 @@
 	Rollouts []Rollout `json:"rollouts,omitempty"`
 	// Crashes are those because of which requests are quarantined, for a host without a state.
 	Crashes []Crash `json:"crashes,omitempty"`
+	// HallOrders are the recent orders for halls, for a host without a state, which has seen no
+	// drain end.
+	HallOrders []HallOrder `json:"hall_orders,omitempty"`
 }
 
 // ChangesResponse has the changes of the tables that differ from what the requester holds, of all
