Retry budget, rollouts: no part of a common allowance before the hosts are known

Until its view has settled a host has no part of the slack, only what its own first sends earn; a number known once stays while the view is unsettled. Both tests failed before.

--- a/retrybudget/budget.go
+++ b/retrybudget/budget.go
@@ -35,6 +35,8 @@
 	options Options
 	mu      sync.Mutex
 	hosts   int
+	// known is set once the number of hosts is.
+	known bool
 	// previousHosts is the number of hosts that stays in effect until shrinkAt.
 	previousHosts int
 	shrinkAt      time.Time
@@ -49,17 +51,24 @@
 }
 
 // SetHosts sets how many hosts share the allowance. A smaller number takes effect only after
-// shrinkDelay.
+// shrinkDelay. With 0, while the number is not known, the last one stays in effect; before the first
+// one this host has no part of the allowance.
 func (b *Budget) SetHosts(n int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if previous := b.sharing(); n < previous {
+	if n == 0 {
+		if !b.known {
+			b.hosts = 0
+		}
+		return
+	}
+	if previous := b.sharing(); b.known && n < previous {
 		b.previousHosts = previous
 		if b.hosts == previous {
 			b.shrinkAt = b.now().Add(shrinkDelay)
 		}
 	}
-	b.hosts = max(1, n)
+	b.hosts, b.known = n, true
 }
 
 // sharing returns how many hosts share the allowance now. The lock must be held.
@@ -85,7 +94,10 @@
 	defer b.mu.Unlock()
 	w, at := b.window(service)
 	firsts, retries := w.sums(at)
-	most := ratioFraction*b.options.Ratio*float64(firsts) + slackFraction*b.options.Slack/float64(b.sharing())
+	most := ratioFraction * b.options.Ratio * float64(firsts)
+	if hosts := b.sharing(); hosts > 0 {
+		most += slackFraction * b.options.Slack / float64(hosts)
+	}
 	if float64(retries+1) > most {
 		return false
 	}
--- a/retrybudget/budget_test.go
+++ b/retrybudget/budget_test.go
@@ -180,3 +180,24 @@
 		}
 	}
 }
+
+// Hosts that start together and do not know of each other yet take no part of the allowance.
+func TestNoAllowanceBeforeHostsAreKnown(t *testing.T) {
+	o := Options{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}
+	at := time.Unix(0, 0)
+	retries := 0
+	for range 7 {
+		b := New(o, func() time.Time { return at })
+		b.SetHosts(0)
+		for b.TryRetry("s") {
+			retries++
+		}
+		b.SetHosts(7)
+		for b.TryRetry("s") {
+			retries++
+		}
+	}
+	if float64(retries) > o.Slack || retries == 0 {
+		t.Errorf("%d retries of seven hosts without a first send, want some and at most %.0f", retries, o.Slack)
+	}
+}
--- a/rollout/selector/choose.go
+++ b/rollout/selector/choose.go
@@ -144,6 +144,9 @@
 
 // hostSlack returns this host's share of the slack.
 func (sel *Selector) hostSlack() float64 {
+	if sel.hostCount == 0 {
+		return 0
+	}
 	return slackRatio * sel.options.Slack / float64(sel.hostCount)
 }
 
--- a/rollout/selector/selector.go
+++ b/rollout/selector/selector.go
@@ -104,11 +104,12 @@
 	return &Selector{options: o, hostCount: 1, services: map[string]*service{}}
 }
 
-// SetHosts sets how many hosts divide the slack.
+// SetHosts sets how many hosts divide the slack; 0 while that is not known, and this host has no
+// part of it.
 func (sel *Selector) SetHosts(count int) {
 	sel.mu.Lock()
 	defer sel.mu.Unlock()
-	sel.hostCount = max(1, count)
+	sel.hostCount = count
 }
 
 // SetRollouts applies the rollouts of the state in force, with the time elapsed of each.
--- a/rollout/selector/selector_test.go
+++ b/rollout/selector/selector_test.go
@@ -79,6 +79,36 @@
 	}
 }
 
+// Hosts that do not know of each other take no part of the slack.
+func TestNoSlackBeforeHostsAreKnown(t *testing.T) {
+	const share, slack, hosts = 0.1, 10.0, 300
+	sent, sentTarget := 0, 0
+	for n := range hosts {
+		at := time.Unix(1000, 0)
+		sel := New(Options{Host: fmt.Sprint(n), Share: share, Slack: slack, Now: func() time.Time { return at }})
+		sel.SetHosts(0)
+		sel.SetRollouts(rollout(wheelgauge.RolloutRunning, false, 0))
+		at = at.Add(10 * time.Second)
+		sel.ConfirmState()
+		for range 5 {
+			choice, release := sel.Choose(name, "r", time.Second, false)
+			version := "v1"
+			if only, ok := choice.Only(); ok {
+				version = only
+			}
+			sel.RecordSent(name, "r", version)
+			sent++
+			if version == target {
+				sentTarget++
+			}
+			release()
+		}
+	}
+	if allowed := share*float64(sent) + slack; float64(sentTarget) > allowed {
+		t.Errorf("target version got %d of %d requests, %.0f allowed", sentTarget, sent, allowed)
+	}
+}
+
 // All hosts together keep the target version within its share before the time limit, also
 // when hosts restart.
 func TestShareOfAllHosts(t *testing.T) {
