Cold servers: a share that is used up is not predicted, so callers are forwarded instead of refused

A prediction took any cold server of which the host has a share, also when the share was used up, so the request stayed, and the choice that followed found none. TestUsedUpColdShareIsNotPredicted failed before.

--- a/coldrate/shares.go
+++ b/coldrate/shares.go
@@ -35,8 +35,8 @@
 // New returns shares that read time from now.
 func New(now func() time.Time) *Shares { return &Shares{buckets: map[string]*bucket{}, now: now} }
 
-// IsHolder reports whether host is one of a server's holders.
-func (s *Shares) IsHolder(server, host string, peers []string) bool {
+// isHolder reports whether host is one of a server's holders.
+func isHolder(server, host string, peers []string) bool {
 	if len(peers) == 0 {
 		return false // the number of hosts is not known yet
 	}
@@ -45,11 +45,30 @@
 
 // Take takes one request from the host's share of rate, in requests a second.
 func (s *Shares) Take(server, host string, peers []string, rate float64) bool {
-	if !s.IsHolder(server, host, peers) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b := s.refilled(server, host, peers, rate)
+	if b == nil || b.tokens < 1 {
 		return false
 	}
+	b.tokens--
+	return true
+}
+
+// Allows reports whether Take would take a request now.
+func (s *Shares) Allows(server, host string, peers []string, rate float64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	b := s.refilled(server, host, peers, rate)
+	return b != nil && b.tokens >= 1
+}
+
+// refilled returns the host's bucket for a server with what its share has added; nil without a
+// share. The lock is held.
+func (s *Shares) refilled(server, host string, peers []string, rate float64) *bucket {
+	if !isHolder(server, host, peers) {
+		return nil
+	}
 	now := s.now()
 	b := s.buckets[server]
 	if b == nil {
@@ -59,9 +78,5 @@
 	share := rate / float64(min(holders, max(1, len(peers))))
 	b.tokens = min(burst, b.tokens+share*now.Sub(b.refilled).Seconds())
 	b.refilled = now
-	if b.tokens < 1 {
-		return false
-	}
-	b.tokens--
-	return true
+	return b
 }
--- a/serverset/pick.go
+++ b/serverset/pick.go
@@ -215,7 +215,7 @@
 	}
 	hosts, _ := t.sharers()
 	if !take {
-		return t.coldRates.IsHolder(s.spec.Instance, t.place.Host, hosts)
+		return t.coldRates.Allows(s.spec.Instance, t.place.Host, hosts, config.ColdRate)
 	}
 	return t.coldRates.Take(s.spec.Instance, t.place.Host, hosts, config.ColdRate)
 }
--- a/serverset/table_test.go
+++ b/serverset/table_test.go
@@ -181,6 +181,25 @@
 	}
 }
 
+// A host that has used up its share of a cold server's rate predicts no server, so that requests
+// are forwarded instead of refused.
+func TestUsedUpColdShareIsNotPredicted(t *testing.T) {
+	tb, c, list := newTestTable(engines, 1)
+	list[0].ColdMS = 5000
+	tb.replaceList(list, c.at)
+	j := NewJob(engines, promptWithPrefix("x"), 1, nil)
+	for _, step := range []struct {
+		after time.Duration
+		want  bool
+	}{{0, true}, {0, false}, {time.Second, true}} {
+		c.advance(step.after)
+		if _, ok := tb.Predict(j); ok != step.want {
+			t.Errorf("after %v: got %v, want a predicted server %v", step.after, ok, step.want)
+		}
+		tb.Choose(j)
+	}
+}
+
 // Servers of a hall whose drain has ended may be cold, which an older list does not know yet.
 func TestUndrainedHallIsCold(t *testing.T) {
 	tb, c, list := newTestTable(engines, 1)
