Server lists: the end of a cold time names its clock

The end is given by the clock of the store that reads the list, which begins anew with that store. Rows and clock reach a host, or another store, in two messages; where another store had become the reader between them, a clock that is ahead made a cold server warm until its row changed. Lists and rows now name the clock; a row of another clock stands for a cold server until the row changes. TestColdServerOfAnotherClockIsCold failed before on a clock that is ahead, TestClockOfAListIsIdentified.

--- a/confstore/heartbeat.go
+++ b/confstore/heartbeat.go
@@ -57,7 +57,7 @@
 	a.Partial = n.warmingUp()
 	a.TablesDigest = n.feed.Digest()
 	if status, ok := n.servers.Status(hb.Host.Region); ok {
-		a.Servers = &wheelgauge.ListStatus{AgeMS: status.AgeMS, ClockMS: status.ClockMS}
+		a.Servers = &wheelgauge.ListStatus{AgeMS: status.AgeMS, ClockMS: status.ClockMS, Clock: status.Clock}
 	}
 	n.addLimits(&a, hb)
 	a.ServerUsage = n.hosts.UsageWithout(hb.Host.Region, hb.Host.Name)
--- a/entrynode/updates.go
+++ b/entrynode/updates.go
@@ -141,7 +141,7 @@
 				*text = unique.Make(*text).Value() // the same in thousands of rows
 			}
 			if s.ColdUntilMS > 0 {
-				s.ColdMS, s.ColdUntilMS = max(0, s.ColdUntilMS-at.ClockMS), 0
+				s.ColdMS, s.ColdUntilMS, s.ColdClock = s.ColdLeftMS(at.Clock, at.ClockMS), 0, 0
 				cold++
 			}
 			changed = append(changed, *s)
--- a/entrynode/updates_test.go
+++ b/entrynode/updates_test.go
@@ -11,8 +11,10 @@
 
 	"wheelgauge"
 	"wheelgauge/announcedhosts"
+	"wheelgauge/heartbeat"
 	"wheelgauge/meter"
 	"wheelgauge/peerset"
+	"wheelgauge/prompt"
 	"wheelgauge/retrybudget"
 	"wheelgauge/rollout/selector"
 	"wheelgauge/serverset"
@@ -98,6 +100,44 @@
 	}
 }
 
+// A cold server whose end is given by the clock of another store's list is not taken for warm.
+func TestColdServerOfAnotherClockIsCold(t *testing.T) {
+	const service = "s"
+	tests := []struct {
+		name  string
+		clock uint64 // of the list's state
+		at    int64  // its time in ms
+		want  bool
+	}{
+		{"cold by the same clock", 7, 1000, true},
+		{"warm by the same clock", 7, 3500, false},
+		{"by another clock, which is ahead", 8, 100_000, true},
+		{"no clock is known", 0, 0, true},
+	}
+	for _, tt := range tests {
+		n := newUpdateNode("here")
+		config := &wheelgauge.Service{Name: service, ColdRate: 3, MaxConns: 10}
+		n.servers = serverset.New(serverset.Place{Host: "a"}, func(string) *wheelgauge.Service { return config }, time.Now)
+		n.servers.SetSharers(func() ([]string, time.Duration) { return []string{"a"}, 0 })
+		n.origins = n.newOrigins()
+		defer n.origins.Close()
+		row, err := wheelgauge.EncodeRow("i", wheelgauge.Server{Instance: "i", Service: service, Address: "127.0.0.1:1", ColdUntilMS: 3000, ColdClock: 7})
+		if err != nil {
+			t.Fatal(err)
+		}
+		requestedAt := time.Now().Add(-1500 * time.Millisecond) // longer ago than requests are in transit
+		n.ServerRows("here", []wheelgauge.TableRow{row}, heartbeat.ListTime{RequestedAt: requestedAt, ClockMS: tt.at, Clock: tt.clock})
+		n.servers.ConfirmList(requestedAt)
+		k := n.servers.Choose(serverset.NewJob(service, prompt.Prompt{}, 0, nil))
+		if k == nil {
+			t.Fatalf("%s: no server is chosen", tt.name)
+		}
+		if _, cold := k.Cold(); cold != tt.want {
+			t.Errorf("%s: got cold %v, want %v", tt.name, cold, tt.want)
+		}
+	}
+}
+
 // usageRecorder records what credits are told.
 type usageRecorder struct {
 	wheelgauge.ForwardCredits
--- a/fleet.go
+++ b/fleet.go
@@ -218,6 +218,8 @@
 	// ClockMS is the time of that request by the clock of the list, which goes on from one store
 	// that reads the list to the next.
 	ClockMS int64 `json:"clock_ms"`
+	// Clock identifies the clock of the list: another one begins if no store had the list.
+	Clock uint64 `json:"clock,omitempty"`
 }
 
 // RegionLoad is the load of the hosts of a region that take their updates from one
--- a/heartbeat/client.go
+++ b/heartbeat/client.go
@@ -77,6 +77,8 @@
 type ListTime struct {
 	RequestedAt time.Time
 	ClockMS     int64
+	// Clock identifies the clock of the list; 0 while that is not known.
+	Clock uint64
 }
 
 // CrashSource returns the crashes that the host recorded after a change, and the number
--- a/heartbeat/tables.go
+++ b/heartbeat/tables.go
@@ -28,7 +28,7 @@
 	at, age := ListTime{RequestedAt: sentAt}, time.Duration(0)
 	if a.Servers != nil {
 		age = time.Duration(a.Servers.AgeMS) * time.Millisecond
-		at.RequestedAt, at.ClockMS = sentAt.Add(-age), a.Servers.ClockMS
+		at.RequestedAt, at.ClockMS, at.Clock = sentAt.Add(-age), a.Servers.ClockMS, a.Servers.Clock
 	}
 	if c.fetchingTables() {
 		return // rows that were fetched may not have been delivered yet
--- a/routes.go
+++ b/routes.go
@@ -129,6 +129,8 @@
 	// ColdUntilMS stands for ColdMS in the tables of stores, whose rows must not change with the
 	// time: the end by the clock of the list; see ListStatus. 0 for a server that is not cold.
 	ColdUntilMS int64 `json:"u,omitempty"`
+	// ColdClock identifies the clock of ColdUntilMS.
+	ColdClock uint64 `json:"k,omitempty"`
 }
 
 // InstanceKey returns an identifier of this start of the server.
@@ -145,8 +147,22 @@
 	// MaxColdMS bounds the time that the list may give for a server to stay cold, in ms: one
 	// day.
 	MaxColdMS = 24 * 3600 * 1000
+	// UnknownColdMS stands for the time left of a cold server if its end is given by a clock that
+	// the reader does not have. The row changes when the server is warm.
+	UnknownColdMS = 10 * 1000
 )
 
+// ColdLeftMS returns how much longer a server of a store's table stays cold at a time of the list.
+func (s Server) ColdLeftMS(clock uint64, clockMS int64) int64 {
+	switch {
+	case s.ColdUntilMS == 0:
+		return 0
+	case s.ColdClock != clock:
+		return UnknownColdMS
+	}
+	return max(0, s.ColdUntilMS-clockMS)
+}
+
 // HasValidAddress reports whether the address is a host with a valid port.
 func (s Server) HasValidAddress() bool {
 	host, port, err := net.SplitHostPort(s.Address)
--- a/serverlist/table.go
+++ b/serverlist/table.go
@@ -4,6 +4,7 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"strings"
 	"sync"
 	"time"
@@ -45,6 +46,8 @@
 	known       bool
 	requestedAt time.Time
 	clock       time.Duration
+	// clockID identifies the clock, which may have begun at another store.
+	clockID uint64
 	// own is set while this store has read the list itself.
 	own bool
 }
@@ -89,7 +92,7 @@
 	defer t.mu.Unlock()
 	r := t.region(region)
 	if r.requestedAt.IsZero() {
-		r.requestedAt = requestedAt
+		r.requestedAt, r.clockID = requestedAt, rand.Uint64()
 	}
 	clock := r.clock + requestedAt.Sub(r.requestedAt)
 	listed := make(map[string]wheelgauge.Server, len(list))
@@ -102,7 +105,7 @@
 	var rows []wheelgauge.TableRow
 	for instance, s := range listed {
 		was, ok := r.servers[instance]
-		s = untimed(s, was, clock)
+		s = untimed(s, was, r.clockID, clock)
 		if ok && was == s {
 			continue
 		}
@@ -126,11 +129,11 @@
 
 // untimed returns a server with the end of its cold period in place of what is left of it, which
 // changes with the time. The end stays that of the entry before unless it deviates.
-func untimed(s, was wheelgauge.Server, clock time.Duration) wheelgauge.Server {
-	s.ColdUntilMS = 0
+func untimed(s, was wheelgauge.Server, clockID uint64, clock time.Duration) wheelgauge.Server {
+	s.ColdUntilMS, s.ColdClock = 0, 0
 	if s.ColdMS > 0 {
-		s.ColdUntilMS = clock.Milliseconds() + s.ColdMS
-		if off := s.ColdUntilMS - was.ColdUntilMS; was.ColdUntilMS > 0 && max(off, -off) <= coldTolerance.Milliseconds() {
+		s.ColdUntilMS, s.ColdClock = clock.Milliseconds()+s.ColdMS, clockID
+		if off := s.ColdUntilMS - was.ColdUntilMS; was.ColdUntilMS > 0 && was.ColdClock == clockID && max(off, -off) <= coldTolerance.Milliseconds() {
 			s.ColdUntilMS = was.ColdUntilMS
 		}
 	}
@@ -233,7 +236,7 @@
 	if !r.known {
 		t.version++
 	}
-	r.known, r.requestedAt, r.clock, r.own = true, requestedAt, time.Duration(s.ClockMS)*time.Millisecond, false
+	r.known, r.requestedAt, r.clock, r.clockID, r.own = true, requestedAt, time.Duration(s.ClockMS)*time.Millisecond, s.Clock, false
 }
 
 // Own returns the state of a region's list if this store has read it itself since a time.
@@ -260,7 +263,7 @@
 
 // status returns the state of a known list; the lock is held.
 func (t *Table) status(region string, r *regionList) wheelgauge.ListStatus {
-	return wheelgauge.ListStatus{Region: region, Digest: r.changes.Digest(), AgeMS: t.now().Sub(r.requestedAt).Milliseconds(), ClockMS: r.clock.Milliseconds()}
+	return wheelgauge.ListStatus{Region: region, Digest: r.changes.Digest(), AgeMS: t.now().Sub(r.requestedAt).Milliseconds(), ClockMS: r.clock.Milliseconds(), Clock: r.clockID}
 }
 
 // Age returns the time since the list of a region was requested; ok is false when it is
@@ -296,7 +299,7 @@
 	var out []wheelgauge.Server
 	for key, s := range t.cold {
 		r := t.regions[key[0]]
-		if time.Duration(s.ColdUntilMS)*time.Millisecond > r.clock+t.now().Sub(r.requestedAt) {
+		if s.ColdLeftMS(r.clockID, (r.clock+t.now().Sub(r.requestedAt)).Milliseconds()) > 0 {
 			s.Region = key[0]
 			out = append(out, s)
 		}
--- a/serverlist/table_test.go
+++ b/serverlist/table_test.go
@@ -192,3 +192,32 @@
 		t.Error("an earlier start of a server is found")
 	}
 }
+
+// A list that a store reads from the start has a clock of its own, which others follow.
+func TestClockOfAListIsIdentified(t *testing.T) {
+	at := time.Unix(1000, 0)
+	now := func() time.Time { return at }
+	reader, other := New(now), New(now)
+	cold := []wheelgauge.Server{{Instance: "i", Service: "s", ColdMS: 3000}}
+	for _, tb := range []*Table{other, reader} {
+		if err := tb.Read("north", cold, at); err != nil {
+			t.Fatal(err)
+		}
+		at = at.Add(time.Second)
+	}
+	one, _ := reader.Status("north")
+	two, _ := other.Status("north")
+	if one.Clock == 0 || one.Clock == two.Clock {
+		t.Fatalf("got clocks %d and %d, want two different ones", one.Clock, two.Clock)
+	}
+	if err := other.Receive("north", reader.Changes("north").Rows()); err != nil {
+		t.Fatal(err)
+	}
+	if got := len(other.Cold()); got != 1 {
+		t.Errorf("rows are received before the clock: %d cold servers, want 1", got)
+	}
+	other.Fetched(one, at)
+	if got, _ := other.Status("north"); got.Clock != one.Clock {
+		t.Errorf("got clock %d after the transfer, want that of the reader, %d", got.Clock, one.Clock)
+	}
+}
