Orders for halls: stores tell each other only those given to them

Two stores that told each other an order they had heard of made it younger each time by the link's delay and the rounding of ages, so the hall stayed at the cold rate for good. TestOrdersToldBetweenStoresAge failed with what was told passed on (age 0 after twelve seconds).

--- a/confstore/updates.go
+++ b/confstore/updates.go
@@ -60,7 +60,7 @@
 		update.Promises = n.promises.OfHosts(n.o.Region)
 	}
 	update.Caps = n.caps.Report(address)
-	update.HallOrders = n.hallOrders.Recent()
+	update.HallOrders = n.hallOrders.Given()
 	return update
 }
 
--- a/hallorders/table.go
+++ b/hallorders/table.go
@@ -44,15 +44,16 @@
 
 // Table is safe for concurrent use.
 type Table struct {
-	mu      sync.Mutex
-	orders  map[string]order
-	applied map[string]applied
-	now     func() time.Time
+	mu sync.Mutex
+	// orders are those given to this store, told those that other stores were given, by hall.
+	orders, told map[string]order
+	applied      map[string]applied
+	now          func() time.Time
 }
 
 // New returns an empty table.
 func New(now func() time.Time) *Table {
-	return &Table{orders: map[string]order{}, applied: map[string]applied{}, now: now}
+	return &Table{orders: map[string]order{}, told: map[string]order{}, applied: map[string]applied{}, now: now}
 }
 
 // Received records an order for a hall. It counts as pending until it is acknowledged.
@@ -70,23 +71,35 @@
 	t.orders[hall] = order{at: t.now()}
 }
 
-// Merge adds the orders that another store knows.
+// Merge adds the orders that another store was given.
 func (t *Table) Merge(orders []wheelgauge.HallOrder) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, o := range orders {
-		at := t.now().Add(-time.Duration(o.AgeMS) * time.Millisecond)
-		if known := t.orders[o.Hall]; at.After(known.at) {
-			t.orders[o.Hall] = order{at: at, pendingUntil: known.pendingUntil}
+		if at := t.now().Add(-time.Duration(o.AgeMS) * time.Millisecond); at.After(t.told[o.Hall].at) {
+			t.told[o.Hall] = order{at: at}
 		}
 	}
 }
 
+// Given returns the orders that operators gave lately to this store. Only these are told to other
+// stores: an order that two stores told each other would get younger each time.
+func (t *Table) Given() []wheelgauge.HallOrder {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.recent(func(hall string) time.Duration { return t.orders[hall].age(t.now()) })
+}
+
 // Recent returns the orders that operators gave lately, to this store or to others.
 func (t *Table) Recent() []wheelgauge.HallOrder {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.recent(func(hall string) time.Duration { return t.orders[hall].age(t.now()) })
+	return t.recent(func(hall string) time.Duration { return t.age(hall, t.now()) })
+}
+
+// age returns the time since the latest order given for a hall. The lock is held.
+func (t *Table) age(hall string, now time.Time) time.Duration {
+	return min(t.orders[hall].age(now), t.told[hall].age(now))
 }
 
 // Applied records the index of each hall's last order in the replicated log. Orders that were
@@ -114,7 +127,7 @@
 	defer t.mu.Unlock()
 	now := t.now()
 	return t.recent(func(hall string) time.Duration {
-		age := t.orders[hall].age(now)
+		age := t.age(hall, now)
 		if a, ok := t.applied[hall]; ok {
 			age = min(age, order{at: a.at}.age(now))
 		}
@@ -130,8 +143,10 @@
 			out = append(out, wheelgauge.HallOrder{Hall: hall, AgeMS: a.Milliseconds()})
 		}
 	}
-	for hall := range t.orders {
-		add(hall)
+	for _, orders := range []map[string]order{t.orders, t.told} {
+		for hall := range orders {
+			add(hall)
+		}
 	}
 	for hall := range t.applied {
 		add(hall)
--- a/hallorders/table_test.go
+++ b/hallorders/table_test.go
@@ -70,3 +70,31 @@
 		}
 	}
 }
+
+// Orders that stores tell each other get older at all of them.
+func TestOrdersToldBetweenStoresAge(t *testing.T) {
+	clock := manualclock.New()
+	stores := []*Table{New(clock.Now), New(clock.Now), New(clock.Now)}
+	stores[0].Received("h")
+	stores[0].Acknowledged("h")
+	for range 60 {
+		given := make([][]wheelgauge.HallOrder, len(stores))
+		for i, s := range stores {
+			given[i] = s.Given()
+		}
+		clock.Advance(60 * time.Millisecond) // a long link
+		for i, s := range stores {
+			for j := range stores {
+				if i != j {
+					s.Merge(given[j])
+				}
+			}
+		}
+		clock.Advance(140 * time.Millisecond)
+	}
+	for i, s := range stores {
+		if got := age(s.Recent()); got != -1 {
+			t.Errorf("store %d: got an order of age %d ms after twelve seconds, want none", i, got)
+		}
+	}
+}
