Shares of rates: only connected stores confirm a host's view

A host of a part that is cut off from the other stores kept its share while the rest, to whom it looked dead, gave it to others: twice the rate together. A view now ends two seconds after the last word of a connected store. The price: servers that turn cold in a cut-off region get nothing until they are warm.

--- a/entrynode/updates.go
+++ b/entrynode/updates.go
@@ -93,9 +93,9 @@
 	n.options.Log.Info("Hosts change.", "hosts", len(n.hosts.all), "region", len(n.hosts.region), "rows", len(rows))
 }
 
-// HostsCurrent records that the table of entry hosts was that of a store at a time.
-func (n *Node) HostsCurrent(at time.Time, connected, complete bool) {
-	n.sharers.Confirm(at, connected, complete)
+// HostsCurrent records that the table of entry hosts was that of a connected store at a time.
+func (n *Node) HostsCurrent(at time.Time, complete bool) {
+	n.sharers.Confirm(at, complete)
 	n.setHostCount()
 }
 
--- a/heartbeat/client.go
+++ b/heartbeat/client.go
@@ -54,9 +54,9 @@
 	StateCurrent()
 	// HostRows takes rows of the table of entry hosts.
 	HostRows(rows []wheelgauge.TableRow)
-	// HostsCurrent records that the table of entry hosts was that of a store at a time, whether
-	// the store was connected to the others, and whether each live host had had time to reach it.
-	HostsCurrent(at time.Time, connected, complete bool)
+	// HostsCurrent records that the table of entry hosts was at a time that of a store which was
+	// connected to the others, and whether each live host had had time to reach that store.
+	HostsCurrent(at time.Time, complete bool)
 	// HallOrders takes the recent orders for halls, as of now.
 	HallOrders(orders []wheelgauge.HallOrder)
 	// ServerRows takes rows of a region's list of servers, as requested at a time.
--- a/heartbeat/client_test.go
+++ b/heartbeat/client_test.go
@@ -157,7 +157,7 @@
 func (r *recorder) ServersCurrent(time.Time)                   {}
 func (r *recorder) ServerUsage([]wheelgauge.ServerUsage)       {}
 func (r *recorder) RegionUsage([]wheelgauge.RegionUsage, bool) {}
-func (r *recorder) HostsCurrent(time.Time, bool, bool)         {}
+func (r *recorder) HostsCurrent(time.Time, bool)               {}
 func (r *recorder) HallOrders([]wheelgauge.HallOrder)          {}
 func (r *recorder) Crashes([]wheelgauge.Crash, bool)           {}
 
--- a/heartbeat/tables.go
+++ b/heartbeat/tables.go
@@ -35,7 +35,9 @@
 	}
 	if a.TablesDigest == c.tables.fetcher.Digest() {
 		c.confirmServers(a.Servers != nil, at)
-		c.options.Receiver.HostsCurrent(sentAt, a.Connected, a.AllHosts)
+		if a.Connected {
+			c.options.Receiver.HostsCurrent(sentAt, a.AllHosts)
+		}
 		return
 	}
 	c.mu.Lock()
--- a/sharers/view.go
+++ b/sharers/view.go
@@ -15,7 +15,8 @@
 	// others know of it, and what it sent before a restart is longer ago than a second. A host
 	// that has gone keeps its share for as long.
 	settleTime = 2 * time.Second
-	// maxAge is how long a view holds that no store confirms: hosts may have joined since.
+	// maxAge is how long a view holds that no connected store confirms: hosts may have joined
+	// since, or taken the place of this one.
 	maxAge = 2 * time.Second
 )
 
@@ -61,13 +62,14 @@
 	v.setNames()
 }
 
-// Confirm records that the hosts listed were those of a store at a time. connected is set if the
-// store was connected to the others, complete if each live host had had time to reach it.
-func (v *View) Confirm(at time.Time, connected, complete bool) {
+// Confirm records that the hosts listed were at a time those of a store that was connected to the
+// others: hosts of one that is cut off cannot know who has taken their place. complete is set if
+// each live host had had time to reach the store.
+func (v *View) Confirm(at time.Time, complete bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now := v.now()
-	if connected && (v.reachedAt.IsZero() || now.Sub(v.confirmedAt) > maxAge) {
+	if now.Sub(v.confirmedAt) > maxAge {
 		v.reachedAt = now
 	}
 	if at.After(v.confirmedAt) {
@@ -125,7 +127,7 @@
 }
 
 func (v *View) settled() bool {
-	return v.complete && !v.reachedAt.IsZero() && v.now().Sub(v.reachedAt) >= settleTime
+	return v.complete && v.now().Sub(v.reachedAt) >= settleTime
 }
 
 // Age returns the time since a store confirmed the view; negative if none has.
--- a/sharers/views_test.go
+++ b/sharers/views_test.go
@@ -44,6 +44,8 @@
 	seen  [stores]map[string]time.Duration
 	hosts []*host
 	sent  []time.Time
+	// split is set while the first store and the first half of the hosts are cut off from the rest.
+	split bool
 }
 
 type host struct {
@@ -51,6 +53,7 @@
 	seed   int
 	up     bool
 	cut    bool // from all stores
+	first  bool // of the first half
 	dueAt  time.Duration
 	view   *View
 	shares *coldrate.Shares
@@ -64,7 +67,7 @@
 		f.seen[i] = map[string]time.Duration{}
 	}
 	for i := range hosts {
-		f.hosts = append(f.hosts, &host{name: fmt.Sprintf("host-%02d", i), seed: i % stores})
+		f.hosts = append(f.hosts, &host{name: fmt.Sprintf("host-%02d", i), seed: i % stores, first: i < hosts/2})
 	}
 	return f
 }
@@ -89,9 +92,9 @@
 	if h.cut {
 		return
 	}
-	connected := f.at >= f.leaderAt
+	own, connected := f.ownStore(h)
 	for store := range stores {
-		if (h.reached || store == h.seed) && f.r.Float64() >= lossRate {
+		if (h.reached || store == h.seed) && f.reaches(h, store) && f.r.Float64() >= lossRate {
 			f.seen[store][h.name] = f.at
 		}
 	}
@@ -99,12 +102,25 @@
 		return
 	}
 	h.reached = h.reached || connected
-	listed := f.seen[h.seed]
+	listed := f.seen[own]
 	maps.DeleteFunc(listed, func(_ string, at time.Duration) bool { return f.at-at > silence })
 	h.view.SetHosts(slices.Collect(maps.Keys(listed)))
-	h.view.Confirm(f.now(), connected, connected && f.at >= f.leaderAt+warmUp)
+	if connected {
+		h.view.Confirm(f.now(), f.at >= f.leaderAt+warmUp)
+	}
+}
+
+// ownStore returns the store that tells a host of the others, and whether it is connected.
+func (f *fleet) ownStore(h *host) (store int, connected bool) {
+	for store = h.seed; !f.reaches(h, store); {
+		store = (store + 1) % stores
+	}
+	return store, f.at >= f.leaderAt && (!f.split || !h.first)
 }
 
+// reaches reports whether a host and a store are on the same side.
+func (f *fleet) reaches(h *host, store int) bool { return !f.split || h.first == (store == 0) }
+
 func (f *fleet) step() {
 	for _, h := range f.hosts {
 		if !h.up {
@@ -161,6 +177,9 @@
 			f.hosts[0].cut = true
 		}
 	}},
+	{"the fleet is split, and each half knows its own hosts", (*fleet).startAll, func(f *fleet) {
+		f.split = f.at > 4*time.Second && f.at < 9*time.Second
+	}},
 	{"half are cut off for a while", (*fleet).startAll, func(f *fleet) {
 		for _, h := range f.hosts[:len(f.hosts)/2] {
 			h.cut = f.at > 4*time.Second && f.at < 7*time.Second
