--- a/confstore/coldservers.go
+++ b/confstore/coldservers.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"slices"
+	"strings"
 	"time"
 
 	"wheelgauge"
@@ -32,14 +33,15 @@
 	return list
 }
 
-// coldHealthPath returns the path of a service's health checks if its servers have a cold rate.
+// coldHealthPath returns the path of a service's health checks if its servers have a cold rate;
+// empty without a valid one.
 func (n *Node) coldHealthPath(service string) string {
 	set := n.routes()
 	if set == nil {
 		return ""
 	}
 	i := slices.IndexFunc(set.Services, func(s wheelgauge.Service) bool { return s.Name == service })
-	if i < 0 || set.Services[i].ColdRate <= 0 {
+	if i < 0 || set.Services[i].ColdRate <= 0 || !strings.HasPrefix(set.Services[i].HealthPath, "/") {
 		return ""
 	}
 	return set.Services[i].HealthPath
