Orders for halls: one that is surely old by the time of day does not count after a restart

A store that starts again cannot know by its clock how old an order of the log is, so each counted as given now. Orders carry the time of day at which they were proposed; one that is over 20 s old, twice what clocks may differ by and more, does not count.

--- a/configstate/machine.go
+++ b/configstate/machine.go
@@ -47,6 +47,9 @@
 	// Since makes an order of an operator valid only if the log has no other order for the same
 	// hall or service after this index; 0 makes it valid in any case.
 	Since uint64 `json:"since,omitempty"`
+	// AtUnixMS is the time of day at which an order for a hall was proposed, by the clock of the
+	// store that proposed it; 0 if it is not known.
+	AtUnixMS int64 `json:"at_ms,omitempty"`
 }
 
 // Prefixes of the subjects of orders, before the name of a hall or service.
@@ -115,6 +118,7 @@
 		if !m.acceptOrder(subjectHall+c.Hall, index, c.Since) {
 			return Result{Version: m.state.Version, Overtaken: m.drained(c.Hall) != (c.Op == OpDrain)}
 		}
+		m.setOrderTime(c.Hall, c.AtUnixMS)
 		applied = m.setDrained(c.Hall, c.Op == OpDrain)
 	case OpRollout:
 		if c.Rollout != nil && !m.acceptOrder(subjectRollout+c.Rollout.Service, index, c.Since) {
@@ -219,14 +223,33 @@
 	return true
 }
 
-// HallOrders returns the index in the log of the last order for each hall that had one.
-func (m *Machine) HallOrders() map[string]uint64 {
+// setOrderTime sets the time of day of a hall's last order.
+func (m *Machine) setOrderTime(hall string, unixMS int64) {
+	// Copy the map: callers of State may still read the old one.
+	times := maps.Clone(m.state.HallOrderTimes)
+	if times == nil {
+		times = map[string]int64{}
+	}
+	times[hall] = unixMS
+	m.state.HallOrderTimes = times
+}
+
+// HallOrder is the last order for a hall.
+type HallOrder struct {
+	// Index is that of the order in the replicated log.
+	Index uint64
+	// AtUnixMS is the time of day at which it was proposed; 0 if it is not known.
+	AtUnixMS int64
+}
+
+// HallOrders returns the last order for each hall that had one.
+func (m *Machine) HallOrders() map[string]HallOrder {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	out := map[string]uint64{}
+	out := map[string]HallOrder{}
 	for subject, index := range m.state.LastOrders {
 		if hall, ok := strings.CutPrefix(subject, subjectHall); ok {
-			out[hall] = index
+			out[hall] = HallOrder{Index: index, AtUnixMS: m.state.HallOrderTimes[hall]}
 		}
 	}
 	return out
--- a/confstore/changes.go
+++ b/confstore/changes.go
@@ -61,7 +61,7 @@
 	if r.Generation == 0 {
 		n.crashes.SetPersisted(s.Crashes)
 		head.Crashes, _ = n.crashes.Candidates()
-		n.hallOrders.Applied(n.machine.HallOrders())
+		n.hallOrders.Applied(n.machine.HallOrders(), wallUnixMS())
 		head.HallOrders = n.hallOrders.RecentApplied()
 	}
 	return n.feed.Response(r, head)
--- a/confstore/node.go
+++ b/confstore/node.go
@@ -230,6 +230,9 @@
 
 func (n *Node) now() time.Time { return n.o.Clock.Now() }
 
+// wallUnixMS returns the time of day, which differs between stores and may jump.
+func wallUnixMS() int64 { return time.Now().UnixMilli() }
+
 // runTask starts a task that runs until the store stops.
 func (n *Node) runTask(run func() error) {
 	result := make(chan error, 1)
--- a/confstore/operations.go
+++ b/confstore/operations.go
@@ -51,7 +51,7 @@
 	defer cancel()
 	var res configstate.Result
 	err := n.orders.Run(ctx, sender, func(_ context.Context, since uint64) (ordercheck.Propose, error) {
-		return n.proposal(configstate.Command{Op: op, Hall: hall, Since: since}, &res), nil
+		return n.proposal(configstate.Command{Op: op, Hall: hall, Since: since, AtUnixMS: wallUnixMS()}, &res), nil
 	})
 	if err != nil {
 		n.o.Log.Info("Drain or resume of a hall is not acknowledged.", "hall", hall, "order", op, "cause", err.Error())
--- a/fleet.go
+++ b/fleet.go
@@ -147,6 +147,8 @@
 	Crashes []Crash `json:"crashes,omitempty"`
 	// LastOrders has, by subject, the index in the replicated log of the last order carried out.
 	LastOrders map[string]uint64 `json:"last_orders,omitempty"`
+	// HallOrderTimes has the time of day of the last order for each hall, in Unix ms.
+	HallOrderTimes map[string]int64 `json:"hall_order_times,omitempty"`
 }
 
 // HallOrder is the latest order of an operator for a hall.
--- a/hallorders/table.go
+++ b/hallorders/table.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"wheelgauge"
+	"wheelgauge/configstate"
 )
 
 const (
@@ -18,6 +19,9 @@
 	pendingTime = 8 * time.Second
 	// retention is how long an order matters to hosts: far longer than a list lags behind.
 	retention = 10 * time.Second
+	// maxClockError bounds how far apart the times of day of two stores may be, and how far one may
+	// jump.
+	maxClockError = 10 * time.Second
 	// ageStep divides ages, rounded down, so that responses to many hosts are the same.
 	ageStep = 250 * time.Millisecond
 )
@@ -102,18 +106,22 @@
 	return min(t.orders[hall].age(now), t.told[hall].age(now))
 }
 
-// Applied records the index of each hall's last order in the replicated log. Orders that were
+// Applied records each hall's last order in the replicated log, at a time of day. Orders that were
 // pending are overtaken by those applied since.
-func (t *Table) Applied(indexes map[string]uint64) {
+func (t *Table) Applied(orders map[string]configstate.HallOrder, wallUnixMS int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
-	for hall, index := range indexes {
+	for hall, o := range orders {
 		known, ok := t.applied[hall]
-		if known.index == index {
+		if known.index == o.Index {
 			continue
 		}
-		t.applied[hall] = applied{index, now}
+		at := now
+		if age := time.Duration(wallUnixMS-o.AtUnixMS) * time.Millisecond; o.AtUnixMS > 0 && age > retention+maxClockError {
+			at = now.Add(-retention) // given long before this store started, by any clock
+		}
+		t.applied[hall] = applied{o.Index, at}
 		if _, given := t.orders[hall]; ok && given {
 			t.orders[hall] = order{at: now}
 		}
@@ -121,7 +129,7 @@
 }
 
 // RecentApplied returns the recent orders including those of the replicated log. After a restart
-// of the store these count from when it first knew of them.
+// of the store these count from when it first knew of them, unless they are surely old.
 func (t *Table) RecentApplied() []wheelgauge.HallOrder {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/hallorders/table_test.go
+++ b/hallorders/table_test.go
@@ -5,9 +5,18 @@
 	"time"
 
 	"wheelgauge"
+	"wheelgauge/configstate"
 	"wheelgauge/fake/manualclock"
 )
 
+// wall is the time of day in Unix ms.
+const wall = 1_700_000_000_000
+
+// inLog is the last order in the log, proposed at a time of day.
+func inLog(index uint64, atUnixMS int64) map[string]configstate.HallOrder {
+	return map[string]configstate.HallOrder{"h": {Index: index, AtUnixMS: atUnixMS}}
+}
+
 // age returns the age of a hall's order among others; -1 if there is none.
 func age(orders []wheelgauge.HallOrder) int64 {
 	for _, o := range orders {
@@ -37,10 +46,10 @@
 			c.Advance(time.Second)
 		}, 1000, 1000},
 		{"overtaken by one that another store acknowledged", func(t *Table, c *manualclock.Clock) {
-			t.Applied(map[string]uint64{"h": 3})
+			t.Applied(inLog(3, 0), wall)
 			t.Received("h")
 			c.Advance(time.Second)
-			t.Applied(map[string]uint64{"h": 4})
+			t.Applied(inLog(4, 0), wall)
 			c.Advance(2 * time.Second)
 		}, 2000, 2000},
 		{"pending at another store", func(t *Table, c *manualclock.Clock) {
@@ -56,10 +65,13 @@
 			t.Merge([]wheelgauge.HallOrder{{Hall: "h", AgeMS: 4000}})
 		}, 1000, 1000},
 		{"in the log at the start of the store", func(t *Table, c *manualclock.Clock) {
-			t.Applied(map[string]uint64{"h": 3})
+			t.Applied(inLog(3, 0), wall)
 			c.Advance(500 * time.Millisecond)
-			t.Applied(map[string]uint64{"h": 3})
+			t.Applied(inLog(3, 0), wall)
 		}, -1, 500},
+		{"in the log, given a minute ago by the time of day", func(t *Table, _ *manualclock.Clock) { t.Applied(inLog(3, wall-60_000), wall) }, -1, -1},
+		{"in the log, given 15 s ago by the time of day", func(t *Table, _ *manualclock.Clock) { t.Applied(inLog(3, wall-15_000), wall) }, -1, 0},
+		{"in the log, given in the future by the time of day", func(t *Table, _ *manualclock.Clock) { t.Applied(inLog(3, wall+60_000), wall) }, -1, 0},
 	}
 	for _, tt := range tests {
 		clock := manualclock.New()
