--- a/configstate/machine.go
+++ b/configstate/machine.go
@@ -118,7 +118,7 @@
 		if !m.acceptOrder(subjectHall+c.Hall, index, c.Since) {
 			return Result{Version: m.state.Version, Overtaken: m.drained(c.Hall) != (c.Op == OpDrain)}
 		}
-		m.setOrderTime(c.Hall, c.AtUnixMS)
+		m.state.HallOrderTimes = with(m.state.HallOrderTimes, c.Hall, c.AtUnixMS)
 		applied = m.setDrained(c.Hall, c.Op == OpDrain)
 	case OpRollout:
 		if c.Rollout != nil && !m.acceptOrder(subjectRollout+c.Rollout.Service, index, c.Since) {
@@ -196,16 +196,20 @@
 	if since > 0 && m.state.LastOrders[subject] > since {
 		return false
 	}
-	// Copy the map: callers of State may still read the old one.
-	last := maps.Clone(m.state.LastOrders)
-	if last == nil {
-		last = map[string]uint64{}
-	}
-	last[subject] = index
-	m.state.LastOrders = last
+	m.state.LastOrders = with(m.state.LastOrders, subject, index)
 	return true
 }
 
+// with returns a copy of a map with another value: callers of State may still read the old one.
+func with[V any](m map[string]V, key string, value V) map[string]V {
+	m = maps.Clone(m)
+	if m == nil {
+		m = map[string]V{}
+	}
+	m[key] = value
+	return m
+}
+
 func (m *Machine) drained(hall string) bool { return slices.Contains(m.state.DrainedHalls, hall) }
 
 // setDrained drains or resumes a hall and reports whether that changes the state.
@@ -223,17 +227,6 @@
 	return true
 }
 
-// setOrderTime sets the time of day of a hall's last order.
-func (m *Machine) setOrderTime(hall string, unixMS int64) {
-	// Copy the map: callers of State may still read the old one.
-	times := maps.Clone(m.state.HallOrderTimes)
-	if times == nil {
-		times = map[string]int64{}
-	}
-	times[hall] = unixMS
-	m.state.HallOrderTimes = times
-}
-
 // HallOrder is the last order for a hall.
 type HallOrder struct {
 	// Index is that of the order in the replicated log.
--- a/confstore/changes.go
+++ b/confstore/changes.go
@@ -67,8 +67,10 @@
 	return n.feed.Response(r, head)
 }
 
-// followConfig keeps the rows of the configuration current, so that the log has each version.
+// followConfig keeps the rows of the configuration current, so that the log has each version, and
+// the orders for halls.
 func (n *Node) followConfig(context.Context) {
+	n.hallOrders.Applied(n.machine.HallOrders(), wallUnixMS())
 	n.config.mu.Lock()
 	defer n.config.mu.Unlock()
 	s, err := n.updateConfigTable()
--- a/confstore/coldservers.go
+++ b/confstore/coldservers.go
@@ -36,13 +36,13 @@
 // coldHealthPath returns the path of a service's health checks if its servers have a cold rate;
 // empty without a valid one.
 func (n *Node) coldHealthPath(service string) string {
-	set := n.routes()
-	if set == nil {
+	table := n.routeTable()
+	if table == nil {
 		return ""
 	}
-	i := slices.IndexFunc(set.Services, func(s wheelgauge.Service) bool { return s.Name == service })
-	if i < 0 || set.Services[i].ColdRate <= 0 || !strings.HasPrefix(set.Services[i].HealthPath, "/") {
+	s := table.Service(service)
+	if s == nil || s.ColdRate <= 0 || !strings.HasPrefix(s.HealthPath, "/") {
 		return ""
 	}
-	return set.Services[i].HealthPath
+	return s.HealthPath
 }
--- a/confstore/heartbeat.go
+++ b/confstore/heartbeat.go
@@ -49,7 +49,6 @@
 // localResponse returns the heartbeat response without the fields that the replica provides.
 func (n *Node) localResponse(hb wheelgauge.FleetHeartbeat) wheelgauge.FleetHeartbeatResponse {
 	a := wheelgauge.FleetHeartbeatResponse{StoreBoot: n.boot, Generation: n.machine.State().Generation, Region: n.o.Region, Hall: n.o.Hall}
-	n.hallOrders.Applied(n.machine.HallOrders(), wallUnixMS())
 	// Hosts keep work off the servers of these halls, so none are told in a region that is cut off:
 	// its callers can be served nowhere else, and probes find the servers that are cold.
 	if n.peers.hearsOtherRegion(n.o.Region, n.now().Add(-otherRegionTimeout)) {
