--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -8,8 +8,10 @@
 
 // cases are the cases by name.
 var cases = map[string]func(r *rig, trouble bool) (int, error){
-	"repeated": repeated,
-	"silent":   silent,
+	"repeated":    repeated,
+	"silent":      silent,
+	"slow-server": slowServer,
+	"slow-caller": slowCaller,
 }
 
 func main() { os.Exit(run()) }
--- a/review/stand2/repeated.go
+++ b/review/stand2/repeated.go
@@ -69,7 +69,7 @@
 
 const (
 	repeatedDay   = 95 * time.Second
-	crashesAt     = 8 * time.Second
+	crashesAt     = 5 * time.Second
 	crashesApart  = 1200 * time.Millisecond
 	serverDown    = 4500 * time.Millisecond
 	repeatedBytes = 2400
@@ -80,11 +80,11 @@
 func repeated(r *rig, trouble bool) (int, error) {
 	var servers []*server
 	for _, p := range places {
-		s, err := r.addServer("", "depot", p.zone, 64)
+		s, err := r.addServer("depot", p.zone, 64)
 		if err != nil {
 			return notRun, err
 		}
-		s.work = 300 * time.Millisecond
+		s.work = 100 * time.Millisecond
 		servers = append(servers, s)
 	}
 	if err := r.begin(6, ""); err != nil {
@@ -104,8 +104,8 @@
 			every time.Duration
 			body  func(id string) []byte
 		}{
-			{look, "/look/stock", 200 * time.Millisecond, func(string) []byte { return same }},
-			{book, "/book/order", 100 * time.Millisecond, func(id string) []byte { return append(bytes.Repeat([]byte("x"), repeatedBytes), id...) }},
+			{look, "/look/stock", 70 * time.Millisecond, func(string) []byte { return same }},
+			{book, "/book/order", 70 * time.Millisecond, func(id string) []byte { return append(bytes.Repeat([]byte("x"), repeatedBytes), id...) }},
 		}
 		for k, c := range callers {
 			wg.Go(func() {
--- a/review/stand2/server.go
+++ b/review/stand2/server.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -18,6 +19,12 @@
 	// work is how long a request takes, slow how many times as long it takes now.
 	work time.Duration
 	slow float64
+	// readDelay is how long it rests before it reads a body, unreadRuns how many requests were ended
+	// before it had read them.
+	readDelay  time.Duration
+	unreadRuns int
+	// answerBytes is the length of an answer, 0 for a short text.
+	answerBytes int
 
 	mu       sync.Mutex
 	id       string
@@ -30,8 +37,9 @@
 	cuts map[string]time.Duration
 }
 
-func (r *rig) addServer(name, service, zone string, slots int) (*server, error) {
-	s := &server{service: service, zone: zone, slots: slots, platform: r.platform, record: r.record, id: name, address: "127.0.0.1:0", runs: map[string]int{}, cuts: map[string]time.Duration{}, slow: 1}
+// addServer starts a server and adds it to the list.
+func (r *rig) addServer(service, zone string, slots int) (*server, error) {
+	s := &server{service: service, zone: zone, slots: slots, platform: r.platform, record: r.record, address: "127.0.0.1:0", runs: map[string]int{}, cuts: map[string]time.Duration{}, slow: 1}
 	return s, s.start()
 }
 
@@ -97,9 +105,17 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	s.mu.Lock()
+	rest := s.readDelay
+	s.mu.Unlock()
+	time.Sleep(rest)
 	n, err := io.Copy(io.Discard, r.Body)
 	if err != nil {
-		return // broken off: not run
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.unreadRuns++
+		s.record.add("server %s: %s is ended after %d bytes were read: %v", own, id, n, err)
+		return // not run
 	}
 	s.mu.Lock()
 	s.runs[id]++
@@ -124,6 +140,11 @@
 		return // it has crashed meanwhile
 	}
 	h.Set(wire["stamp"], "stamp-"+id)
+	if s.answerBytes > 0 {
+		h.Set("Content-Length", strconv.Itoa(s.answerBytes))
+		_, _ = w.Write(make([]byte, s.answerBytes)) // a caller that has left is no fault
+		return
+	}
 	_, _ = fmt.Fprintf(w, "%s read %d bytes of %s\n", own, n, id) // a caller that has left is no fault
 }
 
@@ -142,3 +163,18 @@
 	left, ok = s.cuts[id]
 	return left, ok
 }
+
+// setReadDelay lets the server rest before it reads a body.
+func (s *server) setReadDelay(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.readDelay = d
+	s.record.add("server %s rests for %d ms before it reads a body", s.id, d.Milliseconds())
+}
+
+// unread returns how many requests were ended before the server had read them.
+func (s *server) unread() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.unreadRuns
+}
