Review case 6: bodies of the site's size, small windows

The same fault with 72,000 bytes, the largest request of the site, and receive buffers of 4 KiB in place of bodies of 4 MiB.

--- a/review/stand2/reading.go
+++ b/review/stand2/reading.go
@@ -12,8 +12,10 @@
 )
 
 const (
-	// longBody is the largest body that the configuration allows.
-	longBody = 4 << 20
+	// longBody is the largest body of the site's requests, smallWindow what a server takes in of it
+	// before it reads.
+	longBody    = 72000
+	smallWindow = 4096
 	// longAnswer is more than the sockets of a connection take in.
 	longAnswer = 8 << 20
 	// restTime is how long a slow reader rests.
@@ -23,10 +25,10 @@
 )
 
 // readingRig starts a deployment with a server in each region.
-func readingRig(r *rig) ([]*server, error) {
+func readingRig(r *rig, window int) ([]*server, error) {
 	var servers []*server
 	for _, p := range places {
-		s, err := r.addServer("depot", p.zone, 64)
+		s, err := r.addServer("depot", p.zone, 64, window)
 		if err != nil {
 			return nil, err
 		}
@@ -38,7 +40,7 @@
 
 // slowServer lets servers rest before they read the body of a booking.
 func slowServer(r *rig, trouble bool) (int, error) {
-	servers, err := readingRig(r)
+	servers, err := readingRig(r, smallWindow)
 	if err != nil {
 		return notRun, err
 	}
@@ -83,7 +85,7 @@
 
 // slowCaller lets callers rest while they read an answer.
 func slowCaller(r *rig, trouble bool) (int, error) {
-	servers, err := readingRig(r)
+	servers, err := readingRig(r, 0)
 	if err != nil {
 		return notRun, err
 	}
--- a/review/stand2/repeated.go
+++ b/review/stand2/repeated.go
@@ -80,7 +80,7 @@
 func repeated(r *rig, trouble bool) (int, error) {
 	var servers []*server
 	for _, p := range places {
-		s, err := r.addServer("depot", p.zone, 64)
+		s, err := r.addServer("depot", p.zone, 64, 0)
 		if err != nil {
 			return notRun, err
 		}
--- a/review/stand2/server.go
+++ b/review/stand2/server.go
@@ -1,12 +1,15 @@
 package main
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -23,6 +26,8 @@
 	// before it had read them.
 	readDelay  time.Duration
 	unreadRuns int
+	// window is the receive buffer of its connections in bytes, 0 for that of the machine.
+	window int
 	// answerBytes is the length of an answer, 0 for a short text.
 	answerBytes int
 
@@ -38,14 +43,24 @@
 }
 
 // addServer starts a server and adds it to the list.
-func (r *rig) addServer(service, zone string, slots int) (*server, error) {
-	s := &server{service: service, zone: zone, slots: slots, platform: r.platform, record: r.record, address: "127.0.0.1:0", runs: map[string]int{}, cuts: map[string]time.Duration{}, slow: 1}
+func (r *rig) addServer(service, zone string, slots, window int) (*server, error) {
+	s := &server{window: window, service: service, zone: zone, slots: slots, platform: r.platform, record: r.record, address: "127.0.0.1:0", runs: map[string]int{}, cuts: map[string]time.Duration{}, slow: 1}
 	return s, s.start()
 }
 
 // start begins a lifetime.
 func (s *server) start() error {
-	l, err := net.Listen("tcp", s.address)
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		if s.window == 0 {
+			return nil
+		}
+		var err error
+		controlErr := raw.Control(func(fd uintptr) {
+			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, s.window)
+		})
+		return errors.Join(controlErr, err)
+	}}
+	l, err := config.Listen(context.Background(), "tcp", s.address)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
--- a/review/stand2/silent.go
+++ b/review/stand2/silent.go
@@ -29,7 +29,7 @@
 func silent(r *rig, trouble bool) (int, error) {
 	var servers []*server
 	for _, p := range places {
-		s, err := r.addServer("depot", p.zone, 64)
+		s, err := r.addServer("depot", p.zone, 64, 0)
 		if err != nil {
 			return notRun, err
 		}
