--- a/review/stand2/repeated.go
+++ b/review/stand2/repeated.go
@@ -84,7 +84,7 @@
 		if err != nil {
 			return notRun, err
 		}
-		s.work = 100 * time.Millisecond
+		s.work = 200 * time.Millisecond
 		servers = append(servers, s)
 	}
 	if err := r.begin(6, ""); err != nil {
@@ -104,8 +104,8 @@
 			every time.Duration
 			body  func(id string) []byte
 		}{
-			{look, "/look/stock", 70 * time.Millisecond, func(string) []byte { return same }},
-			{book, "/book/order", 70 * time.Millisecond, func(id string) []byte { return append(bytes.Repeat([]byte("x"), repeatedBytes), id...) }},
+			{look, "/look/stock", 60 * time.Millisecond, func(string) []byte { return same }},
+			{book, "/book/order", 60 * time.Millisecond, func(id string) []byte { return append(bytes.Repeat([]byte("x"), repeatedBytes), id...) }},
 		}
 		for k, c := range callers {
 			wg.Go(func() {
