Logs tell who ended a request

A request whose context was cancelled was logged as "caller left", also when the gateway itself ended it at the end of its grace period, so that the hypotheses of the incident could not be told apart.

The context of a handler now carries its cause, and "Request ends." says ended_by (caller, unread answer, server, peer, time limit, stop, silence) and leaving_ms, how long the host had been leaving; requests.ended_by.* count them. No decision changes.

--- a/callerhttp/conn.go
+++ b/callerhttp/conn.go
@@ -38,7 +38,7 @@
 	dropping atomic.Bool
 
 	mu     sync.Mutex
-	cancel context.CancelFunc
+	cancel context.CancelCauseFunc
 }
 
 func newConn(s *Server, c net.Conn) *conn {
@@ -49,13 +49,13 @@
 }
 
 // currentCancel returns the function that cancels the request in progress, nil if there is none.
-func (k *conn) currentCancel() context.CancelFunc {
+func (k *conn) currentCancel() context.CancelCauseFunc {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.cancel
 }
 
-func (k *conn) setCancel(cancel context.CancelFunc) {
+func (k *conn) setCancel(cancel context.CancelCauseFunc) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.cancel = cancel
@@ -94,8 +94,8 @@
 
 // withCancel calls f with a context that Request.Cancel cancels.
 func (k *conn) withCancel(ctx context.Context, f func(ctx context.Context)) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	k.setCancel(cancel)
 	defer k.setCancel(nil)
 	f(ctx)
--- a/callerhttp/request.go
+++ b/callerhttp/request.go
@@ -72,10 +72,10 @@
 // Disconnected reports whether the caller was found to have disconnected.
 func (r *Request) Disconnected() bool { return r.conn.callerLeft.Load() }
 
-// Cancel cancels the context of the request's handler. It is safe for concurrent use.
-func (r *Request) Cancel() {
+// Cancel cancels the context of the request's handler with a cause. It is safe for concurrent use.
+func (r *Request) Cancel(cause error) {
 	if cancel := r.conn.currentCancel(); cancel != nil {
-		cancel()
+		cancel(cause)
 	}
 }
 
--- a/callerhttp/server.go
+++ b/callerhttp/server.go
@@ -31,6 +31,14 @@
 	defaultWriteTimeout = 5 * time.Second
 )
 
+// Causes for which the context of a request's handler is cancelled; see context.Cause.
+var (
+	// ErrCallerLeft: the caller closed its connection.
+	ErrCallerLeft = errors.New("the caller closed its connection")
+	// ErrStopped: the server is closed before the request is done.
+	ErrStopped = errors.New("the time to finish requests is over")
+)
+
 // Options of a Server.
 type Options struct {
 	// Limits returns the current limits for callers.
@@ -59,7 +67,7 @@
 	listener net.Listener
 	draining atomic.Bool
 	ctx      context.Context
-	cancel   context.CancelFunc
+	cancel   context.CancelCauseFunc
 	handlers sync.WaitGroup
 	done     chan error
 	shares   shares
@@ -78,7 +86,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancelCause(context.Background())
 	s := &Server{options: o, listener: listener, ctx: ctx, cancel: cancel, done: make(chan error, 2), conns: map[*conn]struct{}{}}
 	s.shares.init(o)
 	go func() { s.done <- s.accept() }()
@@ -148,7 +156,7 @@
 	for _, k := range s.snapshot() {
 		if cancel := k.currentCancel(); cancel != nil && connpeek.PeerClosed(k.net) {
 			k.callerLeft.Store(true)
-			cancel()
+			cancel(ErrCallerLeft)
 		}
 	}
 }
@@ -187,7 +195,7 @@
 	for s.InFlight() > 0 && ctx.Err() == nil {
 		<-ticker.C
 	}
-	s.cancel()
+	s.cancel(ErrStopped)
 	for _, k := range s.snapshot() {
 		_ = k.net.Close() // idle, or not finished in time
 	}
--- a/routegate/call.go
+++ b/routegate/call.go
@@ -128,7 +128,9 @@
 	// arrivals.
 	lastEventAt  time.Time
 	longestPause time.Duration
-	callerLeft   bool
+	// failedBy is what the last failed exchange is blamed on; endedBy is set if the request ended
+	// without the whole answer of the server or other gateway that had got it.
+	failedBy, endedBy ender
 	// returning is set for a caller that was refused before and comes when it was told to.
 	returning bool
 }
@@ -146,7 +148,7 @@
 			return
 		}
 		if ctx.Err() != nil {
-			c.endCallerLeft()
+			c.endCancelled(ctx)
 			return
 		}
 		if c.quarantined() {
@@ -184,7 +186,7 @@
 			}
 		case failed:
 			if ctx.Err() != nil && !c.expired() {
-				c.endCallerLeft()
+				c.endCancelled(ctx)
 				return
 			}
 			if !c.mayRetry() {
@@ -246,6 +248,13 @@
 // fail ends the request with an error, or closes the connection if the answer has begun.
 func (c *call) fail(cause, detail string) {
 	c.cause = cause
+	switch {
+	case c.runs == 0 && !c.request.Started():
+	case c.expired():
+		c.endedBy = endedByTime
+	default:
+		c.endedBy = c.failedBy
+	}
 	if c.request.Started() {
 		c.status = -1
 		c.request.Abort()
@@ -279,13 +288,6 @@
 	c.request.RespondError(e.WithRequestID(c.id))
 }
 
-// endCallerLeft ends a request whose caller disconnected.
-func (c *call) endCallerLeft() {
-	c.callerLeft = true
-	c.cause = "caller left"
-	c.request.Abort()
-}
-
 // close refunds unused cap units, and records and logs the result of the request.
 func (c *call) close() {
 	c.refundCapUnits()
@@ -295,7 +297,7 @@
 	if c.route != nil {
 		name = c.route.Name
 	}
-	ok := isSuccess(c.status) && !c.callerLeft
+	ok := isSuccess(c.status) && c.endedBy == ""
 	c.recordReturnEnd(ok)
 	switch {
 	case ok:
@@ -303,11 +305,14 @@
 		g.durations.observe(name, elapsed-c.roomWait)
 		g.backoffRetries.served(c.service, g.options.Clock.Now())
 		g.options.Meter.Observe("requests.ms", name, name, elapsed)
-	case c.callerLeft:
+	case c.endedBy == endedByCaller || c.endedBy == endedByUnread:
 		g.options.Meter.Count("requests.left")
 	default:
 		g.options.Meter.Count("requests.failed")
 	}
+	if c.endedBy != "" {
+		g.options.Meter.Count("requests.ended_by." + strings.ReplaceAll(string(c.endedBy), " ", "_"))
+	}
 	if c.workspace != nil && !c.forwarded {
 		inTime := ok && c.firstAfter <= c.route.LatencyObjective
 		g.options.Meter.CountWorkspace(c.workspace.Name, ok, inTime, c.status == http.StatusTooManyRequests, elapsed)
@@ -316,7 +321,7 @@
 		return
 	}
 	g.options.Log.Info("Request ends.", "id", c.id, "request", c.loggedFingerprint(), "route", name, "workspace", c.workspaceName(), "version", c.version,
-		"state_age_ms", g.configAge().Milliseconds(), "list_age_ms", g.options.Servers.ListAge().Milliseconds(), "status", c.status, "cause", c.cause,
+		"state_age_ms", g.configAge().Milliseconds(), "list_age_ms", g.options.Servers.ListAge().Milliseconds(), "status", c.status, "cause", c.cause, "ended_by", c.endedBy, "leaving_ms", g.leavingFor().Milliseconds(),
 		"servers", strings.Join(c.triedServers, " "), "peers", strings.Join(c.triedPeers, " "), "runs", c.runs, "forwarded", c.forwarded,
 		"cap_ms", c.capWait.Milliseconds(), "permit_ms", c.permitWait.Milliseconds(), "no_places", c.noPlaces, "room_ms", c.roomWait.Milliseconds(), "version_sent", c.sentVersion, "version_began", c.origin.text(), "resumes", c.resumes, "resumed_after", c.lastEventID, "predicted_ms", c.predictedWait.Milliseconds(), "first_ms", c.firstAfter.Milliseconds(), "ms", elapsed.Milliseconds(),
 		"events", c.splitter.Events(), "ended", strings.Join(c.endedServers, " "), "parts", c.loggedParts(), "framing", c.framing, "partial_bytes", c.partialBytes, "pause_ms", c.longestPause.Milliseconds(), "expected_tokens", c.prompt.Output(), "load", c.placementInputs(), "forecast", c.forecastText())
--- a/routegate/caps.go
+++ b/routegate/caps.go
@@ -31,7 +31,7 @@
 func (c *call) endOverCap(ctx context.Context, apiErr *wheelgauge.Error) {
 	switch {
 	case ctx.Err() != nil:
-		c.endCallerLeft()
+		c.endCancelled(ctx)
 	case c.runs == 0 && !c.request.Started():
 		c.refuse(apiErr)
 	default:
--- a/routegate/dispatch.go
+++ b/routegate/dispatch.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -37,6 +38,8 @@
 	begun bool
 	// pushedBack is set if the answer refuses the request and asks to back off.
 	pushedBack bool
+	// silenced is set if this host ended the exchange because no server sent anything.
+	silenced atomic.Bool
 	// err is why the answer is incomplete.
 	err error
 	// firstAfter is the time from sending to the first event or byte, eventsBefore the number
@@ -100,6 +103,7 @@
 	defer c.recordAnswer(ctx, x, k)
 	if err := x.roundTrip(head); err != nil {
 		x.err = err
+		c.failedBy = x.ender()
 		c.cause = err.Error()
 		if _, ok := errors.AsType[*responsehead.MalformedError](err); ok {
 			c.gate.options.Meter.Count("answers.foreign")
@@ -173,6 +177,7 @@
 func (c *call) relayOrRetry(ctx context.Context, x *exchange, k *serverset.Pick) result {
 	status := x.head.StatusCode()
 	if status >= http.StatusInternalServerError {
+		c.failedBy = x.ender()
 		k.Done(x.pushbackOr(serverset.Failed))
 		if c.mayRetry() {
 			_ = x.discard() // a connection that breaks here is not kept
@@ -181,12 +186,12 @@
 	}
 	res := c.relay(ctx, x)
 	switch {
-	case res == answered && !c.callerLeft:
+	case res == answered && !c.endedBy.unrelatedToServer():
 		if x.err == nil && status < http.StatusMultipleChoices && x.body.Framing() != serverconn.Unframed {
 			c.recordSuccess()
 		}
 		k.Done(serverset.Served)
-	case ctx.Err() != nil || c.callerLeft:
+	case ctx.Err() != nil || c.endedBy.unrelatedToServer():
 		k.Done(serverset.Abandoned)
 	default:
 		k.Done(serverset.Failed)
@@ -219,6 +224,7 @@
 	head := c.requestHead(set)
 	c.runs++
 	if err := x.roundTrip(head); err != nil {
+		c.failedBy = x.ender()
 		c.cause = err.Error()
 		c.sends++
 		c.peerFailed(p, err)
@@ -248,6 +254,7 @@
 		}
 		return notRun
 	}
+	c.failedBy = x.ender()
 	c.sends += max(1, sends)
 	c.recordForwardEnd(ctx, p, true)
 	return failed
--- a/routegate/inflight.go
+++ b/routegate/inflight.go
@@ -1,6 +1,13 @@
 package routegate
 
-import "sync"
+import (
+	"errors"
+	"sync"
+)
+
+// errTimeOver is the cause for which a request is cancelled that expired while the host was
+// suspended.
+var errTimeOver = errors.New("the time of the request is over")
 
 // inFlightCalls are the requests in progress.
 type inFlightCalls struct {
@@ -34,7 +41,7 @@
 		if !c.expired() {
 			continue
 		}
-		c.request.Cancel()
+		c.request.Cancel(errTimeOver)
 		ended++
 	}
 	return ended
--- a/routegate/leaving.go
+++ b/routegate/leaving.go
@@ -71,6 +71,14 @@
 	g.leaving.Store(&departure{announcedAt: g.options.Clock.Now(), endsAt: end})
 }
 
+// leavingFor returns for how long the process has been shutting down; 0 if it is not.
+func (g *Gate) leavingFor() time.Duration {
+	if leaving := g.leaving.Load(); leaving != nil {
+		return g.options.Clock.Now().Sub(leaving.announcedAt)
+	}
+	return 0
+}
+
 // mayOutlastProcess reports whether a request of the route may not complete before the process
 // exits, given the round-trip latency to where it runs.
 func (g *Gate) mayOutlastProcess(route string, timeout, latency time.Duration) bool {
--- a/routegate/reach.go
+++ b/routegate/reach.go
@@ -31,7 +31,10 @@
 func (c *call) recordSent(x *exchange) *reachability.Send {
 	var abort func()
 	if c.route.Repeatable() {
-		abort = x.conn.Abort
+		abort = func() {
+			x.silenced.Store(true)
+			x.conn.Abort()
+		}
 	}
 	o := c.gate.options
 	return o.Reach.Sent(c.service, x.pick.Server().InstanceKey(), o.Servers.ListedServers(c.service), c.expectedFirst(x.pick), abort)
@@ -78,7 +81,7 @@
 // recordForwardEnd records whether a forwarded request failed, against its region: the next try goes
 // elsewhere.
 func (c *call) recordForwardEnd(ctx context.Context, p *peerset.Peer, failed bool) {
-	if ctx.Err() != nil || c.callerLeft || c.expired() {
+	if ctx.Err() != nil || c.endedBy.unrelatedToServer() || c.expired() {
 		return
 	}
 	c.gate.options.Peers.Ended(p, c.service, failed)
--- a/routegate/relay.go
+++ b/routegate/relay.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"os"
 	"time"
 
 	"wheelgauge"
@@ -33,6 +32,7 @@
 // server did: one that ends with its connection ends so for the caller too.
 func (c *call) relay(ctx context.Context, x *exchange) result {
 	c.recordFraming(x)
+	c.failedBy = x.ender()
 	status := x.head.StatusCode()
 	success := isSuccess(status)
 	if success && len(httpfield.Value(x.head, c.gate.options.Names.Signature)) == 0 {
@@ -80,21 +80,10 @@
 	c.status = status
 	c.request.StartResponse(status, responseFields(x.head), x.bufferedLength(len(body)))
 	if _, err := c.request.Write(body); err != nil {
-		return c.endWriteFailed(err)
+		return c.endWriteFailed(ctx, err)
 	}
 	if err := c.request.End(); err != nil {
-		return c.endWriteFailed(err)
-	}
-	return answered
-}
-
-// endWriteFailed ends a request whose caller does not accept the answer.
-func (c *call) endWriteFailed(err error) result {
-	c.endCallerLeft()
-	c.cause = err.Error()
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		c.gate.options.Meter.Count("answers.unread")
-		c.cause = "caller does not read its answer: " + c.cause
+		return c.endWriteFailed(ctx, err)
 	}
 	return answered
 }
@@ -106,7 +95,7 @@
 	buf := make([]byte, relayBufferBytes)
 	for {
 		if _, err := c.request.Write(buffered); err != nil {
-			return c.endWriteFailed(err)
+			return c.endWriteFailed(ctx, err)
 		}
 		n, err := x.body.Read(buf)
 		buffered = buf[:n]
@@ -123,10 +112,10 @@
 		}
 	}
 	if _, err := c.request.Write(buffered); err != nil {
-		return c.endWriteFailed(err)
+		return c.endWriteFailed(ctx, err)
 	}
 	if err := c.request.End(); err != nil {
-		return c.endWriteFailed(err)
+		return c.endWriteFailed(ctx, err)
 	}
 	return answered
 }
@@ -145,7 +134,7 @@
 		if len(complete) > 0 {
 			x.noteFirstByte()
 			if sendErr := c.writeEvents(x, complete); sendErr != nil {
-				return c.endWriteFailed(sendErr)
+				return c.endWriteFailed(ctx, sendErr)
 			}
 		}
 		switch {
@@ -183,13 +172,13 @@
 	}
 	if rest := c.splitter.TakePending(); len(rest) > 0 || !c.request.Started() {
 		if err := c.writeEvents(x, rest); err != nil {
-			return c.endWriteFailed(err)
+			return c.endWriteFailed(ctx, err)
 		}
 	}
 	x.noteFirstByte()
 	x.recordEnd()
 	if err := c.request.End(); err != nil {
-		return c.endWriteFailed(err)
+		return c.endWriteFailed(ctx, err)
 	}
 	return answered
 }
--- a/routegate/returns.go
+++ b/routegate/returns.go
@@ -47,7 +47,7 @@
 	case !c.returning:
 	case ok:
 		c.gate.options.Meter.Count("returns.kept")
-	case !c.callerLeft && c.runs == 0:
+	case c.endedBy != endedByCaller && c.runs == 0:
 		c.gate.options.Meter.Count("returns.refused_again")
 	}
 }
--- a/routegate/version.go
+++ b/routegate/version.go
@@ -50,7 +50,7 @@
 // recordAnswer counts the answer of a server for rollouts. Requests that it did not run, or
 // whose caller disconnected, do not count.
 func (c *call) recordAnswer(ctx context.Context, x *exchange, k *serverset.Pick) {
-	if ctx.Err() != nil || c.callerLeft {
+	if ctx.Err() != nil || c.endedBy.unrelatedToServer() {
 		return
 	}
 	a := tally.Answer{Service: c.service, Route: c.route.Name, Server: k.Server().InstanceKey(), FirstByte: x.firstAfter}
