Leaving hosts: what is accepted late ends by its own limit

What callers saw: streams accepted later than 3 s after a planned stop and cut at the end of the grace period.

Cause: from 2.9 s on, a leaving host accepted what was likely to end in three times the longest recent duration. It had learned that in the seconds since its own start, when only short streams had ended, and servers that fall silent add to it. Forwarded requests were accepted by the same guess from the start, although the gateway that forwards them can go elsewhere at once.

Change: from 2.5 s on, and for forwarded requests from the start, a request is accepted only if its limit, the smaller of its caller's and its route's, ends before the host does. Others are refused as not run, to be sent elsewhere at once. A request that has run and failed may still be forwarded while the host leaves.

Cost: short requests on routes with a long limit are refused from 2.5 s on.

TestLeavingHostRefusesLongRequests asked that a request of a 10 s limit be accepted 5 s before the exit, as it usually takes a millisecond: it now asks that for one with a limit of 4 s, and that the other is refused.

--- a/routegate/early.go
+++ b/routegate/early.go
@@ -35,7 +35,7 @@
 	}
 	return func(ctx context.Context) {
 		defer c.close()
-		if g.mayOutlastProcess(c.route.Name, c.route.Timeout, 0) {
+		if c.mayOutlastProcess(0) {
 			c.refuse(leavingRefusal()) // the host began to leave while the body arrived
 			return
 		}
--- a/routegate/gate.go
+++ b/routegate/gate.go
@@ -277,13 +277,13 @@
 	if c.noCommonHome() {
 		return refusal(wheelgauge.ReasonResidency, http.StatusMisdirectedRequest, "route and workspace have no home in common")
 	}
-	if g.mayOutlastProcess(c.route.Name, c.route.Timeout, 0) {
-		return leavingRefusal()
-	}
 	routeDeadline := c.started.Add(c.route.Timeout)
 	if c.deadline.IsZero() || routeDeadline.Before(c.deadline) {
 		c.deadline = routeDeadline
 	}
+	if c.mayOutlastProcess(0) {
+		return leavingRefusal()
+	}
 	if !g.serversKnown.Load() {
 		return refusal(wheelgauge.ReasonNoServer, http.StatusServiceUnavailable, "no servers are known yet").WithRetryAfter(startupRetryAfter)
 	}
--- a/routegate/gate_test.go
+++ b/routegate/gate_test.go
@@ -389,19 +389,37 @@
 	g.durations.observe("safe", time.Millisecond)
 	g.ShutDownBy(time.Now().Add(5 * time.Second))
 	leaving := g.leaving.Load()
-	if g.mayOutlastProcess("stream", testLimit, 0) {
+	if g.mayOutlastProcess("stream", testLimit, 0, false) {
 		t.Error("a request that usually completes in time is refused while callers cannot know of the shutdown")
 	}
 	leaving.announcedAt = leaving.announcedAt.Add(-leavePropagation)
-	if resp, _, err := get(t, c, "/safe/", ""); err != nil || resp.StatusCode != http.StatusOK {
-		t.Errorf("a short request got %v, %v, want 200", resp, err)
+	if resp, _, err := get(t, c, "/safe/", "Wheelgauge-Deadline-Ms: 4000\r\n"); err != nil || resp.StatusCode != http.StatusOK {
+		t.Errorf("a request of a short limit got %v, %v, want 200", resp, err)
 	}
-	resp, _, err := get(t, c, "/stream/", "")
-	if err != nil || resp.StatusCode != http.StatusServiceUnavailable {
-		t.Fatalf("a long request got %v, %v, want 503", resp, err)
+	for _, path := range []string{"/safe/", "/stream/"} {
+		if resp, _, err := get(t, c, path, ""); err != nil || resp.StatusCode != http.StatusServiceUnavailable {
+			t.Errorf("a request to %s of a long limit got %v, %v, want 503", path, resp, err)
+		}
 	}
 	if len(b.received()) != 1 {
-		t.Error("the long request reached a server")
+		t.Error("a request of a long limit reached a server")
+	}
+}
+
+func TestLeavingHostTakesNoLongForwardedRequest(t *testing.T) {
+	b := newBackend(t)
+	g, _ := newGate(t, routes(), b)
+	g.durations.observe("stream", time.Millisecond)
+	g.ShutDownBy(time.Now().Add(5 * time.Second))
+	c := peerConn(t, g)
+	if resp, body, err := get(t, c, "/stream/", ""); err != nil || resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get(wheelgauge.HeaderOutcome) != string(wheelgauge.OutcomeNotRun) {
+		t.Errorf("got %v %s, %v, want 503 not-run", resp, body, err)
+	}
+	if resp, _, err := get(t, c, "/safe/", "Wheelgauge-Deadline-Ms: 4000\r\n"); err != nil || resp.StatusCode != http.StatusOK {
+		t.Errorf("a request of a short limit got %v, %v, want 200", resp, err)
+	}
+	if n := len(b.received()); n != 1 {
+		t.Errorf("%d requests reached a server, want the one of a short limit", n)
 	}
 }
 
@@ -448,8 +466,6 @@
 	g.options.Peers.ObserveRoundTrip("there", testLimit)
 	g.durations.observe("away", time.Millisecond)
 	g.ShutDownBy(time.Now().Add(testLimit / 2))
-	leaving := g.leaving.Load()
-	leaving.announcedAt = leaving.announcedAt.Add(-leavePropagation)
 	resp, body, err := get(t, c, "/away/", "")
 	if err != nil || resp.StatusCode != http.StatusServiceUnavailable || !strings.Contains(body, string(wheelgauge.ReasonDraining)) {
 		t.Errorf("got %v, %s, %v, want 503 with reason draining", resp, body, err)
--- a/routegate/leaving.go
+++ b/routegate/leaving.go
@@ -6,15 +6,12 @@
 )
 
 const (
-	// leaveLongestFactor allows a request this multiple of the longest recent duration: in
-	// bursts, requests take more than twice as long.
-	leaveLongestFactor = 3
 	// leaveMeanFactor is the multiple of the mean duration within which most requests end.
 	leaveMeanFactor = 1.5
 	// leavePropagation is how long callers may not know yet that the host leaves: most of them
 	// cache the entry list for up to 2 s, and the list itself lags. Within that time, requests
 	// that are likely to complete are accepted rather than refused.
-	leavePropagation = 2900 * time.Millisecond
+	leavePropagation = 2500 * time.Millisecond
 	// longestDecay makes the effect of one long request fade over some hundreds of others.
 	longestDecay = 0.995
 	// meanWeight is the weight of a new duration in the running mean.
@@ -79,18 +76,25 @@
 	return 0
 }
 
-// mayOutlastProcess reports whether a request of the route may not complete before the process
-// exits, given the round-trip latency to where it runs.
-func (g *Gate) mayOutlastProcess(route string, timeout, latency time.Duration) bool {
+// mayOutlastProcess reports whether a request may not complete before the process exits; limit is
+// the time that it has left, latency the round trip to where it runs. What is accepted once callers
+// and other gateways can know of the shutdown has to end by its own limit: however long requests
+// took before, servers may fall silent.
+func (g *Gate) mayOutlastProcess(route string, limit, latency time.Duration, forwarded bool) bool {
 	leaving := g.leaving.Load()
 	if leaving == nil {
 		return false
 	}
-	d := g.durations.get(route, timeout)
-	expected := leaveLongestFactor * d.longest
 	now := g.options.Clock.Now()
-	if now.Sub(leaving.announcedAt) < leavePropagation {
-		expected = time.Duration(leaveMeanFactor * float64(d.mean))
+	if !forwarded && now.Sub(leaving.announcedAt) < leavePropagation {
+		usual := time.Duration(leaveMeanFactor * float64(g.durations.get(route, limit).mean))
+		limit = min(limit, usual+latency)
 	}
-	return now.Add(min(timeout, expected+latency)).After(leaving.endsAt)
+	return now.Add(limit).After(leaving.endsAt)
+}
+
+// mayOutlastProcess reports whether the request may not complete before the process exits if it
+// runs where a message takes some time for the round trip.
+func (c *call) mayOutlastProcess(latency time.Duration) bool {
+	return c.gate.mayOutlastProcess(c.route.Name, time.Until(c.connDeadline()), latency, c.forwarded)
 }
--- a/routegate/place.go
+++ b/routegate/place.go
@@ -25,7 +25,7 @@
 	region, remote := c.bestRemote(ok)
 	late := c.tooLate(wait) || c.heldBack(local)
 	forward := region != "" && (!ok || remote.Cost() < local.Cost()+c.excess(wait-local.Wait()) || late)
-	if forward && c.gate.mayOutlastProcess(c.route.Name, c.route.Timeout, c.gate.options.Peers.RoundTrip(region)) {
+	if forward && c.runs == 0 && c.mayOutlastProcess(c.gate.options.Peers.RoundTrip(region)) {
 		if !ok {
 			return placement{leaving: true}
 		}
--- a/routegate/wait.go
+++ b/routegate/wait.go
@@ -131,7 +131,7 @@
 
 // cannotStart reports whether the request has expired or may outlast this host.
 func (c *call) cannotStart() bool {
-	return c.expired() || c.gate.mayOutlastProcess(c.route.Name, c.route.Timeout, 0)
+	return c.expired() || c.mayOutlastProcess(0)
 }
 
 // hasRoom reports whether a placement now would not be too late. It chooses nothing.
@@ -144,7 +144,7 @@
 	if region == "" || c.tooLate(remote.Wait()) || c.heldBack(remote) || ok && !c.hasCredit(region) {
 		return false
 	}
-	return !c.gate.mayOutlastProcess(c.route.Name, c.route.Timeout, c.gate.options.Peers.RoundTrip(region))
+	return !c.mayOutlastProcess(c.gate.options.Peers.RoundTrip(region))
 }
 
 // aboveShare reports whether the workspace of the request is above its share.
