Stops: a request that arrives while the host closes is served

What callers saw: none seen; found by reading. While the body of a request was read, the request did not count as in progress, so a host that waited for its last request could close under it; between the last check and the close, a request could be sent to a server and cut.

Change: a connection is busy from the first byte of a request until its response is sent. A server that closes closes only connections that are not, each under the lock that a request takes to begin, until none is left or its time is over. TestRequestThatArrivesWhileTheServerClosesIsServed; on the code before, such a request is not in flight (the test waits for it in vain).

--- a/callerhttp/conn.go
+++ b/callerhttp/conn.go
@@ -39,6 +39,9 @@
 
 	mu     sync.Mutex
 	cancel context.CancelCauseFunc
+	// busy is set from the first byte of a request until its response is sent, closed once the
+	// server has closed the connection while it was not.
+	busy, closed bool
 }
 
 func newConn(s *Server, c net.Conn) *conn {
@@ -61,6 +64,39 @@
 	k.cancel = cancel
 }
 
+// startRequest records that a request arrives. It returns false if the connection is closed.
+func (k *conn) startRequest() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.busy = !k.closed
+	return k.busy
+}
+
+// endRequest records that the response of a request is sent.
+func (k *conn) endRequest() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.busy = false
+}
+
+// isBusy reports whether a request arrives or is in progress.
+func (k *conn) isBusy() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.busy
+}
+
+// closeIdle closes the connection unless a request arrives or is in progress.
+func (k *conn) closeIdle() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.busy || k.arriving() {
+		return
+	}
+	k.closed = true
+	_ = k.net.Close() // an error changes nothing for the caller
+}
+
 func (k *conn) run(ctx context.Context) {
 	defer func() { _ = k.net.Close() }() // an error changes nothing for the caller
 	defer k.body.release()
@@ -89,6 +125,7 @@
 			return
 		}
 		k.dropping.Store(false)
+		k.endRequest()
 	}
 }
 
@@ -129,6 +166,9 @@
 	if _, err := k.in.Peek(1); err != nil {
 		return false // closed or timed out between requests
 	}
+	if !k.startRequest() {
+		return false
+	}
 	r.arrived = time.Now()
 	k.setReadTimeout(limits.HeaderTimeout)
 	if err := k.readHeader(r); err != nil {
--- a/callerhttp/server.go
+++ b/callerhttp/server.go
@@ -27,6 +27,8 @@
 	// keepAliveIdle and keepAliveInterval detect a caller whose machine is unreachable.
 	keepAliveIdle     = 10 * time.Second
 	keepAliveInterval = 5 * time.Second
+	// closeInterval is how often a server that closes checks its connections.
+	closeInterval = 20 * time.Millisecond
 	// defaultWriteTimeout is the default of Options.WriteTimeout.
 	defaultWriteTimeout = 5 * time.Second
 )
@@ -171,11 +173,11 @@
 	return out
 }
 
-// InFlight returns the number of requests in progress.
+// InFlight returns the number of requests that arrive or are in progress.
 func (s *Server) InFlight() int {
 	n := 0
 	for _, k := range s.snapshot() {
-		if k.currentCancel() != nil {
+		if k.isBusy() {
 			n++
 		}
 	}
@@ -185,19 +187,23 @@
 // Drain makes every response that begins from now on the last on its connection.
 func (s *Server) Drain() { s.draining.Store(true) }
 
-// Close stops accepting connections, waits for requests in flight until ctx
-// ends, closes the remaining connections and waits for their handlers.
+// Close stops accepting connections, closes those without a request, and waits for the others
+// until ctx ends; then it closes what is left and waits for the handlers. A request of which a
+// byte was read is never dropped before.
 func (s *Server) Close(ctx context.Context) error {
 	s.Drain()
 	err := s.listener.Close()
-	ticker := time.NewTicker(20 * time.Millisecond)
+	ticker := time.NewTicker(closeInterval)
 	defer ticker.Stop()
-	for s.InFlight() > 0 && ctx.Err() == nil {
+	for open := s.snapshot(); len(open) > 0 && ctx.Err() == nil; open = s.snapshot() {
+		for _, k := range open {
+			k.closeIdle()
+		}
 		<-ticker.C
 	}
 	s.cancel(ErrStopped)
 	for _, k := range s.snapshot() {
-		_ = k.net.Close() // idle, or not finished in time
+		_ = k.net.Close() // not finished in time
 	}
 	s.handlers.Wait()
 	return errors.Join(err, <-s.done, <-s.done)
