Stops: calls to stores that do not answer end with the grace period

Cause: after the last request, the host waits for its calls to stores, and fasthttp bounds a call by its own time-out only. Change: at the end of the grace period the connections to stores are closed, and dials given up.

TestAbortEndsCallsInProgress.

--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -401,6 +401,7 @@
 	errs := []error{err}
 	limit, cancel := n.withDeadline(ctx, end)
 	defer cancel()
+	defer context.AfterFunc(limit, n.client.Abort)() // calls to stores that do not answer outlast it
 	errs = append(errs, n.closeRoom(), n.callerServer.Close(limit), n.peerServer.Close(limit))
 	n.caps.Close()
 	n.origins.Close()
--- a/peerhttp/client.go
+++ b/peerhttp/client.go
@@ -74,11 +74,15 @@
 // DialTimeout connects to an address within timeout, at most dialTimeout. A call
 // with a shorter deadline must not wait longer for an unreachable host.
 func (d *Dialer) DialTimeout(address string, timeout time.Duration) (net.Conn, error) {
+	return d.dial(context.Background(), address, timeout)
+}
+
+func (d *Dialer) dial(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
 	n := d.net
 	if timeout > 0 {
 		n.Timeout = min(timeout, dialTimeout)
 	}
-	c, err := n.Dial("tcp", address)
+	c, err := n.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, &dialError{err}
 	}
@@ -110,6 +114,7 @@
 	http     *fasthttp.Client
 	uncached *fasthttp.Client
 	token    string
+	conns    *openConns
 	// onCall is called after each call; may be nil.
 	onCall func(path string, sent, received int)
 }
@@ -124,7 +129,12 @@
 	if dialer == nil {
 		dialer = NewDialer("", nil)
 	}
-	return &Client{token: token, http: newHTTP(dialer), uncached: newHTTP(dialer)}
+	c := &Client{token: token, http: newHTTP(dialer), uncached: newHTTP(dialer), conns: newOpenConns()}
+	dial := func(address string, timeout time.Duration) (net.Conn, error) {
+		return c.conns.track(dialer.dial(c.conns.ctx, address, timeout))
+	}
+	c.http.DialTimeout, c.uncached.DialTimeout = dial, dial
+	return c
 }
 
 func newHTTP(dialer *Dialer) *fasthttp.Client {
@@ -220,3 +230,7 @@
 
 // CloseIdle closes idle connections.
 func (c *Client) CloseIdle() { c.http.CloseIdleConnections() }
+
+// Abort closes all connections, so that calls in progress fail at once, as do later ones. It is safe
+// for concurrent use.
+func (c *Client) Abort() { c.conns.close() }
--- a/peerhttp/client_test.go
+++ b/peerhttp/client_test.go
@@ -71,3 +71,47 @@
 		t.Errorf("got %v, want a timeout", err)
 	}
 }
+
+func TestAbortEndsCallsInProgress(t *testing.T) {
+	accepted := make(chan net.Conn, 1)
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer silent.Close()
+	go func() {
+		if c, err := silent.Accept(); err == nil {
+			accepted <- c
+		}
+	}()
+	tests := []struct {
+		name, address string
+		started       func()
+		want          error
+	}{
+		{"a store that does not answer", silent.Addr().String(), func() { <-accepted }, nil},
+		{"a store that does not accept", listenFullBacklog(t), func() { time.Sleep(20 * time.Millisecond) }, context.Canceled},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := NewClient(nil, "")
+			ctx, cancel := context.WithTimeout(context.Background(), time.Hour)
+			defer cancel()
+			done := make(chan error, 1)
+			go func() { done <- c.Call(ctx, http.MethodGet, tt.address, "/", nil, nil) }()
+			tt.started()
+			c.Abort()
+			select {
+			case err := <-done:
+				if err == nil || tt.want != nil && !errors.Is(err, tt.want) {
+					t.Errorf("got %v, want %v", err, tt.want)
+				}
+			case <-time.After(time.Minute):
+				t.Fatal("the call goes on")
+			}
+			if err := c.Call(ctx, http.MethodGet, tt.address, "/", nil, nil); !NotSent(err) {
+				t.Errorf("a later call got %v, want an error that proves that nothing was sent", err)
+			}
+		})
+	}
+}
