Leaving hosts: a request that is forecast to outlast its host is refused at once

Cause: in that time a host accepts what usually ends in time by the mean of its route, also where the forecast for this request, by its expected tokens and the servers' load, ends after the host.

Change: such a request is refused as not run when it is placed, and its caller goes to another host at once.

TestLeavingHostRefusesWhatIsForecastToOutlastIt.

--- a/routegate/leaving.go
+++ b/routegate/leaving.go
@@ -76,6 +76,12 @@
 	return 0
 }
 
+// exitsWithin reports whether the process exits before a time from now.
+func (g *Gate) exitsWithin(after time.Duration) bool {
+	leaving := g.leaving.Load()
+	return leaving != nil && g.options.Clock.Now().Add(after).After(leaving.endsAt)
+}
+
 // mayOutlastProcess reports whether a request may not complete before the process exits; limit is
 // the time that it has left, latency the round trip to where it runs. What is accepted once callers
 // and other gateways can know of the shutdown has to end by its own limit: however long requests
--- a/routegate/pace_test.go
+++ b/routegate/pace_test.go
@@ -88,6 +88,33 @@
 	}
 }
 
+func TestLeavingHostRefusesWhatIsForecastToOutlastIt(t *testing.T) {
+	tests := []struct {
+		name   string
+		last   time.Duration
+		status int
+	}{
+		{"ends before", 2 * time.Second, http.StatusOK},
+		{"not known", 0, http.StatusOK},
+		{"ends after", 7 * time.Second, http.StatusServiceUnavailable},
+	}
+	for _, tt := range tests {
+		b := newBackend(t)
+		b.fallback = streamHead + chunk("id: 1\ndata: a\n\n") + "0\r\n\r\n"
+		g, c := newModelGate(t, &scriptedModel{forecast: wheelgauge.EngineForecast{First: 300 * time.Millisecond, Last: tt.last}}, b)
+		g.durations.observe("stream", time.Second)
+		g.ShutDownBy(time.Now().Add(5 * time.Second))
+		resp, body, err := get(t, c, "/stream/", "")
+		if err != nil || resp.StatusCode != tt.status {
+			t.Errorf("%s: got %v %s, %v, want %d", tt.name, resp, body, err, tt.status)
+			continue
+		}
+		if tt.status != http.StatusOK && (len(b.received()) > 0 || resp.Header.Get(wheelgauge.HeaderReason) != string(wheelgauge.ReasonDraining)) {
+			t.Errorf("%s: got reason %q after %d sends, want draining and none", tt.name, resp.Header.Get(wheelgauge.HeaderReason), len(b.received()))
+		}
+	}
+}
+
 // A forecast of the model is not multiplied by how much longer requests of the route took than
 // the fixed figures say.
 func TestForecastIsNotCorrected(t *testing.T) {
--- a/routegate/place.go
+++ b/routegate/place.go
@@ -39,6 +39,8 @@
 	switch {
 	case !ok && !forward:
 		return placement{}
+	case c.runs == 0 && c.gate.exitsWithin(chosen.End()):
+		return placement{leaving: true}
 	case late || c.endsTooLate(chosen):
 		c.predictedWait = wait
 		return placement{tooLate: true}
