An innocent request in quarantine is tried again, and large ones are remembered as good

Cause: three crashes with a request in flight quarantine it. Only a good run clears it, a good run of a body over 1 KiB was not remembered, and a quarantined request was sent nowhere that could run it well. By the same cause a request whose answers end with their connection was never cleared.

Change: good runs of larger bodies count for 3 s, within 4 MiB/s of fingerprinting. A host that refuses a quarantined request asks the stores for a trial, 10 s after its first refusal; the group persists one host for each trial, that one sends the request once. A good run ends the quarantine everywhere; a crash is persisted as one under a trial. Each trial that was sent makes the next wait 8 times as long, and three crashes under trials end them. A trial that reaches no server is kept.

--- a/confstore/quarantine.go
+++ b/confstore/quarantine.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 
 	"wheelgauge"
 	"wheelgauge/configstate"
@@ -20,7 +21,7 @@
 	n.crashes.SetPersisted(n.machine.State().Crashes)
 	out := []wheelgauge.Quarantined{}
 	for _, f := range n.crashes.Quarantined() {
-		crashes := n.crashes.Crashes(f)
+		crashes := slices.DeleteFunc(n.crashes.Crashes(f), func(c wheelgauge.Crash) bool { return c.Trial != "" })
 		if len(crashes) > 0 {
 			out = append(out, wheelgauge.Quarantined{Fingerprint: f, Part: crashes[0].IsPart(), Crashes: len(crashes)})
 		}
--- a/crash.go
+++ b/crash.go
@@ -20,6 +20,12 @@
 	Cleared bool `json:"c,omitempty"`
 	// AgoMS is how long ago the crash was recorded or cleared when it is reported, in ms.
 	AgoMS int64 `json:"a,omitempty"`
+	// Tried is set if the request was sent as a trial of whether it still crashes servers, for a
+	// trial once it was.
+	Tried bool `json:"y,omitempty"`
+	// Trial is set for a trial, which is no crash: the host that may send the quarantined request
+	// once. Server is then the name of the trial.
+	Trial string `json:"t,omitempty"`
 }
 
 // IsPart reports whether the crash is recorded for a part of prompts.
--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -205,6 +205,7 @@
 	}
 	n.caps = capclient.New(capclient.Options{Host: o.Name, Boot: n.boot, Stores: n.stores, Draw: n.requestCaps, Now: clock.Now})
 	n.quarantine = quarantine.New(clock.Now)
+	n.quarantine.SetTrialHost(fmt.Sprintf("%s@%x", o.Name, n.boot))
 	n.reach = reachability.New(clock.Now)
 	n.servers.SetOutOfReach(n.reach.IsOutOfReach)
 	n.limits = serverlimit.New(clock.Now)
--- a/message.go
+++ b/message.go
@@ -31,6 +31,8 @@
 	HeaderPriority   = "Wheelgauge-Priority"
 	// HeaderWorkspace names the workspace of a forwarded request.
 	HeaderWorkspace = "Wheelgauge-Workspace"
+	// HeaderTrial is "1" for a quarantined request that the forwarding gateway sends as a trial.
+	HeaderTrial = "Wheelgauge-Trial"
 	// HeaderSends reports to the forwarding gateway how many servers the request
 	// was sent to.
 	HeaderSends = "Wheelgauge-Sends"
--- a/quarantine/attribution.go
+++ b/quarantine/attribution.go
@@ -33,7 +33,7 @@
 func serversByRequest(crashes []wheelgauge.Crash) map[wheelgauge.Fingerprint]serverSet {
 	out := map[wheelgauge.Fingerprint]serverSet{}
 	for _, c := range crashes {
-		if c.Cleared {
+		if c.Cleared || c.Trial != "" {
 			continue
 		}
 		if out[c.Fingerprint] == nil {
--- a/quarantine/entries.go
+++ b/quarantine/entries.go
@@ -12,11 +12,11 @@
 	change uint64
 }
 
-// put adds a crash or marks it as cleared. The caller holds the lock.
+// put adds a crash or trial, or marks it as cleared or a trial as tried. The caller holds the lock.
 func (t *Table) put(c wheelgauge.Crash) {
 	k := crashKey{request: c.Fingerprint, server: c.Server}
 	e := t.entries[k]
-	if e != nil && (e.crash.Cleared || !c.Cleared) {
+	if e != nil && (e.crash.Cleared || !c.Cleared && !isNewlyTried(e.crash, c)) {
 		return
 	}
 	if e == nil {
@@ -24,7 +24,9 @@
 		e = &entry{crash: wheelgauge.Crash{Cleared: true}}
 		t.entries[k] = e
 	}
-	t.updateCount(c.Fingerprint, e.crash.Cleared, c.Cleared)
+	if c.Trial == "" {
+		t.updateCount(c.Fingerprint, e.crash.Cleared, c.Cleared)
+	}
 	t.changes++
 	at := t.now().Add(-time.Duration(c.AgoMS) * time.Millisecond)
 	c.AgoMS = 0
@@ -32,6 +34,11 @@
 	t.order = append(t.order, orderedChange{key: k, change: t.changes})
 }
 
+// isNewlyTried reports whether an update tells that a trial was sent.
+func isNewlyTried(known, update wheelgauge.Crash) bool {
+	return update.Trial != "" && update.Tried && !known.Tried
+}
+
 // updateCount updates crashCounts when an entry of a request is added, cleared or removed.
 // The caller holds the lock.
 func (t *Table) updateCount(request wheelgauge.Fingerprint, wasCleared, isCleared bool) {
@@ -54,7 +61,9 @@
 
 // remove drops an entry. The caller holds the lock.
 func (t *Table) remove(k crashKey) {
-	t.updateCount(k.request, t.entries[k].crash.Cleared, true)
+	if e := t.entries[k]; e.crash.Trial == "" {
+		t.updateCount(k.request, e.crash.Cleared, true)
+	}
 	delete(t.entries, k)
 }
 
--- a/quarantine/judgement.go
+++ b/quarantine/judgement.go
@@ -24,10 +24,14 @@
 			continue
 		}
 		n, ok := index[k]
+		if !ok && e.crash.Trial != "" {
+			continue // not granted
+		}
 		if !ok {
 			out = append(out, e.crash)
 			continue
 		}
+		out[n].Tried = out[n].Tried || out[n].Trial == e.crash.Trial && e.crash.Tried
 		out[n].Cleared = out[n].Cleared || e.crash.Cleared
 	}
 	return out
@@ -63,7 +67,9 @@
 		t.reported = reported
 		t.reportedVersion++
 	}
-	t.snapshot.Store(t.newSnapshot(candidates))
+	judged := t.newSnapshot(candidates)
+	t.snapshot.Store(judged)
+	t.updateTrials(judged.quarantined)
 	t.stale.Store(false)
 }
 
--- a/quarantine/snapshot.go
+++ b/quarantine/snapshot.go
@@ -57,7 +57,7 @@
 // addCrash adds a crash that is not cleared to what is suspected.
 func (s *snapshot) addCrash(c wheelgauge.Crash) {
 	switch {
-	case c.Cleared:
+	case c.Cleared, c.Trial != "":
 	case c.IsPart():
 		s.crashedParts[c.Fingerprint] = true
 	default:
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -58,9 +58,11 @@
 	// requests are in flight at one, and each records it.
 	snapshot atomic.Pointer[snapshot]
 	stale    atomic.Bool
-	// good holds requests that recently ran to a good end here, provenParts the parts of prompts
-	// that servers have just produced output for.
+	// good holds requests that recently ran to a good end here, goodLarge those of them with
+	// larger bodies, provenParts the parts of prompts that servers have just produced output for.
 	good        *goodRequests
+	goodLarge   *goodRequests
+	hashing     *hashBudget
 	provenParts *goodRequests
 
 	mu      sync.Mutex
@@ -81,11 +83,15 @@
 	candidates      []wheelgauge.Crash
 	reported        []wheelgauge.Crash
 	reportedVersion uint64
+	// trialHost is the name of this host in trials, empty if it makes none; trials are those of
+	// quarantined requests that came here.
+	trialHost string
+	trials    map[wheelgauge.Fingerprint]*trial
 }
 
 // New returns an empty table that reads the time from now.
 func New(now func() time.Time) *Table {
-	t := &Table{now: now, entries: map[crashKey]*entry{}, crashCounts: map[wheelgauge.Fingerprint]int{}, good: newGoodRequests(now, crashTTL), provenParts: newGoodRequests(now, partProofTTL), reportedVersion: 1}
+	t := &Table{now: now, entries: map[crashKey]*entry{}, crashCounts: map[wheelgauge.Fingerprint]int{}, trials: map[wheelgauge.Fingerprint]*trial{}, good: newGoodRequests(now, crashTTL), goodLarge: newGoodRequests(now, largeTTL), hashing: newHashBudget(now), provenParts: newGoodRequests(now, partProofTTL), reportedVersion: 1}
 	t.snapshot.Store(&snapshot{})
 	return t
 }
@@ -154,12 +160,14 @@
 // RecordSuccess records that a request ran to a good end, which clears it of earlier crashes.
 func (t *Table) RecordSuccess(size int, request func() wheelgauge.Fingerprint) {
 	suspected := t.view().suspectedSizes[size]
-	if !suspected && size > maxRememberedBody {
+	if !suspected && size > smallBody && !t.hashing.take(size) {
 		return
 	}
 	ran := request()
-	if size <= maxRememberedBody {
+	if size <= smallBody {
 		t.good.add(ran)
+	} else {
+		t.goodLarge.add(ran)
 	}
 	if !suspected {
 		return
@@ -175,7 +183,7 @@
 	if c.IsPart() {
 		return t.provenParts.has(c.Fingerprint)
 	}
-	return t.good.has(c.Fingerprint)
+	return t.good.has(c.Fingerprint) || t.goodLarge.has(c.Fingerprint)
 }
 
 // clear marks the matching crashes as cleared. The caller holds the lock.
@@ -302,8 +310,8 @@
 	return t.reported, t.reportedVersion
 }
 
-// CrashesToPersist returns the crashes to persist elsewhere: those that quarantine requests, and
-// persisted ones that have been cleared since.
+// CrashesToPersist returns the crashes to persist elsewhere: those that quarantine requests,
+// persisted ones that have been cleared since, and the trials that hosts ask for.
 func (t *Table) CrashesToPersist() []wheelgauge.Crash {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -315,7 +323,7 @@
 			out = append(out, e.crash)
 		}
 	}
-	return out
+	return append(out, t.askedTrials()...)
 }
 
 // Quarantined returns the quarantined requests, sorted.
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -36,7 +36,6 @@
 		return "q"
 	}
 	table.IsQuarantined(size-1, request)
-	table.RecordSuccess(size-1, request)
 	if computed > 0 {
 		t.Error("fingerprint computed for a request of another size")
 	}
--- a/routegate/call.go
+++ b/routegate/call.go
@@ -118,6 +118,9 @@
 	partialBytes int
 	// heldInQuarantine is set for a request that is refused as quarantined.
 	heldInQuarantine bool
+	// onTrial is set for a quarantined request that may reach one server, to see whether it still
+	// crashes servers; ownTrial if this host was granted the trial.
+	onTrial, ownTrial bool
 	// endedServers are the servers that ended with the request in flight, for the log.
 	endedServers []string
 	// lastPick is the last server chosen, for the log.
@@ -141,6 +144,7 @@
 		c.refuse(apiErr)
 		return
 	}
+	defer c.endTrial()
 	firstDispatch := true
 	for {
 		if c.expired() {
@@ -201,7 +205,7 @@
 // the budget. A forwarded request is retried only by the host that the caller connected to, as
 // no other knows on how many servers it ran.
 func (c *call) mayRetry() bool {
-	return c.mayContinue() && !c.forwarded && c.route.Repeatable() && c.runs < c.route.MaxAttempts && c.sends < maxSends && !c.suspected() && c.gate.options.Budget.TryRetry(c.service)
+	return c.mayContinue() && !c.forwarded && !c.onTrial && c.route.Repeatable() && c.runs < c.route.MaxAttempts && c.sends < maxSends && !c.suspected() && c.gate.options.Budget.TryRetry(c.service)
 }
 
 // dispatch sends the request once, to where the shortest wait is predicted.
--- a/routegate/crash.go
+++ b/routegate/crash.go
@@ -9,6 +9,7 @@
 
 	"wheelgauge"
 	"wheelgauge/fingerprint"
+	"wheelgauge/httpfield"
 	"wheelgauge/quarantine"
 	"wheelgauge/serverconn"
 	"wheelgauge/serverset"
@@ -24,6 +25,10 @@
 	// outputProofTime is how long after its first event a server must go on until the parts of the
 	// prompt are taken for good. A server that crashes as it begins to answer does so before.
 	outputProofTime = 200 * time.Millisecond
+	// trialProofTime is how long after the end of an answer to a request on trial its server is asked
+	// for a new connection, if the answer ended with its connection. One that crashes may still take
+	// one right after its last byte.
+	trialProofTime = 200 * time.Millisecond
 )
 
 // fingerprint identifies the content of the request, the same for all attempts at all hosts.
@@ -49,10 +54,69 @@
 }
 
 // quarantined reports whether the request or a part of its prompt is quarantined: every server that
-// began to run it crashed, and further servers would too.
+// began to run it crashed, and further servers would too. A request on trial may reach one server.
 func (c *call) quarantined() bool {
 	q := c.gate.options.Quarantine
-	return q.HoldsQuarantinedPart(c.partFingerprints) || q.IsQuarantined(len(c.request.Body()), c.fingerprint)
+	if q.HoldsQuarantinedPart(c.partFingerprints) {
+		return true
+	}
+	if !q.IsQuarantined(len(c.request.Body()), c.fingerprint) {
+		return false
+	}
+	if !c.onTrial {
+		c.takeTrial()
+	}
+	return !c.onTrial || c.runs > 0
+}
+
+// takeTrial sends a quarantined request on trial if it is time for one and this host was chosen, or
+// the host that forwarded it.
+func (c *call) takeTrial() {
+	if c.forwarded {
+		c.onTrial = len(httpfield.Value(c.request.Header(), wheelgauge.HeaderTrial)) > 0
+		return
+	}
+	c.onTrial = c.gate.options.Quarantine.TakeTrial(c.fingerprint())
+	if c.ownTrial = c.onTrial; c.ownTrial {
+		c.gate.options.Meter.Count("requests.tried")
+		c.gate.options.Log.Info("A quarantined request is tried.", "id", c.id, "request", c.fingerprint())
+	}
+}
+
+// recordTried records that a trial is sent.
+func (c *call) recordTried() {
+	if c.ownTrial {
+		c.gate.options.Quarantine.RecordTried(c.fingerprint())
+	}
+}
+
+// outlivesTrial reports whether a server whose answer ended with its connection still takes
+// connections some time after a request on trial, so the request did not crash it.
+func (x *exchange) outlivesTrial(ctx context.Context) bool {
+	if !x.call.onTrial {
+		return false
+	}
+	wait := time.NewTimer(trialProofTime)
+	defer wait.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-wait.C:
+	}
+	limit, cancel := context.WithTimeout(ctx, quarantine.ProbeTimeout)
+	defer cancel()
+	return x.pool.OpenIdle(limit) == nil
+}
+
+// endTrial logs the outcome of a trial, and gives back one that has reached no server.
+func (c *call) endTrial() {
+	if !c.ownTrial {
+		return
+	}
+	if c.runs == 0 {
+		c.gate.options.Quarantine.ReturnTrial(c.fingerprint())
+	}
+	c.gate.options.Log.Info("The trial of a quarantined request ends.", "id", c.id, "request", c.fingerprint(), "runs", c.runs, "status", c.status, "cause", c.cause)
 }
 
 // suspected reports whether the request or a part of its prompt may have crashed several servers.
@@ -108,7 +172,7 @@
 	if err := s.Pool().OpenIdle(limit); err == nil || errors.Is(err, serverconn.ErrNoConns) {
 		return
 	}
-	crash := wheelgauge.Crash{Fingerprint: c.fingerprint(), BodyBytes: len(c.request.Body()), Server: s.InstanceKey()}
+	crash := wheelgauge.Crash{Fingerprint: c.fingerprint(), BodyBytes: len(c.request.Body()), Server: s.InstanceKey(), Tried: c.onTrial}
 	crashes := c.gate.options.Quarantine.RecordCrash(crash, c.partFingerprints()...)
 	c.endedServers = append(c.endedServers, s.InstanceKey())
 	c.gate.options.Meter.Count("servers.ended")
--- a/routegate/dispatch.go
+++ b/routegate/dispatch.go
@@ -97,6 +97,7 @@
 	head := c.requestHead(set)
 	c.sends++
 	c.runs++
+	c.recordTried()
 	x.eventsBefore = c.splitter.Events()
 	c.sentVersion = k.Version()
 	c.gate.options.Versions.RecordSent(c.service, c.route.Name, c.sentVersion)
@@ -187,7 +188,7 @@
 	res := c.relay(ctx, x)
 	switch {
 	case res == answered && !c.endedBy.unrelatedToServer():
-		if x.err == nil && status < http.StatusMultipleChoices && x.body.Framing() != serverconn.Unframed {
+		if x.err == nil && status < http.StatusMultipleChoices && (x.body.Framing() != serverconn.Unframed || x.outlivesTrial(ctx)) {
 			c.recordSuccess()
 		}
 		k.Done(serverset.Served)
@@ -218,11 +219,15 @@
 	if c.workspace != nil {
 		set = append(set, [2]string{wheelgauge.HeaderWorkspace, c.workspace.Name})
 	}
+	if c.onTrial {
+		set = append(set, [2]string{wheelgauge.HeaderTrial, "1"})
+	}
 	if c.continues() {
 		set = append(set, [2]string{wheelgauge.HeaderStreamService, c.origin.service}, [2]string{wheelgauge.HeaderStreamVersion, c.origin.version})
 	}
 	head := c.requestHead(set)
 	c.runs++
+	c.recordTried()
 	if err := x.roundTrip(head); err != nil {
 		c.failedBy = x.ender()
 		c.cause = err.Error()
