A run whose answer ends with its connection counts as good once its server goes on

What callers saw: of several requests whose answers have neither a length nor chunks, in flight at the same three crashes, one after another was quarantined, each as the one before was found innocent.

Cause: the end of such an answer looks like a crash, so it cleared nothing, also while another request was blamed and this one was served.

--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -157,6 +157,9 @@
 	t.reevaluate()
 }
 
+// HasSuspectOf reports whether a request with a body of some size was in flight at a crash.
+func (t *Table) HasSuspectOf(size int) bool { return t.view().suspectedSizes[size] }
+
 // RecordSuccess records that a request ran to a good end, which clears it of earlier crashes.
 func (t *Table) RecordSuccess(size int, request func() wheelgauge.Fingerprint) {
 	suspected := t.view().suspectedSizes[size]
--- a/routegate/crash.go
+++ b/routegate/crash.go
@@ -25,10 +25,12 @@
 	// outputProofTime is how long after its first event a server must go on until the parts of the
 	// prompt are taken for good. A server that crashes as it begins to answer does so before.
 	outputProofTime = 200 * time.Millisecond
-	// trialProofTime is how long after the end of an answer to a request on trial its server is asked
-	// for a new connection, if the answer ended with its connection. One that crashes may still take
-	// one right after its last byte.
+	// trialProofTime is how long after an answer that ended with its connection the server must go on
+	// until the request is taken for good. One that crashes may still take a connection right after its
+	// last byte.
 	trialProofTime = 200 * time.Millisecond
+	// trialProofTimeout is how long it has to accept one after a trial.
+	trialProofTimeout = time.Second
 )
 
 // fingerprint identifies the content of the request, the same for all attempts at all hosts.
@@ -103,11 +105,27 @@
 		return false
 	case <-wait.C:
 	}
-	limit, cancel := context.WithTimeout(ctx, quarantine.ProbeTimeout)
+	limit, cancel := context.WithTimeout(ctx, trialProofTimeout)
 	defer cancel()
 	return x.pool.OpenIdle(limit) == nil
 }
 
+// recordUnproven keeps a run whose answer ended with its connection, if the request may have crashed
+// servers, until the server answers again.
+func (c *call) recordUnproven(s *serverset.Server) {
+	size := len(c.request.Body())
+	if c.gate.options.Quarantine.HasSuspectOf(size) {
+		c.gate.unproven.add(s.InstanceKey(), unprovenRun{request: c.fingerprint(), size: size, endedAt: c.gate.options.Clock.Now()})
+	}
+}
+
+// recordProven records the runs that a server has survived, as it answers.
+func (c *call) recordProven(x *exchange, s *serverset.Server) {
+	for _, run := range c.gate.unproven.take(s.InstanceKey(), x.sentClock) {
+		c.gate.options.Quarantine.RecordSuccess(run.size, func() wheelgauge.Fingerprint { return run.request })
+	}
+}
+
 // endTrial logs the outcome of a trial, and gives back one that has reached no server.
 func (c *call) endTrial() {
 	if !c.ownTrial {
--- a/routegate/dispatch.go
+++ b/routegate/dispatch.go
@@ -131,6 +131,7 @@
 	if status := x.head.StatusCode(); notRun || status == http.StatusMisdirectedRequest {
 		return c.endNotRun(x, k, status)
 	}
+	c.recordProven(x, s)
 	return c.relayOrRetry(ctx, x, k)
 }
 
@@ -188,8 +189,12 @@
 	res := c.relay(ctx, x)
 	switch {
 	case res == answered && !c.endedBy.unrelatedToServer():
-		if x.err == nil && status < http.StatusMultipleChoices && (x.body.Framing() != serverconn.Unframed || x.outlivesTrial(ctx)) {
+		switch {
+		case x.err != nil || status >= http.StatusMultipleChoices:
+		case x.body.Framing() != serverconn.Unframed || x.outlivesTrial(ctx):
 			c.recordSuccess()
+		default:
+			c.recordUnproven(k.Server())
 		}
 		k.Done(serverset.Served)
 	case ctx.Err() != nil || c.endedBy.unrelatedToServer():
--- a/routegate/gate.go
+++ b/routegate/gate.go
@@ -103,6 +103,8 @@
 	readyOnce sync.Once
 	// unframed are the services that answer without marking the end.
 	unframed unframedServices
+	// unproven are runs of theirs that may have crashed the server.
+	unproven unprovenRuns
 	// startupDeadline ends waiting for ready; each request waits for startupWait at most.
 	startupDeadline time.Time
 	startupWait     time.Duration
--- a/routegate/trial_test.go
+++ b/routegate/trial_test.go
@@ -161,3 +161,61 @@
 		t.Errorf("the gateway there got %v, want one request on trial", sent)
 	}
 }
+
+func TestUnprovenRuns(t *testing.T) {
+	at := time.Unix(1000, 0)
+	tests := []struct {
+		name   string
+		server string
+		after  time.Duration
+		proven int
+	}{
+		{"the server answers later", "s", trialProofTime, 1},
+		{"it answers at once", "s", trialProofTime - 1, 0},
+		{"it answered before", "s", -1, 0},
+		{"another server answers", "r", trialProofTime, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var u unprovenRuns
+			u.add("s", unprovenRun{request: "p", endedAt: at})
+			if got := u.take(tt.server, at.Add(tt.after)); len(got) != tt.proven {
+				t.Errorf("%v are proven, want %d", got, tt.proven)
+			}
+			if left := len(u.take("s", at.Add(time.Hour))); left != 1-tt.proven {
+				t.Errorf("%d runs are left, want %d", left, 1-tt.proven)
+			}
+		})
+	}
+}
+
+func TestUnprovenRunsAreBounded(t *testing.T) {
+	var u unprovenRuns
+	for n := range 3 * maxUnprovenServers {
+		for range 2 * maxUnprovenRuns {
+			u.add(strconv.Itoa(n), unprovenRun{})
+		}
+	}
+	held := 0
+	for _, runs := range u.byServer {
+		held += len(runs)
+	}
+	if held > maxUnprovenServers*maxUnprovenRuns {
+		t.Errorf("%d runs are held", held)
+	}
+}
+
+func TestRunWithoutMarkedEndClearsCrashesOnceItsServerGoesOn(t *testing.T) {
+	g, c := newGate(t, routes(), newBackend(t, openHead+"ok"))
+	q := g.options.Quarantine
+	for n := range 2 {
+		q.RecordCrash(wheelgauge.Crash{Fingerprint: requestFingerprint("/once/x"), Server: strconv.Itoa(n)})
+	}
+	statusesOf(t, g, c, "/once/x", "", 1)
+	time.Sleep(trialProofTime)
+	c = serveGate(t, g) // the answer ended with the connection
+	statusesOf(t, g, c, "/once/y", "", 1)
+	if crashes := q.RecordCrash(wheelgauge.Crash{Fingerprint: requestFingerprint("/once/x"), Server: "2"}); crashes != 1 {
+		t.Errorf("%d crashes count, want 1", crashes)
+	}
+}
