--- a/routegate/crash.go
+++ b/routegate/crash.go
@@ -9,6 +9,7 @@
 
 	"wheelgauge"
 	"wheelgauge/fingerprint"
+	"wheelgauge/httpfield"
 	"wheelgauge/quarantine"
 	"wheelgauge/serverconn"
 	"wheelgauge/serverset"
@@ -24,6 +25,12 @@
 	// outputProofTime is how long after its first event a server must go on until the parts of the
 	// prompt are taken for good. A server that crashes as it begins to answer does so before.
 	outputProofTime = 200 * time.Millisecond
+	// trialProofTime is how long after an answer that ended with its connection the server must go on
+	// until the request is taken for good. One that crashes may still take a connection right after its
+	// last byte.
+	trialProofTime = 200 * time.Millisecond
+	// trialProofTimeout is how long it has to accept one after a trial.
+	trialProofTimeout = time.Second
 )
 
 // fingerprint identifies the content of the request, the same for all attempts at all hosts.
@@ -49,10 +56,85 @@
 }
 
 // quarantined reports whether the request or a part of its prompt is quarantined: every server that
-// began to run it crashed, and further servers would too.
+// began to run it crashed, and further servers would too. A request on trial may reach one server.
 func (c *call) quarantined() bool {
 	q := c.gate.options.Quarantine
-	return q.HoldsQuarantinedPart(c.partFingerprints) || q.IsQuarantined(len(c.request.Body()), c.fingerprint)
+	if q.HoldsQuarantinedPart(c.partFingerprints) {
+		return true
+	}
+	if !q.IsQuarantined(len(c.request.Body()), c.fingerprint) {
+		return false
+	}
+	if !c.onTrial {
+		c.takeTrial()
+	}
+	return !c.onTrial || c.runs > 0
+}
+
+// takeTrial sends a quarantined request on trial if it is time for one and this host was chosen, or
+// the host that forwarded it.
+func (c *call) takeTrial() {
+	if c.forwarded {
+		c.onTrial = len(httpfield.Value(c.request.Header(), wheelgauge.HeaderTrial)) > 0
+		return
+	}
+	c.onTrial = c.gate.options.Quarantine.TakeTrial(c.fingerprint())
+	if c.ownTrial = c.onTrial; c.ownTrial {
+		c.gate.options.Meter.Count("requests.tried")
+		c.gate.options.Log.Info("A quarantined request is tried.", "id", c.id, "request", c.fingerprint())
+	}
+}
+
+// recordTried records that a trial is sent.
+func (c *call) recordTried() {
+	if c.ownTrial {
+		c.gate.options.Quarantine.RecordTried(c.fingerprint())
+	}
+}
+
+// outlivesTrial reports whether a server whose answer ended with its connection still takes
+// connections some time after a request on trial, so the request did not crash it.
+func (x *exchange) outlivesTrial(ctx context.Context) bool {
+	if !x.call.onTrial {
+		return false
+	}
+	wait := time.NewTimer(trialProofTime)
+	defer wait.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-wait.C:
+	}
+	limit, cancel := context.WithTimeout(ctx, trialProofTimeout)
+	defer cancel()
+	return x.pool.OpenIdle(limit) == nil
+}
+
+// recordUnproven keeps a run whose answer ended with its connection, if the request may have crashed
+// servers, until the server answers again.
+func (c *call) recordUnproven(s *serverset.Server) {
+	size := len(c.request.Body())
+	if c.gate.options.Quarantine.HasSuspectOf(size) {
+		c.gate.unproven.add(s.InstanceKey(), unprovenRun{request: c.fingerprint(), size: size, endedAt: c.gate.options.Clock.Now()})
+	}
+}
+
+// recordProven records the runs that a server has survived, as it answers.
+func (c *call) recordProven(x *exchange, s *serverset.Server) {
+	for _, run := range c.gate.unproven.take(s.InstanceKey(), x.sentClock) {
+		c.gate.options.Quarantine.RecordSuccess(run.size, func() wheelgauge.Fingerprint { return run.request })
+	}
+}
+
+// endTrial logs the outcome of a trial, and gives back one that has reached no server.
+func (c *call) endTrial() {
+	if !c.ownTrial {
+		return
+	}
+	if c.runs == 0 {
+		c.gate.options.Quarantine.ReturnTrial(c.fingerprint())
+	}
+	c.gate.options.Log.Info("The trial of a quarantined request ends.", "id", c.id, "request", c.fingerprint(), "runs", c.runs, "status", c.status, "cause", c.cause)
 }
 
 // suspected reports whether the request or a part of its prompt may have crashed several servers.
@@ -108,7 +190,7 @@
 	if err := s.Pool().OpenIdle(limit); err == nil || errors.Is(err, serverconn.ErrNoConns) {
 		return
 	}
-	crash := wheelgauge.Crash{Fingerprint: c.fingerprint(), BodyBytes: len(c.request.Body()), Server: s.InstanceKey()}
+	crash := wheelgauge.Crash{Fingerprint: c.fingerprint(), BodyBytes: len(c.request.Body()), Server: s.InstanceKey(), Tried: c.onTrial}
 	crashes := c.gate.options.Quarantine.RecordCrash(crash, c.partFingerprints()...)
 	c.endedServers = append(c.endedServers, s.InstanceKey())
 	c.gate.options.Meter.Count("servers.ended")
--- a/routegate/dispatch.go
+++ b/routegate/dispatch.go
@@ -97,6 +97,7 @@
 	head := c.requestHead(set)
 	c.sends++
 	c.runs++
+	c.recordTried()
 	x.eventsBefore = c.splitter.Events()
 	c.sentVersion = k.Version()
 	c.gate.options.Versions.RecordSent(c.service, c.route.Name, c.sentVersion)
@@ -130,6 +131,7 @@
 	if status := x.head.StatusCode(); notRun || status == http.StatusMisdirectedRequest {
 		return c.endNotRun(x, k, status)
 	}
+	c.recordProven(x, s)
 	return c.relayOrRetry(ctx, x, k)
 }
 
@@ -187,8 +189,12 @@
 	res := c.relay(ctx, x)
 	switch {
 	case res == answered && !c.endedBy.unrelatedToServer():
-		if x.err == nil && status < http.StatusMultipleChoices && x.body.Framing() != serverconn.Unframed {
+		switch {
+		case x.err != nil || status >= http.StatusMultipleChoices:
+		case x.body.Framing() != serverconn.Unframed || x.outlivesTrial(ctx):
 			c.recordSuccess()
+		default:
+			c.recordUnproven(k.Server())
 		}
 		k.Done(serverset.Served)
 	case ctx.Err() != nil || c.endedBy.unrelatedToServer():
@@ -218,11 +224,15 @@
 	if c.workspace != nil {
 		set = append(set, [2]string{wheelgauge.HeaderWorkspace, c.workspace.Name})
 	}
+	if c.onTrial {
+		set = append(set, [2]string{wheelgauge.HeaderTrial, "1"})
+	}
 	if c.continues() {
 		set = append(set, [2]string{wheelgauge.HeaderStreamService, c.origin.service}, [2]string{wheelgauge.HeaderStreamVersion, c.origin.version})
 	}
 	head := c.requestHead(set)
 	c.runs++
+	c.recordTried()
 	if err := x.roundTrip(head); err != nil {
 		c.failedBy = x.ender()
 		c.cause = err.Error()
