A server that reads slowly is waited for

Callers of servers that rest before they read a large request got 502 some 3.3 s later (1.2 s between regions), although server and caller had time left.

Cause: TCP_USER_TIMEOUT was set on connections to servers and other gateways. The kernel ends by it not only a connection whose bytes the other machine does not acknowledge, but also one whose peer answers every window probe and keeps its window closed.

Change: no TCP_USER_TIMEOUT while a connection is used. While an exchange is in progress, a timer looks at what the kernel knows of its connection (ackwatch): bytes or probes unanswered in five looks in a row over 3 s (1.2 s between regions) and nothing heard meanwhile mean that the machine is gone. Silent connections are left to keep-alive probes, whose count now says what the user timeout said before (3 s, and 2 s between regions; intervals are whole seconds). The kernel is asked to send a window probe each second, where it can. When a connection is closed, the user timeout is set as before, so that nothing stays behind. The end is a timeout of the network; before, a request whose write was cut short was sometimes told as EOF.

--- a/serverconn/conn.go
+++ b/serverconn/conn.go
@@ -12,11 +12,11 @@
 	"net"
 	"net/http"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"wheelgauge/ackwatch"
 	"wheelgauge/connpeek"
 	"wheelgauge/httpfield"
 	"wheelgauge/responsehead"
@@ -29,11 +29,12 @@
 	// read. It fits in the socket's send buffer, so the write does not block when a
 	// server responds early without reading the request.
 	maxInlineBytes = 16 << 10
-	// keepAliveIdle, keepAliveInterval and keepAliveCount detect a silent server
-	// whose machine is unreachable within about two seconds.
+	// keepAliveIdle and keepAliveInterval, the shortest that there are, detect the machine of a
+	// silent server that is unreachable, after Link.KeepAlives probes.
 	keepAliveIdle     = time.Second
-	keepAliveInterval = 500 * time.Millisecond
-	keepAliveCount    = 3
+	keepAliveInterval = time.Second
+	// maxProbeInterval is the shortest that the kernel allows.
+	maxProbeInterval = time.Second
 	// maxForeignResponses is how many responses to other requests are skipped.
 	maxForeignResponses = 2
 	// maxInformational is how many informational responses may precede a final one.
@@ -52,6 +53,9 @@
 	idleSince   time.Time
 	idleTimeout time.Duration
 	written     chan error
+	// lostAfter is Link.LostAfter.
+	lostAfter time.Duration
+	watch     exchangeWatch
 	// reusable is cleared when the next response might not match its request.
 	reusable bool
 	aborted  atomic.Bool
@@ -60,26 +64,16 @@
 func dial(ctx context.Context, address string, l Link) (*Conn, error) {
 	d := net.Dialer{
 		Timeout:         l.ConnectTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
-		Control:         setUserTimeout(l.UserTimeout),
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: l.KeepAlives},
+		Control:         boundProbes,
 	}
 	c, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w", address, err)
 	}
-	return &Conn{net: c, in: bufio.NewReaderSize(c, readBufferBytes), reusable: true}, nil
-}
-
-// setUserTimeout returns a dialer control that sets TCP_USER_TIMEOUT.
-func setUserTimeout(timeout time.Duration) func(_, _ string, raw syscall.RawConn) error {
-	const tcpUserTimeout = 18 // from linux/tcp.h; package syscall does not define it
-	return func(_, _ string, raw syscall.RawConn) error {
-		var inner error
-		err := raw.Control(func(fd uintptr) {
-			inner = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(timeout.Milliseconds()))
-		})
-		return errors.Join(err, inner)
-	}
+	k := &Conn{net: c, in: bufio.NewReaderSize(c, readBufferBytes), reusable: true, lostAfter: l.LostAfter}
+	k.watch.net, k.watch.acks = c, ackwatch.New(l.LostAfter)
+	return k, nil
 }
 
 // isFresh reports whether an idle connection is within its idle timeout.
@@ -93,21 +87,22 @@
 // Abort makes reads and writes in progress fail at once. It is safe for concurrent use.
 func (c *Conn) Abort() {
 	c.aborted.Store(true)
-	_ = c.net.Close() // the reader gets the error
+	closeWithin(c.net, c.lostAfter)
 }
 
 // Aborted reports whether Abort was called.
 func (c *Conn) Aborted() bool { return c.aborted.Load() }
 
-// Send writes a request. A request above maxInlineBytes is written while the response is read.
+// Send writes a request, and watches the connection until it is put back. A request above maxInlineBytes is written while the response is read.
 func (c *Conn) Send(head, body []byte, deadline time.Time) error {
 	if err := c.net.SetDeadline(deadline); err != nil {
 		return fmt.Errorf("send: %w", err)
 	}
+	c.watch.start()
 	request := append(head, body...)
 	if len(request) <= maxInlineBytes {
 		if _, err := c.net.Write(request); err != nil {
-			return fmt.Errorf("send: %w", err)
+			return fmt.Errorf("send: %w", c.watch.explain(err))
 		}
 		return nil
 	}
@@ -146,16 +141,16 @@
 	for range maxInformational + 1 {
 		head, err := responsehead.Peek(c.in)
 		if err != nil {
-			return nil, fmt.Errorf("read response: %w", err)
+			return nil, fmt.Errorf("read response: %w", c.watch.explain(err))
 		}
 		if err := responsehead.Check(head); err != nil {
-			return nil, fmt.Errorf("read response: %w", err)
+			return nil, fmt.Errorf("read response: %w", c.watch.explain(err))
 		}
 		h := &fasthttp.ResponseHeader{}
 		h.DisableNormalizing()
 		h.SetNoDefaultContentType(true)
 		if err := h.Read(c.in); err != nil {
-			return nil, fmt.Errorf("read response: %w", err)
+			return nil, fmt.Errorf("read response: %w", c.watch.explain(err))
 		}
 		if status := h.StatusCode(); status >= http.StatusOK {
 			return h, nil
--- a/serverconn/pool.go
+++ b/serverconn/pool.go
@@ -26,8 +26,11 @@
 type Link struct {
 	// ConnectTimeout bounds the opening of a connection.
 	ConnectTimeout time.Duration
-	// UserTimeout (TCP_USER_TIMEOUT) is how long sent bytes may stay unacknowledged.
-	UserTimeout time.Duration
+	// LostAfter is how long the other machine may leave bytes and probes unacknowledged. One that
+	// acknowledges them, and only reads or answers slowly, is waited for.
+	LostAfter time.Duration
+	// KeepAlives is how many probes of a silent connection may be unanswered.
+	KeepAlives int
 	// IdleTimeout is how long a connection may stay idle if the server announces no timeout.
 	IdleTimeout time.Duration
 	// Now is the clock for idle times. It must count suspended time: the other side closes
@@ -39,13 +42,13 @@
 // SYN is only sent again after a second, so the connect times out earlier and the request
 // goes to another server.
 func SameRegion(now func() time.Time) Link {
-	return Link{ConnectTimeout: 350 * time.Millisecond, UserTimeout: 3 * time.Second, IdleTimeout: nearIdleTimeout, Now: now}
+	return Link{ConnectTimeout: 350 * time.Millisecond, LostAfter: 3 * time.Second, KeepAlives: 2, IdleTimeout: nearIdleTimeout, Now: now}
 }
 
 // CrossRegion returns the timeouts for other regions, where one link may be cut while others
 // work: three round trips of a long link to connect, two retransmissions for sent bytes.
 func CrossRegion(now func() time.Time) Link {
-	return Link{ConnectTimeout: 400 * time.Millisecond, UserTimeout: 1200 * time.Millisecond, IdleTimeout: farIdleTimeout, Now: now}
+	return Link{ConnectTimeout: 400 * time.Millisecond, LostAfter: 1200 * time.Millisecond, KeepAlives: 1, IdleTimeout: farIdleTimeout, Now: now}
 }
 
 // ErrNoConns is returned when a server has its maximum number of connections.
@@ -181,7 +184,8 @@
 }
 
 func (p *Pool) closeConn(c *Conn) {
-	_ = c.net.Close() // no request is pending on it
+	c.watch.stop()
+	closeWithin(c.net, c.lostAfter)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.open--
@@ -203,7 +207,8 @@
 // there was none. The connection is closed unless the next response on it is
 // certain to belong to the next request.
 func (p *Pool) Put(c *Conn, h *fasthttp.ResponseHeader, b *Body) {
-	if h == nil || !b.done || !c.sent() || c.Aborted() || !c.reusable || c.in.Buffered() > 0 {
+	c.watch.stop()
+	if h == nil || c.watch.isLost() || !b.done || !c.sent() || c.Aborted() || !c.reusable || c.in.Buffered() > 0 {
 		p.closeConn(c)
 		return
 	}
