The kernel's user timeout goes only while a server reads slowly

Change: TCP_USER_TIMEOUT is set on each connection as before. It is taken away for the rest of an exchange once a look shows that all sent bytes are acknowledged, others wait for the window, and the peer answers; from then on the watch finds a machine that is gone. Where TCP_INFO is not told, the user timeout decides as before.

--- a/ackwatch/watch.go
+++ b/ackwatch/watch.go
@@ -1,6 +1,6 @@
 // Package ackwatch tells a connection whose other machine is gone from one whose peer is only slow
-// or silent. TCP_USER_TIMEOUT does not: it also ends a connection whose peer answers every probe
-// and keeps its window closed.
+// or silent. TCP_USER_TIMEOUT does not: the kernel also ends by it a connection whose peer answers
+// every probe and keeps its window closed.
 package ackwatch
 
 import (
@@ -35,11 +35,15 @@
 // Restart forgets the looks so far.
 func (w *Watch) Restart() { w.owed = 0 }
 
-// Gone looks at the connection, and reports whether the other machine is gone. It is always false
-// for connections whose state the kernel does not tell, such as TLS.
-func (w *Watch) Gone(c net.Conn) bool {
+// Look looks at the connection. gone reports whether the other machine is gone, slow whether bytes
+// wait for a peer that answers and does not read. Both are false for connections whose state the
+// kernel does not tell.
+func (w *Watch) Look(c net.Conn) (gone, slow bool) {
 	s, ok := look(c)
-	return ok && w.judge(s)
+	if !ok {
+		return false, false
+	}
+	return w.judge(s), s.isSlow(w.limit)
 }
 
 // state is what the kernel knows of a connection.
@@ -47,6 +51,8 @@
 	// unacked is the number of segments that are not acknowledged, probes that of window and
 	// keep-alive probes sent since the last answer.
 	unacked, probes int
+	// waiting is set if bytes wait to be sent.
+	waiting bool
 	// heard is how long ago the other machine last sent anything.
 	heard time.Duration
 }
@@ -60,6 +66,11 @@
 	return w.owed >= looks && s.heard >= w.limit && (s.unacked > 0 || s.probes >= minProbes)
 }
 
+// isSlow reports whether all bytes that were sent are acknowledged, and others wait for the window.
+func (s state) isSlow(limit time.Duration) bool {
+	return s.waiting && s.unacked == 0 && s.heard < limit
+}
+
 func look(c net.Conn) (s state, ok bool) {
 	raw, ok := c.(syscall.Conn)
 	if !ok {
@@ -76,5 +87,5 @@
 		return state{}, false
 	}
 	heard := time.Duration(min(info.Last_ack_recv, info.Last_data_recv)) * time.Millisecond
-	return state{unacked: int(info.Unacked), probes: int(info.Probes), heard: heard}, true
+	return state{unacked: int(info.Unacked), probes: int(info.Probes), waiting: info.Notsent_bytes > 0, heard: heard}, true
 }
--- a/serverconn/exchangewatch.go
+++ b/serverconn/exchangewatch.go
@@ -17,14 +17,21 @@
 // errUnanswered is a timeout of the network.
 var errUnanswered = fmt.Errorf("the other machine answers nothing: %w", syscall.ETIMEDOUT)
 
-// exchangeWatch ends the exchange in progress on a connection once the other machine is gone.
+// exchangeWatch keeps the kernel from ending the exchange in progress on a connection while the
+// other side reads slowly, and from then on ends it itself once the other machine is gone.
 type exchangeWatch struct {
-	net     net.Conn
-	mu      sync.Mutex
-	acks    ackwatch.Watch
-	timer   *time.Timer
-	running bool
-	lost    bool
+	net   net.Conn
+	limit time.Duration
+	mu    sync.Mutex
+	acks  ackwatch.Watch
+	timer *time.Timer
+	// running is set during an exchange, unlimited while the kernel has no user timeout, lost once
+	// the watch has ended an exchange.
+	running, unlimited, lost bool
+}
+
+func newExchangeWatch(c net.Conn, limit time.Duration) exchangeWatch {
+	return exchangeWatch{net: c, limit: limit, acks: ackwatch.New(limit)}
 }
 
 func (w *exchangeWatch) start() {
@@ -46,6 +53,23 @@
 	if w.timer != nil {
 		w.timer.Stop()
 	}
+	if w.unlimited {
+		w.setUnlimited(false)
+	}
+}
+
+// setUnlimited takes the kernel's user timeout away or sets it again. The lock must be held.
+func (w *exchangeWatch) setUnlimited(unlimited bool) {
+	c, ok := w.net.(syscall.Conn)
+	if !ok {
+		return
+	}
+	limit := w.limit
+	if unlimited {
+		limit = 0
+	}
+	_ = setUserTimeout(c, limit) // fails only on a closed connection
+	w.unlimited = unlimited
 }
 
 func (w *exchangeWatch) look() {
@@ -54,7 +78,11 @@
 	if !w.running {
 		return
 	}
-	if !w.acks.Gone(w.net) {
+	gone, slow := w.acks.Look(w.net)
+	if slow && !w.unlimited {
+		w.setUnlimited(true)
+	}
+	if !gone {
 		w.timer.Reset(w.acks.Interval())
 		return
 	}
@@ -70,12 +98,15 @@
 	return w.lost
 }
 
-// explain returns errUnanswered in place of an error that the watch caused.
-func (w *exchangeWatch) explain(err error) error {
-	if err != nil && w.isLost() {
-		return errUnanswered
+// setUserTimeout bounds how long the kernel waits for acknowledgements.
+func setUserTimeout(c syscall.Conn, limit time.Duration) error {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return err
 	}
-	return err
+	return control(raw, func(fd int) error {
+		return unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(limit.Milliseconds()))
+	})
 }
 
 // control calls f with the file descriptor of a connection.
@@ -85,25 +116,14 @@
 	return errors.Join(err, inner)
 }
 
-// boundProbes makes the kernel send at least one window probe or retransmission in each
-// maxProbeInterval; older kernels wait ever longer between two.
-func boundProbes(_, _ string, raw syscall.RawConn) error {
-	return control(raw, func(fd int) error {
-		_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_RTO_MAX_MS, int(maxProbeInterval.Milliseconds()))
-		return nil
-	})
-}
-
-// closeWithin closes a connection. The kernel drops bytes that the other side has not taken after a
-// time.
-func closeWithin(c net.Conn, limit time.Duration) {
-	if s, ok := c.(syscall.Conn); ok {
-		if raw, err := s.SyscallConn(); err == nil {
-			// Fails only on a closed connection.
-			_ = control(raw, func(fd int) error {
-				return unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(limit.Milliseconds()))
-			})
-		}
+// prepare returns a dialer control that sets the user timeout, and makes the kernel send at least
+// one window probe or retransmission in each maxProbeInterval; older kernels wait ever longer
+// between two.
+func prepare(userTimeout time.Duration) func(_, _ string, raw syscall.RawConn) error {
+	return func(_, _ string, raw syscall.RawConn) error {
+		return control(raw, func(fd int) error {
+			_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_RTO_MAX_MS, int(maxProbeInterval.Milliseconds()))
+			return unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+		})
 	}
-	_ = c.Close() // a reader gets the error
 }
--- a/serverconn/slowpeer_test.go
+++ b/serverconn/slowpeer_test.go
@@ -52,6 +52,7 @@
 		defer c.Close()
 		serve(c.(*net.TCPConn))
 	}()
+	link.ConnectTimeout = testTimeout
 	p := New(l.Addr().String(), 4, link)
 	t.Cleanup(func() {
 		p.Close()
