A caller that reads slowly gets its answer while it has time

Callers that rested in the middle of a large answer found it cut off 5 s after their socket was full, although their request had time left; a booking that had run was lost to them.

Cause: each write of 8 KiB to a caller had 5 s, whatever the time of the request.

Change: the gate tells the connection when the time of the request is over (Request.SetExpiry), and a write may take until then and half a second more, for answers that come at the last moment. Five times a second the scan for callers that left also ends writes whose time has shrunk meanwhile (the host was suspended) or whose caller left; before, a caller that only ended its sending side was noticed at the end of the 5 s. 100 Continue goes by the same bound. The gateway's own answers and requests that are not admitted keep 5 s. The head is sent with the first 8 KiB, so that an answer is no longer copied for it. Forwarding gateways are callers likewise.

--- a/callerhttp/conn.go
+++ b/callerhttp/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"sync"
@@ -39,6 +40,8 @@
 
 	mu     sync.Mutex
 	cancel context.CancelCauseFunc
+	// writeUntil returns until when the write in progress may take; nil if there is none.
+	writeUntil func() time.Time
 }
 
 func newConn(s *Server, c net.Conn) *conn {
@@ -61,6 +64,44 @@
 	k.cancel = cancel
 }
 
+// write writes to the caller until a time that may change meanwhile. A caller that left gets what it
+// takes at once.
+func (k *conn) write(p []byte, until func() time.Time) error {
+	end := until()
+	if left := k.callerLeft.Load(); left {
+		end = time.Now().Add(disconnectScanInterval)
+	} else {
+		k.setWriteUntil(until)
+		defer k.setWriteUntil(nil)
+	}
+	_ = k.net.SetWriteDeadline(end) // on a closed connection the write fails
+	_, err := k.net.Write(p)
+	if err != nil && k.callerLeft.Load() {
+		err = ErrCallerLeft
+	}
+	if err != nil {
+		return fmt.Errorf("write to caller: %w", err)
+	}
+	return nil
+}
+
+func (k *conn) setWriteUntil(until func() time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.writeUntil = until
+}
+
+// endOverdueWrite ends a write whose caller left or whose time is over, though its deadline may
+// have been set for later.
+func (k *conn) endOverdueWrite() {
+	k.mu.Lock()
+	until := k.writeUntil
+	k.mu.Unlock()
+	if until != nil && (k.callerLeft.Load() || !time.Now().Before(until())) {
+		_ = k.net.SetWriteDeadline(time.Unix(1, 0)) // fails only on a closed connection
+	}
+}
+
 func (k *conn) run(ctx context.Context) {
 	defer func() { _ = k.net.Close() }() // an error changes nothing for the caller
 	defer k.body.release()
@@ -172,8 +213,7 @@
 	}
 	r.unread = 0
 	if r.request.MayContinue() {
-		_ = k.net.SetWriteDeadline(time.Now().Add(k.server.options.WriteTimeout)) // on a closed connection the write fails
-		if _, err := k.net.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
+		if k.write([]byte("HTTP/1.1 100 Continue\r\n\r\n"), r.writeBound()) != nil {
 			return false
 		}
 	}
--- a/callerhttp/request.go
+++ b/callerhttp/request.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -17,8 +16,13 @@
 	"wheelgauge/connclose"
 )
 
-// maxWriteBytes bounds one write, which must finish within Options.WriteTimeout.
-const maxWriteBytes = 8 << 10
+const (
+	// maxWriteBytes bounds one write.
+	maxWriteBytes = 8 << 10
+	// lateWriteTime is for answers that come at the last moment of their request: what the longest
+	// one that is read whole before it is passed on takes on a narrow link.
+	lateWriteTime = 500 * time.Millisecond
+)
 
 // Lengths of a response's body that is not known when it starts.
 const (
@@ -46,6 +50,8 @@
 	pendingHead  []byte // sent with the first part of the body
 	length       int
 	written      int
+	// expires returns when the time of the request is over; nil if it is not bounded.
+	expires func() time.Time
 }
 
 // Field is a header field.
@@ -79,6 +85,11 @@
 	}
 }
 
+// SetExpiry sets what tells when the time of the request is over. Until then its caller may read the
+// answer as slowly as it likes; without it, Options.WriteTimeout bounds each write. expires is
+// called from other goroutines, also while a write is in progress, as the time may change.
+func (r *Request) SetExpiry(expires func() time.Time) { r.expires = expires }
+
 // SetOwner sets the owner of the connection, until the next request sets another. It returns
 // false if the owner has more than its part of the requests in progress while places are short
 // (Options.ShareConns); the request should be refused then. Requests without an owner ("") are
@@ -129,18 +140,30 @@
 
 func (r *Request) send(p []byte) error {
 	if len(r.pendingHead) > 0 {
-		p = append(r.pendingHead, p...)
-		r.pendingHead = nil
+		first := min(len(p), maxWriteBytes)
+		head := append(r.pendingHead, p[:first]...)
+		r.pendingHead, p = nil, p[first:]
+		if err := r.conn.write(head, r.writeBound()); err != nil {
+			return err
+		}
 	}
 	for part := range slices.Chunk(p, maxWriteBytes) {
-		_ = r.conn.net.SetWriteDeadline(time.Now().Add(r.conn.server.options.WriteTimeout)) // on a closed connection the write fails
-		if _, err := r.conn.net.Write(part); err != nil {
-			return fmt.Errorf("write to caller: %w", err)
+		if err := r.conn.write(part, r.writeBound()); err != nil {
+			return err
 		}
 	}
 	return nil
 }
 
+// writeBound returns until when a write that begins now may take.
+func (r *Request) writeBound() func() time.Time {
+	if until := r.expires; until != nil {
+		return func() time.Time { return until().Add(lateWriteTime) }
+	}
+	until := time.Now().Add(r.conn.server.options.WriteTimeout)
+	return func() time.Time { return until }
+}
+
 // Write sends a part of the body immediately.
 func (r *Request) Write(p []byte) (int, error) {
 	if len(p) == 0 {
@@ -203,6 +226,7 @@
 // RespondError responds with the gateway's own error. While places are short, a refusal ends
 // the connection.
 func (r *Request) RespondError(e *wheelgauge.Error) {
+	r.expires = nil // it also tells that the time is over
 	body, err := json.Marshal(e)
 	if err != nil {
 		body = []byte(`{"reason":"internal","outcome":"unknown","status":500}`)
--- a/callerhttp/server.go
+++ b/callerhttp/server.go
@@ -57,7 +57,7 @@
 	// Bodies bounds the bodies of all requests in progress; nil means no bound.
 	Bodies *bodybudget.Budget
 	// WriteTimeout is the time after which a caller that does not read its response is
-	// disconnected; defaultWriteTimeout when 0.
+	// disconnected where Request.SetExpiry sets no other; defaultWriteTimeout when 0.
 	WriteTimeout time.Duration
 }
 
@@ -151,13 +151,14 @@
 	_ = k.net.Close() // an error changes nothing for the caller
 }
 
-// cancelDisconnected cancels the requests of callers that disconnected.
+// cancelDisconnected cancels the requests of callers that disconnected, and ends overdue writes.
 func (s *Server) cancelDisconnected(context.Context) {
 	for _, k := range s.snapshot() {
 		if cancel := k.currentCancel(); cancel != nil && connpeek.PeerClosed(k.net) {
 			k.callerLeft.Store(true)
 			cancel(ErrCallerLeft)
 		}
+		k.endOverdueWrite()
 	}
 }
 
--- a/routegate/early.go
+++ b/routegate/early.go
@@ -33,6 +33,7 @@
 		c.close()
 		return nil
 	}
+	r.SetExpiry(c.connDeadline)
 	return func(ctx context.Context) {
 		defer c.close()
 		if g.mayOutlastProcess(c.route.Name, c.route.Timeout, 0) {
