Resources mode: slow callers have the time of their request

Callers that read an answer which ends with its connection were cut after 30 s without reading, and any answer after 15 minutes, although a request may have up to 24 hours.

Change: a write of an answer that ends with its connection may take until the time of the request is over and half a second more; the listeners for callers and other gateways give an answer the time of its request where that exceeds 15 minutes.

Tests: TestOpenAnswerIsBoundedByItsRequest, TestWriteTimeoutCoversTheRequest; new functions, so not run on the code before. gateway, httpserve with the race detector: pass.

--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -4,12 +4,14 @@
 	"errors"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"wheelgauge"
 	"wheelgauge/clienthosts"
 	"wheelgauge/connpeek"
+	"wheelgauge/httpserve"
 	"wheelgauge/peerhttp"
 	"wheelgauge/rendezvous"
 )
@@ -23,7 +25,19 @@
 	if err := g.identify(h, &rq); err != nil {
 		return fasthttp.RequestConfig{MaxRequestBodySize: refusedBodyBytes}
 	}
-	return fasthttp.RequestConfig{}
+	return fasthttp.RequestConfig{WriteTimeout: writeTimeout(h, g.classDeadline(&rq))}
+}
+
+// peerHeaderReceived gives forwarded requests the time to write their answers.
+func (g *Gateway) peerHeaderReceived(h *fasthttp.RequestHeader) fasthttp.RequestConfig {
+	return fasthttp.RequestConfig{WriteTimeout: writeTimeout(h, g.options.DefaultDeadline)}
+}
+
+// writeTimeout returns how long an answer may take to be written: for all the time of a request, if
+// it is longer than that of others.
+func writeTimeout(h *fasthttp.RequestHeader, fallback time.Duration) time.Duration {
+	limit, _ := parseDeadline(h, fallback) // a malformed one is refused later
+	return max(limit+lateWriteTime, httpserve.WriteTimeout)
 }
 
 // answerReadError answers a request that could not be parsed or read.
--- a/gateway/deadline_test.go
+++ b/gateway/deadline_test.go
@@ -7,6 +7,7 @@
 	"github.com/valyala/fasthttp"
 
 	"wheelgauge"
+	"wheelgauge/httpserve"
 )
 
 func TestParseDeadline(t *testing.T) {
@@ -32,3 +33,27 @@
 		}
 	}
 }
+
+// An answer is never cut for its length while its request has time left.
+func TestWriteTimeoutCoversTheRequest(t *testing.T) {
+	tests := []struct {
+		name     string
+		header   string
+		fallback time.Duration
+		least    time.Duration
+	}{
+		{"short", "", time.Minute, httpserve.WriteTimeout},
+		{"long by its caller", "7200000", time.Minute, 2 * time.Hour},
+		{"long by its class", "", time.Hour, time.Hour},
+		{"malformed", "x", time.Minute, httpserve.WriteTimeout},
+	}
+	for _, tt := range tests {
+		var h fasthttp.RequestHeader
+		if tt.header != "" {
+			h.Set(wheelgauge.HeaderDeadlineMS, tt.header)
+		}
+		if got := writeTimeout(&h, tt.fallback); got < tt.least {
+			t.Errorf("%s: got %s, want %s at least", tt.name, got, tt.least)
+		}
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -163,7 +163,7 @@
 	if err != nil {
 		return fmt.Errorf("start gateway: %w", err)
 	}
-	g.peerServer, err = httpserve.Listen(g.options.PeerAddress, g.servePeer, httpserve.Options{TLS: g.options.PeerTLS, MaxBodyBytes: g.options.MaxBodyBytes, OnError: g.answerReadError})
+	g.peerServer, err = httpserve.Listen(g.options.PeerAddress, g.servePeer, httpserve.Options{TLS: g.options.PeerTLS, MaxBodyBytes: g.options.MaxBodyBytes, HeaderReceived: g.peerHeaderReceived, OnError: g.answerReadError})
 	if err != nil {
 		return fmt.Errorf("start gateway: %w", err)
 	}
--- a/gateway/openend.go
+++ b/gateway/openend.go
@@ -17,8 +17,8 @@
 	"wheelgauge/relay"
 )
 
-// openWriteTimeout bounds each write of an answer that ends with its connection.
-const openWriteTimeout = 30 * time.Second
+// lateWriteTime is for answers that come at the last moment of their request.
+const lateWriteTime = 500 * time.Millisecond
 
 var (
 	errStreamCut  = errors.New("the stream has no end")
@@ -69,7 +69,7 @@
 		defer g.serving.Leave()
 		defer func() { _ = closer.Close() }() // read as far as possible
 		connclose.ResetOnClose(c, true)
-		if err := writeOpen(c, head, body); err != nil {
+		if err := writeOpen(c, head, body, func() time.Time { return g.localDeadline(rq) }); err != nil {
 			g.options.Log.Info("An answer is cut.", "id", rq.call.ID, "cause", err.Error())
 			connclose.Reset(c)
 			return
@@ -91,17 +91,21 @@
 	return out
 }
 
-// writeOpen writes a response, each part within openWriteTimeout.
-func writeOpen(c net.Conn, head []byte, body io.Reader) error {
-	_, err := io.Copy(timedWriter{c}, io.MultiReader(bytes.NewReader(head), body))
+// writeOpen writes a response. Its caller may read it as slowly as it likes until the time of the
+// request is over.
+func writeOpen(c net.Conn, head []byte, body io.Reader, expires func() time.Time) error {
+	_, err := io.Copy(boundedWriter{c, expires}, io.MultiReader(bytes.NewReader(head), body))
 	return err
 }
 
-// timedWriter bounds the time of each write to a connection.
-type timedWriter struct{ conn net.Conn }
+// boundedWriter bounds writes to a connection by the time that its request has left.
+type boundedWriter struct {
+	conn    net.Conn
+	expires func() time.Time
+}
 
 // Write implements io.Writer.
-func (w timedWriter) Write(p []byte) (int, error) {
-	_ = w.conn.SetWriteDeadline(time.Now().Add(openWriteTimeout)) // fails only on a closed connection
+func (w boundedWriter) Write(p []byte) (int, error) {
+	_ = w.conn.SetWriteDeadline(w.expires().Add(lateWriteTime)) // fails only on a closed connection
 	return w.conn.Write(p)
 }
--- a/gateway/openend_test.go
+++ b/gateway/openend_test.go
@@ -180,3 +180,50 @@
 		})
 	}
 }
+
+// A caller may rest while it reads an answer that ends with its connection for as long as its request
+// has time left, and no longer.
+func TestOpenAnswerIsBoundedByItsRequest(t *testing.T) {
+	const rest = time.Second
+	tests := []struct {
+		name  string
+		left  time.Duration
+		whole bool
+	}{
+		{"time left", openTestLimit, true},
+		{"time over while the caller rests", rest / 100, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			caller, err := net.Dial("tcp", l.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer caller.Close()
+			c, err := l.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			written := make(chan error, 1)
+			expires := time.Now().Add(tt.left)
+			go func() {
+				defer c.Close()
+				written <- writeOpen(c, []byte("head"), strings.NewReader(strings.Repeat("x", 16<<20)), func() time.Time { return expires })
+			}()
+			if tt.whole {
+				time.Sleep(rest)
+				if _, err := io.Copy(io.Discard, caller); err != nil {
+					t.Error(err)
+				}
+			}
+			if err := <-written; (err == nil) != tt.whole {
+				t.Errorf("got %v, want the whole answer written: %t", err, tt.whole)
+			}
+		})
+	}
+}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -112,15 +112,20 @@
 	}
 	rq.class, _ = rq.catalog.Class(rq.identity.Class)
 	rq.call.Priority = rq.class.Priority
-	limit := g.options.DefaultDeadline
-	if rq.class.DeadlineMS > 0 {
-		limit = time.Duration(rq.class.DeadlineMS) * time.Millisecond
-	}
-	limit, err := parseDeadline(&ctx.Request.Header, limit)
+	limit, err := parseDeadline(&ctx.Request.Header, g.classDeadline(rq))
 	rq.call.Deadline = rq.started.Add(limit)
 	return rq, err
 }
 
+// classDeadline returns the time of a request whose caller gives it none.
+func (g *Gateway) classDeadline(rq *request) time.Duration {
+	class, _ := rq.catalog.Class(rq.identity.Class)
+	if class.DeadlineMS > 0 {
+		return time.Duration(class.DeadlineMS) * time.Millisecond
+	}
+	return g.options.DefaultDeadline
+}
+
 func parseDeadline(h *fasthttp.RequestHeader, fallback time.Duration) (time.Duration, error) {
 	text := string(h.Peek(wheelgauge.HeaderDeadlineMS))
 	if text == "" {
--- a/httpserve/server.go
+++ b/httpserve/server.go
@@ -14,15 +14,17 @@
 )
 
 const (
-	defaultReadTimeout = 30 * time.Second
-	defaultIdleTimeout = 60 * time.Second
-	// writeTimeout bounds the longest response to a caller that reads slowly.
-	writeTimeout          = 15 * time.Minute
+	defaultReadTimeout    = 30 * time.Second
+	defaultIdleTimeout    = 60 * time.Second
 	defaultMaxHeaderBytes = 16 << 10
 	defaultMaxBodyBytes   = 64 << 20
 	defaultMaxConns       = 16 << 10
 )
 
+// WriteTimeout bounds the longest response to a caller that reads slowly, unless
+// Options.HeaderReceived gives its request longer.
+const WriteTimeout = 15 * time.Minute
+
 // Options of a Server. Zero values select the defaults.
 type Options struct {
 	TLS *tls.Config
@@ -62,7 +64,7 @@
 		Concurrency:                  orDefault(o.MaxConns, defaultMaxConns),
 		ReadTimeout:                  orDefault(o.ReadTimeout, defaultReadTimeout),
 		IdleTimeout:                  defaultIdleTimeout,
-		WriteTimeout:                 writeTimeout,
+		WriteTimeout:                 WriteTimeout,
 		StreamRequestBody:            o.StreamBodies,
 		DisablePreParseMultipartForm: true,
 		NoDefaultServerHeader:        true,
