--- a/serverconn/conn.go
+++ b/serverconn/conn.go
@@ -9,10 +9,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -29,11 +29,14 @@
 	// read. It fits in the socket's send buffer, so the write does not block when a
 	// server responds early without reading the request.
 	maxInlineBytes = 16 << 10
-	// keepAliveIdle, keepAliveInterval and keepAliveCount detect a silent server
-	// whose machine is unreachable within about two seconds.
+	// keepAliveIdle and keepAliveInterval, the shortest that there are, detect the machine of a
+	// silent server that is unreachable, after Link.KeepAlives probes or Link.UserTimeout.
 	keepAliveIdle     = time.Second
-	keepAliveInterval = 500 * time.Millisecond
-	keepAliveCount    = 3
+	keepAliveInterval = time.Second
+	// maxProbeInterval is the shortest that the kernel allows.
+	maxProbeInterval = time.Second
+	// writeErrorWait is how long after its connection has ended a write reports why.
+	writeErrorWait = 20 * time.Millisecond
 	// maxForeignResponses is how many responses to other requests are skipped.
 	maxForeignResponses = 2
 	// maxInformational is how many informational responses may precede a final one.
@@ -52,6 +55,7 @@
 	idleSince   time.Time
 	idleTimeout time.Duration
 	written     chan error
+	watch       exchangeWatch
 	// reusable is cleared when the next response might not match its request.
 	reusable bool
 	aborted  atomic.Bool
@@ -60,26 +64,14 @@
 func dial(ctx context.Context, address string, l Link) (*Conn, error) {
 	d := net.Dialer{
 		Timeout:         l.ConnectTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
-		Control:         setUserTimeout(l.UserTimeout),
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: l.KeepAlives},
+		Control:         prepare(l.UserTimeout),
 	}
 	c, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w", address, err)
 	}
-	return &Conn{net: c, in: bufio.NewReaderSize(c, readBufferBytes), reusable: true}, nil
-}
-
-// setUserTimeout returns a dialer control that sets TCP_USER_TIMEOUT.
-func setUserTimeout(timeout time.Duration) func(_, _ string, raw syscall.RawConn) error {
-	const tcpUserTimeout = 18 // from linux/tcp.h; package syscall does not define it
-	return func(_, _ string, raw syscall.RawConn) error {
-		var inner error
-		err := raw.Control(func(fd uintptr) {
-			inner = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(timeout.Milliseconds()))
-		})
-		return errors.Join(err, inner)
-	}
+	return &Conn{net: c, in: bufio.NewReaderSize(c, readBufferBytes), reusable: true, watch: newExchangeWatch(c, l.UserTimeout)}, nil
 }
 
 // isFresh reports whether an idle connection is within its idle timeout.
@@ -93,21 +85,23 @@
 // Abort makes reads and writes in progress fail at once. It is safe for concurrent use.
 func (c *Conn) Abort() {
 	c.aborted.Store(true)
+	c.watch.stop()
 	_ = c.net.Close() // the reader gets the error
 }
 
 // Aborted reports whether Abort was called.
 func (c *Conn) Aborted() bool { return c.aborted.Load() }
 
-// Send writes a request. A request above maxInlineBytes is written while the response is read.
+// Send writes a request, and watches the connection until it is put back. A request above maxInlineBytes is written while the response is read.
 func (c *Conn) Send(head, body []byte, deadline time.Time) error {
 	if err := c.net.SetDeadline(deadline); err != nil {
 		return fmt.Errorf("send: %w", err)
 	}
+	c.watch.start()
 	request := append(head, body...)
 	if len(request) <= maxInlineBytes {
 		if _, err := c.net.Write(request); err != nil {
-			return fmt.Errorf("send: %w", err)
+			return fmt.Errorf("send: %w", c.explain(err))
 		}
 		return nil
 	}
@@ -146,16 +140,16 @@
 	for range maxInformational + 1 {
 		head, err := responsehead.Peek(c.in)
 		if err != nil {
-			return nil, fmt.Errorf("read response: %w", err)
+			return nil, fmt.Errorf("read response: %w", c.explain(err))
 		}
 		if err := responsehead.Check(head); err != nil {
-			return nil, fmt.Errorf("read response: %w", err)
+			return nil, fmt.Errorf("read response: %w", c.explain(err))
 		}
 		h := &fasthttp.ResponseHeader{}
 		h.DisableNormalizing()
 		h.SetNoDefaultContentType(true)
 		if err := h.Read(c.in); err != nil {
-			return nil, fmt.Errorf("read response: %w", err)
+			return nil, fmt.Errorf("read response: %w", c.explain(err))
 		}
 		if status := h.StatusCode(); status >= http.StatusOK {
 			return h, nil
@@ -164,6 +158,26 @@
 	return nil, fmt.Errorf("read response: %w", errInformational)
 }
 
+// explain returns what ended an exchange in place of an error that follows from it.
+func (c *Conn) explain(err error) error {
+	if c.watch.isLost() {
+		return errUnanswered
+	}
+	if c.written == nil || !errors.Is(err, io.EOF) {
+		return err
+	}
+	// The kernel tells an end of its own once: to the reader or to the writer.
+	select {
+	case writeErr := <-c.written:
+		c.written <- writeErr
+		if writeErr != nil {
+			return writeErr
+		}
+	case <-time.After(writeErrorWait):
+	}
+	return err
+}
+
 // sent reports whether the whole request was written.
 func (c *Conn) sent() bool {
 	if c.written == nil {
--- /dev/null
+++ b/serverconn/exchangewatch.go
@@ -0,0 +1,129 @@
+package serverconn
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"wheelgauge/ackwatch"
+	"wheelgauge/connclose"
+)
+
+// errUnanswered is a timeout of the network.
+var errUnanswered = fmt.Errorf("the other machine answers nothing: %w", syscall.ETIMEDOUT)
+
+// exchangeWatch keeps the kernel from ending the exchange in progress on a connection while the
+// other side reads slowly, and from then on ends it itself once the other machine is gone.
+type exchangeWatch struct {
+	net   net.Conn
+	limit time.Duration
+	mu    sync.Mutex
+	acks  ackwatch.Watch
+	timer *time.Timer
+	// running is set during an exchange, unlimited while the kernel has no user timeout, lost once
+	// the watch has ended an exchange.
+	running, unlimited, lost bool
+}
+
+func newExchangeWatch(c net.Conn, limit time.Duration) exchangeWatch {
+	return exchangeWatch{net: c, limit: limit, acks: ackwatch.New(limit)}
+}
+
+func (w *exchangeWatch) start() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.acks.Restart()
+	w.running = true
+	if w.timer == nil {
+		w.timer = time.AfterFunc(w.acks.Interval(), w.look)
+		return
+	}
+	w.timer.Reset(w.acks.Interval())
+}
+
+func (w *exchangeWatch) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.running = false
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+	if w.unlimited {
+		w.setUnlimited(false)
+	}
+}
+
+// setUnlimited takes the kernel's user timeout away or sets it again. The lock must be held.
+func (w *exchangeWatch) setUnlimited(unlimited bool) {
+	c, ok := w.net.(syscall.Conn)
+	if !ok {
+		return
+	}
+	limit := w.limit
+	if unlimited {
+		limit = 0
+	}
+	_ = setUserTimeout(c, limit) // fails only on a closed connection
+	w.unlimited = unlimited
+}
+
+func (w *exchangeWatch) look() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.running {
+		return
+	}
+	gone, slow := w.acks.Look(w.net)
+	if slow && !w.unlimited {
+		w.setUnlimited(true)
+	}
+	if !gone {
+		w.timer.Reset(w.acks.Interval())
+		return
+	}
+	w.running, w.lost = false, true
+	connclose.ResetOnClose(w.net, true)    // the kernel need not go on sending
+	_ = w.net.SetDeadline(time.Unix(1, 0)) // fails only on a closed connection
+}
+
+// isLost reports whether the exchange was ended.
+func (w *exchangeWatch) isLost() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.lost
+}
+
+// setUserTimeout bounds how long the kernel waits for acknowledgements.
+func setUserTimeout(c syscall.Conn, limit time.Duration) error {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return control(raw, func(fd int) error {
+		return unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(limit.Milliseconds()))
+	})
+}
+
+// control calls f with the file descriptor of a connection.
+func control(raw syscall.RawConn, f func(fd int) error) error {
+	var inner error
+	err := raw.Control(func(fd uintptr) { inner = f(int(fd)) })
+	return errors.Join(err, inner)
+}
+
+// prepare returns a dialer control that sets the user timeout, and makes the kernel send at least
+// one window probe or retransmission in each maxProbeInterval; older kernels wait ever longer
+// between two.
+func prepare(userTimeout time.Duration) func(_, _ string, raw syscall.RawConn) error {
+	return func(_, _ string, raw syscall.RawConn) error {
+		return control(raw, func(fd int) error {
+			_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_RTO_MAX_MS, int(maxProbeInterval.Milliseconds()))
+			return unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+		})
+	}
+}
