A request is not ended because its server is silent

What callers saw: the only server of a region took 7.5 times as long as usual for some seconds. After 2.2 s both gateways of the region closed their connections to it in the middle of its work and answered 502 to callers that would have waited for 12 s; all other requests bound to the region got 503.

Cause: reachability.Tracker.AbortSilent took three requests that had waited 2 s for a cut between the host and the servers, and ended all of the service that might run again, whether or not they could run anywhere else.

Change: silence is a reason to send new work elsewhere, not to end what runs. MoveSilent asks each silent request whether it can go on in another region without its caller seeing it (call.moveTarget: route, attempts, sends, time left, region, version, room, retry budget); the retry is taken before anything is ended, under a lock that the first byte of the answer takes as well. All others wait on to their limits and are asked again. A request that another region has got moves once the host there says that it reaches no server. A new request that can go nowhere else is sent to servers that are only silent, for as long as it has more time than they have been silent. Bytes of a stream end the silence as well, not only heads of answers. An exchange that was moved counts neither as an unreachable server nor as a gateway that failed.

With the decision left out, TestSlowServersRequestsAreNotEnded fails (502 for all three requests of a slow server, and more ended than may move).

--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -239,7 +239,7 @@
 	go func() {
 		n.warmDone <- periodic.Run(ctx, warmInterval, func(ctx context.Context) {
 			n.checkSuspension(watcher)
-			n.gate.EndSilent()
+			n.gate.MoveSilent()
 			n.peers.OpenIdle(ctx)
 			n.origins.Tick()
 		})
--- a/peerset/table.go
+++ b/peerset/table.go
@@ -297,6 +297,22 @@
 	return p
 }
 
+// CanTake reports whether a region has a gateway, none of those tried, that accepts requests for a
+// service.
+func (t *Table) CanTake(region, service string, tried []string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.candidates(region, service, tried)) > 0
+}
+
+// Reaches reports whether a gateway reaches servers of a service, as far as it says.
+func (t *Table) Reaches(p *Peer, service string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	current := t.peers[p.host.Name]
+	return current == nil || current.host.Reaches(service)
+}
+
 // candidates returns the gateways of a region of the highest rank for a service, none of
 // those tried; the lock is held.
 func (t *Table) candidates(region, service string, tried []string) []*Peer {
--- a/reachability/tracker.go
+++ b/reachability/tracker.go
@@ -41,6 +41,9 @@
 	failedAt  time.Time
 	probedAt  time.Time
 	reachedAt time.Time
+	// hanging is set while nothing but silence, since the given time observed, shows isolation.
+	hanging      bool
+	hangingSince time.Duration
 	// credit is what part of the next forwarded request may be taken during the ramp.
 	credit float64
 	// sends are the requests in flight, listed is how many servers there were at the last one,
@@ -56,6 +59,8 @@
 
 	mu       sync.Mutex
 	services map[string]*service
+	// forwarded are the requests that hosts of other regions have got.
+	forwarded map[*Send]struct{}
 	// observed is the time that has gone by in which the host ran, checkedAt when it was last
 	// advanced.
 	observed  time.Duration
@@ -64,7 +69,7 @@
 
 // New returns a tracker that considers all services within reach.
 func New(now func() time.Time) *Tracker {
-	return &Tracker{now: now, services: map[string]*service{}}
+	return &Tracker{now: now, services: map[string]*service{}, forwarded: map[*Send]struct{}{}}
 }
 
 // Failed records that a server could not be reached, or did not begin to answer; listed is how many
@@ -85,7 +90,11 @@
 	}
 	s.failed[server], s.failedAt = now, now
 	s.failures++
-	if s.isolated || len(s.failed) < min(minServers, listed) || s.failures < minFailures {
+	if len(s.failed) < min(minServers, listed) || s.failures < minFailures {
+		return false
+	}
+	s.hanging = false
+	if s.isolated {
 		return false
 	}
 	s.isolated, s.probedAt = true, now
@@ -110,12 +119,17 @@
 	if s == nil {
 		return false
 	}
+	return s.reached(t.now())
+}
+
+// reached ends isolation, and reports whether there was any. The lock is held.
+func (s *service) reached(now time.Time) (was bool) {
 	clear(s.failed)
-	s.failures = 0
+	s.failures, s.hanging = 0, false
 	if !s.isolated {
 		return false
 	}
-	s.isolated, s.reachedAt, s.credit = false, t.now(), 0
+	s.isolated, s.reachedAt, s.credit = false, now, 0
 	return true
 }
 
--- a/routegate/call.go
+++ b/routegate/call.go
@@ -106,12 +106,15 @@
 	turnedBackBy []string
 	// failedRegions are the regions that failed the request.
 	failedRegions []string
-	withheld      []string
-	creditFor     string
-	sends         int
-	runs          int
-	status        int
-	cause         string
+	// moved is set once the request was moved away from silent servers of this region, retryTaken
+	// while a retry is taken from the budget for a move.
+	moved, retryTaken bool
+	withheld          []string
+	creditFor         string
+	sends             int
+	runs              int
+	status            int
+	cause             string
 	// framing is how the end of the last answer was marked, partialBytes how much of an event
 	// came before that end, both for the log.
 	framing      serverconn.Framing
@@ -201,7 +204,14 @@
 // the budget. A forwarded request is retried only by the host that the caller connected to, as
 // no other knows on how many servers it ran.
 func (c *call) mayRetry() bool {
-	return c.mayContinue() && !c.forwarded && c.route.Repeatable() && c.runs < c.route.MaxAttempts && c.sends < maxSends && !c.suspected() && c.gate.options.Budget.TryRetry(c.service)
+	taken := c.retryTaken
+	c.retryTaken = false
+	return c.mayRunAgain() && (taken || c.gate.options.Budget.TryRetry(c.service))
+}
+
+// mayRunAgain reports whether a request that may have run may run again, apart from the budget.
+func (c *call) mayRunAgain() bool {
+	return c.mayContinue() && !c.forwarded && c.route.Repeatable() && c.runs < c.route.MaxAttempts && c.sends < maxSends && !c.suspected()
 }
 
 // dispatch sends the request once, to where the shortest wait is predicted.
--- a/routegate/credits.go
+++ b/routegate/credits.go
@@ -95,7 +95,12 @@
 // mayForwardTo reports whether a region is a candidate: it has not turned the request back, and
 // its credit has not been refused.
 func (c *call) mayForwardTo(region string) bool {
-	if slices.Contains(c.withheld, region) || slices.Contains(c.turnedBackBy, region) || slices.Contains(c.failedRegions, region) {
+	return !slices.Contains(c.withheld, region) && c.mayMoveTo(region)
+}
+
+// mayMoveTo reports whether a region is a candidate for a request that needs no credit.
+func (c *call) mayMoveTo(region string) bool {
+	if slices.Contains(c.turnedBackBy, region) || slices.Contains(c.failedRegions, region) {
 		return false
 	}
 	if len(c.turnedBackBy) == 0 || c.route.LatencyObjective <= 0 {
--- a/routegate/dispatch.go
+++ b/routegate/dispatch.go
@@ -28,7 +28,7 @@
 	pool *serverconn.Pool
 	head *fasthttp.ResponseHeader
 	body *serverconn.Body
-	// pick and send are nil for an exchange with another gateway.
+	// pick is nil for an exchange with another gateway.
 	pick   *serverset.Pick
 	send   *reachability.Send
 	sentAt time.Time
@@ -38,8 +38,9 @@
 	begun bool
 	// pushedBack is set if the answer refuses the request and asks to back off.
 	pushedBack bool
-	// silenced is set if this host ended the exchange because no server sent anything.
-	silenced atomic.Bool
+	// moved is set if this host ended the exchange because the request can go on elsewhere, and its
+	// server or gateway is silent.
+	moved atomic.Bool
 	// err is why the answer is incomplete.
 	err error
 	// firstAfter is the time from sending to the first event or byte, eventsBefore the number
@@ -80,8 +81,6 @@
 		c.attributeCrash(ctx, x, s)
 	}()
 	defer context.AfterFunc(ctx, conn.Abort)()
-	x.send = c.recordSent(x)
-	defer x.send.End()
 	n := c.gate.options.Names
 	set := [][2]string{
 		{n.Deadline, remainingMS(c.connDeadline())},
@@ -101,14 +100,17 @@
 	c.sentVersion = k.Version()
 	c.gate.options.Versions.RecordSent(c.service, c.route.Name, c.sentVersion)
 	defer c.recordAnswer(ctx, x, k)
+	x.send = c.recordSent(x)
+	defer x.send.End()
 	if err := x.roundTrip(head); err != nil {
+		x.send.End()
 		x.err = err
 		c.failedBy = x.ender()
 		c.cause = err.Error()
 		if _, ok := errors.AsType[*responsehead.MalformedError](err); ok {
 			c.gate.options.Meter.Count("answers.foreign")
 			c.recordReached()
-		} else {
+		} else if !x.moved.Load() {
 			c.recordUnreached(ctx, s)
 		}
 		// The true wait is longer still; the next predictions have to account for it.
@@ -223,14 +225,20 @@
 	}
 	head := c.requestHead(set)
 	c.runs++
+	x.send = c.recordForwarded(x, p)
+	defer x.send.End()
 	if err := x.roundTrip(head); err != nil {
+		x.send.End()
 		c.failedBy = x.ender()
 		c.cause = err.Error()
 		c.sends++
-		c.peerFailed(p, err)
+		if !x.moved.Load() {
+			c.peerFailed(p, err)
+		}
 		c.recordForwardEnd(ctx, p, true)
 		return failed
 	}
+	x.send.Received()
 	outcome := wheelgauge.Outcome(httpfield.Value(x.head, wheelgauge.HeaderOutcome))
 	if outcome == "" {
 		res := c.relay(ctx, x)
--- a/routegate/ended.go
+++ b/routegate/ended.go
@@ -22,7 +22,7 @@
 	endedByTime ender = "time limit"
 	// endedByStop: the grace period of this host is over.
 	endedByStop ender = "stop"
-	// endedBySilence: this host gave up on a server of a service of which no server sends anything.
+	// endedBySilence: this host moved the request away from a silent server, and it failed elsewhere.
 	endedBySilence ender = "silence"
 )
 
@@ -34,7 +34,7 @@
 // ender returns what is to blame if the exchange fails.
 func (x *exchange) ender() ender {
 	switch {
-	case x.silenced.Load():
+	case x.moved.Load():
 		return endedBySilence
 	case x.pick == nil:
 		return endedByPeer
--- a/routegate/forward.go
+++ b/routegate/forward.go
@@ -16,10 +16,10 @@
 // whose gateways are leaving.
 func (c *call) bestRemote(localOK bool) (string, serverset.Estimate) {
 	peers := c.gate.options.Peers
-	region, remote := c.bestRegion(peers.Regions)
+	region, remote := c.bestRegion(peers.Regions, c.mayForwardTo)
 	for _, candidates := range []func(service string) []string{peers.LimitedRegions, peers.LeavingRegions} {
 		if region == "" && !localOK {
-			region, remote = c.bestRegion(candidates)
+			region, remote = c.bestRegion(candidates, c.mayForwardTo)
 		}
 	}
 	if region == "" && !localOK && len(c.failedRegions) > 0 {
@@ -29,16 +29,16 @@
 	return region, remote
 }
 
-// bestRegion returns the region with the lowest predicted cost; empty when the request may not
-// be forwarded.
-func (c *call) bestRegion(regions func(service string) []string) (string, serverset.Estimate) {
+// bestRegion returns the region with the lowest predicted cost of those that may get the request;
+// empty when it may not be forwarded.
+func (c *call) bestRegion(regions func(service string) []string, may func(region string) bool) (string, serverset.Estimate) {
 	best, lowest := "", serverset.Estimate{}
 	if c.forwarded || len(c.triedPeers) >= maxSends {
 		return best, lowest
 	}
 	o := c.gate.options
 	for _, region := range regions(c.service) {
-		if !c.allowedIn(region) || !c.mayForwardTo(region) || !c.mayContinueIn(region) {
+		if !c.allowedIn(region) || !may(region) || !c.mayContinueIn(region) {
 			continue
 		}
 		e := c.predictRemote(o.Peers.Load(region, c.service)).AddLatency(o.Peers.RoundTrip(region)).AddCost(o.Peers.FailureCost(region, c.service))
--- a/routegate/place.go
+++ b/routegate/place.go
@@ -19,10 +19,13 @@
 
 // choosePlacement compares the servers of the region with other regions.
 func (c *call) choosePlacement() placement {
-	local, ok := c.predictLocal()
-	ok = ok && c.gate.options.Reach.MayTry(c.service)
+	local, listed := c.predictLocal()
+	ok := listed && !c.moved && c.gate.options.Reach.MayTry(c.service)
 	wait := c.correctedWait(local)
 	region, remote := c.bestRemote(ok)
+	if !ok && region == "" {
+		ok = listed && c.mayHang()
+	}
 	late := c.tooLate(wait) || c.heldBack(local)
 	forward := region != "" && (!ok || remote.Cost() < local.Cost()+c.excess(wait-local.Wait()) || late)
 	if forward && c.gate.mayOutlastProcess(c.route.Name, c.route.Timeout, c.gate.options.Peers.RoundTrip(region)) {
@@ -58,6 +61,12 @@
 	return placement{pick: c.gate.options.Servers.Choose(c.job())}
 }
 
+// mayHang reports whether a request that can go nowhere else is sent to servers of the region that are
+// silent, as they may be slow. One that was moved and finds no place has nothing to lose.
+func (c *call) mayHang() bool {
+	return c.moved || c.gate.options.Reach.MayHang(c.service, c.timeLeft())
+}
+
 // predictLocal estimates the wait and cost at the servers of the region; ok is false when none
 // may get the request.
 func (c *call) predictLocal() (e serverset.Estimate, ok bool) {
--- a/routegate/reach.go
+++ b/routegate/reach.go
@@ -26,18 +26,10 @@
 	o.Log.Info("This host reaches no server of a service.", "id", c.id, "service", c.service, "servers", listed, "last", s.InstanceKey(), "cause", c.cause)
 }
 
-// recordSent records that the request is sent to a server. One that may run again, if only at its
-// caller's next try, is ended if the server is silent.
+// recordSent records that the request is sent to a server.
 func (c *call) recordSent(x *exchange) *reachability.Send {
-	var abort func()
-	if c.route.Repeatable() {
-		abort = func() {
-			x.silenced.Store(true)
-			x.conn.Abort()
-		}
-	}
 	o := c.gate.options
-	return o.Reach.Sent(c.service, x.pick.Server().InstanceKey(), o.Servers.ListedServers(c.service), c.expectedFirst(x.pick), abort)
+	return o.Reach.Sent(c.service, x.pick.Server().InstanceKey(), o.Servers.ListedServers(c.service), c.expectedFirst(x.pick), func() bool { return c.move(x) })
 }
 
 // expectedFirst returns when the first bytes of an answer are expected: of one that is not a stream,
@@ -52,26 +44,29 @@
 	return max(k.Wait(), c.gate.waits.mean(c.route.Name))
 }
 
-// EndSilent ends the requests that wait for servers of a service of which none sends anything any
-// more; they are sent elsewhere. It is called several times a second.
-func (g *Gate) EndSilent() {
+// MoveSilent moves the requests that wait for servers of a service of which none sends anything any
+// more, where they can go on in another region. It is called several times a second.
+func (g *Gate) MoveSilent() {
 	o := g.options
-	isolated, ended := o.Reach.AbortSilent()
+	isolated, moved := o.Reach.MoveSilent()
 	for _, service := range isolated {
 		o.Meter.Count("servers.out_of_reach")
-		o.Log.Info("This host reaches no server of a service.", "service", service, "servers", o.Servers.ListedServers(service), "ended", ended, "cause", "no server sends anything")
+		o.Log.Info("This host reaches no server of a service.", "service", service, "servers", o.Servers.ListedServers(service), "moved", moved, "cause", "no server sends anything")
 	}
-	o.Meter.Add("servers.silent_ended", int64(ended))
+	o.Meter.Add("servers.silent_moved", int64(moved))
 }
 
 // recordReached records that a server has answered.
 func (c *call) recordReached() {
-	o := c.gate.options
-	if o.Reach.Reached(c.service) {
-		o.Log.Info("This host reaches servers of a service again.", "id", c.id, "service", c.service)
+	if c.gate.options.Reach.Reached(c.service) {
+		c.logReached()
 	}
 }
 
+func (c *call) logReached() {
+	c.gate.options.Log.Info("This host reaches servers of a service again.", "id", c.id, "service", c.service)
+}
+
 // outOfReach is the refusal of a forwarded request of a service of which this host reaches no server.
 func (c *call) outOfReach() *wheelgauge.Error {
 	c.gate.options.Meter.Count("forward.received.out_of_reach")
--- a/routegate/relay.go
+++ b/routegate/relay.go
@@ -127,8 +127,11 @@
 	for {
 		x.send.Await()
 		n, err := x.body.Read(buf)
-		if n > 0 {
-			x.send.Received()
+		if n > 0 && x.send.Received() {
+			c.logReached()
+		}
+		if err != nil {
+			x.send.End()
 		}
 		complete, ok := c.splitter.Feed(buf[:n])
 		if len(complete) > 0 {
