Streams are not continued at the service that their route moved to

Callers saw: after all gateways were killed at once, streams that their callers took up were answered 200 and ran to the end, with a first part of one version and the rest of another one, if the route had moved to another service shortly before.

Cause: while a service has one version, gateways tell the stores nothing of its streams, as the version follows from the service. But whoever concludes that took the service from the route as it is now. A stream that another service began was continued at the only version of the new one.

Change: gateways and stores remember the routes that were in force lately (routehistory). The service follows from the route only if the host name and path have led to no other one for as long as a stream may take, by the timeouts in force then; a gateway that has not known the routes for that long leaves it to a store. A gateway tells the stores of streams whose route does not imply the service: before, those of routes with several services of one version each were known to no store and refused at other gateways.

--- a/confstore/changes.go
+++ b/confstore/changes.go
@@ -1,9 +1,12 @@
 package confstore
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 
 	"github.com/valyala/fasthttp"
@@ -13,6 +16,7 @@
 	"wheelgauge/changefetch"
 	"wheelgauge/changelog"
 	"wheelgauge/peerhttp"
+	"wheelgauge/routehistory"
 	"wheelgauge/routetable"
 )
 
@@ -24,6 +28,9 @@
 	mu      sync.Mutex
 	version uint64
 	rows    *changelog.Table
+	// table has the same routes to match requests by, history those that were in force lately.
+	table   *routetable.Table
+	history *routehistory.History
 	// failed is the last version that could not be decoded.
 	failed uint64
 }
@@ -110,15 +117,26 @@
 	if err != nil {
 		return fmt.Errorf("version %d: %w", version, err)
 	}
-	kept := make(map[string]bool, len(rows))
+	changed := make(map[string]wheelgauge.TableRow, len(rows))
 	for _, row := range rows {
-		kept[row.Key] = true
+		changed[row.Key] = row
 	}
 	for _, row := range n.config.rows.Rows() {
-		if !kept[row.Key] {
-			rows = append(rows, wheelgauge.TableRow{Key: row.Key})
+		now, ok := changed[row.Key]
+		switch {
+		case !ok:
+			changed[row.Key] = wheelgauge.TableRow{Key: row.Key}
+		case bytes.Equal(now.Value, row.Value):
+			delete(changed, row.Key)
 		}
 	}
+	rows = slices.Collect(maps.Values(changed))
+	table, err := n.config.table.With(version, rows)
+	if err != nil {
+		return fmt.Errorf("version %d: %w", version, err)
+	}
+	n.config.table = table
+	n.config.history.Add(table)
 	n.config.rows.Apply(rows)
 	n.config.version = version
 	return nil
--- a/confstore/changes_test.go
+++ b/confstore/changes_test.go
@@ -18,6 +18,8 @@
 	"wheelgauge/meter"
 	"wheelgauge/native"
 	"wheelgauge/quarantine"
+	"wheelgauge/routehistory"
+	"wheelgauge/routetable"
 	"wheelgauge/serverlist"
 	"wheelgauge/tablereplica"
 )
@@ -28,7 +30,7 @@
 		o: Options{Clock: wheelgauge.MonotonicClock{}, DecodeRoutes: native.Decode}, started: started, machine: configstate.New(), crashes: quarantine.New(time.Now),
 		hosts: hosttable.New(time.Now), servers: serverlist.New(time.Now), feed: changefeed.New(), meter: meter.New(), hallOrders: hallorders.New(time.Now),
 	}
-	n.config.rows = changelog.New()
+	n.config.rows, n.config.table, n.config.history = changelog.New(), routetable.New(&wheelgauge.RouteSet{}), routehistory.New(time.Now)
 	n.feed.Add(wheelgauge.TableRoutes, n.config.rows, true)
 	return n
 }
--- a/confstore/node.go
+++ b/confstore/node.go
@@ -35,6 +35,7 @@
 	"wheelgauge/replica"
 	"wheelgauge/rollout/controller"
 	"wheelgauge/rollout/sequential"
+	"wheelgauge/routehistory"
 	"wheelgauge/routetable"
 	"wheelgauge/serverlimit"
 	"wheelgauge/serverlist"
@@ -188,7 +189,7 @@
 	}
 	n.client.OnCall(n.meter.CountCall)
 	n.feed = changefeed.New()
-	n.config.rows = changelog.New()
+	n.config.rows, n.config.table, n.config.history = changelog.New(), routetable.New(&wheelgauge.RouteSet{}), routehistory.New(now)
 	n.feed.Add(wheelgauge.TableRoutes, n.config.rows, true)
 	n.feed.Add(wheelgauge.TableHosts, n.hosts.Changes(), false)
 	n.rolloutController = controller.New(func() wheelgauge.VersionEvaluator { return sequential.New() }, now)
--- a/confstore/streams.go
+++ b/confstore/streams.go
@@ -41,13 +41,23 @@
 		n.meter.Count("streams.found")
 		return resp
 	}
-	if version, ok := n.versions.Sole(q.Service, q.Within()+maxVersionsListAge); ok && n.listsAreRecent() {
+	if version, ok := n.soleVersion(*q); ok {
 		resp.Sole = &version
 	}
 	n.meter.Count("streams.not_found")
 	return resp
 }
 
+// soleVersion returns the version that must have begun a stream: that of the only service of its
+// route, if both have had no other one for as long as a stream may take.
+func (n *Node) soleVersion(q wheelgauge.StreamQuery) (version string, ok bool) {
+	service, period, ok, complete := n.config.history.SoleService(q.Host, q.Path, q.ReturnTime())
+	if !ok || !complete || service != q.Service || !n.listsAreRecent() {
+		return "", false
+	}
+	return n.versions.Sole(service, max(period, q.Within())+maxVersionsListAge)
+}
+
 // listsAreRecent reports whether the lists of all regions are recent.
 func (n *Node) listsAreRecent() bool {
 	for _, region := range n.regions() {
--- a/originclient/bench_test.go
+++ b/originclient/bench_test.go
@@ -66,7 +66,7 @@
 			n, began := 0, processorTime(b)
 			for b.Loop() {
 				sent := messages.Load()
-				c.Record(wheelgauge.StreamOrigin{Key: wheelgauge.NewStreamKey(fmt.Sprint(n)), Service: "gauge-llm", Version: "v1.1", TTLMS: 22_000})
+				c.Record(wheelgauge.StreamOrigin{Key: wheelgauge.NewStreamKey(fmt.Sprint(n)), Service: "gauge-llm", Version: "v1.1", TTLMS: 22_000}, true)
 				for !sole && messages.Load() == sent {
 					time.Sleep(50 * time.Microsecond) // one stream a message, as at the rates of a host
 				}
--- a/originclient/client.go
+++ b/originclient/client.go
@@ -81,22 +81,22 @@
 }
 
 // Record implements wheelgauge.StreamOrigins. The store is told at once, as the host may end at any
-// moment; what is recorded while a message is under way goes with the next one. While a service has
-// only one version, that says what began a stream.
-func (c *Client) Record(o wheelgauge.StreamOrigin) {
+// moment; what is recorded while a message is under way goes with the next one. While the route has
+// only one service and that only one version, these say what began a stream.
+func (c *Client) Record(o wheelgauge.StreamOrigin, implied bool) {
 	c.own.Add(o)
 	sole, ok := c.options.Sole(o.Service, o.TTL())
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if ok && sole == o.Version {
+	one := ok && sole == o.Version
+	switch {
+	case one && implied:
 		c.shared[o.Service] = false
-		return
-	}
-	if !c.shared[o.Service] {
+	case one || c.shared[o.Service]:
+		c.enqueue(o)
+	default:
 		c.share(o.Service)
-		return
 	}
-	c.enqueue(o)
 }
 
 // share tells the store of all streams of a service that are held; the lock is held.
--- a/originclient/client_test.go
+++ b/originclient/client_test.go
@@ -132,10 +132,10 @@
 		t.Run(tt.name, func(t *testing.T) {
 			f := newFleet()
 			host, other := f.host(t), f.host(t)
-			host.Record(began("a"))
+			host.Record(began("a"), true)
 			waitFor(t, "first stream at its store", func() bool { return f.holds("near-1", "a") })
 			tt.fault(f, host)
-			host.Record(began("b"))
+			host.Record(began("b"), true)
 			waitFor(t, "both streams at a store", func() bool { return f.holds(tt.first, "a") && f.holds(tt.second, "b") })
 			host.Close()
 			for _, id := range []string{"a", "b"} {
@@ -153,7 +153,7 @@
 		f.set(address, func(s *fakeStore) { s.down = true })
 	}
 	host := f.host(t)
-	host.Record(began("a"))
+	host.Record(began("a"), true)
 	f.set("near-2", func(s *fakeStore) { s.down = false })
 	waitFor(t, "the stream at the store that is up", func() bool {
 		host.Tick()
@@ -165,7 +165,7 @@
 	f := newFleet()
 	f.sole = "v1"
 	host := f.host(t)
-	host.Record(began("a"))
+	host.Record(began("a"), true)
 	host.Tick()
 	f.mu.Lock()
 	if told := f.stores["near-1"].told; told != 0 {
@@ -178,10 +178,24 @@
 	f.mu.Lock()
 	f.sole = "v2"
 	f.mu.Unlock()
-	host.Record(began("b")) // at a version that this host's list does not name
+	host.Record(began("b"), true) // at a version that this host's list does not name
 	waitFor(t, "the stream of the other version", func() bool { return f.holds("near-1", "b") })
 }
 
+func TestStoresAreToldWhileTheRouteDoesNotImplyTheService(t *testing.T) {
+	f := newFleet()
+	f.sole = "v1"
+	host := f.host(t)
+	host.Record(began("a"), false)
+	waitFor(t, "the stream of a route with several services", func() bool { return f.holds("near-1", "a") })
+	host.Record(began("b"), true)
+	host.Tick()
+	host.Close()
+	if f.holds("near-1", "b") {
+		t.Error("a store was told of a stream whose route and service imply its version")
+	}
+}
+
 func TestFindGuessesNothing(t *testing.T) {
 	v1, none := "v1", ""
 	tests := []struct {
--- a/routegate/gate.go
+++ b/routegate/gate.go
@@ -23,6 +23,7 @@
 	"wheelgauge/retrybudget"
 	"wheelgauge/rollout/selector"
 	"wheelgauge/rollout/tally"
+	"wheelgauge/routehistory"
 	"wheelgauge/routetable"
 	"wheelgauge/serverlimit"
 	"wheelgauge/serverset"
@@ -95,8 +96,10 @@
 // Gate routes requests to backend servers and gateways of other regions. It is safe for
 // concurrent use.
 type Gate struct {
-	options      Options
-	table        atomic.Pointer[routetable.Table]
+	options Options
+	table   atomic.Pointer[routetable.Table]
+	// routes are the routes that were in force lately.
+	routes       *routehistory.History
 	serversKnown atomic.Bool
 	// ready is closed once requests can be placed.
 	ready     chan struct{}
@@ -152,13 +155,14 @@
 		o.Clock = wheelgauge.MonotonicClock{}
 	}
 	return &Gate{
-		options: o, reservedHeaders: reservedNames(o.Names), endToEndHeaders: endToEndNames(o.Names), ready: make(chan struct{}),
+		options: o, routes: routehistory.New(o.Clock.Now), reservedHeaders: reservedNames(o.Names), endToEndHeaders: endToEndNames(o.Names), ready: make(chan struct{}),
 		startupDeadline: time.Now().Add(startupWindow), startupWait: startupWait,
 	}
 }
 
 // SetTable applies a configuration.
 func (g *Gate) SetTable(t *routetable.Table) {
+	g.routes.Add(t)
 	g.table.Store(t)
 	g.signalReady()
 }
--- a/routegate/origin.go
+++ b/routegate/origin.go
@@ -84,13 +84,12 @@
 	if c.gate.options.Origins == nil {
 		return nil
 	}
-	q := wheelgauge.StreamQuery{WithinMS: c.streamPeriod().Milliseconds()}
+	service, period, _ := c.soleService()
+	h := c.request.Header()
+	q := wheelgauge.StreamQuery{Service: service, WithinMS: period.Milliseconds(), Host: string(h.Host()), Path: string(h.RequestURI()), ReturnMS: streamReturnTime.Milliseconds()}
 	if c.resumes != "" {
 		q.Key = wheelgauge.NewStreamKey(c.resumes)
 	}
-	if len(c.route.Shares) == 1 {
-		q.Service = c.route.Shares[0].Service
-	}
 	o, ok := c.gate.options.Origins.Find(ctx, q)
 	if !ok {
 		return nil
@@ -101,17 +100,32 @@
 // streamPeriod is how long ago a stream that is taken up may have begun.
 func (c *call) streamPeriod() time.Duration { return c.route.Timeout + streamReturnTime }
 
-// soleOrigin returns what must have begun the stream: the only service of the route, if it has had
-// only one version for as long as a stream may take; nil otherwise.
+// soleService returns the only service that can have begun a stream of the request's host name and
+// path, as far as this host knows, and how long ago it may have begun; no service if there were
+// several. complete reports whether this host has known the routes for that long.
+func (c *call) soleService() (service string, period time.Duration, complete bool) {
+	h := c.request.Header()
+	service, period, ok, complete := c.gate.routes.SoleService(string(h.Host()), string(h.RequestURI()), streamReturnTime)
+	// Routes that a store was asked for are newer than those of the history.
+	if !ok || len(c.route.Shares) != 1 || c.route.Shares[0].Service != service {
+		return "", c.streamPeriod(), false
+	}
+	age := c.gate.configAge()
+	return service, max(period, c.streamPeriod()), complete && age >= 0 && age <= staleConfigAge
+}
+
+// soleOrigin returns what must have begun the stream: the only service of the route, if both have
+// had no other service or version for as long as a stream may take; nil otherwise.
 func (c *call) soleOrigin() *streamOrigin {
-	if len(c.route.Shares) != 1 {
+	service, period, complete := c.soleService()
+	if !complete {
 		return nil
 	}
-	version, ok := c.gate.options.Servers.SoleVersion(c.service, c.streamPeriod())
+	version, ok := c.gate.options.Servers.SoleVersion(service, period)
 	if !ok {
 		return nil
 	}
-	return &streamOrigin{service: c.service, version: version}
+	return &streamOrigin{service: service, version: version}
 }
 
 // servedBy reports whether the route sends requests to a service.
@@ -208,13 +222,14 @@
 	if origins == nil || c.origin == nil || c.forwarded || c.route.Kind != wheelgauge.RouteStream || !c.route.Resumable {
 		return
 	}
+	service, _, complete := c.soleService()
 	for _, id := range []string{c.resumes, c.id} {
 		if id == "" {
 			continue
 		}
 		origins.Record(wheelgauge.StreamOrigin{
 			Key: wheelgauge.NewStreamKey(id), Service: c.origin.service, Version: c.origin.version, TTLMS: c.streamPeriod().Milliseconds(),
-		})
+		}, complete && service == c.origin.service)
 	}
 }
 
--- a/routegate/origin_test.go
+++ b/routegate/origin_test.go
@@ -7,8 +7,11 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"wheelgauge"
+	"wheelgauge/routehistory"
+	"wheelgauge/routetable"
 )
 
 // originScript holds origins, and records those that a gate shares.
@@ -17,11 +20,13 @@
 	known    map[wheelgauge.StreamKey]wheelgauge.StreamOrigin
 	sole     *wheelgauge.StreamOrigin
 	recorded []wheelgauge.StreamOrigin
+	implied  bool // of the last record
 }
 
-func (o *originScript) Record(r wheelgauge.StreamOrigin) {
+func (o *originScript) Record(r wheelgauge.StreamOrigin, implied bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.implied = implied
 	o.recorded = append(o.recorded, r)
 }
 
@@ -178,6 +183,86 @@
 	}
 }
 
+// resumeRoutes is a configuration whose route of streams that may be resumed sends to services.
+func resumeRoutes(version uint64, services ...string) *routetable.Table {
+	set := &wheelgauge.RouteSet{Version: version, Routes: routes(), Services: []wheelgauge.Service{{Name: "s", MaxConns: 100}}}
+	for i := range set.Routes {
+		if r := &set.Routes[i]; r.Prefix == "/resume/" {
+			r.Shares = nil
+			for _, s := range services {
+				r.Shares = append(r.Shares, wheelgauge.TrafficShare{Service: s, Weight: 1})
+			}
+		}
+	}
+	return routetable.New(set)
+}
+
+// The only version of the service that a route leads to now was taken for that of a stream which
+// another service began.
+func TestStreamIsNotContinuedAtTheServiceThatItsRouteMovedTo(t *testing.T) {
+	tests := []struct {
+		name   string
+		before []string // services of the route before
+		want   string
+	}{
+		{"the route stays", []string{"s"}, "id: 8\ndata: v1\n\n"},
+		{"the route led to another service", []string{"old"}, ""},
+		{"the route led to several services", []string{"s", "old"}, ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBackend(t)
+			b.fallback = streamHead + chunk("id: 8\ndata: v1\n\n") + "0\r\n\r\n"
+			g, c := newGateOfVersions(t, []string{"v1"}, b)
+			g.options.Origins = &originScript{sole: &wheelgauge.StreamOrigin{Service: "s", Version: "v1"}}
+			g.SetTable(resumeRoutes(2, tt.before...))
+			g.SetTable(resumeRoutes(3, "s"))
+			resp, body, err := get(t, c, "/resume/", takeUp)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if tt.want == "" && resp.StatusCode != http.StatusServiceUnavailable || tt.want != "" && body != tt.want {
+				t.Errorf("got %d %q, want %q, or 503 if that is empty", resp.StatusCode, body, tt.want)
+			}
+		})
+	}
+}
+
+func TestRouteImpliesTheServiceThatBeganAStream(t *testing.T) {
+	const long = time.Hour
+	tests := []struct {
+		name   string
+		routes [][]string // services, of one configuration after the other
+		known  time.Duration
+		want   bool
+	}{
+		{"one service for long", [][]string{{"s"}}, long, true},
+		{"one service, not known for long", [][]string{{"s"}}, 0, false},
+		{"several services", [][]string{{"s", "s2"}}, long, false},
+		{"several services lately", [][]string{{"s", "s2"}, {"s"}}, 0, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g, c := newGateOfVersions(t, []string{"v1"}, versionedBackends(t, []string{"v1"})...)
+			origins := &originScript{}
+			g.options.Origins = origins
+			at := time.Now()
+			g.routes = routehistory.New(func() time.Time { return at })
+			for i, services := range tt.routes {
+				g.SetTable(resumeRoutes(uint64(2+i), services...))
+			}
+			at = at.Add(tt.known)
+			g.ConfirmConfig()
+			for tries := 0; tries < 100 && len(origins.versions("r1")) == 0; tries++ { // of several services, one has no servers
+				_, _, _ = get(t, c, "/resume/", "") // ends as broken
+			}
+			if origins.implied != tt.want {
+				t.Errorf("the route implies the service: %v, want %v", origins.implied, tt.want)
+			}
+		})
+	}
+}
+
 func TestHostsShareWhatBeganStreams(t *testing.T) {
 	versions := []string{"v1", "v1"}
 	backends := versionedBackends(t, versions)
--- a/streams.go
+++ b/streams.go
@@ -35,16 +35,24 @@
 // service.
 type StreamQuery struct {
 	Key StreamKey `json:"k,omitempty"`
-	// Service is the only service that can have begun the stream, empty if there are several;
-	// WithinMS is how long ago it may have begun, in ms.
+	// Service is the only service that can have begun the stream as far as the host knows, empty
+	// if there are several; WithinMS is how long ago it may have begun, in ms.
 	Service  string `json:"s,omitempty"`
 	WithinMS int64  `json:"w,omitempty"`
+	// Host and Path are those of the request. Whoever names a sole version must also know that
+	// they have led to this service only.
+	Host string `json:"h,omitempty"`
+	Path string `json:"p,omitempty"`
+	// ReturnMS is how long after it broke off a stream may be taken up, in ms.
+	ReturnMS int64 `json:"r,omitempty"`
 }
 
 // StreamOrigins holds what began streams.
 type StreamOrigins interface {
-	// Record records, at its first event, what began a stream. It does not block.
-	Record(o StreamOrigin)
+	// Record records, at its first event, what began a stream. It does not block. implied is set
+	// if only this service can have begun streams of the route, so that its sole version says the
+	// same.
+	Record(o StreamOrigin, implied bool)
 	// Find returns what began a stream; ok is false if that is not known.
 	Find(ctx context.Context, q StreamQuery) (o StreamOrigin, ok bool)
 }
@@ -70,3 +78,8 @@
 
 // Within returns how long ago the stream may have begun.
 func (q StreamQuery) Within() time.Duration { return time.Duration(q.WithinMS) * time.Millisecond }
+
+// ReturnTime returns how long after it broke off the stream may be taken up.
+func (q StreamQuery) ReturnTime() time.Duration {
+	return time.Duration(q.ReturnMS) * time.Millisecond
+}
