A version that came and went while no list was read is not forgotten

Callers saw nothing of it so far; found by reading, in the class of streams joined from two versions.

Cause: gateways and stores conclude from their history of lists that a service has had one version only. The history took no notice of times without a list. A version that came and went while the list could not be read, or while the process was suspended, was missing from it, and a stream of that version could be continued at the only one known.

Change: the history begins anew after more than 5 s without a list, and says nothing while its newest list is older than that.

TestSoleVersionNeedsARecentList expected a sole version as soon as one list had come after a minute without any; that was the fault. It now wants none then, and one as soon as the lists reach back far enough.

--- a/confstore/streams.go
+++ b/confstore/streams.go
@@ -73,8 +73,12 @@
 	n.streams.Prune()
 	n.meter.Gauge("streams.held", int64(n.streams.Len()))
 	n.meter.Gauge("streams.dropped", int64(n.streams.Dropped()))
+	if !n.listsAreRecent() {
+		return
+	}
 	version := n.servers.Version()
-	if version == n.versionsRecorded || !n.listsAreRecent() {
+	if version == n.versionsRecorded {
+		n.versions.Confirm(n.now())
 		return
 	}
 	var listed []wheelgauge.Server
--- a/serverset/prefix_source_test.go
+++ b/serverset/prefix_source_test.go
@@ -90,6 +90,13 @@
 		t.Errorf("got %q of a list that is a minute old, want none", version)
 	}
 	tb.ConfirmList(c.now())
+	if version, ok := tb.SoleVersion(engines, time.Second); ok {
+		t.Errorf("got %q right after a minute without a list, want none", version)
+	}
+	for range 4 {
+		c.advance(time.Second)
+		tb.ConfirmList(c.now())
+	}
 	if version, ok := tb.SoleVersion(engines, time.Second); !ok || version != "v1" {
 		t.Errorf("got %q, %v of a recent list, want v1", version, ok)
 	}
--- a/serverset/table.go
+++ b/serverset/table.go
@@ -241,6 +241,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.listRequestedAt = requestedAt
+	t.history.Confirm(requestedAt)
 	t.confirmListed(requestedAt)
 	t.confirmOrdered(requestedAt)
 	for s := range t.cold {
--- a/versionhistory/history.go
+++ b/versionhistory/history.go
@@ -10,13 +10,18 @@
 	"wheelgauge"
 )
 
-// retention is how long a version is remembered after it was last listed.
-const retention = 15 * time.Minute
+const (
+	// retention is how long a version is remembered after it was last listed.
+	retention = 15 * time.Minute
+	// maxGap is the longest time between two lists in which no version is taken to have come and
+	// gone unseen.
+	maxGap = 5 * time.Second
+)
 
 // service holds the versions of one service.
 type service struct {
-	// since is when the service was first listed, until when each earlier version was last
-	// listed.
+	// since is when the service was first listed without a gap since, until when each earlier
+	// version was last listed.
 	since time.Time
 	until map[string]time.Time
 	// current are the versions listed now.
@@ -29,6 +34,8 @@
 
 	mu       sync.Mutex
 	services map[string]*service
+	// confirmedAt is as of when the newest list is.
+	confirmedAt time.Time
 }
 
 // New returns an empty history that reads the time from now.
@@ -41,6 +48,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.now()
+	h.confirm(now)
 	for _, s := range h.services {
 		for version := range s.current {
 			s.until[version] = now
@@ -60,6 +68,25 @@
 	}
 }
 
+// Confirm records that the list was still the same when requested at a time.
+func (h *History) Confirm(requestedAt time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.confirm(requestedAt)
+}
+
+// confirm begins the history anew after a gap; the lock is held.
+func (h *History) confirm(requestedAt time.Time) {
+	if requestedAt.Sub(h.confirmedAt) > maxGap {
+		for _, s := range h.services {
+			s.since = requestedAt
+		}
+	}
+	if requestedAt.After(h.confirmedAt) {
+		h.confirmedAt = requestedAt
+	}
+}
+
 func (h *History) service(name string, now time.Time) *service {
 	s := h.services[name]
 	if s == nil {
@@ -75,16 +102,33 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now, s := h.now(), h.services[name]
-	if s == nil || len(s.current) != 1 || now.Sub(s.since) < within {
+	if s == nil || len(s.current) != 1 || now.Sub(s.since) < within || now.Sub(h.confirmedAt) > maxGap {
+		return "", false
+	}
+	if s.several(now, within) {
 		return "", false
 	}
 	for v := range s.current {
 		version = v
 	}
+	return version, true
+}
+
+// Several reports whether a service is known to have had several versions within a time.
+func (h *History) Several(name string, within time.Duration) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s := h.services[name]
+	return s != nil && s.several(h.now(), within)
+}
+
+// several reports whether several versions were listed within a time.
+func (s *service) several(now time.Time, within time.Duration) bool {
+	listed := len(s.current)
 	for v, until := range s.until {
-		if v != version && now.Sub(until) <= within {
-			return "", false
+		if !s.current[v] && now.Sub(until) <= within {
+			listed++
 		}
 	}
-	return version, true
+	return listed > 1
 }
