A store that knows of several versions overrules those that do not

Callers saw nothing of it so far; found by reading, in the class of streams joined from two versions.

Cause: a gateway asked stores what began a stream. One answer "this is the only version" counted more than any number of stores that knew of two. And if all stores said that they do not know, the gateway went by its own lists, of which those of other regions may be as old as those of a store that is cut off.

Change: stores say whether they know of several services or versions that may have begun the stream, or that a list of theirs is too old to tell. The first overrules every other answer but the origin itself; the second keeps a gateway from going by its own lists. A store that has just started says neither, as before.

Before (planted): TestStoresOverruleTheListsOfAHost continues the stream with 200 although a store knows of several versions. After: 503, and so in the new cases of TestFindGuessesNothing and of the store's table.

--- a/confstore/streams.go
+++ b/confstore/streams.go
@@ -41,21 +41,29 @@
 		n.meter.Count("streams.found")
 		return resp
 	}
-	if version, ok := n.soleVersion(*q); ok {
-		resp.Sole = &version
-	}
+	n.judgeVersions(*q, &resp)
 	n.meter.Count("streams.not_found")
 	return resp
 }
 
-// soleVersion returns the version that must have begun a stream: that of the only service of its
-// route, if both have had no other one for as long as a stream may take.
-func (n *Node) soleVersion(q wheelgauge.StreamQuery) (version string, ok bool) {
+// judgeVersions sets the version that must have begun a stream, that of the only service of its
+// route, if both have had no other one for as long as a stream may take; or that others may have
+// begun it. It sets neither while this store has not known routes and lists for that long.
+func (n *Node) judgeVersions(q wheelgauge.StreamQuery, resp *wheelgauge.StreamOriginsResponse) {
+	if q.Service == "" || n.servers.Version() == 0 || n.config.history.Len() == 0 {
+		return
+	}
+	if resp.Outdated = !n.listsAreRecent(); resp.Outdated {
+		return
+	}
 	service, period, ok, complete := n.config.history.SoleService(q.Host, q.Path, q.ReturnTime())
-	if !ok || !complete || service != q.Service || !n.listsAreRecent() {
-		return "", false
+	within := max(period, q.Within()) + maxVersionsListAge
+	if resp.Several = !ok || service != q.Service || n.versions.Several(service, within); resp.Several || !complete {
+		return
+	}
+	if version, ok := n.versions.Sole(service, within); ok {
+		resp.Sole = &version
 	}
-	return n.versions.Sole(service, max(period, q.Within())+maxVersionsListAge)
 }
 
 // listsAreRecent reports whether the lists of all regions are recent.
--- a/originclient/client.go
+++ b/originclient/client.go
@@ -210,10 +210,11 @@
 func (c *Client) Known() int { return c.own.Len() }
 
 // Find implements wheelgauge.StreamOrigins: it asks the stores of the region, then all others, as
-// the caller may have come from another region.
-func (c *Client) Find(ctx context.Context, q wheelgauge.StreamQuery) (o wheelgauge.StreamOrigin, ok bool) {
+// the caller may have come from another region. A store that knows of several versions overrules
+// those that do not.
+func (c *Client) Find(ctx context.Context, q wheelgauge.StreamQuery) (o wheelgauge.StreamOrigin, ok, several bool) {
 	if o, ok = c.own.Find(q.Key); ok {
-		return o, true
+		return o, true, false
 	}
 	var near, far []string
 	for _, s := range c.options.Stores() {
@@ -223,23 +224,25 @@
 		}
 		far = append(far, s.Address)
 	}
-	found, sole := c.ask(ctx, near, q, nearTimeout)
-	if found == nil && sole == nil {
-		found, sole = c.ask(ctx, far, q, farTimeout)
+	answer := c.ask(ctx, near, q, nearTimeout)
+	if answer.Found == nil && (answer.Sole == nil || answer.Several) {
+		before := answer
+		answer = c.ask(ctx, far, q, farTimeout)
+		answer.Several, answer.Outdated = answer.Several || before.Several, answer.Outdated || before.Outdated
 	}
 	switch {
-	case found != nil:
-		c.own.Add(*found)
-		return *found, true
-	case sole != nil:
-		return wheelgauge.StreamOrigin{Key: q.Key, Service: q.Service, Version: *sole}, true
+	case answer.Found != nil:
+		c.own.Add(*answer.Found)
+		return *answer.Found, true, false
+	case answer.Sole != nil && !answer.Several:
+		return wheelgauge.StreamOrigin{Key: q.Key, Service: q.Service, Version: *answer.Sole}, true, false
 	}
-	return o, false
+	return o, false, answer.Several || answer.Outdated
 }
 
-// ask asks stores at the same time. It returns the first origin found, and a sole version only if
-// no store that answers has one.
-func (c *Client) ask(ctx context.Context, addresses []string, q wheelgauge.StreamQuery, timeout time.Duration) (found *wheelgauge.StreamOrigin, sole *string) {
+// ask asks stores at the same time. It returns the first origin found, and only if no store that
+// answers has one, what they say of sole versions; two that differ are several.
+func (c *Client) ask(ctx context.Context, addresses []string, q wheelgauge.StreamQuery, timeout time.Duration) (out wheelgauge.StreamOriginsResponse) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	answers := make(chan wheelgauge.StreamOriginsResponse, len(addresses))
@@ -258,11 +261,13 @@
 	for range addresses {
 		resp := <-answers
 		if resp.Found != nil && resp.Found.Key == q.Key {
-			return resp.Found, nil
+			return wheelgauge.StreamOriginsResponse{Found: resp.Found}
 		}
+		out.Several = out.Several || resp.Several || resp.Sole != nil && out.Sole != nil && *resp.Sole != *out.Sole
+		out.Outdated = out.Outdated || resp.Outdated
 		if resp.Sole != nil {
-			sole = resp.Sole
+			out.Sole = resp.Sole
 		}
 	}
-	return nil, sole
+	return out
 }
--- a/originclient/client_test.go
+++ b/originclient/client_test.go
@@ -32,7 +32,8 @@
 	down    bool
 	told    int
 	// sole is the version that the store names as the only one.
-	sole *string
+	sole              *string
+	several, outdated bool
 }
 
 func newFleet() *fleet {
@@ -74,7 +75,7 @@
 		if o, ok := s.origins.Find(req.Query.Key); ok {
 			resp.Found = &o
 		} else {
-			resp.Sole = s.sole
+			resp.Sole, resp.Several, resp.Outdated = s.sole, s.several, s.outdated
 		}
 	}
 	return resp, nil
@@ -139,7 +140,7 @@
 			waitFor(t, "both streams at a store", func() bool { return f.holds(tt.first, "a") && f.holds(tt.second, "b") })
 			host.Close()
 			for _, id := range []string{"a", "b"} {
-				if o, ok := other.Find(t.Context(), wheelgauge.StreamQuery{Key: wheelgauge.NewStreamKey(id)}); !ok || o.Version != "v1" || o.Service != "s" {
+				if o, ok, _ := other.Find(t.Context(), wheelgauge.StreamQuery{Key: wheelgauge.NewStreamKey(id)}); !ok || o.Version != "v1" || o.Service != "s" {
 					t.Errorf("another host finds %+v, %v for stream %s, want version v1", o, ok, id)
 				}
 			}
@@ -197,35 +198,57 @@
 }
 
 func TestFindGuessesNothing(t *testing.T) {
-	v1, none := "v1", ""
+	v1, v2, none := "v1", "v2", ""
 	tests := []struct {
-		name  string
-		prep  func(f *fleet)
-		found bool
-		want  string
+		name    string
+		prep    func(f *fleet)
+		found   bool
+		want    string
+		several bool
 	}{
-		{"nowhere", func(*fleet) {}, false, ""},
-		{"at a store of another region", func(f *fleet) { f.stores["far"].origins.Add(began("a")) }, true, "v1"},
-		{"several versions were listed", func(f *fleet) { f.sole = "" }, false, ""},
-		{"a store knows of one version only", func(f *fleet) { f.stores["near-2"].sole = &v1 }, true, "v1"},
-		{"servers have no version", func(f *fleet) { f.stores["near-1"].sole = &none }, true, ""},
+		{"nowhere", func(*fleet) {}, false, "", false},
+		{"at a store of another region", func(f *fleet) { f.stores["far"].origins.Add(began("a")) }, true, "v1", false},
+		{"several versions were listed", func(f *fleet) { f.sole = "" }, false, "", false},
+		{"a store knows of one version only", func(f *fleet) { f.stores["near-2"].sole = &v1 }, true, "v1", false},
+		{"servers have no version", func(f *fleet) { f.stores["near-1"].sole = &none }, true, "", false},
 		{"what a store holds goes before what another one lists", func(f *fleet) {
 			f.stores["near-1"].sole = &none
 			f.stores["near-2"].origins.Add(began("a"))
-		}, true, "v1"},
+		}, true, "v1", false},
+		{"what a store holds goes before several versions", func(f *fleet) {
+			f.stores["near-1"].several = true
+			f.stores["far"].origins.Add(began("a"))
+		}, true, "v1", false},
+		{"a store knows of several versions, another one of one", func(f *fleet) {
+			f.stores["near-1"].several = true
+			f.stores["near-2"].sole = &v1
+		}, false, "", true},
+		{"a store of the region knows of several versions, one of another region of one", func(f *fleet) {
+			f.stores["near-1"].several = true
+			f.stores["far"].sole = &v1
+		}, false, "", true},
+		{"two stores know of one version each", func(f *fleet) {
+			f.stores["near-1"].sole = &v1
+			f.stores["near-2"].sole = &v2
+		}, false, "", true},
+		{"the lists of a store are old", func(f *fleet) { f.stores["near-1"].outdated = true }, false, "", true},
+		{"the lists of the region are old, those of another one are not", func(f *fleet) {
+			f.stores["near-1"].outdated = true
+			f.stores["far"].sole = &v1
+		}, true, "v1", false},
 		{"no store answers", func(f *fleet) {
 			for _, s := range f.stores {
 				s.down = true
 			}
-		}, false, ""},
+		}, false, "", false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			f := newFleet()
 			tt.prep(f)
-			o, ok := f.host(t).Find(t.Context(), wheelgauge.StreamQuery{Key: wheelgauge.NewStreamKey("a"), Service: "s", WithinMS: 20_000})
-			if ok != tt.found || o.Version != tt.want {
-				t.Errorf("got %+v, %v, want version %q, %v", o, ok, tt.want, tt.found)
+			o, ok, several := f.host(t).Find(t.Context(), wheelgauge.StreamQuery{Key: wheelgauge.NewStreamKey("a"), Service: "s", WithinMS: 20_000})
+			if ok != tt.found || o.Version != tt.want || several != tt.several {
+				t.Errorf("got %+v, %v, several %v, want version %q, %v, %v", o, ok, several, tt.want, tt.found, tt.several)
 			}
 		})
 	}
--- a/routegate/origin.go
+++ b/routegate/origin.go
@@ -52,8 +52,8 @@
 	}
 	began := time.Now()
 	source := "record"
-	origin := c.recordedOrigin(ctx)
-	if origin == nil {
+	origin, several := c.recordedOrigin(ctx)
+	if origin == nil && !several {
 		source, origin = "sole version", c.soleOrigin()
 	}
 	o := c.gate.options
@@ -80,9 +80,10 @@
 }
 
 // recordedOrigin looks up what began the stream that the caller names; nil if that is not known.
-func (c *call) recordedOrigin(ctx context.Context) *streamOrigin {
+// several is set if a store knows of several versions that may have begun it.
+func (c *call) recordedOrigin(ctx context.Context) (origin *streamOrigin, several bool) {
 	if c.gate.options.Origins == nil {
-		return nil
+		return nil, false
 	}
 	service, period, _ := c.soleService()
 	h := c.request.Header()
@@ -90,11 +91,11 @@
 	if c.resumes != "" {
 		q.Key = wheelgauge.NewStreamKey(c.resumes)
 	}
-	o, ok := c.gate.options.Origins.Find(ctx, q)
+	o, ok, several := c.gate.options.Origins.Find(ctx, q)
 	if !ok {
-		return nil
+		return nil, several
 	}
-	return &streamOrigin{service: o.Service, version: o.Version}
+	return &streamOrigin{service: o.Service, version: o.Version}, false
 }
 
 // streamPeriod is how long ago a stream that is taken up may have begun.
--- a/routegate/origin_test.go
+++ b/routegate/origin_test.go
@@ -12,6 +12,7 @@
 	"wheelgauge"
 	"wheelgauge/routehistory"
 	"wheelgauge/routetable"
+	"wheelgauge/serverset"
 )
 
 // originScript holds origins, and records those that a gate shares.
@@ -21,6 +22,7 @@
 	sole     *wheelgauge.StreamOrigin
 	recorded []wheelgauge.StreamOrigin
 	implied  bool // of the last record
+	several  bool
 }
 
 func (o *originScript) Record(r wheelgauge.StreamOrigin, implied bool) {
@@ -30,14 +32,14 @@
 	o.recorded = append(o.recorded, r)
 }
 
-func (o *originScript) Find(_ context.Context, q wheelgauge.StreamQuery) (wheelgauge.StreamOrigin, bool) {
+func (o *originScript) Find(_ context.Context, q wheelgauge.StreamQuery) (origin wheelgauge.StreamOrigin, ok, several bool) {
 	if r, ok := o.known[q.Key]; ok {
-		return r, true
+		return r, true, false
 	}
 	if o.sole == nil || q.Service != o.sole.Service {
-		return wheelgauge.StreamOrigin{}, false
+		return wheelgauge.StreamOrigin{}, false, o.several
 	}
-	return *o.sole, true
+	return *o.sole, true, false
 }
 
 // versions returns the recorded versions by the ID of the request, of the IDs given.
@@ -228,6 +230,44 @@
 	}
 }
 
+// A host whose lists name one version continued streams although a store knew of several.
+func TestStoresOverruleTheListsOfAHost(t *testing.T) {
+	tests := []struct {
+		name    string
+		several bool
+		known   time.Duration // for how long the host has known lists and routes
+		status  int
+	}{
+		{"one version for long", false, time.Minute, http.StatusOK},
+		{"not known for long", false, 0, http.StatusServiceUnavailable},
+		{"a store knows of several", true, time.Minute, http.StatusServiceUnavailable},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBackend(t)
+			b.fallback = streamHead + chunk("id: 8\ndata: v1\n\n") + "0\r\n\r\n"
+			at := time.Now()
+			now := func() time.Time { return at }
+			g, c := newGateOfVersions(t, nil)
+			servers := serverset.New(serverset.Place{Host: "g", Hall: "h", Peers: []string{"g"}}, func(string) *wheelgauge.Service { return &wheelgauge.Service{Name: "s", MaxConns: 100} }, now)
+			t.Cleanup(servers.Close)
+			servers.Update([]wheelgauge.Server{{Instance: "i0", Service: "s", Version: "v1", Address: b.conn.Addr().String(), Hall: "h", Slots: 4}}, nil, at)
+			g.options.Servers, g.routes, g.options.Origins = servers, routehistory.New(now), &originScript{several: tt.several}
+			g.SetTable(resumeRoutes(2, "s"))
+			for end := at.Add(tt.known); ; at = at.Add(time.Second) {
+				servers.ConfirmList(at)
+				if !at.Before(end) {
+					break
+				}
+			}
+			g.ConfirmConfig()
+			if resp, body, err := get(t, c, "/resume/", takeUp); err != nil || resp.StatusCode != tt.status {
+				t.Errorf("got %d %q, %v, want %d", resp.StatusCode, body, err, tt.status)
+			}
+		})
+	}
+}
+
 func TestRouteImpliesTheServiceThatBeganAStream(t *testing.T) {
 	const long = time.Hour
 	tests := []struct {
--- a/routehistory/history.go
+++ b/routehistory/history.go
@@ -49,6 +49,13 @@
 	h.entries = append([]entry(nil), h.entries[drop:]...)
 }
 
+// Len returns the number of configurations remembered.
+func (h *History) Len() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.entries)
+}
+
 // SoleService returns the only service that can have begun a stream of a host name and path that is
 // taken up now, at most returnTime after it broke off, and how long ago it may have begun; ok is
 // false if there were several as far as the history reaches back. complete reports whether that is
--- a/streams.go
+++ b/streams.go
@@ -53,8 +53,9 @@
 	// if only this service can have begun streams of the route, so that its sole version says the
 	// same.
 	Record(o StreamOrigin, implied bool)
-	// Find returns what began a stream; ok is false if that is not known.
-	Find(ctx context.Context, q StreamQuery) (o StreamOrigin, ok bool)
+	// Find returns what began a stream; ok is false if that is not known, and several is set if
+	// several versions may have begun it, whatever the host's own lists say.
+	Find(ctx context.Context, q StreamQuery) (o StreamOrigin, ok, several bool)
 }
 
 // StreamOriginsRequest tells a store what began streams, or asks it.
@@ -71,6 +72,10 @@
 	Found *StreamOrigin `json:"o,omitempty"`
 	// Sole is the version of the service if it is the only one that can have begun the stream.
 	Sole *string `json:"v,omitempty"`
+	// Several is set if the store knows of several services or versions that may have begun the
+	// stream, Outdated if its list of a region is too old to tell.
+	Several  bool `json:"m,omitempty"`
+	Outdated bool `json:"u,omitempty"`
 }
 
 // TTL returns how much longer the stream may be taken up.
