--- a/confstore/streams.go
+++ b/confstore/streams.go
@@ -41,13 +41,31 @@
 		n.meter.Count("streams.found")
 		return resp
 	}
-	if version, ok := n.versions.Sole(q.Service, q.Within()+maxVersionsListAge); ok && n.listsAreRecent() {
-		resp.Sole = &version
-	}
+	n.judgeVersions(*q, &resp)
 	n.meter.Count("streams.not_found")
 	return resp
 }
 
+// judgeVersions sets the version that must have begun a stream, that of the only service of its
+// route, if both have had no other one for as long as a stream may take; or that others may have
+// begun it. It sets neither while this store has not known routes and lists for that long.
+func (n *Node) judgeVersions(q wheelgauge.StreamQuery, resp *wheelgauge.StreamOriginsResponse) {
+	if q.Service == "" || n.servers.Version() == 0 || n.config.history.Len() == 0 {
+		return
+	}
+	if resp.Outdated = !n.listsAreRecent(); resp.Outdated {
+		return
+	}
+	service, period, ok, complete := n.config.history.SoleService(q.Host, q.Path, q.ReturnTime())
+	within := max(period, q.Within()) + maxVersionsListAge
+	if resp.Several = !ok || service != q.Service || n.versions.Several(service, within); resp.Several || !complete {
+		return
+	}
+	if version, ok := n.versions.Sole(service, within); ok {
+		resp.Sole = &version
+	}
+}
+
 // listsAreRecent reports whether the lists of all regions are recent.
 func (n *Node) listsAreRecent() bool {
 	for _, region := range n.regions() {
@@ -63,8 +81,12 @@
 	n.streams.Prune()
 	n.meter.Gauge("streams.held", int64(n.streams.Len()))
 	n.meter.Gauge("streams.dropped", int64(n.streams.Dropped()))
+	if !n.listsAreRecent() {
+		return
+	}
 	version := n.servers.Version()
-	if version == n.versionsRecorded || !n.listsAreRecent() {
+	if version == n.versionsRecorded {
+		n.versions.Confirm(n.now())
 		return
 	}
 	var listed []wheelgauge.Server
