--- a/routegate/move.go
+++ b/routegate/move.go
@@ -48,7 +48,7 @@
 	if region == "" || !c.fits(remote.Wait(), latency) || !remote.EndsWithin(c.timeLeft()) || !o.Peers.CanTake(region, c.service, c.triedPeers) {
 		return ""
 	}
-	if c.gate.mayOutlastProcess(c.route.Name, c.route.Timeout, latency) {
+	if c.gate.exitsWithin(max(remote.End(), latency+c.gate.durations.get(c.route.Name, c.route.Timeout).mean)) {
 		return ""
 	}
 	return region
