A caller that reads slowly is not taken for a slow server

After a caller had rested for 6 s in the middle of a large answer, the requests behind it were refused at once for six seconds, although their server was idle.

--- a/routegate/dispatch.go
+++ b/routegate/dispatch.go
@@ -53,6 +53,8 @@
 	outputAt time.Time
 	// pace is how the events of a stream arrived.
 	pace streamPace
+	// heldUp is how long writing to the caller took in all.
+	heldUp time.Duration
 }
 
 // sendToServer dispatches to a server of the region.
@@ -185,6 +187,7 @@
 		}
 	}
 	res := c.relay(ctx, x)
+	k.HeldUp(x.heldUp)
 	switch {
 	case res == answered && !c.endedBy.unrelatedToServer():
 		if x.err == nil && status < http.StatusMultipleChoices && x.body.Framing() != serverconn.Unframed {
--- a/routegate/relay.go
+++ b/routegate/relay.go
@@ -79,7 +79,7 @@
 	}
 	c.status = status
 	c.request.StartResponse(status, responseFields(x.head), x.bufferedLength(len(body)))
-	if _, err := c.request.Write(body); err != nil {
+	if err := x.write(body); err != nil {
 		return c.endWriteFailed(ctx, err)
 	}
 	if err := c.request.End(); err != nil {
@@ -94,7 +94,7 @@
 	c.request.StartResponse(c.status, responseFields(x.head), x.lengthOrOpen(x.body.Length()))
 	buf := make([]byte, relayBufferBytes)
 	for {
-		if _, err := c.request.Write(buffered); err != nil {
+		if err := x.write(buffered); err != nil {
 			return c.endWriteFailed(ctx, err)
 		}
 		n, err := x.body.Read(buf)
@@ -111,7 +111,7 @@
 			return answered
 		}
 	}
-	if _, err := c.request.Write(buffered); err != nil {
+	if err := x.write(buffered); err != nil {
 		return c.endWriteFailed(ctx, err)
 	}
 	if err := c.request.End(); err != nil {
@@ -160,11 +160,19 @@
 	c.lastEventAt = now
 	x.pace.arrived(now)
 	x.recordOutput(now)
-	_, err := c.request.Write(complete)
+	err := x.write(complete)
 	x.pace.written(now, time.Now())
 	return err
 }
 
+// write passes a part of the answer on to the caller.
+func (x *exchange) write(p []byte) error {
+	began := time.Now()
+	_, err := x.call.request.Write(p)
+	x.heldUp += time.Since(began)
+	return err
+}
+
 // endStream completes a stream, unless its end shows that it was broken off.
 func (c *call) endStream(ctx context.Context, x *exchange) result {
 	if err := c.checkStreamEnd(ctx, x); err != nil {
--- a/routegate/slowreader_test.go
+++ b/routegate/slowreader_test.go
@@ -132,6 +132,36 @@
 	}
 }
 
+// A caller that rested while it read is not taken for a slow server: the next request is not refused
+// for a wait that nobody has.
+func TestRestingCallerDoesNotSlowItsServer(t *testing.T) {
+	for _, path := range []string{"/once/", "/safe/"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			server := &backend{conn: listen(t, restingServer)}
+			table := routes()
+			for n := range table {
+				table[n].LatencyObjective = 2 * time.Second
+			}
+			_, c := newGate(t, table, server)
+			for n, rest := range []time.Duration{6 * time.Second, 0, 0} {
+				if _, err := fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: h\r\nX-Request-Id: r%d\r\n\r\n", path, n); err != nil {
+					t.Fatal(err)
+				}
+				resp, err := http.ReadResponse(bufio.NewReaderSize(c, 1), nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(rest)
+				got, err := io.Copy(io.Discard, resp.Body)
+				if err != nil || got != largeAnswer {
+					t.Fatalf("request %d: got %d, %d bytes, %v, want all %d", n, resp.StatusCode, got, err, largeAnswer)
+				}
+			}
+		})
+	}
+}
+
 // counterValue reads one of the counters of the gate.
 func counterValue(t *testing.T, g *Gate, name string) int {
 	t.Helper()
--- a/serverset/pick.go
+++ b/serverset/pick.go
@@ -13,14 +13,16 @@
 	table  *Table
 	server *Server
 	// version is that of the server at the time of the choice.
-	version        string
-	missingTokens  int
-	rank           int
-	prompt         prompt.Prompt
-	predictedWait  time.Duration
-	source         string
-	loadBefore     Load
-	sentAt         time.Time
+	version       string
+	missingTokens int
+	rank          int
+	prompt        prompt.Prompt
+	predictedWait time.Duration
+	source        string
+	loadBefore    Load
+	sentAt        time.Time
+	// heldUp is for how long the caller held the answer up.
+	heldUp         time.Duration
 	firstEventSeen bool
 	ended          bool
 	// load, slowness and forecast are those of the engine model, modelled is set if there is one.
@@ -356,6 +358,14 @@
 	k.server.sentUnderLimit = k.server.sentUnderLimit || t.hasLimit(k.server)
 }
 
+// HeldUp records for how long in all a caller that read slowly held the answer up: that is not
+// service time.
+func (k *Pick) HeldUp(by time.Duration) {
+	k.table.mu.Lock()
+	defer k.table.mu.Unlock()
+	k.heldUp = by
+}
+
 // FirstEvent records that the first event has arrived.
 func (k *Pick) FirstEvent() {
 	t := k.table
@@ -444,7 +454,7 @@
 		s.noteAnswer(k)
 		s.failures.Add(false, now)
 		s.pause, s.unreachableUntil, s.lastReached = 0, time.Time{}, now
-		s.recordServiceTime(now.Sub(k.sentAt), k.loadBefore.running, t.isEngine(s))
+		s.recordServiceTime(max(0, now.Sub(k.sentAt)-k.heldUp), k.loadBefore.running, t.isEngine(s))
 		s.serviceTimeAt = now
 	case Failed:
 		s.noteAnswer(k)
