A server that reads slowly is waited for on kept connections too

Cause: the user timeout was set again after each exchange, and the kernel counts the time since an earlier window was closed towards it.

Change: where the kernel tells the state of a connection, its user timeout holds between exchanges only; the watch decides during them, also on keep-alive probes, of which one lost between regions no longer ends a stream.

--- a/ackwatch/watch.go
+++ b/ackwatch/watch.go
@@ -35,15 +35,17 @@
 // Restart forgets the looks so far.
 func (w *Watch) Restart() { w.owed = 0 }
 
-// Look looks at the connection. gone reports whether the other machine is gone, slow whether bytes
-// wait for a peer that answers and does not read. Both are false for connections whose state the
-// kernel does not tell.
-func (w *Watch) Look(c net.Conn) (gone, slow bool) {
+// IsTold reports whether the kernel tells the state of a connection.
+func IsTold(c net.Conn) bool {
+	_, ok := look(c)
+	return ok
+}
+
+// IsGone looks at the connection, and reports whether the other machine is gone. It is always false
+// for connections whose state the kernel does not tell.
+func (w *Watch) IsGone(c net.Conn) bool {
 	s, ok := look(c)
-	if !ok {
-		return false, false
-	}
-	return w.judge(s), s.isSlow(w.limit)
+	return ok && w.judge(s)
 }
 
 // state is what the kernel knows of a connection.
@@ -51,8 +53,6 @@
 	// unacked is the number of segments that are not acknowledged, probes that of window and
 	// keep-alive probes sent since the last answer.
 	unacked, probes int
-	// waiting is set if bytes wait to be sent.
-	waiting bool
 	// heard is how long ago the other machine last sent anything.
 	heard time.Duration
 }
@@ -66,11 +66,6 @@
 	return w.owed >= looks && s.heard >= w.limit && (s.unacked > 0 || s.probes >= minProbes)
 }
 
-// isSlow reports whether all bytes that were sent are acknowledged, and others wait for the window.
-func (s state) isSlow(limit time.Duration) bool {
-	return s.waiting && s.unacked == 0 && s.heard < limit
-}
-
 func look(c net.Conn) (s state, ok bool) {
 	raw, ok := c.(syscall.Conn)
 	if !ok {
@@ -87,5 +82,5 @@
 		return state{}, false
 	}
 	heard := time.Duration(min(info.Last_ack_recv, info.Last_data_recv)) * time.Millisecond
-	return state{unacked: int(info.Unacked), probes: int(info.Probes), waiting: info.Notsent_bytes > 0, heard: heard}, true
+	return state{unacked: int(info.Unacked), probes: int(info.Probes), heard: heard}, true
 }
--- a/ackwatch/watch_test.go
+++ b/ackwatch/watch_test.go
@@ -53,37 +53,19 @@
 	}
 }
 
-func TestIsSlow(t *testing.T) {
-	tests := []struct {
-		name string
-		s    state
-		want bool
-	}{
-		{"bytes wait, the peer answers", state{waiting: true, probes: 1, heard: limit - 1}, true},
-		{"bytes wait, the peer does not answer", state{waiting: true, probes: 3, heard: limit}, false},
-		{"bytes wait behind others under way", state{waiting: true, unacked: 1}, false},
-		{"nothing waits", state{}, false},
-	}
-	for _, tt := range tests {
-		if got := tt.s.isSlow(limit); got != tt.want {
-			t.Errorf("%s: got %t, want %t", tt.name, got, tt.want)
-		}
-	}
-}
-
-func TestLook(t *testing.T) {
+func TestIsGone(t *testing.T) {
 	tests := []struct {
 		name string
 		// deaf peers get nothing any more, full sockets have a peer that reads nothing.
 		deaf, full bool
 		sent       string
-		gone, slow bool
+		gone       bool
 	}{
-		{"silent", false, false, "", false, false},
-		{"silent, its bytes are acknowledged", false, false, "hello", false, false},
-		{"reads nothing", false, true, "", false, true},
-		{"gone with bytes under way", true, false, "hello", true, false},
-		{"gone while it read nothing", true, true, "", true, true},
+		{"silent", false, false, "", false},
+		{"silent, its bytes are acknowledged", false, false, "hello", false},
+		{"reads nothing", false, true, "", false},
+		{"gone with bytes under way", true, false, "hello", true},
+		{"gone while it read nothing", true, true, "", true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -100,14 +82,9 @@
 			if _, err := c.Write([]byte(tt.sent)); err != nil && !tt.full {
 				t.Fatal(err)
 			}
-			w, gone, slow := New(limit), false, false
+			w, gone := New(limit), false
 			for begun := time.Now(); !gone && time.Since(begun) < 3*limit || !gone && tt.gone && time.Since(begun) < slack; time.Sleep(w.Interval()) {
-				var now bool
-				gone, now = w.Look(c)
-				slow = slow || now
-			}
-			if slow != tt.slow {
-				t.Errorf("seen slow: %t, want %t", slow, tt.slow)
+				gone = w.IsGone(c)
 			}
 			if gone != tt.gone {
 				t.Errorf("taken for gone: %t, want %t", gone, tt.gone)
--- a/serverconn/conn.go
+++ b/serverconn/conn.go
@@ -29,10 +29,12 @@
 	// read. It fits in the socket's send buffer, so the write does not block when a
 	// server responds early without reading the request.
 	maxInlineBytes = 16 << 10
-	// keepAliveIdle and keepAliveInterval, the shortest that there are, detect the machine of a
-	// silent server that is unreachable, after Link.KeepAlives probes or Link.UserTimeout.
+	// keepAliveIdle and keepAliveInterval, the shortest that there are, show whether the machine of
+	// a silent server is reachable. During an exchange the watch decides by them, else
+	// Link.UserTimeout.
 	keepAliveIdle     = time.Second
 	keepAliveInterval = time.Second
+	keepAliveCount    = 3
 	// maxProbeInterval is the shortest that the kernel allows.
 	maxProbeInterval = time.Second
 	// writeErrorWait is how long after its connection has ended a write reports why.
@@ -64,7 +66,7 @@
 func dial(ctx context.Context, address string, l Link) (*Conn, error) {
 	d := net.Dialer{
 		Timeout:         l.ConnectTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: l.KeepAlives},
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
 		Control:         prepare(l.UserTimeout),
 	}
 	c, err := d.DialContext(ctx, "tcp", address)
--- a/serverconn/exchangewatch.go
+++ b/serverconn/exchangewatch.go
@@ -17,28 +17,33 @@
 // errUnanswered is a timeout of the network.
 var errUnanswered = fmt.Errorf("the other machine answers nothing: %w", syscall.ETIMEDOUT)
 
-// exchangeWatch keeps the kernel from ending the exchange in progress on a connection while the
-// other side reads slowly, and from then on ends it itself once the other machine is gone.
+// exchangeWatch ends the exchange in progress on a connection once the other machine is gone. Where
+// the kernel tells the state of a connection, its own user timeout holds between exchanges only: it
+// would also end one whose other side reads slowly, at once if an earlier window was closed as well.
 type exchangeWatch struct {
 	net   net.Conn
 	limit time.Duration
 	mu    sync.Mutex
 	acks  ackwatch.Watch
 	timer *time.Timer
-	// running is set during an exchange, unlimited while the kernel has no user timeout, lost once
-	// the watch has ended an exchange.
-	running, unlimited, lost bool
+	// told is set if the kernel tells the state of the connection, running during an exchange, lost
+	// once the watch has ended an exchange.
+	told, running, lost bool
 }
 
 func newExchangeWatch(c net.Conn, limit time.Duration) exchangeWatch {
-	return exchangeWatch{net: c, limit: limit, acks: ackwatch.New(limit)}
+	return exchangeWatch{net: c, limit: limit, acks: ackwatch.New(limit), told: ackwatch.IsTold(c)}
 }
 
 func (w *exchangeWatch) start() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if !w.told {
+		return
+	}
 	w.acks.Restart()
 	w.running = true
+	w.setUserTimeout(0)
 	if w.timer == nil {
 		w.timer = time.AfterFunc(w.acks.Interval(), w.look)
 		return
@@ -49,27 +54,20 @@
 func (w *exchangeWatch) stop() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.running = false
-	if w.timer != nil {
-		w.timer.Stop()
-	}
-	if w.unlimited {
-		w.setUnlimited(false)
+	if !w.running {
+		return
 	}
+	w.running = false
+	w.timer.Stop()
+	w.setUserTimeout(w.limit)
 }
 
-// setUnlimited takes the kernel's user timeout away or sets it again. The lock must be held.
-func (w *exchangeWatch) setUnlimited(unlimited bool) {
-	c, ok := w.net.(syscall.Conn)
-	if !ok {
-		return
+// setUserTimeout sets how long the kernel waits for acknowledgements, 0 for as long as it likes. The
+// lock must be held.
+func (w *exchangeWatch) setUserTimeout(limit time.Duration) {
+	if c, ok := w.net.(syscall.Conn); ok {
+		_ = setUserTimeout(c, limit) // fails only on a closed connection
 	}
-	limit := w.limit
-	if unlimited {
-		limit = 0
-	}
-	_ = setUserTimeout(c, limit) // fails only on a closed connection
-	w.unlimited = unlimited
 }
 
 func (w *exchangeWatch) look() {
@@ -78,11 +76,7 @@
 	if !w.running {
 		return
 	}
-	gone, slow := w.acks.Look(w.net)
-	if slow && !w.unlimited {
-		w.setUnlimited(true)
-	}
-	if !gone {
+	if !w.acks.IsGone(w.net) {
 		w.timer.Reset(w.acks.Interval())
 		return
 	}
--- a/serverconn/pool.go
+++ b/serverconn/pool.go
@@ -29,9 +29,6 @@
 	// UserTimeout is how long the other machine may leave bytes and probes unacknowledged. One that
 	// acknowledges them, and only reads or answers slowly, is waited for.
 	UserTimeout time.Duration
-	// KeepAlives is how many probes of a silent connection may be unanswered where UserTimeout does
-	// not decide.
-	KeepAlives int
 	// IdleTimeout is how long a connection may stay idle if the server announces no timeout.
 	IdleTimeout time.Duration
 	// Now is the clock for idle times. It must count suspended time: the other side closes
@@ -43,13 +40,13 @@
 // SYN is only sent again after a second, so the connect times out earlier and the request
 // goes to another server.
 func SameRegion(now func() time.Time) Link {
-	return Link{ConnectTimeout: 350 * time.Millisecond, UserTimeout: 3 * time.Second, KeepAlives: 2, IdleTimeout: nearIdleTimeout, Now: now}
+	return Link{ConnectTimeout: 350 * time.Millisecond, UserTimeout: 3 * time.Second, IdleTimeout: nearIdleTimeout, Now: now}
 }
 
 // CrossRegion returns the timeouts for other regions, where one link may be cut while others
 // work: three round trips of a long link to connect, two retransmissions for sent bytes.
 func CrossRegion(now func() time.Time) Link {
-	return Link{ConnectTimeout: 400 * time.Millisecond, UserTimeout: 1200 * time.Millisecond, KeepAlives: 1, IdleTimeout: farIdleTimeout, Now: now}
+	return Link{ConnectTimeout: 400 * time.Millisecond, UserTimeout: 1200 * time.Millisecond, IdleTimeout: farIdleTimeout, Now: now}
 }
 
 // ErrNoConns is returned when a server has its maximum number of connections.
--- a/serverconn/slowpeer_test.go
+++ b/serverconn/slowpeer_test.go
@@ -190,3 +190,33 @@
 		}
 	}
 }
+
+// The kernel may count the closed window of an earlier exchange towards its user timeout.
+func TestSlowPeerOfAKeptConnectionIsWaitedFor(t *testing.T) {
+	const body, exchanges = 70_000, 3
+	for _, l := range links {
+		t.Run(l.name, func(t *testing.T) {
+			t.Parallel()
+			p := startPeer(t, l.link, func(c *net.TCPConn) {
+				in := bufio.NewReader(c)
+				for range exchanges {
+					time.Sleep(l.link.UserTimeout)
+					req, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, req.Body)
+					_, _ = io.WriteString(c, slowAnswer)
+				}
+			})
+			for n := range exchanges {
+				if answer, err := exchange(p, body); err != nil || answer != "hi" {
+					t.Errorf("exchange %d got %q, %v, want the whole answer", n+1, answer, err)
+				}
+			}
+			if p.Dialed() != 1 {
+				t.Errorf("%d connections were opened, want 1", p.Dialed())
+			}
+		})
+	}
+}
