An idle server that was slow is tried again at once

What callers saw: for 14 s after a server was as fast as before, with nothing in progress there, its requests were refused as late.

Cause: the mean wait of the route and the mean time to answer of the server, as the slow seconds left them, fall with time only, because while they refuse all requests none brings a new wait.

Change: while nothing is in progress at a server of a plain service, as far as is known from all hosts, a request that would be refused for earlier waits alone is sent as a trial, if its time suffices should the server be as slow as before. An answer quicker than the means replaces them, a slow one leaves them. That something is in progress ends the trial for the next request, so it is one at a time at a host. Engines are left out: the request's own prompt is part of what is expected there.

TestIdleServerIsTriedAgain without the trial: 503, nothing sent.

--- a/routegate/call.go
+++ b/routegate/call.go
@@ -109,12 +109,14 @@
 	// moved is set once the request was moved away from silent servers of this region, retryTaken
 	// while a retry is taken from the budget for a move.
 	moved, retryTaken bool
-	withheld          []string
-	creditFor         string
-	sends             int
-	runs              int
-	status            int
-	cause             string
+	// trial is set for a request that tries an idle server although it is expected to be late.
+	trial     bool
+	withheld  []string
+	creditFor string
+	sends     int
+	runs      int
+	status    int
+	cause     string
 	// framing is how the end of the last answer was marked, partialBytes how much of an event
 	// came before that end, both for the log.
 	framing      serverconn.Framing
--- a/routegate/dispatch.go
+++ b/routegate/dispatch.go
@@ -324,7 +324,11 @@
 // came.
 func (x *exchange) recordWait(failed bool) {
 	waited := time.Since(x.sentAt)
-	x.call.gate.waits.observe(x.call.route.Name, x.pick.Wait(), waited)
+	if x.call.trial && !failed && isSuccess(x.head.StatusCode()) {
+		x.call.gate.waits.observeTrial(x.call.route.Name, x.pick.Wait(), waited)
+	} else {
+		x.call.gate.waits.observe(x.call.route.Name, x.pick.Wait(), waited)
+	}
 	// The first byte of an answer that is not a stream comes after its last token, and an error
 	// takes no work.
 	if failed || x.call.route.Kind == wheelgauge.RouteStream && isSuccess(x.head.StatusCode()) {
--- a/routegate/late_test.go
+++ b/routegate/late_test.go
@@ -1,6 +1,7 @@
 package routegate
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
@@ -8,6 +9,7 @@
 	"wheelgauge/callerhttp"
 	"wheelgauge/fake/suspendclock"
 	"wheelgauge/forwardcredits"
+	"wheelgauge/prompt"
 	"wheelgauge/serverset"
 	"wheelgauge/waitroom"
 )
@@ -131,3 +133,58 @@
 	u := wheelgauge.ServiceUsage{Service: "s", Servers: 1, Slots: 24, Running: running + 1, Work: wheelgauge.Work{{Rank: c.rank, Running: running + 1}}}
 	return c.gate.options.Servers.PredictAt(wheelgauge.Service{Name: "s", KVCacheTokens: 600_000}, u, serverset.NewJob("s", c.prompt, c.rank, nil))
 }
+
+// A server that was slow for some seconds stayed idle for many more, as each request was refused as
+// late by what its earlier ones had waited.
+func TestIdleServerIsTriedAgain(t *testing.T) {
+	clock := &fakeTime{at: time.Unix(1000, 0)}
+	serveSlowly := func(g *Gate, took time.Duration) {
+		for range 100 {
+			k := g.options.Servers.Choose(serverset.NewJob("s", prompt.Prompt{}, 0, nil))
+			clock.advance(took)
+			k.Done(serverset.Served)
+		}
+	}
+	tests := []struct {
+		name   string
+		change func(g *Gate, b *backend)
+		status []int // of requests one after the other
+		sent   int   // of them to the server
+	}{
+		{"idle", func(*Gate, *backend) {}, []int{http.StatusOK, http.StatusOK}, 2},
+		{"something in progress there", func(g *Gate, _ *backend) {
+			g.options.Servers.Choose(serverset.NewJob("s", prompt.Prompt{}, 0, nil))
+		}, []int{http.StatusServiceUnavailable, http.StatusServiceUnavailable}, 0},
+		{"it was slower than the caller's time", func(g *Gate, _ *backend) { serveSlowly(g, 10*time.Minute) }, []int{http.StatusServiceUnavailable, http.StatusServiceUnavailable}, 0},
+		{"failing", func(_ *Gate, b *backend) { b.fallback = failureAnswer }, []int{http.StatusInternalServerError, http.StatusInternalServerError}, 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			list := routes()
+			for i := range list {
+				list[i].LatencyObjective = time.Second
+			}
+			b := newBackend(t)
+			g, c := newGate(t, list, b)
+			g.waits.now = func() time.Time { return time.Unix(1000, 0) }
+			for range 200 {
+				g.waits.observe("once", time.Millisecond, 10*time.Minute)
+			}
+			servers := serverset.New(serverset.Place{Host: "g", Hall: "h", Peers: []string{"g"}}, func(string) *wheelgauge.Service { return &wheelgauge.Service{Name: "s", MaxConns: 100} }, clock.now)
+			servers.Update([]wheelgauge.Server{{Instance: "i0", Service: "s", Address: b.conn.Addr().String(), Hall: "h", Slots: 4}}, nil, clock.now())
+			t.Cleanup(servers.Close)
+			g.options.Servers = servers
+			serveSlowly(g, 5*time.Second)
+			tt.change(g, b)
+			for n, want := range tt.status {
+				resp, _, err := get(t, c, "/once/", "")
+				if err != nil || resp.StatusCode != want {
+					t.Errorf("request %d got %v, %v, want %d", n, resp, err, want)
+				}
+			}
+			if got := len(b.received()); got != tt.sent {
+				t.Errorf("the server got %d requests, want %d", got, tt.sent)
+			}
+		})
+	}
+}
--- a/routegate/waitstats.go
+++ b/routegate/waitstats.go
@@ -80,6 +80,18 @@
 	w.routes[route] = &m
 }
 
+// observeTrial records the wait of a request that was tried although the means refuse its route. If it
+// is shorter than they say it replaces them: the others waited for something that is over.
+func (w *waitStats) observeTrial(route string, predicted, observed time.Duration) {
+	w.observe(route, predicted, observed)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if m := w.routes[route]; float64(observed.Milliseconds()) < m.observed {
+		m.observed = float64(observed.Milliseconds())
+		m.predicted = min(m.predicted, m.observed)
+	}
+}
+
 // correct scales a predicted wait by the ratio of observed to predicted waits.
 func (w *waitStats) correct(route string, predicted time.Duration) time.Duration {
 	w.mu.Lock()
--- a/routegate/waitstats_test.go
+++ b/routegate/waitstats_test.go
@@ -74,3 +74,31 @@
 		t.Errorf("a wait of 30 ms is corrected to %s long after the last one, want 40ms at most", got)
 	}
 }
+
+// For seconds after a slow server was as fast as before, its requests were refused as late: refused
+// ones bring no new wait.
+func TestQuickTrialEndsTheMeansOfSlowSeconds(t *testing.T) {
+	tests := []struct {
+		name             string
+		waited           time.Duration
+		least, most      time.Duration // of the mean afterwards
+		correctedAtLeast time.Duration // of a wait of 500 ms
+	}{
+		{"quick again", 500 * time.Millisecond, 500 * time.Millisecond, 500 * time.Millisecond, 500 * time.Millisecond},
+		{"still slow", 4 * time.Second, 3900 * time.Millisecond, 4 * time.Second, 3 * time.Second},
+	}
+	for _, tt := range tests {
+		at := time.Unix(1000, 0)
+		w := waitStats{now: func() time.Time { return at }}
+		for range 200 {
+			w.observe("r", 500*time.Millisecond, 4*time.Second)
+		}
+		w.observeTrial("r", 500*time.Millisecond, tt.waited)
+		if got := w.mean("r"); got < tt.least || got > tt.most {
+			t.Errorf("%s: the mean is %s, want %s to %s", tt.name, got, tt.least, tt.most)
+		}
+		if got := w.correct("r", 500*time.Millisecond).Round(time.Millisecond); got < tt.correctedAtLeast || tt.least == tt.most && got != tt.most {
+			t.Errorf("%s: a wait of 500 ms is corrected to %s", tt.name, got)
+		}
+	}
+}
--- a/serverset/pick.go
+++ b/serverset/pick.go
@@ -30,6 +30,8 @@
 	modelled bool
 	// cold is how the choice of a cold server was made; nil for a warm one.
 	cold *ColdChoice
+	// trial is set for a request that tries an idle server whose earlier answers were late.
+	trial bool
 	// onEnd is called when the dispatch ends.
 	onEnd func()
 }
@@ -122,8 +124,9 @@
 	cost time.Duration
 	// forecast is that of the engine model; zero without one.
 	forecast wheelgauge.EngineForecast
-	// queued is set if the request would wait for a slot.
-	queued bool
+	// queued is set if the request would wait for a slot, idle if only earlier answers say how long
+	// it would wait.
+	queued, idle bool
 }
 
 // AddLatency returns the estimate with the latency of a link added.
@@ -150,6 +153,10 @@
 // Queued reports whether the request would wait for a slot at an engine.
 func (e Estimate) Queued() bool { return e.queued }
 
+// Idle reports whether, as far as is known, nothing is in progress at the server of a plain service:
+// what is expected of it comes from earlier answers alone. At an engine the prompt has its part in it.
+func (e Estimate) Idle() bool { return e.idle }
+
 // End returns the predicted time to the end of the answer, or to its first event if the end is not
 // known.
 func (e Estimate) End() time.Duration { return max(e.wait, e.forecast.Last) }
@@ -161,7 +168,7 @@
 	defer t.mu.Unlock()
 	now := t.now()
 	c := t.bestChoice(t.candidates(j, now), j, now, false)
-	return Estimate{wait: duration(c.wait), cost: duration(c.score), forecast: c.forecast, queued: c.load.NoSlot()}, c.server != nil
+	return Estimate{wait: duration(c.wait), cost: duration(c.score), forecast: c.forecast, queued: c.load.NoSlot(), idle: c.server != nil && c.server.inFlight() == 0 && !t.isEngine(c.server)}, c.server != nil
 }
 
 func duration(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
@@ -416,6 +423,14 @@
 	Abandoned
 )
 
+// Try records that the request tries an idle server, although its earlier answers were late. If the
+// answer is quicker than their average it replaces that.
+func (k *Pick) Try() {
+	k.table.mu.Lock()
+	defer k.table.mu.Unlock()
+	k.trial = true
+}
+
 // OnEnd sets a function that is called once when the dispatch ends.
 func (k *Pick) OnEnd(f func()) { k.onEnd = f }
 
@@ -445,6 +460,9 @@
 		s.failures.Add(false, now)
 		s.pause, s.unreachableUntil, s.lastReached = 0, time.Time{}, now
 		s.recordServiceTime(now.Sub(k.sentAt), k.loadBefore.running, t.isEngine(s))
+		if k.trial {
+			s.serviceTime = min(s.serviceTime, now.Sub(k.sentAt))
+		}
 		s.serviceTimeAt = now
 	case Failed:
 		s.noteAnswer(k)
