--- a/quarantine/trials_test.go
+++ b/quarantine/trials_test.go
@@ -72,6 +72,39 @@
 	}
 }
 
+func TestFirstHostOfATrialIsPersisted(t *testing.T) {
+	trialOf := func(host string, tried, cleared bool) []wheelgauge.Crash {
+		return []wheelgauge.Crash{{Fingerprint: "p", Server: trialName(1), Trial: host, Tried: tried, Cleared: cleared}}
+	}
+	var full []wheelgauge.Crash
+	for n := range maxCrashesPerRequest {
+		full = append(full, wheelgauge.Crash{Fingerprint: "p", Server: fmt.Sprint(n)})
+	}
+	underTrial := []wheelgauge.Crash{{Fingerprint: "p", Server: "s", Tried: true}}
+	tests := []struct {
+		name                     string
+		persisted, updates, want []wheelgauge.Crash
+	}{
+		{"the first", nil, trialOf("a", false, false), trialOf("a", false, false)},
+		{"another host", trialOf("a", false, false), trialOf("b", false, false), trialOf("a", false, false)},
+		{"it is sent", trialOf("a", false, false), trialOf("a", true, false), trialOf("a", true, false)},
+		{"another host says that it is sent", trialOf("a", false, false), trialOf("b", true, false), trialOf("a", false, false)},
+		{"an old report", trialOf("a", true, false), trialOf("a", false, false), trialOf("a", true, false)},
+		{"a good run", trialOf("a", true, false), trialOf("a", true, true), trialOf("a", true, true)},
+		{"sent after a good run", trialOf("a", false, true), trialOf("a", true, false), trialOf("a", false, true)},
+		{"beside as many crashes as are persisted", full, trialOf("a", false, false), append(slices.Clone(full), trialOf("a", false, false)...)},
+		{"a crash under it beside as many", full, underTrial, append(slices.Clone(full), underTrial...)},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			got, changed := MergePersisted(tt.persisted, tt.updates)
+			if !slices.Equal(got, tt.want) || changed == slices.Equal(tt.persisted, tt.want) {
+				t.Errorf("got %+v, changed %v, want %+v", got, changed, tt.want)
+			}
+		})
+	}
+}
+
 func TestReturnedTrialIsTakenAgain(t *testing.T) {
 	at := &clock{at: time.Unix(1000, 0)}
 	c, p := quarantinedCluster(t, at)
