--- a/confstore/crashes.go
+++ b/confstore/crashes.go
@@ -16,8 +16,8 @@
 	crashSyncInterval = 100 * time.Millisecond
 	// crashProposeTimeout bounds one attempt to persist them; the next check retries.
 	crashProposeTimeout = time.Second
-	// quarantineDuration is how long a request stays quarantined after this store first knew
-	// of it: a server release that no longer crashes on it is deployed within a day.
+	// quarantineDuration is how long a request that no trial releases stays quarantined after this
+	// store first knew of it: a server release that no longer crashes on it is deployed within a day.
 	// Afterwards it takes crashes of three more servers to quarantine it again.
 	quarantineDuration = 24 * time.Hour
 	// partQuarantineDuration is the same for a part of prompts: many requests may hold it, and one
