A forwarded request does not move to a gateway of the same servers

What callers saw: 32 of 122 forwarded requests of a home region got 502 while its only server was slow (TestRequestsAreNotEndedWhileTheirOnlyServerIsSilent). Cause: once the gateway there said that it reached no server, the request was ended and sent to the other gateway of the region, which waited for the same server and turned it back. Change: a request moves to another region only.

--- a/routegate/move.go
+++ b/routegate/move.go
@@ -9,8 +9,9 @@
 
 // move ends the exchange if the request can go on elsewhere without its caller seeing it, and
 // reports whether it does. The retry is taken before anything is ended.
-func (c *call) move(x *exchange) bool {
-	to := c.moveTarget(x.pick == nil)
+// region is where it is now.
+func (c *call) move(x *exchange, region string) bool {
+	to := c.moveTarget(region)
 	if to == "" || !c.gate.options.Budget.TryRetry(c.service) {
 		return false
 	}
@@ -25,25 +26,25 @@
 // that it reaches no server of the service, but not because it is silent.
 func (c *call) recordForwarded(x *exchange, p *peerset.Peer) *reachability.Send {
 	return c.gate.options.Reach.Forwarded(func() bool {
-		return !c.gate.options.Peers.Reaches(p, c.service) && c.move(x)
+		return !c.gate.options.Peers.Reaches(p, c.service) && c.move(x, p.Region())
 	})
 }
 
 // moveTarget returns the region in which a request whose server or gateway is silent can go on
 // without its caller seeing it; empty if it has to wait on: it must be allowed to run again, with
-// time enough for its answer, in a region that takes it. The servers of this region are one only if
-// the request was sent to another.
-func (c *call) moveTarget(forwardedOn bool) string {
+// time enough for its answer, in another region than the one where it is, whose other gateways wait
+// for the same servers, and one that takes it.
+func (c *call) moveTarget(from string) string {
 	if !c.mayRunAgain() || c.expired() || c.splitter.Events() > 0 && c.splitter.LastID() == "" {
 		return ""
 	}
 	o := c.gate.options
-	if forwardedOn && !o.Reach.IsOutOfReach(c.service) {
+	if from != o.Region && !o.Reach.IsOutOfReach(c.service) {
 		if local, ok := c.predictLocal(); ok && c.fits(c.correctedWait(local), 0) && local.EndsWithin(c.timeLeft()) {
 			return o.Region
 		}
 	}
-	region, remote := c.bestRegion(o.Peers.Regions, c.mayMoveTo)
+	region, remote := c.bestRegion(o.Peers.Regions, func(region string) bool { return region != from && c.mayMoveTo(region) })
 	latency := o.Peers.RoundTrip(region)
 	if region == "" || !c.fits(remote.Wait(), latency) || !remote.EndsWithin(c.timeLeft()) || !o.Peers.CanTake(region, c.service, c.triedPeers) {
 		return ""
--- a/routegate/move_test.go
+++ b/routegate/move_test.go
@@ -94,13 +94,27 @@
 			if h != far {
 				knowRegion(g, h, 1)
 			}
-			if got := c.moveTarget(false); got != tt.want {
+			if got := c.moveTarget("here"); got != tt.want {
 				t.Errorf("it moves to %q, want %q", got, tt.want)
 			}
 		})
 	}
 }
 
+func TestForwardedRequestDoesNotMoveToAGatewayOfTheSameServers(t *testing.T) {
+	g, _ := newGate(t, routes())
+	r := wheelgauge.PathRoute{Name: "r", Kind: wheelgauge.RouteRepeatable, Timeout: time.Minute, MaxAttempts: 2}
+	c := &call{gate: g, route: &r, request: &callerhttp.Request{}, service: "s", started: time.Now(), deadline: time.Now().Add(time.Minute), sends: 1, runs: 1, triedPeers: []string{"f"}}
+	g.options.Peers.UpdateHosts([]wheelgauge.FleetHost{{Name: "f", Region: "far", PeerAddress: "127.0.0.1:1", Ready: true, OutOfReach: "s"}, {Name: "f2", Region: "far", PeerAddress: "127.0.0.1:2", Ready: true}}, nil)
+	g.options.Peers.SetLoads([]wheelgauge.RegionUsage{{Region: "far", Services: []wheelgauge.ServiceUsage{{Service: "s", Servers: 1, Slots: 4}}}})
+	g.options.Peers.ObserveRoundTrip("far", time.Millisecond)
+	for _, tt := range []struct{ from, want string }{{"far", ""}, {"elsewhere", "far"}} {
+		if got := c.moveTarget(tt.from); got != tt.want {
+			t.Errorf("from %s it moves to %q, want %q", tt.from, got, tt.want)
+		}
+	}
+}
+
 // silentBackend reads requests, and answers none before it is told to.
 type silentBackend struct {
 	backend
--- a/routegate/reach.go
+++ b/routegate/reach.go
@@ -29,7 +29,7 @@
 // recordSent records that the request is sent to a server.
 func (c *call) recordSent(x *exchange) *reachability.Send {
 	o := c.gate.options
-	return o.Reach.Sent(c.service, x.pick.Server().InstanceKey(), o.Servers.ListedServers(c.service), c.expectedFirst(x.pick), func() bool { return c.move(x) })
+	return o.Reach.Sent(c.service, x.pick.Server().InstanceKey(), o.Servers.ListedServers(c.service), c.expectedFirst(x.pick), func() bool { return c.move(x, o.Region) })
 }
 
 // expectedFirst returns when the first bytes of an answer are expected: of one that is not a stream,
