--- a/originclient/client.go
+++ b/originclient/client.go
@@ -237,6 +237,7 @@
 	case answer.Sole != nil && !answer.Several:
 		return wheelgauge.StreamOrigin{Key: q.Key, Service: q.Service, Version: *answer.Sole}, true, false
 	}
+	c.options.Log.Info("It is not known what began a stream.", "stream", q.Key, "service", q.Service, "stores_region", len(near), "stores_elsewhere", len(far), "several", answer.Several, "outdated", answer.Outdated)
 	return o, false, answer.Several || answer.Outdated
 }
 
