--- a/callerhttp/conn.go
+++ b/callerhttp/conn.go
@@ -103,15 +103,9 @@
 // write writes to the caller until a time that may change meanwhile. A caller that left gets what it
 // takes at once.
 func (k *conn) write(p []byte, until func() time.Time) error {
-	end := until()
-	if left := k.callerLeft.Load(); left {
-		end = time.Now().Add(disconnectScanInterval)
-	} else {
-		k.setWriteUntil(until)
-		defer k.setWriteUntil(nil)
-	}
-	_ = k.net.SetWriteDeadline(end) // on a closed connection the write fails
+	k.startWrite(until)
 	_, err := k.net.Write(p)
+	k.endWrite()
 	if err != nil && k.callerLeft.Load() {
 		err = ErrCallerLeft
 	}
@@ -121,19 +115,30 @@
 	return nil
 }
 
-func (k *conn) setWriteUntil(until func() time.Time) {
+func (k *conn) startWrite(until func() time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	end := until()
+	if k.callerLeft.Load() {
+		end = time.Now().Add(disconnectScanInterval)
+	} else {
+		k.writeUntil = until
+	}
+	_ = k.net.SetWriteDeadline(end) // on a closed connection the write fails
+}
+
+func (k *conn) endWrite() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.writeUntil = until
+	k.writeUntil = nil
 }
 
 // endOverdueWrite ends a write whose caller left or whose time is over, though its deadline may
 // have been set for later.
 func (k *conn) endOverdueWrite() {
 	k.mu.Lock()
-	until := k.writeUntil
-	k.mu.Unlock()
-	if until != nil && (k.callerLeft.Load() || !time.Now().Before(until())) {
+	defer k.mu.Unlock()
+	if k.writeUntil != nil && (k.callerLeft.Load() || !time.Now().Before(k.writeUntil())) {
 		_ = k.net.SetWriteDeadline(time.Unix(1, 0)) // fails only on a closed connection
 	}
 }
@@ -166,7 +171,9 @@
 			return
 		}
 		k.dropping.Store(false)
-		k.endRequest()
+		if k.in.Buffered() == 0 { // else a byte of the next request was read
+			k.endRequest()
+		}
 	}
 }
 
@@ -201,13 +208,14 @@
 func (k *conn) readHead(r *Request) bool {
 	limits := k.server.options.Limits()
 	k.setReadTimeout(limits.IdleTimeout)
-	if !k.begin() {
-		return false // it was evicted for another connection
-	}
-	if _, err := k.in.Peek(1); err != nil {
+	// Not a byte is read before the connection counts as busy.
+	if k.in.Buffered() == 0 && connpeek.Await(k.net) != nil {
 		return false // closed or timed out between requests
 	}
-	if !k.startRequest() {
+	if !k.startRequest() || !k.server.shares.begin(k) {
+		return false // the server closes, or it was evicted for another connection
+	}
+	if _, err := k.in.Peek(1); err != nil {
 		return false
 	}
 	r.arrived = time.Now()
@@ -223,21 +231,6 @@
 	return true
 }
 
-// begin waits for a request where connections are shared, and records it before a byte of it is
-// read. It returns false if the connection must be closed.
-func (k *conn) begin() bool {
-	shares := &k.server.shares
-	if !shares.enabled() {
-		return true
-	}
-	if k.in.Buffered() == 0 {
-		if connpeek.Await(k.net) != nil {
-			return false
-		}
-	}
-	return shares.begin(k)
-}
-
 // arriving reports whether the caller of an idle connection has sent bytes of a request, none of
 // which is read yet.
 func (k *conn) arriving() bool {
--- a/callerhttp/shares.go
+++ b/callerhttp/shares.go
@@ -57,9 +57,6 @@
 	return s.with(func(t *connshare.Table[*conn]) bool { return t.Short() }, false)
 }
 
-// enabled reports whether connections are shared.
-func (s *shares) enabled() bool { return s.table != nil }
-
 // evict returns the connection to close; ok is false if there is none.
 func (s *shares) evict() (k *conn, ok bool) {
 	ok = s.with(func(t *connshare.Table[*conn]) (found bool) { k, found = t.Evict((*conn).arriving); return found }, false)
--- a/reachability/silence.go
+++ b/reachability/silence.go
@@ -171,7 +171,7 @@
 func (r *Send) moveSilent() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.move == nil || !r.stillWaits() || !r.move() {
+	if r.move == nil || !r.stillSilent() || !r.move() {
 		return false
 	}
 	r.tracker.mu.Lock()
@@ -181,10 +181,18 @@
 	return true
 }
 
-func (r *Send) stillWaits() bool {
-	r.tracker.mu.Lock()
-	defer r.tracker.mu.Unlock()
-	return r.waiting
+// stillSilent reports whether nothing has come since the request was found silent, of its server nor
+// of another one of the service.
+func (r *Send) stillSilent() bool {
+	t := r.tracker
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return r.isSilent(t.observed) && (r.service == nil || r.service.unconfirmed(t.now()))
+}
+
+// isSilent reports whether the server has sent nothing for longer than expected. The lock is held.
+func (r *Send) isSilent(observed time.Duration) bool {
+	return r.waiting && observed-r.since >= r.timeout
 }
 
 // MayHang reports whether a request that can go nowhere else may go to a server of a service that is
@@ -201,7 +209,7 @@
 func silentOf(sends map[*Send]struct{}, observed time.Duration) []*Send {
 	var out []*Send
 	for r := range sends {
-		if r.waiting && observed-r.since >= r.timeout {
+		if r.isSilent(observed) {
 			out = append(out, r)
 		}
 	}
--- a/reachability/tracker_test.go
+++ b/reachability/tracker_test.go
@@ -366,3 +366,35 @@
 		}
 	}
 }
+
+func TestRequestsWhoseServersSendMeanwhileDoNotMove(t *testing.T) {
+	at := time.Unix(1000, 0)
+	tr := New(func() time.Time { return at })
+	tr.MoveSilent()
+	var sends []*Send
+	moved := 0
+	for _, server := range []string{"a", "b", "c", "d"} {
+		sends = append(sends, tr.Sent("lm", server, 4, time.Millisecond, func() bool {
+			if moved++; moved > 1 {
+				return true
+			}
+			for _, r := range sends { // while the first request is decided about
+				go func() {
+					r.Received()
+					r.Await()
+				}()
+			}
+			for tr.IsOutOfReach("lm") {
+				time.Sleep(time.Millisecond)
+			}
+			return true
+		}))
+	}
+	for range 9 {
+		at = at.Add(250 * time.Millisecond)
+		tr.MoveSilent()
+	}
+	if moved != 1 {
+		t.Errorf("%d requests moved, want the one that was decided about before the servers sent bytes", moved)
+	}
+}
--- a/routegate/call.go
+++ b/routegate/call.go
@@ -175,9 +175,9 @@
 			c.gate.options.Budget.RecordFirst(c.service)
 		}
 		firstDispatch = false
-		runsBefore := c.runs
+		runsBefore, sendsBefore := c.runs, c.sends
 		res := c.dispatch(ctx)
-		if c.runs > runsBefore {
+		if c.runs > runsBefore && !c.retryTaken {
 			c.capUnits = 0 // a server may have run it
 		}
 		switch res {
@@ -189,7 +189,8 @@
 			if ctx.Err() != nil || c.expired() {
 				continue
 			}
-			if c.sends >= maxSends || c.sends > 0 && !c.gate.options.Budget.TryRetry(c.service) {
+			unsent := c.moved && c.sends == sendsBefore // the retry taken for its move is not used
+			if c.sends >= maxSends || c.sends > 0 && !unsent && !c.gate.options.Budget.TryRetry(c.service) {
 				c.fail("servers refuse", "no backend server took the request")
 				return
 			}
--- a/routegate/dispatch.go
+++ b/routegate/dispatch.go
@@ -115,6 +115,8 @@
 			c.recordReached()
 		} else if !x.moved.Load() {
 			c.recordUnreached(ctx, s)
+		} else {
+			c.triedServers = c.triedServers[:len(c.triedServers)-1] // it may go back if nobody takes it
 		}
 		// The true wait is longer still; the next predictions have to account for it.
 		x.recordWait(true)
@@ -247,6 +249,8 @@
 		c.sends++
 		if !x.moved.Load() {
 			c.peerFailed(p, err)
+		} else {
+			c.triedPeers = c.triedPeers[:len(c.triedPeers)-1] // it may go back if nobody takes it
 		}
 		c.recordForwardEnd(ctx, p, true)
 		return failed
--- a/routegate/gate_test.go
+++ b/routegate/gate_test.go
@@ -389,7 +389,7 @@
 	g.durations.observe("safe", time.Millisecond)
 	g.ShutDownBy(time.Now().Add(5 * time.Second))
 	leaving := g.leaving.Load()
-	if g.mayOutlastProcess("stream", testLimit, 0, false) {
+	if g.mayOutlastProcess("stream", testLimit, 0, true) {
 		t.Error("a request that usually completes in time is refused while callers cannot know of the shutdown")
 	}
 	leaving.announcedAt = leaving.announcedAt.Add(-leavePropagation)
@@ -415,11 +415,15 @@
 	if resp, body, err := get(t, c, "/stream/", ""); err != nil || resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get(wheelgauge.HeaderOutcome) != string(wheelgauge.OutcomeNotRun) {
 		t.Errorf("got %v %s, %v, want 503 not-run", resp, body, err)
 	}
-	if resp, _, err := get(t, c, "/safe/", "Wheelgauge-Deadline-Ms: 4000\r\n"); err != nil || resp.StatusCode != http.StatusOK {
-		t.Errorf("a request of a short limit got %v, %v, want 200", resp, err)
+	g.durations.observe("once", time.Millisecond)
+	g.durations.observe("safe", time.Millisecond)
+	for path, headers := range map[string]string{"/once/": "Wheelgauge-Deadline-Ms: 4000\r\n", "/safe/": ""} {
+		if resp, _, err := get(t, c, path, headers); err != nil || resp.StatusCode != http.StatusOK {
+			t.Errorf("a request to %s of a short limit, or that may be repeated, got %v, %v, want 200", path, resp, err)
+		}
 	}
-	if n := len(b.received()); n != 1 {
-		t.Errorf("%d requests reached a server, want the one of a short limit", n)
+	if n := len(b.received()); n != 2 {
+		t.Errorf("%d requests reached a server, want 2", n)
 	}
 }
 
--- a/routegate/leaving.go
+++ b/routegate/leaving.go
@@ -83,24 +83,29 @@
 }
 
 // mayOutlastProcess reports whether a request may not complete before the process exits; limit is
-// the time that it has left, latency the round trip to where it runs. What is accepted once callers
-// and other gateways can know of the shutdown has to end by its own limit: however long requests
-// took before, servers may fall silent.
-func (g *Gate) mayOutlastProcess(route string, limit, latency time.Duration, forwarded bool) bool {
+// the time that it has left, latency the round trip to where it runs, likely is set if it is enough
+// that it usually completes. All others have to end by their own limit: however long requests took
+// before, servers may fall silent.
+func (g *Gate) mayOutlastProcess(route string, limit, latency time.Duration, likely bool) bool {
 	leaving := g.leaving.Load()
 	if leaving == nil {
 		return false
 	}
-	now := g.options.Clock.Now()
-	if !forwarded && now.Sub(leaving.announcedAt) < leavePropagation {
+	if likely {
 		usual := time.Duration(leaveMeanFactor * float64(g.durations.get(route, limit).mean))
 		limit = min(limit, usual+latency)
 	}
-	return now.Add(limit).After(leaving.endsAt)
+	return g.exitsWithin(limit)
 }
 
 // mayOutlastProcess reports whether the request may not complete before the process exits if it
-// runs where a message takes some time for the round trip.
+// runs where a message takes some time for the round trip. One of a caller that cannot know yet that
+// the host leaves is likely to complete at least, as is one that the gateway which forwarded it can
+// repeat elsewhere.
 func (c *call) mayOutlastProcess(latency time.Duration) bool {
-	return c.gate.mayOutlastProcess(c.route.Name, time.Until(c.connDeadline()), latency, c.forwarded)
+	likely := c.gate.leavingFor() < leavePropagation
+	if c.forwarded {
+		likely = c.route.Repeatable()
+	}
+	return c.gate.mayOutlastProcess(c.route.Name, time.Until(c.connDeadline()), latency, likely)
 }
--- a/routegate/leaving_test.go
+++ b/routegate/leaving_test.go
@@ -64,7 +64,7 @@
 		if now < s.silentAt && s.silentAt < now+took {
 			took = min(s.timeout, took+s.silence)
 		}
-		if now >= 0 && g.mayOutlastProcess("r", s.timeout, 0, false) {
+		if now >= 0 && g.mayOutlastProcess("r", s.timeout, 0, now < leavePropagation) {
 			continue
 		}
 		if now > allowed {
--- a/routegate/move.go
+++ b/routegate/move.go
@@ -16,7 +16,7 @@
 		return false
 	}
 	c.retryTaken = true
-	c.moved = x.pick != nil
+	c.moved = c.moved || x.pick != nil
 	x.moved.Store(true)
 	x.conn.Abort()
 	return true
--- a/routegate/move_test.go
+++ b/routegate/move_test.go
@@ -115,6 +115,9 @@
 	}
 }
 
+// lastAnswer is a success that is the last of its connection.
+const lastAnswer = "HTTP/1.1 200 OK\r\n" + signatureHeader + "Connection: close\r\nContent-Length: 2\r\n\r\nok"
+
 // silentBackend reads requests, and answers none before it is told to.
 type silentBackend struct {
 	backend
@@ -140,7 +143,7 @@
 		}()
 		select {
 		case <-b.answer:
-			_, _ = c.Write([]byte(okAnswer))
+			_, _ = c.Write([]byte(lastAnswer))
 		case <-ended:
 			b.broken <- struct{}{}
 		}
@@ -285,3 +288,89 @@
 		t.Errorf("got %s after %d requests to the other region, want 200 after one", got, len(far.received()))
 	}
 }
+
+// awaitMoved advances the clock of a tracker until its silent requests have had time to move.
+func awaitMoved(g *Gate, clock *fakeTime) (moved int) {
+	for range 12 {
+		clock.advance(250 * time.Millisecond)
+		_, n := g.options.Reach.MoveSilent()
+		moved += n
+	}
+	return moved
+}
+
+func TestMovedRequestThatNoRegionTakesGoesBack(t *testing.T) {
+	const requests = 9
+	refusal := func(reason wheelgauge.Reason) string {
+		return fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\n%s: not-run\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", wheelgauge.HeaderOutcome, wheelgauge.HeaderReason, reason)
+	}
+	tests := []struct {
+		name    string
+		servers int
+		// answer of the gateway of the other region; it is gone if empty.
+		answer string
+		// repeats that the retry budget allows.
+		repeats float64
+		capped  bool
+	}{
+		{"the only server, gone", 1, "", 50, false},
+		{"the only server, no room", 1, refusal(wheelgauge.ReasonNoRoom), 50, false},
+		{"the only server, out of reach", 1, refusal(wheelgauge.ReasonOutOfReach), 50, false},
+		{"the only server, gone, few retries", 1, "", 10, false},
+		{"three servers, gone, few retries", 3, "", 10, false},
+		{"three servers, out of reach, few retries", 3, refusal(wheelgauge.ReasonOutOfReach), 10, false},
+		{"taken, at its cap", 1, okAnswer, 50, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var silent []*silentBackend
+			var list []*backend
+			for range tt.servers {
+				b := newSilentBackend(t)
+				silent, list = append(silent, b), append(list, &b.backend)
+			}
+			g, _ := newGate(t, routes(), list...)
+			headers := "Wheelgauge-Deadline-Ms: 8000\r\n"
+			if tt.capped {
+				withCaps(g, &fakeLimiter{remaining: requests})
+				headers += "Wheelgauge-Key: capped-key\r\n"
+			}
+			clock := &fakeTime{at: time.Unix(1000, 0)}
+			g.options.Reach = reachability.New(clock.now)
+			g.options.Budget = retrybudget.New(retrybudget.Options{Slack: tt.repeats, Window: time.Minute}, time.Now)
+			answers := make(chan int, requests)
+			for range requests {
+				c := serveGate(t, g)
+				go func() {
+					resp, _, err := get(t, c, "/safe/", headers)
+					if err != nil {
+						answers <- 0
+						return
+					}
+					answers <- resp.StatusCode
+				}()
+			}
+			for n := range requests {
+				<-silent[n%tt.servers].received
+			}
+			address := "127.0.0.1:1"
+			if tt.answer != "" {
+				far := newBackend(t)
+				far.fallback = tt.answer
+				address = far.conn.Addr().String()
+			}
+			knowRegion(g, wheelgauge.FleetHost{Name: "f", Region: "far", PeerAddress: address, Ready: true}, 1)
+			if moved := awaitMoved(g, clock); moved == 0 {
+				t.Error("no request moves")
+			}
+			for _, b := range silent {
+				b.answerAll()
+			}
+			for range requests {
+				if status := <-answers; status != http.StatusOK {
+					t.Errorf("a caller got %d, want 200", status)
+				}
+			}
+		})
+	}
+}
--- a/routegate/place.go
+++ b/routegate/place.go
@@ -61,7 +61,7 @@
 			return placement{peer: p}
 		}
 	}
-	if !ok {
+	if !ok && !(listed && c.mayHang()) {
 		return placement{}
 	}
 	k := c.gate.options.Servers.Choose(c.job())
@@ -80,7 +80,7 @@
 }
 
 // mayHang reports whether a request that can go nowhere else is sent to servers of the region that are
-// silent, as they may be slow. One that was moved and finds no place has nothing to lose.
+// silent, as they may be slow. One that was moved and that no other region takes goes back.
 func (c *call) mayHang() bool {
 	return c.moved || c.gate.options.Reach.MayHang(c.service, c.timeLeft())
 }
