--- a/routegate/call.go
+++ b/routegate/call.go
@@ -109,8 +109,8 @@
 	// moved is set once the request was moved away from silent servers of this region, retryTaken
 	// while a retry is taken from the budget for a move.
 	moved, retryTaken bool
-	// trial is set for a request that tries an idle server although it is expected to be late.
-	trial     bool
+	// idleProbe is set for a request that probes an idle server although it is expected to be late.
+	idleProbe bool
 	withheld  []string
 	creditFor string
 	sends     int
--- a/routegate/dispatch.go
+++ b/routegate/dispatch.go
@@ -341,8 +341,8 @@
 // came.
 func (x *exchange) recordWait(failed bool) {
 	waited := time.Since(x.sentAt)
-	if x.call.trial && !failed && isSuccess(x.head.StatusCode()) {
-		x.call.gate.waits.observeTrial(x.call.route.Name, x.pick.Wait(), waited)
+	if x.call.idleProbe && !failed && isSuccess(x.head.StatusCode()) {
+		x.call.gate.waits.observeProbe(x.call.route.Name, x.pick.Wait(), waited)
 	} else {
 		x.call.gate.waits.observe(x.call.route.Name, x.pick.Wait(), waited)
 	}
--- a/routegate/place.go
+++ b/routegate/place.go
@@ -39,8 +39,8 @@
 		chosen, wait = remote, remote.Wait()
 		late = c.tooLate(wait) || c.heldBack(remote)
 	}
-	c.trial = ok && late && c.mayTry(local)
-	if c.trial {
+	c.idleProbe = ok && late && c.mayProbeIdle(local)
+	if c.idleProbe {
 		chosen, forward, late = local, false, false
 	}
 	switch {
@@ -65,17 +65,17 @@
 		return placement{}
 	}
 	k := c.gate.options.Servers.Choose(c.job())
-	if c.trial && k != nil {
-		k.Try()
+	if c.idleProbe && k != nil {
+		k.MarkProbe()
 	}
 	return placement{pick: k}
 }
 
-// mayTry reports whether a request that is expected to be late is sent all the same: nothing is in
+// mayProbeIdle reports whether a request that is expected to be late is sent all the same: nothing is in
 // progress at its server, so only earlier answers say that it is late, and refusing all would leave
 // them the last word. Its time must suffice if the server is as slow as before. An engine model looks at
 // what runs instead.
-func (c *call) mayTry(local serverset.Estimate) bool {
+func (c *call) mayProbeIdle(local serverset.Estimate) bool {
 	return local.Idle() && !c.forwarded && c.sends == 0 && c.runs == 0 && !c.modelled() && !c.waitedTooLong(0) && local.Wait() < c.timeLeft()
 }
 
--- a/routegate/waitstats.go
+++ b/routegate/waitstats.go
@@ -80,9 +80,9 @@
 	w.routes[route] = &m
 }
 
-// observeTrial records the wait of a request that was tried although the means refuse its route. If it
+// observeProbe records the wait of a request that was sent although the means refuse its route. If it
 // is shorter than they say it replaces them: the others waited for something that is over.
-func (w *waitStats) observeTrial(route string, predicted, observed time.Duration) {
+func (w *waitStats) observeProbe(route string, predicted, observed time.Duration) {
 	w.observe(route, predicted, observed)
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/routegate/waitstats_test.go
+++ b/routegate/waitstats_test.go
@@ -93,7 +93,7 @@
 		for range 200 {
 			w.observe("r", 500*time.Millisecond, 4*time.Second)
 		}
-		w.observeTrial("r", 500*time.Millisecond, tt.waited)
+		w.observeProbe("r", 500*time.Millisecond, tt.waited)
 		if got := w.mean("r"); got < tt.least || got > tt.most {
 			t.Errorf("%s: the mean is %s, want %s to %s", tt.name, got, tt.least, tt.most)
 		}
--- a/serverset/pick.go
+++ b/serverset/pick.go
@@ -32,8 +32,8 @@
 	modelled bool
 	// cold is how the choice of a cold server was made; nil for a warm one.
 	cold *ColdChoice
-	// trial is set for a request that tries an idle server whose earlier answers were late.
-	trial bool
+	// probe is set for a request that tries an idle server whose earlier answers were late.
+	probe bool
 	// onEnd is called when the dispatch ends.
 	onEnd func()
 }
@@ -433,12 +433,12 @@
 	Abandoned
 )
 
-// Try records that the request tries an idle server, although its earlier answers were late. If the
+// MarkProbe records that the request tries an idle server, although its earlier answers were late. If the
 // answer is quicker than their average it replaces that.
-func (k *Pick) Try() {
+func (k *Pick) MarkProbe() {
 	k.table.mu.Lock()
 	defer k.table.mu.Unlock()
-	k.trial = true
+	k.probe = true
 }
 
 // OnEnd sets a function that is called once when the dispatch ends.
@@ -471,7 +471,7 @@
 		s.pause, s.unreachableUntil, s.lastReached = 0, time.Time{}, now
 		took := max(0, now.Sub(k.sentAt)-k.heldUp)
 		s.recordServiceTime(took, k.loadBefore.running, t.isEngine(s))
-		if k.trial {
+		if k.probe {
 			s.serviceTime = min(s.serviceTime, took)
 		}
 		s.serviceTimeAt = now
