Read once more: one measure of writing time, one clock for tests, one test of popular requests

- The time spent writing to a caller was summed twice for each event of a stream, in the pace and in the exchange; the pace now holds it for every answer.
- The connection's descriptor was looked up twice an exchange to set the user timeout, by two functions of one name; it is looked up once a connection.
- Popular requests with a large body had a copy of the test of those without: one test plays both sizes, and the later crash for both.

--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -308,35 +308,37 @@
 	t.Logf("distribution of servers crashed by each request: %v", counts)
 }
 
-// A request that many callers repeat verbatim, without a body, is in flight at three servers
+// A request that many callers repeat verbatim, of any size, is in flight at three servers
 // that crash for other reasons, each used by another host, and runs to a good end at a fourth
 // host. No host quarantines it for longer than reports take to and from that fourth host.
 // Without the memory of good runs it stayed in quarantine forever, because no host ran it any
 // more.
 func TestPopularRequestIsNotQuarantined(t *testing.T) {
-	c := newCluster(1, 4, 3)
-	popular := wheelgauge.Crash{Fingerprint: "popular"}
-	c.hosts[3].recordRun(popular)
-	for n := range 3 {
+	for _, size := range []int{0, 100 << 10} {
+		c := newCluster(1, 4, 3)
+		popular := wheelgauge.Crash{Fingerprint: "popular", BodyBytes: size}
+		c.hosts[3].recordRun(popular)
+		for n := range 3 {
+			crash := popular
+			crash.Server = fmt.Sprint(n)
+			c.hosts[n].RecordCrash(crash)
+		}
+		for range 3 {
+			c.round(1, true)
+		}
+		for h, host := range c.hosts {
+			if host.quarantines(popular) {
+				t.Errorf("host %d has quarantined the popular request of %d bytes", h, size)
+			}
+		}
 		crash := popular
-		crash.Server = fmt.Sprint(n)
-		c.hosts[n].RecordCrash(crash)
-	}
-	for range 3 {
+		crash.Server = "3"
+		c.hosts[0].RecordCrash(crash)
 		c.round(1, true)
-	}
-	for h, host := range c.hosts {
-		if host.quarantines(popular) {
-			t.Errorf("host %d has quarantined the popular request", h)
+		if c.hosts[1].quarantines(popular) {
+			t.Errorf("popular request of %d bytes is quarantined after another crash", size)
 		}
 	}
-	crash := popular
-	crash.Server = "3"
-	c.hosts[0].RecordCrash(crash)
-	c.round(1, true)
-	if c.hosts[1].quarantines(popular) {
-		t.Error("popular request is quarantined after another crash")
-	}
 }
 
 func TestGoodRequestsExpire(t *testing.T) {
--- a/quarantine/trials_test.go
+++ b/quarantine/trials_test.go
@@ -197,27 +197,6 @@
 	}
 }
 
-// A request with a large body that many callers repeat verbatim is in flight at three servers that
-// crash for other reasons, each used by another host, and runs to a good end at a fourth host.
-func TestPopularLargeRequestIsNotQuarantined(t *testing.T) {
-	c := newCluster(1, 4, 3)
-	popular := wheelgauge.Crash{Fingerprint: "popular", BodyBytes: 100 << 10}
-	c.hosts[3].recordRun(popular)
-	for n := range 3 {
-		crash := popular
-		crash.Server = fmt.Sprint(n)
-		c.hosts[n].RecordCrash(crash)
-	}
-	for range 3 {
-		c.round(1, true)
-	}
-	for h, host := range c.hosts {
-		if host.quarantines(popular) {
-			t.Errorf("host %d has quarantined the popular request", h)
-		}
-	}
-}
-
 func TestLargeRequestThatBeginsToCrashIsQuarantined(t *testing.T) {
 	at := &clock{at: time.Unix(1000, 0)}
 	table := New(at.now)
--- a/routegate/dispatch.go
+++ b/routegate/dispatch.go
@@ -52,10 +52,8 @@
 	// outputAt is when the output of the server last counted as proof of the prompt's parts, its first
 	// event before that.
 	outputAt time.Time
-	// pace is how the events of a stream arrived.
+	// pace is how the events of a stream arrived, and how long the caller held any answer up.
 	pace streamPace
-	// heldUp is how long writing to the caller took in all.
-	heldUp time.Duration
 }
 
 // sendToServer dispatches to a server of the region.
@@ -193,7 +191,7 @@
 		}
 	}
 	res := c.relay(ctx, x)
-	k.HeldUp(x.heldUp)
+	k.HeldUp(x.pace.writing)
 	switch {
 	case res == answered && !c.endedBy.unrelatedToServer():
 		switch {
--- a/routegate/late_test.go
+++ b/routegate/late_test.go
@@ -7,6 +7,7 @@
 
 	"wheelgauge"
 	"wheelgauge/callerhttp"
+	"wheelgauge/fake/manualclock"
 	"wheelgauge/fake/suspendclock"
 	"wheelgauge/forwardcredits"
 	"wheelgauge/prompt"
@@ -137,11 +138,11 @@
 // A server that was slow for some seconds stayed idle for many more, as each request was refused as
 // late by what its earlier ones had waited.
 func TestIdleServerIsTriedAgain(t *testing.T) {
-	clock := &fakeTime{at: time.Unix(1000, 0)}
+	clock := manualclock.New()
 	serveSlowly := func(g *Gate, took time.Duration) {
 		for range 100 {
 			k := g.options.Servers.Choose(serverset.NewJob("s", prompt.Prompt{}, 0, nil))
-			clock.advance(took)
+			clock.Advance(took)
 			k.Done(serverset.Served)
 		}
 	}
@@ -170,8 +171,8 @@
 			for range 200 {
 				g.waits.observe("once", time.Millisecond, 10*time.Minute)
 			}
-			servers := serverset.New(serverset.Place{Host: "g", Hall: "h", Peers: []string{"g"}}, func(string) *wheelgauge.Service { return &wheelgauge.Service{Name: "s", MaxConns: 100} }, clock.now)
-			servers.Update([]wheelgauge.Server{{Instance: "i0", Service: "s", Address: b.conn.Addr().String(), Hall: "h", Slots: 4}}, nil, clock.now())
+			servers := serverset.New(serverset.Place{Host: "g", Hall: "h", Peers: []string{"g"}}, func(string) *wheelgauge.Service { return &wheelgauge.Service{Name: "s", MaxConns: 100} }, clock.Now)
+			servers.Update([]wheelgauge.Server{{Instance: "i0", Service: "s", Address: b.conn.Addr().String(), Hall: "h", Slots: 4}}, nil, clock.Now())
 			t.Cleanup(servers.Close)
 			g.options.Servers = servers
 			serveSlowly(g, 5*time.Second)
--- a/routegate/move_test.go
+++ b/routegate/move_test.go
@@ -11,6 +11,7 @@
 
 	"wheelgauge"
 	"wheelgauge/callerhttp"
+	"wheelgauge/fake/manualclock"
 	"wheelgauge/quarantine"
 	"wheelgauge/reachability"
 	"wheelgauge/retrybudget"
@@ -155,24 +156,6 @@
 // answerAll answers all requests from now on.
 func (b *silentBackend) answerAll() { b.once.Do(func() { close(b.answer) }) }
 
-// fakeTime is a clock that a test moves.
-type fakeTime struct {
-	mu sync.Mutex
-	at time.Time
-}
-
-func (f *fakeTime) now() time.Time {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.at
-}
-
-func (f *fakeTime) advance(d time.Duration) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.at = f.at.Add(d)
-}
-
 // The only server of a region that is slow looks like one that is cut off: its requests were ended
 // with 502 while it worked, and all others refused.
 func TestSlowServersRequestsAreNotEnded(t *testing.T) {
@@ -191,8 +174,8 @@
 		t.Run(tt.name, func(t *testing.T) {
 			b, far := newSilentBackend(t), newBackend(t)
 			g, _ := newGate(t, routes(), &b.backend)
-			clock := &fakeTime{at: time.Unix(1000, 0)}
-			g.options.Reach = reachability.New(clock.now)
+			clock := manualclock.New()
+			g.options.Reach = reachability.New(clock.Now)
 			g.options.Budget = retrybudget.New(retrybudget.Options{Slack: tt.budget, Window: time.Minute}, time.Now)
 			ask := func() chan int {
 				status := make(chan int, 1)
@@ -217,13 +200,13 @@
 				knowRegion(g, wheelgauge.FleetHost{Name: "f", Region: "far", PeerAddress: far.conn.Addr().String()}, 1)
 			}
 			for range 12 {
-				clock.advance(250 * time.Millisecond)
+				clock.Advance(250 * time.Millisecond)
 				g.MoveSilent()
 			}
 			if !g.options.Reach.IsOutOfReach("s") {
 				t.Error("the service is within reach for new requests")
 			}
-			clock.advance(time.Millisecond)
+			clock.Advance(time.Millisecond)
 			g.options.Reach.MayTry("s") // another probe is under way
 			another := ask()
 			if !tt.far {
@@ -255,8 +238,8 @@
 func TestForwardedRequestMovesWhenItsGatewayReachesNoServer(t *testing.T) {
 	near, far := newSilentBackend(t), newBackend(t)
 	g, c := newGate(t, routes())
-	clock := &fakeTime{at: time.Unix(1000, 0)}
-	g.options.Reach = reachability.New(clock.now)
+	clock := manualclock.New()
+	g.options.Reach = reachability.New(clock.Now)
 	hosts := []wheelgauge.FleetHost{{Name: "n", Region: "near", PeerAddress: near.conn.Addr().String(), Ready: true}, {Name: "f", Region: "far", PeerAddress: far.conn.Addr().String(), Ready: true}}
 	usage := wheelgauge.ServiceUsage{Service: "s", Servers: 1, Slots: 4}
 	peers := g.options.Peers
@@ -271,7 +254,7 @@
 	<-near.received
 	move := func() {
 		for range 12 {
-			clock.advance(250 * time.Millisecond)
+			clock.Advance(250 * time.Millisecond)
 			g.MoveSilent()
 		}
 	}
@@ -290,9 +273,9 @@
 }
 
 // awaitMoved advances the clock of a tracker until its silent requests have had time to move.
-func awaitMoved(g *Gate, clock *fakeTime) (moved int) {
+func awaitMoved(g *Gate, clock *manualclock.Clock) (moved int) {
 	for range 12 {
-		clock.advance(250 * time.Millisecond)
+		clock.Advance(250 * time.Millisecond)
 		_, n := g.options.Reach.MoveSilent()
 		moved += n
 	}
@@ -335,8 +318,8 @@
 				withCaps(g, &fakeLimiter{remaining: requests})
 				headers += "Wheelgauge-Key: capped-key\r\n"
 			}
-			clock := &fakeTime{at: time.Unix(1000, 0)}
-			g.options.Reach = reachability.New(clock.now)
+			clock := manualclock.New()
+			g.options.Reach = reachability.New(clock.Now)
 			g.options.Budget = retrybudget.New(retrybudget.Options{Slack: tt.repeats, Window: time.Minute}, time.Now)
 			answers := make(chan int, requests)
 			for range requests {
--- a/routegate/pace.go
+++ b/routegate/pace.go
@@ -6,7 +6,8 @@
 // slowly says nothing of the server's pace.
 const maxWriting = 50 * time.Millisecond
 
-// streamPace is how the events of one exchange arrived.
+// streamPace is how the events of one exchange arrived. writing is how long writing to the caller took
+// in all, also of an answer that is no stream.
 type streamPace struct {
 	last    time.Time
 	pause   time.Duration
@@ -21,7 +22,7 @@
 	p.last = now
 }
 
-// written records that they were passed on to the caller.
+// written records that a part of the answer was passed on to the caller.
 func (p *streamPace) written(from, now time.Time) {
 	p.writing += now.Sub(from)
 	p.last = now
--- a/routegate/relay.go
+++ b/routegate/relay.go
@@ -163,16 +163,14 @@
 	c.lastEventAt = now
 	x.pace.arrived(now)
 	x.recordOutput(now)
-	err := x.write(complete)
-	x.pace.written(now, time.Now())
-	return err
+	return x.write(complete)
 }
 
 // write passes a part of the answer on to the caller.
 func (x *exchange) write(p []byte) error {
 	began := time.Now()
 	_, err := x.call.request.Write(p)
-	x.heldUp += time.Since(began)
+	x.pace.written(began, time.Now())
 	return err
 }
 
--- a/routegate/version.go
+++ b/routegate/version.go
@@ -67,7 +67,7 @@
 		a.RolloutNumber, a.Target, a.Fresh = number, version == c.sentVersion, k.NewOrCold()
 	}
 	if events := c.splitter.Events() - x.eventsBefore; events > 1 && c.route.Kind == wheelgauge.RouteStream {
-		a.EventInterval = max(0, c.lastEventAt.Sub(x.sentAt)-x.firstAfter-x.heldUp) / time.Duration(events-1)
+		a.EventInterval = max(0, c.lastEventAt.Sub(x.sentAt)-x.firstAfter-x.pace.writing) / time.Duration(events-1)
 	}
 	c.gate.options.Tally.Add(a)
 }
--- a/routehistory/history.go
+++ b/routehistory/history.go
@@ -63,7 +63,8 @@
 func (h *History) SoleService(host, path string, returnTime time.Duration) (service string, period time.Duration, ok, complete bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	now, until := h.now(), h.now()
+	now := h.now()
+	until := now
 	for i := len(h.entries) - 1; i >= 0; i-- {
 		e := h.entries[i]
 		r := e.table.Match(host, path)
--- a/serverconn/conn.go
+++ b/serverconn/conn.go
@@ -94,7 +94,8 @@
 // Aborted reports whether Abort was called.
 func (c *Conn) Aborted() bool { return c.aborted.Load() }
 
-// Send writes a request, and watches the connection until it is put back. A request above maxInlineBytes is written while the response is read.
+// Send writes a request, and watches the connection until it is put back. A request above
+// maxInlineBytes is written while the response is read.
 func (c *Conn) Send(head, body []byte, deadline time.Time) error {
 	if err := c.net.SetDeadline(deadline); err != nil {
 		return fmt.Errorf("send: %w", err)
--- a/serverconn/exchangewatch.go
+++ b/serverconn/exchangewatch.go
@@ -21,7 +21,9 @@
 // the kernel tells the state of a connection, its own user timeout holds between exchanges only: it
 // would also end one whose other side reads slowly, at once if an earlier window was closed as well.
 type exchangeWatch struct {
-	net   net.Conn
+	net net.Conn
+	// raw is nil unless told is set.
+	raw   syscall.RawConn
 	limit time.Duration
 	mu    sync.Mutex
 	acks  ackwatch.Watch
@@ -32,7 +34,14 @@
 }
 
 func newExchangeWatch(c net.Conn, limit time.Duration) exchangeWatch {
-	return exchangeWatch{net: c, limit: limit, acks: ackwatch.New(limit), told: ackwatch.IsTold(c)}
+	var raw syscall.RawConn
+	told := false
+	if s, ok := c.(syscall.Conn); ok && ackwatch.IsTold(c) {
+		var err error
+		raw, err = s.SyscallConn()
+		told = err == nil
+	}
+	return exchangeWatch{net: c, raw: raw, limit: limit, acks: ackwatch.New(limit), told: told}
 }
 
 func (w *exchangeWatch) start() {
@@ -65,9 +74,7 @@
 // setUserTimeout sets how long the kernel waits for acknowledgements, 0 for as long as it likes. The
 // lock must be held.
 func (w *exchangeWatch) setUserTimeout(limit time.Duration) {
-	if c, ok := w.net.(syscall.Conn); ok {
-		_ = setUserTimeout(c, limit) // fails only on a closed connection
-	}
+	_ = control(w.raw, func(fd int) error { return setUserTimeout(fd, limit) }) // fails only on a closed connection
 }
 
 func (w *exchangeWatch) look() {
@@ -93,14 +100,8 @@
 }
 
 // setUserTimeout bounds how long the kernel waits for acknowledgements.
-func setUserTimeout(c syscall.Conn, limit time.Duration) error {
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return err
-	}
-	return control(raw, func(fd int) error {
-		return unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(limit.Milliseconds()))
-	})
+func setUserTimeout(fd int, limit time.Duration) error {
+	return unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(limit.Milliseconds()))
 }
 
 // control calls f with the file descriptor of a connection.
@@ -117,7 +118,7 @@
 	return func(_, _ string, raw syscall.RawConn) error {
 		return control(raw, func(fd int) error {
 			_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_RTO_MAX_MS, int(maxProbeInterval.Milliseconds()))
-			return unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+			return setUserTimeout(fd, userTimeout)
 		})
 	}
 }
