Logs tell by which version a request was judged, who told it, and by which it was admitted

A host went back to an older configuration, and the logs could not say how: the line of a lookup was not printed, and the line of a forwarded request did not name the version by which the first gateway had admitted it.

A forwarded request carries the version (Wheelgauge-Config-Version, between gateways only; a caller's is dropped). Request ends. has told_by and admitted_by; requests that are judged by another version than the one held or than the first gateway's are always logged. No decision changes. Tests of routegate and lookupclient pass.

--- a/entrynode/updates.go
+++ b/entrynode/updates.go
@@ -59,7 +59,7 @@
 	n.versions.SetRollouts(s.Rollouts)
 	n.HallOrders(s.HallOrders)
 	n.servers.SetDrained(s.DrainedHalls)
-	n.options.Log.Info("State is in force.", "generation", s.Generation, "version", s.Version, "drained", s.DrainedHalls, "hall_orders", s.HallOrders, "rollouts", s.Rollouts)
+	n.options.Log.Info("State is in force.", "generation", s.Generation, "version", s.Version, "held", current.Version(), "drained", s.DrainedHalls, "hall_orders", s.HallOrders, "rollouts", s.Rollouts)
 }
 
 // StateCurrent records that no store is known to hold a newer state.
--- a/lookup.go
+++ b/lookup.go
@@ -14,6 +14,8 @@
 
 // LookupResponse is a store's response to a LookupRequest.
 type LookupResponse struct {
+	// Store is the address of the store that answered.
+	Store string `json:"-"`
 	// Version is that of the store's configuration. Rows are its services, its limits and the
 	// routes of the host name, as of TableRoutes, if it is newer than the one held.
 	Version uint64     `json:"version,omitempty"`
--- a/lookupclient/client.go
+++ b/lookupclient/client.go
@@ -129,6 +129,7 @@
 		answered = true
 		if found = better(resp); found {
 			response = resp
+			response.Store = s.Address
 			break
 		}
 	}
--- a/message.go
+++ b/message.go
@@ -31,6 +31,9 @@
 	HeaderPriority   = "Wheelgauge-Priority"
 	// HeaderWorkspace names the workspace of a forwarded request.
 	HeaderWorkspace = "Wheelgauge-Workspace"
+	// HeaderConfigVersion is, in a forwarded request, the version of the configuration by which it
+	// was admitted.
+	HeaderConfigVersion = "Wheelgauge-Config-Version"
 	// HeaderTrial is "1" for a quarantined request that the forwarding gateway sends as a trial.
 	HeaderTrial = "Wheelgauge-Trial"
 	// HeaderSends reports to the forwarding gateway how many servers the request
--- a/routegate/call.go
+++ b/routegate/call.go
@@ -67,8 +67,13 @@
 	// suspendedBefore is how long the host had been suspended by then. See connDeadline.
 	deadline        time.Time
 	suspendedBefore time.Duration
-	version         uint64
-	splitter        eventstream.Splitter
+	// version is that of the configuration by which the request is judged, toldBy the store that
+	// told it if it is newer than the one held. admittedBy is the version by which the forwarding
+	// gateway admitted the request; 0 if it did not say.
+	version    uint64
+	toldBy     string
+	admittedBy uint64
+	splitter   eventstream.Splitter
 	// cachedFingerprint is set by the first call of fingerprint, cachedParts by that of
 	// partFingerprints.
 	cachedFingerprint wheelgauge.Fingerprint
@@ -334,10 +339,10 @@
 		inTime := ok && c.firstAfter <= c.route.LatencyObjective
 		g.options.Meter.CountWorkspace(c.workspace.Name, ok, inTime, c.status == http.StatusTooManyRequests, elapsed)
 	}
-	if ok && c.sends < 2 && c.partialBytes == 0 && g.successes.Add(1)%successLogInterval != 0 {
+	if ok && c.sends < 2 && c.partialBytes == 0 && !c.atOtherVersion() && g.successes.Add(1)%successLogInterval != 0 {
 		return
 	}
-	g.options.Log.Info("Request ends.", "id", c.id, "request", c.loggedFingerprint(), "route", name, "workspace", c.workspaceName(), "version", c.version,
+	g.options.Log.Info("Request ends.", "id", c.id, "request", c.loggedFingerprint(), "route", name, "workspace", c.workspaceName(), "version", c.version, "told_by", c.toldBy, "admitted_by", c.admittedBy,
 		"state_age_ms", g.configAge().Milliseconds(), "list_age_ms", g.options.Servers.ListAge().Milliseconds(), "status", c.status, "cause", c.cause, "ended_by", c.endedBy, "leaving_ms", g.leavingFor().Milliseconds(),
 		"servers", strings.Join(c.triedServers, " "), "peers", strings.Join(c.triedPeers, " "), "runs", c.runs, "forwarded", c.forwarded,
 		"cap_ms", c.capWait.Milliseconds(), "permit_ms", c.permitWait.Milliseconds(), "no_places", c.noPlaces, "room_ms", c.roomWait.Milliseconds(), "version_sent", c.sentVersion, "version_began", c.origin.text(), "resumes", c.resumes, "resumed_after", c.lastEventID, "predicted_ms", c.predictedWait.Milliseconds(), "first_ms", c.firstAfter.Milliseconds(), "ms", elapsed.Milliseconds(),
--- a/routegate/dispatch.go
+++ b/routegate/dispatch.go
@@ -225,6 +225,7 @@
 	set := [][2]string{
 		{c.gate.options.Names.Deadline, remainingMS(c.connDeadline())},
 		{wheelgauge.HeaderForwardedFrom, c.gate.options.Region},
+		{wheelgauge.HeaderConfigVersion, strconv.FormatUint(c.version, 10)},
 	}
 	if c.workspace != nil {
 		set = append(set, [2]string{wheelgauge.HeaderWorkspace, c.workspace.Name})
--- a/routegate/gate.go
+++ b/routegate/gate.go
@@ -257,6 +257,9 @@
 	c.suspendedBefore = g.suspendedFor()
 	c.prompt = prompt.Parse(string(httpfield.Value(h, n.PromptParts)), string(httpfield.Value(h, n.TokenCounts)), string(httpfield.Value(h, n.OutputHint)))
 	c.lastEventID, c.resumes = string(httpfield.Value(h, n.LastEventID)), string(httpfield.Value(h, n.Resumes))
+	if forwarded {
+		c.admittedBy = parseVersion(httpfield.Value(h, wheelgauge.HeaderConfigVersion))
+	}
 	if timeout, ok := parseTimeout(string(httpfield.Value(h, n.Deadline))); ok {
 		c.deadline = r.Arrived().Add(timeout)
 	}
@@ -270,7 +273,7 @@
 		return refusal(wheelgauge.ReasonNoConfiguration, http.StatusServiceUnavailable, "no configuration is known yet").WithRetryAfter(startupRetryAfter)
 	}
 	h := c.request.Header()
-	t = g.routesFor(ctx, t, string(h.Host()))
+	t, c.toldBy = g.routesFor(ctx, t, string(h.Host()))
 	c.version = t.Version()
 	c.route = t.Match(string(h.Host()), string(h.RequestURI()))
 	if c.route == nil {
--- a/routegate/stale.go
+++ b/routegate/stale.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"wheelgauge/routetable"
@@ -19,25 +20,39 @@
 )
 
 // routesFor returns the table to match a request by: the one held, or with the newer routes of a
-// store for the host name if the one held may be outdated.
-func (g *Gate) routesFor(ctx context.Context, t *routetable.Table, hostName string) *routetable.Table {
+// store for the host name if the one held may be outdated. toldBy is that store.
+func (g *Gate) routesFor(ctx context.Context, t *routetable.Table, hostName string) (table *routetable.Table, toldBy string) {
 	age := g.configAge()
 	if g.options.Lookup == nil || age <= staleConfigAge {
-		return t
+		return t, ""
 	}
 	g.options.Meter.Count("lookups.routes")
 	resp, ok := g.options.Lookup.Routes(ctx, hostName, t.Version())
 	if !ok {
-		return t // no store knows better
+		return t, "" // no store knows better
 	}
 	newer, err := t.WithPart(hostName, resp.Version, resp.Rows)
 	if err != nil {
 		g.options.Log.Error(err, "Routes of a store cannot be decoded; the ones held are used.", "host", hostName, "version", resp.Version)
-		return t
+		return t, ""
 	}
 	g.options.Meter.Count("lookups.routes.newer")
-	g.options.Log.V(1).Info("A request goes by newer routes of a store.", "host", hostName, "version", resp.Version, "held", t.Version(), "state_age_ms", age.Milliseconds())
-	return newer
+	return newer, resp.Store
+}
+
+// parseVersion reads a version of the configuration; 0 if there is none.
+func parseVersion(header []byte) uint64 {
+	version, err := strconv.ParseUint(string(header), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return version
+}
+
+// atOtherVersion reports whether the request is judged by another version than the one held, or by
+// another one than at the gateway that forwarded it.
+func (c *call) atOtherVersion() bool {
+	return c.toldBy != "" || c.admittedBy != 0 && c.admittedBy != c.version
 }
 
 // stillListed reports whether the chosen server is still listed. With an old list a store is asked.
