--- a/routegate/gate_test.go
+++ b/routegate/gate_test.go
@@ -202,7 +202,13 @@
 
 func get(t *testing.T, c net.Conn, path, headers string) (*http.Response, string, error) {
 	t.Helper()
-	if _, err := fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\n%s\r\n", path, headers); err != nil {
+	return getFrom(t, c, "h", path, headers)
+}
+
+// getFrom is get for a host name.
+func getFrom(t *testing.T, c net.Conn, host, path, headers string) (*http.Response, string, error) {
+	t.Helper()
+	if _, err := fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: r1\r\n%s\r\n", path, host, headers); err != nil {
 		t.Fatal(err)
 	}
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
