A host judges no request by an older version of the configuration than one before

Cause: a host acts on more than the table it holds. What a store told it of newer routes served one request and was forgotten; a forwarded request was matched anew by the table of the gateway that got it, older or newer, and neither knew the other's version.

Change: configfloor holds the newest version that any request went by, as the least for all later ones. Whatever is not complete at that version is fetched at once from the store that told it; a request that cannot be judged is asked for at all stores, else refused as not run. Lookups tell the workspace of the key too. A forwarded request carries its version and a digest of its route and workspace; a gateway that handles it in another way asks the stores, or turns it back, and the first one judges it anew or takes another gateway.

Why this works: the least version is raised before the request goes anywhere, and each way to a server compares with it.

Tests of routegate, routetable, lookupclient, heartbeat, configfloor and entrynode pass under the race detector.

--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 
 # Code that judges ages, leases and deadlines goes by a clock that it is given: the steady
 # one stands still while the machine is suspended.
-CLOCKED = ordercheck hallorders sharers coldprobe votergroup streamorigin originclient versionhistory routehistory reachability failurerate orders membership gateway/limit.go capallocator capclient coldrate hosttable peerset quarantine retrybudget serverconn permitclient permitissuer forwardcredits serverlimit serverlist serverset heartbeat/state.go heartbeat/stores.go heartbeat/tables.go lookupclient changelog tablereplica changefeed waitroom fairshare promises promiserelay returnschedule $(filter-out confstore/node.go %_test.go,$(wildcard confstore/*.go))
+CLOCKED = configfloor ordercheck hallorders sharers coldprobe votergroup streamorigin originclient versionhistory routehistory reachability failurerate orders membership gateway/limit.go capallocator capclient coldrate hosttable peerset quarantine retrybudget serverconn permitclient permitissuer forwardcredits serverlimit serverlist serverset heartbeat/state.go heartbeat/stores.go heartbeat/tables.go lookupclient changelog tablereplica changefeed waitroom fairshare promises promiserelay returnschedule $(filter-out confstore/node.go %_test.go,$(wildcard confstore/*.go))
 
 clocks: ## no steady clock where ages are judged; each path of the list must exist
 	@ls -d $(CLOCKED) confstore/node.go >/dev/null
--- a/callerhttp/request.go
+++ b/callerhttp/request.go
@@ -238,6 +238,9 @@
 	if sends := e.Sends(); sends > 0 {
 		fields = append(fields, NewField(wheelgauge.HeaderSends, strconv.Itoa(sends)))
 	}
+	if version := e.Version(); version > 0 {
+		fields = append(fields, NewField(wheelgauge.HeaderConfigVersion, strconv.FormatUint(version, 10)))
+	}
 	if refuses(e) && r.conn.server.shares.short() {
 		r.closeAfter = true
 	}
--- a/caps.go
+++ b/caps.go
@@ -94,4 +94,6 @@
 	Address string
 	// SameRegion is set for a store in the host's own region.
 	SameRegion bool
+	// Connected is set for a store that is connected to the others.
+	Connected bool
 }
--- a/confstore/lookup.go
+++ b/confstore/lookup.go
@@ -41,11 +41,12 @@
 	if t == nil || t.Version() <= r.Version {
 		return wheelgauge.LookupResponse{ListAgeMS: -1}, nil
 	}
-	rows, err := routetable.Rows(t.Part(r.HostName))
+	set, workspaces := t.Part(r)
+	rows, err := routetable.Rows(set)
 	if err != nil {
 		return wheelgauge.LookupResponse{}, fmt.Errorf("version %d: %w", t.Version(), err)
 	}
-	return wheelgauge.LookupResponse{Version: t.Version(), Rows: rows, ListAgeMS: -1}, nil
+	return wheelgauge.LookupResponse{Version: t.Version(), Rows: rows, Workspaces: &workspaces, ListAgeMS: -1}, nil
 }
 
 // routeTable returns the index of the current configuration, made once a version; nil without one.
--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -222,7 +222,7 @@
 	gateOptions := routegate.Options{
 		Region: o.Region, Names: o.Names, Servers: n.servers, Peers: n.peers, Budget: n.budget, Meter: n.meter, Log: o.Log.WithName("gate"),
 		Caps: n.caps, Quarantine: n.quarantine, Reach: n.reach, Limits: n.limits, Permits: n.permits, Clock: clock,
-		Versions: n.versions, Tally: n.tally, Origins: n.origins, Credits: n.credits, Returns: returns, Lookup: lookupclient.New(lookupclient.Options{Stores: n.stores, Request: n.lookUp, Now: clock.Now}),
+		Versions: n.versions, Tally: n.tally, Origins: n.origins, Credits: n.credits, Returns: returns, Lookup: lookupclient.New(lookupclient.Options{Stores: n.stores, Fetch: n.fetchState, Request: n.lookUp, Now: clock.Now}),
 	}
 	n.openAdmission(&gateOptions)
 	n.gate = routegate.New(gateOptions)
@@ -270,6 +270,13 @@
 	return resp, err
 }
 
+// fetchState fetches the configuration from a store that was seen to hold a newer one.
+func (n *Node) fetchState(ctx context.Context, address string) {
+	if client := n.heartbeats.Load(); client != nil {
+		client.FetchFrom(ctx, address)
+	}
+}
+
 // regionStores returns the stores of the host's region; none before the heartbeat client has started.
 func (n *Node) regionStores() []wheelgauge.RegionStore {
 	if client := n.heartbeats.Load(); client != nil {
--- a/error.go
+++ b/error.go
@@ -43,6 +43,9 @@
 	// ReasonOutOfReach: a host turns back a forwarded request of a service of which it reaches no
 	// server.
 	ReasonOutOfReach Reason = "out-of-reach"
+	// ReasonOtherVersion: a host turns back a forwarded request that its version of the configuration
+	// handles in another way than the version by which the request was admitted.
+	ReasonOtherVersion Reason = "other-version"
 	// ReasonUnknownStream: a stream cannot be taken up, as it is not known which version of its
 	// service began it.
 	ReasonUnknownStream Reason = "unknown-stream"
@@ -58,6 +61,7 @@
 	detail     string
 	entries    []EntryHost
 	sends      int
+	version    uint64
 }
 
 // errorMessage is the wire form of Error.
@@ -114,6 +118,14 @@
 	return &c
 }
 
+// WithVersion returns a copy that tells the forwarding gateway the version of the configuration
+// held. It is sent as a header, not in the JSON.
+func (e *Error) WithVersion(version uint64) *Error {
+	c := *e
+	c.version = version
+	return &c
+}
+
 // WithOutcome returns a copy with another outcome.
 func (e *Error) WithOutcome(outcome Outcome) *Error {
 	c := *e
@@ -142,6 +154,9 @@
 // Sends returns how many servers the request was sent to; zero if not reported.
 func (e *Error) Sends() int { return e.sends }
 
+// Version returns the version of the configuration held; zero if not reported.
+func (e *Error) Version() uint64 { return e.version }
+
 // Error implements error.
 func (e *Error) Error() string {
 	return fmt.Sprintf("%s (%s): %s", e.reason, e.outcome, e.detail)
--- a/heartbeat/client_test.go
+++ b/heartbeat/client_test.go
@@ -244,6 +244,26 @@
 	waitFor(t, "the newer configuration", func() bool { return slices.Contains(r.states(), 8) })
 }
 
+// The state of a store that was seen to hold a newer one is there when FetchFrom returns, whatever
+// the stores' heartbeats tell.
+func TestStateIsFetchedFromAStoreThatIsNamed(t *testing.T) {
+	near, far := newStore(t, "here", 3), newStore(t, "there", 3)
+	r := &recorder{}
+	c := startClient(t, r, nil, near, far)
+	waitFor(t, "the first state", func() bool { return len(r.states()) > 0 })
+	near.silent.Store(true)
+	far.silent.Store(true)
+	far.set(func(a *wheelgauge.FleetHeartbeatResponse) { a.Generation = 8 })
+	waitFor(t, "the newer state", func() bool { // another fetch may be in progress
+		c.FetchFrom(context.Background(), far.http.Address())
+		return slices.Contains(r.states(), 8)
+	})
+	c.FetchFrom(context.Background(), near.http.Address()) // it holds an older one
+	if states := r.states(); states[len(states)-1] != 8 {
+		t.Errorf("got states %v, want 8 last", states)
+	}
+}
+
 func TestStoreDiscovery(t *testing.T) {
 	seed, member := newStore(t, "here", 3), newStore(t, "there", 3)
 	seed.set(func(a *wheelgauge.FleetHeartbeatResponse) {
--- a/heartbeat/state.go
+++ b/heartbeat/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"errors"
 	"fmt"
 	"slices"
@@ -32,22 +33,26 @@
 	behindSince time.Time
 	// logged is the newest generation for which lagging was logged.
 	logged uint64
-	// fetching is set while a state is fetched; nextFetch is the earliest time of the next
-	// fetch.
-	fetching  bool
+	// fetchEnds is closed when the fetch in progress ends; nil while there is none. nextFetch is the
+	// earliest time of the next fetch.
+	fetchEnds chan struct{}
 	nextFetch time.Time
 }
 
 // startFetch begins to fetch the newest state unless it is held already; the lock is held.
 func (c *Client) startFetch() {
-	if c.state.fetching || c.ctx.Err() != nil || c.now().Before(c.state.nextFetch) {
+	if c.state.fetchEnds != nil || c.ctx.Err() != nil || c.now().Before(c.state.nextFetch) {
 		return
 	}
-	stores := c.fetchSources()
-	if len(stores) == 0 {
-		return
+	if stores := c.fetchSources(); len(stores) > 0 {
+		c.beginFetch(stores)
 	}
-	c.state.fetching = true
+}
+
+// beginFetch begins to fetch the state from the first of the stores that completes it; the lock is
+// held.
+func (c *Client) beginFetch(stores []string) {
+	c.state.fetchEnds = make(chan struct{})
 	held := c.state.held
 	c.group.Add(1)
 	go func() {
@@ -56,6 +61,23 @@
 	}()
 }
 
+// FetchFrom fetches the state at once from a store that is known otherwise to hold a newer one, and
+// returns when that has ended or ctx has. It returns at once while another fetch is in progress.
+func (c *Client) FetchFrom(ctx context.Context, address string) {
+	c.mu.Lock()
+	if c.state.fetchEnds != nil || c.ctx.Err() != nil {
+		c.mu.Unlock()
+		return
+	}
+	c.beginFetch([]string{address})
+	ends := c.state.fetchEnds
+	c.mu.Unlock()
+	select {
+	case <-ends:
+	case <-ctx.Done():
+	}
+}
+
 // fetchSources returns the stores that hold a newer state, the best one first; those of
 // other regions only when the host lags. The lock is held.
 func (c *Client) fetchSources() []string {
@@ -131,7 +153,8 @@
 func (c *Client) fetchEnded(held wheelgauge.ConfigHead, pause time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.state.held, c.state.fetching, c.state.nextFetch = held, false, c.now().Add(pause)
+	close(c.state.fetchEnds)
+	c.state.held, c.state.fetchEnds, c.state.nextFetch = held, nil, c.now().Add(pause)
 	c.updateLag()
 	c.startFetch()
 }
--- a/heartbeat/stores.go
+++ b/heartbeat/stores.go
@@ -62,7 +62,7 @@
 	for _, s := range c.stores {
 		if rank := c.rank(s, self); rank >= 0 {
 			near := s.region == self.Region
-			found = append(found, ranked{StoreEndpoint: wheelgauge.StoreEndpoint{Address: s.address, SameRegion: near}, rank: rank, primary: s.address == c.primary})
+			found = append(found, ranked{StoreEndpoint: wheelgauge.StoreEndpoint{Address: s.address, SameRegion: near, Connected: s.connected}, rank: rank, primary: s.address == c.primary})
 		}
 	}
 	slices.SortFunc(found, ranked.compare)
--- a/lookupclient/client.go
+++ b/lookupclient/client.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -17,7 +18,7 @@
 	// nearTimeout bounds a lookup at a store of the own region, farTimeout one over a long link.
 	nearTimeout = 150 * time.Millisecond
 	farTimeout  = 400 * time.Millisecond
-	// maxStores is the number of stores tried for one lookup.
+	// maxStores is the number of stores asked one after another in a lookup that is not required.
 	maxStores = 2
 	// cachedTTL is how long an answer holds for further requests.
 	cachedTTL = 250 * time.Millisecond
@@ -30,6 +31,9 @@
 type Options struct {
 	// Stores returns the reachable stores in order of preference.
 	Stores func() []wheelgauge.StoreEndpoint
+	// Fetch begins to fetch the whole configuration from a store, and returns when it has ended; nil
+	// fetches none.
+	Fetch func(ctx context.Context, address string)
 	// Request sends a lookup to a store.
 	Request func(ctx context.Context, address string, req wheelgauge.LookupRequest) (wheelgauge.LookupResponse, error)
 	Now     func() time.Time
@@ -41,7 +45,7 @@
 
 	mu sync.Mutex
 	// lookups are those in progress and those answered lately.
-	lookups map[wheelgauge.LookupRequest]*lookup
+	lookups map[wheelgauge.RouteQuery]*lookup
 	// silentUntil is until when no store is asked.
 	silentUntil time.Time
 }
@@ -57,28 +61,28 @@
 
 // New returns a client.
 func New(o Options) *Client {
-	return &Client{options: o, lookups: map[wheelgauge.LookupRequest]*lookup{}}
+	return &Client{options: o, lookups: map[wheelgauge.RouteQuery]*lookup{}}
 }
 
 // Routes implements wheelgauge.Lookup.
-func (c *Client) Routes(ctx context.Context, hostName string, version uint64) (wheelgauge.LookupResponse, bool) {
-	return c.find(ctx, wheelgauge.LookupRequest{HostName: hostName, Version: version}, func(r wheelgauge.LookupResponse) bool { return r.Version > version })
+func (c *Client) Routes(ctx context.Context, q wheelgauge.RouteQuery) (wheelgauge.LookupResponse, bool) {
+	return c.find(ctx, q, func(r wheelgauge.LookupResponse) bool { return r.Version > q.Version })
 }
 
 // Gone implements wheelgauge.Lookup.
 func (c *Client) Gone(ctx context.Context, instanceKey string, listAgeMS int64) bool {
-	resp, ok := c.find(ctx, wheelgauge.LookupRequest{Server: instanceKey}, func(r wheelgauge.LookupResponse) bool { return r.ListAgeMS >= 0 && r.ListAgeMS < listAgeMS })
+	resp, ok := c.find(ctx, wheelgauge.RouteQuery{LookupRequest: wheelgauge.LookupRequest{Server: instanceKey}}, func(r wheelgauge.LookupResponse) bool { return r.ListAgeMS >= 0 && r.ListAgeMS < listAgeMS })
 	return ok && !resp.Listed
 }
 
 // find returns the answer of the first store that knows better.
-func (c *Client) find(ctx context.Context, r wheelgauge.LookupRequest, better func(wheelgauge.LookupResponse) bool) (wheelgauge.LookupResponse, bool) {
-	l, first := c.begin(r)
+func (c *Client) find(ctx context.Context, q wheelgauge.RouteQuery, better func(wheelgauge.LookupResponse) bool) (wheelgauge.LookupResponse, bool) {
+	l, first := c.begin(q)
 	if l == nil {
 		return wheelgauge.LookupResponse{}, false
 	}
 	if first {
-		c.ask(ctx, l, r, better)
+		c.ask(ctx, l, q, better)
 	}
 	select {
 	case <-l.done:
@@ -90,11 +94,11 @@
 
 // begin returns the lookup for a request, and whether the caller has to make it; nil while stores
 // are silent.
-func (c *Client) begin(r wheelgauge.LookupRequest) (l *lookup, first bool) {
+func (c *Client) begin(q wheelgauge.RouteQuery) (l *lookup, first bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.options.Now()
-	if l := c.lookups[r]; l != nil && (l.until.IsZero() || now.Before(l.until)) {
+	if l := c.lookups[q]; l != nil && (l.until.IsZero() || now.Before(l.until)) {
 		return l, false
 	}
 	if now.Before(c.silentUntil) {
@@ -106,38 +110,95 @@
 		}
 	}
 	l = &lookup{done: make(chan struct{})}
-	c.lookups[r] = l
+	c.lookups[q] = l
 	return l, true
 }
 
 // ask makes a lookup.
-func (c *Client) ask(ctx context.Context, l *lookup, r wheelgauge.LookupRequest, better func(wheelgauge.LookupResponse) bool) {
-	stores := c.options.Stores()
-	answered, found := false, false
-	var response wheelgauge.LookupResponse
-	for _, s := range stores[:min(maxStores, len(stores))] {
-		timeout := farTimeout
-		if s.SameRegion {
-			timeout = nearTimeout
+func (c *Client) ask(ctx context.Context, l *lookup, q wheelgauge.RouteQuery, better func(wheelgauge.LookupResponse) bool) {
+	stores := slices.Clone(c.options.Stores())
+	// One that is cut off from the others may not know of what they know.
+	slices.SortStableFunc(stores, func(a, b wheelgauge.StoreEndpoint) int {
+		switch {
+		case a.Connected == b.Connected:
+			return 0
+		case a.Connected:
+			return -1
 		}
-		callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), timeout)
-		resp, err := c.options.Request(callCtx, s.Address, r)
+		return 1
+	})
+	ask := c.askInTurn
+	if q.Required {
+		ask = c.askAll
+	}
+	found, answered := ask(ctx, stores, q.LookupRequest, better)
+	if found != nil && q.Server == "" && c.options.Fetch != nil {
+		fetchCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), farTimeout)
+		c.options.Fetch(fetchCtx, found.Store)
 		cancel()
-		if err != nil {
-			continue // the next store may answer
-		}
-		answered = true
-		if found = better(resp); found {
-			response = resp
-			response.Store = s.Address
-			break
-		}
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	l.response, l.ok, l.until = response, found, c.options.Now().Add(cachedTTL)
+	if l.ok = found != nil; l.ok {
+		l.response = *found
+	}
+	l.until = c.options.Now().Add(cachedTTL)
 	if !answered {
 		c.silentUntil = c.options.Now().Add(silentPause)
 	}
 	close(l.done)
 }
+
+// askInTurn asks the next stores one after another until one knows better.
+func (c *Client) askInTurn(ctx context.Context, stores []wheelgauge.StoreEndpoint, r wheelgauge.LookupRequest, better func(wheelgauge.LookupResponse) bool) (found *wheelgauge.LookupResponse, answered bool) {
+	for _, s := range stores[:min(maxStores, len(stores))] {
+		resp, err := c.askStore(ctx, s, r)
+		if err != nil {
+			continue // the next store may answer
+		}
+		answered = true
+		if better(resp) {
+			return &resp, true
+		}
+	}
+	return nil, answered
+}
+
+// askAll asks all stores at once and returns the first answer of one that knows better.
+func (c *Client) askAll(ctx context.Context, stores []wheelgauge.StoreEndpoint, r wheelgauge.LookupRequest, better func(wheelgauge.LookupResponse) bool) (found *wheelgauge.LookupResponse, answered bool) {
+	answers := make(chan *wheelgauge.LookupResponse, len(stores))
+	for _, s := range stores {
+		go func() {
+			resp, err := c.askStore(ctx, s, r)
+			if err != nil {
+				answers <- nil
+				return
+			}
+			answers <- &resp
+		}()
+	}
+	for range stores {
+		resp := <-answers
+		if resp == nil {
+			continue
+		}
+		answered = true
+		if better(*resp) {
+			return resp, true
+		}
+	}
+	return nil, answered
+}
+
+// askStore asks one store.
+func (c *Client) askStore(ctx context.Context, s wheelgauge.StoreEndpoint, r wheelgauge.LookupRequest) (wheelgauge.LookupResponse, error) {
+	timeout := farTimeout
+	if s.SameRegion {
+		timeout = nearTimeout
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), timeout)
+	defer cancel()
+	resp, err := c.options.Request(ctx, s.Address, r)
+	resp.Store = s.Address
+	return resp, err
+}
--- a/message.go
+++ b/message.go
@@ -32,8 +32,11 @@
 	// HeaderWorkspace names the workspace of a forwarded request.
 	HeaderWorkspace = "Wheelgauge-Workspace"
 	// HeaderConfigVersion is, in a forwarded request, the version of the configuration by which it
-	// was admitted.
+	// was admitted; in the answer that turns it back, the version held there.
 	HeaderConfigVersion = "Wheelgauge-Config-Version"
+	// HeaderRouteDigest is, in a forwarded request, the digest of its route and workspace by that
+	// version.
+	HeaderRouteDigest = "Wheelgauge-Route-Digest"
 	// HeaderTrial is "1" for a quarantined request that the forwarding gateway sends as a trial.
 	HeaderTrial = "Wheelgauge-Trial"
 	// HeaderSends reports to the forwarding gateway how many servers the request
--- a/routegate/call.go
+++ b/routegate/call.go
@@ -68,12 +68,17 @@
 	deadline        time.Time
 	suspendedBefore time.Duration
 	// version is that of the configuration by which the request is judged, toldBy the store that
-	// told it if it is newer than the one held. admittedBy is the version by which the forwarding
-	// gateway admitted the request; 0 if it did not say.
-	version    uint64
-	toldBy     string
-	admittedBy uint64
-	splitter   eventstream.Splitter
+	// told it if it is newer than the one held. leastVersion is the oldest one by which it may be
+	// judged, besides that of the gate; rejudged counts how often it was judged anew.
+	version      uint64
+	toldBy       string
+	leastVersion uint64
+	rejudged     int
+	// admittedBy is the version by which the forwarding gateway admitted the request, admittedRoute
+	// the digest of its route by that; 0 if it did not say.
+	admittedBy    uint64
+	admittedRoute uint64
+	splitter      eventstream.Splitter
 	// cachedFingerprint is set by the first call of fingerprint, cachedParts by that of
 	// partFingerprints.
 	cachedFingerprint wheelgauge.Fingerprint
--- a/routegate/dispatch.go
+++ b/routegate/dispatch.go
@@ -17,6 +17,7 @@
 	"wheelgauge/peerset"
 	"wheelgauge/reachability"
 	"wheelgauge/responsehead"
+	"wheelgauge/routetable"
 	"wheelgauge/serverconn"
 	"wheelgauge/serverset"
 )
@@ -226,6 +227,7 @@
 		{c.gate.options.Names.Deadline, remainingMS(c.connDeadline())},
 		{wheelgauge.HeaderForwardedFrom, c.gate.options.Region},
 		{wheelgauge.HeaderConfigVersion, strconv.FormatUint(c.version, 10)},
+		{wheelgauge.HeaderRouteDigest, strconv.FormatUint(routetable.Digest(c.route, c.workspace), 10)},
 	}
 	if c.workspace != nil {
 		set = append(set, [2]string{wheelgauge.HeaderWorkspace, c.workspace.Name})
@@ -266,8 +268,11 @@
 	_ = x.discard() // a connection that breaks here is not kept
 	if outcome == wheelgauge.OutcomeNotRun {
 		c.runs--
-		if sends == 0 && wheelgauge.Reason(httpfield.Value(x.head, wheelgauge.HeaderReason)) == wheelgauge.ReasonNoRoom {
+		switch reason := wheelgauge.Reason(httpfield.Value(x.head, wheelgauge.HeaderReason)); {
+		case sends == 0 && reason == wheelgauge.ReasonNoRoom:
 			return c.endTurnedBack(p)
+		case reason == wheelgauge.ReasonOtherVersion:
+			return c.endOtherVersion(ctx, p, parseNumber(httpfield.Value(x.head, wheelgauge.HeaderConfigVersion)))
 		}
 		// Sends refused by servers there count like any other send of this request:
 		// the next one is a retry and takes from the budget here. Otherwise every
--- a/routegate/gate.go
+++ b/routegate/gate.go
@@ -14,6 +14,7 @@
 
 	"wheelgauge"
 	"wheelgauge/callerhttp"
+	"wheelgauge/configfloor"
 	"wheelgauge/httpfield"
 	"wheelgauge/meter"
 	"wheelgauge/peerset"
@@ -98,6 +99,8 @@
 type Gate struct {
 	options Options
 	table   atomic.Pointer[routetable.Table]
+	// floor is the oldest version by which requests may still be judged.
+	floor *configfloor.Floor
 	// routes are the routes that were in force lately.
 	routes       *routehistory.History
 	serversKnown atomic.Bool
@@ -157,15 +160,16 @@
 		o.Clock = wheelgauge.MonotonicClock{}
 	}
 	return &Gate{
-		options: o, routes: routehistory.New(o.Clock.Now), reservedHeaders: reservedNames(o.Names), endToEndHeaders: endToEndNames(o.Names), ready: make(chan struct{}),
+		options: o, floor: configfloor.New(), routes: routehistory.New(o.Clock.Now), reservedHeaders: reservedNames(o.Names), endToEndHeaders: endToEndNames(o.Names), ready: make(chan struct{}),
 		startupDeadline: time.Now().Add(startupWindow), startupWait: startupWait,
 	}
 }
 
-// SetTable applies a configuration.
+// SetTable applies a configuration, which must not be older than the one before.
 func (g *Gate) SetTable(t *routetable.Table) {
 	g.routes.Add(t)
 	g.table.Store(t)
+	g.floor.Hold(t.Version())
 	g.signalReady()
 }
 
@@ -258,7 +262,8 @@
 	c.prompt = prompt.Parse(string(httpfield.Value(h, n.PromptParts)), string(httpfield.Value(h, n.TokenCounts)), string(httpfield.Value(h, n.OutputHint)))
 	c.lastEventID, c.resumes = string(httpfield.Value(h, n.LastEventID)), string(httpfield.Value(h, n.Resumes))
 	if forwarded {
-		c.admittedBy = parseVersion(httpfield.Value(h, wheelgauge.HeaderConfigVersion))
+		c.admittedBy = parseNumber(httpfield.Value(h, wheelgauge.HeaderConfigVersion))
+		c.admittedRoute = parseNumber(httpfield.Value(h, wheelgauge.HeaderRouteDigest))
 	}
 	if timeout, ok := parseTimeout(string(httpfield.Value(h, n.Deadline))); ok {
 		c.deadline = r.Arrived().Add(timeout)
@@ -268,35 +273,19 @@
 
 // admit matches the route and identifies the workspace, or returns why the request is refused.
 func (g *Gate) admit(ctx context.Context, c *call) *wheelgauge.Error {
-	t := g.table.Load()
-	if t == nil {
+	if g.table.Load() == nil {
 		return refusal(wheelgauge.ReasonNoConfiguration, http.StatusServiceUnavailable, "no configuration is known yet").WithRetryAfter(startupRetryAfter)
 	}
-	h := c.request.Header()
-	t, c.toldBy = g.routesFor(ctx, t, string(h.Host()))
-	c.version = t.Version()
-	c.route = t.Match(string(h.Host()), string(h.RequestURI()))
-	if c.route == nil {
-		return refusal(wheelgauge.ReasonNotFound, http.StatusNotFound, "no route for this host and path")
-	}
-	if apiErr := g.identify(c, t); apiErr != nil {
+	if apiErr := g.judge(ctx, c); apiErr != nil {
 		return apiErr
 	}
-	c.rank = t.Rank(c.workspace, c.route)
-	if c.noCommonHome() {
-		return refusal(wheelgauge.ReasonResidency, http.StatusMisdirectedRequest, "route and workspace have no home in common")
-	}
-	routeDeadline := c.started.Add(c.route.Timeout)
-	if c.deadline.IsZero() || routeDeadline.Before(c.deadline) {
-		c.deadline = routeDeadline
-	}
+	c.applyRoute()
 	if c.mayOutlastProcess(0) {
 		return leavingRefusal()
 	}
 	if !g.serversKnown.Load() {
 		return refusal(wheelgauge.ReasonNoServer, http.StatusServiceUnavailable, "no servers are known yet").WithRetryAfter(startupRetryAfter)
 	}
-	c.service = routetable.PickService(c.route)
 	if c.forwarded && c.continues() {
 		if apiErr := c.adoptOrigin(); apiErr != nil {
 			return apiErr
@@ -308,6 +297,15 @@
 	return nil
 }
 
+// applyRoute sets what follows from the route: the service, and the time that is left.
+func (c *call) applyRoute() {
+	c.service = routetable.PickService(c.route)
+	routeDeadline := c.started.Add(c.route.Timeout)
+	if c.deadline.IsZero() || routeDeadline.Before(c.deadline) {
+		c.deadline = routeDeadline
+	}
+}
+
 func leavingRefusal() *wheelgauge.Error {
 	return refusal(wheelgauge.ReasonDraining, http.StatusServiceUnavailable, "this host is leaving").WithRetryAfter(leavingRetryAfter)
 }
--- a/routegate/headers.go
+++ b/routegate/headers.go
@@ -24,7 +24,7 @@
 // gateway.
 func reservedNames(n wheelgauge.HeaderNames) map[string]bool {
 	out := map[string]bool{}
-	for _, name := range append([]string{n.Deadline, n.Target, n.Priority, n.CacheSource, n.APIKey, n.Workspace, wheelgauge.HeaderForwardedFrom, wheelgauge.HeaderTrial, wheelgauge.HeaderWorkspace, wheelgauge.HeaderConfigVersion}, n.Reserved...) {
+	for _, name := range append([]string{n.Deadline, n.Target, n.Priority, n.CacheSource, n.APIKey, n.Workspace, wheelgauge.HeaderForwardedFrom, wheelgauge.HeaderTrial, wheelgauge.HeaderWorkspace, wheelgauge.HeaderConfigVersion, wheelgauge.HeaderRouteDigest}, n.Reserved...) {
 		if name != "" {
 			out[strings.ToLower(name)] = true
 		}
--- a/routegate/stale_test.go
+++ b/routegate/stale_test.go
@@ -17,13 +17,14 @@
 	asked int
 }
 
-func (k *knowledge) Routes(_ context.Context, hostName string, version uint64) (wheelgauge.LookupResponse, bool) {
+func (k *knowledge) Routes(_ context.Context, q wheelgauge.RouteQuery) (wheelgauge.LookupResponse, bool) {
 	k.asked++
-	if k.newer == nil || k.newer.Version() <= version {
+	if k.newer == nil || k.newer.Version() <= q.Version {
 		return wheelgauge.LookupResponse{}, false
 	}
-	rows, err := routetable.Rows(k.newer.Part(hostName))
-	return wheelgauge.LookupResponse{Version: k.newer.Version(), Rows: rows}, err == nil
+	set, workspaces := k.newer.Part(q.LookupRequest)
+	rows, err := routetable.Rows(set)
+	return wheelgauge.LookupResponse{Version: k.newer.Version(), Rows: rows, Workspaces: &workspaces}, err == nil
 }
 
 func (k *knowledge) Gone(_ context.Context, instanceKey string, _ int64) bool {
--- a/routetable/rows_test.go
+++ b/routetable/rows_test.go
@@ -113,14 +113,7 @@
 	for seed := range uint64(20) {
 		r := rand.New(rand.NewPCG(seed, 5))
 		old, newer := randomSet(r, 1), randomSet(r, 2)
-		rows, err := Rows(New(newer).Part("HOST-3.example"))
-		if err != nil {
-			t.Fatal(err)
-		}
-		got, err := New(old).WithPart("host-3.example", 2, rows)
-		if err != nil {
-			t.Fatal(err)
-		}
+		got := withPart(t, old, newer, wheelgauge.LookupRequest{HostName: "HOST-3.example:8080"})
 		for i := range 40 {
 			host, path := fmt.Sprintf("host-%d.example", i%5), fmt.Sprintf("/%d/x", i)
 			want := New(old)
@@ -134,6 +127,100 @@
 	}
 }
 
+// withPart returns the table of a configuration with a part of a newer one.
+func withPart(t *testing.T, old, newer *wheelgauge.RouteSet, r wheelgauge.LookupRequest) *Table {
+	t.Helper()
+	set, workspaces := New(newer).Part(r)
+	rows, err := Rows(set)
+	if err != nil {
+		t.Fatal(err)
+	}
+	out, err := New(old).WithPart(r, wheelgauge.LookupResponse{Version: newer.Version, Rows: rows, Workspaces: &workspaces})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
+
+// A key and a workspace are known as in the newer version if they were asked for.
+func TestKeyInPartOfAnotherVersion(t *testing.T) {
+	workspaces := func(version uint64, list ...wheelgauge.Workspace) *wheelgauge.RouteSet {
+		return &wheelgauge.RouteSet{Version: version, Workspaces: list}
+	}
+	a, b := wheelgauge.Workspace{Name: "a", Keys: []string{"k", "l"}}, wheelgauge.Workspace{Name: "b", Keys: []string{"m"}}
+	tests := []struct {
+		name       string
+		old, newer *wheelgauge.RouteSet
+		key, named string
+		want       string
+		required   bool
+	}{
+		{"a key that is the same", workspaces(1, a, b), workspaces(2, a, b), "k", "", "a", true},
+		{"a key that is dropped", workspaces(1, a, b), workspaces(2, b), "k", "", "", true},
+		{"a key that is added", workspaces(1, b), workspaces(2, a, b), "k", "", "a", true},
+		{"a key that goes to another workspace", workspaces(1, a, b), workspaces(2, wheelgauge.Workspace{Name: "b", Keys: []string{"k"}}), "k", "", "b", true},
+		{"a workspace that is dropped", workspaces(1, a, b), workspaces(2, b), "", "a", "", true},
+		{"a workspace that is added", workspaces(1, b), workspaces(2, a, b), "", "a", "a", true},
+		{"the first workspace", workspaces(1), workspaces(2, a), "x", "", "", true},
+		{"no workspaces any more", workspaces(1, a), workspaces(2), "k", "", "", false},
+	}
+	for _, tt := range tests {
+		got := withPart(t, tt.old, tt.newer, wheelgauge.LookupRequest{HostName: "h", Key: tt.key, Workspace: tt.named})
+		w := got.Workspace(tt.named)
+		if tt.key != "" {
+			w = got.WorkspaceByKey([]byte(tt.key))
+		}
+		name := ""
+		if w != nil {
+			name = w.Name
+		}
+		if name != tt.want || got.KeysRequired() != tt.required {
+			t.Errorf("%s: got workspace %q, keys required: %v, want %q, %v", tt.name, name, got.KeysRequired(), tt.want, tt.required)
+		}
+	}
+}
+
+// Different ways to handle a request have different digests.
+func TestDigest(t *testing.T) {
+	share := func(service string, weight int) wheelgauge.TrafficShare {
+		return wheelgauge.TrafficShare{Service: service, Weight: weight}
+	}
+	route := func(homes []string, shares ...wheelgauge.TrafficShare) *wheelgauge.PathRoute {
+		return &wheelgauge.PathRoute{Prefix: "/p/", Kind: wheelgauge.RouteRepeatable, Shares: shares, HomeRegions: homes, MaxAttempts: 2}
+	}
+	longer := route(nil, share("a", 1))
+	longer.Prefix = "/p/q/"
+	once := route(nil, share("a", 1))
+	once.Kind = wheelgauge.RouteOnce
+	cases := []struct {
+		route     *wheelgauge.PathRoute
+		workspace *wheelgauge.Workspace
+	}{
+		{nil, nil},
+		{route(nil, share("a", 1)), nil},
+		{route(nil, share("b", 1)), nil},
+		{route(nil, share("a", 1), share("b", 1)), nil},
+		{route(nil, share("a", 1), share("b", 2)), nil},
+		{route([]string{"north"}, share("a", 1)), nil},
+		{route([]string{"north", "south"}, share("a", 1)), nil},
+		{longer, nil},
+		{once, nil},
+		{route(nil, share("a", 1)), &wheelgauge.Workspace{Name: "w"}},
+		{route(nil, share("a", 1)), &wheelgauge.Workspace{Name: "w", HomeRegions: []string{"north"}}},
+	}
+	seen := map[uint64]int{}
+	for n, c := range cases {
+		d := Digest(c.route, c.workspace)
+		if first, ok := seen[d]; ok {
+			t.Errorf("cases %d and %d have the same digest", first, n)
+		}
+		seen[d] = n
+	}
+	if Digest(nil, nil) != 0 || Digest(cases[1].route, nil) != Digest(route(nil, share("a", 1)), nil) {
+		t.Error("no route has a digest other than 0, or equal routes have different ones")
+	}
+}
+
 func TestRowsOfAnotherRelease(t *testing.T) {
 	table := New(&wheelgauge.RouteSet{})
 	for _, row := range []wheelgauge.TableRow{{Key: "unknown/x", Value: []byte(`{}`)}, {Key: "route/h", Value: []byte(`{}`)}, {Key: "route/h/", Value: []byte(`[]`)}} {
--- a/routetable/table.go
+++ b/routetable/table.go
@@ -24,7 +24,9 @@
 	// key.
 	priorities map[int]int
 	anonymous  int
-	ranks      rankOrder
+	// keysRequired is set if there are workspaces.
+	keysRequired bool
+	ranks        rankOrder
 }
 
 // New builds the table of a validated configuration.
@@ -73,6 +75,7 @@
 	out.routes = t.routes.with(c.routes)
 	out.services = withChanges(t.services, c.services)
 	out.workspaces = withChanges(t.workspaces, c.workspaces)
+	out.keysRequired = len(out.workspaces) > 0
 	if len(c.workspaces) > 0 || out.keys == nil {
 		out.keys = map[string]*wheelgauge.Workspace{}
 		for _, w := range out.workspaces {
@@ -127,36 +130,8 @@
 	return nil
 }
 
-// Part returns the routes of a host name, with all services and the limits.
-func (t *Table) Part(host string) *wheelgauge.RouteSet {
-	set := &wheelgauge.RouteSet{Version: t.version, Limits: t.limits}
-	for _, s := range t.services {
-		set.Services = append(set.Services, *s)
-	}
-	for _, r := range t.routes.routes(strings.ToLower(host)) {
-		set.Routes = append(set.Routes, *r)
-	}
-	return set
-}
-
-// WithPart returns the table with the rows of a part of another version, which replace all routes
-// of the host name.
-func (t *Table) WithPart(host string, version uint64, rows []wheelgauge.TableRow) (*Table, error) {
-	c, err := decodeRows(rows)
-	if err != nil {
-		return nil, err
-	}
-	host = strings.ToLower(host)
-	for _, r := range t.routes.routes(host) {
-		if _, ok := c.routes[host][r.Prefix]; !ok {
-			c.setRoute(host, r.Prefix, nil)
-		}
-	}
-	return t.with(version, c), nil
-}
-
 // KeysRequired reports whether callers need a key, which is so if there are workspaces.
-func (t *Table) KeysRequired() bool { return len(t.workspaces) > 0 }
+func (t *Table) KeysRequired() bool { return t.keysRequired }
 
 // WorkspaceByKey returns the workspace that a key belongs to; nil if there is none.
 func (t *Table) WorkspaceByKey(key []byte) *wheelgauge.Workspace { return t.keys[string(key)] }
@@ -176,12 +151,17 @@
 // Service returns a service by name; nil if there is none.
 func (t *Table) Service(name string) *wheelgauge.Service { return t.services[name] }
 
+// HostName returns the host name of a Host header, in lower case and without a port.
+func HostName(host string) string {
+	host, _, _ = strings.Cut(strings.ToLower(host), ":")
+	return host
+}
+
 // Match returns the route of a host name and path; nil if there is none. A port
 // in the host name and a query in the path are ignored.
 func (t *Table) Match(host, path string) *wheelgauge.PathRoute {
-	host, _, _ = strings.Cut(strings.ToLower(host), ":")
 	path, _, _ = strings.Cut(path, "?")
-	for _, r := range t.routes.routes(host) {
+	for _, r := range t.routes.routes(HostName(host)) {
 		if strings.HasPrefix(path, r.Prefix) {
 			return r
 		}
