A host that is leaving is not announced again in the same life

What callers saw: for up to one heartbeat, a host that has begun to leave on the entry list. A host that leaves sends to all stores at once, also while a heartbeat is on its way; where the earlier one is handled later, as at a store that stood still, the host counted as serving again until its next heartbeat.

A store keeps that a host leaves for that life of the host. The test fails without the change at its third step.

--- a/hosttable/table.go
+++ b/hosttable/table.go
@@ -82,6 +82,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.entries[hb.Host.Name]
+	if e != nil && e.host.Boot == hb.Host.Boot && e.host.Leaving {
+		hb.Host.Leaving = true // one sent before may arrive after it
+	}
 	if e == nil || e.host != hb.Host {
 		t.version++
 		row, err := wheelgauge.EncodeRow(hb.Host.Name, hb.Host)
--- a/hosttable/table_test.go
+++ b/hosttable/table_test.go
@@ -45,6 +45,36 @@
 	}
 }
 
+// A host that is leaving was announced again by a heartbeat that it had sent before.
+func TestLeavingHostDoesNotReturnInTheSameLife(t *testing.T) {
+	heartbeat := func(boot uint64, leaving bool) wheelgauge.FleetHeartbeat {
+		hb := heartbeatOf("a", "north", true)
+		hb.Host.Boot, hb.Host.Leaving = boot, leaving
+		return hb
+	}
+	steps := []struct {
+		name    string
+		sent    wheelgauge.FleetHeartbeat
+		leaving bool
+	}{
+		{"it serves", heartbeat(7, false), false},
+		{"it leaves", heartbeat(7, true), true},
+		{"an earlier heartbeat arrives late", heartbeat(7, false), true},
+		{"it starts again", heartbeat(9, false), false},
+		{"it leaves again", heartbeat(9, true), true},
+		{"it starts again with a clock that was set back", heartbeat(8, false), false},
+	}
+	table := New(time.Now)
+	for _, s := range steps {
+		if err := table.RecordHeartbeat(s.sent, interval); err != nil {
+			t.Fatal(err)
+		}
+		if hosts, _ := table.Hosts(); len(hosts) != 1 || hosts[0].Leaving != s.leaving {
+			t.Errorf("%s: got hosts %+v, want one that leaves: %v", s.name, hosts, s.leaving)
+		}
+	}
+}
+
 func TestSums(t *testing.T) {
 	at := time.Unix(0, 0)
 	table := New(func() time.Time { return at })
