A store that is behind releases no quarantined request

What callers saw: a request that crashes servers, refused by a host, is let through by the same host again, and takes three more servers to be refused once more.

Cause: a host takes the list of quarantined requests of its primary store as complete as soon as that store is connected and up for two seconds. One that stood still, or joined with a blank disk, is connected before it has caught up with the log: its list is older than the one the host went by, and what it lacks counted as released.

A list carries the index of the log up to which it has all; a host takes one that lies behind an earlier one as partial, which releases nothing, and asks for it again until the store has caught up. A store that does not tell the index is treated as before. The test fails without the change of the client.

--- a/confstore/crashes.go
+++ b/confstore/crashes.go
@@ -28,8 +28,10 @@
 // syncCrashes commits the crashes reported by hosts to the replicated state, so that the
 // quarantine survives a restart of all processes at once.
 func (n *Node) syncCrashes(ctx context.Context) {
+	index := n.replica.Status().Applied // the state has at least these entries
 	persisted := n.machine.State().Crashes
 	n.crashes.SetPersisted(persisted)
+	n.crashesIndex.Store(index)
 	n.crashes.Prune()
 	known := n.crashes.CrashesToPersist()
 	proposeCtx, cancel := context.WithTimeout(ctx, crashProposeTimeout)
@@ -80,6 +82,7 @@
 // store knows all that the replica group has persisted. The lowest bit of the version marks
 // that it does not know them yet.
 func (n *Node) addCrashes(a *wheelgauge.FleetHeartbeatResponse, hb wheelgauge.FleetHeartbeat) {
+	a.CrashesIndex = max(1, n.crashesIndex.Load()) // a blank store is behind all others
 	candidates, version := n.crashes.Candidates()
 	a.CrashesVersion = 2 * version
 	if a.Partial || !a.Connected {
--- a/confstore/node.go
+++ b/confstore/node.go
@@ -140,6 +140,8 @@
 	peers   peerStores
 	caps    *capallocator.Allocator
 	crashes *quarantine.Table
+	// crashesIndex is the index of the replicated log up to which crashes has all.
+	crashesIndex atomic.Uint64
 	// limits are the rate limits reported by servers; permits issues permits within them.
 	limits  *serverlimit.Table
 	permits *permitissuer.Issuer
--- a/fleet.go
+++ b/fleet.go
@@ -209,8 +209,10 @@
 	// Regions is the load of all regions.
 	Regions []RegionUsage `json:"regions,omitempty"`
 	// Crashes are those of quarantined requests: the complete list, sent when its version
-	// changed.
+	// changed. CrashesIndex is the index of the replicated log up to which the list has all; 0 from
+	// a store that does not tell.
 	CrashesVersion uint64  `json:"crashes_at,omitempty"`
+	CrashesIndex   uint64  `json:"crashes_index,omitempty"`
 	Crashes        []Crash `json:"crashes,omitempty"`
 	// Limits are those that changed since the version named in the heartbeat.
 	LimitsVersion uint64        `json:"limits_at,omitempty"`
--- a/heartbeat/client.go
+++ b/heartbeat/client.go
@@ -160,6 +160,9 @@
 	members []string
 	state   stateSync
 	tables  tableSync
+	// crashesIndex is the highest index of the replicated log up to which a list of crashes was
+	// complete.
+	crashesIndex uint64
 	// deliverMu serialises calls of the Receiver: one answer at a time.
 	deliverMu sync.Mutex
 }
@@ -345,6 +348,9 @@
 	if hb.Primary {
 		s.crashesVersion, s.limitsVersion = a.CrashesVersion, a.LimitsVersion
 		s.promisesVersion = a.PromisesVersion
+		if c.crashesBehind(a) {
+			s.crashesVersion = 0 // asks for the list again
+		}
 	}
 	if a.Connected && len(a.StoreAddresses) > 0 {
 		c.addStores(a.StoreAddresses)
@@ -395,7 +401,7 @@
 		return
 	}
 	if a.CrashesVersion != hb.CrashesVersion || a.StoreBoot != hb.StoreBoot {
-		receiver.Crashes(a.Crashes, a.Partial || !a.Connected)
+		receiver.Crashes(a.Crashes, c.crashesPartial(a))
 	}
 	if c.options.Limits != nil {
 		c.options.Limits.Merge(a.Limits)
@@ -407,3 +413,21 @@
 	receiver.ServerUsage(a.ServerUsage)
 	receiver.RegionUsage(a.Regions, a.Partial)
 }
+
+// crashesBehind reports whether a store's list of crashes lacks entries of the replicated log that an
+// earlier list had: a crash that is missing there was not released. The lock is held.
+func (c *Client) crashesBehind(a wheelgauge.FleetHeartbeatResponse) bool {
+	return a.CrashesIndex > 0 && a.CrashesIndex < c.crashesIndex
+}
+
+// crashesPartial reports whether a store's list of crashes may lack some, and records up to where a
+// complete one reaches.
+func (c *Client) crashesPartial(a wheelgauge.FleetHeartbeatResponse) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if a.Partial || !a.Connected || c.crashesBehind(a) {
+		return true
+	}
+	c.crashesIndex = max(c.crashesIndex, a.CrashesIndex)
+	return false
+}
--- a/heartbeat/crashes_test.go
+++ b/heartbeat/crashes_test.go
@@ -65,3 +65,55 @@
 	waitFor(t, "the second crash at both stores", both(second))
 	waitFor(t, "the first crash at the restarted store", func() bool { return slices.Contains(far.crashes(), first) })
 }
+
+// listRecorder records the lists of crashes that were received, and whether they were partial.
+type listRecorder struct {
+	recorder
+	lists []receivedList
+}
+
+type receivedList struct {
+	crashes int
+	partial bool
+}
+
+func (r *listRecorder) Crashes(crashes []wheelgauge.Crash, partial bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lists = append(r.lists, receivedList{len(crashes), partial})
+}
+
+func (r *listRecorder) last() receivedList {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.lists) == 0 {
+		return receivedList{}
+	}
+	return r.lists[len(r.lists)-1]
+}
+
+// A quarantined request was let through again because the next primary store was behind.
+func TestStoreThatIsBehindReleasesNoQuarantinedRequest(t *testing.T) {
+	first, second := newStore(t, "here", 3), newStore(t, "here", 3)
+	crashes := []wheelgauge.Crash{{Fingerprint: "p", Server: "a"}}
+	first.set(func(a *wheelgauge.FleetHeartbeatResponse) {
+		a.CrashesVersion, a.CrashesIndex, a.Crashes = 4, 10, crashes
+	})
+	second.set(func(a *wheelgauge.FleetHeartbeatResponse) {
+		a.Connected, a.CrashesVersion, a.CrashesIndex = false, 2, 7
+	})
+	r := &listRecorder{}
+	startWith(t, []*fakeStore{first, second}, Options{
+		Self:        func() wheelgauge.FleetHost { return wheelgauge.FleetHost{Name: "g", Region: "here"} },
+		FarInterval: interval, Receiver: r, Log: logr.Discard(),
+	})
+	waitFor(t, "the whole list", func() bool { return r.last() == receivedList{1, false} })
+	first.set(func(a *wheelgauge.FleetHeartbeatResponse) { a.Connected = false })
+	second.set(func(a *wheelgauge.FleetHeartbeatResponse) { a.Connected = true })
+	waitFor(t, "a list of the store that is behind", func() bool { return r.last().crashes == 0 })
+	if !r.last().partial {
+		t.Error("the list of a store that is behind counts as whole")
+	}
+	second.set(func(a *wheelgauge.FleetHeartbeatResponse) { a.CrashesIndex = 10 })
+	waitFor(t, "the same list, by a store that has caught up", func() bool { return r.last() == receivedList{0, false} })
+}
