Mode with resources: a forwarded request is not sent where another generation of its route leads

What callers saw: while a change of a route's pool reaches the gateways, a request that one region forwards to another is run by the pool that the route has moved away from, or by one that it has not moved to yet where the caller is.

A forwarded request carries the digest of its route (name, pool, whether it may be repeated). A gateway whose route is another one, or that has none, turns it back as not run (503, other-version, Retry-After 0.3), and the first one goes on as after any refusal. One without the digest is served as before.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -36,6 +36,8 @@
 	wheelgauge.RouteSpec
 	// Engine is true when the pool is of model engines.
 	Engine bool
+	// Digest identifies where the route sends requests, and whether they may be repeated.
+	Digest uint64
 }
 
 type poolRegion struct{ pool, region string }
@@ -146,7 +148,7 @@
 }
 
 func (c *Catalog) addRoute(name string, s wheelgauge.RouteSpec) {
-	route := &Route{Name: name, RouteSpec: s}
+	route := &Route{Name: name, RouteSpec: s, Digest: rendezvous.Hash(fmt.Sprintf("%q %q %t", name, s.Pool, s.NotRepeatable))}
 	if s.Model != "" {
 		c.models[s.Model] = route
 		return
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -406,6 +406,7 @@
 		{wheelgauge.HeaderClass, rq.identity.Class},
 		{wheelgauge.HeaderHome, rq.identity.HomeRegion},
 		{wheelgauge.HeaderDeadlineMS, fmt.Sprint(max(1, left.Milliseconds()))},
+		{wheelgauge.HeaderRouteDigest, fmt.Sprint(rq.route.Digest)},
 	}
 	if rq.notRepeatable {
 		out = append(out, [2]string{wheelgauge.HeaderNotRepeatable, "true"})
--- a/gateway/peer.go
+++ b/gateway/peer.go
@@ -15,6 +15,9 @@
 	"wheelgauge/permitclient"
 )
 
+// otherVersionRetryAfter is the time in which all gateways get a change of the configuration.
+const otherVersionRetryAfter = 300 * time.Millisecond
+
 // servePeer handles the listener for other gateways.
 func (g *Gateway) servePeer(ctx *fasthttp.RequestCtx) {
 	path := string(ctx.Path())
@@ -48,10 +51,32 @@
 	defer g.forwarded.Delete(rq.call.ID)
 	g.serve(ctx, rq, err, func(_ *fasthttp.RequestCtx, rq *request) error {
 		g.meter.Count("away.received")
-		return g.findRoute(rq)
+		return g.findSenderRoute(rq)
 	})
 }
 
+// parseRouteDigest returns the digest of the route by which the forwarding gateway admitted a request;
+// 0 if it did not say.
+func parseRouteDigest(h *fasthttp.RequestHeader) uint64 {
+	digest, err := strconv.ParseUint(string(h.Peek(wheelgauge.HeaderRouteDigest)), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return digest
+}
+
+// findSenderRoute finds the route of a forwarded request. It is turned back if the configuration
+// here sends it elsewhere than that of the gateway which forwarded it: one of the two is older.
+func (g *Gateway) findSenderRoute(rq *request) error {
+	err := g.findRoute(rq)
+	if rq.senderRoute == 0 || rq.route != nil && rq.route.Digest == rq.senderRoute {
+		return err
+	}
+	g.meter.Count("requests.other_version")
+	return wheelgauge.NewError(wheelgauge.ReasonOtherVersion, wheelgauge.OutcomeNotRun, http.StatusServiceUnavailable, "the configuration here handles this request in another way").
+		WithRetryAfter(otherVersionRetryAfter)
+}
+
 func (g *Gateway) readPeerRequest(ctx *fasthttp.RequestCtx) (*request, error) {
 	h := &ctx.Request.Header
 	rq := &request{started: time.Now(), suspendedAtStart: g.suspended(), forwarded: true}
@@ -69,6 +94,7 @@
 	}
 	rq.call.Priority, _ = strconv.Atoi(string(h.Peek("X-Priority")))
 	rq.notRepeatable = len(h.Peek(wheelgauge.HeaderNotRepeatable)) > 0
+	rq.senderRoute = parseRouteDigest(h)
 	rq.mustAccept = len(h.Peek(wheelgauge.HeaderMustAccept)) > 0
 	rq.identity = wheelgauge.Identity{
 		Client: string(h.Peek(wheelgauge.HeaderClient)), Class: string(h.Peek(wheelgauge.HeaderClass)), HomeRegion: string(h.Peek(wheelgauge.HeaderHome)),
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -47,8 +47,11 @@
 	prefix        uint64
 	notRepeatable bool
 	forwarded     bool
-	mustAccept    bool // forwarded because its own region cannot serve it; may queue here
-	started       time.Time
+	// senderRoute is the digest of the route by which the forwarding gateway admitted the request;
+	// 0 if it did not say.
+	senderRoute uint64
+	mustAccept  bool // forwarded because its own region cannot serve it; may queue here
+	started     time.Time
 	// suspendedAtStart is Gateway.suspended at the time the request arrived.
 	suspendedAtStart time.Duration
 	// callerGone reports whether the caller has left; nil means that it has not.
--- a/message.go
+++ b/message.go
@@ -34,8 +34,8 @@
 	// HeaderConfigVersion is, in a forwarded request, the version of the configuration by which it
 	// was admitted; in the answer that turns it back, the version held there.
 	HeaderConfigVersion = "Wheelgauge-Config-Version"
-	// HeaderRouteDigest is, in a forwarded request, the digest of its route and workspace by that
-	// version.
+	// HeaderRouteDigest is, in a forwarded request, the digest of its route, and of its workspace if it
+	// has one, by which it was admitted.
 	HeaderRouteDigest = "Wheelgauge-Route-Digest"
 	// HeaderTrial is "1" for a quarantined request that the forwarding gateway sends as a trial.
 	HeaderTrial = "Wheelgauge-Trial"
