A gateway with an older configuration still gets the requests of routes that are the same

A gateway that turns a request back because its version of the configuration is the older one was paused for a second, as after any refusal. While stores stand still that would keep callers of routes which did not change from a region whose hosts are all behind. The request that was turned back goes to another gateway, as before.

TestForwardedRequestIsNotRunByAnOlderVersion asks for a route that is the same after each case. Tests of routegate around versions pass with the race detector.

--- a/routegate/dispatch.go
+++ b/routegate/dispatch.go
@@ -272,7 +272,7 @@
 		case sends == 0 && reason == wheelgauge.ReasonNoRoom:
 			return c.endTurnedBack(p)
 		case reason == wheelgauge.ReasonOtherVersion:
-			return c.endOtherVersion(ctx, p, parseNumber(httpfield.Value(x.head, wheelgauge.HeaderConfigVersion)))
+			return c.endOtherVersion(ctx, parseNumber(httpfield.Value(x.head, wheelgauge.HeaderConfigVersion)))
 		}
 		// Sends refused by servers there count like any other send of this request:
 		// the next one is a retry and takes from the budget here. Otherwise every
--- a/routegate/judge.go
+++ b/routegate/judge.go
@@ -8,7 +8,6 @@
 
 	"wheelgauge"
 	"wheelgauge/httpfield"
-	"wheelgauge/peerset"
 	"wheelgauge/routetable"
 )
 
@@ -166,11 +165,11 @@
 }
 
 // endOtherVersion handles a refusal of a gateway whose version of the configuration handles the
-// request in another way. One that holds a newer version may get it again, as judged by that.
-func (c *call) endOtherVersion(ctx context.Context, p *peerset.Peer, version uint64) result {
+// request in another way. One that holds a newer version may get it again, as judged by that; one
+// that holds an older version still serves the requests of other routes.
+func (c *call) endOtherVersion(ctx context.Context, version uint64) result {
 	c.gate.options.Meter.Count("forward.other_version")
 	if version <= c.version {
-		c.gate.options.Peers.Refused(p)
 		return notRun
 	}
 	ok, apiErr := c.rejudge(ctx, version)
--- a/routegate/version_regress_test.go
+++ b/routegate/version_regress_test.go
@@ -195,6 +195,9 @@
 					t.Errorf("got %d, want %d", got, tt.status)
 				}
 			}
+			if got := first.status(t, "h", "/bound/", ""); got != http.StatusOK {
+				t.Errorf("got %d on a route that is the same, want 200", got)
+			}
 			for _, g := range gates {
 				if n := g.ran("s1"); n > 0 {
 					t.Errorf("%d requests are run by the service of version 1", n)
