--- a/routetable/table_test.go
+++ b/routetable/table_test.go
@@ -83,3 +83,13 @@
 		t.Errorf("got %v of 4000 picks, want about 3000 of s, 1000 of t and none of u", count)
 	}
 }
+
+// BenchmarkDigest is what a forwarded request costs to tell its route.
+func BenchmarkDigest(b *testing.B) {
+	r := &wheelgauge.PathRoute{Prefix: "/app/", Kind: wheelgauge.RouteRepeatable, MaxAttempts: 2, HomeRegions: []string{"north"}, Shares: []wheelgauge.TrafficShare{{Service: "a", Weight: 9}, {Service: "b", Weight: 1}}}
+	w := &wheelgauge.Workspace{Name: "w", HomeRegions: []string{"north"}}
+	b.ReportAllocs()
+	for b.Loop() {
+		Digest(r, w)
+	}
+}
