--- a/systemtest/deployment_test.go
+++ b/systemtest/deployment_test.go
@@ -438,15 +438,11 @@
 	d.t.Helper()
 	var newest uint64
 	for _, r := range list {
-		change := putChange(r)
-		eventually(d.t, applyTimeout, fmt.Sprintf("%s %s is applied", r.Kind, r.Name), func() error {
-			result, err := d.change(change)
-			if err != nil && wheelgauge.AsError(err).Status() < http.StatusInternalServerError {
-				d.t.Fatalf("apply %s %s: %v", r.Kind, r.Name, err)
-			}
-			newest = max(newest, result.Generation)
-			return err
-		})
+		result, err := d.changeUntilMade(d.operator, putChange(r))
+		if err != nil {
+			d.t.Fatalf("apply %s %s: %v", r.Kind, r.Name, err)
+		}
+		newest = max(newest, result.Generation)
 	}
 	return newest
 }
@@ -461,9 +457,24 @@
 }
 
 func (d *deployment) change(c wheelgauge.Change) (wheelgauge.ChangeResult, error) {
+	return changeOnce(d.operator, c)
+}
+
+func changeOnce(operator *opsclient.Client, c wheelgauge.Change) (wheelgauge.ChangeResult, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
-	return d.operator.Change(ctx, c, false)
+	return operator.Change(ctx, c, false)
+}
+
+// changeUntilMade sends a change again while its outcome is not known, as the answer asks for, unless
+// it is refused.
+func (d *deployment) changeUntilMade(operator *opsclient.Client, c wheelgauge.Change) (wheelgauge.ChangeResult, error) {
+	for end := time.Now().Add(applyTimeout); ; time.Sleep(20 * time.Millisecond) {
+		result, err := changeOnce(operator, c)
+		if err == nil || wheelgauge.AsError(err).Status() < http.StatusInternalServerError || time.Now().After(end) {
+			return result, err
+		}
+	}
 }
 
 // awaitInForce waits until a generation is in force at every host.
--- a/systemtest/fault_store_test.go
+++ b/systemtest/fault_store_test.go
@@ -419,7 +419,7 @@
 		group.Go(func() error {
 			c := class(fmt.Sprint("piled-", i%putManyNames), 0)
 			c.Spec = spec(wheelgauge.ClientClassSpec{Burst: i + 1})
-			result, err := d.operatorAt(n).Change(context.Background(), wheelgauge.Change{Op: wheelgauge.OpPut, Kind: c.Kind, Name: c.Name, Spec: c.Spec}, false)
+			result, err := d.changeUntilMade(d.operatorAt(n), putChange(c))
 			for {
 				was := last.Load()
 				if was >= result.Generation || last.CompareAndSwap(was, result.Generation) {
