A request that is judged anew keeps its time limit

Found on reading the change once more: a request that another gateway turned back for its newer version of the configuration shortened its time limit to that of the newer route, while the watch of suspended hosts (EndExpired) reads the limit of requests in progress: a data race, in the worst case a request ended by half of a written time. The limit stays that of its admission.

TestForwardingHostDoesNotGoBackBehindTheEffectOfANewerVersion plays that watch and another time limit in each version; under the race detector it reports the race before the change.

--- a/routegate/gate.go
+++ b/routegate/gate.go
@@ -279,13 +279,17 @@
 	if apiErr := g.judge(ctx, c); apiErr != nil {
 		return apiErr
 	}
-	c.applyRoute()
+	routeDeadline := c.started.Add(c.route.Timeout)
+	if c.deadline.IsZero() || routeDeadline.Before(c.deadline) {
+		c.deadline = routeDeadline
+	}
 	if c.mayOutlastProcess(0) {
 		return leavingRefusal()
 	}
 	if !g.serversKnown.Load() {
 		return refusal(wheelgauge.ReasonNoServer, http.StatusServiceUnavailable, "no servers are known yet").WithRetryAfter(startupRetryAfter)
 	}
+	c.service = routetable.PickService(c.route)
 	if c.forwarded && c.continues() {
 		if apiErr := c.adoptOrigin(); apiErr != nil {
 			return apiErr
@@ -297,15 +301,6 @@
 	return nil
 }
 
-// applyRoute sets what follows from the route: the service, and the time that is left.
-func (c *call) applyRoute() {
-	c.service = routetable.PickService(c.route)
-	routeDeadline := c.started.Add(c.route.Timeout)
-	if c.deadline.IsZero() || routeDeadline.Before(c.deadline) {
-		c.deadline = routeDeadline
-	}
-}
-
 func leavingRefusal() *wheelgauge.Error {
 	return refusal(wheelgauge.ReasonDraining, http.StatusServiceUnavailable, "this host is leaving").WithRetryAfter(leavingRetryAfter)
 }
--- a/routegate/judge.go
+++ b/routegate/judge.go
@@ -160,7 +160,7 @@
 	if apiErr != nil {
 		return false, apiErr
 	}
-	c.applyRoute()
+	c.service = routetable.PickService(c.route) // its time limit stays: others read it meanwhile
 	return true, nil
 }
 
--- a/routegate/version_regress_test.go
+++ b/routegate/version_regress_test.go
@@ -26,6 +26,7 @@
 		add(host, "/kept/", "s")
 	}
 	add("h", "/moving/", fmt.Sprintf("s%d", version), "there")
+	set.Routes[len(set.Routes)-1].Timeout -= time.Duration(version) * time.Second
 	add("h", "/bound/", "s", "there")
 	for _, name := range []string{"s", "s1", "s2", "s3"} {
 		set.Services = append(set.Services, wheelgauge.Service{Name: name, MaxConns: 100})
@@ -233,7 +234,21 @@
 				first.store.newer = routetable.New(versionRoutes(tt.told))
 			}
 			first.forwardTo(t, second)
+			stop, done := make(chan struct{}), make(chan struct{})
+			go func() { // as on a host that was suspended
+				defer close(done)
+				for {
+					select {
+					case <-stop:
+						return
+					default:
+						first.EndExpired()
+					}
+				}
+			}()
 			got := first.status(t, "h", tt.path, "")
+			close(stop)
+			<-done
 			if want := map[bool]int{true: http.StatusOK, false: http.StatusServiceUnavailable}[tt.moved]; got != want {
 				t.Errorf("%s: got %d, want %d", tt.path, got, want)
 			}
