--- a/routegate/version_regress_test.go
+++ b/routegate/version_regress_test.go
@@ -41,7 +41,7 @@
 type versionGate struct {
 	*Gate
 	caller net.Conn
-	// ran counts the requests that the server of each service got.
+	// servers has one server of each service.
 	servers map[string]*backend
 	clock   *agedClock
 	store   *knowledge
