Units of a request that is judged anew go back to the workspace that they were taken from

What callers would have seen: a gateway that ends, with all that is in progress there, when a request of a workspace with a cap is turned back by a gateway of a newer configuration in which its key belongs to no workspace any more. Found by reading the change once more; not seen in a run of the programs.

Cause: the request was judged anew first, and its units refunded to the workspace found then: another one, or none, which the client of caps does not take (a nil workspace). They are refunded before it is judged anew; the next send draws again. The test fails before: the units are refunded to nil.

--- a/routegate/judge.go
+++ b/routegate/judge.go
@@ -147,16 +147,13 @@
 		return false, nil
 	}
 	c.rejudged++
-	workspace := c.workspace
+	c.refundCapUnits() // another workspace may be charged then
 	c.leastVersion = version
 	apiErr = c.gate.judgeOnce(ctx, c)
 	if c.version < version {
 		c.leastVersion = 0 // nobody tells: another gateway may hold the version here
 		return false, nil
 	}
-	if workspace != c.workspace {
-		c.refundCapUnits()
-	}
 	if apiErr != nil {
 		return false, apiErr
 	}
--- a/routegate/version_regress_test.go
+++ b/routegate/version_regress_test.go
@@ -263,6 +263,33 @@
 	}
 }
 
+// refundRecorder records the workspaces that units are refunded to.
+type refundRecorder struct {
+	fakeLimiter
+	refunded []*wheelgauge.Workspace
+}
+
+func (r *refundRecorder) Refund(w *wheelgauge.Workspace, _ float64) {
+	r.refunded = append(r.refunded, w)
+}
+
+// Units of a cap were refunded to the workspace, or to none, by which a request was judged anew.
+func TestUnitsOfARequestThatIsJudgedAnewGoBackToTheirWorkspace(t *testing.T) {
+	capped := versionRoutes(1, "a")
+	capped.Workspaces[0].Cap = wheelgauge.Cap{Rate: 10}
+	first, second := newVersionGate(t, "here", capped), newVersionGate(t, "there", versionRoutes(2, "a"))
+	limiter := &refundRecorder{fakeLimiter: fakeLimiter{remaining: 8}}
+	first.options.Caps = limiter
+	first.store.newer = routetable.New(versionRoutes(2, "b")) // the key is dropped
+	first.forwardTo(t, second)
+	if got := first.status(t, "h", "/moving/", "a"); got != http.StatusUnauthorized && got != http.StatusServiceUnavailable {
+		t.Errorf("got %d, want 401 or 503", got)
+	}
+	if len(limiter.refunded) != 1 || limiter.refunded[0] == nil || limiter.refunded[0].Name != "of a" {
+		t.Errorf("units are refunded to %v, want once to the workspace that they were taken from", limiter.refunded)
+	}
+}
+
 // What a caller says about versions counts for nothing.
 func TestVersionSentByACallerIsIgnored(t *testing.T) {
 	v := newVersionGate(t, "here", versionRoutes(1))
