A store without a leader says why, in its log, its status and its metrics

What operators saw: a group of five stores that all run and answer, and none of whose lines tells why none leads; "no leader is known" is said only to who asks.

Each replica records when each member was heard last and how it answered the last campaign; a refusal tells where the refusing log ends. After 3 s without a leader, and each 10 s from then on, a line "No leader is known." has the term, role, vote, commit, the end of the log, whether the replica votes and its disk takes writes, and each member with its vote, its last message and its answer. The same is in the status (leaderless) and in the metrics group.leaderless_ms and group.voters.silent, also at stores that do not lead. "Replica started." has the identity that was found on the disk beside the one that is used, and the term, vote, commit and end of the log that were found.

No decision changes.

--- a/confstore/node.go
+++ b/confstore/node.go
@@ -304,7 +304,14 @@
 
 // reportGroup sets the metrics of the replica group: unknownGauge at a store that does not lead.
 func (n *Node) reportGroup() {
-	h := n.replica.Status().Health
+	status := n.replica.Status()
+	leaderlessMS, silentVoters := int64(0), int64(0)
+	if l := status.Leaderless; l != nil {
+		leaderlessMS, silentVoters = l.ForMS, int64(l.SilentVoters())
+	}
+	n.meter.Gauge("group.leaderless_ms", leaderlessMS)
+	n.meter.Gauge("group.voters.silent", silentVoters)
+	h := status.Health
 	if h == nil {
 		h = &votergroup.Health{Wanted: voters, Voters: unknownGauge, Replying: unknownGauge, Learners: unknownGauge, Tolerated: unknownGauge}
 	}
--- a/raft/core.go
+++ b/raft/core.go
@@ -98,6 +98,7 @@
 	members          []Member
 	progress         map[uint64]*progress
 	votes            map[uint64]bool
+	contacts         contacts
 	lastChangeIndex  uint64
 	announceCommit   bool // members have not been sent the current commit index
 	writesSuspended  bool
@@ -120,6 +121,7 @@
 		vote:     state.HardState.Vote,
 		snapshot: &Snapshot{},
 		entries:  slices.Clone(state.Entries),
+		contacts: newContacts(),
 	}
 	if state.Snapshot != nil {
 		c.snapshot = state.Snapshot
@@ -176,6 +178,7 @@
 
 // Tick advances the election and heartbeat timers by one tick.
 func (c *Core) Tick() {
+	c.contacts.ticks++
 	c.electionElapsed++
 	if c.role == Leader {
 		c.tickLeader()
@@ -257,6 +260,7 @@
 		c.become(Candidate, term, 0)
 		c.vote = c.options.ID
 	} else {
+		c.contacts.beginCampaign()
 		c.become(PreCandidate, c.term, 0)
 	}
 	c.votes[c.options.ID] = true
--- a/raft/step.go
+++ b/raft/step.go
@@ -8,7 +8,11 @@
 
 // Step processes one received message.
 func (c *Core) Step(m Message) {
-	if m.To != c.options.ID || c.writesSuspended && m.IsVoteRequest() {
+	if m.To != c.options.ID {
+		return
+	}
+	c.contacts.record(m)
+	if c.writesSuspended && m.IsVoteRequest() {
 		return
 	}
 	if m.Term > c.term && !c.stepNewerTerm(m) {
@@ -80,7 +84,13 @@
 		c.send(Message{Type: MessagePreVoteReply, To: m.From, Term: m.Term})
 		return
 	}
-	c.send(Message{Type: MessagePreVoteReply, To: m.From, Term: c.term, Reject: true})
+	c.refuseVote(MessagePreVoteReply, m.From)
+}
+
+// refuseVote refuses a vote because of the candidate's log, and tells where the own log ends.
+func (c *Core) refuseVote(kind MessageType, to uint64) {
+	index, term := c.LastEntry()
+	c.send(Message{Type: kind, To: to, Term: c.term, Reject: true, Index: index, LogTerm: term})
 }
 
 func (c *Core) stepVote(m Message) {
@@ -91,12 +101,15 @@
 		return
 	}
 	canVote := c.vote == 0 && c.leader == 0 || c.vote == m.From
-	grant := canVote && c.isUpToDate(m)
-	if grant {
+	if canVote && !c.isUpToDate(m) {
+		c.refuseVote(MessageVoteReply, m.From)
+		return
+	}
+	if canVote {
 		c.vote = m.From
 		c.electionElapsed = 0
 	}
-	c.send(Message{Type: MessageVoteReply, To: m.From, Term: c.term, Reject: !grant})
+	c.send(Message{Type: MessageVoteReply, To: m.From, Term: c.term, Reject: !canVote})
 }
 
 func (c *Core) stepVoteReply(m Message) {
--- a/replica/progress.go
+++ b/replica/progress.go
@@ -58,6 +58,8 @@
 	Members  []raft.Member `json:"members"`
 	// Health is known to the leader only.
 	Health *votergroup.Health `json:"health,omitempty"`
+	// Leaderless is set while no leader is known.
+	Leaderless *Leaderless `json:"leaderless,omitempty"`
 }
 
 // statusView holds the last published status, for readers outside the run loop.
@@ -90,6 +92,7 @@
 		health := r.planner.Health(r.core)
 		s.Health = &health
 	}
+	s.Leaderless = r.leaderlessState()
 	r.view.mu.Lock()
 	defer r.view.mu.Unlock()
 	r.logHealth(s.Health)
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -93,6 +93,8 @@
 	applied  *appliedIndex
 	view     *statusView
 	disk     diskState
+	// leaderlessTicks is the number of ticks without a leader.
+	leaderlessTicks int
 
 	cancel context.CancelFunc
 	done   chan error
@@ -139,7 +141,7 @@
 		r.suspendWrites(openErr)
 	}
 	r.publish()
-	options.Log.Info("Replica started.", "id", s.self.ID, "blank", blank, "applied", core.Applied())
+	r.logStart(blank, state)
 	go func() {
 		r.done <- r.run(ctx)
 		close(r.done)
@@ -179,6 +181,7 @@
 			return nil
 		case <-ticker.C:
 			r.core.Tick()
+			r.tickLeaderless()
 			r.retryDisk()
 			r.maintainMembers()
 			join.tick(ctx)
--- a/replica/storage.go
+++ b/replica/storage.go
@@ -46,6 +46,8 @@
 type storage struct {
 	log  recordLog
 	self identity
+	// found is the identity that was on the disk, zero if there was none.
+	found identity
 	// needsRewrite is set while the file lacks its first records, such as a new
 	// identity.
 	needsRewrite bool
@@ -72,6 +74,7 @@
 	if err != nil {
 		return nil, state, false, errors.Join(err, log.Close())
 	}
+	s.found = s.self
 	if s.self.ID != 0 && s.self.Disk == inode {
 		return s, state, false, openErr
 	}
