--- /dev/null
+++ b/raft/members_test.go
@@ -0,0 +1,76 @@
+package raft
+
+import (
+	"encoding/json"
+	"slices"
+	"testing"
+)
+
+// promotion plays a group of the voters 1 to 4 whose leader 1 makes 5, a learner, a voter. Those in
+// informed have the entry when it is committed, and none of them has heard so.
+func promotion(t *testing.T, informed ...uint64) *simulation {
+	t.Helper()
+	s := newSimulation(t, 1, 4)
+	members := append(s.replicas[1].core.Members(), Member{ID: 5, Name: "store-5"})
+	for _, id := range s.ids {
+		s.replicas[id].disk.Snapshot = &Snapshot{Index: 1, Term: 1, Members: members, Data: json.RawMessage("[]")}
+		s.start(id)
+	}
+	s.add(5, s.replicas[1].disk)
+	s.elect()
+	members[4].Voter = true
+	if _, _, err := s.replicas[1].core.ProposeMembers(members); err != nil {
+		t.Fatal(err)
+	}
+	for s.replicas[1].core.Commit() < s.replicas[1].core.lastIndex() {
+		s.processReady(1, 0)
+		if len(s.network) == 0 {
+			t.Fatal("the promotion is not committed")
+		}
+		m := s.network[0]
+		s.network = s.network[1:]
+		if m.To != 1 && !slices.Contains(informed, m.To) {
+			continue
+		}
+		s.replicas[m.To].core.Step(m)
+		s.processReady(m.To, 0)
+	}
+	s.processReady(1, 0)
+	s.network = nil
+	return s
+}
+
+func TestGroupSurvivesTheLossOfTwoStoresRightAfterAPromotion(t *testing.T) {
+	tests := []struct {
+		name     string
+		informed []uint64
+		lost     []uint64
+	}{
+		{"leader and a store, all have the entry", []uint64{2, 3, 4, 5}, []uint64{1, 2}},
+		{"leader and a store, the new voter has the entry", []uint64{2, 3, 5}, []uint64{1, 2}},
+		{"leader and a store, another has the entry", []uint64{2, 3, 4}, []uint64{1, 2}},
+		{"leader and the new voter", []uint64{2, 3, 4, 5}, []uint64{1, 5}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := promotion(t, tt.informed...)
+			for _, id := range tt.lost {
+				s.replicas[id].down = true
+			}
+			for i := range 2000 {
+				s.round(3*i + 1)
+			}
+			for _, id := range s.ids {
+				if r := s.replicas[id]; !r.down && r.core.Role() == Leader {
+					return
+				}
+			}
+			for _, id := range s.ids {
+				if r := s.replicas[id]; !r.down {
+					t.Logf("replica %d: members %+v, log ends at %d, contacts %+v", id, r.core.Members(), r.core.lastIndex(), r.core.Contacts())
+				}
+			}
+			t.Error("three of five voters run and none leads")
+		})
+	}
+}
