Members count from the entry of the log on, not from its commit

What callers could see: no store leads any more, for good, although three of five voters run. The leader commits that a learner votes (or that a voter is removed) and is lost with one other store, within the tolerance of the group, before the rest has heard of the commit. The others have the entry, and vote by the list before it: four voters of whom three must agree, and two are lost.

Cause: a list of members took effect when it was applied. That is known to the leader first, and to the others with its next message.

A leader changes members only after an entry of its own term is committed, without which the quorums of two leaders' lists need not overlap.

What the users saw is not shown to be this: the window is that of one message.

--- a/raft/core.go
+++ b/raft/core.go
@@ -7,9 +7,7 @@
 package raft
 
 import (
-	"encoding/json"
 	"errors"
-	"fmt"
 	"math/rand/v2"
 	"slices"
 )
@@ -100,7 +98,8 @@
 	votes            map[uint64]bool
 	contacts         contacts
 	lastChangeIndex  uint64
-	announceCommit   bool // members have not been sent the current commit index
+	termStart        uint64 // index of the first entry of this leader's term
+	announceCommit   bool   // members have not been sent the current commit index
 	writesSuspended  bool
 	electionElapsed  int
 	heartbeatElapsed int
@@ -125,12 +124,12 @@
 	}
 	if state.Snapshot != nil {
 		c.snapshot = state.Snapshot
-		c.members = slices.Clone(state.Snapshot.Members)
 	}
 	c.base, c.baseTerm = c.snapshot.Index, c.snapshot.Term
 	c.commit = max(c.snapshot.Index, min(state.HardState.Commit, c.lastIndex()))
 	c.applied = c.snapshot.Index
 	c.stable = c.lastIndex()
+	c.reloadMembers()
 	c.handledHardState = c.currentHardState()
 	c.resetTimeout()
 	return c
@@ -157,25 +156,6 @@
 	c.electionTimeout = c.options.ElectionTicks + c.random.IntN(c.options.ElectionTicks)
 }
 
-func (c *Core) isVoter(id uint64) bool {
-	i := slices.IndexFunc(c.members, func(m Member) bool { return m.ID == id })
-	return i >= 0 && c.members[i].Voter
-}
-
-func (c *Core) quorum(counts func(id uint64) bool) bool {
-	voters, count := 0, 0
-	for _, m := range c.members {
-		if !m.Voter {
-			continue
-		}
-		voters++
-		if counts(m.ID) {
-			count++
-		}
-	}
-	return voters > 0 && count > voters/2
-}
-
 // Tick advances the election and heartbeat timers by one tick.
 func (c *Core) Tick() {
 	c.contacts.ticks++
@@ -204,6 +184,7 @@
 	}
 	c.entries = slices.Clone(c.entries[:c.stable-c.base])
 	c.commit = min(c.commit, c.stable)
+	c.reloadMembers()
 	c.messages = nil
 }
 
@@ -285,7 +266,7 @@
 	c.progress = map[uint64]*progress{}
 	c.lastChangeIndex = c.lastIndex()
 	c.syncProgress()
-	c.appendEntry(EntryNoOp, nil)
+	c.termStart = c.appendEntry(EntryNoOp, nil)
 	c.broadcast()
 }
 
@@ -316,42 +297,6 @@
 	return index, c.term, nil
 }
 
-// ProposeMembers proposes a list of members that differs by at most one member
-// from the current list.
-func (c *Core) ProposeMembers(members []Member) (index, term uint64, err error) {
-	if c.role != Leader {
-		return 0, 0, ErrNotLeader
-	}
-	if c.lastChangeIndex > c.applied {
-		return 0, 0, ErrChangePending
-	}
-	if countMemberChanges(c.members, members) > 1 {
-		return 0, 0, fmt.Errorf("raft: only one member may change at a time: %w", ErrChangePending)
-	}
-	data, err := json.Marshal(members)
-	if err != nil {
-		return 0, 0, fmt.Errorf("encode members: %w", err)
-	}
-	index = c.appendEntry(EntryMembers, data)
-	c.lastChangeIndex = index
-	return index, c.term, nil
-}
-
-func countMemberChanges(a, b []Member) int {
-	count := 0
-	for _, m := range a {
-		if !slices.ContainsFunc(b, func(o Member) bool { return o.ID == m.ID && o.Voter == m.Voter }) {
-			count++
-		}
-	}
-	for _, m := range b {
-		if !slices.ContainsFunc(a, func(o Member) bool { return o.ID == m.ID }) {
-			count++
-		}
-	}
-	return count
-}
-
 // ReadIndex registers a read barrier under an ID chosen by the caller.
 func (c *Core) ReadIndex(id uint64) error {
 	if c.role != Leader || c.termAt(c.commit) != c.term {
--- a/raft/members_test.go
+++ b/raft/members_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"slices"
 	"testing"
 )
@@ -74,3 +75,47 @@
 		})
 	}
 }
+
+func TestMembersChangeOnlyAfterAnEntryOfTheLeadersTermIsCommitted(t *testing.T) {
+	s := newSimulation(t, 1, 3)
+	c := s.replicas[1].core
+	for c.Role() != Leader {
+		if len(s.network) == 0 {
+			c.Tick()
+		}
+		s.processReady(1, 0)
+		for _, m := range s.network {
+			if m.Type <= MessageVoteReply { // nothing that the leader sends arrives
+				s.replicas[m.To].core.Step(m)
+				s.processReady(m.To, 0)
+			}
+		}
+		s.network = slices.DeleteFunc(s.network, func(m Message) bool { return m.To != 1 })
+		for _, m := range s.network {
+			c.Step(m)
+		}
+		s.network = nil
+	}
+	members := append(c.Members(), Member{ID: 4})
+	if _, _, err := c.ProposeMembers(members); !errors.Is(err, ErrChangePending) {
+		t.Fatalf("got %v before the first entry of the term is committed, want %v", err, ErrChangePending)
+	}
+	s.deliverExcept(0)
+	s.runHeartbeats(2)
+	s.deliverExcept(0)
+	if _, _, err := c.ProposeMembers(members); err != nil {
+		t.Fatalf("got %v after it is committed", err)
+	}
+}
+
+func TestMembersOfADroppedEntryAreTakenBack(t *testing.T) {
+	change, _ := json.Marshal([]Member{{ID: 1, Voter: true}, {ID: 2, Voter: true}})
+	c := newRestored(HardState{Term: 2}, Entry{Index: 2, Term: 2, Type: EntryMembers, Data: change})
+	if n := len(c.Members()); n != 2 {
+		t.Fatalf("got %d members by the last list in the log, want 2", n)
+	}
+	c.Step(Message{Type: MessageAppend, From: 3, To: 1, Term: 3, Index: 1, LogTerm: 1, Entries: []Entry{{Index: 2, Term: 3, Type: EntryNoOp}}})
+	if n := len(c.Members()); n != 3 {
+		t.Errorf("got %d members after the entry was replaced, want the 3 of before", n)
+	}
+}
--- a/raft/step.go
+++ b/raft/step.go
@@ -1,8 +1,6 @@
 package raft
 
 import (
-	"encoding/json"
-	"fmt"
 	"slices"
 )
 
@@ -168,6 +166,7 @@
 			c.stable = min(c.stable, e.Index-1)
 		}
 		c.entries = append(c.entries, entries[i:]...)
+		c.reloadMembers()
 		return
 	}
 }
@@ -198,7 +197,7 @@
 	c.commit = s.Index
 	c.applied = s.Index
 	c.stable = s.Index
-	c.members = slices.Clone(s.Members)
+	c.reloadMembers()
 }
 
 func (c *Core) stepAppendReply(m Message) {
@@ -326,22 +325,9 @@
 
 func (c *Core) apply(e Entry) error {
 	c.applied = e.Index
-	if e.Type != EntryMembers {
-		return nil
+	if e.Type == EntryMembers {
+		return c.applyMembers(e)
 	}
-	var members []Member
-	if err := json.Unmarshal(e.Data, &members); err != nil {
-		return fmt.Errorf("decode members: %w", err)
-	}
-	c.members = members
-	if c.role != Leader {
-		return nil
-	}
-	if !c.isVoter(c.options.ID) {
-		c.become(Follower, c.term, 0)
-		return nil
-	}
-	c.syncProgress()
 	return nil
 }
 
@@ -352,7 +338,7 @@
 	if c.applied <= c.snapshot.Index {
 		return c.snapshot
 	}
-	c.snapshot = &Snapshot{Index: c.applied, Term: c.termAt(c.applied), Members: slices.Clone(c.members), Data: data}
+	c.snapshot = &Snapshot{Index: c.applied, Term: c.termAt(c.applied), Members: c.membersAt(c.applied), Data: data}
 	if c.applied <= c.base+keep {
 		return c.snapshot
 	}
--- a/raft/view.go
+++ b/raft/view.go
@@ -17,7 +17,7 @@
 // Leader returns the ID of the leader this replica follows, 0 if none.
 func (c *Core) Leader() uint64 { return c.leader }
 
-// Members returns the members of the last applied configuration.
+// Members returns the members of the last list in the log, committed or not.
 func (c *Core) Members() []Member { return slices.Clone(c.members) }
 
 // Commit returns the highest committed index.
