The marker that a disk is known by is synced when it is created

A loss of power may lose it, and then the store judges its own disk another's.

Now the file and its folder are synced at each start, before the log is read.

--- a/replica/identity.go
+++ b/replica/identity.go
@@ -8,6 +8,8 @@
 	"os"
 	"path/filepath"
 	"syscall"
+
+	"wheelgauge/wal"
 )
 
 const markerName = "disk.marker"
@@ -19,9 +21,9 @@
 	return binary.LittleEndian.Uint64(b[:])>>1 | 1
 }
 
-// diskID returns the inode of the marker file in dir. A copy or a restored backup
-// of the folder has another inode, so its replica does not assume the identity of
-// the replica that wrote the log.
+// diskID returns the inode of the marker file in dir, which it creates if it is not
+// there. A copy or a restored backup of the folder has another inode, so its state
+// may be older than what the replica has told others since.
 func diskID(dir string) (uint64, error) {
 	path := filepath.Join(dir, markerName)
 	f, err := os.OpenFile(path, os.O_CREATE|os.O_RDONLY, 0o600)
@@ -29,7 +31,7 @@
 		return 0, fmt.Errorf("open disk marker: %w", err)
 	}
 	info, err := f.Stat()
-	if err := errors.Join(err, f.Close()); err != nil {
+	if err := errors.Join(err, f.Sync(), f.Close(), wal.SyncDir(dir)); err != nil {
 		return 0, fmt.Errorf("read disk marker: %w", err)
 	}
 	stat, ok := info.Sys().(*syscall.Stat_t)
--- a/wal/wal.go
+++ b/wal/wal.go
@@ -238,7 +238,7 @@
 		return fmt.Errorf("rename log: %w", err)
 	}
 	oldFile := l.file
-	if err := errors.Join(syncDir(filepath.Dir(l.path)), l.openFile(int64(len(magic)+len(buf)))); err != nil {
+	if err := errors.Join(SyncDir(filepath.Dir(l.path)), l.openFile(int64(len(magic)+len(buf)))); err != nil {
 		l.poisoned = true
 		return err
 	}
@@ -268,7 +268,7 @@
 
 // MakeDir creates a directory and its missing parents. It syncs the parent of each that it
 // creates: without that, a power failure may lose the directory with all files in it.
-func MakeDir(path string, mode os.FileMode) error { return makeDir(path, mode, syncDir) }
+func MakeDir(path string, mode os.FileMode) error { return makeDir(path, mode, SyncDir) }
 
 func makeDir(path string, mode os.FileMode, sync func(path string) error) error {
 	err := os.Mkdir(path, mode)
@@ -285,7 +285,8 @@
 	return sync(filepath.Dir(path))
 }
 
-func syncDir(path string) error {
+// SyncDir makes the names of the files in a directory durable.
+func SyncDir(path string) error {
 	d, err := os.Open(path)
 	if err != nil {
 		return fmt.Errorf("open directory: %w", err)
