A store on a copied disk keeps its state, and votes where the group has no leader without it

What callers saw: no configuration is acknowledged or read any more, for good, although all stores run and answer.

Cause: a store whose marker file has another inode than the one that its log names took its disk for a copy, threw the state away and began as a blank store. That keeps an old backup from voting as if it were current, but one process decided it alone, by a guess from its surroundings, and for good. Where three or more of five disks were copied, moved or put back, the quorum was gone.

Now such a state is unverified, and others decide. Where no leader is left, it votes, and says that its vote is unverified. A candidate wins with such votes if no majority that agreed on something can have been forgotten by all of them: as many as the group tolerates may have failed, lost disks, old ones and voters silent for three election timeouts together. It raises its term far beyond any in which it may have voted before. It takes entries only from a leader that it has voted for since its start, which verifies it: the state counts from then on. Until then it serves nothing, as a blank store.

--- a/raft/contact.go
+++ b/raft/contact.go
@@ -18,7 +18,8 @@
 	SilentTicks int  `json:"silent_ticks"`
 	Heard       bool `json:"heard"`
 	// Ballot is the member's answer to the last campaign that it answered or should have answered.
-	Ballot Ballot `json:"ballot"`
+	Ballot     Ballot `json:"ballot"`
+	Unverified bool   `json:"unverified,omitempty"`
 	// Term is the term of a refusal; LastIndex and LastTerm are those of the refusing member's log,
 	// 0 if the refusal was not due to its log.
 	Term      uint64 `json:"term,omitempty"`
@@ -50,15 +51,17 @@
 // beginCampaign moves the replies to the campaign before.
 func (k *contacts) beginCampaign() { k.earlier, k.replies = k.replies, map[uint64]Message{} }
 
+// silentTicks returns the number of ticks since a member's last message, or since the start.
+func (k *contacts) silentTicks(id uint64) int { return k.ticks - k.heard[id] }
+
 func (k *contacts) contact(m Member) Contact {
-	out := Contact{Member: m, SilentTicks: k.ticks, Ballot: BallotNone}
-	if at, ok := k.heard[m.ID]; ok {
-		out.SilentTicks, out.Heard = k.ticks-at, true
-	}
+	_, heard := k.heard[m.ID]
+	out := Contact{Member: m, SilentTicks: k.silentTicks(m.ID), Heard: heard, Ballot: BallotNone}
 	reply, ok := k.replies[m.ID]
 	if !ok {
 		reply, ok = k.earlier[m.ID]
 	}
+	out.Unverified = reply.Unverified
 	switch {
 	case !ok:
 	case reply.Reject:
--- a/raft/core.go
+++ b/raft/core.go
@@ -42,6 +42,8 @@
 	ElectionTicks  int
 	HeartbeatTicks int
 	Seed           uint64
+	// Unverified is set if the persisted state may be an old copy.
+	Unverified bool
 }
 
 // State is the persisted state that a Core starts from.
@@ -95,7 +97,9 @@
 
 	members          []Member
 	progress         map[uint64]*progress
-	votes            map[uint64]bool
+	votes            map[uint64]ballot
+	unverified       bool
+	restoredCommit   uint64 // commit index that an unverified replica had on disk
 	contacts         contacts
 	lastChangeIndex  uint64
 	termStart        uint64 // index of the first entry of this leader's term
@@ -129,6 +133,9 @@
 	c.commit = max(c.snapshot.Index, min(state.HardState.Commit, c.lastIndex()))
 	c.applied = c.snapshot.Index
 	c.stable = c.lastIndex()
+	if options.Unverified {
+		c.startUnverified()
+	}
 	c.reloadMembers()
 	c.handledHardState = c.currentHardState()
 	c.resetTimeout()
@@ -136,7 +143,7 @@
 }
 
 func (c *Core) currentHardState() HardState {
-	return HardState{Term: c.term, Vote: c.vote, Commit: c.commit}
+	return HardState{Term: c.term, Vote: c.vote, Commit: max(c.commit, c.restoredCommit)}
 }
 
 func (c *Core) lastIndex() uint64 { return c.base + uint64(len(c.entries)) }
@@ -229,7 +236,7 @@
 	}
 	c.role = role
 	c.leader = leader
-	c.votes = map[uint64]bool{}
+	c.votes = map[uint64]ballot{}
 	c.resetTimeout()
 }
 
@@ -244,8 +251,8 @@
 		c.contacts.beginCampaign()
 		c.become(PreCandidate, c.term, 0)
 	}
-	c.votes[c.options.ID] = true
-	if c.quorum(func(id uint64) bool { return c.votes[id] }) {
+	c.votes[c.options.ID] = ballot{granted: true, unverified: c.unverified}
+	if c.winsElection() {
 		c.electionWon()
 		return
 	}
@@ -262,6 +269,7 @@
 		c.campaign(Candidate)
 		return
 	}
+	c.verify()
 	c.become(Leader, c.term, c.options.ID)
 	c.progress = map[uint64]*progress{}
 	c.lastChangeIndex = c.lastIndex()
@@ -321,7 +329,7 @@
 }
 
 func (c *Core) send(m Message) {
-	m.From = c.options.ID
+	m.From, m.Unverified = c.options.ID, c.unverified
 	c.messages = append(c.messages, m)
 }
 
--- a/raft/members.go
+++ b/raft/members.go
@@ -36,7 +36,7 @@
 	if c.role != Leader {
 		return 0, 0, ErrNotLeader
 	}
-	if max(c.lastChangeIndex, c.termStart) > c.applied {
+	if c.ChangePending() {
 		return 0, 0, ErrChangePending
 	}
 	if countMemberChanges(c.members, members) > 1 {
@@ -53,6 +53,9 @@
 	return index, c.term, nil
 }
 
+// ChangePending reports whether a leader may not change the members yet.
+func (c *Core) ChangePending() bool { return max(c.lastChangeIndex, c.termStart) > c.applied }
+
 func countMemberChanges(a, b []Member) int {
 	count := 0
 	for _, m := range a {
--- a/raft/message.go
+++ b/raft/message.go
@@ -70,6 +70,8 @@
 	LogTerm uint64      `json:"log_term,omitempty"`
 	Commit  uint64      `json:"commit,omitempty"`
 	Reject  bool        `json:"reject,omitempty"`
+	// Unverified is set if the sender's state may be an old copy.
+	Unverified bool `json:"unverified,omitempty"`
 	// Round is the number of the leader's heartbeat; a reply echoes it.
 	Round    uint64    `json:"round,omitempty"`
 	Entries  []Entry   `json:"entries,omitempty"`
--- a/raft/step.go
+++ b/raft/step.go
@@ -10,7 +10,7 @@
 		return
 	}
 	c.contacts.record(m)
-	if c.writesSuspended && m.IsVoteRequest() {
+	if c.writesSuspended && m.IsVoteRequest() || c.unverified && !c.acceptsUnverified(m) {
 		return
 	}
 	if m.Term > c.term && !c.stepNewerTerm(m) {
@@ -118,8 +118,8 @@
 	if !preVote && c.role != Candidate {
 		return
 	}
-	c.votes[m.From] = !m.Reject
-	if c.quorum(func(id uint64) bool { return c.votes[id] }) {
+	c.votes[m.From] = ballot{granted: !m.Reject, unverified: m.Unverified}
+	if c.winsElection() {
 		c.electionWon()
 	}
 }
--- /dev/null
+++ b/raft/unverified_test.go
@@ -0,0 +1,153 @@
+package raft
+
+import (
+	"slices"
+	"testing"
+)
+
+// candidate returns replica 1 of a group of voters, which campaigns.
+func candidate(voters int, unverified bool) *Core {
+	var members []Member
+	for id := range uint64(voters) {
+		members = append(members, Member{ID: id + 1, Voter: true})
+	}
+	c := New(Options{ID: 1, ElectionTicks: 10, HeartbeatTicks: 2, Unverified: unverified}, State{
+		Snapshot: &Snapshot{Index: 1, Term: 1, Members: members}, HardState: HardState{Term: 3, Vote: 2, Commit: 1},
+	})
+	for c.role == Follower {
+		c.Tick()
+	}
+	return c
+}
+
+func TestUnverifiedVotesElectOnlyWhereNoMajorityCanHaveForgotten(t *testing.T) {
+	const (
+		verified   = 'v'
+		unverified = 'u'
+		failed     = 'f' // silent for long
+		awaited    = 'a' // no answer yet
+	)
+	tests := []struct {
+		votes string // of each voter, the candidate first
+		want  bool
+	}{
+		{"u", true},
+		{"vvvaa", true},
+		{"vvvuu", true},
+		{"vvaaa", false},
+		{"uuuuu", true},
+		{"uuuua", false},
+		{"uuuuf", true},
+		{"uuuaa", false},
+		{"uuuff", true},
+		{"uuufa", false},
+		{"vuuaa", false},
+		{"vvuaa", false},
+		{"vvuff", true},
+		{"vvuua", false},
+		{"vvufa", false},
+		{"vvuuu", true},
+		{"vuuua", false},
+		{"vvvua", true},
+		{"uufff", false},
+		{"uua", false},
+		{"uuf", true},
+		{"uuu", true},
+		{"vua", false},
+		{"vuf", true},
+		{"vva", true},
+		{"uuuu", true},
+		{"uuuf", true},
+		{"uuff", false},
+		{"uuua", true}, // any majority of four has two of these three
+		{"uu", true},
+		{"vu", true},
+		{"ua", false},
+		{"uf", false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.votes, func(t *testing.T) {
+			c := candidate(len(tt.votes), tt.votes[0] == unverified)
+			c.votes = map[uint64]ballot{}
+			c.contacts.ticks = 10 * silentElections * c.options.ElectionTicks
+			for i, vote := range tt.votes {
+				id := uint64(i + 1)
+				if vote != failed {
+					c.contacts.heard[id] = c.contacts.ticks
+				}
+				if vote == verified || vote == unverified {
+					c.votes[id] = ballot{granted: true, unverified: vote == unverified}
+				}
+			}
+			if got := c.winsElection(); got != tt.want {
+				t.Errorf("got %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
+
+func TestUnverifiedReplicaFollowsOnlyTheLeaderThatItElected(t *testing.T) {
+	start := func() *Core {
+		c := candidate(3, true)
+		_ = c.Ready()
+		return c
+	}
+	term := start().Term()
+	if term <= 3+unverifiedTermGap-1 {
+		t.Fatalf("got term %d, want one beyond those in which the replica may have voted", term)
+	}
+	vote := func(c *Core, from uint64) {
+		c.become(Follower, c.term, 0)
+		c.Step(Message{Type: MessageVote, From: from, To: 1, Term: term + 5, Index: 9, LogTerm: 3})
+	}
+	tests := []struct {
+		name string
+		play func(c *Core)
+		want bool
+	}{
+		{"a leader of an earlier term", func(c *Core) {
+			c.Step(Message{Type: MessageAppend, From: 2, To: 1, Term: 4, Index: 1, LogTerm: 1})
+		}, false},
+		{"a leader of a later term without its vote", func(c *Core) {
+			c.Step(Message{Type: MessageAppend, From: 2, To: 1, Term: term + 5, Index: 1, LogTerm: 1})
+		}, false},
+		{"a snapshot of one", func(c *Core) {
+			c.Step(Message{Type: MessageSnapshot, From: 2, To: 1, Term: term + 5, Snapshot: &Snapshot{Index: 7, Term: 3}})
+		}, false},
+		{"another leader than it voted for", func(c *Core) {
+			vote(c, 3)
+			c.Step(Message{Type: MessageAppend, From: 2, To: 1, Term: term + 6, Index: 1, LogTerm: 1})
+		}, false},
+		{"the leader that it voted for", func(c *Core) {
+			vote(c, 3)
+			c.Step(Message{Type: MessageAppend, From: 3, To: 1, Term: term + 5, Index: 1, LogTerm: 1})
+		}, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := start()
+			tt.play(c)
+			replied := slices.ContainsFunc(c.messages, func(m Message) bool { return m.Type == MessageAppendReply })
+			if verified := !c.Unverified(); verified != tt.want || replied != tt.want {
+				t.Errorf("got verified %v, a reply to the leader %v, want %v", verified, replied, tt.want)
+			}
+		})
+	}
+}
+
+func TestUnverifiedReplicaServesWhatItHadCommittedOnlyOnceVerified(t *testing.T) {
+	c := New(Options{ID: 1, ElectionTicks: 10, HeartbeatTicks: 2, Unverified: true}, State{
+		Snapshot:  &Snapshot{Index: 1, Term: 1, Members: []Member{{ID: 1, Voter: true}}},
+		HardState: HardState{Term: 3, Commit: 2}, Entries: []Entry{{Index: 2, Term: 3, Data: []byte(`"a"`)}},
+	})
+	if rd := c.Ready(); !rd.Empty() {
+		t.Fatalf("got %+v before it is verified, want nothing to do", rd)
+	}
+	for c.role != Leader {
+		c.Tick()
+	}
+	rd := c.Ready()
+	if len(rd.Committed) != 1 || string(rd.Committed[0].Data) != `"a"` || rd.HardState.Commit < 2 {
+		t.Errorf("got %+v once it leads, want the entry that was committed", rd)
+	}
+}
--- a/replica/members.go
+++ b/replica/members.go
@@ -58,6 +58,7 @@
 		return
 	}
 	j.lastAttempt = time.Now()
+	candidate := r.joinAs()
 	for _, address := range r.knownStores() {
 		if !j.begin(address) {
 			continue
@@ -66,7 +67,7 @@
 		go func() {
 			defer r.net.senders.Done()
 			defer j.end(address)
-			j.request(ctx, address)
+			j.request(ctx, address, candidate)
 		}()
 	}
 }
@@ -87,11 +88,30 @@
 	delete(j.calling, address)
 }
 
-func (j *joiner) request(ctx context.Context, address string) {
-	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+func (j *joiner) request(ctx context.Context, address string, candidate raft.Member) {
+	callCtx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
-	if err := j.r.options.Client.Call(ctx, http.MethodPost, address, pathJoin, j.r.self(), nil); err != nil {
+	if err := j.r.options.Client.Call(callCtx, http.MethodPost, address, pathJoin, candidate, nil); err != nil {
 		j.r.options.Log.V(1).Info("Join request failed.", "peer", address, "cause", err.Error())
+		return
+	}
+	// Fails when the replica stops only.
+	_ = j.r.submit(ctx, func() { j.r.joined(candidate.ID) })
+}
+
+// joinAs returns the member that this replica asks to be: an unverified one its successor.
+func (r *Replica) joinAs() raft.Member {
+	m := r.self()
+	if r.storage.unverified {
+		m.ID = r.storage.self.Successor
+	}
+	return m
+}
+
+// joined is called once the group has a member with an ID that this replica asked for.
+func (r *Replica) joined(id uint64) {
+	if id == r.storage.self.Successor {
+		r.fatal = r.becomeSuccessor()
 	}
 }
 
@@ -118,7 +138,13 @@
 }
 
 func (r *Replica) joinLocal(ctx context.Context, m raft.Member) error {
-	return r.changeMembers(ctx, func() ([]raft.Member, error) { return r.planner.Join(r.core, m) })
+	return r.changeMembers(ctx, func() ([]raft.Member, error) {
+		next, err := r.planner.Join(r.core, m)
+		if err == nil && next == nil && r.core.ChangePending() {
+			return nil, noLeaderError("a change of the members is not committed yet")
+		}
+		return next, err
+	})
 }
 
 // removeReply is the leader's response to a removal.
--- a/replica/network.go
+++ b/replica/network.go
@@ -45,6 +45,19 @@
 	return &network{ctx: ctx, client: client, self: self, addresses: map[uint64]string{}, queues: map[string]chan raft.Message{}}
 }
 
+// setSelf sets the sender of later messages.
+func (n *network) setSelf(m raft.Member) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.self = m
+}
+
+func (n *network) sender() raft.Member {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.self
+}
+
 // learn records the address of a replica that may not be in the member list yet.
 func (n *network) learn(m raft.Member) {
 	n.mu.Lock()
@@ -120,7 +133,7 @@
 	ctx, cancel := context.WithTimeout(n.ctx, sendTimeoutFor(messages))
 	defer cancel()
 	// The core sends lost messages again, so errors are ignored.
-	_ = n.client.Call(ctx, http.MethodPost, address, pathMessages, envelope{From: n.self, Messages: messages}, nil)
+	_ = n.client.Call(ctx, http.MethodPost, address, pathMessages, envelope{From: n.sender(), Messages: messages}, nil)
 }
 
 // sendTimeoutFor returns the timeout of a call that carries the messages.
--- a/replica/progress.go
+++ b/replica/progress.go
@@ -26,6 +26,13 @@
 	a.changed = make(chan struct{})
 }
 
+// reset forgets the index: the replica starts again without a state.
+func (a *appliedIndex) reset() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.index = 0
+}
+
 func (a *appliedIndex) get() (uint64, <-chan struct{}) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -56,6 +63,10 @@
 	Applied  uint64        `json:"applied"`
 	LogBytes int64         `json:"log_bytes"`
 	Members  []raft.Member `json:"members"`
+	// Unverified is set while the state on the disk may be an old copy: it was written on another
+	// one. SetAside is the path of such a state that is not used any more.
+	Unverified bool   `json:"unverified,omitempty"`
+	SetAside   string `json:"set_aside,omitempty"`
 	// Health is known to the leader only.
 	Health *votergroup.Health `json:"health,omitempty"`
 	// Leaderless is set while no leader is known.
@@ -83,8 +94,12 @@
 		Self: r.self(), Role: roleNames[r.core.Role()], Term: r.core.Term(), Leader: r.core.Leader(),
 		Commit: r.core.Commit(), Applied: r.core.Applied(), LogBytes: r.storage.log.Size(), Members: r.core.Members(),
 	}
+	s.Unverified, s.SetAside = r.core.Unverified(), r.aside
+	if s.Unverified {
+		s.Applied = 0 // the state machine has nothing yet
+	}
 	i := slices.IndexFunc(s.Members, func(m raft.Member) bool { return m.ID == s.Self.ID })
-	s.Self.Voter = i >= 0 && s.Members[i].Voter
+	s.Self.Voter = i >= 0 && s.Members[i].Voter && !s.Unverified
 	if s.Role == "follower" && !s.Self.Voter {
 		s.Role = "learner"
 	}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -95,6 +95,10 @@
 	disk     diskState
 	// leaderlessTicks is the number of ticks without a leader.
 	leaderlessTicks int
+	// aside is the path of the state that was set aside since the start, if any.
+	aside string
+	// fatal is an error because of which the replica must stop.
+	fatal error
 
 	cancel context.CancelFunc
 	done   chan error
@@ -113,7 +117,7 @@
 	if openErr != nil && !wal.IsNoSpace(openErr) {
 		return nil, errors.Join(openErr, s.log.Close())
 	}
-	if state.Snapshot != nil {
+	if state.Snapshot != nil && !s.unverified {
 		if err := machine.Restore(state.Snapshot.Data); err != nil {
 			return nil, errors.Join(fmt.Errorf("restore state: %w", err), s.log.Close())
 		}
@@ -126,16 +130,16 @@
 	if options.wrapLog != nil {
 		s.log, openErr = options.wrapLog(s.log), cmp.Or(openErr, options.firstWriteErr)
 	}
-	core := raft.New(raft.Options{ID: s.self.ID, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, Seed: s.self.ID}, state)
 	ctx, cancel := context.WithCancel(ctx)
 	r := &Replica{
-		options: options, core: core, storage: s, machine: machine,
+		options: options, storage: s, machine: machine,
 		planner: votergroup.New(votergroup.Options{
 			Voters: options.Voters, ReplaceVoterTicks: replaceVoterTicks, RemoveLearnerTicks: removeLearnerTicks, LeaveTicks: leaveTicks,
 		}),
 		tasks: make(chan func(), taskQueueLength), waiters: map[uint64]waiter{}, barriers: map[uint64]chan result{},
 		applied: newAppliedIndex(), view: &statusView{}, cancel: cancel, done: make(chan error, 1),
 	}
+	r.core = raft.New(r.coreOptions(), state)
 	r.net = newNetwork(ctx, options.Client, r.self())
 	if openErr != nil {
 		r.suspendWrites(openErr)
@@ -149,6 +153,11 @@
 	return r, nil
 }
 
+func (r *Replica) coreOptions() raft.Options {
+	s := r.storage
+	return raft.Options{ID: s.self.ID, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, Seed: s.self.ID, Unverified: s.unverified}
+}
+
 func (r *Replica) self() raft.Member {
 	return raft.Member{ID: r.storage.self.ID, Name: r.options.Name, Address: r.options.Address}
 }
@@ -189,9 +198,12 @@
 			f()
 			r.runQueued()
 		}
-		if err := r.processReady(); err != nil {
-			r.options.Log.Error(err, "Replica stops: its state cannot be persisted.")
-			return err
+		if r.fatal == nil {
+			r.fatal = r.processReady()
+		}
+		if r.fatal != nil {
+			r.options.Log.Error(r.fatal, "Replica stops: its state cannot be persisted.")
+			return r.fatal
 		}
 		r.publish()
 	}
@@ -227,6 +239,13 @@
 		if rd.Empty() {
 			return nil
 		}
+		if r.storage.unverified && !r.core.Unverified() {
+			if err := r.confirmIdentity(); errors.Is(err, errState) {
+				return err
+			} else if err != nil {
+				r.suspendWrites(err)
+			}
+		}
 		if kept, err := r.tryPersist(rd); !kept {
 			r.failReads(rd.DroppedReads, rd.ConfirmedReads)
 			return err
--- a/replica/storage.go
+++ b/replica/storage.go
@@ -19,6 +19,9 @@
 type identity struct {
 	ID   uint64 `json:"id"`
 	Disk uint64 `json:"disk"`
+	// Successor is the ID under which the replica joins a group that works without it, while its
+	// state is unverified.
+	Successor uint64 `json:"successor,omitempty"`
 }
 
 // record is one record of the log on disk; exactly one field is set.
@@ -48,14 +51,18 @@
 	self identity
 	// found is the identity that was on the disk, zero if there was none.
 	found identity
+	dir   string
+	inode uint64
+	// unverified is set while the state may be an old copy: it was written on another disk.
+	unverified bool
 	// needsRewrite is set while the file lacks its first records, such as a new
 	// identity.
 	needsRewrite bool
 }
 
 // openStorage reads the state in dir and reports whether it is blank. A new
-// directory, and one that was copied or restored from a backup, gets a new
-// identity and no state. On a full disk it returns both the storage and an error
+// directory gets a new identity. The state of one that was copied or restored from
+// a backup is unverified. On a full disk it returns both the storage and an error
 // that satisfies wal.IsNoSpace.
 func openStorage(dir string) (*storage, raft.State, bool, error) {
 	if err := wal.MakeDir(dir, dirMode); err != nil {
@@ -69,17 +76,19 @@
 	if log == nil {
 		return nil, raft.State{}, false, fmt.Errorf("open replica log: %w", openErr)
 	}
-	s := &storage{log: log}
+	s := &storage{log: log, dir: dir, inode: inode}
 	state, err := s.replay(records)
 	if err != nil {
 		return nil, state, false, errors.Join(err, log.Close())
 	}
 	s.found = s.self
-	if s.self.ID != 0 && s.self.Disk == inode {
-		return s, state, false, openErr
+	if s.self.ID == 0 {
+		return s, raft.State{}, true, s.startBlank(newID())
 	}
-	s.self, s.needsRewrite = identity{ID: newID(), Disk: inode}, true
-	return s, raft.State{}, true, s.rewrite(nil, raft.HardState{}, nil)
+	if s.self.Disk != inode {
+		openErr = errors.Join(openErr, s.startUnverified())
+	}
+	return s, state, false, openErr
 }
 
 // repair makes a storage writable again after a failed write. snap, hard and tail
--- a/votergroup/planner_test.go
+++ b/votergroup/planner_test.go
@@ -1,11 +1,16 @@
 package votergroup
 
 import (
+	"flag"
 	"math/rand/v2"
 	"slices"
 	"testing"
+
+	"wheelgauge/raft"
 )
 
+var copySeeds = flag.Uint64("copies.seeds", 40, "seeds of schedules of copied disks")
+
 // schedules are plays of a group of five voters, a to e, whose seeds are a, b and c.
 var schedules = []struct {
 	name string
@@ -335,3 +340,75 @@
 		}
 	}
 }
+
+// clone returns a copy of a disk that later writes do not change.
+func clone(disk raft.State) raft.State {
+	disk.Entries = slices.Clone(disk.Entries)
+	return disk
+}
+
+// Random schedules in which stores start on copies of their disks, exact ones at all stores at once
+// or an old one at a store that counts as lost; at most two stores are lost at a time. No
+// acknowledged change may be lost, and a leader must come.
+func TestRandomSchedulesOfCopiedDisks(t *testing.T) {
+	for seed := range *copySeeds {
+		g := newGroup(t)
+		random := rand.New(rand.NewPCG(seed, 13))
+		lostUntil := map[string]int{}
+		old := map[string]raft.State{}
+		for range 30 {
+			for name, until := range lostUntil {
+				if g.tick >= until {
+					g.wake(name)
+				}
+				if g.tick >= until+2*settleTicks {
+					delete(lostUntil, name)
+				}
+			}
+			name := g.order[random.IntN(len(g.order))]
+			canLose := len(lostUntil) < tolerated && lostUntil[name] == 0
+			switch random.IntN(6) {
+			case 0:
+				for _, name := range g.order {
+					if s := g.stores[name]; !s.asleep && random.IntN(5) > 0 {
+						g.startCopy(name, clone(s.disk))
+					}
+				}
+			case 1:
+				for _, name := range g.order {
+					if lostUntil[name] == 0 {
+						old[name] = clone(g.stores[name].disk)
+					}
+				}
+			case 2:
+				if disk, ok := old[name]; ok && canLose && len(disk.Entries) > 0 {
+					g.startCopy(name, clone(disk))
+					lostUntil[name] = g.tick + 1
+				}
+			case 3:
+				if canLose {
+					g.blank(name)
+					lostUntil[name] = g.tick + 1
+				}
+			case 4:
+				if canLose {
+					g.sleep(name)
+					lostUntil[name] = g.tick + 1 + random.IntN(8*electionTicks)
+				}
+			default:
+				if l := g.leader(); l != nil {
+					_, _, _ = l.core.Propose([]byte(`"change"`))
+				}
+			}
+			g.run(random.IntN(2 * settleTicks))
+		}
+		for _, s := range g.stores {
+			s.asleep = false
+		}
+		g.run(8 * settleTicks)
+		g.checkMembers("after the schedule")
+		if t.Failed() {
+			t.Fatalf("seed %d", seed)
+		}
+	}
+}
--- a/votergroup/schedule_test.go
+++ b/votergroup/schedule_test.go
@@ -36,6 +36,8 @@
 	joinAt       int
 	// hanging has, by name, the tick at which a call to a store that does not answer ends.
 	hanging map[string]int
+	// successor is the ID under which it joins while its disk is an unverified copy.
+	successor uint64
 }
 
 // group is a cluster of stores without a network.
@@ -81,9 +83,19 @@
 	g.add(name, g.lastID, raft.State{}, seeds...)
 }
 
-func (g *group) start(name string, id uint64) {
+func (g *group) start(name string, id uint64) { g.open(name, id, false) }
+
+// startCopy starts a store on a copy of its disk, which may be old.
+func (g *group) startCopy(name string, disk raft.State) {
+	g.lastID++
+	s := g.stores[name]
+	s.disk, s.successor = disk, g.lastID
+	g.open(name, s.core.ID(), true)
+}
+
+func (g *group) open(name string, id uint64, unverified bool) {
 	s := g.stores[name]
-	s.core = raft.New(raft.Options{ID: id, ElectionTicks: electionTicks, HeartbeatTicks: 2, Seed: id + uint64(g.tick)}, s.disk)
+	s.core = raft.New(raft.Options{ID: id, ElectionTicks: electionTicks, HeartbeatTicks: 2, Seed: id + uint64(g.tick), Unverified: unverified}, s.disk)
 	s.planner, s.down, s.asleep, s.inbox, s.hanging = New(testOptions), false, false, nil, map[string]int{}
 	g.ready(s)
 }
@@ -148,10 +160,19 @@
 		if leader == nil || leader.down {
 			continue
 		}
-		next, err := leader.planner.Join(leader.core, raft.Member{ID: s.core.ID(), Name: s.name, Address: s.name})
+		id := s.core.ID()
+		if s.core.Unverified() {
+			id = s.successor
+		}
+		next, err := leader.planner.Join(leader.core, raft.Member{ID: id, Name: s.name, Address: s.name})
 		if err == nil && next != nil {
 			_, _, _ = leader.core.ProposeMembers(next)
 		}
+		if err == nil && next == nil && s.core.Unverified() && !leader.core.ChangePending() {
+			s.disk = raft.State{}
+			g.start(s.name, s.successor)
+			return
+		}
 	}
 }
 
