A group whose majority is lost for good can be recovered from one store

Operators had no way back but a new system from a gateway's kept configuration, with generations that begin again. TestGroupIsRecoveredFromOneStore, TestRecoveryOfABlankStoreFails.

--- a/cmd/wheelgauge-store/main.go
+++ b/cmd/wheelgauge-store/main.go
@@ -13,6 +13,6 @@
 		Name: name, Short: "Store on a host with a disk", Long: long, Example: example,
 		Keys: keys, Validate: check, Run: run,
 	}
-	p.Subcommands = []*cobra.Command{foundCommand(p), routesCommand()}
+	p.Subcommands = []*cobra.Command{foundCommand(p), recoverCommand(p, recoverStore), routesCommand()}
 	program.Main(p)
 }
--- a/cmd/wheelgauge-store/routes.go
+++ b/cmd/wheelgauge-store/routes.go
@@ -54,6 +54,9 @@
 		Name: routesName, Prefix: name, Short: "Store of the routes mode", Long: routesLong, Example: routesExample,
 		Keys: routesKeys, Validate: checkRoutes, Run: runRoutes,
 	}
+	p.Subcommands = []*cobra.Command{recoverCommand(p, func(v *settings.Values, file string) error {
+		return confstore.Recover(v.Text("store", "folder"), file, v.Text("listen", "peer"))
+	})}
 	return p.Command()
 }
 
--- a/cmd/wheelgauge-store/run.go
+++ b/cmd/wheelgauge-store/run.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"time"
@@ -62,6 +63,11 @@
 	return o, nil
 }
 
+// advertisedAddress returns the address at which others reach the store.
+func advertisedAddress(v *settings.Values) string {
+	return cmp.Or(v.Text("listen", "advertised"), v.Text("listen", "peer"))
+}
+
 // foundCommand returns the subcommand that initializes the first store of a system. A running
 // store never does that by itself.
 func foundCommand(p program.Program) *cobra.Command {
@@ -74,14 +80,39 @@
 			if err != nil {
 				return err
 			}
-			address := v.Text("listen", "advertised")
-			if address == "" {
-				address = v.Text("listen", "peer")
-			}
-			return storenode.Initialize(v.Text("store", "folder"), v.Text("store", "name"), address, claimsOnly)
+			return storenode.Initialize(v.Text("store", "folder"), v.Text("store", "name"), advertisedAddress(v), claimsOnly)
 		},
 	}
 	c.Flags().StringVarP(&path, "config", "c", p.Name+".ini", "settings file")
 	c.Flags().BoolVar(&claimsOnly, "claims-only", false, "initialize only the claims of the region; the replica joins through its peers")
 	return c
 }
+
+// recoverStore recovers a store of the resources mode.
+func recoverStore(v *settings.Values, file string) error {
+	return storenode.Recover(v.Text("store", "folder"), file, v.Text("store", "name"), advertisedAddress(v))
+}
+
+// recoverCommand returns the subcommand that makes a new group of what one store has, when most
+// voters are lost for good.
+func recoverCommand(p program.Program, run func(v *settings.Values, file string) error) *cobra.Command {
+	var path, file string
+	c := &cobra.Command{
+		Use: "recover", Short: "Make the state of this store that of a new group, after most voters are lost for good", Args: cobra.NoArgs,
+		Long: `recover makes the configuration that this store has that of a new group of which
+only this store is a member. Use it only after most voters are lost for good, on
+the store whose log ends last (see "Replica started." or status of each), while
+all stores are stopped. Then start this store, and the others after it: they join
+by themselves. Changes that no store has left are lost.`,
+		RunE: func(*cobra.Command, []string) error {
+			v, err := p.Load(path)
+			if err != nil {
+				return err
+			}
+			return run(v, file)
+		},
+	}
+	c.Flags().StringVarP(&path, "config", "c", p.Name+".ini", "settings file")
+	c.Flags().StringVar(&file, "from", "", "file with a state that was set aside, in place of the one in the data folder")
+	return c
+}
--- a/confstore/node.go
+++ b/confstore/node.go
@@ -177,6 +177,12 @@
 	updateCalls sync.WaitGroup
 }
 
+// Recover makes the configuration in the data folder, or in a file that holds a state that was set
+// aside, that of a new group of which only the store at the peer address is a member.
+func Recover(dir, file, peerAddress string) error {
+	return replica.Recover(filepath.Join(dir, folderReplica), file, peerAddress, peerAddress)
+}
+
 // Open starts a store.
 func Open(ctx context.Context, o Options) (*Node, error) {
 	ctx, stop := context.WithCancel(ctx)
--- /dev/null
+++ b/replica/recover_test.go
@@ -0,0 +1,76 @@
+package replica
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+)
+
+func TestGroupIsRecoveredFromOneStore(t *testing.T) {
+	tests := []struct {
+		name  string
+		ports string
+		// aside makes the state to recover one that was set aside.
+		aside bool
+	}{
+		{"its own state", "7801", false},
+		{"a state that was set aside", "7802", true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			all := []string{"127.0.86.1:" + tt.ports, "127.0.86.2:" + tt.ports, "127.0.86.3:" + tt.ports}
+			g := &group{t: t, seeds: all, nodes: map[string]*node{}}
+			defer g.stopAll()
+			for _, a := range all {
+				g.start(a, t.TempDir(), true)
+			}
+			g.waitFor("three voters", func() bool { return g.voters() == 3 })
+			g.propose(g.nodes[all[0]], "kept")
+			g.waitFor("the change at the store that is left", func() bool { return g.nodes[all[0]].machine.value() == `"kept"` })
+			dir := g.nodes[all[0]].dir
+			g.stopAll()
+			file := ""
+			if tt.aside {
+				file = filepath.Join(t.TempDir(), "state")
+				if err := os.Rename(filepath.Join(dir, logName), file); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if err := Recover(dir, file, all[0], all[0]); err != nil {
+				t.Fatal(err)
+			}
+			left := g.start(all[0], dir, false)
+			g.waitFor("a leader", left.replica.IsLeader)
+			g.waitFor("the change", func() bool { return left.machine.value() == `"kept"` })
+			g.start(all[1], t.TempDir(), false)
+			g.start(all[2], t.TempDir(), false)
+			g.waitFor("three voters", func() bool { return g.voters() == 3 })
+			g.propose(g.nodes[all[1]], "after")
+			g.waitFor("the next change everywhere", func() bool {
+				for _, n := range g.nodes {
+					if n.machine.value() != `"after"` {
+						return false
+					}
+				}
+				return true
+			})
+		})
+	}
+}
+
+func TestRecoveryOfABlankStoreFails(t *testing.T) {
+	dir := t.TempDir()
+	if err := Recover(dir, "", "a", "a"); err == nil {
+		t.Error("a folder without a log was recovered")
+	}
+	s, _, _, err := openStorage(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := s.log.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if err := Recover(dir, "", "a", "a"); err == nil {
+		t.Error("a blank store was recovered")
+	}
+}
--- a/storenode/node.go
+++ b/storenode/node.go
@@ -100,6 +100,12 @@
 	return nil
 }
 
+// Recover makes the configuration in the data folder, or in a file that holds a state that was set
+// aside, that of a new group of which only this store is a member.
+func Recover(dir, file, name, address string) error {
+	return replica.Recover(filepath.Join(dir, folderReplica), file, name, address)
+}
+
 // Open starts a store.
 func Open(ctx context.Context, o Options) (*Node, error) {
 	ctx, stop := context.WithCancel(ctx)
--- a/wal/wal.go
+++ b/wal/wal.go
@@ -266,6 +266,14 @@
 	return nil
 }
 
+// WriteFile creates or replaces a file, and makes its contents and its name durable.
+func WriteFile(path string, data []byte) error {
+	if err := writeSynced(path, data); err != nil {
+		return err
+	}
+	return SyncDir(filepath.Dir(path))
+}
+
 // MakeDir creates a directory and its missing parents. It syncs the parent of each that it
 // creates: without that, a power failure may lose the directory with all files in it.
 func MakeDir(path string, mode os.FileMode) error { return makeDir(path, mode, SyncDir) }
