--- a/replica/leaderless.go
+++ b/replica/leaderless.go
@@ -61,7 +61,7 @@
 	l := r.leaderlessState()
 	r.options.Log.Info("No leader is known.", "for_ms", l.ForMS, "id", r.storage.self.ID, "role", roleNames[r.core.Role()], "term", r.core.Term(),
 		"vote", r.core.Vote(), "commit", r.core.Commit(), "last_index", l.LastIndex, "last_term", l.LastTerm,
-		"voter", l.Voter, "writable", l.Writable, "contacts", r.describeContacts(l.Contacts))
+		"voter", l.Voter, "unverified", r.core.Unverified(), "writable", l.Writable, "contacts", r.describeContacts(l.Contacts))
 }
 
 // describeContacts returns one entry for each other member: its name, ID, vote, the time since its
@@ -78,6 +78,9 @@
 			heard = r.tickDuration(k.SilentTicks).String()
 		}
 		part := fmt.Sprintf("%s %d %s heard=%s ballot=%s", k.Member.Name, k.Member.ID, kind, heard, k.Ballot)
+		if k.Unverified {
+			part += "(unverified)"
+		}
 		if k.Ballot == raft.BallotRefused {
 			part += fmt.Sprintf("(term %d, log %d/%d)", k.Term, k.LastIndex, k.LastTerm)
 		}
@@ -91,7 +94,7 @@
 	index, term := r.core.LastEntry()
 	r.options.Log.Info("Replica started.", "id", r.storage.self.ID, "blank", blank, "found_id", r.storage.found.ID, "found_disk", r.storage.found.Disk,
 		"disk", r.storage.self.Disk, "term", state.HardState.Term, "vote", state.HardState.Vote, "commit", state.HardState.Commit,
-		"last_index", index, "last_term", term, "applied", r.core.Applied(), "members", len(r.core.Members()), "voter", r.core.IsVoter())
+		"unverified", r.core.Unverified(), "last_index", index, "last_term", term, "applied", r.core.Applied(), "members", len(r.core.Members()), "voter", r.core.IsVoter())
 }
 
 // SilentVoters returns the number of other voters that sent nothing for longer than an election.
