wheelgaugectl status tells why no store leads; metric disk.unverified

What operators saw: "LEADER none" and no reason. The table has a row for a state that may be an old copy or was set aside, and without a leader one for each member with when it was heard and how it voted. Stores of the routes mode, which have no such status, tell an unverified state by a metric.

--- a/cmd/wheelgaugectl/commands.go
+++ b/cmd/wheelgaugectl/commands.go
@@ -15,6 +15,7 @@
 
 	"wheelgauge"
 	"wheelgauge/opsclient"
+	"wheelgauge/replica"
 	"wheelgauge/storeapi"
 )
 
@@ -289,6 +290,32 @@
 	for _, p := range s.Pending {
 		rows = append(rows, []string{"pending", p.Rule, fmt.Sprint(p.Generation), "waiting for " + strings.Join(p.Waiting, ", ")})
 	}
+	return append(rows, replicaRows(s.Replica)...)
+}
+
+// replicaRows returns what is wrong with the replica of the store that was asked.
+func replicaRows(r replica.Status) [][]string {
+	var rows [][]string
+	if r.Unverified {
+		rows = append(rows, []string{"state", r.Self.Name, "", "may be an old copy: it is on another disk than it was written on"})
+	}
+	if r.SetAside != "" {
+		rows = append(rows, []string{"state", r.Self.Name, "", "set aside as " + r.SetAside})
+	}
+	if r.Leaderless == nil {
+		return rows
+	}
+	for _, k := range r.Leaderless.Contacts {
+		kind := "learner"
+		if k.Member.Voter {
+			kind = "voter"
+		}
+		heard := "never heard"
+		if k.Heard {
+			heard = fmt.Sprintf("heard %d ticks ago", k.SilentTicks)
+		}
+		rows = append(rows, []string{kind, k.Member.Name, "", fmt.Sprintf("%s, vote %s", heard, k.Ballot)})
+	}
 	return rows
 }
 
--- a/confstore/node.go
+++ b/confstore/node.go
@@ -298,16 +298,21 @@
 func (n *Node) serveMetrics(ctx *fasthttp.RequestCtx) {
 	n.meter.Gauge("generation", int64(n.machine.State().Generation))
 	n.meter.Gauge("log.bytes", n.replica.Status().LogBytes)
-	refusesWrites := int64(0)
-	if n.replica.DiskUnwritable() {
-		refusesWrites = 1
-	}
-	n.meter.Gauge("disk.refuses", refusesWrites)
+	n.meter.Gauge("disk.refuses", gaugeOf(n.replica.DiskUnwritable()))
+	n.meter.Gauge("disk.unverified", gaugeOf(n.replica.Status().Unverified))
 	n.reportGroup()
 	ctx.SetContentType("application/json")
 	n.meter.WriteJSON(ctx)
 }
 
+// gaugeOf returns 1 for true.
+func gaugeOf(b bool) int64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 // reportGroup sets the metrics of the replica group: unknownGauge at a store that does not lead.
 func (n *Node) reportGroup() {
 	status := n.replica.Status()
