Each start on a copied disk joins under an ID of its own

A change that was acknowledged could be lost with one old copy of a disk.

Cause: the ID under which an unverified replica joins (its successor) was persisted in its log, so it was copied with the disk. A copy that is copied, or a state that was set aside and put back by hand, joined under the ID that an earlier start had become: the group answered that this ID is a member, and the store started blank as a verified voter that had voted and acknowledged entries.

Evidence: TestNoTwoStartsOfACopyJoinUnderOneID failed in both ways.

Why this works: the ID is random and lives as long as the process. A crash between the answer to the join and the state being set aside leaves a learner that never replies, which the leader removes as any other.

--- a/replica/members.go
+++ b/replica/members.go
@@ -103,14 +103,14 @@
 func (r *Replica) joinAs() raft.Member {
 	m := r.self()
 	if r.storage.unverified {
-		m.ID = r.storage.self.Successor
+		m.ID = r.storage.successor
 	}
 	return m
 }
 
 // joined is called once the group has a member with an ID that this replica asked for.
 func (r *Replica) joined(id uint64) {
-	if id == r.storage.self.Successor {
+	if id == r.storage.successor {
 		r.fatal = r.becomeSuccessor()
 	}
 }
--- a/replica/storage.go
+++ b/replica/storage.go
@@ -19,9 +19,6 @@
 type identity struct {
 	ID   uint64 `json:"id"`
 	Disk uint64 `json:"disk"`
-	// Successor is the ID under which the replica joins a group that works without it, while its
-	// state is unverified.
-	Successor uint64 `json:"successor,omitempty"`
 }
 
 // record is one record of the log on disk; exactly one field is set.
@@ -55,6 +52,9 @@
 	inode uint64
 	// unverified is set while the state may be an old copy: it was written on another disk.
 	unverified bool
+	// successor is the ID under which an unverified replica joins a group that works without it. It is
+	// not persisted: copies of one disk would join under the same ID, each without a state.
+	successor uint64
 	// needsRewrite is set while the file lacks its first records, such as a new
 	// identity.
 	needsRewrite bool
@@ -86,7 +86,7 @@
 		return s, raft.State{}, true, s.startBlank(newID())
 	}
 	if s.self.Disk != inode {
-		openErr = errors.Join(openErr, s.startUnverified())
+		s.unverified, s.successor = true, newID()
 	}
 	return s, state, false, openErr
 }
--- a/replica/unverified.go
+++ b/replica/unverified.go
@@ -22,24 +22,14 @@
 
 // startBlank gives a replica without a state an identity.
 func (s *storage) startBlank(id uint64) error {
-	s.self, s.unverified, s.needsRewrite = identity{ID: id, Disk: s.inode}, false, true
+	s.self, s.unverified, s.successor, s.needsRewrite = identity{ID: id, Disk: s.inode}, false, 0, true
 	return s.rewrite(nil, raft.HardState{}, nil)
 }
 
-// startUnverified notes the ID under which an unverified replica would join a group.
-func (s *storage) startUnverified() error {
-	s.unverified = true
-	if s.self.Successor != 0 {
-		return nil
-	}
-	s.self.Successor = newID()
-	return s.saveIdentity()
-}
-
 // confirm makes the state on this disk that of the replica.
 func (s *storage) confirm() error {
-	s.unverified = false
-	s.self.Disk, s.self.Successor = s.inode, 0
+	s.unverified, s.successor = false, 0
+	s.self.Disk = s.inode
 	if err := s.saveIdentity(); err != nil {
 		s.needsRewrite = true
 		return err
@@ -80,7 +70,7 @@
 	if wrap != nil {
 		s.log = wrap(log)
 	}
-	return aside, errors.Join(openErr, s.startBlank(s.self.Successor))
+	return aside, errors.Join(openErr, s.startBlank(s.successor))
 }
 
 // nextAside returns the path of the next state to set aside, and removes the oldest beyond maxAside.
