A copied disk counts as verified once it has the log of the leader that it elected

A change that was acknowledged could be lost with one old copy of a disk and a kill of all.

Cause: an unverified replica became a normal one with the first message of the leader that it had elected, a heartbeat without entries too, and its identity was confirmed before the entries were on disk. Its log could still lack a change that it had acknowledged before the copy was taken. If all stores were killed then, it voted as a verified one beside two that never had the change.

Why this works: an entry of the leader's term follows all that this leader had when it was elected, and winsElection makes sure that this is all that was committed. With such an entry on disk the replica has forgotten nothing any more. Until then it follows, but serves nothing, and its votes are marked.

The test of which leader an unverified replica follows sent heartbeats; its messages now carry the first entry of the leader, in all cases, and the Ready is processed: as strict as before.

--- a/raft/step.go
+++ b/raft/step.go
@@ -150,7 +150,7 @@
 	}
 	c.mergeEntries(m.Entries)
 	last := m.Index + uint64(len(m.Entries))
-	c.commit = max(c.commit, min(m.Commit, last))
+	c.commitTo(min(m.Commit, last))
 	reply.Index = last
 	c.send(reply)
 }
@@ -317,6 +317,9 @@
 			return err
 		}
 	}
+	if c.unverified {
+		c.verifyFollower()
+	}
 	if c.role == Leader {
 		c.advanceCommit()
 	}
--- a/raft/unverified.go
+++ b/raft/unverified.go
@@ -13,7 +13,8 @@
 // replica has told others since: it may have forgotten entries and votes. It follows no leader
 // that was elected without it, so it does not count where a group works; there it joins under
 // another ID. Where no leader is left, it takes part in an election, and becomes a normal replica
-// again together with the leader that it has elected. See winsElection for how its vote counts.
+// again once it leads, or once its log on disk is that of the leader that it has elected: until then
+// it may lack what that leader knows. See winsElection for how its vote counts.
 
 // ballot is a vote that was granted or refused.
 type ballot struct {
@@ -42,16 +43,27 @@
 }
 
 // acceptsUnverified reports whether an unverified replica processes a message: it takes entries only
-// from the leader that it has voted for since its start, which verifies it.
+// from the leader that it has voted for since its start.
 func (c *Core) acceptsUnverified(m Message) bool {
-	if m.Type != MessageAppend && m.Type != MessageSnapshot {
-		return true
+	return m.Type != MessageAppend && m.Type != MessageSnapshot || m.Term == c.term && c.vote == m.From
+}
+
+// verifyFollower makes an unverified follower a normal replica if its log on disk has an entry of
+// the leader's term, and so all that this leader had when it was elected.
+func (c *Core) verifyFollower() {
+	if c.leader != 0 && !c.snapshotUnsaved && c.termAt(c.stable) == c.term {
+		c.verify()
 	}
-	if m.Term != c.term || c.vote != m.From {
-		return false
+}
+
+// commitTo raises the commit index. That of an unverified replica waits until it is verified, as it
+// serves nothing before.
+func (c *Core) commitTo(index uint64) {
+	if c.unverified {
+		c.restoredCommit = max(c.restoredCommit, index)
+		return
 	}
-	c.verify()
-	return true
+	c.commit = max(c.commit, index)
 }
 
 // winsElection reports whether the votes make this replica the leader.
--- a/raft/unverified_test.go
+++ b/raft/unverified_test.go
@@ -100,34 +100,39 @@
 		c.become(Follower, c.term, 0)
 		c.Step(Message{Type: MessageVote, From: from, To: 1, Term: term + 5, Index: 9, LogTerm: 3})
 	}
+	first := func(term uint64) []Entry { return []Entry{{Index: 2, Term: term, Type: EntryNoOp}} }
 	tests := []struct {
 		name string
 		play func(c *Core)
 		want bool
 	}{
 		{"a leader of an earlier term", func(c *Core) {
-			c.Step(Message{Type: MessageAppend, From: 2, To: 1, Term: 4, Index: 1, LogTerm: 1})
+			c.Step(Message{Type: MessageAppend, From: 2, To: 1, Term: 4, Index: 1, LogTerm: 1, Entries: first(4)})
 		}, false},
 		{"a leader of a later term without its vote", func(c *Core) {
-			c.Step(Message{Type: MessageAppend, From: 2, To: 1, Term: term + 5, Index: 1, LogTerm: 1})
+			c.Step(Message{Type: MessageAppend, From: 2, To: 1, Term: term + 5, Index: 1, LogTerm: 1, Entries: first(term + 5)})
 		}, false},
 		{"a snapshot of one", func(c *Core) {
-			c.Step(Message{Type: MessageSnapshot, From: 2, To: 1, Term: term + 5, Snapshot: &Snapshot{Index: 7, Term: 3}})
+			c.Step(Message{Type: MessageSnapshot, From: 2, To: 1, Term: term + 5, Snapshot: &Snapshot{Index: 7, Term: term + 5}})
 		}, false},
 		{"another leader than it voted for", func(c *Core) {
 			vote(c, 3)
-			c.Step(Message{Type: MessageAppend, From: 2, To: 1, Term: term + 6, Index: 1, LogTerm: 1})
+			c.Step(Message{Type: MessageAppend, From: 2, To: 1, Term: term + 6, Index: 1, LogTerm: 1, Entries: first(term + 6)})
 		}, false},
 		{"the leader that it voted for", func(c *Core) {
 			vote(c, 3)
-			c.Step(Message{Type: MessageAppend, From: 3, To: 1, Term: term + 5, Index: 1, LogTerm: 1})
+			c.Step(Message{Type: MessageAppend, From: 3, To: 1, Term: term + 5, Index: 1, LogTerm: 1, Entries: first(term + 5)})
 		}, true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			c := start()
 			tt.play(c)
-			replied := slices.ContainsFunc(c.messages, func(m Message) bool { return m.Type == MessageAppendReply })
+			rd := c.Ready()
+			if err := c.Advance(rd); err != nil {
+				t.Fatal(err)
+			}
+			replied := slices.ContainsFunc(rd.Messages, func(m Message) bool { return m.Type == MessageAppendReply })
 			if verified := !c.Unverified(); verified != tt.want || replied != tt.want {
 				t.Errorf("got verified %v, a reply to the leader %v, want %v", verified, replied, tt.want)
 			}
@@ -151,3 +156,53 @@
 		t.Errorf("got %+v once it leads, want the entry that was committed", rd)
 	}
 }
+
+func TestUnverifiedReplicaIsVerifiedOnlyOnceItsLogIsThatOfTheLeader(t *testing.T) {
+	const electedIn = 3 + unverifiedTermGap + 5
+	older := Entry{Index: 2, Term: 3, Data: []byte(`"a"`)}
+	first := Entry{Index: 3, Term: electedIn, Type: EntryNoOp}
+	message := func(prev, prevTerm uint64, entries ...Entry) Message {
+		return Message{Type: MessageAppend, From: 3, To: 1, Term: electedIn, Index: prev, LogTerm: prevTerm, Commit: 3, Entries: entries}
+	}
+	tests := []struct {
+		name      string
+		messages  []Message
+		persisted bool
+		want      bool
+	}{
+		{"a heartbeat", []Message{message(1, 1)}, true, false},
+		{"a heartbeat beyond its log", []Message{message(3, electedIn)}, true, false},
+		{"entries of before the election", []Message{message(1, 1, older)}, true, false},
+		{"entries that are not on disk", []Message{message(1, 1, older, first)}, false, false},
+		{"a snapshot of before the election", []Message{{Type: MessageSnapshot, From: 3, To: 1, Term: electedIn, Snapshot: &Snapshot{Index: 2, Term: 3}}}, true, false},
+		{"the first entry of the leader", []Message{message(1, 1, older, first)}, true, true},
+		{"it in two messages", []Message{message(1, 1, older), message(2, 3, first)}, true, true},
+		{"a snapshot that has it", []Message{{Type: MessageSnapshot, From: 3, To: 1, Term: electedIn, Snapshot: &Snapshot{Index: 3, Term: electedIn}}}, true, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := candidate(3, true)
+			c.Step(Message{Type: MessageVote, From: 3, To: 1, Term: electedIn, Index: 9, LogTerm: 3})
+			if err := c.Advance(c.Ready()); err != nil {
+				t.Fatal(err)
+			}
+			for _, m := range tt.messages {
+				c.Step(m)
+				rd := c.Ready()
+				if !c.Unverified() || len(rd.Committed) > 0 {
+					t.Fatalf("verified is %v, %d entries are committed before anything is on disk", !c.Unverified(), len(rd.Committed))
+				}
+				if !tt.persisted {
+					c.SuspendWrites()
+					continue
+				}
+				if err := c.Advance(rd); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if verified := !c.Unverified(); verified != tt.want {
+				t.Errorf("verified is %v, want %v", verified, tt.want)
+			}
+		})
+	}
+}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -235,10 +235,6 @@
 // processReady processes the core's Ready until it is empty.
 func (r *Replica) processReady() error {
 	for {
-		rd := r.core.Ready()
-		if rd.Empty() {
-			return nil
-		}
 		if r.storage.unverified && !r.core.Unverified() {
 			if err := r.confirmIdentity(); errors.Is(err, errState) {
 				return err
@@ -246,6 +242,10 @@
 				r.suspendWrites(err)
 			}
 		}
+		rd := r.core.Ready()
+		if rd.Empty() {
+			return nil
+		}
 		if kept, err := r.tryPersist(rd); !kept {
 			r.failReads(rd.DroppedReads, rd.ConfirmedReads)
 			return err
@@ -267,7 +267,7 @@
 	if rd.Snapshot == nil {
 		return r.storage.save(rd.HardState, rd.Entries)
 	}
-	hard := raft.HardState{Term: r.core.Term(), Commit: rd.Snapshot.Index}
+	hard := r.core.HardState()
 	if rd.HardState != nil {
 		hard = *rd.HardState
 	}
