A copied disk is elected at most once in a term

Two different changes could be committed under one index.

Cause: a voter grants its vote again to a candidate that it has voted for in the term, as the request may have been sent twice. A disk that is restored twice from one copy starts twice with the same raised term, or is raised to it by others: it may have led that term, and knows nothing of it. Voters that lacked the entries of the first leadership gave it the term a second time, and its new entries stood beside the earlier ones with the same index and term, where no replica sees a conflict.

Evidence: TestSecondStartOfACopyWinsNoTermThatTheFirstHasWon failed for the vote that was given before.

Why this works: the request of an unverified candidate is granted by a voter once. Two majorities of one term have a voter in common, other than the candidate itself. So that a request that is delivered twice takes no vote back, a vote that was granted stays counted (TestVoteThatWasGrantedCountsAfterARefusalOfTheSameRequest, seen failing).

After: both pass; raft and votergroup pass with -race.

--- a/raft/step.go
+++ b/raft/step.go
@@ -98,7 +98,8 @@
 		}
 		return
 	}
-	canVote := c.vote == 0 && c.leader == 0 || c.vote == m.From
+	// An unverified candidate may have campaigned in this term before, and have forgotten its entries.
+	canVote := c.vote == 0 && c.leader == 0 || c.vote == m.From && !m.Unverified
 	if canVote && !c.isUpToDate(m) {
 		c.refuseVote(MessageVoteReply, m.From)
 		return
@@ -118,6 +119,9 @@
 	if !preVote && c.role != Candidate {
 		return
 	}
+	if c.votes[m.From].granted {
+		return // counted; the request was delivered twice
+	}
 	c.votes[m.From] = ballot{granted: !m.Reject, unverified: m.Unverified}
 	if c.winsElection() {
 		c.electionWon()
--- a/raft/unverified_test.go
+++ b/raft/unverified_test.go
@@ -206,3 +206,42 @@
 		})
 	}
 }
+
+// The first start of a copy may have led the term, with entries that the second has forgotten.
+func TestSecondStartOfACopyWinsNoTermThatTheFirstHasWon(t *testing.T) {
+	tests := []struct {
+		name       string
+		vote       uint64
+		unverified bool
+		want       bool
+	}{
+		{"no vote yet, a copy", 0, true, true},
+		{"no vote yet", 0, false, true},
+		{"voted for it, a copy", 2, true, false},
+		{"voted for it, sent again", 2, false, true},
+		{"voted for another", 3, true, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := newRestored(HardState{Term: 5, Vote: tt.vote})
+			c.Step(Message{Type: MessageVote, From: 2, To: 1, Term: 5, Index: 1, LogTerm: 1, Unverified: tt.unverified})
+			i := slices.IndexFunc(c.messages, func(m Message) bool { return m.Type == MessageVoteReply })
+			if i < 0 {
+				t.Fatal("got no reply")
+			}
+			if got := !c.messages[i].Reject; got != tt.want {
+				t.Errorf("granted is %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
+
+func TestVoteThatWasGrantedCountsAfterARefusalOfTheSameRequest(t *testing.T) {
+	c := candidate(5, true)
+	c.campaign(Candidate)
+	c.Step(Message{Type: MessageVoteReply, From: 2, To: 1, Term: c.term})
+	c.Step(Message{Type: MessageVoteReply, From: 2, To: 1, Term: c.term, Reject: true})
+	if !c.votes[2].granted {
+		t.Error("the vote does not count any more")
+	}
+}
