A recovered group shares no index with the one before it

After a recovery from one store, that store or one that comes back ends in a panic, or counts entries as held that are not.

Cause: Recover kept the indexes of the log.

The indexes that state and callers hold stay in order.

--- a/replica/recover.go
+++ b/replica/recover.go
@@ -15,6 +15,11 @@
 // that members of the old one that come back follow it.
 const recoveredTermGap = 1 << 30
 
+// recoveredIndexGap is by how much the log of a recovered group begins after that of the old one: a
+// member of that one may have committed entries that are lost, and takes a snapshot instead of
+// comparing its log.
+const recoveredIndexGap = 1 << 30
+
 // Recover makes the state in dir that of a new group whose only member is this replica, for when a
 // majority of the voters is lost for good. With a file, the state that it holds is used, and the
 // one in dir is set aside. All entries of the log are kept, also those that may not have been
@@ -64,15 +69,19 @@
 		return errors.New("recover: there is no state that could be recovered")
 	}
 	s.self, s.needsRewrite = identity{ID: newID(), Disk: s.inode}, true
-	last := state.Snapshot.Index
-	if n := len(state.Entries); n > 0 {
-		last = state.Entries[n-1].Index
+	term := state.HardState.Term + recoveredTermGap
+	snap := *state.Snapshot
+	snap.Index, snap.Term = snap.Index+recoveredIndexGap, term
+	last := snap.Index
+	for i := range state.Entries {
+		e := &state.Entries[i]
+		e.Index, e.Term = e.Index+recoveredIndexGap, term
+		last = e.Index
 	}
 	data, err := json.Marshal([]raft.Member{{ID: s.self.ID, Name: name, Address: address, Voter: true}})
 	if err != nil {
 		return fmt.Errorf("encode members: %w", err)
 	}
-	hard := raft.HardState{Term: state.HardState.Term + recoveredTermGap, Commit: last + 1}
-	entries := append(state.Entries, raft.Entry{Index: last + 1, Term: hard.Term, Type: raft.EntryMembers, Data: data})
-	return s.rewrite(state.Snapshot, hard, entries)
+	entries := append(state.Entries, raft.Entry{Index: last + 1, Term: term, Type: raft.EntryMembers, Data: data})
+	return s.rewrite(&snap, raft.HardState{Term: term, Commit: last + 1}, entries)
 }
--- a/replica/recover_test.go
+++ b/replica/recover_test.go
@@ -58,6 +58,52 @@
 	}
 }
 
+// The group goes on with the state that was recovered, also at a store that had committed more.
+func TestStoreThatHasCommittedMoreFollowsTheRecoveredGroup(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		port    string
+		changes int
+	}{{"in its log", ":7803", 3}, {"in its snapshot", ":7804", 2 * compactEntries}} {
+		t.Run(tt.name, func(t *testing.T) {
+			all := []string{"127.0.86.1" + tt.port, "127.0.86.2" + tt.port, "127.0.86.3" + tt.port}
+			g := &group{t: t, seeds: all, nodes: map[string]*node{}}
+			defer g.stopAll()
+			for _, a := range all {
+				g.start(a, t.TempDir(), true)
+			}
+			g.waitFor("three voters", func() bool { return g.voters() == 3 })
+			g.propose(g.nodes[all[0]], "kept")
+			g.waitFor("the change at the store that is recovered", func() bool { return g.nodes[all[0]].machine.value() == `"kept"` })
+			left, more := g.nodes[all[0]].dir, g.nodes[all[1]].dir
+			g.stop(g.nodes[all[0]])
+			for range tt.changes {
+				g.propose(g.nodes[all[1]], "lost")
+			}
+			g.waitFor("the later changes", func() bool { return g.nodes[all[1]].machine.value() == `"lost"` })
+			g.stopAll()
+			if err := Recover(left, "", all[0], all[0]); err != nil {
+				t.Fatal(err)
+			}
+			g.start(all[0], left, false)
+			g.start(all[1], more, false)
+			g.start(all[2], t.TempDir(), false)
+			g.waitFor("three voters", func() bool { return g.voters() == 3 })
+			for _, value := range []string{"kept", "after"} {
+				g.waitFor("the value everywhere: "+value, func() bool {
+					for _, n := range g.nodes {
+						if n.machine.value() != `"`+value+`"` {
+							return false
+						}
+					}
+					return true
+				})
+				g.propose(g.nodes[all[1]], "after")
+			}
+		})
+	}
+}
+
 func TestRecoveryOfABlankStoreFails(t *testing.T) {
 	dir := t.TempDir()
 	if err := Recover(dir, "", "a", "a"); err == nil {
