--- a/raft/step.go
+++ b/raft/step.go
@@ -98,7 +98,8 @@
 		}
 		return
 	}
-	canVote := c.vote == 0 && c.leader == 0 || c.vote == m.From
+	// An unverified candidate may have campaigned in this term before, and have forgotten its entries.
+	canVote := c.vote == 0 && c.leader == 0 || c.vote == m.From && !m.Unverified
 	if canVote && !c.isUpToDate(m) {
 		c.refuseVote(MessageVoteReply, m.From)
 		return
@@ -118,6 +119,9 @@
 	if !preVote && c.role != Candidate {
 		return
 	}
+	if c.votes[m.From].granted {
+		return // counted; the request was delivered twice
+	}
 	c.votes[m.From] = ballot{granted: !m.Reject, unverified: m.Unverified}
 	if c.winsElection() {
 		c.electionWon()
@@ -150,7 +154,7 @@
 	}
 	c.mergeEntries(m.Entries)
 	last := m.Index + uint64(len(m.Entries))
-	c.commit = max(c.commit, min(m.Commit, last))
+	c.commitTo(min(m.Commit, last))
 	reply.Index = last
 	c.send(reply)
 }
@@ -317,6 +321,9 @@
 			return err
 		}
 	}
+	if c.unverified {
+		c.verifyFollower()
+	}
 	if c.role == Leader {
 		c.advanceCommit()
 	}
