A seed whose disk was lost asks before it founds a group

What callers could see: an acknowledged change that is gone. A seed whose settings still say that it is the first start, and whose disk is blank, wrote the initial state at once, under the ID that it had in the group. It then voted under that ID without the entries and votes that it had told others of.

Evidence, on: with one such seed and a second store down, two stores that lack the last change elect a leader with the blank seed's vote, and the change, acknowledged by three of five, never returns (20 s). With two such seeds and one store on its disk, two of five disks lost and two stores down, a leader is elected from one sound disk; there should be none.

Change: such a seed writes to its disk that it may found the group, and asks the stores it knows. Once one knows entries, by its answer or by a message for another ID, the seed joins as a new member. It writes the initial state when all initial voters have nothing else either, or a majority of them after three election timeouts, in which a store that starts with it and has a state campaigns. Killed meanwhile, it goes on at its next start, also with other settings.

--- a/replica/handler.go
+++ b/replica/handler.go
@@ -28,6 +28,8 @@
 		reply(ctx, p, err)
 	case pathJoin:
 		r.handleJoin(callCtx, ctx)
+	case pathFounding:
+		r.handleFounding(callCtx, ctx)
 	case pathLeave:
 		r.handleLeave(callCtx, ctx)
 	default:
@@ -54,6 +56,7 @@
 	processed := make(chan struct{})
 	err = r.submit(callCtx, func() {
 		defer close(processed)
+		r.noticeGroup(e.From, e.Messages)
 		for _, m := range e.Messages {
 			r.core.Step(m)
 		}
@@ -101,6 +104,24 @@
 	reply(ctx, struct{}{}, join(callCtx, m))
 }
 
+// handleFounding answers another initial voter.
+func (r *Replica) handleFounding(callCtx context.Context, ctx *fasthttp.RequestCtx) {
+	var state foundingReply
+	processed := make(chan struct{})
+	err := r.submit(callCtx, func() {
+		defer close(processed)
+		state = r.foundingState()
+	})
+	if err == nil {
+		err = awaitProcessed(callCtx, processed)
+	}
+	if err != nil {
+		peerhttp.WriteError(ctx, err)
+		return
+	}
+	peerhttp.WriteJSON(ctx, state)
+}
+
 func (r *Replica) handleLeave(callCtx context.Context, ctx *fasthttp.RequestCtx) {
 	m, err := peerhttp.Decode[raft.Member](ctx)
 	if err != nil {
--- a/replica/members.go
+++ b/replica/members.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"net/url"
 	"slices"
-	"sync"
 	"time"
 
 	"wheelgauge"
@@ -43,51 +42,32 @@
 type joiner struct {
 	r           *Replica
 	lastAttempt time.Time
-	mu          sync.Mutex
-	// calling has the addresses with a call in progress: a store that hangs holds up no call to
-	// another one, and gets one at a time.
-	calling map[string]bool
+	calls       callSlots
 }
 
-func newJoiner(r *Replica) *joiner { return &joiner{r: r, calling: map[string]bool{}} }
+func newJoiner(r *Replica) *joiner { return &joiner{r: r, calls: newCallSlots()} }
 
 // tick asks all known stores every joinInterval while the replica needs to join.
 func (j *joiner) tick(ctx context.Context) {
 	r := j.r
-	if !votergroup.NeedsJoin(r.core) || r.disk.unwritable.Load() || time.Since(j.lastAttempt) < joinInterval {
+	if len(r.founders()) > 0 || !votergroup.NeedsJoin(r.core) || r.disk.unwritable.Load() || time.Since(j.lastAttempt) < joinInterval {
 		return
 	}
 	j.lastAttempt = time.Now()
 	candidate := r.joinAs()
 	for _, address := range r.knownStores() {
-		if !j.begin(address) {
+		if !j.calls.begin(address) {
 			continue
 		}
 		r.net.senders.Add(1)
 		go func() {
 			defer r.net.senders.Done()
-			defer j.end(address)
+			defer j.calls.end(address)
 			j.request(ctx, address, candidate)
 		}()
 	}
 }
 
-func (j *joiner) begin(address string) bool {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	if j.calling[address] {
-		return false
-	}
-	j.calling[address] = true
-	return true
-}
-
-func (j *joiner) end(address string) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	delete(j.calling, address)
-}
-
 func (j *joiner) request(ctx context.Context, address string, candidate raft.Member) {
 	callCtx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
@@ -118,7 +98,7 @@
 // knownStores returns the addresses of the seeds, of the members and of all stores that sent
 // messages to this one, without its own. The members may all have been replaced.
 func (r *Replica) knownStores() []string {
-	addresses := append(slices.Clone(r.options.Peers), r.net.knownAddresses()...)
+	addresses := slices.Concat(r.options.Peers, r.founders(), r.net.knownAddresses())
 	if r.options.RefreshPeers != nil {
 		addresses = append(addresses, r.options.RefreshPeers()...)
 	}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -53,7 +53,8 @@
 	RefreshPeers func() []string
 	// InitialVoters are the addresses of the initial voters when a whole new group
 	// starts at once, the same on each replica; empty at any other start. An
-	// initial voter on a blank disk bootstraps the group together with the others.
+	// initial voter on a blank disk bootstraps the group together with the others,
+	// unless one of them knows a group already.
 	InitialVoters []string
 	// Tick is the unit of the election and heartbeat timeouts; 0 means 50 ms.
 	Tick   time.Duration
@@ -123,8 +124,10 @@
 		}
 	}
 	if blank && slices.Contains(options.InitialVoters, options.Address) {
-		if state, openErr = s.bootstrapGroup(options); openErr != nil && !wal.IsNoSpace(openErr) {
-			return nil, errors.Join(openErr, s.log.Close())
+		if err := s.startFounding(options.InitialVoters); err != nil && !wal.IsNoSpace(err) {
+			return nil, errors.Join(err, s.log.Close())
+		} else if err != nil {
+			openErr = err
 		}
 	}
 	if options.wrapLog != nil {
@@ -177,7 +180,7 @@
 func (r *Replica) run(ctx context.Context) error {
 	ticker := time.NewTicker(r.options.Tick)
 	defer ticker.Stop()
-	join := newJoiner(r)
+	join, found := newJoiner(r), newFounding(r)
 	defer r.failPending()
 	// Committed entries on disk are applied first, so that this replica knows
 	// whether it is a member.
@@ -193,6 +196,7 @@
 			r.tickLeaderless()
 			r.retryDisk()
 			r.maintainMembers()
+			found.tick(ctx)
 			join.tick(ctx)
 		case f := <-r.tasks:
 			f()
--- a/replica/storage.go
+++ b/replica/storage.go
@@ -13,6 +13,8 @@
 const (
 	logName = "raft.log"
 	dirMode = 0o700
+	// initialIndex is the last index of the log of a new group.
+	initialIndex = 1
 )
 
 // identity is the ID of this replica and the inode that it was created on.
@@ -22,6 +24,9 @@
 	// Successor is the ID under which the replica joins a group that works without it, while its
 	// state is unverified.
 	Successor uint64 `json:"successor,omitempty"`
+	// Founders are the initial voters with which the replica may found a group, until it has done so
+	// or has found one.
+	Founders []string `json:"founders,omitempty"`
 }
 
 // record is one record of the log on disk; exactly one field is set.
@@ -216,8 +221,8 @@
 // bootstrap writes the initial state of a new group.
 func (s *storage) bootstrap(members []raft.Member) (raft.State, error) {
 	state := raft.State{
-		Snapshot:  &raft.Snapshot{Index: 1, Term: 1, Members: members, Data: json.RawMessage(`{}`)},
-		HardState: raft.HardState{Term: 1, Commit: 1},
+		Snapshot:  &raft.Snapshot{Index: initialIndex, Term: 1, Members: members, Data: json.RawMessage(`{}`)},
+		HardState: raft.HardState{Term: 1, Commit: initialIndex},
 	}
 	s.needsRewrite = true
 	return state, s.rewrite(state.Snapshot, state.HardState, nil)
