The line of a request tells how far it was written

Callers saw parts of answers as whole ones where a server reset the connection of an upload. The log told how the end of an answer was marked, but not whether the write of the request had failed by then, which is what tells such an end from a sound one. `request_write` says it: whole, under way, or the error of the write. Answers to requests that were not written whole are always logged.

The result of the write is kept in a type of its own, read after it has ended, in place of a channel that each reader had to fill again. No change of behaviour.

--- a/routegate/call.go
+++ b/routegate/call.go
@@ -128,9 +128,10 @@
 	status    int
 	cause     string
 	// framing is how the end of the last answer was marked, partialBytes how much of an event
-	// came before that end, both for the log.
+	// came before that end, requestWrite how far the request was written by then, all for the log.
 	framing      serverconn.Framing
 	partialBytes int
+	requestWrite string
 	// heldInQuarantine is set for a request that is refused as quarantined.
 	heldInQuarantine bool
 	// onTrial is set for a quarantined request that may reach one server, to see whether it still
@@ -344,14 +345,14 @@
 		inTime := ok && c.firstAfter <= c.route.LatencyObjective
 		g.options.Meter.CountWorkspace(c.workspace.Name, ok, inTime, c.status == http.StatusTooManyRequests, elapsed)
 	}
-	if ok && c.sends < 2 && c.partialBytes == 0 && !c.atOtherVersion() && g.successes.Add(1)%successLogInterval != 0 {
+	if ok && c.sends < 2 && c.partialBytes == 0 && c.requestWrite == serverconn.WriteWhole && !c.atOtherVersion() && g.successes.Add(1)%successLogInterval != 0 {
 		return
 	}
 	g.options.Log.Info("Request ends.", "id", c.id, "request", c.loggedFingerprint(), "route", name, "workspace", c.workspaceName(), "version", c.version, "told_by", c.toldBy, "admitted_by", c.admittedBy,
 		"state_age_ms", g.configAge().Milliseconds(), "list_age_ms", g.options.Servers.ListAge().Milliseconds(), "status", c.status, "cause", c.cause, "ended_by", c.endedBy, "leaving_ms", g.leavingFor().Milliseconds(),
 		"servers", strings.Join(c.triedServers, " "), "peers", strings.Join(c.triedPeers, " "), "runs", c.runs, "forwarded", c.forwarded,
 		"cap_ms", c.capWait.Milliseconds(), "permit_ms", c.permitWait.Milliseconds(), "no_places", c.noPlaces, "room_ms", c.roomWait.Milliseconds(), "version_sent", c.sentVersion, "version_began", c.origin.text(), "resumes", c.resumes, "resumed_after", c.lastEventID, "predicted_ms", c.predictedWait.Milliseconds(), "first_ms", c.firstAfter.Milliseconds(), "ms", elapsed.Milliseconds(),
-		"events", c.splitter.Events(), "ended", strings.Join(c.endedServers, " "), "parts", c.loggedParts(), "framing", c.framing, "partial_bytes", c.partialBytes, "pause_ms", c.longestPause.Milliseconds(), "expected_tokens", c.prompt.Output(), "load", c.placementInputs(), "forecast", c.forecastText())
+		"events", c.splitter.Events(), "ended", strings.Join(c.endedServers, " "), "parts", c.loggedParts(), "framing", c.framing, "partial_bytes", c.partialBytes, "request_write", c.requestWrite, "pause_ms", c.longestPause.Milliseconds(), "expected_tokens", c.prompt.Output(), "load", c.placementInputs(), "forecast", c.forecastText())
 }
 
 // logCold logs that the request goes to a cold server, and what the choice went by.
--- a/routegate/dispatch.go
+++ b/routegate/dispatch.go
@@ -324,7 +324,10 @@
 
 func (x *exchange) discard() error { return x.body.Discard() }
 
-func (x *exchange) release() { x.pool.Put(x.conn, x.head, x.body) }
+func (x *exchange) release() {
+	x.call.requestWrite = x.conn.WriteState()
+	x.pool.Put(x.conn, x.head, x.body)
+}
 
 func (x *exchange) noteFirstByte() {
 	if x.call.firstAfter == 0 {
--- a/serverconn/conn.go
+++ b/serverconn/conn.go
@@ -56,8 +56,9 @@
 	in          *bufio.Reader
 	idleSince   time.Time
 	idleTimeout time.Duration
-	written     chan error
-	watch       exchangeWatch
+	// upload is the last request if it was too large to be written before the response is read.
+	upload *upload
+	watch  exchangeWatch
 	// reusable is cleared when the next response might not match its request.
 	reusable bool
 	aborted  atomic.Bool
@@ -101,6 +102,7 @@
 		return fmt.Errorf("send: %w", err)
 	}
 	c.watch.start()
+	c.upload = nil
 	request := append(head, body...)
 	if len(request) <= maxInlineBytes {
 		if _, err := c.net.Write(request); err != nil {
@@ -108,11 +110,7 @@
 		}
 		return nil
 	}
-	c.written = make(chan error, 1)
-	go func() {
-		_, err := c.net.Write(request)
-		c.written <- err
-	}()
+	c.startUpload(request)
 	return nil
 }
 
@@ -166,15 +164,14 @@
 	if c.watch.isLost() {
 		return errUnanswered
 	}
-	if c.written == nil || !errors.Is(err, io.EOF) {
+	if c.upload == nil || !errors.Is(err, io.EOF) {
 		return err
 	}
 	// The kernel tells an end of its own once: to the reader or to the writer.
 	select {
-	case writeErr := <-c.written:
-		c.written <- writeErr
-		if writeErr != nil {
-			return writeErr
+	case <-c.upload.done:
+		if c.upload.err != nil {
+			return c.upload.err
 		}
 	case <-time.After(writeErrorWait):
 	}
@@ -183,14 +180,9 @@
 
 // sent reports whether the whole request was written.
 func (c *Conn) sent() bool {
-	if c.written == nil {
+	if c.upload == nil {
 		return true
 	}
-	select {
-	case err := <-c.written:
-		c.written = nil
-		return err == nil
-	default:
-		return false
-	}
+	ended, err := c.upload.ended()
+	return ended && err == nil
 }
