The end of a connection ends an answer only if the server got the whole request

Callers saw parts of answers as whole ones: a server answered early, with an answer that ends with its connection, and reset it while the request was being written.

Cause: the kernel tells a reset once. If the write of the request meets it, the read after it sees an end without an error. A server that closes before the last bytes of a request arrive ends in order on the wire, and the reset that they cause comes after the end, so it is not told to the reader at all.

An end now counts if the write has ended without an error and the kernel of the other side has acknowledged all of it (package delivery: TCP_INFO, SIOCOUTQ, which hold after a reset as well). A server that half-closes and reads on is waited for while it makes progress, a second without. Any other end is a break, treated as a reset that the reader met: retried or resumed where the route allows it, else 502 or cut. A body that nobody uses is not waited for.

--- a/serverconn/body.go
+++ b/serverconn/body.go
@@ -30,6 +30,8 @@
 	remaining int
 	chunks    io.Reader
 	done      bool
+	// unused is set if nobody uses the body, so that it does not matter whether it is complete.
+	unused bool
 }
 
 func newBody(c *Conn, h *fasthttp.ResponseHeader, isHead bool) *Body {
@@ -107,8 +109,9 @@
 	return n, io.EOF
 }
 
-// readUntilClose reads a body that ends when the connection closes. A reset does
-// not complete it.
+// readUntilClose reads a body that ends when the connection closes. It is complete if the server got
+// the whole request by then: a reset that the write of the request has met, or that comes for bytes
+// that are still under way, is not told to the reader.
 func (b *Body) readUntilClose(p []byte) (int, error) {
 	n, err := b.conn.in.Read(p)
 	if err == nil {
@@ -117,6 +120,11 @@
 	if !errors.Is(err, io.EOF) {
 		return n, b.readError(err)
 	}
+	if !b.unused {
+		if err := b.conn.awaitDelivery(); err != nil {
+			return n, b.readError(err)
+		}
+	}
 	b.done = true
 	return n, io.EOF
 }
@@ -136,6 +144,7 @@
 	if b.done {
 		return nil
 	}
+	b.unused = true
 	timer := time.AfterFunc(discardTimeout, func() {
 		_ = b.conn.net.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
 	})
--- a/serverconn/upload.go
+++ b/serverconn/upload.go
@@ -1,5 +1,7 @@
 package serverconn
 
+import "wheelgauge/delivery"
+
 // WriteWhole is the WriteState of a request that was written without an error.
 const WriteWhole = "whole"
 
@@ -30,6 +32,19 @@
 	}
 }
 
+// awaitDelivery returns nil once the server, which has ended its side of the connection, has got the
+// whole request.
+func (c *Conn) awaitDelivery() error {
+	if c.upload == nil {
+		return delivery.Await(c.net, nil)
+	}
+	err := delivery.Await(c.net, c.upload.done)
+	if _, writeErr := c.upload.ended(); writeErr != nil {
+		return writeErr
+	}
+	return err
+}
+
 // WriteState tells how far the last request has been written: WriteWhole, "under way", or the error of
 // the write.
 func (c *Conn) WriteState() string {
