--- a/routegate/resetends_test.go
+++ b/routegate/resetends_test.go
@@ -5,14 +5,18 @@
 	"flag"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
+	"net/http/httputil"
 	"strconv"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/go-logr/logr/funcr"
+
+	"wheelgauge"
 )
 
 var resetRounds = flag.Int("resets.rounds", 1, "how often each case of a broken-off answer is played with each size")
@@ -24,6 +28,9 @@
 	partlyRead = 128 << 10
 	// partOfAnswer is what comes of an answer that is broken off.
 	partOfAnswer = "a part"
+	// wholeRequest is the part that a server reads of a request that it reads whole.
+	wholeRequest = math.MaxInt64
+	earlyHints   = "HTTP/1.1 103 Early Hints\r\n\r\n"
 )
 
 // serverEnd is how a server ends the connection of an answer.
@@ -74,6 +81,52 @@
 	return rawAnswer(t, c, head+strings.Repeat("x", size))
 }
 
+// newForwardingGate returns a gate without servers, the connection of its caller, and the gate of the
+// region that it forwards to.
+func newForwardingGate(t *testing.T, b *backend) (here *Gate, caller net.Conn, there *Gate) {
+	t.Helper()
+	there, _ = newGate(t, routes(), b, b)
+	there.options.Region = "there"
+	here, caller = newGate(t, routes())
+	knowRegion(here, wheelgauge.FleetHost{Name: "f", Region: "there", PeerAddress: peerConn(t, there).RemoteAddr().String()}, 1)
+	return here, caller, there
+}
+
+// playUploads sends uploads to an early server, to a gate of its region or through that of another one,
+// and has check look at what the caller gets and at the line of the request in the log.
+func playUploads(t *testing.T, forwarded bool, path string, e earlyServer, check func(t *testing.T, answer string, err error, line func() string)) {
+	t.Helper()
+	for round := range 2 * *resetRounds {
+		played := e
+		size := []int{smallUpload, largeUpload}[round%2]
+		played.rest += time.Duration(round/2%8) * 10 * time.Millisecond
+		b := &backend{conn: listen(t, played.serve)}
+		g, c := newGate(t, routes(), b, b)
+		if forwarded {
+			_, c, g = newForwardingGate(t, b)
+		}
+		var ended endedLines
+		g.options.Log = funcr.New(ended.write, funcr.Options{})
+		answer, err := upload(t, c, path, size)
+		check(t, answer, err, func() string {
+			return fmt.Sprintf("%d bytes, ends after %v, %s", size, played.rest, logged(ended.await(t), "request_write"))
+		})
+		_ = b.conn.Close()
+	}
+}
+
+// isBroken reports whether a caller can tell that it got no whole answer: a refusal with 502, fewer
+// bytes than promised, or a reset before the end of the connection ends the answer.
+func isBroken(answer string, err error) bool {
+	resp, headErr := http.ReadResponse(bufio.NewReader(strings.NewReader(answer)), nil)
+	if headErr != nil || resp.StatusCode == http.StatusBadGateway {
+		return true
+	}
+	_, bodyErr := io.Copy(io.Discard, resp.Body)
+	endsWithConn := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+	return bodyErr != nil || endsWithConn && err != nil
+}
+
 // A server that answers early, with an answer that ends with its connection, and breaks it off while
 // the request is still being written.
 func TestAnswerBrokenOffByAResetDuringAnUploadIsTakenForWhole(t *testing.T) {
@@ -83,29 +136,116 @@
 		{"HTTP/1.0", openHead10},
 	}
 	paths := []struct{ path, part string }{{"/once/", partOfAnswer}, {"/safe/", partOfAnswer}, {"/stream/", eventOne}, {"/resume/", eventOne}}
+	type testCase struct {
+		name, path string
+		server     earlyServer
+		forwarded  bool
+	}
+	var tests []testCase
 	for _, p := range paths {
 		for _, h := range heads {
 			for _, read := range []int64{0, partlyRead} {
 				for _, end := range []serverEnd{endByReset, endByClose} {
-					t.Run(fmt.Sprint(p.path, " ", h.name, " read ", read, " ", end), func(t *testing.T) {
-						t.Parallel()
-						for round := range 2 * *resetRounds {
-							size := []int{smallUpload, largeUpload}[round%2]
-							rest := time.Duration(round/2%8) * 10 * time.Millisecond
-							b := &backend{conn: listen(t, earlyServer{read: read, parts: []string{h.head + p.part}, rest: rest, end: end}.serve)}
-							g, c := newGate(t, routes(), b, b)
-							var ended endedLines
-							g.options.Log = funcr.New(ended.write, funcr.Options{})
-							answer, err := upload(t, c, p.path, size)
-							if got, body := endingOf(answer, err); got == byClose || strings.HasPrefix(answer, "HTTP/1.1 200 ") && got != byReset {
-								t.Errorf("%d bytes, reset after %v: the answer ends by %s after %q, want it refused or reset; %s", size, rest, got, body, logged(ended.await(t), "request_write"))
-							}
-						}
-					})
+					server := earlyServer{read: read, parts: []string{h.head + p.part}, end: end}
+					tests = append(tests, testCase{fmt.Sprint(p.path, " ", h.name, " read ", read, " ", end), p.path, server, false})
 				}
 			}
 		}
+		server := earlyServer{parts: []string{openHead + p.part}, end: endByReset}
+		tests = append(tests, testCase{p.path + " forwarded", p.path, server, true})
+		server.read = wholeRequest
+		tests = append(tests, testCase{p.path + " after the whole request", p.path, server, false})
+	}
+	large := strings.Repeat("x", maxBufferedBytes+10)
+	for _, tt := range []struct {
+		name  string
+		parts []string
+	}{
+		{"no body", []string{openHead}},
+		{"informational first", []string{earlyHints + openHead + partOfAnswer}},
+		{"informational, later the head", []string{earlyHints, openHead + partOfAnswer}},
+		{"large", []string{openHead + large}},
+		{"large in two parts", []string{openHead + large, large}},
+		{"a failure", []string{"HTTP/1.1 413 Content Too Large\r\n" + signatureHeader + "\r\n" + partOfAnswer}},
+		{"a part of a length", []string{truncatedAnswer}},
+		{"large part of a length", []string{fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", signatureHeader, 2*len(large), large)}},
+		{"chunks without the last one", []string{streamHead + chunk("ok")}},
+		{"large chunks without the last one", []string{streamHead + chunk(large)}},
+		{"inside the head", []string{openHead[:len(openHead)-2]}},
+	} {
+		for _, end := range []serverEnd{endByReset, endByClose} {
+			tests = append(tests, testCase{fmt.Sprint("/once/ ", tt.name, " ", end), "/once/", earlyServer{parts: tt.parts, end: end}, false})
+		}
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			playUploads(t, tt.forwarded, tt.path, tt.server, func(t *testing.T, answer string, err error, line func() string) {
+				if !isBroken(answer, err) {
+					t.Errorf("the answer ends after %.60q, want it refused or reset; %s", answer, line())
+				}
+			})
+		})
+	}
+}
+
+// An answer that is whole arrives, also if its server has not read the request and resets the
+// connection afterwards.
+func TestSoundAnswerDuringAnUploadArrives(t *testing.T) {
+	const tooLarge = "HTTP/1.1 413 Content Too Large\r\n" + signatureHeader
+	large := strings.Repeat("x", maxBufferedBytes+10)
+	tests := []struct {
+		name, path string
+		server     earlyServer
+		status     string
+		ending     ending
+		body       string
+	}{
+		{"a failure with a length", "/once/", earlyServer{parts: []string{tooLarge + "Content-Length: 2\r\n\r\nno"}, end: endByClose}, "413", byLength, "no"},
+		{"a failure with a length, then a reset", "/once/", earlyServer{parts: []string{tooLarge + "Content-Length: 2\r\n\r\nno"}, end: endByReset}, "413", byLength, "no"},
+		{"a failure in chunks", "/safe/", earlyServer{parts: []string{tooLarge + "Transfer-Encoding: chunked\r\n\r\n" + chunk("no") + endOfChunks}, end: endByClose}, "413", byLength, "no"},
+		{"a failure with trailers", "/safe/", earlyServer{parts: []string{tooLarge + "Transfer-Encoding: chunked\r\n\r\n" + chunk("no") + "0\r\nA: b\r\n\r\n"}, end: endByClose}, "413", byLength, "no"},
+		{"a length", "/once/", earlyServer{read: partlyRead, parts: []string{okAnswer}, end: endByClose}, "200", byLength, "ok"},
+		{"a length, informational first", "/once/", earlyServer{parts: []string{earlyHints, okAnswer}, end: endByReset}, "200", byLength, "ok"},
+		{"a length, later the body", "/once/", earlyServer{parts: []string{okAnswer[:len(okAnswer)-2], "ok"}, end: endByReset}, "200", byLength, "ok"},
+		{"large chunks", "/once/", earlyServer{read: partlyRead, parts: []string{streamHead + chunk(large) + endOfChunks}, end: endByHalfClose}, "200", byChunks, chunk(large) + endOfChunks},
+		{"no content", "/once/", earlyServer{parts: []string{"HTTP/1.1 204 No Content\r\n" + signatureHeader + "\r\n"}, end: endByReset}, "204", byClose, ""},
+		{"until close after the whole request", "/once/", earlyServer{read: wholeRequest, parts: []string{openHead + "ok"}, end: endByClose}, "200", byClose, "ok"},
+		{"until close after the whole request, HTTP/1.0", "/safe/", earlyServer{read: wholeRequest, parts: []string{openHead10, "ok"}, end: endByClose}, "200", byClose, "ok"},
+		{"large until close after the whole request", "/once/", earlyServer{read: wholeRequest, parts: []string{openHead + large, "end"}, end: endByClose}, "200", byClose, large + "end"},
+		{"until half-close, the request is read after it", "/once/", earlyServer{parts: []string{openHead + "ok"}, end: endByHalfClose}, "200", byClose, "ok"},
+		{"large until half-close, the request is read after it", "/safe/", earlyServer{read: partlyRead, parts: []string{openHead + large}, end: endByHalfClose}, "200", byClose, large},
+		{"a stream in chunks", "/stream/", earlyServer{parts: []string{streamHead + chunk(eventOne), chunk(eventTwo) + endOfChunks}, end: endByClose}, "200", byChunks, chunk(eventOne) + chunk(eventTwo) + endOfChunks},
+		{"a stream until close after the whole request", "/stream/", earlyServer{read: wholeRequest, parts: []string{openHead + eventOne, eventTwo}, end: endByClose}, "200", byClose, eventOne + eventTwo},
+		{"a stream until half-close", "/resume/", earlyServer{parts: []string{openHead + eventOne, eventTwo}, end: endByHalfClose}, "200", byClose, eventOne + eventTwo},
+	}
+	for _, tt := range tests {
+		for _, forwarded := range []bool{false, true} {
+			t.Run(fmt.Sprint(tt.name, " forwarded ", forwarded), func(t *testing.T) {
+				t.Parallel()
+				e := tt.server
+				e.rest = time.Millisecond
+				playUploads(t, forwarded, tt.path, e, func(t *testing.T, answer string, err error, line func() string) {
+					end, body := endingOf(answer, err)
+					if !strings.HasPrefix(answer, "HTTP/1.1 "+tt.status+" ") || end != tt.ending || joined(end, body) != joined(end, tt.body) {
+						t.Errorf("got %.60q, %v, ends by %s, want %s by %s; %s", answer, err, end, tt.status, tt.ending, line())
+					}
+				})
+			})
+		}
+	}
+}
+
+// joined returns the body in chunks as one text, any other as it is.
+func joined(end ending, body string) string {
+	if end != byChunks {
+		return body
+	}
+	text, err := io.ReadAll(httputil.NewChunkedReader(strings.NewReader(body)))
+	if err != nil {
+		return err.Error()
 	}
+	return string(text)
 }
 
 // logged returns a field of a log line.
