A response with a status above 599 is refused

Callers got status 600 and 999 as a server sent them. HTTP defines 100 to 599 only (RFC 9110, 15); a library may reject such a response or take it for one of its own codes. They are now handled as a status of 000 or 2000 is: the connection is closed, a request that may be repeated is, another one gets 502 with outcome unknown.

--- a/responsehead/head.go
+++ b/responsehead/head.go
@@ -105,7 +105,7 @@
 		return malformed("version", start)
 	}
 	status, reason := start[minStartLineBytes-3:minStartLineBytes], start[minStartLineBytes:]
-	if status[0] < '1' || status[0] > '9' || !isDigits(status) || len(reason) > 0 && reason[0] != ' ' || !isFieldText(reason) {
+	if status[0] < '1' || status[0] > '5' || !isDigits(status) || len(reason) > 0 && reason[0] != ' ' || !isFieldText(reason) {
 		return malformed("status", start)
 	}
 	if string(status) == "101" {
--- a/routegate/gate_test.go
+++ b/routegate/gate_test.go
@@ -35,6 +35,7 @@
 	misdirectedAnswer = "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n"
 	truncatedAnswer   = "HTTP/1.1 200 OK\r\n" + signatureHeader + "Content-Length: 9\r\n\r\nok"
 	unsignedAnswer    = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	oddStatusAnswer   = "HTTP/1.1 600 Odd\r\n" + signatureHeader + "Content-Length: 3\r\n\r\nodd"
 	malformedAnswer   = "no answer at all\r\n\r\n"
 	streamHead        = "HTTP/1.1 200 OK\r\n" + signatureHeader + "Transfer-Encoding: chunked\r\n\r\n"
 )
@@ -238,6 +239,8 @@
 		{"a broken answer may have run", "/once/", []string{truncatedAnswer}, 502, wheelgauge.OutcomeUnknown, 1},
 		{"a malformed answer is retried", "/safe/", []string{malformedAnswer}, 200, "", 2},
 		{"a malformed answer may have run", "/once/", []string{malformedAnswer}, 502, wheelgauge.OutcomeUnknown, 1},
+		{"a status of no class is retried", "/safe/", []string{oddStatusAnswer}, 200, "", 2},
+		{"a status of no class may have run", "/once/", []string{oddStatusAnswer}, 502, wheelgauge.OutcomeUnknown, 1},
 		{"a success without a signature", "/once/", []string{unsignedAnswer}, 502, wheelgauge.OutcomeUnknown, 1},
 		{"a request that did not run is sent again", "/once/", []string{notRunAnswer}, 200, "", 2},
 		{"another server has the address", "/once/", []string{misdirectedAnswer}, 200, "", 2},
