An answer in the mode with resources ends only if its server got the whole request

Callers could see a part as a whole answer there too: a call is written into the buffers of the connection, the server ends its answer in order and resets afterwards, for bytes that it has not got. The reset is told to nobody, as the write is over and the read has met the end. A reset that the write meets was no fault here: a call whose write fails is not read from.

The end of a body's connection now counts as in the mode with routes (delivery.Await). Await ends with the read deadline of the connection, or when it is closed here.

--- a/delivery/await.go
+++ b/delivery/await.go
@@ -4,6 +4,8 @@
 package delivery
 
 import (
+	"cmp"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -25,8 +27,9 @@
 
 // Await returns nil once the peer of c, which has ended its side, has acknowledged everything that
 // was written. written is closed when the write has ended; nil if it already has. A peer that reads on
-// after it has answered is waited for while it makes progress. Connections whose state the kernel does
-// not tell are awaited until the write has ended.
+// after it has answered is waited for while it makes progress, until the read deadline of c. Connections
+// whose state the kernel does not tell are awaited until the write has ended. The caller is the one that
+// reads from c.
 func Await(c net.Conn, written <-chan struct{}) error {
 	if written == nil {
 		written = closed
@@ -35,6 +38,10 @@
 	told := IsTold(c)
 	var acked uint64
 	for pause := firstPause; pause <= lastPause; pause *= 2 {
+		// The end is met again, unless the deadline is over or the connection was closed here.
+		if _, err := c.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+			return fmt.Errorf("await delivery: %w", cmp.Or(err, io.ErrUnexpectedEOF))
+		}
 		whole := isClosed(written)
 		s, ok := look(c)
 		switch {
--- a/delivery/await_test.go
+++ b/delivery/await_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"syscall"
 	"testing"
 	"time"
@@ -110,15 +111,29 @@
 	}
 }
 
-func TestAwaitOfAClosedConnection(t *testing.T) {
-	c, peer := pair(t)
-	_ = peer.Close()
-	written := make(chan struct{})
-	ended := make(chan error, 1)
-	go func() { ended <- Await(c, written) }()
-	time.Sleep(2 * firstPause)
-	_ = c.Close()
-	if err := <-ended; err == nil {
-		t.Error("got no error for a request whose write has not ended")
+// Who waits for a peer that reads on slowly is bounded by the deadline, and by a close.
+func TestAwaitEndsWithTheConnection(t *testing.T) {
+	tests := []struct {
+		name string
+		end  func(c *net.TCPConn)
+		want error
+	}{
+		{"closed", func(c *net.TCPConn) { _ = c.Close() }, net.ErrClosed},
+		{"the deadline is over", func(c *net.TCPConn) { _ = c.SetDeadline(time.Unix(1, 0)) }, os.ErrDeadlineExceeded},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			c, peer := pair(t)
+			_ = peer.CloseWrite()
+			_, _ = c.Read(make([]byte, 1))
+			ended := make(chan error, 1)
+			go func() { ended <- Await(c, make(chan struct{})) }()
+			time.Sleep(2 * firstPause)
+			tt.end(c)
+			if err := <-ended; !errors.Is(err, tt.want) {
+				t.Errorf("got %v, want %v", err, tt.want)
+			}
+		})
 	}
 }
--- a/upstream/guard.go
+++ b/upstream/guard.go
@@ -2,10 +2,13 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 
+	"wheelgauge/delivery"
 	"wheelgauge/responsehead"
 )
 
@@ -36,7 +39,7 @@
 // Read implements net.Conn.
 func (g *guardedConn) Read(p []byte) (int, error) {
 	if g.inBody && g.headLeft == 0 {
-		return g.in.Read(p)
+		return g.readBody(p)
 	}
 	if g.headLeft == 0 {
 		if err := g.checkHead(); err != nil {
@@ -48,6 +51,19 @@
 	return n, err
 }
 
+// readBody reads the body, whose end may be that of the connection. It counts only if the server got the
+// whole request by then. The request was written before the head was read, without an error.
+func (g *guardedConn) readBody(p []byte) (int, error) {
+	n, err := g.in.Read(p)
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if waitErr := delivery.Await(g.Conn, nil); waitErr != nil {
+		return n, fmt.Errorf("read answer: %w", waitErr)
+	}
+	return n, err
+}
+
 // checkHead checks the next head without consuming it.
 func (g *guardedConn) checkHead() error {
 	head, err := responsehead.Peek(g.in)
