--- a/replica/leaderless.go
+++ b/replica/leaderless.go
@@ -82,7 +82,7 @@
 			part += "(unverified)"
 		}
 		if k.Ballot == raft.BallotRefused {
-			part += fmt.Sprintf("(term %d, log %d/%d)", k.Term, k.LastIndex, k.LastTerm)
+			part += refusal(k)
 		}
 		parts = append(parts, part)
 	}
@@ -107,3 +107,12 @@
 	}
 	return n
 }
+
+// refusal describes why a member refused its vote: the end of its log if that was the reason, else its
+// term, in which it has voted already or which is a later one.
+func refusal(k raft.Contact) string {
+	if k.LastIndex == 0 {
+		return fmt.Sprintf("(term %d)", k.Term)
+	}
+	return fmt.Sprintf("(term %d, its log ends at %d of term %d)", k.Term, k.LastIndex, k.LastTerm)
+}
