--- a/replica/recover_test.go
+++ b/replica/recover_test.go
@@ -4,6 +4,8 @@
 	"os"
 	"path/filepath"
 	"testing"
+
+	"wheelgauge/raft"
 )
 
 func TestGroupIsRecoveredFromOneStore(t *testing.T) {
@@ -61,10 +63,10 @@
 // The group goes on with the state that was recovered, also at a store that had committed more.
 func TestStoreThatHasCommittedMoreFollowsTheRecoveredGroup(t *testing.T) {
 	for _, tt := range []struct {
-		name    string
-		port    string
-		changes int
-	}{{"in its log", ":7803", 3}, {"in its snapshot", ":7804", 2 * compactEntries}} {
+		name      string
+		port      string
+		compacted bool
+	}{{"in its log", ":7803", false}, {"in its snapshot", ":7804", true}} {
 		t.Run(tt.name, func(t *testing.T) {
 			all := []string{"127.0.86.1" + tt.port, "127.0.86.2" + tt.port, "127.0.86.3" + tt.port}
 			g := &group{t: t, seeds: all, nodes: map[string]*node{}}
@@ -77,11 +79,18 @@
 			g.waitFor("the change at the store that is recovered", func() bool { return g.nodes[all[0]].machine.value() == `"kept"` })
 			left, more := g.nodes[all[0]].dir, g.nodes[all[1]].dir
 			g.stop(g.nodes[all[0]])
-			for range tt.changes {
+			for range 3 {
 				g.propose(g.nodes[all[1]], "lost")
 			}
 			g.waitFor("the later changes", func() bool { return g.nodes[all[1]].machine.value() == `"lost"` })
+			data, err := g.nodes[all[1]].machine.Snapshot()
+			if err != nil {
+				t.Fatal(err)
+			}
 			g.stopAll()
+			if tt.compacted {
+				compactDisk(t, more, data)
+			}
 			if err := Recover(left, "", all[0], all[0]); err != nil {
 				t.Fatal(err)
 			}
@@ -104,6 +113,21 @@
 	}
 }
 
+// compactDisk replaces the log in dir by a snapshot of all its entries.
+func compactDisk(t *testing.T, dir string, data []byte) {
+	t.Helper()
+	s, state, _, err := openStorage(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.log.Close()
+	last := state.Entries[len(state.Entries)-1]
+	snap := &raft.Snapshot{Index: last.Index, Term: last.Term, Members: state.Snapshot.Members, Data: data}
+	if err := s.rewrite(snap, state.HardState, nil); err != nil {
+		t.Fatal(err)
+	}
+}
+
 func TestRecoveryOfABlankStoreFails(t *testing.T) {
 	dir := t.TempDir()
 	if err := Recover(dir, "", "a", "a"); err == nil {
