A disk is known by the inode of its marker and the time it was created

What callers saw: nothing yet; found in review. A store whose folder is removed and restored from a backup votes with votes and entries forgotten, as if it had never lost any.

Cause: a disk was known by the inode of its marker alone. File systems use the inode of a removed file again: on ext4, rm -rf and a copy into the same place gave the marker the inode that it had in 4 of 4 tries, so the old state was taken for the one that the replica wrote last. A copy beside the original is noticed, the usual restore was not.

Why this works: the time at which a file was created is kept by the file system, a copy gets its own, and no rename, change of mode or owner alters it. A state of an earlier release, or on a file system that does not tell, is known by the inode as before. The line of the start says both, and whether the state is unverified.

--- a/replica/identity.go
+++ b/replica/identity.go
@@ -7,7 +7,9 @@
 	"fmt"
 	"os"
 	"path/filepath"
-	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
 
 	"wheelgauge/wal"
 )
@@ -21,22 +23,37 @@
 	return binary.LittleEndian.Uint64(b[:])>>1 | 1
 }
 
-// diskID returns the inode of the marker file in dir, which it creates if it is not
-// there. A copy or a restored backup of the folder has another inode, so its state
-// may be older than what the replica has told others since.
-func diskID(dir string) (uint64, error) {
+// diskID identifies the disk that a state was written on, by the marker file.
+type diskID struct {
+	Inode uint64 `json:"disk"`
+	// Created is the time at which the marker was created, in nanoseconds, as inodes of removed files
+	// are used again; 0 if the file system does not tell.
+	Created int64 `json:"disk_created,omitempty"`
+}
+
+// readDiskID identifies the disk of dir by the marker file, which it creates if it is not there. A
+// copy or a restored backup of the folder has another one, so its state may be older than what the
+// replica has told others since.
+func readDiskID(dir string) (diskID, error) {
 	path := filepath.Join(dir, markerName)
 	f, err := os.OpenFile(path, os.O_CREATE|os.O_RDONLY, 0o600)
 	if err != nil {
-		return 0, fmt.Errorf("open disk marker: %w", err)
+		return diskID{}, fmt.Errorf("open disk marker: %w", err)
 	}
-	info, err := f.Stat()
+	var stat unix.Statx_t
+	err = unix.Statx(int(f.Fd()), "", unix.AT_EMPTY_PATH, unix.STATX_INO|unix.STATX_BTIME, &stat)
 	if err := errors.Join(err, f.Sync(), f.Close(), wal.SyncDir(dir)); err != nil {
-		return 0, fmt.Errorf("read disk marker: %w", err)
+		return diskID{}, fmt.Errorf("read disk marker: %w", err)
 	}
-	stat, ok := info.Sys().(*syscall.Stat_t)
-	if !ok {
-		return 0, errors.New("disk marker has no inode")
+	id := diskID{Inode: stat.Ino}
+	if stat.Mask&unix.STATX_BTIME != 0 {
+		id.Created = stat.Btime.Sec*int64(time.Second) + int64(stat.Btime.Nsec)
 	}
-	return stat.Ino, nil
+	return id, nil
+}
+
+// matches reports whether a state was written on this disk. A state without the time of creation is
+// known by the inode alone.
+func (d diskID) matches(found diskID) bool {
+	return d.Inode == found.Inode && (d.Created == found.Created || d.Created == 0 || found.Created == 0)
 }
--- a/replica/leaderless.go
+++ b/replica/leaderless.go
@@ -89,8 +89,10 @@
 // logStart logs what was found on the disk.
 func (r *Replica) logStart(blank bool, state raft.State) {
 	index, term := r.core.LastEntry()
-	r.options.Log.Info("Replica started.", "id", r.storage.self.ID, "blank", blank, "found_id", r.storage.found.ID, "found_disk", r.storage.found.Disk,
-		"disk", r.storage.self.Disk, "term", state.HardState.Term, "vote", state.HardState.Vote, "commit", state.HardState.Commit,
+	found, disk := r.storage.found, r.storage.disk
+	r.options.Log.Info("Replica started.", "id", r.storage.self.ID, "blank", blank, "unverified", r.storage.unverified, "found_id", found.ID,
+		"found_disk", found.Inode, "found_disk_created", found.Created, "disk", disk.Inode, "disk_created", disk.Created,
+		"term", state.HardState.Term, "vote", state.HardState.Vote, "commit", state.HardState.Commit,
 		"last_index", index, "last_term", term, "applied", r.core.Applied(), "members", len(r.core.Members()), "voter", r.core.IsVoter())
 }
 
--- a/replica/recover.go
+++ b/replica/recover.go
@@ -68,7 +68,7 @@
 	if state.Snapshot == nil {
 		return errors.New("recover: there is no state that could be recovered")
 	}
-	s.self, s.needsRewrite = identity{ID: newID(), Disk: s.inode}, true
+	s.self, s.needsRewrite = identity{ID: newID(), diskID: s.disk}, true
 	term := state.HardState.Term + recoveredTermGap
 	snap := *state.Snapshot
 	snap.Index, snap.Term = snap.Index+recoveredIndexGap, term
--- a/replica/storage.go
+++ b/replica/storage.go
@@ -15,10 +15,10 @@
 	dirMode = 0o700
 )
 
-// identity is the ID of this replica and the inode that it was created on.
+// identity is the ID of this replica and the disk that its state was written on.
 type identity struct {
-	ID   uint64 `json:"id"`
-	Disk uint64 `json:"disk"`
+	ID uint64 `json:"id"`
+	diskID
 }
 
 // record is one record of the log on disk; exactly one field is set.
@@ -49,7 +49,7 @@
 	// found is the identity that was on the disk, zero if there was none.
 	found identity
 	dir   string
-	inode uint64
+	disk  diskID
 	// unverified is set while the state may be an old copy: it was written on another disk.
 	unverified bool
 	// successor is the ID under which an unverified replica joins a group that works without it. It is
@@ -68,7 +68,7 @@
 	if err := wal.MakeDir(dir, dirMode); err != nil {
 		return nil, raft.State{}, false, fmt.Errorf("create data directory: %w", err)
 	}
-	inode, err := diskID(dir)
+	disk, err := readDiskID(dir)
 	if err != nil {
 		return nil, raft.State{}, false, err
 	}
@@ -76,7 +76,7 @@
 	if log == nil {
 		return nil, raft.State{}, false, fmt.Errorf("open replica log: %w", openErr)
 	}
-	s := &storage{log: log, dir: dir, inode: inode}
+	s := &storage{log: log, dir: dir, disk: disk}
 	state, err := s.replay(records)
 	if err != nil {
 		return nil, state, false, errors.Join(err, log.Close())
@@ -85,8 +85,10 @@
 	if s.self.ID == 0 {
 		return s, raft.State{}, true, s.startBlank(newID())
 	}
-	if s.self.Disk != inode {
+	if !disk.matches(s.self.diskID) {
 		s.unverified, s.successor = true, newID()
+	} else {
+		s.self.diskID = disk // an earlier release knew the inode only
 	}
 	return s, state, false, openErr
 }
--- a/replica/unverified.go
+++ b/replica/unverified.go
@@ -22,14 +22,14 @@
 
 // startBlank gives a replica without a state an identity.
 func (s *storage) startBlank(id uint64) error {
-	s.self, s.unverified, s.successor, s.needsRewrite = identity{ID: id, Disk: s.inode}, false, 0, true
+	s.self, s.unverified, s.successor, s.needsRewrite = identity{ID: id, diskID: s.disk}, false, 0, true
 	return s.rewrite(nil, raft.HardState{}, nil)
 }
 
 // confirm makes the state on this disk that of the replica.
 func (s *storage) confirm() error {
 	s.unverified, s.successor = false, 0
-	s.self.Disk = s.inode
+	s.self.diskID = s.disk
 	if err := s.saveIdentity(); err != nil {
 		s.needsRewrite = true
 		return err
