--- a/votergroup/schedule_test.go
+++ b/votergroup/schedule_test.go
@@ -38,6 +38,8 @@
 	hanging map[string]int
 	// successor is the ID under which it joins while its disk is an unverified copy.
 	successor uint64
+	// full makes writes to its disk fail.
+	full bool
 }
 
 // group is a cluster of stores without a network.
@@ -191,6 +193,10 @@
 		if rd.Empty() {
 			return
 		}
+		if s.full && s.core.MustSync(rd) {
+			s.core.SuspendWrites()
+			return
+		}
 		if rd.Snapshot != nil {
 			s.disk.Snapshot, s.disk.Entries = rd.Snapshot, nil
 		}
