A put that is in the log is waited for, not proposed again

What callers saw: a put of a large configuration beside load timed out after 3 s, and so did the next ones of the same version, 20 s long, although the first was in the log (its later answer said "taken": false).

Cause: each call proposed an entry of its own. Entries of a large configuration are applied one after the other, so a repeated call waited behind the first one and added as much again.

Change: a put is proposed once: where the leader has proposed the same command in its term and not applied it, the call waits for that entry's result. Only puts do so, which have the same effect however often they are applied; other commands, as changes of resources with an expected generation, stay apart. What is applied already is no longer joined, so no call is answered by an entry that was acknowledged before it began.

--- a/confstore/operations.go
+++ b/confstore/operations.go
@@ -78,7 +78,13 @@
 	if err != nil {
 		return res, fmt.Errorf("encode %s: %w", c.Op, err)
 	}
-	reply, err := n.replica.Propose(ctx, command)
+	propose := n.replica.Propose
+	if c.Op == configstate.OpPut {
+		// The next call after a timeout waits for what the one before has proposed: each entry with a
+		// large configuration delays all that follow.
+		propose = n.replica.ProposeOnce
+	}
+	reply, err := propose(ctx, command)
 	if err != nil {
 		return res, fmt.Errorf("%s: %w", c.Op, err)
 	}
--- a/replica/disk.go
+++ b/replica/disk.go
@@ -59,7 +59,7 @@
 	err := diskUnwritableError().WithOutcome(wheelgauge.OutcomeUnknown)
 	for index, w := range r.waiters {
 		delete(r.waiters, index)
-		w.done <- result{err: err}
+		w.end(result{err: err})
 	}
 }
 
--- a/replica/handler.go
+++ b/replica/handler.go
@@ -21,7 +21,11 @@
 	case pathMessages:
 		r.handleMessages(callCtx, ctx)
 	case pathPropose:
-		p, err := r.proposeLocal(callCtx, append([]byte(nil), ctx.PostBody()...))
+		propose := r.proposeLocal
+		if ctx.QueryArgs().Has(onceArg) {
+			propose = r.proposeOnceLocal
+		}
+		p, err := propose(callCtx, append([]byte(nil), ctx.PostBody()...))
 		reply(ctx, p, err)
 	case pathBarrier:
 		p, err := r.barrierLocal(callCtx)
--- a/replica/members.go
+++ b/replica/members.go
@@ -202,7 +202,7 @@
 			done <- result{err: noLeaderError(err.Error())}
 			return
 		}
-		r.waiters[index] = waiter{term: term, done: done}
+		r.waiters[index] = waiter{term: term, done: []chan result{done}}
 	})
 	if err != nil {
 		return err
--- a/replica/propose.go
+++ b/replica/propose.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -8,11 +9,14 @@
 
 	"wheelgauge"
 	"wheelgauge/peerhttp"
+	"wheelgauge/raft"
 )
 
 const (
 	pathPropose = "/raft/propose"
 	pathBarrier = "/raft/barrier"
+	// onceArg marks a command that is proposed once. A leader that does not know it proposes each.
+	onceArg = "once"
 )
 
 // leaderResult is the leader's response to a forwarded command or read barrier.
@@ -34,12 +38,22 @@
 // Propose implements wheelgauge.Proposer. Replicas other than the leader forward
 // the command to it.
 func (r *Replica) Propose(ctx context.Context, command []byte) ([]byte, error) {
+	return r.propose(ctx, pathPropose, command, r.proposeLocal)
+}
+
+// ProposeOnce is Propose for a command that has the same effect however often it is applied. If the
+// leader has proposed the same one and it is not applied yet, its result is waited for.
+func (r *Replica) ProposeOnce(ctx context.Context, command []byte) ([]byte, error) {
+	return r.propose(ctx, pathPropose+"?"+onceArg+"=1", command, r.proposeOnceLocal)
+}
+
+func (r *Replica) propose(ctx context.Context, path string, command []byte, local func(context.Context, []byte) (leaderResult, error)) ([]byte, error) {
 	if r.IsLeader() {
-		p, err := r.proposeLocal(ctx, command)
+		p, err := local(ctx, command)
 		return p.Response, err
 	}
 	var p leaderResult
-	if err := r.callLeader(ctx, http.MethodPost, pathPropose, json.RawMessage(command), &p); err != nil {
+	if err := r.callLeader(ctx, http.MethodPost, path, json.RawMessage(command), &p); err != nil {
 		return nil, fmt.Errorf("propose: %w", err)
 	}
 	return p.Response, nil
@@ -58,16 +72,21 @@
 }
 
 func (r *Replica) proposeLocal(ctx context.Context, command []byte) (leaderResult, error) {
-	done := make(chan result, 1)
-	err := r.submit(ctx, func() {
-		index, term, err := r.core.Propose(command)
-		if err != nil {
-			done <- result{err: noLeaderError("this store is not the leader")}
-			return
+	return r.awaitCommit(ctx, func(done chan result) { r.appendCommand(command, waiter{done: []chan result{done}}) })
+}
+
+func (r *Replica) proposeOnceLocal(ctx context.Context, command []byte) (leaderResult, error) {
+	return r.awaitCommit(ctx, func(done chan result) {
+		if !r.joinProposal(command, done) {
+			r.appendCommand(command, waiter{once: command, done: []chan result{done}})
 		}
-		r.waiters[index] = waiter{term: term, done: done}
 	})
-	if err != nil {
+}
+
+// awaitCommit runs a proposal in the run loop and waits for its result.
+func (r *Replica) awaitCommit(ctx context.Context, propose func(done chan result)) (leaderResult, error) {
+	done := make(chan result, 1)
+	if err := r.submit(ctx, func() { propose(done) }); err != nil {
 		return leaderResult{}, err
 	}
 	select {
@@ -79,6 +98,31 @@
 	}
 }
 
+// appendCommand appends a command to the leader's log.
+func (r *Replica) appendCommand(command []byte, w waiter) {
+	index, term, err := r.core.Propose(command)
+	if err != nil {
+		w.end(result{err: noLeaderError("this store is not the leader")})
+		return
+	}
+	w.term = term
+	r.waiters[index] = w
+}
+
+// joinProposal adds done to those that wait for the same command, if this leader has proposed it in
+// its term and not applied it: then it is still in the log.
+func (r *Replica) joinProposal(command []byte, done chan result) bool {
+	for index, w := range r.waiters {
+		if r.core.Role() == raft.Leader && w.term == r.core.Term() && bytes.Equal(w.once, command) {
+			w.done = append(w.done, done)
+			r.waiters[index] = w
+			r.options.Log.Info("A command that is in the log is waited for.", "index", index, "term", w.term, "bytes", len(command), "waiting", len(w.done))
+			return true
+		}
+	}
+	return false
+}
+
 // ReadIndex returns the index of a committed entry that is not before any that was committed
 // before the call, once a quorum has confirmed the leader.
 func (r *Replica) ReadIndex(ctx context.Context) (uint64, error) {
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -72,9 +72,18 @@
 	err      error
 }
 
+// waiter is who waits for an entry of the log.
 type waiter struct {
 	term uint64
-	done chan result
+	// once is the command, if it is proposed once; nil otherwise.
+	once []byte
+	done []chan result
+}
+
+func (w waiter) end(res result) {
+	for _, d := range w.done {
+		d <- res
+	}
 }
 
 // Replica is a running member of the group.
@@ -225,7 +234,7 @@
 func (r *Replica) failPending() {
 	stopErr := wheelgauge.NewError(wheelgauge.ReasonNoLeader, wheelgauge.OutcomeUnknown, http.StatusServiceUnavailable, "the store is shutting down").WithRetryAfter(leaderRetryAfter)
 	for _, w := range r.waiters {
-		w.done <- result{err: stopErr}
+		w.end(result{err: stopErr})
 	}
 	for _, b := range r.barriers {
 		b <- result{err: stopErr}
@@ -294,10 +303,10 @@
 		}
 		delete(r.waiters, e.Index)
 		if w.term != e.Term {
-			w.done <- result{err: noLeaderError("another leader took over before the change was committed")}
+			w.end(result{err: noLeaderError("another leader took over before the change was committed")})
 			continue
 		}
-		w.done <- result{index: e.Index, response: answer}
+		w.end(result{index: e.Index, response: answer})
 	}
 }
 
