Raft: a leader finds where a member's log differs in an exchange a term, not one an entry

Cause: a member that refuses an index told the one before, so the leader went back one entry an exchange, and each step sent all entries from there on. Meanwhile each heartbeat, from the end of the log on, began another such chain: over a narrow or slow link chains begin faster than they end. The logs differ by as much as leaders could write without a quorum: a group under changes that loses and regains its leader has hundreds.

Change: a refusal tells the last index before whose entry is not of a later term than the one asked for, and that entry's term; the leader goes back over all of its own later terms at once. Entries are compared as before: only where to try next changes, never what matches. A store of the release before sends no term and is handled as before; one as leader reads the lower index as it did.

--- a/raft/step.go
+++ b/raft/step.go
@@ -144,7 +144,8 @@
 	}
 	if m.Index > c.lastIndex() || c.termAt(m.Index) != m.LogTerm {
 		reply.Reject = true
-		reply.Index = min(c.lastIndex(), m.Index-1)
+		reply.Index = c.lastOfTerm(m.Index-1, m.LogTerm)
+		reply.LogTerm = c.termAt(reply.Index)
 		c.send(reply)
 		return
 	}
@@ -155,6 +156,17 @@
 	c.send(reply)
 }
 
+// lastOfTerm returns the last index, up to one, whose entry is not of a later term than the given one.
+// Terms never fall along a log, so two logs cannot agree between that index and the one given where
+// the other log has that term.
+func (c *Core) lastOfTerm(index, term uint64) uint64 {
+	index = min(index, c.lastIndex())
+	for index > c.base && c.termAt(index) > term {
+		index--
+	}
+	return index
+}
+
 // mergeEntries appends entries after dropping a conflicting tail of the log.
 func (c *Core) mergeEntries(entries []Entry) {
 	for i, e := range entries {
@@ -210,7 +222,11 @@
 	p.round = max(p.round, m.Round)
 	if m.Reject {
 		p.transfer = transfer{}
-		p.next = max(p.match+1, min(p.next, m.Index+1))
+		index := m.Index
+		if m.LogTerm > 0 { // the release before does not tell it
+			index = c.lastOfTerm(index, m.LogTerm)
+		}
+		p.next = max(p.match+1, min(p.next, index+1))
 		if p.snapshotRetryTicks == 0 {
 			c.sendAppend(m.From)
 		}
