--- a/replica/identity.go
+++ b/replica/identity.go
@@ -40,18 +40,30 @@
 	if err != nil {
 		return diskID{}, fmt.Errorf("open disk marker: %w", err)
 	}
-	var stat unix.Statx_t
-	err = unix.Statx(int(f.Fd()), "", unix.AT_EMPTY_PATH, unix.STATX_INO|unix.STATX_BTIME, &stat)
+	id, err := statDiskID(int(f.Fd()))
 	if err := errors.Join(err, f.Sync(), f.Close(), wal.SyncDir(dir)); err != nil {
 		return diskID{}, fmt.Errorf("read disk marker: %w", err)
 	}
-	id := diskID{Inode: stat.Ino}
-	if stat.Mask&unix.STATX_BTIME != 0 {
-		id.Created = stat.Btime.Sec*int64(time.Second) + int64(stat.Btime.Nsec)
-	}
 	return id, nil
 }
 
+// statDiskID returns the inode and, where the kernel and the file system tell it, the time of creation.
+func statDiskID(fd int) (diskID, error) {
+	var extended unix.Statx_t
+	if err := unix.Statx(fd, "", unix.AT_EMPTY_PATH, unix.STATX_INO|unix.STATX_BTIME, &extended); err == nil {
+		id := diskID{Inode: extended.Ino}
+		if extended.Mask&unix.STATX_BTIME != 0 {
+			id.Created = extended.Btime.Sec*int64(time.Second) + int64(extended.Btime.Nsec)
+		}
+		return id, nil
+	}
+	var stat unix.Stat_t
+	if err := unix.Fstat(fd, &stat); err != nil {
+		return diskID{}, fmt.Errorf("stat disk marker: %w", err)
+	}
+	return diskID{Inode: stat.Ino}, nil
+}
+
 // matches reports whether a state was written on this disk. A state without the time of creation is
 // known by the inode alone.
 func (d diskID) matches(found diskID) bool {
