A copied claims folder grants no key that may have run after it was copied

What callers saw: nothing yet; found in review, by the class of the incident: a folder that decides by its surroundings. A call that may run once ran twice after a store's folder was restored from a copy.

Cause: after the loss of a disk, keys made before the new one was first used are answered as lost. A restored copy kept the time at which the original was first used (none for the first disk), so a key that was granted after the copy was made was unknown and in time: it was granted again.

Evidence: TestKeyThatRanAfterTheCopyWasTakenIsNotGrantedAgain failed on a first and on a later disk.

Why this works: the first record names the disk that the file was written on, by the marker that replicas are known by, which is now a package. On another disk the claims of the file are kept, and the time of the first use is that of this start. A folder of an earlier release has no such record and is trusted once, as before.

What it costs: on an exact copy too, unknown keys made before the start, and until the tolerated skew of clocks after it (2 min), are answered as lost, as on a new disk.

--- a/claims/claims.go
+++ b/claims/claims.go
@@ -3,8 +3,8 @@
 //
 // Keys are UUIDs of version 7 (RFC 9562), which contain their creation time. That bounds
 // what must be stored: a key older than the time to live is refused whether it is stored
-// or not, and after the loss of a disk a key created before the new disk was first used
-// is answered as lost, never granted.
+// or not, and after the loss of a disk, or its restoration from a copy, an unknown key created
+// before the new disk was first used is answered as lost, never granted.
 package claims
 
 import (
@@ -20,6 +20,7 @@
 	"time"
 
 	"wheelgauge"
+	"wheelgauge/diskid"
 	"wheelgauge/wal"
 )
 
@@ -45,7 +46,9 @@
 // record is one entry of the file on disk.
 type record struct {
 	// Since is when this disk was first used; set in the first record only.
-	Since time.Time         `json:"since,omitzero"`
+	Since time.Time `json:"since,omitzero"`
+	// Disk is the disk that the file was written on; set in the first record by Open.
+	Disk  *diskid.ID        `json:"on,omitempty"`
 	Claim *wheelgauge.Claim `json:"claim,omitempty"`
 }
 
@@ -63,6 +66,7 @@
 type Table struct {
 	options             Options
 	log                 *wal.Log
+	disk                diskid.ID
 	diskSince           time.Time
 	mu                  sync.Mutex
 	claims              map[string]wheelgauge.Claim
@@ -86,11 +90,15 @@
 	if err := wal.MakeDir(options.Dir, 0o700); err != nil {
 		return nil, fmt.Errorf("create claims folder: %w", err)
 	}
+	disk, err := diskid.Read(options.Dir)
+	if err != nil {
+		return nil, fmt.Errorf("open claims: %w", err)
+	}
 	log, records, err := wal.Open(filepath.Join(options.Dir, logFile))
 	if err != nil {
 		return nil, fmt.Errorf("open claims: %w", err)
 	}
-	t := &Table{options: options, log: log, claims: map[string]wheelgauge.Claim{}, queue: make(chan request, maxBatch), done: make(chan error, 1)}
+	t := &Table{options: options, log: log, disk: disk, claims: map[string]wheelgauge.Claim{}, queue: make(chan request, maxBatch), done: make(chan error, 1)}
 	if err := t.replay(records); err != nil {
 		return nil, errors.Join(err, log.Close())
 	}
@@ -109,7 +117,8 @@
 		if err := json.Unmarshal(data, &r); err != nil {
 			return fmt.Errorf("decode claims: %w", err)
 		}
-		if i == 0 {
+		// A copy keeps its claims, but lacks those that were taken after it was made.
+		if i == 0 && (r.Disk == nil || t.disk.Matches(*r.Disk)) {
 			t.diskSince = r.Since
 		}
 		if r.Claim != nil {
@@ -329,7 +338,7 @@
 	defer t.mu.Unlock()
 	t.recordsSinceRewrite = 0
 	oldest := t.options.Now().Add(-t.options.TTL - t.options.MaxSkew)
-	first, err := json.Marshal(record{Since: t.diskSince})
+	first, err := json.Marshal(record{Since: t.diskSince, Disk: &t.disk})
 	if err != nil {
 		return fmt.Errorf("encode claims: %w", err)
 	}
--- a/claims/claims_test.go
+++ b/claims/claims_test.go
@@ -262,3 +262,48 @@
 		b.Fatal(err)
 	}
 }
+
+func TestKeyThatRanAfterTheCopyWasTakenIsNotGrantedAgain(t *testing.T) {
+	for _, first := range []bool{true, false} {
+		t.Run(fmt.Sprint("first disk: ", first), func(t *testing.T) {
+			dir, c := t.TempDir(), &fakeClock{now: noon.Add(-time.Hour)}
+			if first {
+				if err := Initialize(dir); err != nil {
+					t.Fatal(err)
+				}
+			}
+			table := mustOpen(t, dir, c)
+			c.now = noon
+			before, after := claim(keyAt(noon, 1), "a", wheelgauge.ClaimNew), claim(keyAt(noon, 2), "a", wheelgauge.ClaimNew)
+			mustTake(t, table, before)
+			restored := t.TempDir()
+			if err := os.CopyFS(restored, os.DirFS(dir)); err != nil {
+				t.Fatal(err)
+			}
+			mustTake(t, table, after)
+			if err := table.Close(); err != nil {
+				t.Fatal(err)
+			}
+			c.now = noon.Add(time.Minute)
+			for range 2 {
+				table = mustOpen(t, restored, c)
+				before.Holder, after.Holder = "b", "b"
+				if got := mustTake(t, table, before); got.State != wheelgauge.ClaimRunning || got.Holder != "a" {
+					t.Errorf("got %+v for a key that the copy has, want that of its holder", got)
+				}
+				if got := mustTake(t, table, after); got.State != wheelgauge.ClaimLost {
+					t.Errorf("got %+v for a key that ran after the copy was taken, want %v", got, wheelgauge.ClaimLost)
+				}
+				if err := table.Close(); err != nil {
+					t.Fatal(err)
+				}
+			}
+			c.now = noon.Add(time.Hour)
+			table = mustOpen(t, restored, c)
+			defer table.Close()
+			if got := mustTake(t, table, claim(keyAt(c.now, 3), "b", wheelgauge.ClaimNew)); got.State != wheelgauge.ClaimNew {
+				t.Errorf("got %+v for a later key, want a grant", got)
+			}
+		})
+	}
+}
--- a/replica/copied_test.go
+++ b/replica/copied_test.go
@@ -6,6 +6,8 @@
 	"os"
 	"path/filepath"
 	"testing"
+
+	"wheelgauge/diskid"
 )
 
 // copyOf returns a directory with a copy of the files in dir.
@@ -52,7 +54,7 @@
 				case copied:
 					g.start(all[n], copyOf(t, dirs[all[n]]), false)
 				case marker:
-					if err := os.Rename(filepath.Join(dirs[all[n]], markerName), filepath.Join(t.TempDir(), markerName)); err != nil {
+					if err := os.Rename(filepath.Join(dirs[all[n]], diskid.MarkerName), filepath.Join(t.TempDir(), diskid.MarkerName)); err != nil {
 						t.Fatal(err)
 					}
 					g.start(all[n], dirs[all[n]], false)
--- a/replica/identity.go
+++ b/replica/identity.go
@@ -3,57 +3,11 @@
 import (
 	"crypto/rand"
 	"encoding/binary"
-	"errors"
-	"fmt"
-	"os"
-	"path/filepath"
-	"time"
-
-	"golang.org/x/sys/unix"
-
-	"wheelgauge/wal"
 )
 
-const markerName = "disk.marker"
-
 // newID returns a random, nonzero replica ID.
 func newID() uint64 {
 	var b [8]byte
 	_, _ = rand.Read(b[:]) // never fails: crypto/rand crashes the process instead
 	return binary.LittleEndian.Uint64(b[:])>>1 | 1
 }
-
-// diskID identifies the disk that a state was written on, by the marker file.
-type diskID struct {
-	Inode uint64 `json:"disk"`
-	// Created is the time at which the marker was created, in nanoseconds, as inodes of removed files
-	// are used again; 0 if the file system does not tell.
-	Created int64 `json:"disk_created,omitempty"`
-}
-
-// readDiskID identifies the disk of dir by the marker file, which it creates if it is not there. A
-// copy or a restored backup of the folder has another one, so its state may be older than what the
-// replica has told others since.
-func readDiskID(dir string) (diskID, error) {
-	path := filepath.Join(dir, markerName)
-	f, err := os.OpenFile(path, os.O_CREATE|os.O_RDONLY, 0o600)
-	if err != nil {
-		return diskID{}, fmt.Errorf("open disk marker: %w", err)
-	}
-	var stat unix.Statx_t
-	err = unix.Statx(int(f.Fd()), "", unix.AT_EMPTY_PATH, unix.STATX_INO|unix.STATX_BTIME, &stat)
-	if err := errors.Join(err, f.Sync(), f.Close(), wal.SyncDir(dir)); err != nil {
-		return diskID{}, fmt.Errorf("read disk marker: %w", err)
-	}
-	id := diskID{Inode: stat.Ino}
-	if stat.Mask&unix.STATX_BTIME != 0 {
-		id.Created = stat.Btime.Sec*int64(time.Second) + int64(stat.Btime.Nsec)
-	}
-	return id, nil
-}
-
-// matches reports whether a state was written on this disk. A state without the time of creation is
-// known by the inode alone.
-func (d diskID) matches(found diskID) bool {
-	return d.Inode == found.Inode && (d.Created == found.Created || d.Created == 0 || found.Created == 0)
-}
--- a/replica/identity_test.go
+++ b/replica/identity_test.go
@@ -4,6 +4,8 @@
 	"os"
 	"path/filepath"
 	"testing"
+
+	"wheelgauge/diskid"
 )
 
 // A file system may give the marker of a copy the inode that the removed original had.
@@ -54,7 +56,7 @@
 		if err := os.Rename(dir, moved); err != nil {
 			t.Fatal(err)
 		}
-		if err := os.Chmod(filepath.Join(moved, markerName), 0o600); err != nil {
+		if err := os.Chmod(filepath.Join(moved, diskid.MarkerName), 0o600); err != nil {
 			t.Fatal(err)
 		}
 		dir = moved
--- a/replica/storage.go
+++ b/replica/storage.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"path/filepath"
 
+	"wheelgauge/diskid"
 	"wheelgauge/raft"
 	"wheelgauge/wal"
 )
@@ -15,6 +16,8 @@
 	dirMode = 0o700
 )
 
+type diskID = diskid.ID
+
 // identity is the ID of this replica and the disk that its state was written on.
 type identity struct {
 	ID uint64 `json:"id"`
@@ -68,7 +71,7 @@
 	if err := wal.MakeDir(dir, dirMode); err != nil {
 		return nil, raft.State{}, false, fmt.Errorf("create data directory: %w", err)
 	}
-	disk, err := readDiskID(dir)
+	disk, err := diskid.Read(dir)
 	if err != nil {
 		return nil, raft.State{}, false, err
 	}
@@ -85,7 +88,7 @@
 	if s.self.ID == 0 {
 		return s, raft.State{}, true, s.startBlank(newID())
 	}
-	if !disk.matches(s.self.diskID) {
+	if !disk.Matches(s.self.diskID) {
 		s.unverified, s.successor = true, newID()
 	} else {
 		s.self.diskID = disk // an earlier release knew the inode only
