Members that a store shows are not older than the state that it serves

Cause: a store publishes its view of the group at the end of a round of its loop, after it has applied the round's entries. In between, status tells the new generation with the members of before: a store on an old disk looks like a voter that has caught up. Besides, status read the members before the generation.

Change: the view is published before entries are applied, too, and status reads the generation first.

--- a/replica/bootstrap_test.go
+++ b/replica/bootstrap_test.go
@@ -13,6 +13,7 @@
 	"github.com/go-logr/logr"
 	"github.com/valyala/fasthttp"
 
+	"wheelgauge"
 	"wheelgauge/httpserve"
 	"wheelgauge/peerhttp"
 	"wheelgauge/raft"
@@ -71,6 +72,8 @@
 	nodes map[string]*node
 	// editOptions modifies the options of replicas started later; it may be nil.
 	editOptions func(o *Options)
+	// wrapMachine wraps the state machines of replicas started later; it may be nil.
+	wrapMachine func(m *testMachine) wheelgauge.StateMachine
 }
 
 func (g *group) start(address, dir string, first bool) *node {
@@ -86,8 +89,12 @@
 	if g.editOptions != nil {
 		g.editOptions(&o)
 	}
+	var machine wheelgauge.StateMachine = n.machine
+	if g.wrapMachine != nil {
+		machine = g.wrapMachine(n.machine)
+	}
 	var err error
-	if n.replica, err = Open(context.Background(), o, n.machine); err != nil {
+	if n.replica, err = Open(context.Background(), o, machine); err != nil {
 		g.t.Fatal(err)
 	}
 	handler := func(ctx *fasthttp.RequestCtx) {
@@ -104,6 +111,10 @@
 
 func (g *group) stop(n *node) {
 	delete(g.nodes, n.address)
+	n.stop()
+}
+
+func (n *node) stop() {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	_ = n.http.Close(ctx)
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -264,6 +264,9 @@
 			return err
 		}
 		r.net.send(r.core.Members(), rd.Messages)
+		if len(rd.Committed) > 0 {
+			r.publish() // who reads the new state finds the members that it was agreed on with
+		}
 		r.apply(rd.Committed)
 		if err := r.core.Advance(rd); err != nil {
 			return fmt.Errorf("advance: %w", err)
--- a/storeapi/api.go
+++ b/storeapi/api.go
@@ -152,8 +152,9 @@
 
 func (a *API) status(ctx *fasthttp.RequestCtx) {
 	reports := a.Acceptor.Reports(a.Context)
+	generation := a.Registry.Generation() // first, so that the members are not older
 	s := Status{
-		Replica: a.Replica.Status(), Generation: a.Registry.Generation(), Stores: reports,
+		Replica: a.Replica.Status(), Generation: generation, Stores: reports,
 		HostGenerations: pendingrules.MergeHosts(reports), LiveHosts: a.Hub.Hosts(), Claims: a.Claims.Len(),
 	}
 	for i := range s.Stores {
