A candidate that has lost tries again soon, not after a whole election timeout

What callers saw: after the leader of five stores is lost with its disk, no leader for 4.7 s, although four run and hear each other: two elections in a row ended in a tie of two against two, and each cost a new timeout of 1 to 2 s. That adds to the time until lost disks are replaced; what the group bears until then is less than its count of stores.

Now a candidate that is refused by so many that no majority is left campaigns again after up to one ElectionTicks, at random. Nothing that decides an election changes.

--- a/raft/step.go
+++ b/raft/step.go
@@ -123,8 +123,12 @@
 		return // counted; the request was delivered twice
 	}
 	c.votes[m.From] = ballot{granted: !m.Reject, unverified: m.Unverified}
-	if c.winsElection() {
+	switch {
+	case c.winsElection():
 		c.electionWon()
+	case !preVote && c.lostElection():
+		// The next campaign need not wait for those that have lost as well.
+		c.electionTimeout = min(c.electionTimeout, c.electionElapsed+1+c.random.IntN(c.options.ElectionTicks))
 	}
 }
 
--- a/raft/unverified.go
+++ b/raft/unverified.go
@@ -97,3 +97,12 @@
 	old := min(unverified, max(0, tolerated-failed))
 	return verified >= majority || verified+unverified-tolerated > old
 }
+
+// lostElection reports whether so many voters have refused their vote that no majority is left.
+func (c *Core) lostElection() bool {
+	refused := func(id uint64) bool {
+		vote, ok := c.votes[id]
+		return ok && !vote.granted
+	}
+	return !c.quorum(func(id uint64) bool { return !refused(id) })
+}
