A blank store at the address of a lost one joins at once

What callers saw: a group that bears one lost store only for a second longer than it should. A new leader takes all members for active until its first check, a second later, and refused a store on a blank disk with "a store of this name is still active".

A store that asks from the address of the member of its name has taken its place, so that one has lost its disk, whatever was heard of it last. From another address the check stays: two stores of one name are a mistake. TestBlankStoreAtTheAddressOfALostOneJoinsAtOnce, failing before.

--- a/votergroup/planner.go
+++ b/votergroup/planner.go
@@ -58,7 +58,8 @@
 		return members, nil
 	}
 	sameName := slices.IndexFunc(members, func(o raft.Member) bool { return o.Name == m.Name })
-	if sameName >= 0 && c.RecentlyActive(members[sameName].ID) {
+	// A store at the address of the other one has taken its place: that one has lost its disk.
+	if sameName >= 0 && members[sameName].Address != m.Address && c.RecentlyActive(members[sameName].ID) {
 		return nil, conflict("a store of this name is still active: " + m.Name)
 	}
 	if len(members) >= maxMembers {
--- a/votergroup/planner_test.go
+++ b/votergroup/planner_test.go
@@ -412,3 +412,26 @@
 		}
 	}
 }
+
+func TestBlankStoreAtTheAddressOfALostOneJoinsAtOnce(t *testing.T) {
+	tests := []struct {
+		name    string
+		address string
+		want    bool
+	}{
+		{"at its address", "d", true},
+		{"elsewhere", "x", false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			l := newGroup(t).leader()
+			if !l.core.RecentlyActive(4) && l.core.ID() != 4 {
+				t.Fatal("the member is not believed active")
+			}
+			next, err := l.planner.Join(l.core, raft.Member{ID: 101, Name: "d", Address: tt.address})
+			if joined := err == nil && indexOf(next, 101) >= 0; joined != tt.want {
+				t.Errorf("got members %+v, error %v, want that it joins: %v", next, err, tt.want)
+			}
+		})
+	}
+}
