--- a/replica/members.go
+++ b/replica/members.go
@@ -30,8 +30,9 @@
 	// leaveInterval is how often it asks.
 	leaveTimeout  = 2 * time.Second
 	leaveInterval = 50 * time.Millisecond
-	// replaceVoterTicks is longer than any election.
-	replaceVoterTicks  = 3 * electionTicks
+	// replaceVoterTicks is longer than a follower waits for its leader. A learner that has caught up
+	// should vote before the next store may fail.
+	replaceVoterTicks  = 2 * electionTicks
 	removeLearnerTicks = 20 * electionTicks
 	leaveTicks         = 3 * electionTicks
 )
