A store without a leader says whose state is an unverified copy

What callers saw: the line "No leader is known." did not tell a group that waits for the votes of copied disks from one whose votes are not given: a granted vote looks the same, and counts differently.

The line has "unverified" of the store itself, and a contact whose answer was that of an unverified replica ends with it. Both tests failed before (TestStoreOnACopiedDiskWithoutALeaderSaysSo, TestVotesOfCopiedDisksAreToldApart) and pass with -race.

--- a/replica/leaderless.go
+++ b/replica/leaderless.go
@@ -61,7 +61,7 @@
 	l := r.leaderlessState()
 	r.options.Log.Info("No leader is known.", "for_ms", l.ForMS, "id", r.storage.self.ID, "role", roleNames[r.core.Role()], "term", r.core.Term(),
 		"vote", r.core.Vote(), "commit", r.core.Commit(), "last_index", l.LastIndex, "last_term", l.LastTerm,
-		"voter", l.Voter, "writable", l.Writable, "contacts", r.describeContacts(l.Contacts))
+		"voter", l.Voter, "writable", l.Writable, "unverified", r.core.Unverified(), "contacts", r.describeContacts(l.Contacts))
 }
 
 // describeContacts returns one entry for each other member: its name, ID, vote, the time since its
@@ -81,6 +81,9 @@
 		if k.Ballot == raft.BallotRefused {
 			part += fmt.Sprintf("(term %d, log %d/%d)", k.Term, k.LastIndex, k.LastTerm)
 		}
+		if k.Unverified {
+			part += " unverified"
+		}
 		parts = append(parts, part)
 	}
 	return strings.Join(parts, "; ")
--- a/replica/leaderless_test.go
+++ b/replica/leaderless_test.go
@@ -6,6 +6,8 @@
 	"testing"
 
 	"github.com/go-logr/logr/funcr"
+
+	"wheelgauge/raft"
 )
 
 // logLines collects log lines.
@@ -59,3 +61,30 @@
 	g.start(all[0], t.TempDir(), false) // blank: no quorum yet
 	g.waitFor("the start of a blank store", func() bool { return lines.find("Replica started.", `"blank"=true`) != "" })
 }
+
+func TestStoreOnACopiedDiskWithoutALeaderSaysSo(t *testing.T) {
+	all := []string{"127.0.82.1:7802", "127.0.82.2:7802", "127.0.82.3:7802"}
+	g := &group{t: t, seeds: all, nodes: map[string]*node{}}
+	defer g.stopAll()
+	for _, a := range all {
+		g.start(a, t.TempDir(), true)
+	}
+	g.waitFor("three voters", func() bool { return g.voters() == 3 })
+	dir := g.nodes[all[0]].dir
+	g.stopAll()
+	lines := &logLines{}
+	g.editOptions = func(o *Options) { o.Log = funcr.New(lines.add, funcr.Options{}) }
+	g.start(all[0], copyOf(t, dir), false)
+	g.waitFor("the line of the store", func() bool { return lines.find("No leader is known.", `"unverified"=true`) != "" })
+}
+
+func TestVotesOfCopiedDisksAreToldApart(t *testing.T) {
+	contacts := []raft.Contact{
+		{Member: raft.Member{ID: 7, Name: "a", Voter: true}, Ballot: raft.BallotGranted, Unverified: true},
+		{Member: raft.Member{ID: 8, Name: "b", Voter: true}, Ballot: raft.BallotGranted},
+	}
+	want := "a 7 voter heard=never ballot=granted unverified; b 8 voter heard=never ballot=granted"
+	if got := (&Replica{}).describeContacts(contacts); got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
