Recovery keeps the file that it is made from

With three states set aside, a recovery from the oldest one removed it before its contents were written to the log: a full disk or a kill between lost the state.

Evidence: TestRecoveryKeepsTheFileThatItIsMadeFrom failed: the file was gone.

Why this works: the removal of the oldest states passes over that file.

After: it passes, as the tests of recovery and of states set aside do with -race. TestGroupIsRecoveredFromOneStore failed once of two runs beside a load average of 70, before its recovery began (a change was not committed in 20 s).

--- a/replica/recover.go
+++ b/replica/recover.go
@@ -51,7 +51,7 @@
 	}
 	path := filepath.Join(dir, logName)
 	if _, err := os.Stat(path); err == nil {
-		aside, err := nextAside(dir)
+		aside, err := nextAside(dir, file)
 		if err != nil {
 			return err
 		}
--- a/replica/recover_test.go
+++ b/replica/recover_test.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"bytes"
 	"os"
 	"path/filepath"
 	"testing"
@@ -144,3 +145,25 @@
 		t.Error("a blank store was recovered")
 	}
 }
+
+func TestRecoveryKeepsTheFileThatItIsMadeFrom(t *testing.T) {
+	dir := t.TempDir()
+	if err := Bootstrap(dir, "a", "a"); err != nil {
+		t.Fatal(err)
+	}
+	state, err := os.ReadFile(filepath.Join(dir, logName))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for n := range maxAside {
+		if err := os.WriteFile(asidePath(dir, n+1), state, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := Recover(dir, asidePath(dir, 1), "a", "a"); err != nil {
+		t.Fatal(err)
+	}
+	if got, err := os.ReadFile(asidePath(dir, 1)); err != nil || !bytes.Equal(got, state) {
+		t.Errorf("got %v for the file that the state was recovered from, want it as it was", err)
+	}
+}
--- a/replica/unverified.go
+++ b/replica/unverified.go
@@ -54,7 +54,7 @@
 	if err := s.log.Close(); err != nil {
 		return "", fmt.Errorf("close replica log: %w", err)
 	}
-	aside, err := nextAside(s.dir)
+	aside, err := nextAside(s.dir, "")
 	if err != nil {
 		return "", err
 	}
@@ -73,8 +73,9 @@
 	return aside, errors.Join(openErr, s.startBlank(s.successor))
 }
 
-// nextAside returns the path of the next state to set aside, and removes the oldest beyond maxAside.
-func nextAside(dir string) (string, error) {
+// nextAside returns the path of the next state to set aside, and removes the oldest beyond maxAside
+// other than the file kept.
+func nextAside(dir, kept string) (string, error) {
 	entries, err := os.ReadDir(dir)
 	if err != nil {
 		return "", fmt.Errorf("list states set aside: %w", err)
@@ -87,16 +88,22 @@
 		}
 	}
 	slices.Sort(numbers)
-	for len(numbers) >= maxAside {
-		if err := os.Remove(asidePath(dir, numbers[0])); err != nil {
-			return "", fmt.Errorf("remove oldest state set aside: %w", err)
+	next := 1
+	for i, n := range numbers {
+		next = n + 1
+		if path := asidePath(dir, n); i <= len(numbers)-maxAside && !sameFile(path, kept) {
+			if err := os.Remove(path); err != nil {
+				return "", fmt.Errorf("remove oldest state set aside: %w", err)
+			}
 		}
-		numbers = numbers[1:]
 	}
-	if len(numbers) == 0 {
-		return asidePath(dir, 1), nil
-	}
-	return asidePath(dir, numbers[len(numbers)-1]+1), nil
+	return asidePath(dir, next), nil
+}
+
+func sameFile(a, b string) bool {
+	infoA, errA := os.Stat(a)
+	infoB, errB := os.Stat(b)
+	return errA == nil && errB == nil && os.SameFile(infoA, infoB)
 }
 
 func asidePath(dir string, number int) string {
