--- a/replica/leaderless.go
+++ b/replica/leaderless.go
@@ -78,12 +78,12 @@
 			heard = r.tickDuration(k.SilentTicks).String()
 		}
 		part := fmt.Sprintf("%s %d %s heard=%s ballot=%s", k.Member.Name, k.Member.ID, kind, heard, k.Ballot)
-		if k.Unverified {
-			part += "(unverified)"
-		}
 		if k.Ballot == raft.BallotRefused {
 			part += refusal(k)
 		}
+		if k.Unverified {
+			part += " unverified"
+		}
 		parts = append(parts, part)
 	}
 	return strings.Join(parts, "; ")
