The fuzz of answers reads head and end from one connection

The end of the connection is read again by the wait for delivery. The fuzz's connection had a second copy of the bytes for that, so each answer that ends with its connection counted as broken and was not compared any more.

--- a/serverconn/fuzz_test.go
+++ b/serverconn/fuzz_test.go
@@ -53,7 +53,8 @@
 // compare returns an error if a response counts as complete here and net/http rejects it,
 // finds it truncated, or reads another status or body.
 func compare(in []byte) error {
-	c := &Conn{net: &bytesConn{in: bytes.NewReader(in)}, in: bufio.NewReaderSize(bytes.NewReader(in), readBufferBytes), reusable: true}
+	conn := &bytesConn{in: bytes.NewReader(in)}
+	c := &Conn{net: conn, in: bufio.NewReaderSize(conn, readBufferBytes), reusable: true}
 	h, b, err := c.ReadHead("Id", "", false)
 	if err != nil {
 		return nil
