--- a/routegate/resetends_test.go
+++ b/routegate/resetends_test.go
@@ -53,6 +53,8 @@
 	parts []string
 	rest  time.Duration
 	end   serverEnd
+	// reached counts the requests.
+	reached *atomic.Int64
 }
 
 func (e earlyServer) serve(c net.Conn) {
@@ -62,6 +64,7 @@
 	if err != nil {
 		return
 	}
+	e.reached.Add(1)
 	_, _ = io.CopyN(io.Discard, req.Body, e.read)
 	for _, part := range e.parts {
 		_, _ = io.WriteString(c, part)
@@ -105,10 +108,8 @@
 		size := []int{smallUpload, largeUpload}[round%2]
 		played.rest += time.Duration(round/2%8) * 10 * time.Millisecond
 		var reached atomic.Int64
-		b := &backend{conn: listen(t, func(c net.Conn) {
-			reached.Add(1)
-			played.serve(c)
-		})}
+		played.reached = &reached
+		b := &backend{conn: listen(t, played.serve)}
 		var ended endedLines
 		var answer string
 		var err error
