A candidate counts voters that are silent as lost votes

Cause, from the lines: three stores are left, and all three must agree. Two campaign at once, each is refused by the other, and waits a whole election timeout of 1 to 2 s, twice: the quick second campaign counted the two lost stores as votes that may still come.

Voters that sent nothing for an election timeout count as lost votes in this. They only decide when the next campaign begins; a late vote still counts.

TestCandidateThatHasLostDoesNotWaitAWholeTimeout, two of three cases failing before.

--- a/raft/members_test.go
+++ b/raft/members_test.go
@@ -121,32 +121,47 @@
 }
 
 func TestCandidateThatHasLostDoesNotWaitAWholeTimeout(t *testing.T) {
-	for seed := range uint64(20) {
-		var members []Member
-		for id := range uint64(4) {
-			members = append(members, Member{ID: id + 1, Voter: true})
-		}
-		c := New(Options{ID: 1, ElectionTicks: 10, HeartbeatTicks: 2, Seed: seed}, State{Snapshot: &Snapshot{Index: 1, Term: 1, Members: members}})
-		for c.role != PreCandidate {
-			c.Tick()
-		}
-		for id := uint64(2); id <= 3; id++ {
-			c.Step(Message{Type: MessagePreVoteReply, From: id, To: 1, Term: 1})
-		}
-		term := c.Term()
-		c.Step(Message{Type: MessageVoteReply, From: 2, To: 1, Term: term})
-		for id := uint64(3); id <= 4; id++ { // a tie: two votes of four
-			c.Step(Message{Type: MessageVoteReply, From: id, To: 1, Term: term, Reject: true})
-		}
-		if c.role != Candidate {
-			t.Fatalf("got role %v, want a candidate that has lost", c.role)
-		}
-		ticks := 0
-		for ; c.role == Candidate; ticks++ {
-			c.Tick()
-		}
-		if ticks > c.options.ElectionTicks {
-			t.Errorf("seed %d: the next campaign began after %d ticks, want %d at most", seed, ticks, c.options.ElectionTicks)
-		}
+	tests := []struct {
+		name             string
+		voters           uint64
+		granted, refused []uint64
+	}{
+		{"a tie of two of four", 4, []uint64{2}, []uint64{3, 4}},
+		{"refused by one of three that are left of five", 5, []uint64{2}, []uint64{3}},
+		{"refused by both others that are left of five", 5, nil, []uint64{2, 3}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			for seed := range uint64(20) {
+				var members []Member
+				for id := range tt.voters {
+					members = append(members, Member{ID: id + 1, Voter: true})
+				}
+				c := New(Options{ID: 1, ElectionTicks: 10, HeartbeatTicks: 2, Seed: seed}, State{Snapshot: &Snapshot{Index: 1, Term: 1, Members: members}})
+				for c.role != PreCandidate {
+					c.Tick()
+				}
+				for id := uint64(2); id <= 3; id++ {
+					c.Step(Message{Type: MessagePreVoteReply, From: id, To: 1, Term: 1})
+				}
+				term := c.Term()
+				for _, id := range tt.granted {
+					c.Step(Message{Type: MessageVoteReply, From: id, To: 1, Term: term})
+				}
+				for _, id := range tt.refused {
+					c.Step(Message{Type: MessageVoteReply, From: id, To: 1, Term: term, Reject: true})
+				}
+				if c.role != Candidate {
+					t.Fatalf("got role %v, want a candidate that has lost", c.role)
+				}
+				ticks := 0
+				for ; c.role == Candidate; ticks++ {
+					c.Tick()
+				}
+				if ticks > c.options.ElectionTicks {
+					t.Errorf("seed %d: the next campaign began after %d ticks, want %d at most", seed, ticks, c.options.ElectionTicks)
+				}
+			}
+		})
 	}
 }
--- a/raft/step.go
+++ b/raft/step.go
@@ -127,7 +127,7 @@
 	case c.winsElection():
 		c.electionWon()
 	case !preVote && c.lostElection():
-		// The next campaign need not wait for those that have lost as well.
+		// A short random pause is enough to avoid another tie.
 		c.electionTimeout = min(c.electionTimeout, c.electionElapsed+1+c.random.IntN(c.options.ElectionTicks))
 	}
 }
--- a/raft/unverified.go
+++ b/raft/unverified.go
@@ -98,11 +98,14 @@
 	return verified >= majority || verified+unverified-tolerated > old
 }
 
-// lostElection reports whether so many voters have refused their vote that no majority is left.
+// lostElection reports whether no majority is left that may still grant its vote: others have refused
+// it, or sent nothing for an election timeout.
 func (c *Core) lostElection() bool {
-	refused := func(id uint64) bool {
-		vote, ok := c.votes[id]
-		return ok && !vote.granted
-	}
-	return !c.quorum(func(id uint64) bool { return !refused(id) })
+	return !c.quorum(func(id uint64) bool {
+		vote, answered := c.votes[id]
+		if answered {
+			return vote.granted
+		}
+		return c.contacts.silentTicks(id) < c.options.ElectionTicks
+	})
 }
